--- /dev/null
+++ b/entry-control.c
@@ -0,0 +1,180 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include "entry-http.h"
+
+#define CONTROL_BODY_MAX 4096
+#define CONTROL_IDLE_SECONDS 15u
+#define CONTROL_CONNECTIONS 1024u
+
+/* A request of the control port while it comes in. */
+typedef struct {
+	char body[CONTROL_BODY_MAX + 1];
+	size_t size;
+	bool oversize;
+} control_state_t;
+
+static const struct {
+	const char *method;
+	const char *path;
+	void (*handle)(const entry_control_t *in, entry_reply_t *reply);
+} control_routes[] = {
+	{ "GET", "/v1/lookup", entry_lookup_handle },
+	{ "POST", "/v1/announce", entry_announce_handle },
+	{ "GET", "/v1/status", entry_status_handle },
+	{ "GET", "/v1/health", entry_status_health },
+	{ "GET", "/metrics", entry_status_metrics },
+};
+
+#define CONTROL_ROUTES (sizeof(control_routes) / sizeof(control_routes[0]))
+
+void entry_reply_error(entry_reply_t *reply, unsigned status, const char *fmt,
+		       ...)
+{
+	char text[HL_MESSAGE_MAX];
+	char quoted[HL_MESSAGE_MAX + 16];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	log_quote(text, quoted, sizeof(quoted));
+	reply->status = status;
+	reply->type = "application/json";
+	if (asprintf(&reply->body, "{\"error\": %s}\n", quoted) < 0)
+		reply->body = NULL;
+}
+
+static void control_route(const entry_control_t *in, const char *method,
+			  const char *path, entry_reply_t *reply)
+{
+	bool known = false;
+	size_t i;
+
+	for (i = 0; i < CONTROL_ROUTES; i++) {
+		if (strcmp(control_routes[i].path, path))
+			continue;
+		known = true;
+		if (strcmp(control_routes[i].method, method))
+			continue;
+		control_routes[i].handle(in, reply);
+		return;
+	}
+	if (known)
+		entry_reply_error(reply, 405,
+				  "method not allowed; see INTERFACES");
+	else
+		entry_reply_error(reply, 404,
+				  "no such page; see INTERFACES for the pages");
+}
+
+static enum MHD_Result control_send(struct MHD_Connection *connection,
+				    entry_reply_t *reply)
+{
+	struct MHD_Response *response;
+	enum MHD_Result result;
+	char text[16];
+
+	response = MHD_create_response_from_buffer(reply->body ?
+							   strlen(reply->body) :
+							   0,
+						   reply->body,
+						   MHD_RESPMEM_MUST_FREE);
+	if (!response) {
+		free(reply->body);
+		return MHD_NO;
+	}
+	MHD_add_response_header(response, "Content-Type", reply->type);
+	if (reply->retry_after_s) {
+		snprintf(text, sizeof(text), "%u", reply->retry_after_s);
+		MHD_add_response_header(response, "Retry-After", text);
+	}
+	result = MHD_queue_response(connection, reply->status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static void control_take(control_state_t *state, const char *bytes, size_t size)
+{
+	if (state->size + size > CONTROL_BODY_MAX) {
+		state->oversize = true;
+		return;
+	}
+	memcpy(state->body + state->size, bytes, size);
+	state->size += size;
+}
+
+static enum MHD_Result control_handle(void *context,
+				      struct MHD_Connection *connection,
+				      const char *url, const char *method,
+				      const char *protocol, const char *bytes,
+				      size_t *size, void **state)
+{
+	control_state_t *control = *state;
+	entry_control_t in = { context, connection, NULL, 0, time_now() };
+	entry_reply_t reply = { 200, "application/json", NULL, 0 };
+
+	(void)protocol;
+	if (!control) {
+		*state = calloc(1, sizeof(*control));
+		return *state ? MHD_YES : MHD_NO;
+	}
+	if (*size) {
+		control_take(control, bytes, *size);
+		*size = 0;
+		return MHD_YES;
+	}
+	in.body = control->body;
+	in.size = control->size;
+	if (control->oversize)
+		entry_reply_error(&reply, 413, "body above %d bytes; send less",
+				  CONTROL_BODY_MAX);
+	else
+		control_route(&in, method, url, &reply);
+	return control_send(connection, &reply);
+}
+
+static void control_completed(void *context, struct MHD_Connection *connection,
+			      void **state,
+			      enum MHD_RequestTerminationCode code)
+{
+	(void)context;
+	(void)connection;
+	(void)code;
+	free(*state);
+	*state = NULL;
+}
+
+int entry_control_start(entry_t *entry, hl_error_t *err)
+{
+	const entry_settings_t *settings = &entry->settings;
+	struct sockaddr_storage storage;
+	unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC;
+
+	if (entry_http_address(entry, settings->control_port, &storage, err))
+		return -1;
+	if (storage.ss_family == AF_INET6)
+		flags |= MHD_USE_IPv6;
+	entry->control = MHD_start_daemon(
+		flags, 0, NULL, NULL, control_handle, entry,
+		MHD_OPTION_SOCK_ADDR, &storage, MHD_OPTION_NOTIFY_COMPLETED,
+		control_completed, NULL, MHD_OPTION_CONNECTION_LIMIT,
+		CONTROL_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
+		CONTROL_IDLE_SECONDS, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+	if (!entry->control)
+		return hl_error_set(err, HL_ERR_IO,
+				    "cannot listen on %s port %" PRId64
+				    "; free the port or set entry.control_port",
+				    settings->address, settings->control_port);
+	return 0;
+}
+
+void entry_control_stop(entry_t *entry)
+{
+	if (entry->control)
+		MHD_stop_daemon(entry->control);
+	entry->control = NULL;
+}
--- /dev/null
+++ b/entry-dispatch.c
@@ -0,0 +1,91 @@
+#include "entry-io.h"
+
+static entry_request_t *dispatch_request(entry_call_t *call)
+{
+	return caa_container_of(call, entry_request_t, call);
+}
+
+void entry_dispatch_next(entry_route_t *route, usec_t now)
+{
+	entry_call_t *call;
+
+	do {
+		pthread_mutex_lock(&route->lock);
+		call = entry_service_next(&route->service, now);
+		pthread_mutex_unlock(&route->lock);
+		if (call)
+			entry_work_push(dispatch_request(call)->entry->work,
+					dispatch_request(call));
+	} while (call);
+}
+
+void entry_dispatch_expire(entry_route_t *route, usec_t now)
+{
+	entry_decision_t decision;
+	entry_call_t *call;
+
+	do {
+		pthread_mutex_lock(&route->lock);
+		call = entry_service_expire(&route->service, now, &decision);
+		pthread_mutex_unlock(&route->lock);
+		if (!call)
+			break;
+		entry_request_refuse(dispatch_request(call), &decision);
+		entry_request_unref(dispatch_request(call));
+	} while (call);
+}
+
+void entry_dispatch_arrive(entry_request_t *req, usec_t now)
+{
+	entry_route_t *route = req->route;
+	entry_decision_t decision;
+
+	entry_request_ref(req);
+	if (req->forward) {
+		entry_work_push(req->entry->work, req);
+		return;
+	}
+	pthread_mutex_lock(&route->lock);
+	decision = entry_service_arrive(&route->service, &req->call, now);
+	pthread_mutex_unlock(&route->lock);
+	switch (decision.verdict) {
+	case ENTRY_SEND:
+		entry_work_push(req->entry->work, req);
+		break;
+	case ENTRY_WAIT:
+		entry_dispatch_next(route, now);
+		break;
+	default:
+		entry_request_refuse(req, &decision);
+		entry_request_unref(req);
+		break;
+	}
+}
+
+void entry_dispatch_end(entry_request_t *req, entry_result_t result, usec_t now)
+{
+	entry_route_t *route = req->route;
+	entry_decision_t decision = { ENTRY_ANSWER, ENTRY_REFUSE_NONE, 0 };
+
+	if (req->forward) {
+		entry_relay_finish(req, result);
+		entry_request_unref(req);
+		return;
+	}
+	pthread_mutex_lock(&route->lock);
+	if (req->answer.published)
+		req->call.idempotent = false;
+	if (req->body_spent)
+		req->call.once = true;
+	decision = entry_service_end(&route->service, &req->call, result, now);
+	if (decision.verdict == ENTRY_WAIT)
+		entry_request_reset(req);
+	pthread_mutex_unlock(&route->lock);
+	if (decision.verdict == ENTRY_REFUSE)
+		entry_request_refuse(req, &decision);
+	else if (decision.verdict == ENTRY_ANSWER)
+		entry_relay_finish(req, result);
+	if (decision.verdict != ENTRY_WAIT)
+		entry_request_unref(req);
+	entry_dispatch_next(route, now);
+}
--- /dev/null
+++ b/entry-forward.c
@@ -0,0 +1,120 @@
+#include <stdlib.h>
+#include <string.h>
+#include "entry-io.h"
+
+#define FORWARD_MEMBERS_MAX 256
+/* Idle connections kept to one sibling entry. */
+#define FORWARD_IDLE_MAX 64
+
+/* A sibling entry that calls are handed to. */
+typedef struct {
+	struct cds_list_head link;
+	entry_place_t *place;
+} forward_place_t;
+
+struct entry_forward {
+	pthread_mutex_t lock;
+	struct cds_list_head places;
+};
+
+entry_forward_t *entry_forward_new(void)
+{
+	entry_forward_t *forward = calloc(1, sizeof(*forward));
+
+	if (!forward)
+		return NULL;
+	pthread_mutex_init(&forward->lock, NULL);
+	CDS_INIT_LIST_HEAD(&forward->places);
+	return forward;
+}
+
+void entry_forward_free(entry_forward_t *forward)
+{
+	forward_place_t *at;
+	forward_place_t *next;
+
+	if (!forward)
+		return;
+	cds_list_for_each_entry_safe (at, next, &forward->places, link) {
+		entry_place_unref(at->place);
+		free(at);
+	}
+	pthread_mutex_destroy(&forward->lock);
+	free(forward);
+}
+
+/* Find the place of an address or add it. Lock held. */
+static entry_place_t *forward_find(entry_forward_t *forward,
+				   const char *address)
+{
+	forward_place_t *at;
+
+	cds_list_for_each_entry (at, &forward->places, link)
+		if (!strcmp(at->place->address, address))
+			return at->place;
+	at = calloc(1, sizeof(*at));
+	if (!at)
+		return NULL;
+	at->place = entry_place_new(address, FORWARD_IDLE_MAX);
+	if (!at->place) {
+		free(at);
+		return NULL;
+	}
+	cds_list_add_tail(&at->link, &forward->places);
+	return at->place;
+}
+
+entry_place_t *entry_forward_place(entry_forward_t *forward,
+				   const char *address)
+{
+	entry_place_t *place;
+
+	pthread_mutex_lock(&forward->lock);
+	place = forward_find(forward, address);
+	if (place)
+		entry_place_ref(place);
+	pthread_mutex_unlock(&forward->lock);
+	return place;
+}
+
+static bool forward_has_copies(entry_route_t *route)
+{
+	bool has;
+
+	pthread_mutex_lock(&route->lock);
+	has = route->service.copy_count > 0;
+	pthread_mutex_unlock(&route->lock);
+	return has;
+}
+
+/* The best owner of a service that is not this entry, or NULL. */
+static const owner_member_t *forward_owner(const entry_t *entry,
+					   const char *service,
+					   const owner_member_t *members,
+					   unsigned count)
+{
+	unsigned owners[OWNER_MAX];
+	unsigned found;
+	unsigned i;
+
+	found = owner_of_service(members, count, service, 0, owners);
+	for (i = 0; i < found; i++)
+		if (strcmp(members[owners[i]].name, entry->settings.address))
+			return &members[owners[i]];
+	return NULL;
+}
+
+void entry_forward_choose(entry_request_t *req)
+{
+	owner_member_t members[FORWARD_MEMBERS_MAX];
+	const owner_member_t *owner;
+	unsigned count;
+
+	if (*req->hop || forward_has_copies(req->route))
+		return;
+	count = entry_lookup_members(req->entry, members, FORWARD_MEMBERS_MAX);
+	owner = forward_owner(req->entry, req->route->name, members, count);
+	if (owner)
+		req->forward = entry_forward_place(req->entry->forward,
+						   owner->call_address);
+}
--- /dev/null
+++ b/entry-head.c
@@ -0,0 +1,325 @@
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include "entry-http.h"
+
+#define HEAD_LINE_MAX 8192
+#define HEAD_DEADLINE_MAX_MS 600000
+#define HTTP_BAD_REQUEST 400
+
+/* What a walk over the headers of a call gathers. */
+typedef struct {
+	entry_request_t *req;
+	const char *connection; /* names further hop-by-hop headers */
+	const char *host;
+	const char *bad; /* what is wrong with the head */
+	unsigned lengths;
+	unsigned encodings;
+	int64_t deadline_ms; /* 0: none */
+	bool had_accept;
+	bool had_type;
+} head_t;
+
+/* Headers that end at this entry or are set anew for each send. */
+static const char *const head_dropped[] = {
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Connection",
+	"TE",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+	"Content-Length",
+	"Expect",
+	"Hemlock-Hop",
+	"Hemlock-Deadline-Ms",
+	"Proxy-Authorization",
+};
+
+static bool head_is_dropped(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(head_dropped) / sizeof(head_dropped[0]); i++)
+		if (!strcasecmp(head_dropped[i], name))
+			return true;
+	return false;
+}
+
+/* Whether a list such as "close, X-Trace" holds a name. */
+static bool head_list_holds(const char *list, const char *name)
+{
+	size_t length = strlen(name);
+
+	while (list && *list) {
+		size_t word;
+
+		list += strspn(list, " \t,");
+		word = strcspn(list, " \t,");
+		if (word == length && !strncasecmp(list, name, length))
+			return true;
+		list += word;
+	}
+	return false;
+}
+
+static void head_copy_name(head_t *head, char *out, const char *value,
+			   const char *bad)
+{
+	if (hl_name_valid(value))
+		strcpy(out, value);
+	else
+		head->bad = bad;
+}
+
+static void head_read_deadline(head_t *head, const char *value)
+{
+	char *end;
+	long ms = strtol(value, &end, 10);
+
+	if (!isdigit((unsigned char)*value) || *end || ms < 1 ||
+	    ms > HEAD_DEADLINE_MAX_MS)
+		head->bad = "deadline";
+	else
+		head->deadline_ms = ms;
+}
+
+static void head_read_key(head_t *head, const char *value)
+{
+	size_t length = strlen(value);
+	size_t i;
+
+	for (i = 0; i < length; i++)
+		if (!isgraph((unsigned char)value[i]))
+			head->bad = "key";
+	if (length == 0 || length >= sizeof(head->req->key))
+		head->bad = "key";
+	else
+		memcpy(head->req->key, value, length + 1);
+}
+
+static void head_read_no_retry(head_t *head, const char *value)
+{
+	if (strcmp(value, "0") && strcmp(value, "1"))
+		head->bad = "no-retry";
+	head->req->call.no_retry = *value == '1';
+}
+
+static void head_read_framing(head_t *head, const char *name, const char *value)
+{
+	if (!strcasecmp(name, "Content-Length")) {
+		head->lengths++;
+		head->req->body_length = strtoll(value, NULL, 10);
+		head->req->has_body = head->req->body_length > 0;
+	} else if (!strcasecmp(name, "Transfer-Encoding")) {
+		head->encodings++;
+		head->req->has_body = true;
+		head->req->body_length = -1;
+		if (strcasecmp(value, "chunked"))
+			head->bad = "encoding";
+	}
+}
+
+static void head_read_own(head_t *head, const char *name, const char *value)
+{
+	entry_request_t *req = head->req;
+
+	if (!strcasecmp(name, "Host"))
+		head->host = value;
+	else if (!strcasecmp(name, "Connection"))
+		head->connection = value;
+	else if (!strcasecmp(name, "Accept"))
+		head->had_accept = true;
+	else if (!strcasecmp(name, "Content-Type"))
+		head->had_type = true;
+	else if (!strcasecmp(name, "Hemlock-Tenant"))
+		head_copy_name(head, req->tenant, value, "tenant");
+	else if (!strcasecmp(name, "Hemlock-Class"))
+		head_copy_name(head, req->class_name, value, "class");
+	else if (!strcasecmp(name, "Hemlock-Hop"))
+		head_copy_name(head, req->hop, value, "hop");
+	else if (!strcasecmp(name, "Hemlock-Deadline-Ms"))
+		head_read_deadline(head, value);
+	else if (!strcasecmp(name, "Hemlock-No-Retry"))
+		head_read_no_retry(head, value);
+	else if (!strcasecmp(name, "Idempotency-Key"))
+		head_read_key(head, value);
+	else
+		head_read_framing(head, name, value);
+}
+
+static enum MHD_Result head_read(void *context, enum MHD_ValueKind kind,
+				 const char *name, const char *value)
+{
+	(void)kind;
+	head_read_own(context, name, value ? value : "");
+	return MHD_YES;
+}
+
+static void head_append(head_t *head, const char *line)
+{
+	struct curl_slist *list = curl_slist_append(head->req->headers, line);
+
+	if (list)
+		head->req->headers = list;
+	else
+		head->bad = "memory";
+}
+
+static enum MHD_Result head_keep(void *context, enum MHD_ValueKind kind,
+				 const char *name, const char *value)
+{
+	head_t *head = context;
+	char line[HEAD_LINE_MAX];
+	int length;
+
+	(void)kind;
+	if (head_is_dropped(name) || head_list_holds(head->connection, name))
+		return MHD_YES;
+	/* A header without a value is written with a semicolon for libcurl. */
+	if (value && *value)
+		length = snprintf(line, sizeof(line), "%s: %s", name, value);
+	else
+		length = snprintf(line, sizeof(line), "%s;", name);
+	if (length >= (int)sizeof(line))
+		head->bad = "header";
+	else
+		head_append(head, line);
+	return MHD_YES;
+}
+
+/* Headers that libcurl would add by itself are turned off. */
+static void head_suppress(head_t *head)
+{
+	if (!head->had_accept)
+		head_append(head, "Accept:");
+	if (!head->had_type)
+		head_append(head, "Content-Type:");
+	head_append(head, "Expect:");
+	if (head->req->has_body && head->req->body_length < 0)
+		head_append(head, "Transfer-Encoding: chunked");
+}
+
+static int head_find_route(head_t *head, hl_error_t *err)
+{
+	entry_request_t *req = head->req;
+	char service[HL_NAME_MAX];
+	size_t length;
+
+	if (!head->host)
+		return hl_error_set(err, HL_ERR_PROTOCOL, "no Host");
+	length = strcspn(head->host, ":");
+	if (length >= sizeof(service))
+		return hl_error_set(err, HL_ERR_NOT_FOUND, "name too long");
+	memcpy(service, head->host, length);
+	service[length] = '\0';
+	req->route = entry_route_find(req->entry, service);
+	if (!req->route)
+		return hl_error_set(err, HL_ERR_NOT_FOUND, "unknown service");
+	return 0;
+}
+
+static bool head_is_idempotent(const char *method, bool post)
+{
+	static const char *const always[] = { "GET", "HEAD",   "OPTIONS",
+					      "PUT", "DELETE", "TRACE" };
+	size_t i;
+
+	for (i = 0; i < sizeof(always) / sizeof(always[0]); i++)
+		if (!strcmp(always[i], method))
+			return true;
+	return post;
+}
+
+/* The class that the caller named, or the profile's last one. */
+static void head_set_class(entry_request_t *req,
+			   const config_profile_t *profile, int64_t *deadline)
+{
+	u_int count = profile->classes.classes_len;
+	u_int i;
+
+	*deadline = profile->deadline_ms;
+	if (!count)
+		return;
+	for (i = 0; i + 1 < count; i++)
+		if (!strcmp(profile->classes.classes_val[i].name,
+			    req->class_name))
+			break;
+	req->call.class_index = i;
+	req->call.priority = profile->classes.classes_val[i].priority;
+	if (profile->classes.classes_val[i].deadline_ms)
+		*deadline = profile->classes.classes_val[i].deadline_ms;
+	strcpy(req->class_name, profile->classes.classes_val[i].name);
+}
+
+static void head_set_call(head_t *head, usec_t now)
+{
+	entry_request_t *req = head->req;
+	entry_call_t *call = &req->call;
+	entry_route_t *route = req->route;
+	int64_t deadline_ms;
+
+	pthread_mutex_lock(&route->lock);
+	head_set_class(req, route->profile, &deadline_ms);
+	call->idempotent = head_is_idempotent(req->method,
+					      route->profile->post_idempotent);
+	pthread_mutex_unlock(&route->lock);
+	if (head->deadline_ms)
+		deadline_ms = head->deadline_ms;
+	if (!*req->tenant)
+		strcpy(req->tenant, "none");
+	memcpy(call->tenant, req->tenant, sizeof(call->tenant));
+	call->arrived = now;
+	call->deadline = now + deadline_ms * USEC_PER_MS;
+}
+
+static const char *head_check(const head_t *head)
+{
+	if (head->bad)
+		return head->bad;
+	if (head->lengths > 1 || head->encodings > 1 ||
+	    (head->lengths && head->encodings))
+		return "framing";
+	if (*head->req->target != '/' && strcmp(head->req->target, "*"))
+		return "target";
+	if (!strcmp(head->req->method, "CONNECT"))
+		return "method";
+	return NULL;
+}
+
+static int head_refuse(entry_request_t *req, unsigned status,
+		       const char *reason)
+{
+	entry_request_fail(req, status, ENTRY_NOT_RUN, reason, 0);
+	return -1;
+}
+
+int entry_http_head(entry_request_t *req, const char *method,
+		    const char *protocol)
+{
+	head_t head = { .req = req };
+	hl_error_t err;
+	const char *bad;
+
+	req->method = strdup(method);
+	req->head_only = !strcmp(method, "HEAD");
+	req->http10 = !strcmp(protocol, "HTTP/1.0");
+	MHD_get_connection_values(req->connection, MHD_HEADER_KIND, head_read,
+				  &head);
+	bad = head_check(&head);
+	if (bad)
+		return head_refuse(req, HTTP_BAD_REQUEST, "request");
+	if (head_find_route(&head, &err))
+		return head_refuse(req, err.kind == HL_ERR_PROTOCOL ? 400 : 404,
+				   err.kind == HL_ERR_PROTOCOL ? "request" :
+								 "service");
+	MHD_get_connection_values(req->connection, MHD_HEADER_KIND, head_keep,
+				  &head);
+	head_suppress(&head);
+	if (head.bad)
+		return head_refuse(req, HTTP_BAD_REQUEST, "request");
+	head_set_call(&head, time_now());
+	return 0;
+}
--- /dev/null
+++ b/entry-io.h
@@ -0,0 +1,356 @@
+#ifndef ENTRY_IO_H
+#define ENTRY_IO_H
+
+#include <curl/curl.h>
+#include <microhttpd.h>
+#include <urcu/list.h>
+#include "entry.h"
+#include "metrics.h"
+#include "owner.h"
+#include "toml.h"
+
+/*
+ * The I/O of an entry. A call comes in through entry-http.c, is decided on
+ * under its route's lock (entry-dispatch.c), sent by a worker thread
+ * (entry-work.c, entry-relay.c) over a connection of its place
+ * (entry-place.c), and relayed back through entry-http.c.
+ *
+ * Locks: a route's lock and a request's lock are never held together.
+ */
+
+/* Bodies up to this size are held whole, so that a call can be sent again. */
+#define ENTRY_HOLD_BYTES (64 * 1024)
+/* Most bytes of an answer that wait for a slow caller. */
+#define ENTRY_ANSWER_BYTES (256 * 1024)
+/* An answer that is not whole after this time is relayed as it comes. */
+#define ENTRY_HOLD_TIME (5 * USEC_PER_MS)
+
+/** struct entry_settings_t - what the settings file of an entry says. */
+typedef struct {
+	char name[HL_NAME_MAX];
+	char zone[HL_NAME_MAX];
+	char region[HL_NAME_MAX];
+	char address[HL_ADDRESS_MAX]; /* IP number of all ports */
+	log_level_t log_level;
+	int64_t call_port;
+	int64_t control_port;
+	int64_t rpc_port;
+	int64_t peer_port;
+	int64_t http_threads;
+	int64_t workers_max;
+	int64_t connections_max;
+	int64_t keep_ms;     /* how long a look-up may be kept */
+	int64_t interval_ms; /* between announcements of a copy */
+	int64_t lease_ms;    /* how long an announcement binds a copy */
+	int64_t linger_ms;   /* calls still taken after SIGTERM */
+	int64_t stop_ms;     /* most time for calls in flight at the end */
+	char policy[HL_NAME_MAX];
+	bool lending;
+	setting_list_t seeds; /* peer addresses of the entries */
+	setting_list_t keepers;
+} entry_settings_t;
+
+extern const setting_t entry_settings[];
+extern const size_t entry_settings_count;
+
+/** entry_settings_load - read and check the settings file of an entry. */
+int entry_settings_load(const char *path, entry_settings_t *settings,
+			hl_error_t *err);
+
+/** struct entry_link_t - one connection to a place, used by one worker. */
+typedef struct entry_link {
+	struct cds_list_head link; /* entry_place_t.idle */
+	CURLM *multi;		   /* holds the connection between calls */
+	CURL *easy;
+	int spare; /* a socket opened ahead, to be used next, or -1 */
+} entry_link_t;
+
+/* Sockets opened ahead to one place. */
+#define ENTRY_SPARES_MAX 4
+
+/** struct entry_place_t - connections to a copy or to a sibling entry. */
+typedef struct entry_place {
+	char address[HL_ADDRESS_MAX];
+	pthread_mutex_t lock;
+	struct cds_list_head idle; /* most recently used first */
+	unsigned idle_count;
+	unsigned idle_max;
+	int spares[ENTRY_SPARES_MAX];
+	unsigned spare_count;
+	unsigned refs;
+} entry_place_t;
+
+/** entry_place_new - a place with one reference; NULL without memory. */
+entry_place_t *entry_place_new(const char *address, unsigned idle_max);
+void entry_place_ref(entry_place_t *place);
+void entry_place_unref(entry_place_t *place);
+
+/**
+ * entry_place_get - a link to send one call over.
+ * @place: where to
+ * @fresh: on a connection that has carried no call before, because the call
+ *         must not be sent twice and libcurl sends again when a kept
+ *         connection turns out to be closed
+ *
+ * Return: a link for the caller alone, or NULL without memory.
+ */
+entry_link_t *entry_place_get(entry_place_t *place, bool fresh);
+
+/** entry_place_put - give a link back; @keep is false after a failure. */
+void entry_place_put(entry_place_t *place, entry_link_t *link, bool keep);
+
+/** entry_place_spare - open sockets ahead, without waiting. */
+void entry_place_spare(entry_place_t *place);
+
+/** struct entry_buffer_t - bytes, added at the end and read from the front. */
+typedef struct {
+	char *bytes;
+	size_t start;
+	size_t end;
+	size_t size;
+} entry_buffer_t;
+
+int entry_buffer_add(entry_buffer_t *buffer, const void *bytes, size_t size);
+size_t entry_buffer_take(entry_buffer_t *buffer, void *out, size_t max);
+size_t entry_buffer_length(const entry_buffer_t *buffer);
+void entry_buffer_clear(entry_buffer_t *buffer);
+void entry_buffer_free(entry_buffer_t *buffer);
+
+/** struct entry_header_t - one header of an answer. */
+typedef struct entry_header {
+	struct cds_list_head link;
+	char *name;
+	char *value;
+} entry_header_t;
+
+/** struct entry_answer_t - what goes back to the caller. */
+typedef struct {
+	unsigned status;
+	struct cds_list_head headers;
+	int64_t length; /* -1: not known before the end */
+	entry_outcome_t outcome;
+	const char *reason; /* Hemlock-Reason of our own answers, or NULL */
+	usec_t retry_after; /* 0: none */
+	entry_buffer_t body;
+	bool published; /* the head may go to the caller */
+	bool ended;	/* no more body will come */
+	bool cut;	/* it ended before it was whole */
+} entry_answer_t;
+
+/** enum entry_stage_t - how far a request has come in from its caller. */
+typedef enum {
+	ENTRY_STAGE_HEAD,
+	ENTRY_STAGE_BODY,
+	ENTRY_STAGE_WAIT,
+	ENTRY_STAGE_ANSWERED,
+} entry_stage_t;
+
+struct entry_route;
+struct entry;
+
+/** struct entry_request_t - a call with its I/O. */
+typedef struct entry_request {
+	entry_call_t call; /* guarded by the route's lock once dispatched */
+	struct cds_list_head work_link;
+	struct entry *entry;
+	struct entry_route *route;
+	unsigned refs;
+	char *target; /* path and query as the caller wrote them */
+	char *method;
+	char tenant[HL_NAME_MAX];
+	char class_name[HL_NAME_MAX];
+	char hop[HL_NAME_MAX]; /* entry that handed it over, or "" */
+	char key[256];	       /* Idempotency-Key, or "" */
+	struct curl_slist *headers;
+	bool has_body;
+	int64_t body_length; /* -1: chunked */
+	bool head_only;	     /* HEAD */
+	bool http10;
+	entry_place_t *forward; /* a sibling entry to hand it to, or NULL */
+
+	pthread_mutex_t lock; /* guards all below */
+	pthread_cond_t changed;
+	struct MHD_Connection *connection; /* NULL once it is gone */
+	entry_stage_t stage;
+	bool suspended;
+	bool gone; /* the caller went away */
+	bool dispatched;
+	entry_buffer_t body;
+	bool body_whole;
+	bool body_streamed;   /* sending began before it was whole */
+	bool body_spent;      /* some of it has left and is not held */
+	entry_link_t *active; /* the link a worker is sending over */
+	entry_answer_t answer;
+	uint64_t watch_id;
+	usec_t head_at; /* when the head of the answer came */
+} entry_request_t;
+
+entry_request_t *entry_request_new(struct entry *entry, const char *target);
+void entry_request_ref(entry_request_t *req);
+void entry_request_unref(entry_request_t *req);
+
+/** entry_request_wake - let the caller's connection go on. Lock held. */
+void entry_request_wake(entry_request_t *req);
+
+/** entry_request_publish - the answer's head is final; let it go out. */
+void entry_request_publish(entry_request_t *req);
+
+/** entry_request_end - the answer's body is complete, or cut. */
+void entry_request_end(entry_request_t *req, bool cut);
+
+/** entry_request_fail - a final answer of our own, in place of any other. */
+void entry_request_fail(entry_request_t *req, unsigned status,
+			entry_outcome_t outcome, const char *reason,
+			usec_t retry_after);
+
+/** entry_request_refuse - a final refusal, not run. */
+void entry_request_refuse(entry_request_t *req,
+			  const entry_decision_t *decision);
+
+/** entry_request_gone - the caller went away: cancel what runs for it. */
+void entry_request_gone(entry_request_t *req);
+
+/** entry_request_reset - forget an answer before another send. */
+void entry_request_reset(entry_request_t *req);
+
+/** struct entry_route_t - a service with its lock, copies and histograms. */
+typedef struct entry_route {
+	struct cds_list_head link;
+	char name[HL_NAME_MAX];
+	pthread_mutex_t lock;
+	entry_service_t service;
+	config_profile_t *profile;
+	pthread_mutex_t measure_lock;
+	struct cds_list_head measures;
+	unsigned measure_count;
+} entry_route_t;
+
+/** entry_route_find - the route of a service, or NULL. */
+entry_route_t *entry_route_find(struct entry *entry, const char *name);
+
+/** entry_route_make - find a route or add it with a profile of presets. */
+entry_route_t *entry_route_make(struct entry *entry, const char *name);
+
+/** entry_route_free_all - at the end of the daemon. */
+void entry_route_free_all(struct entry *entry);
+
+/** entry_measure_call - count an answered call by tenant and class. */
+void entry_measure_call(entry_request_t *req, usec_t now);
+void entry_measure_free(entry_route_t *route);
+
+typedef struct entry_forward entry_forward_t;
+
+/** entry_forward_new - the sibling entries that calls are handed to. */
+entry_forward_t *entry_forward_new(void);
+void entry_forward_free(entry_forward_t *forward);
+
+/** entry_forward_place - the place of a sibling, with a reference. */
+entry_place_t *entry_forward_place(entry_forward_t *forward,
+				   const char *address);
+
+/**
+ * entry_forward_choose - hand a call over when this entry owns no copy.
+ *
+ * A caller may come to an address that it was told a while ago.
+ */
+void entry_forward_choose(entry_request_t *req);
+
+typedef struct entry_work entry_work_t;
+
+/** entry_work_new - worker threads, started as they are needed. */
+entry_work_t *entry_work_new(unsigned max);
+
+/** entry_work_push - send this request from a worker thread. */
+void entry_work_push(entry_work_t *work, entry_request_t *req);
+
+/** entry_work_free - wait for what is queued, then end the threads. */
+void entry_work_free(entry_work_t *work);
+
+typedef struct entry_watch entry_watch_t;
+
+/** entry_watch_new - notices callers that go away while they wait. */
+entry_watch_t *entry_watch_new(hl_error_t *err);
+supervisor_child_t entry_watch_child(entry_watch_t *watch);
+void entry_watch_add(entry_watch_t *watch, entry_request_t *req, int fd);
+void entry_watch_remove(entry_watch_t *watch, entry_request_t *req, int fd);
+void entry_watch_free(entry_watch_t *watch);
+
+/** struct entry_t - the daemon. */
+typedef struct entry {
+	entry_settings_t settings;
+	entry_policy_t policy;
+	metrics_t *metrics;
+	pthread_mutex_t routes_lock;
+	struct cds_list_head routes;
+	entry_work_t *work;
+	entry_watch_t *watch;
+	entry_forward_t *forward;
+	const char *settings_path;
+	signals_t signals;
+	struct MHD_Daemon *calls;
+	struct MHD_Daemon *control;
+	volatile int stopping;
+	unsigned in_flight;
+} entry_t;
+
+/** entry_dispatch_arrive - decide on a request and act on the decision. */
+void entry_dispatch_arrive(entry_request_t *req, usec_t now);
+
+/** entry_dispatch_end - a send has ended with @result. */
+void entry_dispatch_end(entry_request_t *req, entry_result_t result,
+			usec_t now);
+
+/** entry_dispatch_next - send what waits and has a credit now. */
+void entry_dispatch_next(entry_route_t *route, usec_t now);
+
+/** entry_dispatch_expire - refuse what can no longer be served in time. */
+void entry_dispatch_expire(entry_route_t *route, usec_t now);
+
+/** entry_relay_send - send a request to its place and take the answer. */
+void entry_relay_send(entry_request_t *req);
+
+/** entry_relay_finish - give the caller its final answer after a send. */
+void entry_relay_finish(entry_request_t *req, entry_result_t result);
+
+/** entry_http_start - listen for calls. */
+int entry_http_start(entry_t *entry, hl_error_t *err);
+
+/** entry_http_stop - stop listening, end calls in flight, close. */
+void entry_http_stop(entry_t *entry);
+
+/** entry_control_start - listen for look-ups, announcements and scrapes. */
+int entry_control_start(entry_t *entry, hl_error_t *err);
+void entry_control_stop(entry_t *entry);
+
+/** struct entry_reply_t - an answer of the control port. */
+typedef struct {
+	unsigned status;
+	const char *type; /* content type */
+	char *body;	  /* malloc'ed */
+	unsigned retry_after_s;
+} entry_reply_t;
+
+/** entry_reply_error - a JSON error whose text names the remedy. */
+void entry_reply_error(entry_reply_t *reply, unsigned status, const char *fmt,
+		       ...) __attribute__((format(printf, 3, 4)));
+
+/* Handlers of the control port, see the table in entry-control.c. */
+typedef struct {
+	entry_t *entry;
+	struct MHD_Connection *connection;
+	const char *body;
+	size_t size;
+	usec_t now;
+} entry_control_t;
+
+void entry_lookup_handle(const entry_control_t *in, entry_reply_t *reply);
+void entry_announce_handle(const entry_control_t *in, entry_reply_t *reply);
+void entry_status_handle(const entry_control_t *in, entry_reply_t *reply);
+void entry_status_health(const entry_control_t *in, entry_reply_t *reply);
+void entry_status_metrics(const entry_control_t *in, entry_reply_t *reply);
+
+/** entry_lookup_members - the live entries, this one included. */
+unsigned entry_lookup_members(entry_t *entry, owner_member_t *out,
+			      unsigned max);
+
+#endif
--- /dev/null
+++ b/entry-main.c
@@ -0,0 +1,134 @@
+#include <string.h>
+#include <time.h>
+#include "entry-main.h"
+
+/* How often waiting calls are looked at for their deadlines. */
+#define MAIN_TICK (2 * USEC_PER_MS)
+#define MAIN_RESTARTS_MAX 5
+#define MAIN_RESTARTS_WINDOW (60 * USEC_PER_SEC)
+
+static void main_tick_routes(entry_t *entry, usec_t now)
+{
+	entry_route_t *route;
+
+	pthread_mutex_lock(&entry->routes_lock);
+	cds_list_for_each_entry (route, &entry->routes, link) {
+		entry_dispatch_expire(route, now);
+		entry_dispatch_next(route, now);
+	}
+	pthread_mutex_unlock(&entry->routes_lock);
+}
+
+static int main_tick_run(void *context, const volatile int *stop)
+{
+	const struct timespec period = { 0, MAIN_TICK * 1000 };
+	entry_t *entry = context;
+
+	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
+		main_tick_routes(entry, time_now());
+		nanosleep(&period, NULL);
+	}
+	return 0;
+}
+
+/* SIGHUP: the log level alone can change without a restart. */
+static void main_reload(void *context)
+{
+	entry_t *entry = context;
+	static entry_settings_t settings;
+	hl_error_t err = { 0 };
+	char quoted[HL_MESSAGE_MAX];
+
+	if (entry_settings_load(entry->settings_path, &settings, &err)) {
+		log_event(LOG_LEVEL_ERROR, "settings-refused", "message=%s",
+			  log_quote(err.message, quoted, sizeof(quoted)));
+		return;
+	}
+	log_set_level(settings.log_level);
+	log_event(LOG_LEVEL_NOTICE, "settings-read", "log_level=%d",
+		  (int)settings.log_level);
+}
+
+static int main_add_children(entry_t *entry, supervisor_t *sup, hl_error_t *err)
+{
+	supervisor_child_t signals = signals_child(&entry->signals);
+	supervisor_child_t watch = entry_watch_child(entry->watch);
+	supervisor_child_t tick = { "tick", main_tick_run, NULL, entry };
+
+	entry->signals.supervisor = sup;
+	entry->signals.reload = main_reload;
+	entry->signals.context = entry;
+	if (supervisor_add(sup, &signals, err) ||
+	    supervisor_add(sup, &watch, err))
+		return -1;
+	return supervisor_add(sup, &tick, err);
+}
+
+static void main_linger(const entry_t *entry)
+{
+	usec_t ms = entry->settings.linger_ms;
+	struct timespec span = { ms / 1000, ms % 1000 * 1000000 };
+
+	nanosleep(&span, NULL);
+}
+
+/* From a first start to a graceful stop. */
+static int main_serve(entry_t *entry, supervisor_t *sup, hl_error_t *err)
+{
+	int rc = -1;
+
+	if (main_add_children(entry, sup, err) ||
+	    entry_control_start(entry, err) || entry_http_start(entry, err))
+		goto out;
+	log_event(LOG_LEVEL_NOTICE, "started",
+		  "address=%s call_port=%" PRId64 " control_port=%" PRId64,
+		  entry->settings.address, entry->settings.call_port,
+		  entry->settings.control_port);
+	rc = supervisor_run(sup);
+	if (rc)
+		hl_error_set(err, HL_ERR_LIMIT,
+			     "threads kept failing; read the log lines above");
+	__atomic_store_n(&entry->stopping, 1, __ATOMIC_RELEASE);
+	log_event(LOG_LEVEL_NOTICE, "stopping", "in_flight=%u linger_ms=%d",
+		  entry->in_flight, (int)entry->settings.linger_ms);
+	main_linger(entry);
+out:
+	entry_http_stop(entry);
+	entry_control_stop(entry);
+	return rc;
+}
+
+int entry_main_run(const entry_settings_t *settings, const char *path,
+		   hl_error_t *err)
+{
+	entry_t entry = { .settings = *settings, .settings_path = path };
+	supervisor_t *sup = NULL;
+	int rc = -1;
+
+	pthread_mutex_init(&entry.routes_lock, NULL);
+	CDS_INIT_LIST_HEAD(&entry.routes);
+	entry_policy_parse(settings->policy, &entry.policy);
+	curl_global_init(CURL_GLOBAL_ALL);
+	entry.metrics = metrics_new();
+	entry.work = entry_work_new((unsigned)settings->workers_max);
+	entry.watch = entry_watch_new(err);
+	entry.forward = entry_forward_new();
+	sup = supervisor_new("entry", MAIN_RESTARTS_MAX, MAIN_RESTARTS_WINDOW);
+	if (!entry.metrics || !entry.work || !entry.watch || !entry.forward ||
+	    !sup) {
+		hl_error_set(err, HL_ERR_NOMEM, "no memory; add some");
+		goto out;
+	}
+	rc = main_serve(&entry, sup, err);
+	log_event(LOG_LEVEL_NOTICE, "stopped", "result=%d", rc);
+out:
+	entry_work_free(entry.work);
+	supervisor_free(sup);
+	entry_watch_free(entry.watch);
+	entry_route_free_all(&entry);
+	entry_forward_free(entry.forward);
+	metrics_free(entry.metrics);
+	pthread_mutex_destroy(&entry.routes_lock);
+	curl_global_cleanup();
+	return rc;
+}
--- a/entry-names.c
+++ b/entry-names.c
@@ -1,3 +1,4 @@
+#include <string.h>
 #include "entry.h"
 
 static const struct {
@@ -33,3 +34,22 @@
 
 	return names[outcome];
 }
+
+bool entry_policy_parse(const char *word, entry_policy_t *policy)
+{
+	static const char *const words[] = {
+		[ENTRY_POLICY_OWNER] = "owner",
+		[ENTRY_POLICY_RANDOM] = "random",
+		[ENTRY_POLICY_LEAST] = "least",
+		[ENTRY_POLICY_TWO_CHOICES] = "two-choices",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(words) / sizeof(words[0]); i++) {
+		if (strcmp(words[i], word))
+			continue;
+		*policy = (entry_policy_t)i;
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/entry-request.c
@@ -0,0 +1,164 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include "entry-io.h"
+
+static void request_headers_free(entry_answer_t *answer)
+{
+	entry_header_t *header;
+	entry_header_t *next;
+
+	cds_list_for_each_entry_safe (header, next, &answer->headers, link) {
+		cds_list_del(&header->link);
+		free(header->name);
+		free(header->value);
+		free(header);
+	}
+}
+
+entry_request_t *entry_request_new(entry_t *entry, const char *target)
+{
+	entry_request_t *req = calloc(1, sizeof(*req));
+	pthread_condattr_t attr;
+
+	if (!req)
+		return NULL;
+	req->target = strdup(target);
+	if (!req->target) {
+		free(req);
+		return NULL;
+	}
+	req->entry = entry;
+	req->refs = 1;
+	req->body_length = -1;
+	req->answer.length = -1;
+	CDS_INIT_LIST_HEAD(&req->answer.headers);
+	pthread_mutex_init(&req->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&req->changed, &attr);
+	pthread_condattr_destroy(&attr);
+	return req;
+}
+
+void entry_request_ref(entry_request_t *req)
+{
+	__atomic_fetch_add(&req->refs, 1, __ATOMIC_RELAXED);
+}
+
+void entry_request_unref(entry_request_t *req)
+{
+	if (__atomic_sub_fetch(&req->refs, 1, __ATOMIC_ACQ_REL))
+		return;
+	request_headers_free(&req->answer);
+	entry_buffer_free(&req->answer.body);
+	entry_buffer_free(&req->body);
+	curl_slist_free_all(req->headers);
+	if (req->forward)
+		entry_place_unref(req->forward);
+	pthread_cond_destroy(&req->changed);
+	pthread_mutex_destroy(&req->lock);
+	free(req->method);
+	free(req->target);
+	free(req);
+}
+
+void entry_request_wake(entry_request_t *req)
+{
+	pthread_cond_broadcast(&req->changed);
+	if (!req->suspended || !req->connection)
+		return;
+	req->suspended = false;
+	MHD_resume_connection(req->connection);
+}
+
+void entry_request_publish(entry_request_t *req)
+{
+	pthread_mutex_lock(&req->lock);
+	req->answer.published = true;
+	entry_request_wake(req);
+	pthread_mutex_unlock(&req->lock);
+}
+
+void entry_request_end(entry_request_t *req, bool cut)
+{
+	pthread_mutex_lock(&req->lock);
+	req->answer.published = true;
+	req->answer.ended = true;
+	req->answer.cut = cut;
+	entry_request_wake(req);
+	pthread_mutex_unlock(&req->lock);
+}
+
+void entry_request_reset(entry_request_t *req)
+{
+	pthread_mutex_lock(&req->lock);
+	request_headers_free(&req->answer);
+	entry_buffer_clear(&req->answer.body);
+	req->answer.status = 0;
+	req->answer.length = -1;
+	req->answer.reason = NULL;
+	req->answer.retry_after = 0;
+	pthread_mutex_unlock(&req->lock);
+}
+
+void entry_request_fail(entry_request_t *req, unsigned status,
+			entry_outcome_t outcome, const char *reason,
+			usec_t retry_after)
+{
+	char text[160];
+	int length;
+
+	length = snprintf(text, sizeof(text),
+			  "{\"outcome\": \"%s\", \"reason\": \"%s\"}\n",
+			  entry_outcome_name(outcome), reason);
+	entry_request_reset(req);
+	pthread_mutex_lock(&req->lock);
+	req->answer.status = status;
+	req->answer.outcome = outcome;
+	req->answer.reason = reason;
+	req->answer.retry_after = retry_after;
+	req->answer.length = length;
+	entry_buffer_add(&req->answer.body, text, (size_t)length);
+	pthread_mutex_unlock(&req->lock);
+	entry_request_end(req, false);
+}
+
+void entry_request_refuse(entry_request_t *req,
+			  const entry_decision_t *decision)
+{
+	entry_request_fail(req, entry_refusal_status(decision->refusal),
+			   ENTRY_NOT_RUN, entry_refusal_name(decision->refusal),
+			   decision->retry_after);
+}
+
+/* Take a call that still waits out of its queue; true if it was there. */
+static bool request_leave_queue(entry_request_t *req)
+{
+	entry_route_t *route = req->route;
+	bool waiting;
+
+	if (!route)
+		return false;
+	pthread_mutex_lock(&route->lock);
+	waiting = req->call.waiting;
+	if (waiting)
+		entry_service_leave(&route->service, &req->call);
+	pthread_mutex_unlock(&route->lock);
+	return waiting;
+}
+
+void entry_request_gone(entry_request_t *req)
+{
+	pthread_mutex_lock(&req->lock);
+	req->gone = true;
+	pthread_cond_broadcast(&req->changed);
+	if (req->active)
+		curl_multi_wakeup(req->active->multi);
+	pthread_mutex_unlock(&req->lock);
+	if (!request_leave_queue(req))
+		return;
+	entry_request_fail(req, 499, ENTRY_NOT_RUN, "gone", 0);
+	entry_request_unref(req);
+}
--- /dev/null
+++ b/entry-route.c
@@ -0,0 +1,93 @@
+#include <stdlib.h>
+#include <string.h>
+#include "entry-io.h"
+
+/* Seed of the generator that a route's decisions draw from. */
+#define ROUTE_RANDOM_SEED 0x4e311ULL
+
+static entry_route_t *route_find(entry_t *entry, const char *name)
+{
+	entry_route_t *route;
+
+	cds_list_for_each_entry (route, &entry->routes, link)
+		if (!strcmp(route->name, name))
+			return route;
+	return NULL;
+}
+
+entry_route_t *entry_route_find(entry_t *entry, const char *name)
+{
+	entry_route_t *route;
+
+	pthread_mutex_lock(&entry->routes_lock);
+	route = route_find(entry, name);
+	pthread_mutex_unlock(&entry->routes_lock);
+	return route;
+}
+
+static entry_route_t *route_new(entry_t *entry, const char *name)
+{
+	entry_route_t *route = calloc(1, sizeof(*route));
+	const char *self = entry->settings.name;
+	uint64_t seed = hl_hash(self, strlen(self), ROUTE_RANDOM_SEED);
+
+	if (!route)
+		return NULL;
+	strncpy(route->name, name, sizeof(route->name) - 1);
+	pthread_mutex_init(&route->lock, NULL);
+	pthread_mutex_init(&route->measure_lock, NULL);
+	CDS_INIT_LIST_HEAD(&route->measures);
+	route->profile = calloc(1, sizeof(*route->profile));
+	if (!route->profile)
+		goto fail;
+	config_profile_preset(route->profile);
+	if (entry_service_init(&route->service, entry->policy, route->profile,
+			       seed))
+		goto fail;
+	cds_list_add_tail(&route->link, &entry->routes);
+	return route;
+fail:
+	free(route->profile);
+	pthread_mutex_destroy(&route->measure_lock);
+	pthread_mutex_destroy(&route->lock);
+	free(route);
+	return NULL;
+}
+
+entry_route_t *entry_route_make(entry_t *entry, const char *name)
+{
+	entry_route_t *route;
+
+	pthread_mutex_lock(&entry->routes_lock);
+	route = route_find(entry, name);
+	if (!route)
+		route = route_new(entry, name);
+	pthread_mutex_unlock(&entry->routes_lock);
+	return route;
+}
+
+static void route_free(entry_route_t *route)
+{
+	entry_copy_t *copy;
+
+	cds_list_for_each_entry (copy, &route->service.copies, link)
+		if (copy->io)
+			entry_place_unref(copy->io);
+	entry_service_fini(&route->service);
+	entry_measure_free(route);
+	free(route->profile);
+	pthread_mutex_destroy(&route->measure_lock);
+	pthread_mutex_destroy(&route->lock);
+	free(route);
+}
+
+void entry_route_free_all(entry_t *entry)
+{
+	entry_route_t *route;
+	entry_route_t *next;
+
+	cds_list_for_each_entry_safe (route, next, &entry->routes, link) {
+		cds_list_del(&route->link);
+		route_free(route);
+	}
+}
--- a/entry-service.c
+++ b/entry-service.c
@@ -185,7 +185,8 @@
 
 	call->copy->outstanding--;
 	svc->outstanding--;
-	if (!not_run || call->attempts >= svc->profile->attempts_max ||
+	if (!not_run || call->once ||
+	    call->attempts >= svc->profile->attempts_max ||
 	    now >= call->deadline)
 		return decision;
 	service_enqueue(svc, call);
--- /dev/null
+++ b/entry-settings.c
@@ -0,0 +1,83 @@
+#include <string.h>
+#include "entry-io.h"
+
+#define FIELD(name) offsetof(entry_settings_t, name)
+#define HOUR_MS 3600000
+
+const setting_t entry_settings[] = {
+	{ "node", "name", SETTING_NAME, FIELD(name), true, NULL, 0, 0,
+	  "name of this VM" },
+	{ "node", "zone", SETTING_NAME, FIELD(zone), true, NULL, 0, 0,
+	  "availability zone of this VM" },
+	{ "node", "region", SETTING_NAME, FIELD(region), false, "local", 0, 0,
+	  "region of this VM; its entries form one group" },
+	{ "node", "address", SETTING_IP, FIELD(address), true, NULL, 0, 0,
+	  "IP number of all ports" },
+	{ "node", "log_level", SETTING_LEVEL, FIELD(log_level), false, "info",
+	  0, 0, "lines less severe are dropped" },
+	{ "entry", "call_port", SETTING_INTEGER, FIELD(call_port), false,
+	  "7080", 1, 65535, "TCP port of calls" },
+	{ "entry", "control_port", SETTING_INTEGER, FIELD(control_port), false,
+	  "7081", 1, 65535, "TCP port of look-ups, announcements, metrics" },
+	{ "entry", "rpc_port", SETTING_INTEGER, FIELD(rpc_port), false, "7082",
+	  1, 65535, "TCP port for following the configuration" },
+	{ "entry", "peer_port", SETTING_INTEGER, FIELD(peer_port), false,
+	  "7083", 1, 65535, "UDP port between entries" },
+	{ "entry", "http_threads", SETTING_INTEGER, FIELD(http_threads), false,
+	  "2", 1, 64, "threads that take calls" },
+	{ "entry", "workers_max", SETTING_INTEGER, FIELD(workers_max), false,
+	  "256", 1, 4096, "threads that send to copies" },
+	{ "entry", "connections_max", SETTING_INTEGER, FIELD(connections_max),
+	  false, "4096", 16, 65536, "connections of callers" },
+	{ "entry", "keep_ms", SETTING_INTEGER, FIELD(keep_ms), false, "5000",
+	  100, HOUR_MS, "milliseconds a look-up may be kept" },
+	{ "entry", "interval_ms", SETTING_INTEGER, FIELD(interval_ms), false,
+	  "1000", 50, 60000, "milliseconds between announcements of a copy" },
+	{ "entry", "lease_ms", SETTING_INTEGER, FIELD(lease_ms), false, "3000",
+	  200, 600000, "milliseconds that an announcement binds a copy" },
+	{ "entry", "linger_ms", SETTING_INTEGER, FIELD(linger_ms), false,
+	  "5000", 0, HOUR_MS, "milliseconds calls are taken after SIGTERM" },
+	{ "entry", "stop_ms", SETTING_INTEGER, FIELD(stop_ms), false, "60000",
+	  0, HOUR_MS, "milliseconds that calls in flight get to end" },
+	{ "entry", "policy", SETTING_NAME, FIELD(policy), false, "owner", 0, 0,
+	  "owner; for comparison random, least or two-choices" },
+	{ "entry", "lending", SETTING_BOOLEAN, FIELD(lending), false, "true", 0,
+	  0, "whether owners hand waiting calls to idle siblings" },
+	{ "entry", "seeds", SETTING_ADDRESSES, FIELD(seeds), false, NULL, 0, 0,
+	  "peer addresses of other entries" },
+	{ "entry", "keepers", SETTING_ADDRESSES, FIELD(keepers), false, NULL, 0,
+	  0, "addresses of the keepers" },
+};
+
+const size_t entry_settings_count = sizeof(entry_settings) /
+				    sizeof(entry_settings[0]);
+
+static int settings_check(const char *path, const entry_settings_t *settings,
+			  hl_error_t *err)
+{
+	entry_policy_t policy;
+
+	if (!entry_policy_parse(settings->policy, &policy))
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: entry.policy is \"%s\"; set it to "
+				    "\"owner\", or to \"random\", \"least\" or "
+				    "\"two-choices\" for a comparison",
+				    path, settings->policy);
+	if (settings->lease_ms < 2 * settings->interval_ms)
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: entry.lease_ms is below twice "
+				    "entry.interval_ms; raise the lease or "
+				    "shorten the interval",
+				    path);
+	return 0;
+}
+
+int entry_settings_load(const char *path, entry_settings_t *settings,
+			hl_error_t *err)
+{
+	memset(settings, 0, sizeof(*settings));
+	if (settings_load(path, entry_settings, entry_settings_count, settings,
+			  err))
+		return -1;
+	return settings_check(path, settings, err);
+}
--- /dev/null
+++ b/entry-status.c
@@ -0,0 +1,70 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include "entry-io.h"
+
+static json_t *status_copy(const entry_copy_t *copy)
+{
+	return json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:b}", "copy",
+			 copy->name, "address", copy->address, "zone",
+			 copy->zone, "slots", (int)copy->slots, "limit",
+			 (int)copy->limit, "outstanding",
+			 (int)copy->outstanding, "draining", copy->draining);
+}
+
+static json_t *status_route(entry_route_t *route)
+{
+	json_t *copies = json_array();
+	const entry_copy_t *copy;
+	unsigned waiting;
+
+	pthread_mutex_lock(&route->lock);
+	cds_list_for_each_entry (copy, &route->service.copies, link)
+		json_array_append_new(copies, status_copy(copy));
+	waiting = entry_service_waiting(&route->service);
+	pthread_mutex_unlock(&route->lock);
+	return json_pack("{s:s, s:i, s:o}", "service", route->name, "waiting",
+			 (int)waiting, "copies", copies);
+}
+
+void entry_status_handle(const entry_control_t *in, entry_reply_t *reply)
+{
+	entry_t *entry = in->entry;
+	json_t *services = json_array();
+	entry_route_t *route;
+	json_t *root;
+
+	pthread_mutex_lock(&entry->routes_lock);
+	cds_list_for_each_entry (route, &entry->routes, link)
+		json_array_append_new(services, status_route(route));
+	pthread_mutex_unlock(&entry->routes_lock);
+	root = json_pack("{s:s, s:s, s:s, s:i, s:o}", "entry",
+			 entry->settings.name, "zone", entry->settings.zone,
+			 "build", HEMLOCK_VERSION, "in_flight",
+			 (int)entry->in_flight, "services", services);
+	reply->body = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+}
+
+void entry_status_health(const entry_control_t *in, entry_reply_t *reply)
+{
+	bool stopping = __atomic_load_n(&in->entry->stopping, __ATOMIC_ACQUIRE);
+
+	reply->status = stopping ? 503 : 200;
+	reply->type = "text/plain";
+	reply->body = strdup(stopping ? "stopping\n" : "ready\n");
+}
+
+void entry_status_metrics(const entry_control_t *in, entry_reply_t *reply)
+{
+	size_t size = 0;
+	FILE *out = open_memstream(&reply->body, &size);
+
+	if (!out) {
+		entry_reply_error(reply, 503, "no memory; add some");
+		return;
+	}
+	metrics_write(in->entry->metrics, out);
+	fclose(out);
+	reply->type = "text/plain; version=0.0.4";
+}
--- a/entry.h
+++ b/entry.h
@@ -82,6 +82,7 @@
 	bool waiting;	    /* it is in the queue */
 	bool idempotent;    /* may be sent more than once */
 	bool no_retry;	    /* a caller above will retry */
+	bool once;	    /* its body is gone: it cannot be sent again */
 	unsigned attempts;  /* sends so far */
 	entry_copy_t *copy; /* where it is, or was last */
 } entry_call_t;
@@ -199,6 +200,9 @@
 /** entry_refusal_status - the HTTP status of a refusal. */
 unsigned entry_refusal_status(entry_refusal_t refusal);
 
+/** entry_policy_parse - a policy's word in the settings; false if unknown. */
+bool entry_policy_parse(const char *word, entry_policy_t *policy);
+
 /** entry_outcome_name - "not-run", "may-have-run" or "ran". */
 const char *entry_outcome_name(entry_outcome_t outcome);
 
--- /dev/null
+++ b/hemlock-entry.c
@@ -0,0 +1,74 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include "entry-main.h"
+
+/* Exit codes, as in the manual page. */
+#define EXIT_USAGE 2
+#define EXIT_SETTINGS 3
+#define EXIT_RUN 4
+
+static int print_error(const hl_error_t *err, int code)
+{
+	fprintf(stderr, "hemlock-entry: %s\n", err->message);
+	return code;
+}
+
+int main(int argc, char **argv)
+{
+	gchar *path = NULL;
+	gboolean check = FALSE;
+	gboolean version = FALSE;
+	gboolean help_settings = FALSE;
+	const GOptionEntry options[] = {
+		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+		  "settings file in TOML", "FILE" },
+		{ "check", 'c', 0, G_OPTION_ARG_NONE, &check,
+		  "check the settings and exit", NULL },
+		{ "help-settings", 0, 0, G_OPTION_ARG_NONE, &help_settings,
+		  "list every setting and exit", NULL },
+		{ "version", 0, 0, G_OPTION_ARG_NONE, &version,
+		  "print the version and exit", NULL },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
+	};
+	GOptionContext *context = g_option_context_new("- take calls");
+	GError *error = NULL;
+	static entry_settings_t settings;
+	hl_error_t err = { 0 };
+	gboolean parsed;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	parsed = g_option_context_parse(context, &argc, &argv, &error);
+	g_option_context_free(context);
+	if (!parsed) {
+		fprintf(stderr, "hemlock-entry: %s; see --help\n",
+			error->message);
+		g_error_free(error);
+		return EXIT_USAGE;
+	}
+	if (version) {
+		printf("hemlock-entry %s\n", HEMLOCK_VERSION);
+		return EXIT_SUCCESS;
+	}
+	if (help_settings) {
+		settings_print_help(entry_settings, entry_settings_count,
+				    stdout);
+		return EXIT_SUCCESS;
+	}
+	if (!path) {
+		fprintf(stderr, "hemlock-entry: no settings file; give "
+				"--settings FILE\n");
+		return EXIT_USAGE;
+	}
+	if (entry_settings_load(path, &settings, &err))
+		return print_error(&err, EXIT_SETTINGS);
+	if (check) {
+		printf("%s: good\n", path);
+		return EXIT_SUCCESS;
+	}
+	log_open("hemlock-entry", settings.name, settings.log_level);
+	signals_block();
+	if (entry_main_run(&settings, path, &err))
+		return print_error(&err, EXIT_RUN);
+	return EXIT_SUCCESS;
+}
--- a/hemlock.h
+++ b/hemlock.h
@@ -21,8 +21,8 @@
 /** Monotonic time or a span of time, in microseconds. */
 typedef int64_t usec_t;
 
-#define USEC_PER_MS 1000LL
-#define USEC_PER_SEC 1000000LL
+#define USEC_PER_MS ((usec_t)1000)
+#define USEC_PER_SEC ((usec_t)1000000)
 #define USEC_NEVER INT64_MAX
 
 /**
@@ -142,9 +142,25 @@
  */
 int supervisor_run(supervisor_t *sup);
 
-/** supervisor_stop - ask for the end; safe in a signal handler. */
+/** supervisor_stop - ask for the end, from any thread. */
 void supervisor_stop(supervisor_t *sup);
 
+/**
+ * struct signals_t - what the signals of a daemon do: SIGTERM and SIGINT ask
+ * its supervisor to stop, SIGHUP calls reload().
+ */
+typedef struct {
+	supervisor_t *supervisor;
+	void (*reload)(void *context); /* may be NULL */
+	void *context;
+} signals_t;
+
+/** signals_block - before any thread starts, leave signals to the child. */
+void signals_block(void);
+
+/** signals_child - the thread that waits for signals. */
+supervisor_child_t signals_child(signals_t *signals);
+
 /** supervisor_free - stop and join all children, then free. */
 void supervisor_free(supervisor_t *sup);
 
