Add the pure state of the configuration

The keepers need a deterministic state behind their log: compare-and-set by revision for each object, all items of a change together or none, and the first answer again for a change id that was seen before.

A change that is sent again after its id has left the window of 65,536 ids cannot be told from a new one: a put of an object that was retired meanwhile would be applied a second time. An age by the operators' clocks was ruled out, because one wrong clock would shut out the others. A change now carries the revision it was made from (config_change_t.seen), and one older than the newest forgotten change is refused.

--- /dev/null
+++ b/config-apply.c
@@ -0,0 +1,46 @@
+#include <string.h>
+#include "config-object.h"
+
+/* A stop means nothing without its service. */
+static void config_apply_drop_stops(config_t *config, const char *service)
+{
+	const config_object_t *object = config_object_of(CONFIG_PUT_STOP);
+	u_int i = config_object_count(object, config);
+
+	while (i-- > 0) {
+		void *stop = config_object_at(object, config, i);
+
+		if (!strcmp(config_object_name(object, stop), service))
+			config_object_remove(object, config, stop);
+	}
+}
+
+int config_apply_item(config_t *config, uint64_t revision,
+		      const config_item_t *item)
+{
+	const config_object_t *object = config_object_of(item->body.kind);
+	const void *value = &item->body.config_body_t_u;
+	void *found;
+
+	if (item->body.kind == object->put)
+		return config_object_put(object, config, value, revision);
+	found = config_object_find(object, config, value);
+	if (found)
+		config_object_remove(object, config, found);
+	if (item->body.kind == CONFIG_RETIRE_SERVICE)
+		config_apply_drop_stops(config,
+					config_object_name(object, value));
+	return 0;
+}
+
+int config_apply_delta(config_t *config, const config_delta_t *delta)
+{
+	u_int i;
+
+	for (i = 0; i < delta->change.items.items_len; i++)
+		if (config_apply_item(config, delta->revision,
+				      &delta->change.items.items_val[i]))
+			return -1;
+	config->revision = delta->revision;
+	return 0;
+}
--- /dev/null
+++ b/regress/test-config-state.c
@@ -0,0 +1,248 @@
+#include "config-make.h"
+#include "config-state.h"
+
+typedef struct {
+	config_state_t *state;
+	uint64_t index;
+	uint64_t busy; /* revision of the profile that many() writes */
+} world_t;
+
+static void setup(world_t *world, gconstpointer data)
+{
+	(void)data;
+	world->state = config_state_new();
+	world->index = 0;
+	world->busy = 0;
+}
+
+static void teardown(world_t *world, gconstpointer data)
+{
+	(void)data;
+	config_state_free(world->state);
+}
+
+static config_verdict_t apply(world_t *world, const char *id, uint64_t seen,
+			      config_item_t *items, u_int count,
+			      config_answer_t *answer)
+{
+	config_change_t change = make_change(id, seen, items, count);
+
+	g_assert_cmpint(config_state_apply(world->state, ++world->index,
+					   &change, answer),
+			==, 0);
+	return answer->verdict;
+}
+
+static void expect(world_t *world, const char *id, config_item_t *items,
+		   u_int count, config_verdict_t verdict, const char *winner,
+		   const char *message)
+{
+	uint64_t before = config_state_config(world->state)->revision;
+	config_answer_t answer;
+
+	apply(world, id, before, items, count, &answer);
+	if (!strstr(answer.message, message))
+		g_error("%s: got \"%s\"", id, answer.message);
+	g_assert_cmpint(answer.verdict, ==, verdict);
+	g_assert_cmpstr(answer.winner, ==, winner);
+	g_assert_cmpuint(config_state_config(world->state)->revision, ==,
+			 before + (verdict == CONFIG_ACCEPTED));
+	xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&answer);
+}
+
+static void test_state_rules(world_t *world, gconstpointer data)
+{
+	config_item_t both[] = { make_profile("fast", 0, 100),
+				 make_service("bay-desk", 0, "fast") };
+	config_item_t twice[] = { make_profile("fast", 1, 100),
+				  make_profile("fast", 1, 200) };
+	config_item_t half[] = { make_profile("fast", 1, 300),
+				 make_service("ledger", 0, "nowhere") };
+	config_item_t stop[] = { make_stop("bay-desk", "copy-1", 0),
+				 make_stop("nowhere", "copy-1", 0) };
+	config_item_t put = make_profile("fast", 1, 200);
+	config_item_t bad = make_profile("fast", 1, 0);
+	config_item_t retire = make_retire("fast", 1);
+	config_item_t move[] = { make_profile("slow", 0, 200),
+				 make_service("bay-desk", 1, "slow") };
+
+	(void)data;
+	expect(world, "a1", both, 2, CONFIG_ACCEPTED, "", "");
+	expect(world, "a2", twice, 2, CONFIG_REFUSED, "", "fast twice");
+	expect(world, "a3", half, 2, CONFIG_REFUSED, "", "profile nowhere");
+	expect(world, "a4", stop, 2, CONFIG_REFUSED, "", "service nowhere");
+	expect(world, "a5", stop, 1, CONFIG_ACCEPTED, "", "");
+	expect(world, "a6", &bad, 1, CONFIG_REFUSED, "",
+	       "deadline_ms must be from 1 to 600000");
+	expect(world, "a7", &retire, 1, CONFIG_REFUSED, "",
+	       "in use by 1 service: bay-desk");
+	expect(world, "a8", move, 2, CONFIG_ACCEPTED, "", "");
+	expect(world, "a9", &retire, 1, CONFIG_ACCEPTED, "", "");
+	expect(world, "a10", &retire, 1, CONFIG_CONFLICT, "a9", "by change a9");
+	expect(world, "a11", &put, 1, CONFIG_CONFLICT, "a9", "hemlockctl plan");
+	expect(world, "a12", move, 1, CONFIG_CONFLICT, "a8", "by change a8");
+	expect(world, "a13", NULL, 0, CONFIG_REFUSED, "", "an item");
+}
+
+/* Of two changes made from one revision exactly the first is accepted. */
+static void test_state_race(world_t *world, gconstpointer data)
+{
+	uint64_t base = 0;
+	unsigned round;
+
+	(void)data;
+	for (round = 0; round < 200; round++) {
+		config_item_t item = make_profile("fast", base, 100 + round);
+		config_answer_t first, second;
+		char one[32], two[32];
+
+		g_snprintf(one, sizeof(one), "one-%u", round);
+		g_snprintf(two, sizeof(two), "two-%u", round);
+		apply(world, one, base, &item, 1, &first);
+		apply(world, two, base, &item, 1, &second);
+		g_assert_cmpint(first.verdict, ==, CONFIG_ACCEPTED);
+		g_assert_cmpint(second.verdict, ==, CONFIG_CONFLICT);
+		g_assert_cmpstr(second.winner, ==, one);
+		base = first.revision;
+		g_assert_cmpuint(base, ==, round + 1);
+		xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&first);
+		xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&second);
+	}
+}
+
+/* Save and load; the two must be equal to the byte. */
+static void reload(world_t *world)
+{
+	char *bytes, *again;
+	size_t size, again_size;
+	config_state_t *loaded;
+
+	g_assert_cmpint(config_state_save(world->state, &bytes, &size), ==, 0);
+	loaded = config_state_load(bytes, size, NULL);
+	g_assert_nonnull(loaded);
+	g_assert_cmpint(config_state_save(loaded, &again, &again_size), ==, 0);
+	g_assert_cmpmem(bytes, size, again, again_size);
+	g_assert_null(config_state_load(bytes, size - 4, NULL));
+	free(bytes);
+	free(again);
+	config_state_free(world->state);
+	world->state = loaded;
+}
+
+static void many(world_t *world, unsigned count)
+{
+	unsigned i;
+
+	for (i = 0; i < count; i++) {
+		uint64_t base = config_state_config(world->state)->revision;
+		config_item_t item = make_profile("busy", world->busy,
+						  1 + i % 1000);
+		config_answer_t answer;
+		char id[40];
+
+		g_snprintf(id, sizeof(id), "many-%" PRIu64, world->index);
+		apply(world, id, base, &item, 1, &answer);
+		g_assert_cmpint(answer.verdict, ==, CONFIG_ACCEPTED);
+		world->busy = answer.revision;
+		xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&answer);
+	}
+}
+
+/* A change that comes again gets its first answer, also after a snapshot. */
+static void test_state_resend(world_t *world, gconstpointer data)
+{
+	config_item_t item = make_profile("calm", 0, 9);
+	config_answer_t answer;
+
+	(void)data;
+	many(world, 2);
+	apply(world, "again", 2, &item, 1, &answer);
+	xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&answer);
+	item.base = 3;
+	apply(world, "gone", 3, &item, 1, &answer);
+	xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&answer);
+	item = make_profile("busy", 2, 77);
+	many(world, 500);
+	reload(world);
+	g_assert_cmpint(apply(world, "again", 2, &item, 1, &answer), ==,
+			CONFIG_ACCEPTED);
+	g_assert_cmpuint(answer.revision, ==, 3);
+	xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&answer);
+	g_assert_cmpuint(config_state_config(world->state)->revision, ==, 504);
+	g_assert_cmpuint(config_state_answer(world->state, "gone")->revision,
+			 ==, 4);
+	g_assert_null(config_state_answer(world->state, "never"));
+}
+
+/* Past the window a change is refused rather than applied a second time. */
+static void test_state_window(world_t *world, gconstpointer data)
+{
+	config_item_t put = make_profile("calm", 0, 9);
+	config_item_t retire = make_retire("calm", 1);
+	config_answer_t answer;
+	unsigned i;
+
+	(void)data;
+	expect(world, "put", &put, 1, CONFIG_ACCEPTED, "", "");
+	expect(world, "retire", &retire, 1, CONFIG_ACCEPTED, "", "");
+	for (i = 0; i < CONFIG_KNOWN_MAX; i++) {
+		config_item_t item = make_profile("busy", i ? i + 2 : 0,
+						  1 + i % 9);
+		char id[40];
+
+		g_snprintf(id, sizeof(id), "many-%u", i);
+		apply(world, id, i + 2, &item, 1, &answer);
+		xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&answer);
+	}
+	g_assert_null(config_state_answer(world->state, "put"));
+	g_assert_cmpint(apply(world, "put", 0, &put, 1, &answer), ==,
+			CONFIG_REFUSED);
+	g_assert_nonnull(strstr(answer.message, "older than the change ids"));
+	xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&answer);
+	reload(world);
+}
+
+static void test_state_deltas(world_t *world, gconstpointer data)
+{
+	config_delta_t deltas[8];
+	config_t config = { 0 };
+	unsigned i;
+	int n;
+
+	(void)data;
+	many(world, 1);
+	many(world, 5);
+	n = config_state_deltas(world->state, 0, deltas, 8);
+	g_assert_cmpint(n, ==, 6);
+	for (i = 0; i < 6; i++) {
+		g_assert_cmpint(config_apply_delta(&config, &deltas[i]), ==, 0);
+		xdr_free((xdrproc_t)xdr_config_delta_t, (char *)&deltas[i]);
+	}
+	g_assert_cmpuint(config.revision, ==, 6);
+	g_assert_cmpuint(config.profiles.profiles_val[0].deadline_ms, ==, 5);
+	xdr_free((xdrproc_t)xdr_config_t, (char *)&config);
+	g_assert_cmpint(config_state_deltas(world->state, 6, deltas, 8), ==, 0);
+	many(world, CONFIG_DELTAS_MAX);
+	g_assert_cmpint(config_state_deltas(world->state, 5, deltas, 8), ==,
+			-1);
+	n = config_state_deltas(world->state, 6, deltas, 2);
+	g_assert_cmpint(n, ==, 2);
+	for (i = 0; i < 2; i++)
+		xdr_free((xdrproc_t)xdr_config_delta_t, (char *)&deltas[i]);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add("/config-state/rules", world_t, NULL, setup,
+		   test_state_rules, teardown);
+	g_test_add("/config-state/race", world_t, NULL, setup, test_state_race,
+		   teardown);
+	g_test_add("/config-state/resend", world_t, NULL, setup,
+		   test_state_resend, teardown);
+	g_test_add("/config-state/window", world_t, NULL, setup,
+		   test_state_window, teardown);
+	g_test_add("/config-state/deltas", world_t, NULL, setup,
+		   test_state_deltas, teardown);
+	return g_test_run();
+}
--- a/rpc/config_rpc.h
+++ b/rpc/config_rpc.h
@@ -19,6 +19,9 @@
 #define CONFIG_OBJECTS_MAX 4096
 #define CONFIG_ITEMS_MAX 256
 #define CONFIG_MESSAGE_MAX 511
+#define CONFIG_KNOWN_MAX 65536
+#define CONFIG_RETIRED_MAX 4096
+#define CONFIG_DELTAS_MAX 1024
 
 typedef char *config_name_t;
 
@@ -114,6 +117,7 @@
 	config_name_t id;
 	config_name_t author;
 	quad_t at_ms;
+	u_quad_t seen;
 	struct {
 		u_int items_len;
 		config_item_t *items_val;
@@ -143,6 +147,39 @@
 };
 typedef struct config_delta_t config_delta_t;
 
+struct config_known_t {
+	u_quad_t index;
+	config_answer_t answer;
+};
+typedef struct config_known_t config_known_t;
+
+struct config_retired_t {
+	config_item_kind_t kind;
+	config_name_t name;
+	config_name_t copy;
+	u_quad_t revision;
+};
+typedef struct config_retired_t config_retired_t;
+
+struct config_snapshot_t {
+	config_t config;
+	u_quad_t index;
+	u_quad_t forgotten;
+	struct {
+		u_int known_len;
+		config_known_t *known_val;
+	} known;
+	struct {
+		u_int retired_len;
+		config_retired_t *retired_val;
+	} retired;
+	struct {
+		u_int deltas_len;
+		config_delta_t *deltas_val;
+	} deltas;
+};
+typedef struct config_snapshot_t config_snapshot_t;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -159,6 +196,9 @@
 extern  bool_t xdr_config_verdict_t (XDR *, config_verdict_t*);
 extern  bool_t xdr_config_answer_t (XDR *, config_answer_t*);
 extern  bool_t xdr_config_delta_t (XDR *, config_delta_t*);
+extern  bool_t xdr_config_known_t (XDR *, config_known_t*);
+extern  bool_t xdr_config_retired_t (XDR *, config_retired_t*);
+extern  bool_t xdr_config_snapshot_t (XDR *, config_snapshot_t*);
 
 #else /* K&R C */
 extern bool_t xdr_config_name_t ();
@@ -174,6 +214,9 @@
 extern bool_t xdr_config_verdict_t ();
 extern bool_t xdr_config_answer_t ();
 extern bool_t xdr_config_delta_t ();
+extern bool_t xdr_config_known_t ();
+extern bool_t xdr_config_retired_t ();
+extern bool_t xdr_config_snapshot_t ();
 
 #endif /* K&R C */
 
--- a/rpc/config_rpc.x
+++ b/rpc/config_rpc.x
@@ -5,6 +5,12 @@
 const CONFIG_OBJECTS_MAX = 4096;
 const CONFIG_ITEMS_MAX = 256;
 const CONFIG_MESSAGE_MAX = 511;
+/* Change ids whose first answers are kept: 31 hours at 50,000 a day. */
+const CONFIG_KNOWN_MAX = 65536;
+/* Retired objects whose last change can still be named. */
+const CONFIG_RETIRED_MAX = 4096;
+/* Accepted changes kept for followers and for the history. */
+const CONFIG_DELTAS_MAX = 1024;
 
 typedef string config_name_t<CONFIG_NAME_MAX>;
 
@@ -91,6 +97,7 @@
 	config_name_t id;
 	config_name_t author;
 	hyper at_ms;			/* operator's wall clock, for history */
+	unsigned hyper seen;		/* revision of the whole it was made from */
 	config_item_t items<CONFIG_ITEMS_MAX>;
 };
 
@@ -113,3 +120,27 @@
 	unsigned hyper revision;
 	config_change_t change;
 };
+
+/* A change id with its first answer. */
+struct config_known_t {
+	unsigned hyper index;		/* in the replicated log */
+	config_answer_t answer;
+};
+
+/* An object that is no more, and the revision that retired it. */
+struct config_retired_t {
+	config_item_kind_t kind;
+	config_name_t name;
+	config_name_t copy;		/* of a stop, else empty */
+	unsigned hyper revision;
+};
+
+/* The whole state that the log stands for, in a snapshot. */
+struct config_snapshot_t {
+	config_t config;
+	unsigned hyper index;		/* last log index applied */
+	unsigned hyper forgotten;	/* newest revision whose id is dropped */
+	config_known_t known<CONFIG_KNOWN_MAX>;
+	config_retired_t retired<CONFIG_RETIRED_MAX>;
+	config_delta_t deltas<CONFIG_DELTAS_MAX>;
+};
--- a/rpc/config_rpc_xdr.c
+++ b/rpc/config_rpc_xdr.c
@@ -278,6 +278,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->at_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seen))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, CONFIG_ITEMS_MAX,
 		sizeof (config_item_t), (xdrproc_t) xdr_config_item_t))
 		 return FALSE;
@@ -323,3 +325,54 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_config_known_t (XDR *xdrs, config_known_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_config_answer_t (xdrs, &objp->answer))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_retired_t (XDR *xdrs, config_retired_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_item_kind_t (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->copy))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_snapshot_t (XDR *xdrs, config_snapshot_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->forgotten))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->known.known_val, (u_int *) &objp->known.known_len, CONFIG_KNOWN_MAX,
+		sizeof (config_known_t), (xdrproc_t) xdr_config_known_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->retired.retired_val, (u_int *) &objp->retired.retired_len, CONFIG_RETIRED_MAX,
+		sizeof (config_retired_t), (xdrproc_t) xdr_config_retired_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->deltas.deltas_val, (u_int *) &objp->deltas.deltas_len, CONFIG_DELTAS_MAX,
+		sizeof (config_delta_t), (xdrproc_t) xdr_config_delta_t))
+		 return FALSE;
+	return TRUE;
+}
