--- a/owner.h
+++ b/owner.h
@@ -13,6 +13,7 @@
 	char call_address[HL_ADDRESS_MAX];
 	char control_address[HL_ADDRESS_MAX];
 	char peer_address[HL_ADDRESS_MAX];
+	char rpc_address[HL_ADDRESS_MAX]; /* following the configuration */
 } owner_member_t;
 
 /**
