Add membership: SWIM probing over one UDP socket

Entries must know which of them live, at a cost that does not grow with the group. Each probes one member every 500 ms, asks three others before it suspects, and passes changes on in its probes; a suspected entry refutes by a higher incarnation. Live members stand in an immutable view behind liburcu, whose bulletproof flavour needs no registered threads: hence liburcu-bp in the Makefile, from the same package.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SAN ?=
 CC = gcc
 CXX = g++
-PACKAGES = glib-2.0 liburcu libmicrohttpd neon libtirpc jansson libxxhash \
+PACKAGES = glib-2.0 liburcu liburcu-bp libmicrohttpd neon libtirpc jansson libxxhash \
 	libcurl
 SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
 WARNINGS = -Wall -Wextra -Wshadow -Wpointer-arith -Wvla
--- /dev/null
+++ b/member-swim.c
@@ -0,0 +1,468 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "member-swim.h"
+
+/* Sequence of a PING that only wants to join; no probe has it. */
+#define SWIM_SEQUENCE_JOIN 0
+
+static void swim_send(member_swim_t *swim, const char *address,
+		      const peer_body_t *body, const member_node_t *first)
+{
+	peer_member_t gossip[PEER_GOSSIP_MAX];
+	peer_message_t message = { 0 };
+
+	message.group = swim->options.group;
+	message.from = swim->self->info.entry.name;
+	message.incarnation = swim->self->incarnation;
+	if (swim->options.revision)
+		message.revision = swim->options.revision(
+			swim->options.context);
+	message.body = *body;
+	message.gossip.gossip_val = gossip;
+	if (body->kind != PEER_SYNC)
+		message.gossip.gossip_len = member_table_gossip(swim, first,
+								gossip);
+	swim->options.send(swim->options.context, address, &message);
+}
+
+/* Send a PING, ACK or PING_REQUEST. */
+static void swim_send_probe(member_swim_t *swim, peer_kind_t kind,
+			    const char *address, uint32_t sequence,
+			    const member_node_t *target,
+			    const member_node_t *first)
+{
+	peer_body_t body = { .kind = kind };
+	peer_probe_t *probe = &body.peer_body_t_u.probe;
+
+	probe->sequence = sequence;
+	probe->target = target ? (char *)target->info.entry.name : "";
+	probe->target_address =
+		kind == PEER_PING_REQUEST ?
+			(char *)target->info.entry.peer_address :
+			"";
+	swim_send(swim, address, &body, first);
+}
+
+static void swim_send_sync_request(member_swim_t *swim, const char *address,
+				   const char *after)
+{
+	peer_body_t body = { .kind = PEER_SYNC_REQUEST };
+
+	body.peer_body_t_u.sync_request.digest = member_table_digest(swim);
+	body.peer_body_t_u.sync_request.after = (char *)after;
+	swim_send(swim, address, &body, NULL);
+}
+
+/* A random member that may be asked for something, or NULL. */
+static member_node_t *swim_random(member_swim_t *swim, bool live,
+				  const member_node_t *except)
+{
+	unsigned start;
+	unsigned i;
+
+	if (!swim->count)
+		return NULL;
+	start = member_table_random(swim) % swim->count;
+
+	for (i = 0; i < swim->count; i++) {
+		member_node_t *node = swim->nodes[(start + i) % swim->count];
+
+		if (node == swim->self || node == except)
+			continue;
+		if (live ? member_swim_live(node) : node->state == PEER_DEAD)
+			return node;
+	}
+	return NULL;
+}
+
+static uint32_t swim_sequence(member_swim_t *swim)
+{
+	if (++swim->sequence == SWIM_SEQUENCE_JOIN)
+		swim->sequence++;
+	return swim->sequence;
+}
+
+/* Shuffle the order of probes, once a round. */
+static void swim_shuffle(member_swim_t *swim)
+{
+	unsigned i;
+
+	for (i = swim->count - 1; i > 0; i--) {
+		unsigned j = member_table_random(swim) % (i + 1);
+		member_node_t *node = swim->nodes[i];
+
+		swim->nodes[i] = swim->nodes[j];
+		swim->nodes[j] = node;
+	}
+}
+
+static member_node_t *swim_next(member_swim_t *swim)
+{
+	unsigned tries;
+
+	for (tries = 0; tries <= swim->count; tries++) {
+		member_node_t *node;
+
+		if (swim->next >= swim->count) {
+			swim->next = 0;
+			swim_shuffle(swim);
+		}
+		node = swim->nodes[swim->next++];
+		if (node != swim->self && member_swim_live(node))
+			return node;
+	}
+	return NULL;
+}
+
+static void swim_suspect(member_swim_t *swim, member_node_t *node, usec_t now)
+{
+	if (node->state != PEER_ALIVE)
+		return;
+	swim->counts.suspected++;
+	log_event(LOG_LEVEL_INFO, "member-suspect", "member=%s",
+		  node->info.entry.name);
+	member_table_set(swim, node, PEER_SUSPECT, node->incarnation, now);
+}
+
+static void swim_probe_next(member_swim_t *swim, usec_t now)
+{
+	member_probe_t *probe = &swim->probe;
+	member_node_t *node;
+
+	if (probe->node)
+		swim_suspect(swim, probe->node, now);
+	node = swim_next(swim);
+	probe->node = node;
+	if (!node)
+		return;
+	probe->sequence = swim_sequence(swim);
+	probe->started = now;
+	probe->indirect = false;
+	swim_send_probe(swim, PEER_PING, node->info.entry.peer_address,
+			probe->sequence, node,
+			node->state == PEER_SUSPECT ? node : NULL);
+}
+
+static void swim_probe_indirect(member_swim_t *swim)
+{
+	member_probe_t *probe = &swim->probe;
+	member_node_t *last = probe->node;
+	unsigned i;
+
+	probe->indirect = true;
+	for (i = 0; i < MEMBER_SWIM_INDIRECT; i++) {
+		member_node_t *helper = swim_random(swim, true, probe->node);
+
+		if (!helper || helper == last)
+			continue;
+		last = helper;
+		swim_send_probe(swim, PEER_PING_REQUEST,
+				helper->info.entry.peer_address,
+				probe->sequence, probe->node, NULL);
+	}
+}
+
+static void swim_tick_probe(member_swim_t *swim, usec_t now)
+{
+	member_probe_t *probe = &swim->probe;
+
+	if (probe->node && !probe->indirect &&
+	    now >= probe->started + swim->options.probe_timeout)
+		swim_probe_indirect(swim);
+	if (now < swim->next_probe)
+		return;
+	swim->next_probe = now + swim->options.probe_period;
+	swim_probe_next(swim, now);
+}
+
+static void swim_tick_suspects(member_swim_t *swim, usec_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < swim->count; i++) {
+		member_node_t *node = swim->nodes[i];
+
+		if (node->state != PEER_SUSPECT || now < node->suspect_until)
+			continue;
+		swim->counts.declared++;
+		member_table_set(swim, node, PEER_DEAD, node->incarnation, now);
+		log_event(LOG_LEVEL_NOTICE, "member-dead", "member=%s",
+			  node->info.entry.name);
+	}
+}
+
+/* Probe a dead member: if it lives it will refute what we say of it. */
+static void swim_tick_revive(member_swim_t *swim, usec_t now)
+{
+	member_node_t *node;
+
+	if (now < swim->next_revive)
+		return;
+	swim->next_revive = now + MEMBER_SWIM_REVIVE_PERIOD;
+	node = swim_random(swim, false, NULL);
+	if (node && now - node->changed < MEMBER_SWIM_REMEMBER)
+		swim_send_probe(swim, PEER_PING, node->info.entry.peer_address,
+				swim_sequence(swim), node, node);
+}
+
+static void swim_tick_sync(member_swim_t *swim, usec_t now)
+{
+	member_node_t *node;
+
+	if (now < swim->next_sync)
+		return;
+	swim->next_sync = now + swim->options.sync_period;
+	node = swim_random(swim, true, NULL);
+	if (node)
+		swim_send_sync_request(swim, node->info.entry.peer_address, "");
+}
+
+static bool swim_knows_address(member_swim_t *swim, const char *address)
+{
+	unsigned i;
+
+	for (i = 0; i < swim->count; i++)
+		if (member_swim_live(swim->nodes[i]) &&
+		    !strcmp(swim->nodes[i]->info.entry.peer_address, address))
+			return true;
+	return false;
+}
+
+/* Ask the seeds that are no live members: often while alone, else rarely. */
+static void swim_tick_join(member_swim_t *swim, usec_t now)
+{
+	bool alone = !swim_random(swim, true, NULL);
+	unsigned i;
+
+	if (now < swim->next_join)
+		return;
+	swim->next_join = now + (alone ? swim->options.probe_period :
+					 swim->options.sync_period);
+	for (i = 0; i < swim->options.seeds.count; i++) {
+		const char *seed = swim->options.seeds.items[i];
+
+		if (!swim_knows_address(swim, seed))
+			swim_send_probe(swim, PEER_PING, seed,
+					SWIM_SEQUENCE_JOIN, NULL, swim->self);
+	}
+}
+
+/* After a freeze of our own, nobody else is to be blamed for the gap. */
+static void swim_forgive(member_swim_t *swim, usec_t now)
+{
+	usec_t gap = now - swim->last_tick;
+	unsigned i;
+
+	if (gap < swim->options.probe_period)
+		return;
+	swim->probe.node = NULL;
+	for (i = 0; i < swim->count; i++)
+		swim->nodes[i]->suspect_until += gap;
+}
+
+void member_swim_tick(member_swim_t *swim, usec_t now)
+{
+	swim_forgive(swim, now);
+	swim->last_tick = now;
+	if (swim->self->state == PEER_LEFT)
+		return;
+	swim_tick_suspects(swim, now);
+	swim_tick_probe(swim, now);
+	swim_tick_revive(swim, now);
+	swim_tick_sync(swim, now);
+	swim_tick_join(swim, now);
+}
+
+/* Answer a PING; a sender that we hold for dead is told so. */
+static void swim_on_ping(member_swim_t *swim, const peer_message_t *message,
+			 member_node_t *from, const char *address)
+{
+	const peer_probe_t *probe = &message->body.peer_body_t_u.probe;
+	const member_node_t *first = NULL;
+
+	if (probe->target[0] &&
+	    strcmp(probe->target, swim->self->info.entry.name) != 0)
+		return;
+	if (from && from->state != PEER_ALIVE)
+		first = from;
+	else if (probe->sequence == SWIM_SEQUENCE_JOIN)
+		first = swim->self;
+	swim_send_probe(swim, PEER_ACK, address, probe->sequence, swim->self,
+			first);
+}
+
+static void swim_on_ping_request(member_swim_t *swim, const peer_probe_t *asked,
+				 const char *address, usec_t now)
+{
+	member_node_t *target = member_swim_find(swim, asked->target);
+	unsigned i;
+
+	if (!target)
+		return;
+	for (i = 0; i < MEMBER_SWIM_RELAYS; i++) {
+		member_relay_t *relay = &swim->relays[i];
+
+		if (relay->sequence && now < relay->until)
+			continue;
+		relay->sequence = swim_sequence(swim);
+		relay->asker_sequence = asked->sequence;
+		snprintf(relay->asker, HL_ADDRESS_MAX, "%s", address);
+		relay->until = now + swim->options.probe_period;
+		swim_send_probe(swim, PEER_PING,
+				target->info.entry.peer_address,
+				relay->sequence, target, NULL);
+		return;
+	}
+}
+
+static void swim_on_ack(member_swim_t *swim, const peer_probe_t *probe,
+			member_node_t *from, const char *address)
+{
+	unsigned i;
+
+	if (probe->sequence == SWIM_SEQUENCE_JOIN) {
+		swim_send_sync_request(swim, address, "");
+		return;
+	}
+	if (swim->probe.node && swim->probe.sequence == probe->sequence) {
+		swim->probe.node = NULL;
+		return;
+	}
+	for (i = 0; i < MEMBER_SWIM_RELAYS; i++) {
+		member_relay_t *relay = &swim->relays[i];
+
+		if (relay->sequence != probe->sequence)
+			continue;
+		relay->sequence = 0;
+		swim_send_probe(swim, PEER_ACK, relay->asker,
+				relay->asker_sequence, from, NULL);
+		return;
+	}
+}
+
+static void swim_on_sync_request(member_swim_t *swim,
+				 const peer_sync_request_t *asked,
+				 const char *address)
+{
+	peer_member_t page[PEER_SYNC_MAX];
+	peer_body_t body = { .kind = PEER_SYNC };
+	peer_sync_t *sync = &body.peer_body_t_u.sync;
+	const char *next;
+
+	if (!asked->after[0] && asked->digest == member_table_digest(swim))
+		return;
+	sync->members.members_val = page;
+	sync->members.members_len = member_table_page(swim, asked->after, page,
+						      PEER_SYNC_MAX, &next);
+	sync->next = (char *)next;
+	swim_send(swim, address, &body, NULL);
+}
+
+static void swim_on_sync(member_swim_t *swim, const peer_sync_t *sync,
+			 const char *address, usec_t now)
+{
+	u_int i;
+
+	for (i = 0; i < sync->members.members_len; i++)
+		member_table_apply(swim, &sync->members.members_val[i], now);
+	if (sync->next[0])
+		swim_send_sync_request(swim, address, sync->next);
+}
+
+static void swim_dispatch(member_swim_t *swim, const peer_message_t *message,
+			  member_node_t *from, const char *address, usec_t now)
+{
+	const peer_body_t *body = &message->body;
+
+	switch (body->kind) {
+	case PEER_PING:
+		swim_on_ping(swim, message, from, address);
+		break;
+	case PEER_ACK:
+		swim_on_ack(swim, &body->peer_body_t_u.probe, from, address);
+		break;
+	case PEER_PING_REQUEST:
+		swim_on_ping_request(swim, &body->peer_body_t_u.probe, address,
+				     now);
+		break;
+	case PEER_SYNC_REQUEST:
+		swim_on_sync_request(swim, &body->peer_body_t_u.sync_request,
+				     address);
+		break;
+	case PEER_SYNC:
+		swim_on_sync(swim, &body->peer_body_t_u.sync, address, now);
+		break;
+	default:
+		break;
+	}
+}
+
+int member_swim_receive(member_swim_t *swim, const peer_message_t *message,
+			const char *source, usec_t now)
+{
+	member_node_t *from;
+	u_int i;
+
+	if (strcmp(message->group, swim->options.group) != 0 ||
+	    !strcmp(message->from, swim->self->info.entry.name))
+		return -1;
+	for (i = 0; i < message->gossip.gossip_len; i++)
+		member_table_apply(swim, &message->gossip.gossip_val[i], now);
+	from = member_swim_find(swim, message->from);
+	if (from) {
+		if (message->revision > from->info.revision)
+			from->info.revision = message->revision;
+		source = from->info.entry.peer_address;
+	}
+	if (swim->self->state != PEER_LEFT)
+		swim_dispatch(swim, message, from, source, now);
+	return 0;
+}
+
+void member_swim_leave(member_swim_t *swim, usec_t now)
+{
+	peer_body_t body = { .kind = PEER_GOSSIP };
+	member_node_t *last = NULL;
+	unsigned i;
+
+	member_table_set(swim, swim->self, PEER_LEFT, swim->self->incarnation,
+			 now);
+	for (i = 0; i < 2 * MEMBER_SWIM_INDIRECT; i++) {
+		member_node_t *node = swim_random(swim, true, last);
+
+		if (!node)
+			break;
+		last = node;
+		swim_send(swim, node->info.entry.peer_address, &body,
+			  swim->self);
+	}
+}
+
+int member_swim_init(member_swim_t *swim, const member_swim_options_t *options,
+		     const owner_member_t *self, const char *rpc_address,
+		     uint64_t incarnation, uint64_t seed, usec_t now)
+{
+	memset(swim, 0, sizeof(*swim));
+	swim->options = *options;
+	swim->random = hl_hash(self->name, strlen(self->name), seed) | 1;
+	swim->self = member_table_add(swim, self->name, now);
+	if (!swim->self)
+		return -1;
+	swim->self->info.entry = *self;
+	strncpy(swim->self->info.rpc_address, rpc_address, HL_ADDRESS_MAX - 1);
+	member_table_set(swim, swim->self, PEER_ALIVE, incarnation, now);
+	swim->last_tick = now;
+	swim->next_probe = now;
+	swim->next_sync = now + options->sync_period;
+	return 0;
+}
+
+void member_swim_fini(member_swim_t *swim)
+{
+	unsigned i;
+
+	for (i = 0; i < swim->count; i++)
+		free(swim->nodes[i]);
+	swim->count = 0;
+}
--- /dev/null
+++ b/member-view.c
@@ -0,0 +1,94 @@
+#include <stdlib.h>
+#include <string.h>
+#include <urcu/urcu-bp.h>
+#include "member-net.h"
+
+/* The thread sanitizer cannot see the grace period of liburcu: tell it. */
+#ifdef __SANITIZE_THREAD__
+void __tsan_acquire(void *address);
+void __tsan_release(void *address);
+#define VIEW_READ_ENDS(place) __tsan_release((void *)(place))
+#define VIEW_GRACE_ENDS(place) __tsan_acquire((void *)(place))
+#else
+#define VIEW_READ_ENDS(place) ((void)(place))
+#define VIEW_GRACE_ENDS(place) ((void)(place))
+#endif
+
+static int view_compare(const void *a, const void *b)
+{
+	const member_info_t *left = a;
+	const member_info_t *right = b;
+
+	return strcmp(left->entry.name, right->entry.name);
+}
+
+member_view_t *member_view_new(member_swim_t *swim)
+{
+	member_view_t *view;
+	unsigned i;
+
+	view = calloc(1, sizeof(*view) + swim->count * sizeof(member_info_t));
+	if (!view)
+		return NULL;
+	view->version = swim->version;
+	for (i = 0; i < swim->count; i++)
+		if (member_swim_live(swim->nodes[i]))
+			view->members[view->count++] = swim->nodes[i]->info;
+	qsort(view->members, view->count, sizeof(member_info_t), view_compare);
+	return view;
+}
+
+void member_view_publish(member_view_t **place, member_view_t *view)
+{
+	member_view_t *old = __atomic_exchange_n(place, view, __ATOMIC_ACQ_REL);
+
+	if (!old)
+		return;
+	urcu_bp_synchronize_rcu();
+	VIEW_GRACE_ENDS(place);
+	free(old);
+}
+
+static const member_view_t *view_enter(member_view_t *const *place)
+{
+	urcu_bp_read_lock();
+	return __atomic_load_n(place, __ATOMIC_ACQUIRE);
+}
+
+static void view_exit(member_view_t *const *place)
+{
+	VIEW_READ_ENDS(place);
+	urcu_bp_read_unlock();
+}
+
+unsigned member_view_read(member_view_t *const *place, member_info_t *out,
+			  unsigned max)
+{
+	const member_view_t *view = view_enter(place);
+	unsigned count = view->count < max ? view->count : max;
+
+	memcpy(out, view->members, count * sizeof(*out));
+	view_exit(place);
+	return count;
+}
+
+unsigned member_view_entries(member_view_t *const *place, owner_member_t *out,
+			     unsigned max)
+{
+	const member_view_t *view = view_enter(place);
+	unsigned count = view->count < max ? view->count : max;
+	unsigned i;
+
+	for (i = 0; i < count; i++)
+		out[i] = view->members[i].entry;
+	view_exit(place);
+	return count;
+}
+
+uint64_t member_view_version(member_view_t *const *place)
+{
+	uint64_t version = view_enter(place)->version;
+
+	view_exit(place);
+	return version;
+}
