Let entries find one another by membership

Look-ups and hand-overs went by the static list of seeds, so a dead entry was still told to callers. They now go by the live members. Seen by hand: three entries list one another within a second of their start.

--- a/entry-announce.c
+++ b/entry-announce.c
@@ -111,7 +111,7 @@
 	owner = &members[owner_of_copy(members, owners, count,
 				       announced->service, announced->copy)];
 	if (!entry_route_make(in->entry, announced->service) ||
-	    (!strcmp(owner->name, in->entry->settings.address) &&
+	    (!strcmp(owner->name, in->entry->settings.name) &&
 	     announce_take(in, announced))) {
 		entry_reply_error(reply, 503, "no memory; add some");
 		return;
--- a/entry-forward.c
+++ b/entry-forward.c
@@ -99,7 +99,7 @@
 
 	found = owner_of_service(members, count, service, 0, owners);
 	for (i = 0; i < found; i++)
-		if (strcmp(members[owners[i]].name, entry->settings.address))
+		if (strcmp(members[owners[i]].name, entry->settings.name))
 			return &members[owners[i]];
 	return NULL;
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -5,6 +5,7 @@
 #include <microhttpd.h>
 #include <urcu/list.h>
 #include "entry.h"
+#include "member.h"
 #include "metrics.h"
 #include "owner.h"
 #include "toml.h"
@@ -285,6 +286,7 @@
 	entry_work_t *work;
 	entry_watch_t *watch;
 	entry_forward_t *forward;
+	member_t *member;
 	const char *settings_path;
 	signals_t signals;
 	struct MHD_Daemon *calls;
--- a/entry-lookup.c
+++ b/entry-lookup.c
@@ -7,23 +7,7 @@
 
 unsigned entry_lookup_members(entry_t *entry, owner_member_t *out, unsigned max)
 {
-	const entry_settings_t *settings = &entry->settings;
-	unsigned i;
-
-	for (i = 0; i < settings->seeds.count && i < max; i++) {
-		const char *seed = settings->seeds.items[i];
-		int length = (int)strcspn(seed, ":");
-
-		memset(&out[i], 0, sizeof(out[i]));
-		snprintf(out[i].name, HL_NAME_MAX, "%.*s", length, seed);
-		snprintf(out[i].zone, HL_NAME_MAX, "%s", settings->zone);
-		snprintf(out[i].call_address, HL_ADDRESS_MAX, "%.*s:%" PRId64,
-			 length, seed, settings->call_port);
-		snprintf(out[i].control_address, HL_ADDRESS_MAX,
-			 "%.*s:%" PRId64, length, seed, settings->control_port);
-		snprintf(out[i].peer_address, HL_ADDRESS_MAX, "%s", seed);
-	}
-	return i;
+	return member_live(entry->member, out, max);
 }
 
 static json_t *lookup_address(const owner_member_t *member)
--- a/entry-main.c
+++ b/entry-main.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 #include <time.h>
 #include "entry-main.h"
@@ -53,17 +54,49 @@
 {
 	supervisor_child_t signals = signals_child(&entry->signals);
 	supervisor_child_t watch = entry_watch_child(entry->watch);
+	supervisor_child_t member = member_child(entry->member);
 	supervisor_child_t tick = { "tick", main_tick_run, NULL, entry };
 
 	entry->signals.supervisor = sup;
 	entry->signals.reload = main_reload;
 	entry->signals.context = entry;
 	if (supervisor_add(sup, &signals, err) ||
-	    supervisor_add(sup, &watch, err))
+	    supervisor_add(sup, &watch, err) ||
+	    supervisor_add(sup, &member, err))
 		return -1;
 	return supervisor_add(sup, &tick, err);
 }
 
+static void main_address(char *out, const entry_settings_t *settings,
+			 int64_t port)
+{
+	bool six = strchr(settings->address, ':') != NULL;
+
+	snprintf(out, HL_ADDRESS_MAX, "%s%.45s%s:%d", six ? "[" : "",
+		 settings->address, six ? "]" : "", (int)port);
+}
+
+static int main_new_member(entry_t *entry, hl_error_t *err)
+{
+	const entry_settings_t *settings = &entry->settings;
+	member_options_t options = {
+		.seeds = &settings->seeds,
+		.metrics = entry->metrics,
+		.seed = hl_hash(settings->name, strlen(settings->name), 0),
+	};
+
+	strcpy(options.self.name, settings->name);
+	strcpy(options.self.zone, settings->zone);
+	strcpy(options.group, settings->region);
+	main_address(options.self.call_address, settings, settings->call_port);
+	main_address(options.self.control_address, settings,
+		     settings->control_port);
+	main_address(options.self.peer_address, settings, settings->peer_port);
+	main_address(options.rpc_address, settings, settings->rpc_port);
+	entry->member = member_new(&options, err);
+	return entry->member ? 0 : -1;
+}
+
 static void main_linger(const entry_t *entry)
 {
 	usec_t ms = entry->settings.linger_ms;
@@ -91,6 +124,7 @@
 	__atomic_store_n(&entry->stopping, 1, __ATOMIC_RELEASE);
 	log_event(LOG_LEVEL_NOTICE, "stopping", "in_flight=%u linger_ms=%d",
 		  entry->in_flight, (int)entry->settings.linger_ms);
+	member_leave(entry->member);
 	main_linger(entry);
 out:
 	entry_http_stop(entry);
@@ -119,12 +153,15 @@
 		hl_error_set(err, HL_ERR_NOMEM, "no memory; add some");
 		goto out;
 	}
+	if (main_new_member(&entry, err))
+		goto out;
 	rc = main_serve(&entry, sup, err);
 	log_event(LOG_LEVEL_NOTICE, "stopped", "result=%d", rc);
 out:
 	entry_work_free(entry.work);
 	supervisor_free(sup);
 	entry_watch_free(entry.watch);
+	member_free(entry.member);
 	entry_route_free_all(&entry);
 	entry_forward_free(entry.forward);
 	metrics_free(entry.metrics);
