Claim idempotency keys at a majority of homes before a keyed call is sent

A keyed call that came to two entries was sent twice. An entry now claims the key at one home of each group and sends after a majority granted it; a second arrival gets the first one's answer, 409 with what is known, or 422 when the key comes with another body. Homes are fixed by the settings, since majorities of two different views of the live members need not meet. A home that restarted abstains until the others have told it what they know.

--- a/entry-control.c
+++ b/entry-control.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include "entry-claim.h"
 #include "entry-http.h"
 
 #define CONTROL_BODY_MAX 4096
@@ -25,6 +26,7 @@
 	{ "POST", "/v1/announce", entry_announce_handle },
 	{ "GET", "/v1/status", entry_status_handle },
 	{ "GET", "/v1/health", entry_status_health },
+	{ "GET", "/v1/answer", entry_claims_answer_handle },
 	{ "GET", "/metrics", entry_status_metrics },
 };
 
@@ -75,18 +77,29 @@
 {
 	struct MHD_Response *response;
 	enum MHD_Result result;
+	entry_header_t *header;
+	entry_header_t *next;
 	char text[16];
 
-	response = MHD_create_response_from_buffer(reply->body ?
-							   strlen(reply->body) :
-							   0,
-						   reply->body,
+	if (reply->body && !reply->size)
+		reply->size = strlen(reply->body);
+	response = MHD_create_response_from_buffer(reply->size, reply->body,
 						   MHD_RESPMEM_MUST_FREE);
 	if (!response) {
 		free(reply->body);
 		return MHD_NO;
 	}
-	MHD_add_response_header(response, "Content-Type", reply->type);
+	if (cds_list_empty(&reply->headers))
+		MHD_add_response_header(response, "Content-Type", reply->type);
+	cds_list_for_each_entry_safe (header, next, &reply->headers, link) {
+		MHD_add_response_header(response, header->name, header->value);
+		free(header->name);
+		free(header->value);
+		free(header);
+	}
+	if (reply->outcome)
+		MHD_add_response_header(response, "Hemlock-Outcome",
+					reply->outcome);
 	if (reply->retry_after_s) {
 		snprintf(text, sizeof(text), "%u", reply->retry_after_s);
 		MHD_add_response_header(response, "Retry-After", text);
@@ -114,7 +127,7 @@
 {
 	control_state_t *control = *state;
 	entry_control_t in = { context, connection, NULL, 0, time_now() };
-	entry_reply_t reply = { 200, "application/json", NULL, 0 };
+	entry_reply_t reply = { .status = 200, .type = "application/json" };
 
 	(void)protocol;
 	if (!control) {
@@ -126,6 +139,7 @@
 		*size = 0;
 		return MHD_YES;
 	}
+	CDS_INIT_LIST_HEAD(&reply.headers);
 	in.body = control->body;
 	in.size = control->size;
 	if (control->oversize)
--- a/entry-http.c
+++ b/entry-http.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
+#include "entry-claim.h"
 #include "entry-http.h"
 
 #define HTTP_IDLE_SECONDS 60u
@@ -61,6 +62,10 @@
 		return;
 	req->dispatched = true;
 	entry_watch_add(req->entry->watch, req, http_fd(req->connection));
+	if (*req->key && !req->call.idempotent && !*req->hop) {
+		entry_claims_start(req, time_now());
+		return;
+	}
 	entry_forward_choose(req);
 	entry_dispatch_arrive(req, time_now());
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -26,6 +26,18 @@
 /* An answer that is not whole after this time is relayed as it comes. */
 #define ENTRY_HOLD_TIME (5 * USEC_PER_MS)
 
+/* Groups of homes in the settings; each key has one home in each. */
+#define ENTRY_CLAIM_GROUPS 3
+
+/** struct entry_claim_settings_t - the table [claims] of an entry. */
+typedef struct {
+	setting_list_t groups[ENTRY_CLAIM_GROUPS];
+	int64_t timeout_ms;
+	int64_t records_max;
+	int64_t hold_max_s; /* longest key_hold_s of a profile */
+	int64_t answers_kb; /* kept to be given again */
+} entry_claim_settings_t;
+
 /** struct entry_settings_t - what the settings file of an entry says. */
 typedef struct {
 	char name[HL_NAME_MAX];
@@ -49,6 +61,7 @@
 	bool lending;
 	setting_list_t seeds; /* peer addresses of the entries */
 	setting_list_t keepers;
+	entry_claim_settings_t claims;
 } entry_settings_t;
 
 extern const setting_t entry_settings[];
@@ -148,6 +161,7 @@
 
 struct entry_route;
 struct entry;
+typedef struct entry_claims entry_claims_t;
 
 /** struct entry_request_t - a call with its I/O. */
 typedef struct entry_request {
@@ -167,7 +181,9 @@
 	int64_t body_length; /* -1: chunked */
 	bool head_only;	     /* HEAD */
 	bool http10;
-	entry_place_t *forward; /* a sibling entry to hand it to, or NULL */
+	entry_place_t *forward;	   /* a sibling entry to hand it to, or NULL */
+	struct entry_claim *claim; /* of its Idempotency-Key, or NULL */
+	bool repeat; /* it asks for the answer of the first of its key */
 
 	pthread_mutex_t lock; /* guards all below */
 	pthread_cond_t changed;
@@ -287,6 +303,8 @@
 	entry_watch_t *watch;
 	entry_forward_t *forward;
 	member_t *member;
+	struct entry_claims *claims;
+	bool first_start; /* nothing was ever claimed here */
 	const char *settings_path;
 	signals_t signals;
 	struct MHD_Daemon *calls;
@@ -329,7 +347,10 @@
 	unsigned status;
 	const char *type; /* content type */
 	char *body;	  /* malloc'ed */
+	size_t size;	  /* of body; 0 for a string */
 	unsigned retry_after_s;
+	const char *outcome; /* Hemlock-Outcome, or NULL */
+	struct cds_list_head headers;
 } entry_reply_t;
 
 /** entry_reply_error - a JSON error whose text names the remedy. */
--- a/entry-main.c
+++ b/entry-main.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include "entry-claim.h"
 #include "entry-main.h"
 
 /* How often waiting calls are looked at for their deadlines. */
@@ -18,6 +19,7 @@
 		entry_dispatch_next(route, now);
 	}
 	pthread_mutex_unlock(&entry->routes_lock);
+	entry_claims_tick(entry->claims, now);
 }
 
 static int main_tick_run(void *context, const volatile int *stop)
@@ -94,7 +96,11 @@
 	main_address(options.self.peer_address, settings, settings->peer_port);
 	main_address(options.rpc_address, settings, settings->rpc_port);
 	entry->member = member_new(&options, err);
-	return entry->member ? 0 : -1;
+	if (!entry->member)
+		return -1;
+	entry->claims = entry_claims_new(entry, options.self.peer_address,
+					 entry->first_start, time_now(), err);
+	return entry->claims ? 0 : -1;
 }
 
 static void main_linger(const entry_t *entry)
@@ -133,9 +139,11 @@
 }
 
 int entry_main_run(const entry_settings_t *settings, const char *path,
-		   hl_error_t *err)
+		   bool first_start, hl_error_t *err)
 {
-	entry_t entry = { .settings = *settings, .settings_path = path };
+	entry_t entry = { .settings = *settings,
+			  .settings_path = path,
+			  .first_start = first_start };
 	supervisor_t *sup = NULL;
 	int rc = -1;
 
@@ -161,6 +169,7 @@
 	entry_work_free(entry.work);
 	supervisor_free(sup);
 	entry_watch_free(entry.watch);
+	entry_claims_free(entry.claims);
 	member_free(entry.member);
 	entry_route_free_all(&entry);
 	entry_forward_free(entry.forward);
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -9,6 +9,7 @@
 
 #define RELAY_CONNECT_MS 1000L
 #define RELAY_HEADER_MAX 96
+#define HTTP_CONFLICT 409
 #define HTTP_TOO_MANY_REQUESTS 429
 #define HTTP_BAD_GATEWAY 502
 #define HTTP_UNAVAILABLE 503
@@ -470,6 +471,8 @@
 		entry_request_end(req, false);
 	else if (req->answer.published)
 		entry_request_end(req, true);
+	else if (req->repeat)
+		entry_request_fail(req, HTTP_CONFLICT, ENTRY_RAN, "key", 0);
 	else
 		relay_fail(req, result);
 }
--- a/entry-request.c
+++ b/entry-request.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
-#include "entry-io.h"
+#include "entry-claim.h"
 
 static void request_headers_free(entry_answer_t *answer)
 {
@@ -83,10 +83,11 @@
 
 void entry_request_end(entry_request_t *req, bool cut)
 {
+	req->answer.cut = cut;
+	entry_claims_end(req);
 	pthread_mutex_lock(&req->lock);
 	req->answer.published = true;
 	req->answer.ended = true;
-	req->answer.cut = cut;
 	entry_request_wake(req);
 	pthread_mutex_unlock(&req->lock);
 }
--- a/hemlock-entry.c
+++ b/hemlock-entry.c
@@ -20,11 +20,15 @@
 	gboolean check = FALSE;
 	gboolean version = FALSE;
 	gboolean help_settings = FALSE;
+	gboolean first_start = FALSE;
 	const GOptionEntry options[] = {
 		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
 		  "settings file in TOML", "FILE" },
 		{ "check", 'c', 0, G_OPTION_ARG_NONE, &check,
 		  "check the settings and exit", NULL },
+		{ "first-start", 0, 0, G_OPTION_ARG_NONE, &first_start,
+		  "a first installation: no idempotency key was ever claimed",
+		  NULL },
 		{ "help-settings", 0, 0, G_OPTION_ARG_NONE, &help_settings,
 		  "list every setting and exit", NULL },
 		{ "version", 0, 0, G_OPTION_ARG_NONE, &version,
@@ -68,7 +72,7 @@
 	}
 	log_open("hemlock-entry", settings.name, settings.log_level);
 	signals_block();
-	if (entry_main_run(&settings, path, &err))
+	if (entry_main_run(&settings, path, first_start, &err))
 		return print_error(&err, EXIT_RUN);
 	return EXIT_SUCCESS;
 }
--- a/member-run.c
+++ b/member-run.c
@@ -15,7 +15,7 @@
 #define MEMBER_SYNC_PERIOD (10 * USEC_PER_SEC)
 /* How often hints are shown while the members stay the same. */
 #define MEMBER_PUBLISH_PERIOD USEC_PER_SEC
-#define MEMBER_KINDS (PEER_SLOTS + 1)
+#define MEMBER_KINDS (PEER_CLAIM_PAGE + 1)
 
 typedef struct {
 	member_handler_t handler;
--- a/rpc/peer_rpc.h
+++ b/rpc/peer_rpc.h
@@ -57,6 +57,12 @@
 	PEER_OFFER = 11,
 	PEER_SLOTS_REQUEST = 12,
 	PEER_SLOTS = 13,
+	PEER_CLAIM = 20,
+	PEER_CLAIM_REPLY = 21,
+	PEER_SETTLE = 22,
+	PEER_SETTLED = 23,
+	PEER_CLAIM_SYNC = 24,
+	PEER_CLAIM_PAGE = 25,
 };
 typedef enum peer_kind_t peer_kind_t;
 
@@ -125,6 +131,63 @@
 	u_int slots;
 };
 typedef struct peer_slots_t peer_slots_t;
+#define PEER_CLAIM_PAGE_MAX 6
+
+struct peer_claim_key_t {
+	u_quad_t high;
+	u_quad_t low;
+};
+typedef struct peer_claim_key_t peer_claim_key_t;
+
+struct peer_claim_id_t {
+	peer_name_t runner;
+	u_quad_t boot;
+	u_quad_t number;
+};
+typedef struct peer_claim_id_t peer_claim_id_t;
+
+struct peer_claim_record_t {
+	peer_claim_key_t key;
+	peer_claim_id_t id;
+	u_quad_t fingerprint;
+	u_int state;
+	u_int status;
+	u_int hold_ms;
+};
+typedef struct peer_claim_record_t peer_claim_record_t;
+
+struct peer_claim_t {
+	peer_claim_record_t record;
+	peer_address_t reply_to;
+};
+typedef struct peer_claim_t peer_claim_t;
+
+struct peer_claim_reply_t {
+	peer_address_t home;
+	peer_claim_id_t asked;
+	peer_claim_key_t key;
+	u_int verdict;
+	peer_claim_record_t known;
+};
+typedef struct peer_claim_reply_t peer_claim_reply_t;
+
+struct peer_claim_sync_t {
+	peer_address_t home;
+	peer_claim_key_t after;
+};
+typedef struct peer_claim_sync_t peer_claim_sync_t;
+
+struct peer_claim_page_t {
+	peer_address_t home;
+	peer_claim_key_t after;
+	bool_t complete;
+	bool_t last;
+	struct {
+		u_int records_len;
+		peer_claim_record_t *records_val;
+	} records;
+};
+typedef struct peer_claim_page_t peer_claim_page_t;
 
 struct peer_body_t {
 	peer_kind_t kind;
@@ -137,6 +200,10 @@
 		peer_load_t load;
 		peer_offer_t offer;
 		peer_slots_t slots;
+		peer_claim_t claim;
+		peer_claim_reply_t claim_reply;
+		peer_claim_sync_t claim_sync;
+		peer_claim_page_t claim_page;
 	} peer_body_t_u;
 };
 typedef struct peer_body_t peer_body_t;
@@ -170,6 +237,13 @@
 extern  bool_t xdr_peer_load_t (XDR *, peer_load_t*);
 extern  bool_t xdr_peer_offer_t (XDR *, peer_offer_t*);
 extern  bool_t xdr_peer_slots_t (XDR *, peer_slots_t*);
+extern  bool_t xdr_peer_claim_key_t (XDR *, peer_claim_key_t*);
+extern  bool_t xdr_peer_claim_id_t (XDR *, peer_claim_id_t*);
+extern  bool_t xdr_peer_claim_record_t (XDR *, peer_claim_record_t*);
+extern  bool_t xdr_peer_claim_t (XDR *, peer_claim_t*);
+extern  bool_t xdr_peer_claim_reply_t (XDR *, peer_claim_reply_t*);
+extern  bool_t xdr_peer_claim_sync_t (XDR *, peer_claim_sync_t*);
+extern  bool_t xdr_peer_claim_page_t (XDR *, peer_claim_page_t*);
 extern  bool_t xdr_peer_body_t (XDR *, peer_body_t*);
 extern  bool_t xdr_peer_message_t (XDR *, peer_message_t*);
 
@@ -187,6 +261,13 @@
 extern bool_t xdr_peer_load_t ();
 extern bool_t xdr_peer_offer_t ();
 extern bool_t xdr_peer_slots_t ();
+extern bool_t xdr_peer_claim_key_t ();
+extern bool_t xdr_peer_claim_id_t ();
+extern bool_t xdr_peer_claim_record_t ();
+extern bool_t xdr_peer_claim_t ();
+extern bool_t xdr_peer_claim_reply_t ();
+extern bool_t xdr_peer_claim_sync_t ();
+extern bool_t xdr_peer_claim_page_t ();
 extern bool_t xdr_peer_body_t ();
 extern bool_t xdr_peer_message_t ();
 
--- a/rpc/peer_rpc.x
+++ b/rpc/peer_rpc.x
@@ -42,7 +42,13 @@
 	PEER_LOAD = 10,
 	PEER_OFFER = 11,
 	PEER_SLOTS_REQUEST = 12,
-	PEER_SLOTS = 13
+	PEER_SLOTS = 13,
+	PEER_CLAIM = 20,
+	PEER_CLAIM_REPLY = 21,
+	PEER_SETTLE = 22,
+	PEER_SETTLED = 23,
+	PEER_CLAIM_SYNC = 24,
+	PEER_CLAIM_PAGE = 25
 };
 
 /* A probe of target; an ACK carries the sequence of its PING. */
@@ -107,6 +113,59 @@
 	unsigned int slots;
 };
 
+/* Claims of idempotency keys: see claim.h. */
+const PEER_CLAIM_PAGE_MAX = 6;
+
+struct peer_claim_key_t {
+	unsigned hyper high;
+	unsigned hyper low;
+};
+
+struct peer_claim_id_t {
+	peer_name_t runner;
+	unsigned hyper boot;
+	unsigned hyper number;
+};
+
+struct peer_claim_record_t {
+	peer_claim_key_t key;
+	peer_claim_id_t id;
+	unsigned hyper fingerprint;
+	unsigned int state;
+	unsigned int status;
+	unsigned int hold_ms;
+};
+
+/* CLAIM and SETTLE; the answer goes to reply_to. */
+struct peer_claim_t {
+	peer_claim_record_t record;
+	peer_address_t reply_to;
+};
+
+/* CLAIM_REPLY: asked is the claim answered, known what the home knows.
+   SETTLED: only asked counts. home is who answers. */
+struct peer_claim_reply_t {
+	peer_address_t home;
+	peer_claim_id_t asked;
+	peer_claim_key_t key;
+	unsigned int verdict;
+	peer_claim_record_t known;
+};
+
+/* A home that has restarted asks for the claims after a key. */
+struct peer_claim_sync_t {
+	peer_address_t home;
+	peer_claim_key_t after;
+};
+
+struct peer_claim_page_t {
+	peer_address_t home;
+	peer_claim_key_t after;
+	bool complete;
+	bool last;
+	peer_claim_record_t records<PEER_CLAIM_PAGE_MAX>;
+};
+
 union peer_body_t switch (peer_kind_t kind) {
 case PEER_PING:
 case PEER_ACK:
@@ -130,6 +189,16 @@
 case PEER_SLOTS_REQUEST:
 case PEER_SLOTS:
 	peer_slots_t slots;
+case PEER_CLAIM:
+case PEER_SETTLE:
+	peer_claim_t claim;
+case PEER_CLAIM_REPLY:
+case PEER_SETTLED:
+	peer_claim_reply_t claim_reply;
+case PEER_CLAIM_SYNC:
+	peer_claim_sync_t claim_sync;
+case PEER_CLAIM_PAGE:
+	peer_claim_page_t claim_page;
 };
 
 /* revision is the configuration that the sender serves, a hint. */
--- a/rpc/peer_rpc_xdr.c
+++ b/rpc/peer_rpc_xdr.c
@@ -308,6 +308,113 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_claim_key_t (XDR *xdrs, peer_claim_key_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->high))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->low))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_id_t (XDR *xdrs, peer_claim_id_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name_t (xdrs, &objp->runner))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->boot))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_record_t (XDR *xdrs, peer_claim_record_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_claim_key_t (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_peer_claim_id_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hold_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_t (XDR *xdrs, peer_claim_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_claim_record_t (xdrs, &objp->record))
+		 return FALSE;
+	 if (!xdr_peer_address_t (xdrs, &objp->reply_to))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_reply_t (XDR *xdrs, peer_claim_reply_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_address_t (xdrs, &objp->home))
+		 return FALSE;
+	 if (!xdr_peer_claim_id_t (xdrs, &objp->asked))
+		 return FALSE;
+	 if (!xdr_peer_claim_key_t (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->verdict))
+		 return FALSE;
+	 if (!xdr_peer_claim_record_t (xdrs, &objp->known))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_sync_t (XDR *xdrs, peer_claim_sync_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_address_t (xdrs, &objp->home))
+		 return FALSE;
+	 if (!xdr_peer_claim_key_t (xdrs, &objp->after))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_page_t (XDR *xdrs, peer_claim_page_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_address_t (xdrs, &objp->home))
+		 return FALSE;
+	 if (!xdr_peer_claim_key_t (xdrs, &objp->after))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->complete))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->last))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, PEER_CLAIM_PAGE_MAX,
+		sizeof (peer_claim_record_t), (xdrproc_t) xdr_peer_claim_record_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_body_t (XDR *xdrs, peer_body_t *objp)
 {
@@ -354,6 +461,24 @@
 		 if (!xdr_peer_slots_t (xdrs, &objp->peer_body_t_u.slots))
 			 return FALSE;
 		break;
+	case PEER_CLAIM:
+	case PEER_SETTLE:
+		 if (!xdr_peer_claim_t (xdrs, &objp->peer_body_t_u.claim))
+			 return FALSE;
+		break;
+	case PEER_CLAIM_REPLY:
+	case PEER_SETTLED:
+		 if (!xdr_peer_claim_reply_t (xdrs, &objp->peer_body_t_u.claim_reply))
+			 return FALSE;
+		break;
+	case PEER_CLAIM_SYNC:
+		 if (!xdr_peer_claim_sync_t (xdrs, &objp->peer_body_t_u.claim_sync))
+			 return FALSE;
+		break;
+	case PEER_CLAIM_PAGE:
+		 if (!xdr_peer_claim_page_t (xdrs, &objp->peer_body_t_u.claim_page))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
