Add a stand-in target, a fault proxy and a caller for scripts

Scripted runs need copies that misbehave, links that fail and one plain call. standin-target hosts many copies, runs `slots` requests at once, records each request when it starts and when it ends, and is told over HTTP to straggle, shed, fail fast, drain or stop announcing.

--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -85,6 +85,65 @@
 	exit 1
 }
 
+# ready NAME: wait until a tool says that it listens.
+ready () {
+	wait_until 20 grep -q '^ready' "$DIR/$1.log" || fail "$1 not ready"
+}
+
+# spawn_target NAME OPTIONS...: a stand-in that records into
+# $DIR/NAME.record and is controlled on $NET.99, one port a stand-in.
+CONTROL_PORT=8000
+spawn_target () {
+	CONTROL_PORT=$((CONTROL_PORT + 1))
+	eval "control_$1=$NET.99:$CONTROL_PORT"
+	target=$1
+	shift
+	spawn "$target" "$BUILD/regress/standin-target" \
+		--control "$NET.99:$CONTROL_PORT" \
+		--log "$DIR/$target.record" "$@"
+	ready "$target"
+}
+
+# control NAME PATH: tell a stand-in, such as "/straggle?copy=1&value=5".
+control () {
+	eval "address=\$control_$1"
+	"$BUILD/regress/call" "http://$address$2" >"$DIR/control.out" ||
+		fail "control $1 $2"
+}
+
+# target_status NAME: one line for each copy and announcer.
+target_status () {
+	eval "address=\$control_$1"
+	"$BUILD/regress/call" --body "http://$address/status" | grep '^copy='
+}
+
+# outstanding NAME COUNT: so many requests are at the copies of a stand-in.
+outstanding () {
+	[ "$(target_status "$1" |
+		sed 's/.* outstanding=\([0-9]*\) .*/\1/' |
+		awk '{ n += $1 } END { print n }')" = "$2" ]
+}
+
+# spawn_proxy LINK...: the fault proxy; tell COMMAND LINK [VALUE] harms.
+spawn_proxy () {
+	for link in "$@"
+	do
+		set -- "$@" --link "$link"
+		shift
+	done
+	spawn proxy "$BUILD/regress/fault-proxy" --control "$NET.99:9999" "$@"
+	ready proxy
+}
+
+tell () {
+	"$BUILD/regress/fault-proxy" --tell "$NET.99:9999" "$@"
+}
+
+# call OPTIONS... URL: one HTTP call; its exit status says how it ended.
+call () {
+	"$BUILD/regress/call" "$@"
+}
+
 cleanup () {
 	status=$?
 	for p in $PIDS
@@ -93,6 +152,11 @@
 		kill -9 "$p" 2>/dev/null
 	done
 	wait 2>/dev/null
+	# A report of a sanitizer in any process fails the run.
+	grep -l 'Sanitizer:\|runtime error:' "$DIR"/*.log >&2 2>/dev/null && {
+		cat "$DIR"/*.log >&2
+		status=1
+	}
 	[ -n "$HEMLOCK_KEEP" ] && echo "kept $DIR" >&2 || rm -rf "$DIR"
 	rm -rf "$NET_LOCK"
 	exit $status
