--- /dev/null
+++ b/regress/load-caller.c
@@ -0,0 +1,768 @@
+/*
+ * Callers of one service: an open loop at a fixed rate, or a closed loop of
+ * so many callers. Latency counts from the time a call was meant to start,
+ * so that a stall cannot hide the calls it delays.
+ */
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+#include <urcu/list.h>
+#include "hemlock.h"
+#include "metrics.h"
+
+#define THREADS_MAX 16
+#define ADDRESSES_MAX 64
+#define EVENTS_MAX 256
+#define CONNECTIONS_MAX 4096L
+#define GRACE_MS 2000 /* how much longer than its deadline a caller waits */
+#define LOOKUP_TIMEOUT_MS 300L
+#define LOOKUP_RETRY_MS 100
+#define RANGE 9007199254740992.0 /* 2^53 */
+
+typedef enum {
+	END_OK,	     /* whole, below 400, and its own */
+	END_REFUSED, /* told that it was not run */
+	END_ERROR,   /* any other whole answer */
+	END_CUT,
+	END_CONNECT,
+	END_TIMEOUT,
+	END_WRONG, /* not the answer of this call */
+	ENDS,
+} end_t;
+
+static const char *const end_names[ENDS] = { "ok",   "refused", "error",
+					     "cut",  "connect", "timeout",
+					     "wrong" };
+
+typedef struct {
+	unsigned count;
+	char address[ADDRESSES_MAX][HL_ADDRESS_MAX];
+	unsigned weight[ADDRESSES_MAX], total;
+} addresses_t;
+
+typedef struct worker worker_t;
+
+typedef struct call {
+	struct cds_list_head link;
+	worker_t *worker;
+	CURL *easy;
+	struct curl_slist *headers;
+	char id[HL_NAME_MAX], at[HL_ADDRESS_MAX];
+	char outcome[32], reason[32];
+	usec_t intended, started;
+	bool post, head_ended, mismatch, own_id;
+	unsigned tries;
+	uint64_t size, sent;
+} call_t;
+
+struct worker {
+	pthread_t thread;
+	CURLM *multi;
+	unsigned index;
+	int epoll_fd;
+	usec_t timer, next_arrival, start, stop;
+	uint64_t random, serial;
+	struct cds_list_head idle;
+	uint64_t ends[ENDS], all_ends[ENDS], sent;
+	GHashTable *reasons;
+	GArray *latencies;
+	unsigned flying;
+	metrics_histogram_t histogram;
+};
+
+static gchar *opt_service = "bay-desk", *opt_entries, *opt_direct, *opt_zone;
+static gchar *opt_tenants = "none", *opt_classes, *opt_record, *opt_histogram;
+static gchar *opt_path = "/";
+static gdouble opt_rate, opt_shift_factor;
+static gint opt_callers, opt_threads = 1, opt_seconds = 5, opt_warmup_ms = 500;
+static gint opt_post, opt_deadline_ms = 5000, opt_seed = 1, opt_size;
+static gint opt_shift_ms, opt_body = 16;
+static gboolean opt_keyed;
+
+static addresses_t addresses;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static gchar **tenants, **classes;
+static FILE *record;
+static volatile int finished;
+
+static double uniform(worker_t *worker)
+{
+	worker->random = hl_hash(&worker->random, sizeof(worker->random),
+				 (uint64_t)opt_seed);
+	return ((double)(worker->random >> 11) + 0.5) / RANGE;
+}
+
+static size_t text_write(char *data, size_t size, size_t count, void *cls)
+{
+	g_string_append_len(cls, data, (gssize)(size * count));
+	return size * count;
+}
+
+static int addresses_parse(const char *text, addresses_t *out, usec_t *keep)
+{
+	json_t *root = json_loads(text, 0, NULL), *item;
+	size_t i;
+
+	memset(out, 0, sizeof(*out));
+	json_array_foreach(json_object_get(root, "addresses"), i, item)
+	{
+		const char *address = json_string_value(
+			json_object_get(item, "address"));
+		json_int_t weight = json_integer_value(
+			json_object_get(item, "weight"));
+
+		if (!address || weight < 0 || out->count == ADDRESSES_MAX)
+			continue;
+		g_strlcpy(out->address[out->count], address, HL_ADDRESS_MAX);
+		out->weight[out->count++] = (unsigned)weight;
+		out->total += (unsigned)weight;
+	}
+	*keep = json_integer_value(json_object_get(root, "keep_ms")) *
+		USEC_PER_MS;
+	json_decref(root);
+	return out->count ? 0 : -1;
+}
+
+/* Ask one entry; the answer is kept for as long as it says. */
+static int lookup(CURL *easy, const char *entry, usec_t *keep)
+{
+	GString *text = g_string_new("");
+	char *url = g_strdup_printf("http://%s/v1/lookup?service=%s%s%s", entry,
+				    opt_service, opt_zone ? "&zone=" : "",
+				    opt_zone ? opt_zone : "");
+	addresses_t found;
+	long status = 0;
+	int rc = -1;
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, text_write);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, text);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, LOOKUP_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	if (!curl_easy_perform(easy))
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status == 200 && !addresses_parse(text->str, &found, keep)) {
+		pthread_mutex_lock(&lock);
+		addresses = found;
+		pthread_mutex_unlock(&lock);
+		rc = 0;
+	}
+	g_free(url);
+	g_string_free(text, TRUE);
+	return rc;
+}
+
+static void *lookup_main(void *arg G_GNUC_UNUSED)
+{
+	gchar **entries = g_strsplit(opt_entries, ",", -1);
+	unsigned count = g_strv_length(entries), next = (unsigned)opt_seed;
+	CURL *easy = curl_easy_init();
+	usec_t keep, due = 0;
+
+	while (!finished) {
+		if (time_now() >= due) {
+			keep = LOOKUP_RETRY_MS * USEC_PER_MS;
+			if (lookup(easy, entries[next % count], &keep)) {
+				keep = LOOKUP_RETRY_MS * USEC_PER_MS;
+				next++;
+			}
+			due = time_now() + keep;
+		}
+		usleep(10 * USEC_PER_MS);
+	}
+	curl_easy_cleanup(easy);
+	g_strfreev(entries);
+	return NULL;
+}
+
+/* By weight; not @avoid, where a connection has just failed. */
+static bool choose(worker_t *worker, const char *avoid, char *out)
+{
+	unsigned at, i, first;
+
+	pthread_mutex_lock(&lock);
+	first = addresses.count;
+	at = (unsigned)(uniform(worker) * addresses.total);
+	for (i = 0; i < addresses.count; i++) {
+		if (at < addresses.weight[i] || !addresses.total)
+			break;
+		at -= addresses.weight[i];
+	}
+	if (i == first)
+		i = 0;
+	if (first && !strcmp(addresses.address[i], avoid))
+		i = (i + 1) % first;
+	if (first)
+		g_strlcpy(out, addresses.address[i], HL_ADDRESS_MAX);
+	pthread_mutex_unlock(&lock);
+	return first > 0;
+}
+
+static size_t answer_body(char *data, size_t size, size_t count, void *cls)
+{
+	call_t *call = cls;
+	size_t length = strlen(call->id), i;
+
+	for (i = 0; i < size * count && !call->mismatch; i++)
+		call->mismatch = data[i] != call->id[(call->size + i) % length];
+	call->size += size * count;
+	return size * count;
+}
+
+static void take_header(const char *line, const char *name, char *out,
+			size_t size)
+{
+	size_t length = strlen(name);
+
+	if (g_ascii_strncasecmp(line, name, length) != 0 || line[length] != ':')
+		return;
+	g_strlcpy(out, line + length + 1, size);
+	g_strstrip(out);
+}
+
+static size_t answer_header(char *data, size_t size, size_t count, void *cls)
+{
+	call_t *call = cls;
+	char *line = g_strndup(data, size * count), id[HL_NAME_MAX] = "";
+
+	g_strchomp(line);
+	call->head_ended = !*line;
+	take_header(line, "Hemlock-Outcome", call->outcome,
+		    sizeof(call->outcome));
+	take_header(line, "Hemlock-Reason", call->reason, sizeof(call->reason));
+	take_header(line, "Request-Id", id, sizeof(id));
+	if (!strcmp(id, call->id))
+		call->own_id = true;
+	g_free(line);
+	return size * count;
+}
+
+/* Cannot be rewound, so that libcurl never sends a body twice. */
+static size_t request_body(char *data, size_t size, size_t count, void *cls)
+{
+	call_t *call = cls;
+	size_t n = MIN(size * count, (size_t)opt_body - call->sent);
+
+	memset(data, 'x', n);
+	call->sent += n;
+	return n;
+}
+
+static void add_header(call_t *call, const char *name, const char *value)
+{
+	char *line = g_strdup_printf("%s: %s", name, value);
+
+	call->headers = curl_slist_append(call->headers, line);
+	g_free(line);
+}
+
+static void call_headers(call_t *call)
+{
+	worker_t *worker = call->worker;
+	unsigned count;
+
+	call->headers = curl_slist_append(NULL, "Expect:");
+	add_header(call, "Host", opt_service);
+	add_header(call, "Request-Id", call->id);
+	count = g_strv_length(tenants);
+	add_header(call, "Hemlock-Tenant",
+		   tenants[(unsigned)(uniform(worker) * count)]);
+	count = classes ? g_strv_length(classes) : 0;
+	if (count)
+		add_header(call, "Hemlock-Class",
+			   classes[(unsigned)(uniform(worker) * count)]);
+	if (opt_deadline_ms) {
+		char text[16];
+
+		snprintf(text, sizeof(text), "%d", opt_deadline_ms);
+		add_header(call, "Hemlock-Deadline-Ms", text);
+	}
+	if (call->post && opt_keyed)
+		add_header(call, "Idempotency-Key", call->id);
+}
+
+/* Send it to an address; also a second time, when nothing had left. */
+static void call_send(call_t *call)
+{
+	CURL *easy = call->easy;
+	char url[512];
+
+	call->started = time_now();
+	call->size = call->sent = 0;
+	call->outcome[0] = call->reason[0] = '\0';
+	call->head_ended = call->mismatch = call->own_id = false;
+	call->tries++;
+	snprintf(url, sizeof(url), "http://%s%s%csize=%d", call->at, opt_path,
+		 strchr(opt_path, '?') ? '&' : '?', opt_size);
+	curl_easy_reset(easy);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, answer_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, answer_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 (long)(opt_deadline_ms + GRACE_MS));
+	if (call->post) {
+		curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+		curl_easy_setopt(easy, CURLOPT_READFUNCTION, request_body);
+		curl_easy_setopt(easy, CURLOPT_READDATA, call);
+		curl_easy_setopt(easy, CURLOPT_INFILESIZE, (long)opt_body);
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "POST");
+	}
+	curl_multi_add_handle(call->worker->multi, easy);
+}
+
+static void call_start(worker_t *worker, usec_t intended)
+{
+	call_t *call;
+
+	if (cds_list_empty(&worker->idle)) {
+		call = g_new0(call_t, 1);
+		call->worker = worker;
+		call->easy = curl_easy_init();
+	} else {
+		call = cds_list_first_entry(&worker->idle, call_t, link);
+		cds_list_del(&call->link);
+	}
+	snprintf(call->id, sizeof(call->id), "%d-%u-%" PRIu64, opt_seed,
+		 worker->index, worker->serial++);
+	call->intended = intended;
+	call->tries = 0;
+	call->post = uniform(worker) * 100 < opt_post;
+	call_headers(call);
+	if (!choose(worker, "", call->at))
+		g_strlcpy(call->at, "127.0.0.1:1", sizeof(call->at));
+	worker->sent++;
+	worker->flying++;
+	call_send(call);
+}
+
+static end_t call_end_of(const call_t *call, CURLcode code, long status)
+{
+	if (code == CURLE_COULDNT_CONNECT)
+		return END_CONNECT;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return END_TIMEOUT;
+	if (code != CURLE_OK || !call->head_ended)
+		return END_CUT;
+	if (!strcmp(call->outcome, "not-run"))
+		return END_REFUSED;
+	if (status >= 400)
+		return END_ERROR;
+	return call->own_id && !call->mismatch &&
+			       call->size == (uint64_t)opt_size ?
+		       END_OK :
+		       END_WRONG;
+}
+
+static void call_count(const call_t *call, end_t end, usec_t now)
+{
+	worker_t *worker = call->worker;
+	usec_t latency = now - call->intended;
+
+	worker->all_ends[end]++;
+	if (call->intended < worker->start + opt_warmup_ms * USEC_PER_MS)
+		return;
+	worker->ends[end]++;
+	if (end == END_OK) {
+		g_array_append_val(worker->latencies, latency);
+		metrics_histogram_add(&worker->histogram, latency);
+	} else {
+		const char *reason = call->reason[0] ? call->reason : "none";
+		char *key = g_strdup_printf("%s_%s", end_names[end], reason);
+
+		g_hash_table_insert(
+			worker->reasons, key,
+			GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(
+						 worker->reasons, key)) +
+					 1));
+	}
+}
+
+static void call_record(const call_t *call, end_t end, long status, usec_t now)
+{
+	if (!record)
+		return;
+	fprintf(record,
+		"call at=%" PRId64 " started=%" PRId64 " ended=%" PRId64
+		" id=%s method=%s key=%s address=%s tries=%u status=%ld "
+		"outcome=%s reason=%s end=%s\n",
+		call->intended, call->started, now, call->id,
+		call->post ? "POST" : "GET",
+		call->post && opt_keyed ? call->id : "-", call->at, call->tries,
+		status, call->outcome[0] ? call->outcome : "-",
+		call->reason[0] ? call->reason : "-", end_names[end]);
+}
+
+static void call_done(call_t *call, CURLcode code, usec_t now)
+{
+	worker_t *worker = call->worker;
+	char failed[HL_ADDRESS_MAX];
+	long status = 0;
+	end_t end;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_multi_remove_handle(worker->multi, call->easy);
+	end = call_end_of(call, code, status);
+	g_strlcpy(failed, call->at, sizeof(failed));
+	/* Nothing has left: the caller may try the next address. */
+	if (end == END_CONNECT && call->tries < 3 &&
+	    choose(worker, failed, call->at)) {
+		call_send(call);
+		return;
+	}
+	call_count(call, end, now);
+	call_record(call, end, status, now);
+	curl_slist_free_all(call->headers);
+	call->headers = NULL;
+	cds_list_add(&call->link, &worker->idle);
+	worker->flying--;
+	if (opt_callers && now < worker->stop)
+		call_start(worker, time_now());
+}
+
+static int on_socket(CURL *easy G_GNUC_UNUSED, curl_socket_t fd, int what,
+		     void *cls, void *known)
+{
+	worker_t *worker = cls;
+	struct epoll_event event = { 0 };
+
+	event.data.fd = fd;
+	if (what == CURL_POLL_REMOVE) {
+		epoll_ctl(worker->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+		return 0;
+	}
+	event.events = (what & CURL_POLL_IN ? EPOLLIN : 0U) |
+		       (what & CURL_POLL_OUT ? EPOLLOUT : 0U);
+	epoll_ctl(worker->epoll_fd, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd,
+		  &event);
+	curl_multi_assign(worker->multi, fd, worker);
+	return 0;
+}
+
+static int on_timer(CURLM *multi G_GNUC_UNUSED, long ms, void *cls)
+{
+	worker_t *worker = cls;
+
+	worker->timer = ms < 0 ? USEC_NEVER : time_now() + ms * USEC_PER_MS;
+	return 0;
+}
+
+/* The share of the highest rate that is wanted now. */
+static double rate_share(const worker_t *worker, usec_t now)
+{
+	bool low;
+
+	if (!opt_shift_ms)
+		return 1;
+	low = (now - worker->start) / (opt_shift_ms * USEC_PER_MS) % 2;
+	return low ? (1 - opt_shift_factor) / (1 + opt_shift_factor) : 1;
+}
+
+/* Poisson arrivals at the highest rate, thinned to the one wanted. */
+static void start_due(worker_t *worker, usec_t now)
+{
+	double highest = opt_rate / opt_threads / USEC_PER_SEC;
+
+	if (opt_shift_ms)
+		highest *= 1 + opt_shift_factor;
+	while (worker->next_arrival <= now &&
+	       worker->next_arrival < worker->stop) {
+		usec_t intended = worker->next_arrival;
+
+		if (!opt_shift_ms ||
+		    uniform(worker) < rate_share(worker, intended))
+			call_start(worker, intended);
+		worker->next_arrival += (usec_t)(-log(uniform(worker)) /
+						 highest);
+	}
+}
+
+static void wait_for_events(worker_t *worker)
+{
+	struct epoll_event events[EVENTS_MAX];
+	usec_t now = time_now(), due = now + USEC_PER_SEC / 20;
+	struct timespec wait;
+	int i, n, running;
+
+	due = MIN(due, worker->timer);
+	if (opt_rate > 0 && worker->next_arrival < worker->stop)
+		due = MIN(due, worker->next_arrival);
+	due = MAX(due - now, 0);
+	wait = (struct timespec){ due / USEC_PER_SEC,
+				  due % USEC_PER_SEC * 1000 };
+	n = epoll_pwait2(worker->epoll_fd, events, EVENTS_MAX, &wait, NULL);
+	for (i = 0; i < n; i++)
+		curl_multi_socket_action(
+			worker->multi, events[i].data.fd,
+			(events[i].events & EPOLLIN ? CURL_CSELECT_IN : 0) |
+				(events[i].events & EPOLLOUT ?
+					 CURL_CSELECT_OUT :
+					 0) |
+				(events[i].events & (EPOLLERR | EPOLLHUP) ?
+					 CURL_CSELECT_ERR :
+					 0),
+			&running);
+	if (time_now() >= worker->timer) {
+		worker->timer = USEC_NEVER;
+		curl_multi_socket_action(worker->multi, CURL_SOCKET_TIMEOUT, 0,
+					 &running);
+	}
+}
+
+static void *worker_main(void *arg)
+{
+	worker_t *worker = arg;
+	CURLMsg *message;
+	call_t *call;
+	int left, i;
+
+	for (i = (int)worker->index; i < opt_callers; i += opt_threads)
+		call_start(worker, time_now());
+	while (time_now() < worker->stop || worker->flying) {
+		if (opt_rate > 0)
+			start_due(worker, time_now());
+		wait_for_events(worker);
+		while ((message = curl_multi_info_read(worker->multi, &left))) {
+			CURLcode code = message->data.result;
+
+			curl_easy_getinfo(message->easy_handle,
+					  CURLINFO_PRIVATE, &call);
+			call_done(call, code, time_now());
+		}
+	}
+	return NULL;
+}
+
+static void worker_init(worker_t *worker, unsigned index, usec_t start)
+{
+	worker->index = index;
+	worker->random = index + 1;
+	worker->start = worker->next_arrival = start;
+	worker->stop = start + opt_seconds * USEC_PER_SEC;
+	worker->timer = USEC_NEVER;
+	worker->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	worker->reasons = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL);
+	worker->latencies = g_array_new(FALSE, FALSE, sizeof(usec_t));
+	CDS_INIT_LIST_HEAD(&worker->idle);
+	worker->multi = curl_multi_init();
+	curl_multi_setopt(worker->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(worker->multi, CURLMOPT_SOCKETDATA, worker);
+	curl_multi_setopt(worker->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(worker->multi, CURLMOPT_TIMERDATA, worker);
+	curl_multi_setopt(worker->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_MAX);
+}
+
+static void worker_merge(worker_t *into, const worker_t *from)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+	int end;
+
+	for (end = 0; end < ENDS; end++) {
+		into->ends[end] += from->ends[end];
+		into->all_ends[end] += from->all_ends[end];
+	}
+	into->sent += from->sent;
+	g_array_append_vals(into->latencies, from->latencies->data,
+			    from->latencies->len);
+	metrics_histogram_merge(&into->histogram, &from->histogram);
+	g_hash_table_iter_init(&iter, from->reasons);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		g_hash_table_insert(
+			into->reasons, g_strdup(key),
+			GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(
+						 into->reasons, key)) +
+					 GPOINTER_TO_UINT(value)));
+}
+
+static int usec_compare(const void *a, const void *b)
+{
+	usec_t x = *(const usec_t *)a, y = *(const usec_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static usec_t quantile(const GArray *sorted, double q)
+{
+	size_t at = (size_t)(q * sorted->len);
+
+	if (!sorted->len)
+		return 0;
+	return g_array_index(sorted, usec_t, MIN(at, sorted->len - 1));
+}
+
+static void summary(worker_t *all)
+{
+	double seconds = opt_seconds - opt_warmup_ms / 1000.0;
+	GHashTableIter iter;
+	gpointer key, value;
+	int end;
+
+	g_array_sort(all->latencies, usec_compare);
+	printf("sent=%" PRIu64, all->sent);
+	for (end = 0; end < ENDS; end++)
+		printf(" %s=%" PRIu64, end_names[end], all->ends[end]);
+	printf(" goodput=%.1f p50=%" PRId64 " p99=%" PRId64 " p999=%" PRId64
+	       " max=%" PRId64,
+	       (double)all->ends[END_OK] / seconds,
+	       quantile(all->latencies, 0.5), quantile(all->latencies, 0.99),
+	       quantile(all->latencies, 0.999), quantile(all->latencies, 1));
+	g_hash_table_iter_init(&iter, all->reasons);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		printf(" %s=%u", (char *)key, GPOINTER_TO_UINT(value));
+	printf("\n");
+}
+
+/* Lines of "upper edge in us, count" for each bucket that holds any. */
+static void histogram_write(const metrics_histogram_t *histogram)
+{
+	FILE *out = opt_histogram ? fopen(opt_histogram, "w") : NULL;
+	double at, step = 0.001;
+
+	for (at = step; out && at < 1; at += step)
+		fprintf(out, "%.3f %" PRId64 "\n", at,
+			metrics_histogram_quantile(histogram, at));
+	if (out)
+		fclose(out);
+}
+
+static const GOptionEntry options[] = {
+	{ "service", 0, 0, G_OPTION_ARG_STRING, &opt_service, "to call",
+	  "NAME" },
+	{ "entries", 0, 0, G_OPTION_ARG_STRING, &opt_entries,
+	  "control addresses to ask for look-ups", "IP:PORT,..." },
+	{ "direct", 0, 0, G_OPTION_ARG_STRING, &opt_direct,
+	  "call these addresses, without a look-up", "IP:PORT,..." },
+	{ "zone", 0, 0, G_OPTION_ARG_STRING, &opt_zone, "of the callers",
+	  "NAME" },
+	{ "rate", 0, 0, G_OPTION_ARG_DOUBLE, &opt_rate,
+	  "open loop: calls a second, Poisson", "N" },
+	{ "callers", 0, 0, G_OPTION_ARG_INT, &opt_callers,
+	  "closed loop: callers", "N" },
+	{ "shift-ms", 0, 0, G_OPTION_ARG_INT, &opt_shift_ms,
+	  "the rate changes up or down so often", "MS" },
+	{ "shift-factor", 0, 0, G_OPTION_ARG_DOUBLE, &opt_shift_factor,
+	  "by this share of it", "F" },
+	{ "seconds", 0, 0, G_OPTION_ARG_INT, &opt_seconds, "how long", "N" },
+	{ "warmup", 0, 0, G_OPTION_ARG_INT, &opt_warmup_ms,
+	  "left out of the summary", "MS" },
+	{ "threads", 0, 0, G_OPTION_ARG_INT, &opt_threads, "threads", "N" },
+	{ "post", 0, 0, G_OPTION_ARG_INT, &opt_post, "share of POST",
+	  "PERCENT" },
+	{ "keyed", 0, 0, G_OPTION_ARG_NONE, &opt_keyed,
+	  "POSTs carry an Idempotency-Key", NULL },
+	{ "body", 0, 0, G_OPTION_ARG_INT, &opt_body, "of a POST", "BYTES" },
+	{ "size", 0, 0, G_OPTION_ARG_INT, &opt_size, "of an answer", "BYTES" },
+	{ "path", 0, 0, G_OPTION_ARG_STRING, &opt_path, "to call", "PATH" },
+	{ "deadline", 0, 0, G_OPTION_ARG_INT, &opt_deadline_ms, "of a call",
+	  "MS" },
+	{ "tenants", 0, 0, G_OPTION_ARG_STRING, &opt_tenants, "drawn at random",
+	  "NAME,..." },
+	{ "classes", 0, 0, G_OPTION_ARG_STRING, &opt_classes, "drawn at random",
+	  "NAME,..." },
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &opt_seed, "of arrivals and ids",
+	  "N" },
+	{ "record", 0, 0, G_OPTION_ARG_STRING, &opt_record,
+	  "of each call, for history-check", "FILE" },
+	{ "histogram", 0, 0, G_OPTION_ARG_STRING, &opt_histogram,
+	  "quantiles in microseconds", "FILE" },
+	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+};
+
+static int options_read(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new("");
+	GError *error = NULL;
+	bool good;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	good = g_option_context_parse(context, &argc, &argv, &error);
+	g_option_context_free(context);
+	if (!good || !opt_entries == !opt_direct ||
+	    !(opt_rate > 0) == !opt_callers || opt_threads < 1 ||
+	    opt_threads > THREADS_MAX) {
+		fprintf(stderr, "%s\n",
+			error ? error->message :
+				"needs --entries or --direct, and --rate or "
+				"--callers");
+		g_clear_error(&error);
+		return -1;
+	}
+	tenants = g_strsplit(opt_tenants, ",", -1);
+	classes = opt_classes ? g_strsplit(opt_classes, ",", -1) : NULL;
+	return 0;
+}
+
+static void direct_addresses(void)
+{
+	gchar **parts = g_strsplit(opt_direct, ",", ADDRESSES_MAX);
+
+	for (; parts[addresses.count]; addresses.count++) {
+		g_strlcpy(addresses.address[addresses.count],
+			  parts[addresses.count], HL_ADDRESS_MAX);
+		addresses.weight[addresses.count] = 1;
+		addresses.total++;
+	}
+	g_strfreev(parts);
+}
+
+static bool addresses_known(void)
+{
+	bool known;
+
+	pthread_mutex_lock(&lock);
+	known = addresses.count > 0;
+	pthread_mutex_unlock(&lock);
+	return known;
+}
+
+int main(int argc, char **argv)
+{
+	static worker_t workers[THREADS_MAX];
+	pthread_t lookup_thread;
+	int i, patience = 500;
+	usec_t start;
+
+	if (options_read(argc, argv))
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	if (opt_record && !(record = fopen(opt_record, "w"))) {
+		perror(opt_record);
+		return 1;
+	}
+	if (opt_direct)
+		direct_addresses();
+	else
+		pthread_create(&lookup_thread, NULL, lookup_main, NULL);
+	while (!addresses_known() && patience--)
+		usleep(10 * USEC_PER_MS);
+	start = time_now();
+	for (i = 0; i < opt_threads; i++) {
+		worker_init(&workers[i], (unsigned)i, start);
+		pthread_create(&workers[i].thread, NULL, worker_main,
+			       &workers[i]);
+	}
+	for (i = 0; i < opt_threads; i++) {
+		pthread_join(workers[i].thread, NULL);
+		if (i)
+			worker_merge(&workers[0], &workers[i]);
+	}
+	summary(&workers[0]);
+	histogram_write(&workers[0].histogram);
+	i = workers[0].all_ends[END_WRONG] ? 1 : 0;
+	fflush(NULL);
+	_exit(i);
+}
