--- /dev/null
+++ b/bench/lib.sh
@@ -0,0 +1,54 @@
+# Functions for the bench; a script starts with
+#	. "$(dirname "$0")/lib.sh"
+
+HEMLOCK_REGRESS=${HEMLOCK_REGRESS:-$(dirname "$0")/../regress}
+. "$HEMLOCK_REGRESS/lib.sh"
+
+# spawn_entries COUNT SETTINGS: entry-1 ... on $NET.1 ..., zones zone-1 ...
+# SETTINGS are further lines of [entry]; ENTRIES gets the control addresses.
+spawn_entries () {
+	ENTRIES= seeds=
+	for n in $(seq "$1")
+	do
+		ENTRIES="$ENTRIES${ENTRIES:+,}$NET.$n:7081"
+		seeds="$seeds${seeds:+, }\"$NET.$n:7083\""
+	done
+	for n in $(seq "$1")
+	do
+		cat >"$DIR/entry-$n.toml" <<-SETTINGS
+		[node]
+		name = "entry-$n"
+		zone = "zone-$n"
+		address = "$NET.$n"
+		log_level = "warning"
+		[entry]
+		seeds = [$seeds]
+		$2
+		SETTINGS
+		spawn "entry-$n" "$BUILD/hemlock-entry" \
+			--settings "$DIR/entry-$n.toml"
+	done
+}
+
+# peer_bytes: what the entries have sent to each other so far.
+peer_bytes () {
+	for address in $(echo "$ENTRIES" | tr ',' ' ')
+	do
+		"$BUILD/regress/call" -t 1000 --body "http://$address/metrics"
+	done | awk '/^hemlock_peer_sent_bytes_total/ { n += $NF }
+		END { print n + 0 }'
+}
+
+# status_sum NAME FIELD: the sum of a field over the copies of a stand-in.
+status_sum () {
+	target_status "$1" | tr ' ' '\n' | awk -F= -v "f=$2" \
+		'$1 == f { n += $2 } END { print n + 0 }'
+}
+
+# cpu_ticks NAME...: user and system time of processes, in clock ticks.
+cpu_ticks () {
+	for name in "$@"
+	do
+		awk '{ print $14 + $15 }' "/proc/$(pid "$name")/stat"
+	done | awk '{ n += $1 } END { print n + 0 }'
+}
--- a/regress/load-caller.c
+++ b/regress/load-caller.c
@@ -15,7 +15,6 @@
 #include <unistd.h>
 #include <urcu/list.h>
 #include "hemlock.h"
-#include "metrics.h"
 
 #define THREADS_MAX 16
 #define ADDRESSES_MAX 64
@@ -24,6 +23,9 @@
 #define GRACE_MS 2000 /* how much longer than its deadline a caller waits */
 #define LOOKUP_TIMEOUT_MS 300L
 #define LOOKUP_RETRY_MS 100
+#define HISTOGRAM_FIRST_USEC 1.0
+#define HISTOGRAM_RATIO 1.189207115 /* the fourth root of 2 */
+#define BAR_COLUMNS 200
 #define RANGE 9007199254740992.0 /* 2^53 */
 
 typedef enum {
@@ -68,13 +70,12 @@
 	unsigned index;
 	int epoll_fd;
 	usec_t timer, next_arrival, start, stop;
-	uint64_t random, serial;
+	uint64_t random, choice, serial;
 	struct cds_list_head idle;
 	uint64_t ends[ENDS], all_ends[ENDS], sent;
 	GHashTable *reasons;
 	GArray *latencies;
 	unsigned flying;
-	metrics_histogram_t histogram;
 };
 
 static gchar *opt_service = "bay-desk", *opt_entries, *opt_direct, *opt_zone;
@@ -92,11 +93,16 @@
 static FILE *record;
 static volatile int finished;
 
+static double draw(uint64_t *state)
+{
+	*state = hl_hash(state, sizeof(*state), (uint64_t)opt_seed);
+	return ((double)(*state >> 11) + 0.5) / RANGE;
+}
+
+/* What is drawn here is the same for each run with the same seed. */
 static double uniform(worker_t *worker)
 {
-	worker->random = hl_hash(&worker->random, sizeof(worker->random),
-				 (uint64_t)opt_seed);
-	return ((double)(worker->random >> 11) + 0.5) / RANGE;
+	return draw(&worker->random);
 }
 
 static size_t text_write(char *data, size_t size, size_t count, void *cls)
@@ -189,7 +195,7 @@
 
 	pthread_mutex_lock(&lock);
 	first = addresses.count;
-	at = (unsigned)(uniform(worker) * addresses.total);
+	at = (unsigned)(draw(&worker->choice) * addresses.total);
 	for (i = 0; i < addresses.count; i++) {
 		if (at < addresses.weight[i] || !addresses.total)
 			break;
@@ -376,7 +382,6 @@
 	worker->ends[end]++;
 	if (end == END_OK) {
 		g_array_append_val(worker->latencies, latency);
-		metrics_histogram_add(&worker->histogram, latency);
 	} else {
 		const char *reason = call->reason[0] ? call->reason : "none";
 		char *key = g_strdup_printf("%s_%s", end_names[end], reason);
@@ -548,6 +553,7 @@
 {
 	worker->index = index;
 	worker->random = index + 1;
+	worker->choice = index + 1 + THREADS_MAX;
 	worker->start = worker->next_arrival = start;
 	worker->stop = start + opt_seconds * USEC_PER_SEC;
 	worker->timer = USEC_NEVER;
@@ -577,7 +583,6 @@
 	into->sent += from->sent;
 	g_array_append_vals(into->latencies, from->latencies->data,
 			    from->latencies->len);
-	metrics_histogram_merge(&into->histogram, &from->histogram);
 	g_hash_table_iter_init(&iter, from->reasons);
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		g_hash_table_insert(
@@ -625,15 +630,26 @@
 	printf("\n");
 }
 
-/* Lines of "upper edge in us, count" for each bucket that holds any. */
-static void histogram_write(const metrics_histogram_t *histogram)
+/* One line for each quarter of a doubling: lower edge, calls, a bar. */
+static void histogram_write(const GArray *sorted)
 {
 	FILE *out = opt_histogram ? fopen(opt_histogram, "w") : NULL;
-	double at, step = 0.001;
-
-	for (at = step; out && at < 1; at += step)
-		fprintf(out, "%.3f %" PRId64 "\n", at,
-			metrics_histogram_quantile(histogram, at));
+	double edge = HISTOGRAM_FIRST_USEC;
+	guint at = 0, count, bar;
+
+	for (; out && at < sorted->len; edge *= HISTOGRAM_RATIO) {
+		for (count = 0; at < sorted->len &&
+				(double)g_array_index(sorted, usec_t, at) <
+					edge * HISTOGRAM_RATIO;
+		     at++)
+			count++;
+		if (!count)
+			continue;
+		fprintf(out, "%12.3f ms %8u ", edge / USEC_PER_MS, count);
+		for (bar = count * BAR_COLUMNS / sorted->len; bar; bar--)
+			fputc('#', out);
+		fputc('\n', out);
+	}
 	if (out)
 		fclose(out);
 }
@@ -677,7 +693,7 @@
 	{ "record", 0, 0, G_OPTION_ARG_STRING, &opt_record,
 	  "of each call, for history-check", "FILE" },
 	{ "histogram", 0, 0, G_OPTION_ARG_STRING, &opt_histogram,
-	  "quantiles in microseconds", "FILE" },
+	  "as text with bars", "FILE" },
 	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 };
 
@@ -761,7 +777,7 @@
 			worker_merge(&workers[0], &workers[i]);
 	}
 	summary(&workers[0]);
-	histogram_write(&workers[0].histogram);
+	histogram_write(workers[0].latencies);
 	i = workers[0].all_ends[END_WRONG] ? 1 : 0;
 	fflush(NULL);
 	_exit(i);
--- a/regress/standin-target.c
+++ b/regress/standin-target.c
@@ -6,7 +6,6 @@
 #include <curl/curl.h>
 #include <glib.h>
 #include <jansson.h>
-#include <math.h>
 #include <microhttpd.h>
 #include <signal.h>
 #include <stdio.h>
@@ -18,6 +17,7 @@
 #include <unistd.h>
 #include <urcu/list.h>
 #include "hemlock.h"
+#include "regress/service-time.h"
 
 #define COPIES_MAX 256
 #define ENTRIES_MAX 64
@@ -50,7 +50,7 @@
 	struct cds_list_head waiting;
 	unsigned running, outstanding, outstanding_max;
 	unsigned connections, connections_max;
-	uint64_t requests, runs, probes, announced, accepted;
+	uint64_t requests, runs, probes, announced, accepted, control_bytes;
 	uint64_t random;
 	double straggle;
 	shed_t shed;
@@ -145,33 +145,20 @@
 	req->timed = false;
 }
 
-static double uniform(copy_t *copy, const request_t *req)
-{
-	uint64_t bits;
-
-	if (req->id[0])
-		bits = hl_hash(req->id, strlen(req->id), (uint64_t)opt_seed);
-	else
-		bits = copy->random = hl_hash(&copy->random,
-					      sizeof(copy->random),
-					      (uint64_t)opt_seed);
-	return ((double)(bits >> 11) + 0.5) / (double)(1ULL << 53);
-}
-
 /*
  * The same request id takes the same time at any copy, so that policies can
  * be compared on the same work.
  */
 static usec_t service_time(copy_t *copy, const request_t *req, usec_t now)
 {
-	double mean = opt_service_us, u = uniform(copy, req), time = mean;
-
-	if (!strcmp(opt_distribution, "exponential")) {
-		time = -mean * log(u);
-	} else if (!strcmp(opt_distribution, "lognormal")) {
-		/* Sigma 1; the logistic quantile stands for the normal one. */
-		time = mean * exp(log(u / (1 - u)) / 1.702 - 0.5);
-	}
+	double time;
+
+	if (!req->id[0])
+		copy->random = hl_hash(&copy->random, sizeof(copy->random),
+				       (uint64_t)opt_seed);
+	time = service_time_of(opt_distribution, opt_service_us,
+			       req->id[0] ? service_bits(req->id, opt_seed) :
+					    copy->random);
 	if (now < copy->started + opt_cold_ms * USEC_PER_MS)
 		time *= opt_cold_factor;
 	return (usec_t)(time * copy->straggle);
@@ -751,6 +738,19 @@
 	free(text);
 }
 
+/* What an exchange put on the network above TCP, both ways. */
+static uint64_t exchange_bytes(CURL *easy)
+{
+	curl_off_t up = 0, down = 0;
+	long request = 0, head = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request);
+	curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &head);
+	curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &up);
+	curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+	return (uint64_t)(request + head + up + down);
+}
+
 /* Take the owner from an answer; a failed entry is left for the next one. */
 static void announce_end(announcer_t *ann, CURLcode code, usec_t now)
 {
@@ -761,6 +761,7 @@
 	json_int_t epoch = 0;
 
 	curl_easy_getinfo(ann->easy, CURLINFO_RESPONSE_CODE, &status);
+	ann->copy->control_bytes += exchange_bytes(ann->easy);
 	if (code == CURLE_OK && status == 200)
 		root = json_loads(ann->answer, 0, NULL);
 	ann->busy = false;
@@ -866,13 +867,14 @@
 			"copy=%s address=%s owner=%s epoch=%" PRId64
 			" outstanding=%u outstanding_max=%u requests=%" PRIu64
 			" runs=%" PRIu64 " probes=%" PRIu64
-			" announced=%" PRIu64 " connections=%u"
+			" announced=%" PRIu64 " control_bytes=%" PRIu64
+			" connections=%u"
 			" connections_max=%u accepted=%" PRIu64 " empty=%d\n",
 			copy->name, copy->address,
 			copy->owner[0] ? copy->owner : "-", copy->epoch,
 			copy->outstanding, copy->outstanding_max,
 			copy->requests, copy->runs, copy->probes,
-			copy->announced, copy->connections,
+			copy->announced, copy->control_bytes, copy->connections,
 			copy->connections_max, copy->accepted, copy->empty);
 	}
 	out = strdup(text->str);
