--- a/regress/load-caller.c
+++ b/regress/load-caller.c
@@ -19,7 +19,7 @@
 #define THREADS_MAX 16
 #define ADDRESSES_MAX 64
 #define EVENTS_MAX 256
-#define CONNECTIONS_MAX 4096L
+#define CONNECTIONS_MAX 4096
 #define GRACE_MS 2000 /* how much longer than its deadline a caller waits */
 #define LOOKUP_TIMEOUT_MS 300L
 #define LOOKUP_RETRY_MS 100
@@ -84,7 +84,7 @@
 static gdouble opt_rate, opt_shift_factor;
 static gint opt_callers, opt_threads = 1, opt_seconds = 5, opt_warmup_ms = 500;
 static gint opt_post, opt_deadline_ms = 5000, opt_seed = 1, opt_size;
-static gint opt_shift_ms, opt_body = 16;
+static gint opt_shift_ms, opt_body = 16, opt_connections = CONNECTIONS_MAX;
 static gboolean opt_keyed;
 
 static addresses_t addresses;
@@ -482,7 +482,8 @@
 	if (opt_shift_ms)
 		highest *= 1 + opt_shift_factor;
 	while (worker->next_arrival <= now &&
-	       worker->next_arrival < worker->stop) {
+	       worker->next_arrival < worker->stop &&
+	       worker->flying < (unsigned)opt_connections) {
 		usec_t intended = worker->next_arrival;
 
 		if (!opt_shift_ms ||
@@ -501,7 +502,8 @@
 	int i, n, running;
 
 	due = MIN(due, worker->timer);
-	if (opt_rate > 0 && worker->next_arrival < worker->stop)
+	if (opt_rate > 0 && worker->next_arrival < worker->stop &&
+	    worker->flying < (unsigned)opt_connections)
 		due = MIN(due, worker->next_arrival);
 	due = MAX(due - now, 0);
 	wait = (struct timespec){ due / USEC_PER_SEC,
@@ -525,6 +527,12 @@
 	}
 }
 
+/* Calls that were due wait for a connection, and their latency counts it. */
+static bool behind(const worker_t *worker)
+{
+	return opt_rate > 0 && worker->next_arrival < worker->stop;
+}
+
 static void *worker_main(void *arg)
 {
 	worker_t *worker = arg;
@@ -534,7 +542,7 @@
 
 	for (i = (int)worker->index; i < opt_callers; i += opt_threads)
 		call_start(worker, time_now());
-	while (time_now() < worker->stop || worker->flying) {
+	while (time_now() < worker->stop || worker->flying || behind(worker)) {
 		if (opt_rate > 0)
 			start_due(worker, time_now());
 		wait_for_events(worker);
@@ -567,7 +575,8 @@
 	curl_multi_setopt(worker->multi, CURLMOPT_SOCKETDATA, worker);
 	curl_multi_setopt(worker->multi, CURLMOPT_TIMERFUNCTION, on_timer);
 	curl_multi_setopt(worker->multi, CURLMOPT_TIMERDATA, worker);
-	curl_multi_setopt(worker->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_MAX);
+	curl_multi_setopt(worker->multi, CURLMOPT_MAXCONNECTS,
+			  (long)CONNECTIONS_MAX);
 }
 
 static void worker_merge(worker_t *into, const worker_t *from)
@@ -667,6 +676,8 @@
 	  "open loop: calls a second, Poisson", "N" },
 	{ "callers", 0, 0, G_OPTION_ARG_INT, &opt_callers,
 	  "closed loop: callers", "N" },
+	{ "connections", 0, 0, G_OPTION_ARG_INT, &opt_connections,
+	  "open loop: most calls in flight, a thread", "N" },
 	{ "shift-ms", 0, 0, G_OPTION_ARG_INT, &opt_shift_ms,
 	  "the rate changes up or down so often", "MS" },
 	{ "shift-factor", 0, 0, G_OPTION_ARG_DOUBLE, &opt_shift_factor,
@@ -708,7 +719,7 @@
 	g_option_context_free(context);
 	if (!good || !opt_entries == !opt_direct ||
 	    !(opt_rate > 0) == !opt_callers || opt_threads < 1 ||
-	    opt_threads > THREADS_MAX) {
+	    opt_threads > THREADS_MAX || opt_connections < 1) {
 		fprintf(stderr, "%s\n",
 			error ? error->message :
 				"needs --entries or --direct, and --rate or "
--- a/regress/standin-target.c
+++ b/regress/standin-target.c
@@ -409,16 +409,18 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/* Write one period of the text, then double what stands. */
 static void body_fill(const request_t *req, char *buf, size_t size,
 		      uint64_t pos)
 {
 	const char *text = req->id[0] ? req->id : "abcdefghijklmnopqrstuvwxyz";
-	size_t length = strlen(text), at = pos % length, i;
+	size_t length = strlen(text), done, n;
 
-	for (i = 0; i < size; i++) {
-		buf[i] = text[at++];
-		if (at == length)
-			at = 0;
+	for (done = 0; done < MIN(length, size); done++)
+		buf[done] = text[(pos + done) % length];
+	for (; done < size; done += n) {
+		n = MIN(done, size - done);
+		memcpy(buf + done, buf, n);
 	}
 }
 
