Give each copy one owner at a time, by a lease with an epoch

A copy has two or three slots; two entries that both believe it theirs pass its credits at once. The copy is the arbiter: it announces to one entry and echoes the owner and epoch of the last answer. Every answer carries a fresh epoch and the lease runs from the time of the answer that is echoed, not from the arrival of the echo: an announcement that lay in the buffer of a frozen entry renews nothing. A new owner asks the former one for release and counts the calls still outstanding there, or waits until its lease has run out.

Owners of a service tell each other copies, slots and queues, offer free credits, and pass copies on until none has two more than another; plain hashing only names the first entry to ask.

--- a/member-swim.c
+++ b/member-swim.c
@@ -36,11 +36,12 @@
 	peer_probe_t *probe = &body.peer_body_t_u.probe;
 
 	probe->sequence = sequence;
-	probe->target = target ? (char *)target->info.entry.name : "";
-	probe->target_address =
-		kind == PEER_PING_REQUEST ?
-			(char *)target->info.entry.peer_address :
-			"";
+	probe->target = "";
+	probe->target_address = "";
+	if (target)
+		probe->target = (char *)target->info.entry.name;
+	if (target && kind == PEER_PING_REQUEST)
+		probe->target_address = (char *)target->info.entry.peer_address;
 	swim_send(swim, address, &body, first);
 }
 
@@ -88,11 +89,11 @@
 {
 	unsigned i;
 
-	for (i = swim->count - 1; i > 0; i--) {
-		unsigned j = member_table_random(swim) % (i + 1);
-		member_node_t *node = swim->nodes[i];
+	for (i = swim->count; i > 1; i--) {
+		unsigned j = member_table_random(swim) % i;
+		member_node_t *node = swim->nodes[i - 1];
 
-		swim->nodes[i] = swim->nodes[j];
+		swim->nodes[i - 1] = swim->nodes[j];
 		swim->nodes[j] = node;
 	}
 }
--- /dev/null
+++ b/owner-announce.c
@@ -0,0 +1,164 @@
+#include <string.h>
+#include "owner-table.h"
+
+owner_record_t *owner_accept(owner_t *owner,
+			     const owner_announcement_t *announcement,
+			     bool direct, usec_t now, hl_error_t *err)
+{
+	const owner_copy_t *copy = &announcement->copy;
+	owner_record_t *record = owner_table_record(owner, copy->service,
+						    copy->name);
+	owner_hold_t hold;
+
+	if (!record)
+		record = owner_table_record_add(owner, copy);
+	if (!record) {
+		hl_error_set(err, HL_ERR_LIMIT,
+			     "this entry has %d copies; add entry VMs",
+			     OWNER_RECORDS_MAX);
+		return NULL;
+	}
+	hold = record->lease.hold;
+	record->copy = *copy;
+	record->announced = now;
+	owner_lease_accept(&record->lease, announcement,
+			   owner->options.self.name, owner->options.lease, now);
+	if (hold == OWNER_HOLD_NONE)
+		record->direct = false;
+	record->direct |= direct;
+	if (hold != OWNER_HOLD_HELD && record->lease.hold == OWNER_HOLD_HELD) {
+		record->held_since = now;
+		metrics_add(owner->taken, record->lease.former.until != 0);
+	}
+	owner_table_grant(owner, record, now);
+	return record;
+}
+
+/* Nothing is outstanding at the copy, ours or an earlier owner's. */
+static bool announce_empty(owner_t *owner, const owner_record_t *record,
+			   usec_t now)
+{
+	const owner_events_t *events = &owner->options.events;
+	const owner_former_t *former = &record->lease.former;
+	usec_t span = owner->options.lease;
+
+	if (!owner_table_stopped(owner, &record->copy))
+		return false;
+	if (!owner_lease_clear(&record->lease, now) ||
+	    owner_lease_foreign(&record->lease, span, now))
+		return false;
+	/* A former owner that never answered may have had calls there. */
+	if (former->until && !former->released && now < former->until + span)
+		return false;
+	return !events->outstanding ||
+	       !events->outstanding(events->context, record->copy.service,
+				    record->copy.name);
+}
+
+static void announce_answer(owner_t *owner, const owner_member_t *place,
+			    const owner_record_t *record, usec_t now,
+			    owner_announced_t *out)
+{
+	usec_t interval = OWNER_INTERVAL_FAST;
+
+	memset(out, 0, sizeof(*out));
+	memcpy(out->owner, place->name, HL_NAME_MAX);
+	memcpy(out->owner_address, place->control_address, HL_ADDRESS_MAX);
+	out->lease_ms = owner->options.lease / USEC_PER_MS;
+	if (record) {
+		out->epoch = record->lease.epoch;
+		out->empty = announce_empty(owner, record, now);
+		if (record->lease.hold == OWNER_HOLD_HELD)
+			interval = owner->options.interval;
+	}
+	out->interval_ms = interval / USEC_PER_MS;
+}
+
+/* Another entry owns it: tell both, and use what it said if we still hold
+   it. */
+static void announce_redirect(owner_t *owner, const owner_member_t *place,
+			      owner_record_t *record,
+			      const owner_announcement_t *announcement,
+			      usec_t now, owner_announced_t *out)
+{
+	if (record) {
+		record->copy = announcement->copy;
+		record->announced = now;
+		record->lease.sequence = announcement->sequence;
+		owner_table_grant(owner, record, now);
+	}
+	owner_net_forward(owner, place, announcement);
+	announce_answer(owner, place, NULL, now, out);
+}
+
+static int announce_locked(owner_t *owner,
+			   const owner_announcement_t *announcement, usec_t now,
+			   owner_announced_t *out, hl_error_t *err)
+{
+	const owner_copy_t *copy = &announcement->copy;
+	owner_service_t *svc = owner_table_service(owner, copy->service);
+	const owner_member_t *place;
+	owner_record_t *record;
+
+	if (!svc)
+		return hl_error_set(err, HL_ERR_LIMIT,
+				    "more than %d services; retire some",
+				    OWNER_SERVICES_MAX);
+	record = owner_table_record(owner, copy->service, copy->name);
+	if (record && announcement->sequence <= record->lease.sequence)
+		return hl_error_set(err, HL_ERR_CONFLICT,
+				    "sequence %" PRIu64 " is not above %" PRIu64
+				    "; announce with a greater one",
+				    announcement->sequence,
+				    record->lease.sequence);
+	place = owner_table_place(owner, svc, announcement, now);
+	if (!place)
+		return hl_error_set(err, HL_ERR_UNAVAILABLE,
+				    "no entry is known yet; announce again in "
+				    "a second");
+	if (strcmp(place->name, owner->options.self.name) != 0) {
+		announce_redirect(owner, place, record, announcement, now, out);
+		return 0;
+	}
+	record = owner_accept(owner, announcement, true, now, err);
+	if (!record)
+		return -1;
+	announce_answer(owner, place, record, now, out);
+	return 0;
+}
+
+int owner_announce(owner_t *owner, const owner_announcement_t *announcement,
+		   usec_t now, owner_announced_t *out, hl_error_t *err)
+{
+	int rc;
+
+	pthread_mutex_lock(&owner->lock);
+	rc = announce_locked(owner, announcement, now, out, err);
+	pthread_mutex_unlock(&owner->lock);
+	return rc;
+}
+
+bool owner_may_send(owner_t *owner, const char *service, const char *copy,
+		    usec_t now)
+{
+	const owner_record_t *record;
+	bool may;
+
+	pthread_mutex_lock(&owner->lock);
+	record = owner_table_record(owner, service, copy);
+	may = record && owner_lease_valid(&record->lease, now);
+	pthread_mutex_unlock(&owner->lock);
+	return may;
+}
+
+unsigned owner_held(owner_t *owner, usec_t now)
+{
+	const owner_record_t *record;
+	unsigned count = 0;
+
+	pthread_mutex_lock(&owner->lock);
+	cds_list_for_each_entry (record, &owner->records, link)
+		count += owner_lease_valid(&record->lease, now);
+	pthread_mutex_unlock(&owner->lock);
+	return count;
+}
--- /dev/null
+++ b/owner-net.c
@@ -0,0 +1,299 @@
+#include <string.h>
+#include "owner-table.h"
+
+static unsigned net_send(owner_t *owner, const char *address,
+			 const peer_body_t *body)
+{
+	if (owner->send)
+		return owner->send(owner->send_context, address, body);
+	if (owner->options.member)
+		return member_send(owner->options.member, address, body);
+	return 0;
+}
+
+static void net_send_lease(owner_t *owner, const char *address,
+			   const peer_body_t *body)
+{
+	metrics_add(owner->lease_bytes, net_send(owner, address, body));
+}
+
+static void net_send_lend(owner_t *owner, const char *address,
+			  const peer_body_t *body)
+{
+	metrics_add(owner->lend_bytes, net_send(owner, address, body));
+	metrics_add(owner->lend_datagrams, 1);
+}
+
+void owner_net_forward(owner_t *owner, const owner_member_t *to,
+		       const owner_announcement_t *announcement)
+{
+	const owner_copy_t *copy = &announcement->copy;
+	peer_body_t body = { .kind = PEER_ANNOUNCE };
+	peer_announce_t *announce = &body.peer_body_t_u.announce;
+
+	announce->service = (char *)copy->service;
+	announce->copy = (char *)copy->name;
+	announce->zone = (char *)copy->zone;
+	announce->address = (char *)copy->address;
+	announce->slots = copy->slots;
+	announce->connections = copy->connections;
+	announce->state = copy->state;
+	announce->sequence = announcement->sequence;
+	announce->owner = (char *)announcement->owner;
+	announce->epoch = announcement->epoch;
+	net_send_lease(owner, to->peer_address, &body);
+}
+
+static void net_send_release(owner_t *owner, peer_kind_t kind,
+			     const char *address, const owner_copy_t *copy,
+			     uint64_t epoch, unsigned outstanding)
+{
+	peer_body_t body = { .kind = kind };
+	peer_release_t *release = &body.peer_body_t_u.release;
+
+	release->service = (char *)copy->service;
+	release->copy = (char *)copy->name;
+	release->epoch = epoch;
+	release->outstanding = outstanding;
+	net_send_lease(owner, address, &body);
+}
+
+void owner_net_release(owner_t *owner, const owner_record_t *record)
+{
+	const owner_member_t *former =
+		owner_table_peer(owner, record->lease.former.name);
+
+	if (former)
+		net_send_release(owner, PEER_RELEASE, former->peer_address,
+				 &record->copy,
+				 owner_lease_claim(&record->lease), 0);
+}
+
+void owner_net_load(owner_t *owner, const owner_service_t *svc,
+		    const owner_sibling_t *to, unsigned waiting)
+{
+	peer_body_t body = { .kind = PEER_LOAD };
+	peer_load_t *load = &body.peer_body_t_u.load;
+
+	load->service = (char *)svc->name;
+	load->waiting = waiting;
+	load->copies = svc->copies;
+	load->slots = svc->slots;
+	net_send_lend(owner, to->member.peer_address, &body);
+}
+
+void owner_net_offer(owner_t *owner, const owner_service_t *svc,
+		     const owner_sibling_t *to, unsigned credits)
+{
+	peer_body_t body = { .kind = PEER_OFFER };
+
+	body.peer_body_t_u.offer.service = (char *)svc->name;
+	body.peer_body_t_u.offer.credits = credits;
+	metrics_add(owner->offered, credits);
+	net_send_lend(owner, to->member.peer_address, &body);
+}
+
+static void net_send_slots(owner_t *owner, peer_kind_t kind,
+			   const char *address, const owner_service_t *svc)
+{
+	peer_body_t body = { .kind = kind };
+
+	body.peer_body_t_u.slots.service = (char *)svc->name;
+	body.peer_body_t_u.slots.slots = svc->slots;
+	net_send_lease(owner, address, &body);
+}
+
+void owner_net_ask(owner_t *owner, const owner_service_t *svc,
+		   const owner_sibling_t *to)
+{
+	net_send_slots(owner, PEER_SLOTS_REQUEST, to->member.peer_address, svc);
+}
+
+static void net_text(char *out, size_t size, const char *text)
+{
+	size_t length = strnlen(text, size - 1);
+
+	memcpy(out, text, length);
+	out[length] = '\0';
+}
+
+/* Another entry got an announcement and takes us for the owner. */
+static void net_on_announce(owner_t *owner, const peer_announce_t *said,
+			    usec_t now)
+{
+	owner_announcement_t announcement = { 0 };
+	owner_copy_t *copy = &announcement.copy;
+	const owner_member_t *place;
+	const owner_record_t *record;
+	owner_service_t *svc;
+
+	if (!hl_name_valid(said->service) || !hl_name_valid(said->copy) ||
+	    said->state > OWNER_COPY_DRAINING)
+		return;
+	net_text(copy->service, HL_NAME_MAX, said->service);
+	net_text(copy->name, HL_NAME_MAX, said->copy);
+	net_text(copy->zone, HL_NAME_MAX, said->zone);
+	net_text(copy->address, HL_ADDRESS_MAX, said->address);
+	copy->slots = said->slots;
+	copy->connections = said->connections;
+	copy->state = (owner_state_t)said->state;
+	announcement.sequence = said->sequence;
+	net_text(announcement.owner, HL_NAME_MAX, said->owner);
+	announcement.epoch = said->epoch;
+	record = owner_table_record(owner, copy->service, copy->name);
+	if (record && announcement.sequence <= record->lease.sequence)
+		return;
+	svc = owner_table_service(owner, copy->service);
+	place = svc ? owner_table_place(owner, svc, &announcement, now) : NULL;
+	if (place && !strcmp(place->name, owner->options.self.name))
+		owner_accept(owner, &announcement, false, now, NULL);
+}
+
+static unsigned net_outstanding(owner_t *owner, const owner_record_t *record,
+				usec_t now)
+{
+	const owner_events_t *events = &owner->options.events;
+	unsigned count = owner_lease_foreign(&record->lease,
+					     owner->options.lease, now);
+
+	if (events->outstanding)
+		count += events->outstanding(events->context,
+					     record->copy.service,
+					     record->copy.name);
+	return count;
+}
+
+static void net_on_release(owner_t *owner, const owner_member_t *from,
+			   const peer_release_t *said, usec_t now)
+{
+	owner_record_t *record = owner_table_record(owner, said->service,
+						    said->copy);
+	owner_copy_t copy = { 0 };
+
+	if (!record) {
+		net_text(copy.service, HL_NAME_MAX, said->service);
+		net_text(copy.name, HL_NAME_MAX, said->copy);
+		net_send_release(owner, PEER_RELEASED, from->peer_address,
+				 &copy, said->epoch, 0);
+		return;
+	}
+	if (!owner_lease_release(&record->lease, said->epoch))
+		return;
+	owner_table_grant(owner, record, now);
+	if (!owner_lease_clear(&record->lease, now))
+		return;
+	net_send_release(owner, PEER_RELEASED, from->peer_address,
+			 &record->copy, said->epoch,
+			 net_outstanding(owner, record, now));
+}
+
+static void net_on_released(owner_t *owner, const owner_member_t *from,
+			    const peer_release_t *said, usec_t now)
+{
+	owner_record_t *record = owner_table_record(owner, said->service,
+						    said->copy);
+
+	if (record && owner_lease_released(&record->lease, from->name,
+					   said->epoch, said->outstanding, now))
+		owner_table_grant(owner, record, now);
+}
+
+static void net_on_slots(owner_t *owner, const peer_message_t *message,
+			 const owner_member_t *from, usec_t now)
+{
+	const peer_slots_t *said = &message->body.peer_body_t_u.slots;
+	owner_service_t *svc = owner_table_service(owner, said->service);
+	owner_sibling_t *sibling;
+
+	if (!svc)
+		return;
+	if (message->body.kind == PEER_SLOTS_REQUEST) {
+		owner_table_count(owner, svc);
+		net_send_slots(owner, PEER_SLOTS, from->peer_address, svc);
+		return;
+	}
+	sibling = owner_table_sibling(svc, from->name);
+	if (!sibling)
+		return;
+	sibling->heard = now;
+	sibling->slots = said->slots;
+}
+
+static void net_on_lend(owner_t *owner, const peer_body_t *body,
+			const owner_member_t *from, usec_t now)
+{
+	const char *name = body->kind == PEER_LOAD ?
+				   body->peer_body_t_u.load.service :
+				   body->peer_body_t_u.offer.service;
+	owner_service_t *svc = owner_table_service(owner, name);
+	owner_sibling_t *sibling = svc ? owner_table_sibling(svc, from->name) :
+					 NULL;
+
+	if (!sibling)
+		return;
+	if (body->kind == PEER_LOAD)
+		owner_lend_heard(owner, svc, sibling, &body->peer_body_t_u.load,
+				 now);
+	else
+		owner_lend_offered(owner, svc, sibling,
+				   body->peer_body_t_u.offer.credits);
+}
+
+static void net_dispatch(owner_t *owner, const peer_message_t *message,
+			 const owner_member_t *from, usec_t now)
+{
+	const peer_body_t *body = &message->body;
+
+	switch (body->kind) {
+	case PEER_ANNOUNCE:
+		net_on_announce(owner, &body->peer_body_t_u.announce, now);
+		break;
+	case PEER_RELEASE:
+		net_on_release(owner, from, &body->peer_body_t_u.release, now);
+		break;
+	case PEER_RELEASED:
+		net_on_released(owner, from, &body->peer_body_t_u.release, now);
+		break;
+	case PEER_SLOTS_REQUEST:
+	case PEER_SLOTS:
+		net_on_slots(owner, message, from, now);
+		break;
+	case PEER_LOAD:
+	case PEER_OFFER:
+		net_on_lend(owner, body, from, now);
+		break;
+	default:
+		break;
+	}
+}
+
+void owner_net_receive(owner_t *owner, const peer_message_t *message,
+		       usec_t now)
+{
+	const owner_member_t *from;
+	owner_member_t sender;
+
+	pthread_mutex_lock(&owner->lock);
+	from = owner_table_peer(owner, message->from);
+	if (from) {
+		sender = *from;
+		net_dispatch(owner, message, &sender, now);
+	}
+	pthread_mutex_unlock(&owner->lock);
+}
+
+static void net_handler(void *context, const peer_message_t *message,
+			usec_t now)
+{
+	owner_net_receive(context, message, now);
+}
+
+void owner_net_listen(owner_t *owner)
+{
+	peer_kind_t kind;
+
+	if (!owner->options.member)
+		return;
+	for (kind = PEER_ANNOUNCE; kind <= PEER_SLOTS; kind++)
+		member_on(owner->options.member, kind, net_handler, owner);
+}
--- /dev/null
+++ b/owner-place.c
@@ -0,0 +1,82 @@
+#include <string.h>
+#include "owner-table.h"
+
+/* A copy is passed on for balance at most this often in each service. */
+#define PLACE_MOVE_PERIOD USEC_PER_SEC
+/* What a sibling told of its copies is believed for this long. */
+#define PLACE_BELIEVE (15 * USEC_PER_SEC)
+/* Passing a copy on must leave both sides closer than before. */
+#define PLACE_MOVE_GAIN 2
+
+/* The sibling with the fewest copies of those that told, or NULL. */
+static owner_sibling_t *place_fewest(owner_service_t *svc, usec_t now)
+{
+	owner_sibling_t *best = NULL;
+	unsigned i;
+
+	for (i = 0; i < svc->count; i++) {
+		owner_sibling_t *sibling = &svc->siblings[i];
+
+		if (!sibling->heard || now - sibling->heard > PLACE_BELIEVE)
+			continue;
+		if (!best || sibling->copies < best->copies)
+			best = sibling;
+	}
+	return best;
+}
+
+/* A copy of ours stays, unless a sibling has clearly fewer. */
+static const owner_member_t *place_ours(owner_t *owner, owner_service_t *svc,
+					const owner_record_t *record,
+					usec_t now)
+{
+	owner_sibling_t *fewest = place_fewest(svc, now);
+
+	if (!record || !fewest || record->lease.hold != OWNER_HOLD_HELD ||
+	    now - record->held_since < owner->options.lease ||
+	    now - svc->moved < PLACE_MOVE_PERIOD ||
+	    svc->copies < fewest->copies + PLACE_MOVE_GAIN)
+		return &owner->options.self;
+	svc->moved = now;
+	fewest->copies++;
+	metrics_add(owner->moved, 1);
+	return &fewest->member;
+}
+
+/* The first by hash decides on a copy that has no owner. */
+static const owner_member_t *place_new(owner_t *owner, owner_service_t *svc,
+				       const char *copy, usec_t now)
+{
+	const owner_member_t *first = &owner->members[owner_of_copy(
+		owner->members, svc->owners, svc->owner_count, svc->name,
+		copy)];
+	owner_sibling_t *fewest;
+
+	if (strcmp(first->name, owner->options.self.name) != 0)
+		return first;
+	fewest = place_fewest(svc, now);
+	if (!fewest || fewest->copies >= svc->copies)
+		return &owner->options.self;
+	fewest->copies++;
+	return &fewest->member;
+}
+
+const owner_member_t *owner_table_place(
+	owner_t *owner, owner_service_t *svc,
+	const owner_announcement_t *announcement, usec_t now)
+{
+	const owner_sibling_t *holder;
+
+	if (!svc->owner_count)
+		return NULL;
+	owner_table_count(owner, svc);
+	if (svc->own && !strcmp(announcement->owner, owner->options.self.name))
+		return place_ours(owner, svc,
+				  owner_table_record(owner, svc->name,
+						     announcement->copy.name),
+				  now);
+	holder = owner_table_sibling(svc, announcement->owner);
+	if (holder)
+		return &holder->member;
+	return place_new(owner, svc, announcement->copy.name, now);
+}
--- /dev/null
+++ b/owner-table.c
@@ -0,0 +1,323 @@
+#include <stdlib.h>
+#include <string.h>
+#include "owner-table.h"
+
+owner_record_t *owner_table_record(owner_t *owner, const char *service,
+				   const char *copy)
+{
+	owner_record_t *record;
+
+	cds_list_for_each_entry (record, &owner->records, link)
+		if (!strcmp(record->copy.name, copy) &&
+		    !strcmp(record->copy.service, service))
+			return record;
+	return NULL;
+}
+
+owner_record_t *owner_table_record_add(owner_t *owner, const owner_copy_t *copy)
+{
+	owner_record_t *record;
+
+	if (owner->record_count == OWNER_RECORDS_MAX)
+		return NULL;
+	record = calloc(1, sizeof(*record));
+	if (!record)
+		return NULL;
+	record->copy = *copy;
+	cds_list_add_tail(&record->link, &owner->records);
+	owner->record_count++;
+	return record;
+}
+
+void owner_table_record_drop(owner_t *owner, owner_record_t *record)
+{
+	cds_list_del(&record->link);
+	owner->record_count--;
+	free(record);
+}
+
+const owner_member_t *owner_table_member(owner_t *owner, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < owner->member_count; i++)
+		if (!strcmp(owner->members[i].name, name))
+			return &owner->members[i];
+	return NULL;
+}
+
+const owner_member_t *owner_table_peer(owner_t *owner, const char *name)
+{
+	const owner_member_t *member = owner_table_member(owner, name);
+	unsigned i;
+
+	for (i = 0; !member && i < OWNER_GONE_MAX; i++)
+		if (!strcmp(owner->gone[i].name, name))
+			member = &owner->gone[i];
+	return member;
+}
+
+owner_sibling_t *owner_table_sibling(owner_service_t *svc, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < svc->count; i++)
+		if (!strcmp(svc->siblings[i].member.name, name))
+			return &svc->siblings[i];
+	return NULL;
+}
+
+/* Work out the owners anew; what is known of those that stay is kept. */
+static void table_service_refresh(owner_t *owner, owner_service_t *svc)
+{
+	const owner_events_t *events = &owner->options.events;
+	owner_sibling_t siblings[OWNER_MAX];
+	unsigned wanted = 0;
+	unsigned kept = 0;
+	unsigned i;
+
+	if (events->wanted)
+		wanted = events->wanted(events->context, svc->name);
+	svc->owner_count = owner_of_service(owner->members, owner->member_count,
+					    svc->name, wanted, svc->owners);
+	svc->own = false;
+	for (i = 0; i < svc->owner_count; i++) {
+		const owner_member_t *member = &owner->members[svc->owners[i]];
+		const owner_sibling_t *known;
+
+		if (!strcmp(member->name, owner->options.self.name)) {
+			svc->own = true;
+			continue;
+		}
+		known = owner_table_sibling(svc, member->name);
+		if (known)
+			siblings[kept] = *known;
+		else
+			memset(&siblings[kept], 0, sizeof(siblings[kept]));
+		siblings[kept++].member = *member;
+	}
+	memcpy(svc->siblings, siblings, kept * sizeof(siblings[0]));
+	svc->count = kept;
+	svc->version = owner->version;
+}
+
+static owner_service_t *table_service_add(owner_t *owner, const char *service)
+{
+	owner_service_t *svc;
+
+	if (owner->service_count == OWNER_SERVICES_MAX)
+		return NULL;
+	svc = calloc(1, sizeof(*svc));
+	if (!svc)
+		return NULL;
+	strncpy(svc->name, service, HL_NAME_MAX - 1);
+	cds_list_add_tail(&svc->link, &owner->services);
+	owner->service_count++;
+	return svc;
+}
+
+owner_service_t *owner_table_service(owner_t *owner, const char *service)
+{
+	owner_service_t *svc;
+
+	cds_list_for_each_entry (svc, &owner->services, link)
+		if (!strcmp(svc->name, service))
+			goto found;
+	svc = table_service_add(owner, service);
+	if (!svc)
+		return NULL;
+found:
+	if (svc->version != owner->version)
+		table_service_refresh(owner, svc);
+	return svc;
+}
+
+bool owner_table_stopped(owner_t *owner, const owner_copy_t *copy)
+{
+	const owner_events_t *events = &owner->options.events;
+
+	if (copy->state == OWNER_COPY_DRAINING)
+		return true;
+	return events->stopped &&
+	       events->stopped(events->context, copy->service, copy->name);
+}
+
+static unsigned table_ceiling(owner_t *owner, const owner_copy_t *copy)
+{
+	const owner_events_t *events = &owner->options.events;
+	unsigned pipeline = 1;
+	unsigned ceiling;
+
+	if (owner_table_stopped(owner, copy))
+		return 0;
+	if (events->pipeline)
+		pipeline = events->pipeline(events->context, copy->service);
+	ceiling = copy->slots + pipeline;
+	return ceiling < copy->connections ? ceiling : copy->connections;
+}
+
+void owner_table_grant(owner_t *owner, owner_record_t *record, usec_t now)
+{
+	const owner_events_t *events = &owner->options.events;
+	unsigned limit = owner_lease_limit(&record->lease,
+					   table_ceiling(owner, &record->copy),
+					   owner->options.lease, now);
+	usec_t until = limit ? record->lease.until : 0;
+
+	if (record->shown && limit == record->granted &&
+	    until == record->granted_until)
+		return;
+	record->shown = true;
+	record->granted = limit;
+	record->granted_until = until;
+	if (events->limit)
+		events->limit(events->context, &record->copy, limit, until);
+}
+
+void owner_table_count(owner_t *owner, owner_service_t *svc)
+{
+	const owner_record_t *record;
+
+	svc->copies = 0;
+	svc->slots = 0;
+	cds_list_for_each_entry (record, &owner->records, link) {
+		if (record->lease.hold == OWNER_HOLD_NONE ||
+		    strcmp(record->copy.service, svc->name) != 0)
+			continue;
+		svc->copies++;
+		svc->slots += record->copy.slots;
+	}
+}
+
+static void table_presets(owner_options_t *options)
+{
+	if (!options->interval)
+		options->interval = OWNER_INTERVAL;
+	if (!options->lease)
+		options->lease = OWNER_LEASE;
+}
+
+static void table_meters(owner_t *owner)
+{
+	metrics_t *metrics = owner->options.metrics;
+
+	if (!metrics)
+		return;
+	owner->lend_bytes = metrics_counter(
+		metrics, "hemlock_owner_lend_bytes_total", "",
+		"Bytes sent to sibling owners about queues and credits.");
+	owner->lend_datagrams =
+		metrics_counter(metrics, "hemlock_owner_lend_datagrams_total",
+				"", "Datagrams sent to sibling owners.");
+	owner->lease_bytes =
+		metrics_counter(metrics, "hemlock_owner_lease_bytes_total", "",
+				"Bytes sent about who owns a copy.");
+	owner->offered = metrics_counter(metrics,
+					 "hemlock_owner_credits_offered_total",
+					 "", "Credits offered to siblings.");
+	owner->taken = metrics_counter(metrics,
+				       "hemlock_owner_copies_taken_total", "",
+				       "Copies taken from another owner.");
+	owner->moved =
+		metrics_counter(metrics, "hemlock_owner_copies_moved_total", "",
+				"Copies passed on to balance the owners.");
+}
+
+owner_t *owner_new(const owner_options_t *options, hl_error_t *err)
+{
+	owner_t *owner = calloc(1, sizeof(*owner));
+
+	if (!owner)
+		goto no_memory;
+	owner->options = *options;
+	table_presets(&owner->options);
+	CDS_INIT_LIST_HEAD(&owner->records);
+	CDS_INIT_LIST_HEAD(&owner->services);
+	pthread_mutex_init(&owner->lock, NULL);
+	pthread_cond_init(&owner->wake, NULL);
+	owner->version = 1;
+	owner->members = calloc(MEMBER_MAX, sizeof(owner_member_t));
+	if (!owner->members)
+		goto no_memory;
+	if (owner->options.lease <= 2 * owner->options.interval) {
+		hl_error_set(err, HL_ERR_SETTINGS,
+			     "a lease must last more than two intervals; raise "
+			     "lease_ms or lower interval_ms");
+		goto fail;
+	}
+	table_meters(owner);
+	owner_net_listen(owner);
+	return owner;
+no_memory:
+	hl_error_set(err, HL_ERR_NOMEM,
+		     "no memory for the owners; give the VM more");
+fail:
+	owner_free(owner);
+	return NULL;
+}
+
+void owner_free(owner_t *owner)
+{
+	owner_record_t *record;
+	owner_record_t *next_record;
+	owner_service_t *svc;
+	owner_service_t *next_svc;
+
+	if (!owner)
+		return;
+	cds_list_for_each_entry_safe (record, next_record, &owner->records,
+				      link)
+		free(record);
+	cds_list_for_each_entry_safe (svc, next_svc, &owner->services, link)
+		free(svc);
+	free(owner->members);
+	pthread_cond_destroy(&owner->wake);
+	pthread_mutex_destroy(&owner->lock);
+	free(owner);
+}
+
+static void table_remember(owner_t *owner, const owner_member_t *member)
+{
+	unsigned i;
+
+	for (i = 0; i < OWNER_GONE_MAX; i++)
+		if (!strcmp(owner->gone[i].name, member->name))
+			break;
+	if (i == OWNER_GONE_MAX)
+		i = owner->gone_next++ % OWNER_GONE_MAX;
+	owner->gone[i] = *member;
+}
+
+/* Remember those that are not among the live any more. */
+static void table_remember_gone(owner_t *owner, const owner_member_t *members,
+				unsigned count)
+{
+	unsigned i;
+	unsigned j;
+
+	for (i = 0; i < owner->member_count; i++) {
+		for (j = 0; j < count; j++)
+			if (!strcmp(members[j].name, owner->members[i].name))
+				break;
+		if (j == count)
+			table_remember(owner, &owner->members[i]);
+	}
+}
+
+void owner_members(owner_t *owner, const owner_member_t *members,
+		   unsigned count)
+{
+	unsigned i;
+
+	pthread_mutex_lock(&owner->lock);
+	table_remember_gone(owner, members, count);
+	owner->member_count = 0;
+	for (i = 0; i < count && owner->member_count < MEMBER_MAX; i++) {
+		if (owner->leaving &&
+		    !strcmp(members[i].name, owner->options.self.name))
+			continue;
+		owner->members[owner->member_count++] = members[i];
+	}
+	owner->version++;
+	pthread_mutex_unlock(&owner->lock);
+}
