Wire ownership into hemlock-entry

Announcements, look-ups and calls at stale addresses now go by the owner module: one owner a copy with epoch and lease, look-up weights from the slots each owner holds, queues told to siblings and waiting calls handed to one that offers credits. entry-owner.c holds the callbacks. The announcement's optional load, owner and epoch are now read, and a stale sequence is answered 409.

Not yet wired: planned stops and owners wanted, which come with the configuration.

--- a/entry-announce.c
+++ b/entry-announce.c
@@ -4,9 +4,9 @@
 #include <string.h>
 #include "entry-io.h"
 
-#define ANNOUNCE_MEMBERS_MAX 256
 #define ANNOUNCE_SLOTS_MAX 1024
 #define ANNOUNCE_CONNECTIONS_MAX 65535
+#define ANNOUNCE_LOAD_MAX 1000
 
 /* An announcement as its JSON said it. */
 typedef struct {
@@ -18,6 +18,9 @@
 	json_int_t slots;
 	json_int_t connections;
 	json_int_t sequence;
+	json_int_t load;
+	const char *owner; /* NULL if absent */
+	json_int_t epoch;
 } announce_t;
 
 static const char *announce_check(const announce_t *in)
@@ -40,83 +43,75 @@
 		return "connections";
 	if (in->sequence < 1)
 		return "sequence";
+	if (in->load < 0 || in->load > ANNOUNCE_LOAD_MAX)
+		return "load";
+	if (in->owner && !hl_name_valid(in->owner))
+		return "owner";
+	if (in->epoch < 0)
+		return "epoch";
 	if (strcmp(in->state, "cold") && strcmp(in->state, "ready") &&
 	    strcmp(in->state, "draining"))
 		return "state";
 	return NULL;
 }
 
-/* Take over what the announcement says about a copy. Lock held. */
-static int announce_store(entry_route_t *route, const announce_t *in,
-			  usec_t now)
+static owner_state_t announce_state(const char *word)
 {
-	entry_service_t *svc = &route->service;
-	entry_copy_t *copy = entry_service_copy(svc, in->copy);
-
-	if (!copy)
-		copy = entry_service_copy_add(svc, in->copy, now);
-	if (!copy)
-		return -1;
-	strcpy(copy->address, in->address);
-	strcpy(copy->zone, in->zone);
-	copy->slots = (unsigned)in->slots;
-	copy->connections = (unsigned)in->connections;
-	copy->announced = now;
-	copy->draining = !strcmp(in->state, "draining");
-	copy->limit = copy->slots + route->profile->pipeline_max;
-	if (!copy->io)
-		copy->io = entry_place_new(copy->address, copy->limit);
-	return copy->io ? 0 : -1;
+	if (!strcmp(word, "draining"))
+		return OWNER_COPY_DRAINING;
+	return strcmp(word, "cold") ? OWNER_COPY_READY : OWNER_COPY_COLD;
 }
 
-static int announce_take(const entry_control_t *in, const announce_t *announced)
+/* The names and addresses were checked to fit. */
+static void announce_fill(const announce_t *in, owner_announcement_t *out)
 {
-	entry_route_t *route = entry_route_make(in->entry, announced->service);
-	int rc;
+	owner_copy_t *copy = &out->copy;
 
-	if (!route)
-		return -1;
-	pthread_mutex_lock(&route->lock);
-	rc = announce_store(route, announced, in->now);
-	pthread_mutex_unlock(&route->lock);
-	entry_dispatch_next(route, in->now);
-	return rc;
+	memset(out, 0, sizeof(*out));
+	strcpy(copy->service, in->service);
+	strcpy(copy->name, in->copy);
+	strcpy(copy->zone, in->zone);
+	strcpy(copy->address, in->address);
+	copy->slots = (unsigned)in->slots;
+	copy->connections = (unsigned)in->connections;
+	copy->state = announce_state(in->state);
+	copy->load = (unsigned)in->load;
+	out->sequence = (uint64_t)in->sequence;
+	if (in->owner)
+		strcpy(out->owner, in->owner);
+	out->epoch = (uint64_t)in->epoch;
 }
 
-static void announce_answer(const entry_control_t *in,
-			    const owner_member_t *owner, entry_reply_t *reply)
+static void announce_answer(const owner_announced_t *out, entry_reply_t *reply)
 {
-	const entry_settings_t *settings = &in->entry->settings;
 	json_t *root;
 
-	root = json_pack("{s:s, s:s, s:i, s:I, s:I, s:b}", "owner", owner->name,
-			 "owner_address", owner->control_address, "epoch", 1,
-			 "interval_ms", (json_int_t)settings->interval_ms,
-			 "lease_ms", (json_int_t)settings->lease_ms, "empty",
-			 0);
+	root = json_pack("{s:s, s:s, s:I, s:I, s:I, s:b}", "owner", out->owner,
+			 "owner_address", out->owner_address, "epoch",
+			 (json_int_t)out->epoch, "interval_ms",
+			 (json_int_t)out->interval_ms, "lease_ms",
+			 (json_int_t)out->lease_ms, "empty", out->empty);
 	reply->body = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 }
 
-static void announce_route(const entry_control_t *in,
-			   const announce_t *announced, entry_reply_t *reply)
+static void announce_take(const entry_control_t *in, const announce_t *said,
+			  entry_reply_t *reply)
 {
-	owner_member_t members[ANNOUNCE_MEMBERS_MAX];
-	unsigned owners[OWNER_MAX];
-	const owner_member_t *owner;
-	unsigned count;
+	owner_announcement_t announcement;
+	owner_announced_t out;
+	hl_error_t err = { 0 };
 
-	count = entry_lookup_members(in->entry, members, ANNOUNCE_MEMBERS_MAX);
-	count = owner_of_service(members, count, announced->service, 0, owners);
-	owner = &members[owner_of_copy(members, owners, count,
-				       announced->service, announced->copy)];
-	if (!entry_route_make(in->entry, announced->service) ||
-	    (!strcmp(owner->name, in->entry->settings.name) &&
-	     announce_take(in, announced))) {
+	announce_fill(said, &announcement);
+	if (!entry_route_make(in->entry, said->service))
 		entry_reply_error(reply, 503, "no memory; add some");
-		return;
-	}
-	announce_answer(in, owner, reply);
+	else if (!owner_announce(in->entry->owner, &announcement, in->now, &out,
+				 &err))
+		announce_answer(&out, reply);
+	else
+		entry_reply_error(reply,
+				  err.kind == HL_ERR_CONFLICT ? 409 : 503, "%s",
+				  err.message);
 }
 
 void entry_announce_handle(const entry_control_t *in, entry_reply_t *reply)
@@ -128,13 +123,16 @@
 
 	root = json_loadb(in->body, in->size, JSON_REJECT_DUPLICATES, &error);
 	if (!root || json_unpack_ex(root, &error, 0,
-				    "{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I}",
+				    "{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I, "
+				    "s?I, s?s, s?I}",
 				    "service", &announced.service, "copy",
 				    &announced.copy, "zone", &announced.zone,
 				    "address", &announced.address, "state",
 				    &announced.state, "slots", &announced.slots,
 				    "connections", &announced.connections,
-				    "sequence", &announced.sequence)) {
+				    "sequence", &announced.sequence, "load",
+				    &announced.load, "owner", &announced.owner,
+				    "epoch", &announced.epoch)) {
 		entry_reply_error(reply, 400,
 				  "%s; send the fields that INTERFACES lists",
 				  error.text);
@@ -148,6 +146,6 @@
 				  "it takes",
 				  bad);
 	else
-		announce_route(in, &announced, reply);
+		announce_take(in, &announced, reply);
 	json_decref(root);
 }
--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -54,6 +54,7 @@
 		break;
 	case ENTRY_WAIT:
 		entry_dispatch_next(route, now);
+		owner_kick(req->entry->owner);
 		break;
 	default:
 		entry_request_refuse(req, &decision);
--- a/entry-forward.c
+++ b/entry-forward.c
@@ -2,7 +2,6 @@
 #include <string.h>
 #include "entry-io.h"
 
-#define FORWARD_MEMBERS_MAX 256
 /* Idle connections kept to one sibling entry. */
 #define FORWARD_IDLE_MAX 64
 
@@ -87,34 +86,13 @@
 	return has;
 }
 
-/* The best owner of a service that is not this entry, or NULL. */
-static const owner_member_t *forward_owner(const entry_t *entry,
-					   const char *service,
-					   const owner_member_t *members,
-					   unsigned count)
-{
-	unsigned owners[OWNER_MAX];
-	unsigned found;
-	unsigned i;
-
-	found = owner_of_service(members, count, service, 0, owners);
-	for (i = 0; i < found; i++)
-		if (strcmp(members[owners[i]].name, entry->settings.name))
-			return &members[owners[i]];
-	return NULL;
-}
-
 void entry_forward_choose(entry_request_t *req)
 {
-	owner_member_t members[FORWARD_MEMBERS_MAX];
-	const owner_member_t *owner;
-	unsigned count;
+	owner_member_t owner;
 
 	if (*req->hop || forward_has_copies(req->route))
 		return;
-	count = entry_lookup_members(req->entry, members, FORWARD_MEMBERS_MAX);
-	owner = forward_owner(req->entry, req->route->name, members, count);
-	if (owner)
+	if (!owner_route(req->entry->owner, req->route->name, &owner))
 		req->forward = entry_forward_place(req->entry->forward,
-						   owner->call_address);
+						   owner.call_address);
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -287,6 +287,7 @@
 	entry_watch_t *watch;
 	entry_forward_t *forward;
 	member_t *member;
+	owner_t *owner;
 	const char *settings_path;
 	signals_t signals;
 	struct MHD_Daemon *calls;
@@ -351,6 +352,13 @@
 void entry_status_health(const entry_control_t *in, entry_reply_t *reply);
 void entry_status_metrics(const entry_control_t *in, entry_reply_t *reply);
 
+/** entry_owner_new - the copies that this entry owns. */
+int entry_owner_new(entry_t *entry, const owner_member_t *self,
+		    hl_error_t *err);
+
+/** entry_owner_may_send - the lease of the request's copy holds at @now. */
+bool entry_owner_may_send(entry_request_t *req, usec_t now);
+
 /** entry_lookup_members - the live entries, this one included. */
 unsigned entry_lookup_members(entry_t *entry, owner_member_t *out,
 			      unsigned max);
--- a/entry-lookup.c
+++ b/entry-lookup.c
@@ -3,24 +3,22 @@
 #include <string.h>
 #include "entry-io.h"
 
-#define LOOKUP_MEMBERS_MAX 256
-
 unsigned entry_lookup_members(entry_t *entry, owner_member_t *out, unsigned max)
 {
 	return member_live(entry->member, out, max);
 }
 
-static json_t *lookup_address(const owner_member_t *member)
+static json_t *lookup_address(const owner_place_t *place)
 {
-	return json_pack("{s:s, s:s, s:i}", "address", member->call_address,
-			 "zone", member->zone, "weight", 1);
+	return json_pack("{s:s, s:s, s:i}", "address", place->address, "zone",
+			 place->zone, "weight", (int)place->weight);
 }
 
 void entry_lookup_handle(const entry_control_t *in, entry_reply_t *reply)
 {
-	owner_member_t members[LOOKUP_MEMBERS_MAX];
-	unsigned owners[OWNER_MAX];
+	owner_place_t places[OWNER_MAX];
 	const char *service;
+	const char *zone;
 	json_t *list;
 	json_t *root;
 	unsigned count;
@@ -41,12 +39,13 @@
 				  service);
 		return;
 	}
-	count = entry_lookup_members(in->entry, members, LOOKUP_MEMBERS_MAX);
-	count = owner_of_service(members, count, service, 0, owners);
+	zone = MHD_lookup_connection_value(in->connection,
+					   MHD_GET_ARGUMENT_KIND, "zone");
+	count = owner_lookup(in->entry->owner, service, zone ? zone : "",
+			     places, OWNER_MAX);
 	list = json_array();
 	for (i = 0; i < count; i++)
-		json_array_append_new(list,
-				      lookup_address(&members[owners[i]]));
+		json_array_append_new(list, lookup_address(&places[i]));
 	root = json_pack("{s:s, s:I, s:o}", "service", service, "keep_ms",
 			 (json_int_t)in->entry->settings.keep_ms, "addresses",
 			 list);
--- a/entry-main.c
+++ b/entry-main.c
@@ -55,6 +55,7 @@
 	supervisor_child_t signals = signals_child(&entry->signals);
 	supervisor_child_t watch = entry_watch_child(entry->watch);
 	supervisor_child_t member = member_child(entry->member);
+	supervisor_child_t owner = owner_child(entry->owner);
 	supervisor_child_t tick = { "tick", main_tick_run, NULL, entry };
 
 	entry->signals.supervisor = sup;
@@ -62,7 +63,8 @@
 	entry->signals.context = entry;
 	if (supervisor_add(sup, &signals, err) ||
 	    supervisor_add(sup, &watch, err) ||
-	    supervisor_add(sup, &member, err))
+	    supervisor_add(sup, &member, err) ||
+	    supervisor_add(sup, &owner, err))
 		return -1;
 	return supervisor_add(sup, &tick, err);
 }
@@ -94,7 +96,7 @@
 	main_address(options.self.peer_address, settings, settings->peer_port);
 	main_address(options.rpc_address, settings, settings->rpc_port);
 	entry->member = member_new(&options, err);
-	return entry->member ? 0 : -1;
+	return entry->member ? entry_owner_new(entry, &options.self, err) : -1;
 }
 
 static void main_linger(const entry_t *entry)
@@ -124,6 +126,7 @@
 	__atomic_store_n(&entry->stopping, 1, __ATOMIC_RELEASE);
 	log_event(LOG_LEVEL_NOTICE, "stopping", "in_flight=%u linger_ms=%d",
 		  entry->in_flight, (int)entry->settings.linger_ms);
+	owner_leave(entry->owner);
 	member_leave(entry->member);
 	main_linger(entry);
 out:
@@ -161,6 +164,7 @@
 	entry_work_free(entry.work);
 	supervisor_free(sup);
 	entry_watch_free(entry.watch);
+	owner_free(entry.owner);
 	member_free(entry.member);
 	entry_route_free_all(&entry);
 	entry_forward_free(entry.forward);
--- /dev/null
+++ b/entry-owner.c
@@ -0,0 +1,187 @@
+#include <string.h>
+#include "entry-io.h"
+
+/* What the owner module asks of and tells the daemon. It holds its own lock
+   meanwhile, so no lock taken here may be held while calling it. */
+
+/* Keep the place of a copy at its address. Lock held. */
+static void owner_place(entry_copy_t *copy, const char *address, unsigned idle)
+{
+	bool moved = strcmp(copy->address, address) != 0;
+
+	if (copy->io && moved && !copy->outstanding) {
+		entry_place_unref(copy->io);
+		copy->io = NULL;
+	}
+	if (copy->io)
+		return;
+	memcpy(copy->address, address, HL_ADDRESS_MAX);
+	copy->io = entry_place_new(address, idle);
+}
+
+/* Take over what the copy said. Lock held. */
+static void owner_fill(entry_copy_t *copy, const owner_copy_t *said,
+		       unsigned limit, usec_t until, usec_t now)
+{
+	memcpy(copy->zone, said->zone, HL_NAME_MAX);
+	copy->slots = said->slots;
+	copy->connections = said->connections;
+	copy->draining = said->state == OWNER_COPY_DRAINING;
+	copy->announced = now;
+	owner_place(copy, said->address, said->slots + limit);
+	copy->limit = copy->io ? limit : 0;
+	copy->lease_until = until;
+}
+
+static void owner_on_limit(void *context, const owner_copy_t *said,
+			   unsigned limit, usec_t until)
+{
+	entry_t *entry = context;
+	entry_route_t *route = entry_route_make(entry, said->service);
+	usec_t now = time_now();
+	entry_copy_t *copy;
+
+	if (!route)
+		return;
+	pthread_mutex_lock(&route->lock);
+	copy = entry_service_copy(&route->service, said->name);
+	if (!copy)
+		copy = entry_service_copy_add(&route->service, said->name, now);
+	if (copy)
+		owner_fill(copy, said, limit, until, now);
+	pthread_mutex_unlock(&route->lock);
+	entry_dispatch_next(route, now);
+}
+
+static void owner_on_forget(void *context, const char *service,
+			    const char *name)
+{
+	entry_route_t *route = entry_route_find(context, service);
+	entry_place_t *place = NULL;
+	entry_copy_t *copy;
+
+	if (!route)
+		return;
+	pthread_mutex_lock(&route->lock);
+	copy = entry_service_copy(&route->service, name);
+	if (copy && !copy->outstanding) {
+		place = copy->io;
+		entry_service_copy_remove(&route->service, copy);
+	}
+	pthread_mutex_unlock(&route->lock);
+	if (place)
+		entry_place_unref(place);
+}
+
+static unsigned owner_on_outstanding(void *context, const char *service,
+				     const char *name)
+{
+	entry_route_t *route = entry_route_find(context, service);
+	const entry_copy_t *copy;
+	unsigned count = 0;
+
+	if (!route)
+		return 0;
+	pthread_mutex_lock(&route->lock);
+	copy = entry_service_copy(&route->service, name);
+	if (copy)
+		count = copy->outstanding;
+	pthread_mutex_unlock(&route->lock);
+	return count;
+}
+
+static unsigned owner_on_waiting(void *context, const char *service)
+{
+	entry_route_t *route = entry_route_find(context, service);
+	unsigned count;
+
+	if (!route)
+		return 0;
+	pthread_mutex_lock(&route->lock);
+	count = entry_service_waiting(&route->service);
+	pthread_mutex_unlock(&route->lock);
+	return count;
+}
+
+static unsigned owner_on_idle(void *context, const char *service)
+{
+	entry_route_t *route = entry_route_find(context, service);
+	unsigned count;
+
+	if (!route)
+		return 0;
+	pthread_mutex_lock(&route->lock);
+	count = entry_service_free(&route->service, time_now());
+	pthread_mutex_unlock(&route->lock);
+	return count;
+}
+
+static unsigned owner_on_pipeline(void *context, const char *service)
+{
+	entry_route_t *route = entry_route_find(context, service);
+	unsigned count = 1;
+
+	if (!route)
+		return count;
+	pthread_mutex_lock(&route->lock);
+	count = route->service.profile->pipeline_max;
+	pthread_mutex_unlock(&route->lock);
+	return count;
+}
+
+/* A sibling has free credits: hand it calls that wait here. */
+static void owner_on_offer(void *context, const char *service,
+			   const owner_member_t *from, unsigned credits)
+{
+	entry_t *entry = context;
+	entry_route_t *route = entry_route_find(entry, service);
+
+	if (!route || !entry->settings.lending)
+		return;
+	for (; credits; credits--) {
+		entry_request_t *req;
+		entry_call_t *call;
+
+		pthread_mutex_lock(&route->lock);
+		call = entry_service_take(&route->service, time_now());
+		pthread_mutex_unlock(&route->lock);
+		if (!call)
+			return;
+		req = caa_container_of(call, entry_request_t, call);
+		req->forward = entry_forward_place(entry->forward,
+						   from->call_address);
+		entry_work_push(entry->work, req);
+	}
+}
+
+int entry_owner_new(entry_t *entry, const owner_member_t *self, hl_error_t *err)
+{
+	owner_options_t options = { .self = *self, .member = entry->member };
+
+	options.metrics = entry->metrics;
+	options.interval = entry->settings.interval_ms * USEC_PER_MS;
+	options.lease = entry->settings.lease_ms * USEC_PER_MS;
+	options.events.context = entry;
+	options.events.limit = owner_on_limit;
+	options.events.forget = owner_on_forget;
+	options.events.outstanding = owner_on_outstanding;
+	options.events.waiting = owner_on_waiting;
+	options.events.idle = owner_on_idle;
+	options.events.pipeline = owner_on_pipeline;
+	options.events.offer = owner_on_offer;
+	entry->owner = owner_new(&options, err);
+	return entry->owner ? 0 : -1;
+}
+
+bool entry_owner_may_send(entry_request_t *req, usec_t now)
+{
+	entry_route_t *route = req->route;
+	bool may;
+
+	if (req->forward)
+		return true;
+	pthread_mutex_lock(&route->lock);
+	may = now < req->call.copy->lease_until;
+	pthread_mutex_unlock(&route->lock);
+	return may;
+}
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -479,6 +479,10 @@
 	relay_t relay = { .req = req };
 	entry_result_t result;
 
+	if (!entry_owner_may_send(req, time_now())) {
+		entry_dispatch_end(req, ENTRY_RESULT_CONNECT, time_now());
+		return;
+	}
 	relay.place = req->forward ? req->forward : req->call.copy->io;
 	result = relay_send_once(&relay);
 	if (relay.head_whole)
--- a/entry.h
+++ b/entry.h
@@ -63,6 +63,7 @@
 	unsigned connections; /* most connections it takes, all entries */
 	unsigned limit;	      /* most calls outstanding now; 0: no new work */
 	unsigned outstanding; /* calls sent and not yet ended */
+	usec_t lease_until;   /* no new work from then on */
 	bool draining;	      /* takes no new work */
 	usec_t announced;     /* when it was last heard of */
 	usec_t cold_until;    /* cold start: fewer credits until then */
--- a/owner-table.c
+++ b/owner-table.c
@@ -241,9 +241,9 @@
 	owner->members = calloc(MEMBER_MAX, sizeof(owner_member_t));
 	if (!owner->members)
 		goto no_memory;
-	if (owner->options.lease <= 2 * owner->options.interval) {
+	if (owner->options.lease < 2 * owner->options.interval) {
 		hl_error_set(err, HL_ERR_SETTINGS,
-			     "a lease must last more than two intervals; raise "
+			     "a lease must last two intervals; raise "
 			     "lease_ms or lower interval_ms");
 		goto fail;
 	}
--- a/owner-tick.c
+++ b/owner-tick.c
@@ -99,11 +99,11 @@
 		until.tv_sec++;
 		until.tv_nsec -= 1000000000L;
 	}
-	while (!owner->kicked)
+	while (!__atomic_load_n(&owner->kicked, __ATOMIC_ACQUIRE))
 		if (pthread_cond_timedwait(&owner->wake, &owner->lock,
 					   &until) == ETIMEDOUT)
 			break;
-	owner->kicked = false;
+	__atomic_store_n(&owner->kicked, false, __ATOMIC_RELEASE);
 	pthread_mutex_unlock(&owner->lock);
 }
 
@@ -136,8 +136,9 @@
 
 void owner_kick(owner_t *owner)
 {
+	if (__atomic_exchange_n(&owner->kicked, true, __ATOMIC_ACQ_REL))
+		return;
 	pthread_mutex_lock(&owner->lock);
-	owner->kicked = true;
 	pthread_cond_signal(&owner->wake);
 	pthread_mutex_unlock(&owner->lock);
 }
--- a/owner.h
+++ b/owner.h
@@ -129,7 +129,7 @@
 	owner_member_t self;
 	owner_events_t events;
 	usec_t interval;       /* between announcements, 1 s */
-	usec_t lease;	       /* 3 s; above twice the interval */
+	usec_t lease;	       /* 3 s; at least twice the interval */
 	struct member *member; /* NULL: the members are owner_members()'s */
 	metrics_t *metrics;    /* may be NULL */
 } owner_options_t;
