--- a/owner-lookup.c
+++ b/owner-lookup.c
@@ -54,6 +54,22 @@
 	return strcmp(left->place.address, right->place.address);
 }
 
+/* Slots that an owner of unknown slots is taken to have. */
+static unsigned lookup_guess(const owner_service_t *svc)
+{
+	unsigned slots = svc->own ? svc->slots : 0;
+	unsigned known = svc->own ? 1 : 0;
+	unsigned i;
+
+	for (i = 0; i < svc->count; i++) {
+		if (!svc->siblings[i].heard)
+			continue;
+		slots += svc->siblings[i].slots;
+		known++;
+	}
+	return known && slots > known ? slots / known : 1;
+}
+
 /* An owner without slots is told only while no owner has any. */
 static unsigned lookup_write(const lookup_row_t *rows, unsigned count,
 			     owner_place_t *out, unsigned max)
@@ -94,7 +110,8 @@
 	}
 	for (i = 0; i < svc->count; i++)
 		lookup_row(&rows[count++], &svc->siblings[i].member,
-			   svc->siblings[i].heard ? svc->siblings[i].slots : 1,
+			   svc->siblings[i].heard ? svc->siblings[i].slots :
+						    lookup_guess(svc),
 			   zone);
 	lookup_ask(owner, svc);
 	qsort(rows, count, sizeof(rows[0]), lookup_compare);
--- a/owner-net.c
+++ b/owner-net.c
@@ -81,6 +81,7 @@
 	load->waiting = waiting;
 	load->copies = svc->copies;
 	load->slots = svc->slots;
+	load->reply = !to->heard;
 	net_send_lend(owner, to->member.peer_address, &body);
 }
 
--- a/rpc/peer_rpc.x
+++ b/rpc/peer_rpc.x
@@ -89,7 +89,7 @@
 	unsigned int outstanding;
 };
 
-/* What one owner of a service tells the others. */
+/* What one owner of a service tells the others; reply asks for the same. */
 struct peer_load_t {
 	peer_name_t service;
 	unsigned int waiting;
