--- a/member-swim.c
+++ b/member-swim.c
@@ -124,6 +124,7 @@
 	log_event(LOG_LEVEL_INFO, "member-suspect", "member=%s",
 		  node->info.entry.name);
 	member_table_set(swim, node, PEER_SUSPECT, node->incarnation, now);
+	node->by_us = true;
 }
 
 static void swim_probe_next(member_swim_t *swim, usec_t now)
@@ -164,6 +165,21 @@
 	}
 }
 
+/* Tell those that we suspect, so that a short freeze is refuted in time. */
+static void swim_warn(member_swim_t *swim)
+{
+	unsigned i;
+
+	for (i = 0; i < swim->count; i++) {
+		member_node_t *node = swim->nodes[i];
+
+		if (node->state == PEER_SUSPECT && node->by_us)
+			swim_send_probe(swim, PEER_PING,
+					node->info.entry.peer_address,
+					swim_sequence(swim), node, node);
+	}
+}
+
 static void swim_tick_probe(member_swim_t *swim, usec_t now)
 {
 	member_probe_t *probe = &swim->probe;
@@ -175,6 +191,7 @@
 		return;
 	swim->next_probe = now + swim->options.probe_period;
 	swim_probe_next(swim, now);
+	swim_warn(swim);
 }
 
 static void swim_tick_suspects(member_swim_t *swim, usec_t now)
@@ -399,6 +416,24 @@
 	}
 }
 
+/* Tell a few members at once what is new about ourselves. */
+static void swim_push(member_swim_t *swim)
+{
+	peer_body_t body = { .kind = PEER_GOSSIP };
+	member_node_t *last = NULL;
+	unsigned i;
+
+	for (i = 0; i < MEMBER_SWIM_PUSH; i++) {
+		member_node_t *node = swim_random(swim, true, last);
+
+		if (!node)
+			break;
+		last = node;
+		swim_send(swim, node->info.entry.peer_address, &body,
+			  swim->self);
+	}
+}
+
 int member_swim_receive(member_swim_t *swim, const peer_message_t *message,
 			const char *source, usec_t now)
 {
@@ -418,26 +453,17 @@
 	}
 	if (swim->self->state != PEER_LEFT)
 		swim_dispatch(swim, message, from, source, now);
+	if (swim->refuted)
+		swim_push(swim);
+	swim->refuted = false;
 	return 0;
 }
 
 void member_swim_leave(member_swim_t *swim, usec_t now)
 {
-	peer_body_t body = { .kind = PEER_GOSSIP };
-	member_node_t *last = NULL;
-	unsigned i;
-
 	member_table_set(swim, swim->self, PEER_LEFT, swim->self->incarnation,
 			 now);
-	for (i = 0; i < 2 * MEMBER_SWIM_INDIRECT; i++) {
-		member_node_t *node = swim_random(swim, true, last);
-
-		if (!node)
-			break;
-		last = node;
-		swim_send(swim, node->info.entry.peer_address, &body,
-			  swim->self);
-	}
+	swim_push(swim);
 }
 
 int member_swim_init(member_swim_t *swim, const member_swim_options_t *options,
--- a/member-swim.h
+++ b/member-swim.h
@@ -11,6 +11,8 @@
 
 /* Members asked to probe one that did not answer us. */
 #define MEMBER_SWIM_INDIRECT 3
+/* Members told at once of a refutation or a leave. */
+#define MEMBER_SWIM_PUSH 6
 /* Probes for others that we may have under way at once. */
 #define MEMBER_SWIM_RELAYS 32
 /* A change is passed on this many times log2 of the group's size. */
@@ -27,6 +29,7 @@
 	peer_state_t state;
 	usec_t changed;
 	usec_t suspect_until; /* while PEER_SUSPECT */
+	bool by_us;	      /* our own probe made it PEER_SUSPECT */
 	unsigned gossip_left; /* times its state is still to be passed on */
 } member_node_t;
 
@@ -78,6 +81,7 @@
 	member_relay_t relays[MEMBER_SWIM_RELAYS];
 	uint32_t sequence;
 	uint64_t random;
+	bool refuted;	  /* to be told at once */
 	uint64_t version; /* grows when the set of live members changes */
 	usec_t last_tick;
 	usec_t next_probe;
--- a/member-table.c
+++ b/member-table.c
@@ -95,6 +95,7 @@
 	node->incarnation = incarnation;
 	node->changed = now;
 	node->info.suspect = state == PEER_SUSPECT;
+	node->by_us = false;
 	if (state == PEER_SUSPECT)
 		node->suspect_until = now + swim->options.suspicion;
 	node->gossip_left = table_gossip_times(swim);
@@ -132,6 +133,7 @@
 		return;
 	if (said->state != PEER_ALIVE)
 		swim->counts.refuted++;
+	swim->refuted = true;
 	member_table_set(swim, self, PEER_ALIVE, said->incarnation + 1, now);
 }
 
--- /dev/null
+++ b/regress/test-member-swim.c
@@ -0,0 +1,338 @@
+#include <glib.h>
+#include <string.h>
+#include "member-net.h"
+
+/*
+ * A group without sockets: datagrams arrive at once unless the way is cut.
+ * Each row is a fault, and what must be seen during it and after it.
+ */
+
+#define NODES 5
+#define STEP (10 * USEC_PER_MS)
+#define FOREVER (3600 * USEC_PER_SEC)
+
+typedef struct {
+	member_swim_t swim[NODES];
+	bool running[NODES];
+	bool cut[NODES][NODES];
+	GQueue mail; /* letter_t */
+	usec_t now;
+	unsigned least[NODES]; /* fewest seen alive since the fault */
+} group_t;
+
+typedef struct {
+	unsigned from, to, length;
+	char bytes[MEMBER_DATAGRAM_MAX];
+} letter_t;
+
+typedef struct {
+	group_t *group;
+	unsigned index;
+} place_t;
+
+static place_t places[NODES];
+
+static void group_send(void *context, const char *address,
+		       const peer_message_t *message)
+{
+	place_t *place = context;
+	letter_t *letter = g_new(letter_t, 1);
+
+	letter->from = place->index;
+	letter->to = (unsigned)(address[strlen(address) - 1] - '0');
+	letter->length = member_net_encode(message, letter->bytes);
+	g_assert_cmpuint(letter->length, >, 0);
+	if (place->group->cut[letter->from][letter->to])
+		g_free(letter);
+	else
+		g_queue_push_tail(&place->group->mail, letter);
+}
+
+static void group_deliver(group_t *group)
+{
+	letter_t *letter;
+
+	while ((letter = g_queue_pop_head(&group->mail))) {
+		peer_message_t message;
+		char source[HL_ADDRESS_MAX];
+
+		g_snprintf(source, sizeof(source), "10.0.0.1:%u", letter->from);
+		g_assert_cmpint(member_net_decode(letter->bytes, letter->length,
+						  &message),
+				==, 0);
+		if (group->running[letter->to])
+			member_swim_receive(&group->swim[letter->to], &message,
+					    source, group->now);
+		xdr_free((xdrproc_t)xdr_peer_message_t, &message);
+		g_free(letter);
+	}
+}
+
+static unsigned group_live(const group_t *group, unsigned index)
+{
+	const member_swim_t *swim = &group->swim[index];
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < swim->count; i++)
+		count += member_swim_live(swim->nodes[i]);
+	return count;
+}
+
+static void group_run(group_t *group, usec_t span)
+{
+	usec_t end = group->now + span;
+	unsigned i;
+
+	for (; group->now < end; group->now += STEP)
+		for (i = 0; i < NODES; i++) {
+			if (!group->running[i])
+				continue;
+			member_swim_tick(&group->swim[i], group->now);
+			group_deliver(group);
+			group->least[i] = MIN(group->least[i],
+					      group_live(group, i));
+		}
+}
+
+static void group_start(group_t *group, usec_t sync_period, guint seed)
+{
+	unsigned i;
+
+	memset(group, 0, sizeof(*group));
+	g_queue_init(&group->mail);
+	group->now = USEC_PER_SEC;
+	for (i = 0; i < NODES; i++) {
+		owner_member_t self = { 0 };
+		member_swim_options_t options = {
+			.probe_period = 500 * USEC_PER_MS,
+			.probe_timeout = 150 * USEC_PER_MS,
+			.suspicion = 1500 * USEC_PER_MS,
+			.sync_period = sync_period,
+			.group = "g",
+			.send = group_send,
+			.context = &places[i],
+		};
+
+		places[i].group = group;
+		places[i].index = i;
+		group->running[i] = true;
+		g_snprintf(self.name, HL_NAME_MAX, "n%u", i);
+		g_snprintf(self.peer_address, HL_ADDRESS_MAX, "10.0.0.1:%u", i);
+		options.seeds.count = 1;
+		strcpy(options.seeds.items[0], "10.0.0.1:0");
+		member_swim_init(&group->swim[i], &options, &self, "", 5, seed,
+				 group->now);
+	}
+	group_run(group, 5 * USEC_PER_SEC);
+	for (i = 0; i < NODES; i++) {
+		g_assert_cmpuint(group_live(group, i), ==, NODES);
+		group->swim[i].options.seeds.count = 0;
+		group->least[i] = NODES;
+	}
+}
+
+static void group_stop(group_t *group)
+{
+	unsigned i;
+
+	for (i = 0; i < NODES; i++)
+		member_swim_fini(&group->swim[i]);
+	g_queue_clear_full(&group->mail, g_free);
+}
+
+static void fault_none(group_t *group)
+{
+	group_run(group, 5 * USEC_PER_SEC);
+}
+
+static void fault_kill(group_t *group)
+{
+	group->running[4] = false;
+	group_run(group, 6 * USEC_PER_SEC);
+}
+
+static void fault_leave(group_t *group)
+{
+	member_swim_leave(&group->swim[4], group->now);
+	group_deliver(group);
+	group_run(group, 1500 * USEC_PER_MS);
+	group->running[4] = false;
+}
+
+static void fault_short_freeze(group_t *group)
+{
+	unsigned i;
+
+	for (i = 0; i < 5; i++) {
+		group->running[4] = false;
+		group_run(group, 1200 * USEC_PER_MS);
+		group->running[4] = true;
+		group_run(group, 1200 * USEC_PER_MS);
+	}
+}
+
+static void fault_long_freeze(group_t *group)
+{
+	group->running[4] = false;
+	group_run(group, 5 * USEC_PER_SEC);
+	group->running[4] = true;
+}
+
+/* Nothing from 3 gets to 4. */
+static void fault_one_link(group_t *group)
+{
+	group->cut[3][4] = true;
+	group_run(group, 10 * USEC_PER_SEC);
+	group->cut[3][4] = false;
+}
+
+/* Everything gets to 4, nothing from it gets out. */
+static void fault_mute(group_t *group)
+{
+	unsigned i;
+
+	for (i = 0; i < NODES; i++)
+		group->cut[4][i] = true;
+	group_run(group, 60 * USEC_PER_SEC);
+	memset(group->cut, 0, sizeof(group->cut));
+}
+
+/* 0 freezes while it suspects 4, which refutes meanwhile. */
+static void fault_freeze_suspecting(group_t *group)
+{
+	const member_node_t *node = member_swim_find(&group->swim[0], "n4");
+	unsigned i;
+
+	for (i = 0; i < NODES; i++)
+		group->cut[4][i] = true;
+	while (node->state != PEER_SUSPECT)
+		group_run(group, STEP);
+	memset(group->cut, 0, sizeof(group->cut));
+	group->running[0] = false;
+	group_run(group, 5 * USEC_PER_SEC);
+	group->running[0] = true;
+}
+
+static void fault_partition(group_t *group)
+{
+	unsigned i;
+	unsigned j;
+
+	for (i = 0; i < NODES; i++)
+		for (j = 0; j < NODES; j++)
+			group->cut[i][j] = (i < 2) != (j < 2);
+	group_run(group, 20 * USEC_PER_SEC);
+	memset(group->cut, 0, sizeof(group->cut));
+}
+
+static const struct {
+	const char *name;
+	void (*fault)(group_t *group);
+	unsigned least; /* members that 0 saw alive, at any time */
+	unsigned after; /* and at the end */
+	usec_t settle;
+	usec_t sync_period;
+} rows[] = {
+	{ "calm", fault_none, 5, 5, 0, FOREVER },
+	{ "kill", fault_kill, 4, 4, 0, FOREVER },
+	{ "leave", fault_leave, 4, 4, 0, FOREVER },
+	{ "flapping", fault_short_freeze, 5, 5, USEC_PER_SEC, FOREVER },
+	{ "freeze", fault_long_freeze, 4, 5, 2 * USEC_PER_SEC, FOREVER },
+	{ "one-link", fault_one_link, 5, 5, 0, FOREVER },
+	{ "mute", fault_mute, 4, 5, 5 * USEC_PER_SEC, FOREVER },
+	{ "freeze-suspecting", fault_freeze_suspecting, 5, 5, 3 * USEC_PER_SEC,
+	  FOREVER },
+	{ "partition", fault_partition, 2, 5, 15 * USEC_PER_SEC, FOREVER },
+	{ "partition-sync", fault_partition, 2, 5, 15 * USEC_PER_SEC,
+	  5 * USEC_PER_SEC },
+};
+
+static void test_row(gconstpointer data)
+{
+	const size_t n = GPOINTER_TO_SIZE(data);
+	static group_t group;
+	guint seed;
+	unsigned i;
+
+	for (seed = 1; seed <= 20; seed++) {
+		group_start(&group, rows[n].sync_period, seed);
+		rows[n].fault(&group);
+		group_run(&group, rows[n].settle);
+		g_assert_cmpuint(group.least[0], ==, rows[n].least);
+		if (rows[n].least == NODES)
+			g_assert_cmpuint(group.swim[0].counts.declared, ==, 0);
+		for (i = 0; i < NODES; i++)
+			if (group.running[i])
+				g_assert_cmpuint(group_live(&group, i), ==,
+						 rows[n].after);
+		group_stop(&group);
+	}
+}
+
+/* Nothing that can come in makes us crash, and little of it decodes. */
+static void test_garbage(void)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	peer_message_t message = { .group = "g", .from = "n1" };
+	char bytes[MEMBER_DATAGRAM_MAX];
+	char good[MEMBER_DATAGRAM_MAX];
+	peer_message_t out;
+	unsigned length;
+	unsigned i;
+
+	message.body.kind = PEER_PING;
+	message.body.peer_body_t_u.probe.target = "n2";
+	message.body.peer_body_t_u.probe.target_address = "";
+	length = member_net_encode(&message, good);
+	g_assert_cmpint(member_net_decode(good, length, &out), ==, 0);
+	xdr_free((xdrproc_t)xdr_peer_message_t, &out);
+	for (i = 0; i < length; i++)
+		g_assert_cmpint(member_net_decode(good, i, &out), ==, -1);
+	for (i = 0; i < 200000; i++) {
+		unsigned at = g_rand_int_range(random, 0, length / 4) * 4;
+
+		memcpy(bytes, good, length);
+		bytes[at + 3] = (char)g_rand_int_range(random, 0, 256);
+		bytes[at] = g_rand_boolean(random) ? (char)0xff : 0;
+		if (!member_net_decode(bytes, length, &out))
+			xdr_free((xdrproc_t)xdr_peer_message_t, &out);
+	}
+	g_rand_free(random);
+}
+
+/* Another group's datagrams, and our own, change nothing. */
+static void test_foreign(void)
+{
+	static group_t group;
+	peer_message_t message = { .group = "other", .from = "n9" };
+
+	message.body.kind = PEER_GOSSIP;
+	group_start(&group, FOREVER, 1);
+	g_assert_cmpint(member_swim_receive(&group.swim[0], &message, "",
+					    group.now),
+			==, -1);
+	message.group = "g";
+	message.from = "n0";
+	g_assert_cmpint(member_swim_receive(&group.swim[0], &message, "",
+					    group.now),
+			==, -1);
+	group_stop(&group);
+}
+
+int main(int argc, char **argv)
+{
+	size_t i;
+
+	g_test_init(&argc, &argv, NULL);
+	log_set_level(LOG_LEVEL_ERROR);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *path = g_strconcat("/member/swim/", rows[i].name, NULL);
+
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_row);
+		g_free(path);
+	}
+	g_test_add_func("/member/garbage", test_garbage);
+	g_test_add_func("/member/foreign", test_foreign);
+	return g_test_run();
+}
