--- a/regress/test-owner-sim.c
+++ b/regress/test-owner-sim.c
@@ -12,7 +12,7 @@
 
 #define NODES 6
 #define COPIES 12
-#define PACKETS 4096
+#define PACKETS 1024
 #define STEP (5 * USEC_PER_MS)
 #define SLOTS 2
 #define CEILING (SLOTS + 1)
@@ -72,6 +72,7 @@
 	node_t nodes[NODES];
 	copy_t copies[COPIES];
 	packet_t *packets;
+	unsigned packet_top; /* none is in use from there on */
 	request_t requests[COPIES * 16];
 	bool cut[NODES][NODES]; /* datagrams from, to */
 	double loss, twice;
@@ -118,6 +119,7 @@
 		packet->at = sim->now +
 			     g_rand_int_range(sim->random, 500, 30000);
 		memcpy(packet->bytes, bytes, length);
+		sim->packet_top = MAX(sim->packet_top, i + 1);
 		times--;
 	}
 }
@@ -379,9 +381,11 @@
 	unsigned i;
 
 	sim->now += STEP;
-	for (i = 0; i < PACKETS; i++)
+	for (i = 0; i < sim->packet_top; i++)
 		if (sim->packets[i].length && sim->packets[i].at <= sim->now)
 			sim_deliver(sim, &sim->packets[i]);
+	while (sim->packet_top && !sim->packets[sim->packet_top - 1].length)
+		sim->packet_top--;
 	for (i = 0; i < G_N_ELEMENTS(sim->requests); i++)
 		if (sim->requests[i].used && sim->requests[i].at <= sim->now)
 			sim_request(sim, &sim->requests[i]);
