--- a/rpc/peer_rpc.x
+++ b/rpc/peer_rpc.x
@@ -70,7 +70,8 @@
 	peer_name_t next;
 };
 
-/* A target's announcement, passed on to the owner. */
+/* A target's announcement, passed on to the owner; redirect is the epoch
+   that the target was answered, which it will echo to the owner. */
 struct peer_announce_t {
 	peer_name_t service;
 	peer_name_t copy;
@@ -82,6 +83,7 @@
 	unsigned hyper sequence;
 	peer_name_t owner;
 	unsigned hyper epoch;
+	unsigned hyper redirect;
 };
 
 /* RELEASE: the new owner asks the last one to stop sending to a copy.
@@ -93,7 +95,7 @@
 	unsigned int outstanding;
 };
 
-/* What one owner of a service tells the others. */
+/* What one owner of a service tells the others; reply asks for the same. */
 struct peer_load_t {
 	peer_name_t service;
 	unsigned int waiting;
