--- /dev/null
+++ b/hemlock-keeper.c
@@ -0,0 +1,178 @@
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include "keeper-core.h"
+
+/* Exit codes, as --help has them. */
+#define KEEPER_EXIT_OK 0
+#define KEEPER_EXIT_FAILED 1
+#define KEEPER_EXIT_USAGE 2
+#define KEEPER_EXIT_SETTINGS 3
+#define KEEPER_EXIT_DATA 4
+
+/* A child that fails more often than this has no hope. */
+#define KEEPER_RESTARTS_MAX 10
+#define KEEPER_RESTARTS_WINDOW (60 * USEC_PER_SEC)
+
+/* How often the signal thread looks at its stop flag. */
+#define KEEPER_SIGNAL_POLL (100 * USEC_PER_MS)
+
+/* The signals that end a keeper; all threads block them. */
+static void keeper_end_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+}
+
+/* Wait for a signal in a thread, where everything may be called. */
+static int keeper_signal_run(void *context, const volatile int *stop)
+{
+	const struct timespec poll = { 0, KEEPER_SIGNAL_POLL * 1000 };
+	sigset_t set;
+
+	keeper_end_signals(&set);
+	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE))
+		if (sigtimedwait(&set, NULL, &poll) > 0)
+			supervisor_stop(context);
+	return 0;
+}
+
+static int keeper_complain(const hl_error_t *err)
+{
+	char text[2 * HL_MESSAGE_MAX];
+
+	log_event(LOG_LEVEL_ERROR, "start-failed", "kind=%s message=%s",
+		  hl_error_kind_name(err->kind),
+		  log_quote(err->message, text, sizeof(text)));
+	switch (err->kind) {
+	case HL_ERR_USAGE:
+		return KEEPER_EXIT_USAGE;
+	case HL_ERR_SETTINGS:
+		return KEEPER_EXIT_SETTINGS;
+	case HL_ERR_CORRUPT:
+		return KEEPER_EXIT_DATA;
+	default:
+		return KEEPER_EXIT_FAILED;
+	}
+}
+
+static int keeper_start(supervisor_t *sup, keeper_core_t *core,
+			keeper_links_t *links, hl_error_t *err)
+{
+	const supervisor_child_t core_child = { .name = "core",
+						.run = keeper_core_run,
+						.wake = keeper_core_wake,
+						.context = core };
+	const supervisor_child_t rpc_child = { .name = "rpc",
+					       .run = keeper_rpc_run,
+					       .context = core };
+	const supervisor_child_t signal_child = { .name = "signal",
+						  .run = keeper_signal_run,
+						  .context = sup };
+
+	core->send = keeper_links_send;
+	core->send_context = links;
+	if (keeper_rpc_open(core, err) || keeper_core_open(core, err))
+		return -1;
+	if (keeper_links_add(links, sup, err) ||
+	    supervisor_add(sup, &core_child, err) ||
+	    supervisor_add(sup, &rpc_child, err) ||
+	    supervisor_add(sup, &signal_child, err))
+		return -1;
+	return 0;
+}
+
+static int keeper_run(const keeper_settings_t *settings)
+{
+	static keeper_core_t core;
+	keeper_links_t *links = NULL;
+	hl_error_t err = { 0 };
+	supervisor_t *sup;
+	sigset_t set;
+	int rc;
+
+	sup = supervisor_new("keeper", KEEPER_RESTARTS_MAX,
+			     KEEPER_RESTARTS_WINDOW);
+	signal(SIGPIPE, SIG_IGN);
+	keeper_end_signals(&set);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	if (!sup ||
+	    keeper_core_init(&core, settings, &keeper_file_posix, &err) ||
+	    !(links = keeper_links_new(&core)) ||
+	    keeper_start(sup, &core, links, &err)) {
+		rc = keeper_complain(&err);
+	} else {
+		log_event(LOG_LEVEL_NOTICE, "started", "zone=%s",
+			  settings->zone);
+		rc = supervisor_run(sup) ? KEEPER_EXIT_FAILED : KEEPER_EXIT_OK;
+	}
+	supervisor_free(sup);
+	keeper_links_free(links);
+	keeper_core_free(&core);
+	log_event(LOG_LEVEL_NOTICE, "stopped", "status=%d", rc);
+	return rc;
+}
+
+static int keeper_main(const char *path, bool check)
+{
+	keeper_settings_t settings;
+	hl_error_t err = { 0 };
+
+	if (!path) {
+		hl_error_set(&err, HL_ERR_USAGE,
+			     "no settings; name them with --settings FILE");
+		return keeper_complain(&err);
+	}
+	if (keeper_settings_load(path, &settings, &err))
+		return keeper_complain(&err);
+	if (check) {
+		printf("%s: fine\n", path);
+		return KEEPER_EXIT_OK;
+	}
+	log_open("hemlock-keeper", settings.name, settings.log_level);
+	return keeper_run(&settings);
+}
+
+int main(int argc, char **argv)
+{
+	gboolean check = FALSE, version = FALSE, help_settings = FALSE;
+	gchar *path = NULL;
+	const GOptionEntry entries[] = {
+		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+		  "Read the settings from FILE", "FILE" },
+		{ "check", 0, 0, G_OPTION_ARG_NONE, &check,
+		  "Check the settings and exit", NULL },
+		{ "help-settings", 0, 0, G_OPTION_ARG_NONE, &help_settings,
+		  "List the settings and exit", NULL },
+		{ "version", 0, 0, G_OPTION_ARG_NONE, &version,
+		  "Print the version and exit", NULL },
+		{ 0 },
+	};
+	GOptionContext *context = g_option_context_new("- keep the "
+						       "configuration");
+	GError *error = NULL;
+	int rc = KEEPER_EXIT_OK;
+
+	log_open("hemlock-keeper", "-", LOG_LEVEL_INFO);
+	g_option_context_add_main_entries(context, entries, NULL);
+	g_option_context_set_description(
+		context, "Exit status: 0 stopped as asked, 1 failed while "
+			 "running, 2 wrong options,\n3 settings refused, 4 "
+			 "damaged data folder.");
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "%s; see --help\n", error->message);
+		g_error_free(error);
+		rc = KEEPER_EXIT_USAGE;
+	} else if (version) {
+		printf("hemlock-keeper %s\n", HEMLOCK_VERSION);
+	} else if (help_settings) {
+		settings_print_help(keeper_settings_table,
+				    keeper_settings_count, stdout);
+	} else {
+		rc = keeper_main(path, check);
+	}
+	g_option_context_free(context);
+	g_free(path);
+	return rc;
+}
--- /dev/null
+++ b/keeper-answer.c
@@ -0,0 +1,356 @@
+#include <stdlib.h>
+#include <string.h>
+#include "keeper-core.h"
+
+/* What a keeper answers to operators and entries; each is short and holds the
+ * lock only for memory work. */
+
+/* A report that is older than this is forgotten. */
+#define KEEPER_REPORT_AGE_MAX (3600 * USEC_PER_SEC)
+
+/* Where the leader is, as the asker's address book would have it. */
+static char *keeper_answer_leader(const keeper_core_t *core)
+{
+	const keeper_status_view_t *view = &core->view;
+	const keeper_node_t *node;
+	char address[HL_ADDRESS_MAX];
+
+	node = keeper_group_find(&view->group, view->leader);
+	keeper_core_address(core, view->leader, node ? node->address : "",
+			    address);
+	return strdup(address);
+}
+
+/* A reply has no NULL strings: XDR cannot carry them. */
+static bool keeper_answer_begin(keeper_core_t *core, keeper_submit_res_t *res)
+{
+	memset(res, 0, sizeof(*res));
+	res->leader = keeper_answer_leader(core);
+	return res->leader != NULL;
+}
+
+static bool keeper_answer_end(keeper_submit_res_t *res)
+{
+	config_answer_t *answer = &res->answer;
+
+	if (!answer->id)
+		answer->id = strdup("");
+	if (!answer->winner)
+		answer->winner = strdup("");
+	if (!answer->message)
+		answer->message = strdup("");
+	return answer->id && answer->winner && answer->message;
+}
+
+/* Fill in the answer of @id if there is one. */
+static bool keeper_answer_known(keeper_core_t *core, const char *id,
+				keeper_submit_res_t *res)
+{
+	const config_answer_t *answer;
+
+	answer = core->state ? config_state_answer(core->state, id) : NULL;
+	if (!answer)
+		return false;
+	res->status = keeper_xdr_copy((xdrproc_t)xdr_config_answer_t, answer,
+				      &res->answer) ?
+			      KEEPER_OK :
+			      KEEPER_BUSY;
+	return true;
+}
+
+static bool keeper_answer_pending(const keeper_core_t *core, const char *id)
+{
+	const keeper_pending_t *pending;
+
+	cds_list_for_each_entry (pending, &core->pending, link)
+		if (!strcmp(pending->id, id))
+			return true;
+	return false;
+}
+
+/* Queue a change; the lock is held. */
+static keeper_status_t keeper_answer_queue(keeper_core_t *core,
+					   config_change_t *change)
+{
+	keeper_pending_t *pending = calloc(1, sizeof(*pending));
+	keeper_item_t *item = calloc(1, sizeof(*item));
+
+	if (!pending || !item || core->pending_count >= KEEPER_PENDING_MAX ||
+	    core->inbox_count >= KEEPER_INBOX_MAX)
+		goto busy;
+	if (!keeper_xdr_encode((xdrproc_t)xdr_config_change_t, change,
+			       &item->body, &item->size))
+		goto busy;
+	item->kind = KEEPER_ITEM_CHANGE;
+	strcpy(item->id, change->id);
+	strcpy(pending->id, change->id);
+	cds_list_add_tail(&pending->link, &core->pending);
+	core->pending_count++;
+	cds_list_add_tail(&item->link, &core->inbox);
+	core->inbox_count++;
+	pthread_cond_signal(&core->wake);
+	return KEEPER_PENDING;
+
+busy:
+	free(pending);
+	free(item);
+	return KEEPER_BUSY;
+}
+
+/* A change that no log could hold is refused for good. */
+static bool keeper_answer_too_large(config_change_t *change,
+				    keeper_submit_res_t *res)
+{
+	if (xdr_sizeof((xdrproc_t)xdr_config_change_t, change) <=
+		    KEEPER_COMMAND_MAX &&
+	    *change->id)
+		return false;
+	res->status = KEEPER_OK;
+	res->answer.verdict = CONFIG_REFUSED;
+	res->answer.id = strdup(change->id);
+	res->answer.message = strdup("the change has no id or is larger than "
+				     "262144 bytes; name it or split it");
+	return true;
+}
+
+bool keeper_core_submit(keeper_core_t *core, config_change_t *change,
+			keeper_submit_res_t *res, usec_t now)
+{
+	bool ok;
+
+	(void)now;
+	pthread_mutex_lock(&core->lock);
+	ok = keeper_answer_begin(core, res);
+	if (keeper_answer_too_large(change, res) ||
+	    keeper_answer_known(core, change->id, res))
+		;
+	else if (!core->view.serving)
+		res->status = KEEPER_BUSY;
+	else if (!core->view.leading)
+		res->status = KEEPER_NOT_LEADER;
+	else if (keeper_answer_pending(core, change->id))
+		res->status = KEEPER_PENDING;
+	else
+		res->status = keeper_answer_queue(core, change);
+	pthread_mutex_unlock(&core->lock);
+	return keeper_answer_end(res) && ok;
+}
+
+/* True if all that was accepted before now is known here. */
+static bool keeper_answer_confirmed(const keeper_core_t *core, usec_t now)
+{
+	return core->view.leading && now < core->view.lease &&
+	       core->applied >= core->view.commit;
+}
+
+bool keeper_core_outcome(keeper_core_t *core, const char *id,
+			 keeper_submit_res_t *res, usec_t now)
+{
+	bool ok;
+
+	pthread_mutex_lock(&core->lock);
+	ok = keeper_answer_begin(core, res);
+	if (keeper_answer_known(core, id, res))
+		;
+	else if (!core->view.serving)
+		res->status = KEEPER_BUSY;
+	else if (!core->view.leading)
+		res->status = KEEPER_NOT_LEADER;
+	else if (keeper_answer_pending(core, id))
+		res->status = KEEPER_PENDING;
+	else
+		res->status = keeper_answer_confirmed(core, now) ?
+				      KEEPER_UNKNOWN :
+				      KEEPER_BUSY;
+	pthread_mutex_unlock(&core->lock);
+	return keeper_answer_end(res) && ok;
+}
+
+static bool keeper_answer_deltas(keeper_core_t *core, uint64_t have,
+				 keeper_fetch_body_t *body)
+{
+	config_delta_t *deltas = calloc(KEEPER_DELTAS_MAX, sizeof(*deltas));
+	int count;
+
+	if (!deltas)
+		return false;
+	count = config_state_deltas(core->state, have, deltas,
+				    KEEPER_DELTAS_MAX);
+	if (count < 0) {
+		free(deltas);
+		return false;
+	}
+	body->whole = FALSE;
+	body->keeper_fetch_body_t_u.deltas.deltas_val = deltas;
+	body->keeper_fetch_body_t_u.deltas.deltas_len = count;
+	return true;
+}
+
+static bool keeper_answer_whole(keeper_core_t *core, keeper_fetch_body_t *body)
+{
+	body->whole = TRUE;
+	return keeper_xdr_copy((xdrproc_t)xdr_config_t,
+			       config_state_config(core->state),
+			       &body->keeper_fetch_body_t_u.config);
+}
+
+bool keeper_core_fetch(keeper_core_t *core, const keeper_fetch_args_t *args,
+		       keeper_fetch_res_t *res, usec_t now)
+{
+	bool ok;
+
+	memset(res, 0, sizeof(*res));
+	pthread_mutex_lock(&core->lock);
+	res->leader = keeper_answer_leader(core);
+	res->confirmed = keeper_answer_confirmed(core, now);
+	ok = res->leader != NULL;
+	if (!core->state) {
+		res->status = KEEPER_BUSY;
+	} else if (args->confirmed && !res->confirmed) {
+		res->status = KEEPER_NOT_LEADER;
+		res->revision = config_state_config(core->state)->revision;
+	} else {
+		res->revision = config_state_config(core->state)->revision;
+		ok = ok &&
+		     (keeper_answer_deltas(core, args->have, &res->body) ||
+		      keeper_answer_whole(core, &res->body));
+	}
+	pthread_mutex_unlock(&core->lock);
+	return ok;
+}
+
+static void keeper_answer_note(keeper_core_t *core,
+			       const keeper_applied_t *applied, usec_t now)
+{
+	usec_t said = now - applied->age_ms * USEC_PER_MS;
+	keeper_applied_at_t *slot = core->applied_at, *oldest = slot;
+	keeper_applied_at_t *end = slot + core->applied_count;
+
+	for (; slot < end && strcmp(slot->vm, applied->vm); slot++)
+		if (slot->said < oldest->said)
+			oldest = slot;
+	if (slot == end) {
+		if (core->applied_count < KEEPER_LAGGARDS_MAX)
+			core->applied_count++;
+		else
+			slot = oldest;
+	} else if (said < slot->said) {
+		return;
+	}
+	strcpy(slot->vm, applied->vm);
+	slot->revision = applied->revision;
+	slot->said = said;
+}
+
+void keeper_core_report(keeper_core_t *core, const keeper_report_args_t *args,
+			usec_t now)
+{
+	u_int i;
+
+	pthread_mutex_lock(&core->lock);
+	for (i = 0; i < args->applied.applied_len; i++)
+		if (hl_name_valid(args->applied.applied_val[i].vm))
+			keeper_answer_note(core, &args->applied.applied_val[i],
+					   now);
+	pthread_mutex_unlock(&core->lock);
+}
+
+static bool keeper_answer_members(const keeper_core_t *core,
+				  keeper_state_res_t *res)
+{
+	const keeper_status_view_t *view = &core->view;
+	keeper_member_t *members;
+	unsigned i;
+
+	members = calloc(KEEPER_VOTERS_MAX, sizeof(*members));
+	if (!members)
+		return false;
+	res->members.members_val = members;
+	res->members.members_len = view->group.count;
+	for (i = 0; i < view->group.count; i++) {
+		members[i].name = strdup(view->group.nodes[i].name);
+		members[i].address = strdup(view->group.nodes[i].address);
+		members[i].voter = view->group.nodes[i].voter;
+		members[i].matched = view->matched[i];
+		if (!members[i].name || !members[i].address)
+			return false;
+	}
+	return true;
+}
+
+static bool keeper_answer_reports(const keeper_core_t *core,
+				  keeper_state_res_t *res, usec_t now)
+{
+	keeper_applied_t *applied;
+	unsigned i, count = 0;
+
+	applied = calloc(core->applied_count + 1, sizeof(*applied));
+	if (!applied)
+		return false;
+	res->applied.applied_val = applied;
+	for (i = 0; i < core->applied_count; i++) {
+		usec_t age = now - core->applied_at[i].said;
+
+		if (age > KEEPER_REPORT_AGE_MAX)
+			continue;
+		applied[count].vm = strdup(core->applied_at[i].vm);
+		if (!applied[count].vm)
+			return false;
+		applied[count].revision = core->applied_at[i].revision;
+		applied[count].age_ms = (u_int)(age / USEC_PER_MS);
+		res->applied.applied_len = ++count;
+	}
+	return true;
+}
+
+bool keeper_core_state(keeper_core_t *core, keeper_state_res_t *res, usec_t now)
+{
+	const keeper_status_view_t *view = &core->view;
+	bool ok;
+
+	memset(res, 0, sizeof(*res));
+	pthread_mutex_lock(&core->lock);
+	res->status = view->serving ? KEEPER_OK : KEEPER_BUSY;
+	res->name = strdup(core->settings.name);
+	res->role = strdup(view->role);
+	res->leader = keeper_answer_leader(core);
+	res->term = view->term;
+	res->last_index = view->last;
+	res->commit_index = view->commit;
+	res->incarnation = view->incarnation;
+	if (core->state)
+		res->revision = config_state_config(core->state)->revision;
+	ok = res->name && res->role && res->leader &&
+	     keeper_answer_members(core, res) &&
+	     keeper_answer_reports(core, res, now);
+	pthread_mutex_unlock(&core->lock);
+	return ok;
+}
+
+bool keeper_core_voter(keeper_core_t *core, const keeper_voter_args_t *args,
+		       keeper_submit_res_t *res)
+{
+	keeper_item_t *item = calloc(1, sizeof(*item));
+	bool ok, leading, done;
+
+	pthread_mutex_lock(&core->lock);
+	ok = keeper_answer_begin(core, res);
+	leading = core->view.leading;
+	done = args->add ==
+	       (keeper_group_find(&core->view.group, args->name) != NULL);
+	pthread_mutex_unlock(&core->lock);
+	if (!item)
+		return false;
+	item->kind = KEEPER_ITEM_VOTER;
+	item->add = args->add;
+	strcpy(item->name, args->name);
+	strcpy(item->address, args->address);
+	if (!leading || done) {
+		res->status = leading ? KEEPER_OK : KEEPER_NOT_LEADER;
+		free(item);
+	} else {
+		res->status = keeper_core_post(core, item) ? KEEPER_PENDING :
+							     KEEPER_BUSY;
+	}
+	return keeper_answer_end(res) && ok;
+}
--- /dev/null
+++ b/keeper-append.c
@@ -0,0 +1,234 @@
+#include <string.h>
+#include "keeper-raft.h"
+
+/* How many entries from @index on go into one message. */
+static unsigned keeper_append_count(const keeper_entries_t *entries,
+				    uint64_t index)
+{
+	const keeper_entry_t *entry;
+	size_t bytes = 0;
+	unsigned count = 0;
+
+	while (count < KEEPER_ENTRIES_MAX &&
+	       (entry = keeper_entries_at(entries, index + count))) {
+		bytes += entry->body.body_len;
+		if (count && bytes > KEEPER_APPEND_BYTES)
+			break;
+		count++;
+	}
+	return count;
+}
+
+static void keeper_append_fill(keeper_raft_t *raft, keeper_append_t *append,
+			       uint64_t index, unsigned count)
+{
+	keeper_entries_t view = raft->entries;
+	keeper_append_t slice = { 0 };
+
+	if (!count)
+		return;
+	slice.entries.entries_len = count;
+	slice.entries.entries_val = view.list + (index - view.base - 1);
+	if (!keeper_xdr_copy((xdrproc_t)xdr_keeper_append_t, &slice, append))
+		raft->out_of_memory = true;
+}
+
+void keeper_append_send(keeper_raft_t *raft, keeper_peer_t *peer, usec_t now)
+{
+	keeper_message_t *message;
+	keeper_append_t *append;
+	unsigned count;
+
+	if (peer->next <= raft->entries.base) {
+		keeper_install_send(raft, peer, now);
+		return;
+	}
+	message = keeper_raft_message(raft, &peer->node, KEEPER_MSG_APPEND);
+	if (!message)
+		return;
+	count = keeper_append_count(&raft->entries, peer->next);
+	append = &message->body.keeper_message_body_t_u.append;
+	keeper_append_fill(raft, append, peer->next, count);
+	append->prev_index = peer->next - 1;
+	keeper_entries_term(&raft->entries, append->prev_index,
+			    &append->prev_term);
+	append->commit = raft->commit;
+	append->sent = now;
+	peer->sent = now;
+	peer->waiting = count > 0;
+}
+
+void keeper_append_spread(keeper_raft_t *raft, bool idle, usec_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < raft->peer_count; i++)
+		if (!idle || !raft->peers[i].waiting)
+			keeper_append_send(raft, &raft->peers[i], now);
+}
+
+static uint64_t keeper_append_match(const keeper_peer_t *peer)
+{
+	return peer->match;
+}
+
+void keeper_append_advance(keeper_raft_t *raft, usec_t now)
+{
+	uint64_t index, term = 0;
+
+	index = keeper_raft_quorum(raft, raft->saved, keeper_append_match);
+	/* Only entries of the present term are counted (Raft, section 5.4.2) */
+	if (index <= raft->commit ||
+	    !keeper_entries_term(&raft->entries, index, &term) ||
+	    term != raft->ballot.term)
+		return;
+	raft->commit = index;
+	keeper_append_spread(raft, true, now);
+	if (raft->commit >= raft->group_index && !keeper_raft_is_voter(raft))
+		keeper_raft_follow(raft, raft->ballot.term, now);
+}
+
+/* True if the entries follow one another and could be a leader's. */
+static bool keeper_append_sound(const keeper_message_t *message)
+{
+	const keeper_append_t *append =
+		&message->body.keeper_message_body_t_u.append;
+	uint64_t term = append->prev_term;
+	keeper_group_t group;
+	u_int i;
+
+	for (i = 0; i < append->entries.entries_len; i++) {
+		const keeper_entry_t *entry = &append->entries.entries_val[i];
+
+		if (entry->index != append->prev_index + 1 + i ||
+		    entry->term < term || entry->term > message->term)
+			return false;
+		if (entry->kind == KEEPER_ENTRY_GROUP &&
+		    !keeper_group_decode(entry->body.body_val,
+					 entry->body.body_len, &group))
+			return false;
+		term = entry->term;
+	}
+	return true;
+}
+
+/* Does our log hold what the new entries follow? */
+static bool keeper_append_follows(const keeper_raft_t *raft,
+				  const keeper_append_t *append)
+{
+	uint64_t term;
+
+	if (append->prev_index <= raft->commit)
+		return true;
+	return keeper_entries_term(&raft->entries, append->prev_index, &term) &&
+	       term == append->prev_term;
+}
+
+/* Put one entry in its place; one that differs cuts ours off. */
+static bool keeper_append_store(keeper_raft_t *raft,
+				const keeper_entry_t *entry)
+{
+	uint64_t term, last = keeper_entries_last(&raft->entries);
+
+	if (entry->index <= raft->commit)
+		return true;
+	if (entry->index <= last) {
+		keeper_entries_term(&raft->entries, entry->index, &term);
+		if (term == entry->term)
+			return true;
+		keeper_entries_cut(&raft->entries, entry->index - 1);
+		if (raft->saved >= entry->index)
+			raft->saved = entry->index - 1;
+	}
+	if (keeper_entries_push(&raft->entries, entry))
+		return true;
+	raft->out_of_memory = true;
+	return false;
+}
+
+static void keeper_append_reply(keeper_raft_t *raft,
+				const keeper_message_t *message, bool matched,
+				uint64_t index)
+{
+	keeper_append_reply_t *reply;
+	keeper_message_t *out;
+
+	out = keeper_raft_reply(raft, message, KEEPER_MSG_APPEND_REPLY);
+	if (!out)
+		return;
+	reply = &out->body.keeper_message_body_t_u.append_reply;
+	reply->matched = matched;
+	reply->index = index;
+	reply->sent = message->body.keeper_message_body_t_u.append.sent;
+}
+
+bool keeper_append_asked(keeper_raft_t *raft, const keeper_message_t *message,
+			 usec_t now)
+{
+	const keeper_append_t *append =
+		&message->body.keeper_message_body_t_u.append;
+	uint64_t last = keeper_entries_last(&raft->entries);
+	uint64_t upto = append->prev_index + append->entries.entries_len;
+	u_int i;
+
+	if (raft->role == KEEPER_LEADER || !keeper_append_sound(message))
+		return false;
+	keeper_raft_hear(raft, message->from, now);
+	if (!keeper_append_follows(raft, append)) {
+		if (last > append->prev_index - 1)
+			last = append->prev_index - 1;
+		keeper_append_reply(raft, message, false, last);
+		return true;
+	}
+	for (i = 0; i < append->entries.entries_len; i++)
+		if (!keeper_append_store(raft, &append->entries.entries_val[i]))
+			return true;
+	keeper_raft_regroup(raft);
+	if (upto > raft->commit && append->commit > raft->commit)
+		raft->commit = append->commit < upto ? append->commit : upto;
+	keeper_append_reply(raft, message, true, upto);
+	return true;
+}
+
+/* The peer lacks what we sent entries after: go back. */
+static void keeper_append_go_back(keeper_raft_t *raft, keeper_peer_t *peer,
+				  uint64_t index, usec_t now)
+{
+	if (index + 1 >= peer->next || index < peer->match)
+		return; /* an answer to an older message */
+	peer->next = index + 1;
+	keeper_append_send(raft, peer, now);
+}
+
+bool keeper_append_answered(keeper_raft_t *raft,
+			    const keeper_message_t *message, usec_t now)
+{
+	const keeper_append_reply_t *reply =
+		&message->body.keeper_message_body_t_u.append_reply;
+	uint64_t last = keeper_entries_last(&raft->entries);
+	keeper_peer_t *peer;
+
+	peer = keeper_raft_peer(raft, message->from, message->from_incarnation);
+	if (raft->role != KEEPER_LEADER || !peer)
+		return true;
+	if (reply->sent > now || reply->index > last)
+		return false;
+	if (reply->sent > peer->acked)
+		peer->acked = reply->sent;
+	peer->waiting = false;
+	if (!reply->matched) {
+		keeper_append_go_back(raft, peer, reply->index, now);
+		return true;
+	}
+	if (reply->index > peer->match)
+		peer->match = reply->index;
+	if (peer->next <= peer->match)
+		peer->next = peer->match + 1;
+	if (peer->next <= last)
+		keeper_append_send(raft, peer, now);
+	if (peer->learner)
+		keeper_join_promote(raft, peer, now);
+	else
+		keeper_append_advance(raft, now);
+	return true;
+}
--- /dev/null
+++ b/keeper-core.c
@@ -0,0 +1,495 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <time.h>
+#include "keeper-core.h"
+
+/* Pause before the folder is opened again after a fault. */
+#define KEEPER_REOPEN_PAUSE USEC_PER_SEC
+
+static void keeper_core_counters(keeper_core_t *core)
+{
+	keeper_counters_t *counters = &core->counters;
+	metrics_t *metrics = core->metrics;
+
+	counters->changes = metrics_counter(metrics,
+					    "hemlock_keeper_changes_total", "",
+					    "changes applied by this keeper");
+	counters->elections = metrics_counter(metrics,
+					      "hemlock_keeper_elections_total",
+					      "",
+					      "elections won by this keeper");
+	counters->syncs = metrics_counter(metrics, "hemlock_keeper_syncs_total",
+					  "", "files synced to the disk");
+	counters->faults = metrics_counter(
+		metrics, "hemlock_keeper_store_faults_total", "",
+		"times that the data folder was closed after a fault");
+	counters->rejected =
+		metrics_counter(metrics, "hemlock_keeper_rejected_total", "",
+				"malformed or foreign messages dropped");
+	counters->dropped = metrics_counter(
+		metrics, "hemlock_keeper_dropped_total", "",
+		"messages to peers dropped as the peer did not take them");
+	counters->snapshots = metrics_counter(metrics,
+					      "hemlock_keeper_snapshots_total",
+					      "", "snapshots written");
+	counters->commit = metrics_gauge(metrics, "hemlock_keeper_commit", "",
+					 "index of the last committed entry");
+	counters->log_bytes = metrics_gauge(metrics, "hemlock_keeper_log_bytes",
+					    "", "size of the log file");
+	counters->leading = metrics_gauge(metrics, "hemlock_keeper_leading", "",
+					  "1 on the leader");
+	counters->sync_time = metrics_histogram(
+		metrics, "hemlock_keeper_sync_us", "",
+		"time to write and sync the log in microseconds");
+}
+
+int keeper_core_init(keeper_core_t *core, const keeper_settings_t *settings,
+		     const keeper_file_t *file, hl_error_t *err)
+{
+	pthread_condattr_t attributes;
+
+	memset(core, 0, sizeof(*core));
+	core->settings = *settings;
+	core->file = file;
+	CDS_INIT_LIST_HEAD(&core->inbox);
+	CDS_INIT_LIST_HEAD(&core->pending);
+	CDS_INIT_LIST_HEAD(&core->raft.out);
+	core->store.log_fd = core->store.lock_fd = -1;
+	pthread_mutex_init(&core->lock, NULL);
+	pthread_condattr_init(&attributes);
+	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+	pthread_cond_init(&core->wake, &attributes);
+	pthread_condattr_destroy(&attributes);
+	core->metrics = metrics_new();
+	if (!core->metrics)
+		return hl_error_set(err, HL_ERR_NOMEM,
+				    "out of memory; give the VM more");
+	keeper_core_counters(core);
+	return 0;
+}
+
+static uint64_t keeper_core_draw(void)
+{
+	uint64_t value = 0;
+
+	while (!value)
+		if (getrandom(&value, sizeof(value), 0) != sizeof(value))
+			value = (uint64_t)time_now();
+	return value;
+}
+
+static void keeper_core_raft_settings(const keeper_settings_t *settings,
+				      keeper_raft_settings_t *out)
+{
+	unsigned i;
+
+	memset(out, 0, sizeof(*out));
+	out->cluster = hl_hash(settings->cluster, strlen(settings->cluster), 0);
+	strcpy(out->name, settings->name);
+	keeper_settings_own(settings, out->address);
+	out->heartbeat = settings->heartbeat_ms * USEC_PER_MS;
+	out->election = settings->election_ms * USEC_PER_MS;
+	out->seed = keeper_core_draw();
+	out->names_count = settings->names.count;
+	for (i = 0; i < settings->names.count; i++)
+		strcpy(out->names[i], settings->names.items[i]);
+}
+
+/* The state machine begins at the snapshot; the log follows as it is known to
+ * be committed. */
+static int keeper_core_load_state(keeper_core_t *core, hl_error_t *err)
+{
+	const keeper_snapshot_t *snapshot = &core->raft.snapshot;
+	config_state_t *state;
+
+	state = snapshot->size ? config_state_load(snapshot->state,
+						   snapshot->size, err) :
+				 config_state_new();
+	if (!state)
+		return -1;
+	pthread_mutex_lock(&core->lock);
+	config_state_free(core->state);
+	core->state = state;
+	core->applied = snapshot->index;
+	pthread_mutex_unlock(&core->lock);
+	return 0;
+}
+
+int keeper_core_open(keeper_core_t *core, hl_error_t *err)
+{
+	keeper_raft_settings_t settings;
+	usec_t start = time_now();
+
+	keeper_core_raft_settings(&core->settings, &settings);
+	keeper_raft_init(&core->raft, &settings, start);
+	if (keeper_store_open(&core->store, core->file, core->settings.data,
+			      settings.cluster, settings.name,
+			      keeper_core_draw(), &core->raft, err))
+		return -1;
+	if (keeper_core_load_state(core, err)) {
+		keeper_store_close(&core->store);
+		keeper_raft_free(&core->raft);
+		return -1;
+	}
+	core->open = true;
+	core->elections_seen = 0;
+	log_event(LOG_LEVEL_NOTICE, "store-opened",
+		  "incarnation=%" PRIx64 " term=%" PRIu64 " snapshot=%" PRIu64
+		  " last=%" PRIu64 " torn=%d took_us=%" PRId64,
+		  core->store.incarnation, core->raft.ballot.term,
+		  core->raft.entries.base,
+		  keeper_entries_last(&core->raft.entries), core->store.torn,
+		  time_now() - start);
+	return 0;
+}
+
+static void keeper_core_item_free(keeper_item_t *item)
+{
+	if (item->kind == KEEPER_ITEM_MESSAGE)
+		xdr_free((xdrproc_t)xdr_keeper_message_t, &item->message);
+	free(item->body);
+	free(item);
+}
+
+static void keeper_core_unpend(keeper_core_t *core, const char *id)
+{
+	keeper_pending_t *pending, *next;
+
+	cds_list_for_each_entry_safe (pending, next, &core->pending, link) {
+		if (id && strcmp(pending->id, id))
+			continue;
+		cds_list_del(&pending->link);
+		core->pending_count--;
+		free(pending);
+	}
+}
+
+/* Close after a fault; nobody is told anything more from this replica. */
+static void keeper_core_close(keeper_core_t *core)
+{
+	keeper_item_t *item, *next;
+
+	if (!core->open)
+		return;
+	pthread_mutex_lock(&core->lock);
+	core->view.serving = core->view.leading = false;
+	core->view.lease = 0;
+	strcpy(core->view.role, "failed");
+	keeper_core_unpend(core, NULL);
+	cds_list_for_each_entry_safe (item, next, &core->inbox, link)
+		keeper_core_item_free(item);
+	CDS_INIT_LIST_HEAD(&core->inbox);
+	core->inbox_count = 0;
+	pthread_mutex_unlock(&core->lock);
+	keeper_store_close(&core->store);
+	keeper_raft_free(&core->raft);
+	core->open = false;
+}
+
+void keeper_core_free(keeper_core_t *core)
+{
+	keeper_core_close(core);
+	config_state_free(core->state);
+	metrics_free(core->metrics);
+	pthread_cond_destroy(&core->wake);
+	pthread_mutex_destroy(&core->lock);
+}
+
+bool keeper_core_post(keeper_core_t *core, keeper_item_t *item)
+{
+	bool room;
+
+	pthread_mutex_lock(&core->lock);
+	room = core->view.serving && core->inbox_count < KEEPER_INBOX_MAX;
+	if (room) {
+		cds_list_add_tail(&item->link, &core->inbox);
+		core->inbox_count++;
+		pthread_cond_signal(&core->wake);
+	}
+	pthread_mutex_unlock(&core->lock);
+	if (!room)
+		keeper_core_item_free(item);
+	return room;
+}
+
+void keeper_core_wake(void *context)
+{
+	keeper_core_t *core = context;
+
+	pthread_mutex_lock(&core->lock);
+	pthread_cond_signal(&core->wake);
+	pthread_mutex_unlock(&core->lock);
+}
+
+/* Wait until something is in the inbox or due; take the inbox. */
+static void keeper_core_wait(keeper_core_t *core, const volatile int *stop,
+			     struct cds_list_head *taken)
+{
+	usec_t due = keeper_raft_due(&core->raft);
+	struct timespec until = { due / USEC_PER_SEC,
+				  due % USEC_PER_SEC * 1000 };
+
+	CDS_INIT_LIST_HEAD(taken);
+	pthread_mutex_lock(&core->lock);
+	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE) &&
+	       cds_list_empty(&core->inbox) &&
+	       pthread_cond_timedwait(&core->wake, &core->lock, &until) == 0)
+		continue;
+	cds_list_splice(&core->inbox, taken);
+	CDS_INIT_LIST_HEAD(&core->inbox);
+	core->inbox_count = 0;
+	pthread_mutex_unlock(&core->lock);
+}
+
+static void keeper_core_handle(keeper_core_t *core, keeper_item_t *item,
+			       usec_t now)
+{
+	switch (item->kind) {
+	case KEEPER_ITEM_MESSAGE:
+		if (!keeper_raft_step(&core->raft, &item->message, now))
+			metrics_add(core->counters.rejected, 1);
+		break;
+	case KEEPER_ITEM_CHANGE:
+		if (keeper_raft_propose(&core->raft, item->body, item->size,
+					now))
+			break;
+		pthread_mutex_lock(&core->lock);
+		keeper_core_unpend(core, item->id);
+		pthread_mutex_unlock(&core->lock);
+		break;
+	case KEEPER_ITEM_VOTER:
+		keeper_raft_voter(&core->raft, item->add, item->name,
+				  item->address, now);
+		break;
+	}
+}
+
+static int keeper_core_save(keeper_core_t *core, hl_error_t *err)
+{
+	bool installed = core->raft.snapshot_dirty;
+	usec_t start = time_now(), end;
+
+	if (!keeper_raft_unsaved(&core->raft))
+		return 0;
+	if (keeper_store_save(&core->store, &core->raft, err))
+		return -1;
+	end = time_now();
+	metrics_histogram_add(core->counters.sync_time, end - start);
+	if (installed && keeper_core_load_state(core, err))
+		return -1;
+	keeper_raft_saved(&core->raft, end);
+	return 0;
+}
+
+/* Apply one committed entry; the lock is held. */
+static int keeper_core_apply_entry(keeper_core_t *core,
+				   const keeper_entry_t *entry)
+{
+	config_change_t change = { 0 };
+	config_answer_t answer = { 0 };
+	int rc;
+
+	if (entry->kind != KEEPER_ENTRY_CHANGE)
+		return 0;
+	/* The same on all replicas: what does not decode changes nothing. */
+	if (!keeper_xdr_decode((xdrproc_t)xdr_config_change_t,
+			       entry->body.body_val, entry->body.body_len,
+			       &change))
+		return 0;
+	rc = config_state_apply(core->state, entry->index, &change, &answer);
+	keeper_core_unpend(core, change.id);
+	xdr_free((xdrproc_t)xdr_config_answer_t, &answer);
+	xdr_free((xdrproc_t)xdr_config_change_t, &change);
+	metrics_add(core->counters.changes, 1);
+	return rc;
+}
+
+static int keeper_core_apply(keeper_core_t *core, hl_error_t *err)
+{
+	const keeper_raft_t *raft = &core->raft;
+	int rc = 0;
+
+	pthread_mutex_lock(&core->lock);
+	while (rc == 0 && core->applied < raft->commit) {
+		rc = keeper_core_apply_entry(
+			core,
+			keeper_entries_at(&raft->entries, core->applied + 1));
+		core->applied += rc == 0;
+	}
+	pthread_mutex_unlock(&core->lock);
+	return rc == 0 ? 0 :
+			 hl_error_set(err, HL_ERR_NOMEM,
+				      "out of memory; give the VM more");
+}
+
+static void keeper_core_matched(const keeper_raft_t *raft,
+				keeper_status_view_t *view)
+{
+	unsigned i, j;
+
+	for (i = 0; i < view->group.count; i++) {
+		const keeper_node_t *node = &view->group.nodes[i];
+
+		view->matched[i] = 0;
+		if (!strcmp(node->name, raft->settings.name))
+			view->matched[i] = raft->saved;
+		for (j = 0; j < raft->peer_count; j++)
+			if (!strcmp(raft->peers[j].node.name, node->name) &&
+			    raft->peers[j].match > view->matched[i])
+				view->matched[i] = raft->peers[j].match;
+	}
+}
+
+/* Let the other threads see where the replica stands, before any message
+ * that rests on it leaves. */
+static void keeper_core_publish(keeper_core_t *core)
+{
+	const keeper_raft_t *raft = &core->raft;
+	keeper_status_view_t *view = &core->view;
+	bool led;
+
+	pthread_mutex_lock(&core->lock);
+	led = view->leading;
+	view->serving = true;
+	view->leading = raft->role == KEEPER_LEADER;
+	view->lease = keeper_raft_lease(raft);
+	strcpy(view->role, keeper_role_name(raft));
+	strcpy(view->leader, raft->leader);
+	view->term = raft->ballot.term;
+	view->last = keeper_entries_last(&raft->entries);
+	view->commit = raft->commit;
+	view->term_start = raft->term_start;
+	view->incarnation = raft->settings.incarnation;
+	view->group = raft->group;
+	keeper_core_matched(raft, view);
+	if (led && !view->leading)
+		keeper_core_unpend(core, NULL);
+	pthread_mutex_unlock(&core->lock);
+	if (led != view->leading)
+		log_event(LOG_LEVEL_NOTICE, "leadership",
+			  "leading=%d term=%" PRIu64 " commit=%" PRIu64,
+			  view->leading, view->term, view->commit);
+	metrics_add(core->counters.elections,
+		    raft->elections - core->elections_seen);
+	core->elections_seen = raft->elections;
+	metrics_set(core->counters.commit, raft->commit);
+	metrics_set(core->counters.leading, view->leading);
+	metrics_set(core->counters.log_bytes, core->store.log_bytes);
+	metrics_set(core->counters.syncs, core->store.syncs);
+}
+
+static void keeper_core_send(keeper_core_t *core)
+{
+	keeper_outgoing_t *outgoing, *next;
+
+	cds_list_for_each_entry_safe (outgoing, next, &core->raft.out, link) {
+		cds_list_del(&outgoing->link);
+		CDS_INIT_LIST_HEAD(&outgoing->link);
+		core->send(core->send_context, outgoing);
+	}
+}
+
+/* Once enough has been applied, a snapshot takes the place of the log. */
+static int keeper_core_compact(keeper_core_t *core, hl_error_t *err)
+{
+	keeper_snapshot_t snapshot = { .index = core->applied };
+	keeper_raft_t *raft = &core->raft;
+
+	if (core->applied - raft->entries.base <
+	    (uint64_t)core->settings.snapshot_entries)
+		return 0;
+	keeper_entries_term(&raft->entries, snapshot.index, &snapshot.term);
+	keeper_raft_group_at(raft, snapshot.index, &snapshot.group);
+	if (config_state_save(core->state, &snapshot.state, &snapshot.size))
+		return hl_error_set(err, HL_ERR_NOMEM,
+				    "out of memory; give the VM more");
+	keeper_raft_compact(raft, &snapshot);
+	if (keeper_store_compact(&core->store, raft, err))
+		return -1;
+	metrics_add(core->counters.snapshots, 1);
+	return 0;
+}
+
+/* One round: take in, decide, save, apply, and only then answer. */
+static int keeper_core_round(keeper_core_t *core, const volatile int *stop,
+			     hl_error_t *err)
+{
+	struct cds_list_head taken;
+	keeper_item_t *item, *next;
+	usec_t now;
+
+	keeper_core_wait(core, stop, &taken);
+	now = time_now();
+	cds_list_for_each_entry_safe (item, next, &taken, link) {
+		keeper_core_handle(core, item, now);
+		keeper_core_item_free(item);
+	}
+	keeper_raft_tick(&core->raft, now);
+	if (core->raft.out_of_memory)
+		return hl_error_set(err, HL_ERR_NOMEM,
+				    "out of memory; give the VM more");
+	if (keeper_core_save(core, err) || keeper_core_apply(core, err))
+		return -1;
+	keeper_core_publish(core);
+	keeper_core_send(core);
+	return keeper_core_compact(core, err);
+}
+
+static void keeper_core_fault(keeper_core_t *core, const hl_error_t *err)
+{
+	char text[2 * HL_MESSAGE_MAX];
+
+	metrics_add(core->counters.faults, 1);
+	log_event(LOG_LEVEL_ERROR, "store-fault", "kind=%s message=%s",
+		  hl_error_kind_name(err->kind),
+		  log_quote(err->message, text, sizeof(text)));
+	keeper_core_close(core);
+}
+
+static void keeper_core_pause(keeper_core_t *core, const volatile int *stop)
+{
+	usec_t due = time_now() + KEEPER_REOPEN_PAUSE;
+	struct timespec until = { due / USEC_PER_SEC,
+				  due % USEC_PER_SEC * 1000 };
+
+	pthread_mutex_lock(&core->lock);
+	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE) &&
+	       pthread_cond_timedwait(&core->wake, &core->lock, &until) == 0)
+		continue;
+	pthread_mutex_unlock(&core->lock);
+}
+
+int keeper_core_run(void *context, const volatile int *stop)
+{
+	keeper_core_t *core = context;
+	hl_error_t err = { 0 };
+
+	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
+		if (!core->open && keeper_core_open(core, &err)) {
+			keeper_core_fault(core, &err);
+			if (err.kind == HL_ERR_CORRUPT)
+				return -1;
+			keeper_core_pause(core, stop);
+			continue;
+		}
+		if (keeper_core_round(core, stop, &err)) {
+			keeper_core_fault(core, &err);
+			keeper_core_pause(core, stop);
+		}
+	}
+	return 0;
+}
+
+void keeper_core_address(const keeper_core_t *core, const char *name,
+			 const char *known, char out[HL_ADDRESS_MAX])
+{
+	const keeper_settings_t *settings = &core->settings;
+	unsigned i;
+
+	strcpy(out, known);
+	for (i = 0; i < settings->names.count; i++)
+		if (!strcmp(settings->names.items[i], name))
+			strcpy(out, settings->addresses.items[i]);
+}
--- /dev/null
+++ b/keeper-install.c
@@ -0,0 +1,190 @@
+#include <stdlib.h>
+#include <string.h>
+#include "keeper-raft.h"
+
+static bool keeper_install_fill(keeper_raft_t *raft, keeper_install_t *install,
+				size_t offset)
+{
+	const keeper_snapshot_t *snapshot = &raft->snapshot;
+	keeper_node_wire_t nodes[KEEPER_VOTERS_MAX];
+	keeper_install_t part = { 0 };
+	size_t size = snapshot->size - offset;
+
+	if (size > KEEPER_CHUNK_MAX)
+		size = KEEPER_CHUNK_MAX;
+	part.index = snapshot->index;
+	part.term = snapshot->term;
+	keeper_group_to_wire(&snapshot->group, nodes, &part.group);
+	part.size = snapshot->size;
+	part.offset = offset;
+	part.chunk.chunk_len = size;
+	part.chunk.chunk_val = snapshot->state + offset;
+	return keeper_xdr_copy((xdrproc_t)xdr_keeper_install_t, &part, install);
+}
+
+void keeper_install_send(keeper_raft_t *raft, keeper_peer_t *peer, usec_t now)
+{
+	keeper_install_t *install;
+	keeper_message_t *message;
+
+	if (peer->offset > raft->snapshot.size)
+		peer->offset = 0;
+	message = keeper_raft_message(raft, &peer->node, KEEPER_MSG_INSTALL);
+	if (!message)
+		return;
+	install = &message->body.keeper_message_body_t_u.install;
+	if (!keeper_install_fill(raft, install, peer->offset))
+		raft->out_of_memory = true;
+	install->sent = now;
+	peer->sent = now;
+	peer->waiting = true;
+}
+
+static void keeper_install_forget(keeper_raft_t *raft)
+{
+	free(raft->incoming.state);
+	memset(&raft->incoming, 0, sizeof(raft->incoming));
+	raft->incoming_room = 0;
+}
+
+/* Room grows with what has come, not with what the sender promises. */
+static bool keeper_install_room(keeper_raft_t *raft, size_t size)
+{
+	size_t room = raft->incoming_room ? raft->incoming_room :
+					    KEEPER_CHUNK_MAX;
+	char *state;
+
+	while (room < size)
+		room *= 2;
+	if (room == raft->incoming_room)
+		return true;
+	state = realloc(raft->incoming.state, room);
+	if (!state)
+		return false;
+	raft->incoming.state = state;
+	raft->incoming_room = room;
+	return true;
+}
+
+/* Add a chunk if it is the next one; a first chunk starts anew. */
+static bool keeper_install_take(keeper_raft_t *raft,
+				const keeper_install_t *install)
+{
+	keeper_snapshot_t *incoming = &raft->incoming;
+
+	if (install->offset == 0 || incoming->index != install->index ||
+	    incoming->term != install->term) {
+		keeper_install_forget(raft);
+		incoming->index = install->index;
+		incoming->term = install->term;
+	}
+	if (install->offset != incoming->size)
+		return true;
+	if (!keeper_install_room(raft,
+				 incoming->size + install->chunk.chunk_len))
+		return false;
+	if (install->chunk.chunk_len)
+		memcpy(incoming->state + incoming->size,
+		       install->chunk.chunk_val, install->chunk.chunk_len);
+	incoming->size += install->chunk.chunk_len;
+	return true;
+}
+
+/* All chunks are here: the snapshot takes the place of the log up to it. */
+static void keeper_install_finish(keeper_raft_t *raft)
+{
+	keeper_snapshot_t snapshot = raft->incoming;
+	uint64_t term;
+
+	memset(&raft->incoming, 0, sizeof(raft->incoming));
+	raft->incoming_room = 0;
+	if (!keeper_entries_term(&raft->entries, snapshot.index, &term) ||
+	    term != snapshot.term)
+		keeper_entries_cut(&raft->entries, raft->entries.base);
+	keeper_raft_compact(raft, &snapshot);
+	raft->commit = raft->snapshot.index;
+	if (raft->saved < raft->commit)
+		raft->saved = raft->commit;
+	if (raft->saved > keeper_entries_last(&raft->entries))
+		raft->saved = keeper_entries_last(&raft->entries);
+	raft->snapshot_dirty = true;
+	keeper_raft_regroup(raft);
+}
+
+static void keeper_install_reply(keeper_raft_t *raft,
+				 const keeper_message_t *message,
+				 uint64_t offset)
+{
+	const keeper_install_t *install =
+		&message->body.keeper_message_body_t_u.install;
+	keeper_install_reply_t *reply;
+	keeper_message_t *out;
+
+	out = keeper_raft_reply(raft, message, KEEPER_MSG_INSTALL_REPLY);
+	if (!out)
+		return;
+	reply = &out->body.keeper_message_body_t_u.install_reply;
+	reply->index = install->index;
+	reply->offset = offset;
+	reply->sent = install->sent;
+}
+
+bool keeper_install_asked(keeper_raft_t *raft, const keeper_message_t *message,
+			  usec_t now)
+{
+	const keeper_install_t *install =
+		&message->body.keeper_message_body_t_u.install;
+	keeper_group_t group;
+	uint64_t offset;
+
+	if (raft->role == KEEPER_LEADER ||
+	    install->size > KEEPER_SNAPSHOT_MAX ||
+	    install->offset > install->size ||
+	    install->chunk.chunk_len > install->size - install->offset ||
+	    install->term > message->term ||
+	    !keeper_group_from_wire(&install->group, &group))
+		return false;
+	keeper_raft_hear(raft, message->from, now);
+	if (install->index <= raft->commit) {
+		keeper_install_reply(raft, message, install->size);
+		return true;
+	}
+	if (!keeper_install_take(raft, install)) {
+		raft->out_of_memory = true;
+		return true;
+	}
+	offset = raft->incoming.size;
+	if (offset == install->size) {
+		raft->incoming.group = group;
+		keeper_install_finish(raft);
+	}
+	keeper_install_reply(raft, message, offset);
+	return true;
+}
+
+bool keeper_install_answered(keeper_raft_t *raft,
+			     const keeper_message_t *message, usec_t now)
+{
+	const keeper_install_reply_t *reply =
+		&message->body.keeper_message_body_t_u.install_reply;
+	keeper_peer_t *peer;
+
+	peer = keeper_raft_peer(raft, message->from, message->from_incarnation);
+	if (raft->role != KEEPER_LEADER || !peer)
+		return true;
+	if (reply->sent > now || reply->index > raft->commit)
+		return false;
+	if (reply->sent > peer->acked)
+		peer->acked = reply->sent;
+	if (reply->index != raft->snapshot.index || peer->match >= reply->index)
+		return true;
+	peer->waiting = false;
+	peer->offset = reply->offset;
+	if (reply->offset == raft->snapshot.size) {
+		peer->offset = 0;
+		peer->match = reply->index;
+		peer->next = reply->index + 1;
+	}
+	keeper_append_send(raft, peer, now);
+	return true;
+}
--- /dev/null
+++ b/keeper-join.c
@@ -0,0 +1,282 @@
+#include <stdlib.h>
+#include <string.h>
+#include "keeper-raft.h"
+
+/* A JOIN older than this many heartbeats no longer counts. */
+#define KEEPER_JOIN_FRESH 10
+
+static int keeper_join_compare(const void *a, const void *b)
+{
+	return strcmp(a, b);
+}
+
+/* The founders must agree on who they are. */
+static uint64_t keeper_join_names(const keeper_raft_settings_t *settings)
+{
+	char names[KEEPER_VOTERS_MAX][HL_NAME_MAX] = { 0 };
+	unsigned i;
+
+	for (i = 0; i < settings->names_count; i++)
+		strcpy(names[i], settings->names[i]);
+	qsort(names, settings->names_count, sizeof(names[0]),
+	      keeper_join_compare);
+	return hl_hash(names, sizeof(names), settings->cluster);
+}
+
+static keeper_joiner_t *keeper_join_find(keeper_raft_t *raft, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < raft->joiner_count; i++)
+		if (!strcmp(raft->joiners[i].node.name, name))
+			return &raft->joiners[i];
+	return NULL;
+}
+
+static void keeper_join_ask_one(keeper_raft_t *raft, const char *name)
+{
+	const keeper_joiner_t *joiner = keeper_join_find(raft, name);
+	keeper_node_t to = { 0 };
+	keeper_message_t *message;
+	keeper_join_t *join;
+
+	strcpy(to.name, name);
+	to.incarnation = joiner ? joiner->node.incarnation : 0;
+	message = keeper_raft_message(raft, &to, KEEPER_MSG_JOIN);
+	if (!message)
+		return;
+	join = &message->body.keeper_message_body_t_u.join;
+	join->address = strdup(raft->settings.address);
+	join->fresh = keeper_raft_is_fresh(raft);
+	join->names = keeper_join_names(&raft->settings);
+}
+
+void keeper_join_ask(keeper_raft_t *raft, usec_t now)
+{
+	unsigned i;
+
+	(void)now;
+	for (i = 0; i < raft->settings.names_count; i++)
+		if (strcmp(raft->settings.names[i], raft->settings.name))
+			keeper_join_ask_one(raft, raft->settings.names[i]);
+}
+
+/* Remember who asked, for the founding of the group. */
+static void keeper_join_note(keeper_raft_t *raft,
+			     const keeper_message_t *message, usec_t now)
+{
+	const keeper_join_t *join = &message->body.keeper_message_body_t_u.join;
+	keeper_joiner_t *joiner = keeper_join_find(raft, message->from);
+
+	if (!joiner) {
+		if (raft->joiner_count == KEEPER_VOTERS_MAX)
+			return;
+		joiner = &raft->joiners[raft->joiner_count++];
+	}
+	memset(joiner, 0, sizeof(*joiner));
+	strcpy(joiner->node.name, message->from);
+	strcpy(joiner->node.address, join->address);
+	joiner->node.incarnation = message->from_incarnation;
+	joiner->node.voter = true;
+	joiner->term = message->term;
+	joiner->names = join->names;
+	joiner->fresh = join->fresh;
+	joiner->knows_us = message->to_incarnation ==
+			   raft->settings.incarnation;
+	joiner->heard = now;
+}
+
+/* A leader sends its log to any member's new disk. */
+static void keeper_join_teach(keeper_raft_t *raft,
+			      const keeper_message_t *message, usec_t now)
+{
+	const keeper_join_t *join = &message->body.keeper_message_body_t_u.join;
+	keeper_node_t node = { 0 };
+	keeper_peer_t *peer;
+	unsigned i;
+
+	if (keeper_raft_peer(raft, message->from, message->from_incarnation))
+		return;
+	strcpy(node.name, message->from);
+	strcpy(node.address, join->address);
+	node.incarnation = message->from_incarnation;
+	for (i = 0; i < raft->peer_count; i++) {
+		peer = &raft->peers[i];
+		if (peer->learner && !strcmp(peer->node.name, node.name)) {
+			*peer = raft->peers[--raft->peer_count];
+			break;
+		}
+	}
+	peer = keeper_raft_add_peer(raft, &node);
+	if (!peer)
+		return;
+	peer->learner = true;
+	keeper_append_send(raft, peer, now);
+}
+
+bool keeper_join_asked(keeper_raft_t *raft, const keeper_message_t *message,
+		       usec_t now)
+{
+	if (!message->from_incarnation)
+		return false;
+	if (keeper_raft_is_fresh(raft))
+		keeper_join_note(raft, message, now);
+	else if (raft->role == KEEPER_LEADER &&
+		 keeper_group_find(&raft->group, message->from))
+		keeper_join_teach(raft, message, now);
+	return true;
+}
+
+/* True if a leader may append a change of the group: one at a time, and none
+ * before an entry of its own term is committed. */
+static bool keeper_join_may_change(const keeper_raft_t *raft)
+{
+	return raft->role == KEEPER_LEADER &&
+	       raft->commit >= raft->term_start &&
+	       raft->group_index <= raft->commit;
+}
+
+/* True if the voter of that name still answers: two processes then run under
+ * one name, and the newcomer must not push the other out. */
+static bool keeper_join_in_use(keeper_raft_t *raft, const keeper_node_t *node,
+			       usec_t now)
+{
+	const keeper_peer_t *peer = keeper_raft_peer(raft, node->name,
+						     node->incarnation);
+
+	return peer && peer->acked &&
+	       now - peer->acked < 2 * raft->settings.election;
+}
+
+void keeper_join_promote(keeper_raft_t *raft, const keeper_peer_t *peer,
+			 usec_t now)
+{
+	keeper_group_t group = raft->group;
+	keeper_node_t *node = keeper_group_find(&group, peer->node.name);
+
+	if (!node || peer->match < raft->commit ||
+	    !keeper_join_may_change(raft))
+		return;
+	if (node->voter) {
+		if (keeper_join_in_use(raft, node, now))
+			return;
+		/* Its old disk loses the vote first. */
+		node->voter = false;
+		node->incarnation = 0;
+	} else {
+		*node = peer->node;
+		node->voter = true;
+	}
+	keeper_raft_push_group(raft, &group);
+	keeper_append_spread(raft, true, now);
+}
+
+static unsigned keeper_join_voters(const keeper_group_t *group)
+{
+	unsigned count = 0, i;
+
+	for (i = 0; i < group->count; i++)
+		count += group->nodes[i].voter;
+	return count;
+}
+
+static bool keeper_join_add(keeper_group_t *group, const char *name,
+			    const char *address)
+{
+	keeper_node_t *node;
+
+	if (group->count == KEEPER_VOTERS_MAX)
+		return false;
+	node = &group->nodes[group->count++];
+	memset(node, 0, sizeof(*node));
+	strcpy(node->name, name);
+	strcpy(node->address, address);
+	return true;
+}
+
+static bool keeper_join_remove(keeper_group_t *group, keeper_node_t *node)
+{
+	if (node->voter && keeper_join_voters(group) == 1)
+		return false;
+	*node = group->nodes[--group->count];
+	return true;
+}
+
+keeper_status_t keeper_raft_voter(keeper_raft_t *raft, bool add,
+				  const char *name, const char *address,
+				  usec_t now)
+{
+	keeper_group_t group = raft->group;
+	keeper_node_t *node = keeper_group_find(&group, name);
+
+	if (raft->role != KEEPER_LEADER)
+		return KEEPER_NOT_LEADER;
+	if (add == (node != NULL))
+		return KEEPER_OK;
+	if (!keeper_join_may_change(raft) || !hl_name_valid(name))
+		return KEEPER_BUSY;
+	if (add ? !keeper_join_add(&group, name, address) :
+		  !keeper_join_remove(&group, node))
+		return KEEPER_BUSY;
+	keeper_raft_push_group(raft, &group);
+	keeper_append_spread(raft, true, now);
+	return KEEPER_OK;
+}
+
+/* The founder has heard from every other founder lately: all are fresh, mean
+ * the same group, and spoke to this very disk. */
+static bool keeper_join_all_fresh(keeper_raft_t *raft, usec_t now,
+				  keeper_group_t *group, uint64_t *term)
+{
+	const keeper_raft_settings_t *settings = &raft->settings;
+	usec_t limit = KEEPER_JOIN_FRESH * settings->heartbeat;
+	unsigned i;
+
+	for (i = 0; i < settings->names_count; i++) {
+		const keeper_joiner_t *joiner;
+
+		if (!strcmp(settings->names[i], settings->name))
+			continue;
+		joiner = keeper_join_find(raft, settings->names[i]);
+		if (!joiner || !joiner->fresh || !joiner->knows_us ||
+		    joiner->names != keeper_join_names(settings) ||
+		    now - joiner->heard > limit)
+			return false;
+		if (joiner->term > *term)
+			*term = joiner->term;
+		group->nodes[group->count++] = joiner->node;
+	}
+	return true;
+}
+
+/* The lowest name founds, so that two never do. */
+static bool keeper_join_is_founder(const keeper_raft_settings_t *settings)
+{
+	unsigned i;
+
+	for (i = 0; i < settings->names_count; i++)
+		if (strcmp(settings->names[i], settings->name) < 0)
+			return false;
+	return settings->names_count > 0;
+}
+
+void keeper_join_found(keeper_raft_t *raft, usec_t now)
+{
+	const keeper_raft_settings_t *settings = &raft->settings;
+	uint64_t term = raft->ballot.term;
+	keeper_group_t group = { 0 };
+	keeper_node_t *self = &group.nodes[0];
+
+	if (!keeper_raft_is_fresh(raft) || !keeper_join_is_founder(settings))
+		return;
+	strcpy(self->name, settings->name);
+	strcpy(self->address, settings->address);
+	self->incarnation = settings->incarnation;
+	self->voter = true;
+	group.count = 1;
+	if (!keeper_join_all_fresh(raft, now, &group, &term))
+		return;
+	keeper_raft_follow(raft, term + 1, now);
+	keeper_raft_push_group(raft, &group);
+	keeper_vote_campaign(raft, now);
+}
--- /dev/null
+++ b/keeper-log.c
@@ -0,0 +1,145 @@
+#include <string.h>
+#include "keeper-store.h"
+#include "keeper_disk.h"
+
+static int keeper_log_damaged(const char *path, size_t offset, hl_error_t *err)
+{
+	return hl_error_set(err, HL_ERR_CORRUPT,
+			    "%s is damaged at byte %zu; move the data folder "
+			    "away and start again with an empty one: the "
+			    "keeper then joins anew and copies the others",
+			    path, offset);
+}
+
+static int keeper_log_take_header(keeper_log_t *log,
+				  const keeper_header_t *header)
+{
+	if (header->format != KEEPER_DISK_FORMAT || log->incarnation ||
+	    !header->incarnation || !hl_name_valid(header->name))
+		return -1;
+	log->cluster = header->cluster;
+	strcpy(log->name, header->name);
+	log->incarnation = header->incarnation;
+	log->entries.base = header->base_index;
+	log->entries.base_term = header->base_term;
+	return 0;
+}
+
+/* An entry follows the last one, or takes the place of one and all after. */
+static int keeper_log_take_entry(keeper_log_t *log, const keeper_entry_t *entry)
+{
+	if (entry->index <= log->entries.base ||
+	    entry->index > keeper_entries_last(&log->entries) + 1)
+		return -1;
+	keeper_entries_cut(&log->entries, entry->index - 1);
+	return keeper_entries_push(&log->entries, entry) ? 0 : -1;
+}
+
+static int keeper_log_take(keeper_log_t *log, const keeper_record_t *record)
+{
+	const keeper_ballot_record_t *ballot;
+
+	if (record->kind == KEEPER_RECORD_HEADER)
+		return keeper_log_take_header(
+			log, &record->keeper_record_t_u.header);
+	if (!log->incarnation)
+		return -1;
+	if (record->kind == KEEPER_RECORD_ENTRY)
+		return keeper_log_take_entry(log,
+					     &record->keeper_record_t_u.entry);
+	ballot = &record->keeper_record_t_u.ballot;
+	log->ballot.term = ballot->term;
+	strcpy(log->ballot.vote, ballot->vote);
+	log->ballot.vote_incarnation = ballot->vote_incarnation;
+	return 0;
+}
+
+static int keeper_log_take_bytes(keeper_log_t *log, const char *body,
+				 size_t size)
+{
+	keeper_record_t record = { 0 };
+	int rc;
+
+	if (!keeper_xdr_decode((xdrproc_t)xdr_keeper_record_t, body, size,
+			       &record))
+		return -1;
+	rc = keeper_log_take(log, &record);
+	xdr_free((xdrproc_t)xdr_keeper_record_t, &record);
+	return rc;
+}
+
+int keeper_log_parse(const char *path, const char *bytes, size_t size,
+		     keeper_log_t *log, hl_error_t *err)
+{
+	keeper_record_state_t state;
+	size_t offset = 0, start = 0, length;
+	const char *body;
+
+	memset(log, 0, sizeof(*log));
+	while ((state = keeper_record_next(bytes, size, &offset, &body,
+					   &length)) == KEEPER_RECORD_WHOLE) {
+		if (keeper_log_take_bytes(log, body, length))
+			goto damaged;
+		start = offset;
+	}
+	log->torn = state == KEEPER_RECORD_TORN;
+	/* The header came into place by a rename: it is never torn. */
+	if (state == KEEPER_RECORD_DAMAGED || !log->incarnation)
+		goto damaged;
+	return 0;
+
+damaged:
+	keeper_entries_free(&log->entries);
+	return keeper_log_damaged(path, start, err);
+}
+
+int keeper_log_put_ballot(keeper_buffer_t *buffer,
+			  const keeper_ballot_state_t *ballot)
+{
+	keeper_record_t record = { .kind = KEEPER_RECORD_BALLOT };
+	keeper_ballot_record_t *out = &record.keeper_record_t_u.ballot;
+
+	out->term = ballot->term;
+	out->vote = (char *)ballot->vote;
+	out->vote_incarnation = ballot->vote_incarnation;
+	return keeper_record_put(buffer, (xdrproc_t)xdr_keeper_record_t,
+				 &record);
+}
+
+int keeper_log_put_entry(keeper_buffer_t *buffer, const keeper_entry_t *entry)
+{
+	keeper_record_t record = { .kind = KEEPER_RECORD_ENTRY };
+
+	record.keeper_record_t_u.entry = *entry;
+	return keeper_record_put(buffer, (xdrproc_t)xdr_keeper_record_t,
+				 &record);
+}
+
+static int keeper_log_put_header(keeper_buffer_t *buffer,
+				 const keeper_log_t *log)
+{
+	keeper_record_t record = { .kind = KEEPER_RECORD_HEADER };
+	keeper_header_t *header = &record.keeper_record_t_u.header;
+
+	header->format = KEEPER_DISK_FORMAT;
+	header->cluster = log->cluster;
+	header->name = (char *)log->name;
+	header->incarnation = log->incarnation;
+	header->base_index = log->entries.base;
+	header->base_term = log->entries.base_term;
+	return keeper_record_put(buffer, (xdrproc_t)xdr_keeper_record_t,
+				 &record);
+}
+
+int keeper_log_put(keeper_buffer_t *buffer, const keeper_log_t *log)
+{
+	size_t i;
+
+	if (keeper_log_put_header(buffer, log) ||
+	    keeper_log_put_ballot(buffer, &log->ballot))
+		return -1;
+	for (i = 0; i < log->entries.count; i++)
+		if (keeper_log_put_entry(buffer, &log->entries.list[i]))
+			return -1;
+	return 0;
+}
--- /dev/null
+++ b/keeper-raft.c
@@ -0,0 +1,510 @@
+#include <stdlib.h>
+#include <string.h>
+#include "keeper-raft.h"
+
+/* A lease ends this share of the election time-out early, for clocks that do
+ * not run alike. */
+#define KEEPER_LEASE_MARGIN 10
+
+static uint64_t keeper_raft_random(keeper_raft_t *raft)
+{
+	raft->random ^= raft->random << 13;
+	raft->random ^= raft->random >> 7;
+	raft->random ^= raft->random << 17;
+	return raft->random;
+}
+
+void keeper_raft_rest(keeper_raft_t *raft, usec_t now)
+{
+	uint64_t spread = (uint64_t)raft->settings.election;
+
+	raft->election_at = now + raft->settings.election +
+			    (usec_t)(keeper_raft_random(raft) % spread);
+}
+
+void keeper_raft_init(keeper_raft_t *raft,
+		      const keeper_raft_settings_t *settings, usec_t now)
+{
+	memset(raft, 0, sizeof(*raft));
+	raft->settings = *settings;
+	raft->random = settings->seed | 1;
+	raft->heard = now;
+	raft->heartbeat_at = now;
+	CDS_INIT_LIST_HEAD(&raft->out);
+	keeper_raft_rest(raft, now);
+}
+
+bool keeper_raft_restore(keeper_raft_t *raft,
+			 const keeper_ballot_state_t *ballot,
+			 keeper_snapshot_t *snapshot, keeper_entries_t *entries)
+{
+	raft->ballot = *ballot;
+	raft->snapshot = *snapshot;
+	raft->entries = *entries;
+	memset(snapshot, 0, sizeof(*snapshot));
+	memset(entries, 0, sizeof(*entries));
+	raft->commit = raft->entries.base;
+	raft->saved = keeper_entries_last(&raft->entries);
+	/* A disk that no leader ever wrote to has promised nothing. */
+	if (raft->saved == 0 && raft->ballot.term == 0)
+		raft->heard -= raft->settings.election;
+	return keeper_raft_regroup(raft);
+}
+
+void keeper_raft_free(keeper_raft_t *raft)
+{
+	keeper_outgoing_t *outgoing, *next;
+
+	cds_list_for_each_entry_safe (outgoing, next, &raft->out, link)
+		keeper_raft_outgoing_free(outgoing);
+	CDS_INIT_LIST_HEAD(&raft->out);
+	keeper_entries_free(&raft->entries);
+	free(raft->snapshot.state);
+	free(raft->incoming.state);
+	raft->snapshot.state = raft->incoming.state = NULL;
+}
+
+void keeper_raft_outgoing_free(keeper_outgoing_t *outgoing)
+{
+	cds_list_del(&outgoing->link);
+	xdr_free((xdrproc_t)xdr_keeper_message_t, &outgoing->message);
+	free(outgoing);
+}
+
+static keeper_message_t *keeper_raft_outgoing(keeper_raft_t *raft,
+					      const char *name,
+					      uint64_t incarnation,
+					      const char *address,
+					      keeper_message_kind_t kind)
+{
+	keeper_outgoing_t *outgoing = calloc(1, sizeof(*outgoing));
+	keeper_message_t *message;
+
+	if (!outgoing)
+		goto fail;
+	message = &outgoing->message;
+	message->cluster = raft->settings.cluster;
+	message->from = strdup(raft->settings.name);
+	message->from_incarnation = raft->settings.incarnation;
+	message->to = strdup(name);
+	message->to_incarnation = incarnation;
+	message->term = raft->ballot.term;
+	message->body.kind = kind;
+	strcpy(outgoing->address, address);
+	if (!message->from || !message->to)
+		goto fail_message;
+	cds_list_add_tail(&outgoing->link, &raft->out);
+	return message;
+
+fail_message:
+	free(message->from);
+	free(message->to);
+	free(outgoing);
+fail:
+	raft->out_of_memory = true;
+	return NULL;
+}
+
+keeper_message_t *keeper_raft_message(keeper_raft_t *raft,
+				      const keeper_node_t *to,
+				      keeper_message_kind_t kind)
+{
+	return keeper_raft_outgoing(raft, to->name, to->incarnation,
+				    to->address, kind);
+}
+
+keeper_message_t *keeper_raft_reply(keeper_raft_t *raft,
+				    const keeper_message_t *to,
+				    keeper_message_kind_t kind)
+{
+	const keeper_node_t *node = keeper_group_find(&raft->group, to->from);
+
+	return keeper_raft_outgoing(raft, to->from, to->from_incarnation,
+				    node ? node->address : "", kind);
+}
+
+bool keeper_raft_is_voter(const keeper_raft_t *raft)
+{
+	return keeper_group_votes(&raft->group, raft->settings.name,
+				  raft->settings.incarnation);
+}
+
+bool keeper_raft_is_fresh(const keeper_raft_t *raft)
+{
+	return keeper_entries_last(&raft->entries) == 0;
+}
+
+keeper_peer_t *keeper_raft_peer(keeper_raft_t *raft, const char *name,
+				uint64_t incarnation)
+{
+	unsigned i;
+
+	for (i = 0; i < raft->peer_count; i++)
+		if (raft->peers[i].node.incarnation == incarnation &&
+		    !strcmp(raft->peers[i].node.name, name))
+			return &raft->peers[i];
+	return NULL;
+}
+
+keeper_peer_t *keeper_raft_add_peer(keeper_raft_t *raft,
+				    const keeper_node_t *node)
+{
+	keeper_peer_t *peer;
+
+	if (raft->peer_count == KEEPER_PEERS_MAX)
+		return NULL;
+	peer = &raft->peers[raft->peer_count++];
+	memset(peer, 0, sizeof(*peer));
+	peer->node = *node;
+	peer->next = keeper_entries_last(&raft->entries) + 1;
+	return peer;
+}
+
+/* Peers are the members that have joined, and learners whose name is still
+ * among the members; what is known of them stays. */
+static void keeper_raft_rebuild_peers(keeper_raft_t *raft)
+{
+	keeper_peer_t old[KEEPER_PEERS_MAX];
+	unsigned old_count = raft->peer_count, i;
+	const keeper_group_t *group = &raft->group;
+
+	memcpy(old, raft->peers, sizeof(old));
+	raft->peer_count = 0;
+	for (i = 0; i < group->count; i++)
+		if (group->nodes[i].voter &&
+		    strcmp(group->nodes[i].name, raft->settings.name))
+			keeper_raft_add_peer(raft, &group->nodes[i]);
+	for (i = 0; i < old_count; i++) {
+		keeper_peer_t *peer = keeper_raft_peer(raft, old[i].node.name,
+						       old[i].node.incarnation);
+
+		if (!peer && old[i].learner &&
+		    keeper_group_find(group, old[i].node.name))
+			peer = keeper_raft_add_peer(raft, &old[i].node);
+		if (!peer)
+			continue;
+		*peer = old[i];
+		peer->learner = !keeper_group_votes(group, peer->node.name,
+						    peer->node.incarnation);
+	}
+}
+
+const keeper_group_t *keeper_raft_group_at(const keeper_raft_t *raft,
+					   uint64_t index,
+					   keeper_group_t *group)
+{
+	const keeper_entry_t *entry;
+
+	for (; (entry = keeper_entries_at(&raft->entries, index)); index--)
+		if (entry->kind == KEEPER_ENTRY_GROUP &&
+		    keeper_group_decode(entry->body.body_val,
+					entry->body.body_len, group))
+			return group;
+	*group = raft->snapshot.group;
+	return group;
+}
+
+bool keeper_raft_regroup(keeper_raft_t *raft)
+{
+	uint64_t index = keeper_entries_last(&raft->entries);
+	const keeper_entry_t *entry;
+
+	while ((entry = keeper_entries_at(&raft->entries, index)) &&
+	       entry->kind != KEEPER_ENTRY_GROUP)
+		index--;
+	raft->group_index = index;
+	raft->group = raft->snapshot.group;
+	if (entry && !keeper_group_decode(entry->body.body_val,
+					  entry->body.body_len, &raft->group))
+		return false;
+	keeper_raft_rebuild_peers(raft);
+	return true;
+}
+
+uint64_t keeper_raft_quorum(const keeper_raft_t *raft, uint64_t own,
+			    uint64_t (*value)(const keeper_peer_t *peer))
+{
+	uint64_t values[KEEPER_VOTERS_MAX] = { 0 }, swap;
+	unsigned voters = 0, peer, i;
+
+	for (i = 0; i < raft->group.count; i++)
+		voters += raft->group.nodes[i].voter;
+	if (!voters)
+		return 0;
+	i = 0;
+	if (keeper_raft_is_voter(raft))
+		values[i++] = own;
+	for (peer = 0; peer < raft->peer_count && i < voters; peer++)
+		if (!raft->peers[peer].learner)
+			values[i++] = value(&raft->peers[peer]);
+	for (i = 1; i < voters; i++)
+		for (peer = i; peer && values[peer] > values[peer - 1];
+		     peer--) {
+			swap = values[peer];
+			values[peer] = values[peer - 1];
+			values[peer - 1] = swap;
+		}
+	return values[voters / 2];
+}
+
+void keeper_raft_follow(keeper_raft_t *raft, uint64_t term, usec_t now)
+{
+	if (term > raft->ballot.term) {
+		memset(&raft->ballot, 0, sizeof(raft->ballot));
+		raft->ballot.term = term;
+		raft->ballot_dirty = true;
+	}
+	raft->role = KEEPER_FOLLOWER;
+	raft->leader[0] = '\0';
+	keeper_raft_rest(raft, now);
+}
+
+void keeper_raft_hear(keeper_raft_t *raft, const char *leader, usec_t now)
+{
+	raft->role = KEEPER_FOLLOWER;
+	strcpy(raft->leader, leader);
+	raft->heard = now;
+	keeper_raft_rest(raft, now);
+}
+
+/* Take over the higher term of a message. Return false if the message has to
+ * be ignored: a vote asked for while a leader may hold a lease. */
+static bool keeper_raft_take_term(keeper_raft_t *raft,
+				  const keeper_message_t *message, usec_t now)
+{
+	switch (message->body.kind) {
+	case KEEPER_MSG_PREVOTE:
+		return true;
+	case KEEPER_MSG_PREVOTE_REPLY:
+		if (!message->body.keeper_message_body_t_u.granted)
+			keeper_raft_follow(raft, message->term, now);
+		return true;
+	case KEEPER_MSG_VOTE:
+		if (keeper_vote_sticky(raft, now))
+			return false;
+		break;
+	default:
+		break;
+	}
+	keeper_raft_follow(raft, message->term, now);
+	return true;
+}
+
+/* Tell the sender of a request of an old term about the present one. */
+static void keeper_raft_answer_old(keeper_raft_t *raft,
+				   const keeper_message_t *message)
+{
+	switch (message->body.kind) {
+	case KEEPER_MSG_PREVOTE:
+		keeper_raft_reply(raft, message, KEEPER_MSG_PREVOTE_REPLY);
+		break;
+	case KEEPER_MSG_VOTE:
+		keeper_raft_reply(raft, message, KEEPER_MSG_VOTE_REPLY);
+		break;
+	case KEEPER_MSG_APPEND:
+	case KEEPER_MSG_INSTALL:
+		keeper_raft_reply(raft, message, KEEPER_MSG_APPEND_REPLY);
+		break;
+	default:
+		break;
+	}
+}
+
+static bool keeper_raft_dispatch(keeper_raft_t *raft,
+				 const keeper_message_t *message, usec_t now)
+{
+	switch (message->body.kind) {
+	case KEEPER_MSG_PREVOTE:
+		keeper_vote_asked_before(raft, message, now);
+		return true;
+	case KEEPER_MSG_VOTE:
+		keeper_vote_asked(raft, message, now);
+		return true;
+	case KEEPER_MSG_PREVOTE_REPLY:
+	case KEEPER_MSG_VOTE_REPLY:
+		keeper_vote_answered(raft, message, now);
+		return true;
+	case KEEPER_MSG_APPEND:
+		return keeper_append_asked(raft, message, now);
+	case KEEPER_MSG_APPEND_REPLY:
+		return keeper_append_answered(raft, message, now);
+	case KEEPER_MSG_INSTALL:
+		return keeper_install_asked(raft, message, now);
+	case KEEPER_MSG_INSTALL_REPLY:
+		return keeper_install_answered(raft, message, now);
+	default:
+		return false;
+	}
+}
+
+static bool keeper_raft_is_reply(keeper_message_kind_t kind)
+{
+	return kind == KEEPER_MSG_PREVOTE_REPLY ||
+	       kind == KEEPER_MSG_VOTE_REPLY ||
+	       kind == KEEPER_MSG_APPEND_REPLY ||
+	       kind == KEEPER_MSG_INSTALL_REPLY;
+}
+
+bool keeper_raft_step(keeper_raft_t *raft, const keeper_message_t *message,
+		      usec_t now)
+{
+	keeper_message_kind_t kind = message->body.kind;
+
+	if (message->cluster != raft->settings.cluster ||
+	    strcmp(message->to, raft->settings.name) ||
+	    !strcmp(message->from, raft->settings.name) ||
+	    !hl_name_valid(message->from))
+		return false;
+	if (kind == KEEPER_MSG_JOIN)
+		return keeper_join_asked(raft, message, now);
+	if (message->to_incarnation != raft->settings.incarnation)
+		return false;
+	if (keeper_raft_is_reply(kind) &&
+	    !keeper_raft_peer(raft, message->from, message->from_incarnation))
+		return true;
+	if (message->term > raft->ballot.term &&
+	    !keeper_raft_take_term(raft, message, now))
+		return true;
+	if (message->term < raft->ballot.term) {
+		keeper_raft_answer_old(raft, message);
+		return true;
+	}
+	return keeper_raft_dispatch(raft, message, now);
+}
+
+static uint64_t keeper_raft_acked(const keeper_peer_t *peer)
+{
+	return (uint64_t)peer->acked;
+}
+
+/* When the newest message that a quorum answered was sent. */
+static usec_t keeper_raft_backed(const keeper_raft_t *raft)
+{
+	return (usec_t)keeper_raft_quorum(raft, INT64_MAX, keeper_raft_acked);
+}
+
+/* A leader that no quorum answers any more gives up. */
+static void keeper_raft_check_quorum(keeper_raft_t *raft, usec_t now)
+{
+	usec_t patience = 2 * raft->settings.election;
+	usec_t backed = keeper_raft_backed(raft);
+
+	if (backed < raft->heard)
+		backed = raft->heard;
+	if (backed != INT64_MAX && now - backed > patience)
+		keeper_raft_follow(raft, raft->ballot.term, now);
+}
+
+void keeper_raft_tick(keeper_raft_t *raft, usec_t now)
+{
+	if (raft->role == KEEPER_LEADER)
+		keeper_raft_check_quorum(raft, now);
+	if (raft->role != KEEPER_LEADER && now >= raft->election_at)
+		keeper_vote_start(raft, now);
+	if (now < raft->heartbeat_at)
+		return;
+	raft->heartbeat_at = now + raft->settings.heartbeat;
+	if (raft->role == KEEPER_LEADER)
+		keeper_append_spread(raft, false, now);
+	else if (!keeper_raft_is_voter(raft))
+		keeper_join_ask(raft, now);
+	keeper_join_found(raft, now);
+}
+
+usec_t keeper_raft_due(const keeper_raft_t *raft)
+{
+	if (raft->role == KEEPER_LEADER ||
+	    raft->heartbeat_at < raft->election_at)
+		return raft->heartbeat_at;
+	return raft->election_at;
+}
+
+uint64_t keeper_raft_push(keeper_raft_t *raft, keeper_entry_kind_t kind,
+			  const char *body, size_t size)
+{
+	keeper_entry_t entry = { 0 };
+
+	entry.index = keeper_entries_last(&raft->entries) + 1;
+	entry.term = raft->ballot.term;
+	entry.kind = kind;
+	entry.body.body_val = (char *)body;
+	entry.body.body_len = size;
+	if (keeper_entries_push(&raft->entries, &entry))
+		return entry.index;
+	raft->out_of_memory = true;
+	return 0;
+}
+
+uint64_t keeper_raft_push_group(keeper_raft_t *raft,
+				const keeper_group_t *group)
+{
+	uint64_t index;
+	size_t size;
+	char *body;
+
+	if (!keeper_group_encode(group, &body, &size)) {
+		raft->out_of_memory = true;
+		return 0;
+	}
+	index = keeper_raft_push(raft, KEEPER_ENTRY_GROUP, body, size);
+	free(body);
+	keeper_raft_regroup(raft);
+	return index;
+}
+
+uint64_t keeper_raft_propose(keeper_raft_t *raft, const char *body, size_t size,
+			     usec_t now)
+{
+	uint64_t index;
+
+	if (raft->role != KEEPER_LEADER || size > KEEPER_COMMAND_MAX)
+		return 0;
+	index = keeper_raft_push(raft, KEEPER_ENTRY_CHANGE, body, size);
+	keeper_append_spread(raft, true, now);
+	return index;
+}
+
+bool keeper_raft_unsaved(const keeper_raft_t *raft)
+{
+	return raft->ballot_dirty || raft->snapshot_dirty ||
+	       raft->saved < keeper_entries_last(&raft->entries);
+}
+
+void keeper_raft_saved(keeper_raft_t *raft, usec_t now)
+{
+	raft->ballot_dirty = raft->snapshot_dirty = false;
+	raft->saved = keeper_entries_last(&raft->entries);
+	if (raft->role == KEEPER_LEADER)
+		keeper_append_advance(raft, now);
+}
+
+void keeper_raft_compact(keeper_raft_t *raft, keeper_snapshot_t *snapshot)
+{
+	free(raft->snapshot.state);
+	raft->snapshot = *snapshot;
+	memset(snapshot, 0, sizeof(*snapshot));
+	keeper_entries_compact(&raft->entries, raft->snapshot.index,
+			       raft->snapshot.term);
+}
+
+usec_t keeper_raft_lease(const keeper_raft_t *raft)
+{
+	usec_t length = raft->settings.election;
+	usec_t backed;
+
+	if (raft->role != KEEPER_LEADER || raft->commit < raft->term_start)
+		return 0;
+	backed = keeper_raft_backed(raft);
+	if (backed == INT64_MAX)
+		return USEC_NEVER;
+	return backed ? backed + length - length / KEEPER_LEASE_MARGIN : 0;
+}
+
+const char *keeper_role_name(const keeper_raft_t *raft)
+{
+	if (raft->role == KEEPER_LEADER)
+		return "leader";
+	if (!keeper_raft_is_voter(raft))
+		return "learner";
+	return raft->role == KEEPER_FOLLOWER ? "follower" : "candidate";
+}
--- /dev/null
+++ b/keeper-rpc.c
@@ -0,0 +1,211 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include "keeper-core.h"
+#include <rpc/rpc_com.h>
+
+/* The largest call: an append with its entries. */
+#define KEEPER_RPC_RECORD_MAX (1024 * 1024)
+#define KEEPER_RPC_BACKLOG 256
+/* How often the thread looks at its stop flag. */
+#define KEEPER_RPC_POLL_MS 50
+
+/* libtirpc's server side has global tables and no context pointer. */
+static keeper_core_t *keeper_rpc_core;
+static unsigned keeper_rpc_calls; /* that reached a handler */
+
+extern void hemlock_keeper_1(struct svc_req *request, SVCXPRT *transport);
+
+bool_t keeper_submit_1_svc(config_change_t change, keeper_submit_res_t *res,
+			   struct svc_req *request)
+{
+	(void)request;
+	keeper_rpc_calls++;
+	return keeper_core_submit(keeper_rpc_core, &change, res, time_now());
+}
+
+bool_t keeper_outcome_1_svc(config_name_t id, keeper_submit_res_t *res,
+			    struct svc_req *request)
+{
+	(void)request;
+	keeper_rpc_calls++;
+	return keeper_core_outcome(keeper_rpc_core, id, res, time_now());
+}
+
+bool_t keeper_fetch_1_svc(keeper_fetch_args_t args, keeper_fetch_res_t *res,
+			  struct svc_req *request)
+{
+	(void)request;
+	keeper_rpc_calls++;
+	return keeper_core_fetch(keeper_rpc_core, &args, res, time_now());
+}
+
+bool_t keeper_report_1_svc(keeper_report_args_t args, void *res,
+			   struct svc_req *request)
+{
+	(void)res;
+	(void)request;
+	keeper_rpc_calls++;
+	keeper_core_report(keeper_rpc_core, &args, time_now());
+	return TRUE;
+}
+
+bool_t keeper_state_1_svc(keeper_state_res_t *res, struct svc_req *request)
+{
+	(void)request;
+	keeper_rpc_calls++;
+	return keeper_core_state(keeper_rpc_core, res, time_now());
+}
+
+bool_t keeper_voter_1_svc(keeper_voter_args_t args, keeper_submit_res_t *res,
+			  struct svc_req *request)
+{
+	(void)request;
+	keeper_rpc_calls++;
+	return keeper_core_voter(keeper_rpc_core, &args, res);
+}
+
+/* The arguments are freed by the dispatcher, so the core gets a copy. */
+bool_t keeper_message_1_svc(keeper_message_t message, void *res,
+			    struct svc_req *request)
+{
+	keeper_item_t *item = calloc(1, sizeof(*item));
+
+	(void)res;
+	(void)request;
+	keeper_rpc_calls++;
+	if (!item)
+		return TRUE;
+	item->kind = KEEPER_ITEM_MESSAGE;
+	if (!keeper_xdr_copy((xdrproc_t)xdr_keeper_message_t, &message,
+			     &item->message)) {
+		free(item);
+		return TRUE;
+	}
+	if (!keeper_core_post(keeper_rpc_core, item))
+		metrics_add(keeper_rpc_core->counters.dropped, 1);
+	return TRUE;
+}
+
+int hemlock_keeper_1_freeresult(SVCXPRT *transport, xdrproc_t proc,
+				caddr_t result)
+{
+	(void)transport;
+	xdr_free(proc, result);
+	return 1;
+}
+
+static int keeper_rpc_listen(const char *address, hl_error_t *err)
+{
+	struct sockaddr_storage storage;
+	unsigned length;
+	int fd, one = 1;
+
+	if (hl_address_parse(address, &storage, &length))
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s is no address; mend node.address and "
+				    "keeper.port",
+				    address);
+	fd = socket(storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		goto fail;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&storage, length) ||
+	    listen(fd, KEEPER_RPC_BACKLOG))
+		goto fail;
+	return fd;
+
+fail:
+	hl_error_set(err, HL_ERR_IO,
+		     "cannot listen on %s: %s; stop what uses the port or "
+		     "mend node.address and keeper.port",
+		     address, strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	return -1;
+}
+
+int keeper_rpc_open(keeper_core_t *core, hl_error_t *err)
+{
+	int record_max = KEEPER_RPC_RECORD_MAX, fd;
+	char address[HL_ADDRESS_MAX];
+	SVCXPRT *transport;
+
+	keeper_rpc_core = core;
+	keeper_settings_own(&core->settings, address);
+	fd = keeper_rpc_listen(address, err);
+	if (fd < 0)
+		return -1;
+	/* With a bound the server does not wait inside of a slow record. */
+	rpc_control(RPC_SVC_CONNMAXREC_SET, &record_max);
+	transport = svc_vc_create(fd, 0, 0);
+	if (!transport || !svc_reg(transport, HEMLOCK_KEEPER, HEMLOCK_KEEPER_V1,
+				   hemlock_keeper_1, NULL)) {
+		close(fd);
+		return hl_error_set(err, HL_ERR_LIMIT,
+				    "cannot start the RPC server on %s; raise "
+				    "the limit on open files",
+				    address);
+	}
+	return 0;
+}
+
+/* True if bytes wait on a connection, false for a listener or an end. */
+static bool keeper_rpc_has_bytes(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+}
+
+static bool keeper_rpc_is_open(int fd)
+{
+	int i;
+
+	for (i = 0; i < svc_max_pollfd; i++)
+		if (svc_pollfd[i].fd == fd)
+			return true;
+	return false;
+}
+
+/* Serve one connection. Bytes that made libtirpc close it without a call were
+ * malformed, or of another protocol. */
+static void keeper_rpc_serve(int fd)
+{
+	bool bytes = keeper_rpc_has_bytes(fd);
+	unsigned calls = keeper_rpc_calls;
+
+	svc_getreq_common(fd);
+	if (bytes && calls == keeper_rpc_calls && !keeper_rpc_is_open(fd))
+		metrics_add(keeper_rpc_core->counters.rejected, 1);
+}
+
+int keeper_rpc_run(void *context, const volatile int *stop)
+{
+	struct pollfd *fds = NULL, *grown;
+	int i, count;
+
+	(void)context;
+	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
+		count = svc_max_pollfd;
+		grown = realloc(fds, (count + 1) * sizeof(*fds));
+		if (!grown)
+			break;
+		fds = grown;
+		memcpy(fds, svc_pollfd, count * sizeof(*fds));
+		if (poll(fds, count, KEEPER_RPC_POLL_MS) <= 0)
+			continue;
+		for (i = 0; i < count; i++)
+			if (fds[i].fd >= 0 && fds[i].revents)
+				keeper_rpc_serve(fds[i].fd);
+	}
+	free(fds);
+	return 0;
+}
--- /dev/null
+++ b/keeper-settings.c
@@ -0,0 +1,119 @@
+#include <stdio.h>
+#include <string.h>
+#include "keeper-core.h"
+
+#define KEEPER_SETTING(table, key, field, kind, required, preset, min, max, \
+		       help)                                                \
+	{                                                                   \
+		table, key, kind, offsetof(keeper_settings_t, field),       \
+			required, preset, min, max, help                    \
+	}
+
+const setting_t keeper_settings_table[] = {
+	KEEPER_SETTING("node", "name", name, SETTING_NAME, true, NULL, 0, 0,
+		       "name of this VM"),
+	KEEPER_SETTING("node", "zone", zone, SETTING_NAME, true, NULL, 0, 0,
+		       "availability zone of this VM"),
+	KEEPER_SETTING("node", "address", address, SETTING_IP, true, NULL, 0, 0,
+		       "IP number to listen on"),
+	KEEPER_SETTING("node", "log_level", log_level, SETTING_LEVEL, false,
+		       "info", 0, 0, "least severe level that is logged"),
+	KEEPER_SETTING("keeper", "cluster", cluster, SETTING_NAME, false,
+		       "hemlock", 0, 0, "name that all its keepers share"),
+	KEEPER_SETTING("keeper", "port", port, SETTING_INTEGER, false, "7090",
+		       1, 65535, "TCP port for ONC RPC"),
+	KEEPER_SETTING("keeper", "data", data, SETTING_TEXT, true, NULL, 0, 0,
+		       "data folder on this VM's disk, which must exist"),
+	KEEPER_SETTING("keeper", "names", names, SETTING_NAMES, true, NULL, 0,
+		       0, "the founding keepers' VMs, this one included"),
+	KEEPER_SETTING("keeper", "addresses", addresses, SETTING_ADDRESSES,
+		       true, NULL, 0, 0,
+		       "how this keeper reaches each of them, in that order"),
+	KEEPER_SETTING("keeper", "heartbeat_ms", heartbeat_ms, SETTING_INTEGER,
+		       false, "150", 5, 60000,
+		       "milliseconds between a leader's heartbeats"),
+	KEEPER_SETTING("keeper", "election_ms", election_ms, SETTING_INTEGER,
+		       false, "1000", 50, 600000,
+		       "shortest silence in milliseconds before an election"),
+	KEEPER_SETTING("keeper", "rpc_timeout_ms", rpc_timeout_ms,
+		       SETTING_INTEGER, false, "500", 10, 60000,
+		       "milliseconds for a call to another keeper"),
+	KEEPER_SETTING("keeper", "snapshot_entries", snapshot_entries,
+		       SETTING_INTEGER, false, "256", 4, 100000,
+		       "entries after which a snapshot replaces the log"),
+};
+
+const size_t keeper_settings_count = sizeof(keeper_settings_table) /
+				     sizeof(keeper_settings_table[0]);
+
+static bool keeper_settings_twice(const setting_list_t *names)
+{
+	unsigned i, j;
+
+	for (i = 0; i < names->count; i++)
+		for (j = 0; j < i; j++)
+			if (!strcmp(names->items[i], names->items[j]))
+				return true;
+	return false;
+}
+
+static bool keeper_settings_named(const keeper_settings_t *settings)
+{
+	unsigned i;
+
+	for (i = 0; i < settings->names.count; i++)
+		if (!strcmp(settings->names.items[i], settings->name))
+			return true;
+	return false;
+}
+
+/* What no single key can tell. */
+static int keeper_settings_check(const char *path,
+				 const keeper_settings_t *settings,
+				 hl_error_t *err)
+{
+	if (settings->names.count != settings->addresses.count)
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: keeper.names has %u items and "
+				    "keeper.addresses %u; give one address for "
+				    "each name, in the same order",
+				    path, settings->names.count,
+				    settings->addresses.count);
+	if (!settings->names.count || settings->names.count > KEEPER_VOTERS_MAX)
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: keeper.names must have 1 to %d items; "
+				    "3 or 5 are usual",
+				    path, KEEPER_VOTERS_MAX);
+	if (keeper_settings_twice(&settings->names) ||
+	    !keeper_settings_named(settings))
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: keeper.names must name each keeper "
+				    "once and hold node.name; add %s or remove "
+				    "the double",
+				    path, settings->name);
+	if (settings->election_ms < 3 * settings->heartbeat_ms)
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: keeper.election_ms must be at least "
+				    "three times keeper.heartbeat_ms; raise it",
+				    path);
+	return 0;
+}
+
+int keeper_settings_load(const char *path, keeper_settings_t *settings,
+			 hl_error_t *err)
+{
+	memset(settings, 0, sizeof(*settings));
+	if (settings_load(path, keeper_settings_table, keeper_settings_count,
+			  settings, err))
+		return -1;
+	return keeper_settings_check(path, settings, err);
+}
+
+void keeper_settings_own(const keeper_settings_t *settings,
+			 char out[HL_ADDRESS_MAX])
+{
+	bool six = strchr(settings->address, ':') != NULL;
+
+	snprintf(out, HL_ADDRESS_MAX, "%s%.45s%s:%u", six ? "[" : "",
+		 settings->address, six ? "]" : "", (uint16_t)settings->port);
+}
--- /dev/null
+++ b/keeper-store.c
@@ -0,0 +1,290 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/file.h>
+#include <unistd.h>
+#include "keeper-store.h"
+
+/* Two processes on one folder would each break the other's promises. */
+static int keeper_store_lock(keeper_store_t *store, hl_error_t *err)
+{
+	char path[PATH_MAX];
+
+	snprintf(path, sizeof(path), "%s/lock", store->folder);
+	store->lock_fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+	if (store->lock_fd < 0)
+		return hl_error_set(err, HL_ERR_IO,
+				    "cannot open %s: %s; create the data "
+				    "folder and let the keeper's user write "
+				    "to it",
+				    path, strerror(errno));
+	if (flock(store->lock_fd, LOCK_EX | LOCK_NB))
+		return hl_error_set(err, HL_ERR_REFUSED,
+				    "%s is in use by another keeper; stop that "
+				    "one or set keeper.data to another folder",
+				    store->folder);
+	return 0;
+}
+
+static int keeper_store_nomem(hl_error_t *err)
+{
+	return hl_error_set(err, HL_ERR_NOMEM,
+			    "out of memory; give the VM more or lower "
+			    "keeper.snapshot_entries");
+}
+
+static int keeper_store_read_log(keeper_store_t *store, keeper_log_t *log,
+				 hl_error_t *err)
+{
+	char path[PATH_MAX], *bytes;
+	size_t size;
+	int rc = keeper_file_read(store->folder, "log", &bytes, &size, err);
+
+	memset(log, 0, sizeof(*log));
+	if (rc <= 0)
+		return rc;
+	snprintf(path, sizeof(path), "%s/log", store->folder);
+	rc = keeper_log_parse(path, bytes, size, log, err) ? -1 : 1;
+	free(bytes);
+	return rc;
+}
+
+static int keeper_store_read_snapshot(keeper_store_t *store,
+				      keeper_snapshot_t *snapshot,
+				      hl_error_t *err)
+{
+	char path[PATH_MAX], *bytes;
+	size_t size;
+	int rc = keeper_file_read(store->folder, "snapshot", &bytes, &size,
+				  err);
+
+	memset(snapshot, 0, sizeof(*snapshot));
+	if (rc <= 0)
+		return rc;
+	snprintf(path, sizeof(path), "%s/snapshot", store->folder);
+	rc = keeper_snapshot_parse(path, bytes, size, store->cluster, snapshot,
+				   err);
+	free(bytes);
+	return rc;
+}
+
+/* A snapshot without its log: the disk forgot what this keeper promised. */
+static int keeper_store_orphan(const keeper_store_t *store, hl_error_t *err)
+{
+	char path[PATH_MAX];
+
+	snprintf(path, sizeof(path), "%s/snapshot", store->folder);
+	if (access(path, F_OK))
+		return 0;
+	return hl_error_set(err, HL_ERR_CORRUPT,
+			    "%s has a snapshot but no log; move the data "
+			    "folder away and start again with an empty one: "
+			    "the keeper then joins anew and copies the others",
+			    store->folder);
+}
+
+static int keeper_store_check(const keeper_store_t *store,
+			      const keeper_log_t *log, const char *name,
+			      const keeper_snapshot_t *snapshot,
+			      hl_error_t *err)
+{
+	if (log->cluster != store->cluster || strcmp(log->name, name))
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s belongs to keeper %s of %s cluster; "
+				    "set node.name and keeper.cluster as they "
+				    "were, or give it an empty folder",
+				    store->folder, log->name,
+				    log->cluster == store->cluster ? "this" :
+								     "another");
+	if (log->entries.base > snapshot->index)
+		return hl_error_set(err, HL_ERR_CORRUPT,
+				    "%s/snapshot is missing or too old for the "
+				    "log; move the data folder away and start "
+				    "again with an empty one: the keeper then "
+				    "joins anew and copies the others",
+				    store->folder);
+	return 0;
+}
+
+/* A crash may leave a snapshot beside a log from before it. What the log has
+ * beyond the snapshot counts only if it passes through it. */
+static void keeper_store_fit(keeper_entries_t *entries,
+			     const keeper_snapshot_t *snapshot)
+{
+	uint64_t term;
+
+	if (!keeper_entries_term(entries, snapshot->index, &term) ||
+	    term != snapshot->term)
+		keeper_entries_cut(entries, entries->base);
+	keeper_entries_compact(entries, snapshot->index, snapshot->term);
+}
+
+/* Write a whole log in place of the old one. */
+static int keeper_store_write_log(keeper_store_t *store,
+				  const keeper_ballot_state_t *ballot,
+				  const keeper_entries_t *entries,
+				  hl_error_t *err)
+{
+	keeper_log_t log = { .cluster = store->cluster,
+			     .incarnation = store->incarnation,
+			     .ballot = *ballot,
+			     .entries = *entries };
+	keeper_buffer_t buffer = { 0 };
+	int fd;
+
+	strcpy(log.name, store->name);
+	if (keeper_log_put(&buffer, &log)) {
+		free(buffer.bytes);
+		return keeper_store_nomem(err);
+	}
+	fd = keeper_file_replace(store->file, store->folder, "log",
+				 buffer.bytes, buffer.size, err);
+	free(buffer.bytes);
+	if (fd < 0)
+		return -1;
+	if (store->log_fd >= 0)
+		close(store->log_fd);
+	store->log_fd = fd;
+	store->log_bytes = buffer.size;
+	store->syncs++;
+	return 0;
+}
+
+static int keeper_store_write_snapshot(keeper_store_t *store,
+				       const keeper_snapshot_t *snapshot,
+				       hl_error_t *err)
+{
+	keeper_buffer_t buffer = { 0 };
+	int fd;
+
+	if (keeper_snapshot_put(&buffer, store->cluster, snapshot)) {
+		free(buffer.bytes);
+		return keeper_store_nomem(err);
+	}
+	fd = keeper_file_replace(store->file, store->folder, "snapshot",
+				 buffer.bytes, buffer.size, err);
+	free(buffer.bytes);
+	if (fd < 0)
+		return -1;
+	close(fd);
+	store->syncs++;
+	return 0;
+}
+
+/* Give the raft what was read. */
+static int keeper_store_restore(keeper_store_t *store, keeper_log_t *log,
+				keeper_snapshot_t *snapshot,
+				keeper_raft_t *raft, hl_error_t *err)
+{
+	raft->settings.incarnation = store->incarnation;
+	if (keeper_raft_restore(raft, &log->ballot, snapshot, &log->entries))
+		return 0;
+	return hl_error_set(err, HL_ERR_CORRUPT,
+			    "%s/log has a malformed group; move the data "
+			    "folder away and start again with an empty one",
+			    store->folder);
+}
+
+int keeper_store_open(keeper_store_t *store, const keeper_file_t *file,
+		      const char *folder, uint64_t cluster, const char *name,
+		      uint64_t fresh, keeper_raft_t *raft, hl_error_t *err)
+{
+	keeper_snapshot_t snapshot = { 0 };
+	keeper_log_t log = { 0 };
+	int rc;
+
+	memset(store, 0, sizeof(*store));
+	store->file = file;
+	store->cluster = cluster;
+	store->log_fd = store->lock_fd = -1;
+	snprintf(store->folder, sizeof(store->folder), "%s", folder);
+	snprintf(store->name, sizeof(store->name), "%s", name);
+	if (keeper_store_lock(store, err))
+		goto fail;
+	rc = keeper_store_read_log(store, &log, err);
+	if (rc < 0 || (!rc && keeper_store_orphan(store, err)))
+		goto fail;
+	if (rc && (keeper_store_read_snapshot(store, &snapshot, err) ||
+		   keeper_store_check(store, &log, name, &snapshot, err)))
+		goto fail;
+	store->incarnation = rc ? log.incarnation : fresh;
+	store->torn = log.torn;
+	keeper_store_fit(&log.entries, &snapshot);
+	if (snapshot.index &&
+	    keeper_store_write_snapshot(store, &snapshot, err))
+		goto fail;
+	if (keeper_store_write_log(store, &log.ballot, &log.entries, err))
+		goto fail;
+	if (!keeper_store_restore(store, &log, &snapshot, raft, err))
+		return 0;
+
+fail:
+	keeper_entries_free(&log.entries);
+	free(snapshot.state);
+	keeper_store_close(store);
+	return -1;
+}
+
+static int keeper_store_frame(keeper_buffer_t *buffer,
+			      const keeper_raft_t *raft)
+{
+	const keeper_entry_t *entry;
+	uint64_t index = raft->saved + 1;
+
+	if (raft->ballot_dirty && keeper_log_put_ballot(buffer, &raft->ballot))
+		return -1;
+	for (; (entry = keeper_entries_at(&raft->entries, index)); index++)
+		if (keeper_log_put_entry(buffer, entry))
+			return -1;
+	return 0;
+}
+
+int keeper_store_save(keeper_store_t *store, const keeper_raft_t *raft,
+		      hl_error_t *err)
+{
+	const keeper_file_t *file = store->file;
+	keeper_buffer_t buffer = { 0 };
+	int rc = -1;
+
+	if (raft->snapshot_dirty)
+		return keeper_store_compact(store, raft, err);
+	if (keeper_store_frame(&buffer, raft)) {
+		keeper_store_nomem(err);
+		goto out;
+	}
+	if (keeper_file_write_all(file, store->log_fd, buffer.bytes,
+				  buffer.size) ||
+	    file->sync(file->context, store->log_fd)) {
+		hl_error_set(err, HL_ERR_IO,
+			     "cannot write %s/log: %s; free space or replace "
+			     "the disk: the keeper tries again by itself",
+			     store->folder, strerror(errno));
+		goto out;
+	}
+	store->log_bytes += buffer.size;
+	store->syncs++;
+	rc = 0;
+out:
+	free(buffer.bytes);
+	return rc;
+}
+
+int keeper_store_compact(keeper_store_t *store, const keeper_raft_t *raft,
+			 hl_error_t *err)
+{
+	if (keeper_store_write_snapshot(store, &raft->snapshot, err))
+		return -1;
+	return keeper_store_write_log(store, &raft->ballot, &raft->entries,
+				      err);
+}
+
+void keeper_store_close(keeper_store_t *store)
+{
+	if (store->log_fd >= 0)
+		close(store->log_fd);
+	if (store->lock_fd >= 0)
+		close(store->lock_fd);
+	store->log_fd = store->lock_fd = -1;
+}
--- /dev/null
+++ b/keeper-vote.c
@@ -0,0 +1,177 @@
+#include <string.h>
+#include "keeper-raft.h"
+
+bool keeper_vote_sticky(const keeper_raft_t *raft, usec_t now)
+{
+	return raft->role == KEEPER_LEADER ||
+	       now - raft->heard < raft->settings.election;
+}
+
+static uint64_t keeper_vote_voted(const keeper_peer_t *peer)
+{
+	return peer->voted;
+}
+
+static bool keeper_vote_won(const keeper_raft_t *raft)
+{
+	return keeper_raft_quorum(raft, 1, keeper_vote_voted) == 1;
+}
+
+/* Ask all voters under the disks that the log names. */
+static void keeper_vote_ask(keeper_raft_t *raft, keeper_message_kind_t kind,
+			    uint64_t term)
+{
+	uint64_t last = keeper_entries_last(&raft->entries);
+	unsigned i;
+
+	for (i = 0; i < raft->peer_count; i++) {
+		keeper_peer_t *peer = &raft->peers[i];
+		keeper_message_t *message;
+		keeper_ballot_t *ballot;
+
+		peer->voted = false;
+		if (peer->learner)
+			continue;
+		message = keeper_raft_message(raft, &peer->node, kind);
+		if (!message)
+			return;
+		message->term = term;
+		ballot = &message->body.keeper_message_body_t_u.ballot;
+		ballot->last_index = last;
+		keeper_entries_term(&raft->entries, last, &ballot->last_term);
+	}
+}
+
+static void keeper_vote_lead(keeper_raft_t *raft, usec_t now)
+{
+	unsigned i;
+
+	raft->role = KEEPER_LEADER;
+	strcpy(raft->leader, raft->settings.name);
+	raft->heard = now;
+	raft->elections++;
+	for (i = 0; i < raft->peer_count; i++) {
+		keeper_peer_t *peer = &raft->peers[i];
+
+		peer->next = keeper_entries_last(&raft->entries) + 1;
+		peer->match = peer->offset = 0;
+		peer->acked = peer->sent = 0;
+		peer->waiting = false;
+	}
+	raft->term_start = keeper_raft_push(raft, KEEPER_ENTRY_NOOP, NULL, 0);
+	raft->heartbeat_at = now + raft->settings.heartbeat;
+	keeper_append_spread(raft, false, now);
+}
+
+void keeper_vote_campaign(keeper_raft_t *raft, usec_t now)
+{
+	raft->role = KEEPER_CANDIDATE;
+	raft->ballot_dirty = true;
+	strcpy(raft->ballot.vote, raft->settings.name);
+	raft->ballot.vote_incarnation = raft->settings.incarnation;
+	keeper_vote_ask(raft, KEEPER_MSG_VOTE, raft->ballot.term);
+	if (keeper_vote_won(raft))
+		keeper_vote_lead(raft, now);
+}
+
+static void keeper_vote_next_term(keeper_raft_t *raft, usec_t now)
+{
+	keeper_raft_follow(raft, raft->ballot.term + 1, now);
+	keeper_vote_campaign(raft, now);
+}
+
+void keeper_vote_start(keeper_raft_t *raft, usec_t now)
+{
+	keeper_raft_follow(raft, raft->ballot.term, now);
+	if (!keeper_raft_is_voter(raft))
+		return;
+	raft->role = KEEPER_PRECANDIDATE;
+	keeper_vote_ask(raft, KEEPER_MSG_PREVOTE, raft->ballot.term + 1);
+	if (keeper_vote_won(raft))
+		keeper_vote_next_term(raft, now);
+}
+
+/* A candidate must hold all that may be committed. */
+static bool keeper_vote_up_to_date(const keeper_raft_t *raft,
+				   const keeper_ballot_t *ballot)
+{
+	uint64_t last = keeper_entries_last(&raft->entries), term = 0;
+
+	keeper_entries_term(&raft->entries, last, &term);
+	if (ballot->last_term != term)
+		return ballot->last_term > term;
+	return ballot->last_index >= last;
+}
+
+void keeper_vote_asked_before(keeper_raft_t *raft,
+			      const keeper_message_t *message, usec_t now)
+{
+	keeper_message_t *reply;
+	bool granted;
+
+	granted = message->term > raft->ballot.term &&
+		  !keeper_vote_sticky(raft, now) &&
+		  keeper_vote_up_to_date(
+			  raft, &message->body.keeper_message_body_t_u.ballot);
+	reply = keeper_raft_reply(raft, message, KEEPER_MSG_PREVOTE_REPLY);
+	if (!reply)
+		return;
+	reply->body.keeper_message_body_t_u.granted = granted;
+	if (granted)
+		reply->term = message->term;
+}
+
+/* True if this term's vote is free or was given to this very disk. */
+static bool keeper_vote_free(const keeper_raft_t *raft,
+			     const keeper_message_t *message)
+{
+	const keeper_ballot_state_t *ballot = &raft->ballot;
+
+	return !ballot->vote[0] ||
+	       (!strcmp(ballot->vote, message->from) &&
+		ballot->vote_incarnation == message->from_incarnation);
+}
+
+void keeper_vote_asked(keeper_raft_t *raft, const keeper_message_t *message,
+		       usec_t now)
+{
+	keeper_message_t *reply;
+	bool granted;
+
+	granted = !keeper_vote_sticky(raft, now) &&
+		  keeper_vote_free(raft, message) &&
+		  keeper_vote_up_to_date(
+			  raft, &message->body.keeper_message_body_t_u.ballot);
+	if (granted && !raft->ballot.vote[0]) {
+		strcpy(raft->ballot.vote, message->from);
+		raft->ballot.vote_incarnation = message->from_incarnation;
+		raft->ballot_dirty = true;
+		keeper_raft_follow(raft, raft->ballot.term, now);
+	}
+	reply = keeper_raft_reply(raft, message, KEEPER_MSG_VOTE_REPLY);
+	if (reply)
+		reply->body.keeper_message_body_t_u.granted = granted;
+}
+
+void keeper_vote_answered(keeper_raft_t *raft, const keeper_message_t *message,
+			  usec_t now)
+{
+	bool before = message->body.kind == KEEPER_MSG_PREVOTE_REPLY;
+	uint64_t term = raft->ballot.term + before;
+	keeper_peer_t *peer;
+
+	if (raft->role != (before ? KEEPER_PRECANDIDATE : KEEPER_CANDIDATE) ||
+	    !message->body.keeper_message_body_t_u.granted ||
+	    message->term != term)
+		return;
+	peer = keeper_raft_peer(raft, message->from, message->from_incarnation);
+	if (!peer || peer->learner)
+		return;
+	peer->voted = true;
+	if (!keeper_vote_won(raft))
+		return;
+	if (before)
+		keeper_vote_next_term(raft, now);
+	else
+		keeper_vote_lead(raft, now);
+}
--- /dev/null
+++ b/regress/keeper-client.c
@@ -0,0 +1,289 @@
+/*
+ * usage: keeper-client [-t SECONDS] COMMAND ... ADDRESS...
+ *
+ * state		one line for each keeper: name role voters commit
+ * leader		the name of the keeper that leads with a quorum behind it
+ * put ID NAME BASE	declare a profile; asks all until one has the answer
+ * outcome ID		the answer of a change
+ * fetch		newest revision and profiles of the first address
+ * confirm		the same as a quorum confirms it
+ * voter add|remove NAME WHERE	change the voters
+ * garbage KIND		send what is no call of ours
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include "config.h"
+#include "keeper.h"
+
+#define CLIENT_CALL_MS 500
+#define CLIENT_PAUSE_MS 10
+
+static usec_t give_up;
+
+static int client_connect(const char *address)
+{
+	struct sockaddr_storage storage;
+	struct pollfd pfd;
+	unsigned length;
+	int fd, error = 0;
+	socklen_t size = sizeof(error);
+
+	if (hl_address_parse(address, &storage, &length))
+		return -1;
+	fd = socket(storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	if (connect(fd, (struct sockaddr *)&storage, length) &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return -1;
+	}
+	pfd = (struct pollfd){ .fd = fd, .events = POLLOUT };
+	if (poll(&pfd, 1, CLIENT_CALL_MS) == 1 &&
+	    !getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) && !error) {
+		fcntl(fd, F_SETFL, 0);
+		return fd;
+	}
+	close(fd);
+	return -1;
+}
+
+static CLIENT *client_open(const char *address)
+{
+	struct timeval timeout = { 0, CLIENT_CALL_MS * 1000 };
+	struct sockaddr_storage storage;
+	struct netbuf buffer = { .buf = &storage };
+	CLIENT *client;
+	int fd = client_connect(address);
+
+	if (fd < 0 || hl_address_parse(address, &storage, &buffer.len))
+		return NULL;
+	client = clnt_vc_create(fd, &buffer, HEMLOCK_KEEPER, HEMLOCK_KEEPER_V1,
+				0, 0);
+	clnt_control(client, CLSET_FD_CLOSE, NULL);
+	clnt_control(client, CLSET_TIMEOUT, (char *)&timeout);
+	return client;
+}
+
+static bool client_state(const char *address, keeper_state_res_t *res)
+{
+	CLIENT *client = client_open(address);
+	bool ok;
+
+	memset(res, 0, sizeof(*res));
+	if (!client)
+		return false;
+	ok = keeper_state_1(res, client) == RPC_SUCCESS;
+	clnt_destroy(client);
+	return ok;
+}
+
+static int cmd_state(char **args)
+{
+	for (; *args; args++) {
+		keeper_state_res_t res;
+		u_int i, voters = 0;
+
+		if (!client_state(*args, &res)) {
+			printf("unreachable\n");
+			continue;
+		}
+		for (i = 0; i < res.members.members_len; i++)
+			voters += res.members.members_val[i].voter != 0;
+		printf("%s %s voters=%u commit=%" PRIu64 " last=%" PRIu64
+		       " revision=%" PRIu64 " term=%" PRIu64
+		       " incarnation=%" PRIx64 "\n",
+		       res.name, res.role, voters, (uint64_t)res.commit_index,
+		       (uint64_t)res.last_index, (uint64_t)res.revision,
+		       (uint64_t)res.term, (uint64_t)res.incarnation);
+	}
+	return 0;
+}
+
+static bool client_fetch(const char *address, bool confirmed,
+			 keeper_fetch_res_t *res)
+{
+	keeper_fetch_args_t fetch = { .have = 0, .confirmed = confirmed };
+	CLIENT *client = client_open(address);
+	bool ok;
+
+	memset(res, 0, sizeof(*res));
+	if (!client)
+		return false;
+	ok = keeper_fetch_1(fetch, res, client) == RPC_SUCCESS;
+	clnt_destroy(client);
+	return ok;
+}
+
+static int cmd_leader(char **args)
+{
+	for (; time_now() < give_up; usleep(CLIENT_PAUSE_MS * 1000)) {
+		char **at;
+
+		for (at = args; *at; at++) {
+			keeper_fetch_res_t res;
+			keeper_state_res_t state;
+
+			if (client_fetch(*at, true, &res) && res.confirmed &&
+			    client_state(*at, &state)) {
+				printf("%s\n", state.name);
+				return 0;
+			}
+		}
+	}
+	printf("no leader\n");
+	return 1;
+}
+
+static int cmd_fetch(char **args, bool confirmed)
+{
+	keeper_fetch_res_t res;
+
+	if (!client_fetch(args[0], confirmed, &res)) {
+		printf("unreachable\n");
+		return 1;
+	}
+	printf("status=%d confirmed=%d revision=%" PRIu64 "\n", res.status,
+	       res.confirmed, (uint64_t)res.revision);
+	return res.status == KEEPER_OK ? 0 : 1;
+}
+
+static int client_print(const char *id, const keeper_submit_res_t *res)
+{
+	static const char *const verdicts[] = { "accepted", "conflict",
+						"refused" };
+
+	printf("%s %s revision=%" PRIu64 "%s%s\n", id,
+	       verdicts[res->answer.verdict], (uint64_t)res->answer.revision,
+	       *res->answer.winner ? " winner=" : "", res->answer.winner);
+	return res->answer.verdict == CONFIG_ACCEPTED ? 0 : 1;
+}
+
+/* Try every keeper until one has the answer. */
+static int client_settle(char *id, config_change_t *change, char **args)
+{
+	for (; time_now() < give_up; usleep(CLIENT_PAUSE_MS * 1000)) {
+		char **at;
+
+		for (at = args; *at; at++) {
+			CLIENT *client = client_open(*at);
+			keeper_submit_res_t res = { 0 };
+			enum clnt_stat stat;
+
+			if (!client)
+				continue;
+			stat = change ? keeper_submit_1(*change, &res, client) :
+					keeper_outcome_1(id, &res, client);
+			clnt_destroy(client);
+			if (stat != RPC_SUCCESS)
+				continue;
+			if (res.status == KEEPER_OK)
+				return client_print(id, &res);
+			if (res.status == KEEPER_UNKNOWN) {
+				printf("%s unknown\n", id);
+				return 1;
+			}
+		}
+	}
+	printf("%s no answer\n", id);
+	return 1;
+}
+
+static int cmd_put(char **args)
+{
+	config_change_t change = { .id = args[0], .author = "regress" };
+	config_item_t item = { .base = strtoull(args[2], NULL, 10) };
+	config_profile_t *profile = &item.body.config_body_t_u.profile;
+	config_class_t class_all = { .name = "all" };
+
+	item.body.kind = CONFIG_PUT_PROFILE;
+	config_profile_preset(profile);
+	profile->name = args[1];
+	profile->classes.classes_val = &class_all;
+	profile->classes.classes_len = 1;
+	change.items.items_val = &item;
+	change.items.items_len = 1;
+	return client_settle(args[0], &change, args + 3);
+}
+
+static int cmd_voter(char **args)
+{
+	keeper_voter_args_t voter = { .add = !strcmp(args[0], "add"),
+				      .name = args[1],
+				      .address = args[2] };
+	char **at;
+
+	for (; time_now() < give_up; usleep(CLIENT_PAUSE_MS * 1000))
+		for (at = args + 3; *at; at++) {
+			CLIENT *client = client_open(*at);
+			keeper_submit_res_t res = { 0 };
+			enum clnt_stat stat;
+
+			if (!client)
+				continue;
+			stat = keeper_voter_1(voter, &res, client);
+			clnt_destroy(client);
+			if (stat == RPC_SUCCESS && res.status == KEEPER_OK) {
+				printf("done\n");
+				return 0;
+			}
+		}
+	printf("not done\n");
+	return 1;
+}
+
+static int cmd_garbage(char **args)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nHost: bay-desk\r\n\r\n";
+	static const unsigned char huge[] = { 0xff, 0xff, 0xff, 0xff, 1, 2 };
+	bool http = !strcmp(args[0], "http");
+	int fd = client_connect(args[1]);
+	char byte;
+
+	if (fd < 0)
+		return 1;
+	if (write(fd, http ? (const void *)text : huge,
+		  http ? sizeof(text) - 1 : sizeof(huge)) < 0)
+		return 1;
+	shutdown(fd, SHUT_WR);
+	while (read(fd, &byte, 1) > 0)
+		continue;
+	close(fd);
+	printf("closed\n");
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	usec_t seconds = 20;
+
+	if (argc > 2 && !strcmp(argv[1], "-t")) {
+		seconds = atoi(argv[2]);
+		argv += 2;
+		argc -= 2;
+	}
+	give_up = time_now() + seconds * USEC_PER_SEC;
+	if (argc < 3)
+		return 2;
+	if (!strcmp(argv[1], "state"))
+		return cmd_state(argv + 2);
+	if (!strcmp(argv[1], "leader"))
+		return cmd_leader(argv + 2);
+	if (!strcmp(argv[1], "fetch"))
+		return cmd_fetch(argv + 2, false);
+	if (!strcmp(argv[1], "confirm"))
+		return cmd_fetch(argv + 2, true);
+	if (!strcmp(argv[1], "outcome"))
+		return client_settle(argv[2], NULL, argv + 3);
+	if (!strcmp(argv[1], "put") && argc > 5)
+		return cmd_put(argv + 2);
+	if (!strcmp(argv[1], "voter") && argc > 5)
+		return cmd_voter(argv + 2);
+	if (!strcmp(argv[1], "garbage") && argc > 3)
+		return cmd_garbage(argv + 2);
+	return 2;
+}
--- /dev/null
+++ b/regress/keeper-lib.sh
@@ -0,0 +1,82 @@
+# Functions for scripted runs of keepers; source lib.sh first.
+
+CLIENT=$BUILD/regress/keeper-client
+
+# keeper_address N: where keeper-N listens.
+keeper_address () {
+	echo "$NET.$1:7090"
+}
+
+# keeper_settings N COUNT [FROM]: write the settings of keeper-N of COUNT; it
+# reaches the others at the addresses that keeper_reach prints.
+keeper_settings () {
+	names=
+	addresses=
+	for peer in $(seq 1 "$2")
+	do
+		names="$names\"keeper-$peer\", "
+		addresses="$addresses\"$(keeper_reach "$1" "$peer")\", "
+	done
+	mkdir -p "$DIR/data-$1"
+	cat >"$DIR/keeper-$1.toml" <<EOF
+[node]
+name = "keeper-$1"
+zone = "zone-$1"
+address = "$NET.$1"
+log_level = "info"
+[keeper]
+data = "$DIR/data-$1"
+names = [$names]
+addresses = [$addresses]
+heartbeat_ms = ${HEARTBEAT_MS:-50}
+election_ms = ${ELECTION_MS:-500}
+rpc_timeout_ms = 300
+snapshot_entries = ${SNAPSHOT_ENTRIES:-64}
+EOF
+}
+
+# keeper_reach FROM TO: the address at which keeper FROM reaches keeper TO.
+keeper_reach () {
+	keeper_address "$2"
+}
+
+# keeper_start N: start keeper-N with the settings written before.
+keeper_start () {
+	spawn "keeper-$1" "$BUILD/hemlock-keeper" --settings \
+		"$DIR/keeper-$1.toml"
+}
+
+# keepers_start COUNT: write settings, start all and wait for a leader.
+keepers_start () {
+	ALL=
+	for i in $(seq 1 "$1")
+	do
+		keeper_settings "$i" "$1"
+		ALL="$ALL $(keeper_address "$i")"
+	done
+	for i in $(seq 1 "$1")
+	do
+		keeper_start "$i"
+	done
+	keeper_leader >/dev/null || fail "no leader"
+}
+
+# keeper_leader: the number of the keeper that a quorum stands behind.
+keeper_leader () {
+	$CLIENT leader ${*:-$ALL} | sed 's/keeper-//'
+}
+
+# put ID NAME BASE: declare a profile at whichever keeper leads.
+put () {
+	$CLIENT -t 30 put "$1" "$2" "$3" $ALL
+}
+
+# revision N: the newest revision that keeper-N has.
+revision () {
+	$CLIENT fetch "$(keeper_address "$1")" | sed 's/.*revision=//'
+}
+
+# has_revision N REVISION: true once keeper-N has it.
+has_revision () {
+	[ "$(revision "$1")" = "$2" ]
+}
--- a/rpc/keeper_rpc.h
+++ b/rpc/keeper_rpc.h
@@ -20,6 +20,8 @@
 #define KEEPER_VOTERS_MAX 7
 #define KEEPER_ENTRIES_MAX 64
 #define KEEPER_LAGGARDS_MAX 1024
+#define KEEPER_CHUNK_MAX 65536
+#define KEEPER_SNAPSHOT_MAX 67108864
 
 typedef char *keeper_address_t;
 
@@ -110,6 +112,138 @@
 };
 typedef struct keeper_state_res_t keeper_state_res_t;
 
+struct keeper_node_wire_t {
+	config_name_t name;
+	keeper_address_t address;
+	u_quad_t incarnation;
+	bool_t voter;
+};
+typedef struct keeper_node_wire_t keeper_node_wire_t;
+
+struct keeper_group_wire_t {
+	struct {
+		u_int nodes_len;
+		keeper_node_wire_t *nodes_val;
+	} nodes;
+};
+typedef struct keeper_group_wire_t keeper_group_wire_t;
+
+enum keeper_entry_kind_t {
+	KEEPER_ENTRY_NOOP = 0,
+	KEEPER_ENTRY_CHANGE = 1,
+	KEEPER_ENTRY_GROUP = 2,
+};
+typedef enum keeper_entry_kind_t keeper_entry_kind_t;
+
+struct keeper_entry_t {
+	u_quad_t index;
+	u_quad_t term;
+	keeper_entry_kind_t kind;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct keeper_entry_t keeper_entry_t;
+
+enum keeper_message_kind_t {
+	KEEPER_MSG_PREVOTE = 1,
+	KEEPER_MSG_PREVOTE_REPLY = 2,
+	KEEPER_MSG_VOTE = 3,
+	KEEPER_MSG_VOTE_REPLY = 4,
+	KEEPER_MSG_APPEND = 5,
+	KEEPER_MSG_APPEND_REPLY = 6,
+	KEEPER_MSG_INSTALL = 7,
+	KEEPER_MSG_INSTALL_REPLY = 8,
+	KEEPER_MSG_JOIN = 9,
+};
+typedef enum keeper_message_kind_t keeper_message_kind_t;
+
+struct keeper_ballot_t {
+	u_quad_t last_index;
+	u_quad_t last_term;
+};
+typedef struct keeper_ballot_t keeper_ballot_t;
+
+struct keeper_append_t {
+	u_quad_t prev_index;
+	u_quad_t prev_term;
+	u_quad_t commit;
+	quad_t sent;
+	struct {
+		u_int entries_len;
+		keeper_entry_t *entries_val;
+	} entries;
+};
+typedef struct keeper_append_t keeper_append_t;
+
+struct keeper_append_reply_t {
+	bool_t matched;
+	u_quad_t index;
+	quad_t sent;
+};
+typedef struct keeper_append_reply_t keeper_append_reply_t;
+
+struct keeper_install_t {
+	u_quad_t index;
+	u_quad_t term;
+	keeper_group_wire_t group;
+	u_quad_t size;
+	u_quad_t offset;
+	quad_t sent;
+	struct {
+		u_int chunk_len;
+		char *chunk_val;
+	} chunk;
+};
+typedef struct keeper_install_t keeper_install_t;
+
+struct keeper_install_reply_t {
+	u_quad_t index;
+	u_quad_t offset;
+	quad_t sent;
+};
+typedef struct keeper_install_reply_t keeper_install_reply_t;
+
+struct keeper_join_t {
+	keeper_address_t address;
+	bool_t fresh;
+	u_quad_t names;
+};
+typedef struct keeper_join_t keeper_join_t;
+
+struct keeper_message_body_t {
+	keeper_message_kind_t kind;
+	union {
+		keeper_ballot_t ballot;
+		bool_t granted;
+		keeper_append_t append;
+		keeper_append_reply_t append_reply;
+		keeper_install_t install;
+		keeper_install_reply_t install_reply;
+		keeper_join_t join;
+	} keeper_message_body_t_u;
+};
+typedef struct keeper_message_body_t keeper_message_body_t;
+
+struct keeper_message_t {
+	u_quad_t cluster;
+	config_name_t from;
+	u_quad_t from_incarnation;
+	config_name_t to;
+	u_quad_t to_incarnation;
+	u_quad_t term;
+	keeper_message_body_t body;
+};
+typedef struct keeper_message_t keeper_message_t;
+
+struct keeper_voter_args_t {
+	bool_t add;
+	config_name_t name;
+	keeper_address_t address;
+};
+typedef struct keeper_voter_args_t keeper_voter_args_t;
+
 #define HEMLOCK_KEEPER 0x20484c01
 #define HEMLOCK_KEEPER_V1 1
 
@@ -129,6 +263,12 @@
 #define KEEPER_STATE 5
 extern  enum clnt_stat keeper_state_1(keeper_state_res_t *, CLIENT *);
 extern  bool_t keeper_state_1_svc(keeper_state_res_t *, struct svc_req *);
+#define KEEPER_MESSAGE 6
+extern  enum clnt_stat keeper_message_1(keeper_message_t , void *, CLIENT *);
+extern  bool_t keeper_message_1_svc(keeper_message_t , void *, struct svc_req *);
+#define KEEPER_VOTER 7
+extern  enum clnt_stat keeper_voter_1(keeper_voter_args_t , keeper_submit_res_t *, CLIENT *);
+extern  bool_t keeper_voter_1_svc(keeper_voter_args_t , keeper_submit_res_t *, struct svc_req *);
 extern int hemlock_keeper_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -147,6 +287,12 @@
 #define KEEPER_STATE 5
 extern  enum clnt_stat keeper_state_1();
 extern  bool_t keeper_state_1_svc();
+#define KEEPER_MESSAGE 6
+extern  enum clnt_stat keeper_message_1();
+extern  bool_t keeper_message_1_svc();
+#define KEEPER_VOTER 7
+extern  enum clnt_stat keeper_voter_1();
+extern  bool_t keeper_voter_1_svc();
 extern int hemlock_keeper_1_freeresult ();
 #endif /* K&R C */
 
@@ -163,6 +309,20 @@
 extern  bool_t xdr_keeper_report_args_t (XDR *, keeper_report_args_t*);
 extern  bool_t xdr_keeper_member_t (XDR *, keeper_member_t*);
 extern  bool_t xdr_keeper_state_res_t (XDR *, keeper_state_res_t*);
+extern  bool_t xdr_keeper_node_wire_t (XDR *, keeper_node_wire_t*);
+extern  bool_t xdr_keeper_group_wire_t (XDR *, keeper_group_wire_t*);
+extern  bool_t xdr_keeper_entry_kind_t (XDR *, keeper_entry_kind_t*);
+extern  bool_t xdr_keeper_entry_t (XDR *, keeper_entry_t*);
+extern  bool_t xdr_keeper_message_kind_t (XDR *, keeper_message_kind_t*);
+extern  bool_t xdr_keeper_ballot_t (XDR *, keeper_ballot_t*);
+extern  bool_t xdr_keeper_append_t (XDR *, keeper_append_t*);
+extern  bool_t xdr_keeper_append_reply_t (XDR *, keeper_append_reply_t*);
+extern  bool_t xdr_keeper_install_t (XDR *, keeper_install_t*);
+extern  bool_t xdr_keeper_install_reply_t (XDR *, keeper_install_reply_t*);
+extern  bool_t xdr_keeper_join_t (XDR *, keeper_join_t*);
+extern  bool_t xdr_keeper_message_body_t (XDR *, keeper_message_body_t*);
+extern  bool_t xdr_keeper_message_t (XDR *, keeper_message_t*);
+extern  bool_t xdr_keeper_voter_args_t (XDR *, keeper_voter_args_t*);
 
 #else /* K&R C */
 extern bool_t xdr_keeper_address_t ();
@@ -175,6 +335,20 @@
 extern bool_t xdr_keeper_report_args_t ();
 extern bool_t xdr_keeper_member_t ();
 extern bool_t xdr_keeper_state_res_t ();
+extern bool_t xdr_keeper_node_wire_t ();
+extern bool_t xdr_keeper_group_wire_t ();
+extern bool_t xdr_keeper_entry_kind_t ();
+extern bool_t xdr_keeper_entry_t ();
+extern bool_t xdr_keeper_message_kind_t ();
+extern bool_t xdr_keeper_ballot_t ();
+extern bool_t xdr_keeper_append_t ();
+extern bool_t xdr_keeper_append_reply_t ();
+extern bool_t xdr_keeper_install_t ();
+extern bool_t xdr_keeper_install_reply_t ();
+extern bool_t xdr_keeper_join_t ();
+extern bool_t xdr_keeper_message_body_t ();
+extern bool_t xdr_keeper_message_t ();
+extern bool_t xdr_keeper_voter_args_t ();
 
 #endif /* K&R C */
 
--- a/rpc/keeper_rpc_clnt.c
+++ b/rpc/keeper_rpc_clnt.c
@@ -54,3 +54,21 @@
 		TIMEOUT));
 
 }
+
+enum clnt_stat 
+keeper_message_1(keeper_message_t arg1, void *clnt_res,  CLIENT *clnt)
+{
+	return (clnt_call(clnt, KEEPER_MESSAGE,
+		(xdrproc_t) xdr_keeper_message_t, (caddr_t) &arg1,
+		(xdrproc_t) xdr_void, (caddr_t) clnt_res,
+		TIMEOUT));
+}
+
+enum clnt_stat 
+keeper_voter_1(keeper_voter_args_t arg1, keeper_submit_res_t *clnt_res,  CLIENT *clnt)
+{
+	return (clnt_call(clnt, KEEPER_VOTER,
+		(xdrproc_t) xdr_keeper_voter_args_t, (caddr_t) &arg1,
+		(xdrproc_t) xdr_keeper_submit_res_t, (caddr_t) clnt_res,
+		TIMEOUT));
+}
--- a/rpc/keeper_rpc_svc.c
+++ b/rpc/keeper_rpc_svc.c
@@ -47,6 +47,18 @@
 	return (keeper_state_1_svc(result, rqstp));
 }
 
+int
+_keeper_message_1 (keeper_message_t  *argp, void *result, struct svc_req *rqstp)
+{
+	return (keeper_message_1_svc(*argp, result, rqstp));
+}
+
+int
+_keeper_voter_1 (keeper_voter_args_t  *argp, void *result, struct svc_req *rqstp)
+{
+	return (keeper_voter_1_svc(*argp, result, rqstp));
+}
+
 void
 hemlock_keeper_1(struct svc_req *rqstp, register SVCXPRT *transp)
 {
@@ -55,12 +67,15 @@
 		config_name_t keeper_outcome_1_arg;
 		keeper_fetch_args_t keeper_fetch_1_arg;
 		keeper_report_args_t keeper_report_1_arg;
+		keeper_message_t keeper_message_1_arg;
+		keeper_voter_args_t keeper_voter_1_arg;
 	} argument;
 	union {
 		keeper_submit_res_t keeper_submit_1_res;
 		keeper_submit_res_t keeper_outcome_1_res;
 		keeper_fetch_res_t keeper_fetch_1_res;
 		keeper_state_res_t keeper_state_1_res;
+		keeper_submit_res_t keeper_voter_1_res;
 	} result;
 	bool_t retval;
 	xdrproc_t _xdr_argument, _xdr_result;
@@ -101,6 +116,18 @@
 		local = (bool_t (*) (char *, void *,  struct svc_req *))_keeper_state_1;
 		break;
 
+	case KEEPER_MESSAGE:
+		_xdr_argument = (xdrproc_t) xdr_keeper_message_t;
+		_xdr_result = (xdrproc_t) xdr_void;
+		local = (bool_t (*) (char *, void *,  struct svc_req *))_keeper_message_1;
+		break;
+
+	case KEEPER_VOTER:
+		_xdr_argument = (xdrproc_t) xdr_keeper_voter_args_t;
+		_xdr_result = (xdrproc_t) xdr_keeper_submit_res_t;
+		local = (bool_t (*) (char *, void *,  struct svc_req *))_keeper_voter_1;
+		break;
+
 	default:
 		svcerr_noproc (transp);
 		return;
--- a/rpc/keeper_rpc_xdr.c
+++ b/rpc/keeper_rpc_xdr.c
@@ -165,3 +165,241 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_keeper_node_wire_t (XDR *xdrs, keeper_node_wire_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_keeper_address_t (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->voter))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_group_wire_t (XDR *xdrs, keeper_group_wire_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->nodes.nodes_val, (u_int *) &objp->nodes.nodes_len, KEEPER_VOTERS_MAX,
+		sizeof (keeper_node_wire_t), (xdrproc_t) xdr_keeper_node_wire_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_entry_kind_t (XDR *xdrs, keeper_entry_kind_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_entry_t (XDR *xdrs, keeper_entry_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_keeper_entry_kind_t (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, KEEPER_COMMAND_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_message_kind_t (XDR *xdrs, keeper_message_kind_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_ballot_t (XDR *xdrs, keeper_ballot_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->last_index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->last_term))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_append_t (XDR *xdrs, keeper_append_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->prev_index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->prev_term))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->commit))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, KEEPER_ENTRIES_MAX,
+		sizeof (keeper_entry_t), (xdrproc_t) xdr_keeper_entry_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_append_reply_t (XDR *xdrs, keeper_append_reply_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->matched))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_install_t (XDR *xdrs, keeper_install_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_keeper_group_wire_t (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->size))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->offset))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->chunk.chunk_val, (u_int *) &objp->chunk.chunk_len, KEEPER_CHUNK_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_install_reply_t (XDR *xdrs, keeper_install_reply_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->offset))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_join_t (XDR *xdrs, keeper_join_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_keeper_address_t (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->fresh))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->names))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_message_body_t (XDR *xdrs, keeper_message_body_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_keeper_message_kind_t (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case KEEPER_MSG_PREVOTE:
+	case KEEPER_MSG_VOTE:
+		 if (!xdr_keeper_ballot_t (xdrs, &objp->keeper_message_body_t_u.ballot))
+			 return FALSE;
+		break;
+	case KEEPER_MSG_PREVOTE_REPLY:
+	case KEEPER_MSG_VOTE_REPLY:
+		 if (!xdr_bool (xdrs, &objp->keeper_message_body_t_u.granted))
+			 return FALSE;
+		break;
+	case KEEPER_MSG_APPEND:
+		 if (!xdr_keeper_append_t (xdrs, &objp->keeper_message_body_t_u.append))
+			 return FALSE;
+		break;
+	case KEEPER_MSG_APPEND_REPLY:
+		 if (!xdr_keeper_append_reply_t (xdrs, &objp->keeper_message_body_t_u.append_reply))
+			 return FALSE;
+		break;
+	case KEEPER_MSG_INSTALL:
+		 if (!xdr_keeper_install_t (xdrs, &objp->keeper_message_body_t_u.install))
+			 return FALSE;
+		break;
+	case KEEPER_MSG_INSTALL_REPLY:
+		 if (!xdr_keeper_install_reply_t (xdrs, &objp->keeper_message_body_t_u.install_reply))
+			 return FALSE;
+		break;
+	case KEEPER_MSG_JOIN:
+		 if (!xdr_keeper_join_t (xdrs, &objp->keeper_message_body_t_u.join))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_message_t (XDR *xdrs, keeper_message_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->cluster))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->from_incarnation))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->to_incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_keeper_message_body_t (xdrs, &objp->body))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_keeper_voter_args_t (XDR *xdrs, keeper_voter_args_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->add))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_keeper_address_t (xdrs, &objp->address))
+		 return FALSE;
+	return TRUE;
+}
