Run the keeper's tests clean under sanitizers

The test client freed no answers and gave clnt_vc_create() a netbuf without maxlen, which libtirpc allocates by: both seen by ASan. TSan saw libtirpc's xdrrec_getbytes() write the padding of strings into one static buffer from two threads; nobody reads it, so that library's own calls of the C library are left out in regress/tsan.supp, which regress/run.sh now names.

make check: 20 passed plain, under ASan/UBSan and under TSan.

--- a/regress/keeper-client.c
+++ b/regress/keeper-client.c
@@ -62,6 +62,7 @@
 
 	if (fd < 0 || hl_address_parse(address, &storage, &buffer.len))
 		return NULL;
+	buffer.maxlen = buffer.len;
 	client = clnt_vc_create(fd, &buffer, HEMLOCK_KEEPER, HEMLOCK_KEEPER_V1,
 				0, 0);
 	clnt_control(client, CLSET_FD_CLOSE, NULL);
@@ -82,6 +83,11 @@
 	return ok;
 }
 
+static void client_free_state(keeper_state_res_t *res)
+{
+	xdr_free((xdrproc_t)xdr_keeper_state_res_t, res);
+}
+
 static int cmd_state(char **args)
 {
 	for (; *args; args++) {
@@ -100,6 +106,7 @@
 		       res.name, res.role, voters, (uint64_t)res.commit_index,
 		       (uint64_t)res.last_index, (uint64_t)res.revision,
 		       (uint64_t)res.term, (uint64_t)res.incarnation);
+		client_free_state(&res);
 	}
 	return 0;
 }
@@ -126,13 +133,16 @@
 
 		for (at = args; *at; at++) {
 			keeper_fetch_res_t res;
-			keeper_state_res_t state;
+			keeper_state_res_t state = { 0 };
+			bool found = client_fetch(*at, true, &res) &&
+				     res.confirmed && client_state(*at, &state);
 
-			if (client_fetch(*at, true, &res) && res.confirmed &&
-			    client_state(*at, &state)) {
+			if (found)
 				printf("%s\n", state.name);
+			xdr_free((xdrproc_t)xdr_keeper_fetch_res_t, &res);
+			client_free_state(&state);
+			if (found)
 				return 0;
-			}
 		}
 	}
 	printf("no leader\n");
@@ -142,6 +152,7 @@
 static int cmd_fetch(char **args, bool confirmed)
 {
 	keeper_fetch_res_t res;
+	int rc;
 
 	if (!client_fetch(args[0], confirmed, &res)) {
 		printf("unreachable\n");
@@ -149,7 +160,9 @@
 	}
 	printf("status=%d confirmed=%d revision=%" PRIu64 "\n", res.status,
 	       res.confirmed, (uint64_t)res.revision);
-	return res.status == KEEPER_OK ? 0 : 1;
+	rc = res.status == KEEPER_OK ? 0 : 1;
+	xdr_free((xdrproc_t)xdr_keeper_fetch_res_t, &res);
+	return rc;
 }
 
 static int client_print(const char *id, const keeper_submit_res_t *res)
@@ -163,6 +176,29 @@
 	return res->answer.verdict == CONFIG_ACCEPTED ? 0 : 1;
 }
 
+/* Ask one keeper; -1 if it has no final answer, else the exit status. */
+static int client_ask(char *id, config_change_t *change, const char *address)
+{
+	CLIENT *client = client_open(address);
+	keeper_submit_res_t res = { 0 };
+	enum clnt_stat stat;
+	int rc = -1;
+
+	if (!client)
+		return -1;
+	stat = change ? keeper_submit_1(*change, &res, client) :
+			keeper_outcome_1(id, &res, client);
+	clnt_destroy(client);
+	if (stat == RPC_SUCCESS && res.status == KEEPER_OK)
+		rc = client_print(id, &res);
+	if (stat == RPC_SUCCESS && res.status == KEEPER_UNKNOWN) {
+		printf("%s unknown\n", id);
+		rc = 1;
+	}
+	xdr_free((xdrproc_t)xdr_keeper_submit_res_t, &res);
+	return rc;
+}
+
 /* Try every keeper until one has the answer. */
 static int client_settle(char *id, config_change_t *change, char **args)
 {
@@ -170,23 +206,10 @@
 		char **at;
 
 		for (at = args; *at; at++) {
-			CLIENT *client = client_open(*at);
-			keeper_submit_res_t res = { 0 };
-			enum clnt_stat stat;
+			int rc = client_ask(id, change, *at);
 
-			if (!client)
-				continue;
-			stat = change ? keeper_submit_1(*change, &res, client) :
-					keeper_outcome_1(id, &res, client);
-			clnt_destroy(client);
-			if (stat != RPC_SUCCESS)
-				continue;
-			if (res.status == KEEPER_OK)
-				return client_print(id, &res);
-			if (res.status == KEEPER_UNKNOWN) {
-				printf("%s unknown\n", id);
-				return 1;
-			}
+			if (rc >= 0)
+				return rc;
 		}
 	}
 	printf("%s no answer\n", id);
@@ -227,6 +250,7 @@
 				continue;
 			stat = keeper_voter_1(voter, &res, client);
 			clnt_destroy(client);
+			xdr_free((xdrproc_t)xdr_keeper_submit_res_t, &res);
 			if (stat == RPC_SUCCESS && res.status == KEEPER_OK) {
 				printf("done\n");
 				return 0;
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -17,6 +17,7 @@
 trap 'rm -rf "$work"' EXIT
 
 export HEMLOCK_BUILD="$build" HEMLOCK_REGRESS="$here"
+export TSAN_OPTIONS="suppressions=$here/tsan.supp"
 
 # Run one test; leave its result lines in $work/NAME.result.
 cat >"$work/one" <<'ONE'
