Add hemlockctl: declarations, plans and the operators' commands

Operators keep profiles and services in TOML files under version control. hemlockctl reads them whole or not at all, each refusal with file and line, compares them with what a quorum of keepers confirms, and sends one change with the revision each object was seen at. A lost answer is asked for again under the same change id; after the time is up it says that the outcome is unknown and how to learn it.

plan, apply, diff, get, history, retire, stop, status and histogram are one file each behind a table; exit codes are an enum that never changes.

The commands have not met a keeper yet; that daemon is on its way.

--- /dev/null
+++ b/cmd-apply.c
@@ -0,0 +1,39 @@
+#include "cmd-declared.h"
+
+static cmd_change_options_t cmd_apply_change;
+
+const GOptionEntry cmd_apply_options[] = {
+	CMD_CHANGE_OPTIONS(cmd_apply_change),
+	{ 0 },
+};
+
+/* Nothing to change is no change: the keepers are not asked. */
+static cmd_exit_t cmd_apply_nothing(cmd_t *cmd, const cmd_declared_t *declared)
+{
+	uint64_t revision = declared->current.revision;
+
+	if (cmd->json)
+		cmd_print_json(json_pack("{s:s, s:I}", "verdict", "unchanged",
+					 "revision", (json_int_t)revision));
+	else
+		printf("nothing differs from revision %" PRIu64 "\n", revision);
+	return CMD_OK;
+}
+
+cmd_exit_t cmd_apply(cmd_t *cmd, char **arguments)
+{
+	cmd_declared_t declared;
+	cmd_exit_t code;
+	hl_error_t err;
+
+	if (cmd_change_known(cmd, &cmd_apply_change, &code))
+		return code;
+	if (cmd_declared_load(cmd, arguments, &declared, &err))
+		code = cmd_fail(cmd, &err);
+	else if (!declared.change.items.items_len)
+		code = cmd_apply_nothing(cmd, &declared);
+	else
+		code = cmd_change(cmd, &cmd_apply_change, &declared.change);
+	cmd_declared_free(&declared);
+	return code;
+}
--- /dev/null
+++ b/cmd-status.c
@@ -0,0 +1,110 @@
+#include <string.h>
+#include "cmd.h"
+
+static char *cmd_status_entry;
+
+const GOptionEntry cmd_status_options[] = {
+	{ "entry", 0, 0, G_OPTION_ARG_STRING, &cmd_status_entry,
+	  "Show this entry, by its control port", "IP:PORT" },
+	{ 0 },
+};
+
+static json_t *cmd_status_members(const keeper_state_res_t *res)
+{
+	json_t *members = json_array();
+	u_int i;
+
+	for (i = 0; i < res->members.members_len; i++) {
+		const keeper_member_t *member = &res->members.members_val[i];
+
+		json_array_append_new(members,
+				      json_pack("{s:s, s:s, s:b, s:I}", "name",
+						member->name, "address",
+						member->address, "voter",
+						member->voter, "matched",
+						(json_int_t)member->matched));
+	}
+	return members;
+}
+
+static json_t *cmd_status_keeper_json(const char *address,
+				      const keeper_state_res_t *res)
+{
+	return json_pack("{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:o}", "address",
+			 address, "name", res->name, "role", res->role, "term",
+			 (json_int_t)res->term, "last_index",
+			 (json_int_t)res->last_index, "commit_index",
+			 (json_int_t)res->commit_index, "revision",
+			 (json_int_t)res->revision, "members",
+			 cmd_status_members(res));
+}
+
+/* One keeper as a line of text or a JSON object. */
+static bool cmd_status_keeper(const cmd_t *cmd, const char *address,
+			      json_t *list)
+{
+	keeper_state_res_t res;
+	hl_error_t err;
+
+	if (cmd_keeper_state(address, &res, &err)) {
+		if (!cmd->json)
+			printf("%-22s %s\n", address, err.message);
+		json_array_append_new(list,
+				      json_pack("{s:s, s:s}", "address",
+						address, "error", err.message));
+		return false;
+	}
+	if (!cmd->json)
+		printf("%-22s %-16s %-9s term %" PRIu64 " commit %" PRIu64
+		       " revision %" PRIu64 "\n",
+		       address, res.name, res.role, (uint64_t)res.term,
+		       (uint64_t)res.commit_index, (uint64_t)res.revision);
+	json_array_append_new(list, cmd_status_keeper_json(address, &res));
+	xdr_free((xdrproc_t)xdr_keeper_state_res_t, (char *)&res);
+	return true;
+}
+
+static cmd_exit_t cmd_status_keepers(cmd_t *cmd)
+{
+	json_t *list = json_array();
+	unsigned answers = 0;
+	unsigned i;
+
+	for (i = 0; i < cmd->list.count; i++)
+		answers += cmd_status_keeper(cmd, cmd->list.items[i], list);
+	if (cmd->json)
+		cmd_print_json(list);
+	else
+		json_decref(list);
+	return answers ? CMD_OK : CMD_UNAVAILABLE;
+}
+
+/* An entry's own JSON, indented unless a program reads it. */
+static cmd_exit_t cmd_status_of_entry(const cmd_t *cmd)
+{
+	hl_error_t err;
+	char *body = cmd_http_get(cmd_status_entry, "/v1/status", &err);
+	json_t *root;
+
+	if (!body)
+		return cmd_fail(cmd, &err);
+	root = json_loads(body, 0, NULL);
+	g_free(body);
+	if (!root) {
+		hl_error_set(&err, HL_ERR_PROTOCOL,
+			     "%s sent no JSON; see that it is an entry's "
+			     "control port",
+			     cmd_status_entry);
+		return cmd_fail(cmd, &err);
+	}
+	cmd_print_json(root);
+	return CMD_OK;
+}
+
+cmd_exit_t cmd_status(cmd_t *cmd, char **arguments)
+{
+	(void)arguments;
+	if (cmd_status_entry)
+		return cmd_status_of_entry(cmd);
+	return cmd_status_keepers(cmd);
+}
--- a/config.h
+++ b/config.h
@@ -4,6 +4,7 @@
 #include <rpc/rpc.h>
 #include "config_rpc.h"
 #include "hemlock.h"
+#include "keeper_rpc.h"
 
 /** config_find_profile - by name, or NULL. */
 const config_profile_t *config_find_profile(const config_t *config,
@@ -55,4 +56,13 @@
 /** config_apply_delta - apply an accepted change; its revision follows. */
 int config_apply_delta(config_t *config, const config_delta_t *delta);
 
+/**
+ * config_merge - take over what a keeper or parent sent.
+ * @config: the configuration so far; never goes back
+ * @body: a whole configuration, or deltas of which older ones are skipped
+ *
+ * Return: 0, or -1 without memory or at a gap; then fetch the whole.
+ */
+int config_merge(config_t *config, const keeper_fetch_body_t *body);
+
 #endif
--- /dev/null
+++ b/hemlockctl.c
@@ -0,0 +1,127 @@
+#include <signal.h>
+#include <string.h>
+#include "cmd.h"
+
+/* Seconds until hemlockctl gives up on the keepers. */
+#define CMD_TIMEOUT_S 10
+
+static const setting_t ctl_settings[] = {
+	{ "control", "keepers", SETTING_ADDRESSES, 0, true, NULL, 0, 0,
+	  "addresses of the keepers" },
+};
+
+static const cmd_entry_t *ctl_find(const char *name)
+{
+	const cmd_entry_t *entry;
+
+	for (entry = cmd_entries; entry->name; entry++)
+		if (name && !strcmp(entry->name, name))
+			return entry;
+	return NULL;
+}
+
+static int ctl_usage(FILE *out)
+{
+	const cmd_entry_t *entry;
+
+	fputs("usage: hemlockctl COMMAND [OPTION...] [ARGUMENT...]\n\n", out);
+	for (entry = cmd_entries; entry->name; entry++)
+		fprintf(out, "  %-10s %-22s %s\n", entry->name,
+			entry->arguments, entry->summary);
+	fputs("\nhemlockctl COMMAND --help lists the options of a command.\n",
+	      out);
+	return CMD_USAGE;
+}
+
+/* Keepers come from --keepers, else from the settings file. */
+static int ctl_keepers(cmd_t *cmd, hl_error_t *err)
+{
+	char **list;
+	unsigned i;
+
+	if (!cmd->keepers && cmd->settings_file)
+		return settings_load(cmd->settings_file, ctl_settings,
+				     G_N_ELEMENTS(ctl_settings), &cmd->list,
+				     err);
+	list = g_strsplit(cmd->keepers ? cmd->keepers : "", ",",
+			  SETTING_LIST_MAX);
+	for (i = 0; list[i]; i++)
+		if (*list[i])
+			g_strlcpy(cmd->list.items[cmd->list.count++], list[i],
+				  HL_ADDRESS_MAX);
+	g_strfreev(list);
+	return 0;
+}
+
+static int ctl_parse(const cmd_entry_t *entry, cmd_t *cmd, int *argc,
+		     char ***argv, hl_error_t *err)
+{
+	const GOptionEntry common[] = {
+		{ "keepers", 'k', 0, G_OPTION_ARG_STRING, &cmd->keepers,
+		  "Keepers to ask", "IP:PORT,..." },
+		{ "settings", 's', 0, G_OPTION_ARG_FILENAME,
+		  &cmd->settings_file, "File that names the keepers", "FILE" },
+		{ "json", 0, 0, G_OPTION_ARG_NONE, &cmd->json,
+		  "Print JSON for programs", NULL },
+		{ "timeout", 0, 0, G_OPTION_ARG_INT, &cmd->timeout_s,
+		  "Give up on the keepers after so long (10)", "SECONDS" },
+		{ 0 },
+	};
+	GOptionContext *context = g_option_context_new(entry->arguments);
+	GError *error = NULL;
+	int rc = 0;
+
+	g_option_context_set_summary(context, entry->summary);
+	g_option_context_add_main_entries(context, common, NULL);
+	if (entry->options)
+		g_option_context_add_main_entries(context, entry->options,
+						  NULL);
+	if (!g_option_context_parse(context, argc, argv, &error)) {
+		rc = hl_error_set(err, HL_ERR_USAGE, "%s; see --help",
+				  error->message);
+		g_error_free(error);
+	}
+	g_option_context_free(context);
+	if (rc)
+		return rc;
+	if (*argc - 1 < entry->arguments_min ||
+	    *argc - 1 > entry->arguments_max)
+		return hl_error_set(err, HL_ERR_USAGE,
+				    "usage: hemlockctl %s [OPTION...] %s",
+				    entry->name, entry->arguments);
+	return ctl_keepers(cmd, err);
+}
+
+/* status and histogram of an entry need no keeper. */
+static bool ctl_needs_keepers(const cmd_entry_t *entry)
+{
+	return strcmp(entry->name, "status") &&
+	       strcmp(entry->name, "histogram");
+}
+
+int main(int argc, char **argv)
+{
+	const cmd_entry_t *entry = ctl_find(argc > 1 ? argv[1] : NULL);
+	cmd_t cmd = { .timeout_s = CMD_TIMEOUT_S };
+	hl_error_t err;
+	cmd_exit_t code;
+
+	signal(SIGPIPE, SIG_IGN);
+	if (!entry)
+		return argc > 1 && !strcmp(argv[1], "--help") ?
+			       (ctl_usage(stdout), CMD_OK) :
+			       ctl_usage(stderr);
+	argc--;
+	argv++;
+	if (ctl_parse(entry, &cmd, &argc, &argv, &err))
+		return cmd_fail(&cmd, &err);
+	if (!cmd.list.count && ctl_needs_keepers(entry)) {
+		hl_error_set(&err, HL_ERR_USAGE,
+			     "no keeper is named; give --keepers or "
+			     "--settings");
+		return cmd_fail(&cmd, &err);
+	}
+	code = entry->run(&cmd, argv + 1);
+	cmd_keeper_close(&cmd);
+	return code;
+}
