Follow the configuration through a fan-out tree

Entries sort the live ones by name into a heap; the root asks the keepers and the others their parent, once in poll_ms, and each passes on the deltas it holds. A fresh entry asks keepers alone until the leader has confirmed a revision under its lease, so that a keeper that is cut off cannot fool it. A source that is silent, not ready, or whose own news are old is passed over for its parent, up to the keepers.

A push from parent to child was ruled out, because one frozen child would hold up its siblings; a long poll, because libtirpc's one server loop must answer at once. A poll a second costs about what a notice per change would at 0.6 changes a second.

The versions in force go up with the polls as one floor for a subtree and the names of those that lag; the root tells the keepers.

Builds and lints; the follower has not met a keeper yet.

--- /dev/null
+++ b/config-follow.c
@@ -0,0 +1,230 @@
+#include <errno.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <urcu.h>
+#include "config-node.h"
+
+/* A thread that fails more often than this has no hope. */
+#define CONFIG_FOLLOW_RESTARTS_MAX 10
+#define CONFIG_FOLLOW_RESTARTS_WINDOW (60 * USEC_PER_SEC)
+/* A child that has not asked for so many polls says nothing about now. */
+#define CONFIG_FOLLOW_FRESH_POLLS 3
+
+static void config_follow_metrics(config_follow_t *follow, metrics_t *metrics)
+{
+	config_source_init(&follow->source, metrics);
+	follow->metrics.revision =
+		metrics_gauge(metrics, "hemlock_config_revision", "",
+			      "revision of the configuration in force");
+	follow->metrics.deltas =
+		metrics_counter(metrics, "hemlock_config_deltas_total", "",
+				"accepted changes that came as deltas");
+	follow->metrics.wholes =
+		metrics_counter(metrics, "hemlock_config_wholes_total", "",
+				"whole configurations taken over");
+	follow->metrics.failures =
+		metrics_counter(metrics, "hemlock_config_failures_total", "",
+				"questions to a parent or keeper that failed");
+}
+
+static int config_follow_init(config_follow_t *follow,
+			      const config_follow_options_t *options)
+{
+	pthread_condattr_t attr;
+
+	pthread_mutex_init(&follow->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&follow->wake, &attr);
+	pthread_condattr_destroy(&attr);
+	strncpy(follow->name, options->name, sizeof(follow->name) - 1);
+	strncpy(follow->rpc_address, options->rpc_address,
+		sizeof(follow->rpc_address) - 1);
+	follow->settings = options->settings;
+	follow->members = options->members;
+	follow->members_context = options->members_context;
+	follow->changed = options->changed;
+	follow->changed_context = options->changed_context;
+	follow->jitter = (unsigned)hl_hash(follow->name, strlen(follow->name),
+					   0);
+	follow->report.fresh = CONFIG_FOLLOW_FRESH_POLLS *
+				       follow->settings.poll_ms * USEC_PER_MS +
+			       follow->settings.timeout_ms * USEC_PER_MS;
+	follow->live = calloc(CONFIG_FOLLOW_MEMBERS_MAX, sizeof(*follow->live));
+	follow->live_next = calloc(CONFIG_FOLLOW_MEMBERS_MAX,
+				   sizeof(*follow->live_next));
+	if (config_tail_init(&follow->tail))
+		return -1;
+	return follow->live && follow->live_next ? 0 : -1;
+}
+
+config_follow_t *config_follow_new(const config_follow_options_t *options,
+				   hl_error_t *err)
+{
+	config_follow_t *follow;
+
+	if (!options->settings.keepers.count) {
+		hl_error_set(err, HL_ERR_SETTINGS,
+			     "no keeper is named; set config.keepers");
+		return NULL;
+	}
+	follow = calloc(1, sizeof(*follow));
+	if (!follow || config_follow_init(follow, options)) {
+		hl_error_set(err, HL_ERR_NOMEM, "no memory; free some");
+		goto fail;
+	}
+	config_follow_metrics(follow, options->metrics);
+	if (config_serve_open(follow, err))
+		goto fail;
+	return follow;
+fail:
+	config_follow_free(follow);
+	return NULL;
+}
+
+/* A write to a connection that its peer has closed must not end the process:
+ * the two threads inherit this mask. */
+static void config_follow_block_sigpipe(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
+/* The supervisor of the two threads, made anew for each run. */
+static supervisor_t *config_follow_threads(config_follow_t *follow)
+{
+	const supervisor_child_t serve = { .name = "config-serve",
+					   .run = config_serve_run,
+					   .context = follow };
+	const supervisor_child_t poll = { .name = "config-poll",
+					  .run = config_poll_run,
+					  .wake = config_poll_wake,
+					  .context = follow };
+	supervisor_t *threads = supervisor_new("config",
+					       CONFIG_FOLLOW_RESTARTS_MAX,
+					       CONFIG_FOLLOW_RESTARTS_WINDOW);
+
+	if (threads && (supervisor_add(threads, &serve, NULL) ||
+			supervisor_add(threads, &poll, NULL))) {
+		supervisor_free(threads);
+		threads = NULL;
+	}
+	return threads;
+}
+
+static int config_follow_run(void *context, const volatile int *stop)
+{
+	config_follow_t *follow = context;
+	supervisor_t *threads;
+	int rc = -1;
+
+	config_follow_block_sigpipe();
+	threads = config_follow_threads(follow);
+	if (!threads)
+		return -1;
+	pthread_mutex_lock(&follow->lock);
+	follow->threads = threads;
+	pthread_mutex_unlock(&follow->lock);
+	if (__atomic_load_n(stop, __ATOMIC_ACQUIRE))
+		rc = 0;
+	else
+		rc = supervisor_run(threads);
+	pthread_mutex_lock(&follow->lock);
+	follow->threads = NULL;
+	pthread_mutex_unlock(&follow->lock);
+	supervisor_free(threads);
+	return rc;
+}
+
+static void config_follow_wake(void *context)
+{
+	config_follow_t *follow = context;
+
+	pthread_mutex_lock(&follow->lock);
+	if (follow->threads)
+		supervisor_stop(follow->threads);
+	pthread_mutex_unlock(&follow->lock);
+}
+
+supervisor_child_t config_follow_child(config_follow_t *follow)
+{
+	supervisor_child_t child = {
+		.name = "config",
+		.run = config_follow_run,
+		.wake = config_follow_wake,
+		.context = follow,
+	};
+
+	return child;
+}
+
+void config_poll_wake(void *context)
+{
+	config_follow_t *follow = context;
+
+	pthread_mutex_lock(&follow->lock);
+	pthread_cond_broadcast(&follow->wake);
+	pthread_mutex_unlock(&follow->lock);
+}
+
+void config_node_pause(config_follow_t *follow, usec_t span,
+		       const volatile int *stop)
+{
+	usec_t until = time_now() + span;
+	struct timespec at = { .tv_sec = until / USEC_PER_SEC,
+			       .tv_nsec = until % USEC_PER_SEC * 1000 };
+
+	pthread_mutex_lock(&follow->lock);
+	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE) &&
+	       pthread_cond_timedwait(&follow->wake, &follow->lock, &at) !=
+		       ETIMEDOUT)
+		;
+	pthread_mutex_unlock(&follow->lock);
+}
+
+const config_t *config_follow_get(config_follow_t *follow)
+{
+	return rcu_dereference(follow->config);
+}
+
+uint64_t config_follow_revision(config_follow_t *follow)
+{
+	uint64_t revision;
+
+	pthread_mutex_lock(&follow->lock);
+	revision = follow->revision;
+	pthread_mutex_unlock(&follow->lock);
+	return revision;
+}
+
+bool config_follow_ready(config_follow_t *follow)
+{
+	bool ready;
+
+	pthread_mutex_lock(&follow->lock);
+	ready = follow->ready;
+	pthread_mutex_unlock(&follow->lock);
+	return ready;
+}
+
+void config_follow_free(config_follow_t *follow)
+{
+	if (!follow)
+		return;
+	config_serve_close(follow);
+	if (follow->tail.ring.items)
+		config_tail_fini(&follow->tail);
+	if (follow->config)
+		xdr_free((xdrproc_t)xdr_config_t, (char *)follow->config);
+	free(follow->config);
+	free(follow->live);
+	free(follow->live_next);
+	pthread_cond_destroy(&follow->wake);
+	pthread_mutex_destroy(&follow->lock);
+	free(follow);
+}
--- a/config-follow.h
+++ b/config-follow.h
@@ -87,7 +87,7 @@
 	 */
 	void (*changed)(void *context, const config_t *config);
 	void *changed_context;
-	metrics_t *metrics;
+	metrics_t *metrics; /* required */
 } config_follow_options_t;
 
 /** config_follow_new - a follower that has nothing yet; NULL with @err. */
--- a/config-state.c
+++ b/config-state.c
@@ -4,12 +4,7 @@
 #include "config-check.h"
 #include "config-ring.h"
 #include "config-state.h"
-
-/* An accepted change with the bytes it takes in a message. */
-typedef struct {
-	config_delta_t delta;
-	size_t bytes;
-} config_kept_t;
+#include "config-tail.h"
 
 struct config_state {
 	config_t config;
@@ -18,15 +13,14 @@
 	config_ring_t known;   /* config_known_t */
 	GHashTable *ids;       /* id to its config_known_t */
 	config_ring_t retired; /* config_retired_t */
-	config_ring_t deltas;  /* config_kept_t */
-	size_t delta_bytes;
+	config_tail_t tail;
 };
 
 /* What one change would do, before it is done. */
 typedef struct {
 	config_t config;
 	config_answer_t answer;
-	config_kept_t kept;
+	config_delta_t delta;
 } config_step_t;
 
 static void config_state_drop_known(config_state_t *state)
@@ -47,15 +41,6 @@
 	config_ring_drop(&state->retired);
 }
 
-static void config_state_drop_delta(config_state_t *state)
-{
-	config_kept_t *kept = config_ring_at(&state->deltas, 0);
-
-	state->delta_bytes -= kept->bytes;
-	xdr_free((xdrproc_t)xdr_config_delta_t, (char *)&kept->delta);
-	config_ring_drop(&state->deltas);
-}
-
 static void config_state_push_known(config_state_t *state,
 				    const config_known_t *known)
 {
@@ -76,17 +61,6 @@
 	*(config_retired_t *)config_ring_push(&state->retired) = *retired;
 }
 
-static void config_state_push_delta(config_state_t *state,
-				    const config_kept_t *kept)
-{
-	if (state->deltas.count == state->deltas.capacity)
-		config_state_drop_delta(state);
-	*(config_kept_t *)config_ring_push(&state->deltas) = *kept;
-	state->delta_bytes += kept->bytes;
-	while (state->delta_bytes > CONFIG_DELTAS_BYTES_MAX)
-		config_state_drop_delta(state);
-}
-
 /* The id of the accepted change that made a revision, or "". */
 static const char *config_state_author_of(const config_state_t *state,
 					  uint64_t revision)
@@ -240,16 +214,15 @@
 		return -1;
 	if (ruling.verdict != CONFIG_ACCEPTED)
 		return 0;
-	step->kept.bytes = xdr_sizeof((xdrproc_t)xdr_config_delta_t, &delta);
-	return config_copy((xdrproc_t)xdr_config_delta_t, &delta,
-			   &step->kept.delta, sizeof(delta));
+	return config_copy((xdrproc_t)xdr_config_delta_t, &delta, &step->delta,
+			   sizeof(delta));
 }
 
 static void config_state_step_free(config_step_t *step)
 {
 	xdr_free((xdrproc_t)xdr_config_t, (char *)&step->config);
 	xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&step->answer);
-	xdr_free((xdrproc_t)xdr_config_delta_t, (char *)&step->kept.delta);
+	xdr_free((xdrproc_t)xdr_config_delta_t, (char *)&step->delta);
 }
 
 /* Remember what an accepted change retired. */
@@ -292,9 +265,9 @@
 		return;
 	state->config = step->config;
 	step->config = old;
-	config_state_retire(state, &step->kept.delta.change);
-	config_state_push_delta(state, &step->kept);
-	memset(&step->kept, 0, sizeof(step->kept));
+	config_state_retire(state, &step->delta.change);
+	config_tail_push(&state->tail, &step->delta);
+	memset(&step->delta, 0, sizeof(step->delta));
 }
 
 config_state_t *config_state_new(void)
@@ -308,8 +281,7 @@
 			     CONFIG_KNOWN_MAX) ||
 	    config_ring_init(&state->retired, sizeof(config_retired_t),
 			     CONFIG_RETIRED_MAX) ||
-	    config_ring_init(&state->deltas, sizeof(config_kept_t),
-			     CONFIG_DELTAS_MAX)) {
+	    config_tail_init(&state->tail)) {
 		config_state_free(state);
 		return NULL;
 	}
@@ -324,12 +296,10 @@
 		config_state_drop_known(state);
 	while (state->retired.count)
 		config_state_drop_retired(state);
-	while (state->deltas.count)
-		config_state_drop_delta(state);
 	xdr_free((xdrproc_t)xdr_config_t, (char *)&state->config);
 	config_ring_fini(&state->known);
 	config_ring_fini(&state->retired);
-	config_ring_fini(&state->deltas);
+	config_tail_fini(&state->tail);
 	g_hash_table_destroy(state->ids);
 	free(state);
 }
@@ -381,37 +351,19 @@
 int config_state_deltas(const config_state_t *state, uint64_t have,
 			config_delta_t *out, unsigned max)
 {
-	uint64_t newest = state->config.revision;
-	unsigned first, i;
-
-	if (have >= newest)
-		return 0;
-	if (newest - have > state->deltas.count)
-		return -1;
-	first = state->deltas.count - (unsigned)(newest - have);
-	for (i = 0; i < max && first + i < state->deltas.count; i++) {
-		const config_kept_t *kept = config_ring_at(&state->deltas,
-							   first + i);
-
-		if (config_copy((xdrproc_t)xdr_config_delta_t, &kept->delta,
-				&out[i], sizeof(out[i])))
-			break;
-	}
-	return i ? (int)i : -1;
+	return config_tail_copy(&state->tail, state->config.revision, have, out,
+				max);
 }
 
-/* The accepted changes in order, without their sizes. */
+/* The accepted changes in order. */
 static config_delta_t *config_state_delta_list(const config_state_t *state)
 {
-	config_delta_t *list = calloc(state->deltas.count + 1,
-				      sizeof(config_delta_t));
+	unsigned count = state->tail.ring.count;
+	config_delta_t *list = calloc(count + 1, sizeof(*list));
 	unsigned i;
 
-	for (i = 0; list && i < state->deltas.count; i++) {
-		const config_kept_t *kept = config_ring_at(&state->deltas, i);
-
-		list[i] = kept->delta;
-	}
+	for (i = 0; list && i < count; i++)
+		list[i] = *config_tail_at(&state->tail, i);
 	return list;
 }
 
@@ -435,7 +387,7 @@
 	snapshot.retired.retired_val = retired;
 	snapshot.retired.retired_len = state->retired.count;
 	snapshot.deltas.deltas_val = deltas;
-	snapshot.deltas.deltas_len = state->deltas.count;
+	snapshot.deltas.deltas_len = state->tail.ring.count;
 	rc = config_encode((xdrproc_t)xdr_config_snapshot_t, &snapshot, bytes,
 			   size);
 out:
@@ -459,15 +411,8 @@
 	for (i = 0; i < snapshot->retired.retired_len; i++)
 		config_state_push_retired(state,
 					  &snapshot->retired.retired_val[i]);
-	for (i = 0; i < snapshot->deltas.deltas_len; i++) {
-		config_kept_t kept = {
-			.delta = snapshot->deltas.deltas_val[i],
-		};
-
-		kept.bytes = xdr_sizeof((xdrproc_t)xdr_config_delta_t,
-					&kept.delta);
-		config_state_push_delta(state, &kept);
-	}
+	for (i = 0; i < snapshot->deltas.deltas_len; i++)
+		config_tail_push(&state->tail, &snapshot->deltas.deltas_val[i]);
 	free(snapshot->known.known_val);
 	free(snapshot->retired.retired_val);
 	free(snapshot->deltas.deltas_val);
--- a/config-state.h
+++ b/config-state.h
@@ -14,9 +14,6 @@
  */
 typedef struct config_state config_state_t;
 
-/* Bytes of XDR of the accepted changes that are kept for followers. */
-#define CONFIG_DELTAS_BYTES_MAX (4 * 1024 * 1024)
-
 /** config_state_new - revision 0, nothing declared; NULL without memory. */
 config_state_t *config_state_new(void);
 
