--- a/cmd-apply.c
+++ b/cmd-apply.c
@@ -1,9 +1,12 @@
 #include "cmd-declared.h"
 
 static cmd_change_options_t cmd_apply_change;
+static gint64 cmd_apply_at = -1;
 
 const GOptionEntry cmd_apply_options[] = {
 	CMD_CHANGE_OPTIONS(cmd_apply_change),
+	{ "at", 0, 0, G_OPTION_ARG_INT64, &cmd_apply_at,
+	  "Conflict with what changed after this revision", "REVISION" },
 	{ 0 },
 };
 
@@ -20,6 +23,18 @@
 	return CMD_OK;
 }
 
+/* The operator looked at an older revision than is in force now. */
+static void cmd_apply_pin(config_change_t *change, uint64_t at)
+{
+	u_int i;
+
+	for (i = 0; i < change->items.items_len; i++)
+		if (change->items.items_val[i].base > at)
+			change->items.items_val[i].base = at;
+	if (change->seen > at)
+		change->seen = at;
+}
+
 cmd_exit_t cmd_apply(cmd_t *cmd, char **arguments)
 {
 	cmd_declared_t declared;
@@ -28,12 +43,15 @@
 
 	if (cmd_change_known(cmd, &cmd_apply_change, &code))
 		return code;
-	if (cmd_declared_load(cmd, arguments, &declared, &err))
+	if (cmd_declared_load(cmd, arguments, &declared, &err)) {
 		code = cmd_fail(cmd, &err);
-	else if (!declared.change.items.items_len)
+	} else if (!declared.change.items.items_len) {
 		code = cmd_apply_nothing(cmd, &declared);
-	else
+	} else {
+		if (cmd_apply_at >= 0)
+			cmd_apply_pin(&declared.change, cmd_apply_at);
 		code = cmd_change(cmd, &cmd_apply_change, &declared.change);
+	}
 	cmd_declared_free(&declared);
 	return code;
 }
--- a/cmd-submit.c
+++ b/cmd-submit.c
@@ -67,6 +67,12 @@
 	cmd_submit_t submit = { .change = change, .answer = answer };
 
 	memset(answer, 0, sizeof(*answer));
+	if (xdr_sizeof((xdrproc_t)xdr_config_change_t, (void *)change) >
+	    KEEPER_COMMAND_MAX)
+		return hl_error_set(err, HL_ERR_LIMIT,
+				    "the change is larger than %d bytes; apply "
+				    "the files one after the other",
+				    KEEPER_COMMAND_MAX);
 	if (!cmd_keeper_run(cmd, cmd_submit_ask, &submit, err))
 		return 0;
 	if (!submit.sent)
@@ -128,6 +134,7 @@
 		printf("revision %" PRIu64 " is in force everywhere\n",
 		       revision);
 	} else {
+		fflush(stdout);
 		fprintf(stderr,
 			"hemlockctl: revision %" PRIu64
 			" is not in force everywhere after %d s; lacking: %s; "
--- a/config-poll.c
+++ b/config-poll.c
@@ -175,15 +175,18 @@
 	return count;
 }
 
+/* The root's word to the keepers; a fresh entry has nothing to say yet. */
 static void config_poll_report(config_follow_t *follow,
 			       const config_report_view_t *view, usec_t now)
 {
+	config_report_view_t after = *view;
 	config_summary_t before = follow->said;
 	keeper_applied_t rows[1 + 2 * FOLLOW_LAGGARDS_MAX];
 	keeper_report_args_t args = { { 0, rows } };
 	char nothing;
 
-	config_poll_gather(follow, view, now, &follow->said);
+	after.revision = follow->revision;
+	config_poll_gather(follow, &after, now, &follow->said);
 	args.applied.applied_len = config_poll_rows(follow, &before, rows);
 	if (keeper_report_1(args, &nothing, follow->source.client) !=
 	    RPC_SUCCESS)
@@ -197,7 +200,7 @@
 	keeper_fetch_args_t args = { follow->revision, TRUE };
 	keeper_fetch_res_t res = { 0 };
 	config_poll_t result = CONFIG_POLL_FAILED;
-	config_report_view_t after;
+	bool ready = follow->ready;
 
 	*follow->leader = 0;
 	if (keeper_fetch_1(args, &res, follow->source.client) != RPC_SUCCESS)
@@ -207,9 +210,8 @@
 	if (res.status != KEEPER_OK || !res.confirmed ||
 	    config_publish(follow, &res.body, res.revision, now))
 		goto out;
-	after = *view;
-	after.revision = follow->revision;
-	config_poll_report(follow, &after, now);
+	if (ready)
+		config_poll_report(follow, view, now);
 	result = follow->revision < res.revision ? CONFIG_POLL_MORE :
 						   CONFIG_POLL_DONE;
 	strcpy(follow->leader, follow->source.address);
--- a/config-publish.c
+++ b/config-publish.c
@@ -39,6 +39,7 @@
 		const config_delta_t *delta =
 			&body->keeper_fetch_body_t_u.deltas.deltas_val[i];
 
+		metrics_add(follow->metrics.deltas, 1);
 		if (delta->revision != have + 1)
 			continue;
 		if (config_copy((xdrproc_t)xdr_config_delta_t, delta, &copy,
@@ -47,7 +48,6 @@
 			return;
 		}
 		config_tail_push(&follow->tail, &copy);
-		metrics_add(follow->metrics.deltas, 1);
 		have++;
 	}
 }
--- a/keeper-answer.c
+++ b/keeper-answer.c
@@ -109,7 +109,7 @@
 	res->answer.verdict = CONFIG_REFUSED;
 	res->answer.id = strdup(change->id);
 	res->answer.message = strdup("the change has no id or is larger than "
-				     "262144 bytes; name it or split it");
+				     "57344 bytes; name it or split it");
 	return true;
 }
 
--- a/keeper.h
+++ b/keeper.h
@@ -23,7 +23,7 @@
 /* Voters and learners that one leader sends to. */
 #define KEEPER_PEERS_MAX (2 * KEEPER_VOTERS_MAX)
 /* Bytes of entries in one append message, one entry at least. */
-#define KEEPER_APPEND_BYTES 262144
+#define KEEPER_APPEND_BYTES 57344
 
 /** struct keeper_node_t - a member of the group, under one disk. */
 typedef struct {
--- a/regress/follow-node.c
+++ b/regress/follow-node.c
@@ -124,10 +124,10 @@
 	hl_error_t err;
 
 	g_option_context_add_main_entries(context, node_options, NULL);
-	if (!g_option_context_parse(context, &argc, &argv, NULL) ||
-	    !node_name || !node_address || !node_keepers)
-		return 2;
+	g_option_context_parse(context, &argc, &argv, NULL);
 	g_option_context_free(context);
+	if (!node_name || !node_address || !node_keepers)
+		return 2;
 	signal(SIGTERM, node_on_signal);
 	log_open("follow-node", node_name, LOG_LEVEL_DEBUG);
 	options.name = node_name;
--- /dev/null
+++ b/regress/test-config-follow.c
@@ -0,0 +1,279 @@
+#include <sys/socket.h>
+#include <unistd.h>
+#include <urcu.h>
+#include "config-follow.h"
+#include "config-make.h"
+
+/*
+ * A follower against a keeper that says what each row of the table tells it
+ * to. Both are served by the follower's own RPC thread.
+ */
+
+#define POLL_MS 10
+
+typedef struct {
+	keeper_status_t status;
+	bool confirmed;
+	uint64_t revision; /* that the keeper claims */
+	uint64_t whole;	   /* revision of a whole configuration, 0 for none */
+	uint64_t delta;	   /* revision of one delta, 0 for none */
+} answer_t;
+
+static const struct {
+	const char *name;
+	answer_t first, second;
+	uint64_t in_force;
+	bool ready;
+} cases[] = {
+	{ "unconfirmed",
+	  { KEEPER_OK, false, 5, 5, 0 },
+	  { KEEPER_OK, false, 6, 6, 0 },
+	  0,
+	  false },
+	{ "not-leader",
+	  { KEEPER_NOT_LEADER, false, 5, 5, 0 },
+	  { KEEPER_BUSY, true, 5, 5, 0 },
+	  0,
+	  false },
+	{ "confirmed",
+	  { KEEPER_OK, true, 5, 5, 0 },
+	  { KEEPER_OK, true, 5, 0, 0 },
+	  5,
+	  true },
+	{ "not-all-of-it",
+	  { KEEPER_OK, true, 7, 5, 0 },
+	  { KEEPER_OK, true, 7, 0, 0 },
+	  5,
+	  false },
+	{ "later-unconfirmed",
+	  { KEEPER_OK, true, 5, 5, 0 },
+	  { KEEPER_OK, false, 6, 6, 0 },
+	  5,
+	  true },
+	{ "lower-whole",
+	  { KEEPER_OK, true, 5, 5, 0 },
+	  { KEEPER_OK, true, 4, 4, 0 },
+	  5,
+	  true },
+	{ "delta",
+	  { KEEPER_OK, true, 5, 5, 0 },
+	  { KEEPER_OK, true, 6, 0, 6 },
+	  6,
+	  true },
+	{ "old-delta",
+	  { KEEPER_OK, true, 5, 5, 0 },
+	  { KEEPER_OK, true, 5, 0, 3 },
+	  5,
+	  true },
+	{ "gap",
+	  { KEEPER_OK, true, 5, 5, 0 },
+	  { KEEPER_OK, true, 8, 0, 8 },
+	  5,
+	  true },
+	{ "far-behind",
+	  { KEEPER_OK, true, 5, 5, 0 },
+	  { KEEPER_OK, true, 2000, 2000, 0 },
+	  2000,
+	  true },
+};
+
+static const answer_t *answer_first, *answer_second;
+static unsigned answers; /* given so far */
+
+extern void hemlock_keeper_1(struct svc_req *request, SVCXPRT *transport);
+
+static void fill_delta(uint64_t revision, keeper_fetch_body_t *body)
+{
+	config_item_t item = make_profile("fast", 0, 100);
+	config_delta_t plain = { revision,
+				 make_change("change", revision, &item, 1) };
+	config_delta_t *delta = calloc(1, sizeof(*delta));
+
+	config_copy((xdrproc_t)xdr_config_delta_t, &plain, delta,
+		    sizeof(*delta));
+	body->keeper_fetch_body_t_u.deltas.deltas_val = delta;
+	body->keeper_fetch_body_t_u.deltas.deltas_len = 1;
+}
+
+bool_t keeper_fetch_1_svc(keeper_fetch_args_t args, keeper_fetch_res_t *res,
+			  struct svc_req *request)
+{
+	const answer_t *answer = answers ? answer_second : answer_first;
+
+	(void)args;
+	(void)request;
+	memset(res, 0, sizeof(*res));
+	res->status = answer->status;
+	res->leader = strdup("");
+	res->confirmed = answer->confirmed;
+	res->revision = answer->revision;
+	res->body.whole = answer->whole > 0;
+	if (answer->whole)
+		res->body.keeper_fetch_body_t_u.config.revision = answer->whole;
+	else if (answer->delta)
+		fill_delta(answer->delta, &res->body);
+	__atomic_fetch_add(&answers, 1, __ATOMIC_RELEASE);
+	return TRUE;
+}
+
+bool_t keeper_report_1_svc(keeper_report_args_t args, void *res,
+			   struct svc_req *request)
+{
+	(void)args;
+	(void)res;
+	(void)request;
+	return TRUE;
+}
+
+/* The follower calls none of these. */
+bool_t keeper_submit_1_svc(config_change_t change, keeper_submit_res_t *res,
+			   struct svc_req *request)
+{
+	(void)change;
+	(void)res;
+	(void)request;
+	return FALSE;
+}
+
+bool_t keeper_outcome_1_svc(config_name_t id, keeper_submit_res_t *res,
+			    struct svc_req *request)
+{
+	(void)id;
+	(void)res;
+	(void)request;
+	return FALSE;
+}
+
+bool_t keeper_state_1_svc(keeper_state_res_t *res, struct svc_req *request)
+{
+	(void)res;
+	(void)request;
+	return FALSE;
+}
+
+bool_t keeper_voter_1_svc(keeper_voter_args_t args, keeper_submit_res_t *res,
+			  struct svc_req *request)
+{
+	(void)args;
+	(void)res;
+	(void)request;
+	return FALSE;
+}
+
+bool_t keeper_message_1_svc(keeper_message_t message, void *res,
+			    struct svc_req *request)
+{
+	(void)message;
+	(void)res;
+	(void)request;
+	return FALSE;
+}
+
+int hemlock_keeper_1_freeresult(SVCXPRT *transport, xdrproc_t proc,
+				caddr_t result)
+{
+	(void)transport;
+	xdr_free(proc, result);
+	return 1;
+}
+
+/* Listen on a free port of 127.0.0.1 as a keeper. */
+static SVCXPRT *keeper_open(char *address)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET,
+				  .sin_addr = { htonl(INADDR_LOOPBACK) } };
+	socklen_t size = sizeof(at);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	SVCXPRT *transport;
+
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&at, size), ==, 0);
+	g_assert_cmpint(listen(fd, 8), ==, 0);
+	getsockname(fd, (struct sockaddr *)&at, &size);
+	g_snprintf(address, HL_ADDRESS_MAX, "127.0.0.1:%u", ntohs(at.sin_port));
+	transport = svc_vc_create(fd, 0, 0);
+	g_assert_true(svc_reg(transport, HEMLOCK_KEEPER, HEMLOCK_KEEPER_V1,
+			      hemlock_keeper_1, NULL));
+	return transport;
+}
+
+static config_follow_t *follow_open(const char *keeper, metrics_t *metrics)
+{
+	config_follow_options_t options = {
+		.name = "node-1",
+		.rpc_address = "127.0.0.1:0",
+		.settings = { .fanout = 2,
+			      .poll_ms = POLL_MS,
+			      .timeout_ms = 2000 },
+		.metrics = metrics,
+	};
+	config_follow_t *follow;
+	hl_error_t err;
+
+	g_strlcpy(options.settings.keepers.items[0], keeper, HL_ADDRESS_MAX);
+	options.settings.keepers.count = 1;
+	follow = config_follow_new(&options, &err);
+	g_assert_nonnull(follow);
+	return follow;
+}
+
+static void wait_answers(unsigned count)
+{
+	unsigned left;
+
+	for (left = 2000; left; left--) {
+		if (__atomic_load_n(&answers, __ATOMIC_ACQUIRE) >= count)
+			return;
+		usleep(5000);
+	}
+	g_assert_not_reached();
+}
+
+static void test_follow_case(gconstpointer data)
+{
+	const size_t i = GPOINTER_TO_SIZE(data);
+	metrics_t *metrics = metrics_new();
+	supervisor_t *sup = supervisor_new("test", 1, USEC_PER_SEC);
+	char address[HL_ADDRESS_MAX];
+	SVCXPRT *keeper = keeper_open(address);
+	config_follow_t *follow = follow_open(address, metrics);
+	supervisor_child_t child = config_follow_child(follow);
+	const config_t *config;
+
+	answer_first = &cases[i].first;
+	answer_second = &cases[i].second;
+	answers = 0;
+	g_assert_cmpint(supervisor_add(sup, &child, NULL), ==, 0);
+	wait_answers(8);
+	rcu_read_lock();
+	config = config_follow_get(follow);
+	g_assert_cmpuint(config ? config->revision : 0, ==, cases[i].in_force);
+	rcu_read_unlock();
+	g_assert_cmpuint(config_follow_revision(follow), ==, cases[i].in_force);
+	g_assert_cmpint(config_follow_ready(follow), ==, cases[i].ready);
+	supervisor_free(sup);
+	svc_unreg(HEMLOCK_KEEPER, HEMLOCK_KEEPER_V1);
+	svc_destroy(keeper);
+	config_follow_free(follow);
+	metrics_free(metrics);
+}
+
+int main(int argc, char **argv)
+{
+	size_t i;
+	int rc;
+
+	g_test_init(&argc, &argv, NULL);
+	log_set_level(LOG_LEVEL_ERROR);
+	rcu_register_thread();
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *path = g_strdup_printf("/config-follow/%s",
+					     cases[i].name);
+
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i),
+				     test_follow_case);
+		g_free(path);
+	}
+	rc = g_test_run();
+	rcu_unregister_thread();
+	return rc;
+}
--- a/rpc/keeper_rpc.h
+++ b/rpc/keeper_rpc.h
@@ -15,12 +15,12 @@
 #endif
 
 #include "config_rpc.h"
-#define KEEPER_COMMAND_MAX 262144
+#define KEEPER_COMMAND_MAX 57344
 #define KEEPER_DELTAS_MAX 64
 #define KEEPER_VOTERS_MAX 7
 #define KEEPER_ENTRIES_MAX 64
 #define KEEPER_LAGGARDS_MAX 1024
-#define KEEPER_CHUNK_MAX 65536
+#define KEEPER_CHUNK_MAX 57344
 #define KEEPER_SNAPSHOT_MAX 67108864
 
 typedef char *keeper_address_t;
--- a/rpc/keeper_rpc.x
+++ b/rpc/keeper_rpc.x
@@ -2,12 +2,14 @@
 
 %#include "config_rpc.h"
 
-const KEEPER_COMMAND_MAX = 262144;
+/* A call must fit one fragment of 65,532 bytes: the server of libtirpc takes
+   the first fragment for the whole once records are bounded. */
+const KEEPER_COMMAND_MAX = 57344;
 const KEEPER_DELTAS_MAX = 64;
 const KEEPER_VOTERS_MAX = 7;
 const KEEPER_ENTRIES_MAX = 64;
 const KEEPER_LAGGARDS_MAX = 1024;
-const KEEPER_CHUNK_MAX = 65536;
+const KEEPER_CHUNK_MAX = 57344;
 const KEEPER_SNAPSHOT_MAX = 67108864;
 
 typedef string keeper_address_t<63>;
