--- /dev/null
+++ b/entry-pick.c
@@ -0,0 +1,213 @@
+#include "entry-decide.h"
+
+unsigned entry_pick_random(entry_service_t *svc, unsigned bound)
+{
+	/* xorshift64* */
+	svc->random ^= svc->random >> 12;
+	svc->random ^= svc->random << 25;
+	svc->random ^= svc->random >> 27;
+	return (svc->random * 0x2545f4914f6cdd1dULL >> 33) % bound;
+}
+
+/* Whether a call that failed at a copy has another one to go to. */
+static bool pick_avoids(const entry_service_t *svc, const entry_call_t *call,
+			const entry_copy_t *copy)
+{
+	const entry_copy_t *other = NULL;
+
+	if (copy != call->avoid)
+		return false;
+	cds_list_for_each_entry (other, &svc->copies, link)
+		if (other != copy && !other->draining && other->limit > 0 &&
+		    !other->health->ejected)
+			return true;
+	return false;
+}
+
+static bool pick_open(const entry_service_t *svc, const entry_call_t *call,
+		      const entry_copy_t *copy, usec_t now)
+{
+	return !copy->draining && now >= copy->health->paused_until &&
+	       copy->outstanding < entry_credit_of(svc, copy, now) &&
+	       !pick_avoids(svc, call, copy);
+}
+
+/* Whether @a has a smaller share of its slots in use, or is the faster. */
+static bool pick_before(const entry_service_t *svc, const entry_copy_t *a,
+			const entry_copy_t *b, usec_t now)
+{
+	unsigned x = a->outstanding * entry_credit_slots(b);
+	unsigned y = b->outstanding * entry_credit_slots(a);
+
+	if (x != y)
+		return x < y;
+	return entry_health_time(svc, a, now) < entry_health_time(svc, b, now);
+}
+
+entry_copy_t *entry_pick_fast(const entry_service_t *svc,
+			      const entry_call_t *call, usec_t now)
+{
+	entry_copy_t *best = NULL;
+	entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		if (copy->health->ejected || !pick_open(svc, call, copy, now) ||
+		    entry_health_slow(svc, copy, now))
+			continue;
+		if (!best || pick_before(svc, copy, best, now))
+			best = copy;
+	}
+	return best;
+}
+
+/* A copy that is due for one call to show whether it has recovered. */
+static entry_copy_t *pick_probation(const entry_service_t *svc,
+				    const entry_call_t *call, usec_t now)
+{
+	entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		if (!copy->health->ejected &&
+		    !entry_health_slow(svc, copy, now))
+			continue;
+		if (pick_open(svc, call, copy, now) &&
+		    entry_health_probation(copy, call, now))
+			return copy;
+	}
+	return NULL;
+}
+
+/*
+ * The fastest straggler, if the queue is so long that waiting for another
+ * copy would take more time than the straggler costs.
+ */
+static entry_copy_t *pick_slow(const entry_service_t *svc,
+			       const entry_call_t *call, usec_t now)
+{
+	entry_copy_t *best = NULL;
+	entry_copy_t *copy = NULL;
+	double least = svc->pace.typical;
+	double wait = 0;
+
+	if (svc->pace.rate > 0)
+		wait = entry_queue_count(svc->queue) * USEC_PER_SEC /
+		       svc->pace.rate;
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		double took = entry_health_time(svc, copy, now);
+
+		if (copy->health->ejected || !pick_open(svc, call, copy, now))
+			continue;
+		if (took - svc->pace.typical > wait || (best && took >= least))
+			continue;
+		best = copy;
+		least = took;
+	}
+	return best;
+}
+
+static entry_copy_t *pick_owner(const entry_service_t *svc,
+				const entry_call_t *call, usec_t now)
+{
+	entry_copy_t *copy = pick_probation(svc, call, now);
+
+	if (!copy)
+		copy = entry_pick_fast(svc, call, now);
+	if (!copy)
+		copy = pick_slow(svc, call, now);
+	return copy;
+}
+
+/* The baselines: copies that are not draining, without credits. */
+
+static unsigned pick_count(const entry_service_t *svc)
+{
+	const entry_copy_t *copy = NULL;
+	unsigned count = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (!copy->draining)
+			count++;
+	return count;
+}
+
+/* The copy at an index among those that take new work. */
+static entry_copy_t *pick_at(entry_service_t *svc, unsigned index)
+{
+	entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (!copy->draining && index-- == 0)
+			return copy;
+	return NULL;
+}
+
+static entry_copy_t *pick_random_copy(entry_service_t *svc)
+{
+	unsigned count = pick_count(svc);
+
+	return count ? pick_at(svc, entry_pick_random(svc, count)) : NULL;
+}
+
+static entry_copy_t *pick_least(entry_service_t *svc)
+{
+	entry_copy_t *best = NULL;
+	entry_copy_t *copy = NULL;
+	unsigned ties = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		if (copy->draining)
+			continue;
+		if (best && copy->outstanding > best->outstanding)
+			continue;
+		if (best && copy->outstanding == best->outstanding &&
+		    entry_pick_random(svc, ++ties + 1) != 0)
+			continue;
+		if (!best || copy->outstanding < best->outstanding)
+			ties = 0;
+		best = copy;
+	}
+	return best;
+}
+
+int entry_service_two(entry_service_t *svc, entry_copy_t *two[2])
+{
+	unsigned count = pick_count(svc);
+	unsigned first;
+	unsigned second;
+
+	if (count == 0)
+		return -1;
+	first = entry_pick_random(svc, count);
+	second = count > 1 ? entry_pick_random(svc, count - 1) : first;
+	if (count > 1 && second >= first)
+		second++;
+	two[0] = pick_at(svc, first);
+	two[1] = pick_at(svc, second);
+	return 0;
+}
+
+/* Two choices without probes: by what this entry itself has outstanding. */
+static entry_copy_t *pick_two(entry_service_t *svc)
+{
+	entry_copy_t *two[2];
+
+	if (entry_service_two(svc, two) != 0)
+		return NULL;
+	return two[1]->outstanding < two[0]->outstanding ? two[1] : two[0];
+}
+
+entry_copy_t *entry_pick(entry_service_t *svc, const entry_call_t *call,
+			 usec_t now)
+{
+	switch (svc->policy) {
+	case ENTRY_POLICY_RANDOM:
+		return pick_random_copy(svc);
+	case ENTRY_POLICY_LEAST:
+		return pick_least(svc);
+	case ENTRY_POLICY_TWO_CHOICES:
+		return pick_two(svc);
+	case ENTRY_POLICY_OWNER:
+		break;
+	}
+	return pick_owner(svc, call, now);
+}
--- /dev/null
+++ b/entry-retry.c
@@ -0,0 +1,79 @@
+#include <stdlib.h>
+#include "entry-decide.h"
+
+/* Sends the budget starts with, and that it holds at most. */
+#define RETRY_START 3.0
+#define RETRY_MOST 20.0
+/* Sends a second that a service with few calls earns. */
+#define RETRY_FLOOR_RATE 1.0
+
+struct entry_retry {
+	double sends;
+	usec_t earned; /* when the floor was last added */
+};
+
+struct entry_retry *entry_retry_new(void)
+{
+	struct entry_retry *retry = calloc(1, sizeof(*retry));
+
+	if (retry)
+		retry->sends = RETRY_START;
+	return retry;
+}
+
+void entry_retry_free(struct entry_retry *retry)
+{
+	free(retry);
+}
+
+void entry_retry_earn(struct entry_retry *retry,
+		      const config_profile_t *profile, usec_t now)
+{
+	double span = (double)(now - retry->earned) / USEC_PER_SEC;
+
+	if (profile->retry_percent == 0) {
+		retry->sends = 0;
+		return;
+	}
+	if (retry->earned > 0)
+		retry->sends += span * RETRY_FLOOR_RATE;
+	retry->earned = now;
+	retry->sends += profile->retry_percent / 100.0;
+	if (retry->sends > RETRY_MOST)
+		retry->sends = RETRY_MOST;
+}
+
+bool entry_retry_allowed(const config_profile_t *profile,
+			 const entry_call_t *call, entry_result_t result)
+{
+	if (call->attempts >= profile->attempts_max)
+		return false;
+	switch (result) {
+	case ENTRY_RESULT_CONNECT:
+		/* It cost no copy anything, so the mark does not bind. */
+		return true;
+	case ENTRY_RESULT_SHED:
+		return !call->no_retry;
+	case ENTRY_RESULT_ERROR:
+	case ENTRY_RESULT_CUT:
+		return call->idempotent && !call->no_retry;
+	default:
+		return false;
+	}
+}
+
+bool entry_retry_spend(struct entry_retry *retry)
+{
+	if (retry->sends < 1)
+		return false;
+	retry->sends -= 1;
+	return true;
+}
+
+bool entry_service_marks(const entry_service_t *svc, const entry_call_t *call)
+{
+	if (call->no_retry)
+		return true;
+	return call->idempotent && svc->profile->attempts_max > 1 &&
+	       svc->profile->retry_percent > 0;
+}
--- a/entry-service.c
+++ b/entry-service.c
@@ -1,26 +1,37 @@
 #include <stdlib.h>
 #include <string.h>
-#include "entry.h"
+#include "entry-decide.h"
 
-/* A queue in order of arrival, until entry-queue.c brings classes. */
-struct entry_queue {
-	struct cds_list_head calls;
-	unsigned count;
-};
+/* When to come back if nothing better is known. */
+#define SERVICE_RETRY_AFTER USEC_PER_SEC
+/* The least a caller is told to wait. */
+#define SERVICE_RETRY_AFTER_MIN USEC_PER_MS
+/* Waiting calls that are looked at for one that may use a free copy. */
+#define SERVICE_SKIP_MAX 4
+
+/* A copy with its credit and health, in one allocation. */
+typedef struct {
+	entry_copy_t copy;
+	entry_credit_t credit;
+	entry_health_t health;
+} service_copy_t;
 
 int entry_service_init(entry_service_t *svc, entry_policy_t policy,
 		       const config_profile_t *profile, uint64_t seed)
 {
 	memset(svc, 0, sizeof(*svc));
 	CDS_INIT_LIST_HEAD(&svc->copies);
+	CDS_INIT_LIST_HEAD(&svc->running);
 	svc->policy = policy;
 	svc->profile = profile;
 	svc->random = seed | 1;
-	svc->queue = calloc(1, sizeof(*svc->queue));
-	if (!svc->queue)
-		return -1;
-	CDS_INIT_LIST_HEAD(&svc->queue->calls);
-	return 0;
+	svc->queue = entry_queue_new();
+	svc->limit = entry_limit_new();
+	svc->retry = entry_retry_new();
+	if (svc->queue && svc->limit && svc->retry)
+		return 0;
+	entry_service_fini(svc);
+	return -1;
 }
 
 void entry_service_fini(entry_service_t *svc)
@@ -30,7 +41,9 @@
 
 	cds_list_for_each_entry_safe (copy, next, &svc->copies, link)
 		entry_service_copy_remove(svc, copy);
-	free(svc->queue);
+	entry_queue_free(svc->queue);
+	entry_limit_free(svc->limit);
+	entry_retry_free(svc->retry);
 }
 
 void entry_service_profile(entry_service_t *svc,
@@ -40,6 +53,11 @@
 	svc->profile = profile;
 }
 
+void entry_service_limits(entry_service_t *svc, unsigned rate, double share)
+{
+	entry_limit_set(svc->limit, rate, share);
+}
+
 entry_copy_t *entry_service_copy(entry_service_t *svc, const char *name)
 {
 	entry_copy_t *copy;
@@ -53,15 +71,18 @@
 entry_copy_t *entry_service_copy_add(entry_service_t *svc, const char *name,
 				     usec_t now)
 {
-	entry_copy_t *copy = calloc(1, sizeof(*copy));
+	service_copy_t *block = calloc(1, sizeof(*block));
 
-	if (!copy)
+	if (!block)
 		return NULL;
-	strncpy(copy->name, name, sizeof(copy->name) - 1);
-	copy->announced = now;
-	cds_list_add_tail(&copy->link, &svc->copies);
+	block->copy.credit = &block->credit;
+	block->copy.health = &block->health;
+	block->credit.ramp = 1;
+	strncpy(block->copy.name, name, sizeof(block->copy.name) - 1);
+	block->copy.announced = now;
+	cds_list_add_tail(&block->copy.link, &svc->copies);
 	svc->copy_count++;
-	return copy;
+	return &block->copy;
 }
 
 int entry_service_copy_remove(entry_service_t *svc, entry_copy_t *copy)
@@ -70,161 +91,417 @@
 		return -1;
 	cds_list_del(&copy->link);
 	svc->copy_count--;
-	free(copy);
+	free(caa_container_of(copy, service_copy_t, copy));
 	return 0;
 }
 
-/* The copy with the smallest used share of its limit, or NULL if all full. */
-static entry_copy_t *service_pick(entry_service_t *svc)
+static void service_take_credit(entry_service_t *svc, entry_copy_t *copy,
+				usec_t now)
 {
-	entry_copy_t *best = NULL;
-	entry_copy_t *copy;
+	copy->outstanding++;
+	svc->outstanding++;
+	entry_health_sent(copy, now);
+}
 
-	cds_list_for_each_entry (copy, &svc->copies, link) {
-		if (copy->draining || copy->outstanding >= copy->limit)
-			continue;
-		if (!best || copy->outstanding * best->limit <
-				     best->outstanding * copy->limit)
-			best = copy;
-	}
-	return best;
+static void service_give_credit(entry_service_t *svc, entry_copy_t *copy,
+				entry_result_t result, usec_t sent,
+				unsigned depth, usec_t now)
+{
+	copy->outstanding--;
+	svc->outstanding--;
+	entry_health_ended(svc, copy, result, sent, depth, now);
 }
 
-static void service_send(entry_service_t *svc, entry_call_t *call,
-			 entry_copy_t *copy, usec_t now)
+static entry_decision_t service_send(entry_service_t *svc, entry_call_t *call,
+				     entry_copy_t *copy, usec_t now)
 {
+	entry_decision_t decision = { ENTRY_SEND, ENTRY_REFUSE_NONE, 0 };
+
+	service_take_credit(svc, copy, now);
 	call->copy = copy;
 	call->sent = now;
+	call->depth = copy->outstanding;
 	call->attempts++;
-	copy->outstanding++;
-	svc->outstanding++;
+	cds_list_add_tail(&call->running_link, &svc->running);
+	return decision;
 }
 
-static void service_enqueue(entry_service_t *svc, entry_call_t *call)
+static entry_decision_t service_refuse(entry_refusal_t refusal,
+				       usec_t retry_after)
 {
-	cds_list_add_tail(&call->queue_link, &svc->queue->calls);
-	call->waiting = true;
-	svc->queue->count++;
+	entry_decision_t decision = { ENTRY_REFUSE, refusal, retry_after };
+
+	if (retry_after < SERVICE_RETRY_AFTER_MIN)
+		decision.retry_after = SERVICE_RETRY_AFTER_MIN;
+	return decision;
 }
 
-static void service_dequeue(entry_service_t *svc, entry_call_t *call)
+/* Credits kept for calls of siblings. */
+static unsigned service_reserved(const entry_service_t *svc, usec_t now)
 {
-	cds_list_del(&call->queue_link);
-	call->waiting = false;
-	svc->queue->count--;
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < ENTRY_RESERVES_MAX; i++)
+		if (svc->reserves[i].until > now)
+			count += svc->reserves[i].credits;
+	return count;
 }
 
-static entry_decision_t service_refuse(entry_refusal_t refusal,
-				       usec_t retry_after)
+/* Credits not in use at copies that are neither slow nor ejected. */
+static unsigned service_unused(const entry_service_t *svc, usec_t now)
 {
-	entry_decision_t decision = { ENTRY_REFUSE, refusal, retry_after };
+	const entry_copy_t *copy = NULL;
+	unsigned count = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		unsigned credits = entry_credit_of(svc, copy, now);
+
+		if (copy->draining || copy->health->ejected ||
+		    now < copy->health->paused_until ||
+		    entry_health_slow(svc, copy, now))
+			continue;
+		if (copy->outstanding < credits)
+			count += credits - copy->outstanding;
+	}
+	return count;
+}
+
+unsigned entry_service_free(const entry_service_t *svc, usec_t now)
+{
+	unsigned reserved = service_reserved(svc, now);
+	unsigned unused = service_unused(svc, now);
+
+	return unused > reserved ? unused - reserved : 0;
+}
+
+unsigned entry_service_reserve(entry_service_t *svc, unsigned credits,
+			       usec_t until, usec_t now)
+{
+	unsigned unused = entry_service_free(svc, now);
+	unsigned i;
+
+	if (credits > unused)
+		credits = unused;
+	for (i = 0; i < ENTRY_RESERVES_MAX && credits > 0; i++) {
+		if (svc->reserves[i].until > now &&
+		    svc->reserves[i].credits > 0)
+			continue;
+		svc->reserves[i].credits = credits;
+		svc->reserves[i].until = until;
+		return credits;
+	}
+	return 0;
+}
+
+/* Use up a reserved credit, of the offer that ends first. */
+static bool service_unreserve(entry_service_t *svc, usec_t now)
+{
+	entry_reserve_t *first = NULL;
+	unsigned i;
+
+	for (i = 0; i < ENTRY_RESERVES_MAX; i++) {
+		entry_reserve_t *reserve = &svc->reserves[i];
+
+		if (reserve->until <= now || reserve->credits == 0)
+			continue;
+		if (!first || reserve->until < first->until)
+			first = reserve;
+	}
+	if (!first)
+		return false;
+	first->credits--;
+	return true;
+}
+
+/* A copy for a call that has no claim on reserved credits. */
+static entry_copy_t *service_pick(entry_service_t *svc,
+				  const entry_call_t *call, usec_t now)
+{
+	if (service_reserved(svc, now) > 0 && entry_service_free(svc, now) == 0)
+		return NULL;
+	return entry_pick(svc, call, now);
+}
+
+static bool service_has_copy(const entry_service_t *svc)
+{
+	const entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (!copy->draining)
+			return true;
+	return false;
+}
+
+/* What an answer needs at the least, so that waiting longer is in vain. */
+static usec_t service_least_time(const entry_service_t *svc)
+{
+	return (usec_t)(svc->pace.typical / 2);
+}
+
+/* What nearly all answers need, but no more than half of what is left. */
+static usec_t service_margin(const entry_service_t *svc, usec_t left)
+{
+	usec_t tail = (usec_t)svc->pace.tail;
 
+	return tail < left / 2 ? tail : left / 2;
+}
+
+/* When half of the queue will have been served. */
+static usec_t service_queue_refill(const entry_service_t *svc)
+{
+	if (svc->pace.rate <= 0)
+		return SERVICE_RETRY_AFTER;
+	return (usec_t)(entry_queue_count(svc->queue) / 2.0 * USEC_PER_SEC /
+			svc->pace.rate);
+}
+
+/* Queue a call unless it would be served too late or there is no room. */
+static entry_decision_t service_enqueue(entry_service_t *svc,
+					entry_call_t *call, usec_t now)
+{
+	entry_decision_t decision = { ENTRY_WAIT, ENTRY_REFUSE_NONE, 0 };
+	usec_t left = call->deadline - now;
+	usec_t wait = entry_queue_wait(svc->queue, call, svc->pace.rate);
+	usec_t late = wait + service_margin(svc, left) - left;
+
+	if (wait > 0 && late > 0)
+		return service_refuse(ENTRY_REFUSE_DEADLINE, late);
+	if (entry_queue_count(svc->queue) >= svc->profile->queue_max &&
+	    !entry_queue_evict(svc->queue, call))
+		return service_refuse(ENTRY_REFUSE_QUEUE,
+				      service_queue_refill(svc));
+	entry_queue_push(svc->queue, call, now);
 	return decision;
 }
 
-entry_decision_t entry_service_arrive(entry_service_t *svc, entry_call_t *call,
+/* Set up what belongs to the deciding code; check copies, time and limits. */
+static entry_decision_t service_admit(entry_service_t *svc, entry_call_t *call,
 				      usec_t now)
 {
 	entry_decision_t decision = { ENTRY_SEND, ENTRY_REFUSE_NONE, 0 };
-	entry_copy_t *copy;
+	usec_t wait;
 
 	call->waiting = false;
-	if (svc->copy_count == 0)
-		return service_refuse(ENTRY_REFUSE_NO_COPY, USEC_PER_SEC);
+	call->evicted = false;
+	call->outcome = ENTRY_NOT_RUN;
+	call->avoid = NULL;
+	call->hedge = NULL;
+	call->attempts = 0;
+	if (!service_has_copy(svc))
+		return service_refuse(ENTRY_REFUSE_NO_COPY,
+				      SERVICE_RETRY_AFTER);
 	if (now >= call->deadline)
 		return service_refuse(ENTRY_REFUSE_DEADLINE, 0);
-	copy = svc->queue->count ? NULL : service_pick(svc);
-	if (copy) {
-		service_send(svc, call, copy, now);
-		return decision;
-	}
-	if (svc->queue->count >= svc->profile->queue_max)
-		return service_refuse(ENTRY_REFUSE_QUEUE, USEC_PER_SEC);
-	service_enqueue(svc, call);
-	decision.verdict = ENTRY_WAIT;
+	if (!call->handed &&
+	    !entry_limit_admit(svc->limit, svc->profile, call, now, &wait))
+		return service_refuse(ENTRY_REFUSE_LIMIT, wait);
+	entry_retry_earn(svc->retry, svc->profile, now);
 	return decision;
 }
 
+entry_decision_t entry_service_arrive(entry_service_t *svc, entry_call_t *call,
+				      usec_t now)
+{
+	entry_decision_t decision = service_admit(svc, call, now);
+	entry_copy_t *copy = NULL;
+
+	if (decision.verdict == ENTRY_REFUSE)
+		return decision;
+	entry_health_refresh(svc, now);
+	if (call->handed && service_unreserve(svc, now))
+		copy = entry_pick(svc, call, now);
+	if (!copy && entry_queue_count(svc->queue) == 0)
+		copy = service_pick(svc, call, now);
+	if (!copy)
+		return service_enqueue(svc, call, now);
+	entry_queue_admitted(svc->queue, call, now);
+	return service_send(svc, call, copy, now);
+}
+
+entry_decision_t entry_service_send_less(entry_service_t *svc,
+					 entry_call_t *call,
+					 entry_copy_t *const two[2],
+					 const unsigned loads[2], usec_t now)
+{
+	entry_decision_t decision = service_admit(svc, call, now);
+
+	if (decision.verdict == ENTRY_REFUSE)
+		return decision;
+	return service_send(svc, call, two[loads[1] < loads[0]], now);
+}
+
 entry_call_t *entry_service_next(entry_service_t *svc, usec_t now)
 {
-	entry_call_t *call;
-	entry_copy_t *copy;
+	entry_call_t *skipped[SERVICE_SKIP_MAX];
+	entry_call_t *call = NULL;
+	entry_copy_t *copy = NULL;
+	unsigned count = 0;
 
-	if (svc->queue->count == 0)
-		return NULL;
-	copy = service_pick(svc);
+	while (!copy && count < SERVICE_SKIP_MAX) {
+		call = entry_queue_pop(svc->queue);
+		if (!call)
+			break;
+		copy = service_pick(svc, call, now);
+		if (!copy)
+			skipped[count++] = call;
+		/* Another call may go where this one failed. */
+		if (!copy && !call->avoid)
+			break;
+	}
+	while (count > 0)
+		entry_queue_restore(svc->queue, skipped[--count]);
 	if (!copy)
 		return NULL;
-	call = entry_service_take(svc, now);
-	if (call)
-		service_send(svc, call, copy, now);
+	service_send(svc, call, copy, now);
 	return call;
 }
 
 entry_call_t *entry_service_expire(entry_service_t *svc, usec_t now,
 				   entry_decision_t *decision)
 {
-	entry_call_t *call;
+	entry_call_t *call = entry_queue_evicted(svc->queue);
 
-	cds_list_for_each_entry (call, &svc->queue->calls, queue_link) {
-		if (now < call->deadline)
-			continue;
-		service_dequeue(svc, call);
-		*decision = service_refuse(ENTRY_REFUSE_DEADLINE, 0);
+	if (call) {
+		*decision = service_refuse(ENTRY_REFUSE_QUEUE,
+					   service_queue_refill(svc));
 		return call;
 	}
-	return NULL;
+	call = entry_queue_earliest(svc->queue);
+	if (!call || now + service_least_time(svc) < call->deadline)
+		return NULL;
+	entry_queue_remove(svc->queue, call);
+	*decision = service_refuse(ENTRY_REFUSE_DEADLINE,
+				   service_queue_refill(svc));
+	return call;
+}
+
+/* Whether a call whose send failed gets another one, which is paid for. */
+static bool service_repeats(entry_service_t *svc, const entry_call_t *call,
+			    entry_result_t result, usec_t now)
+{
+	return now + service_least_time(svc) < call->deadline &&
+	       entry_retry_allowed(svc->profile, call, result) &&
+	       entry_retry_spend(svc->retry);
+}
+
+static void service_learn_outcome(entry_call_t *call, entry_result_t result)
+{
+	if (result == ENTRY_RESULT_SHED || result == ENTRY_RESULT_CONNECT)
+		return;
+	if (result == ENTRY_RESULT_OK || result == ENTRY_RESULT_ERROR)
+		call->outcome = ENTRY_RAN;
+	else if (call->outcome == ENTRY_NOT_RUN)
+		call->outcome = ENTRY_MAY_HAVE_RUN;
+}
+
+static bool service_answered(entry_result_t result)
+{
+	return result == ENTRY_RESULT_OK || result == ENTRY_RESULT_CANCEL;
 }
 
 entry_decision_t entry_service_end(entry_service_t *svc, entry_call_t *call,
 				   entry_result_t result, usec_t now)
 {
 	entry_decision_t decision = { ENTRY_ANSWER, ENTRY_REFUSE_NONE, 0 };
-	bool not_run = result == ENTRY_RESULT_SHED ||
-		       result == ENTRY_RESULT_CONNECT;
 
-	call->copy->outstanding--;
-	svc->outstanding--;
-	if (!not_run || call->attempts >= svc->profile->attempts_max ||
-	    now >= call->deadline)
+	cds_list_del(&call->running_link);
+	service_give_credit(svc, call->copy, result, call->sent, call->depth,
+			    now);
+	service_learn_outcome(call, result);
+	call->avoid = call->copy;
+	if (service_answered(result))
 		return decision;
-	service_enqueue(svc, call);
-	decision.verdict = ENTRY_WAIT;
+	if (call->hedge) {
+		call->copy = call->hedge;
+		call->sent = call->hedge_sent;
+		call->depth = call->hedge_depth;
+		call->hedge = NULL;
+		cds_list_add_tail(&call->running_link, &svc->running);
+		decision.verdict = ENTRY_WAIT;
+	} else if (service_repeats(svc, call, result, now)) {
+		entry_queue_push(svc->queue, call, now);
+		decision.verdict = ENTRY_WAIT;
+	}
 	return decision;
 }
 
-void entry_service_leave(entry_service_t *svc, entry_call_t *call)
+/* Whether a running call is overdue for a second send. */
+static bool service_hedges(const entry_service_t *svc, const entry_call_t *call)
 {
-	if (call->waiting)
-		service_dequeue(svc, call);
+	return call->idempotent && !call->no_retry && !call->hedge &&
+	       call->attempts < svc->profile->attempts_max;
 }
 
-entry_call_t *entry_service_take(entry_service_t *svc, usec_t now)
+entry_call_t *entry_service_hedge(entry_service_t *svc, usec_t now)
 {
+	usec_t after = svc->profile->hedge_after_ms * USEC_PER_MS;
 	entry_call_t *call;
+	entry_copy_t *copy;
 
-	(void)now;
-	if (svc->queue->count == 0)
+	if (after == 0 || entry_queue_count(svc->queue) > 0)
 		return NULL;
-	call = cds_list_first_entry(&svc->queue->calls, entry_call_t,
-				    queue_link);
-	service_dequeue(svc, call);
-	return call;
+	cds_list_for_each_entry (call, &svc->running, running_link) {
+		if (now - call->sent < after)
+			return NULL;
+		if (!service_hedges(svc, call))
+			continue;
+		call->avoid = call->copy;
+		copy = entry_pick_fast(svc, call, now);
+		if (!copy || copy == call->copy ||
+		    !entry_retry_spend(svc->retry))
+			return NULL;
+		service_take_credit(svc, copy, now);
+		call->hedge = copy;
+		call->hedge_sent = now;
+		call->hedge_depth = copy->outstanding;
+		call->attempts++;
+		return call;
+	}
+	return NULL;
 }
 
-unsigned entry_service_waiting(const entry_service_t *svc)
+entry_decision_t entry_service_hedge_end(entry_service_t *svc,
+					 entry_call_t *call,
+					 entry_result_t result, usec_t now)
 {
-	return svc->queue->count;
+	entry_decision_t decision = { ENTRY_WAIT, ENTRY_REFUSE_NONE, 0 };
+
+	service_give_credit(svc, call->hedge, result, call->hedge_sent,
+			    call->hedge_depth, now);
+	service_learn_outcome(call, result);
+	call->hedge = NULL;
+	if (result == ENTRY_RESULT_OK)
+		decision.verdict = ENTRY_ANSWER;
+	return decision;
 }
 
-unsigned entry_service_free(const entry_service_t *svc, usec_t now)
+void entry_service_leave(entry_service_t *svc, entry_call_t *call)
+{
+	if (call->waiting)
+		entry_queue_remove(svc->queue, call);
+}
+
+entry_call_t *entry_service_take(entry_service_t *svc, usec_t now)
 {
-	const entry_copy_t *copy;
+	entry_call_t *skipped[SERVICE_SKIP_MAX];
+	entry_call_t *call = NULL;
 	unsigned count = 0;
 
 	(void)now;
-	cds_list_for_each_entry (copy, &svc->copies, link)
-		if (!copy->draining && copy->outstanding < copy->limit)
-			count += copy->limit - copy->outstanding;
-	return count;
+	while (count < SERVICE_SKIP_MAX) {
+		call = entry_queue_pop(svc->queue);
+		if (!call || (!call->handed && call->attempts == 0))
+			break;
+		skipped[count++] = call;
+		call = NULL;
+	}
+	while (count > 0)
+		entry_queue_restore(svc->queue, skipped[--count]);
+	return call;
+}
+
+unsigned entry_service_waiting(const entry_service_t *svc)
+{
+	return entry_queue_count(svc->queue);
 }
--- a/entry.h
+++ b/entry.h
@@ -3,6 +3,7 @@
 
 #include <urcu/list.h>
 #include "config.h"
+#include "entry-heap.h"
 #include "hemlock.h"
 #include "metrics.h"
 
@@ -67,6 +68,7 @@
 	usec_t announced;     /* when it was last heard of */
 	usec_t cold_until;    /* cold start: fewer credits until then */
 	void *io;	      /* the relay's connections to it */
+	struct entry_credit *credit;
 	struct entry_health *health;
 } entry_copy_t;
 
@@ -84,6 +86,21 @@
 	bool no_retry;	    /* a caller above will retry */
 	unsigned attempts;  /* sends so far */
 	entry_copy_t *copy; /* where it is, or was last */
+	/* Filled in by the caller: a sibling owner handed it over. */
+	bool handed;
+	/* What a refusal must tell: more than NOT_RUN once it was sent. */
+	entry_outcome_t outcome;
+	/* The rest belongs to the deciding code. */
+	struct cds_list_head running_link; /* entry_service_t.running */
+	entry_heap_node_t urgency;	   /* in its tenant's flow */
+	entry_heap_node_t expiry;	   /* over the whole queue */
+	struct entry_flow *flow;
+	bool evicted;		   /* pushed out of a full queue */
+	const entry_copy_t *avoid; /* failed there; compared only */
+	entry_copy_t *hedge;	   /* where its second send is */
+	usec_t hedge_sent;	   /* when that began */
+	unsigned depth;		   /* outstanding there as it was sent */
+	unsigned hedge_depth;
 } entry_call_t;
 
 /** enum entry_verdict_t - what to do with a call that arrived or ended. */
@@ -105,6 +122,23 @@
 struct entry_limit;
 struct entry_retry;
 
+/** struct entry_pace_t - how fast a service's copies answer. */
+typedef struct {
+	usec_t refreshed; /* when typical and rate were worked out */
+	double typical;	  /* median over copies of their mean, microseconds */
+	double tail;	  /* 95 % of answers come within, microseconds */
+	double rate; /* calls a second that the copies can run; 0 unknown */
+} entry_pace_t;
+
+/* Most offers to siblings that a service keeps credits for at once. */
+#define ENTRY_RESERVES_MAX 8
+
+/** struct entry_reserve_t - credits kept for calls of a sibling. */
+typedef struct {
+	unsigned credits;
+	usec_t until;
+} entry_reserve_t;
+
 /** struct entry_service_t - all that one entry decides on for a service. */
 typedef struct entry_service {
 	struct cds_list_head copies;
@@ -116,6 +150,9 @@
 	struct entry_limit *limit;
 	struct entry_retry *retry;
 	uint64_t random; /* state of the generator, seeded by the owner */
+	struct cds_list_head running; /* calls sent, oldest send first */
+	entry_pace_t pace;
+	entry_reserve_t reserves[ENTRY_RESERVES_MAX];
 } entry_service_t;
 
 /** entry_service_init - an empty service; returns -1 without memory. */
@@ -130,8 +167,14 @@
 			   const config_profile_t *profile, usec_t now);
 
 /**
- * entry_service_copy - find a copy by name, or NULL.
+ * entry_service_limits - limits that are not in the profile.
+ * @rate: calls a second of the whole service, 0 for no limit
+ * @share: this entry's share of the service's calls, above 0 and up to 1; it
+ *         applies to the limits of classes and tenants too
  */
+void entry_service_limits(entry_service_t *svc, unsigned rate, double share);
+
+/** entry_service_copy - find a copy by name, or NULL. */
 entry_copy_t *entry_service_copy(entry_service_t *svc, const char *name);
 
 /** entry_service_copy_add - a copy with limit 0; NULL without memory. */
@@ -165,7 +208,11 @@
 entry_call_t *entry_service_next(entry_service_t *svc, usec_t now);
 
 /**
- * entry_service_expire - a waiting call that can no longer be served in time.
+ * entry_service_expire - a waiting call that will not be served.
+ *
+ * It can no longer be answered in time, or a more urgent one pushed it out of
+ * a full queue. Ask until NULL after arrive and every tick. What the caller
+ * is told is call->outcome: a call that waits for a retry may have run.
  *
  * Return: a call taken out of the queue, to be refused, or NULL.
  */
@@ -175,24 +222,104 @@
 /**
  * entry_service_end - a send has ended; its credit is given back.
  *
+ * With a hedge still running and no answer to give, the hedge becomes the
+ * call's send: ENTRY_WAIT with call->waiting false.
+ *
  * Return: ENTRY_ANSWER, or ENTRY_WAIT when the call is queued for another
  * send, or ENTRY_REFUSE when nothing can be relayed and no send is left.
  */
 entry_decision_t entry_service_end(entry_service_t *svc, entry_call_t *call,
 				   entry_result_t result, usec_t now);
 
+/**
+ * entry_service_hedge - a running call that deserves a second send.
+ *
+ * An idempotent call without an answer after the profile's hedge_after_ms,
+ * while another copy has a credit and the retry budget allows it. The second
+ * send goes to call->hedge, whose credit is taken. Whichever send answers
+ * first is the answer; end the other with ENTRY_RESULT_CANCEL.
+ *
+ * Return: the call, or NULL. Ask until NULL every tick.
+ */
+entry_call_t *entry_service_hedge(entry_service_t *svc, usec_t now);
+
+/**
+ * entry_service_hedge_end - the second send of a call has ended.
+ *
+ * Return: ENTRY_ANSWER when its answer is to be relayed, or ENTRY_WAIT when
+ * the first send still runs and decides.
+ */
+entry_decision_t entry_service_hedge_end(entry_service_t *svc,
+					 entry_call_t *call,
+					 entry_result_t result, usec_t now);
+
+/**
+ * entry_service_marks - whether a send must carry the no-retry mark.
+ *
+ * True if this entry may itself send the call again, or a caller above may:
+ * then nobody below retries, and calls many deep do not multiply.
+ */
+bool entry_service_marks(const entry_service_t *svc, const entry_call_t *call);
+
+/**
+ * entry_service_two - two different copies drawn at random, to be probed.
+ * @two: filled in; both are the same copy if there is only one
+ *
+ * For ENTRY_POLICY_TWO_CHOICES.
+ *
+ * Return: 0, or -1 if no copy takes new work.
+ */
+int entry_service_two(entry_service_t *svc, entry_copy_t *two[2]);
+
+/**
+ * entry_service_send_less - send to the less loaded of two probed copies.
+ * @two: as entry_service_two() gave them
+ * @loads: what the probes answered, in any one unit
+ *
+ * Return: ENTRY_SEND, or ENTRY_REFUSE.
+ */
+entry_decision_t entry_service_send_less(entry_service_t *svc,
+					 entry_call_t *call,
+					 entry_copy_t *const two[2],
+					 const unsigned loads[2], usec_t now);
+
+/**
+ * entry_service_connected - a new connection to a copy took this long.
+ * @took: microseconds, close to one round trip
+ */
+void entry_service_connected(entry_copy_t *copy, usec_t took);
+
 /** entry_service_leave - the caller of a waiting call went away. */
 void entry_service_leave(entry_service_t *svc, entry_call_t *call);
 
-/** entry_service_take - take a waiting call out, to hand it to a sibling. */
+/**
+ * entry_service_take - take a waiting call out, to hand it to a sibling.
+ *
+ * The most urgent one that was neither handed over nor sent before. It
+ * comes back by entry_service_arrive() when the sibling refuses it.
+ *
+ * Return: the call, no longer waiting, or NULL.
+ */
 entry_call_t *entry_service_take(entry_service_t *svc, usec_t now);
 
 /** entry_service_waiting - how many calls wait. */
 unsigned entry_service_waiting(const entry_service_t *svc);
 
-/** entry_service_free - credits not in use over all copies. */
+/** entry_service_free - credits neither in use nor reserved. */
 unsigned entry_service_free(const entry_service_t *svc, usec_t now);
 
+/**
+ * entry_service_reserve - keep free credits for calls of a sibling.
+ * @credits: how many are wanted
+ * @until: when the offer ends and they are free again
+ *
+ * A call that arrives with call->handed set uses a reserved credit first.
+ *
+ * Return: how many are kept, 0 to @credits.
+ */
+unsigned entry_service_reserve(entry_service_t *svc, unsigned credits,
+			       usec_t until, usec_t now);
+
 /** entry_refusal_name - the word for logs, metrics and JSON. */
 const char *entry_refusal_name(entry_refusal_t refusal);
 
--- /dev/null
+++ b/regress/test-entry-service.c
@@ -0,0 +1,584 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "entry-decide.h"
+
+/*
+ * Scripted runs of the deciding code. A line is "TIME COMMAND ... = RESULT",
+ * the time in milliseconds; what the command gives must equal the result.
+ * Lines without a result only set things up.
+ */
+
+#define CALLS_MAX 64
+
+typedef struct {
+	char name[16];
+	entry_call_t call;
+} script_call_t;
+
+typedef struct {
+	entry_service_t svc;
+	config_profile_t profile;
+	config_class_t classes[2];
+	script_call_t calls[CALLS_MAX];
+	unsigned call_count;
+	usec_t now;
+} script_t;
+
+static const struct {
+	const char *name;
+	const char *text;
+} cases[] = {
+	{ "send-to-least-share", "0 copy c1 2\n0 copy c2 2\n"
+				 "0 arrive a = send c1\n"
+				 "0 arrive b = send c2\n"
+				 "0 arrive c = send c1\n"
+				 "0 end a ok = answer\n"
+				 "0 arrive d = send c1\n"
+				 "0 arrive e = send c2\n" },
+	{ "never-above-limit", "0 copy c1 3 limit=1\n"
+			       "0 arrive a = send c1\n"
+			       "0 arrive b = wait\n"
+			       "0 next = none\n"
+			       "1 end a ok = answer\n"
+			       "1 next = b c1\n" },
+	{ "never-above-connections", "0 profile pipeline=2\n"
+				     "0 copy c1 3 connections=2\n"
+				     "0 free = 2\n" },
+	{ "limit-zero-waits", "0 copy c1 3 limit=0\n"
+			      "0 arrive a = wait\n0 next = none\n" },
+	{ "no-copy", "0 arrive a = refuse no-copy 1000 not-run\n"
+		     "0 copy c1 1\n0 drain c1\n"
+		     "0 arrive b = refuse no-copy 1000 not-run\n" },
+	{ "draining-takes-no-work", "0 copy c1 1\n0 copy c2 1\n0 drain c1\n"
+				    "0 arrive a = send c2\n"
+				    "0 arrive b = wait\n0 next = none\n" },
+	{ "drain-while-waiting", "0 copy c1 1\n0 copy c2 1 limit=0\n"
+				 "0 arrive a = send c1\n0 arrive b = wait\n"
+				 "1 drain c1\n1 end a ok = answer\n"
+				 "1 next = none\n" },
+
+	/* The queue. */
+	{ "earliest-deadline-first", "0 copy c1 1\n0 arrive x = send c1\n"
+				     "0 arrive a d=300 = wait\n"
+				     "0 arrive b d=100 = wait\n"
+				     "0 arrive c d=200 = wait\n"
+				     "1 limit c1 9\n"
+				     "1 next = b c1\n1 next = c c1\n"
+				     "1 next = a c1\n1 next = none\n" },
+	{ "classes-by-priority", "0 copy c1 1\n0 arrive x = send c1\n"
+				 "0 arrive a p=2 d=50 = wait\n"
+				 "0 arrive b p=1 d=60 = wait\n"
+				 "0 arrive c p=0 d=70 = wait\n"
+				 "1 limit c1 9\n"
+				 "1 next = c c1\n1 next = b c1\n"
+				 "1 next = a c1\n" },
+	{ "waiting-class-is-served", "0 copy c1 1\n0 arrive x = send c1\n"
+				     "0 arrive low p=1 d=50 = wait\n"
+				     "0 many 20 high p=0 d=100\n"
+				     "1 limit c1 99\n1 drop 15\n"
+				     "1 next = low c1\n"
+				     "1 next = high15 c1\n" },
+	{ "tenants-take-turns", "0 copy c1 1\n0 arrive x = send c1\n"
+				"0 many 5 f t=flood d=50\n"
+				"0 arrive a t=small d=90 = wait\n"
+				"0 arrive b t=small d=95 = wait\n"
+				"1 limit c1 9\n"
+				"1 next = f0 c1\n1 next = a c1\n"
+				"1 next = f1 c1\n1 next = b c1\n"
+				"1 next = f2 c1\n1 next = f3 c1\n" },
+	{ "expired", "0 copy c1 1\n0 arrive x = send c1\n"
+		     "0 arrive a d=10 = wait\n0 arrive b d=20 = wait\n"
+		     "9 expire = none\n10 expire = a deadline not-run\n"
+		     "10 expire = none\n20 expire = b deadline not-run\n"
+		     "20 waiting = 0\n" },
+	{ "deadline-passed-on-arrival", "0 copy c1 1\n"
+					"0 arrive a d=0 = "
+					"refuse deadline 1 not-run\n" },
+	{ "cannot-make-deadline", "0 copy c1 1\n0 warm 20 10\n"
+				  "300 arrive x = send c1\n"
+				  "300 many 4 w d=900\n"
+				  "300 arrive a d=30 = "
+				  "refuse deadline 20 not-run\n"
+				  "300 arrive b d=100 = wait\n"
+				  "300 arrive c p=0 d=30 = "
+				  "refuse deadline 30 not-run\n" },
+	{ "full-queue-drops-less-urgent", "0 profile queue=2\n0 copy c1 1\n"
+					  "0 arrive x = send c1\n"
+					  "0 arrive a p=1 = wait\n"
+					  "0 arrive b p=1 = wait\n"
+					  "0 arrive c p=1 = "
+					  "refuse queue 1000 not-run\n"
+					  "0 arrive d p=0 = wait\n"
+					  "0 expire = b queue not-run\n"
+					  "0 expire = none\n"
+					  "0 waiting = 2\n" },
+	{ "full-queue-drops-flood", "0 profile queue=3\n0 copy c1 1\n"
+				    "0 arrive x = send c1\n"
+				    "0 many 3 f t=flood\n"
+				    "0 arrive a t=small = wait\n"
+				    "0 expire = f2 queue not-run\n"
+				    "0 arrive b t=flood = "
+				    "refuse queue 1000 not-run\n" },
+	{ "evicted-may-leave", "0 profile queue=1\n0 copy c1 1\n"
+			       "0 arrive x = send c1\n"
+			       "0 arrive a p=1 = wait\n"
+			       "0 arrive b p=0 = wait\n"
+			       "0 leave a\n0 expire = none\n"
+			       "0 leave b\n0 waiting = 0\n" },
+
+	/* Limits. */
+	{ "tenant-limit", "0 profile tenant_rate=10 tenant_burst=2\n"
+			  "0 copy c1 9\n"
+			  "0 arrive a t=t1 = send c1\n"
+			  "0 arrive b t=t1 = send c1\n"
+			  "0 arrive c t=t1 = refuse limit 100 not-run\n"
+			  "0 arrive d t=t2 = send c1\n"
+			  "60 arrive e t=t1 = refuse limit 40 not-run\n"
+			  "100 arrive f t=t1 = send c1\n" },
+	{ "limit-by-share", "0 profile tenant_rate=10 tenant_burst=2\n"
+			    "0 share 0 0.5\n0 copy c1 9\n"
+			    "0 arrive a = send c1\n"
+			    "0 arrive b = refuse limit 200 not-run\n" },
+	{ "service-limit", "0 share 10 1\n0 copy c1 9\n"
+			   "0 arrive a t=t1 = send c1\n"
+			   "0 arrive b t=t2 = refuse limit 100 not-run\n" },
+	{ "class-limit", "0 profile class1_rate=10\n0 copy c1 9\n"
+			 "0 arrive a c=1 = send c1\n"
+			 "0 arrive b c=1 = refuse limit 100 not-run\n"
+			 "0 arrive c c=0 = send c1\n" },
+	{ "refused-uses-no-other-limit", "0 profile tenant_rate=10 "
+					 "tenant_burst=1 class1_rate=20\n"
+					 "0 copy c1 9\n"
+					 "0 arrive a t=t1 c=0 = send c1\n"
+					 "0 arrive b t=t1 c=1 = "
+					 "refuse limit 100 not-run\n"
+					 "0 arrive c t=t2 c=1 = send c1\n" },
+
+	/* Retries. */
+	{ "retry-goes-elsewhere", "0 copy c1 1\n0 copy c2 1\n"
+				  "0 arrive a idem = send c1\n"
+				  "1 end a error = wait\n"
+				  "1 next = a c2\n" },
+	{ "retry-waits-for-another", "0 copy c1 1\n0 copy c2 1\n"
+				     "0 arrive a idem = send c1\n"
+				     "0 arrive b = send c2\n"
+				     "1 end a error = wait\n"
+				     "1 next = none\n"
+				     "1 arrive c = wait\n"
+				     "1 next = c c1\n"
+				     "2 end b ok = answer\n"
+				     "2 next = a c2\n" },
+	{ "retry-at-only-copy", "0 copy c1 1\n0 arrive a idem = send c1\n"
+				"1 end a error = wait\n1 next = a c1\n" },
+	{ "shed-is-not-run", "0 copy c1 1\n0 copy c2 1\n"
+			     "0 arrive a = send c1\n1 end a shed = wait\n"
+			     "1 next = a c2\n" },
+	{ "connect-is-not-run", "0 copy c1 1\n0 copy c2 1\n"
+				"0 arrive a noretry = send c1\n"
+				"1 end a connect = wait\n1 next = a c2\n" },
+	{ "shed-and-no-retry", "0 copy c1 1\n0 copy c2 1\n"
+			       "0 arrive a idem noretry = send c1\n"
+			       "1 end a shed = answer\n" },
+	{ "not-idempotent-runs-once", "0 copy c1 1\n0 copy c2 1\n"
+				      "0 arrive a = send c1\n"
+				      "1 end a cut = answer\n"
+				      "1 arrive b = send c1\n"
+				      "2 end b error = answer\n"
+				      "2 arrive c = send c1\n"
+				      "3 end c deadline = answer\n" },
+	{ "attempts-max", "0 profile attempts=2\n0 copy c1 1\n0 copy c2 1\n"
+			  "0 arrive a idem = send c1\n1 end a cut = wait\n"
+			  "1 next = a c2\n2 end a cut = answer\n" },
+	{ "retry-budget", "0 copy c1 9\n"
+			  "0 arrive a idem = send c1\n1 end a error = wait\n"
+			  "1 next = a c1\n2 end a error = wait\n"
+			  "2 next = a c1\n3 end a error = answer\n"
+			  "3 arrive b idem = send c1\n4 end b error = wait\n"
+			  "4 next = b c1\n5 end b error = answer\n" },
+	{ "no-retries-at-zero-percent", "0 profile retry=0\n"
+					"0 copy c1 1\n0 copy c2 1\n"
+					"0 arrive a idem = send c1\n"
+					"1 end a error = answer\n" },
+	{ "retry-past-deadline", "0 copy c1 1\n0 copy c2 1\n"
+				 "0 arrive a idem d=10 = send c1\n"
+				 "10 end a cut = answer\n" },
+	{ "waiting-retry-may-have-run", "0 copy c1 1\n0 copy c2 1 limit=0\n"
+					"0 arrive a idem d=20 = send c1\n"
+					"1 limit c1 0\n1 end a cut = wait\n"
+					"20 expire = "
+					"a deadline may-have-run\n" },
+
+	/* Handing over. */
+	{ "take-most-urgent", "0 copy c1 1\n0 arrive x = send c1\n"
+			      "0 arrive a d=300 = wait\n"
+			      "0 arrive h handed d=100 = wait\n"
+			      "0 arrive b d=200 = wait\n"
+			      "0 take = b\n0 take = a\n0 take = none\n"
+			      "0 waiting = 1\n" },
+	{ "reserve", "0 copy c1 3\n0 free = 3\n0 reserve 2 50 = 2\n"
+		     "0 free = 1\n0 arrive a = send c1\n"
+		     "0 arrive b = wait\n0 next = none\n"
+		     "1 arrive h handed = send c1\n"
+		     "1 next = none\n50 next = b c1\n" },
+	{ "reserve-no-more-than-free", "0 copy c1 2\n0 reserve 5 50 = 2\n"
+				       "0 reserve 1 50 = 0\n"
+				       "50 free = 2\n" },
+
+	/* Hedges. */
+	{ "hedge", "0 profile hedge=20\n0 copy c1 1\n0 copy c2 1\n"
+		   "0 arrive a idem = send c1\n19 hedge = none\n"
+		   "20 hedge = a c2\n20 hedge = none\n"
+		   "25 end a ok = answer\n25 hedge_end a cancel = wait\n"
+		   "25 free = 2\n" },
+	{ "hedge-shows-a-straggler", "0 profile hedge=20\n"
+				     "0 copy c1 1\n0 copy c2 1\n"
+				     "0 arrive a idem = send c1\n"
+				     "20 hedge = a c2\n"
+				     "25 hedge_end a ok = answer\n"
+				     "25 end a cancel = answer\n"
+				     "25 free = 1\n" },
+	{ "hedge-outlives-first-send", "0 profile hedge=20\n"
+				       "0 copy c1 1\n0 copy c2 1\n"
+				       "0 arrive a idem = send c1\n"
+				       "20 hedge = a c2\n"
+				       "25 end a cut = wait\n25 next = none\n"
+				       "30 end a ok = answer\n" },
+	{ "no-hedge-without-credit", "0 profile hedge=20\n"
+				     "0 copy c1 1\n0 copy c2 1\n"
+				     "0 arrive a idem = send c1\n"
+				     "0 arrive b = send c2\n"
+				     "30 hedge = none\n" },
+	{ "no-hedge-not-idempotent", "0 profile hedge=20\n"
+				     "0 copy c1 1\n0 copy c2 1\n"
+				     "0 arrive a = send c1\n"
+				     "30 hedge = none\n" },
+};
+
+static const char *const result_names[] = {
+	[ENTRY_RESULT_OK] = "ok",	  [ENTRY_RESULT_ERROR] = "error",
+	[ENTRY_RESULT_SHED] = "shed",	  [ENTRY_RESULT_CONNECT] = "connect",
+	[ENTRY_RESULT_CUT] = "cut",	  [ENTRY_RESULT_DEADLINE] = "deadline",
+	[ENTRY_RESULT_CANCEL] = "cancel",
+};
+
+static entry_result_t script_result(const char *word)
+{
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(result_names); i++)
+		if (!strcmp(word, result_names[i]))
+			return i;
+	g_error("unknown result %s", word);
+}
+
+static unsigned script_option(char **words, const char *key, unsigned value)
+{
+	size_t length = strlen(key);
+
+	for (; *words; words++)
+		if (!strncmp(*words, key, length) && (*words)[length] == '=')
+			return strtoul(*words + length + 1, NULL, 10);
+	return value;
+}
+
+static bool script_flag(char **words, const char *key)
+{
+	return g_strv_contains((const char *const *)words, key);
+}
+
+static script_call_t *script_find(script_t *script, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < script->call_count; i++)
+		if (!strcmp(script->calls[i].name, name))
+			return &script->calls[i];
+	g_assert_cmpuint(script->call_count, <, CALLS_MAX);
+	g_strlcpy(script->calls[i].name, name, sizeof(script->calls[i].name));
+	script->call_count++;
+	return &script->calls[i];
+}
+
+static const char *script_name(const entry_call_t *call)
+{
+	return ((const script_call_t *)((const char *)call -
+					offsetof(script_call_t, call)))
+		->name;
+}
+
+static char *script_decision(const entry_call_t *call,
+			     entry_decision_t decision)
+{
+	switch (decision.verdict) {
+	case ENTRY_SEND:
+		return g_strdup_printf("send %s", call->copy->name);
+	case ENTRY_WAIT:
+		return g_strdup("wait");
+	case ENTRY_ANSWER:
+		return g_strdup("answer");
+	case ENTRY_REFUSE:
+		break;
+	}
+	return g_strdup_printf("refuse %s %lld %s",
+			       entry_refusal_name(decision.refusal),
+			       decision.retry_after / USEC_PER_MS,
+			       entry_outcome_name(call->outcome));
+}
+
+static entry_decision_t script_arrive(script_t *script, entry_call_t *call,
+				      char **words)
+{
+	unsigned i;
+
+	g_strlcpy(call->tenant, "none", sizeof(call->tenant));
+	for (i = 0; words[i]; i++)
+		if (g_str_has_prefix(words[i], "t="))
+			g_strlcpy(call->tenant, words[i] + 2,
+				  sizeof(call->tenant));
+	call->priority = script_option(words, "p", 0);
+	call->class_index = script_option(words, "c", 0);
+	call->arrived = script->now;
+	call->deadline = script->now +
+			 script_option(words, "d", 1000) * USEC_PER_MS;
+	call->idempotent = script_flag(words, "idem");
+	call->no_retry = script_flag(words, "noretry");
+	call->handed = script_flag(words, "handed");
+	return entry_service_arrive(&script->svc, call, script->now);
+}
+
+static void script_copy(script_t *script, char **words)
+{
+	entry_copy_t *copy = entry_service_copy_add(&script->svc, words[2],
+						    script->now);
+
+	copy->slots = strtoul(words[3], NULL, 10);
+	copy->connections = script_option(words, "connections", 100);
+	copy->limit = script_option(words, "limit", copy->slots);
+	copy->cold_until = script_option(words, "cold", 0) * USEC_PER_MS;
+	if (script->profile.pipeline_max > 0)
+		copy->limit = script_option(words, "limit", 100);
+}
+
+static void script_profile(script_t *script, char **words)
+{
+	config_profile_t *profile = &script->profile;
+
+	profile->queue_max = script_option(words, "queue", profile->queue_max);
+	profile->attempts_max = script_option(words, "attempts",
+					      profile->attempts_max);
+	profile->retry_percent = script_option(words, "retry",
+					       profile->retry_percent);
+	profile->hedge_after_ms = script_option(words, "hedge", 0);
+	profile->tenant_rate = script_option(words, "tenant_rate", 0);
+	profile->tenant_burst = script_option(words, "tenant_burst", 0);
+	profile->pipeline_max = script_option(words, "pipeline", 0);
+	script->classes[1].rate = script_option(words, "class1_rate", 0);
+}
+
+/* Fill all credits and end all calls well after @took, @rounds times. */
+static void script_warm(script_t *script, unsigned rounds, usec_t took)
+{
+	entry_call_t calls[CALLS_MAX];
+	char *words[] = { NULL };
+	unsigned count;
+
+	while (rounds-- > 0) {
+		memset(calls, 0, sizeof(calls));
+		for (count = 0; entry_service_free(&script->svc, script->now);
+		     count++)
+			script_arrive(script, &calls[count], words);
+		script->now += took;
+		while (count-- > 0)
+			entry_service_end(&script->svc, &calls[count],
+					  ENTRY_RESULT_OK, script->now);
+	}
+}
+
+/* Commands that only set things up; false if it is none of them. */
+static bool script_setup(script_t *script, char **words)
+{
+	entry_service_t *svc = &script->svc;
+	const char *verb = words[1];
+	char name[16];
+	unsigned i;
+
+	if (!strcmp(verb, "copy")) {
+		script_copy(script, words);
+	} else if (!strcmp(verb, "profile")) {
+		script_profile(script, words);
+	} else if (!strcmp(verb, "drain")) {
+		entry_service_copy(svc, words[2])->draining = true;
+	} else if (!strcmp(verb, "limit")) {
+		entry_copy_t *copy = entry_service_copy(svc, words[2]);
+
+		copy->limit = strtoul(words[3], NULL, 10);
+		copy->slots = copy->limit;
+	} else if (!strcmp(verb, "share")) {
+		entry_service_limits(svc, strtoul(words[2], NULL, 10),
+				     g_ascii_strtod(words[3], NULL));
+	} else if (!strcmp(verb, "leave")) {
+		entry_service_leave(svc, &script_find(script, words[2])->call);
+	} else if (!strcmp(verb, "warm")) {
+		script_warm(script, strtoul(words[2], NULL, 10),
+			    strtoul(words[3], NULL, 10) * USEC_PER_MS);
+	} else if (!strcmp(verb, "drop")) {
+		for (i = strtoul(words[2], NULL, 10); i > 0; i--)
+			entry_service_next(svc, script->now);
+	} else if (!strcmp(verb, "many")) {
+		for (i = 0; i < strtoul(words[2], NULL, 10); i++) {
+			g_snprintf(name, sizeof(name), "%s%u", words[3], i);
+			script_arrive(script, &script_find(script, name)->call,
+				      words);
+		}
+	} else {
+		return false;
+	}
+	return true;
+}
+
+static char *script_expire(script_t *script)
+{
+	entry_decision_t decision;
+	entry_call_t *call = entry_service_expire(&script->svc, script->now,
+						  &decision);
+
+	if (!call)
+		return g_strdup("none");
+	return g_strdup_printf("%s %s %s", script_name(call),
+			       entry_refusal_name(decision.refusal),
+			       entry_outcome_name(call->outcome));
+}
+
+/* Commands about a call, by name. */
+static char *script_about_call(script_t *script, char **words)
+{
+	entry_service_t *svc = &script->svc;
+	entry_call_t *call = &script_find(script, words[2])->call;
+	entry_decision_t decision;
+
+	if (!strcmp(words[1], "arrive"))
+		decision = script_arrive(script, call, words);
+	else if (!strcmp(words[1], "end"))
+		decision = entry_service_end(svc, call, script_result(words[3]),
+					     script->now);
+	else if (!strcmp(words[1], "hedge_end"))
+		decision = entry_service_hedge_end(svc, call,
+						   script_result(words[3]),
+						   script->now);
+	else
+		g_error("unknown command %s", words[1]);
+	return script_decision(call, decision);
+}
+
+static char *script_command(script_t *script, char **words)
+{
+	entry_service_t *svc = &script->svc;
+	entry_call_t *call;
+
+	if (!strcmp(words[1], "free"))
+		return g_strdup_printf("%u",
+				       entry_service_free(svc, script->now));
+	if (!strcmp(words[1], "waiting"))
+		return g_strdup_printf("%u", entry_service_waiting(svc));
+	if (!strcmp(words[1], "reserve"))
+		return g_strdup_printf(
+			"%u",
+			entry_service_reserve(svc, strtoul(words[2], NULL, 10),
+					      strtoul(words[3], NULL, 10) *
+						      USEC_PER_MS,
+					      script->now));
+	if (!strcmp(words[1], "expire"))
+		return script_expire(script);
+	if (!strcmp(words[1], "take")) {
+		call = entry_service_take(svc, script->now);
+		return g_strdup(call ? script_name(call) : "none");
+	}
+	if (!strcmp(words[1], "next")) {
+		call = entry_service_next(svc, script->now);
+		return call ? g_strdup_printf("%s %s", script_name(call),
+					      call->copy->name) :
+			      g_strdup("none");
+	}
+	if (!strcmp(words[1], "hedge")) {
+		call = entry_service_hedge(svc, script->now);
+		return call ? g_strdup_printf("%s %s", script_name(call),
+					      call->hedge->name) :
+			      g_strdup("none");
+	}
+	return script_about_call(script, words);
+}
+
+/* Run one line; append it to @seen with what it gave. */
+static void script_line(script_t *script, const char *line, GString *seen)
+{
+	char **sides = g_strsplit(line, " = ", 2);
+	char **words = g_strsplit(sides[0], " ", -1);
+	usec_t at = strtoul(words[0], NULL, 10) * USEC_PER_MS;
+	char *result;
+
+	if (at > script->now)
+		script->now = at;
+	g_string_append(seen, sides[0]);
+	if (!script_setup(script, words)) {
+		result = script_command(script, words);
+		g_string_append_printf(seen, " = %s", result);
+		g_free(result);
+	}
+	g_string_append_c(seen, '\n');
+	g_strfreev(words);
+	g_strfreev(sides);
+}
+
+static void script_init(script_t *script)
+{
+	memset(script, 0, sizeof(*script));
+	config_profile_preset(&script->profile);
+	script->profile.pipeline_max = 0;
+	script->profile.classes.classes_val = script->classes;
+	script->profile.classes.classes_len = G_N_ELEMENTS(script->classes);
+	entry_service_init(&script->svc, ENTRY_POLICY_OWNER, &script->profile,
+			   1);
+}
+
+static void script_fini(script_t *script)
+{
+	entry_copy_t *copy;
+
+	cds_list_for_each_entry (copy, &script->svc.copies, link)
+		copy->outstanding = 0;
+	entry_service_fini(&script->svc);
+}
+
+static void test_script(gconstpointer data)
+{
+	const char *text = cases[GPOINTER_TO_SIZE(data)].text;
+	script_t *script = g_new(script_t, 1);
+	GString *seen = g_string_new(NULL);
+	char **lines = g_strsplit(text, "\n", -1);
+	unsigned i;
+
+	script_init(script);
+	for (i = 0; lines[i] && lines[i][0]; i++)
+		script_line(script, lines[i], seen);
+	g_assert_cmpstr(seen->str, ==, text);
+	script_fini(script);
+	g_strfreev(lines);
+	g_string_free(seen, TRUE);
+	g_free(script);
+}
+
+int main(int argc, char **argv)
+{
+	char path[64];
+	size_t i;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_snprintf(path, sizeof(path), "/entry/%s", cases[i].name);
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_script);
+	}
+	return g_test_run();
+}
