--- a/entry-retry.c
+++ b/entry-retry.c
@@ -46,7 +46,7 @@
 bool entry_retry_allowed(const config_profile_t *profile,
 			 const entry_call_t *call, entry_result_t result)
 {
-	if (call->attempts >= profile->attempts_max)
+	if (call->once || call->attempts >= profile->attempts_max)
 		return false;
 	switch (result) {
 	case ENTRY_RESULT_CONNECT:
--- a/entry-service.c
+++ b/entry-service.c
@@ -429,8 +429,8 @@
 /* Whether a running call is overdue for a second send. */
 static bool service_hedges(const entry_service_t *svc, const entry_call_t *call)
 {
-	return call->idempotent && !call->no_retry && !call->hedge &&
-	       call->attempts < svc->profile->attempts_max;
+	return call->idempotent && !call->once && !call->no_retry &&
+	       !call->hedge && call->attempts < svc->profile->attempts_max;
 }
 
 entry_call_t *entry_service_hedge(entry_service_t *svc, usec_t now)
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -323,7 +323,7 @@
 	}
 	return g_strdup_printf("refuse %s %lld %s",
 			       entry_refusal_name(decision.refusal),
-			       decision.retry_after / USEC_PER_MS,
+			       (long long)(decision.retry_after / USEC_PER_MS),
 			       entry_outcome_name(call->outcome));
 }
 
