Keep a straggler's slots for when all others are full

Now a straggler takes 2.5 times the median (was 2), over twice as many answers, keeps its slots but no pipeline, and is used when all others are full and the queue costs a tenth of its extra time; probation starts after 30 ms (was 100).

Ruled out: faster notice.

--- a/entry-credit.c
+++ b/entry-credit.c
@@ -35,18 +35,12 @@
 	return calls < most ? (unsigned)calls : most;
 }
 
-/* Calls that the copy may run at once, fewer while it sheds or is slow. */
-static unsigned credit_running(const entry_service_t *svc,
-			       const entry_copy_t *copy, bool slow, usec_t now)
+/* Calls that the copy may run at once, fewer after it has shed some. */
+static unsigned credit_running(const entry_copy_t *copy)
 {
 	double running = copy->credit->concurrency;
 
-	if (running <= 0)
-		running = entry_credit_slots(copy);
-	if (slow)
-		running *= svc->pace.typical /
-			   entry_health_time(svc, copy, now);
-	return running < 1 ? 1 : (unsigned)running;
+	return running > 0 ? (unsigned)running : entry_credit_slots(copy);
 }
 
 static unsigned credit_min(unsigned a, unsigned b)
@@ -58,10 +52,9 @@
 			 usec_t now)
 {
 	const entry_credit_t *credit = copy->credit;
-	bool slow = entry_health_slow(svc, copy, now);
-	unsigned count = credit_running(svc, copy, slow, now);
+	unsigned count = credit_running(copy);
 
-	if (!slow)
+	if (!entry_health_slow(svc, copy, now))
 		count += credit_pipeline(svc, copy, now);
 	if (credit->ramping || now < copy->cold_until)
 		count = credit_min(count, (unsigned)credit->ramp);
--- a/entry-health.c
+++ b/entry-health.c
@@ -2,13 +2,13 @@
 #include "entry-decide.h"
 
 /* What is left of the older answer times at each new one. */
-#define HEALTH_TIME_KEEP 0.8
+#define HEALTH_TIME_KEEP 0.9
 /* The same after an answer to a probation call. */
 #define HEALTH_PROBATION_KEEP 0.3
 /* Answers as slow as the median that every estimate starts with. */
-#define HEALTH_PRIOR 1.0
+#define HEALTH_PRIOR 2.0
 /* A straggler takes this many times the median. */
-#define HEALTH_SLOW_FACTOR 2.0
+#define HEALTH_SLOW_FACTOR 2.5
 /* Weight of a new result in the share of failed sends. */
 #define HEALTH_ERROR_WEIGHT 0.25
 /* Share of failures above the other copies' that pauses or ejects. */
@@ -20,7 +20,7 @@
 /* Connect failures in a row that eject. */
 #define HEALTH_CONNECT_MAX 2
 /* Spans between probation calls, doubled after each failure. */
-#define HEALTH_BACKOFF_MIN (100 * USEC_PER_MS)
+#define HEALTH_BACKOFF_MIN (30 * USEC_PER_MS)
 #define HEALTH_BACKOFF_MAX (5 * USEC_PER_SEC)
 /* Ejection ends after this even if no idempotent call came. */
 #define HEALTH_EJECT_MAX (60 * USEC_PER_SEC)
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -1,5 +1,8 @@
 #include "entry-decide.h"
 
+/* Share of a straggler's extra time that the queue must be long for. */
+#define PICK_SLOW_SHARE 0.1
+
 unsigned entry_pick_random(entry_service_t *svc, unsigned bound)
 {
 	/* xorshift64* */
@@ -78,8 +81,8 @@
 }
 
 /*
- * The fastest straggler, if the queue is so long that waiting for another
- * copy would take more time than the straggler costs.
+ * The fastest straggler, while all other copies are full and the queue is
+ * long against what the straggler costs.
  */
 static entry_copy_t *pick_slow(const entry_service_t *svc,
 			       const entry_call_t *call, usec_t now)
@@ -97,7 +100,9 @@
 
 		if (copy->health->ejected || !pick_open(svc, call, copy, now))
 			continue;
-		if (took - svc->pace.typical > wait || (best && took >= least))
+		if (PICK_SLOW_SHARE * (took - svc->pace.typical) > wait)
+			continue;
+		if (best && took >= least)
 			continue;
 		best = copy;
 		least = took;
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -236,9 +236,9 @@
 				     "0 copy c1 1\n0 copy c2 1\n"
 				     "0 arrive a idem = send c1\n"
 				     "20 hedge = a c2\n"
-				     "25 hedge_end a ok = answer\n"
-				     "25 end a cancel = answer\n"
-				     "25 free = 1\n" },
+				     "22 hedge_end a ok = answer\n"
+				     "22 end a cancel = answer\n"
+				     "22 free = 1\n" },
 	{ "hedge-outlives-first-send", "0 profile hedge=20\n"
 				       "0 copy c1 1\n0 copy c2 1\n"
 				       "0 arrive a idem = send c1\n"
