Leave time for the answer itself when a call waits

Cause: with deadlines near the service time, calls were sent that could not be answered any more, and took the place of others: at 120 % load and 300 ms deadlines 90.5 % of the slots gave answers in time, at 200 % and 100 ms 80.6 %. The replay now counts refusals that came late, after a wait.

A waiting call is given up once less than the time of 95 % of the answers is left (but no more than half of what the caller gave); one that arrives must have half as much again, and what tenants in turn will put ahead of it is counted. A full queue pushes out only calls of a tenant with more than twice as many as the newcomer's, which stops equal tenants from pushing out one another.

Two expected Retry-After values of cannot-make-deadline change by the margin.

--- a/entry-queue.c
+++ b/entry-queue.c
@@ -10,6 +10,9 @@
 
 /* Calls of other classes that may be served before a waiting class is. */
 #define QUEUE_PASSED_MAX 15
+/* Calls of its class ahead of one, those that will arrive included, as a
+   multiple of those that wait already. */
+#define QUEUE_AHEAD_MOST 1.5
 /* Flows are also kept by the power of two of their length. */
 #define QUEUE_SIZES 16
 #define QUEUE_BUCKETS 256
@@ -314,7 +317,7 @@
 	if (flow->band != band)
 		return flow->band > band;
 	own = queue_flow_find(queue, call->tenant, band);
-	return flow->count > (own ? own->count : 0) + 1;
+	return flow->count > 2 * ((own ? own->count : 0) + 1);
 }
 
 bool entry_queue_evict(struct entry_queue *queue, const entry_call_t *call)
@@ -359,7 +362,8 @@
 	const queue_flow_t *flow = queue_flow_find(queue, call->tenant, index);
 	double flows = band->flows + (flow ? 0 : 1);
 	double own = (flow ? flow->count : 0) * flows;
-	double ahead = own < band->count ? own : band->count;
+	double most = QUEUE_AHEAD_MOST * band->count;
+	double ahead = own < most ? own : most;
 	double left = rate;
 	double least = rate / (QUEUE_PASSED_MAX + 1);
 	double wait;
--- a/entry-service.c
+++ b/entry-service.c
@@ -9,6 +9,9 @@
 /* Waiting calls that are looked at for one that may use a free copy. */
 #define SERVICE_SKIP_MAX 4
 
+/* Margins that must be left on arrival; one is asked for while it waits. */
+#define SERVICE_ADMIT_MARGIN 1.5
+
 /* A copy with its credit and health, in one allocation. */
 typedef struct {
 	entry_copy_t copy;
@@ -233,18 +236,17 @@
 	return false;
 }
 
-/* What an answer needs at the least, so that waiting longer is in vain. */
-static usec_t service_least_time(const entry_service_t *svc)
-{
-	return (usec_t)(svc->pace.typical / 2);
-}
-
-/* What nearly all answers need, but no more than half of what is left. */
-static usec_t service_margin(const entry_service_t *svc, usec_t left)
+/*
+ * Time that is left for the answer itself: nearly all answers come within it,
+ * but it is no more than half of what the caller gave.
+ */
+static usec_t service_margin(const entry_service_t *svc,
+			     const entry_call_t *call)
 {
 	usec_t tail = (usec_t)svc->pace.tail;
+	usec_t half = (call->deadline - call->arrived) / 2;
 
-	return tail < left / 2 ? tail : left / 2;
+	return tail < half ? tail : half;
 }
 
 /* When half of the queue will have been served. */
@@ -263,7 +265,9 @@
 	entry_decision_t decision = { ENTRY_WAIT, ENTRY_REFUSE_NONE, 0 };
 	usec_t left = call->deadline - now;
 	usec_t wait = entry_queue_wait(svc->queue, call, svc->pace.rate);
-	usec_t late = wait + service_margin(svc, left) - left;
+	usec_t margin = (usec_t)(SERVICE_ADMIT_MARGIN *
+				 service_margin(svc, call));
+	usec_t late = wait + margin - left;
 
 	if (wait > 0 && late > 0)
 		return service_refuse(ENTRY_REFUSE_DEADLINE, late);
@@ -368,7 +372,7 @@
 		return call;
 	}
 	call = entry_queue_earliest(svc->queue);
-	if (!call || now + service_least_time(svc) < call->deadline)
+	if (!call || now + service_margin(svc, call) < call->deadline)
 		return NULL;
 	entry_queue_remove(svc->queue, call);
 	*decision = service_refuse(ENTRY_REFUSE_DEADLINE,
@@ -380,7 +384,7 @@
 static bool service_repeats(entry_service_t *svc, const entry_call_t *call,
 			    entry_result_t result, usec_t now)
 {
-	return now + service_least_time(svc) < call->deadline &&
+	return now + service_margin(svc, call) < call->deadline &&
 	       entry_retry_allowed(svc->profile, call, result) &&
 	       entry_retry_spend(svc->retry);
 }
--- a/regress/decide-replay.c
+++ b/regress/decide-replay.c
@@ -98,6 +98,7 @@
 static uint64_t event_order;
 static uint64_t sends;
 static unsigned refused;
+static unsigned late; /* of these, after they had waited */
 static unsigned errors;
 static GRand *generator;
 
@@ -254,6 +255,7 @@
 	while ((call = entry_service_expire(&service, now, &decision))) {
 		call_final((replay_call_t *)call - calls, false, now);
 		refused++;
+		late++;
 	}
 	while ((call = entry_service_next(&service, now)))
 		call_sent(call, now);
@@ -508,8 +510,8 @@
 	       options.scenario ? options.scenario : "steady", options.load,
 	       options.pipeline);
 	print_latencies("all", values, count);
-	printf(" goodput=%.3f refused=%u errors=%u sends=%.3f",
-	       count / (span / 1e6) / capacity, refused, errors,
+	printf(" goodput=%.3f refused=%u late=%u errors=%u sends=%.3f",
+	       count / (span / 1e6) / capacity, refused, late, errors,
 	       (double)sends / options.calls);
 	if (options.high > 0) {
 		count = collect(values, 0, -1);
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -100,10 +100,10 @@
 				  "300 arrive x = send c1\n"
 				  "300 many 4 w d=900\n"
 				  "300 arrive a d=30 = "
-				  "refuse deadline 20 not-run\n"
+				  "refuse deadline 25 not-run\n"
 				  "300 arrive b d=100 = wait\n"
 				  "300 arrive c p=0 d=30 = "
-				  "refuse deadline 30 not-run\n" },
+				  "refuse deadline 35 not-run\n" },
 	{ "full-queue-drops-less-urgent", "0 profile queue=2\n0 copy c1 1\n"
 					  "0 arrive x = send c1\n"
 					  "0 arrive a p=1 = wait\n"
