--- a/entry-request.c
+++ b/entry-request.c
@@ -130,7 +130,8 @@
 			  const entry_decision_t *decision)
 {
 	entry_request_fail(req, entry_refusal_status(decision->refusal),
-			   ENTRY_NOT_RUN, entry_refusal_name(decision->refusal),
+			   req->call.outcome,
+			   entry_refusal_name(decision->refusal),
 			   decision->retry_after);
 }
 
@@ -160,6 +161,6 @@
 	pthread_mutex_unlock(&req->lock);
 	if (!request_leave_queue(req))
 		return;
-	entry_request_fail(req, 499, ENTRY_NOT_RUN, "gone", 0);
+	entry_request_fail(req, 499, req->call.outcome, "gone", 0);
 	entry_request_unref(req);
 }
