--- a/claim-home.c
+++ b/claim-home.c
@@ -164,12 +164,13 @@
 
 void claim_home_expire(claim_home_t *home, usec_t now)
 {
-	unsigned step;
-
-	for (step = 0; step < HOME_EXPIRE_STEP && step < home->count; step++) {
-		home_node_t *node = cds_list_first_entry(&home->list,
-							 home_node_t, link);
+	unsigned step = 0;
+	home_node_t *node;
+	home_node_t *next;
 
+	cds_list_for_each_entry_safe (node, next, &home->list, link) {
+		if (step++ == HOME_EXPIRE_STEP)
+			break;
 		if (now >= node->record.expires) {
 			home_drop(home, node);
 			continue;
--- a/entry-claim-answer.c
+++ b/entry-claim-answer.c
@@ -61,6 +61,7 @@
 	size_t size = entry_buffer_length(body);
 	size_t max = (size_t)claims->entry->settings.claims.answers_kb * 1024;
 	kept_t *kept = malloc(sizeof(*kept) + size);
+	kept_t *next;
 
 	if (!kept)
 		return;
@@ -74,9 +75,11 @@
 	pthread_mutex_lock(&claims->lock);
 	cds_list_add_tail(&kept->link, &claims->answers);
 	claims->answer_bytes += sizeof(*kept) + size;
-	while (claims->answer_bytes > max)
-		answer_drop(claims, cds_list_first_entry(&claims->answers,
-							 kept_t, link));
+	cds_list_for_each_entry_safe (kept, next, &claims->answers, link) {
+		if (claims->answer_bytes <= max)
+			break;
+		answer_drop(claims, kept);
+	}
 	pthread_mutex_unlock(&claims->lock);
 }
 
--- a/regress/decide-replay.c
+++ b/regress/decide-replay.c
@@ -601,14 +601,16 @@
 	GOptionContext *context = g_option_context_new(NULL);
 	GError *err = NULL;
 	event_t event;
+	gboolean parsed;
 	usec_t span;
 
 	g_option_context_add_main_entries(context, entries, NULL);
-	if (!g_option_context_parse(context, &argc, &argv, &err)) {
+	parsed = g_option_context_parse(context, &argc, &argv, &err);
+	g_option_context_free(context);
+	if (!parsed) {
 		fprintf(stderr, "%s\n", err->message);
 		return 2;
 	}
-	g_option_context_free(context);
 	if (!options.policy)
 		options.policy = g_strdup("owner");
 	replay_init();
