Put the configuration in force at the entries, and lend credits whole

Routes ran on a preset profile whatever operators declared. Each entry now follows the keepers: services, profiles, planned stops and numbers of owners reach the routes, an undeclared service is 404, and until a quorum confirmed a configuration calls, look-ups and announcements get 503, not run. Without keepers in the settings an entry serves what copies announce.

A call that was handed to an idle sibling and refused there failed at the caller; it now comes back to its own queue, and the sibling keeps the offered credits for it. Sends carry the no-retry mark, connects are measured.

--- a/config-follow.h
+++ b/config-follow.h
@@ -36,7 +36,7 @@
 	  "keepers",                                                             \
 	  SETTING_ADDRESSES,                                                     \
 	  offsetof(type, member.keepers),                                        \
-	  true,                                                                  \
+	  false,                                                                 \
 	  NULL,                                                                  \
 	  0,                                                                     \
 	  0,                                                                     \
--- a/entry-announce.c
+++ b/entry-announce.c
@@ -95,6 +95,28 @@
 	json_decref(root);
 }
 
+/* With keepers, only copies of declared services are taken in. */
+static bool announce_is_served(entry_t *entry, const char *service,
+			       entry_reply_t *reply)
+{
+	entry_route_t *route = entry_route_find(entry, service);
+
+	if (!entry_config_ready(entry)) {
+		entry_reply_error(reply, 503,
+				  "no configuration is confirmed yet; come "
+				  "back or ask another entry");
+		reply->retry_after_s = 1;
+		return false;
+	}
+	if (!entry->follow || (route && entry_config_serves(entry, route)))
+		return true;
+	entry_reply_error(reply, 404,
+			  "service %s is not declared; apply a declaration "
+			  "that names it",
+			  service);
+	return false;
+}
+
 static void announce_take(const entry_control_t *in, const announce_t *said,
 			  entry_reply_t *reply)
 {
@@ -103,6 +125,8 @@
 	hl_error_t err = { 0 };
 
 	announce_fill(said, &announcement);
+	if (!announce_is_served(in->entry, said->service, reply))
+		return;
 	if (!entry_route_make(in->entry, said->service))
 		entry_reply_error(reply, 503, "no memory; add some");
 	else if (!owner_announce(in->entry->owner, &announcement, in->now, &out,
--- /dev/null
+++ b/entry-config.c
@@ -0,0 +1,174 @@
+#include <stdlib.h>
+#include <string.h>
+#include "entry-io.h"
+
+/*
+ * The configuration reaches the routes here. Without keepers in the settings
+ * an entry serves whatever service a copy announces, by a preset profile.
+ */
+
+static void config_profile_free(config_profile_t *profile)
+{
+	xdr_free((xdrproc_t)xdr_config_profile_t, (char *)profile);
+	free(profile);
+}
+
+/* A copy of its own, so that a route outlives the configuration. */
+static config_profile_t *config_profile_clone(const config_profile_t *from)
+{
+	config_profile_t *copy = calloc(1, sizeof(*copy));
+
+	if (!copy)
+		return NULL;
+	if (config_copy((xdrproc_t)xdr_config_profile_t, from, copy,
+			sizeof(*copy))) {
+		free(copy);
+		return NULL;
+	}
+	return copy;
+}
+
+/* The planned stops of one service. Lock held. */
+static int config_take_stops(entry_route_t *route, const config_t *config)
+{
+	unsigned count = 0;
+	u_int i;
+
+	free(route->stops);
+	route->stop_count = 0;
+	route->stops = calloc(config->stops.stops_len + 1,
+			      sizeof(*route->stops));
+	if (!route->stops)
+		return -1;
+	for (i = 0; i < config->stops.stops_len; i++) {
+		const config_stop_t *stop = &config->stops.stops_val[i];
+
+		if (!strcmp(stop->service, route->name))
+			strcpy(route->stops[count++], stop->copy);
+	}
+	route->stop_count = count;
+	return 0;
+}
+
+static void config_take_service(entry_t *entry, const config_t *config,
+				const config_service_t *service, usec_t now)
+{
+	const config_profile_t *profile = config_find_profile(config,
+							      service->profile);
+	entry_route_t *route = entry_route_make(entry, service->name);
+	config_profile_t *copy = profile ? config_profile_clone(profile) : NULL;
+	config_profile_t *old;
+
+	if (!route || !copy) {
+		log_event(LOG_LEVEL_ERROR, "service-not-configured",
+			  "service=%s profile=%s", service->name,
+			  service->profile);
+		return;
+	}
+	pthread_mutex_lock(&route->lock);
+	old = route->profile;
+	route->profile = copy;
+	entry_service_profile(&route->service, copy, now);
+	route->rate = service->rate;
+	route->owners = service->owners;
+	route->declared = true;
+	config_take_stops(route, config);
+	pthread_mutex_unlock(&route->lock);
+	config_profile_free(old);
+	entry_dispatch_next(route, now);
+}
+
+/* A service that is declared no more takes no new calls. */
+static void config_drop_retired(entry_t *entry, const config_t *config)
+{
+	entry_route_t *route;
+
+	pthread_mutex_lock(&entry->routes_lock);
+	cds_list_for_each_entry (route, &entry->routes, link) {
+		if (config_find_service(config, route->name))
+			continue;
+		pthread_mutex_lock(&route->lock);
+		route->declared = false;
+		pthread_mutex_unlock(&route->lock);
+	}
+	pthread_mutex_unlock(&entry->routes_lock);
+}
+
+static void config_changed(void *context, const config_t *config)
+{
+	entry_t *entry = context;
+	usec_t now = time_now();
+	u_int i;
+
+	for (i = 0; i < config->services.services_len; i++)
+		config_take_service(entry, config,
+				    &config->services.services_val[i], now);
+	config_drop_retired(entry, config);
+	log_event(LOG_LEVEL_NOTICE, "config-in-force",
+		  "revision=%" PRIu64 " services=%u profiles=%u",
+		  (uint64_t)config->revision, config->services.services_len,
+		  config->profiles.profiles_len);
+}
+
+static unsigned config_members(void *context, owner_member_t *out, unsigned max)
+{
+	const entry_t *entry = context;
+
+	return member_live(entry->member, out, max);
+}
+
+int entry_config_new(entry_t *entry, const owner_member_t *self,
+		     hl_error_t *err)
+{
+	config_follow_options_t options = {
+		.name = entry->settings.name,
+		.rpc_address = self->rpc_address,
+		.settings = entry->settings.follow,
+		.members = config_members,
+		.members_context = entry,
+		.changed = config_changed,
+		.changed_context = entry,
+		.metrics = entry->metrics,
+	};
+
+	if (!entry->settings.follow.keepers.count)
+		return 0;
+	entry->follow = config_follow_new(&options, err);
+	return entry->follow ? 0 : -1;
+}
+
+bool entry_config_ready(const entry_t *entry)
+{
+	return !entry->follow || config_follow_ready(entry->follow);
+}
+
+uint64_t entry_config_revision(void *context)
+{
+	const entry_t *entry = context;
+
+	return entry->follow ? config_follow_revision(entry->follow) : 0;
+}
+
+bool entry_config_serves(const entry_t *entry, entry_route_t *route)
+{
+	bool declared;
+
+	if (!entry->follow)
+		return true;
+	pthread_mutex_lock(&route->lock);
+	declared = route->declared;
+	pthread_mutex_unlock(&route->lock);
+	return declared;
+}
+
+bool entry_config_stopped(entry_route_t *route, const char *copy)
+{
+	bool stopped = false;
+	unsigned i;
+
+	pthread_mutex_lock(&route->lock);
+	for (i = 0; i < route->stop_count && !stopped; i++)
+		stopped = !strcmp(route->stops[i], copy);
+	pthread_mutex_unlock(&route->lock);
+	return stopped;
+}
--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -19,6 +19,16 @@
 	} while (call);
 }
 
+/* A call that was sent before it is refused may have run. */
+static void dispatch_refuse(entry_request_t *req,
+			    const entry_decision_t *decision)
+{
+	entry_request_fail(req, entry_refusal_status(decision->refusal),
+			   req->call.outcome,
+			   entry_refusal_name(decision->refusal),
+			   decision->retry_after);
+}
+
 void entry_dispatch_expire(entry_route_t *route, usec_t now)
 {
 	entry_decision_t decision;
@@ -30,7 +40,7 @@
 		pthread_mutex_unlock(&route->lock);
 		if (!call)
 			break;
-		entry_request_refuse(dispatch_request(call), &decision);
+		dispatch_refuse(dispatch_request(call), &decision);
 		entry_request_unref(dispatch_request(call));
 	} while (call);
 }
@@ -53,24 +63,44 @@
 		entry_work_push(req->entry->work, req);
 		break;
 	case ENTRY_WAIT:
+		entry_dispatch_expire(route, now);
 		entry_dispatch_next(route, now);
 		owner_kick(req->entry->owner);
 		break;
 	default:
-		entry_request_refuse(req, &decision);
+		dispatch_refuse(req, &decision);
 		entry_request_unref(req);
 		break;
 	}
 }
 
+/* A sibling that cannot take what it offered leaves the call to us. */
+static void dispatch_forward_end(entry_request_t *req, entry_result_t result,
+				 usec_t now)
+{
+	bool not_run = result == ENTRY_RESULT_SHED ||
+		       result == ENTRY_RESULT_CONNECT;
+
+	if (!req->handed_over || !not_run || now >= req->call.deadline) {
+		entry_relay_finish(req, result);
+		entry_request_unref(req);
+		return;
+	}
+	req->handed_over = false;
+	entry_place_unref(req->forward);
+	req->forward = NULL;
+	entry_request_reset(req);
+	entry_dispatch_arrive(req, now);
+	entry_request_unref(req);
+}
+
 void entry_dispatch_end(entry_request_t *req, entry_result_t result, usec_t now)
 {
 	entry_route_t *route = req->route;
 	entry_decision_t decision = { ENTRY_ANSWER, ENTRY_REFUSE_NONE, 0 };
 
 	if (req->forward) {
-		entry_relay_finish(req, result);
-		entry_request_unref(req);
+		dispatch_forward_end(req, result, now);
 		return;
 	}
 	pthread_mutex_lock(&route->lock);
@@ -83,7 +113,7 @@
 		entry_request_reset(req);
 	pthread_mutex_unlock(&route->lock);
 	if (decision.verdict == ENTRY_REFUSE)
-		entry_request_refuse(req, &decision);
+		dispatch_refuse(req, &decision);
 	else if (decision.verdict == ENTRY_ANSWER)
 		entry_relay_finish(req, result);
 	if (decision.verdict != ENTRY_WAIT)
--- a/entry-head.c
+++ b/entry-head.c
@@ -8,6 +8,7 @@
 #define HEAD_LINE_MAX 8192
 #define HEAD_DEADLINE_MAX_MS 600000
 #define HTTP_BAD_REQUEST 400
+#define HTTP_UNAVAILABLE 503
 
 /* What a walk over the headers of a call gathers. */
 typedef struct {
@@ -36,6 +37,7 @@
 	"Hemlock-Hop",
 	"Hemlock-Deadline-Ms",
 	"Proxy-Authorization",
+	"Hemlock-No-Retry",
 };
 
 static bool head_is_dropped(const char *name)
@@ -216,7 +218,7 @@
 	memcpy(service, head->host, length);
 	service[length] = '\0';
 	req->route = entry_route_find(req->entry, service);
-	if (!req->route)
+	if (!req->route || !entry_config_serves(req->entry, req->route))
 		return hl_error_set(err, HL_ERR_NOT_FOUND, "unknown service");
 	return 0;
 }
@@ -271,6 +273,7 @@
 	if (!*req->tenant)
 		strcpy(req->tenant, "none");
 	memcpy(call->tenant, req->tenant, sizeof(call->tenant));
+	call->handed = *req->hop != '\0';
 	call->arrived = now;
 	call->deadline = now + deadline_ms * USEC_PER_MS;
 }
@@ -311,6 +314,11 @@
 	bad = head_check(&head);
 	if (bad)
 		return head_refuse(req, HTTP_BAD_REQUEST, "request");
+	if (!entry_config_ready(req->entry)) {
+		entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN,
+				   "starting", USEC_PER_SEC);
+		return -1;
+	}
 	if (head_find_route(&head, &err))
 		return head_refuse(req, err.kind == HL_ERR_PROTOCOL ? 400 : 404,
 				   err.kind == HL_ERR_PROTOCOL ? "request" :
--- a/entry-io.h
+++ b/entry-io.h
@@ -2,8 +2,10 @@
 #define ENTRY_IO_H
 
 #include <curl/curl.h>
+#include <glib.h>
 #include <microhttpd.h>
 #include <urcu/list.h>
+#include "config-follow.h"
 #include "entry.h"
 #include "member.h"
 #include "metrics.h"
@@ -60,7 +62,7 @@
 	char policy[HL_NAME_MAX];
 	bool lending;
 	setting_list_t seeds; /* peer addresses of the entries */
-	setting_list_t keepers;
+	config_follow_settings_t follow;
 	entry_claim_settings_t claims;
 } entry_settings_t;
 
@@ -183,7 +185,8 @@
 	bool http10;
 	entry_place_t *forward;	   /* a sibling entry to hand it to, or NULL */
 	struct entry_claim *claim; /* of its Idempotency-Key, or NULL */
-	bool repeat; /* it asks for the answer of the first of its key */
+	bool handed_over; /* it waited here and went to an idle sibling */
+	bool repeat;	  /* it asks for the answer of the first of its key */
 
 	pthread_mutex_t lock; /* guards all below */
 	pthread_cond_t changed;
@@ -237,6 +240,11 @@
 	pthread_mutex_t lock;
 	entry_service_t service;
 	config_profile_t *profile;
+	bool declared;	 /* the configuration in force names it */
+	unsigned rate;	 /* calls a second of the service, 0: no limit */
+	unsigned owners; /* entries owning copies, 0: by zone */
+	char (*stops)[HL_NAME_MAX]; /* copies with a planned stop */
+	unsigned stop_count;
 	pthread_mutex_t measure_lock;
 	struct cds_list_head measures;
 	unsigned measure_count;
@@ -299,12 +307,14 @@
 	metrics_t *metrics;
 	pthread_mutex_t routes_lock;
 	struct cds_list_head routes;
+	GHashTable *routes_by_name;
 	entry_work_t *work;
 	entry_watch_t *watch;
 	entry_forward_t *forward;
 	member_t *member;
 	struct entry_claims *claims;
-	bool first_start; /* nothing was ever claimed here */
+	config_follow_t *follow; /* NULL without keepers */
+	bool first_start;	 /* nothing was ever claimed here */
 	owner_t *owner;
 	const char *settings_path;
 	signals_t signals;
@@ -327,6 +337,22 @@
 /** entry_dispatch_expire - refuse what can no longer be served in time. */
 void entry_dispatch_expire(entry_route_t *route, usec_t now);
 
+/** entry_config_new - follow the keepers, if the settings name any. */
+int entry_config_new(entry_t *entry, const owner_member_t *self,
+		     hl_error_t *err);
+
+/** entry_config_ready - is a confirmed configuration in force? */
+bool entry_config_ready(const entry_t *entry);
+
+/** entry_config_revision - the revision in force; @context is the entry. */
+uint64_t entry_config_revision(void *context);
+
+/** entry_config_serves - is the service of a route declared? */
+bool entry_config_serves(const entry_t *entry, entry_route_t *route);
+
+/** entry_config_stopped - is a planned stop of a copy in force? */
+bool entry_config_stopped(entry_route_t *route, const char *copy);
+
 /** entry_relay_send - send a request to its place and take the answer. */
 void entry_relay_send(entry_request_t *req);
 
--- a/entry-lookup.c
+++ b/entry-lookup.c
@@ -18,6 +18,7 @@
 {
 	owner_place_t places[OWNER_MAX];
 	const char *service;
+	entry_route_t *route;
 	const char *zone;
 	json_t *list;
 	json_t *root;
@@ -32,7 +33,15 @@
 				  "?service=NAME of a-z, 0-9, '-', '.'");
 		return;
 	}
-	if (!entry_route_find(in->entry, service)) {
+	if (!entry_config_ready(in->entry)) {
+		entry_reply_error(reply, 503,
+				  "no configuration is confirmed yet; come "
+				  "back or ask another entry");
+		reply->retry_after_s = 1;
+		return;
+	}
+	route = entry_route_find(in->entry, service);
+	if (!route || !entry_config_serves(in->entry, route)) {
 		entry_reply_error(reply, 404,
 				  "unknown service %s; apply a declaration "
 				  "that names it",
--- a/entry-main.c
+++ b/entry-main.c
@@ -68,6 +68,12 @@
 	    supervisor_add(sup, &member, err) ||
 	    supervisor_add(sup, &owner, err))
 		return -1;
+	if (entry->follow) {
+		supervisor_child_t follow = config_follow_child(entry->follow);
+
+		if (supervisor_add(sup, &follow, err))
+			return -1;
+	}
 	return supervisor_add(sup, &tick, err);
 }
 
@@ -86,6 +92,8 @@
 	member_options_t options = {
 		.seeds = &settings->seeds,
 		.metrics = entry->metrics,
+		.revision = entry_config_revision,
+		.context = entry,
 		.seed = hl_hash(settings->name, strlen(settings->name), 0),
 	};
 
@@ -96,9 +104,11 @@
 	main_address(options.self.control_address, settings,
 		     settings->control_port);
 	main_address(options.self.peer_address, settings, settings->peer_port);
-	main_address(options.rpc_address, settings, settings->rpc_port);
+	main_address(options.self.rpc_address, settings, settings->rpc_port);
+	strcpy(options.rpc_address, options.self.rpc_address);
 	entry->member = member_new(&options, err);
-	if (!entry->member || entry_owner_new(entry, &options.self, err))
+	if (!entry->member || entry_owner_new(entry, &options.self, err) ||
+	    entry_config_new(entry, &options.self, err))
 		return -1;
 	entry->claims = entry_claims_new(entry, options.self.peer_address,
 					 entry->first_start, time_now(), err);
@@ -152,6 +162,7 @@
 
 	pthread_mutex_init(&entry.routes_lock, NULL);
 	CDS_INIT_LIST_HEAD(&entry.routes);
+	entry.routes_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	entry_policy_parse(settings->policy, &entry.policy);
 	curl_global_init(CURL_GLOBAL_ALL);
 	entry.metrics = metrics_new();
@@ -173,9 +184,11 @@
 	supervisor_free(sup);
 	entry_watch_free(entry.watch);
 	entry_claims_free(entry.claims);
+	config_follow_free(entry.follow);
 	owner_free(entry.owner);
 	member_free(entry.member);
 	entry_route_free_all(&entry);
+	g_hash_table_destroy(entry.routes_by_name);
 	entry_forward_free(entry.forward);
 	metrics_free(entry.metrics);
 	pthread_mutex_destroy(&entry.routes_lock);
--- a/entry-owner.c
+++ b/entry-owner.c
@@ -129,6 +129,43 @@
 	return count;
 }
 
+static unsigned owner_on_wanted(void *context, const char *service)
+{
+	entry_route_t *route = entry_route_find(context, service);
+	unsigned count;
+
+	if (!route)
+		return 0;
+	pthread_mutex_lock(&route->lock);
+	count = route->owners;
+	pthread_mutex_unlock(&route->lock);
+	return count;
+}
+
+static bool owner_on_stopped(void *context, const char *service,
+			     const char *copy)
+{
+	entry_route_t *route = entry_route_find(context, service);
+
+	return route && entry_config_stopped(route, copy);
+}
+
+/* Keep free credits for the calls that a sibling was offered them for. */
+static unsigned owner_on_reserve(void *context, const char *service,
+				 unsigned credits, usec_t until)
+{
+	entry_route_t *route = entry_route_find(context, service);
+	unsigned kept;
+
+	if (!route)
+		return 0;
+	pthread_mutex_lock(&route->lock);
+	kept = entry_service_reserve(&route->service, credits, until,
+				     time_now());
+	pthread_mutex_unlock(&route->lock);
+	return kept;
+}
+
 /* A sibling has free credits: hand it calls that wait here. */
 static void owner_on_offer(void *context, const char *service,
 			   const owner_member_t *from, unsigned credits)
@@ -148,6 +185,7 @@
 		if (!call)
 			return;
 		req = caa_container_of(call, entry_request_t, call);
+		req->handed_over = true;
 		req->forward = entry_forward_place(entry->forward,
 						   from->call_address);
 		entry_work_push(entry->work, req);
@@ -169,6 +207,9 @@
 	options.events.idle = owner_on_idle;
 	options.events.pipeline = owner_on_pipeline;
 	options.events.offer = owner_on_offer;
+	options.events.wanted = owner_on_wanted;
+	options.events.stopped = owner_on_stopped;
+	options.events.reserve = owner_on_reserve;
 	entry->owner = owner_new(&options, err);
 	return entry->owner ? 0 : -1;
 }
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -406,6 +406,32 @@
 	return ENTRY_RESULT_CUT;
 }
 
+/* Whether whoever gets this send must leave retries to us or above. */
+static bool relay_marks(entry_request_t *req)
+{
+	bool marks;
+
+	if (req->forward)
+		return req->call.no_retry;
+	pthread_mutex_lock(&req->route->lock);
+	marks = entry_service_marks(&req->route->service, &req->call);
+	pthread_mutex_unlock(&req->route->lock);
+	return marks;
+}
+
+/* Learn what a new connection took, unless it was opened ahead. */
+static void relay_learn_connect(entry_request_t *req, CURL *easy)
+{
+	curl_off_t took = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &took);
+	if (req->forward || took <= 0)
+		return;
+	pthread_mutex_lock(&req->route->lock);
+	entry_service_connected(req->call.copy, took);
+	pthread_mutex_unlock(&req->route->lock);
+}
+
 /* Send once over @place; the answer stands in the request afterwards. */
 static entry_result_t relay_send_once(relay_t *relay)
 {
@@ -415,8 +441,11 @@
 	char url[HL_ADDRESS_MAX + sizeof("http:///")];
 	char text[RELAY_HEADER_MAX];
 	char hop[RELAY_HEADER_MAX];
+	char no_retry[] = "Hemlock-No-Retry: 1";
 	struct curl_slist deadline = { text, req->headers };
 	struct curl_slist from = { hop, &deadline };
+	struct curl_slist *headers = req->forward ? &from : &deadline;
+	struct curl_slist mark = { no_retry, headers };
 	CURL *easy;
 
 	if (left <= 0)
@@ -430,12 +459,16 @@
 		 (left + USEC_PER_MS - 1) / USEC_PER_MS);
 	snprintf(hop, sizeof(hop), "Hemlock-Hop: %s",
 		 req->entry->settings.name);
-	relay_set_options(relay, url, req->forward ? &from : &deadline, fresh);
+	if (relay_marks(req))
+		headers = &mark;
+	relay_set_options(relay, url, headers, fresh);
 	relay_set_active(req, relay->link);
 	curl_multi_add_handle(relay->link->multi, easy);
 	relay_drive(relay);
 	relay_set_active(req, NULL);
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &relay->bytes_sent);
+	if (relay->head_whole)
+		relay_learn_connect(req, easy);
 	curl_multi_remove_handle(relay->link->multi, easy);
 	entry_place_put(relay->place, relay->link,
 			relay->code == CURLE_OK && relay->head_whole);
--- a/entry-route.c
+++ b/entry-route.c
@@ -7,12 +7,7 @@
 
 static entry_route_t *route_find(entry_t *entry, const char *name)
 {
-	entry_route_t *route;
-
-	cds_list_for_each_entry (route, &entry->routes, link)
-		if (!strcmp(route->name, name))
-			return route;
-	return NULL;
+	return g_hash_table_lookup(entry->routes_by_name, name);
 }
 
 entry_route_t *entry_route_find(entry_t *entry, const char *name)
@@ -45,6 +40,7 @@
 			       seed))
 		goto fail;
 	cds_list_add_tail(&route->link, &entry->routes);
+	g_hash_table_insert(entry->routes_by_name, route->name, route);
 	return route;
 fail:
 	free(route->profile);
@@ -75,7 +71,9 @@
 			entry_place_unref(copy->io);
 	entry_service_fini(&route->service);
 	entry_measure_free(route);
+	xdr_free((xdrproc_t)xdr_config_profile_t, (char *)route->profile);
 	free(route->profile);
+	free(route->stops);
 	pthread_mutex_destroy(&route->measure_lock);
 	pthread_mutex_destroy(&route->lock);
 	free(route);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -64,8 +64,7 @@
 	  false, "65536", 16, 4194304, "keys that this entry keeps as a home" },
 	{ "claims", "answers_kb", SETTING_INTEGER, FIELD(claims.answers_kb),
 	  false, "16384", 0, 1048576, "KiB of answers kept to be given again" },
-	{ "entry", "keepers", SETTING_ADDRESSES, FIELD(keepers), false, NULL, 0,
-	  0, "addresses of the keepers" },
+	CONFIG_FOLLOW_SETTINGS(entry_settings_t, follow),
 };
 
 const size_t entry_settings_count = sizeof(entry_settings) /
--- a/entry-status.c
+++ b/entry-status.c
@@ -38,10 +38,12 @@
 	cds_list_for_each_entry (route, &entry->routes, link)
 		json_array_append_new(services, status_route(route));
 	pthread_mutex_unlock(&entry->routes_lock);
-	root = json_pack("{s:s, s:s, s:s, s:i, s:o}", "entry",
+	root = json_pack("{s:s, s:s, s:s, s:i, s:I, s:o}", "entry",
 			 entry->settings.name, "zone", entry->settings.zone,
 			 "build", HEMLOCK_VERSION, "in_flight",
-			 (int)entry->in_flight, "services", services);
+			 (int)entry->in_flight, "revision",
+			 (json_int_t)entry_config_revision(entry), "services",
+			 services);
 	reply->body = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 }
@@ -49,10 +51,14 @@
 void entry_status_health(const entry_control_t *in, entry_reply_t *reply)
 {
 	bool stopping = __atomic_load_n(&in->entry->stopping, __ATOMIC_ACQUIRE);
+	bool ready = entry_config_ready(in->entry);
 
-	reply->status = stopping ? 503 : 200;
+	reply->status = stopping || !ready ? 503 : 200;
 	reply->type = "text/plain";
-	reply->body = strdup(stopping ? "stopping\n" : "ready\n");
+	if (stopping)
+		reply->body = strdup("stopping\n");
+	else
+		reply->body = strdup(ready ? "ready\n" : "starting\n");
 }
 
 void entry_status_metrics(const entry_control_t *in, entry_reply_t *reply)
--- a/owner-lend.c
+++ b/owner-lend.c
@@ -83,6 +83,12 @@
 	credits = idle - svc->reserved;
 	if (credits > sibling->waiting)
 		credits = sibling->waiting;
+	if (owner->options.events.reserve)
+		credits = owner->options.events.reserve(
+			owner->options.events.context, svc->name, credits,
+			now + LEND_RESERVE);
+	if (!credits)
+		return;
 	sibling->waiting -= credits;
 	svc->reserved += credits;
 	svc->reserved_until = now + LEND_RESERVE;
--- a/owner.h
+++ b/owner.h
@@ -112,6 +112,9 @@
 	/* Calls waiting for a credit, and credits that are free. */
 	unsigned (*waiting)(void *context, const char *service);
 	unsigned (*idle)(void *context, const char *service);
+	/* Keep free credits for a sibling until then; how many are kept. */
+	unsigned (*reserve)(void *context, const char *service,
+			    unsigned credits, usec_t until);
 	/* A sibling would run @credits of the waiting calls. */
 	void (*offer)(void *context, const char *service,
 		      const owner_member_t *from, unsigned credits);
