--- a/keeper-record.c
+++ b/keeper-record.c
@@ -107,9 +107,10 @@
 	*body = start + sizeof(head);
 	*body_size = length;
 	if (be64toh(head.body) != hl_hash(*body, length, KEEPER_RECORD_SEED))
-		return length == rest - sizeof(head) ?
-			       keeper_record_bad(start, rest) :
-			       KEEPER_RECORD_DAMAGED;
+		return keeper_record_zeros(start, rest) <
+				       rest - sizeof(head) - length ?
+			       KEEPER_RECORD_DAMAGED :
+			       keeper_record_bad(start, rest);
 	*offset += sizeof(head) + length;
 	return KEEPER_RECORD_WHOLE;
 }
