--- /dev/null
+++ b/regress/test-keeper-rules.c
@@ -0,0 +1,290 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include "keeper.h"
+
+/*
+ * Single rules of the replica that random runs seldom reach, and random bytes
+ * in place of messages and files.
+ */
+
+#define HEARTBEAT (50 * USEC_PER_MS)
+#define ELECTION (300 * USEC_PER_MS)
+#define START (1000 * USEC_PER_SEC)
+#define FUZZ_INPUTS 20000
+#define FUZZ_SEED 4711
+
+/* Keeper b of a, b, c; its disk holds one group and entries of these terms. */
+static void raft_make(keeper_raft_t *raft, uint64_t term, const uint64_t *terms,
+		      unsigned count)
+{
+	keeper_raft_settings_t settings = { .name = "b",
+					    .incarnation = 2,
+					    .heartbeat = HEARTBEAT,
+					    .election = ELECTION,
+					    .names_count = 3,
+					    .names = { "a", "b", "c" } };
+	keeper_group_t group = { .count = 3,
+				 .nodes = { { "a", "", 1, true },
+					    { "b", "", 2, true },
+					    { "c", "", 3, true } } };
+	keeper_ballot_state_t ballot = { .term = term };
+	keeper_snapshot_t snapshot = { 0 };
+	keeper_entries_t entries = { 0 };
+	keeper_entry_t entry = { .index = 1, .term = 1 };
+	size_t size;
+	unsigned i;
+
+	entry.kind = KEEPER_ENTRY_GROUP;
+	g_assert_true(keeper_group_encode(&group, &entry.body.body_val, &size));
+	entry.body.body_len = (u_int)size;
+	g_assert_true(keeper_entries_push(&entries, &entry));
+	free(entry.body.body_val);
+	for (i = 0; i < count; i++) {
+		entry = (keeper_entry_t){ .index = 2 + i, .term = terms[i] };
+		g_assert_true(keeper_entries_push(&entries, &entry));
+	}
+	keeper_raft_init(raft, &settings, START);
+	g_assert_true(keeper_raft_restore(raft, &ballot, &snapshot, &entries));
+}
+
+static keeper_message_t message_to_b(const char *from, uint64_t term,
+				     keeper_message_kind_t kind)
+{
+	keeper_message_t message = { .from = (char *)from,
+				     .from_incarnation = from[0] - 'a' + 1,
+				     .to = (char *)"b",
+				     .to_incarnation = 2,
+				     .term = term };
+
+	message.body.kind = kind;
+	return message;
+}
+
+static void drop_out(keeper_raft_t *raft)
+{
+	keeper_outgoing_t *outgoing, *next;
+
+	cds_list_for_each_entry_safe (outgoing, next, &raft->out, link)
+		keeper_raft_outgoing_free(outgoing);
+}
+
+static bool granted(const keeper_raft_t *raft)
+{
+	const keeper_outgoing_t *outgoing;
+
+	cds_list_for_each_entry (outgoing, &raft->out, link)
+		if (outgoing->message.body.kind == KEEPER_MSG_VOTE_REPLY)
+			return outgoing->message.body.keeper_message_body_t_u
+				.granted;
+	return false;
+}
+
+static void step(keeper_raft_t *raft, keeper_message_t message, usec_t now)
+{
+	g_assert_true(keeper_raft_step(raft, &message, now));
+}
+
+/* When a vote is asked for, after a restart and after a leader was heard. */
+static const struct {
+	const char *name;
+	usec_t heard; /* after the start; 0: never */
+	usec_t asked;
+	bool granted;
+} votes[] = {
+	{ "after-restart", 0, ELECTION - 1, false },
+	{ "rested", 0, ELECTION, true },
+	{ "leader-heard", 2 * ELECTION, 3 * ELECTION - 1, false },
+	{ "leader-silent", 2 * ELECTION, 3 * ELECTION, true },
+};
+
+static void test_vote(gconstpointer data)
+{
+	unsigned i = GPOINTER_TO_UINT(data);
+	keeper_message_t message;
+	keeper_raft_t raft;
+
+	raft_make(&raft, 1, NULL, 0);
+	if (votes[i].heard) {
+		message = message_to_b("a", 1, KEEPER_MSG_APPEND);
+		step(&raft, message, START + votes[i].heard);
+		drop_out(&raft);
+	}
+	message = message_to_b("c", 2, KEEPER_MSG_VOTE);
+	message.body.keeper_message_body_t_u.ballot.last_index = 1;
+	message.body.keeper_message_body_t_u.ballot.last_term = 1;
+	step(&raft, message, START + votes[i].asked);
+	g_assert_cmpint(granted(&raft), ==, votes[i].granted);
+	keeper_raft_free(&raft);
+}
+
+/* Win the election of a term above @term. */
+static uint64_t raft_lead(keeper_raft_t *raft, usec_t now)
+{
+	uint64_t term = raft->ballot.term + 1;
+	keeper_message_t message;
+
+	keeper_raft_tick(raft, now);
+	message = message_to_b("a", term, KEEPER_MSG_PREVOTE_REPLY);
+	message.body.keeper_message_body_t_u.granted = TRUE;
+	step(raft, message, now);
+	message.body.kind = KEEPER_MSG_VOTE_REPLY;
+	step(raft, message, now);
+	g_assert_cmpint(raft->role, ==, KEEPER_LEADER);
+	keeper_raft_saved(raft, now);
+	return term;
+}
+
+/* An entry of an old term on a majority is not committed by that alone. */
+static void test_old_term(void)
+{
+	static const uint64_t terms[] = { 2 };
+	usec_t now = START + 10 * ELECTION;
+	keeper_message_t message;
+	keeper_append_reply_t *reply;
+	keeper_raft_t raft;
+
+	raft_make(&raft, 3, terms, 1);
+	message = message_to_b("a", raft_lead(&raft, now),
+			       KEEPER_MSG_APPEND_REPLY);
+	reply = &message.body.keeper_message_body_t_u.append_reply;
+	reply->matched = TRUE;
+	reply->index = 2;
+	step(&raft, message, now);
+	g_assert_cmpuint(raft.commit, ==, 0);
+	reply->index = 3;
+	step(&raft, message, now);
+	g_assert_cmpuint(raft.commit, ==, 3);
+	keeper_raft_free(&raft);
+}
+
+/* Votes and acknowledgements of a replaced disk do not count. */
+static void test_replaced(void)
+{
+	usec_t now = START + 10 * ELECTION;
+	keeper_message_t message;
+	keeper_raft_t raft;
+
+	raft_make(&raft, 3, NULL, 0);
+	keeper_raft_tick(&raft, now);
+	message = message_to_b("a", 4, KEEPER_MSG_PREVOTE_REPLY);
+	message.from_incarnation = 99;
+	message.body.keeper_message_body_t_u.granted = TRUE;
+	step(&raft, message, now);
+	g_assert_cmpint(raft.role, ==, KEEPER_PRECANDIDATE);
+	message.from_incarnation = 1;
+	message.to_incarnation = 98;
+	g_assert_false(keeper_raft_step(&raft, &message, now));
+	g_assert_cmpint(raft.role, ==, KEEPER_PRECANDIDATE);
+	keeper_raft_free(&raft);
+}
+
+/* A snapshot that the log does not pass through takes all of it away. */
+static void test_install(void)
+{
+	static const uint64_t terms[] = { 2, 2, 2, 2 };
+	keeper_message_t message = message_to_b("a", 5, KEEPER_MSG_INSTALL);
+	keeper_install_t *install =
+		&message.body.keeper_message_body_t_u.install;
+	keeper_raft_t raft;
+
+	raft_make(&raft, 3, terms, 4);
+	install->index = 3;
+	install->term = 4;
+	step(&raft, message, START);
+	g_assert_cmpuint(raft.commit, ==, 3);
+	g_assert_cmpuint(keeper_entries_last(&raft.entries), ==, 3);
+	g_assert_true(raft.snapshot_dirty);
+	keeper_raft_free(&raft);
+}
+
+static char *fuzz_message(GRand *rand, size_t *size)
+{
+	static const keeper_entry_t entries[] = { { .index = 2, .term = 1 },
+						  { .index = 3, .term = 2 } };
+	keeper_message_t message;
+	keeper_append_t *append = &message.body.keeper_message_body_t_u.append;
+	char *bytes, empty[] = "";
+
+	message = message_to_b(g_rand_boolean(rand) ? "a" : "c",
+			       g_rand_int_range(rand, 1, 4),
+			       g_rand_int_range(rand, KEEPER_MSG_PREVOTE,
+						KEEPER_MSG_JOIN + 1));
+	if (message.body.kind == KEEPER_MSG_APPEND) {
+		append->prev_index = 1;
+		append->prev_term = 1;
+		append->entries.entries_len = 2;
+		append->entries.entries_val = (keeper_entry_t *)entries;
+	}
+	if (message.body.kind == KEEPER_MSG_JOIN)
+		message.body.keeper_message_body_t_u.join.address = empty;
+	g_assert_true(keeper_xdr_encode((xdrproc_t)xdr_keeper_message_t,
+					&message, &bytes, size));
+	return bytes;
+}
+
+static void fuzz_bytes(GRand *rand, char *bytes, size_t *size)
+{
+	int changes = g_rand_int_range(rand, 0, 4);
+
+	while (changes-- && *size)
+		bytes[g_rand_int_range(rand, 0, (gint32)*size)] = (char)
+			g_rand_int(rand);
+	if (g_rand_int_range(rand, 0, 10) == 0)
+		*size = (size_t)g_rand_int_range(rand, 0, (gint32)*size + 1);
+}
+
+/* Whatever decodes is taken or dropped; the replica stays sound. */
+static void test_fuzz_message(void)
+{
+	GRand *rand = g_rand_new_with_seed(FUZZ_SEED);
+	unsigned i, decoded = 0, dropped = 0;
+	keeper_raft_t raft;
+
+	raft_make(&raft, 1, NULL, 0);
+	for (i = 0; i < FUZZ_INPUTS; i++) {
+		usec_t now = START + i * (ELECTION / 10);
+		keeper_message_t message = { 0 };
+		size_t size;
+		char *bytes = fuzz_message(rand, &size);
+
+		fuzz_bytes(rand, bytes, &size);
+		if (keeper_xdr_decode((xdrproc_t)xdr_keeper_message_t, bytes,
+				      size, &message)) {
+			decoded++;
+			dropped += !keeper_raft_step(&raft, &message, now);
+			xdr_free((xdrproc_t)xdr_keeper_message_t, &message);
+		}
+		free(bytes);
+		keeper_raft_tick(&raft, now);
+		keeper_raft_saved(&raft, now);
+		drop_out(&raft);
+		g_assert_cmpuint(raft.commit, <=,
+				 keeper_entries_last(&raft.entries));
+	}
+	g_test_message("seed=%d decoded=%u dropped=%u last=%" PRIu64, FUZZ_SEED,
+		       decoded, dropped, keeper_entries_last(&raft.entries));
+	g_assert_cmpuint(decoded, >, FUZZ_INPUTS / 10);
+	g_assert_cmpuint(dropped, >, 0);
+	keeper_raft_free(&raft);
+	g_rand_free(rand);
+}
+
+int main(int argc, char **argv)
+{
+	unsigned i;
+
+	g_test_init(&argc, &argv, NULL);
+	for (i = 0; i < G_N_ELEMENTS(votes); i++) {
+		char *path = g_strdup_printf("/keeper-rules/vote/%s",
+					     votes[i].name);
+
+		g_test_add_data_func(path, GUINT_TO_POINTER(i), test_vote);
+		g_free(path);
+	}
+	g_test_add_func("/keeper-rules/old-term", test_old_term);
+	g_test_add_func("/keeper-rules/replaced-disk", test_replaced);
+	g_test_add_func("/keeper-rules/install", test_install);
+	g_test_add_func("/keeper-rules/fuzz-message", test_fuzz_message);
+	return g_test_run();
+}
--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -17,6 +17,8 @@
 #define CHANGES 12
 #define COMPACT_AT 7
 #define CLUSTER 9
+#define FUZZ_INPUTS 5000
+#define FUZZ_SEED 4712
 #define ELECTION (100 * USEC_PER_MS)
 
 typedef enum {
@@ -436,6 +438,82 @@
 	folder_remove(folder);
 }
 
+/* A body that is any bytes at all, framed as if it were whole. */
+typedef struct {
+	char bytes[256];
+	u_int size;
+} body_t;
+
+static bool_t xdr_body(XDR *xdrs, body_t *body)
+{
+	return xdr_opaque(xdrs, body->bytes, body->size);
+}
+
+static void fuzz_body(GRand *rand, const char *bytes, size_t size, body_t *body)
+{
+	bool whole = g_rand_int_range(rand, 0, 8) != 0;
+	int changes = whole ? 0 : g_rand_int_range(rand, 0, 5);
+
+	body->size = (u_int)MIN(size, sizeof(body->bytes)) & ~3U;
+	memcpy(body->bytes, bytes, body->size);
+	while (changes--)
+		body->bytes[g_rand_int_range(rand, 0, (gint32)body->size)] =
+			(char)g_rand_int(rand);
+	if (!whole && g_rand_int_range(rand, 0, 10) == 0)
+		body->size = (u_int)g_rand_int_range(rand, 0, 64) & ~3U;
+}
+
+/* Frame the records of a log anew, some with other bodies. */
+static void fuzz_records(GRand *rand, const char *bytes, size_t size,
+			 keeper_buffer_t *buffer)
+{
+	size_t offset = 0, length;
+	const char *inner;
+	body_t body;
+
+	while (keeper_record_next(bytes, size, &offset, &inner, &length) ==
+	       KEEPER_RECORD_WHOLE) {
+		fuzz_body(rand, inner, length, &body);
+		g_assert_cmpint(keeper_record_put(buffer, (xdrproc_t)xdr_body,
+						  &body),
+				==, 0);
+	}
+}
+
+/* Bytes with good checksums that no keeper wrote are refused or read. */
+static void test_fuzz(void)
+{
+	GRand *rand = g_rand_new_with_seed(FUZZ_SEED);
+	char folder[256], *bytes;
+	unsigned i, read = 0, refused = 0;
+	size_t size;
+
+	log_make(folder, sizeof(folder), &bytes, &size);
+	for (i = 0; i < FUZZ_INPUTS; i++) {
+		keeper_buffer_t buffer = { 0 };
+		keeper_snapshot_t snapshot;
+		hl_error_t err = { 0 };
+		bool torn;
+
+		fuzz_records(rand, bytes, size, &buffer);
+		if (log_count(buffer.bytes, buffer.size, &torn, &err) < 0)
+			refused++;
+		else
+			read++;
+		if (!keeper_snapshot_parse("snapshot", buffer.bytes,
+					   buffer.size, CLUSTER, &snapshot,
+					   &err))
+			free(snapshot.state);
+		free(buffer.bytes);
+	}
+	g_test_message("seed=%d read=%u refused=%u", FUZZ_SEED, read, refused);
+	g_assert_cmpuint(refused, >, FUZZ_INPUTS / 10);
+	g_assert_cmpuint(read, >, FUZZ_INPUTS / 10);
+	g_free(bytes);
+	folder_remove(folder);
+	g_rand_free(rand);
+}
+
 /* Folders that must not be used, and what the error says. */
 static const struct {
 	const char *name;
@@ -494,6 +572,7 @@
 			     GINT_TO_POINTER(FAULT_SYNC), test_fault);
 	g_test_add_func("/keeper-store/torn-tail", test_torn);
 	g_test_add_func("/keeper-store/bit-flip", test_flip);
+	g_test_add_func("/keeper-store/fuzz", test_fuzz);
 	for (i = 0; i < G_N_ELEMENTS(refusals); i++) {
 		char *path = g_strdup_printf("/keeper-store/%s",
 					     refusals[i].name);
