--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -220,13 +220,12 @@
 static int keeper_compact(keeper_t *keeper, hl_error_t *err)
 {
 	keeper_snapshot_t snapshot = { .index = keeper->raft.commit,
-				       .size = sizeof(uint64_t) };
+				       .size = sizeof(keeper->acked) };
 
 	keeper_entries_term(&keeper->raft.entries, snapshot.index,
 			    &snapshot.term);
 	keeper_raft_group_at(&keeper->raft, snapshot.index, &snapshot.group);
-	snapshot.state = malloc(sizeof(uint64_t));
-	memcpy(snapshot.state, &keeper->acked, sizeof(uint64_t));
+	snapshot.state = g_memdup2(&keeper->acked, sizeof(keeper->acked));
 	keeper_raft_compact(&keeper->raft, &snapshot);
 	return keeper_store_compact(&keeper->store, &keeper->raft, err);
 }
