--- a/hemlock-entry.c
+++ b/hemlock-entry.c
@@ -36,6 +36,7 @@
 	static entry_settings_t settings;
 	hl_error_t err = { 0 };
 	gboolean parsed;
+	int rc;
 
 	g_option_context_add_main_entries(context, options, NULL);
 	parsed = g_option_context_parse(context, &argc, &argv, &error);
@@ -68,7 +69,7 @@
 	}
 	log_open("hemlock-entry", settings.name, settings.log_level);
 	signals_block();
-	if (entry_main_run(&settings, path, &err))
-		return print_error(&err, EXIT_RUN);
-	return EXIT_SUCCESS;
+	rc = entry_main_run(&settings, path, &err);
+	g_free(path);
+	return rc ? print_error(&err, EXIT_RUN) : EXIT_SUCCESS;
 }
--- a/regress/member-node.c
+++ b/regress/member-node.c
@@ -8,7 +8,8 @@
 /*
  * One member of a group, for scripted runs. It prints "MS live N" when the
  * number of live members changes, and at its end its bytes and suspicions.
- * SIGUSR1 cuts its datagrams to --cut, SIGUSR2 lets them through again.
+ * SIGUSR1 cuts its datagrams to --cut, SIGUSR2 lets them through again, SIGHUP
+ * makes its report start anew.
  */
 
 typedef struct {
@@ -19,7 +20,9 @@
 	uint64_t datagrams;
 	volatile int cut_now;
 	int stop;
+	int restart;
 	usec_t started;
+	uint64_t sent, received;
 	member_t *member;
 } node_t;
 
@@ -27,7 +30,9 @@
 
 static void node_on_signal(int number)
 {
-	if (number == SIGUSR1 || number == SIGUSR2)
+	if (number == SIGHUP)
+		__atomic_store_n(&node.restart, 1, __ATOMIC_RELEASE);
+	else if (number == SIGUSR1 || number == SIGUSR2)
 		__atomic_store_n(&node.cut_now, number == SIGUSR1,
 				 __ATOMIC_RELEASE);
 	else
@@ -104,6 +109,20 @@
 	return 0;
 }
 
+static uint64_t node_bytes(metrics_t *metrics, const char *name)
+{
+	return __atomic_load_n(metrics_counter(metrics, name, "", ""),
+			       __ATOMIC_RELAXED);
+}
+
+static void node_restart(metrics_t *metrics)
+{
+	node.started = time_now();
+	node.sent = node_bytes(metrics, "hemlock_peer_sent_bytes_total");
+	node.received = node_bytes(metrics,
+				   "hemlock_peer_received_bytes_total");
+}
+
 static void node_report(metrics_t *metrics)
 {
 	usec_t span = time_now() - node.started;
@@ -112,10 +131,9 @@
 	       " suspected %" PRIu64 " declared %" PRIu64 " refuted %" PRIu64
 	       "\n",
 	       (double)span / USEC_PER_SEC,
-	       *metrics_counter(metrics, "hemlock_peer_sent_bytes_total", "",
-				""),
-	       *metrics_counter(metrics, "hemlock_peer_received_bytes_total",
-				"", ""),
+	       node_bytes(metrics, "hemlock_peer_sent_bytes_total") - node.sent,
+	       node_bytes(metrics, "hemlock_peer_received_bytes_total") -
+		       node.received,
 	       *metrics_gauge(metrics, "hemlock_members_suspected", "", ""),
 	       *metrics_gauge(metrics, "hemlock_members_declared_dead", "", ""),
 	       *metrics_gauge(metrics, "hemlock_members_refuted", "", ""));
@@ -145,14 +163,18 @@
 		return 1;
 	}
 	signal(SIGTERM, node_on_signal);
+	signal(SIGHUP, node_on_signal);
 	signal(SIGUSR1, node_on_signal);
 	signal(SIGUSR2, node_on_signal);
 	sup = supervisor_new("member-node", 1, USEC_PER_SEC);
 	child = member_child(node.member);
 	if (supervisor_add(sup, &child, &err))
 		return 1;
-	while (!__atomic_load_n(&node.stop, __ATOMIC_ACQUIRE))
+	while (!__atomic_load_n(&node.stop, __ATOMIC_ACQUIRE)) {
+		if (__atomic_exchange_n(&node.restart, 0, __ATOMIC_ACQ_REL))
+			node_restart(metrics);
 		nanosleep(&pause, NULL);
+	}
 	member_leave(node.member);
 	supervisor_free(sup);
 	node_report(metrics);
