--- a/entry-settings.c
+++ b/entry-settings.c
@@ -57,7 +57,7 @@
 	  false, "250", 5, 10000,
 	  "milliseconds that the homes of a key get to answer" },
 	{ "claims", "hold_max_s", SETTING_INTEGER, FIELD(claims.hold_max_s),
-	  false, "600", 1, 86400,
+	  false, "3600", 1, 86400,
 	  "seconds that a restarted home waits before it trusts its memory; "
 	  "most that a key is kept" },
 	{ "claims", "records_max", SETTING_INTEGER, FIELD(claims.records_max),
