Try stragglers ever more rarely, and readmit copies that fail alike

Cause: a probation call every 30 ms to a copy that stays slow was 1 % of all calls. A slow answer to one now doubles the span to the next, up to 5 s.

The scripted rows for copies that mislead showed four faults, mended here: a copy ejected for its errors stayed out when the others came to fail alike; an ejection backed off twice; calls waiting when the last copy drained kept waiting (now refused, no-copy); a copy that was cold again under the same name had no cold start (entry_service_cold() says it now, and cold_until should no longer be written directly).

--- a/entry-credit.c
+++ b/entry-credit.c
@@ -10,6 +10,9 @@
 /* Weight of a new connect time in the moving average. */
 #define CREDIT_ROUND_TRIP_WEIGHT 0.2
 
+/* Share of a call that the pipeline may fall short by. */
+#define CREDIT_PIPELINE_SLACK 0.05
+
 unsigned entry_credit_slots(const entry_copy_t *copy)
 {
 	unsigned slots = copy->slots ? copy->slots : copy->limit;
@@ -29,7 +32,8 @@
 		return 0;
 	if (credit->round_trip > 0 && svc->pace.typical > 0)
 		calls = ceil(entry_credit_slots(copy) * credit->round_trip /
-			     svc->pace.typical);
+				     svc->pace.typical -
+			     CREDIT_PIPELINE_SLACK);
 	if (calls < 1)
 		calls = 1;
 	return calls < most ? (unsigned)calls : most;
--- a/entry-health.c
+++ b/entry-health.c
@@ -224,21 +224,26 @@
 {
 	entry_health_t *health = copy->health;
 
-	if (health->ejected) {
-		health_back_off(health, now);
+	if (health->ejected || !health_may_eject(svc))
 		return;
-	}
-	if (!health_may_eject(svc))
-		return;
-	health_back_off(health, now);
 	health->ejected = true;
 	health->any_call = any_call;
 	health->ejected_until = now + HEALTH_EJECT_MAX;
 }
 
+/* Let an ejected copy grow back. */
+static void health_readmit(entry_copy_t *copy)
+{
+	if (!copy->health->ejected)
+		return;
+	copy->health->ejected = false;
+	copy->health->any_call = false;
+	entry_credit_ramp(copy);
+}
+
 /* A whole answer: the copy grows back if it was ejected. */
 static void health_good(entry_service_t *svc, entry_copy_t *copy, double took,
-			unsigned depth, bool probation)
+			unsigned depth, bool probation, usec_t now)
 {
 	entry_health_t *health = copy->health;
 	double typical = svc->pace.typical;
@@ -246,14 +251,14 @@
 
 	health->in_row = 0;
 	health_answer_time(svc, copy, took, depth, probation);
-	if (health->ejected) {
-		health->ejected = false;
-		health->any_call = false;
+	if (health->ejected)
 		health->errors = 0;
-		entry_credit_ramp(copy);
-	}
-	if (!usual)
+	health_readmit(copy);
+	if (!usual) {
+		if (probation)
+			health_back_off(health, now);
 		return;
+	}
 	entry_credit_answered(copy);
 	health->backoff /= 2;
 	health->probe_at = 0;
@@ -270,9 +275,16 @@
 	/* A fast failure keeps its credit as long as an answer would. */
 	if (excess > HEALTH_PAUSE_EXCESS && usual > health->paused_until)
 		health->paused_until = usual;
-	if (health->ejected ||
-	    (excess > HEALTH_EJECT_EXCESS && health->sends > HEALTH_SENDS_MIN))
-		health_eject(svc, copy, false, now);
+	if (health->ejected && excess < HEALTH_PAUSE_EXCESS) {
+		/* The others have come to fail alike. */
+		health_readmit(copy);
+		return;
+	}
+	if (!health->ejected && (excess <= HEALTH_EJECT_EXCESS ||
+				 health->sends <= HEALTH_SENDS_MIN))
+		return;
+	health_back_off(health, now);
+	health_eject(svc, copy, false, now);
 }
 
 /* The call did not run there: no connection, or nothing but refusals. */
@@ -310,7 +322,7 @@
 	health_count_result(health, result);
 	switch (result) {
 	case ENTRY_RESULT_OK:
-		health_good(svc, copy, took, depth, probation);
+		health_good(svc, copy, took, depth, probation, now);
 		break;
 	case ENTRY_RESULT_ERROR:
 	case ENTRY_RESULT_CUT:
--- a/entry-service.c
+++ b/entry-service.c
@@ -98,6 +98,13 @@
 	return 0;
 }
 
+void entry_service_cold(entry_copy_t *copy, usec_t until, usec_t now)
+{
+	if (now >= copy->cold_until)
+		copy->credit->ramp = 1;
+	copy->cold_until = until;
+}
+
 static void service_take_credit(entry_service_t *svc, entry_copy_t *copy,
 				usec_t now)
 {
@@ -372,7 +379,15 @@
 		return call;
 	}
 	call = entry_queue_earliest(svc->queue);
-	if (!call || now + service_margin(svc, call) < call->deadline)
+	if (!call)
+		return NULL;
+	if (!service_has_copy(svc)) {
+		entry_queue_remove(svc->queue, call);
+		*decision = service_refuse(ENTRY_REFUSE_NO_COPY,
+					   SERVICE_RETRY_AFTER);
+		return call;
+	}
+	if (now + service_margin(svc, call) < call->deadline)
 		return NULL;
 	entry_queue_remove(svc->queue, call);
 	*decision = service_refuse(ENTRY_REFUSE_DEADLINE,
--- a/entry.h
+++ b/entry.h
@@ -66,7 +66,7 @@
 	unsigned outstanding; /* calls sent and not yet ended */
 	bool draining;	      /* takes no new work */
 	usec_t announced;     /* when it was last heard of */
-	usec_t cold_until;    /* cold start: fewer credits until then */
+	usec_t cold_until;    /* set by entry_service_cold() */
 	void *io;	      /* the relay's connections to it */
 	struct entry_credit *credit;
 	struct entry_health *health;
@@ -284,6 +284,15 @@
 					 entry_copy_t *const two[2],
 					 const unsigned loads[2], usec_t now);
 
+/**
+ * entry_service_cold - a copy has just started and is slow at first.
+ * @until: when it may be taken for warm without having shown it
+ *
+ * Its credits grow from one with each answer in the usual time. May be said
+ * again with every announcement.
+ */
+void entry_service_cold(entry_copy_t *copy, usec_t until, usec_t now);
+
 /**
  * entry_service_connected - a new connection to a copy took this long.
  * @took: microseconds, close to one round trip
--- a/regress/decide-replay.c
+++ b/regress/decide-replay.c
@@ -330,7 +330,7 @@
 	if (options.adaptive)
 		entry_service_connected(copy, 2 * options.delay);
 	if (scenario_is("cold") && now > 0)
-		copy->cold_until = now + 2 * REPLAY_COLD_SPAN;
+		entry_service_cold(copy, now + 2 * REPLAY_COLD_SPAN, now);
 	copies[index].copy = copy;
 }
 
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -210,6 +210,149 @@
 					"20 expire = "
 					"a deadline may-have-run\n" },
 
+	{ "waiting-without-copies", "0 copy c1 1\n0 arrive x = send c1\n"
+				    "0 arrive a = wait\n1 drain c1\n"
+				    "1 expire = a no-copy not-run\n" },
+
+	/* Copies that mislead. "run COPY MS RESULT N" sends N calls there. */
+	{ "straggler-by-answers", "0 copy c1 2\n0 copy c2 2\n0 copy c3 2\n"
+				  "0 warm 10 10\n200 state c1 = good\n"
+				  "200 run c1 50 ok 7\n900 state c1 = slow\n"
+				  "900 free = 4\n" },
+	{ "straggler-before-it-answers", "0 copy c1 2\n0 copy c2 2\n"
+					 "0 copy c3 2\n0 warm 10 10\n"
+					 "200 arrive a = send c1\n"
+					 "200 arrive b = send c2\n"
+					 "200 arrive c = send c3\n"
+					 "200 arrive d = send c1\n"
+					 "210 end b ok = answer\n"
+					 "210 end c ok = answer\n"
+					 "220 state c1 = good\n"
+					 "400 state c1 = slow\n"
+					 "400 state c2 = good\n" },
+	{ "straggler-is-last-resort", "0 copy c1 2\n0 copy c2 1\n"
+				      "0 copy c3 1\n0 warm 10 10\n"
+				      "200 run c1 50 ok 6\n"
+				      "600 arrive a = send c2\n"
+				      "600 arrive b = send c3\n"
+				      "600 arrive c = wait\n600 next = none\n"
+				      "600 many 20 q\n600 next = c c1\n" },
+	{ "straggler-tried-by-idempotent", "0 copy c1 1\n0 copy c2 1\n"
+					   "0 copy c3 1\n0 warm 10 10\n"
+					   "200 run c1 60 ok 12\n"
+					   "9900 state c1 = slow\n"
+					   "9900 arrive a = send c2\n"
+					   "9900 arrive b idem = send c1\n"
+					   "9910 end b ok = answer\n"
+					   "9910 state c1 = good\n" },
+	{ "all-slow-alike", "0 copy c1 1\n0 copy c2 1\n0 warm 10 10\n"
+			    "200 warm 20 100\n2300 state c1 = good\n"
+			    "2300 state c2 = good\n" },
+	{ "fast-failures-draw-nothing", "0 copy c1 1\n0 copy c2 1\n"
+					"0 copy c3 1\n0 warm 10 10\n"
+					"200 run c1 1 error 2\n"
+					"202 state c1 = paused\n"
+					"202 arrive a = send c2\n"
+					"203 run c1 1 error 1\n"
+					"204 state c1 = ejected\n" },
+	{ "errors-alike-eject-nobody", "0 copy c1 1\n0 copy c2 1\n"
+				       "0 copy c3 1\n0 warm 10 10\n"
+				       "200 alike 1 error 8\n"
+				       "300 state c1 = good\n"
+				       "300 state c2 = good\n"
+				       "300 state c3 = good\n" },
+	{ "errors-alike-readmit", "0 copy c1 1\n0 copy c2 1\n0 copy c3 1\n"
+				  "0 warm 10 10\n200 run c1 1 error 4\n"
+				  "210 state c1 = ejected\n"
+				  "210 alike 1 error 8\n"
+				  "300 state c1 = good\n" },
+	{ "cut-answers-eject", "0 copy c1 1\n0 copy c2 1\n0 copy c3 1\n"
+			       "0 warm 10 10\n200 run c1 10 cut 4\n"
+			       "300 state c1 = ejected\n" },
+	{ "never-the-last", "0 copy c1 1\n0 run c1 1 connect 5\n"
+			    "20000 state c1 = good\n" },
+	{ "eject-percent", "0 profile eject=30\n0 copy c1 1\n0 copy c2 1\n"
+			   "0 copy c3 1\n0 copy c4 1\n"
+			   "0 run c1 1 connect 2\n0 run c2 1 connect 2\n"
+			   "9 state c1 = ejected\n9 state c2 = paused\n" },
+	{ "connect-failures-back-off", "0 copy c1 1\n0 copy c2 1\n"
+				       "0 run c1 1 connect 1\n"
+				       "1 state c1 = paused\n"
+				       "40 state c1 = good\n"
+				       "40 run c1 1 connect 1\n"
+				       "41 state c1 = ejected\n"
+				       "41 arrive a = send c2\n"
+				       "41 arrive b = wait\n"
+				       "90 next = none\n102 next = b c1\n" },
+	{ "probation-by-idempotent-only", "0 copy c1 1\n0 copy c2 1\n"
+					  "0 copy c3 1\n0 warm 10 10\n"
+					  "200 run c1 10 cut 4\n"
+					  "9000 arrive a = send c2\n"
+					  "9000 arrive b idem = send c1\n"
+					  "9000 arrive c idem = send c3\n" },
+	{ "grows-back", "0 copy c1 4\n0 copy c2 4\n0 copy c3 4\n"
+			"0 warm 10 10\n200 run c1 10 cut 4\n"
+			"9000 arrive a idem = send c1\n"
+			"9010 end a ok = answer\n9010 credits c1 = 1\n"
+			"9010 run c1 10 ok 2\n9040 credits c1 = 2\n"
+			"9040 run c1 10 ok 8\n9200 credits c1 = 4\n" },
+	{ "failed-probation-waits-longer", "0 copy c1 1\n0 copy c2 1\n"
+					   "0 warm 10 10\n"
+					   "200 run c1 10 cut 4\n"
+					   "300 arrive a idem = send c1\n"
+					   "300 end a cut = wait\n"
+					   "300 next = a c2\n"
+					   "340 arrive b idem = wait\n"
+					   "419 next = none\n"
+					   "420 next = b c1\n" },
+	{ "cold-start", "0 copy c1 4\n0 cold c1 5000\n0 credits c1 = 1\n"
+			"0 run c1 10 ok 2\n20 credits c1 = 2\n"
+			"20 cold c1 5000\n20 credits c1 = 2\n"
+			"5000 credits c1 = 4\n5001 cold c1 6000\n"
+			"5001 credits c1 = 1\n" },
+
+	/* Credits. */
+	{ "pipeline-follows-round-trip", "0 profile pipeline=4\n0 copy c1 4\n"
+					 "0 credits c1 = 5\n"
+					 "0 run c1 10 ok 5\n"
+					 "50 connected c1 1\n"
+					 "50 credits c1 = 5\n"
+					 "50 copy c2 4\n50 connected c2 5\n"
+					 "50 credits c2 = 6\n"
+					 "50 copy c3 4\n50 connected c3 90\n"
+					 "50 credits c3 = 8\n" },
+	{ "no-pipeline-when-it-sheds", "0 profile pipeline=2 retry=0\n"
+				       "0 copy c1 2\n0 credits c1 = 3\n"
+				       "0 many 3 q\n0 end q2 shed = answer\n"
+				       "0 credits c1 = 2\n"
+				       "9999 credits c1 = 2\n"
+				       "10000 credits c1 = 3\n" },
+	{ "fewer-than-slots-when-it-sheds", "0 profile retry=0\n"
+					    "0 copy c1 4\n0 many 3 q\n"
+					    "0 end q2 shed = answer\n"
+					    "0 credits c1 = 2\n"
+					    "0 run c1 1 ok 16\n"
+					    "16 credits c1 = 2\n"
+					    "16 run c1 1 ok 40\n"
+					    "90 credits c1 = 4\n" },
+	{ "straggler-has-no-pipeline", "0 profile pipeline=1\n0 copy c1 2\n"
+				       "0 copy c2 2\n0 copy c3 2\n"
+				       "0 warm 10 10\n200 run c1 60 ok 5\n"
+				       "900 credits c1 = 2\n"
+				       "900 credits c2 = 3\n" },
+
+	/* The baselines know no credits. */
+	{ "baseline-least", "0 policy least\n0 copy c1 1\n0 copy c2 1\n"
+			    "0 drain c2\n0 arrive a = send c1\n"
+			    "0 arrive b = send c1\n" },
+	{ "baseline-random", "0 policy random\n0 copy c1 1\n0 copy c2 1\n"
+			     "0 drain c1\n0 arrive a = send c2\n"
+			     "0 arrive b = send c2\n" },
+	{ "baseline-two-choices", "0 policy two-choices\n0 copy c1 1\n"
+				  "0 copy c2 1\n0 run c1 1 ok 1\n"
+				  "0 many 4 q\n1 outstanding c1 = 2\n"
+				  "1 outstanding c2 = 2\n" },
+
 	/* Handing over. */
 	{ "take-most-urgent", "0 copy c1 1\n0 arrive x = send c1\n"
 			      "0 arrive a d=300 = wait\n"
@@ -356,7 +499,6 @@
 	copy->slots = strtoul(words[3], NULL, 10);
 	copy->connections = script_option(words, "connections", 100);
 	copy->limit = script_option(words, "limit", copy->slots);
-	copy->cold_until = script_option(words, "cold", 0) * USEC_PER_MS;
 	if (script->profile.pipeline_max > 0)
 		copy->limit = script_option(words, "limit", 100);
 }
@@ -370,6 +512,8 @@
 					      profile->attempts_max);
 	profile->retry_percent = script_option(words, "retry",
 					       profile->retry_percent);
+	profile->eject_percent = script_option(words, "eject",
+					       profile->eject_percent);
 	profile->hedge_after_ms = script_option(words, "hedge", 0);
 	profile->tenant_rate = script_option(words, "tenant_rate", 0);
 	profile->tenant_burst = script_option(words, "tenant_burst", 0);
@@ -396,6 +540,35 @@
 	}
 }
 
+/* Send one call to a named copy and end it after @took. */
+static void script_one(script_t *script, const char *name, usec_t took,
+		       entry_result_t result)
+{
+	entry_service_t *svc = &script->svc;
+	entry_copy_t *copy = entry_service_copy(svc, name);
+	entry_copy_t *two[2] = { copy, copy };
+	const unsigned loads[2] = { 0, 0 };
+	entry_call_t call = { .idempotent = false };
+
+	call.arrived = script->now;
+	call.deadline = script->now + USEC_PER_SEC;
+	entry_service_send_less(svc, &call, two, loads, script->now);
+	script->now += took;
+	call.once = true;
+	entry_service_end(svc, &call, result, script->now);
+}
+
+/* One call to each copy. */
+static void script_alike(script_t *script, char **words)
+{
+	entry_copy_t *copy;
+
+	cds_list_for_each_entry (copy, &script->svc.copies, link)
+		script_one(script, copy->name,
+			   strtoul(words[2], NULL, 10) * USEC_PER_MS,
+			   script_result(words[3]));
+}
+
 /* Commands that only set things up; false if it is none of them. */
 static bool script_setup(script_t *script, char **words)
 {
@@ -415,6 +588,16 @@
 
 		copy->limit = strtoul(words[3], NULL, 10);
 		copy->slots = copy->limit;
+	} else if (!strcmp(verb, "cold")) {
+		entry_service_cold(entry_service_copy(svc, words[2]),
+				   strtoul(words[3], NULL, 10) * USEC_PER_MS,
+				   script->now);
+	} else if (!strcmp(verb, "connected")) {
+		entry_service_connected(entry_service_copy(svc, words[2]),
+					strtoul(words[3], NULL, 10) *
+						USEC_PER_MS);
+	} else if (!strcmp(verb, "policy")) {
+		g_assert_true(entry_policy_parse(words[2], &svc->policy));
 	} else if (!strcmp(verb, "share")) {
 		entry_service_limits(svc, strtoul(words[2], NULL, 10),
 				     g_ascii_strtod(words[3], NULL));
@@ -423,6 +606,14 @@
 	} else if (!strcmp(verb, "warm")) {
 		script_warm(script, strtoul(words[2], NULL, 10),
 			    strtoul(words[3], NULL, 10) * USEC_PER_MS);
+	} else if (!strcmp(verb, "run")) {
+		for (i = strtoul(words[5], NULL, 10); i > 0; i--)
+			script_one(script, words[2],
+				   strtoul(words[3], NULL, 10) * USEC_PER_MS,
+				   script_result(words[4]));
+	} else if (!strcmp(verb, "alike")) {
+		for (i = strtoul(words[4], NULL, 10); i > 0; i--)
+			script_alike(script, words);
 	} else if (!strcmp(verb, "drop")) {
 		for (i = strtoul(words[2], NULL, 10); i > 0; i--)
 			entry_service_next(svc, script->now);
@@ -451,6 +642,18 @@
 			       entry_outcome_name(call->outcome));
 }
 
+/* What is thought of a copy. */
+static char *script_state(script_t *script, const entry_copy_t *copy)
+{
+	if (copy->health->ejected)
+		return g_strdup("ejected");
+	if (script->now < copy->health->paused_until)
+		return g_strdup("paused");
+	if (entry_health_slow(&script->svc, copy, script->now))
+		return g_strdup("slow");
+	return g_strdup("good");
+}
+
 /* Commands about a call, by name. */
 static char *script_about_call(script_t *script, char **words)
 {
@@ -477,6 +680,16 @@
 	entry_service_t *svc = &script->svc;
 	entry_call_t *call;
 
+	if (!strcmp(words[1], "credits"))
+		return g_strdup_printf(
+			"%u",
+			entry_credit_of(svc, entry_service_copy(svc, words[2]),
+					script->now));
+	if (!strcmp(words[1], "outstanding"))
+		return g_strdup_printf(
+			"%u", entry_service_copy(svc, words[2])->outstanding);
+	if (!strcmp(words[1], "state"))
+		return script_state(script, entry_service_copy(svc, words[2]));
 	if (!strcmp(words[1], "free"))
 		return g_strdup_printf("%u",
 				       entry_service_free(svc, script->now));
