--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -181,6 +181,11 @@
 	{ "shed-and-no-retry", "0 copy c1 1\n0 copy c2 1\n"
 			       "0 arrive a idem noretry = send c1\n"
 			       "1 end a shed = answer\n" },
+	{ "no-retry-mark", "0 copy c1 1\n0 copy c2 1\n"
+			   "0 arrive a idem noretry = send c1\n"
+			   "1 end a error = answer\n"
+			   "1 arrive b idem noretry = send c1\n"
+			   "2 end b cut = answer\n" },
 	{ "not-idempotent-runs-once", "0 copy c1 1\n0 copy c2 1\n"
 				      "0 arrive a = send c1\n"
 				      "1 end a cut = answer\n"
