--- a/entry-main.c
+++ b/entry-main.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include "entry-claim.h"
 #include "entry-main.h"
 
 /* How often waiting calls are looked at for their deadlines. */
@@ -18,6 +19,7 @@
 		entry_dispatch_next(route, now);
 	}
 	pthread_mutex_unlock(&entry->routes_lock);
+	entry_claims_tick(entry->claims, now);
 }
 
 static int main_tick_run(void *context, const volatile int *stop)
@@ -55,6 +57,7 @@
 	supervisor_child_t signals = signals_child(&entry->signals);
 	supervisor_child_t watch = entry_watch_child(entry->watch);
 	supervisor_child_t member = member_child(entry->member);
+	supervisor_child_t owner = owner_child(entry->owner);
 	supervisor_child_t tick = { "tick", main_tick_run, NULL, entry };
 
 	entry->signals.supervisor = sup;
@@ -62,7 +65,8 @@
 	entry->signals.context = entry;
 	if (supervisor_add(sup, &signals, err) ||
 	    supervisor_add(sup, &watch, err) ||
-	    supervisor_add(sup, &member, err))
+	    supervisor_add(sup, &member, err) ||
+	    supervisor_add(sup, &owner, err))
 		return -1;
 	return supervisor_add(sup, &tick, err);
 }
@@ -94,7 +98,11 @@
 	main_address(options.self.peer_address, settings, settings->peer_port);
 	main_address(options.rpc_address, settings, settings->rpc_port);
 	entry->member = member_new(&options, err);
-	return entry->member ? 0 : -1;
+	if (!entry->member || entry_owner_new(entry, &options.self, err))
+		return -1;
+	entry->claims = entry_claims_new(entry, options.self.peer_address,
+					 entry->first_start, time_now(), err);
+	return entry->claims ? 0 : -1;
 }
 
 static void main_linger(const entry_t *entry)
@@ -124,6 +132,7 @@
 	__atomic_store_n(&entry->stopping, 1, __ATOMIC_RELEASE);
 	log_event(LOG_LEVEL_NOTICE, "stopping", "in_flight=%u linger_ms=%d",
 		  entry->in_flight, (int)entry->settings.linger_ms);
+	owner_leave(entry->owner);
 	member_leave(entry->member);
 	main_linger(entry);
 out:
@@ -133,9 +142,11 @@
 }
 
 int entry_main_run(const entry_settings_t *settings, const char *path,
-		   hl_error_t *err)
+		   bool first_start, hl_error_t *err)
 {
-	entry_t entry = { .settings = *settings, .settings_path = path };
+	entry_t entry = { .settings = *settings,
+			  .settings_path = path,
+			  .first_start = first_start };
 	supervisor_t *sup = NULL;
 	int rc = -1;
 
@@ -161,6 +172,8 @@
 	entry_work_free(entry.work);
 	supervisor_free(sup);
 	entry_watch_free(entry.watch);
+	entry_claims_free(entry.claims);
+	owner_free(entry.owner);
 	member_free(entry.member);
 	entry_route_free_all(&entry);
 	entry_forward_free(entry.forward);
