Relay heads as they must be: Connection's names and HEAD

A header that the answer's Connection names was relayed: the names are now kept aside and left out. After HEAD with an answer of unknown length libmicrohttpd sent a last chunk, which the next answer on the connection would be taken for; such an answer now closes the connection without chunks (a Connection: close header alone did not stop it). path-hop and path-head fail before and pass now.

--- a/entry-head.c
+++ b/entry-head.c
@@ -50,8 +50,7 @@
 	return false;
 }
 
-/* Whether a list such as "close, X-Trace" holds a name. */
-static bool head_list_holds(const char *list, const char *name)
+bool entry_http_list_holds(const char *list, const char *name)
 {
 	size_t length = strlen(name);
 
@@ -178,7 +177,8 @@
 	int length;
 
 	(void)kind;
-	if (head_is_dropped(name) || head_list_holds(head->connection, name))
+	if (head_is_dropped(name) ||
+	    entry_http_list_holds(head->connection, name))
 		return MHD_YES;
 	/* A header without a value is written with a semicolon for libcurl. */
 	if (value && *value)
--- a/entry-http.h
+++ b/entry-http.h
@@ -13,6 +13,9 @@
 int entry_http_head(entry_request_t *req, const char *method,
 		    const char *protocol);
 
+/** entry_http_list_holds - does "close, X-Trace" hold a name? NULL does not. */
+bool entry_http_list_holds(const char *list, const char *name);
+
 /** entry_http_respond - queue the published answer for the caller. */
 enum MHD_Result entry_http_respond(entry_request_t *req);
 
--- a/entry-io.h
+++ b/entry-io.h
@@ -143,7 +143,8 @@
 typedef struct {
 	unsigned status;
 	struct cds_list_head headers;
-	int64_t length; /* -1: not known before the end */
+	char *connection; /* its Connection header, or NULL */
+	int64_t length;	  /* -1: not known before the end */
 	entry_outcome_t outcome;
 	const char *reason; /* Hemlock-Reason of our own answers, or NULL */
 	usec_t retry_after; /* 0: none */
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -110,6 +110,9 @@
 {
 	if (relay_name_is(line, length, "Retry-After"))
 		relay->says_retry = true;
+	if (relay_name_is(line, length, "Connection") &&
+	    !relay->req->answer.connection)
+		relay->req->answer.connection = strndup(value, value_length);
 	if (relay_name_is(line, length, "Content-Length"))
 		relay->req->answer.length = strtoll(value, NULL, 10);
 	if (!relay_name_is(line, length, "Hemlock-Outcome"))
--- a/entry-request.c
+++ b/entry-request.c
@@ -15,6 +15,8 @@
 		free(header->value);
 		free(header);
 	}
+	free(answer->connection);
+	answer->connection = NULL;
 }
 
 entry_request_t *entry_request_new(entry_t *entry, const char *target)
--- a/entry-respond.c
+++ b/entry-respond.c
@@ -122,8 +122,16 @@
 	if (!response)
 		return MHD_NO;
 	cds_list_for_each_entry (header, &req->answer.headers, link)
-		MHD_add_response_header(response, header->name, header->value);
+		if (!entry_http_list_holds(req->answer.connection,
+					   header->name))
+			MHD_add_response_header(response, header->name,
+						header->value);
 	respond_own_headers(req, response);
+	/* libmicrohttpd ends a chunked answer to HEAD with a last chunk. */
+	if (req->head_only && req->answer.length < 0)
+		MHD_set_response_options(response,
+					 MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+					 MHD_RO_END);
 	result = MHD_queue_response(req->connection, req->answer.status,
 				    response);
 	MHD_destroy_response(response);
