--- a/entry-request.c
+++ b/entry-request.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
-#include "entry-io.h"
+#include "entry-claim.h"
 
 static void request_headers_free(entry_answer_t *answer)
 {
@@ -83,10 +83,11 @@
 
 void entry_request_end(entry_request_t *req, bool cut)
 {
+	req->answer.cut = cut;
+	entry_claims_end(req);
 	pthread_mutex_lock(&req->lock);
 	req->answer.published = true;
 	req->answer.ended = true;
-	req->answer.cut = cut;
 	entry_request_wake(req);
 	pthread_mutex_unlock(&req->lock);
 }
@@ -129,7 +130,8 @@
 			  const entry_decision_t *decision)
 {
 	entry_request_fail(req, entry_refusal_status(decision->refusal),
-			   ENTRY_NOT_RUN, entry_refusal_name(decision->refusal),
+			   req->call.outcome,
+			   entry_refusal_name(decision->refusal),
 			   decision->retry_after);
 }
 
@@ -159,6 +161,6 @@
 	pthread_mutex_unlock(&req->lock);
 	if (!request_leave_queue(req))
 		return;
-	entry_request_fail(req, 499, ENTRY_NOT_RUN, "gone", 0);
+	entry_request_fail(req, 499, req->call.outcome, "gone", 0);
 	entry_request_unref(req);
 }
