--- a/keeper-link.c
+++ b/keeper-link.c
@@ -31,6 +31,7 @@
 	unsigned queue_count;
 	/* Of the link's thread alone. */
 	CLIENT *client;
+	int fd;				/* of client */
 	char connected[HL_ADDRESS_MAX]; /* the address of client */
 } keeper_link_t;
 
@@ -77,8 +78,10 @@
 
 static void keeper_link_close(keeper_link_t *link)
 {
-	if (link->client)
+	if (link->client) {
 		clnt_destroy(link->client);
+		close(link->fd);
+	}
 	link->client = NULL;
 	link->connected[0] = '\0';
 }
@@ -202,7 +205,7 @@
 		close(fd);
 		return -1;
 	}
-	clnt_control(link->client, CLSET_FD_CLOSE, NULL);
+	link->fd = fd;
 	clnt_control(link->client, CLSET_TIMEOUT, (char *)&timeout);
 	strcpy(link->connected, address);
 	return 0;
--- a/regress/keeper-client.c
+++ b/regress/keeper-client.c
@@ -8,6 +8,9 @@
  * fetch		newest revision and profiles of the first address
  * confirm		the same as a quorum confirms it
  * voter add|remove NAME WHERE	change the voters
+ * many PREFIX COUNT	so many changes of one profile one after the other; then
+ *			ask for each again: the answers must be the first ones
+ * race PREFIX COUNT	so many rounds of two changes from the same revision
  * garbage KIND		send what is no call of ours
  */
 #include <errno.h>
@@ -165,6 +168,13 @@
 	return rc;
 }
 
+/* An answer without its texts. */
+typedef struct {
+	config_verdict_t verdict;
+	uint64_t revision;
+	char winner[HL_NAME_MAX];
+} verdict_t;
+
 static int client_print(const char *id, const keeper_submit_res_t *res)
 {
 	static const char *const verdicts[] = { "accepted", "conflict",
@@ -216,21 +226,172 @@
 	return 1;
 }
 
-static int cmd_put(char **args)
+/* The parts of a change that declares one profile. */
+typedef struct {
+	config_change_t change;
+	config_item_t item;
+	config_class_t class_all;
+} put_t;
+
+static config_change_t *put_make(put_t *put, char *id, char *name,
+				 uint64_t base)
 {
-	config_change_t change = { .id = args[0], .author = "regress" };
-	config_item_t item = { .base = strtoull(args[2], NULL, 10) };
-	config_profile_t *profile = &item.body.config_body_t_u.profile;
-	config_class_t class_all = { .name = "all" };
+	config_profile_t *profile = &put->item.body.config_body_t_u.profile;
 
-	item.body.kind = CONFIG_PUT_PROFILE;
+	memset(put, 0, sizeof(*put));
+	put->class_all.name = "all";
+	put->item.base = base;
+	put->item.body.kind = CONFIG_PUT_PROFILE;
 	config_profile_preset(profile);
-	profile->name = args[1];
-	profile->classes.classes_val = &class_all;
+	profile->name = name;
+	profile->classes.classes_val = &put->class_all;
 	profile->classes.classes_len = 1;
-	change.items.items_val = &item;
-	change.items.items_len = 1;
-	return client_settle(args[0], &change, args + 3);
+	put->change.id = id;
+	put->change.author = "regress";
+	put->change.items.items_val = &put->item;
+	put->change.items.items_len = 1;
+	return &put->change;
+}
+
+static int cmd_put(char **args)
+{
+	put_t put;
+
+	return client_settle(args[0],
+			     put_make(&put, args[0], args[1],
+				      strtoull(args[2], NULL, 10)),
+			     args + 3);
+}
+
+/* Ask @address once; true with an answer. The connection is kept. */
+static bool client_try(CLIENT **client, const char *address,
+		       config_change_t *change, verdict_t *verdict)
+{
+	keeper_submit_res_t res = { 0 };
+	bool done = false;
+
+	if (!*client)
+		*client = client_open(address);
+	if (!*client)
+		return false;
+	if (keeper_submit_1(*change, &res, *client) != RPC_SUCCESS) {
+		clnt_destroy(*client);
+		*client = NULL;
+	} else if (res.status == KEEPER_OK) {
+		verdict->verdict = res.answer.verdict;
+		verdict->revision = res.answer.revision;
+		strcpy(verdict->winner, res.answer.winner);
+		done = true;
+	}
+	xdr_free((xdrproc_t)xdr_keeper_submit_res_t, &res);
+	return done;
+}
+
+/* Connections to all keepers. */
+typedef struct {
+	char **addresses;
+	CLIENT *clients[KEEPER_VOTERS_MAX];
+} all_t;
+
+static void all_close(all_t *all)
+{
+	unsigned i;
+
+	for (i = 0; i < KEEPER_VOTERS_MAX; i++)
+		if (all->clients[i])
+			clnt_destroy(all->clients[i]);
+}
+
+/* Send a change again and again until one keeper has its answer. */
+static bool all_settle(all_t *all, config_change_t *change, verdict_t *verdict)
+{
+	unsigned i;
+
+	for (; time_now() < give_up; usleep(1000))
+		for (i = 0; all->addresses[i]; i++)
+			if (client_try(&all->clients[i], all->addresses[i],
+				       change, verdict))
+				return true;
+	return false;
+}
+
+static int cmd_many(char **args)
+{
+	all_t all = { .addresses = args + 2 };
+	int count = atoi(args[1]), i, accepted = 0, same = 0;
+	verdict_t *first = calloc((size_t)count, sizeof(*first)), again;
+	uint64_t *bases = calloc((size_t)count, sizeof(*bases)), last = 0;
+	char id[HL_NAME_MAX];
+	bool rising = true;
+	put_t put;
+
+	for (i = 0; i < count; i++) {
+		snprintf(id, sizeof(id), "%s-%d", args[0], i);
+		bases[i] = last;
+		if (!all_settle(&all, put_make(&put, id, args[0], last),
+				&first[i]))
+			break;
+		rising = rising && first[i].revision > last;
+		last = first[i].revision;
+		accepted += first[i].verdict == CONFIG_ACCEPTED;
+	}
+	for (i = 0; i < count; i++) {
+		snprintf(id, sizeof(id), "%s-%d", args[0], i);
+		memset(&again, 0, sizeof(again));
+		if (!all_settle(&all, put_make(&put, id, args[0], bases[i]),
+				&again))
+			break;
+		same += !memcmp(&again, &first[i], sizeof(again));
+	}
+	all_close(&all);
+	free(first);
+	free(bases);
+	printf("%s accepted=%d same=%d rising=%d\n", args[0], accepted, same,
+	       rising);
+	return accepted == count && same == count ? 0 : 1;
+}
+
+/* Two operators hold the same revision: one wins, the other is told so. */
+static bool race_round(all_t *all, char *name, int number, uint64_t *base)
+{
+	verdict_t verdicts[2] = { 0 }, dummy;
+	char ids[2][HL_NAME_MAX];
+	put_t puts[2];
+	int winner, i;
+
+	for (i = 0; i < 2; i++) {
+		snprintf(ids[i], sizeof(ids[i]), "%s-%d-%c", name, number,
+			 'a' + i);
+		put_make(&puts[i], ids[i], name, *base);
+	}
+	/* Both are under way before either is answered. */
+	for (i = 0; all->addresses[i]; i++) {
+		client_try(&all->clients[i], all->addresses[i],
+			   &puts[number % 2].change, &dummy);
+		client_try(&all->clients[i], all->addresses[i],
+			   &puts[1 - number % 2].change, &dummy);
+	}
+	for (i = 0; i < 2; i++)
+		if (!all_settle(all, &puts[i].change, &verdicts[i]))
+			return false;
+	winner = verdicts[0].verdict == CONFIG_ACCEPTED ? 0 : 1;
+	*base = verdicts[winner].revision;
+	return verdicts[winner].verdict == CONFIG_ACCEPTED &&
+	       verdicts[1 - winner].verdict == CONFIG_CONFLICT &&
+	       !strcmp(verdicts[1 - winner].winner, ids[winner]);
+}
+
+static int cmd_race(char **args)
+{
+	all_t all = { .addresses = args + 2 };
+	int count = atoi(args[1]), i, fair = 0;
+	uint64_t base = 0;
+
+	for (i = 0; i < count; i++)
+		fair += race_round(&all, args[0], i, &base);
+	all_close(&all);
+	printf("%s rounds=%d one-winner=%d\n", args[0], count, fair);
+	return fair == count ? 0 : 1;
 }
 
 static int cmd_voter(char **args)
@@ -307,6 +468,10 @@
 		return cmd_put(argv + 2);
 	if (!strcmp(argv[1], "voter") && argc > 5)
 		return cmd_voter(argv + 2);
+	if (!strcmp(argv[1], "many") && argc > 4)
+		return cmd_many(argv + 2);
+	if (!strcmp(argv[1], "race") && argc > 4)
+		return cmd_race(argv + 2);
 	if (!strcmp(argv[1], "garbage") && argc > 3)
 		return cmd_garbage(argv + 2);
 	return 2;
--- a/regress/keeper-lib.sh
+++ b/regress/keeper-lib.sh
@@ -80,3 +80,39 @@
 has_revision () {
 	[ "$(revision "$1")" = "$2" ]
 }
+
+# state N WORD: the value of one word of keeper-N's state, such as voters.
+state () {
+	$CLIENT state "$(keeper_address "$1")" | tr ' ' '\n' |
+		sed -n "s/^$2=//p"
+}
+
+# others N: the numbers of the keepers of three but N.
+others () {
+	echo 1 2 3 | tr ' ' '\n' | grep -v "$1" | tr '\n' ' '
+}
+
+# leads N...: true once a quorum stands behind one of them.
+leads () {
+	for n in "$@"
+	do
+		$CLIENT confirm "$(keeper_address "$n")" | grep -q confirmed=1 &&
+			return 0
+	done
+	return 1
+}
+
+# keepers_behind_proxy: let each keeper of three reach each other one through
+# a link of its own, named FROM-TO.
+keepers_behind_proxy () {
+	keeper_reach () {
+		echo "$NET.1$1$2:7090"
+	}
+	spawn_proxy $(for a in 1 2 3
+	do
+		for b in $(others $a)
+		do
+			echo "$a-$b=$NET.1$a$b:7090>$(keeper_address $b)/tcp"
+		done
+	done)
+}
