--- a/cmd-status.c
+++ b/cmd-status.c
@@ -103,8 +103,16 @@
 
 cmd_exit_t cmd_status(cmd_t *cmd, char **arguments)
 {
+	hl_error_t err;
+
 	(void)arguments;
 	if (cmd_status_entry)
 		return cmd_status_of_entry(cmd);
+	if (!cmd->list.count) {
+		hl_error_set(&err, HL_ERR_USAGE,
+			     "nobody is named; give --entry, --keepers or "
+			     "--settings");
+		return cmd_fail(cmd, &err);
+	}
 	return cmd_status_keepers(cmd);
 }
--- a/config-follow.c
+++ b/config-follow.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
-#include <urcu.h>
 #include "config-node.h"
 
 /* A thread that fails more often than this has no hope. */
@@ -189,7 +188,7 @@
 
 const config_t *config_follow_get(config_follow_t *follow)
 {
-	return rcu_dereference(follow->config);
+	return __atomic_load_n(&follow->config, __ATOMIC_ACQUIRE);
 }
 
 uint64_t config_follow_revision(config_follow_t *follow)
--- a/config-publish.c
+++ b/config-publish.c
@@ -52,6 +52,27 @@
 	}
 }
 
+/* The thread sanitizer does not know that a grace period orders the readers'
+ * last look before the free. */
+#ifdef __SANITIZE_THREAD__
+void AnnotateIgnoreWritesBegin(const char *file, int line);
+void AnnotateIgnoreWritesEnd(const char *file, int line);
+#endif
+
+/* Free a configuration once all its readers have left it. */
+static void config_publish_retire(config_t *old)
+{
+	synchronize_rcu();
+#ifdef __SANITIZE_THREAD__
+	AnnotateIgnoreWritesBegin(__FILE__, __LINE__);
+#endif
+	xdr_free((xdrproc_t)xdr_config_t, (char *)old);
+	free(old);
+#ifdef __SANITIZE_THREAD__
+	AnnotateIgnoreWritesEnd(__FILE__, __LINE__);
+#endif
+}
+
 /* Swap, tell the entry, and free the old one when its readers are gone. */
 static void config_publish_swap(config_follow_t *follow, config_t *next,
 				const keeper_fetch_body_t *body)
@@ -61,7 +82,7 @@
 
 	pthread_mutex_lock(&follow->lock);
 	config_publish_keep(follow, body);
-	rcu_set_pointer(&follow->config, next);
+	__atomic_store_n(&follow->config, next, __ATOMIC_RELEASE);
 	follow->revision = next->revision;
 	pthread_mutex_unlock(&follow->lock);
 	metrics_set(follow->metrics.revision, next->revision);
@@ -70,11 +91,8 @@
 		  log_quote(follow->source.address, quoted, sizeof(quoted)));
 	if (follow->changed)
 		follow->changed(follow->changed_context, next);
-	if (!old)
-		return;
-	synchronize_rcu();
-	xdr_free((xdrproc_t)xdr_config_t, (char *)old);
-	free(old);
+	if (old)
+		config_publish_retire(old);
 }
 
 static bool config_publish_empty(const keeper_fetch_body_t *body)
