--- a/config-follow.h
+++ b/config-follow.h
@@ -36,7 +36,7 @@
 	  "keepers",                                                             \
 	  SETTING_ADDRESSES,                                                     \
 	  offsetof(type, member.keepers),                                        \
-	  true,                                                                  \
+	  false,                                                                 \
 	  NULL,                                                                  \
 	  0,                                                                     \
 	  0,                                                                     \
@@ -87,7 +87,7 @@
 	 */
 	void (*changed)(void *context, const config_t *config);
 	void *changed_context;
-	metrics_t *metrics;
+	metrics_t *metrics; /* required */
 } config_follow_options_t;
 
 /** config_follow_new - a follower that has nothing yet; NULL with @err. */
--- a/entry-io.h
+++ b/entry-io.h
@@ -2,8 +2,10 @@
 #define ENTRY_IO_H
 
 #include <curl/curl.h>
+#include <glib.h>
 #include <microhttpd.h>
 #include <urcu/list.h>
+#include "config-follow.h"
 #include "entry.h"
 #include "member.h"
 #include "metrics.h"
@@ -26,6 +28,18 @@
 /* An answer that is not whole after this time is relayed as it comes. */
 #define ENTRY_HOLD_TIME (5 * USEC_PER_MS)
 
+/* Groups of homes in the settings; each key has one home in each. */
+#define ENTRY_CLAIM_GROUPS 3
+
+/** struct entry_claim_settings_t - the table [claims] of an entry. */
+typedef struct {
+	setting_list_t groups[ENTRY_CLAIM_GROUPS];
+	int64_t timeout_ms;
+	int64_t records_max;
+	int64_t hold_max_s; /* longest key_hold_s of a profile */
+	int64_t answers_kb; /* kept to be given again */
+} entry_claim_settings_t;
+
 /** struct entry_settings_t - what the settings file of an entry says. */
 typedef struct {
 	char name[HL_NAME_MAX];
@@ -48,7 +62,8 @@
 	char policy[HL_NAME_MAX];
 	bool lending;
 	setting_list_t seeds; /* peer addresses of the entries */
-	setting_list_t keepers;
+	config_follow_settings_t follow;
+	entry_claim_settings_t claims;
 } entry_settings_t;
 
 extern const setting_t entry_settings[];
@@ -148,6 +163,7 @@
 
 struct entry_route;
 struct entry;
+typedef struct entry_claims entry_claims_t;
 
 /** struct entry_request_t - a call with its I/O. */
 typedef struct entry_request {
@@ -167,7 +183,10 @@
 	int64_t body_length; /* -1: chunked */
 	bool head_only;	     /* HEAD */
 	bool http10;
-	entry_place_t *forward; /* a sibling entry to hand it to, or NULL */
+	entry_place_t *forward;	   /* a sibling entry to hand it to, or NULL */
+	struct entry_claim *claim; /* of its Idempotency-Key, or NULL */
+	bool handed_over; /* it waited here and went to an idle sibling */
+	bool repeat;	  /* it asks for the answer of the first of its key */
 
 	pthread_mutex_t lock; /* guards all below */
 	pthread_cond_t changed;
@@ -221,6 +240,11 @@
 	pthread_mutex_t lock;
 	entry_service_t service;
 	config_profile_t *profile;
+	bool declared;	 /* the configuration in force names it */
+	unsigned rate;	 /* calls a second of the service, 0: no limit */
+	unsigned owners; /* entries owning copies, 0: by zone */
+	char (*stops)[HL_NAME_MAX]; /* copies with a planned stop */
+	unsigned stop_count;
 	pthread_mutex_t measure_lock;
 	struct cds_list_head measures;
 	unsigned measure_count;
@@ -283,10 +307,14 @@
 	metrics_t *metrics;
 	pthread_mutex_t routes_lock;
 	struct cds_list_head routes;
+	GHashTable *routes_by_name;
 	entry_work_t *work;
 	entry_watch_t *watch;
 	entry_forward_t *forward;
 	member_t *member;
+	struct entry_claims *claims;
+	config_follow_t *follow; /* NULL without keepers */
+	bool first_start;	 /* nothing was ever claimed here */
 	owner_t *owner;
 	const char *settings_path;
 	signals_t signals;
@@ -309,6 +337,22 @@
 /** entry_dispatch_expire - refuse what can no longer be served in time. */
 void entry_dispatch_expire(entry_route_t *route, usec_t now);
 
+/** entry_config_new - follow the keepers, if the settings name any. */
+int entry_config_new(entry_t *entry, const owner_member_t *self,
+		     hl_error_t *err);
+
+/** entry_config_ready - is a confirmed configuration in force? */
+bool entry_config_ready(const entry_t *entry);
+
+/** entry_config_revision - the revision in force; @context is the entry. */
+uint64_t entry_config_revision(void *context);
+
+/** entry_config_serves - is the service of a route declared? */
+bool entry_config_serves(const entry_t *entry, entry_route_t *route);
+
+/** entry_config_stopped - is a planned stop of a copy in force? */
+bool entry_config_stopped(entry_route_t *route, const char *copy);
+
 /** entry_relay_send - send a request to its place and take the answer. */
 void entry_relay_send(entry_request_t *req);
 
@@ -330,7 +374,10 @@
 	unsigned status;
 	const char *type; /* content type */
 	char *body;	  /* malloc'ed */
+	size_t size;	  /* of body; 0 for a string */
 	unsigned retry_after_s;
+	const char *outcome; /* Hemlock-Outcome, or NULL */
+	struct cds_list_head headers;
 } entry_reply_t;
 
 /** entry_reply_error - a JSON error whose text names the remedy. */
--- a/entry-main.c
+++ b/entry-main.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include "entry-claim.h"
 #include "entry-main.h"
 
 /* How often waiting calls are looked at for their deadlines. */
@@ -18,6 +19,7 @@
 		entry_dispatch_next(route, now);
 	}
 	pthread_mutex_unlock(&entry->routes_lock);
+	entry_claims_tick(entry->claims, now);
 }
 
 static int main_tick_run(void *context, const volatile int *stop)
@@ -66,6 +68,12 @@
 	    supervisor_add(sup, &member, err) ||
 	    supervisor_add(sup, &owner, err))
 		return -1;
+	if (entry->follow) {
+		supervisor_child_t follow = config_follow_child(entry->follow);
+
+		if (supervisor_add(sup, &follow, err))
+			return -1;
+	}
 	return supervisor_add(sup, &tick, err);
 }
 
@@ -84,6 +92,8 @@
 	member_options_t options = {
 		.seeds = &settings->seeds,
 		.metrics = entry->metrics,
+		.revision = entry_config_revision,
+		.context = entry,
 		.seed = hl_hash(settings->name, strlen(settings->name), 0),
 	};
 
@@ -94,9 +104,15 @@
 	main_address(options.self.control_address, settings,
 		     settings->control_port);
 	main_address(options.self.peer_address, settings, settings->peer_port);
-	main_address(options.rpc_address, settings, settings->rpc_port);
+	main_address(options.self.rpc_address, settings, settings->rpc_port);
+	strcpy(options.rpc_address, options.self.rpc_address);
 	entry->member = member_new(&options, err);
-	return entry->member ? entry_owner_new(entry, &options.self, err) : -1;
+	if (!entry->member || entry_owner_new(entry, &options.self, err) ||
+	    entry_config_new(entry, &options.self, err))
+		return -1;
+	entry->claims = entry_claims_new(entry, options.self.peer_address,
+					 entry->first_start, time_now(), err);
+	return entry->claims ? 0 : -1;
 }
 
 static void main_linger(const entry_t *entry)
@@ -136,14 +152,17 @@
 }
 
 int entry_main_run(const entry_settings_t *settings, const char *path,
-		   hl_error_t *err)
+		   bool first_start, hl_error_t *err)
 {
-	entry_t entry = { .settings = *settings, .settings_path = path };
+	entry_t entry = { .settings = *settings,
+			  .settings_path = path,
+			  .first_start = first_start };
 	supervisor_t *sup = NULL;
 	int rc = -1;
 
 	pthread_mutex_init(&entry.routes_lock, NULL);
 	CDS_INIT_LIST_HEAD(&entry.routes);
+	entry.routes_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	entry_policy_parse(settings->policy, &entry.policy);
 	curl_global_init(CURL_GLOBAL_ALL);
 	entry.metrics = metrics_new();
@@ -164,9 +183,12 @@
 	entry_work_free(entry.work);
 	supervisor_free(sup);
 	entry_watch_free(entry.watch);
+	entry_claims_free(entry.claims);
+	config_follow_free(entry.follow);
 	owner_free(entry.owner);
 	member_free(entry.member);
 	entry_route_free_all(&entry);
+	g_hash_table_destroy(entry.routes_by_name);
 	entry_forward_free(entry.forward);
 	metrics_free(entry.metrics);
 	pthread_mutex_destroy(&entry.routes_lock);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -45,8 +45,26 @@
 	  0, "whether owners hand waiting calls to idle siblings" },
 	{ "entry", "seeds", SETTING_ADDRESSES, FIELD(seeds), false, NULL, 0, 0,
 	  "peer addresses of other entries" },
-	{ "entry", "keepers", SETTING_ADDRESSES, FIELD(keepers), false, NULL, 0,
-	  0, "addresses of the keepers" },
+	{ "claims", "group_1", SETTING_ADDRESSES, FIELD(claims.groups[0]),
+	  false, NULL, 0, 0,
+	  "peer addresses of the entries of one availability zone, the same "
+	  "on every entry" },
+	{ "claims", "group_2", SETTING_ADDRESSES, FIELD(claims.groups[1]),
+	  false, NULL, 0, 0, "the same of a second zone" },
+	{ "claims", "group_3", SETTING_ADDRESSES, FIELD(claims.groups[2]),
+	  false, NULL, 0, 0, "the same of a third zone" },
+	{ "claims", "timeout_ms", SETTING_INTEGER, FIELD(claims.timeout_ms),
+	  false, "250", 5, 10000,
+	  "milliseconds that the homes of a key get to answer" },
+	{ "claims", "hold_max_s", SETTING_INTEGER, FIELD(claims.hold_max_s),
+	  false, "3600", 1, 86400,
+	  "seconds that a restarted home waits before it trusts its memory; "
+	  "most that a key is kept" },
+	{ "claims", "records_max", SETTING_INTEGER, FIELD(claims.records_max),
+	  false, "65536", 16, 4194304, "keys that this entry keeps as a home" },
+	{ "claims", "answers_kb", SETTING_INTEGER, FIELD(claims.answers_kb),
+	  false, "16384", 0, 1048576, "KiB of answers kept to be given again" },
+	CONFIG_FOLLOW_SETTINGS(entry_settings_t, follow),
 };
 
 const size_t entry_settings_count = sizeof(entry_settings) /
--- a/hemlock-entry.c
+++ b/hemlock-entry.c
@@ -20,11 +20,15 @@
 	gboolean check = FALSE;
 	gboolean version = FALSE;
 	gboolean help_settings = FALSE;
+	gboolean first_start = FALSE;
 	const GOptionEntry options[] = {
 		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
 		  "settings file in TOML", "FILE" },
 		{ "check", 'c', 0, G_OPTION_ARG_NONE, &check,
 		  "check the settings and exit", NULL },
+		{ "first-start", 0, 0, G_OPTION_ARG_NONE, &first_start,
+		  "a first installation: no idempotency key was ever claimed",
+		  NULL },
 		{ "help-settings", 0, 0, G_OPTION_ARG_NONE, &help_settings,
 		  "list every setting and exit", NULL },
 		{ "version", 0, 0, G_OPTION_ARG_NONE, &version,
@@ -69,7 +73,7 @@
 	}
 	log_open("hemlock-entry", settings.name, settings.log_level);
 	signals_block();
-	rc = entry_main_run(&settings, path, &err);
+	rc = entry_main_run(&settings, path, first_start, &err);
 	g_free(path);
 	return rc ? print_error(&err, EXIT_RUN) : EXIT_SUCCESS;
 }
--- a/regress/load-caller.c
+++ b/regress/load-caller.c
@@ -15,15 +15,17 @@
 #include <unistd.h>
 #include <urcu/list.h>
 #include "hemlock.h"
-#include "metrics.h"
 
 #define THREADS_MAX 16
 #define ADDRESSES_MAX 64
 #define EVENTS_MAX 256
-#define CONNECTIONS_MAX 4096L
+#define CONNECTIONS_MAX 4096
 #define GRACE_MS 2000 /* how much longer than its deadline a caller waits */
 #define LOOKUP_TIMEOUT_MS 300L
 #define LOOKUP_RETRY_MS 100
+#define HISTOGRAM_FIRST_USEC 1.0
+#define HISTOGRAM_RATIO 1.189207115 /* the fourth root of 2 */
+#define BAR_COLUMNS 200
 #define RANGE 9007199254740992.0 /* 2^53 */
 
 typedef enum {
@@ -68,13 +70,12 @@
 	unsigned index;
 	int epoll_fd;
 	usec_t timer, next_arrival, start, stop;
-	uint64_t random, serial;
+	uint64_t random, choice, serial;
 	struct cds_list_head idle;
 	uint64_t ends[ENDS], all_ends[ENDS], sent;
 	GHashTable *reasons;
 	GArray *latencies;
 	unsigned flying;
-	metrics_histogram_t histogram;
 };
 
 static gchar *opt_service = "bay-desk", *opt_entries, *opt_direct, *opt_zone;
@@ -83,7 +84,7 @@
 static gdouble opt_rate, opt_shift_factor;
 static gint opt_callers, opt_threads = 1, opt_seconds = 5, opt_warmup_ms = 500;
 static gint opt_post, opt_deadline_ms = 5000, opt_seed = 1, opt_size;
-static gint opt_shift_ms, opt_body = 16;
+static gint opt_shift_ms, opt_body = 16, opt_connections = CONNECTIONS_MAX;
 static gboolean opt_keyed;
 
 static addresses_t addresses;
@@ -92,11 +93,16 @@
 static FILE *record;
 static volatile int finished;
 
+static double draw(uint64_t *state)
+{
+	*state = hl_hash(state, sizeof(*state), (uint64_t)opt_seed);
+	return ((double)(*state >> 11) + 0.5) / RANGE;
+}
+
+/* What is drawn here is the same for each run with the same seed. */
 static double uniform(worker_t *worker)
 {
-	worker->random = hl_hash(&worker->random, sizeof(worker->random),
-				 (uint64_t)opt_seed);
-	return ((double)(worker->random >> 11) + 0.5) / RANGE;
+	return draw(&worker->random);
 }
 
 static size_t text_write(char *data, size_t size, size_t count, void *cls)
@@ -189,7 +195,7 @@
 
 	pthread_mutex_lock(&lock);
 	first = addresses.count;
-	at = (unsigned)(uniform(worker) * addresses.total);
+	at = (unsigned)(draw(&worker->choice) * addresses.total);
 	for (i = 0; i < addresses.count; i++) {
 		if (at < addresses.weight[i] || !addresses.total)
 			break;
@@ -376,7 +382,6 @@
 	worker->ends[end]++;
 	if (end == END_OK) {
 		g_array_append_val(worker->latencies, latency);
-		metrics_histogram_add(&worker->histogram, latency);
 	} else {
 		const char *reason = call->reason[0] ? call->reason : "none";
 		char *key = g_strdup_printf("%s_%s", end_names[end], reason);
@@ -477,7 +482,8 @@
 	if (opt_shift_ms)
 		highest *= 1 + opt_shift_factor;
 	while (worker->next_arrival <= now &&
-	       worker->next_arrival < worker->stop) {
+	       worker->next_arrival < worker->stop &&
+	       worker->flying < (unsigned)opt_connections) {
 		usec_t intended = worker->next_arrival;
 
 		if (!opt_shift_ms ||
@@ -496,7 +502,8 @@
 	int i, n, running;
 
 	due = MIN(due, worker->timer);
-	if (opt_rate > 0 && worker->next_arrival < worker->stop)
+	if (opt_rate > 0 && worker->next_arrival < worker->stop &&
+	    worker->flying < (unsigned)opt_connections)
 		due = MIN(due, worker->next_arrival);
 	due = MAX(due - now, 0);
 	wait = (struct timespec){ due / USEC_PER_SEC,
@@ -520,6 +527,12 @@
 	}
 }
 
+/* Calls that were due wait for a connection, and their latency counts it. */
+static bool behind(const worker_t *worker)
+{
+	return opt_rate > 0 && worker->next_arrival < worker->stop;
+}
+
 static void *worker_main(void *arg)
 {
 	worker_t *worker = arg;
@@ -529,7 +542,7 @@
 
 	for (i = (int)worker->index; i < opt_callers; i += opt_threads)
 		call_start(worker, time_now());
-	while (time_now() < worker->stop || worker->flying) {
+	while (time_now() < worker->stop || worker->flying || behind(worker)) {
 		if (opt_rate > 0)
 			start_due(worker, time_now());
 		wait_for_events(worker);
@@ -548,6 +561,7 @@
 {
 	worker->index = index;
 	worker->random = index + 1;
+	worker->choice = index + 1 + THREADS_MAX;
 	worker->start = worker->next_arrival = start;
 	worker->stop = start + opt_seconds * USEC_PER_SEC;
 	worker->timer = USEC_NEVER;
@@ -561,7 +575,8 @@
 	curl_multi_setopt(worker->multi, CURLMOPT_SOCKETDATA, worker);
 	curl_multi_setopt(worker->multi, CURLMOPT_TIMERFUNCTION, on_timer);
 	curl_multi_setopt(worker->multi, CURLMOPT_TIMERDATA, worker);
-	curl_multi_setopt(worker->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_MAX);
+	curl_multi_setopt(worker->multi, CURLMOPT_MAXCONNECTS,
+			  (long)CONNECTIONS_MAX);
 }
 
 static void worker_merge(worker_t *into, const worker_t *from)
@@ -577,7 +592,6 @@
 	into->sent += from->sent;
 	g_array_append_vals(into->latencies, from->latencies->data,
 			    from->latencies->len);
-	metrics_histogram_merge(&into->histogram, &from->histogram);
 	g_hash_table_iter_init(&iter, from->reasons);
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		g_hash_table_insert(
@@ -625,15 +639,26 @@
 	printf("\n");
 }
 
-/* Lines of "upper edge in us, count" for each bucket that holds any. */
-static void histogram_write(const metrics_histogram_t *histogram)
+/* One line for each quarter of a doubling: lower edge, calls, a bar. */
+static void histogram_write(const GArray *sorted)
 {
 	FILE *out = opt_histogram ? fopen(opt_histogram, "w") : NULL;
-	double at, step = 0.001;
-
-	for (at = step; out && at < 1; at += step)
-		fprintf(out, "%.3f %" PRId64 "\n", at,
-			metrics_histogram_quantile(histogram, at));
+	double edge = HISTOGRAM_FIRST_USEC;
+	guint at = 0, count, bar;
+
+	for (; out && at < sorted->len; edge *= HISTOGRAM_RATIO) {
+		for (count = 0; at < sorted->len &&
+				(double)g_array_index(sorted, usec_t, at) <
+					edge * HISTOGRAM_RATIO;
+		     at++)
+			count++;
+		if (!count)
+			continue;
+		fprintf(out, "%12.3f ms %8u ", edge / USEC_PER_MS, count);
+		for (bar = count * BAR_COLUMNS / sorted->len; bar; bar--)
+			fputc('#', out);
+		fputc('\n', out);
+	}
 	if (out)
 		fclose(out);
 }
@@ -651,6 +676,8 @@
 	  "open loop: calls a second, Poisson", "N" },
 	{ "callers", 0, 0, G_OPTION_ARG_INT, &opt_callers,
 	  "closed loop: callers", "N" },
+	{ "connections", 0, 0, G_OPTION_ARG_INT, &opt_connections,
+	  "open loop: most calls in flight, a thread", "N" },
 	{ "shift-ms", 0, 0, G_OPTION_ARG_INT, &opt_shift_ms,
 	  "the rate changes up or down so often", "MS" },
 	{ "shift-factor", 0, 0, G_OPTION_ARG_DOUBLE, &opt_shift_factor,
@@ -677,7 +704,7 @@
 	{ "record", 0, 0, G_OPTION_ARG_STRING, &opt_record,
 	  "of each call, for history-check", "FILE" },
 	{ "histogram", 0, 0, G_OPTION_ARG_STRING, &opt_histogram,
-	  "quantiles in microseconds", "FILE" },
+	  "as text with bars", "FILE" },
 	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 };
 
@@ -692,7 +719,7 @@
 	g_option_context_free(context);
 	if (!good || !opt_entries == !opt_direct ||
 	    !(opt_rate > 0) == !opt_callers || opt_threads < 1 ||
-	    opt_threads > THREADS_MAX) {
+	    opt_threads > THREADS_MAX || opt_connections < 1) {
 		fprintf(stderr, "%s\n",
 			error ? error->message :
 				"needs --entries or --direct, and --rate or "
@@ -761,7 +788,7 @@
 			worker_merge(&workers[0], &workers[i]);
 	}
 	summary(&workers[0]);
-	histogram_write(&workers[0].histogram);
+	histogram_write(workers[0].latencies);
 	i = workers[0].all_ends[END_WRONG] ? 1 : 0;
 	fflush(NULL);
 	_exit(i);
