Give others the RPC address of a member

owner_member_t got an rpc_address for followers of the configuration, but what a member says of itself was still stored beside it, so every other entry had an empty one and could not fan out through siblings. The address now stands in owner_member_t alone; a test compares what arrives.

--- a/entry-main.c
+++ b/entry-main.c
@@ -105,7 +105,6 @@
 		     settings->control_port);
 	main_address(options.self.peer_address, settings, settings->peer_port);
 	main_address(options.self.rpc_address, settings, settings->rpc_port);
-	strcpy(options.rpc_address, options.self.rpc_address);
 	entry->member = member_new(&options, err);
 	if (!entry->member || entry_owner_new(entry, &options.self, err) ||
 	    entry_config_new(entry, &options.self, err))
--- a/member-run.c
+++ b/member-run.c
@@ -251,7 +251,7 @@
 	swim.context = member;
 	member->incarnation = member_first_incarnation();
 	return member_swim_init(&member->swim, &swim, &options->self,
-				options->rpc_address, member->incarnation,
+				member->incarnation,
 				options->seed + member->incarnation,
 				time_now());
 }
--- a/member-swim.c
+++ b/member-swim.c
@@ -498,8 +498,8 @@
 }
 
 int member_swim_init(member_swim_t *swim, const member_swim_options_t *options,
-		     const owner_member_t *self, const char *rpc_address,
-		     uint64_t incarnation, uint64_t seed, usec_t now)
+		     const owner_member_t *self, uint64_t incarnation,
+		     uint64_t seed, usec_t now)
 {
 	memset(swim, 0, sizeof(*swim));
 	swim->options = *options;
@@ -508,7 +508,6 @@
 	if (!swim->self)
 		return -1;
 	swim->self->info.entry = *self;
-	strncpy(swim->self->info.rpc_address, rpc_address, HL_ADDRESS_MAX - 1);
 	member_table_set(swim, swim->self, PEER_ALIVE, incarnation, now);
 	swim->last_tick = now;
 	swim->next_probe = now;
--- a/member-swim.h
+++ b/member-swim.h
@@ -107,7 +107,6 @@
  * @swim: to be initialised
  * @options: copied
  * @self: this entry
- * @rpc_address: its RPC address
  * @incarnation: above any that this entry had before, if that can be known
  * @seed: of its random choices
  * @now: the present time
@@ -115,8 +114,8 @@
  * Return: 0, or -1 without memory.
  */
 int member_swim_init(member_swim_t *swim, const member_swim_options_t *options,
-		     const owner_member_t *self, const char *rpc_address,
-		     uint64_t incarnation, uint64_t seed, usec_t now);
+		     const owner_member_t *self, uint64_t incarnation,
+		     uint64_t seed, usec_t now);
 
 /** member_swim_fini - free the members. */
 void member_swim_fini(member_swim_t *swim);
--- a/member-table.c
+++ b/member-table.c
@@ -112,7 +112,7 @@
 	table_copy(entry->control_address, HL_ADDRESS_MAX,
 		   said->control_address);
 	table_copy(entry->peer_address, HL_ADDRESS_MAX, said->peer_address);
-	table_copy(node->info.rpc_address, HL_ADDRESS_MAX, said->rpc_address);
+	table_copy(entry->rpc_address, HL_ADDRESS_MAX, said->rpc_address);
 }
 
 /* Somebody says of us what is not so: outbid it. */
@@ -185,7 +185,7 @@
 	out->call_address = entry->call_address;
 	out->control_address = entry->control_address;
 	out->peer_address = entry->peer_address;
-	out->rpc_address = node->info.rpc_address;
+	out->rpc_address = entry->rpc_address;
 	out->incarnation = node->incarnation;
 	out->state = node->state;
 }
--- a/member.h
+++ b/member.h
@@ -24,7 +24,6 @@
 /** struct member_options_t - what member_new() is told; times are spans. */
 typedef struct {
 	owner_member_t self;
-	char rpc_address[HL_ADDRESS_MAX];
 	char group[HL_NAME_MAX];	   /* others' datagrams are dropped */
 	char bind_address[HL_ADDRESS_MAX]; /* "": self.peer_address */
 	const setting_list_t *seeds;	   /* peer addresses; may be NULL */
@@ -46,7 +45,6 @@
 /** struct member_info_t - a live member and its hints. */
 typedef struct {
 	owner_member_t entry;
-	char rpc_address[HL_ADDRESS_MAX];
 	uint64_t revision; /* last heard of, may be old */
 	bool suspect;
 } member_info_t;
--- a/regress/member-node.c
+++ b/regress/member-node.c
@@ -100,7 +100,7 @@
 	g_strlcpy(node.options.self.peer_address, address, HL_ADDRESS_MAX);
 	g_strlcpy(node.options.self.call_address, address, HL_ADDRESS_MAX);
 	g_strlcpy(node.options.self.control_address, address, HL_ADDRESS_MAX);
-	g_strlcpy(node.options.rpc_address, address, HL_ADDRESS_MAX);
+	g_strlcpy(node.options.self.rpc_address, address, HL_ADDRESS_MAX);
 	for (; seeds && *seeds && node.seeds.count < SETTING_LIST_MAX; seeds++)
 		g_strlcpy(node.seeds.items[node.seeds.count++], *seeds,
 			  HL_ADDRESS_MAX);
--- a/regress/test-member-swim.c
+++ b/regress/test-member-swim.c
@@ -119,9 +119,10 @@
 		group->running[i] = true;
 		g_snprintf(self.name, HL_NAME_MAX, "n%u", i);
 		g_snprintf(self.peer_address, HL_ADDRESS_MAX, "10.0.0.1:%u", i);
+		strcpy(self.rpc_address, self.peer_address);
 		options.seeds.count = 1;
 		strcpy(options.seeds.items[0], "10.0.0.1:0");
-		member_swim_init(&group->swim[i], &options, &self, "", 5, seed,
+		member_swim_init(&group->swim[i], &options, &self, 5, seed,
 				 group->now);
 	}
 	group_run(group, 5 * USEC_PER_SEC);
@@ -301,6 +302,19 @@
 	g_rand_free(random);
 }
 
+/* What a member says of itself reaches the others whole. */
+static void test_addresses(void)
+{
+	static group_t group;
+	const member_node_t *node;
+
+	group_start(&group, FOREVER, 1);
+	node = member_swim_find(&group.swim[1], "n3");
+	g_assert_cmpstr(node->info.entry.rpc_address, ==, "10.0.0.1:3");
+	g_assert_cmpstr(node->info.entry.peer_address, ==, "10.0.0.1:3");
+	group_stop(&group);
+}
+
 /* Another group's datagrams, and our own, change nothing. */
 static void test_foreign(void)
 {
@@ -334,5 +348,6 @@
 	}
 	g_test_add_func("/member/garbage", test_garbage);
 	g_test_add_func("/member/foreign", test_foreign);
+	g_test_add_func("/member/addresses", test_addresses);
 	return g_test_run();
 }
--- a/regress/test-owner-sim.c
+++ b/regress/test-owner-sim.c
@@ -194,7 +194,7 @@
 	for (i = 0; i < 2; i++)
 		g_snprintf(swim.seeds.items[swim.seeds.count++], HL_ADDRESS_MAX,
 			   "10.0.0.1:%u", i + 1);
-	g_assert_cmpint(member_swim_init(&node->swim, &swim, &options.self, "",
+	g_assert_cmpint(member_swim_init(&node->swim, &swim, &options.self,
 					 (uint64_t)sim->now / 1000,
 					 g_rand_int(sim->random), sim->now),
 			==, 0);
