Print headers in the order that a script asks for

libmicrohttpd writes headers in an order that follows from the entry's code; path-once failed after a merge that swapped two of them, with nothing else changed. The expected files differ by the order of three lines.

--- a/regress/call.c
+++ b/regress/call.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 #include "hemlock.h"
 
+#define SHOWN_MAX 16
 #define FNV_BASIS 0xcbf29ce484222325ULL
 #define FNV_PRIME 0x100000001b3ULL
 
@@ -33,7 +34,8 @@
 
 typedef struct {
 	uint64_t size, hash;
-	GString *text, *headers;
+	GString *text;
+	char *headers[SHOWN_MAX]; /* in the order of opt_show */
 	int64_t to_send;
 	size_t sent;
 	bool head_ended;
@@ -72,7 +74,8 @@
 	return n;
 }
 
-static bool shown(const char *line)
+/* Which of the headers asked for a line holds, or -1. */
+static int shown(const char *line)
 {
 	char *colon = strchr(line, ':');
 	int i;
@@ -80,21 +83,34 @@
 	for (i = 0; colon && opt_show && opt_show[i]; i++) {
 		if (strlen(opt_show[i]) == (size_t)(colon - line) &&
 		    !g_ascii_strncasecmp(line, opt_show[i], colon - line))
-			return true;
+			return i;
 	}
-	return false;
+	return -1;
+}
+
+static void headers_clear(exchange_t *exchange)
+{
+	int i;
+
+	for (i = 0; i < SHOWN_MAX; i++)
+		g_clear_pointer(&exchange->headers[i], g_free);
 }
 
 static size_t header_write(char *data, size_t size, size_t count, void *cls)
 {
 	exchange_t *exchange = cls;
 	char *line = g_strstrip(g_strndup(data, size * count));
+	int at;
 
 	exchange->head_ended = !*line;
 	if (g_str_has_prefix(line, "HTTP/"))
-		g_string_truncate(exchange->headers, 0);
-	else if (shown(line))
-		g_string_append_printf(exchange->headers, "%s\n", line);
+		headers_clear(exchange);
+	at = shown(line);
+	if (at >= 0 && at < SHOWN_MAX) {
+		g_free(exchange->headers[at]);
+		exchange->headers[at] = line;
+		return size * count;
+	}
 	g_free(line);
 	return size * count;
 }
@@ -168,6 +184,7 @@
 	};
 	curl_off_t total = 0;
 	long status = 0;
+	int i;
 
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME_T, &total);
@@ -177,7 +194,11 @@
 		printf(" hash=%016" PRIx64, exchange->hash);
 	if (opt_time)
 		printf(" usec=%" PRId64, (int64_t)total);
-	printf("\n%s", exchange->headers->str);
+	printf("\n");
+	for (i = 0; i < SHOWN_MAX; i++) {
+		if (exchange->headers[i])
+			printf("%s\n", exchange->headers[i]);
+	}
 	if (opt_body)
 		printf("%s\n", exchange->text->str);
 	fflush(stdout);
@@ -189,8 +210,7 @@
 				.to_send = opt_data ?
 						   (int64_t)strlen(opt_data) :
 						   opt_size,
-				.text = g_string_new(""),
-				.headers = g_string_new("") };
+				.text = g_string_new("") };
 	int end;
 
 	prepare(easy, &exchange, url, headers);
@@ -200,7 +220,7 @@
 		end = END_CUT;
 	report(easy, &exchange, end);
 	g_string_free(exchange.text, TRUE);
-	g_string_free(exchange.headers, TRUE);
+	headers_clear(&exchange);
 	return end;
 }
 
