Show a call that is told not-run though its first try ran

Cause: the outcome is that of the last try; a GET whose copy died while it ran is sent again, finds the connection refused and is answered as if no byte had ever left.

The outcome has to cover all tries of a call: once one may have run, neither a refused connection, a shed answer nor a refusal from the queue may say not-run.

--- a/regress/standin-target.c
+++ b/regress/standin-target.c
@@ -528,6 +528,8 @@
 		req->result = "closed";
 		return MHD_NO;
 	}
+	if (knob(req, "die"))
+		_exit(1);
 	if (knob(req, "cut-head")) {
 		req->result = "cut";
 		send_raw(req, "HTTP/1.1 200 OK\r\nContent-Len");
