Say of all sends of a call what is true of them together

A GET whose first copy died while it ran, and whose second try found the connection refused, was told not-run: the outcome was that of the last send.

--- a/entry-claim-answer.c
+++ b/entry-claim-answer.c
@@ -217,8 +217,10 @@
 		reply->outcome = entry_outcome_name(ENTRY_RAN);
 		reply->body = malloc(kept->size + 1);
 		reply->size = reply->body ? kept->size : 0;
-		if (reply->size)
+		if (reply->body) {
 			memcpy(reply->body, kept->body, kept->size);
+			reply->body[kept->size] = '\0';
+		}
 		answer_copy_headers(&reply->headers, &kept->headers);
 	}
 	pthread_mutex_unlock(&claims->lock);
--- a/entry-claim-home.c
+++ b/entry-claim-home.c
@@ -269,8 +269,14 @@
 
 	claim_home_expire(claims->home, now);
 	metrics_set(claims->records, claim_home_count(claims->home));
-	if (claim_home_complete(claims->home, now) || now < claims->sync_again)
+	if (claims->complete || now < claims->sync_again)
 		return;
+	claims->complete = home_is_complete(claims, now);
+	if (claims->complete) {
+		log_event(LOG_LEVEL_NOTICE, "claims-complete", "records=%u",
+			  claim_home_count(claims->home));
+		return;
+	}
 	claims->sync_again = now + HOME_SYNC_PERIOD;
 	for (i = 0; i < claims->sibling_count; i++)
 		if (!claims->siblings[i].told)
--- a/entry-claim.c
+++ b/entry-claim.c
@@ -185,6 +185,7 @@
 
 	if (result == CLAIM_ASKING)
 		return result;
+	claim->decided = true;
 	cds_list_del(&claim->link);
 	cds_list_add_tail(&claim->link, &claims->won);
 	return result;
@@ -269,7 +270,7 @@
 	entry_claims_unpack(&known, &reply->known, now);
 	pthread_mutex_lock(&claims->lock);
 	claim = g_hash_table_lookup(claims->by_number, &reply->asked.number);
-	if (claim && claim->req) {
+	if (claim && !claim->decided) {
 		claim_run_answer(&claim->run,
 				 claim_home_index(claim, reply->home),
 				 (claim_verdict_t)reply->verdict, &known);
--- a/entry-claim.h
+++ b/entry-claim.h
@@ -13,6 +13,7 @@
 	struct cds_list_head link; /* while it asks or settles */
 	struct entry_request *req; /* while it asks; holds a reference */
 	claim_run_t run;
+	bool decided; /* one thread alone acts on the result */
 	char homes[CLAIM_HOMES_MAX][HL_ADDRESS_MAX];
 	unsigned home_count;
 	bool settled[CLAIM_HOMES_MAX];
--- a/entry-claims.h
+++ b/entry-claims.h
@@ -26,6 +26,7 @@
 	claim_home_t *home;
 	claims_sibling_t siblings[ENTRY_CLAIM_GROUPS * SETTING_LIST_MAX];
 	unsigned sibling_count;
+	bool complete; /* nothing that was granted here is unknown */
 	usec_t sync_again;
 	struct cds_list_head answers; /* oldest first */
 	size_t answer_bytes;
--- a/entry-config.c
+++ b/entry-config.c
@@ -104,7 +104,7 @@
 		config_take_service(entry, config,
 				    &config->services.services_val[i], now);
 	config_drop_retired(entry, config);
-	log_event(LOG_LEVEL_NOTICE, "config-in-force",
+	log_event(LOG_LEVEL_DEBUG, "config-taken-over",
 		  "revision=%" PRIu64 " services=%u profiles=%u",
 		  (uint64_t)config->revision, config->services.services_len,
 		  config->profiles.profiles_len);
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -480,21 +480,30 @@
 	return relay_result(relay);
 }
 
+/* What is true of all sends of a call together: one may have run. */
+static entry_outcome_t relay_over_all(const entry_request_t *req,
+				      entry_outcome_t last)
+{
+	return last > req->call.outcome ? last : req->call.outcome;
+}
+
 /* The final word when no whole answer came. */
 static void relay_fail(entry_request_t *req, entry_result_t result)
 {
-	if (result == ENTRY_RESULT_CONNECT && time_now() >= req->call.deadline)
-		entry_request_fail(req, HTTP_GATEWAY_TIMEOUT, ENTRY_NOT_RUN,
+	bool late = time_now() >= req->call.deadline;
+	bool sent = result != ENTRY_RESULT_CONNECT;
+	entry_outcome_t outcome;
+
+	outcome = relay_over_all(req,
+				 sent ? ENTRY_MAY_HAVE_RUN : ENTRY_NOT_RUN);
+	if (result == ENTRY_RESULT_DEADLINE || (!sent && late))
+		entry_request_fail(req, HTTP_GATEWAY_TIMEOUT, outcome,
 				   "deadline", 0);
-	else if (result == ENTRY_RESULT_CONNECT)
-		entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN,
-				   "connect", USEC_PER_SEC);
-	else if (result == ENTRY_RESULT_DEADLINE)
-		entry_request_fail(req, HTTP_GATEWAY_TIMEOUT,
-				   ENTRY_MAY_HAVE_RUN, "deadline", 0);
+	else if (!sent)
+		entry_request_fail(req, HTTP_UNAVAILABLE, outcome, "connect",
+				   USEC_PER_SEC);
 	else
-		entry_request_fail(req, HTTP_BAD_GATEWAY, ENTRY_MAY_HAVE_RUN,
-				   "cut", 0);
+		entry_request_fail(req, HTTP_BAD_GATEWAY, outcome, "cut", 0);
 }
 
 void entry_relay_finish(entry_request_t *req, entry_result_t result)
@@ -503,6 +512,8 @@
 		     result == ENTRY_RESULT_ERROR ||
 		     result == ENTRY_RESULT_SHED;
 
+	if (result == ENTRY_RESULT_SHED)
+		req->answer.outcome = relay_over_all(req, ENTRY_NOT_RUN);
 	if (whole)
 		entry_request_end(req, false);
 	else if (req->answer.published)
