--- a/member-swim.h
+++ b/member-swim.h
@@ -13,6 +13,10 @@
 #define MEMBER_SWIM_INDIRECT 3
 /* Members told at once of a refutation or a leave. */
 #define MEMBER_SWIM_PUSH 6
+/* A page that does not come is asked for this often. */
+#define MEMBER_SWIM_PULL_TRIES 4
+/* After a difference the next comparison waits this long for each member. */
+#define MEMBER_SWIM_RESYNC (20 * USEC_PER_MS)
 /* Probes for others that we may have under way at once. */
 #define MEMBER_SWIM_RELAYS 32
 /* A change is passed on this many times log2 of the group's size. */
@@ -49,6 +53,14 @@
 	bool indirect; /* others were asked to probe it */
 } member_probe_t;
 
+/** struct member_pull_t - pages of members that we ask another one for. */
+typedef struct {
+	char address[HL_ADDRESS_MAX];
+	char after[HL_NAME_MAX];
+	unsigned tries; /* that are left; 0: none is under way */
+	usec_t asked;
+} member_pull_t;
+
 /** struct member_swim_options_t - times are spans in microseconds. */
 typedef struct {
 	usec_t probe_period;
@@ -78,6 +90,7 @@
 	unsigned count;
 	unsigned next; /* the next node to probe */
 	member_probe_t probe;
+	member_pull_t pull;
 	member_relay_t relays[MEMBER_SWIM_RELAYS];
 	uint32_t sequence;
 	uint64_t random;
@@ -96,7 +109,6 @@
  * @swim: to be initialised
  * @options: copied
  * @self: this entry
- * @rpc_address: its RPC address
  * @incarnation: above any that this entry had before, if that can be known
  * @seed: of its random choices
  * @now: the present time
@@ -104,8 +116,8 @@
  * Return: 0, or -1 without memory.
  */
 int member_swim_init(member_swim_t *swim, const member_swim_options_t *options,
-		     const owner_member_t *self, const char *rpc_address,
-		     uint64_t incarnation, uint64_t seed, usec_t now);
+		     const owner_member_t *self, uint64_t incarnation,
+		     uint64_t seed, usec_t now);
 
 /** member_swim_fini - free the members. */
 void member_swim_fini(member_swim_t *swim);
@@ -138,9 +150,12 @@
  * The table of members, member-table.c.
  */
 
-/** member_table_apply - merge what a peer says of a member. */
+/**
+ * member_table_apply - merge what a peer says of a member.
+ * @page: it stood in a page that we asked for, so the group knows it
+ */
 void member_table_apply(member_swim_t *swim, const peer_member_t *said,
-			usec_t now);
+			bool page, usec_t now);
 
 /** member_table_set - give @node a state and pass it on. */
 void member_table_set(member_swim_t *swim, member_node_t *node,
