Forget the id of a test's process once it has ended

The clean-up of a scripted run sent SIGKILL to every id it had started, those of processes already killed and waited for included. Ids end at 32768 here and come round within minutes, so that it could hit another run's process: seen once as 'xargs: sh: terminated by signal 9' in a run beside others; not proved to be this. One small edit in regress/lib.sh.

--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -43,10 +43,21 @@
 	eval "echo \$pid_$(echo "$1" | tr -- '-.' '__')"
 }
 
+# forget NAME: it has ended; its id may be another process's by now.
+forget () {
+	rest=
+	for p in $PIDS
+	do
+		[ "$p" = "$(pid "$1")" ] || rest="$rest $p"
+	done
+	PIDS=$rest
+}
+
 # kill_hard NAME: end it at once, as a power cut would.
 kill_hard () {
 	kill -9 "$(pid "$1")" 2>/dev/null
 	wait "$(pid "$1")" 2>/dev/null
+	forget "$1"
 	return 0
 }
 
@@ -54,6 +65,9 @@
 stop_soft () {
 	kill -TERM "$(pid "$1")" 2>/dev/null
 	wait "$(pid "$1")" 2>/dev/null
+	stopped=$?
+	forget "$1"
+	return $stopped
 }
 
 freeze () {
