Count given-up calls as time without an answer; replay hedges

Cause: a send that ended by cancel or deadline was entered as a whole answer of that length, so a straggler whose calls were hedged or given up looked faster than it was, and its probation calls came every 30 ms.

Such a send now adds its time but no answer, and a slow one in probation doubles the span to the next. decide-replay replays hedges, and a cancelled call frees its slot one link delay later, as targets accept cancellation.

--- a/entry-health.c
+++ b/entry-health.c
@@ -171,6 +171,13 @@
 	health->time_count = keep * health->time_count + 1;
 }
 
+/* The answer would have taken longer than this: time without an answer. */
+static void health_given_up(entry_health_t *health, double took)
+{
+	health->time_sum = HEALTH_TIME_KEEP * health->time_sum + took;
+	health->time_count *= HEALTH_TIME_KEEP;
+}
+
 /* Mean share of failed sends over the other copies. */
 static double health_errors_elsewhere(const entry_service_t *svc,
 				      const entry_copy_t *self)
@@ -338,9 +345,10 @@
 		break;
 	case ENTRY_RESULT_DEADLINE:
 	case ENTRY_RESULT_CANCEL:
-		/* It took at least this long. */
 		if (took > svc->pace.typical)
-			health_answer_time(svc, copy, took, depth, false);
+			health_given_up(health, took);
+		if (probation && took > HEALTH_SLOW_FACTOR * svc->pace.typical)
+			health_back_off(health, now);
 		break;
 	}
 	entry_health_refresh(svc, now);
--- a/regress/decide-replay.c
+++ b/regress/decide-replay.c
@@ -29,6 +29,7 @@
 	EVENT_AT_COPY,	/* a send reached its copy */
 	EVENT_DONE,	/* a copy is done with a call */
 	EVENT_ANSWER,	/* the answer is back */
+	EVENT_CANCEL,	/* the word to stop a call reached its copy */
 	EVENT_DEADLINE, /* a call's time is up */
 	EVENT_TICK,
 } event_kind_t;
@@ -44,11 +45,14 @@
 /* A call with what the replay knows about it. */
 typedef struct {
 	entry_call_t call;
+	unsigned tries; /* sends, without hedges */
 	usec_t service; /* running time at a copy of usual speed */
 	entry_copy_t *two[2];
 	unsigned loads[2];
 	entry_result_t result; /* on its way back */
 	bool sent;
+	bool running;	     /* on a slot of its copy */
+	unsigned running_on; /* index of that copy */
 	bool final;
 	bool ok;
 	usec_t latency;
@@ -100,6 +104,7 @@
 static unsigned refused;
 static unsigned late; /* of these, after they had waited */
 static unsigned errors;
+static uint64_t hedges;
 static GRand *generator;
 
 static bool event_before(const event_t *a, const event_t *b)
@@ -113,7 +118,7 @@
 	event_t event = { at, ++event_order, kind, call, 0 };
 
 	if (kind != EVENT_TICK)
-		event.attempt = calls[call].call.attempts;
+		event.attempt = calls[call].tries;
 	if (event_count > event_room) {
 		event_room = 2 * event_room + 1024;
 		events = g_realloc_n(events, event_room, sizeof(*events));
@@ -187,6 +192,8 @@
 static void copy_start(unsigned index, unsigned i, usec_t now)
 {
 	copies[index].running++;
+	calls[i].running = true;
+	calls[i].running_on = index;
 	event_add(now + (usec_t)(calls[i].service * copy_factor(index, now)),
 		  EVENT_DONE, i);
 }
@@ -200,8 +207,7 @@
 		unsigned at = copy->head++ % REPLAY_BACKLOG;
 		unsigned i = copy->queue[at];
 
-		if (!calls[i].final &&
-		    calls[i].call.attempts == copy->attempts[at])
+		if (!calls[i].final && calls[i].tries == copy->attempts[at])
 			copy_start(index, i, now);
 	}
 }
@@ -225,17 +231,31 @@
 		   copy->tail - copy->head >= REPLAY_BACKLOG) {
 		answer(i, ENTRY_RESULT_SHED, now);
 	} else {
-		copy->attempts[copy->tail % REPLAY_BACKLOG] =
-			calls[i].call.attempts;
+		copy->attempts[copy->tail % REPLAY_BACKLOG] = calls[i].tries;
 		copy->queue[copy->tail++ % REPLAY_BACKLOG] = i;
 	}
 }
 
+/*
+ * The second send of a call is a twin, options.calls further on; it has the
+ * same running time.
+ */
+static unsigned twin_of(unsigned i)
+{
+	return i + options.calls;
+}
+
+static bool is_twin(unsigned i)
+{
+	return i >= (unsigned)options.calls;
+}
+
 static void call_sent(entry_call_t *call, usec_t now)
 {
 	unsigned i = (replay_call_t *)call - calls;
 
 	calls[i].sent = true;
+	calls[i].tries++;
 	sends++;
 	event_add(now + options.delay, EVENT_AT_COPY, i);
 }
@@ -247,6 +267,18 @@
 	calls[i].latency = now - calls[i].call.arrived;
 }
 
+static void hedge_sent(entry_call_t *call, usec_t now)
+{
+	unsigned i = (replay_call_t *)call - calls;
+	replay_call_t *twin = &calls[twin_of(i)];
+
+	twin->service = calls[i].service;
+	twin->call.copy = call->hedge;
+	twin->final = false;
+	hedges++;
+	call_sent(&twin->call, now);
+}
+
 static void dispatch(usec_t now)
 {
 	entry_decision_t decision;
@@ -259,6 +291,8 @@
 	}
 	while ((call = entry_service_next(&service, now)))
 		call_sent(call, now);
+	while ((call = entry_service_hedge(&service, now)))
+		hedge_sent(call, now);
 }
 
 static void decided(unsigned i, entry_decision_t decision, usec_t now)
@@ -295,12 +329,22 @@
 	event_add(now + options.delay, EVENT_PROBED, i);
 }
 
+static void hedge_cancel(unsigned i, usec_t now)
+{
+	calls[twin_of(i)].final = true;
+	event_add(now + options.delay, EVENT_CANCEL, twin_of(i));
+	entry_service_hedge_end(&service, &calls[i].call, ENTRY_RESULT_CANCEL,
+				now);
+}
+
 /* The end of a send as the entry sees it. */
 static void ended(unsigned i, entry_result_t result, usec_t now)
 {
 	entry_decision_t decision;
 
 	calls[i].sent = false;
+	if (calls[i].call.hedge && result == ENTRY_RESULT_OK)
+		hedge_cancel(i, now);
 	decision = entry_service_end(&service, &calls[i].call, result, now);
 	if (result == ENTRY_RESULT_ERROR)
 		errors++;
@@ -309,12 +353,38 @@
 	dispatch(now);
 }
 
+/* The end of a second send. */
+static void twin_ended(unsigned i, entry_result_t result, usec_t now)
+{
+	unsigned first = i - options.calls;
+	entry_decision_t decision;
+
+	calls[i].final = true;
+	if (!calls[first].call.hedge) {
+		/* The first send failed: this one took its place. */
+		ended(first, result, now);
+		return;
+	}
+	decision = entry_service_hedge_end(&service, &calls[first].call, result,
+					   now);
+	if (decision.verdict == ENTRY_ANSWER) {
+		entry_service_end(&service, &calls[first].call,
+				  ENTRY_RESULT_CANCEL, now);
+		call_final(first, true, now);
+		event_add(now + options.delay, EVENT_CANCEL, first);
+	}
+	dispatch(now);
+}
+
 /* The caller's time is up: a running send is cancelled at its copy. */
 static void deadline(unsigned i, usec_t now)
 {
 	if (calls[i].final || !calls[i].sent)
 		return;
+	if (calls[i].call.hedge)
+		hedge_cancel(i, now);
 	ended(i, ENTRY_RESULT_DEADLINE, now);
+	event_add(now + options.delay, EVENT_CANCEL, i);
 }
 
 static void add_copy(unsigned index, usec_t now)
@@ -343,13 +413,17 @@
 	dispatch(now);
 }
 
+/* A slot is free again: its call is done or was cancelled. */
 static void done(const event_t *event, usec_t now)
 {
 	unsigned i = event->call;
-	unsigned index = copy_index(calls[i].call.copy);
+	unsigned index = calls[i].running_on;
 
+	if (!calls[i].running || event->attempt != calls[i].tries)
+		return;
+	calls[i].running = false;
 	copies[index].running--;
-	if (!calls[i].final && event->attempt == calls[i].call.attempts)
+	if (!calls[i].final)
 		answer(i, ENTRY_RESULT_OK, now);
 	copy_start_next(index, now);
 }
@@ -363,7 +437,7 @@
 		tick(now);
 		return;
 	}
-	if (event->kind == EVENT_DONE) {
+	if (event->kind == EVENT_DONE || event->kind == EVENT_CANCEL) {
 		done(event, now);
 		return;
 	}
@@ -373,7 +447,7 @@
 		deadline(i, now);
 		return;
 	}
-	if (event->attempt != calls[i].call.attempts)
+	if (event->attempt != calls[i].tries)
 		return;
 	if (event->kind == EVENT_ARRIVE)
 		arrive(i, now);
@@ -387,6 +461,8 @@
 			now);
 	else if (event->kind == EVENT_AT_COPY)
 		at_copy(i, now);
+	else if (is_twin(i))
+		twin_ended(i, calls[i].result, now);
 	else
 		ended(i, calls[i].result, now);
 }
@@ -510,9 +586,9 @@
 	       options.scenario ? options.scenario : "steady", options.load,
 	       options.pipeline);
 	print_latencies("all", values, count);
-	printf(" goodput=%.3f refused=%u late=%u errors=%u sends=%.3f",
+	printf(" goodput=%.3f refused=%u late=%u errors=%u sends=%.3f hedges=%" PRIu64,
 	       count / (span / 1e6) / capacity, refused, late, errors,
-	       (double)sends / options.calls);
+	       (double)sends / options.calls, hedges);
 	if (options.high > 0) {
 		count = collect(values, 0, -1);
 		print_latencies("high", values, count);
@@ -575,7 +651,7 @@
 	int i;
 
 	generator = g_rand_new_with_seed(options.seed);
-	calls = g_new0(replay_call_t, options.calls);
+	calls = g_new0(replay_call_t, 2 * options.calls);
 	copies = g_new0(replay_copy_t, options.copies);
 	config_profile_preset(&profile);
 	profile.pipeline_max = options.pipeline;
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -235,6 +235,14 @@
 					 "220 state c1 = good\n"
 					 "400 state c1 = slow\n"
 					 "400 state c2 = good\n" },
+	{ "straggler-by-given-up-calls", "0 copy c1 1\n0 copy c2 1\n"
+					 "0 copy c3 1\n0 warm 10 10\n"
+					 "200 run c1 60 cancel 2\n"
+					 "400 state c1 = slow\n"
+					 "400 arrive a idem = send c1\n"
+					 "430 end a cancel = answer\n"
+					 "430 arrive b idem = send c2\n"
+					 "490 arrive c idem = send c1\n" },
 	{ "straggler-is-last-resort", "0 copy c1 2\n0 copy c2 1\n"
 				      "0 copy c3 1\n0 warm 10 10\n"
 				      "200 run c1 50 ok 6\n"
