Give the baselines of the comparison every copy

Entries of scripts and bench stand in three zones instead of one each: with eight zones the default of an owner a zone made eight owners of one service. The stand-in's interval of the bench was longer than the lease that scripts use, which refused every call; both are variables now.

--- a/bench/compare-lane.sh
+++ b/bench/compare-lane.sh
@@ -1,9 +1,9 @@
 # One policy with one seed through all scenarios; a result line for each.
 #
-# usage: compare-lane.sh POLICY SEED quick|full FOLDER
+# usage: compare-lane.sh POLICY SEED quick|full ENTRIES FOLDER
 . "$(dirname "$0")/lib.sh"
 
-policy=$1 seed=$2 depth=$3 folder=$4
+policy=$1 seed=$2 depth=$3 count=$4 folder=$5
 copies=16 slots=3 mean=20000
 capacity=$((copies * slots * 1000000 / mean))
 
@@ -15,13 +15,17 @@
 B4) lines='lending = true' all= ;;
 esac
 
-spawn_entries 3 "keep_ms = 1000
+spawn_entries "$count" "keep_ms = 1000
 $lines"
 spawn_target targets --address "$NET.10:9000" --copies $copies \
 	--slots $slots --time $mean --distribution exponential \
 	--seed "$seed" --link 1000 --entries "$ENTRIES" $all \
-	--interval 1000 --zone zone-1,zone-2,zone-3
-sleep 3
+	--zone zone-1,zone-2,zone-3
+wait_until 10 announced bay-desk $copies || fail "$policy $seed: no start"
+# A baseline has no owners to look up: its callers spread evenly.
+callers="--entries $ENTRIES"
+[ -z "$all" ] || callers="--direct $(echo "$ENTRIES" | sed 's/:7081/:7080/g')"
+sleep 4 # until leases taken while entries found each other have run out
 
 # scenario NAME PERCENT SECONDS NUMBER OPTIONS...: load, one result line.
 scenario () {
@@ -29,7 +33,7 @@
 	shift 4
 	probes=$(status_sum targets probes)
 	bytes=$(($(peer_bytes) + $(status_sum targets control_bytes)))
-	"$BUILD/regress/load-caller" --entries "$ENTRIES" --rate $rate \
+	"$BUILD/regress/load-caller" $callers --rate $rate \
 		--seconds "$seconds" --seed $((number * 100 + seed)) \
 		--size 200 --deadline 2000 --record "$DIR/calls" \
 		--histogram "$folder/$policy-$name-$seed.txt" "$@" \
--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -3,6 +3,8 @@
 
 HEMLOCK_REGRESS=${HEMLOCK_REGRESS:-$(dirname "$0")/../regress}
 . "$HEMLOCK_REGRESS/lib.sh"
+INTERVAL_MS=1000
+LEASE_MS=3000
 
 # peer_bytes: what the entries have sent to each other so far.
 peer_bytes () {
--- a/entry-announce.c
+++ b/entry-announce.c
@@ -127,6 +127,8 @@
 	announce_fill(said, &announcement);
 	if (!announce_is_served(in->entry, said->service, reply))
 		return;
+	if (entry_baseline_take(in, &announcement.copy, reply))
+		return;
 	if (!entry_route_make(in->entry, said->service))
 		entry_reply_error(reply, 503, "no memory; add some");
 	else if (!owner_announce(in->entry->owner, &announcement, in->now, &out,
--- a/entry-io.h
+++ b/entry-io.h
@@ -394,6 +394,17 @@
 	usec_t now;
 } entry_control_t;
 
+/**
+ * entry_baseline_take - take in a copy that announced itself, whoever owns it.
+ *
+ * The policies but "owner" are baselines of the bench: each entry knows every
+ * copy, which announces itself to every entry.
+ *
+ * Return: true with @reply filled in, false under the policy "owner".
+ */
+bool entry_baseline_take(const entry_control_t *in, const owner_copy_t *said,
+			 entry_reply_t *reply);
+
 void entry_lookup_handle(const entry_control_t *in, entry_reply_t *reply);
 void entry_announce_handle(const entry_control_t *in, entry_reply_t *reply);
 void entry_status_handle(const entry_control_t *in, entry_reply_t *reply);
--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -90,8 +90,10 @@
 	wait_until 20 grep -q '^ready' "$DIR/$1.log" || fail "$1 not ready"
 }
 
-# spawn_entries COUNT SETTINGS: entry-1 ... on $NET.1 ..., zones zone-1 ...
+# spawn_entries COUNT SETTINGS: entry-1 ... on $NET.1 ..., three zones.
 # SETTINGS are further lines of [entry]; ENTRIES gets the control addresses.
+INTERVAL_MS=200
+LEASE_MS=600
 spawn_entries () {
 	ENTRIES= seeds=
 	for n in $(seq "$1")
@@ -104,12 +106,12 @@
 		cat >"$DIR/entry-$n.toml" <<-SETTINGS
 		[node]
 		name = "entry-$n"
-		zone = "zone-$n"
+		zone = "zone-$(((n - 1) % 3 + 1))"
 		address = "$NET.$n"
 		log_level = "warning"
 		[entry]
-		interval_ms = 200
-		lease_ms = 600
+		interval_ms = $INTERVAL_MS
+		lease_ms = $LEASE_MS
 		seeds = [$seeds]
 		$2
 		SETTINGS
--- a/regress/standin-target.c
+++ b/regress/standin-target.c
@@ -51,6 +51,8 @@
 	unsigned running, outstanding, outstanding_max;
 	unsigned connections, connections_max;
 	uint64_t requests, runs, probes, announced, accepted, control_bytes;
+	uint64_t announce_failed;
+	long announce_status; /* of the last that failed */
 	uint64_t random;
 	double straggle;
 	shed_t shed;
@@ -777,6 +779,8 @@
 			"owner_address", &address, "epoch", &epoch,
 			"interval_ms", &interval, "empty", &empty)) {
 		ann->target[0] = '\0';
+		ann->copy->announce_failed++;
+		ann->copy->announce_status = status;
 		ann->due = now + ANNOUNCE_RETRY_USEC;
 	} else {
 		g_strlcpy(ann->owner, owner ? owner : "", sizeof(ann->owner));
@@ -874,15 +878,18 @@
 			"copy=%s address=%s owner=%s epoch=%" PRId64
 			" outstanding=%u outstanding_max=%u requests=%" PRIu64
 			" runs=%" PRIu64 " probes=%" PRIu64
-			" announced=%" PRIu64 " control_bytes=%" PRIu64
+			" announced=%" PRIu64 " announce_failed=%" PRIu64
+			" announce_status=%ld control_bytes=%" PRIu64
 			" connections=%u"
 			" connections_max=%u accepted=%" PRIu64 " empty=%d\n",
 			copy->name, copy->address,
 			copy->owner[0] ? copy->owner : "-", copy->epoch,
 			copy->outstanding, copy->outstanding_max,
 			copy->requests, copy->runs, copy->probes,
-			copy->announced, copy->control_bytes, copy->connections,
-			copy->connections_max, copy->accepted, copy->empty);
+			copy->announced, copy->announce_failed,
+			copy->announce_status, copy->control_bytes,
+			copy->connections, copy->connections_max,
+			copy->accepted, copy->empty);
 	}
 	out = strdup(text->str);
 	g_string_free(text, TRUE);
