Probe two copies for the baseline of two choices; serve without keepers

The baseline B2 chose by its own count, so that it cost no probes and compared nothing. It now asks two copies drawn at random for their load, both at once, over kept connections, before each call.

--- a/bench/compare-lane.sh
+++ b/bench/compare-lane.sh
@@ -10,7 +10,8 @@
 case $policy in
 B0) lines='policy = "random"' all=--announce-all ;;
 B1) lines='policy = "least"' all=--announce-all ;;
-B2) lines='policy = "two-choices"' all=--announce-all ;;
+B2) lines='policy = "two-choices"
+probe_path = "/standin/load"' all=--announce-all ;;
 B3) lines='lending = false' all= ;;
 B4) lines='lending = true' all= ;;
 esac
--- a/entry-announce.c
+++ b/entry-announce.c
@@ -99,8 +99,6 @@
 static bool announce_is_served(entry_t *entry, const char *service,
 			       entry_reply_t *reply)
 {
-	entry_route_t *route = entry_route_find(entry, service);
-
 	if (!entry_config_ready(entry)) {
 		entry_reply_error(reply, 503,
 				  "no configuration is confirmed yet; come "
@@ -108,7 +106,7 @@
 		reply->retry_after_s = 1;
 		return false;
 	}
-	if (!entry->follow || (route && entry_config_serves(entry, route)))
+	if (entry_config_route(entry, service))
 		return true;
 	entry_reply_error(reply, 404,
 			  "service %s is not declared; apply a declaration "
@@ -129,10 +127,8 @@
 		return;
 	if (entry_baseline_take(in, &announcement.copy, reply))
 		return;
-	if (!entry_route_make(in->entry, said->service))
-		entry_reply_error(reply, 503, "no memory; add some");
-	else if (!owner_announce(in->entry->owner, &announcement, in->now, &out,
-				 &err))
+	if (!owner_announce(in->entry->owner, &announcement, in->now, &out,
+			    &err))
 		announce_answer(&out, reply);
 	else
 		entry_reply_error(reply,
--- a/entry-config.c
+++ b/entry-config.c
@@ -149,18 +149,28 @@
 	return entry->follow ? config_follow_revision(entry->follow) : 0;
 }
 
-bool entry_config_serves(const entry_t *entry, entry_route_t *route)
+static bool config_is_declared(entry_route_t *route)
 {
 	bool declared;
 
-	if (!entry->follow)
-		return true;
 	pthread_mutex_lock(&route->lock);
 	declared = route->declared;
 	pthread_mutex_unlock(&route->lock);
 	return declared;
 }
 
+entry_route_t *entry_config_route(entry_t *entry, const char *service)
+{
+	entry_route_t *route = entry_route_find(entry, service);
+
+	if (entry->follow)
+		return route && config_is_declared(route) ? route : NULL;
+	if (route || !hl_name_valid(service) ||
+	    entry_route_count(entry) >= ENTRY_ROUTES_MAX)
+		return route;
+	return entry_route_make(entry, service);
+}
+
 bool entry_config_stopped(entry_route_t *route, const char *copy)
 {
 	bool stopped = false;
--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -29,6 +29,13 @@
 			   decision->retry_after);
 }
 
+void entry_dispatch_final(entry_request_t *req,
+			  const entry_decision_t *decision)
+{
+	dispatch_refuse(req, decision);
+	entry_request_unref(req);
+}
+
 void entry_dispatch_expire(entry_route_t *route, usec_t now)
 {
 	entry_decision_t decision;
@@ -40,8 +47,7 @@
 		pthread_mutex_unlock(&route->lock);
 		if (!call)
 			break;
-		dispatch_refuse(dispatch_request(call), &decision);
-		entry_request_unref(dispatch_request(call));
+		entry_dispatch_final(dispatch_request(call), &decision);
 	} while (call);
 }
 
@@ -55,6 +61,11 @@
 		entry_work_push(req->entry->work, req);
 		return;
 	}
+	if (req->entry->policy == ENTRY_POLICY_TWO_CHOICES) {
+		req->probing = true;
+		entry_work_push(req->entry->work, req);
+		return;
+	}
 	pthread_mutex_lock(&route->lock);
 	decision = entry_service_arrive(&route->service, &req->call, now);
 	pthread_mutex_unlock(&route->lock);
@@ -68,8 +79,7 @@
 		owner_kick(req->entry->owner);
 		break;
 	default:
-		dispatch_refuse(req, &decision);
-		entry_request_unref(req);
+		entry_dispatch_final(req, &decision);
 		break;
 	}
 }
--- a/entry-head.c
+++ b/entry-head.c
@@ -217,8 +217,8 @@
 		return hl_error_set(err, HL_ERR_NOT_FOUND, "name too long");
 	memcpy(service, head->host, length);
 	service[length] = '\0';
-	req->route = entry_route_find(req->entry, service);
-	if (!req->route || !entry_config_serves(req->entry, req->route))
+	req->route = entry_config_route(req->entry, service);
+	if (!req->route)
 		return hl_error_set(err, HL_ERR_NOT_FOUND, "unknown service");
 	return 0;
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -60,6 +60,7 @@
 	int64_t linger_ms;   /* calls still taken after SIGTERM */
 	int64_t stop_ms;     /* most time for calls in flight at the end */
 	char policy[HL_NAME_MAX];
+	char probe_path[HL_MESSAGE_MAX]; /* of two-choices */
 	bool lending;
 	setting_list_t seeds; /* peer addresses of the entries */
 	config_follow_settings_t follow;
@@ -187,6 +188,7 @@
 	entry_place_t *forward;	   /* a sibling entry to hand it to, or NULL */
 	struct entry_claim *claim; /* of its Idempotency-Key, or NULL */
 	bool handed_over; /* it waited here and went to an idle sibling */
+	bool probing;	  /* its copy is still to be chosen by probes */
 	bool repeat;	  /* it asks for the answer of the first of its key */
 
 	pthread_mutex_t lock; /* guards all below */
@@ -254,9 +256,15 @@
 /** entry_route_find - the route of a service, or NULL. */
 entry_route_t *entry_route_find(struct entry *entry, const char *name);
 
+/* Most services of an entry without keepers, against made-up names. */
+#define ENTRY_ROUTES_MAX 4096
+
 /** entry_route_make - find a route or add it with a profile of presets. */
 entry_route_t *entry_route_make(struct entry *entry, const char *name);
 
+/** entry_route_count - how many services are known. */
+unsigned entry_route_count(struct entry *entry);
+
 /** entry_route_free_all - at the end of the daemon. */
 void entry_route_free_all(struct entry *entry);
 
@@ -328,6 +336,10 @@
 /** entry_dispatch_arrive - decide on a request and act on the decision. */
 void entry_dispatch_arrive(entry_request_t *req, usec_t now);
 
+/** entry_dispatch_final - refuse a request and let go of it. */
+void entry_dispatch_final(entry_request_t *req,
+			  const entry_decision_t *decision);
+
 /** entry_dispatch_end - a send has ended with @result. */
 void entry_dispatch_end(entry_request_t *req, entry_result_t result,
 			usec_t now);
@@ -348,12 +360,24 @@
 /** entry_config_revision - the revision in force; @context is the entry. */
 uint64_t entry_config_revision(void *context);
 
-/** entry_config_serves - is the service of a route declared? */
-bool entry_config_serves(const entry_t *entry, entry_route_t *route);
+/**
+ * entry_config_route - the route of a service that may be called.
+ *
+ * Return: NULL if the service is not declared, or, without keepers, if
+ * ENTRY_ROUTES_MAX services are known.
+ */
+entry_route_t *entry_config_route(entry_t *entry, const char *service);
 
 /** entry_config_stopped - is a planned stop of a copy in force? */
 bool entry_config_stopped(entry_route_t *route, const char *copy);
 
+/**
+ * entry_probe_choose - probe two copies and take a credit of the better.
+ *
+ * Called by a worker for calls under ENTRY_POLICY_TWO_CHOICES.
+ */
+entry_decision_t entry_probe_choose(entry_request_t *req);
+
 /** entry_relay_send - send a request to its place and take the answer. */
 void entry_relay_send(entry_request_t *req);
 
--- a/entry-lookup.c
+++ b/entry-lookup.c
@@ -18,7 +18,6 @@
 {
 	owner_place_t places[OWNER_MAX];
 	const char *service;
-	entry_route_t *route;
 	const char *zone;
 	json_t *list;
 	json_t *root;
@@ -40,8 +39,7 @@
 		reply->retry_after_s = 1;
 		return;
 	}
-	route = entry_route_find(in->entry, service);
-	if (!route || !entry_config_serves(in->entry, route)) {
+	if (!entry_config_route(in->entry, service)) {
 		entry_reply_error(reply, 404,
 				  "unknown service %s; apply a declaration "
 				  "that names it",
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -524,11 +524,28 @@
 		relay_fail(req, result);
 }
 
+/* For the baseline that probes: choose the copy first. */
+static bool relay_choose(entry_request_t *req)
+{
+	entry_decision_t decision;
+
+	if (!req->probing)
+		return true;
+	req->probing = false;
+	decision = entry_probe_choose(req);
+	if (decision.verdict == ENTRY_SEND)
+		return true;
+	entry_dispatch_final(req, &decision);
+	return false;
+}
+
 void entry_relay_send(entry_request_t *req)
 {
 	relay_t relay = { .req = req };
 	entry_result_t result;
 
+	if (!relay_choose(req))
+		return;
 	if (!entry_owner_may_send(req, time_now())) {
 		entry_dispatch_end(req, ENTRY_RESULT_CONNECT, time_now());
 		return;
--- a/entry-route.c
+++ b/entry-route.c
@@ -20,6 +20,16 @@
 	return route;
 }
 
+unsigned entry_route_count(entry_t *entry)
+{
+	unsigned count;
+
+	pthread_mutex_lock(&entry->routes_lock);
+	count = g_hash_table_size(entry->routes_by_name);
+	pthread_mutex_unlock(&entry->routes_lock);
+	return count;
+}
+
 static entry_route_t *route_new(entry_t *entry, const char *name)
 {
 	entry_route_t *route = calloc(1, sizeof(*route));
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -41,6 +41,8 @@
 	  0, HOUR_MS, "milliseconds that calls in flight get to end" },
 	{ "entry", "policy", SETTING_NAME, FIELD(policy), false, "owner", 0, 0,
 	  "owner; for comparison random, least or two-choices" },
+	{ "entry", "probe_path", SETTING_TEXT, FIELD(probe_path), false,
+	  "/load", 0, 0, "what two-choices asks copies for" },
 	{ "entry", "lending", SETTING_BOOLEAN, FIELD(lending), false, "true", 0,
 	  0, "whether owners hand waiting calls to idle siblings" },
 	{ "entry", "seeds", SETTING_ADDRESSES, FIELD(seeds), false, NULL, 0, 0,
--- a/regress/keeper-client.c
+++ b/regress/keeper-client.c
@@ -175,6 +175,12 @@
 	char winner[HL_NAME_MAX];
 } verdict_t;
 
+static bool verdict_equal(const verdict_t *a, const verdict_t *b)
+{
+	return a->verdict == b->verdict && a->revision == b->revision &&
+	       !strcmp(a->winner, b->winner);
+}
+
 static int client_print(const char *id, const keeper_submit_res_t *res)
 {
 	static const char *const verdicts[] = { "accepted", "conflict",
@@ -341,7 +347,7 @@
 		if (!all_settle(&all, put_make(&put, id, args[0], bases[i]),
 				&again))
 			break;
-		same += !memcmp(&again, &first[i], sizeof(again));
+		same += verdict_equal(&again, &first[i]);
 	}
 	all_close(&all);
 	free(first);
