--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -46,6 +46,16 @@
 	uint64_t in; /* term of the leader that committed it */
 } committed_t;
 
+/* The steps of a commit after which a leader can be killed. */
+typedef enum {
+	KILL_NEVER,
+	KILL_BEFORE_SYNC,
+	KILL_AFTER_SYNC,
+	KILL_AFTER_QUORUM,
+	KILL_BEFORE_ANSWER,
+	KILL_DONE,
+} kill_t;
+
 typedef struct {
 	GRand *rand;
 	usec_t now;
@@ -60,6 +70,8 @@
 	answer_t answers[IDS_MAX];
 	usec_t heal_at; /* when the cuts end */
 	bool calm;	/* no faults any more */
+	bool quiet;	/* no changes but the test's own */
+	kill_t kill;	/* the next leader to get there */
 	unsigned haste; /* deliveries in a thousand steps */
 	uint64_t replaced, elected;
 	committed_t committed[INDEX_MAX];
@@ -261,6 +273,16 @@
 	world->wire[at] = outgoing;
 }
 
+/* Kill a leader at the step that was asked for, once. */
+static bool world_kill(world_t *world, node_t *node, kill_t step)
+{
+	if (world->kill != step || node->raft.role != KEEPER_LEADER)
+		return false;
+	world->kill = KILL_DONE;
+	node_stop(node);
+	return true;
+}
+
 /* After each step: save, apply, check, and let the messages go. A crash may
  * come before the save, or after it and before the messages. */
 static void world_settle(world_t *world, node_t *node)
@@ -268,17 +290,28 @@
 	keeper_outgoing_t *outgoing, *next;
 	bool leads = node->raft.role == KEEPER_LEADER;
 	bool crash = !world->calm && draw(world, leads ? 300 : 3000) == 0;
+	bool unsaved, commits;
 
 	if (crash && draw(world, 2)) {
 		node_stop(node);
 		return;
 	}
-	if (keeper_raft_unsaved(&node->raft)) {
+	unsaved = keeper_raft_unsaved(&node->raft);
+	if (unsaved && world_kill(world, node, KILL_BEFORE_SYNC))
+		return;
+	if (unsaved) {
 		node_save(node);
 		keeper_raft_saved(&node->raft, world->now);
 	}
+	if (unsaved && world_kill(world, node, KILL_AFTER_SYNC))
+		return;
+	commits = node->raft.commit > node->applied;
+	if (commits && world_kill(world, node, KILL_AFTER_QUORUM))
+		return;
 	world_apply(world, node);
 	world_check_leader(world, node);
+	if (commits && world_kill(world, node, KILL_BEFORE_ANSWER))
+		return;
 	if (crash) {
 		node_stop(node);
 		return;
@@ -460,7 +493,7 @@
 			return;
 		keeper_raft_tick(&node->raft, world->now);
 		world_settle(world, node);
-	} else if (what < 985) {
+	} else if (what < 985 && !world->quiet) {
 		world_propose(world, node);
 	} else if (what < 988) {
 		world_regroup(world, node);
@@ -563,24 +596,32 @@
 	g_free(world);
 }
 
-static void world_run(uint32_t seed, uint64_t *replaced)
+static world_t *world_new(uint32_t seed, unsigned founders, unsigned count)
 {
-	static const unsigned founders[] = { 3, 3, 5, 3 };
-	static const unsigned counts[] = { 3, 5, 5, 4 };
 	world_t *world = g_new0(world_t, 1);
 	unsigned i;
 
 	world->rand = g_rand_new_with_seed(seed);
-	world->founders = founders[seed % 4];
-	world->count = counts[seed % 4];
-	world->haste = 150 + 100 * draw(world, 7);
+	world->founders = founders;
+	world->count = count;
 	world->now = 1000 * USEC_PER_SEC;
-	for (i = 0; i < world->count; i++) {
+	for (i = 0; i < count; i++) {
 		node_t *node = &world->nodes[i];
 
 		g_snprintf(node->name, sizeof(node->name), "k%u", i);
 		node->incarnation = ++world->incarnations;
 	}
+	return world;
+}
+
+static void world_run(uint32_t seed, uint64_t *replaced)
+{
+	static const unsigned founders[] = { 3, 3, 5, 3 };
+	static const unsigned counts[] = { 3, 5, 5, 4 };
+	world_t *world = world_new(seed, founders[seed % 4], counts[seed % 4]);
+	unsigned i;
+
+	world->haste = 150 + 100 * draw(world, 7);
 	for (i = 0; i < STEPS; i++)
 		world_step(world);
 	world_heal(world);
@@ -609,9 +650,80 @@
 		g_assert_cmpuint(replaced, >, RUNS / 2);
 }
 
+/* Run until a leader has a lease, or a change its answer. */
+static void world_until(world_t *world, uint32_t id)
+{
+	usec_t limit = world->now + 100 * ELECTION;
+
+	while (world->now < limit) {
+		const node_t *leader = world_leader(world);
+
+		if (leader && (!id || world->answers[id].revision))
+			return;
+		world_step(world);
+	}
+	g_assert_not_reached();
+}
+
+/* A leader dies at one step of a commit. The change is sent again until it
+ * has an answer; it is accepted once, wherever the first try came to. */
+static void test_kill(gconstpointer data)
+{
+	kill_t step = GPOINTER_TO_INT(data);
+	kill_t killed = KILL_NEVER;
+	uint32_t seed, id;
+
+	for (seed = 1; seed <= 50; seed++) {
+		world_t *world = world_new(seed, 3, 3);
+		node_t *leader;
+
+		world->calm = true;
+		world->quiet = true;
+		world->haste = 600;
+		world_until(world, 0);
+		for (id = 1; id <= 2; id++) {
+			killed = id == 1 ? killed : world->kill;
+			world->kill = id == 1 ? step : KILL_NEVER;
+			world_until(world, 0);
+			world->answers[id].base = id - 1;
+			while (!world->answers[id].revision) {
+				leader = (node_t *)world_leader(world);
+				if (leader) {
+					world_submit(world, leader, id);
+					world_settle(world, leader);
+				}
+				world_until(world, 0);
+				world->now += HEARTBEAT;
+				world_step(world);
+			}
+			g_assert_cmpint(world->answers[id].verdict, ==,
+					CONFIG_ACCEPTED);
+			g_assert_cmpuint(world->answers[id].revision, ==, id);
+		}
+		g_assert_cmpint(killed, ==, KILL_DONE);
+		world->ids = id;
+		world->quiet = false;
+		world_heal(world);
+		world_free(world);
+	}
+}
+
 int main(int argc, char **argv)
 {
+	static const char *const kills[] = { "before-sync", "after-sync",
+					     "after-quorum", "before-answer" };
+	unsigned i;
+
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/keeper-raft/random", test_random);
+	for (i = 0; i < G_N_ELEMENTS(kills); i++) {
+		char *path = g_strdup_printf("/keeper-raft/leader-killed-%s",
+					     kills[i]);
+
+		g_test_add_data_func(path,
+				     GINT_TO_POINTER(KILL_BEFORE_SYNC + (int)i),
+				     test_kill);
+		g_free(path);
+	}
 	return g_test_run();
 }
--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -396,22 +396,22 @@
 	char folder[256], *bytes;
 	size_t size, last, cut;
 	bool torn = true;
-	int whole;
+	int whole, count;
 
 	log_make(folder, sizeof(folder), &bytes, &size);
 	whole = log_count(bytes, size, &torn, &err);
 	g_assert_false(torn);
 	last = log_last(bytes, size);
 	for (cut = last; cut < size; cut++) {
-		g_assert_cmpint(log_count(bytes, cut, &torn, &err), ==,
-				whole - 1);
+		count = log_count(bytes, cut, &torn, &err);
+		g_assert_cmpint(count, ==, whole - 1);
 		g_assert_cmpint(torn, ==, cut > last);
 	}
 	/* The file grew, its last sectors did not come. */
 	bytes = g_realloc(bytes, size + 2048);
 	memset(bytes + last + 40, 0, size + 2048 - last - 40);
-	g_assert_cmpint(log_count(bytes, size + 2048, &torn, &err), ==,
-			whole - 1);
+	count = log_count(bytes, size + 2048, &torn, &err);
+	g_assert_cmpint(count, ==, whole - 1);
 	g_assert_true(torn);
 	g_free(bytes);
 	folder_remove(folder);
@@ -423,16 +423,19 @@
 	char folder[256], *bytes;
 	size_t size, bit;
 	bool torn;
+	int count;
 
 	log_make(folder, sizeof(folder), &bytes, &size);
 	for (bit = 0; bit < 8 * size; bit++) {
 		bytes[bit / 8] ^= (char)(1 << bit % 8);
-		g_assert_cmpint(log_count(bytes, size, &torn, &err), ==, -1);
+		count = log_count(bytes, size, &torn, &err);
+		g_assert_cmpint(count, ==, -1);
 		g_assert_cmpint(err.kind, ==, HL_ERR_CORRUPT);
 		g_assert_nonnull(strstr(err.message, "move the data folder"));
 		bytes[bit / 8] ^= (char)(1 << bit % 8);
 	}
-	g_assert_cmpint(log_count(bytes, size, &torn, &err), >, 0);
+	count = log_count(bytes, size, &torn, &err);
+	g_assert_cmpint(count, >, 0);
 	g_free(bytes);
 	folder_remove(folder);
 }
