--- a/regress/keeper-client.c
+++ b/regress/keeper-client.c
@@ -175,12 +175,6 @@
 	char winner[HL_NAME_MAX];
 } verdict_t;
 
-static bool verdict_equal(const verdict_t *a, const verdict_t *b)
-{
-	return a->verdict == b->verdict && a->revision == b->revision &&
-	       !strcmp(a->winner, b->winner);
-}
-
 static int client_print(const char *id, const keeper_submit_res_t *res)
 {
 	static const char *const verdicts[] = { "accepted", "conflict",
@@ -269,6 +263,12 @@
 			     args + 3);
 }
 
+static bool verdict_same(const verdict_t *a, const verdict_t *b)
+{
+	return a->verdict == b->verdict && a->revision == b->revision &&
+	       !strcmp(a->winner, b->winner);
+}
+
 /* Ask @address once; true with an answer. The connection is kept. */
 static bool client_try(CLIENT **client, const char *address,
 		       config_change_t *change, verdict_t *verdict)
@@ -347,7 +347,7 @@
 		if (!all_settle(&all, put_make(&put, id, args[0], bases[i]),
 				&again))
 			break;
-		same += verdict_equal(&again, &first[i]);
+		same += verdict_same(&again, &first[i]);
 	}
 	all_close(&all);
 	free(first);
