--- a/cmd-apply.c
+++ b/cmd-apply.c
@@ -10,19 +10,6 @@
 	{ 0 },
 };
 
-/* Nothing to change is no change: the keepers are not asked. */
-static cmd_exit_t cmd_apply_nothing(cmd_t *cmd, const cmd_declared_t *declared)
-{
-	uint64_t revision = declared->current.revision;
-
-	if (cmd->json)
-		cmd_print_json(json_pack("{s:s, s:I}", "verdict", "unchanged",
-					 "revision", (json_int_t)revision));
-	else
-		printf("nothing differs from revision %" PRIu64 "\n", revision);
-	return CMD_OK;
-}
-
 /* The operator looked at an older revision than is in force now. */
 static void cmd_apply_pin(config_change_t *change, uint64_t at)
 {
@@ -46,7 +33,7 @@
 	if (cmd_declared_load(cmd, arguments, &declared, &err)) {
 		code = cmd_fail(cmd, &err);
 	} else if (!declared.change.items.items_len) {
-		code = cmd_apply_nothing(cmd, &declared);
+		code = cmd_print_unchanged(cmd, declared.current.revision);
 	} else {
 		if (cmd_apply_at >= 0)
 			cmd_apply_pin(&declared.change, cmd_apply_at);
--- a/cmd-plan.c
+++ b/cmd-plan.c
@@ -38,8 +38,7 @@
 	else if (size)
 		fputs(lines, stdout);
 	else
-		printf("nothing differs from revision %" PRIu64 "\n",
-		       (uint64_t)declared->current.revision);
+		cmd_print_unchanged(cmd, declared->current.revision);
 	free(lines);
 	return size ? CMD_DIFFERS : CMD_OK;
 }
--- a/cmd-print.c
+++ b/cmd-print.c
@@ -34,6 +34,16 @@
 	json_decref(value);
 }
 
+cmd_exit_t cmd_print_unchanged(const cmd_t *cmd, uint64_t revision)
+{
+	if (cmd->json)
+		cmd_print_json(json_pack("{s:s, s:I}", "verdict", "unchanged",
+					 "revision", (json_int_t)revision));
+	else
+		printf("nothing differs from revision %" PRIu64 "\n", revision);
+	return CMD_OK;
+}
+
 cmd_exit_t cmd_fail(const cmd_t *cmd, const hl_error_t *err)
 {
 	if (cmd->json)
--- a/cmd-stop.c
+++ b/cmd-stop.c
@@ -131,9 +131,7 @@
 	if (cmd_stop_plan(&current, arguments, &change, &err)) {
 		code = cmd_fail(cmd, &err);
 	} else if (!change.items.items_len) {
-		printf("the stop of %s %s is announced already\n", arguments[0],
-		       arguments[1]);
-		code = CMD_OK;
+		code = cmd_print_unchanged(cmd, current.revision);
 	} else {
 		code = cmd_change(cmd, &cmd_stop_change, &change);
 	}
--- a/cmd-submit.c
+++ b/cmd-submit.c
@@ -164,7 +164,7 @@
 }
 
 bool cmd_change_known(cmd_t *cmd, const cmd_change_options_t *options,
-		      cmd_exit_t *exit)
+		      cmd_exit_t *code)
 {
 	config_change_t change = { .id = options->id };
 	config_answer_t answer = { 0 };
@@ -176,12 +176,12 @@
 	if (!options->id)
 		return false;
 	if (cmd_keeper_run(cmd, cmd_submit_ask, &submit, &err)) {
-		*exit = cmd_fail(cmd, &err);
+		*code = cmd_fail(cmd, &err);
 		return true;
 	}
 	if (!submit.known)
 		return false;
-	*exit = cmd_answer_show(cmd, options, &answer);
+	*code = cmd_answer_show(cmd, options, &answer);
 	xdr_free((xdrproc_t)xdr_config_answer_t, (char *)&answer);
 	return true;
 }
--- a/cmd.h
+++ b/cmd.h
@@ -100,6 +100,9 @@
 /** cmd_fail - print an error; the exit code of its kind. */
 cmd_exit_t cmd_fail(const cmd_t *cmd, const hl_error_t *err);
 
+/** cmd_print_unchanged - say that nothing is to be changed; CMD_OK. */
+cmd_exit_t cmd_print_unchanged(const cmd_t *cmd, uint64_t revision);
+
 /** cmd_print_json - print and free a JSON value. */
 void cmd_print_json(json_t *value);
 
@@ -144,12 +147,12 @@
 
 /**
  * cmd_change_known - the first answer of options->id, if it was sent before.
- * @exit: set when it is known
+ * @code: the exit code, set when it is known
  *
  * Return: true when nothing is left to do.
  */
 bool cmd_change_known(cmd_t *cmd, const cmd_change_options_t *options,
-		      cmd_exit_t *exit);
+		      cmd_exit_t *code);
 
 /** cmd_submit - send a change until its answer is known. */
 int cmd_submit(cmd_t *cmd, const config_change_t *change,
--- a/metrics.c
+++ b/metrics.c
@@ -228,6 +228,12 @@
 		__atomic_store_n(gauge, value, __ATOMIC_RELAXED);
 }
 
+/* Other threads count meanwhile. */
+static uint64_t metrics_read(const uint64_t *value)
+{
+	return __atomic_load_n(value, __ATOMIC_RELAXED);
+}
+
 /* Only edges that are powers of two are shown, to keep a scrape small. */
 static void metrics_write_histogram(const metrics_series_t *series, FILE *out)
 {
@@ -236,21 +242,21 @@
 	unsigned i;
 
 	for (i = 0; i < METRICS_BUCKETS; i++) {
-		seen += series->histogram->buckets[i];
+		seen += metrics_read(&series->histogram->buckets[i]);
 		if ((i + 1) % METRICS_STEPS_PER_POWER || seen == 0)
 			continue;
 		fprintf(out, "%s_bucket{%s%sle=\"%.6f\"} %" PRIu64 "\n",
 			series->name, series->labels, comma,
 			(double)metrics_bucket_edge(i) / USEC_PER_SEC, seen);
-		if (seen == series->histogram->count)
+		if (seen == metrics_read(&series->histogram->count))
 			break;
 	}
 	fprintf(out, "%s_bucket{%s%sle=\"+Inf\"} %" PRIu64 "\n", series->name,
-		series->labels, comma, series->histogram->count);
+		series->labels, comma, metrics_read(&series->histogram->count));
 	fprintf(out, "%s_sum{%s} %.6f\n", series->name, series->labels,
-		(double)series->histogram->sum / USEC_PER_SEC);
+		(double)metrics_read(&series->histogram->sum) / USEC_PER_SEC);
 	fprintf(out, "%s_count{%s} %" PRIu64 "\n", series->name, series->labels,
-		series->histogram->count);
+		metrics_read(&series->histogram->count));
 }
 
 static void metrics_write_series(const metrics_series_t *series, FILE *out)
@@ -261,9 +267,10 @@
 	}
 	if (*series->labels)
 		fprintf(out, "%s{%s} %" PRIu64 "\n", series->name,
-			series->labels, series->value);
+			series->labels, metrics_read(&series->value));
 	else
-		fprintf(out, "%s %" PRIu64 "\n", series->name, series->value);
+		fprintf(out, "%s %" PRIu64 "\n", series->name,
+			metrics_read(&series->value));
 }
 
 void metrics_write(metrics_t *metrics, FILE *out)
