Tell a queue only to siblings that have none

Owners told their queues every 10 ms to siblings that were as full: 9 to 10 KB/s from each of three entries at 90 % of 24 slots (1080 calls a second), and as much with lending switched off. A sibling that told a queue of its own in the last 40 ms is now left out, a standing queue is told every 20 ms, and nobody is told while lending is off.

--- a/entry-owner.c
+++ b/entry-owner.c
@@ -206,7 +206,7 @@
 	options.events.waiting = owner_on_waiting;
 	options.events.idle = owner_on_idle;
 	options.events.pipeline = owner_on_pipeline;
-	options.events.offer = owner_on_offer;
+	options.events.offer = entry->settings.lending ? owner_on_offer : NULL;
 	options.events.wanted = owner_on_wanted;
 	options.events.stopped = owner_on_stopped;
 	options.events.reserve = owner_on_reserve;
--- a/owner-lend.c
+++ b/owner-lend.c
@@ -3,18 +3,20 @@
 /* A sibling is told at most this often, and only of a change. */
 #define LEND_TELL_PERIOD (2 * USEC_PER_MS)
 /* A queue that stays is told again, a queue told longer ago is ignored. */
-#define LEND_REPEAT_PERIOD (10 * USEC_PER_MS)
-#define LEND_BELIEVE (20 * USEC_PER_MS)
+#define LEND_REPEAT_PERIOD (20 * USEC_PER_MS)
+#define LEND_BELIEVE (40 * USEC_PER_MS)
 /* Copies and slots are told again this often. */
 #define LEND_SLOTS_PERIOD (5 * USEC_PER_SEC)
 /* Offered credits are not offered again for this long. */
 #define LEND_RESERVE (5 * USEC_PER_MS)
 
-/* A queue is worth telling: it is new, or changed much, or told long ago. */
+/* A queue is worth telling: it is new, or changed much, or told long ago, and
+   the sibling has no queue itself, as far as we know. */
 static bool lend_queue_due(const owner_sibling_t *sibling, unsigned waiting,
 			   usec_t now)
 {
-	if (!waiting)
+	if (!waiting ||
+	    (sibling->waiting && now - sibling->waited <= LEND_BELIEVE))
 		return false;
 	return waiting >= 2 * sibling->told_waiting ||
 	       now - sibling->told >= LEND_REPEAT_PERIOD;
@@ -104,7 +106,7 @@
 	if (!svc->own)
 		return;
 	owner_table_count(owner, svc);
-	if (events->waiting)
+	if (events->waiting && events->offer)
 		waiting = events->waiting(events->context, svc->name);
 	lend_tell(owner, svc, waiting, now);
 	if (waiting || !events->idle || !lend_longest(svc, now))
