--- a/regress/test-member-swim.c
+++ b/regress/test-member-swim.c
@@ -18,6 +18,8 @@
 	GQueue mail; /* letter_t */
 	usec_t now;
 	unsigned least[NODES]; /* fewest seen alive since the fault */
+	unsigned loss;	       /* of 1000 datagrams */
+	GRand *random;
 } group_t;
 
 typedef struct {
@@ -42,7 +44,9 @@
 	letter->to = (unsigned)(address[strlen(address) - 1] - '0');
 	letter->length = member_net_encode(message, letter->bytes);
 	g_assert_cmpuint(letter->length, >, 0);
-	if (place->group->cut[letter->from][letter->to])
+	if (place->group->cut[letter->from][letter->to] ||
+	    (unsigned)g_rand_int_range(place->group->random, 0, 1000) <
+		    place->group->loss)
 		g_free(letter);
 	else
 		g_queue_push_tail(&place->group->mail, letter);
@@ -95,12 +99,15 @@
 		}
 }
 
-static void group_start(group_t *group, usec_t sync_period, guint seed)
+static void group_start(group_t *group, usec_t sync_period, unsigned loss,
+			guint seed)
 {
 	unsigned i;
 
 	memset(group, 0, sizeof(*group));
 	g_queue_init(&group->mail);
+	group->loss = loss;
+	group->random = g_rand_new_with_seed(seed);
 	group->now = USEC_PER_SEC;
 	for (i = 0; i < NODES; i++) {
 		owner_member_t self = { 0 };
@@ -125,7 +132,8 @@
 		member_swim_init(&group->swim[i], &options, &self, 5, seed,
 				 group->now);
 	}
-	group_run(group, 5 * USEC_PER_SEC);
+	group_run(group, 6 * USEC_PER_SEC);
+	group->loss = 0;
 	for (i = 0; i < NODES; i++) {
 		g_assert_cmpuint(group_live(group, i), ==, NODES);
 		group->swim[i].options.seeds.count = 0;
@@ -140,6 +148,7 @@
 	for (i = 0; i < NODES; i++)
 		member_swim_fini(&group->swim[i]);
 	g_queue_clear_full(&group->mail, g_free);
+	g_rand_free(group->random);
 }
 
 static void fault_none(group_t *group)
@@ -230,19 +239,21 @@
 	unsigned after; /* and at the end */
 	usec_t settle;
 	usec_t sync_period;
+	unsigned loss; /* of 1000 datagrams, while they join */
 } rows[] = {
-	{ "calm", fault_none, 5, 5, 0, FOREVER },
-	{ "kill", fault_kill, 4, 4, 0, FOREVER },
-	{ "leave", fault_leave, 4, 4, 0, FOREVER },
-	{ "flapping", fault_short_freeze, 5, 5, USEC_PER_SEC, FOREVER },
-	{ "freeze", fault_long_freeze, 4, 5, 2 * USEC_PER_SEC, FOREVER },
-	{ "one-link", fault_one_link, 5, 5, 0, FOREVER },
-	{ "mute", fault_mute, 4, 5, 5 * USEC_PER_SEC, FOREVER },
+	{ "calm", fault_none, 5, 5, 0, FOREVER, 0 },
+	{ "join-loss", fault_none, 5, 5, 0, FOREVER, 100 },
+	{ "kill", fault_kill, 4, 4, 0, FOREVER, 0 },
+	{ "leave", fault_leave, 4, 4, 0, FOREVER, 0 },
+	{ "flapping", fault_short_freeze, 5, 5, USEC_PER_SEC, FOREVER, 0 },
+	{ "freeze", fault_long_freeze, 4, 5, 2 * USEC_PER_SEC, FOREVER, 0 },
+	{ "one-link", fault_one_link, 5, 5, 0, FOREVER, 0 },
+	{ "mute", fault_mute, 4, 5, 5 * USEC_PER_SEC, FOREVER, 0 },
 	{ "freeze-suspecting", fault_freeze_suspecting, 5, 5, 4 * USEC_PER_SEC,
-	  FOREVER },
-	{ "partition", fault_partition, 2, 5, 15 * USEC_PER_SEC, FOREVER },
+	  FOREVER, 0 },
+	{ "partition", fault_partition, 2, 5, 15 * USEC_PER_SEC, FOREVER, 0 },
 	{ "partition-sync", fault_partition, 2, 5, 15 * USEC_PER_SEC,
-	  5 * USEC_PER_SEC },
+	  5 * USEC_PER_SEC, 0 },
 };
 
 static void test_row(gconstpointer data)
@@ -253,7 +264,7 @@
 	unsigned i;
 
 	for (seed = 1; seed <= 20; seed++) {
-		group_start(&group, rows[n].sync_period, seed);
+		group_start(&group, rows[n].sync_period, rows[n].loss, seed);
 		rows[n].fault(&group);
 		group_run(&group, rows[n].settle);
 		g_assert_cmpuint(group.least[0], ==, rows[n].least);
@@ -304,7 +315,7 @@
 	static group_t group;
 	const member_node_t *node;
 
-	group_start(&group, FOREVER, 1);
+	group_start(&group, FOREVER, 0, 1);
 	node = member_swim_find(&group.swim[1], "n3");
 	g_assert_cmpstr(node->info.entry.rpc_address, ==, "10.0.0.1:3");
 	g_assert_cmpstr(node->info.entry.peer_address, ==, "10.0.0.1:3");
@@ -318,7 +329,7 @@
 	peer_message_t message = { .group = "other", .from = "n9" };
 
 	message.body.kind = PEER_GOSSIP;
-	group_start(&group, FOREVER, 1);
+	group_start(&group, FOREVER, 0, 1);
 	g_assert_cmpint(member_swim_receive(&group.swim[0], &message, "",
 					    group.now),
 			==, -1);
