Let only tenants with far more calls than the others take turns

Cause: strict turns among tenants undid the order by deadline among equal ones.

A tenant with more than 8 calls waiting and more than twice the others' mean takes turns with them, one call for one of each; the rest goes by deadline.

--- a/entry-queue.c
+++ b/entry-queue.c
@@ -4,8 +4,9 @@
 
 /*
  * Classes by strict priority, but a waiting class is passed over at most
- * QUEUE_PASSED_MAX times in a row. Inside a class tenants take turns; inside
- * a tenant the earliest deadline comes first.
+ * QUEUE_PASSED_MAX times in a row. Inside a class the earliest deadline comes
+ * first, but a tenant with far more calls waiting than the others have on
+ * average is heavy: it takes turns with them, one call for one of each.
  */
 
 /* Calls of other classes that may be served before a waiting class is. */
@@ -13,6 +14,10 @@
 /* Calls of its class ahead of one, those that will arrive included, as a
    multiple of those that wait already. */
 #define QUEUE_AHEAD_MOST 1.5
+/* A flow is heavy with more than this many times the others' mean, and more
+   than this many calls. */
+#define QUEUE_HEAVY_FACTOR 2
+#define QUEUE_HEAVY_MIN 8
 /* Flows are also kept by the power of two of their length. */
 #define QUEUE_SIZES 16
 #define QUEUE_BUCKETS 256
@@ -21,7 +26,8 @@
 
 /* The calls of one tenant in one class. */
 typedef struct entry_flow {
-	struct cds_list_head turn_link;	  /* queue_band_t.turns */
+	entry_heap_node_t turn;		  /* queue_band_t.light */
+	struct cds_list_head turn_link;	  /* queue_band_t.heavy */
 	struct cds_list_head size_link;	  /* queue_band_t.sizes[size] */
 	struct cds_list_head bucket_link; /* entry_queue.buckets or .unused */
 	struct cds_list_head calls;	  /* in order of arrival */
@@ -29,12 +35,18 @@
 	unsigned count;
 	unsigned size;
 	unsigned band;
+	bool heavy;
 	char tenant[HL_NAME_MAX];
 } queue_flow_t;
 
 /* One class. */
 typedef struct {
-	struct cds_list_head turns; /* flows with calls, next first */
+	entry_heap_node_t *light;   /* flows by the deadline of their first */
+	struct cds_list_head heavy; /* flows by turns */
+	unsigned heavy_flows;
+	unsigned heavy_calls;
+	unsigned light_served; /* in this round of turns */
+	unsigned heavy_served;
 	struct cds_list_head sizes[QUEUE_SIZES];
 	queue_flow_t rest; /* of tenants without a flow of their own */
 	unsigned count;
@@ -68,7 +80,7 @@
 {
 	unsigned i;
 
-	CDS_INIT_LIST_HEAD(&band->turns);
+	CDS_INIT_LIST_HEAD(&band->heavy);
 	for (i = 0; i < QUEUE_SIZES; i++)
 		CDS_INIT_LIST_HEAD(&band->sizes[i]);
 	queue_flow_init(&band->rest);
@@ -151,29 +163,59 @@
 	return size < QUEUE_SIZES ? size : QUEUE_SIZES - 1;
 }
 
-/* Keep the band's lists right after flow->count went from @before. */
-static void queue_flow_resize(struct entry_queue *queue, queue_flow_t *flow,
-			      unsigned before)
+/* Take a flow out of the order of its band before its calls change. */
+static void queue_flow_leave(struct entry_queue *queue, queue_flow_t *flow)
 {
 	queue_band_t *band = &queue->bands[flow->band];
 
-	if (before == 0) {
-		cds_list_add_tail(&flow->turn_link, &band->turns);
-		band->flows++;
-	} else {
-		cds_list_del(&flow->size_link);
-	}
-	if (flow->count > 0) {
-		flow->size = queue_size_of(flow->count);
-		cds_list_add(&flow->size_link, &band->sizes[flow->size]);
+	if (flow->count == 0)
+		return;
+	cds_list_del(&flow->size_link);
+	band->flows--;
+	band->count -= flow->count;
+	if (!flow->heavy) {
+		entry_heap_remove(&band->light, &flow->turn);
 		return;
 	}
 	cds_list_del(&flow->turn_link);
-	band->flows--;
-	if (flow != &band->rest) {
-		cds_list_del(&flow->bucket_link);
-		cds_list_add(&flow->bucket_link, &queue->unused);
+	band->heavy_flows--;
+	band->heavy_calls -= flow->count;
+}
+
+/* Whether a flow outside of its band's order has too many calls. */
+static bool queue_flow_is_heavy(const queue_band_t *band,
+				const queue_flow_t *flow)
+{
+	return flow->count > QUEUE_HEAVY_MIN && band->flows > 0 &&
+	       flow->count * band->flows > QUEUE_HEAVY_FACTOR * band->count;
+}
+
+/* Give a flow its place after a change; one without calls is let go. */
+static void queue_flow_enter(struct entry_queue *queue, queue_flow_t *flow)
+{
+	queue_band_t *band = &queue->bands[flow->band];
+
+	if (flow->count == 0) {
+		if (flow != &band->rest) {
+			cds_list_del(&flow->bucket_link);
+			cds_list_add(&flow->bucket_link, &queue->unused);
+		}
+		return;
+	}
+	flow->heavy = queue_flow_is_heavy(band, flow);
+	flow->size = queue_size_of(flow->count);
+	cds_list_add(&flow->size_link, &band->sizes[flow->size]);
+	band->flows++;
+	band->count += flow->count;
+	if (!flow->heavy) {
+		flow->turn.key = flow->urgency->key;
+		flow->turn.order = flow->urgency->order;
+		entry_heap_push(&band->light, &flow->turn);
+		return;
 	}
+	cds_list_add_tail(&flow->turn_link, &band->heavy);
+	band->heavy_flows++;
+	band->heavy_calls += flow->count;
 }
 
 void entry_queue_admitted(struct entry_queue *queue, const entry_call_t *call,
@@ -198,6 +240,7 @@
 
 	call->waiting = true;
 	call->flow = flow;
+	queue_flow_leave(queue, flow);
 	entry_heap_push(&flow->urgency, &call->urgency);
 	entry_heap_push(&queue->expiry, &call->expiry);
 	/* One that was sent before is older than all that were not. */
@@ -206,9 +249,8 @@
 	else
 		cds_list_add_tail(&call->queue_link, &flow->calls);
 	flow->count++;
-	queue->bands[band].count++;
 	queue->count++;
-	queue_flow_resize(queue, flow, flow->count - 1);
+	queue_flow_enter(queue, flow);
 }
 
 void entry_queue_push(struct entry_queue *queue, entry_call_t *call, usec_t now)
@@ -232,12 +274,12 @@
 		call->evicted = false;
 		return;
 	}
+	queue_flow_leave(queue, flow);
 	entry_heap_remove(&flow->urgency, &call->urgency);
 	entry_heap_remove(&queue->expiry, &call->expiry);
 	flow->count--;
-	queue->bands[flow->band].count--;
 	queue->count--;
-	queue_flow_resize(queue, flow, flow->count + 1);
+	queue_flow_enter(queue, flow);
 	call->flow = NULL;
 }
 
@@ -271,6 +313,27 @@
 	served->passed = 0;
 }
 
+/*
+ * A round is one call for each heavy flow after as many of the light ones as
+ * there are light flows.
+ */
+static queue_flow_t *queue_flow_next(queue_band_t *band)
+{
+	unsigned light_flows = band->flows - band->heavy_flows;
+
+	if (band->heavy_served >= band->heavy_flows) {
+		band->heavy_served = 0;
+		band->light_served = 0;
+	}
+	if (band->light &&
+	    (band->heavy_flows == 0 || band->light_served < light_flows)) {
+		band->light_served++;
+		return caa_container_of(band->light, queue_flow_t, turn);
+	}
+	band->heavy_served++;
+	return cds_list_first_entry(&band->heavy, queue_flow_t, turn_link);
+}
+
 entry_call_t *entry_queue_pop(struct entry_queue *queue)
 {
 	queue_band_t *band = queue_band_next(queue);
@@ -279,10 +342,8 @@
 
 	if (!band)
 		return NULL;
-	flow = cds_list_first_entry(&band->turns, queue_flow_t, turn_link);
+	flow = queue_flow_next(band);
 	call = caa_container_of(flow->urgency, entry_call_t, urgency);
-	cds_list_del(&flow->turn_link);
-	cds_list_add_tail(&flow->turn_link, &band->turns);
 	entry_queue_remove(queue, call);
 	queue_band_served(queue, band);
 	return call;
@@ -354,16 +415,30 @@
 	return queue->count;
 }
 
+/* Calls of its class that will be served before a new one of @flow. */
+static double queue_ahead(const queue_band_t *band, const queue_flow_t *flow)
+{
+	double flows = band->flows;
+	double light = flows - band->heavy_flows;
+	double most = QUEUE_AHEAD_MOST * band->count;
+	double ahead;
+
+	if (flow && flow->heavy)
+		ahead = flow->count * flows;
+	else if (light > 0)
+		ahead = (band->count - band->heavy_calls) * flows / light;
+	else
+		ahead = flows;
+	return ahead < most ? ahead : most;
+}
+
 usec_t entry_queue_wait(const struct entry_queue *queue,
 			const entry_call_t *call, double rate)
 {
 	unsigned index = queue_band_of(call);
 	const queue_band_t *band = &queue->bands[index];
 	const queue_flow_t *flow = queue_flow_find(queue, call->tenant, index);
-	double flows = band->flows + (flow ? 0 : 1);
-	double own = (flow ? flow->count : 0) * flows;
-	double most = QUEUE_AHEAD_MOST * band->count;
-	double ahead = own < most ? own : most;
+	double ahead = queue_ahead(band, flow);
 	double left = rate;
 	double least = rate / (QUEUE_PASSED_MAX + 1);
 	double wait;
