Look after waiting calls only while some wait

It now sleeps 100 ms unless a call or claim waits, and is kicked when one begins to; supervisors look at their children every 100 ms.

--- a/entry-claim.c
+++ b/entry-claim.c
@@ -235,6 +235,8 @@
 	pthread_mutex_unlock(&claims->lock);
 	if (result != CLAIM_ASKING)
 		claim_act(claims, claim, result, now);
+	else
+		entry_tick_kick(claims->entry);
 }
 
 /* The number of the home that answers, or the count when it is none. */
@@ -333,8 +335,9 @@
 	}
 }
 
-void entry_claims_tick(entry_claims_t *claims, usec_t now)
+bool entry_claims_tick(entry_claims_t *claims, usec_t now)
 {
+	bool asking;
 	entry_claim_t *claim;
 	claim_result_t result;
 
@@ -345,8 +348,10 @@
 			claim_tick_settling(claims, now);
 			entry_claims_home_tick(claims, now);
 		}
+		asking = !cds_list_empty(&claims->asking);
 		pthread_mutex_unlock(&claims->lock);
 		if (claim)
 			claim_act(claims, claim, result, now);
 	} while (claim);
+	return asking;
 }
--- a/entry-claim.h
+++ b/entry-claim.h
@@ -28,8 +28,12 @@
 				 bool first, usec_t now, hl_error_t *err);
 void entry_claims_free(entry_claims_t *claims);
 
-/** entry_claims_tick - ask again, give up, settle again, expire, sync. */
-void entry_claims_tick(entry_claims_t *claims, usec_t now);
+/**
+ * entry_claims_tick - ask again, give up, settle again, expire, sync.
+ *
+ * Return: true while a claim asks for its homes' word.
+ */
+bool entry_claims_tick(entry_claims_t *claims, usec_t now);
 
 /**
  * entry_claims_start - claim the key of a request, then dispatch it.
--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -77,6 +77,7 @@
 		entry_dispatch_expire(route, now);
 		entry_dispatch_next(route, now);
 		owner_kick(req->entry->owner);
+		entry_tick_kick(req->entry);
 		break;
 	default:
 		entry_dispatch_final(req, &decision);
--- a/entry-io.h
+++ b/entry-io.h
@@ -265,6 +265,13 @@
 /** entry_route_count - how many services are known. */
 unsigned entry_route_count(struct entry *entry);
 
+/**
+ * entry_route_next - the route after @route, the first after NULL.
+ *
+ * Routes live as long as the daemon, so this needs no lock meanwhile.
+ */
+entry_route_t *entry_route_next(struct entry *entry, entry_route_t *route);
+
 /** entry_route_free_all - at the end of the daemon. */
 void entry_route_free_all(struct entry *entry);
 
@@ -323,7 +330,12 @@
 	member_t *member;
 	struct entry_claims *claims;
 	config_follow_t *follow; /* NULL without keepers */
-	bool first_start;	 /* nothing was ever claimed here */
+	char call_address[HL_ADDRESS_MAX];
+	pthread_mutex_t tick_lock;
+	pthread_cond_t tick_wake;
+	bool tick_kicked;
+	bool tick_busy;	  /* it looks often by itself */
+	bool first_start; /* nothing was ever claimed here */
 	owner_t *owner;
 	const char *settings_path;
 	signals_t signals;
@@ -378,6 +390,15 @@
  */
 entry_decision_t entry_probe_choose(entry_request_t *req);
 
+/** entry_tick_init - before any thread that may kick. */
+void entry_tick_init(entry_t *entry);
+
+/** entry_tick_child - the thread that looks after what waits. */
+supervisor_child_t entry_tick_child(entry_t *entry);
+
+/** entry_tick_kick - a call or a claim has begun to wait. */
+void entry_tick_kick(entry_t *entry);
+
 /** entry_relay_send - send a request to its place and take the answer. */
 void entry_relay_send(entry_request_t *req);
 
--- a/entry-main.c
+++ b/entry-main.c
@@ -4,36 +4,9 @@
 #include "entry-claim.h"
 #include "entry-main.h"
 
-/* How often waiting calls are looked at for their deadlines. */
-#define MAIN_TICK (2 * USEC_PER_MS)
 #define MAIN_RESTARTS_MAX 5
 #define MAIN_RESTARTS_WINDOW (60 * USEC_PER_SEC)
 
-static void main_tick_routes(entry_t *entry, usec_t now)
-{
-	entry_route_t *route;
-
-	pthread_mutex_lock(&entry->routes_lock);
-	cds_list_for_each_entry (route, &entry->routes, link) {
-		entry_dispatch_expire(route, now);
-		entry_dispatch_next(route, now);
-	}
-	pthread_mutex_unlock(&entry->routes_lock);
-	entry_claims_tick(entry->claims, now);
-}
-
-static int main_tick_run(void *context, const volatile int *stop)
-{
-	const struct timespec period = { 0, MAIN_TICK * 1000 };
-	entry_t *entry = context;
-
-	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
-		main_tick_routes(entry, time_now());
-		nanosleep(&period, NULL);
-	}
-	return 0;
-}
-
 /* SIGHUP: the log level alone can change without a restart. */
 static void main_reload(void *context)
 {
@@ -58,7 +31,7 @@
 	supervisor_child_t watch = entry_watch_child(entry->watch);
 	supervisor_child_t member = member_child(entry->member);
 	supervisor_child_t owner = owner_child(entry->owner);
-	supervisor_child_t tick = { "tick", main_tick_run, NULL, entry };
+	supervisor_child_t tick = entry_tick_child(entry);
 
 	entry->signals.supervisor = sup;
 	entry->signals.reload = main_reload;
@@ -105,6 +78,7 @@
 		     settings->control_port);
 	main_address(options.self.peer_address, settings, settings->peer_port);
 	main_address(options.self.rpc_address, settings, settings->rpc_port);
+	strcpy(entry->call_address, options.self.call_address);
 	entry->member = member_new(&options, err);
 	if (!entry->member || entry_owner_new(entry, &options.self, err) ||
 	    entry_config_new(entry, &options.self, err))
@@ -161,6 +135,7 @@
 
 	pthread_mutex_init(&entry.routes_lock, NULL);
 	CDS_INIT_LIST_HEAD(&entry.routes);
+	entry_tick_init(&entry);
 	entry.routes_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	entry_policy_parse(settings->policy, &entry.policy);
 	curl_global_init(CURL_GLOBAL_ALL);
--- a/entry-route.c
+++ b/entry-route.c
@@ -30,6 +30,18 @@
 	return count;
 }
 
+entry_route_t *entry_route_next(entry_t *entry, entry_route_t *route)
+{
+	struct cds_list_head *at = route ? &route->link : &entry->routes;
+	entry_route_t *next = NULL;
+
+	pthread_mutex_lock(&entry->routes_lock);
+	if (at->next != &entry->routes)
+		next = cds_list_entry(at->next, entry_route_t, link);
+	pthread_mutex_unlock(&entry->routes_lock);
+	return next;
+}
+
 static entry_route_t *route_new(entry_t *entry, const char *name)
 {
 	entry_route_t *route = calloc(1, sizeof(*route));
--- a/supervisor.c
+++ b/supervisor.c
@@ -6,7 +6,7 @@
 
 #define SUPERVISOR_CHILDREN_MAX 16
 /* How often a supervisor looks at its children. */
-#define SUPERVISOR_PERIOD (20 * USEC_PER_MS)
+#define SUPERVISOR_PERIOD (100 * USEC_PER_MS)
 
 typedef struct {
 	supervisor_child_t spec;
