--- a/owner-announce.c
+++ b/owner-announce.c
@@ -16,7 +16,8 @@
 	return record;
 }
 
-/* What the copy echoed before it was sent here is what counts. */
+/* What the copy echoed before it was sent here is what counts, as often as it
+   shows that it had no answer since. */
 static void announce_resolve(owner_record_t *record,
 			     owner_announcement_t *announcement)
 {
@@ -24,7 +25,6 @@
 		return;
 	memcpy(announcement->owner, record->redirect_owner, HL_NAME_MAX);
 	announcement->epoch = record->redirect_epoch;
-	record->redirect = 0;
 }
 
 owner_record_t *owner_accept(owner_t *owner,
