Hold an answer for 50 ms before it is relayed as it comes

path-relay failed once on a loaded machine under the address sanitizer: between the head of an answer and its cut more than the 5 ms passed for which an answer is held, so it was relayed and cut at the caller instead of answered 502.

--- a/entry-io.h
+++ b/entry-io.h
@@ -26,7 +26,7 @@
 /* Most bytes of an answer that wait for a slow caller. */
 #define ENTRY_ANSWER_BYTES (256 * 1024)
 /* An answer that is not whole after this time is relayed as it comes. */
-#define ENTRY_HOLD_TIME (5 * USEC_PER_MS)
+#define ENTRY_HOLD_TIME (50 * USEC_PER_MS)
 
 /* Groups of homes in the settings; each key has one home in each. */
 #define ENTRY_CLAIM_GROUPS 3
