--- a/bench/compare-lane.sh
+++ b/bench/compare-lane.sh
@@ -1,6 +1,6 @@
 # One policy with one seed through all scenarios; a result line for each.
 #
-# usage: compare-lane.sh POLICY SEED quick|full ENTRIES FOLDER
+# usage: compare-lane.sh POLICY SEED quick|faults|full ENTRIES FOLDER
 . "$(dirname "$0")/lib.sh"
 
 policy=$1 seed=$2 depth=$3 count=$4 folder=$5
@@ -47,26 +47,42 @@
 	sleep 0.5
 }
 
-scenario steady-90 90 4 2
-if [ "$depth" = full ]
-then
+# victim N: the N-th entry that owns copies; under a baseline, the N-th.
+victim () {
+	[ -z "$all" ] || { echo "entry-$1"; return; }
+	"$BUILD/regress/call" --body \
+		"http://${ENTRIES%%,*}/v1/lookup?service=bay-desk" |
+		grep -o '"address":"[0-9.]*' | sed -n "$1s/.*[.]/entry-/p"
+}
+
+steady () {
 	scenario steady-70 70 4 1
 	scenario steady-100 100 4 3
 	scenario steady-120 120 4 4
 	sleep 1
 	scenario shift-70 70 4 5 --shift-ms 7 --shift-factor 0.8
 	scenario shift-90 90 4 6 --shift-ms 7 --shift-factor 0.8
-fi
-control targets "/straggle?copy=0&value=5"
-control targets "/straggle?copy=8&value=5"
-scenario straggler-70 70 4 7
-control targets "/straggle?value=1"
-if [ "$depth" = full ]
-then
-	{ sleep 1.5; freeze entry-2; sleep 5; thaw entry-2; } &
+}
+
+straggler () {
+	control targets "/straggle?copy=0&value=5"
+	control targets "/straggle?copy=8&value=5"
+	scenario straggler-70 70 4 7
+	control targets "/straggle?value=1"
+}
+
+faults () {
+	name=$(victim 1)
+	{ sleep 1.5; freeze "$name"; sleep 5; thaw "$name"; } &
 	scenario frozen-70 70 8 8
 	wait $!
-	sleep 1
-	{ sleep 1.5; kill -9 "$(pid entry-1)"; } &
+	sleep 5 # until it has its copies again
+	name=$(victim 2)
+	{ sleep 1.5; kill -9 "$(pid "$name")"; } &
 	scenario killed-70 70 5 9
-fi
+}
+
+[ "$depth" = faults ] || scenario steady-90 90 4 2
+[ "$depth" != full ] || steady
+[ "$depth" = faults ] || straggler
+[ "$depth" = quick ] || faults
--- a/bench/compare.sh
+++ b/bench/compare.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Compare the ways of choosing a copy on the same work, in the same run.
 #
-# usage: bench/compare.sh [--quick] [--entries N] [--out FOLDER]
+# usage: bench/compare.sh [--quick|--faults] [--entries N] [--out FOLDER]
 #
 # 8 entries, 16 copies of 3 slots, 20 ms exponential, 1 ms each way. Prints
 # medians over the seeds and the spread of p99; one histogram a run as text.
@@ -13,6 +13,7 @@
 do
 	case $1 in
 	--quick) depth=quick seeds=1 ;;
+	--faults) depth=faults ;;
 	--entries) entries=$2; shift ;;
 	--out) out=$2; shift ;;
 	*) sed -n 's/^# usage: /usage: /p' "$0" >&2; exit 2 ;;
