--- a/member-table.c
+++ b/member-table.c
@@ -112,7 +112,7 @@
 	table_copy(entry->control_address, HL_ADDRESS_MAX,
 		   said->control_address);
 	table_copy(entry->peer_address, HL_ADDRESS_MAX, said->peer_address);
-	table_copy(node->info.rpc_address, HL_ADDRESS_MAX, said->rpc_address);
+	table_copy(entry->rpc_address, HL_ADDRESS_MAX, said->rpc_address);
 }
 
 /* Somebody says of us what is not so: outbid it. */
@@ -146,8 +146,9 @@
 }
 
 void member_table_apply(member_swim_t *swim, const peer_member_t *said,
-			usec_t now)
+			bool page, usec_t now)
 {
+	bool first = false;
 	member_node_t *node;
 
 	if (!hl_name_valid(said->name))
@@ -161,6 +162,7 @@
 		node = member_table_add(swim, said->name, now);
 		if (!node)
 			return;
+		first = true;
 	} else if (!table_overrides(node, said)) {
 		return;
 	}
@@ -169,6 +171,8 @@
 		swim->version++;
 	table_addresses(node, said);
 	member_table_set(swim, node, said->state, said->incarnation, now);
+	if (page && first)
+		node->gossip_left = 0;
 }
 
 /* The strings stay the node's: encode before it changes. */
@@ -181,7 +185,7 @@
 	out->call_address = entry->call_address;
 	out->control_address = entry->control_address;
 	out->peer_address = entry->peer_address;
-	out->rpc_address = node->info.rpc_address;
+	out->rpc_address = entry->rpc_address;
 	out->incarnation = node->incarnation;
 	out->state = node->state;
 }
