--- a/config-find.c
+++ b/config-find.c
@@ -34,6 +34,6 @@
 	profile->tenant_rate = 0;
 	profile->tenant_burst = 0;
 	profile->key_hold_s = 600;
-	profile->pipeline_max = 1;
+	profile->pipeline_max = 4;
 	profile->post_idempotent = FALSE;
 }
--- a/entry-owner.c
+++ b/entry-owner.c
@@ -4,6 +4,9 @@
 /* What the owner module asks of and tells the daemon. It holds its own lock
    meanwhile, so no lock taken here may be held while calling it. */
 
+/* A copy that keeps saying that it is cold is taken for warm after this. */
+#define OWNER_COLD_MAX (60 * USEC_PER_SEC)
+
 /* Keep the place of a copy at its address. Lock held. */
 static void owner_place(entry_copy_t *copy, const char *address, unsigned idle)
 {
@@ -28,6 +31,8 @@
 	copy->connections = said->connections;
 	copy->draining = said->state == OWNER_COPY_DRAINING;
 	copy->announced = now;
+	if (said->state == OWNER_COPY_COLD)
+		entry_service_cold(copy, now + OWNER_COLD_MAX, now);
 	owner_place(copy, said->address, said->slots + limit);
 	copy->limit = copy->io ? limit : 0;
 	copy->lease_until = until;
