Read the count of calls in flight as it is written

The thread sanitizer saw the line 'stopping' and the status read entry.in_flight plainly beside atomic writes (owner-handover.script, build-thread, twice).

--- a/entry-main.c
+++ b/entry-main.c
@@ -140,7 +140,8 @@
 			     "threads kept failing; read the log lines above");
 	__atomic_store_n(&entry->stopping, 1, __ATOMIC_RELEASE);
 	log_event(LOG_LEVEL_NOTICE, "stopping", "in_flight=%u linger_ms=%d",
-		  entry->in_flight, (int)entry->settings.linger_ms);
+		  __atomic_load_n(&entry->in_flight, __ATOMIC_ACQUIRE),
+		  (int)entry->settings.linger_ms);
 	owner_leave(entry->owner);
 	member_leave(entry->member);
 	main_linger(entry);
--- a/entry-status.c
+++ b/entry-status.c
@@ -41,9 +41,10 @@
 	root = json_pack("{s:s, s:s, s:s, s:i, s:I, s:o}", "entry",
 			 entry->settings.name, "zone", entry->settings.zone,
 			 "build", HEMLOCK_VERSION, "in_flight",
-			 (int)entry->in_flight, "revision",
-			 (json_int_t)entry_config_revision(entry), "services",
-			 services);
+			 (int)__atomic_load_n(&entry->in_flight,
+					      __ATOMIC_ACQUIRE),
+			 "revision", (json_int_t)entry_config_revision(entry),
+			 "services", services);
 	reply->body = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 }
