--- a/entry-status.c
+++ b/entry-status.c
@@ -42,7 +42,7 @@
 			 entry->settings.name, "zone", entry->settings.zone,
 			 "build", HEMLOCK_VERSION, "in_flight",
 			 (int)__atomic_load_n(&entry->in_flight,
-					      __ATOMIC_RELAXED),
+					      __ATOMIC_ACQUIRE),
 			 "revision", (json_int_t)entry_config_revision(entry),
 			 "services", services);
 	reply->body = json_dumps(root, JSON_COMPACT);
