Hand calls over when the copies left here have no credit

With eight entries about one start in four left entries that answered every call "504 deadline, not run" for good. Cause: an entry that took a copy while the members were still finding each other hands it over and keeps it with limit 0; entry-forward.c counted copies, not credits, so such an entry queued its calls instead of passing them to an owner. Seen in /v1/status: one copy, limit 0, calls waiting until their deadline. Ruled out: look-ups and announcements, which were right.

The check now asks for a copy with a credit limit above none (entry- forward.c, family path).

--- a/entry-forward.c
+++ b/entry-forward.c
@@ -76,12 +76,15 @@
 	return place;
 }
 
+/* A copy that was handed over stays known with no credit for a while. */
 static bool forward_has_copies(entry_route_t *route)
 {
-	bool has;
+	const entry_copy_t *copy;
+	bool has = false;
 
 	pthread_mutex_lock(&route->lock);
-	has = route->service.copy_count > 0;
+	cds_list_for_each_entry (copy, &route->service.copies, link)
+		has = has || copy->limit > 0;
 	pthread_mutex_unlock(&route->lock);
 	return has;
 }
