--- a/cmd-table.c
+++ b/cmd-table.c
@@ -21,5 +21,9 @@
 	  0, cmd_status },
 	{ "histogram", "", "Show an entry's latencies by service and class",
 	  cmd_histogram_options, 0, 0, cmd_histogram },
+	{ "keeper-add", "NAME IP:PORT", "Add a keeper to the group", NULL, 2, 2,
+	  cmd_voter_add },
+	{ "keeper-remove", "NAME", "Remove a keeper from the group", NULL, 1, 1,
+	  cmd_voter_remove },
 	{ 0 },
 };
--- a/cmd.h
+++ b/cmd.h
@@ -54,6 +54,8 @@
 cmd_exit_t cmd_stop(cmd_t *cmd, char **arguments);
 cmd_exit_t cmd_status(cmd_t *cmd, char **arguments);
 cmd_exit_t cmd_histogram(cmd_t *cmd, char **arguments);
+cmd_exit_t cmd_voter_add(cmd_t *cmd, char **arguments);
+cmd_exit_t cmd_voter_remove(cmd_t *cmd, char **arguments);
 
 extern const GOptionEntry cmd_apply_options[];
 extern const GOptionEntry cmd_retire_options[];
--- a/hemlockctl.c
+++ b/hemlockctl.c
@@ -26,7 +26,7 @@
 
 	fputs("usage: hemlockctl COMMAND [OPTION...] [ARGUMENT...]\n\n", out);
 	for (entry = cmd_entries; entry->name; entry++)
-		fprintf(out, "  %-10s %-22s %s\n", entry->name,
+		fprintf(out, "  %-13s %-22s %s\n", entry->name,
 			entry->arguments, entry->summary);
 	fputs("\nhemlockctl COMMAND --help lists the options of a command.\n",
 	      out);
