keeper: SIGHUP takes over the log level

SIGHUP had its default action and ended a keeper, so an operator who reloaded all units of a VM took keepers away. The keeper now has its signals from signals.c, as the entry has; its own thread for that is gone. The other settings were left to a restart: they are used by threads that run.

keeper-signals.script: three keepers survive SIGHUP with a good and a bad file, changes go on, SIGTERM ends each with status 0.

--- a/hemlock-keeper.c
+++ b/hemlock-keeper.c
@@ -1,5 +1,4 @@
 #include <glib.h>
-#include <signal.h>
 #include <stdio.h>
 #include "keeper-core.h"
 
@@ -14,28 +13,22 @@
 #define KEEPER_RESTARTS_MAX 10
 #define KEEPER_RESTARTS_WINDOW (60 * USEC_PER_SEC)
 
-/* How often the signal thread looks at its stop flag. */
-#define KEEPER_SIGNAL_POLL (100 * USEC_PER_MS)
-
-/* The signals that end a keeper; all threads block them. */
-static void keeper_end_signals(sigset_t *set)
+/* SIGHUP: the log level alone can change without a restart. */
+static void keeper_reload(void *context)
 {
-	sigemptyset(set);
-	sigaddset(set, SIGTERM);
-	sigaddset(set, SIGINT);
-}
-
-/* Wait for a signal in a thread, where everything may be called. */
-static int keeper_signal_run(void *context, const volatile int *stop)
-{
-	const struct timespec poll = { 0, KEEPER_SIGNAL_POLL * 1000 };
-	sigset_t set;
+	keeper_settings_t settings;
+	char text[2 * HL_MESSAGE_MAX];
+	const char *path = context;
+	hl_error_t err = { 0 };
 
-	keeper_end_signals(&set);
-	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE))
-		if (sigtimedwait(&set, NULL, &poll) > 0)
-			supervisor_stop(context);
-	return 0;
+	if (keeper_settings_load(path, &settings, &err)) {
+		log_event(LOG_LEVEL_ERROR, "settings-refused", "message=%s",
+			  log_quote(err.message, text, sizeof(text)));
+		return;
+	}
+	log_set_level(settings.log_level);
+	log_event(LOG_LEVEL_NOTICE, "settings-read", "log_level=%d",
+		  (int)settings.log_level);
 }
 
 static int keeper_complain(const hl_error_t *err)
@@ -58,7 +51,8 @@
 }
 
 static int keeper_start(supervisor_t *sup, keeper_core_t *core,
-			keeper_links_t *links, hl_error_t *err)
+			keeper_links_t *links, signals_t *signals,
+			hl_error_t *err)
 {
 	const supervisor_child_t core_child = { .name = "core",
 						.run = keeper_core_run,
@@ -67,9 +61,7 @@
 	const supervisor_child_t rpc_child = { .name = "rpc",
 					       .run = keeper_rpc_run,
 					       .context = core };
-	const supervisor_child_t signal_child = { .name = "signal",
-						  .run = keeper_signal_run,
-						  .context = sup };
+	const supervisor_child_t signal_child = signals_child(signals);
 
 	core->send = keeper_links_send;
 	core->send_context = links;
@@ -83,24 +75,23 @@
 	return 0;
 }
 
-static int keeper_run(const keeper_settings_t *settings)
+static int keeper_run(const keeper_settings_t *settings, char *path)
 {
+	signals_t signals = { .reload = keeper_reload, .context = path };
 	static keeper_core_t core;
 	keeper_links_t *links = NULL;
 	hl_error_t err = { 0 };
 	supervisor_t *sup;
-	sigset_t set;
 	int rc;
 
 	sup = supervisor_new("keeper", KEEPER_RESTARTS_MAX,
 			     KEEPER_RESTARTS_WINDOW);
-	signal(SIGPIPE, SIG_IGN);
-	keeper_end_signals(&set);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signals.supervisor = sup;
+	signals_block();
 	if (!sup ||
 	    keeper_core_init(&core, settings, &keeper_file_posix, &err) ||
 	    !(links = keeper_links_new(&core)) ||
-	    keeper_start(sup, &core, links, &err)) {
+	    keeper_start(sup, &core, links, &signals, &err)) {
 		rc = keeper_complain(&err);
 	} else {
 		log_event(LOG_LEVEL_NOTICE, "started", "zone=%s",
@@ -114,7 +105,7 @@
 	return rc;
 }
 
-static int keeper_main(const char *path, bool check)
+static int keeper_main(char *path, bool check)
 {
 	keeper_settings_t settings;
 	hl_error_t err = { 0 };
@@ -131,7 +122,7 @@
 		return KEEPER_EXIT_OK;
 	}
 	log_open("hemlock-keeper", settings.name, settings.log_level);
-	return keeper_run(&settings);
+	return keeper_run(&settings, path);
 }
 
 int main(int argc, char **argv)
