--- a/entry-io.h
+++ b/entry-io.h
@@ -62,6 +62,7 @@
 	char policy[HL_NAME_MAX];
 	char probe_path[HL_MESSAGE_MAX]; /* of two-choices */
 	bool lending;
+	int64_t lend_bytes;   /* a second, between owners */
 	setting_list_t seeds; /* peer addresses of the entries */
 	config_follow_settings_t follow;
 	entry_claim_settings_t claims;
--- a/entry-owner.c
+++ b/entry-owner.c
@@ -204,6 +204,7 @@
 	options.metrics = entry->metrics;
 	options.interval = entry->settings.interval_ms * USEC_PER_MS;
 	options.lease = entry->settings.lease_ms * USEC_PER_MS;
+	options.lend_rate = (uint64_t)entry->settings.lend_bytes;
 	options.events.context = entry;
 	options.events.limit = owner_on_limit;
 	options.events.forget = owner_on_forget;
--- a/owner-lend.c
+++ b/owner-lend.c
@@ -10,6 +10,32 @@
 /* Offered credits are not offered again for this long. */
 #define LEND_RESERVE (5 * USEC_PER_MS)
 
+/* What one datagram of lending takes out of the budget, in bytes. */
+#define LEND_DATAGRAM 90
+/* Unused budget is kept for bursts of this long. */
+#define LEND_BURST USEC_PER_SEC
+
+/* Take a datagram out of the bytes a second that lending may send. */
+static bool lend_afford(owner_t *owner, usec_t now)
+{
+	double rate = (double)owner->options.lend_rate;
+	double most = rate * LEND_BURST / USEC_PER_SEC;
+
+	if (!owner->options.lend_rate)
+		return true;
+	owner->lend_budget += rate * (double)(now - owner->lend_filled) /
+			      USEC_PER_SEC;
+	owner->lend_filled = now;
+	if (owner->lend_budget > most)
+		owner->lend_budget = most;
+	if (owner->lend_budget < LEND_DATAGRAM) {
+		metrics_add(owner->lend_withheld, 1);
+		return false;
+	}
+	owner->lend_budget -= LEND_DATAGRAM;
+	return true;
+}
+
 /* A queue is worth telling: it is new, or changed much, or told long ago, and
    the sibling has no queue itself, as far as we know. */
 static bool lend_queue_due(const owner_sibling_t *sibling, unsigned waiting,
@@ -44,8 +70,9 @@
 			sibling->told_waiting = 0;
 		if (sibling->told && now - sibling->told < LEND_TELL_PERIOD)
 			continue;
-		if (!lend_queue_due(sibling, waiting, now) &&
-		    !lend_slots_due(svc, sibling, now))
+		if (!lend_slots_due(svc, sibling, now) &&
+		    (!lend_queue_due(sibling, waiting, now) ||
+		     !lend_afford(owner, now)))
 			continue;
 		sibling->told = now;
 		sibling->told_waiting = waiting;
@@ -80,7 +107,7 @@
 
 	if (now >= svc->reserved_until)
 		svc->reserved = 0;
-	if (!sibling || idle <= svc->reserved)
+	if (!sibling || idle <= svc->reserved || !lend_afford(owner, now))
 		return;
 	credits = idle - svc->reserved;
 	if (credits > sibling->waiting)
--- a/owner-table.c
+++ b/owner-table.c
@@ -208,6 +208,9 @@
 	owner->lend_bytes = metrics_counter(
 		metrics, "hemlock_owner_lend_bytes_total", "",
 		"Bytes sent to sibling owners about queues and credits.");
+	owner->lend_withheld = metrics_counter(
+		metrics, "hemlock_owner_lend_withheld_total", "",
+		"Datagrams of lending not sent for want of budget.");
 	owner->lend_datagrams =
 		metrics_counter(metrics, "hemlock_owner_lend_datagrams_total",
 				"", "Datagrams sent to sibling owners.");
--- a/owner-table.h
+++ b/owner-table.h
@@ -89,6 +89,9 @@
 	usec_t ask_from; /* slots may be asked for again from then on */
 	uint64_t *lend_bytes;
 	uint64_t *lend_datagrams;
+	uint64_t *lend_withheld;
+	double lend_budget; /* bytes */
+	usec_t lend_filled;
 	uint64_t *lease_bytes;
 	uint64_t *offered;
 	uint64_t *taken;
--- a/owner.h
+++ b/owner.h
@@ -133,6 +133,7 @@
 	owner_events_t events;
 	usec_t interval;       /* between announcements, 1 s */
 	usec_t lease;	       /* 3 s; at least twice the interval */
+	uint64_t lend_rate;    /* bytes a second of lending, 0: no bound */
 	struct member *member; /* NULL: the members are owner_members()'s */
 	metrics_t *metrics;    /* may be NULL */
 } owner_options_t;
