--- a/entry-measure.c
+++ b/entry-measure.c
@@ -63,6 +63,7 @@
 	entry_route_t *route = req->route;
 	const char *class_name = *req->class_name ? req->class_name : "default";
 	const char *tenant = req->tenant;
+	entry_outcome_t outcome;
 	measure_t *measure;
 
 	if (!route)
@@ -79,7 +80,10 @@
 	if (!measure)
 		return;
 	metrics_histogram_add(measure->seconds, now - req->call.arrived);
-	metrics_add(measure->outcomes[req->answer.outcome], 1);
+	pthread_mutex_lock(&req->lock);
+	outcome = req->answer.outcome;
+	pthread_mutex_unlock(&req->lock);
+	metrics_add(measure->outcomes[outcome], 1);
 }
 
 void entry_measure_free(entry_route_t *route)
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -480,6 +480,14 @@
 	return relay_result(relay);
 }
 
+/* The caller's side may be counting the call at this moment. */
+static void relay_set_outcome(entry_request_t *req, entry_outcome_t outcome)
+{
+	pthread_mutex_lock(&req->lock);
+	req->answer.outcome = outcome;
+	pthread_mutex_unlock(&req->lock);
+}
+
 /* What is true of all sends of a call together: one may have run. */
 static entry_outcome_t relay_over_all(const entry_request_t *req,
 				      entry_outcome_t last)
@@ -513,7 +521,7 @@
 		     result == ENTRY_RESULT_SHED;
 
 	if (result == ENTRY_RESULT_SHED)
-		req->answer.outcome = relay_over_all(req, ENTRY_NOT_RUN);
+		relay_set_outcome(req, relay_over_all(req, ENTRY_NOT_RUN));
 	if (whole)
 		entry_request_end(req, false);
 	else if (req->answer.published)
@@ -553,6 +561,6 @@
 	relay.place = req->forward ? req->forward : req->call.copy->io;
 	result = relay_send_once(&relay);
 	if (relay.head_whole)
-		req->answer.outcome = relay_answer_outcome(&relay);
+		relay_set_outcome(req, relay_answer_outcome(&relay));
 	entry_dispatch_end(req, result, time_now());
 }
