keeper: exit codes as the entry's

The entry's way is taken: 2 usage, 3 settings, 4 run. Damage keeps a code of its own, 5, so that a unit need not start again on it; keeping 4 for it was ruled out, since 4 is the entry's for a failed run.

--- a/hemlock-keeper.c
+++ b/hemlock-keeper.c
@@ -2,12 +2,12 @@
 #include <stdio.h>
 #include "keeper-core.h"
 
-/* Exit codes, as --help has them. */
+/* Exit codes, as --help has them; the entry's, and one for damage. */
 #define KEEPER_EXIT_OK 0
-#define KEEPER_EXIT_FAILED 1
 #define KEEPER_EXIT_USAGE 2
 #define KEEPER_EXIT_SETTINGS 3
-#define KEEPER_EXIT_DATA 4
+#define KEEPER_EXIT_RUN 4
+#define KEEPER_EXIT_DATA 5
 
 /* A child that fails more often than this has no hope. */
 #define KEEPER_RESTARTS_MAX 10
@@ -46,7 +46,7 @@
 	case HL_ERR_CORRUPT:
 		return KEEPER_EXIT_DATA;
 	default:
-		return KEEPER_EXIT_FAILED;
+		return KEEPER_EXIT_RUN;
 	}
 }
 
@@ -96,7 +96,7 @@
 	} else {
 		log_event(LOG_LEVEL_NOTICE, "started", "zone=%s",
 			  settings->zone);
-		rc = supervisor_run(sup) ? KEEPER_EXIT_FAILED : KEEPER_EXIT_OK;
+		rc = supervisor_run(sup) ? KEEPER_EXIT_RUN : KEEPER_EXIT_OK;
 	}
 	supervisor_free(sup);
 	keeper_links_free(links);
@@ -115,10 +115,12 @@
 			     "no settings; name them with --settings FILE");
 		return keeper_complain(&err);
 	}
-	if (keeper_settings_load(path, &settings, &err))
-		return keeper_complain(&err);
+	if (keeper_settings_load(path, &settings, &err)) {
+		keeper_complain(&err);
+		return KEEPER_EXIT_SETTINGS;
+	}
 	if (check) {
-		printf("%s: fine\n", path);
+		printf("%s: good\n", path);
 		return KEEPER_EXIT_OK;
 	}
 	log_open("hemlock-keeper", settings.name, settings.log_level);
@@ -148,9 +150,9 @@
 	log_open("hemlock-keeper", "-", LOG_LEVEL_INFO);
 	g_option_context_add_main_entries(context, entries, NULL);
 	g_option_context_set_description(
-		context, "Exit status: 0 stopped as asked, 1 failed while "
-			 "running, 2 wrong options,\n3 settings refused, 4 "
-			 "damaged data folder.");
+		context, "Exit status: 0 stopped as asked, 2 wrong options, "
+			 "3 settings refused,\n4 failed at the start or while "
+			 "running, 5 damaged data folder.");
 	if (!g_option_context_parse(context, &argc, &argv, &error)) {
 		fprintf(stderr, "%s; see --help\n", error->message);
 		g_error_free(error);
