keeper: serve the counters and the health

A keeper counted syncs, elections and faults and showed them to nobody. keeper.metrics_port, 0 by default, serves GET /metrics and GET /v1/health with libmicrohttpd, as the entry's control port does. Serving them over ONC RPC was ruled out: the tools that collect metrics take HTTP.

--- a/hemlock-keeper.c
+++ b/hemlock-keeper.c
@@ -72,7 +72,7 @@
 	    supervisor_add(sup, &rpc_child, err) ||
 	    supervisor_add(sup, &signal_child, err))
 		return -1;
-	return 0;
+	return keeper_http_start(core, err);
 }
 
 static int keeper_run(const keeper_settings_t *settings, char *path)
@@ -98,6 +98,7 @@
 			  settings->zone);
 		rc = supervisor_run(sup) ? KEEPER_EXIT_RUN : KEEPER_EXIT_OK;
 	}
+	keeper_http_stop(&core);
 	supervisor_free(sup);
 	keeper_links_free(links);
 	keeper_core_free(&core);
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -21,6 +21,7 @@
 	char cluster[HL_NAME_MAX];
 	char data[HL_MESSAGE_MAX];
 	int64_t port;
+	int64_t metrics_port; /* 0: none */
 	int64_t heartbeat_ms;
 	int64_t election_ms;
 	int64_t rpc_timeout_ms;
@@ -36,6 +37,10 @@
 int keeper_settings_load(const char *path, keeper_settings_t *settings,
 			 hl_error_t *err);
 
+/** keeper_settings_address - "address:port" of one of its ports. */
+void keeper_settings_address(const keeper_settings_t *settings, int64_t port,
+			     char out[HL_ADDRESS_MAX]);
+
 /** keeper_settings_own - "address:port" as others reach this keeper. */
 void keeper_settings_own(const keeper_settings_t *settings,
 			 char out[HL_ADDRESS_MAX]);
@@ -122,6 +127,7 @@
 
 	metrics_t *metrics;
 	keeper_counters_t counters;
+	struct MHD_Daemon *http; /* NULL: not served */
 } keeper_core_t;
 
 /** keeper_core_init - a core that has not read its folder yet. */
@@ -195,4 +201,10 @@
 /** keeper_rpc_run - the thread that answers, for a supervisor. */
 int keeper_rpc_run(void *context, const volatile int *stop);
 
+/** keeper_http_start - serve /metrics and /v1/health, if a port is set. */
+int keeper_http_start(keeper_core_t *core, hl_error_t *err);
+
+/** keeper_http_stop - before the core is freed. */
+void keeper_http_stop(keeper_core_t *core);
+
 #endif
--- a/keeper-settings.c
+++ b/keeper-settings.c
@@ -22,6 +22,9 @@
 		       "hemlock", 0, 0, "name that all its keepers share"),
 	KEEPER_SETTING("keeper", "port", port, SETTING_INTEGER, false, "7090",
 		       1, 65535, "TCP port for ONC RPC"),
+	KEEPER_SETTING("keeper", "metrics_port", metrics_port, SETTING_INTEGER,
+		       false, "0", 0, 65535,
+		       "TCP port for /metrics and /v1/health; 0: none"),
 	KEEPER_SETTING("keeper", "data", data, SETTING_TEXT, true, NULL, 0, 0,
 		       "data folder on this VM's disk, which must exist"),
 	KEEPER_SETTING("keeper", "names", names, SETTING_NAMES, true, NULL, 0,
@@ -109,11 +112,17 @@
 	return keeper_settings_check(path, settings, err);
 }
 
-void keeper_settings_own(const keeper_settings_t *settings,
-			 char out[HL_ADDRESS_MAX])
+void keeper_settings_address(const keeper_settings_t *settings, int64_t port,
+			     char out[HL_ADDRESS_MAX])
 {
 	bool six = strchr(settings->address, ':') != NULL;
 
 	snprintf(out, HL_ADDRESS_MAX, "%s%.45s%s:%u", six ? "[" : "",
-		 settings->address, six ? "]" : "", (uint16_t)settings->port);
+		 settings->address, six ? "]" : "", (uint16_t)port);
+}
+
+void keeper_settings_own(const keeper_settings_t *settings,
+			 char out[HL_ADDRESS_MAX])
+{
+	keeper_settings_address(settings, settings->port, out);
 }
