Send slow idempotent calls to a second copy

A profile's hedge_after_ms had no effect: entry_service_hedge() decided on a second send and nothing asked it. The tick asks now, and a twin request is sent beside the first (entry-hedge.c). Only the thread that sends for the first writes its answer: a twin that answers marks it overtaken, and that thread ends its send as cancelled and takes the twin's answer. A published answer cannot be overtaken, and its twin is cancelled. When the first send fails, the twin's is the call's send.

Ruled out: letting the twin write the first's answer, which libcurl's header callback fills without a lock; a tick of 2 ms or a kick for each call, as the tick need only wake no later than a call sent now would be due; more than one hedge of a call. A twin's answer over 256 KB is cut, for nobody takes it before it is whole. Calls whose body streams are not hedged.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -57,6 +57,7 @@
 	entry_decision_t decision;
 
 	entry_request_ref(req);
+	req->call.no_hedge = req->body_streamed;
 	if (req->forward) {
 		entry_work_push(req->entry->work, req);
 		return;
@@ -105,28 +106,63 @@
 	entry_request_unref(req);
 }
 
+/*
+ * Decide what follows a send, and tell a twin when the call is over. A send
+ * that its twin overtook has been cancelled, whatever it came to after that,
+ * unless it answered too. Route's lock held.
+ */
+static entry_decision_t dispatch_decide(entry_request_t *req,
+					entry_result_t *result, usec_t now)
+{
+	entry_decision_t decision;
+
+	if (req->answer.published)
+		req->call.idempotent = false;
+	if (req->body_spent)
+		req->call.once = true;
+	if (req->winner && *result != ENTRY_RESULT_OK)
+		*result = ENTRY_RESULT_CANCEL;
+	decision = entry_service_end(&req->route->service, &req->call, *result,
+				     now);
+	if (decision.verdict == ENTRY_WAIT) {
+		entry_request_reset(req);
+		return decision;
+	}
+	req->over = true;
+	entry_hedge_cancel(req);
+	return decision;
+}
+
+/* Give the caller the answer of this send or of the twin that overtook it. */
+static void dispatch_answer(entry_request_t *req, entry_result_t result)
+{
+	if (req->winner && result != ENTRY_RESULT_OK) {
+		entry_hedge_take(req, req->winner);
+		result = ENTRY_RESULT_OK;
+	}
+	entry_relay_finish(req, result);
+}
+
 void entry_dispatch_end(entry_request_t *req, entry_result_t result, usec_t now)
 {
 	entry_route_t *route = req->route;
-	entry_decision_t decision = { ENTRY_ANSWER, ENTRY_REFUSE_NONE, 0 };
+	entry_decision_t decision;
 
+	if (req->first) {
+		entry_hedge_end(req, result, now);
+		return;
+	}
 	if (req->forward) {
 		dispatch_forward_end(req, result, now);
 		return;
 	}
 	pthread_mutex_lock(&route->lock);
-	if (req->answer.published)
-		req->call.idempotent = false;
-	if (req->body_spent)
-		req->call.once = true;
-	decision = entry_service_end(&route->service, &req->call, result, now);
-	if (decision.verdict == ENTRY_WAIT)
-		entry_request_reset(req);
+	decision = dispatch_decide(req, &result, now);
 	pthread_mutex_unlock(&route->lock);
 	if (decision.verdict == ENTRY_REFUSE)
 		dispatch_refuse(req, &decision);
 	else if (decision.verdict == ENTRY_ANSWER)
-		entry_relay_finish(req, result);
+		dispatch_answer(req, result);
 	if (decision.verdict != ENTRY_WAIT)
 		entry_request_unref(req);
 	entry_dispatch_next(route, now);
--- /dev/null
+++ b/entry-hedge.c
@@ -0,0 +1,189 @@
+#include <string.h>
+#include "entry-io.h"
+
+/* Copy what a second send needs; -1 without memory. */
+static int hedge_copy(entry_request_t *twin, entry_request_t *first)
+{
+	const entry_buffer_t *body = &first->body;
+	const struct curl_slist *item;
+	struct curl_slist *list;
+
+	for (item = first->headers; item; item = item->next) {
+		list = curl_slist_append(twin->headers, item->data);
+		if (!list)
+			return -1;
+		twin->headers = list;
+	}
+	twin->method = strdup(first->method);
+	if (!twin->method)
+		return -1;
+	twin->has_body = first->has_body;
+	twin->body_length = first->body_length;
+	twin->body_whole = true;
+	twin->head_only = first->head_only;
+	if (!entry_buffer_length(body))
+		return 0;
+	return entry_buffer_add(&twin->body, body->bytes + body->start,
+				entry_buffer_length(body));
+}
+
+static entry_request_t *hedge_new(entry_request_t *first)
+{
+	entry_request_t *twin = entry_request_new(first->entry, first->target);
+
+	if (!twin)
+		return NULL;
+	if (hedge_copy(twin, first)) {
+		entry_request_unref(twin);
+		return NULL;
+	}
+	twin->route = first->route;
+	twin->call.copy = first->call.hedge;
+	twin->call.arrived = first->call.arrived;
+	twin->call.deadline = first->call.deadline;
+	twin->call.idempotent = true;
+	twin->call.no_retry = first->call.no_retry;
+	return twin;
+}
+
+/*
+ * Make the twin of a call that gets a second send; NULL without memory. A call
+ * gets one at most, so that no more than two sends of it ever run together.
+ * Route's lock held.
+ */
+static entry_request_t *hedge_begin(entry_call_t *call, usec_t now)
+{
+	entry_request_t *first;
+	entry_request_t *twin;
+
+	first = caa_container_of(call, entry_request_t, call);
+	call->no_hedge = true;
+	twin = hedge_new(first);
+	if (!twin) {
+		entry_service_hedge_end(&first->route->service, call,
+					ENTRY_RESULT_CONNECT, now);
+		return NULL;
+	}
+	entry_request_ref(first);
+	twin->first = first;
+	first->twin = twin;
+	pthread_mutex_lock(&first->lock);
+	twin->gone = first->gone;
+	pthread_mutex_unlock(&first->lock);
+	return twin;
+}
+
+usec_t entry_hedge_route(entry_route_t *route, usec_t now)
+{
+	entry_request_t *twin;
+	entry_call_t *call;
+	usec_t due;
+
+	do {
+		twin = NULL;
+		pthread_mutex_lock(&route->lock);
+		call = entry_service_hedge(&route->service, now);
+		if (call)
+			twin = hedge_begin(call, now);
+		due = entry_service_hedge_due(&route->service, now);
+		pthread_mutex_unlock(&route->lock);
+		if (twin)
+			entry_work_push(twin->entry->work, twin);
+	} while (call);
+	return due;
+}
+
+void entry_hedge_cancel(entry_request_t *req)
+{
+	entry_request_t *twin = req->twin;
+
+	if (!twin)
+		return;
+	pthread_mutex_lock(&twin->lock);
+	twin->gone = true;
+	pthread_cond_broadcast(&twin->changed);
+	if (twin->active)
+		curl_multi_wakeup(twin->active->multi);
+	pthread_mutex_unlock(&twin->lock);
+}
+
+void entry_hedge_take(entry_request_t *req, entry_request_t *twin)
+{
+	entry_answer_t *from = &twin->answer;
+	entry_answer_t *to = &req->answer;
+	entry_buffer_t body;
+
+	entry_request_reset(req);
+	pthread_mutex_lock(&req->lock);
+	cds_list_splice(&from->headers, &to->headers);
+	CDS_INIT_LIST_HEAD(&from->headers);
+	to->connection = from->connection;
+	from->connection = NULL;
+	to->status = from->status;
+	to->length = from->length;
+	to->outcome = from->outcome;
+	body = to->body;
+	to->body = from->body;
+	from->body = body;
+	pthread_mutex_unlock(&req->lock);
+}
+
+/* The twin answered: end the first send, unless its answer is on its way. */
+static void hedge_win(entry_request_t *first, entry_request_t *twin)
+{
+	if (first->over)
+		return;
+	pthread_mutex_lock(&first->lock);
+	if (!first->answer.published) {
+		first->overtaken = true;
+		first->winner = twin;
+		entry_request_ref(twin);
+		pthread_cond_broadcast(&first->changed);
+		if (first->active)
+			curl_multi_wakeup(first->active->multi);
+	}
+	pthread_mutex_unlock(&first->lock);
+}
+
+/*
+ * The first send had failed, so that the twin's is the call's send and ends
+ * it. What a twin could not hold is cut, for the caller is still there.
+ */
+static void hedge_end_as_first(entry_request_t *first, entry_request_t *twin,
+			       entry_result_t result, usec_t now)
+{
+	bool gone;
+
+	pthread_mutex_lock(&first->lock);
+	gone = first->gone;
+	pthread_mutex_unlock(&first->lock);
+	if (result == ENTRY_RESULT_CANCEL && !gone)
+		result = ENTRY_RESULT_CUT;
+	entry_hedge_take(first, twin);
+	entry_dispatch_end(first, result, now);
+}
+
+void entry_hedge_end(entry_request_t *twin, entry_result_t result, usec_t now)
+{
+	entry_request_t *first = twin->first;
+	entry_route_t *route = twin->route;
+	entry_decision_t decision;
+	bool alone;
+
+	pthread_mutex_lock(&route->lock);
+	first->twin = NULL;
+	alone = !first->call.hedge;
+	if (!alone) {
+		decision = entry_service_hedge_end(&route->service,
+						   &first->call, result, now);
+		if (decision.verdict == ENTRY_ANSWER)
+			hedge_win(first, twin);
+	}
+	pthread_mutex_unlock(&route->lock);
+	if (alone)
+		hedge_end_as_first(first, twin, result, now);
+	entry_request_unref(first);
+	entry_request_unref(twin);
+	if (!alone)
+		entry_dispatch_next(route, now);
+}
--- a/entry-io.h
+++ b/entry-io.h
@@ -18,7 +18,11 @@
  * (entry-work.c, entry-relay.c) over a connection of its place
  * (entry-place.c), and relayed back through entry-http.c.
  *
- * Locks: a route's lock and a request's lock are never held together.
+ * A call that is hedged has a twin, a request of its own that is sent beside
+ * it (entry-hedge.c). Only who sends for the first request writes its answer.
+ *
+ * Locks: a request's lock may be taken under its route's lock, never the other
+ * way round, and no two requests' locks together.
  */
 
 /* Bodies up to this size are held whole, so that a call can be sent again. */
@@ -190,13 +194,19 @@
 	bool handed_over; /* it waited here and went to an idle sibling */
 	bool probing;	  /* its copy is still to be chosen by probes */
 	bool repeat;	  /* it asks for the answer of the first of its key */
+	struct entry_request *first; /* of a twin: the request it is sent for */
+	/* Guarded by the route's lock. */
+	struct entry_request *twin;   /* its second send, while that runs */
+	struct entry_request *winner; /* the twin that answered first */
+	bool over;		      /* its last send has ended */
 
 	pthread_mutex_t lock; /* guards all below */
 	pthread_cond_t changed;
 	struct MHD_Connection *connection; /* NULL once it is gone */
 	entry_stage_t stage;
 	bool suspended;
-	bool gone; /* the caller went away */
+	bool gone;	/* the caller went away */
+	bool overtaken; /* its twin has the answer: end this send */
 	bool dispatched;
 	entry_buffer_t body;
 	bool body_whole;
@@ -362,6 +372,22 @@
 /** entry_dispatch_expire - refuse what can no longer be served in time. */
 void entry_dispatch_expire(entry_route_t *route, usec_t now);
 
+/**
+ * entry_hedge_route - send the calls that deserve it a second time.
+ *
+ * Return: when to look again, or INT64_MAX.
+ */
+usec_t entry_hedge_route(entry_route_t *route, usec_t now);
+
+/** entry_hedge_end - the send of a twin has ended with @result. */
+void entry_hedge_end(entry_request_t *twin, entry_result_t result, usec_t now);
+
+/** entry_hedge_cancel - end the send of a twin, if any. Route's lock held. */
+void entry_hedge_cancel(entry_request_t *req);
+
+/** entry_hedge_take - give a request, whose send ended, its twin's answer. */
+void entry_hedge_take(entry_request_t *req, entry_request_t *twin);
+
 /** entry_config_new - follow the keepers, if the settings name any. */
 int entry_config_new(entry_t *entry, const owner_member_t *self,
 		     hl_error_t *err);
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -196,11 +196,49 @@
 	return ENTRY_RAN;
 }
 
-/* Let the head go out before the answer is whole. Lock held. */
-static void relay_publish(relay_t *relay)
+/*
+ * Let the head go out before the answer is whole; true if it may. The answer
+ * of a twin and one that a twin overtook may not. Lock held.
+ */
+static bool relay_publish(relay_t *relay)
 {
-	relay->req->answer.outcome = relay_answer_outcome(relay);
-	relay->req->answer.published = true;
+	entry_request_t *req = relay->req;
+
+	if (req->first || req->overtaken)
+		return false;
+	req->answer.outcome = relay_answer_outcome(relay);
+	req->answer.published = true;
+	return true;
+}
+
+/* An answer that went out in part is not hedged; a twin comes too late. */
+static void relay_no_hedge(entry_request_t *req)
+{
+	pthread_mutex_lock(&req->route->lock);
+	req->call.no_hedge = true;
+	entry_hedge_cancel(req);
+	pthread_mutex_unlock(&req->route->lock);
+}
+
+/* The send is to end: the caller went away or a twin answered. Lock held. */
+static bool relay_ends(const entry_request_t *req)
+{
+	return req->gone || req->overtaken;
+}
+
+/* Wait until the caller has taken some of a long answer. Lock held. */
+static bool relay_make_room(entry_request_t *req)
+{
+	const entry_buffer_t *body = &req->answer.body;
+
+	/* Nobody takes the answer of a twin before it is whole. */
+	if (req->first && entry_buffer_length(body) > ENTRY_ANSWER_BYTES)
+		req->gone = true;
+	while (entry_buffer_length(body) > ENTRY_ANSWER_BYTES &&
+	       !relay_ends(req) && time_now() < req->call.deadline)
+		relay_wait(req);
+	return !relay_ends(req) &&
+	       entry_buffer_length(body) <= ENTRY_ANSWER_BYTES;
 }
 
 static size_t relay_write(char *bytes, size_t size, size_t count, void *context)
@@ -209,21 +247,20 @@
 	entry_request_t *req = relay->req;
 	entry_answer_t *answer = &req->answer;
 	size_t length = size * count;
+	bool begun = false;
 
 	pthread_mutex_lock(&req->lock);
-	while (entry_buffer_length(&answer->body) > ENTRY_ANSWER_BYTES &&
-	       !req->gone && time_now() < req->call.deadline)
-		relay_wait(req);
-	if (req->gone ||
-	    entry_buffer_length(&answer->body) > ENTRY_ANSWER_BYTES ||
+	if (!relay_make_room(req) ||
 	    entry_buffer_add(&answer->body, bytes, length))
 		length = 0;
 	if (!answer->published &&
 	    entry_buffer_length(&answer->body) > ENTRY_HOLD_BYTES)
-		relay_publish(relay);
+		begun = relay_publish(relay);
 	if (answer->published)
 		entry_request_wake(req);
 	pthread_mutex_unlock(&req->lock);
+	if (begun)
+		relay_no_hedge(req);
 	return length;
 }
 
@@ -231,15 +268,18 @@
 static void relay_publish_slow(relay_t *relay, usec_t now)
 {
 	entry_request_t *req = relay->req;
+	bool begun;
 
-	if (!relay->head_whole || req->answer.published ||
+	if (!relay->head_whole || req->answer.published || req->first ||
 	    req->answer.status >= 500 || relay_is_shed(relay) ||
 	    now < req->head_at + ENTRY_HOLD_TIME)
 		return;
 	pthread_mutex_lock(&req->lock);
-	relay_publish(relay);
+	begun = relay_publish(relay);
 	entry_request_wake(req);
 	pthread_mutex_unlock(&req->lock);
+	if (begun)
+		relay_no_hedge(req);
 }
 
 /* Hand out the socket that was opened ahead, or open one. */
@@ -338,7 +378,7 @@
 	const entry_request_t *req = relay->req;
 	usec_t until = req->call.deadline;
 
-	if (relay->head_whole && !req->answer.published &&
+	if (relay->head_whole && !req->answer.published && !req->first &&
 	    req->head_at + ENTRY_HOLD_TIME < until)
 		until = req->head_at + ENTRY_HOLD_TIME;
 	if (until <= now)
@@ -351,7 +391,7 @@
 	bool gone;
 
 	pthread_mutex_lock(&req->lock);
-	gone = req->gone;
+	gone = relay_ends(req);
 	pthread_mutex_unlock(&req->lock);
 	return gone;
 }
@@ -453,6 +493,8 @@
 
 	if (left <= 0)
 		return ENTRY_RESULT_CONNECT;
+	if (req->first && relay_caller_gone(req))
+		return ENTRY_RESULT_CANCEL;
 	relay->link = entry_place_get(relay->place, fresh);
 	if (!relay->link)
 		return ENTRY_RESULT_CONNECT;
@@ -481,10 +523,15 @@
 }
 
 /* What is true of all sends of a call together: one may have run. */
-static entry_outcome_t relay_over_all(const entry_request_t *req,
+static entry_outcome_t relay_over_all(entry_request_t *req,
 				      entry_outcome_t last)
 {
-	return last > req->call.outcome ? last : req->call.outcome;
+	entry_outcome_t before;
+
+	pthread_mutex_lock(&req->route->lock);
+	before = req->call.outcome;
+	pthread_mutex_unlock(&req->route->lock);
+	return last > before ? last : before;
 }
 
 /* The final word when no whole answer came. */
--- a/entry-request.c
+++ b/entry-request.c
@@ -59,6 +59,8 @@
 	curl_slist_free_all(req->headers);
 	if (req->forward)
 		entry_place_unref(req->forward);
+	if (req->winner)
+		entry_request_unref(req->winner);
 	pthread_cond_destroy(&req->changed);
 	pthread_mutex_destroy(&req->lock);
 	free(req->method);
@@ -137,7 +139,10 @@
 			   decision->retry_after);
 }
 
-/* Take a call that still waits out of its queue; true if it was there. */
+/*
+ * Take a call that still waits out of its queue; true if it was there. A twin
+ * is cancelled.
+ */
 static bool request_leave_queue(entry_request_t *req)
 {
 	entry_route_t *route = req->route;
@@ -149,6 +154,7 @@
 	waiting = req->call.waiting;
 	if (waiting)
 		entry_service_leave(&route->service, &req->call);
+	entry_hedge_cancel(req);
 	pthread_mutex_unlock(&route->lock);
 	return waiting;
 }
--- a/entry-service.c
+++ b/entry-service.c
@@ -449,7 +449,8 @@
 static bool service_hedges(const entry_service_t *svc, const entry_call_t *call)
 {
 	return call->idempotent && !call->once && !call->no_retry &&
-	       !call->hedge && call->attempts < svc->profile->attempts_max;
+	       !call->no_hedge && !call->hedge &&
+	       call->attempts < svc->profile->attempts_max;
 }
 
 entry_call_t *entry_service_hedge(entry_service_t *svc, usec_t now)
@@ -480,6 +481,19 @@
 	return NULL;
 }
 
+usec_t entry_service_hedge_due(const entry_service_t *svc, usec_t now)
+{
+	usec_t after = svc->profile->hedge_after_ms * USEC_PER_MS;
+	const entry_call_t *call = NULL;
+
+	if (after == 0)
+		return INT64_MAX;
+	cds_list_for_each_entry (call, &svc->running, running_link)
+		if (service_hedges(svc, call))
+			return call->sent + after;
+	return now + after;
+}
+
 entry_decision_t entry_service_hedge_end(entry_service_t *svc,
 					 entry_call_t *call,
 					 entry_result_t result, usec_t now)
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -37,11 +37,17 @@
 	pthread_mutex_unlock(&route->lock);
 }
 
-/* Look after one service; true while calls wait there. */
-static bool tick_route(entry_route_t *route, usec_t now)
+/*
+ * Look after one service; true while calls wait there. @hedge becomes the
+ * earliest time at which a call may deserve a second send.
+ */
+static bool tick_route(entry_route_t *route, usec_t *hedge, usec_t now)
 {
+	usec_t due = entry_hedge_route(route, now);
 	bool waiting;
 
+	if (due < *hedge)
+		*hedge = due;
 	entry_dispatch_expire(route, now);
 	entry_dispatch_next(route, now);
 	pthread_mutex_lock(&route->lock);
@@ -50,7 +56,7 @@
 	return waiting;
 }
 
-static bool tick_all(entry_t *entry, bool limits, usec_t now)
+static bool tick_all(entry_t *entry, bool limits, usec_t *hedge, usec_t now)
 {
 	entry_route_t *route;
 	bool busy;
@@ -58,7 +64,7 @@
 	busy = entry_claims_tick(entry->claims, now);
 	pthread_mutex_lock(&entry->routes_lock);
 	cds_list_for_each_entry (route, &entry->routes, link)
-		busy = tick_route(route, now) || busy;
+		busy = tick_route(route, hedge, now) || busy;
 	pthread_mutex_unlock(&entry->routes_lock);
 	/* owner_lookup() may ask for routes, so their list must be free. */
 	for (route = entry_route_next(entry, NULL); limits && route;
@@ -80,20 +86,33 @@
 	pthread_mutex_unlock(&entry->tick_lock);
 }
 
+/*
+ * When to look again. Calls that arrive meanwhile are hedged in time: @hedge
+ * is no later than one sent at @now would be due.
+ */
+static usec_t tick_until(bool busy, usec_t hedge, usec_t now)
+{
+	if (busy || hedge < now + TICK_BUSY)
+		return now + TICK_BUSY;
+	return hedge < now + TICK_IDLE ? hedge : now + TICK_IDLE;
+}
+
 static int tick_run(void *context, const volatile int *stop)
 {
 	entry_t *entry = context;
 	usec_t shared = 0;
+	usec_t hedge;
 	usec_t now;
 	bool busy;
 
 	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
 		now = time_now();
-		busy = tick_all(entry, now - shared >= TICK_SHARE, now);
+		hedge = INT64_MAX;
+		busy = tick_all(entry, now - shared >= TICK_SHARE, &hedge, now);
 		if (now - shared >= TICK_SHARE)
 			shared = now;
 		__atomic_store_n(&entry->tick_busy, busy, __ATOMIC_RELEASE);
-		tick_wait(entry, now + (busy ? TICK_BUSY : TICK_IDLE));
+		tick_wait(entry, tick_until(busy, hedge, now));
 	}
 	return 0;
 }
--- a/entry.h
+++ b/entry.h
@@ -86,6 +86,7 @@
 	bool idempotent;    /* may be sent more than once */
 	bool no_retry;	    /* a caller above will retry */
 	bool once;	    /* its body is gone: it cannot be sent again */
+	bool no_hedge;	    /* hedged before, or its body or answer streams */
 	unsigned attempts;  /* sends so far */
 	entry_copy_t *copy; /* where it is, or was last */
 	/* Filled in by the caller: a sibling owner handed it over. */
@@ -245,6 +246,14 @@
  */
 entry_call_t *entry_service_hedge(entry_service_t *svc, usec_t now);
 
+/**
+ * entry_service_hedge_due - when to ask entry_service_hedge() again.
+ *
+ * Return: a time, which may have passed; a call that is sent after @now is
+ * not due before it. INT64_MAX if the profile has no hedges.
+ */
+usec_t entry_service_hedge_due(const entry_service_t *svc, usec_t now);
+
 /**
  * entry_service_hedge_end - the second send of a call has ended.
  *
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -414,6 +414,12 @@
 				       "20 hedge = a c2\n"
 				       "25 end a cut = wait\n25 next = none\n"
 				       "30 end a ok = answer\n" },
+	{ "hedge-due", "0 hedge_due = never\n0 profile hedge=20\n"
+		       "0 copy c1 1\n0 copy c2 1\n5 hedge_due = 25\n"
+		       "5 arrive a = send c1\n"
+		       "7 arrive b idem = send c2\n8 hedge_due = 27\n"
+		       "30 hedge_due = 27\n31 end b ok = answer\n"
+		       "31 hedge_due = 51\n31 end a ok = answer\n" },
 	{ "no-hedge-without-credit", "0 profile hedge=20\n"
 				     "0 copy c1 1\n0 copy c2 1\n"
 				     "0 arrive a idem = send c1\n"
@@ -701,6 +707,15 @@
 	return script_decision(call, decision);
 }
 
+static char *script_hedge_due(script_t *script)
+{
+	usec_t due = entry_service_hedge_due(&script->svc, script->now);
+
+	if (due == INT64_MAX)
+		return g_strdup("never");
+	return g_strdup_printf("%" PRId64, due / USEC_PER_MS);
+}
+
 static char *script_command(script_t *script, char **words)
 {
 	entry_service_t *svc = &script->svc;
@@ -740,6 +755,8 @@
 					      call->copy->name) :
 			      g_strdup("none");
 	}
+	if (!strcmp(words[1], "hedge_due"))
+		return script_hedge_due(script);
 	if (!strcmp(words[1], "hedge")) {
 		call = entry_service_hedge(svc, script->now);
 		return call ? g_strdup_printf("%s %s", script_name(call),
