--- a/log.c
+++ b/log.c
@@ -10,7 +10,7 @@
 
 static const char *log_program = "hemlock";
 static char log_vm[HL_NAME_MAX] = "-";
-static volatile int log_level = LOG_LEVEL_INFO;
+static int log_level = LOG_LEVEL_INFO; /* atomic: SIGHUP may change it */
 
 static const struct {
 	const char *word;
@@ -52,12 +52,12 @@
 {
 	log_program = program;
 	snprintf(log_vm, sizeof(log_vm), "%s", vm);
-	log_level = level;
+	__atomic_store_n(&log_level, (int)level, __ATOMIC_RELAXED);
 }
 
 void log_set_level(log_level_t level)
 {
-	log_level = level;
+	__atomic_store_n(&log_level, (int)level, __ATOMIC_RELAXED);
 }
 
 bool log_level_parse(const char *word, log_level_t *level)
@@ -100,7 +100,7 @@
 	int n;
 	va_list ap;
 
-	if ((int)level > log_level)
+	if ((int)level > __atomic_load_n(&log_level, __ATOMIC_RELAXED))
 		return;
 	used = log_stamp(line, sizeof(line));
 	n = snprintf(line + used, sizeof(line) - used,
