--- a/hemlock-entry.c
+++ b/hemlock-entry.c
@@ -8,9 +8,17 @@
 #define EXIT_SETTINGS 3
 #define EXIT_RUN 4
 
-static int print_error(const hl_error_t *err, int code)
+/* A start that cannot be; --check prints a plain line for people. */
+static int refuse(const hl_error_t *err, bool check, int code)
 {
-	fprintf(stderr, "hemlock-entry: %s\n", err->message);
+	char text[2 * HL_MESSAGE_MAX];
+
+	if (check)
+		fprintf(stderr, "hemlock-entry: %s\n", err->message);
+	else
+		log_event(LOG_LEVEL_ERROR, "refused-to-start",
+			  "kind=%s message=%s", hl_error_kind_name(err->kind),
+			  log_quote(err->message, text, sizeof(text)));
 	return code;
 }
 
@@ -60,13 +68,14 @@
 				    stdout);
 		return EXIT_SUCCESS;
 	}
+	log_open("hemlock-entry", "-", LOG_LEVEL_INFO);
 	if (!path) {
-		fprintf(stderr, "hemlock-entry: no settings file; give "
-				"--settings FILE\n");
-		return EXIT_USAGE;
+		hl_error_set(&err, HL_ERR_USAGE,
+			     "no settings file; give --settings FILE");
+		return refuse(&err, check, EXIT_USAGE);
 	}
 	if (entry_settings_load(path, &settings, &err))
-		return print_error(&err, EXIT_SETTINGS);
+		return refuse(&err, check, EXIT_SETTINGS);
 	if (check) {
 		printf("%s: good\n", path);
 		return EXIT_SUCCESS;
@@ -75,5 +84,5 @@
 	signals_block();
 	rc = entry_main_run(&settings, path, first_start, &err);
 	g_free(path);
-	return rc ? print_error(&err, EXIT_RUN) : EXIT_SUCCESS;
+	return rc ? refuse(&err, false, EXIT_RUN) : EXIT_SUCCESS;
 }
