Refuse a call port that is taken; say what status, stop and claims mean

An entry shared its call port with whoever held it: libmicrohttpd's option for reusing addresses sets SO_REUSEPORT, so two processes on one port each got a part of the calls.

--- a/cmd-stop.c
+++ b/cmd-stop.c
@@ -108,7 +108,8 @@
 				     "%s %s is not empty after %d s; wait "
 				     "longer with --wait-seconds",
 				     names[0], names[1], seconds);
-			return cmd_fail(cmd, &err);
+			cmd_fail(cmd, &err);
+			return CMD_NOT_EVERYWHERE;
 		}
 		usleep(CMD_STOP_POLL_US);
 	}
--- a/entry-claim-new.c
+++ b/entry-claim-new.c
@@ -90,6 +90,11 @@
 		goto fail;
 	for (i = 0; i < ENTRY_CLAIM_GROUPS; i++)
 		claims_add_siblings(claims, &settings->groups[i]);
+	if (!settings->groups[0].count)
+		log_event(LOG_LEVEL_WARNING, "claims-off",
+			  "message=\"calls with an Idempotency-Key that are "
+			  "not idempotent get 503; set claims.group_1 to "
+			  "group_3\"");
 	claims_metrics(claims, entry->metrics);
 	claims_listen(claims, entry->member);
 	return claims;
--- a/entry-control.c
+++ b/entry-control.c
@@ -176,8 +176,8 @@
 		MHD_OPTION_SOCK_ADDR, &storage, MHD_OPTION_NOTIFY_COMPLETED,
 		control_completed, NULL, MHD_OPTION_CONNECTION_LIMIT,
 		CONTROL_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
-		CONTROL_IDLE_SECONDS, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+		CONTROL_IDLE_SECONDS, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+		MHD_OPTION_END);
 	if (!entry->control)
 		return hl_error_set(err, HL_ERR_IO,
 				    "cannot listen on %s port %" PRId64
--- a/entry-status.c
+++ b/entry-status.c
@@ -3,13 +3,26 @@
 #include <string.h>
 #include "entry-io.h"
 
-static json_t *status_copy(const entry_copy_t *copy)
+/* Whether a planned stop names the copy. Lock held. */
+static bool status_stopped(const entry_route_t *route, const char *copy)
 {
+	unsigned i;
+
+	for (i = 0; i < route->stop_count; i++)
+		if (!strcmp(route->stops[i], copy))
+			return true;
+	return false;
+}
+
+static json_t *status_copy(const entry_route_t *route, const entry_copy_t *copy)
+{
+	bool draining = copy->draining || status_stopped(route, copy->name);
+
 	return json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:b}", "copy",
 			 copy->name, "address", copy->address, "zone",
 			 copy->zone, "slots", (int)copy->slots, "limit",
 			 (int)copy->limit, "outstanding",
-			 (int)copy->outstanding, "draining", copy->draining);
+			 (int)copy->outstanding, "draining", draining);
 }
 
 static json_t *status_route(entry_route_t *route)
@@ -20,13 +33,27 @@
 
 	pthread_mutex_lock(&route->lock);
 	cds_list_for_each_entry (copy, &route->service.copies, link)
-		json_array_append_new(copies, status_copy(copy));
+		json_array_append_new(copies, status_copy(route, copy));
 	waiting = entry_service_waiting(&route->service);
 	pthread_mutex_unlock(&route->lock);
 	return json_pack("{s:s, s:i, s:o}", "service", route->name, "waiting",
 			 (int)waiting, "copies", copies);
 }
 
+static json_t *status_members(entry_t *entry)
+{
+	owner_member_t members[MEMBER_MAX];
+	unsigned count = entry_lookup_members(entry, members, MEMBER_MAX);
+	json_t *list = json_array();
+	unsigned i;
+
+	for (i = 0; i < count; i++)
+		json_array_append_new(list, json_pack("{s:s, s:s}", "name",
+						      members[i].name, "zone",
+						      members[i].zone));
+	return list;
+}
+
 void entry_status_handle(const entry_control_t *in, entry_reply_t *reply)
 {
 	entry_t *entry = in->entry;
@@ -38,13 +65,14 @@
 	cds_list_for_each_entry (route, &entry->routes, link)
 		json_array_append_new(services, status_route(route));
 	pthread_mutex_unlock(&entry->routes_lock);
-	root = json_pack("{s:s, s:s, s:s, s:i, s:I, s:o}", "entry",
+	root = json_pack("{s:s, s:s, s:s, s:i, s:I, s:o, s:o}", "entry",
 			 entry->settings.name, "zone", entry->settings.zone,
 			 "build", HEMLOCK_VERSION, "in_flight",
 			 (int)__atomic_load_n(&entry->in_flight,
 					      __ATOMIC_ACQUIRE),
 			 "revision", (json_int_t)entry_config_revision(entry),
-			 "services", services);
+			 "members", status_members(entry), "services",
+			 services);
 	reply->body = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 }
--- a/hemlockctl.c
+++ b/hemlockctl.c
@@ -75,9 +75,12 @@
 		{ 0 },
 	};
 	GOptionContext *context = g_option_context_new(entry->arguments);
+	char program[HL_NAME_MAX];
 	GError *error = NULL;
 	int rc = 0;
 
+	snprintf(program, sizeof(program), "hemlockctl %s", entry->name);
+	g_set_prgname(program);
 	g_option_context_set_summary(context, entry->summary);
 	g_option_context_add_main_entries(context, common, NULL);
 	if (entry->options)
@@ -118,6 +121,10 @@
 	cmd_exit_t code;
 
 	signal(SIGPIPE, SIG_IGN);
+	if (argc > 1 && !strcmp(argv[1], "--version")) {
+		printf("hemlockctl %s\n", HEMLOCK_VERSION);
+		return CMD_OK;
+	}
 	if (!entry)
 		return argc > 1 && !strcmp(argv[1], "--help") ?
 			       (ctl_usage(stdout), CMD_OK) :
