--- a/hemlock-entry.c
+++ b/hemlock-entry.c
@@ -22,6 +22,31 @@
 	return code;
 }
 
+/* Check the settings, or run with them; gives the exit code. */
+static int run(const char *path, bool check, bool first_start)
+{
+	static entry_settings_t settings;
+	hl_error_t err = { 0 };
+
+	log_open("hemlock-entry", "-", LOG_LEVEL_INFO);
+	if (!path) {
+		hl_error_set(&err, HL_ERR_USAGE,
+			     "no settings file; give --settings FILE");
+		return refuse(&err, check, EXIT_USAGE);
+	}
+	if (entry_settings_load(path, &settings, &err))
+		return refuse(&err, check, EXIT_SETTINGS);
+	if (check) {
+		printf("%s: good\n", path);
+		return EXIT_SUCCESS;
+	}
+	log_open("hemlock-entry", settings.name, settings.log_level);
+	signals_block();
+	if (entry_main_run(&settings, path, first_start, &err))
+		return refuse(&err, false, EXIT_RUN);
+	return EXIT_SUCCESS;
+}
+
 int main(int argc, char **argv)
 {
 	gchar *path = NULL;
@@ -45,10 +70,8 @@
 	};
 	GOptionContext *context = g_option_context_new("- take calls");
 	GError *error = NULL;
-	static entry_settings_t settings;
-	hl_error_t err = { 0 };
 	gboolean parsed;
-	int rc;
+	int code;
 
 	g_option_context_add_main_entries(context, options, NULL);
 	parsed = g_option_context_parse(context, &argc, &argv, &error);
@@ -57,32 +80,21 @@
 		fprintf(stderr, "hemlock-entry: %s; see --help\n",
 			error->message);
 		g_error_free(error);
+		g_free(path);
 		return EXIT_USAGE;
 	}
 	if (version) {
 		printf("hemlock-entry %s\n", HEMLOCK_VERSION);
+		g_free(path);
 		return EXIT_SUCCESS;
 	}
 	if (help_settings) {
 		settings_print_help(entry_settings, entry_settings_count,
 				    stdout);
+		g_free(path);
 		return EXIT_SUCCESS;
 	}
-	log_open("hemlock-entry", "-", LOG_LEVEL_INFO);
-	if (!path) {
-		hl_error_set(&err, HL_ERR_USAGE,
-			     "no settings file; give --settings FILE");
-		return refuse(&err, check, EXIT_USAGE);
-	}
-	if (entry_settings_load(path, &settings, &err))
-		return refuse(&err, check, EXIT_SETTINGS);
-	if (check) {
-		printf("%s: good\n", path);
-		return EXIT_SUCCESS;
-	}
-	log_open("hemlock-entry", settings.name, settings.log_level);
-	signals_block();
-	rc = entry_main_run(&settings, path, first_start, &err);
+	code = run(path, check, first_start);
 	g_free(path);
-	return rc ? refuse(&err, false, EXIT_RUN) : EXIT_SUCCESS;
+	return code;
 }
