Remove what nobody calls, and never send a spent body again

A call handed over with a body that is not held, part of which had gone to the sibling, would have been queued again when the sibling refused it; it now gets the refusal, as one that cannot be sent again.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -86,14 +86,18 @@
 	}
 }
 
-/* A sibling that cannot take what it offered leaves the call to us. */
+/*
+ * A sibling that cannot take what it offered leaves the call to us, unless a
+ * body that is not held has gone there.
+ */
 static void dispatch_forward_end(entry_request_t *req, entry_result_t result,
 				 usec_t now)
 {
-	bool not_run = result == ENTRY_RESULT_SHED ||
-		       result == ENTRY_RESULT_CONNECT;
+	bool again = req->handed_over && !req->body_spent &&
+		     (result == ENTRY_RESULT_SHED ||
+		      result == ENTRY_RESULT_CONNECT);
 
-	if (!req->handed_over || !not_run || now >= req->call.deadline) {
+	if (!again || now >= req->call.deadline) {
 		entry_relay_finish(req, result);
 		entry_request_unref(req);
 		return;
--- a/entry-head.c
+++ b/entry-head.c
@@ -299,8 +299,7 @@
 	return -1;
 }
 
-int entry_http_head(entry_request_t *req, const char *method,
-		    const char *protocol)
+int entry_http_head(entry_request_t *req, const char *method)
 {
 	head_t head = { .req = req };
 	hl_error_t err;
@@ -308,7 +307,6 @@
 
 	req->method = strdup(method);
 	req->head_only = !strcmp(method, "HEAD");
-	req->http10 = !strcmp(protocol, "HTTP/1.0");
 	MHD_get_connection_values(req->connection, MHD_HEADER_KIND, head_read,
 				  &head);
 	bad = head_check(&head);
--- a/entry-http.c
+++ b/entry-http.c
@@ -124,13 +124,14 @@
 
 	(void)context;
 	(void)url;
+	(void)protocol;
 	if (!req)
 		return MHD_NO;
 	switch (req->stage) {
 	case ENTRY_STAGE_HEAD:
 		req->connection = connection;
 		req->stage = ENTRY_STAGE_BODY;
-		if (entry_http_head(req, method, protocol) == 0)
+		if (entry_http_head(req, method) == 0)
 			return MHD_YES;
 		req->stage = ENTRY_STAGE_ANSWERED;
 		return entry_http_respond(req);
--- a/entry-http.h
+++ b/entry-http.h
@@ -10,8 +10,7 @@
  *
  * Return: 0, or -1 with a final answer of our own in the request.
  */
-int entry_http_head(entry_request_t *req, const char *method,
-		    const char *protocol);
+int entry_http_head(entry_request_t *req, const char *method);
 
 /** entry_http_list_holds - does "close, X-Trace" hold a name? NULL does not. */
 bool entry_http_list_holds(const char *list, const char *name);
--- a/entry-io.h
+++ b/entry-io.h
@@ -187,9 +187,8 @@
 	char key[256];	       /* Idempotency-Key, or "" */
 	struct curl_slist *headers;
 	bool has_body;
-	int64_t body_length; /* -1: chunked */
-	bool head_only;	     /* HEAD */
-	bool http10;
+	int64_t body_length;	   /* -1: chunked */
+	bool head_only;		   /* HEAD */
 	entry_place_t *forward;	   /* a sibling entry to hand it to, or NULL */
 	struct entry_claim *claim; /* of its Idempotency-Key, or NULL */
 	bool handed_over; /* it waited here and went to an idle sibling */
@@ -226,9 +225,6 @@
 /** entry_request_wake - let the caller's connection go on. Lock held. */
 void entry_request_wake(entry_request_t *req);
 
-/** entry_request_publish - the answer's head is final; let it go out. */
-void entry_request_publish(entry_request_t *req);
-
 /** entry_request_end - the answer's body is complete, or cut. */
 void entry_request_end(entry_request_t *req, bool cut);
 
@@ -237,10 +233,6 @@
 			entry_outcome_t outcome, const char *reason,
 			usec_t retry_after);
 
-/** entry_request_refuse - a final refusal, not run. */
-void entry_request_refuse(entry_request_t *req,
-			  const entry_decision_t *decision);
-
 /** entry_request_gone - the caller went away: cancel what runs for it. */
 void entry_request_gone(entry_request_t *req);
 
--- a/entry-names.c
+++ b/entry-names.c
@@ -11,7 +11,6 @@
 	[ENTRY_REFUSE_QUEUE] = { "queue", 503 },
 	[ENTRY_REFUSE_DEADLINE] = { "deadline", 504 },
 	[ENTRY_REFUSE_NO_COPY] = { "no-copy", 503 },
-	[ENTRY_REFUSE_STOPPING] = { "stopping", 503 },
 };
 
 const char *entry_refusal_name(entry_refusal_t refusal)
--- a/entry-request.c
+++ b/entry-request.c
@@ -77,14 +77,6 @@
 	MHD_resume_connection(req->connection);
 }
 
-void entry_request_publish(entry_request_t *req)
-{
-	pthread_mutex_lock(&req->lock);
-	req->answer.published = true;
-	entry_request_wake(req);
-	pthread_mutex_unlock(&req->lock);
-}
-
 void entry_request_end(entry_request_t *req, bool cut)
 {
 	req->answer.cut = cut;
@@ -130,15 +122,6 @@
 	entry_request_end(req, false);
 }
 
-void entry_request_refuse(entry_request_t *req,
-			  const entry_decision_t *decision)
-{
-	entry_request_fail(req, entry_refusal_status(decision->refusal),
-			   req->call.outcome,
-			   entry_refusal_name(decision->refusal),
-			   decision->retry_after);
-}
-
 /*
  * Take a call that still waits out of its queue; true if it was there. A twin
  * is cancelled.
--- a/entry.h
+++ b/entry.h
@@ -39,7 +39,6 @@
 	ENTRY_REFUSE_QUEUE,    /* 503: the queue is full */
 	ENTRY_REFUSE_DEADLINE, /* 504: it would not be served in time */
 	ENTRY_REFUSE_NO_COPY,  /* 503: no copy is known */
-	ENTRY_REFUSE_STOPPING, /* 503: this entry is stopping */
 } entry_refusal_t;
 
 /** enum entry_policy_t - how a copy is chosen; all but OWNER are baselines. */
--- a/metrics.c
+++ b/metrics.c
@@ -89,17 +89,6 @@
 	return metrics_bucket_edge(i);
 }
 
-void metrics_histogram_merge(metrics_histogram_t *into,
-			     const metrics_histogram_t *from)
-{
-	unsigned i;
-
-	for (i = 0; i < METRICS_BUCKETS; i++)
-		into->buckets[i] += from->buckets[i];
-	into->count += from->count;
-	into->sum += from->sum;
-}
-
 metrics_t *metrics_new(void)
 {
 	metrics_t *metrics = calloc(1, sizeof(*metrics));
--- a/metrics.h
+++ b/metrics.h
@@ -31,10 +31,6 @@
 usec_t metrics_histogram_quantile(const metrics_histogram_t *histogram,
 				  double quantile);
 
-/** metrics_histogram_merge - add all of @from to @into. */
-void metrics_histogram_merge(metrics_histogram_t *into,
-			     const metrics_histogram_t *from);
-
 typedef struct metrics metrics_t;
 
 /** metrics_new - an empty registry of counters and histograms. */
--- a/owner-announce.c
+++ b/owner-announce.c
@@ -202,15 +202,3 @@
 	pthread_mutex_unlock(&owner->lock);
 	return may;
 }
-
-unsigned owner_held(owner_t *owner, usec_t now)
-{
-	const owner_record_t *record;
-	unsigned count = 0;
-
-	pthread_mutex_lock(&owner->lock);
-	cds_list_for_each_entry (record, &owner->records, link)
-		count += owner_lease_valid(&record->lease, now);
-	pthread_mutex_unlock(&owner->lock);
-	return count;
-}
--- a/owner.h
+++ b/owner.h
@@ -210,7 +210,4 @@
 /** owner_leave - pass every copy on; announcements name others from now. */
 void owner_leave(owner_t *owner);
 
-/** owner_held - copies that this entry holds at @now. */
-unsigned owner_held(owner_t *owner, usec_t now);
-
 #endif
--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -273,7 +273,7 @@
 
 static void folder_make(char *folder, size_t size)
 {
-	char *made = g_dir_make_tmp("keeper-XXXXXX", NULL);
+	char *made = g_dir_make_tmp(NULL, NULL);
 
 	g_strlcpy(folder, made, size);
 	g_free(made);
