Take the least connect time for a copy's round trip

owner-credits failed once on a busy machine: two copies with five calls outstanding where slots and one are three. Seen again in 3 of 10 runs under the address sanitizer beside 40 busy loops, always among the first 200 calls and with requests that ran to their end, so it was neither a late cancellation nor two owners (the checker now prints the requests that overlap). The pipeline was the cause: the mean of the connect times was the round trip, a connect that waits for a processor takes as long as a service time, and the preset allows a pipeline of four.

The least connect time counts now, once three are known, and a slower one raises it by 5 % at most. New row slow-connects-are-no-round-trip (fails before: 8 credits for 5); pipeline-follows-round-trip says its connect times three times, as one is no proof any more.

--- a/entry-credit.c
+++ b/entry-credit.c
@@ -7,8 +7,10 @@
 #define CREDIT_REGROW_ROUNDS 8.0
 /* Credits that one answer adds while a copy grows back. */
 #define CREDIT_RAMP_STEP 0.5
-/* Weight of a new connect time in the moving average. */
-#define CREDIT_ROUND_TRIP_WEIGHT 0.2
+/* Connects before the least of their times is taken for a round trip. */
+#define CREDIT_CONNECTS_LEAST 3
+/* Most by which a slower connect raises the round trip, as a share of it. */
+#define CREDIT_ROUND_TRIP_RISE 0.05
 
 /* Share of a call that the pipeline may fall short by. */
 #define CREDIT_PIPELINE_SLACK 0.05
@@ -30,7 +32,7 @@
 
 	if (now < credit->no_pipeline_until || credit->concurrency > 0)
 		return 0;
-	if (credit->round_trip > 0 && svc->pace.typical > 0)
+	if (credit->connects >= CREDIT_CONNECTS_LEAST && svc->pace.typical > 0)
 		calls = ceil(entry_credit_slots(copy) * credit->round_trip /
 				     svc->pace.typical -
 			     CREDIT_PIPELINE_SLACK);
@@ -100,12 +102,19 @@
 		credit->ramping = false;
 }
 
+/*
+ * The least time counts: a slower connect waited for a processor as well. The
+ * round trip rises again slowly, as a copy may have moved.
+ */
 void entry_service_connected(entry_copy_t *copy, usec_t took)
 {
-	double *mean = &copy->credit->round_trip;
+	entry_credit_t *credit = copy->credit;
+	double most = credit->round_trip * (1 + CREDIT_ROUND_TRIP_RISE);
 
-	if (*mean <= 0)
-		*mean = took;
+	if (!credit->connects || took < most)
+		credit->round_trip = took;
 	else
-		*mean += CREDIT_ROUND_TRIP_WEIGHT * (took - *mean);
+		credit->round_trip = most;
+	if (credit->connects < CREDIT_CONNECTS_LEAST)
+		credit->connects++;
 }
--- a/entry-decide.h
+++ b/entry-decide.h
@@ -82,6 +82,7 @@
 /* entry-credit.c: how many calls a copy may have outstanding. */
 
 typedef struct entry_credit {
+	unsigned connects;	  /* measured, up to those that are needed */
 	double round_trip;	  /* microseconds, from connect times */
 	double ramp;		  /* most credits while growing back */
 	bool ramping;		  /* cold or back from ejection */
--- a/entry.h
+++ b/entry.h
@@ -304,7 +304,7 @@
 
 /**
  * entry_service_connected - a new connection to a copy took this long.
- * @took: microseconds, close to one round trip
+ * @took: microseconds, close to one round trip on an idle machine
  */
 void entry_service_connected(entry_copy_t *copy, usec_t took);
 
--- a/regress/decide-replay.c
+++ b/regress/decide-replay.c
@@ -17,6 +17,8 @@
 #define REPLAY_FAST_FAIL 500 /* microseconds */
 #define REPLAY_SHIFT_SPAN (400 * USEC_PER_MS)
 #define REPLAY_COLD_AT (2 * USEC_PER_SEC)
+/* Connections that a copy has had when a run starts. */
+#define REPLAY_CONNECTS 3
 #define REPLAY_COLD_SPAN USEC_PER_SEC
 #define REPLAY_SLOW 5.0
 #define REPLAY_TICK (5 * USEC_PER_MS)
@@ -391,13 +393,14 @@
 {
 	char name[16];
 	entry_copy_t *copy;
+	unsigned i;
 
 	g_snprintf(name, sizeof(name), "c%u", index);
 	copy = entry_service_copy_add(&service, name, now);
 	copy->slots = options.slots;
 	copy->connections = 260;
 	copy->limit = options.slots + options.pipeline;
-	if (options.adaptive)
+	for (i = 0; options.adaptive && i < REPLAY_CONNECTS; i++)
 		entry_service_connected(copy, 2 * options.delay);
 	if (scenario_is("cold") && now > 0)
 		entry_service_cold(copy, now + 2 * REPLAY_COLD_SPAN, now);
--- a/regress/history-check.c
+++ b/regress/history-check.c
@@ -15,7 +15,9 @@
 
 /* One request at one copy. */
 typedef struct {
+	char id[HL_NAME_MAX];
 	usec_t arrived, left;
+	usec_t deadline; /* when it is useless; 0: none told */
 	bool cancelled;
 } visit_t;
 
@@ -90,8 +92,12 @@
 	}
 	field(line, "copy", copy, sizeof(copy));
 	field(line, "result", result, sizeof(result));
-	visit = (visit_t){ number(line, "arrived"), number(line, "left"),
-			   !strcmp(result, "cancelled") };
+	visit = (visit_t){ .arrived = number(line, "arrived"),
+			   .left = number(line, "left"),
+			   .cancelled = !strcmp(result, "cancelled") };
+	visit.deadline = visit.arrived +
+			 number(line, "deadline_ms") * USEC_PER_MS;
+	g_strlcpy(visit.id, id, sizeof(visit.id));
 	list = g_hash_table_lookup(visits, copy);
 	if (!list) {
 		list = g_array_new(FALSE, FALSE, sizeof(visit_t));
@@ -170,10 +176,28 @@
 	return changes;
 }
 
+/* The requests that a copy had at a time. */
+static void show_visits(const GArray *list, usec_t at)
+{
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		visit_t *visit = &g_array_index(list, visit_t, i);
+
+		if (visit->arrived > at || visit->left < at)
+			continue;
+		printf("  id=%s arrived_us=%" PRId64 " left_us=%" PRId64
+		       " deadline_us=%" PRId64 " cancelled=%d\n",
+		       visit->id, visit->arrived - at, visit->left - at,
+		       visit->deadline - at, visit->cancelled);
+	}
+}
+
 static void check_copy(const char *copy, const GArray *list, result_t *result)
 {
 	GArray *changes = changes_of(list);
 	int now = 0, highest = 0;
+	usec_t highest_at = 0;
 	guint i;
 
 	for (i = 0; i < changes->len; i++) {
@@ -182,7 +206,10 @@
 		if (now > opt_credits && opt_credits)
 			result->over_usec += change->at - change[-1].at;
 		now += change->step;
-		highest = MAX(highest, now);
+		if (now > highest) {
+			highest = now;
+			highest_at = change->at;
+		}
 	}
 	result->outstanding_max = MAX(result->outstanding_max,
 				      (unsigned)highest);
@@ -191,6 +218,7 @@
 		printf("offender: over its credits: copy=%s outstanding=%d "
 		       "credits=%d\n",
 		       copy, highest, opt_credits);
+		show_visits(list, highest_at);
 	}
 	g_array_free(changes, TRUE);
 }
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -341,12 +341,23 @@
 	{ "pipeline-follows-round-trip", "0 profile pipeline=4\n0 copy c1 4\n"
 					 "0 credits c1 = 5\n"
 					 "0 run c1 10 ok 5\n"
-					 "50 connected c1 1\n"
+					 "50 connects c1 3 1\n"
 					 "50 credits c1 = 5\n"
-					 "50 copy c2 4\n50 connected c2 5\n"
+					 "50 copy c2 4\n50 connects c2 3 5\n"
 					 "50 credits c2 = 6\n"
-					 "50 copy c3 4\n50 connected c3 90\n"
+					 "50 copy c3 4\n50 connects c3 3 90\n"
 					 "50 credits c3 = 8\n" },
+	{ "slow-connects-are-no-round-trip", "0 profile pipeline=4\n"
+					     "0 copy c1 4\n"
+					     "0 run c1 10 ok 5\n"
+					     "50 connects c1 2 90\n"
+					     "50 credits c1 = 5\n"
+					     "50 connects c1 1 1\n"
+					     "50 credits c1 = 5\n"
+					     "50 connects c1 1 90\n"
+					     "50 credits c1 = 5\n"
+					     "50 connects c1 60 5\n"
+					     "50 credits c1 = 6\n" },
 	{ "no-pipeline-when-it-sheds", "0 profile pipeline=2 retry=0\n"
 				       "0 copy c1 2\n0 credits c1 = 3\n"
 				       "0 many 3 q\n0 end q2 shed = answer\n"
@@ -602,6 +613,12 @@
 }
 
 /* Commands that only set things up; false if it is none of them. */
+static void script_connects(entry_copy_t *copy, unsigned count, usec_t took)
+{
+	for (; count; count--)
+		entry_service_connected(copy, took);
+}
+
 static bool script_setup(script_t *script, char **words)
 {
 	entry_service_t *svc = &script->svc;
@@ -624,10 +641,10 @@
 		entry_service_cold(entry_service_copy(svc, words[2]),
 				   strtoul(words[3], NULL, 10) * USEC_PER_MS,
 				   script->now);
-	} else if (!strcmp(verb, "connected")) {
-		entry_service_connected(entry_service_copy(svc, words[2]),
-					strtoul(words[3], NULL, 10) *
-						USEC_PER_MS);
+	} else if (!strcmp(verb, "connects")) {
+		script_connects(entry_service_copy(svc, words[2]),
+				strtoul(words[3], NULL, 10),
+				strtoul(words[4], NULL, 10) * USEC_PER_MS);
 	} else if (!strcmp(verb, "policy")) {
 		g_assert_true(entry_policy_parse(words[2], &svc->policy));
 	} else if (!strcmp(verb, "share")) {
