Run the keepers' scripts against keepers without their mechanisms

keeper-history, keeper-disk and keeper-voters had never been run against keepers with a mechanism taken out. A kill leaves the pages of the kernel, so no script could see a missing sync.

--- a/regress/keeper-lib.sh
+++ b/regress/keeper-lib.sh
@@ -40,12 +40,27 @@
 	keeper_address "$2"
 }
 
-# keeper_start N: start keeper-N with the settings written before.
+# keeper_start N: start keeper-N with the settings written before; $KEEPER is
+# another program than hemlock-keeper. For power-keeper $DIR/full-N fills the
+# disk.
 keeper_start () {
-	spawn "keeper-$1" "$BUILD/hemlock-keeper" --settings \
+	spawn "keeper-$1" env POWER_FULL="$DIR/full-$1" \
+		"${KEEPER:-$BUILD/hemlock-keeper}" --settings \
 		"$DIR/keeper-$1.toml"
 }
 
+# power_cut N...: end keepers at once.
+power_cut () {
+	for n in "$@"
+	do
+		kill -9 "$(pid "keeper-$n")" 2>/dev/null
+	done
+	for n in "$@"
+	do
+		kill_hard "keeper-$n"
+	done
+}
+
 # keepers_start COUNT: write settings, start all and wait for a leader.
 keepers_start () {
 	ALL=
--- /dev/null
+++ b/regress/power-keeper.c
@@ -0,0 +1,94 @@
+/*
+ * hemlock-keeper on a disk that loses power: what was written stays in the
+ * process until it is synced, a rename until its folder is. A kill then loses
+ * what a power cut would. While the file $POWER_FULL exists the disk is full.
+ *
+ * usage: power-keeper OPTIONS of hemlock-keeper
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include "keeper-core.h"
+
+#define POWER_FILES_MAX 1024
+#define POWER_MODE 0600
+
+/* Bytes of each descriptor that are not on the disk yet. */
+static GByteArray *power_unsynced[POWER_FILES_MAX];
+static char *power_from, *power_to; /* the rename that is not synced */
+
+static int power_open(void *context, const char *path, int flags)
+{
+	int fd = open(path, flags | O_CLOEXEC, POWER_MODE);
+
+	(void)context;
+	if (fd < 0)
+		return -1;
+	g_assert(fd < POWER_FILES_MAX);
+	if (power_unsynced[fd])
+		g_byte_array_unref(power_unsynced[fd]);
+	power_unsynced[fd] = g_byte_array_new();
+	return fd;
+}
+
+static ssize_t power_write(void *context, int fd, const void *bytes,
+			   size_t size)
+{
+	const char *full = getenv("POWER_FULL");
+
+	(void)context;
+	if (full && !access(full, F_OK)) {
+		errno = ENOSPC;
+		return -1;
+	}
+	g_byte_array_append(power_unsynced[fd], bytes, (guint)size);
+	return (ssize_t)size;
+}
+
+static int power_sync(void *context, int fd)
+{
+	GByteArray *bytes = power_unsynced[fd];
+
+	(void)context;
+	if (keeper_file_write_all(&keeper_file_posix, fd, bytes->data,
+				  bytes->len))
+		return -1;
+	g_byte_array_set_size(bytes, 0);
+	return 0;
+}
+
+static int power_rename(void *context, const char *from, const char *to)
+{
+	(void)context;
+	g_free(power_from);
+	g_free(power_to);
+	power_from = g_strdup(from);
+	power_to = g_strdup(to);
+	return 0;
+}
+
+static int power_sync_folder(void *context, const char *path)
+{
+	int rc = power_from ? rename(power_from, power_to) : 0;
+
+	(void)context;
+	(void)path;
+	g_clear_pointer(&power_from, g_free);
+	g_clear_pointer(&power_to, g_free);
+	return rc;
+}
+
+static const keeper_file_t power_file = {
+	.open = power_open,
+	.write = power_write,
+	.sync = power_sync,
+	.rename = power_rename,
+	.sync_folder = power_sync_folder,
+};
+
+/* NOLINTNEXTLINE(readability-identifier-naming) */
+#define keeper_file_posix power_file
+#include "hemlock-keeper.c" /* NOLINT(bugprone-suspicious-include) */
