--- a/config-state.c
+++ b/config-state.c
@@ -343,11 +343,6 @@
 	return &state->config;
 }
 
-uint64_t config_state_index(const config_state_t *state)
-{
-	return state->index;
-}
-
 int config_state_deltas(const config_state_t *state, uint64_t have,
 			config_delta_t *out, unsigned max)
 {
--- a/config-state.h
+++ b/config-state.h
@@ -40,9 +40,6 @@
 /** config_state_config - the configuration, valid until the next apply. */
 const config_t *config_state_config(const config_state_t *state);
 
-/** config_state_index - the last log index applied, 0 for none. */
-uint64_t config_state_index(const config_state_t *state);
-
 /**
  * config_state_deltas - the accepted changes after a revision.
  * @state: the state
--- a/member-run.c
+++ b/member-run.c
@@ -298,11 +298,6 @@
 	return member_view_entries(&member->view, out, max);
 }
 
-unsigned member_list(member_t *member, member_info_t *out, unsigned max)
-{
-	return member_view_read(&member->view, out, max);
-}
-
 uint64_t member_version(member_t *member)
 {
 	return member_view_version(&member->view);
--- a/member.h
+++ b/member.h
@@ -73,9 +73,6 @@
  */
 unsigned member_live(member_t *member, owner_member_t *out, unsigned max);
 
-/** member_list - as member_live(), with the hints. */
-unsigned member_list(member_t *member, member_info_t *out, unsigned max);
-
 /** member_version - grows when the set of live members changes. */
 uint64_t member_version(member_t *member);
 
