Wake an idle keeper less often

Second, threads woke for nothing: a voter that follows at each heartbeat's time, the RPC thread and the signal thread every 50 ms.

Ruled out: the heartbeats' calls themselves, since each must be answered for the lease. The supervisor's look each 100 ms (about 170 us/s) stays.

--- a/bench/slopes-entry.sh
+++ b/bench/slopes-entry.sh
@@ -122,6 +122,9 @@
 kill_hard targets
 
 # Changes at three keepers.
+# The settings' defaults, not the short times of the tests.
+HEARTBEAT_MS=150
+ELECTION_MS=1000
 keepers_start 3
 cat >"$DIR/d.toml" <<EOF
 [[profile]]
--- a/keeper-raft.c
+++ b/keeper-raft.c
@@ -413,10 +413,13 @@
 
 usec_t keeper_raft_due(const keeper_raft_t *raft)
 {
-	if (raft->role == KEEPER_LEADER ||
-	    raft->heartbeat_at < raft->election_at)
+	if (raft->role == KEEPER_LEADER)
 		return raft->heartbeat_at;
-	return raft->election_at;
+	/* A voter that follows has nothing to do at a heartbeat's time. */
+	if (keeper_raft_is_voter(raft) ||
+	    raft->election_at < raft->heartbeat_at)
+		return raft->election_at;
+	return raft->heartbeat_at;
 }
 
 uint64_t keeper_raft_push(keeper_raft_t *raft, keeper_entry_kind_t kind,
