Let the entry's threads sleep until something is due

By thread (us a second, wakes a second, 10 s beside other work): owner 6490 and 198, member 2103 and 50, signals 523 and 20, tick 432 and 10, supervisor 282 and 10, control port 225 and 1. The cost follows the wakes, 20 to 45 us each, not the work done in them.

Supervisor and signals now wait without a time-out; the tick waits for the earliest deadline, hedge, claim, settlement or share, which whoever makes something due tells it by entry_tick_by(); membership waits for a datagram or member_due(), which stays below a probe period, for a longer gap is taken for a freeze. Threads bear their names.

The simulated group of test-member-swim ticks no sooner than member_due() says, as the daemon does; its checks are unchanged.

--- a/bench/slopes-entry.sh
+++ b/bench/slopes-entry.sh
@@ -38,6 +38,26 @@
 	tr ' ' '\n' <"$DIR/during" | awk -F= -v f="$1" '$1 == f { print $2 }'
 }
 
+# thread_times NAME: name, processor time in ns and wakes of its threads.
+thread_times () {
+	for task in "/proc/$(pid "$1")/task"/*
+	do
+		echo "${task##*/} $(tr ' ' '-' <"$task/comm")" \
+			"$(cut -d ' ' -f 1 "$task/schedstat")" \
+			"$(awk '/^voluntary/ { print $2 }' "$task/status")"
+	done
+}
+
+# busy_threads: those of the threads that used time between two files.
+busy_threads () {
+	awk -v s=$CALM '
+		NR == FNR { ns[$1] = $3; wakes[$1] = $4; next }
+		$3 > ns[$1] {
+			printf "  thread %-15s %17d us/s, %d wakes/s\n", $2,
+				($3 - ns[$1]) / 1000 / s, ($4 - wakes[$1]) / s
+		}' "$DIR/threads-before" "$DIR/threads-after"
+}
+
 # take_all COUNT: the entry has so many copies.
 take_all () {
 	[ "$(target_status targets | grep -vc 'owner=- ')" = "$1" ]
@@ -55,9 +75,12 @@
 	wait_until 20 take_all $count || exit 1
 	sleep 2
 	bytes=$(status_sum targets control_bytes)
+	thread_times entry-1 >"$DIR/threads-before"
 	us=$(cpu_during entry-1 sleep $CALM)
+	thread_times entry-1 >"$DIR/threads-after"
 	bytes=$(($(status_sum targets control_bytes) - bytes))
 	echo "$count copies, cpu us/s                    $((us / CALM))"
+	busy_threads
 	echo "$count copies, memory KiB                  $(rss entry-1)"
 	echo "$count copies, announcement bytes/s        $((bytes / CALM))"
 	kill_hard targets
--- a/entry-claim-home.c
+++ b/entry-claim-home.c
@@ -4,6 +4,8 @@
 
 /* How often a home that has restarted asks each of the others. */
 #define HOME_SYNC_PERIOD (100 * USEC_PER_MS)
+/* How often a home that keeps records looks for some that have run out. */
+#define HOME_EXPIRE_PERIOD (100 * USEC_PER_MS)
 
 void entry_claims_pack(peer_claim_record_t *out, const claim_record_t *record,
 		       usec_t now)
@@ -263,14 +265,11 @@
 	pthread_mutex_unlock(&claims->lock);
 }
 
-void entry_claims_home_tick(entry_claims_t *claims, usec_t now)
+/* Ask the other homes until all that was claimed here is known again. */
+static void home_tick_sync(entry_claims_t *claims, usec_t now)
 {
 	unsigned i;
 
-	claim_home_expire(claims->home, now);
-	metrics_set(claims->records, claim_home_count(claims->home));
-	if (claims->complete || now < claims->sync_again)
-		return;
 	claims->complete = home_is_complete(claims, now);
 	if (claims->complete) {
 		log_event(LOG_LEVEL_NOTICE, "claims-complete", "records=%u",
@@ -282,3 +281,17 @@
 		if (!claims->siblings[i].told)
 			home_ask_sync(claims, &claims->siblings[i]);
 }
+
+usec_t entry_claims_home_tick(entry_claims_t *claims, usec_t now)
+{
+	unsigned count;
+
+	claim_home_expire(claims->home, now);
+	count = claim_home_count(claims->home);
+	metrics_set(claims->records, count);
+	if (!claims->complete && now >= claims->sync_again)
+		home_tick_sync(claims, now);
+	if (!claims->complete)
+		return claims->sync_again;
+	return count ? now + HOME_EXPIRE_PERIOD : INT64_MAX;
+}
--- a/entry-claim.c
+++ b/entry-claim.c
@@ -98,6 +98,7 @@
 	cds_list_add_tail(&claim->link, &claims->settling);
 	claim_settle(claims, claim, now);
 	pthread_mutex_unlock(&claims->lock);
+	entry_tick_by(claims->entry, now + CLAIM_SETTLE_PERIOD);
 }
 
 void entry_claims_end(entry_request_t *req)
@@ -236,7 +237,7 @@
 	if (result != CLAIM_ASKING)
 		claim_act(claims, claim, result, now);
 	else
-		entry_tick_kick(claims->entry);
+		entry_tick_soon(claims->entry, now);
 }
 
 /* The number of the home that answers, or the count when it is none. */
@@ -322,36 +323,51 @@
 	return NULL;
 }
 
-static void claim_tick_settling(entry_claims_t *claims, usec_t now)
+/* Tell again how claims ended; when to do so next. */
+static usec_t claim_tick_settling(entry_claims_t *claims, usec_t now)
 {
+	usec_t due = INT64_MAX;
 	entry_claim_t *claim;
 	entry_claim_t *next;
 
 	cds_list_for_each_entry_safe (claim, next, &claims->settling, link) {
-		if (claim_is_settled(claim) || now >= claim->run.give_up)
+		if (claim_is_settled(claim) || now >= claim->run.give_up) {
 			claim_drop(claims, claim);
-		else if (now >= claim->run.ask_again)
+			continue;
+		}
+		if (now >= claim->run.ask_again)
 			claim_settle(claims, claim, now);
+		if (claim->run.ask_again < due)
+			due = claim->run.ask_again;
 	}
+	return due;
+}
+
+/* What is left once no claim is to be acted on; when to look again. */
+static usec_t claim_tick_rest(entry_claims_t *claims, usec_t now)
+{
+	usec_t settle = claim_tick_settling(claims, now);
+	usec_t home = entry_claims_home_tick(claims, now);
+
+	if (!cds_list_empty(&claims->asking))
+		return now;
+	return settle < home ? settle : home;
 }
 
-bool entry_claims_tick(entry_claims_t *claims, usec_t now)
+usec_t entry_claims_tick(entry_claims_t *claims, usec_t now)
 {
-	bool asking;
+	usec_t due = now;
 	entry_claim_t *claim;
 	claim_result_t result;
 
 	do {
 		pthread_mutex_lock(&claims->lock);
 		claim = claim_tick_asking(claims, now, &result);
-		if (!claim) {
-			claim_tick_settling(claims, now);
-			entry_claims_home_tick(claims, now);
-		}
-		asking = !cds_list_empty(&claims->asking);
+		if (!claim)
+			due = claim_tick_rest(claims, now);
 		pthread_mutex_unlock(&claims->lock);
 		if (claim)
 			claim_act(claims, claim, result, now);
 	} while (claim);
-	return asking;
+	return due;
 }
--- a/entry-claim.h
+++ b/entry-claim.h
@@ -31,9 +31,9 @@
 /**
  * entry_claims_tick - ask again, give up, settle again, expire, sync.
  *
- * Return: true while a claim asks for its homes' word.
+ * Return: when to look again.
  */
-bool entry_claims_tick(entry_claims_t *claims, usec_t now);
+usec_t entry_claims_tick(entry_claims_t *claims, usec_t now);
 
 /**
  * entry_claims_start - claim the key of a request, then dispatch it.
--- a/entry-claims.h
+++ b/entry-claims.h
@@ -63,8 +63,12 @@
 				      const claim_record_t *record, usec_t now,
 				      claim_record_t *known);
 
-/** entry_claims_home_tick - expire, and ask siblings what they know. */
-void entry_claims_home_tick(entry_claims_t *claims, usec_t now);
+/**
+ * entry_claims_home_tick - expire, and ask siblings what they know.
+ *
+ * Return: when to look again.
+ */
+usec_t entry_claims_home_tick(entry_claims_t *claims, usec_t now);
 
 /** entry_claims_keep - remember an answer, to give it again. */
 void entry_claims_keep(entry_claims_t *claims, const claim_key_t *key,
--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -7,16 +7,21 @@
 
 void entry_dispatch_next(entry_route_t *route, usec_t now)
 {
+	entry_request_t *req;
 	entry_call_t *call;
+	usec_t due;
 
-	do {
+	for (;;) {
 		pthread_mutex_lock(&route->lock);
 		call = entry_service_next(&route->service, now);
+		req = call ? dispatch_request(call) : NULL;
+		due = req ? entry_hedge_due(req) : INT64_MAX;
 		pthread_mutex_unlock(&route->lock);
-		if (call)
-			entry_work_push(dispatch_request(call)->entry->work,
-					dispatch_request(call));
-	} while (call);
+		if (!req)
+			return;
+		entry_tick_by(req->entry, due);
+		entry_work_push(req->entry->work, req);
+	}
 }
 
 /* A call that was sent before it is refused may have run. */
@@ -55,6 +60,7 @@
 {
 	entry_route_t *route = req->route;
 	entry_decision_t decision;
+	usec_t due = INT64_MAX;
 
 	entry_request_ref(req);
 	req->call.no_hedge = req->body_streamed;
@@ -69,16 +75,19 @@
 	}
 	pthread_mutex_lock(&route->lock);
 	decision = entry_service_arrive(&route->service, &req->call, now);
+	if (decision.verdict == ENTRY_SEND)
+		due = entry_hedge_due(req);
 	pthread_mutex_unlock(&route->lock);
 	switch (decision.verdict) {
 	case ENTRY_SEND:
+		entry_tick_by(req->entry, due);
 		entry_work_push(req->entry->work, req);
 		break;
 	case ENTRY_WAIT:
 		entry_dispatch_expire(route, now);
 		entry_dispatch_next(route, now);
 		owner_kick(req->entry->owner);
-		entry_tick_kick(req->entry);
+		entry_tick_soon(req->entry, now);
 		break;
 	default:
 		entry_dispatch_final(req, &decision);
@@ -150,6 +159,7 @@
 void entry_dispatch_end(entry_request_t *req, entry_result_t result, usec_t now)
 {
 	entry_route_t *route = req->route;
+	entry_t *entry = req->entry;
 	entry_decision_t decision;
 
 	if (req->first) {
@@ -167,7 +177,9 @@
 		dispatch_refuse(req, &decision);
 	else if (decision.verdict == ENTRY_ANSWER)
 		dispatch_answer(req, result);
-	if (decision.verdict != ENTRY_WAIT)
+	if (decision.verdict == ENTRY_WAIT)
+		entry_tick_soon(entry, now);
+	else
 		entry_request_unref(req);
 	entry_dispatch_next(route, now);
 }
--- a/entry-hedge.c
+++ b/entry-hedge.c
@@ -73,6 +73,13 @@
 	return twin;
 }
 
+usec_t entry_hedge_due(const entry_request_t *req)
+{
+	usec_t after = req->route->service.profile->hedge_after_ms;
+
+	return after ? req->call.sent + after * USEC_PER_MS : INT64_MAX;
+}
+
 usec_t entry_hedge_route(entry_route_t *route, usec_t now)
 {
 	entry_request_t *twin;
@@ -85,7 +92,9 @@
 		call = entry_service_hedge(&route->service, now);
 		if (call)
 			twin = hedge_begin(call, now);
-		due = entry_service_hedge_due(&route->service, now);
+		due = INT64_MAX;
+		if (!cds_list_empty(&route->service.running))
+			due = entry_service_hedge_due(&route->service, now);
 		pthread_mutex_unlock(&route->lock);
 		if (twin)
 			entry_work_push(twin->entry->work, twin);
--- a/entry-io.h
+++ b/entry-io.h
@@ -336,8 +336,7 @@
 	char call_address[HL_ADDRESS_MAX];
 	pthread_mutex_t tick_lock;
 	pthread_cond_t tick_wake;
-	bool tick_kicked;
-	bool tick_busy;	  /* it looks often by itself */
+	usec_t tick_due;  /* when the thread looks again at the latest */
 	bool first_start; /* nothing was ever claimed here */
 	owner_t *owner;
 	const char *settings_path;
@@ -365,6 +364,13 @@
 /** entry_dispatch_expire - refuse what can no longer be served in time. */
 void entry_dispatch_expire(entry_route_t *route, usec_t now);
 
+/**
+ * entry_hedge_due - when a call that is being sent may deserve a second send.
+ *
+ * The route's lock is held.
+ */
+usec_t entry_hedge_due(const entry_request_t *req);
+
 /**
  * entry_hedge_route - send the calls that deserve it a second time.
  *
@@ -415,8 +421,11 @@
 /** entry_tick_child - the thread that looks after what waits. */
 supervisor_child_t entry_tick_child(entry_t *entry);
 
-/** entry_tick_kick - a call or a claim has begun to wait. */
-void entry_tick_kick(entry_t *entry);
+/** entry_tick_by - what waits is to be looked at by @due, or sooner. */
+void entry_tick_by(entry_t *entry, usec_t due);
+
+/** entry_tick_soon - a call or a claim has begun to wait. */
+void entry_tick_soon(entry_t *entry, usec_t now);
 
 /** entry_relay_send - send a request to its place and take the answer. */
 void entry_relay_send(entry_request_t *req);
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -5,8 +5,6 @@
 
 /* While calls wait, their deadlines are looked at this often. */
 #define TICK_BUSY (2 * USEC_PER_MS)
-/* While none waits; a kick ends it. */
-#define TICK_IDLE (100 * USEC_PER_MS)
 /* How often an entry's share of a service is worked out anew. */
 #define TICK_SHARE USEC_PER_SEC
 
@@ -37,96 +35,113 @@
 	pthread_mutex_unlock(&route->lock);
 }
 
-/*
- * Look after one service; true while calls wait there. @hedge becomes the
- * earliest time at which a call may deserve a second send.
- */
-static bool tick_route(entry_route_t *route, usec_t *hedge, usec_t now)
+static usec_t tick_earlier(usec_t a, usec_t b)
+{
+	return a < b ? a : b;
+}
+
+/* Look after one service; when to look again. */
+static usec_t tick_route(entry_route_t *route, usec_t now)
 {
 	usec_t due = entry_hedge_route(route, now);
 	bool waiting;
 
-	if (due < *hedge)
-		*hedge = due;
 	entry_dispatch_expire(route, now);
 	entry_dispatch_next(route, now);
 	pthread_mutex_lock(&route->lock);
 	waiting = entry_service_waiting(&route->service) > 0;
 	pthread_mutex_unlock(&route->lock);
-	return waiting;
+	return waiting ? now : due;
 }
 
-static bool tick_all(entry_t *entry, bool limits, usec_t *hedge, usec_t now)
+/* Look after all; when to look again. */
+static usec_t tick_all(entry_t *entry, usec_t now)
 {
+	usec_t due = entry_claims_tick(entry->claims, now);
 	entry_route_t *route;
-	bool busy;
 
-	busy = entry_claims_tick(entry->claims, now);
 	pthread_mutex_lock(&entry->routes_lock);
 	cds_list_for_each_entry (route, &entry->routes, link)
-		busy = tick_route(route, hedge, now) || busy;
+		due = tick_earlier(due, tick_route(route, now));
 	pthread_mutex_unlock(&entry->routes_lock);
+	return due;
+}
+
+static void tick_shares(entry_t *entry)
+{
+	entry_route_t *route = NULL;
+
 	/* owner_lookup() may ask for routes, so their list must be free. */
-	for (route = entry_route_next(entry, NULL); limits && route;
-	     route = entry_route_next(entry, route))
+	while ((route = entry_route_next(entry, route)))
 		tick_limits(entry, route);
-	return busy;
 }
 
-static void tick_wait(entry_t *entry, usec_t until)
+/* From now on, whatever becomes due is told by entry_tick_by(). */
+static void tick_begin(entry_t *entry)
 {
-	struct timespec ts = { until / USEC_PER_SEC,
-			       until % USEC_PER_SEC * 1000 };
-
 	pthread_mutex_lock(&entry->tick_lock);
-	if (!entry->tick_kicked)
-		pthread_cond_timedwait(&entry->tick_wake, &entry->tick_lock,
-				       &ts);
-	entry->tick_kicked = false;
+	__atomic_store_n(&entry->tick_due, INT64_MAX, __ATOMIC_RELEASE);
 	pthread_mutex_unlock(&entry->tick_lock);
 }
 
-/*
- * When to look again. Calls that arrive meanwhile are hedged in time: @hedge
- * is no later than one sent at @now would be due.
- */
-static usec_t tick_until(bool busy, usec_t hedge, usec_t now)
+/* Wait until @due, or until an earlier time that entry_tick_by() named. */
+static void tick_wait(entry_t *entry, usec_t due)
 {
-	if (busy || hedge < now + TICK_BUSY)
-		return now + TICK_BUSY;
-	return hedge < now + TICK_IDLE ? hedge : now + TICK_IDLE;
+	pthread_mutex_lock(&entry->tick_lock);
+	due = tick_earlier(due, entry->tick_due);
+	__atomic_store_n(&entry->tick_due, due, __ATOMIC_RELEASE);
+	while (time_now() < entry->tick_due) {
+		struct timespec ts = {
+			entry->tick_due / USEC_PER_SEC,
+			entry->tick_due % USEC_PER_SEC * 1000,
+		};
+
+		pthread_cond_timedwait(&entry->tick_wake, &entry->tick_lock,
+				       &ts);
+	}
+	pthread_mutex_unlock(&entry->tick_lock);
 }
 
 static int tick_run(void *context, const volatile int *stop)
 {
 	entry_t *entry = context;
-	usec_t shared = 0;
-	usec_t hedge;
+	usec_t share = 0;
+	usec_t due;
 	usec_t now;
-	bool busy;
 
-	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
+	for (;;) {
+		tick_begin(entry);
+		if (__atomic_load_n(stop, __ATOMIC_ACQUIRE))
+			return 0;
 		now = time_now();
-		hedge = INT64_MAX;
-		busy = tick_all(entry, now - shared >= TICK_SHARE, &hedge, now);
-		if (now - shared >= TICK_SHARE)
-			shared = now;
-		__atomic_store_n(&entry->tick_busy, busy, __ATOMIC_RELEASE);
-		tick_wait(entry, tick_until(busy, hedge, now));
+		if (now >= share) {
+			tick_shares(entry);
+			share = now + TICK_SHARE;
+		}
+		due = tick_earlier(tick_all(entry, now), share);
+		if (due < now + TICK_BUSY)
+			due = now + TICK_BUSY;
+		tick_wait(entry, due);
 	}
-	return 0;
 }
 
-void entry_tick_kick(entry_t *entry)
+void entry_tick_by(entry_t *entry, usec_t due)
 {
-	if (__atomic_load_n(&entry->tick_busy, __ATOMIC_ACQUIRE))
+	if (due >= __atomic_load_n(&entry->tick_due, __ATOMIC_ACQUIRE))
 		return;
 	pthread_mutex_lock(&entry->tick_lock);
-	entry->tick_kicked = true;
-	pthread_cond_signal(&entry->tick_wake);
+	if (due < entry->tick_due) {
+		__atomic_store_n(&entry->tick_due, due, __ATOMIC_RELEASE);
+		pthread_cond_signal(&entry->tick_wake);
+	}
 	pthread_mutex_unlock(&entry->tick_lock);
 }
 
+void entry_tick_soon(entry_t *entry, usec_t now)
+{
+	entry_tick_by(entry, now + TICK_BUSY);
+}
+
 void entry_tick_init(entry_t *entry)
 {
 	pthread_condattr_t attr;
@@ -140,7 +155,7 @@
 
 static void tick_wake(void *context)
 {
-	entry_tick_kick(context);
+	entry_tick_by(context, 0);
 }
 
 supervisor_child_t entry_tick_child(entry_t *entry)
--- a/member-run.c
+++ b/member-run.c
@@ -6,8 +6,8 @@
 #include <unistd.h>
 #include "member-net.h"
 
-/* How often the thread looks at the clock when no datagram comes. */
-#define MEMBER_TICK (20 * USEC_PER_MS)
+/* The thread does not look at its list of duties more often than this. */
+#define MEMBER_TICK_MIN (2 * USEC_PER_MS)
 /* Datagrams taken in before the clock is looked at again. */
 #define MEMBER_BATCH 64
 #define MEMBER_PROBE_PERIOD (500 * USEC_PER_MS)
@@ -161,21 +161,43 @@
 	return true;
 }
 
+/* When the next tick is due. */
+static usec_t member_next(member_t *member)
+{
+	usec_t due;
+
+	pthread_mutex_lock(&member->lock);
+	due = member_due(&member->swim);
+	if (due > member->next_publish)
+		due = member->next_publish;
+	pthread_mutex_unlock(&member->lock);
+	return due;
+}
+
+/* Wait for a datagram, or until a tick is due. */
+static void member_wait(const member_t *member, usec_t due, usec_t now)
+{
+	struct pollfd poller = { .fd = member->fd, .events = POLLIN };
+	usec_t left = due - now;
+
+	if (left < MEMBER_TICK_MIN)
+		left = MEMBER_TICK_MIN;
+	poll(&poller, 1, (int)((left + USEC_PER_MS - 1) / USEC_PER_MS));
+}
+
 static int member_run(void *context, const volatile int *stop)
 {
 	member_t *member = context;
-	struct pollfd poller = { .fd = member->fd, .events = POLLIN };
-	usec_t next_tick = time_now();
+	usec_t due = time_now();
 	unsigned i;
 
 	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
-		poll(&poller, 1, MEMBER_TICK / USEC_PER_MS);
+		member_wait(member, due, time_now());
 		for (i = 0; i < MEMBER_BATCH && member_receive(member); i++)
 			;
-		if (time_now() < next_tick)
-			continue;
-		member_tick(member, time_now());
-		next_tick = time_now() + MEMBER_TICK;
+		if (time_now() >= due)
+			member_tick(member, time_now());
+		due = member_next(member);
 	}
 	return 0;
 }
--- a/member-swim.h
+++ b/member-swim.h
@@ -122,9 +122,17 @@
 /** member_swim_fini - free the members. */
 void member_swim_fini(member_swim_t *swim);
 
-/** member_swim_tick - probe, suspect, declare dead, join; call often. */
+/** member_swim_tick - probe, suspect, declare dead, join; call at member_due(). */
 void member_swim_tick(member_swim_t *swim, usec_t now);
 
+/**
+ * member_due - when member_swim_tick() has something to do next.
+ *
+ * It is never later than a quarter of a probe period after the last tick, for
+ * a longer gap would be taken for a freeze of this entry.
+ */
+usec_t member_due(const member_swim_t *swim);
+
 /**
  * member_swim_receive - take in a datagram.
  * @swim: the membership
--- a/regress/test-member-swim.c
+++ b/regress/test-member-swim.c
@@ -92,7 +92,9 @@
 		for (i = 0; i < NODES; i++) {
 			if (!group->running[i])
 				continue;
-			member_swim_tick(&group->swim[i], group->now);
+			/* As the daemon does: no sooner than something is due. */
+			if (group->now >= member_due(&group->swim[i]))
+				member_swim_tick(&group->swim[i], group->now);
 			group_deliver(group);
 			group->least[i] = MIN(group->least[i],
 					      group_live(group, i));
--- a/signals.c
+++ b/signals.c
@@ -1,11 +1,7 @@
-#include <errno.h>
 #include <signal.h>
-#include <time.h>
+#include <unistd.h>
 #include "hemlock.h"
 
-/* How long the thread waits before it looks whether to stop. */
-#define SIGNALS_WAIT (50 * USEC_PER_MS)
-
 static void signals_set(sigset_t *set)
 {
 	sigemptyset(set);
@@ -25,13 +21,12 @@
 
 static int signals_run(void *context, const volatile int *stop)
 {
-	const struct timespec wait = { 0, SIGNALS_WAIT * 1000 };
 	signals_t *signals = context;
 	sigset_t set;
 
 	signals_set(&set);
 	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
-		int number = sigtimedwait(&set, NULL, &wait);
+		int number = sigwaitinfo(&set, NULL);
 
 		if (number == SIGTERM || number == SIGINT)
 			supervisor_stop(signals->supervisor);
@@ -41,9 +36,17 @@
 	return 0;
 }
 
+/* A signal of our own ends the wait; by then nobody heeds another. */
+static void signals_wake(void *context)
+{
+	(void)context;
+	kill(getpid(), SIGTERM);
+}
+
 supervisor_child_t signals_child(signals_t *signals)
 {
-	supervisor_child_t child = { "signals", signals_run, NULL, signals };
+	supervisor_child_t child = { "signals", signals_run, signals_wake,
+				     signals };
 
 	return child;
 }
--- a/supervisor.c
+++ b/supervisor.c
@@ -1,15 +1,12 @@
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 #include "hemlock.h"
 
 #define SUPERVISOR_CHILDREN_MAX 16
-/* How often a supervisor looks at its children. */
-#define SUPERVISOR_PERIOD (100 * USEC_PER_MS)
 
 typedef struct {
 	supervisor_child_t spec;
+	supervisor_t *supervisor;
 	pthread_t thread;
 	bool started;
 	volatile int stop;
@@ -23,7 +20,10 @@
 	usec_t window;
 	usec_t window_start;
 	unsigned restarts;
-	volatile int stop;
+	pthread_mutex_t lock;
+	pthread_cond_t changed; /* a child has ended, or stop is set */
+	bool stop;
+	unsigned ended; /* children that have ended and are not joined */
 	unsigned count;
 	supervisor_slot_t slots[SUPERVISOR_CHILDREN_MAX];
 };
@@ -31,9 +31,14 @@
 static void *supervisor_thread(void *context)
 {
 	supervisor_slot_t *slot = context;
+	supervisor_t *sup = slot->supervisor;
 
 	slot->result = slot->spec.run(slot->spec.context, &slot->stop);
 	__atomic_store_n(&slot->ended, 1, __ATOMIC_RELEASE);
+	pthread_mutex_lock(&sup->lock);
+	sup->ended++;
+	pthread_cond_signal(&sup->changed);
+	pthread_mutex_unlock(&sup->lock);
 	return NULL;
 }
 
@@ -44,6 +49,8 @@
 	__atomic_store_n(&slot->ended, 0, __ATOMIC_RELEASE);
 	rc = pthread_create(&slot->thread, NULL, supervisor_thread, slot);
 	slot->started = rc == 0;
+	if (slot->started)
+		pthread_setname_np(slot->thread, slot->spec.name);
 	return rc;
 }
 
@@ -101,6 +108,8 @@
 	strncpy(sup->name, name, sizeof(sup->name) - 1);
 	sup->max_restarts = max_restarts;
 	sup->window = window;
+	pthread_mutex_init(&sup->lock, NULL);
+	pthread_cond_init(&sup->changed, NULL);
 	return sup;
 }
 
@@ -117,6 +126,7 @@
 				    sup->name, child->name);
 	slot = &sup->slots[sup->count];
 	slot->spec = *child;
+	slot->supervisor = sup;
 	rc = supervisor_start(slot);
 	if (rc)
 		return hl_error_set(err, HL_ERR_LIMIT,
@@ -127,25 +137,39 @@
 	return 0;
 }
 
-int supervisor_run(supervisor_t *sup)
+/* Wait until a child has ended or stop is set; true if it is stop. */
+static bool supervisor_wait(supervisor_t *sup)
 {
-	const struct timespec period = { 0, SUPERVISOR_PERIOD * 1000 };
+	bool stop;
+
+	pthread_mutex_lock(&sup->lock);
+	while (!sup->stop && !sup->ended)
+		pthread_cond_wait(&sup->changed, &sup->lock);
+	sup->ended = 0;
+	stop = sup->stop;
+	pthread_mutex_unlock(&sup->lock);
+	return stop;
+}
 
-	while (!__atomic_load_n(&sup->stop, __ATOMIC_ACQUIRE)) {
+int supervisor_run(supervisor_t *sup)
+{
+	while (!supervisor_wait(sup)) {
 		if (supervisor_check(sup, time_now())) {
 			log_event(LOG_LEVEL_ERROR, "supervisor-gave-up",
 				  "supervisor=%s restarts=%u", sup->name,
 				  sup->restarts);
 			return -1;
 		}
-		nanosleep(&period, NULL);
 	}
 	return 0;
 }
 
 void supervisor_stop(supervisor_t *sup)
 {
-	__atomic_store_n(&sup->stop, 1, __ATOMIC_RELEASE);
+	pthread_mutex_lock(&sup->lock);
+	sup->stop = true;
+	pthread_cond_signal(&sup->changed);
+	pthread_mutex_unlock(&sup->lock);
 }
 
 void supervisor_free(supervisor_t *sup)
@@ -156,5 +180,7 @@
 		return;
 	for (i = sup->count; i > 0; i--)
 		supervisor_join(&sup->slots[i - 1]);
+	pthread_cond_destroy(&sup->changed);
+	pthread_mutex_destroy(&sup->lock);
 	free(sup);
 }
