Tell a call that no copy takes 503 also at its deadline

path-once once saw 504 where 503 is expected, both not-run. Cause: when the copies stop, their leases at the owner end (limit 0) some time before it forgets them. A call that comes in between waits, as it should while a lease changes hands, and was told 504 deadline when its time was up, as if it had stood behind other calls. Seen each time when the call came 0.3 to 0.8 s after the copies ended (leases of 600 ms; 504 after 2.0 s), never at 0 and 0.1 s, where the connection is refused (503 connect). Ruled out: the hand-over to the killed entry, which says 503 connect.

A call that was never sent is now told 503 no-copy, with Retry-After, if at its deadline no copy takes calls: all are drained, without a lease, or refused last. What was sent before keeps 504 and may-have-run.

--- a/entry-service.c
+++ b/entry-service.c
@@ -368,6 +368,28 @@
 	return call;
 }
 
+/* Whether any copy takes calls: it may be sent to and did not refuse last. */
+static bool service_takes_calls(const entry_service_t *svc)
+{
+	const entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (!copy->draining && copy->limit > 0 &&
+		    (!copy->health->in_row || copy->outstanding > 0))
+			return true;
+	return false;
+}
+
+/* What a call that waited until its deadline is told. */
+static entry_decision_t service_refuse_late(const entry_service_t *svc,
+					    const entry_call_t *call)
+{
+	if (call->outcome == ENTRY_NOT_RUN && !service_takes_calls(svc))
+		return service_refuse(ENTRY_REFUSE_NO_COPY,
+				      SERVICE_RETRY_AFTER);
+	return service_refuse(ENTRY_REFUSE_DEADLINE, service_queue_refill(svc));
+}
+
 entry_call_t *entry_service_expire(entry_service_t *svc, usec_t now,
 				   entry_decision_t *decision)
 {
@@ -390,8 +412,7 @@
 	if (now + service_margin(svc, call) < call->deadline)
 		return NULL;
 	entry_queue_remove(svc->queue, call);
-	*decision = service_refuse(ENTRY_REFUSE_DEADLINE,
-				   service_queue_refill(svc));
+	*decision = service_refuse_late(svc, call);
 	return call;
 }
 
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -231,6 +231,13 @@
 	{ "waiting-without-copies", "0 copy c1 1\n0 arrive x = send c1\n"
 				    "0 arrive a = wait\n1 drain c1\n"
 				    "1 expire = a no-copy not-run\n" },
+	{ "waiting-while-copies-rest", "0 copy c1 1 limit=0\n"
+				       "0 arrive a d=10 = wait\n"
+				       "9 expire = none\n"
+				       "10 expire = a no-copy not-run\n" },
+	{ "waiting-after-a-refused-connect",
+	  "0 copy c1 1\n0 arrive a d=10 = send c1\n1 end a connect = wait\n"
+	  "10 expire = a no-copy not-run\n" },
 
 	/* Copies that mislead. "run COPY MS RESULT N" sends N calls there. */
 	{ "straggler-by-answers", "0 copy c1 2\n0 copy c2 2\n0 copy c3 2\n"
