Bound the time that a caller may take to send a call

Slow heads were not in any table. A caller that sends its head a byte at a time kept its connection for as long as it liked, since libmicrohttpd's time-out starts anew with each byte; and its deadline began only when the head was whole, so a call with 100 ms to live was run 300 ms after its first line. It never held a slot or a worker, which the row in contract-call already shows for bodies.

A metric counts them.

path-slow, through the fault proxy, which learnt to let single bytes pass.

--- a/entry-http.c
+++ b/entry-http.c
@@ -9,7 +9,6 @@
 #include "entry-claim.h"
 #include "entry-http.h"
 
-#define HTTP_IDLE_SECONDS 60u
 #define HTTP_BACKLOG 1024u
 #define HTTP_HEADER_BYTES (32u * 1024)
 /* How often a stop looks whether calls are still in flight. */
@@ -21,13 +20,15 @@
 	entry_t *entry = context;
 	entry_request_t *req = entry_request_new(entry, uri);
 
-	(void)connection;
-	if (req)
-		__atomic_fetch_add(&entry->in_flight, 1, __ATOMIC_RELAXED);
+	if (!req)
+		return NULL;
+	req->call.arrived = time_now();
+	entry_slow_head(entry->slow, connection, req->call.arrived);
+	__atomic_fetch_add(&entry->in_flight, 1, __ATOMIC_RELAXED);
 	return req;
 }
 
-static int http_fd(struct MHD_Connection *connection)
+int entry_http_fd(struct MHD_Connection *connection)
 {
 	const union MHD_ConnectionInfo *info;
 
@@ -62,7 +63,7 @@
 	if (req->dispatched)
 		return;
 	req->dispatched = true;
-	entry_watch_add(req->entry->watch, req, http_fd(req->connection));
+	entry_watch_add(req->entry->watch, req, entry_http_fd(req->connection));
 	if (*req->key && !req->call.idempotent && !*req->hop) {
 		entry_claims_start(req, time_now());
 		return;
@@ -110,6 +111,7 @@
 	pthread_cond_broadcast(&req->changed);
 	pthread_mutex_unlock(&req->lock);
 	req->stage = ENTRY_STAGE_WAIT;
+	entry_slow_whole(req->connection);
 	http_dispatch(req);
 	return http_answer_or_wait(req);
 }
@@ -131,8 +133,11 @@
 	case ENTRY_STAGE_HEAD:
 		req->connection = connection;
 		req->stage = ENTRY_STAGE_BODY;
-		if (entry_http_head(req, method) == 0)
+		if (entry_http_head(req, method) == 0) {
+			entry_slow_body(req->entry->slow, connection,
+					req->call.deadline);
 			return MHD_YES;
+		}
 		req->stage = ENTRY_STAGE_ANSWERED;
 		return entry_http_respond(req);
 	case ENTRY_STAGE_BODY:
@@ -154,7 +159,7 @@
 
 	if (!req)
 		return;
-	entry_watch_remove(entry->watch, req, http_fd(connection));
+	entry_watch_remove(entry->watch, req, entry_http_fd(connection));
 	pthread_mutex_lock(&req->lock);
 	req->connection = NULL;
 	pthread_mutex_unlock(&req->lock);
@@ -163,6 +168,7 @@
 	else
 		entry_measure_call(req, time_now());
 	*state = NULL;
+	entry_slow_idle(connection, time_now());
 	__atomic_fetch_sub(&entry->in_flight, 1, __ATOMIC_RELEASE);
 	entry_request_unref(req);
 }
@@ -209,9 +215,10 @@
 		flags, 0, NULL, NULL, http_handle, entry, MHD_OPTION_SOCK_ADDR,
 		&storage, MHD_OPTION_URI_LOG_CALLBACK, http_first_line, entry,
 		MHD_OPTION_NOTIFY_COMPLETED, http_completed, entry,
+		MHD_OPTION_NOTIFY_CONNECTION, entry_slow_connection, entry,
 		MHD_OPTION_CONNECTION_LIMIT,
 		(unsigned)settings->connections_max,
-		MHD_OPTION_CONNECTION_TIMEOUT, HTTP_IDLE_SECONDS,
+		MHD_OPTION_CONNECTION_TIMEOUT, ENTRY_IDLE_SECONDS,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTP_HEADER_BYTES,
 		MHD_OPTION_LISTEN_BACKLOG_SIZE, HTTP_BACKLOG,
 		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY, pool,
--- a/entry-http.h
+++ b/entry-http.h
@@ -12,6 +12,32 @@
  */
 int entry_http_head(entry_request_t *req, const char *method);
 
+/* How long a connection of a caller may be without a call. */
+#define ENTRY_IDLE_SECONDS 60u
+#define ENTRY_IDLE_TIME (ENTRY_IDLE_SECONDS * USEC_PER_SEC)
+
+/** entry_http_fd - the socket of a connection, or -1. */
+int entry_http_fd(struct MHD_Connection *connection);
+
+/** entry_slow_connection - libmicrohttpd accepted or closes a connection. */
+void entry_slow_connection(void *context, struct MHD_Connection *connection,
+			   void **state,
+			   enum MHD_ConnectionNotificationCode code);
+
+/** entry_slow_head - the first line of a call came; the rest must follow. */
+void entry_slow_head(const entry_slow_t *slow,
+		     struct MHD_Connection *connection, usec_t now);
+
+/** entry_slow_body - the head is whole; a body is of use until @deadline. */
+void entry_slow_body(const entry_slow_t *slow,
+		     struct MHD_Connection *connection, usec_t deadline);
+
+/** entry_slow_whole - the call is whole: it is our turn. */
+void entry_slow_whole(struct MHD_Connection *connection);
+
+/** entry_slow_idle - the call is over; another one may follow. */
+void entry_slow_idle(struct MHD_Connection *connection, usec_t now);
+
 /** entry_http_list_holds - does "close, X-Trace" hold a name? NULL does not. */
 bool entry_http_list_holds(const char *list, const char *name);
 
--- a/entry-io.h
+++ b/entry-io.h
@@ -58,6 +58,7 @@
 	int64_t http_threads;
 	int64_t workers_max;
 	int64_t connections_max;
+	int64_t head_ms;     /* until the head of a call is whole */
 	int64_t keep_ms;     /* how long a look-up may be kept */
 	int64_t interval_ms; /* between announcements of a copy */
 	int64_t lease_ms;    /* how long an announcement binds a copy */
@@ -310,6 +311,16 @@
 /** entry_work_free - wait for what is queued, then end the threads. */
 void entry_work_free(entry_work_t *work);
 
+typedef struct entry_slow entry_slow_t;
+
+/** entry_slow_new - cuts callers that take too long to send a call. */
+entry_slow_t *entry_slow_new(const entry_settings_t *settings,
+			     metrics_t *metrics);
+void entry_slow_free(entry_slow_t *slow);
+
+/** entry_slow_sweep - cut those that are late; call about once a second. */
+void entry_slow_sweep(entry_slow_t *slow, usec_t now);
+
 typedef struct entry_watch entry_watch_t;
 
 /** entry_watch_new - notices callers that go away while they wait. */
@@ -329,6 +340,7 @@
 	GHashTable *routes_by_name;
 	entry_work_t *work;
 	entry_watch_t *watch;
+	entry_slow_t *slow;
 	entry_forward_t *forward;
 	member_t *member;
 	struct entry_claims *claims;
--- a/entry-main.c
+++ b/entry-main.c
@@ -143,10 +143,11 @@
 	entry.metrics = metrics_new();
 	entry.work = entry_work_new((unsigned)settings->workers_max);
 	entry.watch = entry_watch_new(err);
+	entry.slow = entry_slow_new(settings, entry.metrics);
 	entry.forward = entry_forward_new();
 	sup = supervisor_new("entry", MAIN_RESTARTS_MAX, MAIN_RESTARTS_WINDOW);
-	if (!entry.metrics || !entry.work || !entry.watch || !entry.forward ||
-	    !sup) {
+	if (!entry.metrics || !entry.work || !entry.watch || !entry.slow ||
+	    !entry.forward || !sup) {
 		hl_error_set(err, HL_ERR_NOMEM, "no memory; add some");
 		goto out;
 	}
@@ -158,6 +159,7 @@
 	entry_work_free(entry.work);
 	supervisor_free(sup);
 	entry_watch_free(entry.watch);
+	entry_slow_free(entry.slow);
 	entry_claims_free(entry.claims);
 	config_follow_free(entry.follow);
 	owner_free(entry.owner);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -29,6 +29,8 @@
 	  "256", 1, 4096, "threads that send to copies" },
 	{ "entry", "connections_max", SETTING_INTEGER, FIELD(connections_max),
 	  false, "4096", 16, 65536, "connections of callers" },
+	{ "entry", "head_ms", SETTING_INTEGER, FIELD(head_ms), false, "10000",
+	  100, HOUR_MS, "milliseconds that the head of a call may take" },
 	{ "entry", "keep_ms", SETTING_INTEGER, FIELD(keep_ms), false, "5000",
 	  100, HOUR_MS, "milliseconds a look-up may be kept" },
 	{ "entry", "interval_ms", SETTING_INTEGER, FIELD(interval_ms), false,
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -5,7 +5,8 @@
 
 /* While calls wait, their deadlines are looked at this often. */
 #define TICK_BUSY (2 * USEC_PER_MS)
-/* How often an entry's share of a service is worked out anew. */
+/* How often an entry's share of a service is worked out anew, and callers
+   that are slow to send are looked for. */
 #define TICK_SHARE USEC_PER_SEC
 
 /* The share of the service's slots that this entry owns, for its limits. */
@@ -116,6 +117,7 @@
 		now = time_now();
 		if (now >= share) {
 			tick_shares(entry);
+			entry_slow_sweep(entry->slow, now);
 			share = now + TICK_SHARE;
 		}
 		due = tick_earlier(tick_all(entry, now), share);
--- a/regress/fault-proxy.c
+++ b/regress/fault-proxy.c
@@ -5,7 +5,8 @@
  *
  * Commands, one a line on the control port, each answered with "ok":
  * cut, cut-to, cut-from, reset, heal LINK; delay LINK MS; loss LINK PERCENT;
- * truncate LINK BYTES. LINK may end in "*".
+ * truncate LINK BYTES; slow-to, slow-from LINK MS, which lets one byte of a TCP
+ * link pass in that time. LINK may end in "*".
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -63,7 +64,7 @@
 	struct sockaddr_storage dest;
 	unsigned dest_length;
 	bool udp, cut[WAYS];
-	usec_t delay;
+	usec_t delay, pace[WAYS]; /* pace: for each byte; 0: at once */
 	double loss;
 	uint64_t truncate;
 } link_t;
@@ -174,13 +175,13 @@
 {
 	/* What came from one end leaves by the other. */
 	int fd = pipe->ends[!way].fd;
+	size_t size = pipe->on->pace[way] ? 1 : piece->size - piece->done;
 
 	if (pipe->on->udp && way == FROM)
 		return sendto(pipe->on->listener.fd, piece->data, piece->size,
 			      0, (struct sockaddr *)&pipe->sender,
 			      pipe->sender_length);
-	return send(fd, piece->data + piece->done, piece->size - piece->done,
-		    MSG_NOSIGNAL);
+	return send(fd, piece->data + piece->done, size, MSG_NOSIGNAL);
 }
 
 static bool truncated(const pipe_t *pipe, way_t way)
@@ -208,6 +209,7 @@
 			return false;
 		}
 		piece->done += n > 0 ? (size_t)n : 0;
+		piece->due = now + pipe->on->pace[way];
 		if (!pipe->on->udp && piece->done < piece->size)
 			continue;
 		flow->buffered -= piece->size;
@@ -392,9 +394,10 @@
 	return rc;
 }
 
-static const char *const commands[] = { "cut",	 "cut-to",   "cut-from",
-					"reset", "heal",     "delay",
-					"loss",	 "truncate", NULL };
+static const char *const commands[] = { "cut",	     "cut-to",	 "cut-from",
+					"reset",     "heal",	 "delay",
+					"loss",	     "truncate", "slow-to",
+					"slow-from", NULL };
 
 static bool link_command(link_t *link, const char *what, double value)
 {
@@ -409,6 +412,10 @@
 		link->cut[FROM] = !heal;
 	if (heal || !strcmp(what, "delay"))
 		link->delay = (usec_t)(value * (double)USEC_PER_MS);
+	if (heal || !strcmp(what, "slow-to"))
+		link->pace[TO] = (usec_t)(value * (double)USEC_PER_MS);
+	if (heal || !strcmp(what, "slow-from"))
+		link->pace[FROM] = (usec_t)(value * (double)USEC_PER_MS);
 	if (heal || !strcmp(what, "loss"))
 		link->loss = value;
 	if (heal || !strcmp(what, "truncate"))
@@ -504,7 +511,9 @@
 
 	cds_list_for_each_entry (link, &links, link) {
 		cds_list_for_each_entry_safe (pipe, next, &link->pipes, link) {
-			if (link->delay && !pipe->dead)
+			if ((link->delay || link->pace[TO] ||
+			     link->pace[FROM]) &&
+			    !pipe->dead)
 				pipe_update(pipe, now);
 			due = flow_due(&pipe->flows[TO], now, due);
 			due = flow_due(&pipe->flows[FROM], now, due);
