--- a/entry-io.h
+++ b/entry-io.h
@@ -58,6 +58,7 @@
 	int64_t http_threads;
 	int64_t workers_max;
 	int64_t connections_max;
+	int64_t head_ms;     /* until the head of a call is whole */
 	int64_t keep_ms;     /* how long a look-up may be kept */
 	int64_t interval_ms; /* between announcements of a copy */
 	int64_t lease_ms;    /* how long an announcement binds a copy */
@@ -310,6 +311,16 @@
 /** entry_work_free - wait for what is queued, then end the threads. */
 void entry_work_free(entry_work_t *work);
 
+typedef struct entry_slow entry_slow_t;
+
+/** entry_slow_new - cuts callers that take too long to send a call. */
+entry_slow_t *entry_slow_new(const entry_settings_t *settings,
+			     metrics_t *metrics);
+void entry_slow_free(entry_slow_t *slow);
+
+/** entry_slow_sweep - cut those that are late; call about once a second. */
+void entry_slow_sweep(entry_slow_t *slow, usec_t now);
+
 typedef struct entry_watch entry_watch_t;
 
 /** entry_watch_new - notices callers that go away while they wait. */
@@ -329,6 +340,7 @@
 	GHashTable *routes_by_name;
 	entry_work_t *work;
 	entry_watch_t *watch;
+	entry_slow_t *slow;
 	entry_forward_t *forward;
 	member_t *member;
 	struct entry_claims *claims;
@@ -336,8 +348,7 @@
 	char call_address[HL_ADDRESS_MAX];
 	pthread_mutex_t tick_lock;
 	pthread_cond_t tick_wake;
-	bool tick_kicked;
-	bool tick_busy;	  /* it looks often by itself */
+	usec_t tick_due;  /* when the thread looks again at the latest */
 	bool first_start; /* nothing was ever claimed here */
 	owner_t *owner;
 	const char *settings_path;
@@ -365,6 +376,13 @@
 /** entry_dispatch_expire - refuse what can no longer be served in time. */
 void entry_dispatch_expire(entry_route_t *route, usec_t now);
 
+/**
+ * entry_hedge_due - when a call that is being sent may deserve a second send.
+ *
+ * The route's lock is held.
+ */
+usec_t entry_hedge_due(const entry_request_t *req);
+
 /**
  * entry_hedge_route - send the calls that deserve it a second time.
  *
@@ -415,8 +433,11 @@
 /** entry_tick_child - the thread that looks after what waits. */
 supervisor_child_t entry_tick_child(entry_t *entry);
 
-/** entry_tick_kick - a call or a claim has begun to wait. */
-void entry_tick_kick(entry_t *entry);
+/** entry_tick_by - what waits is to be looked at by @due, or sooner. */
+void entry_tick_by(entry_t *entry, usec_t due);
+
+/** entry_tick_soon - a call or a claim has begun to wait. */
+void entry_tick_soon(entry_t *entry, usec_t now);
 
 /** entry_relay_send - send a request to its place and take the answer. */
 void entry_relay_send(entry_request_t *req);
--- a/signals.c
+++ b/signals.c
@@ -1,4 +1,3 @@
-#include <errno.h>
 #include <signal.h>
 #include <unistd.h>
 #include "hemlock.h"
@@ -37,7 +36,7 @@
 	return 0;
 }
 
-/* The signal that asks the supervisor to stop ends the wait as well. */
+/* A signal of our own ends the wait; by then nobody heeds another. */
 static void signals_wake(void *context)
 {
 	(void)context;
