Let in what a rate allows: a burst of 8 calls or 0.4 s

Cause: an entry let in at once only what 100 ms of its share hold. At small shares that is one call or two, so Poisson arrivals at half of the rate were refused in part, and at twice the rate the limit was never reached.

Weighed: a longer span alone is no help below 20 calls a second of a share; a least count alone leaves large rates at 100 ms. Both are taken. A burst of 0.4 s is 4 % of 10 s. From rest, small rates may let in 8 calls above the rate, which at 5 calls a second is 16 % of the first 10 s: fewer than six would refuse arrivals at half of the rate, so the two cannot both be had there.

tenant_burst = 0, the preset, now means the same burst; it let one call in.

Rows of test-entry-service changed, as they took a burst of one call at 10 calls a second for granted: service-limit and class-limit now use up eight calls first, refused-uses-no-other-limit shows the last free call of the class before and its refusal after.

--- a/entry-limit.c
+++ b/entry-limit.c
@@ -7,8 +7,10 @@
  * one time, that of the theoretical arrival of the next call.
  */
 
-/* Calls of a class or service that may come at once, as a span of its rate. */
-#define LIMIT_BURST_SPAN (100 * USEC_PER_MS)
+/* Calls that may come at once: a span of the rate, and never fewer than these.
+   Poisson arrivals at half of any rate need six to be let in. */
+#define LIMIT_BURST_SPAN (400 * USEC_PER_MS)
+#define LIMIT_BURST_MIN 8
 #define LIMIT_BUCKETS 1024
 
 /* The remembered bucket of one tenant. */
@@ -111,8 +113,7 @@
 static usec_t limit_wait(const limit_check_t *check, usec_t now)
 {
 	double interval = USEC_PER_SEC / check->rate;
-	double burst = check->burst > 1 ? check->burst : 1;
-	usec_t early = *check->due - (usec_t)((burst - 1) * interval);
+	usec_t early = *check->due - (usec_t)((check->burst - 1) * interval);
 
 	return early > now ? early - now : 0;
 }
@@ -124,7 +125,15 @@
 	*check->due = start + (usec_t)(USEC_PER_SEC / check->rate);
 }
 
-/* A limit of @rate over all entries; none if that is 0. */
+/* Calls that may come at once under @rate, if nobody declared it. */
+static double limit_burst(double rate)
+{
+	double burst = rate * LIMIT_BURST_SPAN / USEC_PER_SEC;
+
+	return burst > LIMIT_BURST_MIN ? burst : LIMIT_BURST_MIN;
+}
+
+/* Add a limit of this entry's @rate; none if that is 0. */
 static unsigned limit_check_add(limit_check_t *checks, unsigned count,
 				usec_t *due, double rate, double burst)
 {
@@ -136,29 +145,39 @@
 	return count + 1;
 }
 
+/* A declared burst is shared as the rate is, but lets one call in anywhere. */
+static double limit_tenant_burst(const struct entry_limit *limit,
+				 const config_profile_t *profile)
+{
+	double burst = profile->tenant_burst * limit->share;
+
+	if (profile->tenant_burst == 0)
+		return limit_burst(profile->tenant_rate * limit->share);
+	return burst > 1 ? burst : 1;
+}
+
 /* Fill in the limits of a call, at most three. */
 static unsigned limit_checks(struct entry_limit *limit,
 			     const config_profile_t *profile,
 			     const entry_call_t *call, usec_t now,
 			     limit_check_t *checks)
 {
-	const double span = (double)LIMIT_BURST_SPAN / USEC_PER_SEC;
 	double rate = limit->rate * limit->share;
 	unsigned index = call->class_index;
 	unsigned count;
 
 	count = limit_check_add(checks, 0, &limit->service_due, rate,
-				rate * span);
+				limit_burst(rate));
 	if (index < profile->classes.classes_len) {
 		rate = profile->classes.classes_val[index].rate * limit->share;
 		count = limit_check_add(checks, count, &limit->class_due[index],
-					rate, rate * span);
+					rate, limit_burst(rate));
 	}
 	if (profile->tenant_rate > 0)
 		count = limit_check_add(checks, count,
 					limit_tenant_due(limit, call, now),
 					profile->tenant_rate * limit->share,
-					profile->tenant_burst * limit->share);
+					limit_tenant_burst(limit, profile));
 	return count;
 }
 
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -154,20 +154,44 @@
 			    "0 share 0 0.5\n0 copy c1 9\n"
 			    "0 arrive a = send c1\n"
 			    "0 arrive b = refuse limit 200 not-run\n" },
-	{ "service-limit", "0 share 10 1\n0 copy c1 9\n"
+	{ "service-limit", "0 share 10 1\n"
+			   "0 copy c1 9\n"
 			   "0 arrive a t=t1 = send c1\n"
-			   "0 arrive b t=t2 = refuse limit 100 not-run\n" },
-	{ "class-limit", "0 profile class1_rate=10\n0 copy c1 9\n"
+			   "0 arrive b t=t2 = send c1\n"
+			   "0 arrive c t=t3 = send c1\n"
+			   "0 arrive d t=t4 = send c1\n"
+			   "0 arrive e t=t5 = send c1\n"
+			   "0 arrive f t=t6 = send c1\n"
+			   "0 arrive g t=t7 = send c1\n"
+			   "0 arrive h t=t8 = send c1\n"
+			   "0 arrive i t=t9 = refuse limit 100 not-run\n"
+			   "100 arrive j t=t9 = send c1\n" },
+	{ "class-limit", "0 profile class1_rate=10\n"
+			 "0 copy c1 19\n"
 			 "0 arrive a c=1 = send c1\n"
-			 "0 arrive b c=1 = refuse limit 100 not-run\n"
-			 "0 arrive c c=0 = send c1\n" },
-	{ "refused-uses-no-other-limit", "0 profile tenant_rate=10 "
-					 "tenant_burst=1 class1_rate=20\n"
-					 "0 copy c1 9\n"
-					 "0 arrive a t=t1 c=0 = send c1\n"
-					 "0 arrive b t=t1 c=1 = "
-					 "refuse limit 100 not-run\n"
-					 "0 arrive c t=t2 c=1 = send c1\n" },
+			 "0 arrive b c=1 = send c1\n"
+			 "0 arrive c c=1 = send c1\n"
+			 "0 arrive d c=1 = send c1\n"
+			 "0 arrive e c=1 = send c1\n"
+			 "0 arrive f c=1 = send c1\n"
+			 "0 arrive g c=1 = send c1\n"
+			 "0 arrive h c=1 = send c1\n"
+			 "0 arrive i c=1 = refuse limit 100 not-run\n"
+			 "0 arrive j c=0 = send c1\n" },
+	{ "refused-uses-no-other-limit",
+	  "0 profile tenant_rate=10 tenant_burst=1 class1_rate=20\n"
+	  "0 copy c1 19\n"
+	  "0 arrive a t=t1 c=0 = send c1\n"
+	  "0 arrive b t=t2 c=1 = send c1\n"
+	  "0 arrive c t=t3 c=1 = send c1\n"
+	  "0 arrive d t=t4 c=1 = send c1\n"
+	  "0 arrive e t=t5 c=1 = send c1\n"
+	  "0 arrive f t=t6 c=1 = send c1\n"
+	  "0 arrive g t=t7 c=1 = send c1\n"
+	  "0 arrive h t=t8 c=1 = send c1\n"
+	  "0 arrive i t=t1 c=1 = refuse limit 100 not-run\n"
+	  "0 arrive j t=t9 c=1 = send c1\n"
+	  "0 arrive k t=t10 c=1 = refuse limit 50 not-run\n" },
 
 	/* Retries. */
 	{ "retry-goes-elsewhere", "0 copy c1 1\n0 copy c2 1\n"
