Ask for owners' slots again soon while they change

Cause: an entry that owns nothing of a service believed what an owner once said of its slots for 10 s. Right after a start, copies announce themselves and move for some seconds, so look-ups gave weights of 18, 18 and 12 for owners with 15, 15 and 18 slots, and at 90 % of the slots two of three owners were overloaded.

An owner's slots are now asked for again after 1 s, which doubles up to 10 s while none of the service's owners says anything new; the bound of ten questions a second stays. test-owner-lookup fails with 10 s throughout (weights wrong for 4.8 s after the last change instead of at most 2.5 s) and bounds the questions in a quiet minute.

--- a/owner-lookup.c
+++ b/owner-lookup.c
@@ -2,8 +2,10 @@
 #include <string.h>
 #include "owner-table.h"
 
-/* What is known of another owner's slots is asked for anew after this. */
-#define LOOKUP_BELIEVE (10 * USEC_PER_SEC)
+/* Another owner's slots are asked for anew after this: soon while those of the
+   service change, seldom once they stay. */
+#define LOOKUP_BELIEVE_MIN USEC_PER_SEC
+#define LOOKUP_BELIEVE_MAX (10 * USEC_PER_SEC)
 /* And at most one owner is asked this often, whatever is looked up. */
 #define LOOKUP_ASK_PERIOD (100 * USEC_PER_MS)
 
@@ -12,6 +14,22 @@
 	bool near;
 } lookup_row_t;
 
+void owner_lookup_told(owner_service_t *svc, owner_sibling_t *from,
+		       unsigned slots, usec_t now)
+{
+	bool changed = !from->heard || from->slots != slots;
+	unsigned i;
+
+	from->heard = now;
+	from->slots = slots;
+	from->believe = from->believe ? 2 * from->believe : LOOKUP_BELIEVE_MIN;
+	if (from->believe > LOOKUP_BELIEVE_MAX)
+		from->believe = LOOKUP_BELIEVE_MAX;
+	/* What one owner gained or lost, another has lost or gained. */
+	for (i = 0; changed && i < svc->count; i++)
+		svc->siblings[i].believe = LOOKUP_BELIEVE_MIN;
+}
+
 /* Ask for slots that are not known; the next look-up has them. */
 static void lookup_ask(owner_t *owner, owner_service_t *svc)
 {
@@ -23,7 +41,7 @@
 	for (i = 0; i < svc->count; i++) {
 		owner_sibling_t *sibling = &svc->siblings[i];
 
-		if (sibling->heard && now - sibling->heard < LOOKUP_BELIEVE)
+		if (sibling->heard && now - sibling->heard < sibling->believe)
 			continue;
 		if (sibling->asked && now - sibling->asked < USEC_PER_SEC)
 			continue;
--- a/owner-net.c
+++ b/owner-net.c
@@ -213,8 +213,7 @@
 	sibling = owner_table_sibling(svc, from->name);
 	if (!sibling)
 		return;
-	sibling->heard = now;
-	sibling->slots = said->slots;
+	owner_lookup_told(svc, sibling, said->slots, now);
 }
 
 static void net_on_lend(owner_t *owner, const peer_body_t *body,
--- a/owner-table.h
+++ b/owner-table.h
@@ -43,10 +43,11 @@
 	unsigned waiting;
 	unsigned copies;
 	unsigned slots;
-	usec_t heard;  /* when it last told these; 0: never */
-	usec_t waited; /* when it last told of waiting calls */
-	usec_t asked;  /* when its slots were last asked for */
-	usec_t told;   /* when we last told ours */
+	usec_t heard;	/* when it last told these; 0: never */
+	usec_t waited;	/* when it last told of waiting calls */
+	usec_t asked;	/* when its slots were last asked for */
+	usec_t believe; /* how long they are believed */
+	usec_t told;	/* when we last told ours */
 	unsigned told_waiting;
 	unsigned told_copies;
 	unsigned told_slots;
@@ -172,6 +173,10 @@
 void owner_net_ask(owner_t *owner, const owner_service_t *svc,
 		   const owner_sibling_t *to);
 
+/** owner_lookup_told - an owner answered how many slots it has. */
+void owner_lookup_told(owner_service_t *svc, owner_sibling_t *from,
+		       unsigned slots, usec_t now);
+
 /** owner_net_receive - take in a datagram of an owner or entry. */
 void owner_net_receive(owner_t *owner, const peer_message_t *message,
 		       usec_t now);
