Let faults stand between entries on UDP

Nothing on the UDP port could be harmed with real processes: an entry announced the very address that it was bound to. Now entry.peer_bind gives the socket another address than the one that is known, and regress/udp-proxy.c stands on the known ones: it forwards from the known address of the sender, so each pair and direction is a link that can be cut, delayed, or lose by percentage from a seed. One draw for each datagram keeps the losses of a seed the same.

--- a/entry-io.h
+++ b/entry-io.h
@@ -55,6 +55,7 @@
 	int64_t control_port;
 	int64_t rpc_port;
 	int64_t peer_port;
+	char peer_bind[HL_ADDRESS_MAX]; /* "": address and peer_port */
 	int64_t http_threads;
 	int64_t workers_max;
 	int64_t connections_max;
--- a/entry-main.c
+++ b/entry-main.c
@@ -73,6 +73,7 @@
 	strcpy(options.self.name, settings->name);
 	strcpy(options.self.zone, settings->zone);
 	strcpy(options.group, settings->region);
+	strcpy(options.bind_address, settings->peer_bind);
 	main_address(options.self.call_address, settings, settings->call_port);
 	main_address(options.self.control_address, settings,
 		     settings->control_port);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -23,6 +23,10 @@
 	  1, 65535, "TCP port for following the configuration" },
 	{ "entry", "peer_port", SETTING_INTEGER, FIELD(peer_port), false,
 	  "7083", 1, 65535, "UDP port between entries" },
+	{ "entry", "peer_bind", SETTING_ADDRESS, FIELD(peer_bind), false, NULL,
+	  0, 0,
+	  "\"ip:port\" of the UDP socket, where it is not the address and "
+	  "peer_port that the others know" },
 	{ "entry", "http_threads", SETTING_INTEGER, FIELD(http_threads), false,
 	  "2", 1, 64, "threads that take calls" },
 	{ "entry", "workers_max", SETTING_INTEGER, FIELD(workers_max), false,
--- a/regress/member-node.c
+++ b/regress/member-node.c
@@ -71,6 +71,7 @@
 	char *name = NULL;
 	char *zone = "a";
 	char *address = NULL;
+	char *bind_address = "";
 	char **seeds = NULL;
 	int seed = 1;
 	const GOptionEntry entries[] = {
@@ -78,6 +79,8 @@
 		{ "zone", 0, 0, G_OPTION_ARG_STRING, &zone, "zone", NULL },
 		{ "address", 0, 0, G_OPTION_ARG_STRING, &address, "ip:port",
 		  NULL },
+		{ "bind", 0, 0, G_OPTION_ARG_STRING, &bind_address,
+		  "ip:port, where it is not the address", NULL },
 		{ "seed", 0, 0, G_OPTION_ARG_STRING_ARRAY, &seeds,
 		  "peer to join, repeated", NULL },
 		{ "loss", 0, 0, G_OPTION_ARG_INT, &node.loss_per_mille,
@@ -97,6 +100,7 @@
 		return -1;
 	g_strlcpy(node.options.self.name, name, HL_NAME_MAX);
 	g_strlcpy(node.options.self.zone, zone, HL_NAME_MAX);
+	g_strlcpy(node.options.bind_address, bind_address, HL_ADDRESS_MAX);
 	g_strlcpy(node.options.self.peer_address, address, HL_ADDRESS_MAX);
 	g_strlcpy(node.options.self.call_address, address, HL_ADDRESS_MAX);
 	g_strlcpy(node.options.self.control_address, address, HL_ADDRESS_MAX);
--- /dev/null
+++ b/regress/udp-proxy.c
@@ -0,0 +1,333 @@
+/*
+ * A proxy between processes that talk by UDP, each from its one socket. Every
+ * peer has two addresses: the one that the others know, where the proxy
+ * listens, and the one that its socket is bound to. A datagram goes on from
+ * the known address of its sender, so that the receiver sees the peer itself.
+ *
+ * Commands, one a line on the control port, each answered with "ok":
+ * cut, heal LINK; delay LINK MS; loss LINK PERCENT. A LINK is FROM-TO, one way
+ * between two peers, and may hold "*". At its end the proxy prints what it saw
+ * of each link.
+ */
+#include <errno.h>
+#include <fnmatch.h>
+#include <glib.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <urcu/list.h>
+#include "hemlock.h"
+
+#define PEERS_MAX 64
+#define DATAGRAM_BYTES 65536
+#define DATAGRAM_BATCH 64
+#define LINE_BYTES 256
+#define TICK_MS 1000
+#define CONTROL_PATIENCE_USEC 200000
+
+typedef struct {
+	char name[HL_NAME_MAX];
+	int fd; /* bound to the known address */
+	struct sockaddr_storage bound;
+	unsigned bound_length;
+} peer_t;
+
+/* One way between two peers. */
+typedef struct {
+	bool cut;
+	usec_t delay;
+	double loss; /* percent */
+	GRand *random;
+	uint64_t seen, lost;
+} way_t;
+
+typedef struct {
+	struct cds_list_head link;
+	unsigned from, to;
+	usec_t due;
+	size_t size;
+	char data[];
+} datagram_t;
+
+static gchar **opt_peers, *opt_control;
+static gint opt_seed = 1;
+static peer_t peers[PEERS_MAX];
+static way_t ways[PEERS_MAX][PEERS_MAX];
+static unsigned peer_count;
+static CDS_LIST_HEAD(delayed);
+static volatile sig_atomic_t stopping;
+
+static void forward(unsigned from, unsigned to, const char *data, size_t size)
+{
+	const peer_t *target = &peers[to];
+
+	if (sendto(peers[from].fd, data, size, 0,
+		   (const struct sockaddr *)&target->bound,
+		   target->bound_length) < 0 &&
+	    errno != ECONNREFUSED)
+		perror(target->name);
+}
+
+static void delay(unsigned from, unsigned to, const char *data, size_t size)
+{
+	datagram_t *datagram = g_malloc(sizeof(*datagram) + size);
+
+	datagram->from = from;
+	datagram->to = to;
+	datagram->due = time_now() + ways[from][to].delay;
+	datagram->size = size;
+	memcpy(datagram->data, data, size);
+	cds_list_add_tail(&datagram->link, &delayed);
+}
+
+/* One draw for each datagram, so that a seed loses the same ones again. */
+static bool lost(way_t *way)
+{
+	double draw = g_rand_double(way->random) * 100;
+
+	return way->cut || draw < way->loss;
+}
+
+static int find_sender(const struct sockaddr_storage *address, unsigned length)
+{
+	unsigned i;
+
+	for (i = 0; i < peer_count; i++)
+		if (peers[i].bound_length == length &&
+		    !memcmp(&peers[i].bound, address, length))
+			return (int)i;
+	return -1;
+}
+
+/* Take in one datagram to a peer; false when none is waiting. */
+static bool take_datagram(unsigned to)
+{
+	static char data[DATAGRAM_BYTES];
+	struct sockaddr_storage sender = { 0 };
+	socklen_t length = sizeof(sender);
+	ssize_t size = recvfrom(peers[to].fd, data, sizeof(data), MSG_DONTWAIT,
+				(struct sockaddr *)&sender, &length);
+	int from;
+	way_t *way;
+
+	if (size < 0)
+		return false;
+	from = find_sender(&sender, length);
+	if (from < 0)
+		return true;
+	way = &ways[from][to];
+	way->seen++;
+	if (lost(way))
+		way->lost++;
+	else if (way->delay)
+		delay((unsigned)from, to, data, (size_t)size);
+	else
+		forward((unsigned)from, to, data, (size_t)size);
+	return true;
+}
+
+/* Send on what is due; return when to look again. */
+static usec_t send_delayed(usec_t now)
+{
+	usec_t next = now + TICK_MS * USEC_PER_MS;
+	datagram_t *datagram = NULL;
+	datagram_t *after = NULL;
+
+	cds_list_for_each_entry_safe (datagram, after, &delayed, link) {
+		if (datagram->due > now) {
+			next = MIN(next, datagram->due);
+			continue;
+		}
+		forward(datagram->from, datagram->to, datagram->data,
+			datagram->size);
+		cds_list_del(&datagram->link);
+		g_free(datagram);
+	}
+	return next;
+}
+
+static bool harm(way_t *way, const char *what, double value)
+{
+	bool heal = !strcmp(what, "heal");
+
+	if (heal || !strcmp(what, "cut"))
+		way->cut = !heal;
+	else if (strcmp(what, "delay") != 0 && strcmp(what, "loss") != 0)
+		return false;
+	if (heal || !strcmp(what, "delay"))
+		way->delay = (usec_t)(value * (double)USEC_PER_MS);
+	if (heal || !strcmp(what, "loss"))
+		way->loss = value;
+	return true;
+}
+
+static const char *command(char *line)
+{
+	char **words = g_strsplit(g_strstrip(line), " ", 3);
+	unsigned count = g_strv_length(words);
+	double value = count > 2 ? g_ascii_strtod(words[2], NULL) : 0;
+	char link[2 * HL_NAME_MAX];
+	unsigned found = 0;
+	unsigned i;
+
+	for (i = 0; count >= 2 && i < peer_count * peer_count; i++) {
+		unsigned from = i / peer_count;
+		unsigned to = i % peer_count;
+
+		snprintf(link, sizeof(link), "%s-%s", peers[from].name,
+			 peers[to].name);
+		if (!fnmatch(words[1], link, 0) &&
+		    harm(&ways[from][to], words[0], value))
+			found++;
+	}
+	g_strfreev(words);
+	return found ? "ok\n" : "no such command or link\n";
+}
+
+/* A control connection carries one command. */
+static void take_command(int listener)
+{
+	struct timeval patience = { .tv_usec = CONTROL_PATIENCE_USEC };
+	int fd = accept(listener, NULL, NULL);
+	char line[LINE_BYTES];
+	const char *reply;
+	ssize_t size;
+
+	if (fd < 0)
+		return;
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+	size = recv(fd, line, sizeof(line) - 1, 0);
+	if (size > 0) {
+		line[size] = '\0';
+		reply = command(line);
+		if (send(fd, reply, strlen(reply), MSG_NOSIGNAL) < 0)
+			perror("control");
+	}
+	close(fd);
+}
+
+static int bound_socket(const char *address, int type)
+{
+	struct sockaddr_storage storage;
+	unsigned length;
+	int one = 1;
+	int fd;
+
+	if (!address || hl_address_parse(address, &storage, &length))
+		return -1;
+	fd = socket(storage.ss_family, type | SOCK_CLOEXEC, 0);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (!bind(fd, (struct sockaddr *)&storage, length) &&
+	    (type != SOCK_STREAM || !listen(fd, DATAGRAM_BATCH)))
+		return fd;
+	perror(address);
+	close(fd);
+	return -1;
+}
+
+/* NAME=KNOWN-IP:PORT>BOUND-IP:PORT */
+static int peer_add(const char *text)
+{
+	peer_t *peer = &peers[peer_count];
+	char **parts = g_strsplit_set(text, "=>", -1);
+	int rc = -1;
+
+	if (peer_count == PEERS_MAX || g_strv_length(parts) != 3 ||
+	    hl_address_parse(parts[2], &peer->bound, &peer->bound_length))
+		goto out;
+	g_strlcpy(peer->name, parts[0], sizeof(peer->name));
+	peer->fd = bound_socket(parts[1], SOCK_DGRAM);
+	rc = peer->fd < 0 ? -1 : 0;
+	peer_count++;
+out:
+	g_strfreev(parts);
+	return rc;
+}
+
+static void serve(int listener)
+{
+	struct pollfd polled[PEERS_MAX + 1];
+	unsigned i;
+	unsigned n;
+
+	for (i = 0; i < peer_count; i++)
+		polled[i] = (struct pollfd){ peers[i].fd, POLLIN, 0 };
+	polled[peer_count] = (struct pollfd){ listener, POLLIN, 0 };
+	while (!stopping) {
+		usec_t now = time_now();
+		usec_t wait = send_delayed(now) - now;
+
+		if (poll(polled, peer_count + 1,
+			 (int)(wait / USEC_PER_MS) + 1) <= 0)
+			continue;
+		for (i = 0; i < peer_count; i++)
+			for (n = 0; polled[i].revents && n < DATAGRAM_BATCH &&
+				    take_datagram(i);
+			     n++)
+				;
+		if (polled[peer_count].revents)
+			take_command(listener);
+	}
+}
+
+static void report(void)
+{
+	unsigned i;
+
+	for (i = 0; i < peer_count * peer_count; i++) {
+		const way_t *way = &ways[i / peer_count][i % peer_count];
+
+		if (way->seen)
+			printf("link=%s-%s seen=%" PRIu64 " lost=%" PRIu64 "\n",
+			       peers[i / peer_count].name,
+			       peers[i % peer_count].name, way->seen,
+			       way->lost);
+	}
+	fflush(stdout);
+}
+
+static void on_signal(int number)
+{
+	stopping = number;
+}
+
+static const GOptionEntry options[] = {
+	{ "peer", 0, 0, G_OPTION_ARG_STRING_ARRAY, &opt_peers,
+	  "a peer, repeated", "NAME=KNOWN-IP:PORT>BOUND-IP:PORT" },
+	{ "control", 0, 0, G_OPTION_ARG_STRING, &opt_control,
+	  "where commands are taken", "IP:PORT" },
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &opt_seed, "of the losses", "N" },
+	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+};
+
+int main(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new("");
+	bool good;
+	int listener;
+	unsigned i;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	good = g_option_context_parse(context, &argc, &argv, NULL);
+	g_option_context_free(context);
+	for (i = 0; good && opt_peers && opt_peers[i]; i++)
+		good = !peer_add(opt_peers[i]);
+	listener = good ? bound_socket(opt_control, SOCK_STREAM) : -1;
+	if (listener < 0) {
+		fprintf(stderr, "bad options or addresses; see --help\n");
+		return 2;
+	}
+	for (i = 0; i < peer_count * peer_count; i++)
+		ways[i / peer_count][i % peer_count].random =
+			g_rand_new_with_seed((guint32)opt_seed + i);
+	signal(SIGTERM, on_signal);
+	signal(SIGINT, on_signal);
+	puts("ready");
+	fflush(stdout);
+	serve(listener);
+	report();
+	return 0;
+}
