--- a/regress/udp-proxy.c
+++ b/regress/udp-proxy.c
@@ -29,10 +29,10 @@
 #define CONTROL_PATIENCE_USEC 200000
 
 typedef struct {
-	char name[HL_NAME_MAX];
-	int fd; /* bound to the known address */
 	struct sockaddr_storage bound;
 	unsigned bound_length;
+	int fd; /* bound to the known address */
+	char name[HL_NAME_MAX];
 } peer_t;
 
 /* One way between two peers. */
