Decide on leases that witnesses grant to an owner

The copies of a dead owner rest until its death is known and then for a whole lease, because only the copy knows who had it.

A witness that restarts has another boot number: it refuses the terms of its life before, and ends them only after a lease.

Weighed: a memory of ended terms that survives a restart needs a disk; silence of a restarted witness towards unknown terms alone does not do, as it would grant an ended term after the silence. So a term goes into use only when all three witnesses have told their boot, and is never renewed without it after that.

--- /dev/null
+++ b/witness-term.c
@@ -0,0 +1,65 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "witness.h"
+
+/* Separates the parts of a term; no name has it. */
+#define TERM_SEPARATOR '/'
+
+void witness_term_print(const witness_term_t *term, char *out)
+{
+	int length = snprintf(out, WITNESS_TEXT_MAX, "%s/%" PRIx64, term->owner,
+			      term->number);
+	unsigned i;
+
+	for (i = 0; i < WITNESS_SET; i++)
+		length += snprintf(out + length,
+				   (size_t)(WITNESS_TEXT_MAX - length),
+				   "/%s/%" PRIx64, term->members[i].name,
+				   term->members[i].boot);
+}
+
+/* Take a name off the front of the text. */
+static int term_name(const char **text, char *out)
+{
+	const char *end = strchr(*text, TERM_SEPARATOR);
+	size_t length = end ? (size_t)(end - *text) : 0;
+
+	if (!length || length >= HL_NAME_MAX)
+		return -1;
+	memcpy(out, *text, length);
+	out[length] = '\0';
+	*text = end + 1;
+	return hl_name_valid(out) ? 0 : -1;
+}
+
+/* Take a number that is not 0 off the front of the text. */
+static int term_number(const char **text, uint64_t *out)
+{
+	char *end;
+
+	*out = strtoull(*text, &end, 16);
+	if (end == *text || !*out)
+		return -1;
+	if (*end == TERM_SEPARATOR && end[1])
+		end++;
+	else if (*end)
+		return -1;
+	*text = end;
+	return 0;
+}
+
+int witness_term_parse(const char *text, witness_term_t *term)
+{
+	unsigned i;
+
+	memset(term, 0, sizeof(*term));
+	if (term_name(&text, term->owner) || term_number(&text, &term->number))
+		return -1;
+	for (i = 0; i < WITNESS_SET; i++)
+		if (term_name(&text, term->members[i].name) ||
+		    term_number(&text, &term->members[i].boot))
+			return -1;
+	return *text ? -1 : 0;
+}
