End a lost owner's term instead of waiting for its copies' leases

A new owner knew of the former one only what the copy echoed, so without RELEASED it waited lease_ms. Answers to announcements now carry the owner's witness term, the copy echoes it, and the new owner has the three witnesses named there end it. An owner sends to a copy only while it holds every term that the copy may echo.

Found by the simulation on the way, and mended: a copy that came back to its own owner through two lost datagrams waited a lease (it now goes on, as its term says that nobody else had it); a chain of two redirects lost what the copy had echoed (the second one now passes on the resolved echo); a copy that nobody had yet and was sent elsewhere waited a lease (the answer now says "none").

Not shown by any row: the check of the boot in a renewal (such a term is unknown there and refused anyway), and that a waiting owner passes on the former's term.

Changes to existing tests: sim_new() takes the lease, rows have one; rows with a long lease settle for two leases more, since balancing waits for one. The stand-in echoes witness and prints its length.

--- a/entry-announce.c
+++ b/entry-announce.c
@@ -21,6 +21,7 @@
 	json_int_t load;
 	const char *owner; /* NULL if absent */
 	json_int_t epoch;
+	const char *witness; /* NULL if absent */
 } announce_t;
 
 static const char *announce_check(const announce_t *in)
@@ -49,6 +50,8 @@
 		return "owner";
 	if (in->epoch < 0)
 		return "epoch";
+	if (in->witness && strlen(in->witness) >= WITNESS_TEXT_MAX)
+		return "witness";
 	if (strcmp(in->state, "cold") && strcmp(in->state, "ready") &&
 	    strcmp(in->state, "draining"))
 		return "state";
@@ -80,6 +83,8 @@
 	if (in->owner)
 		strcpy(out->owner, in->owner);
 	out->epoch = (uint64_t)in->epoch;
+	if (in->witness)
+		strcpy(out->witness, in->witness);
 }
 
 static void announce_answer(const owner_announced_t *out, entry_reply_t *reply)
@@ -91,6 +96,8 @@
 			 (json_int_t)out->epoch, "interval_ms",
 			 (json_int_t)out->interval_ms, "lease_ms",
 			 (json_int_t)out->lease_ms, "empty", out->empty);
+	if (out->witness[0])
+		json_object_set_new(root, "witness", json_string(out->witness));
 	reply->body = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 }
@@ -144,17 +151,18 @@
 	json_t *root;
 
 	root = json_loadb(in->body, in->size, JSON_REJECT_DUPLICATES, &error);
-	if (!root || json_unpack_ex(root, &error, 0,
-				    "{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I, "
-				    "s?I, s?s, s?I}",
-				    "service", &announced.service, "copy",
-				    &announced.copy, "zone", &announced.zone,
-				    "address", &announced.address, "state",
-				    &announced.state, "slots", &announced.slots,
-				    "connections", &announced.connections,
-				    "sequence", &announced.sequence, "load",
-				    &announced.load, "owner", &announced.owner,
-				    "epoch", &announced.epoch)) {
+	if (!root ||
+	    json_unpack_ex(root, &error, 0,
+			   "{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I, "
+			   "s?I, s?s, s?I, s?s}",
+			   "service", &announced.service, "copy",
+			   &announced.copy, "zone", &announced.zone, "address",
+			   &announced.address, "state", &announced.state,
+			   "slots", &announced.slots, "connections",
+			   &announced.connections, "sequence",
+			   &announced.sequence, "load", &announced.load,
+			   "owner", &announced.owner, "epoch", &announced.epoch,
+			   "witness", &announced.witness)) {
 		entry_reply_error(reply, 400,
 				  "%s; send the fields that INTERFACES lists",
 				  error.text);
--- a/entry-owner.c
+++ b/entry-owner.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <time.h>
 #include "entry-io.h"
 
 /* What the owner module asks of and tells the daemon. It holds its own lock
@@ -6,6 +7,7 @@
 
 /* A copy that keeps saying that it is cold is taken for warm after this. */
 #define OWNER_COLD_MAX (60 * USEC_PER_SEC)
+#define NSEC_PER_USEC 1000
 
 /* Keep the place of a copy at its address. Lock held. */
 static void owner_place(entry_copy_t *copy, const char *address, unsigned idle)
@@ -197,6 +199,16 @@
 	}
 }
 
+/* Above that of an earlier process, if the clock allows. */
+static uint64_t owner_boot(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * USEC_PER_SEC +
+	       (uint64_t)ts.tv_nsec / NSEC_PER_USEC;
+}
+
 int entry_owner_new(entry_t *entry, const owner_member_t *self, hl_error_t *err)
 {
 	owner_options_t options = { .self = *self, .member = entry->member };
@@ -205,6 +217,8 @@
 	options.interval = entry->settings.interval_ms * USEC_PER_MS;
 	options.lease = entry->settings.lease_ms * USEC_PER_MS;
 	options.lend_rate = (uint64_t)entry->settings.lend_bytes;
+	options.boot = owner_boot();
+	options.started = time_now();
 	options.events.context = entry;
 	options.events.limit = owner_on_limit;
 	options.events.forget = owner_on_forget;
--- a/owner-announce.c
+++ b/owner-announce.c
@@ -44,6 +44,7 @@
 	}
 	hold = record->lease.hold;
 	announce_resolve(record, &resolved);
+	resolved.ours = owner_witness_ours(owner, resolved.witness);
 	owner_lease_accept(&record->lease, &resolved, owner->options.self.name,
 			   owner->options.lease, now);
 	if (hold != OWNER_HOLD_HELD && record->lease.hold == OWNER_HOLD_HELD) {
@@ -90,8 +91,21 @@
 				    record->copy.name);
 }
 
+/* The copy has echoed what it is to echo; until then it comes often. */
+static bool announce_settled(const owner_lease_t *lease, usec_t now)
+{
+	const owner_former_t *former = &lease->former;
+
+	if (lease->hold != OWNER_HOLD_HELD)
+		return false;
+	if (!owner_lease_clear(lease, now))
+		return !former->witness[0] ||
+		       now - former->since >= OWNER_SETTLE;
+	return !lease->other_term && lease->term == lease->answered_term;
+}
+
 static void announce_answer(owner_t *owner, const owner_member_t *place,
-			    const owner_record_t *record, usec_t now,
+			    owner_record_t *record, usec_t now,
 			    owner_announced_t *out)
 {
 	usec_t interval = OWNER_INTERVAL_FAST;
@@ -103,7 +117,9 @@
 	if (record) {
 		out->epoch = record->lease.epoch;
 		out->empty = announce_empty(owner, record, now);
-		if (record->lease.hold == OWNER_HOLD_HELD)
+		owner_witness_answer(owner, record, now, out->witness);
+		owner_table_grant(owner, record, now);
+		if (announce_settled(&record->lease, now))
 			interval = owner->options.interval;
 	}
 	out->interval_ms = interval / USEC_PER_MS;
@@ -130,7 +146,10 @@
 			      const owner_announcement_t *announcement,
 			      usec_t now, owner_announced_t *out)
 {
+	owner_announcement_t resolved = *announcement;
+
 	if (record) {
+		announce_resolve(record, &resolved);
 		record->copy = announcement->copy;
 		record->announced = now;
 		record->lease.sequence = announcement->sequence;
@@ -138,9 +157,13 @@
 	}
 	announce_answer(owner, place, NULL, now, out);
 	out->epoch = announce_redirect_epoch(owner, announcement, now);
+	if (announcement->owner[0])
+		memcpy(out->witness, announcement->witness, WITNESS_TEXT_MAX);
+	else
+		strcpy(out->witness, OWNER_WITNESS_NONE);
 	/* Twice, as a lost one costs the copy a whole lease. */
-	owner_net_forward(owner, place, announcement, out->epoch);
-	owner_net_forward(owner, place, announcement, out->epoch);
+	owner_net_forward(owner, place, &resolved, out->epoch);
+	owner_net_forward(owner, place, &resolved, out->epoch);
 }
 
 static int announce_locked(owner_t *owner,
@@ -198,7 +221,7 @@
 
 	pthread_mutex_lock(&owner->lock);
 	record = owner_table_record(owner, service, copy);
-	may = record && owner_lease_valid(&record->lease, now);
+	may = record && owner_table_until(owner, record, now);
 	pthread_mutex_unlock(&owner->lock);
 	return may;
 }
--- a/owner-lease.h
+++ b/owner-lease.h
@@ -18,6 +18,10 @@
 /* Set in the epoch of an answer that only names another entry. The rest is
    a number that the named entry is told too, with what the copy echoed. */
 #define OWNER_EPOCH_REDIRECT ((uint64_t)1 << 52)
+/* In place of a term: nobody may send to the copy so far. */
+#define OWNER_WITNESS_NONE "none"
+/* An answer that carried a former owner's term: no term of ours. */
+#define OWNER_TERM_FOREIGN UINT64_MAX
 
 /** enum owner_hold_t - how far this entry has come with a copy. */
 typedef enum {
@@ -31,10 +35,13 @@
 	char name[HL_NAME_MAX]; /* as the copy echoed it */
 	bool known;		/* it is that entry, which can be asked */
 	uint64_t epoch;		/* its epoch, as the copy echoed it */
-	usec_t until;		/* its lease has surely run out; 0: none */
-	bool released;		/* it sends no new work */
-	unsigned outstanding;	/* calls of its that have not ended */
-	usec_t reported;	/* when it last told outstanding */
+	char witness[WITNESS_TEXT_MAX]; /* its term, as echoed; "": none */
+	usec_t since;			/* we claim the copy since then */
+	bool ended;	      /* its term was ended by its witnesses */
+	usec_t until;	      /* its lease has surely run out; 0: none */
+	bool released;	      /* it sends no new work */
+	unsigned outstanding; /* calls of its that have not ended */
+	usec_t reported;      /* when it last told outstanding */
 } owner_former_t;
 
 typedef struct {
@@ -43,6 +50,10 @@
 	uint64_t epoch;	   /* of our last answer */
 	usec_t answered;   /* when that was */
 	usec_t until;	   /* we may send until then */
+	/* Terms that the copy may echo; all must be held to send. 0: none. */
+	uint64_t term;
+	uint64_t other_term;
+	uint64_t answered_term; /* of our last answer */
 	owner_former_t former;
 } owner_lease_t;
 
@@ -91,7 +102,16 @@
 /** owner_lease_clear - the former owner can send nothing new. */
 bool owner_lease_clear(const owner_lease_t *lease, usec_t now);
 
-/** owner_lease_valid - new work may be sent at @now. */
+/** owner_lease_answers - the answer to the last announcement has this term. */
+void owner_lease_answers(owner_lease_t *lease, uint64_t term);
+
+/** owner_lease_end - the former owner's term was ended by its witnesses. */
+void owner_lease_end(owner_lease_t *lease);
+
+/** owner_lease_until - as lease.until, but no longer than the terms of @own. */
+usec_t owner_lease_until(const owner_lease_t *lease, const witness_own_t *own);
+
+/** owner_lease_valid - new work may be sent at @now, the terms aside. */
 bool owner_lease_valid(const owner_lease_t *lease, usec_t now);
 
 /** owner_lease_limit - calls that may be outstanding, of @ceiling. */
--- a/owner-net.c
+++ b/owner-net.c
@@ -24,6 +24,15 @@
 	metrics_add(owner->lend_datagrams, 1);
 }
 
+void owner_net_witness(owner_t *owner, peer_kind_t kind, const char *address,
+		       const peer_witness_t *witness)
+{
+	peer_body_t body = { .kind = kind };
+
+	body.peer_body_t_u.witness = *witness;
+	metrics_add(owner->witness_bytes, net_send(owner, address, &body));
+}
+
 void owner_net_forward(owner_t *owner, const owner_member_t *to,
 		       const owner_announcement_t *announcement,
 		       uint64_t redirect)
@@ -260,6 +269,13 @@
 	case PEER_OFFER:
 		net_on_lend(owner, body, from, now);
 		break;
+	case PEER_RENEW:
+	case PEER_RENEWED:
+	case PEER_END:
+	case PEER_ENDED:
+		owner_witness_receive(owner, body->kind, from,
+				      &body->peer_body_t_u.witness, now);
+		break;
 	default:
 		break;
 	}
@@ -292,6 +308,6 @@
 
 	if (!owner->options.member)
 		return;
-	for (kind = PEER_ANNOUNCE; kind <= PEER_SLOTS; kind++)
+	for (kind = PEER_ANNOUNCE; kind <= PEER_ENDED; kind++)
 		member_on(owner->options.member, kind, net_handler, owner);
 }
--- a/owner-place.c
+++ b/owner-place.c
@@ -61,6 +61,23 @@
 	return &fewest->member;
 }
 
+/* The copy was sent here, but the datagram that should tell who had it was
+   lost: the sibling that its term names, which can take it or pass it on. */
+static const owner_sibling_t *place_untold(
+	owner_t *owner, owner_service_t *svc,
+	const owner_announcement_t *announcement)
+{
+	const owner_record_t *record =
+		owner_table_record(owner, svc->name, announcement->copy.name);
+	witness_term_t term;
+
+	if (!(announcement->epoch & OWNER_EPOCH_REDIRECT) ||
+	    (record && record->redirect == announcement->epoch) ||
+	    witness_term_parse(announcement->witness, &term))
+		return NULL;
+	return owner_table_sibling(svc, term.owner);
+}
+
 const owner_member_t *owner_table_place(
 	owner_t *owner, owner_service_t *svc,
 	const owner_announcement_t *announcement, usec_t now)
@@ -70,6 +87,9 @@
 	if (!svc->owner_count)
 		return NULL;
 	owner_table_count(owner, svc);
+	holder = place_untold(owner, svc, announcement);
+	if (holder)
+		return &holder->member;
 	if (svc->own && !strcmp(announcement->owner, owner->options.self.name))
 		return place_ours(owner, svc,
 				  owner_table_record(owner, svc->name,
--- a/owner-table.c
+++ b/owner-table.c
@@ -156,14 +156,28 @@
 	return ceiling < copy->connections ? ceiling : copy->connections;
 }
 
+usec_t owner_table_until(const owner_t *owner, const owner_record_t *record,
+			 usec_t now)
+{
+	usec_t until = owner_lease_until(&record->lease, &owner->witness);
+
+	if (!owner_lease_valid(&record->lease, now) || now >= until)
+		return 0;
+	return until;
+}
+
 void owner_table_grant(owner_t *owner, owner_record_t *record, usec_t now)
 {
 	const owner_events_t *events = &owner->options.events;
-	unsigned limit = owner_lease_limit(&record->lease,
-					   table_ceiling(owner, &record->copy),
-					   owner->options.lease, now);
-	usec_t until = limit ? record->lease.until : 0;
-
+	usec_t until = owner_table_until(owner, record, now);
+	unsigned limit = 0;
+
+	if (until)
+		limit = owner_lease_limit(&record->lease,
+					  table_ceiling(owner, &record->copy),
+					  owner->options.lease, now);
+	if (!limit)
+		until = 0;
 	if (record->shown && limit == record->granted &&
 	    until == record->granted_until)
 		return;
@@ -217,6 +231,12 @@
 	owner->lease_bytes =
 		metrics_counter(metrics, "hemlock_owner_lease_bytes_total", "",
 				"Bytes sent about who owns a copy.");
+	owner->witness_bytes =
+		metrics_counter(metrics, "hemlock_owner_witness_bytes_total",
+				"", "Bytes sent about witness leases.");
+	owner->witness_ended = metrics_counter(
+		metrics, "hemlock_owner_terms_ended_total", "",
+		"Terms of other owners that their witnesses ended for us.");
 	owner->offered = metrics_counter(metrics,
 					 "hemlock_owner_credits_offered_total",
 					 "", "Credits offered to siblings.");
@@ -251,6 +271,7 @@
 		goto fail;
 	}
 	table_meters(owner);
+	owner_witness_init(owner);
 	owner_net_listen(owner);
 	return owner;
 no_memory:
--- a/owner-table.h
+++ b/owner-table.h
@@ -15,6 +15,10 @@
 #define OWNER_INTERVAL_FAST (50 * USEC_PER_MS)
 /* How often a former owner is asked for release. */
 #define OWNER_RELEASE_PERIOD (50 * USEC_PER_MS)
+/* A former owner that is gone gets this long to release by itself. */
+#define OWNER_RELEASE_PATIENCE (250 * USEC_PER_MS)
+/* A copy whose former owner's term is to end is kept near for this long. */
+#define OWNER_SETTLE (10 * USEC_PER_SEC)
 /* A copy that announces nothing for this many leases is forgotten. */
 #define OWNER_FORGET_LEASES 10
 /* Entries that left or died and may still answer a claim. */
@@ -93,6 +97,11 @@
 	double lend_budget; /* bytes */
 	usec_t lend_filled;
 	uint64_t *lease_bytes;
+	witness_own_t witness;
+	witness_keep_t witness_keep;
+	witness_asks_t witness_asks;
+	uint64_t *witness_bytes;
+	uint64_t *witness_ended;
 	uint64_t *offered;
 	uint64_t *taken;
 	uint64_t *moved;
@@ -125,6 +134,10 @@
 /** owner_table_peer - as owner_table_member(), or one that went lately. */
 const owner_member_t *owner_table_peer(owner_t *owner, const char *name);
 
+/** owner_table_until - new work may be sent to a copy until then. */
+usec_t owner_table_until(const owner_t *owner, const owner_record_t *record,
+			 usec_t now);
+
 /** owner_table_grant - tell the entry what it may send now, if that changed. */
 void owner_table_grant(owner_t *owner, owner_record_t *record, usec_t now);
 
@@ -172,6 +185,31 @@
 void owner_net_ask(owner_t *owner, const owner_service_t *svc,
 		   const owner_sibling_t *to);
 
+/** owner_net_witness - send a datagram about a term. */
+void owner_net_witness(owner_t *owner, peer_kind_t kind, const char *address,
+		       const peer_witness_t *witness);
+
+/** owner_witness_init - no term, nothing witnessed. */
+void owner_witness_init(owner_t *owner);
+
+/** owner_witness_tick - open and renew terms, ask for the end of others. */
+void owner_witness_tick(owner_t *owner, usec_t now);
+
+/** owner_witness_ours - a copy echoes a term of this process. */
+bool owner_witness_ours(const owner_t *owner, const char *witness);
+
+/** owner_witness_former - have the term of a copy's former owner ended. */
+void owner_witness_former(owner_t *owner, owner_record_t *record, usec_t now);
+
+/** owner_witness_receive - a datagram about a term. */
+void owner_witness_receive(owner_t *owner, peer_kind_t kind,
+			   const owner_member_t *from,
+			   const peer_witness_t *said, usec_t now);
+
+/** owner_witness_answer - the term that an answer to a copy carries. */
+void owner_witness_answer(owner_t *owner, owner_record_t *record, usec_t now,
+			  char *out);
+
 /** owner_net_receive - take in a datagram of an owner or entry. */
 void owner_net_receive(owner_t *owner, const peer_message_t *message,
 		       usec_t now);
--- a/owner-tick.c
+++ b/owner-tick.c
@@ -37,6 +37,7 @@
 
 static void tick_record(owner_t *owner, owner_record_t *record, usec_t now)
 {
+	owner_witness_former(owner, record, now);
 	if (record->lease.hold != OWNER_HOLD_NONE)
 		owner_table_grant(owner, record, now);
 	if (now >= record->next_release &&
@@ -59,6 +60,7 @@
 	owner->now = now;
 	cds_list_for_each_entry_safe (record, next, &owner->records, link)
 		tick_record(owner, record, now);
+	owner_witness_tick(owner, now);
 	cds_list_for_each_entry (svc, &owner->services, link) {
 		if (svc->version != owner->version)
 			owner_table_service(owner, svc->name);
--- a/owner.h
+++ b/owner.h
@@ -3,6 +3,7 @@
 
 #include "hemlock.h"
 #include "metrics.h"
+#include "witness.h"
 
 /* Most owners of one service. */
 #define OWNER_MAX 16
@@ -73,6 +74,8 @@
 	uint64_t sequence;	 /* above 0 */
 	char owner[HL_NAME_MAX]; /* what the last answer said; "" if absent */
 	uint64_t epoch;		 /* 0 if absent */
+	char witness[WITNESS_TEXT_MAX]; /* as the last answer; "" if absent */
+	bool ours;			/* that is a term of this process */
 } owner_announcement_t;
 
 /** struct owner_announced_t - the answer to an announcement. */
@@ -83,6 +86,7 @@
 	unsigned interval_ms; /* until the next announcement */
 	unsigned lease_ms;
 	bool empty; /* it drains and no call is outstanding anywhere */
+	char witness[WITNESS_TEXT_MAX]; /* term to echo; "" for none */
 } owner_announced_t;
 
 /** struct owner_place_t - one address of a look-up's answer. */
@@ -136,6 +140,8 @@
 	uint64_t lend_rate;    /* bytes a second of lending, 0: no bound */
 	struct member *member; /* NULL: the members are owner_members()'s */
 	metrics_t *metrics;    /* may be NULL */
+	uint64_t boot;	       /* above earlier lives'; 0: no witnesses */
+	usec_t started;	       /* when this process did */
 } owner_options_t;
 
 /** struct owner_t - the copies that this entry owns. */
--- a/regress/standin-target.c
+++ b/regress/standin-target.c
@@ -18,6 +18,7 @@
 #include <urcu/list.h>
 #include "hemlock.h"
 #include "regress/service-time.h"
+#include "witness.h"
 
 #define COPIES_MAX 256
 #define ENTRIES_MAX 64
@@ -49,6 +50,7 @@
 	struct MHD_Daemon *daemon;
 	struct cds_list_head waiting;
 	unsigned running, outstanding, outstanding_max;
+	unsigned witness; /* bytes of the term that it echoes */
 	unsigned connections, connections_max;
 	uint64_t requests, runs, probes, announced, accepted, control_bytes;
 	uint64_t announce_failed;
@@ -94,6 +96,7 @@
 	usec_t due;
 	char target[HL_ADDRESS_MAX], owner[HL_NAME_MAX];
 	int64_t epoch;
+	char witness[WITNESS_TEXT_MAX];
 	char answer[1024];
 	size_t answer_size;
 } announcer_t;
@@ -709,6 +712,9 @@
 	if (ann->owner[0]) {
 		json_object_set_new(root, "owner", json_string(ann->owner));
 		json_object_set_new(root, "epoch", json_integer(ann->epoch));
+		if (ann->witness[0])
+			json_object_set_new(root, "witness",
+					    json_string(ann->witness));
 	}
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
@@ -765,7 +771,7 @@
 {
 	long status = 0;
 	json_t *root = NULL;
-	const char *owner = NULL, *address = NULL;
+	const char *owner = NULL, *address = NULL, *witness = "";
 	int interval = opt_interval_ms, empty = 0;
 	json_int_t epoch = 0;
 
@@ -774,10 +780,10 @@
 	if (code == CURLE_OK && status == 200)
 		root = json_loads(ann->answer, 0, NULL);
 	ann->busy = false;
-	if (!root ||
-	    json_unpack(root, "{s?s, s?s, s?I, s?i, s?b}", "owner", &owner,
-			"owner_address", &address, "epoch", &epoch,
-			"interval_ms", &interval, "empty", &empty)) {
+	if (!root || json_unpack(root, "{s?s, s?s, s?I, s?i, s?b, s?s}",
+				 "owner", &owner, "owner_address", &address,
+				 "epoch", &epoch, "interval_ms", &interval,
+				 "empty", &empty, "witness", &witness)) {
 		ann->target[0] = '\0';
 		ann->copy->announce_failed++;
 		ann->copy->announce_status = status;
@@ -787,7 +793,9 @@
 		g_strlcpy(ann->target, address ? address : "",
 			  sizeof(ann->target));
 		ann->epoch = epoch;
+		g_strlcpy(ann->witness, witness, sizeof(ann->witness));
 		ann->copy->epoch = epoch;
+		ann->copy->witness = (unsigned)strlen(ann->witness);
 		g_strlcpy(ann->copy->owner, ann->owner, HL_NAME_MAX);
 		ann->copy->empty = ann->copy->draining && empty;
 		if (opt_interval_ms)
@@ -876,7 +884,7 @@
 		g_string_append_printf(
 			text,
 			"copy=%s address=%s owner=%s epoch=%" PRId64
-			" outstanding=%u outstanding_max=%u requests=%" PRIu64
+			" witness=%u outstanding=%u outstanding_max=%u requests=%" PRIu64
 			" runs=%" PRIu64 " probes=%" PRIu64
 			" announced=%" PRIu64 " announce_failed=%" PRIu64
 			" announce_status=%ld control_bytes=%" PRIu64
@@ -884,7 +892,7 @@
 			" connections_max=%u accepted=%" PRIu64 " empty=%d\n",
 			copy->name, copy->address,
 			copy->owner[0] ? copy->owner : "-", copy->epoch,
-			copy->outstanding, copy->outstanding_max,
+			copy->witness, copy->outstanding, copy->outstanding_max,
 			copy->requests, copy->runs, copy->probes,
 			copy->announced, copy->announce_failed,
 			copy->announce_status, copy->control_bytes,
--- a/regress/test-owner-sim.c
+++ b/regress/test-owner-sim.c
@@ -18,6 +18,11 @@
 #define CEILING (SLOTS + 1)
 #define ANNOUNCE_TIMEOUT (400 * USEC_PER_MS)
 #define SETTLE (25 * USEC_PER_SEC)
+/* A lease of copies that only its witnesses can make short. */
+#define LONG_LEASE (60 * USEC_PER_SEC)
+/* A death is known after probes of all others, one time-out of a probe and
+   the suspicion, and is passed on. */
+#define DETECTION (NODES * 500 * USEC_PER_MS + 2 * USEC_PER_SEC)
 
 typedef struct sim sim_t;
 
@@ -58,6 +63,7 @@
 	uint64_t sequence;
 	char owner[HL_NAME_MAX];
 	uint64_t epoch;
+	char witness[WITNESS_TEXT_MAX];
 	int next_node; /* -1: any */
 	usec_t next_at;
 	bool waiting;
@@ -76,6 +82,7 @@
 	request_t requests[COPIES * 16];
 	bool cut[NODES][NODES]; /* datagrams from, to */
 	double loss, twice;
+	usec_t lease;	   /* 0: the preset */
 	unsigned overlaps; /* two entries believed they may send */
 	unsigned excess;   /* more calls at a copy than its ceiling */
 	unsigned faults;   /* kills and freezes so far */
@@ -198,6 +205,9 @@
 					 (uint64_t)sim->now / 1000,
 					 g_rand_int(sim->random), sim->now),
 			==, 0);
+	options.lease = sim->lease;
+	options.boot = (uint64_t)sim->now;
+	options.started = sim->now;
 	options.events.context = node;
 	options.events.limit = sim_on_limit;
 	options.events.outstanding = sim_on_outstanding;
@@ -281,6 +291,7 @@
 		request->sequence = copy->sequence;
 		announcement->sequence = copy->sequence;
 		announcement->epoch = copy->epoch;
+		memcpy(announcement->witness, copy->witness, WITNESS_TEXT_MAX);
 		memcpy(announcement->owner, copy->owner, HL_NAME_MAX);
 		memcpy(announcement->copy.name, copy->name, HL_NAME_MAX);
 		memcpy(announcement->copy.service, copy->service, HL_NAME_MAX);
@@ -310,6 +321,7 @@
 	copy->waiting = false;
 	memcpy(copy->owner, out->owner, HL_NAME_MAX);
 	copy->epoch = out->epoch;
+	memcpy(copy->witness, out->witness, WITNESS_TEXT_MAX);
 	copy->empty = out->empty;
 	copy->next_node = atoi(strchr(out->owner_address, ':') + 1) - 1;
 	copy->next_at = sim->now + out->interval_ms * USEC_PER_MS;
@@ -421,7 +433,7 @@
 		sim_step(sim);
 }
 
-static sim_t *sim_new(guint32 seed, double loss, double twice)
+static sim_t *sim_new(guint32 seed, double loss, double twice, usec_t lease)
 {
 	sim_t *sim = g_new0(sim_t, 1);
 	unsigned i;
@@ -431,6 +443,7 @@
 	sim->now = 1000 * USEC_PER_SEC;
 	sim->loss = loss;
 	sim->twice = twice;
+	sim->lease = lease;
 	for (i = 0; i < NODES; i++)
 		node_start(sim, i);
 	for (i = 0; i < COPIES; i++) {
@@ -495,6 +508,7 @@
 	void (*fault)(sim_t *sim, unsigned round);
 	unsigned rounds;
 	bool exact; /* no owner dies, so the count is never passed */
+	usec_t lease;
 } row_t;
 
 static unsigned sim_pick(sim_t *sim)
@@ -566,6 +580,43 @@
 	}
 }
 
+/* An entry freezes while answers to its renewals are under way; it finds them
+   in its buffer when it goes on. */
+static void fault_buffered(sim_t *sim, unsigned round)
+{
+	node_t *node = &sim->nodes[round % NODES];
+	usec_t sent;
+
+	do {
+		sent = node->owner->witness.renew_from;
+		sim_run(sim, STEP);
+	} while (sent == node->owner->witness.renew_from);
+	node->frozen_until = sim->now +
+			     g_rand_int_range(sim->random, 4000000, 7000000);
+	sim_run(sim, 7 * USEC_PER_SEC);
+}
+
+/* An entry freezes, and two witnesses of its term restart before its death is
+   known. */
+static void fault_forget(sim_t *sim, unsigned round)
+{
+	node_t *node = &sim->nodes[round % NODES];
+	const witness_term_t *term = &node->owner->witness.current.term;
+	unsigned i;
+
+	fault_buffered(sim, round);
+	node->frozen_until = sim->now +
+			     g_rand_int_range(sim->random, 4000000, 7000000);
+	sim_run(sim, g_rand_int_range(sim->random, 500000, 2500000));
+	for (i = 0; i < 2 && term->number; i++) {
+		unsigned index = (unsigned)(term->members[i].name[1] - '0');
+
+		node_kill(&sim->nodes[index]);
+		node_start(sim, index);
+	}
+	sim_run(sim, 7 * USEC_PER_SEC);
+}
+
 static void fault_all(sim_t *sim, unsigned round)
 {
 	void (*const faults[])(sim_t *, unsigned) = { fault_freeze, fault_kill,
@@ -579,23 +630,46 @@
 }
 
 static const row_t rows[] = {
-	{ "calm", 0, 0, fault_none, 4, true },
-	{ "loss", 0.05, 0.05, fault_none, 6, false },
-	{ "freeze", 0.01, 0.05, fault_freeze, 8, false },
-	{ "kill", 0.01, 0.05, fault_kill, 6, false },
-	{ "one-way", 0.01, 0.05, fault_one_way, 6, false },
-	{ "partition", 0.01, 0.05, fault_partition, 5, false },
-	{ "flap", 0.01, 0.05, fault_flap, 5, false },
-	{ "all", 0.05, 0.1, fault_all, 8, false },
+	{ "calm", 0, 0, fault_none, 4, true, 0 },
+	{ "loss", 0.05, 0.05, fault_none, 6, false, 0 },
+	{ "freeze", 0.01, 0.05, fault_freeze, 8, false, 0 },
+	{ "kill", 0.01, 0.05, fault_kill, 6, false, 0 },
+	{ "one-way", 0.01, 0.05, fault_one_way, 6, false, 0 },
+	{ "partition", 0.01, 0.05, fault_partition, 5, false, 0 },
+	{ "flap", 0.01, 0.05, fault_flap, 5, false, 0 },
+	{ "all", 0.05, 0.1, fault_all, 8, false, 0 },
+	{ "long-freeze", 0.01, 0.05, fault_freeze, 8, false, LONG_LEASE },
+	{ "long-kill", 0.01, 0.05, fault_kill, 6, false, LONG_LEASE },
+	{ "long-buffered", 0, 0, fault_buffered, 12, false, LONG_LEASE },
+	{ "long-forget", 0, 0, fault_forget, 12, false, LONG_LEASE },
+	{ "long-all", 0.05, 0.1, fault_all, 8, false, LONG_LEASE },
 };
 
+/* Copies that nobody may send to. */
+static unsigned sim_resting(const sim_t *sim)
+{
+	unsigned resting = 0;
+	unsigned i;
+	unsigned j;
+
+	for (i = 0; i < COPIES; i++) {
+		unsigned holders = 0;
+
+		for (j = 0; j < NODES; j++)
+			holders += sim->nodes[j].limit[i] &&
+				   sim->now < sim->nodes[j].until[i];
+		resting += !holders;
+	}
+	return resting;
+}
+
 static void test_row(gconstpointer data)
 {
 	const row_t *row = data;
 	guint32 seed;
 
 	for (seed = 1; seed <= 5; seed++) {
-		sim_t *sim = sim_new(seed, row->loss, row->twice);
+		sim_t *sim = sim_new(seed, row->loss, row->twice, row->lease);
 		unsigned i;
 
 		sim_run(sim, 6 * USEC_PER_SEC);
@@ -605,7 +679,7 @@
 		}
 		sim->loss = 0;
 		sim->twice = 0;
-		sim_run(sim, SETTLE);
+		sim_run(sim, SETTLE + 2 * row->lease);
 		g_test_message("seed %u overlaps %u excess %u", seed,
 			       sim->overlaps, sim->excess);
 		g_assert_cmpuint(sim->overlaps, ==, 0);
@@ -616,6 +690,37 @@
 	}
 }
 
+/* A start of all at once may cost a copy a lease: let that pass. Then the
+   copies of an owner that is lost work again once its death is known and two
+   seconds have passed, however long their lease is. */
+static void test_rest(gconstpointer data)
+{
+	const row_t *row = data;
+	guint32 seed;
+
+	for (seed = 1; seed <= 10; seed++) {
+		sim_t *sim = sim_new(seed, row->loss, row->twice, LONG_LEASE);
+		node_t *node = &sim->nodes[seed % NODES];
+
+		sim_run(sim, LONG_LEASE + 8 * USEC_PER_SEC);
+		g_assert_cmpuint(sim_resting(sim), ==, 0);
+		if (row->fault == fault_kill)
+			node_kill(node);
+		else
+			node->frozen_until = sim->now + LONG_LEASE;
+		sim_run(sim, DETECTION + 2 * USEC_PER_SEC);
+		g_assert_cmpuint(sim_resting(sim), ==, 0);
+		sim_run(sim, LONG_LEASE + 2 * USEC_PER_SEC);
+		g_assert_cmpuint(sim->overlaps, ==, 0);
+		sim_free(sim);
+	}
+}
+
+static const row_t rests[] = {
+	{ "kill", 0.01, 0.05, fault_kill, 0, false, LONG_LEASE },
+	{ "freeze", 0.01, 0.05, fault_freeze, 0, false, LONG_LEASE },
+};
+
 /* The copy's owner is killed while it drains; nobody else sends it work, and
    it is told that it is empty. */
 static void test_drain(void)
@@ -623,7 +728,7 @@
 	guint32 seed;
 
 	for (seed = 1; seed <= 10; seed++) {
-		sim_t *sim = sim_new(seed, 0.02, 0.2);
+		sim_t *sim = sim_new(seed, 0.02, 0.2, 0);
 		copy_t *copy = &sim->copies[0];
 
 		sim_run(sim, 8 * USEC_PER_SEC);
@@ -652,6 +757,12 @@
 		g_test_add_data_func(path, &rows[i], test_row);
 		g_free(path);
 	}
+	for (i = 0; i < G_N_ELEMENTS(rests); i++) {
+		char *path = g_strconcat("/owner/rest/", rests[i].name, NULL);
+
+		g_test_add_data_func(path, &rests[i], test_rest);
+		g_free(path);
+	}
 	g_test_add_func("/owner/sim/drain", test_drain);
 	return g_test_run();
 }
--- a/rpc/peer_rpc.h
+++ b/rpc/peer_rpc.h
@@ -57,6 +57,10 @@
 	PEER_OFFER = 11,
 	PEER_SLOTS_REQUEST = 12,
 	PEER_SLOTS = 13,
+	PEER_RENEW = 14,
+	PEER_RENEWED = 15,
+	PEER_END = 16,
+	PEER_ENDED = 17,
 	PEER_CLAIM = 20,
 	PEER_CLAIM_REPLY = 21,
 	PEER_SETTLE = 22,
@@ -132,6 +136,16 @@
 	u_int slots;
 };
 typedef struct peer_slots_t peer_slots_t;
+
+struct peer_witness_t {
+	peer_name_t owner;
+	u_quad_t term;
+	u_quad_t boot;
+	quad_t sent;
+	bool_t granted;
+	u_quad_t known;
+};
+typedef struct peer_witness_t peer_witness_t;
 #define PEER_CLAIM_PAGE_MAX 6
 
 struct peer_claim_key_t {
@@ -201,6 +215,7 @@
 		peer_load_t load;
 		peer_offer_t offer;
 		peer_slots_t slots;
+		peer_witness_t witness;
 		peer_claim_t claim;
 		peer_claim_reply_t claim_reply;
 		peer_claim_sync_t claim_sync;
@@ -238,6 +253,7 @@
 extern  bool_t xdr_peer_load_t (XDR *, peer_load_t*);
 extern  bool_t xdr_peer_offer_t (XDR *, peer_offer_t*);
 extern  bool_t xdr_peer_slots_t (XDR *, peer_slots_t*);
+extern  bool_t xdr_peer_witness_t (XDR *, peer_witness_t*);
 extern  bool_t xdr_peer_claim_key_t (XDR *, peer_claim_key_t*);
 extern  bool_t xdr_peer_claim_id_t (XDR *, peer_claim_id_t*);
 extern  bool_t xdr_peer_claim_record_t (XDR *, peer_claim_record_t*);
@@ -262,6 +278,7 @@
 extern bool_t xdr_peer_load_t ();
 extern bool_t xdr_peer_offer_t ();
 extern bool_t xdr_peer_slots_t ();
+extern bool_t xdr_peer_witness_t ();
 extern bool_t xdr_peer_claim_key_t ();
 extern bool_t xdr_peer_claim_id_t ();
 extern bool_t xdr_peer_claim_record_t ();
--- a/rpc/peer_rpc.x
+++ b/rpc/peer_rpc.x
@@ -43,6 +43,10 @@
 	PEER_OFFER = 11,
 	PEER_SLOTS_REQUEST = 12,
 	PEER_SLOTS = 13,
+	PEER_RENEW = 14,
+	PEER_RENEWED = 15,
+	PEER_END = 16,
+	PEER_ENDED = 17,
 	PEER_CLAIM = 20,
 	PEER_CLAIM_REPLY = 21,
 	PEER_SETTLE = 22,
@@ -115,6 +119,19 @@
 	unsigned int slots;
 };
 
+/* Witness leases: see witness.h. RENEW: an owner renews its term; boot is the
+   life of the witness that granted it before, 0 to open it. RENEWED: boot is
+   the witness' life, sent as in RENEW, known its greatest term of that owner.
+   END: somebody asks that a term ends. ENDED: no grant of it is in force. */
+struct peer_witness_t {
+	peer_name_t owner;
+	unsigned hyper term;
+	unsigned hyper boot;
+	hyper sent;
+	bool granted;
+	unsigned hyper known;
+};
+
 /* Claims of idempotency keys: see claim.h. */
 const PEER_CLAIM_PAGE_MAX = 6;
 
@@ -191,6 +208,11 @@
 case PEER_SLOTS_REQUEST:
 case PEER_SLOTS:
 	peer_slots_t slots;
+case PEER_RENEW:
+case PEER_RENEWED:
+case PEER_END:
+case PEER_ENDED:
+	peer_witness_t witness;
 case PEER_CLAIM:
 case PEER_SETTLE:
 	peer_claim_t claim;
--- a/rpc/peer_rpc_xdr.c
+++ b/rpc/peer_rpc_xdr.c
@@ -314,6 +314,26 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_witness_t (XDR *xdrs, peer_witness_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name_t (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->boot))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->known))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_claim_key_t (XDR *xdrs, peer_claim_key_t *objp)
 {
@@ -467,6 +487,13 @@
 		 if (!xdr_peer_slots_t (xdrs, &objp->peer_body_t_u.slots))
 			 return FALSE;
 		break;
+	case PEER_RENEW:
+	case PEER_RENEWED:
+	case PEER_END:
+	case PEER_ENDED:
+		 if (!xdr_peer_witness_t (xdrs, &objp->peer_body_t_u.witness))
+			 return FALSE;
+		break;
 	case PEER_CLAIM:
 	case PEER_SETTLE:
 		 if (!xdr_peer_claim_t (xdrs, &objp->peer_body_t_u.claim))
