Wait for the second life of an entry in claim-restart

Under the thread sanitizer, beside other work, two scripts failed that had passed before. claim-restart: a call after entry-1 had come back found no connection. The script waited for a log line that the first life had written already, so it waited for nothing; it now counts the lines of all lives, at both places. config-cut: a data race in follow-node, whose signal handler may run in any thread; the flag is now atomic.

--- a/regress/claim-lib.sh
+++ b/regress/claim-lib.sh
@@ -72,6 +72,11 @@
 		-t 5000 "$@"
 }
 
+# logged ENTRY EVENT COUNT: over all its lives it has said that so often.
+logged () {
+	[ "$(grep -c "event=$2" "$DIR/entry-$1.log")" -ge "$3" ]
+}
+
 # runs KEY: how often copies ran it.
 runs () {
 	grep -c "^run .* key=$1 " "$DIR/record" || true
--- a/regress/follow-node.c
+++ b/regress/follow-node.c
@@ -33,10 +33,11 @@
 	{ 0 },
 };
 
+/* Any thread may be the one that gets the signal. */
 static void node_on_signal(int signal)
 {
 	(void)signal;
-	node_stop = 1;
+	__atomic_store_n(&node_stop, 1, __ATOMIC_RELEASE);
 }
 
 static unsigned node_list(void *context, owner_member_t *out, unsigned max)
@@ -100,7 +101,7 @@
 
 	rcu_register_thread();
 	supervisor_add(sup, &child, NULL);
-	while (!node_stop) {
+	while (!__atomic_load_n(&node_stop, __ATOMIC_ACQUIRE)) {
 		node_read(follow, &last);
 		if (!ready && config_follow_ready(follow)) {
 			ready = true;
