Take a former owner's calls off what the next one spends

The former owner's calls are taken off the ceiling, slots and pipeline_max (6 here), while the entry spends slots and the pipeline that it has measured (3): 6 - 1 is still above 3, so nothing was taken off. Ruled out: a lost report (the release was answered), hedges (the call is in one record), a lease that ran out.

Now there is no pipeline while calls of a former owner run, so at most the slots less these calls are spent.

The simulation of six entries had the entry spend all it may have; it now has a pipeline of 4 to spend 1 of, as the daemons do.

--- a/owner-table.c
+++ b/owner-table.c
@@ -142,15 +142,22 @@
 	       events->stopped(events->context, copy->service, copy->name);
 }
 
-static unsigned table_ceiling(owner_t *owner, const owner_copy_t *copy)
+/* The entry may spend less than the ceiling, so while calls of a former owner
+   still run there is no pipeline that could make up for them. */
+static unsigned table_ceiling(owner_t *owner, const owner_record_t *record,
+			      usec_t now)
 {
 	const owner_events_t *events = &owner->options.events;
+	const owner_copy_t *copy = &record->copy;
 	unsigned pipeline = 1;
 	unsigned ceiling;
 
 	if (owner_table_stopped(owner, copy))
 		return 0;
-	if (events->pipeline)
+	if (events->pipeline &&
+	    owner_lease_foreign(&record->lease, owner->options.lease, now))
+		pipeline = 0;
+	else if (events->pipeline)
 		pipeline = events->pipeline(events->context, copy->service);
 	ceiling = copy->slots + pipeline;
 	return ceiling < copy->connections ? ceiling : copy->connections;
@@ -160,7 +167,7 @@
 {
 	const owner_events_t *events = &owner->options.events;
 	unsigned limit = owner_lease_limit(&record->lease,
-					   table_ceiling(owner, &record->copy),
+					   table_ceiling(owner, record, now),
 					   owner->options.lease, now);
 	usec_t until = limit ? record->lease.until : 0;
 
--- a/regress/test-owner-sim.c
+++ b/regress/test-owner-sim.c
@@ -15,6 +15,8 @@
 #define PACKETS 1024
 #define STEP (5 * USEC_PER_MS)
 #define SLOTS 2
+/* An entry spends one credit above the slots, of more that it may have. */
+#define PIPELINE 4
 #define CEILING (SLOTS + 1)
 #define ANNOUNCE_TIMEOUT (400 * USEC_PER_MS)
 #define SETTLE (25 * USEC_PER_SEC)
@@ -168,6 +170,13 @@
 	return node->outstanding[sim_copy(node->sim, copy)];
 }
 
+static unsigned sim_on_pipeline(void *context, const char *service)
+{
+	(void)context;
+	(void)service;
+	return PIPELINE;
+}
+
 static void node_start(sim_t *sim, unsigned index)
 {
 	node_t *node = &sim->nodes[index];
@@ -201,6 +210,7 @@
 	options.events.context = node;
 	options.events.limit = sim_on_limit;
 	options.events.outstanding = sim_on_outstanding;
+	options.events.pipeline = sim_on_pipeline;
 	node->owner = owner_new(&options, NULL);
 	node->owner->send = sim_owner_send;
 	node->owner->send_context = node;
@@ -346,7 +356,8 @@
 		if (may && sim->drain_at && sim->copies[i].draining &&
 		    sim->now > sim->drain_at + 3 * USEC_PER_SEC)
 			sim->drained_late++;
-		if (may && node->outstanding[i] < node->limit[i] &&
+		if (may &&
+		    node->outstanding[i] < MIN(node->limit[i], CEILING) &&
 		    g_rand_double(sim->random) < 0.5)
 			node->outstanding[i]++;
 		else if (node->outstanding[i] &&
@@ -476,7 +487,7 @@
 
 		for (j = 0; j < NODES; j++) {
 			const node_t *node = &sim->nodes[j];
-			bool may = node->limit[i] == CEILING &&
+			bool may = node->limit[i] == SLOTS + PIPELINE &&
 				   sim->now < node->until[i];
 
 			holders += may;
