Measure membership through the UDP proxy

Losses were drawn inside the members, and a cut one way was a signal to one of them. Now each group of slopes-member.sh has a proxy between all its members: losses by percentage from a seed, cuts of what a member sends, of what it hears and of one way between two, and links that flap, besides the freezes.

--- a/bench/slopes-member.sh
+++ b/bench/slopes-member.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # What membership costs and how fast it sees a death: groups of 4, 8, 16 and
-# 32 processes side by side with 0, 1 and 5 % of the datagrams lost, then a
-# freeze, a one-way cut and flapping. Ends by itself within two minutes.
+# 32 processes side by side, all datagrams through a proxy that loses 0, 1 and
+# 5 % of them; then eight processes under a freeze, cuts one way and flapping.
+# Ends by itself within three minutes.
 #
 # usage: bench/slopes-member.sh [BUILD-FOLDER]
 
@@ -19,19 +20,35 @@
 	date +%s%3N
 }
 
-# group SIZE LOSS: start SIZE members; LOSS of 1000 datagrams are lost.
+# group SIZE LOSS: start SIZE members behind a proxy that loses LOSS percent.
 group () {
-	i=1
-	while [ $i -le "$1" ]
+	port=$((7000 + $1))
+	set -- "$1" "$2" $(for i in $(seq "$1")
 	do
-		spawn "g$1-n$i" "$BUILD/regress/member-node" --name "n$i" \
-			--address "$NET.$i:$((7000 + $1))" \
-			--seed "$NET.1:$((7000 + $1))" --random "$i" \
-			--loss "$2" --cut all
-		i=$((i + 1))
+		echo "--peer n$i=$NET.$i:$port>$NET.$((100 + i)):$port"
+	done)
+	size=$1 loss=$2
+	shift 2
+	spawn "proxy-$size" "$BUILD/regress/udp-proxy" \
+		--control "$NET.99:$port" "$@"
+	ready "proxy-$size"
+	harm_links $size loss "*" "$loss"
+	for i in $(seq $size)
+	do
+		spawn "g$size-n$i" "$BUILD/regress/member-node" --name "n$i" \
+			--address "$NET.$i:$port" \
+			--bind "$NET.$((100 + i)):$port" \
+			--seed "$NET.1:$port" --random "$i"
 	done
 }
 
+# harm_links SIZE COMMAND LINK [VALUE]: tell the proxy of a group.
+harm_links () {
+	group_port=$((7000 + $1))
+	shift
+	"$BUILD/regress/fault-proxy" --tell "$NET.99:$group_port" "$@"
+}
+
 # seen SIZE MEMBERS LIVE: MEMBERS of a group last said that LIVE are alive.
 seen () {
 	[ "$(for log in "$DIR/g$1"-n*.log
@@ -53,16 +70,20 @@
 			else printf "never" }'
 }
 
-signal_all () {
-	for p in $PIDS
+# signal_members SIGNAL: to all members, not to the proxies.
+signal_members () {
+	for name in $(ls "$DIR" | sed -n 's/^\(g[0-9]*-n[0-9]*\)\.log$/\1/p')
 	do
-		kill "-$1" "$p" 2>/dev/null
+		kill "-$1" "$(pid "$name")" 2>/dev/null
 	done
 }
 
 # end_all: SIGTERM to all; what they report is in their logs.
 end_all () {
-	signal_all TERM
+	for p in $PIDS
+	do
+		kill -TERM "$p" 2>/dev/null
+	done
 	wait 2>/dev/null
 	PIDS=
 }
@@ -93,7 +114,7 @@
 
 # round LOSS: all sizes at once, calm for a while, then the last one killed.
 round () {
-	rm -f "$DIR"/g*.log
+	rm -f "$DIR"/*.log
 	for size in $SIZES
 	do
 		group $size "$1"
@@ -104,9 +125,9 @@
 			echo "the group of $size did not join" >&2
 	done
 	sleep $SETTLE
-	signal_all HUP
+	signal_members HUP
 	sleep $CALM
-	signal_all HUP
+	signal_members HUP
 	sleep 0.5
 	start=$(now_ms)
 	for size in $SIZES
@@ -127,15 +148,15 @@
 
 # harm NAME COMMAND: what 7 others saw of a fault of n8 that passes.
 harm () {
-	rm -f "$DIR"/g*.log
+	rm -f "$DIR"/*.log
 	group 8 0
 	wait_until 20 seen 8 8 8 >/dev/null
-	signal_all HUP
+	signal_members HUP
 	start=$(now_ms)
-	$2 g8-n8
+	$2
 	detect=$(since 8 7 "$start")
 	wait_until 12 seen 8 8 8 >/dev/null && agreed=yes || agreed=no
-	signal_all HUP
+	signal_members HUP
 	sleep 0.5
 	row "$1" 8 0 "$(rate 8)" "$detect" "$(total 8 suspected)" \
 		"$(total 8 refuted)" $agreed
@@ -143,35 +164,61 @@
 }
 
 freeze_5s () {
-	freeze "$1"
+	freeze g8-n8
 	sleep 5
-	thaw "$1"
+	thaw g8-n8
 }
 
-mute_5s () {
-	kill -USR1 "$(pid "$1")"
+# cut_5s LINK: datagrams of that way are lost for 5 s.
+cut_5s () {
+	harm_links 8 cut "$1"
 	sleep 5
-	kill -USR2 "$(pid "$1")"
+	harm_links 8 heal "$1"
+}
+
+mute_5s () {
+	cut_5s "n8-*"
+}
+
+deaf_5s () {
+	cut_5s "*-n8"
+}
+
+one_way_5s () {
+	cut_5s "n8-n1"
 }
 
 flap () {
 	for time in 1 2 3 4
 	do
-		freeze "$1"
+		freeze g8-n8
+		sleep 1
+		thaw g8-n8
+		sleep 1
+	done
+}
+
+flap_links () {
+	for time in 1 2 3 4
+	do
+		harm_links 8 cut "n8-*"
 		sleep 1
-		thaw "$1"
+		harm_links 8 heal "n8-*"
 		sleep 1
 	done
 }
 
 echo "sent B/s, suspected and refuted are of $CALM calm seconds (of the whole"
-echo "fault in the last three rows); dead-ms is the time until the others"
+echo "fault in the last rows); dead-ms is the time until the others"
 echo "held the member for dead, median/largest."
-row fault n loss/1000 sent-B/s dead-ms suspected refuted agreed
-for loss in 0 10 50
+row fault n loss-% sent-B/s dead-ms suspected refuted agreed
+for loss in 0 1 5
 do
 	round $loss
 done
 harm frozen-5s freeze_5s
 harm mute-5s mute_5s
+harm deaf-5s deaf_5s
+harm one-way-5s one_way_5s
 harm flapping-1s flap
+harm link-flaps-1s flap_links
