Count hedges, and test one of whose sends fails

No run showed what a caller gets when one of the two sends of a hedged call fails, and nothing said how many hedges an entry sends or whether they are worth it.

path-twin kills, once both sends run, the process of the copy that has the first one (GET) and of the one that has the twin (PUT): each time the caller gets 200, ran, its own body, and two copies ran it, none a third.

hemlock_hedges_sent_total and _won_total count by service. path-hedge, which bounds the sends by the budget, bounds the counter alike: never below what the copies saw, never above the budget.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -150,8 +150,8 @@
 static void dispatch_answer(entry_request_t *req, entry_result_t result)
 {
 	if (req->winner && result != ENTRY_RESULT_OK) {
-		entry_hedge_take(req, req->winner);
 		result = ENTRY_RESULT_OK;
+		entry_hedge_take(req, req->winner, result);
 	}
 	entry_relay_finish(req, result);
 }
--- a/entry-hedge.c
+++ b/entry-hedge.c
@@ -1,6 +1,9 @@
+#include <stdio.h>
 #include <string.h>
 #include "entry-io.h"
 
+#define HEDGE_LABELS_MAX 96
+
 /* Copy what a second send needs; -1 without memory. */
 static int hedge_copy(entry_request_t *twin, entry_request_t *first)
 {
@@ -46,6 +49,23 @@
 	return twin;
 }
 
+/* Count a second send of this service. Route's lock held. */
+static void hedge_count(entry_route_t *route, metrics_t *metrics)
+{
+	char labels[HEDGE_LABELS_MAX];
+
+	if (!route->hedges_sent) {
+		snprintf(labels, sizeof(labels), "service=\"%s\"", route->name);
+		route->hedges_won = metrics_counter(
+			metrics, "hemlock_hedges_won_total", labels,
+			"Second sends whose answer went to the caller.");
+		route->hedges_sent = metrics_counter(
+			metrics, "hemlock_hedges_sent_total", labels,
+			"Second sends of slow calls, paid for from the budget.");
+	}
+	metrics_add(route->hedges_sent, 1);
+}
+
 /*
  * Make the twin of a call that gets a second send; NULL without memory. A call
  * gets one at most, so that no more than two sends of it ever run together.
@@ -64,6 +84,7 @@
 					ENTRY_RESULT_CONNECT, now);
 		return NULL;
 	}
+	hedge_count(first->route, first->entry->metrics);
 	entry_request_ref(first);
 	twin->first = first;
 	first->twin = twin;
@@ -116,12 +137,15 @@
 	pthread_mutex_unlock(&twin->lock);
 }
 
-void entry_hedge_take(entry_request_t *req, entry_request_t *twin)
+void entry_hedge_take(entry_request_t *req, entry_request_t *twin,
+		      entry_result_t result)
 {
 	entry_answer_t *from = &twin->answer;
 	entry_answer_t *to = &req->answer;
 	entry_buffer_t body;
 
+	if (result == ENTRY_RESULT_OK)
+		metrics_add(req->route->hedges_won, 1);
 	entry_request_reset(req);
 	pthread_mutex_lock(&req->lock);
 	cds_list_splice(&from->headers, &to->headers);
@@ -168,7 +192,7 @@
 	pthread_mutex_unlock(&first->lock);
 	if (result == ENTRY_RESULT_CANCEL && !gone)
 		result = ENTRY_RESULT_CUT;
-	entry_hedge_take(first, twin);
+	entry_hedge_take(first, twin, result);
 	entry_dispatch_end(first, result, now);
 }
 
--- a/entry-io.h
+++ b/entry-io.h
@@ -252,6 +252,8 @@
 	unsigned owners; /* entries owning copies, 0: by zone */
 	char (*stops)[HL_NAME_MAX]; /* copies with a planned stop */
 	unsigned stop_count;
+	uint64_t *hedges_sent; /* counters, NULL before the first hedge */
+	uint64_t *hedges_won;
 	pthread_mutex_t measure_lock;
 	struct cds_list_head measures;
 	unsigned measure_count;
@@ -396,8 +398,12 @@
 /** entry_hedge_cancel - end the send of a twin, if any. Route's lock held. */
 void entry_hedge_cancel(entry_request_t *req);
 
-/** entry_hedge_take - give a request, whose send ended, its twin's answer. */
-void entry_hedge_take(entry_request_t *req, entry_request_t *twin);
+/**
+ * entry_hedge_take - give a request, whose send ended, its twin's answer.
+ * @result: how the twin's send ended
+ */
+void entry_hedge_take(entry_request_t *req, entry_request_t *twin,
+		      entry_result_t result);
 
 /** entry_config_new - follow the keepers, if the settings name any. */
 int entry_config_new(entry_t *entry, const owner_member_t *self,
--- a/regress/standin-target.c
+++ b/regress/standin-target.c
@@ -104,7 +104,7 @@
 static gchar *opt_load = "honest";
 static gint opt_copies = 1, opt_slots = 2, opt_connections = 240;
 static gint opt_interval_ms, opt_service_us = 1000, opt_link_us;
-static gint opt_cold_ms, opt_seed = 1;
+static gint opt_cold_ms, opt_seed = 1, opt_first;
 static gdouble opt_cold_factor = 4;
 static gboolean opt_announce_all;
 
@@ -968,7 +968,8 @@
 {
 	unsigned zone = (unsigned)index % g_strv_length(zones);
 
-	snprintf(copy->name, sizeof(copy->name), "%s-%d", opt_service, index);
+	snprintf(copy->name, sizeof(copy->name), "%s-%d", opt_service,
+		 opt_first + index);
 	snprintf(copy->address, sizeof(copy->address), "%s:%d", ip,
 		 port + index);
 	copy->zone = zones[zone];
@@ -1032,6 +1033,8 @@
 	  "NAME" },
 	{ "copies", 0, 0, G_OPTION_ARG_INT, &opt_copies, "copies to host",
 	  "N" },
+	{ "first", 0, 0, G_OPTION_ARG_INT, &opt_first,
+	  "number in the first one's name", "N" },
 	{ "slots", 0, 0, G_OPTION_ARG_INT, &opt_slots,
 	  "requests a copy runs at once", "N" },
 	{ "connections", 0, 0, G_OPTION_ARG_INT, &opt_connections,
