Let a planned stop end only when every live entry has it

And the same command sent again with its --id returned at once without asking anybody.

It now asks the entry that is named and all live ones that it knows (status has their control addresses).

cmd-stop: owner cut off, healed; another entry frozen, running again.

--- a/cmd-stop.c
+++ b/cmd-stop.c
@@ -16,8 +16,8 @@
 	{ "cancel", 0, 0, G_OPTION_ARG_NONE, &cmd_stop_cancel,
 	  "Take back a stop announced before", NULL },
 	{ "entry", 0, 0, G_OPTION_ARG_STRING_ARRAY, &cmd_stop_entries,
-	  "With --wait: until the copy is empty at this entry too; may be "
-	  "repeated",
+	  "With --wait: until the copy is empty at this entry and all that "
+	  "it knows; may be repeated",
 	  "IP:PORT" },
 	{ 0 },
 };
@@ -42,80 +42,70 @@
 				&stop, change, err);
 }
 
-/* Calls that this entry still has at the copy; 0 when it has none. */
-static json_int_t cmd_stop_copy_calls(json_t *service, const char *copy)
+/* The entries named, as a list that grows by those that they know. */
+static GPtrArray *cmd_stop_named(void)
 {
-	json_t *one;
-	size_t i;
-
-	json_array_foreach(json_object_get(service, "copies"), i, one)
-	{
-		const char *name = json_string_value(
-			json_object_get(one, "copy"));
+	GPtrArray *entries = g_ptr_array_new_with_free_func(g_free);
+	char **entry;
 
-		if (name && !strcmp(name, copy))
-			return json_integer_value(
-				json_object_get(one, "outstanding"));
-	}
-	return 0;
+	for (entry = cmd_stop_entries; entry && *entry; entry++)
+		g_ptr_array_add(entries, g_strdup(*entry));
+	return entries;
 }
 
-/* The same of one entry; -1 when it does not answer. */
-static json_int_t cmd_stop_entry_calls(const char *entry, char **names)
+/* Look until the copy is empty everywhere; false if time runs out before. */
+static bool cmd_stop_look(char **names, uint64_t revision, int seconds,
+			  GString *lacking)
 {
-	char *body = cmd_http_get(entry, "/v1/status", NULL);
-	json_t *root = body ? json_loads(body, 0, NULL) : NULL;
-	json_int_t calls = root ? 0 : -1;
-	json_t *service;
-	size_t i;
-
-	json_array_foreach(json_object_get(root, "services"), i, service)
-	{
-		const char *name = json_string_value(
-			json_object_get(service, "service"));
+	usec_t until = time_now() + seconds * USEC_PER_SEC;
+	GPtrArray *entries = cmd_stop_named();
+	bool drained;
 
-		if (name && !strcmp(name, names[0]))
-			calls += cmd_stop_copy_calls(service, names[1]);
-	}
-	json_decref(root);
-	g_free(body);
-	return calls;
+	while (!(drained = cmd_drained(entries, names, revision, lacking)) &&
+	       time_now() < until)
+		usleep(CMD_STOP_POLL_US);
+	g_ptr_array_unref(entries);
+	return drained;
 }
 
-static bool cmd_stop_empty(char **names)
+/* Requests in flight end whole; wait for that as long as for the rest. */
+static cmd_exit_t cmd_stop_wait_empty(const cmd_t *cmd, char **names,
+				      uint64_t revision)
 {
-	char **entry;
+	int seconds = cmd_stop_change.wait_s > 0 ? cmd_stop_change.wait_s :
+						   CMD_WAIT_S;
+	GString *lacking = g_string_new("");
+	cmd_exit_t code = CMD_OK;
+	hl_error_t err;
 
-	for (entry = cmd_stop_entries; entry && *entry; entry++)
-		if (cmd_stop_entry_calls(*entry, names))
-			return false;
-	return true;
+	if (!cmd_stop_look(names, revision, seconds, lacking)) {
+		hl_error_set(&err, HL_ERR_UNAVAILABLE,
+			     "%s %s is not empty after %d s: %s; see these "
+			     "entries, or wait longer with --wait-seconds",
+			     names[0], names[1], seconds, lacking->str);
+		cmd_fail(cmd, &err);
+		code = CMD_NOT_EVERYWHERE;
+	} else if (!cmd->json) {
+		printf("%s %s is empty\n", names[0], names[1]);
+	}
+	g_string_free(lacking, TRUE);
+	return code;
 }
 
-/* Requests in flight end whole; wait for that as long as for the rest. */
-static cmd_exit_t cmd_stop_wait_empty(const cmd_t *cmd, char **names)
+/* The stop is accepted: wait for its end, if that is asked for. */
+static cmd_exit_t cmd_stop_end(cmd_t *cmd, char **names)
 {
-	int seconds = cmd_stop_change.wait_s > 0 ? cmd_stop_change.wait_s :
-						   CMD_WAIT_S;
-	usec_t until = time_now() + seconds * USEC_PER_SEC;
+	uint64_t revision;
+	config_t config;
 	hl_error_t err;
 
 	if (!cmd_stop_change.wait || cmd_stop_cancel || !cmd_stop_entries)
 		return CMD_OK;
-	while (!cmd_stop_empty(names)) {
-		if (time_now() >= until) {
-			hl_error_set(&err, HL_ERR_UNAVAILABLE,
-				     "%s %s is not empty after %d s; wait "
-				     "longer with --wait-seconds",
-				     names[0], names[1], seconds);
-			cmd_fail(cmd, &err);
-			return CMD_NOT_EVERYWHERE;
-		}
-		usleep(CMD_STOP_POLL_US);
-	}
-	if (!cmd->json)
-		printf("%s %s is empty\n", names[0], names[1]);
-	return CMD_OK;
+	if (cmd_config(cmd, &config, &err))
+		return cmd_fail(cmd, &err);
+	revision = config.revision;
+	xdr_free((xdrproc_t)xdr_config_t, (char *)&config);
+	return cmd_stop_wait_empty(cmd, names, revision);
 }
 
 cmd_exit_t cmd_stop(cmd_t *cmd, char **arguments)
@@ -126,7 +116,7 @@
 	hl_error_t err;
 
 	if (cmd_change_known(cmd, &cmd_stop_change, &code))
-		return code;
+		return code == CMD_OK ? cmd_stop_end(cmd, arguments) : code;
 	if (cmd_config(cmd, &current, &err))
 		return cmd_fail(cmd, &err);
 	if (cmd_stop_plan(&current, arguments, &change, &err)) {
@@ -137,7 +127,7 @@
 		code = cmd_change(cmd, &cmd_stop_change, &change);
 	}
 	if (code == CMD_OK)
-		code = cmd_stop_wait_empty(cmd, arguments);
+		code = cmd_stop_end(cmd, arguments);
 	xdr_free((xdrproc_t)xdr_config_change_t, (char *)&change);
 	xdr_free((xdrproc_t)xdr_config_t, (char *)&current);
 	return code;
--- a/cmd.h
+++ b/cmd.h
@@ -183,6 +183,18 @@
 int cmd_keeper_state(const char *address, keeper_state_res_t *res,
 		     hl_error_t *err);
 
+/**
+ * cmd_drained - is a stopped copy without calls at all live entries?
+ * @entries: control addresses; those of the members that they know are added
+ *           and are asked from then on
+ * @names: service and copy
+ * @revision: the stop is in force once an entry has it
+ * @lacking: becomes the entries that lack it, have calls there, may still
+ *           send some or give no answer
+ */
+bool cmd_drained(GPtrArray *entries, char **names, uint64_t revision,
+		 GString *lacking);
+
 /**
  * cmd_http_get - GET from an entry's control port.
  * @address: "ip:port"
--- a/entry-status.c
+++ b/entry-status.c
@@ -48,9 +48,11 @@
 	unsigned i;
 
 	for (i = 0; i < count; i++)
-		json_array_append_new(list, json_pack("{s:s, s:s}", "name",
-						      members[i].name, "zone",
-						      members[i].zone));
+		json_array_append_new(list,
+				      json_pack("{s:s, s:s, s:s}", "name",
+						members[i].name, "zone",
+						members[i].zone, "control",
+						members[i].control_address));
 	return list;
 }
 
