--- a/regress/standin-target.c
+++ b/regress/standin-target.c
@@ -1034,7 +1034,7 @@
 	{ "copies", 0, 0, G_OPTION_ARG_INT, &opt_copies, "copies to host",
 	  "N" },
 	{ "first", 0, 0, G_OPTION_ARG_INT, &opt_first,
-	  "number in the first one's name", "N" },
+	  "number of the first copy in the copies' names", "N" },
 	{ "slots", 0, 0, G_OPTION_ARG_INT, &opt_slots,
 	  "requests a copy runs at once", "N" },
 	{ "connections", 0, 0, G_OPTION_ARG_INT, &opt_connections,
