--- a/entry-head.c
+++ b/entry-head.c
@@ -256,7 +256,7 @@
 	strcpy(req->class_name, profile->classes.classes_val[i].name);
 }
 
-static void head_set_call(head_t *head)
+static void head_set_call(head_t *head, usec_t now)
 {
 	entry_request_t *req = head->req;
 	entry_call_t *call = &req->call;
@@ -274,7 +274,8 @@
 		strcpy(req->tenant, "none");
 	memcpy(call->tenant, req->tenant, sizeof(call->tenant));
 	call->handed = *req->hop != '\0';
-	call->deadline = call->arrived + deadline_ms * USEC_PER_MS;
+	call->arrived = now;
+	call->deadline = now + deadline_ms * USEC_PER_MS;
 }
 
 static const char *head_check(const head_t *head)
@@ -325,6 +326,6 @@
 	head_suppress(&head);
 	if (head.bad)
 		return head_refuse(req, HTTP_BAD_REQUEST, "request");
-	head_set_call(&head);
+	head_set_call(&head, req->call.arrived);
 	return 0;
 }
--- a/signals.c
+++ b/signals.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <signal.h>
 #include <unistd.h>
 #include "hemlock.h"
@@ -36,7 +37,7 @@
 	return 0;
 }
 
-/* A signal of our own ends the wait; by then nobody heeds another. */
+/* The signal that asks the supervisor to stop ends the wait as well. */
 static void signals_wake(void *context)
 {
 	(void)context;
