--- a/regress/claim-lib.sh
+++ b/regress/claim-lib.sh
@@ -11,6 +11,7 @@
 [entry]
 seeds = ["$NET.1:7083", "$NET.2:7083", "$NET.3:7083"]
 linger_ms = 0
+$(claim_lines "$1")
 [config]
 keepers = ["$(keeper_address 1)"]
 poll_ms = 100
@@ -24,6 +25,11 @@
 		--settings "$DIR/entry-$1.toml"
 }
 
+# claim_lines N: further lines of [entry] of entry-N.
+claim_lines () {
+	:
+}
+
 # claim_home FROM TO: the address of a home as its runners name it.
 claim_home () {
 	echo "$NET.$2:7083"
