Ask other homes less and less often after a restart

The same goes for a home whose sibling is away. A sibling that comes back is asked within a second; claim-keys and claim-restart pass.

--- a/entry-claim-home.c
+++ b/entry-claim-home.c
@@ -2,8 +2,10 @@
 #include <string.h>
 #include "entry-claims.h"
 
-/* How often a home that has restarted asks each of the others. */
-#define HOME_SYNC_PERIOD (100 * USEC_PER_MS)
+/* How often a home that has restarted asks each of the others: twice as long
+   each time, since one that is away may stay so until all claims run out. */
+#define HOME_SYNC_PERIOD_MIN (100 * USEC_PER_MS)
+#define HOME_SYNC_PERIOD_MAX USEC_PER_SEC
 /* How often a home that keeps records looks for some that have run out. */
 #define HOME_EXPIRE_PERIOD (100 * USEC_PER_MS)
 
@@ -276,7 +278,12 @@
 			  claim_home_count(claims->home));
 		return;
 	}
-	claims->sync_again = now + HOME_SYNC_PERIOD;
+	claims->sync_period *= 2;
+	if (claims->sync_period < HOME_SYNC_PERIOD_MIN)
+		claims->sync_period = HOME_SYNC_PERIOD_MIN;
+	if (claims->sync_period > HOME_SYNC_PERIOD_MAX)
+		claims->sync_period = HOME_SYNC_PERIOD_MAX;
+	claims->sync_again = now + claims->sync_period;
 	for (i = 0; i < claims->sibling_count; i++)
 		if (!claims->siblings[i].told)
 			home_ask_sync(claims, &claims->siblings[i]);
--- a/entry-claims.h
+++ b/entry-claims.h
@@ -28,6 +28,7 @@
 	unsigned sibling_count;
 	bool complete; /* nothing that was granted here is unknown */
 	usec_t sync_again;
+	usec_t sync_period;
 	struct cds_list_head answers; /* oldest first */
 	size_t answer_bytes;
 	uint64_t *results[CLAIM_NO_HOMES + 1];
