Let entries share a key for datagrams and hand-overs

An entry believed any host's datagrams, and any caller that set Hemlock-Hop. node.key_file names one or two keys; the first signs, both are accepted, and SIGHUP reads the file anew. A bad tag: the datagram is dropped and counted, the call is refused with 403, hop, not run. Without the setting all is as before, with the event no-keys at the start; only a Hemlock-Hop that is no name now gets 403 instead of 400.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 CC = gcc
 CXX = g++
 PACKAGES = glib-2.0 liburcu liburcu-bp libmicrohttpd neon libtirpc jansson libxxhash \
-	libcurl
+	libcurl gnutls
 SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
 WARNINGS = -Wall -Wextra -Wshadow -Wpointer-arith -Wvla
 CPPFLAGS += -D_GNU_SOURCE -I. -Irpc $(shell pkg-config --cflags $(PACKAGES))
--- a/entry-head.c
+++ b/entry-head.c
@@ -8,6 +8,7 @@
 #define HEAD_LINE_MAX 8192
 #define HEAD_DEADLINE_MAX_MS 600000
 #define HTTP_BAD_REQUEST 400
+#define HTTP_FORBIDDEN 403
 #define HTTP_UNAVAILABLE 503
 
 /* What a walk over the headers of a call gathers. */
@@ -15,6 +16,7 @@
 	entry_request_t *req;
 	const char *connection; /* names further hop-by-hop headers */
 	const char *host;
+	const char *hop; /* the sign of another entry */
 	const char *bad; /* what is wrong with the head */
 	unsigned lengths;
 	unsigned encodings;
@@ -140,7 +142,7 @@
 	else if (!strcasecmp(name, "Hemlock-Class"))
 		head_copy_name(head, req->class_name, value, "class");
 	else if (!strcasecmp(name, "Hemlock-Hop"))
-		head_copy_name(head, req->hop, value, "hop");
+		head->hop = value;
 	else if (!strcasecmp(name, "Hemlock-Deadline-Ms"))
 		head_read_deadline(head, value);
 	else if (!strcasecmp(name, "Hemlock-No-Retry"))
@@ -292,6 +294,16 @@
 	return NULL;
 }
 
+/* False if the call only pretends to come from another entry. */
+static bool head_read_hop(const head_t *head)
+{
+	entry_request_t *req = head->req;
+
+	return !head->hop ||
+	       keys_hop_read(req->entry->keys, head->hop, req->route->name,
+			     g_get_real_time() / USEC_PER_MS, req->hop);
+}
+
 static int head_refuse(entry_request_t *req, unsigned status,
 		       const char *reason)
 {
@@ -321,6 +333,8 @@
 		return head_refuse(req, err.kind == HL_ERR_PROTOCOL ? 400 : 404,
 				   err.kind == HL_ERR_PROTOCOL ? "request" :
 								 "service");
+	if (!head_read_hop(&head))
+		return head_refuse(req, HTTP_FORBIDDEN, "hop");
 	MHD_get_connection_values(req->connection, MHD_HEADER_KIND, head_keep,
 				  &head);
 	head_suppress(&head);
--- a/entry-io.h
+++ b/entry-io.h
@@ -51,6 +51,7 @@
 	char region[HL_NAME_MAX];
 	char address[HL_ADDRESS_MAX]; /* IP number of all ports */
 	log_level_t log_level;
+	char key_file[HL_MESSAGE_MAX]; /* "": no keys */
 	int64_t call_port;
 	int64_t control_port;
 	int64_t rpc_port;
@@ -322,6 +323,7 @@
 /** struct entry_t - the daemon. */
 typedef struct entry {
 	entry_settings_t settings;
+	keys_t *keys;
 	entry_policy_t policy;
 	metrics_t *metrics;
 	pthread_mutex_t routes_lock;
--- a/entry-main.c
+++ b/entry-main.c
@@ -7,7 +7,8 @@
 #define MAIN_RESTARTS_MAX 5
 #define MAIN_RESTARTS_WINDOW (60 * USEC_PER_SEC)
 
-/* SIGHUP: the log level alone can change without a restart. */
+/* SIGHUP: the log level and the keys in the key file can change without a
+ * restart. */
 static void main_reload(void *context)
 {
 	entry_t *entry = context;
@@ -20,9 +21,14 @@
 			  log_quote(err.message, quoted, sizeof(quoted)));
 		return;
 	}
+	if (keys_read(entry->keys, &err)) {
+		log_event(LOG_LEVEL_ERROR, "keys-refused", "message=%s",
+			  log_quote(err.message, quoted, sizeof(quoted)));
+		return;
+	}
 	log_set_level(settings.log_level);
-	log_event(LOG_LEVEL_NOTICE, "settings-read", "log_level=%d",
-		  (int)settings.log_level);
+	log_event(LOG_LEVEL_NOTICE, "settings-read", "log_level=%d keys=%u",
+		  (int)settings.log_level, keys_count(entry->keys));
 }
 
 static int main_add_children(entry_t *entry, supervisor_t *sup, hl_error_t *err)
@@ -59,11 +65,24 @@
 		 settings->address, six ? "]" : "", (int)port);
 }
 
+static int main_new_keys(entry_t *entry, hl_error_t *err)
+{
+	entry->keys = keys_new(entry->settings.key_file, err);
+	if (!entry->keys)
+		return -1;
+	if (!keys_count(entry->keys))
+		log_event(LOG_LEVEL_WARNING, "no-keys",
+			  "message=\"any host that reaches the peer port is "
+			  "trusted; set node.key_file\"");
+	return 0;
+}
+
 static int main_new_member(entry_t *entry, hl_error_t *err)
 {
 	const entry_settings_t *settings = &entry->settings;
 	member_options_t options = {
 		.seeds = &settings->seeds,
+		.keys = entry->keys,
 		.metrics = entry->metrics,
 		.revision = entry_config_revision,
 		.context = entry,
@@ -150,7 +169,7 @@
 		hl_error_set(err, HL_ERR_NOMEM, "no memory; add some");
 		goto out;
 	}
-	if (main_new_member(&entry, err))
+	if (main_new_keys(&entry, err) || main_new_member(&entry, err))
 		goto out;
 	rc = main_serve(&entry, sup, err);
 	log_event(LOG_LEVEL_NOTICE, "stopped", "result=%d", rc);
@@ -162,6 +181,7 @@
 	config_follow_free(entry.follow);
 	owner_free(entry.owner);
 	member_free(entry.member);
+	keys_free(entry.keys);
 	entry_route_free_all(&entry);
 	g_hash_table_destroy(entry.routes_by_name);
 	entry_forward_free(entry.forward);
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -4,6 +4,7 @@
 
 #define RELAY_CONNECT_MS 1000L
 #define RELAY_HEADER_MAX 96
+#define RELAY_HOP_MAX (sizeof("Hemlock-Hop: ") + KEYS_HOP_MAX)
 #define HTTP_CONFLICT 409
 #define HTTP_BAD_GATEWAY 502
 #define HTTP_UNAVAILABLE 503
@@ -177,6 +178,18 @@
 	pthread_mutex_unlock(&req->route->lock);
 }
 
+/* An entry that takes the call over checks that another one sent it. */
+static void relay_write_hop(entry_request_t *req, char *out, size_t size)
+{
+	char value[KEYS_HOP_MAX] = "";
+
+	if (req->forward)
+		keys_hop_write(req->entry->keys, req->entry->settings.name,
+			       req->route->name,
+			       g_get_real_time() / USEC_PER_MS, value);
+	snprintf(out, size, "Hemlock-Hop: %s", value);
+}
+
 /* Send once over @place; the answer stands in the request afterwards. */
 static entry_result_t relay_send_once(entry_transfer_t *transfer)
 {
@@ -185,7 +198,7 @@
 	usec_t left = req->call.deadline - time_now();
 	char url[HL_ADDRESS_MAX + sizeof("http:///")];
 	char text[RELAY_HEADER_MAX];
-	char hop[RELAY_HEADER_MAX];
+	char hop[RELAY_HOP_MAX];
 	char no_retry[] = "Hemlock-No-Retry: 1";
 	struct curl_slist deadline = { text, req->headers };
 	struct curl_slist from = { hop, &deadline };
@@ -204,8 +217,7 @@
 	snprintf(url, sizeof(url), "http://%s/", transfer->place->address);
 	snprintf(text, sizeof(text), "Hemlock-Deadline-Ms: %" PRId64,
 		 (left + USEC_PER_MS - 1) / USEC_PER_MS);
-	snprintf(hop, sizeof(hop), "Hemlock-Hop: %s",
-		 req->entry->settings.name);
+	relay_write_hop(req, hop, sizeof(hop));
 	if (relay_marks(req))
 		headers = &mark;
 	relay_set_options(transfer, url, headers, fresh);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -15,6 +15,9 @@
 	  "IP number of all ports" },
 	{ "node", "log_level", SETTING_LEVEL, FIELD(log_level), false, "info",
 	  0, 0, "lines less severe are dropped" },
+	{ "node", "key_file", SETTING_TEXT, FIELD(key_file), false, "", 0, 0,
+	  "file of the keys that the region's entries share; none: any host "
+	  "is trusted" },
 	{ "entry", "call_port", SETTING_INTEGER, FIELD(call_port), false,
 	  "7080", 1, 65535, "TCP port of calls" },
 	{ "entry", "control_port", SETTING_INTEGER, FIELD(control_port), false,
--- a/member-net.c
+++ b/member-net.c
@@ -75,6 +75,26 @@
 	return -1;
 }
 
+unsigned member_net_seal(keys_t *keys, char *buffer, unsigned length)
+{
+	unsigned char *tag = (unsigned char *)buffer + length;
+
+	if (!length || !keys || !keys_count(keys))
+		return length;
+	return keys_sign(keys, buffer, length, tag) ? length + KEYS_TAG_BYTES :
+						      0;
+}
+
+bool member_net_unseal(keys_t *keys, const char *buffer, ssize_t *length)
+{
+	if (!keys || !keys_count(keys))
+		return true;
+	*length -= KEYS_TAG_BYTES;
+	return *length > 0 &&
+	       keys_check(keys, buffer, (size_t)*length,
+			  (const unsigned char *)buffer + *length);
+}
+
 void member_net_source(const struct sockaddr_storage *source, char *out,
 		       size_t size)
 {
--- a/member-net.h
+++ b/member-net.h
@@ -47,6 +47,19 @@
 /** member_net_decode - 0, or -1 if malformed; xdr_free() it if 0. */
 int member_net_decode(char *buffer, unsigned length, peer_message_t *message);
 
+/* A datagram with its tag. */
+#define MEMBER_SEALED_MAX (MEMBER_DATAGRAM_MAX + KEYS_TAG_BYTES)
+
+/** member_net_seal - append the tag to @length bytes, if there are keys.
+ *
+ * Return: the new length, 0 if @length was 0 or there is no tag.
+ */
+unsigned member_net_seal(keys_t *keys, char *buffer, unsigned length);
+
+/** member_net_unseal - check the tag and take it off *@length; false if the
+ * datagram is of no key of ours. */
+bool member_net_unseal(keys_t *keys, const char *buffer, ssize_t *length);
+
 /** member_net_source - "ip:port" of a socket address. */
 void member_net_source(const struct sockaddr_storage *source, char *out,
 		       size_t size);
--- a/member-run.c
+++ b/member-run.c
@@ -45,10 +45,11 @@
 				const peer_message_t *message)
 {
 	struct sockaddr_storage to;
-	char buffer[MEMBER_DATAGRAM_MAX];
+	char buffer[MEMBER_SEALED_MAX];
 	unsigned to_length;
 	unsigned length = member_net_encode(message, buffer);
 
+	length = member_net_seal(member->options.keys, buffer, length);
 	if (!length || hl_address_parse(address, &to, &to_length))
 		return 0;
 	metrics_add(member->sent_bytes, length);
@@ -140,7 +141,7 @@
 {
 	struct sockaddr_storage from;
 	socklen_t from_length = sizeof(from);
-	char buffer[MEMBER_DATAGRAM_MAX];
+	char buffer[MEMBER_SEALED_MAX];
 	char source[HL_ADDRESS_MAX];
 	peer_message_t message;
 	ssize_t length;
@@ -151,6 +152,7 @@
 		return false;
 	metrics_add(member->received_bytes, (uint64_t)length);
 	if ((size_t)length > sizeof(buffer) ||
+	    !member_net_unseal(member->options.keys, buffer, &length) ||
 	    member_net_decode(buffer, (unsigned)length, &message)) {
 		metrics_add(member->malformed, 1);
 		return true;
@@ -197,7 +199,8 @@
 				"", "UDP payload received from peers.");
 	member->malformed = metrics_counter(
 		metrics, "hemlock_peer_refused_datagrams_total", "",
-		"Datagrams dropped: malformed or of another group.");
+		"Datagrams dropped: malformed, of another group or "
+		"of no key of ours.");
 	member->live = metrics_gauge(metrics, "hemlock_members_live", "",
 				     "Live entries, this one included.");
 	member->suspected =
--- a/member.h
+++ b/member.h
@@ -4,6 +4,7 @@
 #include <rpc/rpc.h>
 #include "peer_rpc.h"
 #include "hemlock.h"
+#include "keys.h"
 #include "metrics.h"
 #include "owner.h"
 #include "toml.h"
@@ -27,6 +28,7 @@
 	char group[HL_NAME_MAX];	   /* others' datagrams are dropped */
 	char bind_address[HL_ADDRESS_MAX]; /* "": self.peer_address */
 	const setting_list_t *seeds;	   /* peer addresses; may be NULL */
+	keys_t *keys;			   /* of datagrams; NULL: none */
 	usec_t probe_period;		   /* 0: 500 ms */
 	usec_t probe_timeout;		   /* 0: a third of the period */
 	usec_t suspicion;		   /* 0: 1500 ms */
--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -105,7 +105,8 @@
 }
 
 # spawn_entries COUNT SETTINGS: entry-1 ... on $NET.1 ..., three zones.
-# SETTINGS are further lines of [entry]; ENTRIES gets the control addresses.
+# SETTINGS are further lines of [entry], $NODE_SETTINGS of [node]; ENTRIES gets
+# the control addresses.
 INTERVAL_MS=200
 LEASE_MS=600
 spawn_entries () {
@@ -123,6 +124,7 @@
 		zone = "zone-$(((n - 1) % 3 + 1))"
 		address = "$NET.$n"
 		log_level = "info"
+		$NODE_SETTINGS
 		[entry]
 		interval_ms = $INTERVAL_MS
 		lease_ms = $LEASE_MS
