Let offers of credits ride on the answers of calls handed over

Lending cost two datagrams for nearly each call that it moved and was withheld once lend_bytes was used up, so an owner with a queue could not use a sibling's free slots for long. A handed-over call now says how many more wait, and its answer offers credits for them if the sibling has some and no queue. Neither header reaches a copy or a caller, and none counts without Hemlock-Hop.

Tried and not kept: offers that stand for the next call that would wait.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -97,6 +97,9 @@
 		     (result == ENTRY_RESULT_SHED ||
 		      result == ENTRY_RESULT_CONNECT);
 
+	if (req->offered)
+		entry_forward_waiting(req->route, req->forward->address,
+				      req->offered);
 	if (!again || now >= req->call.deadline) {
 		entry_relay_finish(req, result);
 		entry_request_unref(req);
@@ -134,6 +137,8 @@
 	}
 	req->over = true;
 	entry_hedge_cancel(req);
+	if (decision.verdict == ENTRY_ANSWER)
+		entry_forward_offer(req, now);
 	return decision;
 }
 
--- a/entry-forward.c
+++ b/entry-forward.c
@@ -2,6 +2,8 @@
 #include <string.h>
 #include "entry-io.h"
 
+/* Credits offered with an answer are kept for the calls this long. */
+#define FORWARD_RESERVE (5 * USEC_PER_MS)
 /* Idle connections kept to one sibling entry. */
 #define FORWARD_IDLE_MAX 64
 
@@ -76,6 +78,43 @@
 	return place;
 }
 
+/* Hand one waiting call over; false if none waits. */
+static bool forward_one(entry_route_t *route, const char *address)
+{
+	entry_t *entry = route->entry;
+	entry_request_t *req;
+	entry_call_t *call;
+
+	pthread_mutex_lock(&route->lock);
+	call = entry_service_take(&route->service, time_now());
+	pthread_mutex_unlock(&route->lock);
+	if (!call)
+		return false;
+	req = caa_container_of(call, entry_request_t, call);
+	req->handed_over = true;
+	req->forward = entry_forward_place(entry->forward, address);
+	entry_work_push(entry->work, req);
+	return true;
+}
+
+void entry_forward_waiting(entry_route_t *route, const char *address,
+			   unsigned credits)
+{
+	while (credits > 0 && forward_one(route, address))
+		credits--;
+}
+
+void entry_forward_offer(entry_request_t *req, usec_t now)
+{
+	entry_service_t *svc = &req->route->service;
+
+	if (!req->hop_waiting || req->answer.published ||
+	    !req->entry->settings.lending || entry_service_waiting(svc) > 0)
+		return;
+	req->offer = entry_service_reserve(svc, req->hop_waiting,
+					   now + FORWARD_RESERVE, now);
+}
+
 /* A copy that was handed over stays known with no credit for a while. */
 static bool forward_has_copies(entry_route_t *route)
 {
--- a/entry-head.c
+++ b/entry-head.c
@@ -35,6 +35,7 @@
 	"Content-Length",
 	"Expect",
 	"Hemlock-Hop",
+	"Hemlock-Queue",
 	"Hemlock-Deadline-Ms",
 	"Proxy-Authorization",
 	"Hemlock-No-Retry",
@@ -108,6 +109,19 @@
 	head->req->call.no_retry = *value == '1';
 }
 
+/* How many calls wait at the entry that handed this one over. */
+static void head_read_queue(head_t *head, const char *value)
+{
+	char *end;
+	unsigned long waiting = strtoul(value, &end, 10);
+
+	if (!isdigit((unsigned char)*value) || *end ||
+	    waiting > ENTRY_QUEUE_TOLD_MAX)
+		head->bad = "queue";
+	else
+		head->req->hop_waiting = (unsigned)waiting;
+}
+
 static void head_read_framing(head_t *head, const char *name, const char *value)
 {
 	if (!strcasecmp(name, "Content-Length")) {
@@ -141,6 +155,8 @@
 		head_copy_name(head, req->class_name, value, "class");
 	else if (!strcasecmp(name, "Hemlock-Hop"))
 		head_copy_name(head, req->hop, value, "hop");
+	else if (!strcasecmp(name, "Hemlock-Queue"))
+		head_read_queue(head, value);
 	else if (!strcasecmp(name, "Hemlock-Deadline-Ms"))
 		head_read_deadline(head, value);
 	else if (!strcasecmp(name, "Hemlock-No-Retry"))
@@ -274,6 +290,8 @@
 		strcpy(req->tenant, "none");
 	memcpy(call->tenant, req->tenant, sizeof(call->tenant));
 	call->handed = *req->hop != '\0';
+	if (!call->handed)
+		req->hop_waiting = 0;
 	call->arrived = now;
 	call->deadline = now + deadline_ms * USEC_PER_MS;
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -32,6 +32,9 @@
 /* An answer that is not whole after this time is relayed as it comes. */
 #define ENTRY_HOLD_TIME (50 * USEC_PER_MS)
 
+/* Most waiting calls, and credits, that one entry tells another. */
+#define ENTRY_QUEUE_TOLD_MAX 65536
+
 /* Groups of homes in the settings; each key has one home in each. */
 #define ENTRY_CLAIM_GROUPS 3
 
@@ -192,9 +195,12 @@
 	bool head_only;		   /* HEAD */
 	entry_place_t *forward;	   /* a sibling entry to hand it to, or NULL */
 	struct entry_claim *claim; /* of its Idempotency-Key, or NULL */
-	bool handed_over; /* it waited here and went to an idle sibling */
-	bool probing;	  /* its copy is still to be chosen by probes */
-	bool repeat;	  /* it asks for the answer of the first of its key */
+	bool handed_over;     /* it waited here and went to an idle sibling */
+	unsigned hop_waiting; /* calls that still wait where it came from */
+	unsigned offer;	      /* credits to offer with the answer */
+	unsigned offered;     /* credits that its answer offered us */
+	bool probing;	      /* its copy is still to be chosen by probes */
+	bool repeat; /* it asks for the answer of the first of its key */
 	struct entry_request *first; /* of a twin: the request it is sent for */
 	/* Guarded by the route's lock. */
 	struct entry_request *twin;   /* its second send, while that runs */
@@ -244,6 +250,7 @@
 typedef struct entry_route {
 	struct cds_list_head link;
 	char name[HL_NAME_MAX];
+	struct entry *entry;
 	pthread_mutex_t lock;
 	entry_service_t service;
 	config_profile_t *profile;
@@ -293,6 +300,23 @@
 entry_place_t *entry_forward_place(entry_forward_t *forward,
 				   const char *address);
 
+/**
+ * entry_forward_waiting - hand waiting calls over to a sibling owner.
+ * @route: where they wait
+ * @address: call address of the sibling
+ * @credits: how many it offers
+ */
+void entry_forward_waiting(entry_route_t *route, const char *address,
+			   unsigned credits);
+
+/**
+ * entry_forward_offer - offer free credits with the answer of a call.
+ *
+ * For a call that a sibling owner handed over while more waited there. The
+ * credits are kept for a moment. Route's lock held.
+ */
+void entry_forward_offer(entry_request_t *req, usec_t now);
+
 /**
  * entry_forward_choose - hand a call over when this entry owns no copy.
  *
@@ -331,6 +355,7 @@
 	entry_work_t *work;
 	entry_watch_t *watch;
 	entry_forward_t *forward;
+	uint64_t *lend_header_bytes; /* of offers that ride on calls */
 	member_t *member;
 	struct entry_claims *claims;
 	config_follow_t *follow; /* NULL without keepers */
--- a/entry-main.c
+++ b/entry-main.c
@@ -150,6 +150,9 @@
 		hl_error_set(err, HL_ERR_NOMEM, "no memory; add some");
 		goto out;
 	}
+	entry.lend_header_bytes = metrics_counter(
+		entry.metrics, "hemlock_lend_header_bytes_total", "",
+		"Bytes of lending in the heads of handed-over calls.");
 	if (main_new_member(&entry, err))
 		goto out;
 	rc = main_serve(&entry, sup, err);
--- a/entry-owner.c
+++ b/entry-owner.c
@@ -180,21 +180,7 @@
 
 	if (!route || !entry->settings.lending)
 		return;
-	for (; credits; credits--) {
-		entry_request_t *req;
-		entry_call_t *call;
-
-		pthread_mutex_lock(&route->lock);
-		call = entry_service_take(&route->service, time_now());
-		pthread_mutex_unlock(&route->lock);
-		if (!call)
-			return;
-		req = caa_container_of(call, entry_request_t, call);
-		req->handed_over = true;
-		req->forward = entry_forward_place(entry->forward,
-						   from->call_address);
-		entry_work_push(entry->work, req);
-	}
+	entry_forward_waiting(route, from->call_address, credits);
 }
 
 int entry_owner_new(entry_t *entry, const owner_member_t *self, hl_error_t *err)
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -177,6 +177,30 @@
 	pthread_mutex_unlock(&req->route->lock);
 }
 
+/*
+ * Tell a sibling that takes a call from us how many more wait, so that it can
+ * offer for them with its answer. Return: the headers, @list first if it says.
+ */
+static struct curl_slist *relay_tell_queue(entry_request_t *req,
+					   struct curl_slist *list)
+{
+	unsigned waiting;
+
+	if (!req->handed_over)
+		return list->next;
+	pthread_mutex_lock(&req->route->lock);
+	waiting = entry_service_waiting(&req->route->service);
+	pthread_mutex_unlock(&req->route->lock);
+	if (!waiting)
+		return list->next;
+	if (waiting > ENTRY_QUEUE_TOLD_MAX)
+		waiting = ENTRY_QUEUE_TOLD_MAX;
+	snprintf(list->data, RELAY_HEADER_MAX, "Hemlock-Queue: %u", waiting);
+	metrics_add(req->entry->lend_header_bytes,
+		    strlen(list->data) + sizeof("\r\n") - 1);
+	return list;
+}
+
 /* Send once over @place; the answer stands in the request afterwards. */
 static entry_result_t relay_send_once(entry_transfer_t *transfer)
 {
@@ -186,10 +210,12 @@
 	char url[HL_ADDRESS_MAX + sizeof("http:///")];
 	char text[RELAY_HEADER_MAX];
 	char hop[RELAY_HEADER_MAX];
+	char queue[RELAY_HEADER_MAX];
 	char no_retry[] = "Hemlock-No-Retry: 1";
 	struct curl_slist deadline = { text, req->headers };
 	struct curl_slist from = { hop, &deadline };
 	struct curl_slist *headers = req->forward ? &from : &deadline;
+	struct curl_slist told = { queue, headers };
 	struct curl_slist mark = { no_retry, headers };
 	CURL *easy;
 
@@ -206,8 +232,8 @@
 		 (left + USEC_PER_MS - 1) / USEC_PER_MS);
 	snprintf(hop, sizeof(hop), "Hemlock-Hop: %s",
 		 req->entry->settings.name);
-	if (relay_marks(req))
-		headers = &mark;
+	mark.next = relay_tell_queue(req, &told);
+	headers = relay_marks(req) ? &mark : mark.next;
 	relay_set_options(transfer, url, headers, fresh);
 	relay_set_active(req, transfer->link);
 	curl_multi_add_handle(transfer->link->multi, easy);
--- a/entry-respond.c
+++ b/entry-respond.c
@@ -104,6 +104,12 @@
 		MHD_add_response_header(response, "Hemlock-Retry-After-Ms",
 					text);
 	}
+	if (req->offer > 0) {
+		snprintf(text, sizeof(text), "%u", req->offer);
+		MHD_add_response_header(response, "Hemlock-Offer", text);
+		metrics_add(req->entry->lend_header_bytes,
+			    sizeof("Hemlock-Offer: \r\n") + strlen(text) - 1);
+	}
 	if (__atomic_load_n(&req->entry->stopping, __ATOMIC_ACQUIRE))
 		MHD_add_response_header(response, "Connection", "close");
 }
--- a/entry-route.c
+++ b/entry-route.c
@@ -51,6 +51,7 @@
 	if (!route)
 		return NULL;
 	strncpy(route->name, name, sizeof(route->name) - 1);
+	route->entry = entry;
 	pthread_mutex_init(&route->lock, NULL);
 	pthread_mutex_init(&route->measure_lock, NULL);
 	CDS_INIT_LIST_HEAD(&route->measures);
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -11,8 +11,11 @@
 #define SPARE_GIVEN (-2)
 
 static const char *const transfer_hop_headers[] = {
-	"Connection", "Keep-Alive",	   "Proxy-Connection", "TE",
-	"Trailer",    "Transfer-Encoding", "Upgrade",	       "Content-Length",
+	"Connection",	    "Keep-Alive",
+	"Proxy-Connection", "TE",
+	"Trailer",	    "Transfer-Encoding",
+	"Upgrade",	    "Content-Length",
+	"Hemlock-Outcome",  "Hemlock-Offer",
 };
 
 static bool transfer_is_hop_header(const char *name, size_t length)
@@ -84,6 +87,14 @@
 	return 0;
 }
 
+/* Credits that a sibling offers for the calls that wait here. */
+static unsigned transfer_offer(const char *value)
+{
+	unsigned long offer = strtoul(value, NULL, 10);
+
+	return offer < ENTRY_QUEUE_TOLD_MAX ? (unsigned)offer : 0;
+}
+
 static void transfer_note_header(entry_transfer_t *transfer, const char *line,
 				 size_t length, const char *value,
 				 size_t value_length)
@@ -95,6 +106,9 @@
 		transfer->req->answer.connection = strndup(value, value_length);
 	if (transfer_name_is(line, length, "Content-Length"))
 		transfer->req->answer.length = strtoll(value, NULL, 10);
+	if (transfer->req->handed_over &&
+	    transfer_name_is(line, length, "Hemlock-Offer"))
+		transfer->req->offered = transfer_offer(value);
 	if (!transfer_name_is(line, length, "Hemlock-Outcome"))
 		return;
 	transfer->says_not_run = transfer_name_is(value, value_length,
@@ -113,6 +127,7 @@
 	transfer->says_retry = false;
 	transfer->says_not_run = false;
 	transfer->says_may_have = false;
+	transfer->req->offered = 0;
 	if (space)
 		transfer->req->answer.status = (unsigned)strtoul(space + 1,
 								 NULL, 10);
@@ -150,8 +165,7 @@
 		;
 	transfer_note_header(transfer, line, (size_t)(colon - line), value,
 			     (size_t)(end - value));
-	if (transfer_is_hop_header(line, (size_t)(colon - line)) ||
-	    transfer_name_is(line, (size_t)(colon - line), "Hemlock-Outcome"))
+	if (transfer_is_hop_header(line, (size_t)(colon - line)))
 		return length;
 	if (transfer_keep_header(&req->answer, line, (size_t)(colon - line),
 				 value, (size_t)(end - value)))
