Let the owner's thread sleep longer while nothing waits

It ticked 100 times a second as soon as it had one copy, and slept twice a tick. That was half of an idle entry's processor time. It now ticks every 10 ms only while a copy changes hands, calls wait here or did in the last 100 ms at a sibling; else every 50 ms. Kicks still end the wait at once, and gather for 2 ms only when they follow a tick closely.

Ruled out: the thread of calls already sleeps 100 ms when idle.

The owner tests and the path tests pass.

--- a/owner-tick.c
+++ b/owner-tick.c
@@ -3,9 +3,11 @@
 #include <time.h>
 #include "owner-table.h"
 
-/* Ticks while copies are held, and while none is. */
+/* Ticks while a copy changes hands or calls wait, and while all is calm. */
 #define TICK_BUSY (10 * USEC_PER_MS)
-#define TICK_IDLE (20 * USEC_PER_MS)
+#define TICK_CALM (50 * USEC_PER_MS)
+/* A queue that a sibling told this lately may still be worth an offer. */
+#define TICK_LEND (100 * USEC_PER_MS)
 /* Kicks are gathered for this long. */
 #define TICK_KICK_GAP (2 * USEC_PER_MS)
 /* Settings of services may have changed: work out their owners anew. */
@@ -48,6 +50,48 @@
 	tick_forget(owner, record, now);
 }
 
+/* Something of this copy is under way between entries. */
+static bool tick_record_busy(const owner_t *owner, const owner_record_t *record,
+			     usec_t now)
+{
+	const owner_lease_t *lease = &record->lease;
+
+	return lease->hold != OWNER_HOLD_NONE &&
+	       (!owner_lease_clear(lease, now) ||
+		owner_lease_asks(lease, owner->options.lease, now));
+}
+
+/* Calls wait here, or did lately at a sibling. */
+static bool tick_service_busy(const owner_t *owner, const owner_service_t *svc,
+			      usec_t now)
+{
+	const owner_events_t *events = &owner->options.events;
+	unsigned i;
+
+	if (!svc->own || !events->offer)
+		return false;
+	for (i = 0; i < svc->count; i++)
+		if (svc->siblings[i].waiting &&
+		    now - svc->siblings[i].waited <= TICK_LEND)
+			return true;
+	return events->waiting && events->waiting(events->context, svc->name);
+}
+
+/* How long the next tick may wait. Lock held. */
+static usec_t tick_period(const owner_t *owner, usec_t now)
+{
+	const owner_record_t *record;
+	const owner_service_t *svc;
+
+	cds_list_for_each_entry (record, &owner->records, link)
+		if (tick_record_busy(owner, record, now))
+			return TICK_BUSY;
+	cds_list_for_each_entry (svc, &owner->services, link)
+		if (tick_service_busy(owner, svc, now))
+			return TICK_BUSY;
+	return TICK_CALM;
+}
+
 void owner_tick(owner_t *owner, usec_t now)
 {
 	owner_record_t *record;
@@ -85,18 +129,25 @@
 	owner_members(owner, live, member_live(member, live, MEMBER_MAX));
 }
 
+/* Let kicks that follow the last tick closely gather. */
+static void tick_gather(usec_t last)
+{
+	struct timespec gap = { 0, TICK_KICK_GAP * 1000 };
+
+	if (time_now() - last < TICK_KICK_GAP)
+		nanosleep(&gap, NULL);
+}
+
 /* Wait for a kick or the next tick. */
 static void tick_wait(owner_t *owner)
 {
-	struct timespec gap = { 0, TICK_KICK_GAP * 1000 };
 	struct timespec until;
-	usec_t period;
+	usec_t last;
 
-	nanosleep(&gap, NULL);
 	pthread_mutex_lock(&owner->lock);
-	period = owner->record_count ? TICK_BUSY : TICK_IDLE;
+	last = owner->now;
 	clock_gettime(CLOCK_REALTIME, &until);
-	until.tv_nsec += (period - TICK_KICK_GAP) * 1000;
+	until.tv_nsec += tick_period(owner, last) * 1000;
 	if (until.tv_nsec >= 1000000000L) {
 		until.tv_sec++;
 		until.tv_nsec -= 1000000000L;
@@ -105,8 +156,9 @@
 		if (pthread_cond_timedwait(&owner->wake, &owner->lock,
 					   &until) == ETIMEDOUT)
 			break;
-	__atomic_store_n(&owner->kicked, false, __ATOMIC_RELEASE);
 	pthread_mutex_unlock(&owner->lock);
+	tick_gather(last);
+	__atomic_store_n(&owner->kicked, false, __ATOMIC_RELEASE);
 }
 
 static int tick_run(void *context, const volatile int *stop)
