Let two terms of one owner stand side by side at a witness

Cause: a term that is being opened made the witnesses that granted it refuse the one in use; when the third witness is dead but not yet known to be, the new one never comes into use and the old one runs out.

A witness now keeps records by owner and term, and grants both.

Also: a copy sent here a second time, after it lost our answer, lost what it had echoed at first, and waited a lease (seen in test-owner-sim rest with the change above); what it had echoed first is kept. The owner's thread ticks fast again when a lease is about to run out, so that calls are not picked for a copy that may not be sent to: such a send counts as a failed connect and ejected the copy.

Ruled out: lost datagrams (loopback), detection (the log has it at 2.7 s).

--- a/owner-announce.c
+++ b/owner-announce.c
@@ -64,8 +64,12 @@
 	if (!record)
 		return;
 	record->lease.sequence = announcement->sequence;
-	memcpy(record->redirect_owner, announcement->owner, HL_NAME_MAX);
-	record->redirect_epoch = announcement->epoch;
+	/* Sent here a second time, it had no answer since the first. */
+	if (!record->redirect || announcement->epoch != record->redirect) {
+		memcpy(record->redirect_owner, announcement->owner,
+		       HL_NAME_MAX);
+		record->redirect_epoch = announcement->epoch;
+	}
 	record->redirect = redirect;
 	owner_table_grant(owner, record, now);
 }
--- a/owner-tick.c
+++ b/owner-tick.c
@@ -50,12 +50,14 @@
 	tick_forget(owner, record, now);
 }
 
-/* Something of this copy is under way between entries. */
+/* Something of this copy is under way between entries, or its lease ends. */
 static bool tick_record_busy(const owner_t *owner, const owner_record_t *record,
 			     usec_t now)
 {
 	const owner_lease_t *lease = &record->lease;
 
+	if (record->granted && record->granted_until - now <= TICK_CALM)
+		return true;
 	return lease->hold != OWNER_HOLD_NONE &&
 	       (!owner_lease_clear(lease, now) ||
 		owner_lease_asks(lease, owner->options.lease, now));
--- a/regress/test-witness.c
+++ b/regress/test-witness.c
@@ -189,6 +189,28 @@
 	g_free(group);
 }
 
+/* A term that cannot be opened, as one witness is dead, takes nothing from the
+   one in use. */
+static void test_open_fails(void)
+{
+	const char *names[WITNESS_SET] = { "a", "b", "c" };
+	group_t *group = g_new(group_t, 1);
+	uint64_t first;
+	int ms;
+
+	group_start(group);
+	first = group->own.current.term.number;
+	witness_own_open(&group->own, names, at_ms(500));
+	for (ms = 1000; ms <= 9000; ms += 1000) {
+		group_renew(group, 'a', at_ms(ms), at_ms(ms));
+		group_renew(group, 'b', at_ms(ms), at_ms(ms));
+		g_assert_cmpint(witness_own_until(&group->own, first), ==,
+				at_ms(ms + 3000));
+	}
+	g_assert_cmpuint(group->own.opening.term.number, ==, 0);
+	g_free(group);
+}
+
 static const struct {
 	const char *name;
 	const char *ended; /* witnesses that answer */
@@ -292,6 +314,7 @@
 		g_free(path);
 	}
 	g_test_add_func("/witness/open", test_open);
+	g_test_add_func("/witness/open-fails", test_open_fails);
 	g_test_add_func("/witness/ask", test_ask);
 	g_test_add_func("/witness/text", test_text);
 	g_test_add_func("/witness/full", test_full);
--- a/witness-keep.c
+++ b/witness-keep.c
@@ -1,17 +1,31 @@
 #include <string.h>
 #include "witness.h"
 
-static witness_record_t *keep_find(witness_keep_t *keep, const char *owner)
+static witness_record_t *keep_find(witness_keep_t *keep, const char *owner,
+				   uint64_t term)
 {
 	unsigned i;
 
 	for (i = 0; i < keep->count; i++)
-		if (!strcmp(keep->records[i].owner, owner))
+		if (keep->records[i].term == term &&
+		    !strcmp(keep->records[i].owner, owner))
 			return &keep->records[i];
 	return NULL;
 }
 
-/* Room for one more owner: a new one, or that whose grant ended first. */
+static uint64_t keep_known(const witness_keep_t *keep, const char *owner)
+{
+	uint64_t known = 0;
+	unsigned i;
+
+	for (i = 0; i < keep->count; i++)
+		if (keep->records[i].term > known &&
+		    !strcmp(keep->records[i].owner, owner))
+			known = keep->records[i].term;
+	return known;
+}
+
+/* Room for one more term: a new one, or that whose grant ended first. */
 static witness_record_t *keep_room(witness_keep_t *keep, usec_t now)
 {
 	witness_record_t *oldest = &keep->records[0];
@@ -22,44 +36,34 @@
 	for (i = 1; i < keep->count; i++)
 		if (keep->records[i].until < oldest->until)
 			oldest = &keep->records[i];
-	return now >= oldest->until && now >= oldest->earlier_until ? oldest :
-								      NULL;
+	return now >= oldest->until ? oldest : NULL;
 }
 
-/* An owner opens a term: lesser ones are granted no more. */
+/* An owner opens a term; those it has are not touched, as copies echo them. */
 static witness_record_t *keep_open(witness_keep_t *keep, const char *owner,
 				   uint64_t term, usec_t now)
 {
-	witness_record_t *record = keep_find(keep, owner);
-	usec_t earlier = 0;
+	witness_record_t *record = keep_room(keep, now);
 
-	if (record) {
-		earlier = record->until > record->earlier_until ?
-				  record->until :
-				  record->earlier_until;
-	} else {
-		record = keep_room(keep, now);
-		if (!record)
-			return NULL;
-	}
+	if (!record)
+		return NULL;
 	memset(record, 0, sizeof(*record));
 	strncpy(record->owner, owner, HL_NAME_MAX - 1);
 	record->term = term;
-	record->earlier_until = earlier;
 	return record;
 }
 
 bool witness_keep_renew(witness_keep_t *keep, const char *owner, uint64_t term,
 			uint64_t boot, uint64_t *known, usec_t now)
 {
-	witness_record_t *record = keep_find(keep, owner);
+	witness_record_t *record = keep_find(keep, owner, term);
 
-	*known = record ? record->term : 0;
+	*known = keep_known(keep, owner);
 	if (boot && boot != keep->boot)
 		return false;
-	if (!boot && (!record || record->term < term))
+	if (!boot && !record)
 		record = keep_open(keep, owner, term, now);
-	if (!record || record->term != term || record->closed)
+	if (!record || record->closed)
 		return false;
 	record->until = now + WITNESS_LEASE;
 	return true;
@@ -68,16 +72,13 @@
 bool witness_keep_end(witness_keep_t *keep, const char *owner, uint64_t term,
 		      uint64_t boot, usec_t now)
 {
-	witness_record_t *record = keep_find(keep, owner);
+	witness_record_t *record = keep_find(keep, owner, term);
 
 	/* What our life before granted is forgotten, but has a known end. */
 	if (boot != keep->boot)
 		return now >= keep->started + WITNESS_LEASE;
 	if (!record)
 		return true;
-	if (record->term > term)
-		return now >= record->earlier_until;
-	if (record->term == term)
-		record->closed = true;
+	record->closed = true;
 	return now >= record->until;
 }
--- a/witness.h
+++ b/witness.h
@@ -22,7 +22,7 @@
 #define WITNESS_PERIOD_OPENING (200 * USEC_PER_MS)
 /* A witness that grants nothing for this long is to be replaced. */
 #define WITNESS_SILENCE (2 * WITNESS_LEASE)
-/* Owners that a witness remembers. */
+/* Terms that a witness remembers. */
 #define WITNESS_RECORDS_MAX 512
 /* Terms that may be being ended at once. */
 #define WITNESS_ASKS_MAX 64
@@ -134,13 +134,12 @@
 /** witness_own_term - the newest term held at @now, or NULL. */
 const witness_term_t *witness_own_term(const witness_own_t *own, usec_t now);
 
-/** struct witness_record_t - an owner as its witness knows it. */
+/** struct witness_record_t - a term as its witness knows it. */
 typedef struct {
 	char owner[HL_NAME_MAX];
-	uint64_t term;	      /* the greatest seen */
-	usec_t until;	      /* its last grant runs out */
-	usec_t earlier_until; /* as did those of all lesser terms */
-	bool closed;	      /* it is granted no more */
+	uint64_t term;
+	usec_t until; /* its last grant runs out */
+	bool closed;  /* it is granted no more */
 } witness_record_t;
 
 /** struct witness_keep_t - the witness' side. */
