Signal only processes that still are a script's own

An entry vanished in the middle of path-slow (331 passed, 1 failed) with no word in the kernel's log of a fault, and 36 runs of that script alone, beside other work, did not show it again. Cause, as far as it can be told: scripts ended processes by ids they had kept, also of processes that had ended by themselves. This machine gives out 32,768 ids and the tests used some 500 a second, so an id comes back within a minute or two, and cleanup() killed whoever had it, in another run. A rule of ours was broken as well: only processes that a script started are to be ended.

--- a/bench/compare-lane.sh
+++ b/bench/compare-lane.sh
@@ -97,7 +97,7 @@
 	wait $!
 	sleep 5
 	name=$(victim 2)
-	{ sleep 1.5; kill -9 "$(pid "$name")"; } &
+	{ sleep 1.5; signal KILL "$(pid "$name")"; } &
 	scenario killed-70 70 5 9
 }
 
--- a/bench/slopes-member.sh
+++ b/bench/slopes-member.sh
@@ -74,7 +74,7 @@
 signal_members () {
 	for name in $(ls "$DIR" | sed -n 's/^\(g[0-9]*-n[0-9]*\)\.log$/\1/p')
 	do
-		kill "-$1" "$(pid "$name")" 2>/dev/null
+		signal "$1" "$(pid "$name")"
 	done
 }
 
@@ -82,7 +82,7 @@
 end_all () {
 	for p in $PIDS
 	do
-		kill -TERM "$p" 2>/dev/null
+		signal TERM "$p"
 	done
 	wait 2>/dev/null
 	PIDS=
--- a/examples/run.sh
+++ b/examples/run.sh
@@ -23,7 +23,10 @@
 	trap - EXIT INT TERM
 	for id in $ids
 	do
-		kill -TERM "$id" 2>/dev/null
+		# One that has ended may have left its id to another process.
+		parent=$(awk '/^PPid:/ { print $2 }' "/proc/$id/status" \
+			2>/dev/null)
+		[ "$parent" = "$$" ] && kill -TERM "$id" 2>/dev/null
 	done
 	wait
 	rm -rf "$work"
--- a/regress/keeper-lib.sh
+++ b/regress/keeper-lib.sh
@@ -53,7 +53,7 @@
 power_cut () {
 	for n in "$@"
 	do
-		kill -9 "$(pid "keeper-$n")" 2>/dev/null
+		signal KILL "$(pid "keeper-$n")"
 	done
 	for n in "$@"
 	do
--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -43,6 +43,13 @@
 	eval "echo \$pid_$(echo "$1" | tr -- '-.' '__')"
 }
 
+# signal NAME PID: send it, if that still is a process that this script started; an id
+# that has become free may be another's, the system gives them out again.
+signal () {
+	parent=$(awk '/^PPid:/ { print $2 }' "/proc/$2/status" 2>/dev/null)
+	[ "$parent" = "$$" ] && kill "-$1" "$2" 2>/dev/null
+}
+
 # forget NAME: it has ended; its id may be another process's by now.
 forget () {
 	rest=
@@ -55,7 +62,7 @@
 
 # kill_hard NAME: end it at once, as a power cut would.
 kill_hard () {
-	kill -9 "$(pid "$1")" 2>/dev/null
+	signal KILL "$(pid "$1")"
 	wait "$(pid "$1")" 2>/dev/null
 	forget "$1"
 	return 0
@@ -63,7 +70,7 @@
 
 # stop_soft NAME: SIGTERM, wait for the end, give its exit status.
 stop_soft () {
-	kill -TERM "$(pid "$1")" 2>/dev/null
+	signal TERM "$(pid "$1")"
 	wait "$(pid "$1")" 2>/dev/null
 	stopped=$?
 	forget "$1"
@@ -71,11 +78,11 @@
 }
 
 freeze () {
-	kill -STOP "$(pid "$1")"
+	signal STOP "$(pid "$1")"
 }
 
 thaw () {
-	kill -CONT "$(pid "$1")"
+	signal CONT "$(pid "$1")"
 }
 
 # wait_until SECONDS COMMAND...: poll until the command succeeds.
@@ -205,8 +212,8 @@
 	status=$?
 	for p in $PIDS
 	do
-		kill -CONT "$p" 2>/dev/null
-		kill -9 "$p" 2>/dev/null
+		signal CONT "$p"
+		signal KILL "$p"
 	done
 	wait 2>/dev/null
 	# A report of a sanitizer in any process fails the run.
