Show every rule of the witness leases by a fault in the simulation

The new row long-deaf has a witness that hears no renewals before the owner freezes; long-forget restarts the witnesses right after a renewal.

Taken out one at a time in scratch copies, all now fail by overlapping leases: majority of grants (long-freeze, long-all), majority of ends (long-deaf), the last grant (long-freeze, long-all), remembering an end (four rows), the foreign term (three), counting from the sending (long-buffered, long-forget, long-all), the wait of a restarted witness (long-forget).

--- a/regress/test-owner-sim.c
+++ b/regress/test-owner-sim.c
@@ -597,22 +597,46 @@
 	}
 }
 
-/* An entry freezes while answers to its renewals are under way; it finds them
-   in its buffer when it goes on. */
-static void fault_buffered(sim_t *sim, unsigned round)
+/* Run until an entry has just renewed its terms. */
+static void sim_renewed(sim_t *sim, const node_t *node)
 {
-	node_t *node = &sim->nodes[round % NODES];
 	usec_t sent;
 
 	do {
 		sent = node->owner->witness.renew_from;
 		sim_run(sim, STEP);
 	} while (sent == node->owner->witness.renew_from);
+}
+
+/* An entry freezes while answers to its renewals are under way; it finds them
+   in its buffer when it goes on. */
+static void fault_buffered(sim_t *sim, unsigned round)
+{
+	node_t *node = &sim->nodes[round % NODES];
+
+	sim_renewed(sim, node);
 	node->frozen_until = sim->now +
 			     g_rand_int_range(sim->random, 4000000, 7000000);
 	sim_run(sim, 7 * USEC_PER_SEC);
 }
 
+/* One witness hears no renewals for a lease before the entry freezes: its end
+   alone must not count. */
+static void fault_deaf(sim_t *sim, unsigned round)
+{
+	unsigned index = round % NODES;
+	const witness_term_t *term =
+		&sim->nodes[index].owner->witness.current.term;
+	unsigned deaf = (unsigned)(term->members[0].name[1] - '0');
+
+	if (!term->number)
+		return;
+	sim->cut[index][deaf] = true;
+	sim_run(sim, WITNESS_LEASE);
+	fault_buffered(sim, round);
+	sim->cut[index][deaf] = false;
+}
+
 /* An entry freezes, and two witnesses of its term restart before its death is
    known. */
 static void fault_forget(sim_t *sim, unsigned round)
@@ -621,10 +645,11 @@
 	const witness_term_t *term = &node->owner->witness.current.term;
 	unsigned i;
 
-	fault_buffered(sim, round);
+	sim_renewed(sim, node);
+	sim_run(sim, 100 * USEC_PER_MS);
 	node->frozen_until = sim->now +
 			     g_rand_int_range(sim->random, 4000000, 7000000);
-	sim_run(sim, g_rand_int_range(sim->random, 500000, 2500000));
+	sim_run(sim, g_rand_int_range(sim->random, 200000, 2000000));
 	for (i = 0; i < 2 && term->number; i++) {
 		unsigned index = (unsigned)(term->members[i].name[1] - '0');
 
@@ -658,7 +683,8 @@
 	{ "long-freeze", 0.01, 0.05, fault_freeze, 8, false, LONG_LEASE },
 	{ "long-kill", 0.01, 0.05, fault_kill, 6, false, LONG_LEASE },
 	{ "long-buffered", 0, 0, fault_buffered, 12, false, LONG_LEASE },
-	{ "long-forget", 0, 0, fault_forget, 12, false, LONG_LEASE },
+	{ "long-deaf", 0, 0, fault_deaf, 24, false, LONG_LEASE },
+	{ "long-forget", 0, 0, fault_forget, 36, false, LONG_LEASE },
 	{ "long-all", 0.05, 0.1, fault_all, 8, false, LONG_LEASE },
 };
 
