--- a/bench/compare-lane.sh
+++ b/bench/compare-lane.sh
@@ -29,6 +29,23 @@
 [ -z "$all" ] || callers="--direct $(echo "$ENTRIES" | sed 's/:7081/:7080/g')"
 sleep 4 # until leases taken while entries found each other have run out
 
+# settled: all entries tell the same weights, which differ by a copy at most.
+settled () {
+	for address in $(echo "$ENTRIES" | tr ',' ' ')
+	do
+		"$BUILD/regress/call" --body \
+			"http://$address/v1/lookup?service=bay-desk" |
+			grep -o '"address":"[^,]*\|"weight":[0-9]*' |
+			paste -s -d ' '
+	done | sort -u >"$DIR/weights"
+	[ "$(wc -l <"$DIR/weights")" = 1 ] &&
+		grep -o 'weight":[0-9]*' "$DIR/weights" | cut -d: -f2 |
+		awk -v s=$slots 'NR == 1 { low = high = $1 }
+			{ low = $1 < low ? $1 : low; high = $1 > high ? $1 : high }
+			END { exit !(NR && high - low <= s) }'
+}
+[ -n "$all" ] || wait_until 20 settled || fail "$policy $seed: not settled"
+
 # scenario NAME PERCENT SECONDS NUMBER OPTIONS...: load, one result line.
 scenario () {
 	name=$1 rate=$((capacity * $2 / 100)) seconds=$3 number=$4
--- a/owner-lookup.c
+++ b/owner-lookup.c
@@ -6,6 +6,9 @@
    service change, seldom once they stay. */
 #define LOOKUP_BELIEVE_MIN USEC_PER_SEC
 #define LOOKUP_BELIEVE_MAX (10 * USEC_PER_SEC)
+/* They have settled once none of the service's owners told of a change for
+   this long; what one gained, another lost. */
+#define LOOKUP_SETTLE (5 * USEC_PER_SEC)
 /* And at most one owner is asked this often, whatever is looked up. */
 #define LOOKUP_ASK_PERIOD (100 * USEC_PER_MS)
 
@@ -17,23 +20,24 @@
 void owner_lookup_told(owner_service_t *svc, owner_sibling_t *from,
 		       unsigned slots, usec_t now)
 {
-	bool changed = !from->heard || from->slots != slots;
-	unsigned i;
-
+	if (!from->heard || from->slots != slots)
+		svc->slots_changed = now;
 	from->heard = now;
 	from->slots = slots;
-	from->believe = from->believe ? 2 * from->believe : LOOKUP_BELIEVE_MIN;
-	if (from->believe > LOOKUP_BELIEVE_MAX)
-		from->believe = LOOKUP_BELIEVE_MAX;
-	/* What one owner gained or lost, another has lost or gained. */
-	for (i = 0; changed && i < svc->count; i++)
-		svc->siblings[i].believe = LOOKUP_BELIEVE_MIN;
+}
+
+/* How long what an owner said of its slots is believed. */
+static usec_t lookup_believe(const owner_service_t *svc, usec_t now)
+{
+	return now - svc->slots_changed < LOOKUP_SETTLE ? LOOKUP_BELIEVE_MIN :
+							  LOOKUP_BELIEVE_MAX;
 }
 
 /* Ask for slots that are not known; the next look-up has them. */
 static void lookup_ask(owner_t *owner, owner_service_t *svc)
 {
 	usec_t now = owner->now;
+	usec_t believe = lookup_believe(svc, now);
 	unsigned i;
 
 	if (now < owner->ask_from)
@@ -41,7 +45,7 @@
 	for (i = 0; i < svc->count; i++) {
 		owner_sibling_t *sibling = &svc->siblings[i];
 
-		if (sibling->heard && now - sibling->heard < sibling->believe)
+		if (sibling->heard && now - sibling->heard < believe)
 			continue;
 		if (sibling->asked && now - sibling->asked < USEC_PER_SEC)
 			continue;
--- a/owner-table.h
+++ b/owner-table.h
@@ -43,11 +43,10 @@
 	unsigned waiting;
 	unsigned copies;
 	unsigned slots;
-	usec_t heard;	/* when it last told these; 0: never */
-	usec_t waited;	/* when it last told of waiting calls */
-	usec_t asked;	/* when its slots were last asked for */
-	usec_t believe; /* how long they are believed */
-	usec_t told;	/* when we last told ours */
+	usec_t heard;  /* when it last told these; 0: never */
+	usec_t waited; /* when it last told of waiting calls */
+	usec_t asked;  /* when its slots were last asked for */
+	usec_t told;   /* when we last told ours */
 	unsigned told_waiting;
 	unsigned told_copies;
 	unsigned told_slots;
@@ -63,10 +62,11 @@
 	unsigned owner_count;
 	unsigned count; /* of siblings */
 	owner_sibling_t siblings[OWNER_MAX];
-	unsigned copies;   /* that we hold or take */
-	unsigned slots;	   /* of these */
-	usec_t moved;	   /* when a copy was last passed on for balance */
-	unsigned reserved; /* credits offered to siblings */
+	unsigned copies;      /* that we hold or take */
+	unsigned slots;	      /* of these */
+	usec_t slots_changed; /* when an owner last told of another number */
+	usec_t moved;	      /* when a copy was last passed on for balance */
+	unsigned reserved;    /* credits offered to siblings */
 	usec_t reserved_until;
 } owner_service_t;
 
--- a/regress/test-owner-lookup.c
+++ b/regress/test-owner-lookup.c
@@ -9,10 +9,10 @@
 /* Look-ups come this often, and each question is answered before the next. */
 #define LOOKUP_PERIOD (200 * USEC_PER_MS)
 /* Weights follow a change by then. */
-#define FOLLOW (2500 * USEC_PER_MS)
+#define FOLLOW (1500 * USEC_PER_MS)
 /* In a minute without a change; a question each second would be 180. */
 #define QUIET (60 * USEC_PER_SEC)
-#define QUIET_ASKED 30
+#define QUIET_ASKED 36
 
 typedef struct {
 	owner_t *owner;
@@ -130,8 +130,11 @@
 	look_set(&look, 18, 18, 12);
 	look_run(&look, USEC_PER_SEC);
 	look_set(&look, 18, 15, 15);
-	wrong = look_run(&look, 5 * USEC_PER_SEC);
+	wrong = look_run(&look, 4 * USEC_PER_SEC);
 	g_assert_cmpint(wrong, <, 3 * USEC_PER_SEC + FOLLOW);
+	look_set(&look, 15, 18, 15);
+	wrong = look_run(&look, 5 * USEC_PER_SEC);
+	g_assert_cmpint(wrong, <, 7 * USEC_PER_SEC + FOLLOW);
 	owner_free(look.owner);
 }
 
