Probe members that have been dead for long

Without one, as when seeds were replaced meanwhile, it never did: two groups for good until somebody restarts.

Ruled out as the cause: the refusal of what a dead member says of itself, which is answered by the news of its death and so refuted.

--- a/member-swim.c
+++ b/member-swim.c
@@ -243,7 +243,10 @@
 		return;
 	swim->next_revive = now + MEMBER_SWIM_REVIVE_PERIOD;
 	node = swim_random(swim, false, NULL);
-	if (node && now - node->changed < MEMBER_SWIM_REMEMBER)
+	if (!node)
+		return;
+	if (now - node->changed < MEMBER_SWIM_REVIVE_OFTEN ||
+	    member_table_random(swim) % MEMBER_SWIM_REVIVE_RARE == 0)
 		swim_send_probe(swim, PEER_PING, node->info.entry.peer_address,
 				swim_sequence(swim), node, node);
 }
--- a/member-swim.h
+++ b/member-swim.h
@@ -23,8 +23,9 @@
 #define MEMBER_SWIM_GOSSIP_FACTOR 3
 /* How often a dead member is probed, so that a healed partition rejoins. */
 #define MEMBER_SWIM_REVIVE_PERIOD USEC_PER_SEC
-/* How long a dead member is remembered. */
-#define MEMBER_SWIM_REMEMBER (24 * 3600 * USEC_PER_SEC)
+/* Who has been dead for longer is probed one time in MEMBER_SWIM_REVIVE_RARE. */
+#define MEMBER_SWIM_REVIVE_OFTEN (24 * 3600 * USEC_PER_SEC)
+#define MEMBER_SWIM_REVIVE_RARE 10
 
 /** struct member_node_t - one member, this entry included. */
 typedef struct {
--- a/regress/test-member-swim.c
+++ b/regress/test-member-swim.c
@@ -220,7 +220,7 @@
 	group->running[0] = true;
 }
 
-static void fault_partition(group_t *group)
+static void group_partition(group_t *group)
 {
 	unsigned i;
 	unsigned j;
@@ -229,9 +229,28 @@
 		for (j = 0; j < NODES; j++)
 			group->cut[i][j] = (i < 2) != (j < 2);
 	group_run(group, 20 * USEC_PER_SEC);
+}
+
+static void fault_partition(group_t *group)
+{
+	group_partition(group);
 	memset(group->cut, 0, sizeof(group->cut));
 }
 
+/* So long that the dead members are probed rarely; no seed is known. */
+static void fault_long_partition(group_t *group)
+{
+	unsigned i;
+	unsigned j;
+
+	group_partition(group);
+	for (i = 0; i < NODES; i++)
+		for (j = 0; j < group->swim[i].count; j++)
+			group->swim[i].nodes[j]->changed -=
+				MEMBER_SWIM_REVIVE_OFTEN;
+	fault_partition(group);
+}
+
 static const struct {
 	const char *name;
 	void (*fault)(group_t *group);
@@ -254,6 +273,8 @@
 	{ "partition", fault_partition, 2, 5, 15 * USEC_PER_SEC, FOREVER, 0 },
 	{ "partition-sync", fault_partition, 2, 5, 15 * USEC_PER_SEC,
 	  5 * USEC_PER_SEC, 0 },
+	{ "long-partition", fault_long_partition, 2, 5, 120 * USEC_PER_SEC,
+	  5 * USEC_PER_SEC, 0 },
 };
 
 static void test_row(gconstpointer data)
