--- a/regress/keeper-lib.sh
+++ b/regress/keeper-lib.sh
@@ -57,7 +57,8 @@
 	done
 	for n in "$@"
 	do
-		kill_hard "keeper-$n"
+		wait "$(pid "keeper-$n")" 2>/dev/null
+		forget "keeper-$n"
 	done
 }
 
