--- a/owner-lookup.c
+++ b/owner-lookup.c
@@ -45,7 +45,9 @@
 	for (i = 0; i < svc->count; i++) {
 		owner_sibling_t *sibling = &svc->siblings[i];
 
-		if (sibling->heard && now - sibling->heard < believe)
+		/* One without slots may be about to take its first copies. */
+		if (sibling->heard && sibling->slots &&
+		    now - sibling->heard < believe)
 			continue;
 		if (sibling->asked && now - sibling->asked < USEC_PER_SEC)
 			continue;
