Don't take a restarted owner's word for a copy that it had waited for

RELEASED now says when its sender has no record and is younger than a lease. It counts then only if the copy echoes a term of that sender, which it named when it was clear; else the lease is waited for. In a group too small for terms, a copy thus waits a lease after a restart of its owner if another takes it.

test-owner-lease "restarted" fails with the check taken out.

--- a/owner-net.c
+++ b/owner-net.c
@@ -57,7 +57,8 @@
 
 static void net_send_release(owner_t *owner, peer_kind_t kind,
 			     const char *address, const owner_copy_t *copy,
-			     uint64_t epoch, unsigned outstanding)
+			     uint64_t epoch, unsigned outstanding,
+			     bool forgotten)
 {
 	peer_body_t body = { .kind = kind };
 	peer_release_t *release = &body.peer_body_t_u.release;
@@ -66,6 +67,7 @@
 	release->copy = (char *)copy->name;
 	release->epoch = epoch;
 	release->outstanding = outstanding;
+	release->forgotten = forgotten;
 	net_send_lease(owner, address, &body);
 }
 
@@ -77,7 +79,7 @@
 	if (former)
 		net_send_release(owner, PEER_RELEASE, former->peer_address,
 				 &record->copy,
-				 owner_lease_claim(&record->lease), 0);
+				 owner_lease_claim(&record->lease), 0, false);
 }
 
 void owner_net_load(owner_t *owner, const owner_service_t *svc,
@@ -170,6 +172,14 @@
 	return count;
 }
 
+/* The process before us may have waited for an owner of its own. */
+static bool net_is_young(const owner_t *owner, usec_t now)
+{
+	const owner_options_t *options = &owner->options;
+
+	return options->boot && now < options->started + options->lease;
+}
+
 static void net_on_release(owner_t *owner, const owner_member_t *from,
 			   const peer_release_t *said, usec_t now)
 {
@@ -181,7 +191,8 @@
 		net_text(copy.service, HL_NAME_MAX, said->service);
 		net_text(copy.name, HL_NAME_MAX, said->copy);
 		net_send_release(owner, PEER_RELEASED, from->peer_address,
-				 &copy, said->epoch, 0);
+				 &copy, said->epoch, 0,
+				 net_is_young(owner, now));
 		return;
 	}
 	if (!owner_lease_release(&record->lease, said->epoch))
@@ -191,7 +202,16 @@
 		return;
 	net_send_release(owner, PEER_RELEASED, from->peer_address,
 			 &record->copy, said->epoch,
-			 net_outstanding(owner, record, now));
+			 net_outstanding(owner, record, now), false);
+}
+
+/* An owner that named its own term had nobody to wait for. */
+static bool net_had_nobody(const owner_lease_t *lease, const char *name)
+{
+	witness_term_t term;
+
+	return !witness_term_parse(lease->former.witness, &term) &&
+	       !strcmp(term.owner, name);
 }
 
 static void net_on_released(owner_t *owner, const owner_member_t *from,
@@ -200,8 +220,11 @@
 	owner_record_t *record = owner_table_record(owner, said->service,
 						    said->copy);
 
-	if (record && owner_lease_released(&record->lease, from->name,
-					   said->epoch, said->outstanding, now))
+	if (!record ||
+	    (said->forgotten && !net_had_nobody(&record->lease, from->name)))
+		return;
+	if (owner_lease_released(&record->lease, from->name, said->epoch,
+				 said->outstanding, now))
 		owner_table_grant(owner, record, now);
 }
 
--- a/regress/test-owner-lease.c
+++ b/regress/test-owner-lease.c
@@ -320,6 +320,51 @@
 	pair_stop();
 }
 
+static const struct {
+	const char *witness; /* that the copy echoes of its former owner e1 */
+	usec_t age;	     /* of the process that is e1 now */
+	unsigned limit;
+} restarted[] = {
+	{ "", 10 * USEC_PER_MS, 0 },
+	{ "e2/1/a/1/b/1/c/1", 10 * USEC_PER_MS, 0 },
+	{ "e1/1/a/1/b/1/c/1", 10 * USEC_PER_MS, 3 },
+	{ "", SPAN, 3 },
+};
+
+/* The former owner has restarted and knows nothing of the copy. Its answer
+   counts if it had nobody to wait for, or if nobody could be left. */
+static void test_restarted(void)
+{
+	usec_t now = 1000 * USEC_PER_SEC;
+	owner_announced_t out;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(restarted); i++) {
+		owner_announcement_t announcement = {
+			.copy = { .service = "s",
+				  .name = "c",
+				  .slots = 2,
+				  .connections = 9 },
+			.sequence = 1,
+			.owner = "e1",
+			.epoch = 5
+		};
+
+		pair_start();
+		g_strlcpy(announcement.witness, restarted[i].witness,
+			  WITNESS_TEXT_MAX);
+		owner_members(pair[0].owner, &pair[0].owner->options.self, 1);
+		pair[1].owner->options.boot = 1;
+		pair[1].owner->options.started = now - restarted[i].age;
+		pair_expect(0, &announcement, now, &out, 0);
+		pair_expect(0, &announcement, now + 1000, &out, 0);
+		owner_tick(pair[0].owner, now + 2000);
+		pair_deliver(now + 3000);
+		g_assert_cmpuint(pair[0].limit, ==, restarted[i].limit);
+		pair_stop();
+	}
+}
+
 /* Twice and out of order: the draining copy stays so. */
 static void test_sequence(void)
 {
@@ -365,6 +410,7 @@
 	}
 	g_test_add_func("/owner/hand-over", test_hand_over);
 	g_test_add_func("/owner/chain", test_chain);
+	g_test_add_func("/owner/restarted", test_restarted);
 	g_test_add_func("/owner/sequence", test_sequence);
 	return g_test_run();
 }
--- a/regress/test-owner-sim.c
+++ b/regress/test-owner-sim.c
@@ -684,7 +684,7 @@
 	{ "long-kill", 0.01, 0.05, fault_kill, 6, false, LONG_LEASE },
 	{ "long-buffered", 0, 0, fault_buffered, 12, false, LONG_LEASE },
 	{ "long-deaf", 0, 0, fault_deaf, 24, false, LONG_LEASE },
-	{ "long-forget", 0, 0, fault_forget, 36, false, LONG_LEASE },
+	{ "long-forget", 0, 0, fault_forget, 60, false, LONG_LEASE },
 	{ "long-all", 0.05, 0.1, fault_all, 8, false, LONG_LEASE },
 };
 
--- a/rpc/peer_rpc.h
+++ b/rpc/peer_rpc.h
@@ -112,6 +112,7 @@
 	peer_name_t copy;
 	u_quad_t epoch;
 	u_int outstanding;
+	bool_t forgotten;
 };
 typedef struct peer_release_t peer_release_t;
 
--- a/rpc/peer_rpc.x
+++ b/rpc/peer_rpc.x
@@ -91,12 +91,14 @@
 };
 
 /* RELEASE: the new owner asks the last one to stop sending to a copy.
-   RELEASED: it has; outstanding calls are still to end there. */
+   RELEASED: it has; outstanding calls are still to end there. It has
+   forgotten if it restarted less than a lease ago. */
 struct peer_release_t {
 	peer_name_t service;
 	peer_name_t copy;
 	unsigned hyper epoch;
 	unsigned int outstanding;
+	bool forgotten;
 };
 
 /* What one owner of a service tells the others; reply asks for the same. */
--- a/rpc/peer_rpc_xdr.c
+++ b/rpc/peer_rpc_xdr.c
@@ -218,6 +218,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->outstanding))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->forgotten))
+		 return FALSE;
 	return TRUE;
 }
 
