Let threads ask for libtirpc's empty credential one after the other

keeper-signals failed once in four runs under the address sanitizer: 96 bytes of authnone_create() were lost at a keeper's end. libtirpc keeps one such credential and makes it at the first call; a keeper makes its clients in a thread for each peer, and two that come first together make two. The one place that makes clients now asks for it once; it also joins what config-dial.c and keeper-link.c had twice. keeper-signals under address: 6 of 6. The fault itself was not brought about on purpose, so six runs prove little.

--- a/config-dial.c
+++ b/config-dial.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include "config-dial.h"
+#include "rpc-client.h"
 
 static int config_dial_refuse(const char *address, int code, hl_error_t *err)
 {
@@ -54,22 +55,6 @@
 	return 0;
 }
 
-static CLIENT *config_dial_client(int fd, struct sockaddr_storage *to,
-				  unsigned length, rpcprog_t program,
-				  rpcvers_t version, usec_t timeout)
-{
-	struct netbuf peer = { .maxlen = length, .len = length, .buf = to };
-	struct timeval wait = { .tv_sec = timeout / USEC_PER_SEC,
-				.tv_usec = timeout % USEC_PER_SEC };
-	CLIENT *client = clnt_vc_create(fd, &peer, program, version, 0, 0);
-
-	if (!client)
-		return NULL;
-	clnt_control(client, CLSET_TIMEOUT, (char *)&wait);
-	clnt_control(client, CLSET_FD_CLOSE, NULL);
-	return client;
-}
-
 CLIENT *config_dial(const char *address, rpcprog_t program, rpcvers_t version,
 		    usec_t timeout, hl_error_t *err)
 {
@@ -91,11 +76,13 @@
 	}
 	code = config_dial_connect(fd, &to, length, timeout);
 	if (!code)
-		client = config_dial_client(fd, &to, length, program, version,
-					    timeout);
+		client = rpc_client_new(fd, &to, length, program, version,
+					timeout);
 	if (!client) {
 		close(fd);
 		config_dial_refuse(address, code ? code : ENOMEM, err);
+		return NULL;
 	}
+	clnt_control(client, CLSET_FD_CLOSE, NULL);
 	return client;
 }
--- a/keeper-link.c
+++ b/keeper-link.c
@@ -11,6 +11,7 @@
 #include <sys/time.h>
 #include <unistd.h>
 #include "keeper-core.h"
+#include "rpc-client.h"
 
 /* Pause after a connection that could not be made. */
 #define KEEPER_LINK_PAUSE (50 * USEC_PER_MS)
@@ -183,10 +184,7 @@
 static int keeper_link_open(keeper_link_t *link, const char *address)
 {
 	int timeout_ms = (int)link->links->core->settings.rpc_timeout_ms;
-	struct timeval timeout = { timeout_ms / 1000,
-				   timeout_ms % 1000 * 1000 };
 	struct sockaddr_storage storage;
-	struct netbuf buffer = { .buf = &storage };
 	unsigned length;
 	int fd;
 
@@ -198,15 +196,14 @@
 	fd = keeper_link_connect(&storage, length, timeout_ms);
 	if (fd < 0)
 		return -1;
-	buffer.len = buffer.maxlen = length;
-	link->client = clnt_vc_create(fd, &buffer, HEMLOCK_KEEPER,
-				      HEMLOCK_KEEPER_V1, 0, 0);
+	link->client = rpc_client_new(fd, &storage, length, HEMLOCK_KEEPER,
+				      HEMLOCK_KEEPER_V1,
+				      timeout_ms * USEC_PER_MS);
 	if (!link->client) {
 		close(fd);
 		return -1;
 	}
 	link->fd = fd;
-	clnt_control(link->client, CLSET_TIMEOUT, (char *)&timeout);
 	strcpy(link->connected, address);
 	return 0;
 }
--- /dev/null
+++ b/rpc-client.c
@@ -0,0 +1,26 @@
+#include "rpc-client.h"
+#include <pthread.h>
+
+static pthread_once_t client_prepared = PTHREAD_ONCE_INIT;
+
+/* libtirpc keeps one empty credential, and two threads that ask for the first
+   time together make two, of which one is lost. */
+static void client_prepare(void)
+{
+	authnone_create();
+}
+
+CLIENT *rpc_client_new(int fd, struct sockaddr_storage *to, unsigned length,
+		       rpcprog_t program, rpcvers_t version, usec_t timeout)
+{
+	struct netbuf peer = { .maxlen = length, .len = length, .buf = to };
+	struct timeval wait = { .tv_sec = timeout / USEC_PER_SEC,
+				.tv_usec = timeout % USEC_PER_SEC };
+	CLIENT *client;
+
+	pthread_once(&client_prepared, client_prepare);
+	client = clnt_vc_create(fd, &peer, program, version, 0, 0);
+	if (client)
+		clnt_control(client, CLSET_TIMEOUT, (char *)&wait);
+	return client;
+}
