--- a/member-net.h
+++ b/member-net.h
@@ -17,11 +17,7 @@
 /** member_view_publish - put @view in place and free the one before. */
 void member_view_publish(member_view_t **place, member_view_t *view);
 
-/** member_view_read - copy up to @max members out; lock-free. */
-unsigned member_view_read(member_view_t *const *place, member_info_t *out,
-			  unsigned max);
-
-/** member_view_entries - as member_view_read(), without the hints. */
+/** member_view_entries - copy up to @max live entries out; lock-free. */
 unsigned member_view_entries(member_view_t *const *place, owner_member_t *out,
 			     unsigned max);
 
--- a/member-view.c
+++ b/member-view.c
@@ -61,17 +61,6 @@
 	urcu_bp_read_unlock();
 }
 
-unsigned member_view_read(member_view_t *const *place, member_info_t *out,
-			  unsigned max)
-{
-	const member_view_t *view = view_enter(place);
-	unsigned count = view->count < max ? view->count : max;
-
-	memcpy(out, view->members, count * sizeof(*out));
-	view_exit(place);
-	return count;
-}
-
 unsigned member_view_entries(member_view_t *const *place, owner_member_t *out,
 			     unsigned max)
 {
