--- a/regress/count.sh
+++ b/regress/count.sh
@@ -6,11 +6,12 @@
 product=$(lines ./*.c ./*.h ./*.cc)
 tests=$(lines regress/*.c regress/*.h regress/*.sh regress/*.script)
 bench=$(lines bench/*.c bench/*.sh bench/*.h)
-core=$(lines entry-pick.c entry-queue.c entry-limit.c entry-retry.c \
-	entry-health.c entry-service.c entry-claim.c entry-drain.c member*.c \
-	owner*.c keeper*.c config-state.c config-follow*.c member.h owner.h \
-	keeper.h)
-for family in entry keeper member owner config cmd metrics
+core=$(lines entry-pick.c entry-queue.c entry-limit.c entry-credit.c \
+	entry-retry.c entry-hedge.c entry-health.c entry-service.c \
+	entry-forward.c entry-claim*.c claim*.c member*.c owner*.c witness*.c \
+	keeper*.c config-state.c config-follow*.c claim.h member*.h owner*.h \
+	witness.h keeper*.h)
+for family in entry claim keeper member owner witness config rpc cmd metrics
 do
 	printf '%-9s %6d\n' "$family" "$(lines $family*.c $family.h)"
 done
--- a/regress/fault-proxy.c
+++ b/regress/fault-proxy.c
@@ -1,12 +1,12 @@
 /*
  * A proxy that stands on links between processes and harms them on demand.
- * A TCP link that is cut holds the bytes back, as lost and re-sent segments
- * would be; a UDP link that is cut loses them.
+ * A link that is cut holds the bytes back, as lost and re-sent segments would
+ * be. Datagrams have a proxy of their own, udp-proxy.c.
  *
  * Commands, one a line on the control port, each answered with "ok":
- * cut, cut-to, cut-from, reset, heal LINK; delay LINK MS; loss LINK PERCENT;
- * truncate LINK BYTES; slow-to, slow-from LINK MS, which lets one byte of a TCP
- * link pass in that time. LINK may end in "*".
+ * cut, cut-to, cut-from, reset, heal LINK; delay LINK MS; truncate LINK BYTES;
+ * slow-to, slow-from LINK MS, which lets one byte pass in that time. LINK may
+ * end in "*".
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -63,28 +63,22 @@
 	source_t listener;
 	struct sockaddr_storage dest;
 	unsigned dest_length;
-	bool udp, cut[WAYS];
+	bool cut[WAYS];
 	usec_t delay, pace[WAYS]; /* pace: for each byte; 0: at once */
-	double loss;
 	uint64_t truncate;
 } link_t;
 
-/* A TCP connection, or the datagrams of one sender. */
 typedef struct {
 	struct cds_list_head link;
 	link_t *on;
 	source_t ends[WAYS]; /* ends[TO] is the caller's */
 	flow_t flows[WAYS];
-	struct sockaddr_storage sender;
-	socklen_t sender_length;
 	bool dead;
 } pipe_t;
 
 static gchar **opt_links, *opt_control, *opt_tell;
-static gint opt_seed = 1;
 static CDS_LIST_HEAD(links);
 static int epoll_fd;
-static GRand *generator;
 
 static void source_watch(source_t *source, uint32_t interest)
 {
@@ -137,7 +131,6 @@
 static pipe_t *pipe_new(link_t *link, int caller)
 {
 	pipe_t *pipe = g_new0(pipe_t, 1);
-	int type = link->udp ? SOCK_DGRAM : SOCK_STREAM;
 	int way;
 
 	pipe->on = link;
@@ -149,7 +142,8 @@
 		CDS_INIT_LIST_HEAD(&pipe->flows[way].pieces);
 	}
 	pipe->ends[FROM].fd = socket(link->dest.ss_family,
-				     type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+				     SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+				     0);
 	cds_list_add_tail(&pipe->link, &link->pipes);
 	if (connect(pipe->ends[FROM].fd, (struct sockaddr *)&link->dest,
 		    link->dest_length) &&
@@ -177,10 +171,6 @@
 	int fd = pipe->ends[!way].fd;
 	size_t size = pipe->on->pace[way] ? 1 : piece->size - piece->done;
 
-	if (pipe->on->udp && way == FROM)
-		return sendto(pipe->on->listener.fd, piece->data, piece->size,
-			      0, (struct sockaddr *)&pipe->sender,
-			      pipe->sender_length);
 	return send(fd, piece->data + piece->done, size, MSG_NOSIGNAL);
 }
 
@@ -202,15 +192,15 @@
 		if (piece->due > now)
 			return false;
 		n = piece_write(pipe, way, piece);
-		if (n < 0 && !pipe->on->udp) {
+		if (n < 0) {
 			if (errno == EAGAIN || errno == ENOTCONN)
 				return true;
 			pipe_close(pipe, true);
 			return false;
 		}
-		piece->done += n > 0 ? (size_t)n : 0;
+		piece->done += (size_t)n;
 		piece->due = now + pipe->on->pace[way];
-		if (!pipe->on->udp && piece->done < piece->size)
+		if (piece->done < piece->size)
 			continue;
 		flow->buffered -= piece->size;
 		cds_list_del(&piece->link);
@@ -246,21 +236,12 @@
 			     flow->buffered < BUFFERED_MAX &&
 			     !truncated(pipe, (way_t)way);
 
-		if (pipe->on->udp && way == TO)
-			continue;
 		source_watch(&pipe->ends[way],
 			     (reads ? EPOLLIN : 0) |
 				     (blocked[!way] ? EPOLLOUT : 0));
 	}
 }
 
-static bool lost(const link_t *link, way_t way)
-{
-	return link->udp && (link->cut[way] ||
-			     (link->loss > 0 &&
-			      g_rand_double(generator) * 100 < link->loss));
-}
-
 static void pipe_read(pipe_t *pipe, way_t way)
 {
 	flow_t *flow = &pipe->flows[way];
@@ -268,13 +249,13 @@
 	ssize_t n = recv(pipe->ends[way].fd, data, sizeof(data), 0);
 	uint64_t room;
 
-	if (n < 0 && (errno == EAGAIN || pipe->on->udp))
+	if (n < 0 && errno == EAGAIN)
 		return;
 	if (n < 0) {
 		pipe_close(pipe, true);
 		return;
 	}
-	if (n == 0 && !pipe->on->udp) {
+	if (n == 0) {
 		flow->eof = true;
 		return;
 	}
@@ -283,8 +264,7 @@
 		n = (ssize_t)MIN((uint64_t)n, room);
 	}
 	flow->total += (uint64_t)n;
-	if (!lost(pipe->on, way))
-		flow_push(pipe, way, data, (size_t)n);
+	flow_push(pipe, way, data, (size_t)n);
 }
 
 static void end_event(source_t *source, uint32_t events)
@@ -295,60 +275,22 @@
 		return;
 	if (events & (EPOLLIN | EPOLLHUP) && source->interest & EPOLLIN)
 		pipe_read(pipe, source->reads);
-	else if (events & (EPOLLERR | EPOLLHUP) && !pipe->on->udp)
+	else if (events & (EPOLLERR | EPOLLHUP))
 		pipe_close(pipe, true);
 	if (!pipe->dead)
 		pipe_update(pipe, time_now());
 }
 
-static pipe_t *pipe_of_sender(link_t *link,
-			      const struct sockaddr_storage *sender,
-			      socklen_t length)
-{
-	pipe_t *pipe = NULL;
-
-	cds_list_for_each_entry (pipe, &link->pipes, link) {
-		if (pipe->sender_length == length &&
-		    !memcmp(&pipe->sender, sender, length))
-			return pipe;
-	}
-	pipe = pipe_new(link, -1);
-	pipe->sender = *sender;
-	pipe->sender_length = length;
-	return pipe;
-}
-
-static void datagram_event(link_t *link)
-{
-	struct sockaddr_storage sender = { 0 };
-	socklen_t length = sizeof(sender);
-	char data[PIECE_MAX];
-	ssize_t n = recvfrom(link->listener.fd, data, sizeof(data), 0,
-			     (struct sockaddr *)&sender, &length);
-	pipe_t *pipe;
-
-	if (n < 0 || lost(link, TO))
-		return;
-	pipe = pipe_of_sender(link, &sender, length);
-	flow_push(pipe, TO, data, (size_t)n);
-	pipe_update(pipe, time_now());
-}
-
 static void listener_event(link_t *link)
 {
-	int fd;
+	int fd = accept4(link->listener.fd, NULL, NULL,
+			 SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-	if (link->udp) {
-		datagram_event(link);
-		return;
-	}
-	fd = accept4(link->listener.fd, NULL, NULL,
-		     SOCK_NONBLOCK | SOCK_CLOEXEC);
 	if (fd >= 0)
 		pipe_update(pipe_new(link, fd), time_now());
 }
 
-static int listen_on(const char *address, bool udp, source_t *source)
+static int listen_on(const char *address, source_t *source)
 {
 	struct sockaddr_storage storage;
 	unsigned length;
@@ -357,12 +299,10 @@
 	if (hl_address_parse(address, &storage, &length))
 		return -1;
 	source->fd = socket(storage.ss_family,
-			    (udp ? SOCK_DGRAM : SOCK_STREAM) | SOCK_NONBLOCK |
-				    SOCK_CLOEXEC,
-			    0);
+			    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	setsockopt(source->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(source->fd, (struct sockaddr *)&storage, length) ||
-	    (!udp && listen(source->fd, BACKLOG))) {
+	    listen(source->fd, BACKLOG)) {
 		perror(address);
 		return -1;
 	}
@@ -370,21 +310,20 @@
 	return 0;
 }
 
-/* NAME=IP:PORT>IP:PORT/tcp or /udp */
+/* NAME=IP:PORT>IP:PORT/tcp */
 static int link_add(const char *text)
 {
 	link_t *link = g_new0(link_t, 1);
 	char **parts = g_strsplit_set(text, "=>/", -1);
 	int rc = -1;
 
-	if (g_strv_length(parts) == 4 &&
+	if (g_strv_length(parts) == 4 && !strcmp(parts[3], "tcp") &&
 	    !hl_address_parse(parts[2], &link->dest, &link->dest_length)) {
 		g_strlcpy(link->name, parts[0], sizeof(link->name));
-		link->udp = !strcmp(parts[3], "udp");
 		CDS_INIT_LIST_HEAD(&link->pipes);
 		link->listener.kind = SOURCE_LISTENER;
 		link->listener.owner = link;
-		rc = listen_on(parts[1], link->udp, &link->listener);
+		rc = listen_on(parts[1], &link->listener);
 		cds_list_add_tail(&link->link, &links);
 	} else {
 		fprintf(stderr, "not NAME=IP:PORT>IP:PORT/tcp: %s\n", text);
@@ -394,10 +333,10 @@
 	return rc;
 }
 
-static const char *const commands[] = { "cut",	     "cut-to",	 "cut-from",
-					"reset",     "heal",	 "delay",
-					"loss",	     "truncate", "slow-to",
-					"slow-from", NULL };
+static const char *const commands[] = { "cut",	    "cut-to",  "cut-from",
+					"reset",    "heal",    "delay",
+					"truncate", "slow-to", "slow-from",
+					NULL };
 
 static bool link_command(link_t *link, const char *what, double value)
 {
@@ -416,8 +355,6 @@
 		link->pace[TO] = (usec_t)(value * (double)USEC_PER_MS);
 	if (heal || !strcmp(what, "slow-from"))
 		link->pace[FROM] = (usec_t)(value * (double)USEC_PER_MS);
-	if (heal || !strcmp(what, "loss"))
-		link->loss = value;
 	if (heal || !strcmp(what, "truncate"))
 		link->truncate = (uint64_t)value;
 	cds_list_for_each_entry (pipe, &link->pipes, link) {
@@ -554,7 +491,6 @@
 	  "a link to stand on", "NAME=IP:PORT>IP:PORT/tcp" },
 	{ "control", 0, 0, G_OPTION_ARG_STRING, &opt_control,
 	  "where commands are taken", "IP:PORT" },
-	{ "seed", 0, 0, G_OPTION_ARG_INT, &opt_seed, "of the losses", "N" },
 	{ "tell", 0, 0, G_OPTION_ARG_STRING, &opt_tell,
 	  "send the command that follows to a running proxy", "IP:PORT" },
 	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
@@ -581,13 +517,12 @@
 	g_option_context_free(context);
 	if (opt_tell)
 		return tell(opt_tell, argv + 1);
-	generator = g_rand_new_with_seed((guint32)opt_seed);
 	epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	for (i = 0; opt_links && opt_links[i]; i++) {
 		if (link_add(opt_links[i]))
 			return 1;
 	}
-	if (opt_control && listen_on(opt_control, false, &control_source))
+	if (opt_control && listen_on(opt_control, &control_source))
 		return 1;
 	signal(SIGTERM, on_signal);
 	signal(SIGINT, on_signal);
