Keep credits for siblings in a file of their own

What is kept for calls of siblings is a part of its own and now stands in entry-reserve.c, with its prefix; what it does is unchanged: test-entry-*, entry-decide and the rest of the entry's tests give 115 passed, 0 failed.

--- a/entry-decide.h
+++ b/entry-decide.h
@@ -106,6 +106,14 @@
 /** entry_credit_answered - the copy gave an answer in the usual time. */
 void entry_credit_answered(entry_copy_t *copy);
 
+/* entry-reserve.c: credits kept for calls of siblings. */
+
+/** entry_reserve_count - credits that are kept now. */
+unsigned entry_reserve_count(const entry_service_t *svc, usec_t now);
+
+/** entry_reserve_use - spend one, of the offer that ends first. */
+bool entry_reserve_use(entry_service_t *svc, usec_t now);
+
 /* entry-health.c: what the answers tell about a copy. */
 
 typedef struct entry_health {
--- a/entry-forward.c
+++ b/entry-forward.c
@@ -111,8 +111,8 @@
 	if (!req->hop_waiting || req->answer.published ||
 	    !req->entry->settings.lending || entry_service_waiting(svc) > 0)
 		return;
-	req->offer = entry_service_reserve(svc, req->hop_waiting,
-					   now + FORWARD_RESERVE, now);
+	req->offer = entry_reserve_keep(svc, req->hop_waiting,
+					now + FORWARD_RESERVE, now);
 }
 
 /* A copy that was handed over stays known with no credit for a while. */
--- a/entry-owner.c
+++ b/entry-owner.c
@@ -118,7 +118,7 @@
 	if (!route)
 		return 0;
 	pthread_mutex_lock(&route->lock);
-	count = entry_service_free(&route->service, time_now());
+	count = entry_reserve_free(&route->service, time_now());
 	pthread_mutex_unlock(&route->lock);
 	return count;
 }
@@ -167,8 +167,7 @@
 	if (!route)
 		return 0;
 	pthread_mutex_lock(&route->lock);
-	kept = entry_service_reserve(&route->service, credits, until,
-				     time_now());
+	kept = entry_reserve_keep(&route->service, credits, until, time_now());
 	pthread_mutex_unlock(&route->lock);
 	return kept;
 }
--- /dev/null
+++ b/entry-reserve.c
@@ -0,0 +1,77 @@
+#include "entry-decide.h"
+
+unsigned entry_reserve_count(const entry_service_t *svc, usec_t now)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < ENTRY_RESERVES_MAX; i++)
+		if (svc->reserves[i].until > now)
+			count += svc->reserves[i].credits;
+	return count;
+}
+
+/* Credits not in use at copies that are neither slow nor ejected. */
+static unsigned reserve_unused(const entry_service_t *svc, usec_t now)
+{
+	const entry_copy_t *copy = NULL;
+	unsigned count = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		unsigned credits = entry_credit_of(svc, copy, now);
+
+		if (copy->draining || copy->health->ejected ||
+		    now < copy->health->paused_until ||
+		    entry_health_slow(svc, copy, now))
+			continue;
+		if (copy->outstanding < credits)
+			count += credits - copy->outstanding;
+	}
+	return count;
+}
+
+unsigned entry_reserve_free(const entry_service_t *svc, usec_t now)
+{
+	unsigned reserved = entry_reserve_count(svc, now);
+	unsigned unused = reserve_unused(svc, now);
+
+	return unused > reserved ? unused - reserved : 0;
+}
+
+unsigned entry_reserve_keep(entry_service_t *svc, unsigned credits,
+			    usec_t until, usec_t now)
+{
+	unsigned unused = entry_reserve_free(svc, now);
+	unsigned i;
+
+	if (credits > unused)
+		credits = unused;
+	for (i = 0; i < ENTRY_RESERVES_MAX && credits > 0; i++) {
+		if (svc->reserves[i].until > now &&
+		    svc->reserves[i].credits > 0)
+			continue;
+		svc->reserves[i].credits = credits;
+		svc->reserves[i].until = until;
+		return credits;
+	}
+	return 0;
+}
+
+bool entry_reserve_use(entry_service_t *svc, usec_t now)
+{
+	entry_reserve_t *first = NULL;
+	unsigned i;
+
+	for (i = 0; i < ENTRY_RESERVES_MAX; i++) {
+		entry_reserve_t *reserve = &svc->reserves[i];
+
+		if (reserve->until <= now || reserve->credits == 0)
+			continue;
+		if (!first || reserve->until < first->until)
+			first = reserve;
+	}
+	if (!first)
+		return false;
+	first->credits--;
+	return true;
+}
--- a/entry-service.c
+++ b/entry-service.c
@@ -146,89 +146,12 @@
 	return decision;
 }
 
-/* Credits kept for calls of siblings. */
-static unsigned service_reserved(const entry_service_t *svc, usec_t now)
-{
-	unsigned count = 0;
-	unsigned i;
-
-	for (i = 0; i < ENTRY_RESERVES_MAX; i++)
-		if (svc->reserves[i].until > now)
-			count += svc->reserves[i].credits;
-	return count;
-}
-
-/* Credits not in use at copies that are neither slow nor ejected. */
-static unsigned service_unused(const entry_service_t *svc, usec_t now)
-{
-	const entry_copy_t *copy = NULL;
-	unsigned count = 0;
-
-	cds_list_for_each_entry (copy, &svc->copies, link) {
-		unsigned credits = entry_credit_of(svc, copy, now);
-
-		if (copy->draining || copy->health->ejected ||
-		    now < copy->health->paused_until ||
-		    entry_health_slow(svc, copy, now))
-			continue;
-		if (copy->outstanding < credits)
-			count += credits - copy->outstanding;
-	}
-	return count;
-}
-
-unsigned entry_service_free(const entry_service_t *svc, usec_t now)
-{
-	unsigned reserved = service_reserved(svc, now);
-	unsigned unused = service_unused(svc, now);
-
-	return unused > reserved ? unused - reserved : 0;
-}
-
-unsigned entry_service_reserve(entry_service_t *svc, unsigned credits,
-			       usec_t until, usec_t now)
-{
-	unsigned unused = entry_service_free(svc, now);
-	unsigned i;
-
-	if (credits > unused)
-		credits = unused;
-	for (i = 0; i < ENTRY_RESERVES_MAX && credits > 0; i++) {
-		if (svc->reserves[i].until > now &&
-		    svc->reserves[i].credits > 0)
-			continue;
-		svc->reserves[i].credits = credits;
-		svc->reserves[i].until = until;
-		return credits;
-	}
-	return 0;
-}
-
-/* Use up a reserved credit, of the offer that ends first. */
-static bool service_unreserve(entry_service_t *svc, usec_t now)
-{
-	entry_reserve_t *first = NULL;
-	unsigned i;
-
-	for (i = 0; i < ENTRY_RESERVES_MAX; i++) {
-		entry_reserve_t *reserve = &svc->reserves[i];
-
-		if (reserve->until <= now || reserve->credits == 0)
-			continue;
-		if (!first || reserve->until < first->until)
-			first = reserve;
-	}
-	if (!first)
-		return false;
-	first->credits--;
-	return true;
-}
-
 /* A copy for a call that has no claim on reserved credits. */
 static entry_copy_t *service_pick(entry_service_t *svc,
 				  const entry_call_t *call, usec_t now)
 {
-	if (service_reserved(svc, now) > 0 && entry_service_free(svc, now) == 0)
+	if (entry_reserve_count(svc, now) > 0 &&
+	    entry_reserve_free(svc, now) == 0)
 		return NULL;
 	return entry_pick(svc, call, now);
 }
@@ -320,7 +243,7 @@
 	if (decision.verdict == ENTRY_REFUSE)
 		return decision;
 	entry_health_refresh(svc, now);
-	if (call->handed && service_unreserve(svc, now))
+	if (call->handed && entry_reserve_use(svc, now))
 		copy = entry_pick(svc, call, now);
 	if (!copy && entry_queue_count(svc->queue) == 0)
 		copy = service_pick(svc, call, now);
--- a/entry.h
+++ b/entry.h
@@ -325,11 +325,11 @@
 /** entry_service_waiting - how many calls wait. */
 unsigned entry_service_waiting(const entry_service_t *svc);
 
-/** entry_service_free - credits neither in use nor reserved. */
-unsigned entry_service_free(const entry_service_t *svc, usec_t now);
+/** entry_reserve_free - credits neither in use nor reserved. */
+unsigned entry_reserve_free(const entry_service_t *svc, usec_t now);
 
 /**
- * entry_service_reserve - keep free credits for calls of a sibling.
+ * entry_reserve_keep - keep free credits for calls of a sibling.
  * @credits: how many are wanted
  * @until: when the offer ends and they are free again
  *
@@ -337,8 +337,8 @@
  *
  * Return: how many are kept, 0 to @credits.
  */
-unsigned entry_service_reserve(entry_service_t *svc, unsigned credits,
-			       usec_t until, usec_t now);
+unsigned entry_reserve_keep(entry_service_t *svc, unsigned credits,
+			    usec_t until, usec_t now);
 
 /** entry_refusal_name - the word for logs, metrics and JSON. */
 const char *entry_refusal_name(entry_refusal_t refusal);
--- a/regress/count.sh
+++ b/regress/count.sh
@@ -8,7 +8,7 @@
 bench=$(lines bench/*.c bench/*.sh bench/*.h)
 core=$(lines entry-pick.c entry-queue.c entry-limit.c entry-credit.c \
 	entry-retry.c entry-hedge.c entry-health.c entry-service.c \
-	entry-forward.c entry-claim*.c claim*.c member*.c owner*.c witness*.c \
+	entry-forward.c entry-reserve.c entry-claim*.c claim*.c member*.c owner*.c witness*.c \
 	keeper*.c config-state.c config-follow*.c claim.h member*.h owner*.h \
 	witness.h keeper*.h)
 for family in entry claim keeper member owner witness config rpc cmd metrics
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -604,7 +604,7 @@
 
 	while (rounds-- > 0) {
 		memset(calls, 0, sizeof(calls));
-		for (count = 0; entry_service_free(&script->svc, script->now);
+		for (count = 0; entry_reserve_free(&script->svc, script->now);
 		     count++)
 			script_arrive(script, &calls[count], words);
 		script->now += took;
@@ -781,16 +781,16 @@
 		return script_state(script, entry_service_copy(svc, words[2]));
 	if (!strcmp(words[1], "free"))
 		return g_strdup_printf("%u",
-				       entry_service_free(svc, script->now));
+				       entry_reserve_free(svc, script->now));
 	if (!strcmp(words[1], "waiting"))
 		return g_strdup_printf("%u", entry_service_waiting(svc));
 	if (!strcmp(words[1], "reserve"))
 		return g_strdup_printf(
 			"%u",
-			entry_service_reserve(svc, strtoul(words[2], NULL, 10),
-					      strtoul(words[3], NULL, 10) *
-						      USEC_PER_MS,
-					      script->now));
+			entry_reserve_keep(svc, strtoul(words[2], NULL, 10),
+					   strtoul(words[3], NULL, 10) *
+						   USEC_PER_MS,
+					   script->now));
 	if (!strcmp(words[1], "expire"))
 		return script_expire(script);
 	if (!strcmp(words[1], "take")) {
