--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 CC = gcc
 CXX = g++
 PACKAGES = glib-2.0 liburcu liburcu-bp libmicrohttpd neon libtirpc jansson libxxhash \
-	libcurl gnutls
+	libcurl gnutls zlib
 SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
 WARNINGS = -Wall -Wextra -Wshadow -Wpointer-arith -Wvla
 CPPFLAGS += -D_GNU_SOURCE -I. -Irpc $(shell pkg-config --cflags $(PACKAGES))
@@ -24,7 +24,7 @@
 
 # Sources stand flat: the file name is the module, its prefix the family.
 MAINS = hemlock-entry.c hemlock-keeper.c hemlockctl.c
-LIB_C = $(filter-out $(MAINS),$(wildcard *.c))
+LIB_C = $(filter-out $(MAINS),$(wildcard *.c)) $(wildcard platform/*.c)
 LIB_CC = $(wildcard *.cc)
 RPC_C = $(wildcard rpc/*.c)
 # regress/test-*.c are GLib tests; the rest of regress/*.c and bench/*.c are
@@ -37,8 +37,8 @@
 PROGRAMS = $(patsubst %.c,$(B)/%,$(wildcard $(MAINS)))
 TOOLS = $(patsubst %.c,$(B)/%,$(TOOL_C))
 TESTS = $(patsubst %.c,$(B)/%,$(TEST_C))
-LINT_C = $(wildcard *.c) $(wildcard regress/*.c) $(wildcard bench/*.c)
-FORMAT = $(LINT_C) $(wildcard *.h) $(wildcard regress/*.h) $(wildcard bench/*.h) \
+LINT_C = $(wildcard *.c) $(wildcard platform/*.c) $(wildcard regress/*.c) $(wildcard bench/*.c)
+FORMAT = $(LINT_C) $(wildcard *.h) $(wildcard platform/*.h) $(wildcard regress/*.h) $(wildcard bench/*.h) \
 	$(wildcard *.cc)
 
 all: $(PROGRAMS)
--- a/base.c
+++ b/base.c
@@ -15,6 +15,17 @@
 	return ts.tv_sec * USEC_PER_SEC + ts.tv_nsec / 1000;
 }
 
+usec_t time_suspended(void)
+{
+	struct timespec boot;
+	struct timespec steady;
+
+	clock_gettime(CLOCK_MONOTONIC, &steady);
+	clock_gettime(CLOCK_BOOTTIME, &boot);
+	return (boot.tv_sec - steady.tv_sec) * USEC_PER_SEC +
+	       (boot.tv_nsec - steady.tv_nsec) / 1000;
+}
+
 uint64_t hl_hash(const void *data, size_t size, uint64_t seed)
 {
 	return XXH64(data, size, seed);
--- a/config-apply.c
+++ b/config-apply.c
@@ -1,5 +1,6 @@
 #include <string.h>
 #include "config-object.h"
+#include "config-target.h"
 
 /* A stop means nothing without its service. */
 static void config_apply_drop_stops(config_t *config, const char *service)
@@ -22,6 +23,12 @@
 	const void *value = &item->body.config_body_t_u;
 	void *found;
 
+	if (item->body.kind == CONFIG_PUT_TARGET)
+		return config_target_put(config, value, revision);
+	if (item->body.kind == CONFIG_RETIRE_TARGET) {
+		config_target_retire(config, value, item->base);
+		return 0;
+	}
 	if (item->body.kind == object->put)
 		return config_object_put(object, config, value, revision);
 	found = config_object_find(object, config, value);
--- a/config-check.c
+++ b/config-check.c
@@ -1,9 +1,13 @@
+#include <ctype.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include "config-check.h"
 #include "config-field.h"
 
+/* An objective so far above its route's timeout is a slip. */
+#define CONFIG_OBJECTIVE_BEYOND (60 * USEC_PER_SEC)
+
 static bool config_check_refuse(config_ruling_t *ruling, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
@@ -60,6 +64,79 @@
 	return true;
 }
 
+/* A name that others chose: anything that shows on a line and in a path. */
+static bool config_check_any_name(const char *name)
+{
+	size_t i;
+
+	for (i = 0; name[i]; i++)
+		if (!isgraph((unsigned char)name[i]) || name[i] == '"')
+			return false;
+	return i > 0;
+}
+
+static bool config_check_name(const config_object_t *object, const char *name)
+{
+	return object->any_name ? config_check_any_name(name) :
+				  hl_name_valid(name);
+}
+
+static bool config_check_weights(const config_route_t *route,
+				 config_ruling_t *ruling)
+{
+	uint64_t sum = 0;
+	u_int i;
+
+	if (!route->parts.parts_len)
+		return config_check_refuse(ruling,
+					   "route %s goes nowhere; name a "
+					   "service or a split",
+					   route->name);
+	for (i = 0; i < route->parts.parts_len; i++)
+		sum += route->parts.parts_val[i].weight;
+	if (sum || !route->split)
+		return true;
+	return config_check_refuse(ruling,
+				   "the weights of route %s add up to 0; give "
+				   "one part a weight",
+				   route->name);
+}
+
+static bool config_check_route(const config_route_t *route,
+			       config_ruling_t *ruling)
+{
+	size_t length = strlen(route->prefix);
+
+	if (!*route->host)
+		return config_check_refuse(ruling,
+					   "route %s has no host; "
+					   "name one",
+					   route->name);
+	if (!length || route->prefix[0] != '/' ||
+	    route->prefix[length - 1] != '/')
+		return config_check_refuse(ruling,
+					   "the prefix of route %s must begin "
+					   "and end with a slash; add it",
+					   route->name);
+	if (!route->attempts_max)
+		return config_check_refuse(ruling,
+					   "route %s allows no attempt; set "
+					   "attempts_max to 1 or more",
+					   route->name);
+	if (!route->timeout_us || !route->objective_us)
+		return config_check_refuse(ruling,
+					   "route %s has no timeout or "
+					   "objective; set both above 0",
+					   route->name);
+	if (route->objective_us >= route->timeout_us + CONFIG_OBJECTIVE_BEYOND)
+		return config_check_refuse(ruling,
+					   "the objective of route %s is a "
+					   "minute or more above its timeout; "
+					   "lower it",
+					   route->name);
+	return config_check_weights(route, ruling);
+}
+
 /* The values of one object, whatever else is configured. */
 static bool config_check_values(const config_object_t *object,
 				const config_item_t *item,
@@ -69,7 +146,8 @@
 	const char *name = config_object_name(object, &body->config_body_t_u);
 	const char *copy = config_object_copy(object, &body->config_body_t_u);
 
-	if (!hl_name_valid(name) || (*copy && !hl_name_valid(copy)) ||
+	if (!config_check_name(object, name) ||
+	    (*copy && !hl_name_valid(copy)) ||
 	    (object->copy != CONFIG_NO_COPY && !*copy))
 		return config_check_refuse(
 			ruling,
@@ -85,9 +163,26 @@
 		return config_check_fields(object->word, name,
 					   config_service_fields,
 					   &body->config_body_t_u, ruling);
+	if (body->kind == CONFIG_PUT_ROUTE)
+		return config_check_route(&body->config_body_t_u.route, ruling);
 	return true;
 }
 
+/* Operators number the routing upwards, with gaps as they like. */
+static bool config_check_edition(const config_edition_t *held,
+				 const config_edition_t *next,
+				 config_ruling_t *ruling)
+{
+	if (!held || next->number > held->number)
+		return true;
+	return config_check_refuse(ruling,
+				   "routing version %" PRIu64
+				   " is not above %" PRIu64
+				   ", which is in force; number it higher",
+				   (uint64_t)next->number,
+				   (uint64_t)held->number);
+}
+
 bool config_check_item(const config_t *config, const config_item_t *item,
 		       uint64_t revision, config_ruling_t *ruling)
 {
@@ -122,11 +217,13 @@
 		ruling->item = item;
 		return false;
 	}
-	if (!found && config_object_count(object, config) == CONFIG_OBJECTS_MAX)
+	if (!found && config_object_count(object, config) == object->most)
 		return config_check_refuse(ruling,
-					   "there are %d of kind %s already; "
+					   "there are %u of kind %s already; "
 					   "retire some first",
-					   CONFIG_OBJECTS_MAX, object->word);
+					   object->most, object->word);
+	if (item->body.kind == CONFIG_PUT_EDITION)
+		return config_check_edition(found, value, ruling);
 	return true;
 }
 
@@ -171,6 +268,69 @@
 				   users > 1 ? "them" : "it");
 }
 
+static bool config_check_parts(const config_t *config,
+			       const config_route_t *route,
+			       config_ruling_t *ruling)
+{
+	u_int i;
+
+	for (i = 0; i < route->parts.parts_len; i++) {
+		const char *service = route->parts.parts_val[i].service;
+
+		if (!config_find_pool(config, service))
+			return config_check_refuse(
+				ruling,
+				"route %s goes to service %s, which is not "
+				"there; declare it in the same change",
+				route->name, service);
+	}
+	return true;
+}
+
+/* Two routes of one host and prefix would each take the other's calls. */
+static bool config_check_place(const config_t *config,
+			       const config_route_t *route,
+			       config_ruling_t *ruling)
+{
+	u_int i;
+
+	for (i = 0; i < config->routes.routes_len; i++) {
+		const config_route_t *other = &config->routes.routes_val[i];
+
+		if (!strcmp(other->prefix, route->prefix) &&
+		    !strcmp(other->host, route->host) &&
+		    strcmp(other->name, route->name))
+			return config_check_refuse(
+				ruling,
+				"routes %s and %s are both for %s%s; retire "
+				"one",
+				route->name, other->name, route->host,
+				route->prefix);
+	}
+	return true;
+}
+
+static bool config_check_unused(const config_t *config, const char *pool,
+				config_ruling_t *ruling)
+{
+	u_int i, j;
+
+	if (config_find_pool(config, pool))
+		return true;
+	for (i = 0; i < config->routes.routes_len; i++) {
+		const config_route_t *route = &config->routes.routes_val[i];
+
+		for (j = 0; j < route->parts.parts_len; j++)
+			if (!strcmp(route->parts.parts_val[j].service, pool))
+				return config_check_refuse(
+					ruling,
+					"service %s is in use by route %s; "
+					"send that elsewhere first",
+					pool, route->name);
+	}
+	return true;
+}
+
 static bool config_check_reference(const config_t *config,
 				   const config_body_t *body,
 				   config_ruling_t *ruling)
@@ -178,6 +338,15 @@
 	const config_service_t *svc = &body->config_body_t_u.service;
 	const config_stop_t *stop = &body->config_body_t_u.stop;
 
+	if (body->kind == CONFIG_PUT_ROUTE)
+		return config_check_parts(config, &body->config_body_t_u.route,
+					  ruling) &&
+		       config_check_place(config, &body->config_body_t_u.route,
+					  ruling);
+	if (body->kind == CONFIG_RETIRE_POOL)
+		return config_check_unused(config,
+					   body->config_body_t_u.pool.name,
+					   ruling);
 	if (body->kind == CONFIG_RETIRE_PROFILE)
 		return config_check_retired(config,
 					    body->config_body_t_u.profile.name,
--- a/config-find.c
+++ b/config-find.c
@@ -1,5 +1,5 @@
 #include <string.h>
-#include "config.h"
+#include "config-object.h"
 
 const config_profile_t *config_find_profile(const config_t *config,
 					    const char *name)
@@ -23,6 +23,29 @@
 	return NULL;
 }
 
+const config_pool_t *config_find_pool(const config_t *config, const char *name)
+{
+	const config_pool_t like = { .name = (char *)name };
+
+	return config_object_find(config_object_of(CONFIG_PUT_POOL), config,
+				  &like);
+}
+
+const config_target_t *config_find_target(const config_t *config,
+					  const char *name)
+{
+	const config_target_t like = { .name = (char *)name };
+
+	return config_object_find(config_object_of(CONFIG_PUT_TARGET), config,
+				  &like);
+}
+
+const config_edition_t *config_edition(const config_t *config)
+{
+	return config->editions.editions_len ? config->editions.editions_val :
+					       NULL;
+}
+
 void config_profile_preset(config_profile_t *profile)
 {
 	profile->deadline_ms = 2000;
--- a/config-follow.c
+++ b/config-follow.c
@@ -40,9 +40,11 @@
 	pthread_cond_init(&follow->wake, &attr);
 	pthread_condattr_destroy(&attr);
 	strncpy(follow->name, options->name, sizeof(follow->name) - 1);
-	strncpy(follow->rpc_address, options->rpc_address,
-		sizeof(follow->rpc_address) - 1);
+	if (options->rpc_address)
+		strncpy(follow->rpc_address, options->rpc_address,
+			sizeof(follow->rpc_address) - 1);
 	follow->settings = options->settings;
+	follow->keepers = options->settings.keepers;
 	follow->members = options->members;
 	follow->members_context = options->members_context;
 	follow->changed = options->changed;
@@ -76,7 +78,7 @@
 		goto fail;
 	}
 	config_follow_metrics(follow, options->metrics);
-	if (config_serve_open(follow, err))
+	if (*follow->rpc_address && config_serve_open(follow, err))
 		goto fail;
 	return follow;
 fail:
@@ -110,8 +112,9 @@
 					       CONFIG_FOLLOW_RESTARTS_MAX,
 					       CONFIG_FOLLOW_RESTARTS_WINDOW);
 
-	if (threads && (supervisor_add(threads, &serve, NULL) ||
-			supervisor_add(threads, &poll, NULL))) {
+	if (threads &&
+	    ((*follow->rpc_address && supervisor_add(threads, &serve, NULL)) ||
+	     supervisor_add(threads, &poll, NULL))) {
 		supervisor_free(threads);
 		threads = NULL;
 	}
@@ -181,13 +184,37 @@
 			       .tv_nsec = until % USEC_PER_SEC * 1000 };
 
 	pthread_mutex_lock(&follow->lock);
-	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE) &&
+	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE) && !follow->kicked &&
 	       pthread_cond_timedwait(&follow->wake, &follow->lock, &at) !=
 		       ETIMEDOUT)
 		;
+	follow->kicked = false;
 	pthread_mutex_unlock(&follow->lock);
 }
 
+void config_follow_kick(config_follow_t *follow, const setting_list_t *keepers)
+{
+	pthread_mutex_lock(&follow->lock);
+	follow->kicked = true;
+	if (keepers && keepers->count)
+		follow->keepers = *keepers;
+	pthread_cond_broadcast(&follow->wake);
+	pthread_mutex_unlock(&follow->lock);
+}
+
+void config_follow_ports(config_follow_settings_t *settings)
+{
+	unsigned i;
+
+	for (i = 0; settings->keeper_port && i < settings->keepers.count; i++) {
+		char *port = strrchr(settings->keepers.items[i], ':');
+		size_t room = HL_ADDRESS_MAX -
+			      (size_t)(port - settings->keepers.items[i]);
+
+		snprintf(port, room, ":%u", (uint16_t)settings->keeper_port);
+	}
+}
+
 const config_t *config_follow_get(config_follow_t *follow)
 {
 	return __atomic_load_n(&follow->config, __ATOMIC_ACQUIRE);
--- a/config-follow.h
+++ b/config-follow.h
@@ -24,6 +24,7 @@
 	int64_t fanout;
 	int64_t poll_ms;
 	int64_t timeout_ms;
+	int64_t keeper_port; /* of all keepers; 0: as keepers says */
 } config_follow_settings_t;
 
 /**
@@ -59,6 +60,16 @@
 		  10,                                                            \
 		  10000,                                                         \
 		  "milliseconds between two questions to the parent" },          \
+		{ "config",                                                      \
+		  "keeper_port",                                                 \
+		  SETTING_INTEGER,                                               \
+		  offsetof(type, member.keeper_port),                            \
+		  false,                                                         \
+		  "0",                                                           \
+		  0,                                                             \
+		  65535,                                                         \
+		  "port of all keepers, in place of those in keepers; 0: as "    \
+		  "they are" },                                                  \
 	{                                                                        \
 		"config", "timeout_ms", SETTING_INTEGER,                         \
 			offsetof(type, member.timeout_ms), false, "1000", 10,    \
@@ -66,14 +77,19 @@
 			"milliseconds until a parent or keeper counts as silent" \
 	}
 
+/** config_follow_ports - put keeper_port into the keepers' addresses. */
+void config_follow_ports(config_follow_settings_t *settings);
+
 /**
  * struct config_follow_options_t - what a follower needs to know.
  *
  * All is copied but for the contexts and the registry.
  */
 typedef struct {
-	const char *name;	 /* of this VM */
-	const char *rpc_address; /* "ip:port" where children ask */
+	const char *name; /* of this VM */
+	/* "ip:port" where children ask; NULL for one that asks the keepers
+	 * itself and has no children. */
+	const char *rpc_address;
 	config_follow_settings_t settings;
 	/*
 	 * Fill in the live entries, this one among them, and return how many;
@@ -119,6 +135,12 @@
  */
 bool config_follow_ready(config_follow_t *follow);
 
+/**
+ * config_follow_kick - there may be something new: ask now.
+ * @keepers: the keepers as they are known now, or NULL
+ */
+void config_follow_kick(config_follow_t *follow, const setting_list_t *keepers);
+
 /** config_follow_free - after the child has stopped; NULL is allowed. */
 void config_follow_free(config_follow_t *follow);
 
--- a/config-node.h
+++ b/config-node.h
@@ -19,12 +19,14 @@
 
 	config_t *config; /* RCU: the asking thread replaces it */
 
-	pthread_mutex_t lock;  /* for what follows */
-	pthread_cond_t wake;   /* to end a pause */
-	supervisor_t *threads; /* the two, while the child runs */
-	bool ready;	       /* a quorum has confirmed the revision */
-	uint64_t revision;     /* of config */
-	usec_t fresh_at;       /* when a quorum last confirmed it */
+	pthread_mutex_t lock;	/* for what follows */
+	pthread_cond_t wake;	/* to end a pause */
+	supervisor_t *threads;	/* the two, while the child runs */
+	bool kicked;		/* ask without waiting further */
+	setting_list_t keepers; /* as they are known now */
+	bool ready;		/* a quorum has confirmed the revision */
+	uint64_t revision;	/* of config */
+	usec_t fresh_at;	/* when a quorum last confirmed it */
 	config_tail_t tail;
 	config_report_t report;
 
--- a/config-object.h
+++ b/config-object.h
@@ -4,8 +4,8 @@
 #include "config.h"
 
 /*
- * Profiles, services and stops are handled alike: a list in config_t sorted
- * by name, each with the revision that last wrote it.
+ * All kinds of objects are handled alike: a list in config_t sorted by name,
+ * each with the revision that last wrote it.
  */
 
 /** struct config_object_t - where the parts of one kind of object are. */
@@ -19,6 +19,8 @@
 	size_t revision; /* offset of its revision */
 	size_t count;	 /* offset of the length in config_t */
 	size_t values;	 /* offset of the list in config_t */
+	u_int most;	 /* objects of this kind */
+	bool any_name;	 /* its name is the operator's or copy's own */
 } config_object_t;
 
 #define CONFIG_NO_COPY SIZE_MAX
--- a/config-plan.c
+++ b/config-plan.c
@@ -3,9 +3,8 @@
 #include "config-object.h"
 #include "config-plan.h"
 
-/* Equal but for the revisions? */
-static bool config_plan_same(const config_object_t *object, const void *a,
-			     const void *b)
+bool config_plan_same(const config_object_t *object, const void *a,
+		      const void *b)
 {
 	config_body_t plain;
 	char *one = NULL, *two = NULL;
--- a/config-plan.h
+++ b/config-plan.h
@@ -1,7 +1,7 @@
 #ifndef CONFIG_PLAN_H
 #define CONFIG_PLAN_H
 
-#include "config.h"
+#include "config-object.h"
 
 /**
  * config_plan - the change that turns what is accepted into what is declared.
@@ -20,6 +20,10 @@
 		     const void *value, config_change_t *change,
 		     hl_error_t *err);
 
+/** config_plan_same - equal but for the revisions? */
+bool config_plan_same(const config_object_t *object, const void *a,
+		      const void *b);
+
 /** config_plan_head - give the change its id, author and time. */
 int config_plan_head(config_change_t *change, const char *id,
 		     const char *author, int64_t at_ms);
--- a/config-poll.c
+++ b/config-poll.c
@@ -72,14 +72,22 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
+/* The keeper whose turn it is. */
+static void config_poll_turn(config_follow_t *follow, char *out)
+{
+	pthread_mutex_lock(&follow->lock);
+	strcpy(out,
+	       follow->keepers.items[follow->keeper % follow->keepers.count]);
+	pthread_mutex_unlock(&follow->lock);
+}
+
 /* Connect to the ancestor that is to be asked, or to a keeper. */
 static int config_poll_connect(config_follow_t *follow,
 			       const config_report_view_t *view,
 			       hl_error_t *err)
 {
-	const setting_list_t *keepers = &follow->settings.keepers;
 	usec_t timeout = follow->settings.timeout_ms * USEC_PER_MS;
-	const char *address = follow->leader;
+	char address[HL_ADDRESS_MAX];
 	int place = -1;
 
 	if (follow->ready)
@@ -89,8 +97,9 @@
 		return config_source_open(&follow->source,
 					  view->members[place].rpc_address,
 					  false, timeout, err);
+	strcpy(address, follow->leader);
 	if (!*address)
-		address = keepers->items[follow->keeper % keepers->count];
+		config_poll_turn(follow, address);
 	return config_source_open(&follow->source, address, true, timeout, err);
 }
 
--- a/config-state.c
+++ b/config-state.c
@@ -5,6 +5,7 @@
 #include "config-ring.h"
 #include "config-state.h"
 #include "config-tail.h"
+#include "config-target.h"
 
 struct config_state {
 	config_t config;
@@ -304,6 +305,53 @@
 	free(state);
 }
 
+/* Whether an item about a copy has any effect. */
+static bool config_state_target_counts(const config_state_t *state,
+				       const config_item_t *item)
+{
+	const config_target_t *said = &item->body.config_body_t_u.target;
+	const config_target_t *held;
+
+	held = config_find_target(&state->config, said->name);
+	if (item->body.kind == CONFIG_PUT_TARGET)
+		return config_target_replaces(held, said);
+	return held && held->revision == item->base;
+}
+
+/*
+ * Announcements of copies are merged by what they say of themselves, so they
+ * need no first answer. They are written in place, as there are many.
+ */
+static int config_state_apply_targets(config_state_t *state, uint64_t index,
+				      const config_change_t *change,
+				      config_answer_t *answer)
+{
+	config_delta_t delta = { state->config.revision + 1, *change };
+	bool counts = false;
+	config_delta_t kept;
+	u_int i;
+
+	for (i = 0; i < change->items.items_len; i++) {
+		const config_item_t *item = &change->items.items_val[i];
+
+		if (!config_state_target_counts(state, item))
+			continue;
+		counts = true;
+		if (config_apply_item(&state->config, delta.revision, item))
+			return -1;
+	}
+	state->index = index;
+	if (counts) {
+		if (config_copy((xdrproc_t)xdr_config_delta_t, &delta, &kept,
+				sizeof(kept)))
+			return -1;
+		state->config.revision = delta.revision;
+		config_tail_push(&state->tail, &kept);
+	}
+	return config_state_answer_set(answer, CONFIG_ACCEPTED, change->id,
+				       state->config.revision, "", "");
+}
+
 int config_state_apply(config_state_t *state, uint64_t index,
 		       const config_change_t *change, config_answer_t *answer)
 {
@@ -312,6 +360,8 @@
 	int rc = -1;
 
 	memset(answer, 0, sizeof(*answer));
+	if (config_target_only(change))
+		return config_state_apply_targets(state, index, change, answer);
 	if (first) {
 		rc = config_copy((xdrproc_t)xdr_config_answer_t, first, answer,
 				 sizeof(*answer));
--- a/config.h
+++ b/config.h
@@ -14,6 +14,16 @@
 const config_service_t *config_find_service(const config_t *config,
 					    const char *name);
 
+/** config_find_pool - what the copies of a routed service share, or NULL. */
+const config_pool_t *config_find_pool(const config_t *config, const char *name);
+
+/** config_find_target - a copy by its id, or NULL. */
+const config_target_t *config_find_target(const config_t *config,
+					  const char *name);
+
+/** config_edition - the version of the routing; NULL while there is none. */
+const config_edition_t *config_edition(const config_t *config);
+
 /** config_profile_preset - the values of a profile that names none. */
 void config_profile_preset(config_profile_t *profile);
 
--- a/entry-config.c
+++ b/entry-config.c
@@ -100,6 +100,8 @@
 	usec_t now = time_now();
 	u_int i;
 
+	if (entry->settings.routed)
+		entry_target_changed(entry, config, now);
 	for (i = 0; i < config->services.services_len; i++)
 		config_take_service(entry, config,
 				    &config->services.services_val[i], now);
@@ -122,9 +124,9 @@
 {
 	config_follow_options_t options = {
 		.name = entry->settings.name,
-		.rpc_address = self->rpc_address,
+		.rpc_address = self ? self->rpc_address : NULL,
 		.settings = entry->settings.follow,
-		.members = config_members,
+		.members = self ? config_members : NULL,
 		.members_context = entry,
 		.changed = config_changed,
 		.changed_context = entry,
--- a/entry-control.c
+++ b/entry-control.c
@@ -21,13 +21,14 @@
 	const char *method;
 	const char *path;
 	void (*handle)(const entry_control_t *in, entry_reply_t *reply);
+	bool owners; /* not with entry.routed */
 } control_routes[] = {
-	{ "GET", "/v1/lookup", entry_lookup_handle },
-	{ "POST", "/v1/announce", entry_announce_handle },
-	{ "GET", "/v1/status", entry_status_handle },
-	{ "GET", "/v1/health", entry_status_health },
-	{ "GET", "/v1/answer", entry_claims_answer_handle },
-	{ "GET", "/metrics", entry_status_metrics },
+	{ "GET", "/v1/lookup", entry_lookup_handle, true },
+	{ "POST", "/v1/announce", entry_announce_handle, true },
+	{ "GET", "/v1/status", entry_status_handle, false },
+	{ "GET", "/v1/health", entry_status_health, false },
+	{ "GET", "/v1/answer", entry_claims_answer_handle, true },
+	{ "GET", "/metrics", entry_status_metrics, false },
 };
 
 #define CONTROL_ROUTES (sizeof(control_routes) / sizeof(control_routes[0]))
@@ -56,7 +57,8 @@
 	size_t i;
 
 	for (i = 0; i < CONTROL_ROUTES; i++) {
-		if (strcmp(control_routes[i].path, path))
+		if (strcmp(control_routes[i].path, path) ||
+		    (control_routes[i].owners && !in->entry->owner))
 			continue;
 		known = true;
 		if (strcmp(control_routes[i].method, method))
@@ -167,7 +169,8 @@
 	struct sockaddr_storage storage;
 	unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC;
 
-	if (entry_http_address(entry, settings->control_port, &storage, err))
+	if (entry_http_address(entry, settings->control_listen,
+			       settings->control_port, &storage, err))
 		return -1;
 	if (storage.ss_family == AF_INET6)
 		flags |= MHD_USE_IPv6;
--- a/entry-decide.h
+++ b/entry-decide.h
@@ -165,12 +165,22 @@
 			 usec_t now);
 
 /** entry_pick_fast - as entry_pick(), but no straggler and no probation. */
-entry_copy_t *entry_pick_fast(const entry_service_t *svc,
-			      const entry_call_t *call, usec_t now);
+entry_copy_t *entry_pick_fast(entry_service_t *svc, const entry_call_t *call,
+			      usec_t now);
 
 /** entry_pick_random - the next pseudo-random number below @bound. */
 unsigned entry_pick_random(entry_service_t *svc, unsigned bound);
 
+/* entry-report.c: what copies told of themselves. */
+
+/** entry_report_slowness - expected time of work now, of the usual. */
+double entry_report_slowness(const entry_service_t *svc,
+			     const entry_copy_t *copy, usec_t now);
+
+/** entry_report_cost - how costly one more call there is expected to be. */
+double entry_report_cost(const entry_service_t *svc, const entry_copy_t *copy,
+			 usec_t now);
+
 /* entry-retry.c: the budget of second sends. */
 
 struct entry_retry *entry_retry_new(void);
@@ -180,6 +190,9 @@
 void entry_retry_earn(struct entry_retry *retry,
 		      const config_profile_t *profile, usec_t now);
 
+/** entry_retry_share - bound the budget by this entry's share of another. */
+void entry_retry_share(struct entry_retry *retry, double ratio, double slack);
+
 /** entry_retry_allowed - whether a failed send may be repeated by rule. */
 bool entry_retry_allowed(const config_profile_t *profile,
 			 const entry_call_t *call, entry_result_t result);
@@ -187,4 +200,8 @@
 /** entry_retry_spend - take one send from the budget; false if empty. */
 bool entry_retry_spend(struct entry_retry *retry);
 
+/** entry_retry_free_of_charge - a send that cost no copy anything. */
+bool entry_retry_free_of_charge(const struct entry_retry *retry,
+				entry_result_t result);
+
 #endif
--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -86,7 +86,8 @@
 	case ENTRY_WAIT:
 		entry_dispatch_expire(route, now);
 		entry_dispatch_next(route, now);
-		owner_kick(req->entry->owner);
+		if (req->entry->owner)
+			owner_kick(req->entry->owner);
 		entry_tick_soon(req->entry, now);
 		break;
 	default:
--- a/entry-head.c
+++ b/entry-head.c
@@ -9,6 +9,7 @@
 #define HEAD_DEADLINE_MAX_MS 600000
 #define HTTP_BAD_REQUEST 400
 #define HTTP_FORBIDDEN 403
+#define HTTP_NOT_FOUND 404
 #define HTTP_UNAVAILABLE 503
 
 /* What a walk over the headers of a call gathers. */
@@ -43,6 +44,13 @@
 	"Hemlock-No-Retry",
 };
 
+/* The interface's own headers that are set anew for each send. */
+static bool head_is_interface(const headers_t *names, const char *name)
+{
+	return (names->deadline_ms && !strcasecmp(names->deadline_ms, name)) ||
+	       (names->copy && !strcasecmp(names->copy, name));
+}
+
 static bool head_is_dropped(const char *name)
 {
 	size_t i;
@@ -169,11 +177,34 @@
 		head_read_framing(head, name, value);
 }
 
+/* Headers that an interface of others has. */
+static bool head_read_interface(head_t *head, const char *name,
+				const char *value)
+{
+	entry_request_t *req = head->req;
+	const headers_t *names = req->entry->settings.headers;
+
+	if (names->own)
+		return false;
+	if (!strcasecmp(name, names->deadline_ms)) {
+		head_read_deadline(head, value);
+		return true;
+	}
+	if (strcasecmp(name, names->call_id))
+		return false;
+	if (strlen(value) >= sizeof(req->call_id))
+		head->bad = "call-id";
+	else
+		strcpy(req->call_id, value);
+	return true;
+}
+
 static enum MHD_Result head_read(void *context, enum MHD_ValueKind kind,
 				 const char *name, const char *value)
 {
 	(void)kind;
-	head_read_own(context, name, value ? value : "");
+	if (!head_read_interface(context, name, value ? value : ""))
+		head_read_own(context, name, value ? value : "");
 	return MHD_YES;
 }
 
@@ -196,6 +227,7 @@
 
 	(void)kind;
 	if (head_is_dropped(name) ||
+	    head_is_interface(head->req->entry->settings.headers, name) ||
 	    entry_http_list_holds(head->connection, name))
 		return MHD_YES;
 	/* A header without a value is written with a semicolon for libcurl. */
@@ -241,6 +273,46 @@
 	return 0;
 }
 
+/* By host and path, with entry.routed. */
+static int head_find_rule(head_t *head, entry_rule_t *rule, hl_error_t *err)
+{
+	entry_request_t *req = head->req;
+	char service[HL_NAME_MAX];
+
+	if (!head->host)
+		return hl_error_set(err, HL_ERR_PROTOCOL, "no Host");
+	if (!entry_target_match(req->entry, head->host, req->target, rule,
+				service, req->rule))
+		return hl_error_set(err, HL_ERR_NOT_FOUND, "no route");
+	req->route = entry_route_make(req->entry, service);
+	if (!req->route)
+		return hl_error_set(err, HL_ERR_NOMEM, "no memory");
+	return 0;
+}
+
+/* What a route says of its calls. */
+static void head_set_rule(head_t *head, const entry_rule_t *rule, usec_t now)
+{
+	entry_request_t *req = head->req;
+	entry_call_t *call = &req->call;
+	usec_t left = rule->timeout;
+
+	if (head->deadline_ms && head->deadline_ms * USEC_PER_MS < left)
+		left = head->deadline_ms * USEC_PER_MS;
+	strcpy(call->tenant, "none");
+	strcpy(req->tenant, "none");
+	strcpy(req->class_name, req->rule);
+	call->priority = rule->priority;
+	call->idempotent = rule->idempotent;
+	call->attempts_max = rule->attempts_max;
+	call->objective = rule->objective;
+	call->arrived = now;
+	call->deadline = now + left;
+	req->caller_deadline = call->deadline;
+	if (head->deadline_ms)
+		req->caller_deadline = now + head->deadline_ms * USEC_PER_MS;
+}
+
 static bool head_is_idempotent(const char *method, bool post)
 {
 	static const char *const always[] = { "GET", "HEAD",   "OPTIONS",
@@ -329,10 +401,49 @@
 	return -1;
 }
 
+static int head_refuse_route(entry_request_t *req, hl_error_kind_t kind)
+{
+	switch (kind) {
+	case HL_ERR_PROTOCOL:
+		return head_refuse(req, HTTP_BAD_REQUEST, "request");
+	case HL_ERR_NOT_FOUND:
+		return head_refuse(req, HTTP_NOT_FOUND, "service");
+	default:
+		return head_refuse(req, HTTP_UNAVAILABLE, "memory");
+	}
+}
+
+/* Find where the call goes and what its deadline is. */
+static int head_route(head_t *head)
+{
+	entry_request_t *req = head->req;
+	entry_rule_t rule;
+	hl_error_t err;
+
+	if (req->entry->settings.routed) {
+		if (head_find_rule(head, &rule, &err))
+			return head_refuse_route(req, err.kind);
+		head_set_rule(head, &rule, req->call.arrived);
+		return 0;
+	}
+	if (head_find_route(head, &err))
+		return head_refuse_route(req, err.kind);
+	if (!head_read_hop(head))
+		return head_refuse(req, HTTP_FORBIDDEN, "hop");
+	head_set_call(head, req->call.arrived);
+	return 0;
+}
+
+/* No configuration is in force yet. */
+static bool head_too_early(entry_t *entry)
+{
+	return !entry_config_ready(entry) ||
+	       (entry->settings.routed && !entry_target_routed(entry));
+}
+
 int entry_http_head(entry_request_t *req, const char *method)
 {
 	head_t head = { .req = req };
-	hl_error_t err;
 	const char *bad;
 
 	req->method = strdup(method);
@@ -342,22 +453,17 @@
 	bad = head_check(&head);
 	if (bad)
 		return head_refuse(req, HTTP_BAD_REQUEST, "request");
-	if (!entry_config_ready(req->entry)) {
+	if (head_too_early(req->entry)) {
 		entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN,
 				   "starting", USEC_PER_SEC);
 		return -1;
 	}
-	if (head_find_route(&head, &err))
-		return head_refuse(req, err.kind == HL_ERR_PROTOCOL ? 400 : 404,
-				   err.kind == HL_ERR_PROTOCOL ? "request" :
-								 "service");
-	if (!head_read_hop(&head))
-		return head_refuse(req, HTTP_FORBIDDEN, "hop");
+	if (head_route(&head))
+		return -1;
 	MHD_get_connection_values(req->connection, MHD_HEADER_KIND, head_keep,
 				  &head);
 	head_suppress(&head);
 	if (head.bad)
 		return head_refuse(req, HTTP_BAD_REQUEST, "request");
-	head_set_call(&head, req->call.arrived);
 	return 0;
 }
--- a/entry-hedge.c
+++ b/entry-hedge.c
@@ -17,6 +17,9 @@
 			return -1;
 		twin->headers = list;
 	}
+	memcpy(twin->call_id, first->call_id, sizeof(twin->call_id));
+	memcpy(twin->rule, first->rule, sizeof(twin->rule));
+	twin->caller_deadline = first->caller_deadline;
 	twin->method = strdup(first->method);
 	if (!twin->method)
 		return -1;
@@ -96,9 +99,12 @@
 
 usec_t entry_hedge_due(const entry_request_t *req)
 {
-	usec_t after = req->route->service.profile->hedge_after_ms;
+	usec_t after = req->route->service.profile->hedge_after_ms *
+		       USEC_PER_MS;
 
-	return after ? req->call.sent + after * USEC_PER_MS : INT64_MAX;
+	if (req->call.hedge_after)
+		after = req->call.hedge_after;
+	return after ? req->call.sent + after : INT64_MAX;
 }
 
 usec_t entry_hedge_route(entry_route_t *route, usec_t now)
--- a/entry-http.c
+++ b/entry-http.c
@@ -64,11 +64,13 @@
 		return;
 	req->dispatched = true;
 	entry_watch_add(req->entry->watch, req, entry_http_fd(req->connection));
-	if (*req->key && !req->call.idempotent && !*req->hop) {
+	if (req->entry->claims && *req->key && !req->call.idempotent &&
+	    !*req->hop) {
 		entry_claims_start(req, time_now());
 		return;
 	}
-	entry_forward_choose(req);
+	if (req->entry->owner)
+		entry_forward_choose(req);
 	entry_dispatch_arrive(req, time_now());
 }
 
@@ -173,13 +175,15 @@
 	entry_request_unref(req);
 }
 
-int entry_http_address(const entry_t *entry, int64_t port,
+int entry_http_address(const entry_t *entry, const char *listen, int64_t port,
 		       struct sockaddr_storage *storage, hl_error_t *err)
 {
 	char text[HL_ADDRESS_MAX + 16];
 	unsigned length;
 
-	if (strchr(entry->settings.address, ':'))
+	if (*listen)
+		snprintf(text, sizeof(text), "%s", listen);
+	else if (strchr(entry->settings.address, ':'))
 		snprintf(text, sizeof(text), "[%s]:%" PRId64,
 			 entry->settings.address, port);
 	else
@@ -207,7 +211,8 @@
 
 	if (threads < 2)
 		pool[0].option = MHD_OPTION_END;
-	if (entry_http_address(entry, settings->call_port, &storage, err))
+	if (entry_http_address(entry, settings->call_listen,
+			       settings->call_port, &storage, err))
 		return -1;
 	if (storage.ss_family == AF_INET6)
 		flags |= MHD_USE_IPv6;
--- a/entry-http.h
+++ b/entry-http.h
@@ -44,8 +44,11 @@
 /** entry_http_respond - queue the published answer for the caller. */
 enum MHD_Result entry_http_respond(entry_request_t *req);
 
-/** entry_http_address - a listening address of this entry. */
-int entry_http_address(const entry_t *entry, int64_t port,
+/**
+ * entry_http_address - a listening address of this entry.
+ * @listen: "ip:port", or "" for the entry's address and @port
+ */
+int entry_http_address(const entry_t *entry, const char *listen, int64_t port,
 		       struct sockaddr_storage *storage, hl_error_t *err);
 
 #endif
--- a/entry-io.h
+++ b/entry-io.h
@@ -6,10 +6,13 @@
 #include <microhttpd.h>
 #include <urcu/list.h>
 #include "config-follow.h"
+#include "entry-rules.h"
 #include "entry.h"
+#include "headers.h"
 #include "member.h"
 #include "metrics.h"
 #include "owner.h"
+#include "presence.h"
 #include "toml.h"
 
 /*
@@ -60,6 +63,17 @@
 	int64_t rpc_port;
 	int64_t peer_port;
 	char peer_bind[HL_ADDRESS_MAX]; /* "": address and peer_port */
+	char interface[HL_NAME_MAX];
+	const headers_t *headers; /* of that interface */
+	bool routed; /* calls by routes; routes and copies from keepers */
+	char call_listen[HL_ADDRESS_MAX];    /* "": address and call_port */
+	char control_listen[HL_ADDRESS_MAX]; /* "": address, control_port */
+	int64_t connect_ms;
+	int64_t spares;		   /* connections opened ahead */
+	double retry_ratio;	   /* used if retry_slack is not 0 */
+	int64_t retry_slack;	   /* sends of one service over all entries */
+	int64_t beat_ms;	   /* between datagrams to the keepers */
+	char cluster[HL_NAME_MAX]; /* name that all its keepers share */
 	int64_t http_threads;
 	int64_t workers_max;
 	int64_t connections_max;
@@ -128,8 +142,10 @@
 /** entry_place_put - give a link back; @keep is false after a failure. */
 void entry_place_put(entry_place_t *place, entry_link_t *link, bool keep);
 
-/** entry_place_spare - open sockets ahead, without waiting. */
-void entry_place_spare(entry_place_t *place);
+/** entry_place_spare - open sockets ahead, without waiting.
+ * @count: so many are to be there, ENTRY_SPARES_MAX at most
+ */
+void entry_place_spare(entry_place_t *place, unsigned count);
 
 /** struct entry_buffer_t - bytes, added at the end and read from the front. */
 typedef struct {
@@ -190,8 +206,11 @@
 	char *method;
 	char tenant[HL_NAME_MAX];
 	char class_name[HL_NAME_MAX];
-	char hop[HL_NAME_MAX]; /* entry that handed it over, or "" */
-	char key[256];	       /* Idempotency-Key, or "" */
+	char hop[HL_NAME_MAX];	   /* entry that handed it over, or "" */
+	char key[256];		   /* Idempotency-Key, or "" */
+	char call_id[HL_NAME_MAX]; /* the caller's name of this attempt */
+	char rule[HL_NAME_MAX];	   /* route of the configuration, or "" */
+	usec_t caller_deadline;	   /* until when the caller waits */
 	struct curl_slist *headers;
 	bool has_body;
 	int64_t body_length;	   /* -1: chunked */
@@ -375,7 +394,11 @@
 	uint64_t *lend_header_bytes; /* of offers that ride on calls */
 	member_t *member;
 	struct entry_claims *claims;
-	config_follow_t *follow; /* NULL without keepers */
+	config_follow_t *follow;    /* NULL without keepers */
+	presence_tell_t *presence;  /* with entry.routed */
+	pthread_mutex_t rules_lock; /* of the next two */
+	entry_rules_t *rules;	    /* NULL until there are some */
+	uint64_t rules_revision;
 	char call_address[HL_ADDRESS_MAX];
 	pthread_mutex_t tick_lock;
 	pthread_cond_t tick_wake;
@@ -434,7 +457,10 @@
 void entry_hedge_take(entry_request_t *req, entry_request_t *twin,
 		      entry_result_t result);
 
-/** entry_config_new - follow the keepers, if the settings name any. */
+/**
+ * entry_config_new - follow the keepers, if the settings name any.
+ * @self: in the tree of entries; NULL for one that asks keepers itself
+ */
 int entry_config_new(entry_t *entry, const owner_member_t *self,
 		     hl_error_t *err);
 
@@ -462,6 +488,25 @@
  */
 entry_decision_t entry_probe_choose(entry_request_t *req);
 
+/** entry_target_new - with entry.routed: tell the keepers of this entry. */
+int entry_target_new(entry_t *entry, hl_error_t *err);
+
+/** entry_target_changed - take routes and copies over from a configuration. */
+void entry_target_changed(entry_t *entry, const config_t *config, usec_t now);
+
+/** entry_target_routed - are there routes in force? */
+bool entry_target_routed(entry_t *entry);
+
+/**
+ * entry_target_match - the route of a call, and the part that it goes to.
+ * @rule: filled in; its strings are @service and @name
+ *
+ * There are routes in force. Return: false if none is for the call.
+ */
+bool entry_target_match(entry_t *entry, const char *host, const char *target,
+			entry_rule_t *rule, char service[HL_NAME_MAX],
+			char name[HL_NAME_MAX]);
+
 /** entry_tick_init - before any thread that may kick. */
 void entry_tick_init(entry_t *entry);
 
--- a/entry-main.c
+++ b/entry-main.c
@@ -31,21 +31,35 @@
 		  (int)settings.log_level, keys_count(entry->keys));
 }
 
+/* Those that speak to other entries, or to the keepers in their place. */
+static int main_add_peers(entry_t *entry, supervisor_t *sup, hl_error_t *err)
+{
+	supervisor_child_t presence;
+	supervisor_child_t member;
+	supervisor_child_t owner;
+
+	if (entry->presence) {
+		presence = presence_tell_child(entry->presence);
+		return supervisor_add(sup, &presence, err);
+	}
+	member = member_child(entry->member);
+	owner = owner_child(entry->owner);
+	if (supervisor_add(sup, &member, err))
+		return -1;
+	return supervisor_add(sup, &owner, err);
+}
+
 static int main_add_children(entry_t *entry, supervisor_t *sup, hl_error_t *err)
 {
 	supervisor_child_t signals = signals_child(&entry->signals);
 	supervisor_child_t watch = entry_watch_child(entry->watch);
-	supervisor_child_t member = member_child(entry->member);
-	supervisor_child_t owner = owner_child(entry->owner);
 	supervisor_child_t tick = entry_tick_child(entry);
 
 	entry->signals.supervisor = sup;
 	entry->signals.reload = main_reload;
 	entry->signals.context = entry;
 	if (supervisor_add(sup, &signals, err) ||
-	    supervisor_add(sup, &watch, err) ||
-	    supervisor_add(sup, &member, err) ||
-	    supervisor_add(sup, &owner, err))
+	    supervisor_add(sup, &watch, err) || main_add_peers(entry, sup, err))
 		return -1;
 	if (entry->follow) {
 		supervisor_child_t follow = config_follow_child(entry->follow);
@@ -108,6 +122,22 @@
 	return entry->claims ? 0 : -1;
 }
 
+/* With entry.routed: no entry owns copies, and keepers know them all. */
+static int main_new_routed(entry_t *entry, hl_error_t *err)
+{
+	const entry_settings_t *settings = &entry->settings;
+
+	config_follow_ports(&entry->settings.follow);
+	if (*settings->call_listen)
+		strcpy(entry->call_address, settings->call_listen);
+	else
+		main_address(entry->call_address, settings,
+			     settings->call_port);
+	if (entry_config_new(entry, NULL, err))
+		return -1;
+	return entry_target_new(entry, err);
+}
+
 static void main_linger(const entry_t *entry)
 {
 	usec_t ms = entry->settings.linger_ms;
@@ -136,8 +166,12 @@
 	log_event(LOG_LEVEL_NOTICE, "stopping", "in_flight=%u linger_ms=%d",
 		  __atomic_load_n(&entry->in_flight, __ATOMIC_ACQUIRE),
 		  (int)entry->settings.linger_ms);
-	owner_leave(entry->owner);
-	member_leave(entry->member);
+	if (entry->presence) {
+		presence_tell_now(entry->presence);
+	} else {
+		owner_leave(entry->owner);
+		member_leave(entry->member);
+	}
 	main_linger(entry);
 out:
 	entry_http_stop(entry);
@@ -155,6 +189,7 @@
 	int rc = -1;
 
 	pthread_mutex_init(&entry.routes_lock, NULL);
+	pthread_mutex_init(&entry.rules_lock, NULL);
 	CDS_INIT_LIST_HEAD(&entry.routes);
 	entry_tick_init(&entry);
 	entry.routes_by_name = g_hash_table_new(g_str_hash, g_str_equal);
@@ -174,7 +209,9 @@
 	entry.lend_header_bytes = metrics_counter(
 		entry.metrics, "hemlock_lend_header_bytes_total", "",
 		"Bytes of lending in the heads of handed-over calls.");
-	if (main_new_keys(&entry, err) || main_new_member(&entry, err))
+	if (main_new_keys(&entry, err) ||
+	    (settings->routed ? main_new_routed(&entry, err) :
+				main_new_member(&entry, err)))
 		goto out;
 	rc = main_serve(&entry, sup, err);
 	log_event(LOG_LEVEL_NOTICE, "stopped", "result=%d", rc);
@@ -185,6 +222,8 @@
 	entry_slow_free(entry.slow);
 	entry_claims_free(entry.claims);
 	config_follow_free(entry.follow);
+	presence_tell_free(entry.presence);
+	entry_rules_free(entry.rules);
 	owner_free(entry.owner);
 	member_free(entry.member);
 	keys_free(entry.keys);
@@ -192,6 +231,7 @@
 	g_hash_table_destroy(entry.routes_by_name);
 	entry_forward_free(entry.forward);
 	metrics_free(entry.metrics);
+	pthread_mutex_destroy(&entry.rules_lock);
 	pthread_mutex_destroy(&entry.routes_lock);
 	curl_global_cleanup();
 	return rc;
--- a/entry-names.c
+++ b/entry-names.c
@@ -41,6 +41,7 @@
 		[ENTRY_POLICY_RANDOM] = "random",
 		[ENTRY_POLICY_LEAST] = "least",
 		[ENTRY_POLICY_TWO_CHOICES] = "two-choices",
+		[ENTRY_POLICY_REPORTS] = "reports",
 	};
 	size_t i;
 
--- a/entry-owner.c
+++ b/entry-owner.c
@@ -228,6 +228,9 @@
 		return true;
 	pthread_mutex_lock(&route->lock);
 	may = now < req->call.copy->lease_until;
+	/* Without leases a copy that drains gets nothing at once. */
+	if (req->entry->settings.routed && req->call.copy->draining)
+		may = false;
 	pthread_mutex_unlock(&route->lock);
 	return may;
 }
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -1,3 +1,4 @@
+#include <string.h>
 #include "entry-decide.h"
 
 /* Share of a straggler's extra time that the queue must be long for. */
@@ -47,12 +48,88 @@
 	return entry_health_time(svc, a, now) < entry_health_time(svc, b, now);
 }
 
-entry_copy_t *entry_pick_fast(const entry_service_t *svc,
-			      const entry_call_t *call, usec_t now)
+/* Whether a copy may get a call by what it reports. */
+static bool pick_reports_open(const entry_service_t *svc,
+			      const entry_call_t *call,
+			      const entry_copy_t *copy, usec_t now)
+{
+	return !copy->draining && copy->limit > 0 && !copy->health->ejected &&
+	       now >= copy->health->paused_until &&
+	       copy->outstanding < copy->limit && !pick_avoids(svc, call, copy);
+}
+
+static bool pick_near(const entry_service_t *svc, const entry_copy_t *copy)
+{
+	return !*svc->zone || !strcmp(svc->zone, copy->zone);
+}
+
+/* The least costly copy of the zone, or of the others; ties by chance. */
+static entry_copy_t *pick_least_cost(entry_service_t *svc,
+				     const entry_call_t *call, bool near,
+				     usec_t now)
+{
+	entry_copy_t *best = NULL;
+	entry_copy_t *copy = NULL;
+	unsigned ties = 1;
+	double least = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		double cost;
+
+		if (pick_near(svc, copy) != near ||
+		    !pick_reports_open(svc, call, copy, now))
+			continue;
+		cost = entry_report_cost(svc, copy, now);
+		if (best && cost > least)
+			continue;
+		ties = best && cost >= least ? ties + 1 : 1;
+		if (ties > 1 && entry_pick_random(svc, ties) != 0)
+			continue;
+		best = copy;
+		least = cost;
+	}
+	return best;
+}
+
+/* A copy of the zone that is due for a call to show that it has recovered. */
+static entry_copy_t *pick_reports_probation(const entry_service_t *svc,
+					    const entry_call_t *call,
+					    usec_t now)
+{
+	entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (copy->health->ejected && pick_near(svc, copy) &&
+		    !copy->draining && copy->limit > 0 &&
+		    !pick_avoids(svc, call, copy) &&
+		    entry_health_probation(copy, call, now))
+			return copy;
+	return NULL;
+}
+
+static entry_copy_t *pick_reports(entry_service_t *svc,
+				  const entry_call_t *call, usec_t now)
+{
+	entry_copy_t *copy = NULL;
+
+	if (call->attempts == 0)
+		copy = pick_reports_probation(svc, call, now);
+	if (!copy)
+		copy = pick_least_cost(svc, call, true, now);
+	if (!copy)
+		copy = pick_least_cost(svc, call, false, now);
+	return copy;
+}
+
+entry_copy_t *entry_pick_fast(entry_service_t *svc, const entry_call_t *call,
+			      usec_t now)
 {
 	entry_copy_t *best = NULL;
 	entry_copy_t *copy = NULL;
 
+	if (svc->policy == ENTRY_POLICY_REPORTS)
+		return pick_least_cost(svc, call, true, now);
+
 	cds_list_for_each_entry (copy, &svc->copies, link) {
 		if (copy->health->ejected || !pick_open(svc, call, copy, now) ||
 		    entry_health_slow(svc, copy, now))
@@ -110,8 +187,8 @@
 	return best;
 }
 
-static entry_copy_t *pick_owner(const entry_service_t *svc,
-				const entry_call_t *call, usec_t now)
+static entry_copy_t *pick_owner(entry_service_t *svc, const entry_call_t *call,
+				usec_t now)
 {
 	entry_copy_t *copy = pick_probation(svc, call, now);
 
@@ -211,6 +288,8 @@
 		return pick_least(svc);
 	case ENTRY_POLICY_TWO_CHOICES:
 		return pick_two(svc);
+	case ENTRY_POLICY_REPORTS:
+		return pick_reports(svc, call, now);
 	case ENTRY_POLICY_OWNER:
 		break;
 	}
--- a/entry-place.c
+++ b/entry-place.c
@@ -171,10 +171,10 @@
 	return fd;
 }
 
-void entry_place_spare(entry_place_t *place)
+void entry_place_spare(entry_place_t *place, unsigned count)
 {
 	pthread_mutex_lock(&place->lock);
-	while (place->spare_count < ENTRY_SPARES_MAX) {
+	while (place->spare_count < count) {
 		int fd = place_connect(place->address);
 
 		if (fd < 0)
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -2,9 +2,10 @@
 #include <string.h>
 #include "entry-transfer.h"
 
-#define RELAY_CONNECT_MS 1000L
-#define RELAY_HEADER_MAX 96
+#define RELAY_HEADER_MAX (2 * HL_NAME_MAX)
 #define RELAY_HOP_MAX (sizeof("Hemlock-Hop: ") + KEYS_HOP_MAX)
+/* When a caller may come back whose call no copy took. */
+#define RELAY_RETRY_AFTER USEC_PER_SEC
 #define HTTP_CONFLICT 409
 #define HTTP_BAD_GATEWAY 502
 #define HTTP_UNAVAILABLE 503
@@ -54,7 +55,8 @@
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, RELAY_CONNECT_MS);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)req->entry->settings.connect_ms);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, entry_transfer_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
@@ -98,6 +100,13 @@
 	return gone;
 }
 
+/* An answer that belongs to another call, or that no copy made. */
+static bool relay_is_foreign(const entry_transfer_t *transfer)
+{
+	return transfer->head_whole && !entry_transfer_is_shed(transfer) &&
+	       !entry_transfer_belongs(transfer);
+}
+
 /* Drive the transfer until it ends, the deadline passes or the caller goes. */
 static void relay_drive(entry_transfer_t *transfer)
 {
@@ -115,7 +124,8 @@
 		now = time_now();
 		transfer->gone = relay_caller_gone(transfer->req);
 		transfer->expired = now >= transfer->req->call.deadline;
-		if (transfer->gone || transfer->expired)
+		if (transfer->gone || transfer->expired ||
+		    relay_is_foreign(transfer))
 			return;
 		entry_transfer_publish_slow(transfer, now);
 		curl_multi_poll(multi, NULL, 0, relay_poll_ms(transfer, now),
@@ -135,7 +145,8 @@
 
 static entry_result_t relay_result(const entry_transfer_t *transfer)
 {
-	bool whole = transfer->code == CURLE_OK && transfer->head_whole;
+	bool whole = transfer->code == CURLE_OK && transfer->head_whole &&
+		     !relay_is_foreign(transfer);
 
 	if (transfer->gone || (!whole && relay_caller_gone(transfer->req)))
 		return ENTRY_RESULT_CANCEL;
@@ -214,6 +225,83 @@
 	return list;
 }
 
+/* Headers of one send, in front of those that the caller sent. */
+typedef struct {
+	char deadline[RELAY_HEADER_MAX];
+	char hop[RELAY_HOP_MAX];
+	char queue[RELAY_HEADER_MAX];
+	char no_retry[sizeof("Hemlock-No-Retry: 1")];
+	char copy[RELAY_HEADER_MAX];
+	struct curl_slist nodes[5];
+} relay_head_t;
+
+static struct curl_slist *relay_push(relay_head_t *head, unsigned at,
+				     char *line, struct curl_slist *next)
+{
+	head->nodes[at].data = line;
+	head->nodes[at].next = next;
+	return &head->nodes[at];
+}
+
+/* To a copy under the interface of others. */
+static struct curl_slist *relay_head_plain(entry_request_t *req,
+					   relay_head_t *head,
+					   struct curl_slist *list)
+{
+	const char *name = req->entry->settings.headers->copy;
+
+	if (!name)
+		return list;
+	snprintf(head->copy, sizeof(head->copy), "%s: %s", name,
+		 req->call.copy->name);
+	return relay_push(head, 1, head->copy, list);
+}
+
+/* To a copy or a sibling under our own. */
+static struct curl_slist *relay_head_own(entry_request_t *req,
+					 relay_head_t *head,
+					 struct curl_slist *list)
+{
+	struct curl_slist *told;
+
+	relay_write_hop(req, head->hop, sizeof(head->hop));
+	if (req->forward)
+		list = relay_push(head, 1, head->hop, list);
+	told = relay_push(head, 2, head->queue, list);
+	list = relay_tell_queue(req, told);
+	strcpy(head->no_retry, "Hemlock-No-Retry: 1");
+	if (relay_marks(req))
+		list = relay_push(head, 3, head->no_retry, list);
+	return list;
+}
+
+static struct curl_slist *relay_head(entry_request_t *req, relay_head_t *head,
+				     usec_t left)
+{
+	const headers_t *names = req->entry->settings.headers;
+	struct curl_slist *list;
+
+	snprintf(head->deadline, sizeof(head->deadline), "%s: %" PRId64,
+		 names->deadline_ms, (left + USEC_PER_MS - 1) / USEC_PER_MS);
+	list = relay_push(head, 0, head->deadline, req->headers);
+	return names->own ? relay_head_own(req, head, list) :
+			    relay_head_plain(req, head, list);
+}
+
+/* The answer told how its copy is. */
+static void relay_learn_load(entry_transfer_t *transfer)
+{
+	entry_request_t *req = transfer->req;
+	entry_route_t *route = req->route;
+
+	if (!transfer->has_load || req->forward)
+		return;
+	pthread_mutex_lock(&route->lock);
+	entry_service_report(&route->service, req->call.copy, &transfer->load,
+			     time_now());
+	pthread_mutex_unlock(&route->lock);
+}
+
 /* Send once over @place; the answer stands in the request afterwards. */
 static entry_result_t relay_send_once(entry_transfer_t *transfer)
 {
@@ -221,15 +309,8 @@
 	bool fresh = !req->call.idempotent;
 	usec_t left = req->call.deadline - time_now();
 	char url[HL_ADDRESS_MAX + sizeof("http:///")];
-	char text[RELAY_HEADER_MAX];
-	char hop[RELAY_HOP_MAX];
-	char queue[RELAY_HEADER_MAX];
-	char no_retry[] = "Hemlock-No-Retry: 1";
-	struct curl_slist deadline = { text, req->headers };
-	struct curl_slist from = { hop, &deadline };
-	struct curl_slist *headers = req->forward ? &from : &deadline;
-	struct curl_slist told = { queue, headers };
-	struct curl_slist mark = { no_retry, headers };
+	struct curl_slist *headers;
+	relay_head_t head;
 	CURL *easy;
 
 	if (left <= 0)
@@ -241,11 +322,7 @@
 		return ENTRY_RESULT_CONNECT;
 	easy = transfer->link->easy;
 	snprintf(url, sizeof(url), "http://%s/", transfer->place->address);
-	snprintf(text, sizeof(text), "Hemlock-Deadline-Ms: %" PRId64,
-		 (left + USEC_PER_MS - 1) / USEC_PER_MS);
-	relay_write_hop(req, hop, sizeof(hop));
-	mark.next = relay_tell_queue(req, &told);
-	headers = relay_marks(req) ? &mark : mark.next;
+	headers = relay_head(req, &head, left);
 	relay_set_options(transfer, url, headers, fresh);
 	relay_set_active(req, transfer->link);
 	curl_multi_add_handle(transfer->link->multi, easy);
@@ -256,9 +333,12 @@
 		relay_learn_connect(req, easy);
 	curl_multi_remove_handle(transfer->link->multi, easy);
 	entry_place_put(transfer->place, transfer->link,
-			transfer->code == CURLE_OK && transfer->head_whole);
+			transfer->code == CURLE_OK && transfer->head_whole &&
+				!relay_is_foreign(transfer));
 	if (fresh)
-		entry_place_spare(transfer->place);
+		entry_place_spare(transfer->place,
+				  (unsigned)req->entry->settings.spares);
+	relay_learn_load(transfer);
 	return relay_result(transfer);
 }
 
@@ -296,7 +376,7 @@
 				   "deadline", 0);
 	else if (!sent)
 		entry_request_fail(req, HTTP_UNAVAILABLE, outcome, "connect",
-				   USEC_PER_SEC);
+				   RELAY_RETRY_AFTER);
 	else
 		entry_request_fail(req, HTTP_BAD_GATEWAY, outcome, "cut", 0);
 }
@@ -309,7 +389,11 @@
 
 	if (result == ENTRY_RESULT_SHED)
 		relay_set_outcome(req, relay_over_all(req, ENTRY_NOT_RUN));
-	if (whole)
+	if (result == ENTRY_RESULT_SHED && !req->entry->settings.headers->own)
+		entry_request_fail(req, HTTP_UNAVAILABLE,
+				   relay_over_all(req, ENTRY_NOT_RUN), "shed",
+				   RELAY_RETRY_AFTER);
+	else if (whole)
 		entry_request_end(req, false);
 	else if (req->answer.published)
 		entry_request_end(req, true);
@@ -334,6 +418,19 @@
 	return false;
 }
 
+/* Where it goes, with a reference: a copy may move meanwhile. */
+static entry_place_t *relay_place(entry_request_t *req)
+{
+	entry_place_t *place = req->forward;
+
+	pthread_mutex_lock(&req->route->lock);
+	if (!place)
+		place = req->call.copy->io;
+	entry_place_ref(place);
+	pthread_mutex_unlock(&req->route->lock);
+	return place;
+}
+
 void entry_relay_send(entry_request_t *req)
 {
 	entry_transfer_t transfer = { .req = req };
@@ -345,8 +442,9 @@
 		entry_dispatch_end(req, ENTRY_RESULT_CONNECT, time_now());
 		return;
 	}
-	transfer.place = req->forward ? req->forward : req->call.copy->io;
+	transfer.place = relay_place(req);
 	result = relay_send_once(&transfer);
+	entry_place_unref(transfer.place);
 	if (transfer.head_whole)
 		relay_set_outcome(req, entry_transfer_outcome(&transfer));
 	entry_dispatch_end(req, result, time_now());
--- /dev/null
+++ b/entry-report.c
@@ -0,0 +1,73 @@
+#include <math.h>
+#include "entry-decide.h"
+
+/*
+ * Copies whose speed changes many times a second because they share machines
+ * with others. Each answer and each probe tells how slow its copy is at that
+ * moment and how many calls it holds; what it told is worth less with every
+ * millisecond, and in the end a copy counts as any other of its service.
+ */
+
+/* What is told of slowness loses its worth in this time. */
+#define REPORT_SPEED_SPAN (90.0 * USEC_PER_MS)
+/* The same of the calls that other entries have at a copy. */
+#define REPORT_CALLS_SPAN (250.0 * USEC_PER_MS)
+/* Weight of a new report in the service's mean slowness. */
+#define REPORT_MEAN_WEIGHT 0.05
+/* Cost of a call that fills a copy up, in calls of usual speed. */
+#define REPORT_FILL_COST 0.25
+/* How much slower a copy is that has just started. */
+#define REPORT_COLD_COST 2.0
+
+/* What is left of a report of this age. */
+static double report_worth(usec_t age, double span)
+{
+	return exp(-(double)age / span);
+}
+
+void entry_service_report(entry_service_t *svc, entry_copy_t *copy,
+			  const load_t *load, usec_t now)
+{
+	double slowness = (double)load->slowness / LOAD_USUAL;
+	unsigned held = load->running + load->waiting;
+
+	copy->report.slowness = slowness;
+	copy->report.others = held > copy->outstanding ?
+				      held - copy->outstanding :
+				      0;
+	copy->report.at = now;
+	if (svc->slowness <= 0)
+		svc->slowness = 1;
+	svc->slowness += REPORT_MEAN_WEIGHT * (slowness - svc->slowness);
+}
+
+double entry_report_slowness(const entry_service_t *svc,
+			     const entry_copy_t *copy, usec_t now)
+{
+	double usual = svc->slowness > 0 ? svc->slowness : 1;
+	double worth;
+
+	if (!copy->report.at)
+		return usual;
+	worth = report_worth(now - copy->report.at, REPORT_SPEED_SPAN);
+	return usual + worth * (copy->report.slowness - usual);
+}
+
+double entry_report_cost(const entry_service_t *svc, const entry_copy_t *copy,
+			 usec_t now)
+{
+	double slots = entry_credit_slots(copy);
+	double cost = entry_report_slowness(svc, copy, now);
+	double held = copy->outstanding;
+	double fill;
+
+	if (copy->report.at)
+		held += copy->report.others *
+			report_worth(now - copy->report.at, REPORT_CALLS_SPAN);
+	fill = held / slots;
+	if (held + 1 > slots)
+		cost *= 1 + (held + 1 - slots) / slots;
+	if (now < copy->cold_until)
+		cost *= REPORT_COLD_COST;
+	return cost * (1 + REPORT_FILL_COST * fill);
+}
--- a/entry-request.c
+++ b/entry-request.c
@@ -4,6 +4,10 @@
 #include <time.h>
 #include "entry-claim.h"
 
+#define HTTP_BAD_GATEWAY 502
+#define HTTP_UNAVAILABLE 503
+#define HTTP_GATEWAY_TIMEOUT 504
+
 static void request_headers_free(entry_answer_t *answer)
 {
 	entry_header_t *header;
@@ -100,6 +104,22 @@
 	pthread_mutex_unlock(&req->lock);
 }
 
+/*
+ * Without a header that tells the outcome the status has to: 503 means that
+ * the call has not run, 502 and 504 leave it open.
+ */
+static unsigned request_status(const entry_request_t *req, unsigned status,
+			       entry_outcome_t outcome)
+{
+	if (req->entry->settings.headers->own)
+		return status;
+	if (status == HTTP_UNAVAILABLE && outcome != ENTRY_NOT_RUN)
+		return HTTP_BAD_GATEWAY;
+	if (status == HTTP_GATEWAY_TIMEOUT && outcome == ENTRY_NOT_RUN)
+		return HTTP_UNAVAILABLE;
+	return status;
+}
+
 void entry_request_fail(entry_request_t *req, unsigned status,
 			entry_outcome_t outcome, const char *reason,
 			usec_t retry_after)
@@ -107,6 +127,7 @@
 	char text[160];
 	int length;
 
+	status = request_status(req, status, outcome);
 	length = snprintf(text, sizeof(text),
 			  "{\"outcome\": \"%s\", \"reason\": \"%s\"}\n",
 			  entry_outcome_name(outcome), reason);
--- a/entry-respond.c
+++ b/entry-respond.c
@@ -110,8 +110,33 @@
 		metrics_add(req->entry->lend_header_bytes,
 			    sizeof("Hemlock-Offer: \r\n") + strlen(text) - 1);
 	}
-	if (__atomic_load_n(&req->entry->stopping, __ATOMIC_ACQUIRE))
-		MHD_add_response_header(response, "Connection", "close");
+}
+
+/* An answer of ours under an interface of others. */
+static void respond_plain_headers(entry_request_t *req,
+				  struct MHD_Response *response)
+{
+	const headers_t *names = req->entry->settings.headers;
+	const entry_answer_t *answer = &req->answer;
+	char text[32];
+
+	if (!answer->reason)
+		return;
+	if (names->call_id && *req->call_id)
+		MHD_add_response_header(response, names->call_id, req->call_id);
+	if (answer->retry_after <= 0)
+		return;
+	snprintf(text, sizeof(text), "%.3f",
+		 (double)answer->retry_after / USEC_PER_SEC);
+	MHD_add_response_header(response, "Retry-After", text);
+}
+
+/* No further call of this connection is wanted, or it cannot be told apart
+ * from what is left of this one. */
+static bool respond_closes(const entry_request_t *req)
+{
+	return __atomic_load_n(&req->entry->stopping, __ATOMIC_ACQUIRE) ||
+	       req->answer.status == MHD_HTTP_BAD_REQUEST;
 }
 
 enum MHD_Result entry_http_respond(entry_request_t *req)
@@ -132,7 +157,12 @@
 					   header->name))
 			MHD_add_response_header(response, header->name,
 						header->value);
-	respond_own_headers(req, response);
+	if (req->entry->settings.headers->own)
+		respond_own_headers(req, response);
+	else
+		respond_plain_headers(req, response);
+	if (respond_closes(req))
+		MHD_add_response_header(response, "Connection", "close");
 	/* libmicrohttpd ends a chunked answer to HEAD with a last chunk. */
 	if (req->head_only && req->answer.length < 0)
 		MHD_set_response_options(response,
--- a/entry-retry.c
+++ b/entry-retry.c
@@ -7,9 +7,15 @@
 /* Sends a second that a service with few calls earns. */
 #define RETRY_FLOOR_RATE 1.0
 
+/* Sends of which no byte left, for one call. */
+#define RETRY_UNSENT_MAX 4
+
 struct entry_retry {
 	double sends;
 	usec_t earned; /* when the floor was last added */
+	bool shared;   /* bound by what follows, not by the profile */
+	double ratio;
+	double slack;
 };
 
 struct entry_retry *entry_retry_new(void)
@@ -26,11 +32,33 @@
 	free(retry);
 }
 
+void entry_retry_share(struct entry_retry *retry, double ratio, double slack)
+{
+	if (!retry->shared)
+		retry->sends = slack;
+	retry->shared = true;
+	retry->ratio = ratio;
+	retry->slack = slack;
+	if (retry->sends > slack)
+		retry->sends = slack;
+}
+
+static void retry_earn_shared(struct entry_retry *retry)
+{
+	retry->sends += retry->ratio;
+	if (retry->sends > retry->slack)
+		retry->sends = retry->slack;
+}
+
 void entry_retry_earn(struct entry_retry *retry,
 		      const config_profile_t *profile, usec_t now)
 {
 	double span = (double)(now - retry->earned) / USEC_PER_SEC;
 
+	if (retry->shared) {
+		retry_earn_shared(retry);
+		return;
+	}
 	if (profile->retry_percent == 0) {
 		retry->sends = 0;
 		return;
@@ -46,7 +74,16 @@
 bool entry_retry_allowed(const config_profile_t *profile,
 			 const entry_call_t *call, entry_result_t result)
 {
-	if (call->once || call->attempts >= profile->attempts_max)
+	unsigned most = call->attempts_max ? call->attempts_max :
+					     profile->attempts_max;
+
+	if (call->once)
+		return false;
+	/* With a route, what no copy has seen is no attempt. */
+	if (call->attempts_max && result == ENTRY_RESULT_CONNECT)
+		return call->unsent < RETRY_UNSENT_MAX &&
+		       call->attempts - call->unsent < most;
+	if (call->attempts - call->unsent >= most)
 		return false;
 	switch (result) {
 	case ENTRY_RESULT_CONNECT:
@@ -70,6 +107,12 @@
 	return true;
 }
 
+bool entry_retry_free_of_charge(const struct entry_retry *retry,
+				entry_result_t result)
+{
+	return retry->shared && result == ENTRY_RESULT_CONNECT;
+}
+
 bool entry_service_marks(const entry_service_t *svc, const entry_call_t *call)
 {
 	if (call->no_retry)
--- a/entry-route.c
+++ b/entry-route.c
@@ -62,6 +62,8 @@
 	if (entry_service_init(&route->service, entry->policy, route->profile,
 			       seed))
 		goto fail;
+	if (entry->settings.routed)
+		strcpy(route->service.zone, entry->settings.zone);
 	route->service.slots_only = !entry->settings.pipeline;
 	cds_list_add_tail(&route->link, &entry->routes);
 	g_hash_table_insert(entry->routes_by_name, route->name, route);
--- a/entry-service.c
+++ b/entry-service.c
@@ -98,6 +98,23 @@
 	return 0;
 }
 
+void entry_service_copy_reset(entry_service_t *svc, entry_copy_t *copy)
+{
+	usec_t sent_sum = copy->health->sent_sum;
+
+	(void)svc;
+	memset(copy->credit, 0, sizeof(*copy->credit));
+	memset(copy->health, 0, sizeof(*copy->health));
+	copy->health->sent_sum = sent_sum;
+	copy->credit->ramp = 1;
+	copy->cold_until = 0;
+}
+
+void entry_service_budget(entry_service_t *svc, double ratio, double slack)
+{
+	entry_retry_share(svc->retry, ratio, slack);
+}
+
 void entry_service_cold(entry_copy_t *copy, usec_t until, usec_t now)
 {
 	if (now >= copy->cold_until)
@@ -222,6 +239,7 @@
 	call->avoid = NULL;
 	call->hedge = NULL;
 	call->attempts = 0;
+	call->unsent = 0;
 	if (!service_has_copy(svc))
 		return service_refuse(ENTRY_REFUSE_NO_COPY,
 				      SERVICE_RETRY_AFTER);
@@ -345,7 +363,8 @@
 {
 	return now + service_margin(svc, call) < call->deadline &&
 	       entry_retry_allowed(svc->profile, call, result) &&
-	       entry_retry_spend(svc->retry);
+	       (entry_retry_free_of_charge(svc->retry, result) ||
+		entry_retry_spend(svc->retry));
 }
 
 static void service_learn_outcome(entry_call_t *call, entry_result_t result)
@@ -358,6 +377,13 @@
 		call->outcome = ENTRY_MAY_HAVE_RUN;
 }
 
+/* A send of which no byte left; profiles count it as an attempt. */
+static void service_count_unsent(entry_call_t *call, entry_result_t result)
+{
+	if (call->attempts_max && result == ENTRY_RESULT_CONNECT)
+		call->unsent++;
+}
+
 static bool service_answered(entry_result_t result)
 {
 	return result == ENTRY_RESULT_OK || result == ENTRY_RESULT_CANCEL;
@@ -372,6 +398,7 @@
 	service_give_credit(svc, call->copy, result, call->sent, call->depth,
 			    now);
 	service_learn_outcome(call, result);
+	service_count_unsent(call, result);
 	call->avoid = call->copy;
 	if (service_answered(result))
 		return decision;
@@ -389,32 +416,54 @@
 	return decision;
 }
 
-/* Whether a running call is overdue for a second send. */
+/* Whether a running call may get a second send. */
 static bool service_hedges(const entry_service_t *svc, const entry_call_t *call)
 {
+	unsigned most = call->attempts_max ? call->attempts_max :
+					     svc->profile->attempts_max;
+
 	return call->idempotent && !call->once && !call->no_retry &&
 	       !call->no_hedge && !call->hedge &&
-	       call->attempts < svc->profile->attempts_max;
+	       call->attempts - call->unsent < most;
+}
+
+/* How long a call runs before it gets one; 0: never. */
+static usec_t service_hedge_after(const entry_service_t *svc,
+				  const entry_call_t *call)
+{
+	if (call->hedge_after)
+		return call->hedge_after;
+	return svc->profile->hedge_after_ms * USEC_PER_MS;
+}
+
+/* Whether a call is due for its second send. */
+static bool service_hedge_is_due(const entry_service_t *svc,
+				 const entry_call_t *call, usec_t now)
+{
+	usec_t after = service_hedge_after(svc, call);
+
+	return after > 0 && now - call->sent >= after &&
+	       service_hedges(svc, call);
 }
 
 entry_call_t *entry_service_hedge(entry_service_t *svc, usec_t now)
 {
-	usec_t after = svc->profile->hedge_after_ms * USEC_PER_MS;
 	entry_call_t *call;
 	entry_copy_t *copy;
 
-	if (after == 0 || entry_queue_count(svc->queue) > 0)
+	if (entry_queue_count(svc->queue) > 0)
 		return NULL;
 	cds_list_for_each_entry (call, &svc->running, running_link) {
-		if (now - call->sent < after)
-			return NULL;
-		if (!service_hedges(svc, call))
+		if (!service_hedge_is_due(svc, call, now))
 			continue;
 		call->avoid = call->copy;
 		copy = entry_pick_fast(svc, call, now);
 		if (!copy || copy == call->copy ||
-		    !entry_retry_spend(svc->retry))
+		    !entry_retry_spend(svc->retry)) {
+			/* One with a time of its own is looked at later. */
+			call->hedge_after *= 2;
 			return NULL;
+		}
 		service_take_credit(svc, copy, now);
 		call->hedge = copy;
 		call->hedge_sent = now;
@@ -428,14 +477,16 @@
 usec_t entry_service_hedge_due(const entry_service_t *svc, usec_t now)
 {
 	usec_t after = svc->profile->hedge_after_ms * USEC_PER_MS;
+	usec_t due = after ? now + after : INT64_MAX;
 	const entry_call_t *call = NULL;
 
-	if (after == 0)
-		return INT64_MAX;
-	cds_list_for_each_entry (call, &svc->running, running_link)
-		if (service_hedges(svc, call))
-			return call->sent + after;
-	return now + after;
+	cds_list_for_each_entry (call, &svc->running, running_link) {
+		after = service_hedge_after(svc, call);
+		if (after > 0 && service_hedges(svc, call) &&
+		    call->sent + after < due)
+			due = call->sent + after;
+	}
+	return due;
 }
 
 entry_decision_t entry_service_hedge_end(entry_service_t *svc,
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -18,6 +18,36 @@
 	{ "node", "key_file", SETTING_TEXT, FIELD(key_file), false, "", 0, 0,
 	  "file of the keys that the region's entries share; none: any host "
 	  "is trusted" },
+	{ "node", "interface", SETTING_NAME, FIELD(interface), false, "hemlock",
+	  0, 0, "whose names headers have, hemlock or platform" },
+	{ "entry", "routed", SETTING_BOOLEAN, FIELD(routed), false, "false", 0,
+	  0,
+	  "whether calls go by routes of host and path, and routes and copies "
+	  "come from the keepers" },
+	{ "entry", "call_listen", SETTING_ADDRESS, FIELD(call_listen), false,
+	  NULL, 0, 0,
+	  "\"ip:port\" of calls, in place of the address and call_port" },
+	{ "entry", "control_listen", SETTING_ADDRESS, FIELD(control_listen),
+	  false, NULL, 0, 0,
+	  "\"ip:port\" of health and metrics, in place of the address and "
+	  "control_port" },
+	{ "entry", "connect_ms", SETTING_INTEGER, FIELD(connect_ms), false,
+	  "1000", 10, 60000, "milliseconds to connect to a copy" },
+	{ "entry", "spares", SETTING_INTEGER, FIELD(spares), false, "4", 0,
+	  ENTRY_SPARES_MAX,
+	  "connections opened ahead to a copy for calls that may run once" },
+	{ "entry", "retry_ratio", SETTING_REAL, FIELD(retry_ratio), false,
+	  "0.1", 0, 1,
+	  "with retry_slack: sends beyond the first of each call, as a share "
+	  "of the calls" },
+	{ "entry", "retry_slack", SETTING_INTEGER, FIELD(retry_slack), false,
+	  "0", 0, 1000000,
+	  "and so many more in 10 s, of one service over all entries; 0: the "
+	  "profile bounds them" },
+	{ "entry", "cluster", SETTING_NAME, FIELD(cluster), false, "hemlock", 0,
+	  0, "name that all keepers share" },
+	{ "entry", "beat_ms", SETTING_INTEGER, FIELD(beat_ms), false, "1000",
+	  50, 60000, "milliseconds between datagrams to the keepers" },
 	{ "entry", "call_port", SETTING_INTEGER, FIELD(call_port), false,
 	  "7080", 1, 65535, "TCP port of calls" },
 	{ "entry", "control_port", SETTING_INTEGER, FIELD(control_port), false,
@@ -49,7 +79,8 @@
 	{ "entry", "stop_ms", SETTING_INTEGER, FIELD(stop_ms), false, "60000",
 	  0, HOUR_MS, "milliseconds that calls in flight get to end" },
 	{ "entry", "policy", SETTING_NAME, FIELD(policy), false, "owner", 0, 0,
-	  "owner; for comparison random, least or two-choices" },
+	  "owner; with entry.routed reports; for comparison random, least or "
+	  "two-choices" },
 	{ "entry", "probe_path", SETTING_TEXT, FIELD(probe_path), false,
 	  "/load", 0, 0, "what two-choices asks copies for" },
 	{ "entry", "lending", SETTING_BOOLEAN, FIELD(lending), false, "true", 0,
@@ -88,23 +119,35 @@
 const size_t entry_settings_count = sizeof(entry_settings) /
 				    sizeof(entry_settings[0]);
 
-static int settings_check(const char *path, const entry_settings_t *settings,
+static int settings_check(const char *path, entry_settings_t *settings,
 			  hl_error_t *err)
 {
 	entry_policy_t policy;
 
 	if (!entry_policy_parse(settings->policy, &policy))
-		return hl_error_set(err, HL_ERR_SETTINGS,
-				    "%s: entry.policy is \"%s\"; set it to "
-				    "\"owner\", or to \"random\", \"least\" or "
-				    "\"two-choices\" for a comparison",
-				    path, settings->policy);
+		return hl_error_set(
+			err, HL_ERR_SETTINGS,
+			"%s: entry.policy is \"%s\"; set it to "
+			"\"owner\" or \"reports\", or to \"random\", \"least\" or "
+			"\"two-choices\" for a comparison",
+			path, settings->policy);
 	if (settings->lease_ms < 2 * settings->interval_ms)
 		return hl_error_set(err, HL_ERR_SETTINGS,
 				    "%s: entry.lease_ms is below twice "
 				    "entry.interval_ms; raise the lease or "
 				    "shorten the interval",
 				    path);
+	settings->headers = headers_find(settings->interface);
+	if (!settings->headers)
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: node.interface is \"%s\"; set it to "
+				    "%s",
+				    path, settings->interface, headers_words());
+	if (settings->routed && !settings->follow.keepers.count)
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: entry.routed needs keepers; set "
+				    "config.keepers or entry.routed = false",
+				    path);
 	return 0;
 }
 
--- a/entry-status.c
+++ b/entry-status.c
@@ -43,10 +43,12 @@
 static json_t *status_members(entry_t *entry)
 {
 	owner_member_t members[MEMBER_MAX];
-	unsigned count = entry_lookup_members(entry, members, MEMBER_MAX);
 	json_t *list = json_array();
+	unsigned count = 0;
 	unsigned i;
 
+	if (entry->member)
+		count = entry_lookup_members(entry, members, MEMBER_MAX);
 	for (i = 0; i < count; i++)
 		json_array_append_new(list,
 				      json_pack("{s:s, s:s, s:s}", "name",
@@ -82,7 +84,9 @@
 void entry_status_health(const entry_control_t *in, entry_reply_t *reply)
 {
 	bool stopping = __atomic_load_n(&in->entry->stopping, __ATOMIC_ACQUIRE);
-	bool ready = entry_config_ready(in->entry);
+	bool ready = entry_config_ready(in->entry) &&
+		     (!in->entry->settings.routed ||
+		      entry_target_routed(in->entry));
 
 	reply->status = stopping || !ready ? 503 : 200;
 	reply->type = "text/plain";
--- /dev/null
+++ b/entry-target.c
@@ -0,0 +1,217 @@
+#include <string.h>
+#include "config-target.h"
+#include "entry-io.h"
+
+/*
+ * With entry.routed, routes and copies come from the keepers: this takes a new
+ * configuration over. A copy that drains or is gone gets no new call from the
+ * moment on at which its service's lock is free again.
+ */
+
+/* A zone's copies may differ in how many connections all callers have. */
+#define TARGET_CONNECTIONS_MIN 1u
+
+/* Keep a copy's connections to its address. Lock held. */
+static void target_place(entry_copy_t *copy, const char *address,
+			 unsigned connections)
+{
+	if (copy->io && !strcmp(copy->address, address))
+		return;
+	if (copy->io)
+		entry_place_unref(copy->io);
+	snprintf(copy->address, sizeof(copy->address), "%s", address);
+	copy->io = entry_place_new(address, connections);
+}
+
+/* Take over what is known of a copy. Lock held. */
+static void target_fill(entry_route_t *route, entry_copy_t *copy,
+			const config_target_t *target, unsigned connections,
+			usec_t now)
+{
+	bool begins = copy->born != target->born || !copy->io;
+
+	if (begins && copy->io)
+		entry_service_copy_reset(&route->service, copy);
+	if (begins && target->cold_ms)
+		entry_service_cold(copy, now + target->cold_ms * USEC_PER_MS,
+				   now);
+	copy->born = target->born;
+	snprintf(copy->zone, sizeof(copy->zone), "%s", target->zone);
+	copy->slots = target->slots;
+	copy->connections = connections;
+	target_place(copy, target->address, connections);
+	copy->limit = copy->io ? connections : 0;
+	copy->draining = target->state != CONFIG_TARGET_READY;
+	copy->announced = now;
+	copy->lease_until = USEC_NEVER;
+}
+
+static void target_take(entry_t *entry, const config_target_t *target,
+			const config_pool_t *pool, usec_t now)
+{
+	entry_route_t *route = entry_route_make(entry, target->service);
+	unsigned connections = pool->connections;
+	entry_copy_t *copy;
+
+	if (!route)
+		return;
+	if (connections < TARGET_CONNECTIONS_MIN)
+		connections = TARGET_CONNECTIONS_MIN;
+	pthread_mutex_lock(&route->lock);
+	copy = entry_service_copy(&route->service, target->name);
+	if (!copy)
+		copy = entry_service_copy_add(&route->service, target->name,
+					      now);
+	if (copy)
+		target_fill(route, copy, target, connections, now);
+	pthread_mutex_unlock(&route->lock);
+}
+
+/* Copies that the configuration does not name any more. */
+static void target_drop_unnamed(entry_route_t *route, const config_t *config)
+{
+	entry_copy_t *copy;
+	entry_copy_t *next;
+
+	pthread_mutex_lock(&route->lock);
+	cds_list_for_each_entry_safe (copy, next, &route->service.copies,
+				      link) {
+		const config_target_t *target;
+		entry_place_t *place = copy->io;
+
+		target = config_find_target(config, copy->name);
+		if (target && config_target_serves(target) &&
+		    !strcmp(target->service, route->name))
+			continue;
+		copy->draining = true;
+		if (!entry_service_copy_remove(&route->service, copy) && place)
+			entry_place_unref(place);
+	}
+	pthread_mutex_unlock(&route->lock);
+}
+
+static void target_take_all(entry_t *entry, const config_t *config, usec_t now)
+{
+	entry_route_t *route = NULL;
+	u_int i;
+
+	for (i = 0; i < config->targets.targets_len; i++) {
+		const config_target_t *target = &config->targets.targets_val[i];
+		const config_pool_t *pool;
+
+		pool = config_find_pool(config, target->service);
+		if (pool && config_target_serves(target))
+			target_take(entry, target, pool, now);
+	}
+	while ((route = entry_route_next(entry, route)))
+		target_drop_unnamed(route, config);
+}
+
+/* Put the routes into force, if operators have changed them. */
+static void target_take_rules(entry_t *entry, const config_t *config)
+{
+	const config_edition_t *edition = config_edition(config);
+	entry_rules_t *rules;
+	entry_rules_t *old;
+
+	if (!edition || edition->revision == entry->rules_revision)
+		return;
+	rules = entry_rules_new(config, hl_hash(entry->settings.name,
+						strlen(entry->settings.name),
+						edition->revision));
+	if (!rules) {
+		log_event(LOG_LEVEL_ERROR, "routing-not-taken",
+			  "version=%" PRIu64 " message=\"no memory; add some\"",
+			  (uint64_t)edition->number);
+		return;
+	}
+	pthread_mutex_lock(&entry->rules_lock);
+	old = entry->rules;
+	entry->rules = rules;
+	entry->rules_revision = edition->revision;
+	pthread_mutex_unlock(&entry->rules_lock);
+	entry_rules_free(old);
+	log_event(LOG_LEVEL_NOTICE, "routing-in-force",
+		  "version=%" PRIu64 " revision=%" PRIu64
+		  " routes=%u services=%u",
+		  (uint64_t)edition->number, (uint64_t)edition->revision,
+		  config->routes.routes_len, config->pools.pools_len);
+}
+
+void entry_target_changed(entry_t *entry, const config_t *config, usec_t now)
+{
+	entry_route_t *route = NULL;
+
+	target_take_all(entry, config, now);
+	target_take_rules(entry, config);
+	while ((route = entry_route_next(entry, route)))
+		entry_dispatch_next(route, now);
+}
+
+bool entry_target_match(entry_t *entry, const char *host, const char *target,
+			entry_rule_t *rule, char service[HL_NAME_MAX],
+			char name[HL_NAME_MAX])
+{
+	bool found;
+
+	pthread_mutex_lock(&entry->rules_lock);
+	found = entry_rules_match(entry->rules, host, target, rule);
+	if (found) {
+		snprintf(service, HL_NAME_MAX, "%s", rule->service);
+		snprintf(name, HL_NAME_MAX, "%s", rule->name);
+	}
+	pthread_mutex_unlock(&entry->rules_lock);
+	rule->service = service;
+	rule->name = name;
+	return found;
+}
+
+bool entry_target_routed(entry_t *entry)
+{
+	bool routed;
+
+	pthread_mutex_lock(&entry->rules_lock);
+	routed = entry->rules != NULL;
+	pthread_mutex_unlock(&entry->rules_lock);
+	return routed;
+}
+
+/* What the datagrams to the keepers tell, and what their answers bring. */
+
+static bool target_ready(void *context)
+{
+	entry_t *entry = context;
+
+	return !__atomic_load_n(&entry->stopping, __ATOMIC_ACQUIRE) &&
+	       entry_config_ready(entry) && entry_target_routed(entry);
+}
+
+static void target_news(void *context)
+{
+	entry_t *entry = context;
+	setting_list_t keepers;
+
+	presence_tell_keepers(entry->presence, &keepers);
+	config_follow_kick(entry->follow, &keepers);
+}
+
+int entry_target_new(entry_t *entry, hl_error_t *err)
+{
+	const entry_settings_t *settings = &entry->settings;
+	presence_tell_options_t options = {
+		.cluster = settings->cluster,
+		.name = settings->name,
+		.zone = settings->zone,
+		.calls = entry->call_address,
+		.address = settings->address,
+		.keepers = &settings->follow.keepers,
+		.interval = settings->beat_ms * USEC_PER_MS,
+		.ready = target_ready,
+		.revision = entry_config_revision,
+		.news = target_news,
+		.context = entry,
+	};
+
+	entry->presence = presence_tell_new(&options, err);
+	return entry->presence ? 0 : -1;
+}
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -8,17 +8,22 @@
 /* How often an entry's share of a service is worked out anew, and callers
    that are slow to send are looked for. */
 #define TICK_SHARE USEC_PER_SEC
+/* Part of the shared budget of second sends that is used: entries differ in
+   how many of them they believe to live. */
+#define TICK_BUDGET_PART 0.8
 
 /* The share of the service's slots that this entry owns, for its limits. */
 static double tick_share(entry_t *entry, const entry_route_t *route)
 {
 	owner_place_t places[OWNER_MAX];
-	unsigned count = owner_lookup(entry->owner, route->name, "", places,
-				      OWNER_MAX);
+	unsigned count;
 	unsigned all = 0;
 	unsigned own = 0;
 	unsigned i;
 
+	if (entry->presence)
+		return 1.0 / presence_tell_entries(entry->presence);
+	count = owner_lookup(entry->owner, route->name, "", places, OWNER_MAX);
 	for (i = 0; i < count; i++) {
 		all += places[i].weight;
 		if (!strcmp(places[i].address, entry->call_address))
@@ -33,6 +38,12 @@
 
 	pthread_mutex_lock(&route->lock);
 	entry_service_limits(&route->service, route->rate, share);
+	if (entry->settings.retry_slack)
+		entry_service_budget(&route->service,
+				     TICK_BUDGET_PART *
+					     entry->settings.retry_ratio,
+				     TICK_BUDGET_PART * share *
+					     entry->settings.retry_slack);
 	pthread_mutex_unlock(&route->lock);
 }
 
@@ -58,7 +69,8 @@
 /* Look after all; when to look again. */
 static usec_t tick_all(entry_t *entry, usec_t now)
 {
-	usec_t due = entry_claims_tick(entry->claims, now);
+	usec_t due = entry->claims ? entry_claims_tick(entry->claims, now) :
+				     INT64_MAX;
 	entry_route_t *route;
 
 	pthread_mutex_lock(&entry->routes_lock);
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -5,6 +5,7 @@
 #include <time.h>
 #include "entry-transfer.h"
 
+#define HTTP_MISDIRECTED_REQUEST 421
 #define HTTP_TOO_MANY_REQUESTS 429
 #define HTTP_UNAVAILABLE 503
 /* A spare socket that libcurl has been given. */
@@ -95,6 +96,49 @@
 	return offer < ENTRY_QUEUE_TOLD_MAX ? (unsigned)offer : 0;
 }
 
+static const headers_t *transfer_names(const entry_transfer_t *transfer)
+{
+	return transfer->req->entry->settings.headers;
+}
+
+static bool transfer_is(const char *line, size_t length, const char *name)
+{
+	return name && transfer_name_is(line, length, name);
+}
+
+/* What the headers of the interface tell of the copy and its answer. */
+static void transfer_note_interface(entry_transfer_t *transfer,
+				    const char *line, size_t length,
+				    const char *value, size_t value_length)
+{
+	const headers_t *names = transfer_names(transfer);
+	const char *id = transfer->req->call_id;
+	char text[HL_NAME_MAX];
+
+	if (transfer_is(line, length, names->call_id))
+		transfer->echoes = strlen(id) == value_length &&
+				   !memcmp(id, value, value_length);
+	else if (transfer_is(line, length, names->signature))
+		transfer->signs = true;
+	else if (transfer_is(line, length, names->not_run))
+		transfer->says_not_run = true;
+	if (!transfer_is(line, length, names->load) ||
+	    value_length >= sizeof(text))
+		return;
+	memcpy(text, value, value_length);
+	text[value_length] = '\0';
+	transfer->has_load = names->load_read(text, &transfer->load);
+}
+
+bool entry_transfer_belongs(const entry_transfer_t *transfer)
+{
+	const headers_t *names = transfer_names(transfer);
+
+	if (names->call_id && *transfer->req->call_id && !transfer->echoes)
+		return false;
+	return !names->signature || transfer->signs;
+}
+
 static void transfer_note_header(entry_transfer_t *transfer, const char *line,
 				 size_t length, const char *value,
 				 size_t value_length)
@@ -106,6 +150,7 @@
 		transfer->req->answer.connection = strndup(value, value_length);
 	if (transfer_name_is(line, length, "Content-Length"))
 		transfer->req->answer.length = strtoll(value, NULL, 10);
+	transfer_note_interface(transfer, line, length, value, value_length);
 	if (transfer->req->handed_over &&
 	    transfer_name_is(line, length, "Hemlock-Offer"))
 		transfer->req->offered = transfer_offer(value);
@@ -127,6 +172,9 @@
 	transfer->says_retry = false;
 	transfer->says_not_run = false;
 	transfer->says_may_have = false;
+	transfer->echoes = false;
+	transfer->signs = false;
+	transfer->has_load = false;
 	transfer->req->offered = 0;
 	if (space)
 		transfer->req->answer.status = (unsigned)strtoul(space + 1,
@@ -178,6 +226,10 @@
 {
 	unsigned status = transfer->req->answer.status;
 
+	/* There the copy has a header of its own to say so. */
+	if (transfer_names(transfer)->not_run)
+		return transfer->says_not_run ||
+		       status == HTTP_MISDIRECTED_REQUEST;
 	if (transfer->says_not_run || status == HTTP_TOO_MANY_REQUESTS)
 		return true;
 	return status == HTTP_UNAVAILABLE && transfer->says_retry;
@@ -187,6 +239,8 @@
 {
 	if (entry_transfer_is_shed(transfer))
 		return ENTRY_NOT_RUN;
+	if (transfer_names(transfer)->not_run)
+		return ENTRY_RAN;
 	if (transfer->says_may_have ||
 	    transfer->req->answer.status == HTTP_UNAVAILABLE)
 		return ENTRY_MAY_HAVE_RUN;
@@ -201,7 +255,7 @@
 {
 	entry_request_t *req = transfer->req;
 
-	if (req->first || req->overtaken)
+	if (req->first || req->overtaken || !entry_transfer_belongs(transfer))
 		return false;
 	req->answer.outcome = entry_transfer_outcome(transfer);
 	req->answer.published = true;
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -15,6 +15,10 @@
 	bool says_retry;    /* Retry-After was there */
 	bool says_not_run;  /* Hemlock-Outcome: not-run was there */
 	bool says_may_have; /* Hemlock-Outcome: may-have-run */
+	bool echoes;	    /* the answer names this call */
+	bool signs;	    /* and the copy signed it */
+	bool has_load;
+	load_t load; /* of the copy, with has_load */
 	bool expired;
 	bool gone;
 	CURLcode code;
@@ -35,6 +39,13 @@
 /** entry_transfer_is_shed - did the copy refuse by a documented status? */
 bool entry_transfer_is_shed(const entry_transfer_t *transfer);
 
+/**
+ * entry_transfer_belongs - is this a copy's answer to this very call?
+ *
+ * Always where the interface has no header that would tell.
+ */
+bool entry_transfer_belongs(const entry_transfer_t *transfer);
+
 /** entry_transfer_outcome - what a whole answer says of the call. */
 entry_outcome_t entry_transfer_outcome(const entry_transfer_t *transfer);
 
--- a/entry.h
+++ b/entry.h
@@ -4,6 +4,7 @@
 #include <urcu/list.h>
 #include "config.h"
 #include "entry-heap.h"
+#include "headers.h"
 #include "hemlock.h"
 #include "metrics.h"
 
@@ -47,8 +48,16 @@
 	ENTRY_POLICY_RANDOM,	  /* B0: any copy, at once */
 	ENTRY_POLICY_LEAST,	  /* B1: fewest outstanding from this entry */
 	ENTRY_POLICY_TWO_CHOICES, /* B2: the less loaded of two, probed */
+	ENTRY_POLICY_REPORTS,	  /* the least costly by what copies report */
 } entry_policy_t;
 
+/** struct entry_report_t - what a copy told of itself last. */
+typedef struct {
+	usec_t at;	 /* when; 0: never */
+	double slowness; /* time of work, of the usual */
+	unsigned others; /* calls there that are not from here */
+} entry_report_t;
+
 /**
  * struct entry_copy_t - a copy as its owner sees it.
  *
@@ -65,9 +74,11 @@
 	unsigned outstanding; /* calls sent and not yet ended */
 	usec_t lease_until;   /* no new work from then on */
 	bool draining;	      /* takes no new work */
+	uint64_t born;	      /* its start, where copies tell it */
 	usec_t announced;     /* when it was last heard of */
 	usec_t cold_until;    /* set by entry_service_cold() */
-	void *io;	      /* the relay's connections to it */
+	entry_report_t report;
+	void *io; /* the relay's connections to it */
 	struct entry_credit *credit;
 	struct entry_health *health;
 } entry_copy_t;
@@ -80,14 +91,18 @@
 	unsigned class_index;
 	usec_t arrived;
 	usec_t deadline;
-	usec_t sent;	    /* when the last send began */
-	bool waiting;	    /* it is in the queue */
-	bool idempotent;    /* may be sent more than once */
-	bool no_retry;	    /* a caller above will retry */
-	bool once;	    /* its body is gone: it cannot be sent again */
-	bool no_hedge;	    /* hedged before, or its body or answer streams */
-	unsigned attempts;  /* sends so far */
-	entry_copy_t *copy; /* where it is, or was last */
+	usec_t sent;	 /* when the last send began */
+	bool waiting;	 /* it is in the queue */
+	bool idempotent; /* may be sent more than once */
+	bool no_retry;	 /* a caller above will retry */
+	bool once;	 /* its body is gone: it cannot be sent again */
+	bool no_hedge;	 /* hedged before, or its body or answer streams */
+	unsigned attempts_max; /* of its route; 0: as the profile says */
+	usec_t objective;      /* span of its route; 0: none */
+	usec_t hedge_after;    /* until its second send; 0: as the profile */
+	unsigned attempts;     /* sends so far */
+	unsigned unsent;       /* those of which no byte left */
+	entry_copy_t *copy;    /* where it is, or was last */
 	/* Filled in by the caller: a sibling owner handed it over. */
 	bool handed;
 	/* What a refusal must tell: more than NOT_RUN once it was sent. */
@@ -145,7 +160,9 @@
 typedef struct entry_service {
 	struct cds_list_head copies;
 	unsigned copy_count;
-	unsigned outstanding; /* over all copies */
+	unsigned outstanding;	/* over all copies */
+	char zone[HL_NAME_MAX]; /* of this entry; "": copies of all count */
+	double slowness;	/* mean of what copies report; 0: unknown */
 	entry_policy_t policy;
 	const config_profile_t *profile; /* in force; outlives the calls */
 	struct entry_queue *queue;
@@ -191,6 +208,18 @@
  */
 int entry_service_copy_remove(entry_service_t *svc, entry_copy_t *copy);
 
+/** entry_service_copy_reset - another process runs under the copy's name. */
+void entry_service_copy_reset(entry_service_t *svc, entry_copy_t *copy);
+
+/**
+ * entry_service_budget - bound sends beyond the first of each call.
+ * @ratio: of the calls of this entry
+ * @slack: sends that may be made besides, in any short time
+ *
+ * In place of the profile's bound.
+ */
+void entry_service_budget(entry_service_t *svc, double ratio, double slack);
+
 /**
  * entry_service_arrive - a call has arrived whole or far enough to send.
  * @svc: its service
@@ -309,6 +338,14 @@
  */
 void entry_service_connected(entry_copy_t *copy, usec_t took);
 
+/**
+ * entry_service_report - a copy told its load with an answer.
+ *
+ * For ENTRY_POLICY_REPORTS. The answered call still counts as outstanding.
+ */
+void entry_service_report(entry_service_t *svc, entry_copy_t *copy,
+			  const load_t *load, usec_t now);
+
 /** entry_service_leave - the caller of a waiting call went away. */
 void entry_service_leave(entry_service_t *svc, entry_call_t *call);
 
--- a/hemlock-keeper.c
+++ b/hemlock-keeper.c
@@ -1,6 +1,6 @@
 #include <glib.h>
 #include <stdio.h>
-#include "keeper-core.h"
+#include "keeper-control.h"
 #include "rpc-server.h"
 
 /* Exit codes, as --help has them; the entry's, and one for damage. */
@@ -51,9 +51,51 @@
 	}
 }
 
+/* What a keeper serves beside its peers. */
+typedef struct {
+	keeper_core_t *core;
+	keeper_registry_t *registry; /* NULL: not served */
+	keeper_control_t *control;   /* NULL: not served */
+	uint64_t revision;	     /* at the last round */
+} keeper_pages_t;
+
+/* After each round of the core: tell whoever waits for what it did. */
+static void keeper_rounded(void *context)
+{
+	keeper_pages_t *pages = context;
+	uint64_t revision;
+
+	revision = config_state_config(pages->core->state)->revision;
+	keeper_control_rounded(pages->control);
+	if (revision != pages->revision)
+		keeper_registry_rounded(pages->registry);
+	pages->revision = revision;
+}
+
+/* Serve entries, copies and operators, if the settings say where. */
+static int keeper_start_pages(supervisor_t *sup, keeper_pages_t *pages,
+			      hl_error_t *err)
+{
+	const keeper_settings_t *settings = &pages->core->settings;
+	supervisor_child_t child;
+
+	if (!*settings->control && !*settings->directory)
+		return 0;
+	pages->registry = keeper_registry_new(pages->core, err);
+	if (!pages->registry)
+		return -1;
+	pages->control = keeper_control_new(pages->core, pages->registry, err);
+	if (!pages->control)
+		return -1;
+	pages->core->rounded_context = pages;
+	pages->core->rounded = keeper_rounded;
+	child = keeper_registry_child(pages->registry);
+	return supervisor_add(sup, &child, err);
+}
+
 static int keeper_start(supervisor_t *sup, keeper_core_t *core,
-			keeper_links_t *links, signals_t *signals,
-			hl_error_t *err)
+			keeper_links_t *links, keeper_pages_t *pages,
+			signals_t *signals, hl_error_t *err)
 {
 	const supervisor_child_t core_child = { .name = "core",
 						.run = keeper_core_run,
@@ -69,7 +111,8 @@
 	core->send_context = links;
 	if (keeper_rpc_open(core, err) || keeper_core_open(core, err))
 		return -1;
-	if (keeper_links_add(links, sup, err) ||
+	if (keeper_start_pages(sup, pages, err) ||
+	    keeper_links_add(links, sup, err) ||
 	    supervisor_add(sup, &core_child, err) ||
 	    supervisor_add(sup, &rpc_child, err) ||
 	    supervisor_add(sup, &signal_child, err))
@@ -81,6 +124,7 @@
 {
 	signals_t signals = { .reload = keeper_reload, .context = path };
 	static keeper_core_t core;
+	keeper_pages_t pages = { .core = &core };
 	keeper_links_t *links = NULL;
 	hl_error_t err = { 0 };
 	supervisor_t *sup;
@@ -93,7 +137,7 @@
 	if (!sup ||
 	    keeper_core_init(&core, settings, &keeper_file_posix, &err) ||
 	    !(links = keeper_links_new(&core)) ||
-	    keeper_start(sup, &core, links, &signals, &err)) {
+	    keeper_start(sup, &core, links, &pages, &signals, &err)) {
 		rc = keeper_complain(&err);
 	} else {
 		log_event(LOG_LEVEL_NOTICE, "started", "zone=%s",
@@ -102,6 +146,8 @@
 	}
 	keeper_http_stop(&core);
 	supervisor_free(sup);
+	keeper_control_free(pages.control);
+	keeper_registry_free(pages.registry);
 	keeper_links_free(links);
 	keeper_core_free(&core);
 	log_event(LOG_LEVEL_NOTICE, "stopped", "status=%d", rc);
--- a/hemlock.h
+++ b/hemlock.h
@@ -35,6 +35,15 @@
  */
 usec_t time_now(void);
 
+/**
+ * time_suspended - how long the VM has been suspended since it booted.
+ *
+ * The monotonic time stands still meanwhile, that of other VMs does not.
+ *
+ * Return: microseconds, to within a few of them.
+ */
+usec_t time_suspended(void);
+
 /** enum hl_error_kind_t - what went wrong, for the caller that must decide. */
 typedef enum {
 	HL_OK = 0,
--- a/keeper-answer.c
+++ b/keeper-answer.c
@@ -1,6 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
-#include "keeper-core.h"
+#include "keeper-answer.h"
 
 /* What a keeper answers to operators and entries; each is short and holds the
  * lock only for memory work. */
@@ -58,7 +58,7 @@
 	return true;
 }
 
-static bool keeper_answer_pending(const keeper_core_t *core, const char *id)
+bool keeper_answer_pending(const keeper_core_t *core, const char *id)
 {
 	const keeper_pending_t *pending;
 
@@ -68,9 +68,9 @@
 	return false;
 }
 
-/* Queue a change; the lock is held. */
-static keeper_status_t keeper_answer_queue(keeper_core_t *core,
-					   config_change_t *change)
+/* Queue a change, whose body is taken over; the lock is held. */
+static keeper_status_t keeper_answer_queue(keeper_core_t *core, const char *id,
+					   char *body, size_t size)
 {
 	keeper_pending_t *pending = calloc(1, sizeof(*pending));
 	keeper_item_t *item = calloc(1, sizeof(*item));
@@ -78,12 +78,11 @@
 	if (!pending || !item || core->pending_count >= KEEPER_PENDING_MAX ||
 	    core->inbox_count >= KEEPER_INBOX_MAX)
 		goto busy;
-	if (!keeper_xdr_encode((xdrproc_t)xdr_config_change_t, change,
-			       &item->body, &item->size))
-		goto busy;
+	item->body = body;
+	item->size = size;
 	item->kind = KEEPER_ITEM_CHANGE;
-	strcpy(item->id, change->id);
-	strcpy(pending->id, change->id);
+	strcpy(item->id, id);
+	strcpy(pending->id, id);
 	cds_list_add_tail(&pending->link, &core->pending);
 	core->pending_count++;
 	cds_list_add_tail(&item->link, &core->inbox);
@@ -94,23 +93,36 @@
 busy:
 	free(pending);
 	free(item);
+	free(body);
 	return KEEPER_BUSY;
 }
 
 /* A change that no log could hold is refused for good. */
-static bool keeper_answer_too_large(config_change_t *change,
+static void keeper_answer_too_large(const config_change_t *change,
 				    keeper_submit_res_t *res)
 {
-	if (xdr_sizeof((xdrproc_t)xdr_config_change_t, change) <=
-		    KEEPER_COMMAND_MAX &&
-	    *change->id)
-		return false;
 	res->status = KEEPER_OK;
 	res->answer.verdict = CONFIG_REFUSED;
 	res->answer.id = strdup(change->id);
 	res->answer.message = strdup("the change has no id or is larger than "
-				     "57344 bytes; name it or split it");
-	return true;
+				     "57344 bytes deflated; name it or split "
+				     "it");
+}
+
+void keeper_answer_take(keeper_core_t *core, config_change_t *change,
+			keeper_submit_res_t *res)
+{
+	char *body;
+	size_t size;
+
+	if (!keeper_body_pack(change, &body, &size)) {
+		res->status = KEEPER_BUSY;
+	} else if (size > KEEPER_COMMAND_MAX) {
+		free(body);
+		keeper_answer_too_large(change, res);
+	} else {
+		res->status = keeper_answer_queue(core, change->id, body, size);
+	}
 }
 
 bool keeper_core_submit(keeper_core_t *core, config_change_t *change,
@@ -121,8 +133,9 @@
 	(void)now;
 	pthread_mutex_lock(&core->lock);
 	ok = keeper_answer_begin(core, res);
-	if (keeper_answer_too_large(change, res) ||
-	    keeper_answer_known(core, change->id, res))
+	if (!*change->id)
+		keeper_answer_too_large(change, res);
+	else if (keeper_answer_known(core, change->id, res))
 		;
 	else if (!core->view.serving)
 		res->status = KEEPER_BUSY;
@@ -131,16 +144,22 @@
 	else if (keeper_answer_pending(core, change->id))
 		res->status = KEEPER_PENDING;
 	else
-		res->status = keeper_answer_queue(core, change);
+		keeper_answer_take(core, change, res);
 	pthread_mutex_unlock(&core->lock);
 	return keeper_answer_end(res) && ok;
 }
 
-/* True if all that was accepted before now is known here. */
-static bool keeper_answer_confirmed(const keeper_core_t *core, usec_t now)
+/* True if the VM has slept since it began to lead: the others may have
+ * elected somebody while its clock stood still. */
+static bool keeper_answer_slept(const keeper_core_t *core)
+{
+	return time_suspended() - core->view.suspended > KEEPER_SLEPT_MIN;
+}
+
+bool keeper_answer_confirmed(const keeper_core_t *core, usec_t now)
 {
 	return core->view.leading && now < core->view.lease &&
-	       core->applied >= core->view.commit;
+	       core->applied >= core->view.commit && !keeper_answer_slept(core);
 }
 
 bool keeper_core_outcome(keeper_core_t *core, const char *id,
--- a/keeper-core.c
+++ b/keeper-core.c
@@ -92,6 +92,8 @@
 	out->heartbeat = settings->heartbeat_ms * USEC_PER_MS;
 	out->election = settings->election_ms * USEC_PER_MS;
 	out->seed = keeper_core_draw();
+	out->may_found = settings->first_start;
+	out->open_group = settings->seeds.count > 0;
 	out->names_count = settings->names.count;
 	for (i = 0; i < settings->names.count; i++)
 		strcpy(out->names[i], settings->names.items[i]);
@@ -135,6 +137,7 @@
 	}
 	core->open = true;
 	core->elections_seen = 0;
+	core->suspended = time_suspended();
 	log_event(LOG_LEVEL_NOTICE, "store-opened",
 		  "incarnation=%" PRIx64 " term=%" PRIu64 " snapshot=%" PRIu64
 		  " last=%" PRIu64 " torn=%d took_us=%" PRId64,
@@ -294,9 +297,8 @@
 	if (entry->kind != KEEPER_ENTRY_CHANGE)
 		return 0;
 	/* The same on all replicas: what does not decode changes nothing. */
-	if (!keeper_xdr_decode((xdrproc_t)xdr_config_change_t,
-			       entry->body.body_val, entry->body.body_len,
-			       &change))
+	if (!keeper_body_unpack(entry->body.body_val, entry->body.body_len,
+				&change))
 		return 0;
 	rc = config_state_apply(core->state, entry->index, &change, &answer);
 	keeper_core_unpend(core, change.id);
@@ -348,6 +350,7 @@
 {
 	const keeper_raft_t *raft = &core->raft;
 	keeper_status_view_t *view = &core->view;
+	usec_t suspended = time_suspended();
 	bool led;
 
 	pthread_mutex_lock(&core->lock);
@@ -355,6 +358,8 @@
 	view->serving = true;
 	view->leading = raft->role == KEEPER_LEADER;
 	view->lease = keeper_raft_lease(raft);
+	if (!led)
+		view->suspended = suspended;
 	strcpy(view->role, keeper_role_name(raft));
 	strcpy(view->leader, raft->leader);
 	view->term = raft->ballot.term;
@@ -412,6 +417,20 @@
 	return 0;
 }
 
+/* After a sleep of the VM its clock says nothing of the others' any more. */
+static void keeper_core_check_sleep(keeper_core_t *core, usec_t now)
+{
+	usec_t suspended = time_suspended();
+	usec_t slept = suspended - core->suspended;
+
+	core->suspended = suspended;
+	if (slept <= KEEPER_SLEPT_MIN)
+		return;
+	log_event(LOG_LEVEL_WARNING, "slept", "for_ms=%" PRId64,
+		  slept / USEC_PER_MS);
+	keeper_raft_resign(&core->raft, now);
+}
+
 /* One round: take in, decide, save, apply, and only then answer. */
 static int keeper_core_round(keeper_core_t *core, const volatile int *stop,
 			     hl_error_t *err)
@@ -422,6 +441,7 @@
 
 	keeper_core_wait(core, stop, &taken);
 	now = time_now();
+	keeper_core_check_sleep(core, now);
 	cds_list_for_each_entry_safe (item, next, &taken, link) {
 		keeper_core_handle(core, item, now);
 		keeper_core_item_free(item);
@@ -434,6 +454,8 @@
 		return -1;
 	keeper_core_publish(core);
 	keeper_core_send(core);
+	if (core->rounded)
+		core->rounded(core->rounded_context);
 	return keeper_core_compact(core, err);
 }
 
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -2,7 +2,9 @@
 #define KEEPER_CORE_H
 
 #include "config-state.h"
+#include "headers.h"
 #include "keeper-store.h"
+#include "routing.h"
 #include "toml.h"
 
 /* Changes that were taken in and are not yet applied. */
@@ -12,6 +14,9 @@
 /* Messages waiting for one peer; more are dropped, as a network would. */
 #define KEEPER_LINK_QUEUE_MAX 64
 
+/* Less sleep than this is the difference of two readings of the clocks. */
+#define KEEPER_SLEPT_MIN (5 * USEC_PER_MS)
+
 /** struct keeper_settings_t - a keeper's settings file. */
 typedef struct {
 	char name[HL_NAME_MAX];
@@ -28,6 +33,14 @@
 	int64_t snapshot_entries;
 	setting_list_t names;
 	setting_list_t addresses;
+	setting_list_t seeds; /* in place of names and addresses */
+	bool first_start;     /* the whole cluster starts with empty disks */
+	char control[HL_ADDRESS_MAX];	/* of operators and copies, or "" */
+	char directory[HL_ADDRESS_MAX]; /* of callers' look-ups, or "" */
+	int64_t directory_keep_s;	/* that a look-up may be kept */
+	int64_t silence_ms;		/* after which a copy is forgotten */
+	char interface[HL_NAME_MAX];
+	const headers_t *headers; /* of that interface */
 } keeper_settings_t;
 
 extern const setting_t keeper_settings_table[];
@@ -79,6 +92,7 @@
 	uint64_t term, last, commit, incarnation;
 	uint64_t term_start; /* leader: its first entry */
 	usec_t lease;
+	usec_t suspended; /* how long the VM slept, as the lease was taken */
 	keeper_group_t group;
 	uint64_t matched[KEEPER_VOTERS_MAX];
 } keeper_status_view_t;
@@ -111,6 +125,7 @@
 	keeper_store_t store;
 	bool open;
 	uint64_t elections_seen;
+	usec_t suspended; /* how long the VM had slept at the last round */
 
 	/* Under the lock. */
 	pthread_mutex_t lock;
@@ -128,6 +143,9 @@
 	metrics_t *metrics;
 	keeper_counters_t counters;
 	struct MHD_Daemon *http; /* NULL: not served */
+	/* A round has ended; called without the lock. May be NULL. */
+	void (*rounded)(void *context);
+	void *rounded_context;
 } keeper_core_t;
 
 /** keeper_core_init - a core that has not read its folder yet. */
@@ -146,6 +164,16 @@
 /** keeper_core_free - after the thread has ended. */
 void keeper_core_free(keeper_core_t *core);
 
+/**
+ * keeper_body_pack - a change as the body of an entry, deflated if large.
+ *
+ * Return: false if it does not fit its own bounds, or out of memory.
+ */
+bool keeper_body_pack(config_change_t *change, char **body, size_t *size);
+
+/** keeper_body_unpack - the reverse, into a zeroed @change. */
+bool keeper_body_unpack(const char *body, size_t size, config_change_t *change);
+
 /** keeper_core_post - hand an item over; false if the inbox is full, then
  * the item is freed. */
 bool keeper_core_post(keeper_core_t *core, keeper_item_t *item);
@@ -166,6 +194,71 @@
 bool keeper_core_fetch(keeper_core_t *core, const keeper_fetch_args_t *args,
 		       keeper_fetch_res_t *res, usec_t now);
 
+/** enum keeper_verdict_t - what became of a request at this keeper. */
+typedef enum {
+	KEEPER_VERDICT_DONE,	   /* in force, on the disks of a quorum */
+	KEEPER_VERDICT_WAIT,	   /* on its way: ask again after a round */
+	KEEPER_VERDICT_NOT_LEADER, /* the leader must be asked */
+	KEEPER_VERDICT_BUSY,	   /* nobody knows at this moment */
+	KEEPER_VERDICT_CONFLICT,   /* another change came first */
+	KEEPER_VERDICT_REFUSED,	   /* against a rule */
+} keeper_verdict_t;
+
+/**
+ * keeper_core_announced - does the log cover what a copy said of itself?
+ *
+ * A copy of a service that the routing does not name is refused.
+ */
+keeper_verdict_t keeper_core_announced(keeper_core_t *core,
+				       const config_target_t *said);
+
+/** keeper_core_announce - as a leader, put it into the log. */
+keeper_verdict_t keeper_core_announce(keeper_core_t *core,
+				      const config_target_t *said);
+
+/**
+ * keeper_core_leave - what a copy that goes says of itself.
+ * @id: the copy
+ * @said: filled in; free with xdr_free()
+ *
+ * Return: KEEPER_VERDICT_WAIT with @said to be announced, or
+ * KEEPER_VERDICT_DONE if there is no such copy, or why that is not known.
+ */
+keeper_verdict_t keeper_core_leave(keeper_core_t *core, const char *id,
+				   config_target_t *said, usec_t now);
+
+/** keeper_core_retire - as a leader, forget silent copies. */
+void keeper_core_retire(keeper_core_t *core, const config_target_t *targets,
+			unsigned count);
+
+/** keeper_core_leader - "ip" of the leader, false if none is known. */
+bool keeper_core_leader(keeper_core_t *core, char out[HL_NAME_MAX]);
+
+/** struct keeper_routing_t - an operator's order on its way. */
+typedef struct {
+	uint64_t base;	 /* edition that it was made from */
+	uint64_t number; /* edition that it makes */
+	char id[HL_NAME_MAX];
+} keeper_routing_t;
+
+/** keeper_core_routed - what became of an order that was sent before. */
+keeper_verdict_t keeper_core_routed(keeper_core_t *core,
+				    const keeper_routing_t *order, usec_t now,
+				    hl_error_t *err);
+
+/** keeper_core_route - as a leader, put an order into the log. */
+keeper_verdict_t keeper_core_route(keeper_core_t *core,
+				   const keeper_routing_t *order,
+				   const routing_document_t *document,
+				   usec_t now, hl_error_t *err);
+
+/**
+ * keeper_core_routing - the routing as a quorum confirms it now, as JSON.
+ * @text: to be freed with free()
+ */
+keeper_verdict_t keeper_core_routing(keeper_core_t *core, char **text,
+				     usec_t now);
+
 /** keeper_core_report - note the versions in force at VMs. */
 void keeper_core_report(keeper_core_t *core, const keeper_report_args_t *args,
 			usec_t now);
--- a/keeper-join.c
+++ b/keeper-join.c
@@ -4,6 +4,14 @@
 
 /* A JOIN older than this many heartbeats no longer counts. */
 #define KEEPER_JOIN_FRESH 10
+/* After so many election time-outs without a leader a voter asks to join. */
+#define KEEPER_JOIN_LOST 3
+/* A group that looks after itself drops nobody below this many voters. */
+#define KEEPER_JOIN_VOTERS_MIN 3
+/* Silence in election time-outs after which a voter too many is dropped. */
+#define KEEPER_JOIN_GONE 3
+/* The same of a member that was taken in and has never caught up. */
+#define KEEPER_JOIN_ABANDONED 10
 
 static int keeper_join_compare(const void *a, const void *b)
 {
@@ -33,14 +41,18 @@
 	return NULL;
 }
 
-static void keeper_join_ask_one(keeper_raft_t *raft, const char *name)
+static void keeper_join_ask_one(keeper_raft_t *raft, const char *name,
+				const char *address)
 {
 	const keeper_joiner_t *joiner = keeper_join_find(raft, name);
 	keeper_node_t to = { 0 };
 	keeper_message_t *message;
 	keeper_join_t *join;
 
+	if (!strcmp(name, raft->settings.name))
+		return;
 	strcpy(to.name, name);
+	strcpy(to.address, address);
 	to.incarnation = joiner ? joiner->node.incarnation : 0;
 	message = keeper_raft_message(raft, &to, KEEPER_MSG_JOIN);
 	if (!message)
@@ -51,14 +63,35 @@
 	join->names = keeper_join_names(&raft->settings);
 }
 
+static bool keeper_join_named(const keeper_raft_settings_t *settings,
+			      const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < settings->names_count; i++)
+		if (!strcmp(settings->names[i], name))
+			return true;
+	return false;
+}
+
 void keeper_join_ask(keeper_raft_t *raft, usec_t now)
 {
+	const keeper_group_t *group = &raft->group;
 	unsigned i;
 
 	(void)now;
 	for (i = 0; i < raft->settings.names_count; i++)
-		if (strcmp(raft->settings.names[i], raft->settings.name))
-			keeper_join_ask_one(raft, raft->settings.names[i]);
+		keeper_join_ask_one(raft, raft->settings.names[i], "");
+	for (i = 0; i < group->count; i++)
+		if (!keeper_join_named(&raft->settings, group->nodes[i].name))
+			keeper_join_ask_one(raft, group->nodes[i].name,
+					    group->nodes[i].address);
+}
+
+bool keeper_join_lost(const keeper_raft_t *raft, usec_t now)
+{
+	return raft->settings.open_group && raft->role != KEEPER_LEADER &&
+	       now - raft->heard > KEEPER_JOIN_LOST * raft->settings.election;
 }
 
 /* Remember who asked, for the founding of the group. */
@@ -114,6 +147,47 @@
 	keeper_append_send(raft, peer, now);
 }
 
+/* A follower passes the question on to its leader. */
+static void keeper_join_relay(keeper_raft_t *raft,
+			      const keeper_message_t *message)
+{
+	const keeper_join_t *join = &message->body.keeper_message_body_t_u.join;
+	const keeper_node_t *leader;
+	keeper_message_t *out;
+	char *from;
+
+	leader = keeper_group_find(&raft->group, raft->leader);
+	if (!raft->settings.open_group || join->relayed || !leader)
+		return;
+	from = strdup(message->from);
+	out = from ? keeper_raft_message(raft, leader, KEEPER_MSG_JOIN) : NULL;
+	if (!out) {
+		free(from);
+		return;
+	}
+	free(out->from);
+	out->from = from;
+	out->from_incarnation = message->from_incarnation;
+	out->term = message->term;
+	out->body.keeper_message_body_t_u.join = *join;
+	out->body.keeper_message_body_t_u.join.address = strdup(join->address);
+	out->body.keeper_message_body_t_u.join.relayed = true;
+}
+
+/* A leader takes the asker in, if need be, and sends it the log. */
+static void keeper_join_lead(keeper_raft_t *raft,
+			     const keeper_message_t *message, usec_t now)
+{
+	const keeper_join_t *join = &message->body.keeper_message_body_t_u.join;
+
+	if (raft->settings.open_group &&
+	    !keeper_group_find(&raft->group, message->from))
+		keeper_raft_voter(raft, true, message->from, join->address,
+				  now);
+	if (keeper_group_find(&raft->group, message->from))
+		keeper_join_teach(raft, message, now);
+}
+
 bool keeper_join_asked(keeper_raft_t *raft, const keeper_message_t *message,
 		       usec_t now)
 {
@@ -121,9 +195,10 @@
 		return false;
 	if (keeper_raft_is_fresh(raft))
 		keeper_join_note(raft, message, now);
-	else if (raft->role == KEEPER_LEADER &&
-		 keeper_group_find(&raft->group, message->from))
-		keeper_join_teach(raft, message, now);
+	else if (raft->role == KEEPER_LEADER)
+		keeper_join_lead(raft, message, now);
+	else
+		keeper_join_relay(raft, message);
 	return true;
 }
 
@@ -223,6 +298,54 @@
 	return KEEPER_OK;
 }
 
+/* When a member under its present disk was last heard, 0 if never. */
+static usec_t keeper_join_acked(keeper_raft_t *raft, const char *name)
+{
+	usec_t acked = 0;
+	unsigned i;
+
+	for (i = 0; i < raft->peer_count; i++)
+		if (!strcmp(raft->peers[i].node.name, name) &&
+		    raft->peers[i].acked > acked)
+			acked = raft->peers[i].acked;
+	return acked;
+}
+
+/* True if a leader may drop this member: a voter too many, or one that was
+ * taken in and never caught up. */
+static bool keeper_join_is_gone(keeper_raft_t *raft, const keeper_node_t *node,
+				usec_t now)
+{
+	unsigned voters = keeper_join_voters(&raft->group);
+	usec_t election = raft->settings.election;
+	usec_t silent = now - keeper_join_acked(raft, node->name);
+
+	if (now - raft->led_since < silent)
+		silent = now - raft->led_since;
+	if (!strcmp(node->name, raft->settings.name))
+		return false;
+	if (!node->voter)
+		return silent > KEEPER_JOIN_ABANDONED * election;
+	return voters > KEEPER_JOIN_VOTERS_MIN && voters % 2 == 0 &&
+	       silent > KEEPER_JOIN_GONE * election;
+}
+
+void keeper_join_prune(keeper_raft_t *raft, usec_t now)
+{
+	unsigned i;
+
+	if (!raft->settings.open_group || raft->role != KEEPER_LEADER)
+		return;
+	for (i = 0; i < raft->group.count; i++) {
+		const keeper_node_t *node = &raft->group.nodes[i];
+
+		if (!keeper_join_is_gone(raft, node, now))
+			continue;
+		keeper_raft_voter(raft, false, node->name, "", now);
+		return;
+	}
+}
+
 /* The founder has heard from every other founder lately: all are fresh, mean
  * the same group, and spoke to this very disk. */
 static bool keeper_join_all_fresh(keeper_raft_t *raft, usec_t now,
@@ -257,7 +380,7 @@
 	for (i = 0; i < settings->names_count; i++)
 		if (strcmp(settings->names[i], settings->name) < 0)
 			return false;
-	return settings->names_count > 0;
+	return keeper_join_named(settings, settings->name);
 }
 
 void keeper_join_found(keeper_raft_t *raft, usec_t now)
@@ -267,7 +390,8 @@
 	keeper_group_t group = { 0 };
 	keeper_node_t *self = &group.nodes[0];
 
-	if (!keeper_raft_is_fresh(raft) || !keeper_join_is_founder(settings))
+	if (!keeper_raft_is_fresh(raft) || !settings->may_found ||
+	    !keeper_join_is_founder(settings))
 		return;
 	strcpy(self->name, settings->name);
 	strcpy(self->address, settings->address);
--- a/keeper-raft.c
+++ b/keeper-raft.c
@@ -85,19 +85,21 @@
 	message = &outgoing->message;
 	message->cluster = raft->settings.cluster;
 	message->from = strdup(raft->settings.name);
+	message->from_address = strdup(raft->settings.address);
 	message->from_incarnation = raft->settings.incarnation;
 	message->to = strdup(name);
 	message->to_incarnation = incarnation;
 	message->term = raft->ballot.term;
 	message->body.kind = kind;
 	strcpy(outgoing->address, address);
-	if (!message->from || !message->to)
+	if (!message->from || !message->from_address || !message->to)
 		goto fail_message;
 	cds_list_add_tail(&outgoing->link, &raft->out);
 	return message;
 
 fail_message:
 	free(message->from);
+	free(message->from_address);
 	free(message->to);
 	free(outgoing);
 fail:
@@ -120,7 +122,8 @@
 	const keeper_node_t *node = keeper_group_find(&raft->group, to->from);
 
 	return keeper_raft_outgoing(raft, to->from, to->from_incarnation,
-				    node ? node->address : "", kind);
+				    node ? node->address : to->from_address,
+				    kind);
 }
 
 bool keeper_raft_is_voter(const keeper_raft_t *raft)
@@ -406,11 +409,18 @@
 	raft->heartbeat_at = now + raft->settings.heartbeat;
 	if (raft->role == KEEPER_LEADER)
 		keeper_append_spread(raft, false, now);
-	else if (!keeper_raft_is_voter(raft))
+	else if (!keeper_raft_is_voter(raft) || keeper_join_lost(raft, now))
 		keeper_join_ask(raft, now);
+	keeper_join_prune(raft, now);
 	keeper_join_found(raft, now);
 }
 
+void keeper_raft_resign(keeper_raft_t *raft, usec_t now)
+{
+	if (raft->role == KEEPER_LEADER)
+		keeper_raft_follow(raft, raft->ballot.term, now);
+}
+
 usec_t keeper_raft_due(const keeper_raft_t *raft)
 {
 	if (raft->role == KEEPER_LEADER)
--- a/keeper-raft.h
+++ b/keeper-raft.h
@@ -104,6 +104,15 @@
 /** keeper_join_ask - as no voter: tell the others about this disk. */
 void keeper_join_ask(keeper_raft_t *raft, usec_t now);
 
+/**
+ * keeper_join_lost - no leader was heard for long: the group may have dropped
+ * this voter meanwhile, so that it has to ask to be taken in again.
+ */
+bool keeper_join_lost(const keeper_raft_t *raft, usec_t now);
+
+/** keeper_join_prune - as a leader: drop a member that is gone. */
+void keeper_join_prune(keeper_raft_t *raft, usec_t now);
+
 bool keeper_join_asked(keeper_raft_t *raft, const keeper_message_t *message,
 		       usec_t now);
 
--- /dev/null
+++ b/keeper-registry.c
@@ -0,0 +1,405 @@
+#include <errno.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include "keeper-registry.h"
+
+/* How often keepers tell one another which copies they have heard of. */
+#define REGISTRY_TELL USEC_PER_SEC
+/* Silent copies that are forgotten at once. */
+#define REGISTRY_SILENT_MAX 32
+
+struct keeper_registry {
+	keeper_core_t *core;
+	uint64_t cluster;
+	usec_t silence;
+	int socket;
+	int wake;
+	pthread_mutex_t lock; /* of what follows */
+	presence_table_t *entries;
+	keeper_heard_t *heard;
+	/* Only the thread looks at these. */
+	uint64_t told; /* revision that entries were told of */
+	bool led;
+};
+
+/* What the core says at one moment. */
+typedef struct {
+	uint64_t revision;
+	bool leading;
+	keeper_group_t group;
+} registry_view_t;
+
+static void registry_look(keeper_core_t *core, registry_view_t *view)
+{
+	pthread_mutex_lock(&core->lock);
+	view->revision = 0;
+	if (core->state)
+		view->revision = config_state_config(core->state)->revision;
+	view->leading = core->view.leading && core->view.serving;
+	view->group = core->view.group;
+	pthread_mutex_unlock(&core->lock);
+}
+
+static void registry_keepers(const keeper_core_t *core,
+			     const registry_view_t *view, setting_list_t *out)
+{
+	unsigned i;
+
+	out->count = 0;
+	for (i = 0; i < view->group.count; i++)
+		keeper_core_address(core, view->group.nodes[i].name,
+				    view->group.nodes[i].address,
+				    out->items[out->count++]);
+}
+
+static void registry_send(const keeper_registry_t *registry,
+			  const presence_t *message,
+			  const struct sockaddr_storage *to, socklen_t length)
+{
+	char bytes[PRESENCE_BYTES_MAX];
+	size_t size = presence_encode(message, bytes);
+
+	if (size && sendto(registry->socket, bytes, size, 0,
+			   (const struct sockaddr *)to, length) < 0)
+		log_event(LOG_LEVEL_DEBUG, "presence-not-sent", "errno=%d",
+			  errno);
+}
+
+/* Tell one entry where this keeper stands; @said is what it answers, if so. */
+static void registry_news(const keeper_registry_t *registry,
+			  const registry_view_t *view,
+			  const presence_entry_t *said, bool known,
+			  unsigned entries, const struct sockaddr_storage *to,
+			  socklen_t length)
+{
+	presence_t message = { .cluster = registry->cluster };
+	presence_news_t *news = &message.body.presence_body_t_u.news;
+	char *addresses[PRESENCE_KEEPERS_MAX];
+	static __thread setting_list_t keepers;
+	unsigned i;
+
+	registry_keepers(registry->core, view, &keepers);
+	message.body.kind = PRESENCE_NEWS;
+	news->revision = view->revision;
+	news->entries = entries;
+	news->leading = view->leading;
+	news->known = known;
+	news->keepers = presence_keepers_hash(&keepers);
+	if (said && said->keepers != news->keepers) {
+		for (i = 0; i < keepers.count; i++)
+			addresses[i] = keepers.items[i];
+		news->addresses.addresses_len = keepers.count;
+		news->addresses.addresses_val = addresses;
+	}
+	registry_send(registry, &message, to, length);
+}
+
+static void registry_entry(keeper_registry_t *registry,
+			   const presence_entry_t *said,
+			   const struct sockaddr_storage *from,
+			   socklen_t length, usec_t now)
+{
+	registry_view_t view;
+	unsigned entries;
+	bool known;
+
+	pthread_mutex_lock(&registry->lock);
+	known = presence_table_take(registry->entries, said, from, length, now);
+	entries = presence_table_live(registry->entries, now);
+	pthread_mutex_unlock(&registry->lock);
+	registry_look(registry->core, &view);
+	registry_news(registry, &view, said, known, entries, from, length);
+}
+
+static void registry_peer(keeper_registry_t *registry,
+			  const presence_heard_t *heard, usec_t now)
+{
+	u_int i;
+
+	pthread_mutex_lock(&registry->lock);
+	for (i = 0; i < heard->ids.ids_len; i++)
+		keeper_heard_note(registry->heard, heard->ids.ids_val[i], false,
+				  now);
+	pthread_mutex_unlock(&registry->lock);
+}
+
+static void registry_receive(keeper_registry_t *registry, usec_t now)
+{
+	struct sockaddr_storage from = { 0 };
+	socklen_t length = sizeof(from);
+	char bytes[PRESENCE_BYTES_MAX];
+	ssize_t size;
+
+	while ((size = recvfrom(registry->socket, bytes, sizeof(bytes), 0,
+				(struct sockaddr *)&from, &length)) >= 0) {
+		presence_t message = { 0 };
+		const presence_body_t *body = &message.body;
+
+		if (presence_decode(bytes, (size_t)size, registry->cluster,
+				    &message)) {
+			if (body->kind == PRESENCE_ENTRY)
+				registry_entry(registry,
+					       &body->presence_body_t_u.entry,
+					       &from, length, now);
+			else if (body->kind == PRESENCE_HEARD)
+				registry_peer(registry,
+					      &body->presence_body_t_u.heard,
+					      now);
+			presence_clear(&message);
+		}
+		length = sizeof(from);
+	}
+}
+
+/* For presence_table_each(): tell an entry that is behind. */
+typedef struct {
+	const keeper_registry_t *registry;
+	const registry_view_t *view;
+	unsigned entries;
+} registry_push_t;
+
+static void registry_push_one(void *context, const presence_member_t *member)
+{
+	const registry_push_t *push = context;
+
+	if (member->revision >= push->view->revision)
+		return;
+	registry_news(push->registry, push->view, NULL, true, push->entries,
+		      &member->from, member->from_length);
+}
+
+/* The leader tells entries at once when there is a new revision. */
+static void registry_push(keeper_registry_t *registry, usec_t now)
+{
+	registry_view_t view;
+	registry_push_t push = { registry, &view, 0 };
+
+	registry_look(registry->core, &view);
+	if (!view.leading || view.revision <= registry->told)
+		return;
+	registry->told = view.revision;
+	pthread_mutex_lock(&registry->lock);
+	push.entries = presence_table_live(registry->entries, now);
+	presence_table_each(registry->entries, now, registry_push_one, &push);
+	pthread_mutex_unlock(&registry->lock);
+}
+
+/* Tell the other keepers which copies announced themselves here. */
+static void registry_tell(keeper_registry_t *registry,
+			  const registry_view_t *view)
+{
+	const char *self = registry->core->settings.name;
+	presence_t message = { .cluster = registry->cluster };
+	presence_heard_t *heard = &message.body.presence_body_t_u.heard;
+	uint64_t ids[PRESENCE_HEARD_MAX];
+	struct sockaddr_storage to;
+	setting_list_t keepers;
+	unsigned length;
+	unsigned i;
+
+	message.body.kind = PRESENCE_HEARD;
+	heard->ids.ids_val = (u_quad_t *)ids;
+	registry_keepers(registry->core, view, &keepers);
+	for (;;) {
+		pthread_mutex_lock(&registry->lock);
+		heard->ids.ids_len = keeper_heard_take(registry->heard, ids,
+						       PRESENCE_HEARD_MAX);
+		pthread_mutex_unlock(&registry->lock);
+		if (!heard->ids.ids_len)
+			return;
+		for (i = 0; i < keepers.count; i++)
+			if (strcmp(view->group.nodes[i].name, self) &&
+			    !hl_address_parse(keepers.items[i], &to, &length))
+				registry_send(registry, &message, &to, length);
+	}
+}
+
+/* As the leader, forget copies that no keeper hears of any more. */
+static void registry_forget(keeper_registry_t *registry, usec_t now)
+{
+	config_target_t found[REGISTRY_SILENT_MAX];
+	config_target_t silent[REGISTRY_SILENT_MAX];
+	keeper_core_t *core = registry->core;
+	unsigned count = 0;
+	unsigned i;
+
+	pthread_mutex_lock(&registry->lock);
+	pthread_mutex_lock(&core->lock);
+	if (core->state)
+		count = keeper_heard_silent(registry->heard,
+					    config_state_config(core->state),
+					    registry->silence, now, found,
+					    REGISTRY_SILENT_MAX);
+	for (i = 0; i < count; i++)
+		if (config_copy((xdrproc_t)xdr_config_target_t, &found[i],
+				&silent[i], sizeof(silent[i])))
+			break;
+	count = i;
+	pthread_mutex_unlock(&core->lock);
+	pthread_mutex_unlock(&registry->lock);
+	if (count)
+		log_event(LOG_LEVEL_NOTICE, "copies-silent",
+			  "count=%u first=%s silence_ms=%" PRId64, count,
+			  silent[0].name, registry->silence / USEC_PER_MS);
+	keeper_core_retire(core, silent, count);
+	for (i = 0; i < count; i++)
+		xdr_free((xdrproc_t)xdr_config_target_t, (char *)&silent[i]);
+}
+
+static void registry_tick(keeper_registry_t *registry, usec_t now)
+{
+	registry_view_t view;
+
+	registry_look(registry->core, &view);
+	registry_tell(registry, &view);
+	if (view.leading && !registry->led) {
+		pthread_mutex_lock(&registry->lock);
+		keeper_heard_forget(registry->heard);
+		pthread_mutex_unlock(&registry->lock);
+	}
+	registry->led = view.leading;
+	if (view.leading)
+		registry_forget(registry, now);
+}
+
+static void registry_wait(keeper_registry_t *registry, usec_t left)
+{
+	struct pollfd fds[2] = { { registry->socket, POLLIN, 0 },
+				 { registry->wake, POLLIN, 0 } };
+	eventfd_t wakes;
+
+	poll(fds, 2, left > 0 ? (int)(left / USEC_PER_MS) + 1 : 0);
+	if (fds[1].revents)
+		eventfd_read(registry->wake, &wakes);
+}
+
+static int registry_run(void *context, const volatile int *stop)
+{
+	keeper_registry_t *registry = context;
+	usec_t due = time_now() + REGISTRY_TELL;
+
+	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
+		usec_t now = time_now();
+
+		if (now >= due) {
+			registry_tick(registry, now);
+			due = now + REGISTRY_TELL;
+		}
+		registry_push(registry, now);
+		registry_wait(registry, due - now);
+		registry_receive(registry, time_now());
+	}
+	return 0;
+}
+
+static void registry_wake(void *context)
+{
+	keeper_registry_rounded(context);
+}
+
+void keeper_registry_rounded(keeper_registry_t *registry)
+{
+	eventfd_write(registry->wake, 1);
+}
+
+supervisor_child_t keeper_registry_child(keeper_registry_t *registry)
+{
+	supervisor_child_t child = { "registry", registry_run, registry_wake,
+				     registry };
+
+	return child;
+}
+
+static int registry_open(keeper_registry_t *registry, hl_error_t *err)
+{
+	char address[HL_ADDRESS_MAX];
+	struct sockaddr_storage storage;
+	unsigned length;
+
+	keeper_settings_own(&registry->core->settings, address);
+	if (hl_address_parse(address, &storage, &length))
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s is no address; mend node.address and "
+				    "keeper.port",
+				    address);
+	registry->socket = socket(storage.ss_family,
+				  SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	registry->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	if (registry->socket < 0 || registry->wake < 0 ||
+	    bind(registry->socket, (struct sockaddr *)&storage, length))
+		return hl_error_set(err, HL_ERR_IO,
+				    "cannot open UDP at %s: %s; stop what uses "
+				    "the port or mend keeper.port",
+				    address, strerror(errno));
+	return 0;
+}
+
+keeper_registry_t *keeper_registry_new(keeper_core_t *core, hl_error_t *err)
+{
+	keeper_registry_t *registry = calloc(1, sizeof(*registry));
+	const char *cluster = core->settings.cluster;
+
+	if (!registry) {
+		hl_error_set(err, HL_ERR_NOMEM, "no memory; add some");
+		return NULL;
+	}
+	registry->core = core;
+	registry->cluster = hl_hash(cluster, strlen(cluster), 0);
+	registry->silence = core->settings.silence_ms * USEC_PER_MS;
+	registry->socket = registry->wake = -1;
+	pthread_mutex_init(&registry->lock, NULL);
+	registry->entries = presence_table_new();
+	registry->heard = keeper_heard_new();
+	if (!registry->entries || !registry->heard)
+		hl_error_set(err, HL_ERR_NOMEM, "no memory; add some");
+	else if (!registry_open(registry, err))
+		return registry;
+	keeper_registry_free(registry);
+	return NULL;
+}
+
+void keeper_registry_free(keeper_registry_t *registry)
+{
+	if (!registry)
+		return;
+	if (registry->socket >= 0)
+		close(registry->socket);
+	if (registry->wake >= 0)
+		close(registry->wake);
+	presence_table_free(registry->entries);
+	keeper_heard_free(registry->heard);
+	pthread_mutex_destroy(&registry->lock);
+	free(registry);
+}
+
+void keeper_registry_heard(keeper_registry_t *registry, const char *copy,
+			   usec_t now)
+{
+	pthread_mutex_lock(&registry->lock);
+	keeper_heard_note(registry->heard, keeper_heard_id(copy), true, now);
+	pthread_mutex_unlock(&registry->lock);
+}
+
+unsigned keeper_registry_choose(keeper_registry_t *registry, const char *zone,
+				usec_t now, char (*out)[HL_ADDRESS_MAX],
+				unsigned max)
+{
+	const presence_member_t **members = calloc(max, sizeof(*members));
+	unsigned count = 0;
+	unsigned i;
+
+	if (!members)
+		return 0;
+	pthread_mutex_lock(&registry->lock);
+	count = presence_table_choose(registry->entries, zone, now, members,
+				      max);
+	for (i = 0; i < count; i++)
+		strcpy(out[i], members[i]->calls);
+	pthread_mutex_unlock(&registry->lock);
+	free(members);
+	return count;
+}
--- a/keeper-settings.c
+++ b/keeper-settings.c
@@ -27,11 +27,36 @@
 		       "TCP port for /metrics and /v1/health; 0: none"),
 	KEEPER_SETTING("keeper", "data", data, SETTING_TEXT, true, NULL, 0, 0,
 		       "data folder on this VM's disk, which must exist"),
-	KEEPER_SETTING("keeper", "names", names, SETTING_NAMES, true, NULL, 0,
+	KEEPER_SETTING("keeper", "names", names, SETTING_NAMES, false, NULL, 0,
 		       0, "the founding keepers' VMs, this one included"),
 	KEEPER_SETTING("keeper", "addresses", addresses, SETTING_ADDRESSES,
-		       true, NULL, 0, 0,
+		       false, NULL, 0, 0,
 		       "how this keeper reaches each of them, in that order"),
+	KEEPER_SETTING("keeper", "seeds", seeds, SETTING_ADDRESSES, false, NULL,
+		       0, 0,
+		       "in place of names and addresses: any ports of some "
+		       "keepers; they are called by their IP numbers, have the "
+		       "same keeper.port and take further ones in by "
+		       "themselves"),
+	KEEPER_SETTING("keeper", "first_start", first_start, SETTING_BOOLEAN,
+		       false, "true", 0, 0,
+		       "whether the cluster may begin with this empty disk"),
+	KEEPER_SETTING("keeper", "control", control, SETTING_ADDRESS, false,
+		       NULL, 0, 0,
+		       "\"ip:port\" for operators' routing and announcements "
+		       "of copies; the port is the same on all keepers"),
+	KEEPER_SETTING("keeper", "directory", directory, SETTING_ADDRESS, false,
+		       NULL, 0, 0, "\"ip:port\" where callers look entries up"),
+	KEEPER_SETTING("node", "interface", interface, SETTING_NAME, false,
+		       "hemlock", 0, 0,
+		       "whose names headers have, hemlock or platform"),
+	KEEPER_SETTING("keeper", "directory_keep_s", directory_keep_s,
+		       SETTING_INTEGER, false, "2", 1, 3600,
+		       "seconds that callers may keep a look-up"),
+	KEEPER_SETTING("keeper", "silence_ms", silence_ms, SETTING_INTEGER,
+		       false, "20000", 100, 3600000,
+		       "milliseconds without an announcement after which a "
+		       "copy is forgotten"),
 	KEEPER_SETTING("keeper", "heartbeat_ms", heartbeat_ms, SETTING_INTEGER,
 		       false, "150", 5, 60000,
 		       "milliseconds between a leader's heartbeats"),
@@ -70,10 +95,35 @@
 	return false;
 }
 
-/* What no single key can tell. */
-static int keeper_settings_check(const char *path,
-				 const keeper_settings_t *settings,
-				 hl_error_t *err)
+/* Keepers that are found by seeds are called by their IP numbers. */
+static int keeper_settings_seed(const char *path, keeper_settings_t *settings,
+				hl_error_t *err)
+{
+	unsigned i;
+
+	if (settings->names.count || settings->addresses.count ||
+	    strcmp(settings->name, settings->address))
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: with keeper.seeds, node.name must be "
+				    "node.address, and keeper.names and "
+				    "keeper.addresses must go; mend them",
+				    path);
+	for (i = 0; i < settings->seeds.count && i < KEEPER_VOTERS_MAX; i++) {
+		char *name = settings->names.items[i];
+
+		strcpy(name, settings->seeds.items[i]);
+		*strrchr(name, ':') = '\0';
+		snprintf(settings->addresses.items[i], HL_ADDRESS_MAX,
+			 "%.50s:%u", name, (uint16_t)settings->port);
+	}
+	settings->names.count = settings->addresses.count = i;
+	return 0;
+}
+
+/* What no single key can tell of the founders. */
+static int keeper_settings_founders(const char *path,
+				    const keeper_settings_t *settings,
+				    hl_error_t *err)
 {
 	if (settings->names.count != settings->addresses.count)
 		return hl_error_set(err, HL_ERR_SETTINGS,
@@ -88,12 +138,28 @@
 				    "3 or 5 are usual",
 				    path, KEEPER_VOTERS_MAX);
 	if (keeper_settings_twice(&settings->names) ||
-	    !keeper_settings_named(settings))
+	    (!settings->seeds.count && !keeper_settings_named(settings)))
 		return hl_error_set(err, HL_ERR_SETTINGS,
 				    "%s: keeper.names must name each keeper "
 				    "once and hold node.name; add %s or remove "
 				    "the double",
 				    path, settings->name);
+	return 0;
+}
+
+static int keeper_settings_check(const char *path, keeper_settings_t *settings,
+				 hl_error_t *err)
+{
+	if (settings->seeds.count && keeper_settings_seed(path, settings, err))
+		return -1;
+	if (keeper_settings_founders(path, settings, err))
+		return -1;
+	settings->headers = headers_find(settings->interface);
+	if (!settings->headers)
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: node.interface is \"%s\"; set it to "
+				    "%s",
+				    path, settings->interface, headers_words());
 	if (settings->election_ms < 3 * settings->heartbeat_ms)
 		return hl_error_set(err, HL_ERR_SETTINGS,
 				    "%s: keeper.election_ms must be at least "
--- a/keeper-vote.c
+++ b/keeper-vote.c
@@ -49,6 +49,7 @@
 	raft->role = KEEPER_LEADER;
 	strcpy(raft->leader, raft->settings.name);
 	raft->heard = now;
+	raft->led_since = now;
 	raft->elections++;
 	for (i = 0; i < raft->peer_count; i++) {
 		keeper_peer_t *peer = &raft->peers[i];
--- a/keeper.h
+++ b/keeper.h
@@ -142,6 +142,8 @@
 	uint64_t seed;	      /* of the random part of that silence */
 	unsigned names_count; /* founding members, this one included */
 	char names[KEEPER_VOTERS_MAX][HL_NAME_MAX];
+	bool may_found;	 /* the group may begin with this disk */
+	bool open_group; /* it takes in whoever asks, and drops who is gone */
 } keeper_raft_settings_t;
 
 /** struct keeper_peer_t - another member as a leader or candidate sees it. */
@@ -186,6 +188,7 @@
 	char leader[HL_NAME_MAX]; /* "" while unknown */
 	uint64_t commit;
 	uint64_t term_start; /* leader: its first entry */
+	usec_t led_since;    /* leader: when it was elected */
 	uint64_t saved;	     /* last entry that is on our own disk */
 	bool ballot_dirty;   /* the ballot has to be saved */
 	bool snapshot_dirty; /* a snapshot came from the leader */
@@ -242,6 +245,9 @@
 /** keeper_raft_tick - do what is due at @now. */
 void keeper_raft_tick(keeper_raft_t *raft, usec_t now);
 
+/** keeper_raft_resign - a leader that can't trust its clock follows again. */
+void keeper_raft_resign(keeper_raft_t *raft, usec_t now);
+
 /** keeper_raft_due - when keeper_raft_tick() has something to do next. */
 usec_t keeper_raft_due(const keeper_raft_t *raft);
 
--- a/packages.sh
+++ b/packages.sh
@@ -7,5 +7,5 @@
 	gcc g++ make pkg-config libc6-dev \
 	liburcu-dev libmicrohttpd-dev libneon27-gnutls-dev libtirpc-dev \
 	rpcsvc-proto libglib2.0-dev libjansson-dev libxxhash-dev \
-	libgnutls28-dev libcurl4-gnutls-dev libtoml11-dev \
+	libgnutls28-dev zlib1g-dev libcurl4-gnutls-dev libtoml11-dev \
 	clang clang-format clang-tidy cppcheck libclang-rt-14-dev spin
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -124,6 +124,7 @@
 static void node_start(world_t *world, node_t *node)
 {
 	keeper_raft_settings_t settings = { .cluster = 7,
+					    .may_found = true,
 					    .incarnation = node->incarnation,
 					    .heartbeat = HEARTBEAT,
 					    .election = ELECTION };
--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -168,6 +168,7 @@
 			  const char *folder, const char *name, hl_error_t *err)
 {
 	keeper_raft_settings_t settings = { .cluster = CLUSTER,
+					    .may_found = true,
 					    .heartbeat = ELECTION / 5,
 					    .election = ELECTION,
 					    .names_count = 1 };
--- a/rpc/config_rpc.h
+++ b/rpc/config_rpc.h
@@ -17,8 +17,13 @@
 #define CONFIG_NAME_MAX 63
 #define CONFIG_CLASSES_MAX 8
 #define CONFIG_OBJECTS_MAX 4096
-#define CONFIG_ITEMS_MAX 256
+#define CONFIG_ITEMS_MAX 8192
 #define CONFIG_MESSAGE_MAX 511
+#define CONFIG_TARGETS_MAX 32768
+#define CONFIG_HOST_MAX 253
+#define CONFIG_PATH_MAX 1023
+#define CONFIG_PARTS_MAX 16
+#define CONFIG_ADDRESS_MAX 63
 #define CONFIG_KNOWN_MAX 65536
 #define CONFIG_RETIRED_MAX 4096
 #define CONFIG_DELTAS_MAX 1024
@@ -70,6 +75,77 @@
 };
 typedef struct config_stop_t config_stop_t;
 
+struct config_part_t {
+	config_name_t service;
+	u_int weight;
+};
+typedef struct config_part_t config_part_t;
+
+struct config_route_t {
+	config_name_t name;
+	u_quad_t revision;
+	char *host;
+	char *prefix;
+	bool_t idempotent;
+	u_quad_t timeout_us;
+	u_quad_t objective_us;
+	u_int attempts_max;
+	u_int priority;
+	bool_t split;
+	struct {
+		u_int parts_len;
+		config_part_t *parts_val;
+	} parts;
+};
+typedef struct config_route_t config_route_t;
+
+struct config_pool_t {
+	config_name_t name;
+	u_quad_t revision;
+	char *health_path;
+	u_int connections;
+};
+typedef struct config_pool_t config_pool_t;
+
+struct config_limits_t {
+	config_name_t name;
+	u_quad_t revision;
+	u_quad_t head_bytes;
+	u_quad_t body_bytes;
+	u_quad_t head_us;
+	u_quad_t idle_us;
+};
+typedef struct config_limits_t config_limits_t;
+
+struct config_edition_t {
+	config_name_t name;
+	u_quad_t revision;
+	u_quad_t number;
+};
+typedef struct config_edition_t config_edition_t;
+
+enum config_target_state_t {
+	CONFIG_TARGET_READY = 0,
+	CONFIG_TARGET_DRAINING = 1,
+	CONFIG_TARGET_LEFT = 2,
+	CONFIG_TARGET_DISPLACED = 3,
+};
+typedef enum config_target_state_t config_target_state_t;
+
+struct config_target_t {
+	config_name_t name;
+	u_quad_t revision;
+	config_name_t service;
+	u_quad_t born;
+	u_quad_t sequence;
+	config_target_state_t state;
+	char *address;
+	config_name_t zone;
+	u_int slots;
+	u_int cold_ms;
+};
+typedef struct config_target_t config_target_t;
+
 struct config_t {
 	u_quad_t revision;
 	struct {
@@ -84,6 +160,26 @@
 		u_int stops_len;
 		config_stop_t *stops_val;
 	} stops;
+	struct {
+		u_int routes_len;
+		config_route_t *routes_val;
+	} routes;
+	struct {
+		u_int pools_len;
+		config_pool_t *pools_val;
+	} pools;
+	struct {
+		u_int limits_len;
+		config_limits_t *limits_val;
+	} limits;
+	struct {
+		u_int editions_len;
+		config_edition_t *editions_val;
+	} editions;
+	struct {
+		u_int targets_len;
+		config_target_t *targets_val;
+	} targets;
 };
 typedef struct config_t config_t;
 
@@ -94,6 +190,16 @@
 	CONFIG_RETIRE_SERVICE = 4,
 	CONFIG_PUT_STOP = 5,
 	CONFIG_CANCEL_STOP = 6,
+	CONFIG_PUT_ROUTE = 7,
+	CONFIG_RETIRE_ROUTE = 8,
+	CONFIG_PUT_POOL = 9,
+	CONFIG_RETIRE_POOL = 10,
+	CONFIG_PUT_LIMITS = 11,
+	CONFIG_RETIRE_LIMITS = 12,
+	CONFIG_PUT_EDITION = 13,
+	CONFIG_RETIRE_EDITION = 14,
+	CONFIG_PUT_TARGET = 15,
+	CONFIG_RETIRE_TARGET = 16,
 };
 typedef enum config_item_kind_t config_item_kind_t;
 
@@ -103,6 +209,11 @@
 		config_profile_t profile;
 		config_service_t service;
 		config_stop_t stop;
+		config_route_t route;
+		config_pool_t pool;
+		config_limits_t limits;
+		config_edition_t edition;
+		config_target_t target;
 	} config_body_t_u;
 };
 typedef struct config_body_t config_body_t;
@@ -188,6 +299,13 @@
 extern  bool_t xdr_config_profile_t (XDR *, config_profile_t*);
 extern  bool_t xdr_config_service_t (XDR *, config_service_t*);
 extern  bool_t xdr_config_stop_t (XDR *, config_stop_t*);
+extern  bool_t xdr_config_part_t (XDR *, config_part_t*);
+extern  bool_t xdr_config_route_t (XDR *, config_route_t*);
+extern  bool_t xdr_config_pool_t (XDR *, config_pool_t*);
+extern  bool_t xdr_config_limits_t (XDR *, config_limits_t*);
+extern  bool_t xdr_config_edition_t (XDR *, config_edition_t*);
+extern  bool_t xdr_config_target_state_t (XDR *, config_target_state_t*);
+extern  bool_t xdr_config_target_t (XDR *, config_target_t*);
 extern  bool_t xdr_config_t (XDR *, config_t*);
 extern  bool_t xdr_config_item_kind_t (XDR *, config_item_kind_t*);
 extern  bool_t xdr_config_body_t (XDR *, config_body_t*);
@@ -206,6 +324,13 @@
 extern bool_t xdr_config_profile_t ();
 extern bool_t xdr_config_service_t ();
 extern bool_t xdr_config_stop_t ();
+extern bool_t xdr_config_part_t ();
+extern bool_t xdr_config_route_t ();
+extern bool_t xdr_config_pool_t ();
+extern bool_t xdr_config_limits_t ();
+extern bool_t xdr_config_edition_t ();
+extern bool_t xdr_config_target_state_t ();
+extern bool_t xdr_config_target_t ();
 extern bool_t xdr_config_t ();
 extern bool_t xdr_config_item_kind_t ();
 extern bool_t xdr_config_body_t ();
--- a/rpc/config_rpc.x
+++ b/rpc/config_rpc.x
@@ -3,8 +3,13 @@
 const CONFIG_NAME_MAX = 63;
 const CONFIG_CLASSES_MAX = 8;
 const CONFIG_OBJECTS_MAX = 4096;
-const CONFIG_ITEMS_MAX = 256;
+const CONFIG_ITEMS_MAX = 8192;
 const CONFIG_MESSAGE_MAX = 511;
+const CONFIG_TARGETS_MAX = 32768;
+const CONFIG_HOST_MAX = 253;
+const CONFIG_PATH_MAX = 1023;
+const CONFIG_PARTS_MAX = 16;
+const CONFIG_ADDRESS_MAX = 63;
 /* Change ids whose first answers are kept: 31 hours at 50,000 a day. */
 const CONFIG_KNOWN_MAX = 65536;
 /* Retired objects whose last change can still be named. */
@@ -55,6 +60,73 @@
 	unsigned hyper revision;
 };
 
+/* One part of a route's calls; weight is its share of all parts' weights. */
+struct config_part_t {
+	config_name_t service;
+	unsigned int weight;
+};
+
+/* Where calls of a host go whose path begins with a prefix. */
+struct config_route_t {
+	config_name_t name;
+	unsigned hyper revision;
+	string host<CONFIG_HOST_MAX>;
+	string prefix<CONFIG_PATH_MAX>;
+	bool idempotent;		/* a call may run more than once */
+	unsigned hyper timeout_us;	/* longest until the final answer */
+	unsigned hyper objective_us;	/* answers within it are in time */
+	unsigned int attempts_max;	/* copies that one call is sent to */
+	unsigned int priority;		/* 0 is the most urgent */
+	bool split;			/* parts stand for a weighted split */
+	config_part_t parts<CONFIG_PARTS_MAX>;
+};
+
+/* What all copies of a routed service have in common. */
+struct config_pool_t {
+	config_name_t name;		/* of the service */
+	unsigned hyper revision;
+	string health_path<CONFIG_PATH_MAX>;
+	unsigned int connections;	/* most of one copy, all callers */
+};
+
+/* Bounds on what a caller sends. */
+struct config_limits_t {
+	config_name_t name;		/* always "limits" */
+	unsigned hyper revision;
+	unsigned hyper head_bytes;
+	unsigned hyper body_bytes;
+	unsigned hyper head_us;		/* until a head is whole */
+	unsigned hyper idle_us;		/* that a kept connection may rest */
+};
+
+/* The version that operators gave to all routes, pools and limits. */
+struct config_edition_t {
+	config_name_t name;		/* always "routing" */
+	unsigned hyper revision;
+	unsigned hyper number;
+};
+
+enum config_target_state_t {
+	CONFIG_TARGET_READY = 0,
+	CONFIG_TARGET_DRAINING = 1,	/* takes no new call */
+	CONFIG_TARGET_LEFT = 2,		/* said that it goes */
+	CONFIG_TARGET_DISPLACED = 3	/* another one has its address */
+};
+
+/* A copy as it announced itself last. */
+struct config_target_t {
+	config_name_t name;		/* its id */
+	unsigned hyper revision;
+	config_name_t service;
+	unsigned hyper born;		/* wall clock of its start in ms, or 0 */
+	unsigned hyper sequence;	/* of that announcement */
+	config_target_state_t state;
+	string address<CONFIG_ADDRESS_MAX>;
+	config_name_t zone;
+	unsigned int slots;
+	unsigned int cold_ms;		/* slow for so long from then on */
+};
+
 /* Revisions of objects and of the whole are the number of the
    change that last wrote them. */
 struct config_t {
@@ -62,6 +134,11 @@
 	config_profile_t profiles<CONFIG_OBJECTS_MAX>;
 	config_service_t services<CONFIG_OBJECTS_MAX>;
 	config_stop_t stops<CONFIG_OBJECTS_MAX>;
+	config_route_t routes<CONFIG_OBJECTS_MAX>;
+	config_pool_t pools<CONFIG_OBJECTS_MAX>;
+	config_limits_t limits<1>;
+	config_edition_t editions<1>;
+	config_target_t targets<CONFIG_TARGETS_MAX>;
 };
 
 enum config_item_kind_t {
@@ -70,7 +147,17 @@
 	CONFIG_PUT_SERVICE = 3,
 	CONFIG_RETIRE_SERVICE = 4,
 	CONFIG_PUT_STOP = 5,
-	CONFIG_CANCEL_STOP = 6
+	CONFIG_CANCEL_STOP = 6,
+	CONFIG_PUT_ROUTE = 7,
+	CONFIG_RETIRE_ROUTE = 8,
+	CONFIG_PUT_POOL = 9,
+	CONFIG_RETIRE_POOL = 10,
+	CONFIG_PUT_LIMITS = 11,
+	CONFIG_RETIRE_LIMITS = 12,
+	CONFIG_PUT_EDITION = 13,
+	CONFIG_RETIRE_EDITION = 14,
+	CONFIG_PUT_TARGET = 15,
+	CONFIG_RETIRE_TARGET = 16
 };
 
 /* For RETIRE items only the name counts, for stops the service and copy. */
@@ -84,6 +171,21 @@
 case CONFIG_PUT_STOP:
 case CONFIG_CANCEL_STOP:
 	config_stop_t stop;
+case CONFIG_PUT_ROUTE:
+case CONFIG_RETIRE_ROUTE:
+	config_route_t route;
+case CONFIG_PUT_POOL:
+case CONFIG_RETIRE_POOL:
+	config_pool_t pool;
+case CONFIG_PUT_LIMITS:
+case CONFIG_RETIRE_LIMITS:
+	config_limits_t limits;
+case CONFIG_PUT_EDITION:
+case CONFIG_RETIRE_EDITION:
+	config_edition_t edition;
+case CONFIG_PUT_TARGET:
+case CONFIG_RETIRE_TARGET:
+	config_target_t target;
 };
 
 /* base is the revision the operator saw, 0 for "does not exist yet". */
--- a/rpc/config_rpc_xdr.c
+++ b/rpc/config_rpc_xdr.c
@@ -197,6 +197,206 @@
 	return TRUE;
 }
 
+bool_t
+xdr_config_part_t (XDR *xdrs, config_part_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_route_t (XDR *xdrs, config_route_t *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_config_name_t (xdrs, &objp->name))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->host, CONFIG_HOST_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->prefix, CONFIG_PATH_MAX))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->idempotent))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->timeout_us))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->objective_us))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->attempts_max))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->split))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->attempts_max);
+		IXDR_PUT_U_LONG(buf, objp->priority);
+		IXDR_PUT_BOOL(buf, objp->split);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, CONFIG_PARTS_MAX,
+			sizeof (config_part_t), (xdrproc_t) xdr_config_part_t))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_config_name_t (xdrs, &objp->name))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->host, CONFIG_HOST_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->prefix, CONFIG_PATH_MAX))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->idempotent))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->timeout_us))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->objective_us))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->attempts_max))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->split))
+				 return FALSE;
+
+		} else {
+		objp->attempts_max = IXDR_GET_U_LONG(buf);
+		objp->priority = IXDR_GET_U_LONG(buf);
+		objp->split = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, CONFIG_PARTS_MAX,
+			sizeof (config_part_t), (xdrproc_t) xdr_config_part_t))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_config_name_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->host, CONFIG_HOST_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->prefix, CONFIG_PATH_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->idempotent))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->timeout_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->objective_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempts_max))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->split))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, CONFIG_PARTS_MAX,
+		sizeof (config_part_t), (xdrproc_t) xdr_config_part_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_pool_t (XDR *xdrs, config_pool_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->health_path, CONFIG_PATH_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->connections))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_limits_t (XDR *xdrs, config_limits_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->head_bytes))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->body_bytes))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->head_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->idle_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_edition_t (XDR *xdrs, config_edition_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_target_state_t (XDR *xdrs, config_target_state_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_target_t (XDR *xdrs, config_target_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_config_target_state_t (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, CONFIG_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_config_t (XDR *xdrs, config_t *objp)
 {
@@ -213,6 +413,21 @@
 	 if (!xdr_array (xdrs, (char **)&objp->stops.stops_val, (u_int *) &objp->stops.stops_len, CONFIG_OBJECTS_MAX,
 		sizeof (config_stop_t), (xdrproc_t) xdr_config_stop_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, CONFIG_OBJECTS_MAX,
+		sizeof (config_route_t), (xdrproc_t) xdr_config_route_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->pools.pools_val, (u_int *) &objp->pools.pools_len, CONFIG_OBJECTS_MAX,
+		sizeof (config_pool_t), (xdrproc_t) xdr_config_pool_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, 1,
+		sizeof (config_limits_t), (xdrproc_t) xdr_config_limits_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->editions.editions_val, (u_int *) &objp->editions.editions_len, 1,
+		sizeof (config_edition_t), (xdrproc_t) xdr_config_edition_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, CONFIG_TARGETS_MAX,
+		sizeof (config_target_t), (xdrproc_t) xdr_config_target_t))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -249,6 +464,31 @@
 		 if (!xdr_config_stop_t (xdrs, &objp->config_body_t_u.stop))
 			 return FALSE;
 		break;
+	case CONFIG_PUT_ROUTE:
+	case CONFIG_RETIRE_ROUTE:
+		 if (!xdr_config_route_t (xdrs, &objp->config_body_t_u.route))
+			 return FALSE;
+		break;
+	case CONFIG_PUT_POOL:
+	case CONFIG_RETIRE_POOL:
+		 if (!xdr_config_pool_t (xdrs, &objp->config_body_t_u.pool))
+			 return FALSE;
+		break;
+	case CONFIG_PUT_LIMITS:
+	case CONFIG_RETIRE_LIMITS:
+		 if (!xdr_config_limits_t (xdrs, &objp->config_body_t_u.limits))
+			 return FALSE;
+		break;
+	case CONFIG_PUT_EDITION:
+	case CONFIG_RETIRE_EDITION:
+		 if (!xdr_config_edition_t (xdrs, &objp->config_body_t_u.edition))
+			 return FALSE;
+		break;
+	case CONFIG_PUT_TARGET:
+	case CONFIG_RETIRE_TARGET:
+		 if (!xdr_config_target_t (xdrs, &objp->config_body_t_u.target))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/rpc/keeper_disk.h
+++ b/rpc/keeper_disk.h
@@ -15,7 +15,7 @@
 #endif
 
 #include "keeper_rpc.h"
-#define KEEPER_DISK_FORMAT 1
+#define KEEPER_DISK_FORMAT 2
 
 enum keeper_record_kind_t {
 	KEEPER_RECORD_HEADER = 1,
--- a/rpc/keeper_disk.x
+++ b/rpc/keeper_disk.x
@@ -2,7 +2,7 @@
 
 %#include "keeper_rpc.h"
 
-const KEEPER_DISK_FORMAT = 1;
+const KEEPER_DISK_FORMAT = 2;
 
 enum keeper_record_kind_t {
 	KEEPER_RECORD_HEADER = 1,	/* the first record of a log */
--- a/rpc/keeper_rpc.h
+++ b/rpc/keeper_rpc.h
@@ -209,6 +209,7 @@
 	keeper_address_t address;
 	bool_t fresh;
 	u_quad_t names;
+	bool_t relayed;
 };
 typedef struct keeper_join_t keeper_join_t;
 
@@ -230,6 +231,7 @@
 	u_quad_t cluster;
 	config_name_t from;
 	u_quad_t from_incarnation;
+	keeper_address_t from_address;
 	config_name_t to;
 	u_quad_t to_incarnation;
 	u_quad_t term;
--- a/rpc/keeper_rpc.x
+++ b/rpc/keeper_rpc.x
@@ -96,7 +96,7 @@
 
 enum keeper_entry_kind_t {
 	KEEPER_ENTRY_NOOP = 0,		/* first entry of a leader's term */
-	KEEPER_ENTRY_CHANGE = 1,	/* body: config_change_t */
+	KEEPER_ENTRY_CHANGE = 1,	/* body: config_change_t, packed */
 	KEEPER_ENTRY_GROUP = 2		/* body: keeper_group_wire_t */
 };
 struct keeper_entry_t {
@@ -154,6 +154,7 @@
 	keeper_address_t address;
 	bool fresh;			/* never held an entry */
 	unsigned hyper names;		/* hash of the names in its settings */
+	bool relayed;			/* by a follower, to its leader */
 };
 
 union keeper_message_body_t switch (keeper_message_kind_t kind) {
@@ -179,6 +180,7 @@
 	unsigned hyper cluster;		/* hash of the cluster's name */
 	config_name_t from;
 	unsigned hyper from_incarnation;
+	keeper_address_t from_address;	/* where answers go */
 	config_name_t to;
 	unsigned hyper to_incarnation;	/* 0: any, JOIN only */
 	unsigned hyper term;
--- a/rpc/keeper_rpc_xdr.c
+++ b/rpc/keeper_rpc_xdr.c
@@ -321,6 +321,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->names))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->relayed))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -379,6 +381,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->from_incarnation))
 		 return FALSE;
+	 if (!xdr_keeper_address_t (xdrs, &objp->from_address))
+		 return FALSE;
 	 if (!xdr_config_name_t (xdrs, &objp->to))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->to_incarnation))
--- a/settings.c
+++ b/settings.c
@@ -19,7 +19,10 @@
 				  "\"info\", \"debug\"",
 	};
 
-	if (setting->kind == SETTING_INTEGER)
+	if (setting->kind == SETTING_REAL)
+		snprintf(out, size, "a number from %" PRId64 " to %" PRId64,
+			 setting->min, setting->max);
+	else if (setting->kind == SETTING_INTEGER)
 		snprintf(out, size, "an integer from %" PRId64 " to %" PRId64,
 			 setting->min, setting->max);
 	else
@@ -107,6 +110,20 @@
 	return 0;
 }
 
+static int settings_store_real(const setting_t *setting,
+			       const toml_node_t *node, double *field)
+{
+	double value = node->kind == TOML_INTEGER ? (double)node->integer :
+						    node->real;
+
+	if (node->kind != TOML_INTEGER && node->kind != TOML_REAL)
+		return -1;
+	if (!(value >= (double)setting->min && value <= (double)setting->max))
+		return -1;
+	*field = value;
+	return 0;
+}
+
 /* Store the value of @node; -1 when it is not what the key takes. */
 static int settings_store(const setting_t *setting, const toml_node_t *node,
 			  void *field)
@@ -116,6 +133,8 @@
 		if (node->kind != TOML_INTEGER)
 			return -1;
 		return settings_store_integer(setting, node->integer, field);
+	case SETTING_REAL:
+		return settings_store_real(setting, node, field);
 	case SETTING_BOOLEAN:
 		if (node->kind != TOML_BOOLEAN)
 			return -1;
@@ -140,6 +159,8 @@
 		return;
 	if (setting->kind == SETTING_INTEGER)
 		*(int64_t *)field = strtoll(setting->preset, NULL, 10);
+	else if (setting->kind == SETTING_REAL)
+		*(double *)field = strtod(setting->preset, NULL);
 	else if (setting->kind == SETTING_BOOLEAN)
 		*(bool *)field = !strcmp(setting->preset, "true");
 	else
--- a/toml.h
+++ b/toml.h
@@ -62,6 +62,7 @@
 	SETTING_ADDRESS,   /* char[HL_ADDRESS_MAX], "ip:port" */
 	SETTING_IP,	   /* char[HL_ADDRESS_MAX], "ip" */
 	SETTING_INTEGER,   /* int64_t between min and max */
+	SETTING_REAL,	   /* double between min and max */
 	SETTING_BOOLEAN,   /* bool */
 	SETTING_ADDRESSES, /* setting_list_t of "ip:port" */
 	SETTING_NAMES,	   /* setting_list_t of names */
@@ -83,7 +84,7 @@
 	size_t offset; /* in the settings struct */
 	bool required;
 	const char *preset; /* default as text; NULL leaves zero */
-	int64_t min, max;   /* SETTING_INTEGER */
+	int64_t min, max;   /* SETTING_INTEGER, SETTING_REAL */
 	const char *help;   /* with its unit */
 } setting_t;
 
