Ask three copies of the zone how they are before each call

Change: a worker asks three copies over kept connections of one thread, and three more if none of them is quick and free; the policy then chooses by what they told.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -58,9 +58,7 @@
 
 void entry_dispatch_arrive(entry_request_t *req, usec_t now)
 {
-	entry_route_t *route = req->route;
-	entry_decision_t decision;
-	usec_t due = INT64_MAX;
+	const entry_t *entry = req->entry;
 
 	entry_request_ref(req);
 	req->call.no_hedge = req->body_streamed;
@@ -68,11 +66,20 @@
 		entry_work_push(req->entry->work, req);
 		return;
 	}
-	if (req->entry->policy == ENTRY_POLICY_TWO_CHOICES) {
+	if (entry->policy == ENTRY_POLICY_TWO_CHOICES || entry->prober) {
 		req->probing = true;
 		entry_work_push(req->entry->work, req);
 		return;
 	}
+	entry_dispatch_decide(req, now);
+}
+
+void entry_dispatch_decide(entry_request_t *req, usec_t now)
+{
+	entry_route_t *route = req->route;
+	entry_decision_t decision;
+	usec_t due = INT64_MAX;
+
 	pthread_mutex_lock(&route->lock);
 	decision = entry_service_arrive(&route->service, &req->call, now);
 	if (decision.verdict == ENTRY_SEND)
--- a/entry-io.h
+++ b/entry-io.h
@@ -6,6 +6,7 @@
 #include <microhttpd.h>
 #include <urcu/list.h>
 #include "config-follow.h"
+#include "entry-prober.h"
 #include "entry-rules.h"
 #include "entry.h"
 #include "headers.h"
@@ -277,6 +278,7 @@
 	entry_service_t service;
 	config_profile_t *profile;
 	bool declared;	 /* the configuration in force names it */
+	char health_path[HL_MESSAGE_MAX]; /* "": copies are not asked */
 	unsigned rate;	 /* calls a second of the service, 0: no limit */
 	unsigned owners; /* entries owning copies, 0: by zone */
 	char (*stops)[HL_NAME_MAX]; /* copies with a planned stop */
@@ -396,6 +398,7 @@
 	struct entry_claims *claims;
 	config_follow_t *follow;    /* NULL without keepers */
 	presence_tell_t *presence;  /* with entry.routed */
+	entry_prober_t *prober;	   /* with the policy "reports" */
 	pthread_mutex_t rules_lock; /* of the next two */
 	entry_rules_t *rules;	    /* NULL until there are some */
 	uint64_t rules_revision;
@@ -416,6 +419,9 @@
 /** entry_dispatch_arrive - decide on a request and act on the decision. */
 void entry_dispatch_arrive(entry_request_t *req, usec_t now);
 
+/** entry_dispatch_decide - the same once its copies have been asked. */
+void entry_dispatch_decide(entry_request_t *req, usec_t now);
+
 /** entry_dispatch_final - refuse a request and let go of it. */
 void entry_dispatch_final(entry_request_t *req,
 			  const entry_decision_t *decision);
@@ -507,6 +513,13 @@
 			entry_rule_t *rule, char service[HL_NAME_MAX],
 			char name[HL_NAME_MAX]);
 
+/**
+ * entry_probe_reports - ask some copies how they are before a call is sent.
+ *
+ * Called by a worker under ENTRY_POLICY_REPORTS; what they tell is noted.
+ */
+void entry_probe_reports(entry_request_t *req);
+
 /** entry_tick_init - before any thread that may kick. */
 void entry_tick_init(entry_t *entry);
 
--- a/entry-main.c
+++ b/entry-main.c
@@ -35,12 +35,16 @@
 static int main_add_peers(entry_t *entry, supervisor_t *sup, hl_error_t *err)
 {
 	supervisor_child_t presence;
+	supervisor_child_t prober;
 	supervisor_child_t member;
 	supervisor_child_t owner;
 
 	if (entry->presence) {
 		presence = presence_tell_child(entry->presence);
-		return supervisor_add(sup, &presence, err);
+		prober = entry_prober_child(entry->prober);
+		if (supervisor_add(sup, &presence, err))
+			return -1;
+		return entry->prober ? supervisor_add(sup, &prober, err) : 0;
 	}
 	member = member_child(entry->member);
 	owner = owner_child(entry->owner);
@@ -135,6 +139,12 @@
 			     settings->call_port);
 	if (entry_config_new(entry, NULL, err))
 		return -1;
+	if (entry->policy == ENTRY_POLICY_REPORTS && settings->headers->load) {
+		entry->prober = entry_prober_new(settings->headers,
+						 entry->metrics, err);
+		if (!entry->prober)
+			return -1;
+	}
 	return entry_target_new(entry, err);
 }
 
@@ -223,6 +233,7 @@
 	entry_claims_free(entry.claims);
 	config_follow_free(entry.follow);
 	presence_tell_free(entry.presence);
+	entry_prober_free(entry.prober);
 	entry_rules_free(entry.rules);
 	owner_free(entry.owner);
 	member_free(entry.member);
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -3,6 +3,11 @@
 
 /* Share of a straggler's extra time that the queue must be long for. */
 #define PICK_SLOW_SHARE 0.1
+/* Candidates that are drawn at once. */
+#define PICK_CANDIDATES_MAX 8
+/* Chance among candidates: so many steps of so much cost. */
+#define PICK_CHANCE_STEPS 1000u
+#define PICK_CHANCE 0.0005
 
 unsigned entry_pick_random(entry_service_t *svc, unsigned bound)
 {
@@ -91,6 +96,50 @@
 	return best;
 }
 
+/* Put a copy among the least costly ones found so far. */
+static unsigned pick_insert(entry_copy_t **out, double *costs, unsigned count,
+			    unsigned max, entry_copy_t *copy, double cost)
+{
+	unsigned at = count < max ? count : max;
+
+	while (at > 0 && costs[at - 1] > cost) {
+		if (at < max) {
+			out[at] = out[at - 1];
+			costs[at] = costs[at - 1];
+		}
+		at--;
+	}
+	if (at == max)
+		return count;
+	out[at] = copy;
+	costs[at] = cost;
+	return count < max ? count + 1 : count;
+}
+
+unsigned entry_service_candidates(entry_service_t *svc,
+				  const entry_call_t *call, usec_t asked_after,
+				  entry_copy_t **out, unsigned max, usec_t now)
+{
+	double costs[PICK_CANDIDATES_MAX];
+	entry_copy_t *copy = NULL;
+	unsigned count = 0;
+
+	if (max > PICK_CANDIDATES_MAX)
+		max = PICK_CANDIDATES_MAX;
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		double cost;
+
+		if (!pick_near(svc, copy) || copy->report.at >= asked_after ||
+		    !pick_reports_open(svc, call, copy, now))
+			continue;
+		/* Chance decides among those of which little is known. */
+		cost = entry_report_cost(svc, copy, now) +
+		       PICK_CHANCE * entry_pick_random(svc, PICK_CHANCE_STEPS);
+		count = pick_insert(out, costs, count, max, copy, cost);
+	}
+	return count;
+}
+
 /* A copy of the zone that is due for a call to show that it has recovered. */
 static entry_copy_t *pick_reports_probation(const entry_service_t *svc,
 					    const entry_call_t *call,
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -132,3 +132,93 @@
 	entry_place_unref(probes[1].place);
 	return decision;
 }
+
+/*
+ * Copies whose speed changes faster than answers tell: ask a few before each
+ * call, then let the policy choose by what they told.
+ */
+
+/* Copies asked at once, and how often more are asked. */
+#define PROBE_REPORTS 3u
+#define PROBE_ROUNDS_MAX 2
+/* One that answers takes at most this on an idle machine. */
+#define PROBE_WAIT_SOME (12 * USEC_PER_MS)
+#define PROBE_WAIT_ALL (40 * USEC_PER_MS)
+/* A copy that is no slower than this, and has a free slot, will do. */
+#define PROBE_SLOWNESS_GOOD 150u
+/* What a copy that did not answer in time counts as. */
+#define PROBE_SLOWNESS_SILENT 1000u
+
+static bool probe_is_good(const load_t *load)
+{
+	return load->slowness <= PROBE_SLOWNESS_GOOD && !load->waiting &&
+	       load->running < load->slots;
+}
+
+/* Copies to ask that were not asked for this call; their number. */
+static unsigned probe_candidates(entry_route_t *route, entry_call_t *call,
+				 usec_t asked_after, entry_probe_t *probes,
+				 char *path)
+{
+	entry_copy_t *copies[PROBE_REPORTS];
+	unsigned count;
+	unsigned i;
+
+	pthread_mutex_lock(&route->lock);
+	count = entry_service_candidates(&route->service, call, asked_after,
+					 copies, PROBE_REPORTS, time_now());
+	for (i = 0; i < count; i++) {
+		memset(&probes[i], 0, sizeof(probes[i]));
+		strcpy(probes[i].address, copies[i]->address);
+		strcpy(probes[i].copy, copies[i]->name);
+	}
+	strcpy(path, route->health_path);
+	pthread_mutex_unlock(&route->lock);
+	return *path ? count : 0;
+}
+
+/* Note what the copies told; true if one of them will do. */
+static bool probe_learn(entry_route_t *route, const entry_probe_t *probes,
+			unsigned count, usec_t now)
+{
+	const load_t silent = { .slowness = PROBE_SLOWNESS_SILENT };
+	bool good = false;
+	unsigned i;
+
+	pthread_mutex_lock(&route->lock);
+	for (i = 0; i < count; i++) {
+		bool told = probes[i].state == ENTRY_PROBE_TOLD;
+		const load_t *load = told ? &probes[i].load : &silent;
+		entry_copy_t *copy;
+
+		copy = entry_service_copy(&route->service, probes[i].copy);
+		if (copy)
+			entry_service_report(&route->service, copy, load, told,
+					     now);
+		good = good || (told && probe_is_good(load));
+	}
+	pthread_mutex_unlock(&route->lock);
+	return good;
+}
+
+void entry_probe_reports(entry_request_t *req)
+{
+	const entry_probe_wait_t wait = { PROBE_WAIT_ALL, PROBE_WAIT_SOME };
+	entry_probe_t probes[PROBE_REPORTS];
+	entry_route_t *route = req->route;
+	char path[HL_MESSAGE_MAX];
+	usec_t start = time_now();
+	unsigned count;
+	int round;
+
+	for (round = 0; round < PROBE_ROUNDS_MAX; round++) {
+		count = probe_candidates(route, &req->call, start, probes,
+					 path);
+		if (!count)
+			return;
+		entry_prober_ask(req->entry->prober, path, probes, count, &wait,
+				 probe_is_good);
+		if (probe_learn(route, probes, count, time_now()))
+			return;
+	}
+}
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -298,7 +298,7 @@
 		return;
 	pthread_mutex_lock(&route->lock);
 	entry_service_report(&route->service, req->call.copy, &transfer->load,
-			     time_now());
+			     true, time_now());
 	pthread_mutex_unlock(&route->lock);
 }
 
@@ -411,6 +411,11 @@
 	if (!req->probing)
 		return true;
 	req->probing = false;
+	if (req->entry->policy == ENTRY_POLICY_REPORTS) {
+		entry_probe_reports(req);
+		entry_dispatch_decide(req, time_now());
+		return false;
+	}
 	decision = entry_probe_choose(req);
 	if (decision.verdict == ENTRY_SEND)
 		return true;
--- a/entry-report.c
+++ b/entry-report.c
@@ -26,7 +26,7 @@
 }
 
 void entry_service_report(entry_service_t *svc, entry_copy_t *copy,
-			  const load_t *load, usec_t now)
+			  const load_t *load, bool told, usec_t now)
 {
 	double slowness = (double)load->slowness / LOAD_USUAL;
 	unsigned held = load->running + load->waiting;
@@ -36,6 +36,8 @@
 				      held - copy->outstanding :
 				      0;
 	copy->report.at = now;
+	if (!told)
+		return;
 	if (svc->slowness <= 0)
 		svc->slowness = 1;
 	svc->slowness += REPORT_MEAN_WEIGHT * (slowness - svc->slowness);
--- a/entry-target.c
+++ b/entry-target.c
@@ -58,6 +58,8 @@
 	if (connections < TARGET_CONNECTIONS_MIN)
 		connections = TARGET_CONNECTIONS_MIN;
 	pthread_mutex_lock(&route->lock);
+	snprintf(route->health_path, sizeof(route->health_path), "%s",
+		 pool->health_path);
 	copy = entry_service_copy(&route->service, target->name);
 	if (!copy)
 		copy = entry_service_copy_add(&route->service, target->name,
--- a/entry.h
+++ b/entry.h
@@ -341,10 +341,23 @@
 /**
  * entry_service_report - a copy told its load with an answer.
  *
- * For ENTRY_POLICY_REPORTS. The answered call still counts as outstanding.
+ * @told: false if the copy was silent, and @load stands for that
+ *
+ * For ENTRY_POLICY_REPORTS. An answered call still counts as outstanding.
  */
 void entry_service_report(entry_service_t *svc, entry_copy_t *copy,
-			  const load_t *load, usec_t now);
+			  const load_t *load, bool told, usec_t now);
+
+/**
+ * entry_service_candidates - copies to be asked before a call is sent.
+ * @asked_after: those that told something since then are left out
+ * @out: filled in, the least costly first
+ *
+ * Return: how many, at most @max.
+ */
+unsigned entry_service_candidates(entry_service_t *svc,
+				  const entry_call_t *call, usec_t asked_after,
+				  entry_copy_t **out, unsigned max, usec_t now);
 
 /** entry_service_leave - the caller of a waiting call went away. */
 void entry_service_leave(entry_service_t *svc, entry_call_t *call);
