Send a call to another zone where only that is in time

Cause: stord-c has 4 of 17 copies and a third of the calls; its copies were full and shed 3,157 of 8,982 calls while other zones had room.

--- a/entry-decide.h
+++ b/entry-decide.h
@@ -181,6 +181,14 @@
 double entry_report_cost(const entry_service_t *svc, const entry_copy_t *copy,
 			 usec_t now);
 
+/** entry_report_time - how long a call there is expected to take. */
+usec_t entry_report_time(const entry_service_t *svc, const entry_call_t *call,
+			 const entry_copy_t *copy, usec_t now);
+
+/** entry_report_took - learn the work of a kind from an answer. */
+void entry_report_took(entry_service_t *svc, const entry_call_t *call,
+		       usec_t took);
+
 /* entry-retry.c: the budget of second sends. */
 
 struct entry_retry *entry_retry_new(void);
--- a/entry-head.c
+++ b/entry-head.c
@@ -306,6 +306,7 @@
 	call->idempotent = rule->idempotent;
 	call->attempts_max = rule->attempts_max;
 	call->objective = rule->objective;
+	call->kind = (unsigned)hl_hash(req->rule, strlen(req->rule), 0);
 	call->arrived = now;
 	call->deadline = now + left;
 	req->caller_deadline = call->deadline;
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -118,7 +118,8 @@
 
 unsigned entry_service_candidates(entry_service_t *svc,
 				  const entry_call_t *call, usec_t asked_after,
-				  entry_copy_t **out, unsigned max, usec_t now)
+				  bool near, entry_copy_t **out, unsigned max,
+				  usec_t now)
 {
 	double costs[PICK_CANDIDATES_MAX];
 	entry_copy_t *copy = NULL;
@@ -129,7 +130,8 @@
 	cds_list_for_each_entry (copy, &svc->copies, link) {
 		double cost;
 
-		if (!pick_near(svc, copy) || copy->report.at >= asked_after ||
+		if (pick_near(svc, copy) != near ||
+		    copy->report.at >= asked_after ||
 		    !pick_reports_open(svc, call, copy, now))
 			continue;
 		/* Chance decides among those of which little is known. */
@@ -156,18 +158,42 @@
 	return NULL;
 }
 
+/* Whether a copy would answer within the call's objective. */
+static bool pick_in_time(const entry_service_t *svc, const entry_call_t *call,
+			 const entry_copy_t *copy, usec_t now)
+{
+	return !call->objective ||
+	       now + entry_report_time(svc, call, copy, now) <=
+		       call->arrived + call->objective;
+}
+
+bool entry_service_in_time(entry_service_t *svc, const entry_call_t *call,
+			   usec_t now)
+{
+	const entry_copy_t *copy = pick_least_cost(svc, call, true, now);
+
+	return copy && pick_in_time(svc, call, copy, now);
+}
+
+/* Another zone's copy costs bytes between zones: only for an answer in time
+ * that no copy of the zone would give. */
 static entry_copy_t *pick_reports(entry_service_t *svc,
 				  const entry_call_t *call, usec_t now)
 {
-	entry_copy_t *copy = NULL;
+	entry_copy_t *near = NULL;
+	entry_copy_t *far;
 
 	if (call->attempts == 0)
-		copy = pick_reports_probation(svc, call, now);
-	if (!copy)
-		copy = pick_least_cost(svc, call, true, now);
-	if (!copy)
-		copy = pick_least_cost(svc, call, false, now);
-	return copy;
+		near = pick_reports_probation(svc, call, now);
+	if (near)
+		return near;
+	near = pick_least_cost(svc, call, true, now);
+	if (near && pick_in_time(svc, call, near, now))
+		return near;
+	far = pick_least_cost(svc, call, false, now);
+	if (!near || (far && pick_in_time(svc, call, far, now)))
+		return far;
+	return near;
 }
 
 entry_copy_t *entry_pick_fast(entry_service_t *svc, const entry_call_t *call,
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -157,8 +157,8 @@
 
 /* Copies to ask that were not asked for this call; their number. */
 static unsigned probe_candidates(entry_route_t *route, entry_call_t *call,
-				 usec_t asked_after, entry_probe_t *probes,
-				 char *path)
+				 usec_t asked_after, bool near,
+				 entry_probe_t *probes, char *path)
 {
 	entry_copy_t *copies[PROBE_REPORTS];
 	unsigned count;
@@ -166,7 +166,8 @@
 
 	pthread_mutex_lock(&route->lock);
 	count = entry_service_candidates(&route->service, call, asked_after,
-					 copies, PROBE_REPORTS, time_now());
+					 near, copies, PROBE_REPORTS,
+					 time_now());
 	for (i = 0; i < count; i++) {
 		memset(&probes[i], 0, sizeof(probes[i]));
 		strcpy(probes[i].address, copies[i]->address);
@@ -201,24 +202,44 @@
 	return good;
 }
 
-void entry_probe_reports(entry_request_t *req)
+/* Ask one round of copies; true if one of them will do. */
+static bool probe_round(entry_request_t *req, bool near, usec_t start)
 {
 	const entry_probe_wait_t wait = { PROBE_WAIT_ALL, PROBE_WAIT_SOME };
 	entry_probe_t probes[PROBE_REPORTS];
 	entry_route_t *route = req->route;
 	char path[HL_MESSAGE_MAX];
-	usec_t start = time_now();
 	unsigned count;
+
+	count = probe_candidates(route, &req->call, start, near, probes, path);
+	if (!count)
+		return false;
+	entry_prober_ask(req->entry->prober, path, probes, count, &wait,
+			 probe_is_good);
+	return probe_learn(route, probes, count, time_now());
+}
+
+/* Whether the zone would answer in time after all. */
+static bool probe_zone_suffices(entry_request_t *req)
+{
+	entry_route_t *route = req->route;
+	bool suffices;
+
+	pthread_mutex_lock(&route->lock);
+	suffices = entry_service_in_time(&route->service, &req->call,
+					 time_now());
+	pthread_mutex_unlock(&route->lock);
+	return suffices;
+}
+
+void entry_probe_reports(entry_request_t *req)
+{
+	usec_t start = time_now();
 	int round;
 
-	for (round = 0; round < PROBE_ROUNDS_MAX; round++) {
-		count = probe_candidates(route, &req->call, start, probes,
-					 path);
-		if (!count)
+	for (round = 0; round < PROBE_ROUNDS_MAX; round++)
+		if (probe_round(req, true, start))
 			return;
-		entry_prober_ask(req->entry->prober, path, probes, count, &wait,
-				 probe_is_good);
-		if (probe_learn(route, probes, count, time_now()))
-			return;
-	}
+	if (!probe_zone_suffices(req))
+		probe_round(req, false, start);
 }
--- a/entry-report.c
+++ b/entry-report.c
@@ -16,6 +16,10 @@
 #define REPORT_MEAN_WEIGHT 0.05
 /* Cost of a call that fills a copy up, in calls of usual speed. */
 #define REPORT_FILL_COST 0.25
+/* Part of an objective that the work of an unknown kind takes. */
+#define REPORT_WORK_GUESS 0.4
+/* Weight of a new answer in the work of its kind. */
+#define REPORT_WORK_WEIGHT 0.1
 /* How much slower a copy is that has just started. */
 #define REPORT_COLD_COST 2.0
 
@@ -73,3 +77,31 @@
 		cost *= REPORT_COLD_COST;
 	return cost * (1 + REPORT_FILL_COST * fill);
 }
+
+static double report_work(const entry_service_t *svc, const entry_call_t *call)
+{
+	double work = svc->work[call->kind % ENTRY_KINDS];
+
+	return work > 0 ? work : REPORT_WORK_GUESS * (double)call->objective;
+}
+
+usec_t entry_report_time(const entry_service_t *svc, const entry_call_t *call,
+			 const entry_copy_t *copy, usec_t now)
+{
+	return (usec_t)(entry_report_cost(svc, copy, now) *
+			report_work(svc, call));
+}
+
+void entry_report_took(entry_service_t *svc, const entry_call_t *call,
+		       usec_t took)
+{
+	double *work = &svc->work[call->kind % ENTRY_KINDS];
+	double usual = (double)took;
+
+	if (call->slowness > 1)
+		usual /= call->slowness;
+	if (*work <= 0)
+		*work = usual;
+	else
+		*work += REPORT_WORK_WEIGHT * (usual - *work);
+}
--- a/entry-service.c
+++ b/entry-service.c
@@ -148,6 +148,7 @@
 	call->copy = copy;
 	call->sent = now;
 	call->depth = copy->outstanding;
+	call->slowness = entry_report_slowness(svc, copy, now);
 	call->attempts++;
 	cds_list_add_tail(&call->running_link, &svc->running);
 	return decision;
@@ -400,6 +401,8 @@
 	service_learn_outcome(call, result);
 	service_count_unsent(call, result);
 	call->avoid = call->copy;
+	if (result == ENTRY_RESULT_OK && call->objective)
+		entry_report_took(svc, call, now - call->sent);
 	if (service_answered(result))
 		return decision;
 	if (call->hedge) {
--- a/entry.h
+++ b/entry.h
@@ -99,6 +99,8 @@
 	bool no_hedge;	 /* hedged before, or its body or answer streams */
 	unsigned attempts_max; /* of its route; 0: as the profile says */
 	usec_t objective;      /* span of its route; 0: none */
+	unsigned kind;	       /* of work: calls of a route are alike */
+	double slowness;       /* expected of its copy as it was sent */
 	usec_t hedge_after;    /* until its second send; 0: as the profile */
 	unsigned attempts;     /* sends so far */
 	unsigned unsent;       /* those of which no byte left */
@@ -156,6 +158,9 @@
 	usec_t until;
 } entry_reserve_t;
 
+/* Kinds of work that are told apart. */
+#define ENTRY_KINDS 64
+
 /** struct entry_service_t - all that one entry decides on for a service. */
 typedef struct entry_service {
 	struct cds_list_head copies;
@@ -163,6 +168,7 @@
 	unsigned outstanding;	/* over all copies */
 	char zone[HL_NAME_MAX]; /* of this entry; "": copies of all count */
 	double slowness;	/* mean of what copies report; 0: unknown */
+	double work[ENTRY_KINDS]; /* at usual speed, microseconds; 0: unknown */
 	entry_policy_t policy;
 	const config_profile_t *profile; /* in force; outlives the calls */
 	struct entry_queue *queue;
@@ -351,13 +357,20 @@
 /**
  * entry_service_candidates - copies to be asked before a call is sent.
  * @asked_after: those that told something since then are left out
+ * @near: of this entry's zone, or of the others
  * @out: filled in, the least costly first
  *
  * Return: how many, at most @max.
  */
 unsigned entry_service_candidates(entry_service_t *svc,
 				  const entry_call_t *call, usec_t asked_after,
-				  entry_copy_t **out, unsigned max, usec_t now);
+				  bool near, entry_copy_t **out, unsigned max,
+				  usec_t now);
+
+/** entry_service_in_time - would a copy of the zone answer within the
+ * objective, as far as is known? */
+bool entry_service_in_time(entry_service_t *svc, const entry_call_t *call,
+			   usec_t now);
 
 /** entry_service_leave - the caller of a waiting call went away. */
 void entry_service_leave(entry_service_t *svc, entry_call_t *call);
