--- a/entry-head.c
+++ b/entry-head.c
@@ -7,6 +7,8 @@
 
 #define HEAD_LINE_MAX 8192
 #define HEAD_DEADLINE_MAX_MS 600000
+/* Until its route is known a call has this long. */
+#define HEAD_PARKED_DEADLINE (2 * USEC_PER_SEC)
 #define HTTP_BAD_REQUEST 400
 #define HTTP_FORBIDDEN 403
 #define HTTP_NOT_FOUND 404
@@ -274,14 +276,14 @@
 }
 
 /* By host and path, with entry.routed. */
-static int head_find_rule(head_t *head, entry_rule_t *rule, hl_error_t *err)
+static int head_find_rule(entry_request_t *req, entry_rule_t *rule,
+			  hl_error_t *err)
 {
-	entry_request_t *req = head->req;
 	char service[HL_NAME_MAX];
 
-	if (!head->host)
+	if (!req->host)
 		return hl_error_set(err, HL_ERR_PROTOCOL, "no Host");
-	if (!entry_target_match(req->entry, head->host, req->target, rule,
+	if (!entry_target_match(req->entry, req->host, req->target, rule,
 				service, req->rule))
 		return hl_error_set(err, HL_ERR_NOT_FOUND, "no route");
 	req->route = entry_route_make(req->entry, service);
@@ -291,14 +293,14 @@
 }
 
 /* What a route says of its calls. */
-static void head_set_rule(head_t *head, const entry_rule_t *rule, usec_t now)
+static void head_set_rule(entry_request_t *req, const entry_rule_t *rule,
+			  usec_t now)
 {
-	entry_request_t *req = head->req;
 	entry_call_t *call = &req->call;
 	usec_t left = rule->timeout;
 
-	if (head->deadline_ms && head->deadline_ms * USEC_PER_MS < left)
-		left = head->deadline_ms * USEC_PER_MS;
+	if (req->deadline_ms && req->deadline_ms * USEC_PER_MS < left)
+		left = req->deadline_ms * USEC_PER_MS;
 	strcpy(call->tenant, "none");
 	strcpy(req->tenant, "none");
 	strcpy(req->class_name, req->rule);
@@ -310,8 +312,8 @@
 	call->arrived = now;
 	call->deadline = now + left;
 	req->caller_deadline = call->deadline;
-	if (head->deadline_ms)
-		req->caller_deadline = now + head->deadline_ms * USEC_PER_MS;
+	if (req->deadline_ms)
+		req->caller_deadline = now + req->deadline_ms * USEC_PER_MS;
 }
 
 static bool head_is_idempotent(const char *method, bool post)
@@ -414,19 +416,25 @@
 	}
 }
 
+int entry_http_route(entry_request_t *req)
+{
+	entry_rule_t rule;
+	hl_error_t err;
+
+	if (head_find_rule(req, &rule, &err))
+		return head_refuse_route(req, err.kind);
+	head_set_rule(req, &rule, req->call.arrived);
+	return 0;
+}
+
 /* Find where the call goes and what its deadline is. */
 static int head_route(head_t *head)
 {
 	entry_request_t *req = head->req;
-	entry_rule_t rule;
 	hl_error_t err;
 
-	if (req->entry->settings.routed) {
-		if (head_find_rule(head, &rule, &err))
-			return head_refuse_route(req, err.kind);
-		head_set_rule(head, &rule, req->call.arrived);
-		return 0;
-	}
+	if (req->entry->settings.routed)
+		return req->parked ? 0 : entry_http_route(req);
 	if (head_find_route(head, &err))
 		return head_refuse_route(req, err.kind);
 	if (!head_read_hop(head))
@@ -442,6 +450,20 @@
 	       (entry->settings.routed && !entry_target_routed(entry));
 }
 
+/* Keep what a call that waits for routes is matched by. */
+static int head_keep_place(head_t *head)
+{
+	entry_request_t *req = head->req;
+	usec_t now = req->call.arrived;
+
+	req->deadline_ms = head->deadline_ms;
+	req->call.deadline = now + HEAD_PARKED_DEADLINE;
+	if (!head->host)
+		return 0;
+	req->host = strdup(head->host);
+	return req->host ? 0 : -1;
+}
+
 int entry_http_head(entry_request_t *req, const char *method)
 {
 	head_t head = { .req = req };
@@ -454,10 +476,16 @@
 	bad = head_check(&head);
 	if (bad)
 		return head_refuse(req, HTTP_BAD_REQUEST, "request");
+	if (head_keep_place(&head))
+		return head_refuse(req, HTTP_UNAVAILABLE, "memory");
 	if (head_too_early(req->entry)) {
-		entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN,
-				   "starting", USEC_PER_SEC);
-		return -1;
+		req->parked = entry_park_open(req->entry->park,
+					      req->call.arrived);
+		if (!req->parked) {
+			entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN,
+					   "starting", USEC_PER_SEC);
+			return -1;
+		}
 	}
 	if (head_route(&head))
 		return -1;
--- a/entry-http.c
+++ b/entry-http.c
@@ -64,6 +64,10 @@
 		return;
 	req->dispatched = true;
 	entry_watch_add(req->entry->watch, req, entry_http_fd(req->connection));
+	if (req->parked) {
+		entry_park_add(req->entry, req, time_now());
+		return;
+	}
 	if (req->entry->claims && *req->key && !req->call.idempotent &&
 	    !*req->hop) {
 		entry_claims_start(req, time_now());
--- a/entry-http.h
+++ b/entry-http.h
@@ -12,6 +12,13 @@
  */
 int entry_http_head(entry_request_t *req, const char *method);
 
+/**
+ * entry_http_route - find where a call goes, with entry.routed.
+ *
+ * Return: 0, or -1 with a final answer of our own in the request.
+ */
+int entry_http_route(entry_request_t *req);
+
 /* How long a connection of a caller may be without a call. */
 #define ENTRY_IDLE_SECONDS 60u
 #define ENTRY_IDLE_TIME (ENTRY_IDLE_SECONDS * USEC_PER_SEC)
--- a/entry-io.h
+++ b/entry-io.h
@@ -212,6 +212,9 @@
 	char call_id[HL_NAME_MAX]; /* the caller's name of this attempt */
 	char rule[HL_NAME_MAX];	   /* route of the configuration, or "" */
 	usec_t caller_deadline;	   /* until when the caller waits */
+	char *host;		   /* as the caller wrote it, with routes */
+	int64_t deadline_ms;	   /* that the caller gave; 0: none */
+	bool parked;		   /* it came before there were routes */
 	struct curl_slist *headers;
 	bool has_body;
 	int64_t body_length;	   /* -1: chunked */
@@ -371,6 +374,33 @@
 /** entry_slow_sweep - cut those that are late; call about once a second. */
 void entry_slow_sweep(entry_slow_t *slow, usec_t now);
 
+typedef struct entry_park entry_park_t;
+
+/**
+ * entry_park_new - calls that came before the first routes did.
+ *
+ * A process that has just started knows nothing for a moment; its callers
+ * would be refused by it and, after that, by the next one that has restarted.
+ */
+entry_park_t *entry_park_new(usec_t now);
+void entry_park_free(entry_park_t *park);
+
+/** entry_park_open - is it worth a call's time to wait for routes? */
+bool entry_park_open(const entry_park_t *park, usec_t now);
+
+/** entry_park_add - keep a call until there are routes. */
+void entry_park_add(struct entry *entry, entry_request_t *req, usec_t now);
+
+/** entry_park_release - there are routes: dispatch what waits. */
+void entry_park_release(struct entry *entry, usec_t now);
+
+/**
+ * entry_park_expire - refuse what has waited too long.
+ *
+ * Return: when to look again, or INT64_MAX.
+ */
+usec_t entry_park_expire(struct entry *entry, usec_t now);
+
 typedef struct entry_watch entry_watch_t;
 
 /** entry_watch_new - notices callers that go away while they wait. */
@@ -402,6 +432,7 @@
 	pthread_mutex_t rules_lock; /* of the next two */
 	entry_rules_t *rules;	    /* NULL until there are some */
 	uint64_t rules_revision;
+	entry_park_t *park; /* with entry.routed */
 	char call_address[HL_ADDRESS_MAX];
 	pthread_mutex_t tick_lock;
 	pthread_cond_t tick_wake;
--- a/entry-main.c
+++ b/entry-main.c
@@ -137,6 +137,9 @@
 	else
 		main_address(entry->call_address, settings,
 			     settings->call_port);
+	entry->park = entry_park_new(time_now());
+	if (!entry->park)
+		return hl_error_set(err, HL_ERR_NOMEM, "no memory; add some");
 	if (entry_config_new(entry, NULL, err))
 		return -1;
 	if (entry->policy == ENTRY_POLICY_REPORTS && settings->headers->load) {
@@ -234,6 +237,7 @@
 	config_follow_free(entry.follow);
 	presence_tell_free(entry.presence);
 	entry_prober_free(entry.prober);
+	entry_park_free(entry.park);
 	entry_rules_free(entry.rules);
 	owner_free(entry.owner);
 	member_free(entry.member);
--- a/entry-request.c
+++ b/entry-request.c
@@ -67,6 +67,7 @@
 		entry_request_unref(req->winner);
 	pthread_cond_destroy(&req->changed);
 	pthread_mutex_destroy(&req->lock);
+	free(req->host);
 	free(req->method);
 	free(req->target);
 	free(req);
--- a/entry-target.c
+++ b/entry-target.c
@@ -148,6 +148,8 @@
 	target_take_rules(entry, config);
 	while ((route = entry_route_next(entry, route)))
 		entry_dispatch_next(route, now);
+	if (entry_target_routed(entry))
+		entry_park_release(entry, now);
 }
 
 bool entry_target_match(entry_t *entry, const char *host, const char *target,
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -73,6 +73,8 @@
 				     INT64_MAX;
 	entry_route_t *route;
 
+	if (entry->park)
+		due = tick_earlier(due, entry_park_expire(entry, now));
 	pthread_mutex_lock(&entry->routes_lock);
 	cds_list_for_each_entry (route, &entry->routes, link)
 		due = tick_earlier(due, tick_route(route, now));
--- a/presence-tell.c
+++ b/presence-tell.c
@@ -12,6 +12,8 @@
 #define TELL_FORGOTTEN (5 * USEC_PER_SEC)
 /* When a keeper's answer is missing this long, it counts as lost. */
 #define TELL_LOST (3 * USEC_PER_SEC)
+/* A keeper that does not answer is told so often. */
+#define TELL_URGENT (150 * USEC_PER_MS)
 /* Keepers told at once: those of the settings and those learned. */
 #define TELL_KEEPERS_MAX (2 * PRESENCE_KEEPERS_MAX)
 
@@ -23,6 +25,7 @@
 	bool known; /* it knows who we are */
 	bool lost;
 	usec_t heard;
+	usec_t sent;
 } tell_keeper_t;
 
 struct presence_tell {
@@ -36,6 +39,8 @@
 	int socket;
 	int wake;
 	unsigned count;
+	bool again; /* tell at once */
+	usec_t urgent_at;
 	tell_keeper_t keepers[TELL_KEEPERS_MAX];
 	unsigned entries;     /* atomic */
 	pthread_mutex_t lock; /* of learned */
@@ -150,6 +155,9 @@
 			  keeper->address);
 	keeper->lost = false;
 	keeper->heard = now;
+	/* One that has restarted is told who we are at once. */
+	if (keeper->known && !news->known)
+		tell->again = true;
 	keeper->known = news->known;
 	__atomic_store_n(&tell->entries, news->entries ? news->entries : 1,
 			 __ATOMIC_RELAXED);
@@ -208,7 +216,14 @@
 			  "keeper=%s errno=%d", keeper->address, errno);
 }
 
-static void tell_all(presence_tell_t *tell, usec_t now)
+/* A keeper that has not answered since we last told it, and should have. */
+static bool tell_is_urgent(const tell_keeper_t *keeper)
+{
+	return !keeper->known || keeper->heard < keeper->sent;
+}
+
+/* Tell all keepers, or with @urgent those alone that do not answer. */
+static void tell_all(presence_tell_t *tell, bool urgent, usec_t now)
 {
 	unsigned i;
 
@@ -223,10 +238,24 @@
 				  keeper->address,
 				  (now - keeper->heard) / USEC_PER_MS);
 		}
+		if (urgent && !tell_is_urgent(keeper))
+			continue;
+		keeper->sent = now;
 		tell_send(tell, keeper, now);
 	}
 }
 
+/* Whether some keeper does not answer. */
+static bool tell_any_urgent(const presence_tell_t *tell)
+{
+	unsigned i;
+
+	for (i = 0; i < tell->count; i++)
+		if (tell_is_urgent(&tell->keepers[i]))
+			return true;
+	return false;
+}
+
 /* Wait for a datagram, the next time to tell, or the wake; true on a wake. */
 static bool tell_wait(presence_tell_t *tell, usec_t left)
 {
@@ -241,6 +270,24 @@
 	return true;
 }
 
+/* Tell what is due now; when the next is due. */
+static usec_t tell_due(presence_tell_t *tell, usec_t *due, usec_t now)
+{
+	usec_t next;
+
+	if (now >= *due) {
+		tell_all(tell, false, now);
+		*due = now + tell->options.interval;
+	} else if (now >= tell->urgent_at) {
+		tell_all(tell, true, now);
+	} else {
+		next = tell_any_urgent(tell) ? tell->urgent_at : *due;
+		return next < *due ? next : *due;
+	}
+	tell->urgent_at = now + TELL_URGENT;
+	return tell->urgent_at < *due ? tell->urgent_at : *due;
+}
+
 static int tell_run(void *context, const volatile int *stop)
 {
 	presence_tell_t *tell = context;
@@ -248,14 +295,14 @@
 
 	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
 		usec_t now = time_now();
+		usec_t next = tell_due(tell, &due, now);
 
-		if (now >= due) {
-			tell_all(tell, now);
-			due = now + tell->options.interval;
-		}
-		if (tell_wait(tell, due - now))
+		if (tell_wait(tell, next - now))
 			due = 0;
 		tell_receive(tell, time_now());
+		if (tell->again)
+			due = 0;
+		tell->again = false;
 	}
 	return 0;
 }
