Let routed entries follow the leading keeper over HTTP

Cause: after a restart leaders changed four times in 1.5 s. 16 entries fetched 60 KB each through the one thread of ONC RPC that also takes the messages of the other keepers; libtirpc writes such an answer in place, for up to 2 s where the peer does not read. A keeper also dropped messages until its first round.

Change: GET /v1/follow gives deflated XDR from the control page, whose server does not block; routed entries ask the keeper that says it leads. Keepers take messages in from their start on. Deflating stands once, in pack.c.

Ruled out: longer elections (they hide it and recover later); deflating the answer of the RPC alone (a silent peer would still hold the thread).

--- a/config-follow.c
+++ b/config-follow.c
@@ -104,8 +104,10 @@
 					   .run = config_serve_run,
 					   .wake = rpc_server_wake,
 					   .context = follow };
+	bool tree = *follow->rpc_address != '\0';
 	const supervisor_child_t poll = { .name = "config-poll",
-					  .run = config_poll_run,
+					  .run = tree ? config_poll_run :
+							config_direct_run,
 					  .wake = config_poll_wake,
 					  .context = follow };
 	supervisor_t *threads = supervisor_new("config",
@@ -192,26 +194,28 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
-void config_follow_kick(config_follow_t *follow, const setting_list_t *keepers)
+void config_follow_kick(config_follow_t *follow, const setting_list_t *keepers,
+			const char *leader)
 {
 	pthread_mutex_lock(&follow->lock);
 	follow->kicked = true;
-	if (keepers && keepers->count)
+	if (keepers->count)
 		follow->keepers = *keepers;
+	if (*leader)
+		strcpy(follow->leader, leader);
 	pthread_cond_broadcast(&follow->wake);
 	pthread_mutex_unlock(&follow->lock);
 }
 
-void config_follow_ports(config_follow_settings_t *settings)
+void config_follow_port(setting_list_t *list, uint16_t port)
 {
 	unsigned i;
 
-	for (i = 0; settings->keeper_port && i < settings->keepers.count; i++) {
-		char *port = strrchr(settings->keepers.items[i], ':');
-		size_t room = HL_ADDRESS_MAX -
-			      (size_t)(port - settings->keepers.items[i]);
+	for (i = 0; port && i < list->count; i++) {
+		char *colon = strrchr(list->items[i], ':');
+		size_t room = HL_ADDRESS_MAX - (size_t)(colon - list->items[i]);
 
-		snprintf(port, room, ":%u", (uint16_t)settings->keeper_port);
+		snprintf(colon, room, ":%u", port);
 	}
 }
 
--- a/config-follow.h
+++ b/config-follow.h
@@ -68,8 +68,8 @@
 		  "0",                                                           \
 		  0,                                                             \
 		  65535,                                                         \
-		  "port of all keepers, in place of those in keepers; 0: as "    \
-		  "they are" },                                                  \
+		  "UDP port of all keepers, with entry.routed; keepers then names " \
+		  "their control pages" },                                                  \
 	{                                                                        \
 		"config", "timeout_ms", SETTING_INTEGER,                         \
 			offsetof(type, member.timeout_ms), false, "1000", 10,    \
@@ -77,8 +77,8 @@
 			"milliseconds until a parent or keeper counts as silent" \
 	}
 
-/** config_follow_ports - put keeper_port into the keepers' addresses. */
-void config_follow_ports(config_follow_settings_t *settings);
+/** config_follow_port - put a port, unless it is 0, into all addresses. */
+void config_follow_port(setting_list_t *list, uint16_t port);
 
 /**
  * struct config_follow_options_t - what a follower needs to know.
@@ -137,9 +137,13 @@
 
 /**
  * config_follow_kick - there may be something new: ask now.
- * @keepers: the keepers as they are known now, or NULL
+ * @keepers: the keepers' pages as they are known now; none: as before
+ * @leader: the page of the one that leads, or ""
+ *
+ * For a follower that asks the keepers itself.
  */
-void config_follow_kick(config_follow_t *follow, const setting_list_t *keepers);
+void config_follow_kick(config_follow_t *follow, const setting_list_t *keepers,
+			const char *leader);
 
 /** config_follow_free - after the child has stopped; NULL is allowed. */
 void config_follow_free(config_follow_t *follow);
--- a/config-node.h
+++ b/config-node.h
@@ -1,6 +1,7 @@
 #ifndef CONFIG_NODE_H
 #define CONFIG_NODE_H
 
+#include <curl/curl.h>
 #include "config-follow.h"
 #include "config-report.h"
 #include "config-source.h"
@@ -43,6 +44,7 @@
 	unsigned jitter;	     /* seed */
 
 	SVCXPRT *listener;
+	CURL *easy; /* of one that asks the keepers over HTTP */
 
 	struct {
 		uint64_t *revision, *deltas, *wholes, *failures;
@@ -64,6 +66,9 @@
 int config_publish(config_follow_t *follow, const keeper_fetch_body_t *body,
 		   uint64_t newest, usec_t fresh_at);
 
+/** config_direct_run - as config_poll_run(), without a tree. */
+int config_direct_run(void *context, const volatile int *stop);
+
 /** config_poll_run - ask until told to stop. */
 int config_poll_run(void *context, const volatile int *stop);
 
--- a/config-poll.c
+++ b/config-poll.c
@@ -10,8 +10,6 @@
 #define CONFIG_POLL_STALE_MIN (5 * USEC_PER_SEC)
 /* After a failure the next source is tried in a part of the pause. */
 #define CONFIG_POLL_RETRY_PART 4
-/* An entry that has nothing yet asks at least this often. */
-#define CONFIG_POLL_FIRST (60 * USEC_PER_MS)
 
 /* How one question ended. */
 typedef enum {
@@ -298,9 +296,7 @@
 		result = config_poll_once(follow, now);
 		if (result == CONFIG_POLL_FAILED)
 			pause /= CONFIG_POLL_RETRY_PART;
-		if (result == CONFIG_POLL_FAILED && !follow->ready &&
-		    pause > CONFIG_POLL_FIRST)
-			pause = CONFIG_POLL_FIRST;
+
 		if (result != CONFIG_POLL_MORE)
 			config_node_pause(follow, pause, stop);
 	}
--- a/entry-main.c
+++ b/entry-main.c
@@ -131,7 +131,6 @@
 {
 	const entry_settings_t *settings = &entry->settings;
 
-	config_follow_ports(&entry->settings.follow);
 	if (*settings->call_listen)
 		strcpy(entry->call_address, settings->call_listen);
 	else
--- a/entry-target.c
+++ b/entry-target.c
@@ -1,3 +1,5 @@
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include "config-target.h"
 #include "entry-io.h"
@@ -190,25 +192,38 @@
 	       entry_config_ready(entry) && entry_target_routed(entry);
 }
 
+/* The port of the keepers' control pages. */
+static uint16_t target_page_port(const entry_t *entry)
+{
+	const char *first = entry->settings.follow.keepers.items[0];
+
+	return (uint16_t)strtoul(strrchr(first, ':') + 1, NULL, 10);
+}
+
 static void target_news(void *context)
 {
 	entry_t *entry = context;
+	setting_list_t leader = { .count = 1 };
 	setting_list_t keepers;
 
-	presence_tell_keepers(entry->presence, &keepers);
-	config_follow_kick(entry->follow, &keepers);
+	presence_tell_keepers(entry->presence, &keepers, leader.items[0]);
+	leader.count = *leader.items[0] != '\0';
+	config_follow_port(&keepers, target_page_port(entry));
+	config_follow_port(&leader, target_page_port(entry));
+	config_follow_kick(entry->follow, &keepers, leader.items[0]);
 }
 
 int entry_target_new(entry_t *entry, hl_error_t *err)
 {
 	const entry_settings_t *settings = &entry->settings;
+	setting_list_t keepers = settings->follow.keepers;
 	presence_tell_options_t options = {
 		.cluster = settings->cluster,
 		.name = settings->name,
 		.zone = settings->zone,
 		.calls = entry->call_address,
 		.address = settings->address,
-		.keepers = &settings->follow.keepers,
+		.keepers = &keepers,
 		.interval = settings->beat_ms * USEC_PER_MS,
 		.ready = target_ready,
 		.revision = entry_config_revision,
@@ -216,6 +231,7 @@
 		.context = entry,
 	};
 
+	config_follow_port(&keepers, (uint16_t)settings->follow.keeper_port);
 	entry->presence = presence_tell_new(&options, err);
 	return entry->presence ? 0 : -1;
 }
--- a/keeper-body.c
+++ b/keeper-body.c
@@ -1,8 +1,8 @@
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
-#include <zlib.h>
 #include "keeper-core.h"
+#include "pack.h"
 
 /*
  * Changes stand in the log as XDR; larger ones are deflated, so that the
@@ -12,42 +12,29 @@
 
 #define BODY_PLAIN_MAX 8192u
 #define BODY_MARK 0xffffffffu
-/* The mark and the length of the plain body. */
-#define BODY_HEAD (2 * sizeof(uint32_t))
+#define BODY_HEAD sizeof(uint32_t)
 /* Against a log that asks for more memory than any change takes. */
 #define BODY_INFLATED_MAX (16u * 1024 * 1024)
 
-static void body_put(char *at, uint32_t value)
-{
-	value = htonl(value);
-	memcpy(at, &value, sizeof(value));
-}
-
-static uint32_t body_get(const char *at)
-{
-	uint32_t value;
-
-	memcpy(&value, at, sizeof(value));
-	return ntohl(value);
-}
-
 /* Replace a plain body by a deflated one; false out of memory. */
 static bool body_deflate(char **body, size_t *size)
 {
-	uLongf room = compressBound(*size);
-	char *packed = malloc(BODY_HEAD + room);
+	uint32_t mark = htonl(BODY_MARK);
+	char *packed, *out = NULL;
+	size_t length;
 
-	if (!packed || compress2((Bytef *)packed + BODY_HEAD, &room,
-				 (Bytef *)*body, *size, Z_BEST_SPEED) != Z_OK) {
-		free(packed);
-		return false;
+	packed = pack_deflate(*body, *size, &length);
+	if (packed)
+		out = malloc(BODY_HEAD + length);
+	if (out) {
+		memcpy(out, &mark, BODY_HEAD);
+		memcpy(out + BODY_HEAD, packed, length);
+		free(*body);
+		*body = out;
+		*size = BODY_HEAD + length;
 	}
-	body_put(packed, BODY_MARK);
-	body_put(packed + sizeof(uint32_t), (uint32_t)*size);
-	free(*body);
-	*body = packed;
-	*size = BODY_HEAD + room;
-	return true;
+	free(packed);
+	return out != NULL;
 }
 
 bool keeper_body_pack(config_change_t *change, char **body, size_t *size)
@@ -64,25 +51,27 @@
 
 static bool body_inflate(const char *body, size_t size, config_change_t *change)
 {
-	uLongf room = body_get(body + sizeof(uint32_t));
-	char *plain = NULL;
-	bool ok = false;
+	size_t length;
+	char *plain;
+	bool ok;
 
-	if (room > BODY_INFLATED_MAX)
+	plain = pack_inflate(body + BODY_HEAD, size - BODY_HEAD,
+			     BODY_INFLATED_MAX, &length);
+	if (!plain)
 		return false;
-	plain = malloc(room ? room : 1);
-	if (plain &&
-	    uncompress((Bytef *)plain, &room, (const Bytef *)body + BODY_HEAD,
-		       size - BODY_HEAD) == Z_OK)
-		ok = keeper_xdr_decode((xdrproc_t)xdr_config_change_t, plain,
-				       room, change);
+	ok = keeper_xdr_decode((xdrproc_t)xdr_config_change_t, plain, length,
+			       change);
 	free(plain);
 	return ok;
 }
 
 bool keeper_body_unpack(const char *body, size_t size, config_change_t *change)
 {
-	if (size > BODY_HEAD && body_get(body) == BODY_MARK)
+	uint32_t mark = 0;
+
+	if (size > BODY_HEAD)
+		memcpy(&mark, body, BODY_HEAD);
+	if (ntohl(mark) == BODY_MARK)
 		return body_inflate(body, size, change);
 	return keeper_xdr_decode((xdrproc_t)xdr_config_change_t, body, size,
 				 change);
--- a/keeper-control.c
+++ b/keeper-control.c
@@ -26,6 +26,7 @@
 	const char *path;
 	void (*handle)(keeper_page_t *page, usec_t now);
 } control_pages[] = {
+	{ "GET", "/v1/follow", keeper_page_follow },
 	{ "GET", "/v1/routing", keeper_page_routing_read },
 	{ "PUT", "/v1/routing", keeper_page_routing_write },
 	{ "PATCH", "/v1/routing", keeper_page_routing_write },
@@ -133,13 +134,15 @@
 
 	if (!page->text)
 		return MHD_NO;
-	response = MHD_create_response_from_buffer(strlen(page->text),
-						   page->text,
-						   MHD_RESPMEM_MUST_FREE);
+	response = MHD_create_response_from_buffer(
+		page->binary ? page->binary : strlen(page->text), page->text,
+		MHD_RESPMEM_MUST_FREE);
 	if (!response)
 		return MHD_NO;
 	page->text = NULL;
-	MHD_add_response_header(response, "Content-Type", "application/json");
+	MHD_add_response_header(response, "Content-Type",
+				page->binary ? "application/octet-stream" :
+					       "application/json");
 	if (*page->location)
 		MHD_add_response_header(response, "Location", page->location);
 	if (page->retry)
--- a/keeper-control.h
+++ b/keeper-control.h
@@ -39,7 +39,8 @@
 	config_target_t target;
 	keeper_routing_t order;
 	unsigned status;
-	char *text; /* JSON, or NULL */
+	char *text;	/* JSON, or NULL */
+	size_t binary;	/* bytes of text that are no JSON; 0: it is JSON */
 	char location[HL_MESSAGE_MAX];
 	bool retry; /* Retry-After */
 } keeper_page_t;
@@ -58,6 +59,7 @@
 void keeper_page_routing_write(keeper_page_t *page, usec_t now);
 void keeper_page_target_write(keeper_page_t *page, usec_t now);
 void keeper_page_target_leave(keeper_page_t *page, usec_t now);
+void keeper_page_follow(keeper_page_t *page, usec_t now);
 void keeper_page_directory(keeper_page_t *page, usec_t now);
 
 /** keeper_page_core - the core that a page asks. */
--- a/keeper-core.c
+++ b/keeper-core.c
@@ -119,6 +119,78 @@
 	return 0;
 }
 
+static void keeper_core_unpend(keeper_core_t *core, const char *id)
+{
+	keeper_pending_t *pending, *next;
+
+	cds_list_for_each_entry_safe (pending, next, &core->pending, link) {
+		if (id && strcmp(pending->id, id))
+			continue;
+		cds_list_del(&pending->link);
+		core->pending_count--;
+		free(pending);
+	}
+}
+
+static void keeper_core_matched(const keeper_raft_t *raft,
+				keeper_status_view_t *view)
+{
+	unsigned i, j;
+
+	for (i = 0; i < view->group.count; i++) {
+		const keeper_node_t *node = &view->group.nodes[i];
+
+		view->matched[i] = 0;
+		if (!strcmp(node->name, raft->settings.name))
+			view->matched[i] = raft->saved;
+		for (j = 0; j < raft->peer_count; j++)
+			if (!strcmp(raft->peers[j].node.name, node->name) &&
+			    raft->peers[j].match > view->matched[i])
+				view->matched[i] = raft->peers[j].match;
+	}
+}
+
+/* Let the other threads see where the replica stands, before any message
+ * that rests on it leaves. */
+static void keeper_core_publish(keeper_core_t *core)
+{
+	const keeper_raft_t *raft = &core->raft;
+	keeper_status_view_t *view = &core->view;
+	usec_t suspended = time_suspended();
+	bool led;
+
+	pthread_mutex_lock(&core->lock);
+	led = view->leading;
+	view->serving = true;
+	view->leading = raft->role == KEEPER_LEADER;
+	view->lease = keeper_raft_lease(raft);
+	if (!led)
+		view->suspended = suspended;
+	strcpy(view->role, keeper_role_name(raft));
+	strcpy(view->leader, raft->leader);
+	view->term = raft->ballot.term;
+	view->last = keeper_entries_last(&raft->entries);
+	view->commit = raft->commit;
+	view->term_start = raft->term_start;
+	view->incarnation = raft->settings.incarnation;
+	view->group = raft->group;
+	keeper_core_matched(raft, view);
+	if (led && !view->leading)
+		keeper_core_unpend(core, NULL);
+	pthread_mutex_unlock(&core->lock);
+	if (led != view->leading)
+		log_event(LOG_LEVEL_NOTICE, "leadership",
+			  "leading=%d term=%" PRIu64 " commit=%" PRIu64,
+			  view->leading, view->term, view->commit);
+	metrics_add(core->counters.elections,
+		    raft->elections - core->elections_seen);
+	core->elections_seen = raft->elections;
+	metrics_set(core->counters.commit, raft->commit);
+	metrics_set(core->counters.leading, view->leading);
+	metrics_set(core->counters.log_bytes, core->store.log_bytes);
+	metrics_set(core->counters.syncs, core->store.syncs);
+}
+
 int keeper_core_open(keeper_core_t *core, hl_error_t *err)
 {
 	keeper_raft_settings_t settings;
@@ -138,6 +210,8 @@
 	core->open = true;
 	core->elections_seen = 0;
 	core->suspended = time_suspended();
+	/* Messages of the others are taken in from now on. */
+	keeper_core_publish(core);
 	log_event(LOG_LEVEL_NOTICE, "store-opened",
 		  "incarnation=%" PRIx64 " term=%" PRIu64 " snapshot=%" PRIu64
 		  " last=%" PRIu64 " torn=%d took_us=%" PRId64,
@@ -156,19 +230,6 @@
 	free(item);
 }
 
-static void keeper_core_unpend(keeper_core_t *core, const char *id)
-{
-	keeper_pending_t *pending, *next;
-
-	cds_list_for_each_entry_safe (pending, next, &core->pending, link) {
-		if (id && strcmp(pending->id, id))
-			continue;
-		cds_list_del(&pending->link);
-		core->pending_count--;
-		free(pending);
-	}
-}
-
 /* Close after a fault; nobody is told anything more from this replica. */
 static void keeper_core_close(keeper_core_t *core)
 {
@@ -326,65 +387,6 @@
 				      "out of memory; give the VM more");
 }
 
-static void keeper_core_matched(const keeper_raft_t *raft,
-				keeper_status_view_t *view)
-{
-	unsigned i, j;
-
-	for (i = 0; i < view->group.count; i++) {
-		const keeper_node_t *node = &view->group.nodes[i];
-
-		view->matched[i] = 0;
-		if (!strcmp(node->name, raft->settings.name))
-			view->matched[i] = raft->saved;
-		for (j = 0; j < raft->peer_count; j++)
-			if (!strcmp(raft->peers[j].node.name, node->name) &&
-			    raft->peers[j].match > view->matched[i])
-				view->matched[i] = raft->peers[j].match;
-	}
-}
-
-/* Let the other threads see where the replica stands, before any message
- * that rests on it leaves. */
-static void keeper_core_publish(keeper_core_t *core)
-{
-	const keeper_raft_t *raft = &core->raft;
-	keeper_status_view_t *view = &core->view;
-	usec_t suspended = time_suspended();
-	bool led;
-
-	pthread_mutex_lock(&core->lock);
-	led = view->leading;
-	view->serving = true;
-	view->leading = raft->role == KEEPER_LEADER;
-	view->lease = keeper_raft_lease(raft);
-	if (!led)
-		view->suspended = suspended;
-	strcpy(view->role, keeper_role_name(raft));
-	strcpy(view->leader, raft->leader);
-	view->term = raft->ballot.term;
-	view->last = keeper_entries_last(&raft->entries);
-	view->commit = raft->commit;
-	view->term_start = raft->term_start;
-	view->incarnation = raft->settings.incarnation;
-	view->group = raft->group;
-	keeper_core_matched(raft, view);
-	if (led && !view->leading)
-		keeper_core_unpend(core, NULL);
-	pthread_mutex_unlock(&core->lock);
-	if (led != view->leading)
-		log_event(LOG_LEVEL_NOTICE, "leadership",
-			  "leading=%d term=%" PRIu64 " commit=%" PRIu64,
-			  view->leading, view->term, view->commit);
-	metrics_add(core->counters.elections,
-		    raft->elections - core->elections_seen);
-	core->elections_seen = raft->elections;
-	metrics_set(core->counters.commit, raft->commit);
-	metrics_set(core->counters.leading, view->leading);
-	metrics_set(core->counters.log_bytes, core->store.log_bytes);
-	metrics_set(core->counters.syncs, core->store.syncs);
-}
-
 static void keeper_core_send(keeper_core_t *core)
 {
 	keeper_outgoing_t *outgoing, *next;
--- a/keeper-page.c
+++ b/keeper-page.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "keeper-control.h"
+#include "pack.h"
 #include "headers.h"
 
 /* Longest wait for the log. */
@@ -230,6 +231,33 @@
 		keeper_page_verdict(page, verdict, &err);
 }
 
+/* What an entry lacks, as deflated XDR. */
+void keeper_page_follow(keeper_page_t *page, usec_t now)
+{
+	const char *have = MHD_lookup_connection_value(
+		page->connection, MHD_GET_ARGUMENT_KIND, "have");
+	keeper_fetch_args_t args = { 0, TRUE };
+	keeper_fetch_res_t res;
+	char *plain = NULL;
+	size_t size = 0;
+	bool ok;
+
+	if (have)
+		args.have = strtoull(have, NULL, 10);
+	ok = keeper_core_fetch(keeper_page_core(page), &args, &res, now) &&
+	     !config_encode((xdrproc_t)xdr_keeper_fetch_res_t, &res, &plain,
+			    &size);
+	if (ok)
+		page->text = pack_deflate(plain, size, &page->binary);
+	page->status = MHD_HTTP_OK;
+	page->decided = true;
+	if (!page->text)
+		keeper_page_error(page, MHD_HTTP_SERVICE_UNAVAILABLE,
+				  "no memory; give the VM more");
+	free(plain);
+	xdr_free((xdrproc_t)xdr_keeper_fetch_res_t, (char *)&res);
+}
+
 void keeper_page_directory(keeper_page_t *page, usec_t now)
 {
 	const char *zone = MHD_lookup_connection_value(page->connection,
--- a/presence-tell.c
+++ b/presence-tell.c
@@ -43,7 +43,8 @@
 	usec_t urgent_at;
 	tell_keeper_t keepers[TELL_KEEPERS_MAX];
 	unsigned entries;     /* atomic */
-	pthread_mutex_t lock; /* of learned */
+	pthread_mutex_t lock; /* of what follows */
+	char leader[HL_ADDRESS_MAX]; /* that said so last, or "" */
 	setting_list_t learned;
 };
 
@@ -147,6 +148,17 @@
 	return NULL;
 }
 
+static void tell_lead(presence_tell_t *tell, const tell_keeper_t *keeper,
+		      bool leads)
+{
+	pthread_mutex_lock(&tell->lock);
+	if (leads)
+		strcpy(tell->leader, keeper->address);
+	else if (!strcmp(tell->leader, keeper->address))
+		tell->leader[0] = '\0';
+	pthread_mutex_unlock(&tell->lock);
+}
+
 static void tell_hear(presence_tell_t *tell, tell_keeper_t *keeper,
 		      const presence_news_t *news, usec_t now)
 {
@@ -162,6 +174,7 @@
 	__atomic_store_n(&tell->entries, news->entries ? news->entries : 1,
 			 __ATOMIC_RELAXED);
 	tell_learn(tell, news);
+	tell_lead(tell, keeper, news->leading);
 	if (news->revision > tell->options.revision(tell->options.context))
 		tell->options.news(tell->options.context);
 }
@@ -358,9 +371,11 @@
 	return __atomic_load_n(&tell->entries, __ATOMIC_RELAXED);
 }
 
-void presence_tell_keepers(presence_tell_t *tell, setting_list_t *out)
+void presence_tell_keepers(presence_tell_t *tell, setting_list_t *out,
+			   char leader[HL_ADDRESS_MAX])
 {
 	pthread_mutex_lock(&tell->lock);
+	strcpy(leader, tell->leader);
 	*out = tell->learned.count ? tell->learned : tell->seeds;
 	pthread_mutex_unlock(&tell->lock);
 }
--- a/presence.h
+++ b/presence.h
@@ -119,8 +119,12 @@
 /** presence_tell_entries - live entries as keepers know them, 1 or more. */
 unsigned presence_tell_entries(presence_tell_t *tell);
 
-/** presence_tell_keepers - the keepers known now. */
-void presence_tell_keepers(presence_tell_t *tell, setting_list_t *out);
+/**
+ * presence_tell_keepers - the keepers known now.
+ * @leader: set to the address of the one that leads, or ""
+ */
+void presence_tell_keepers(presence_tell_t *tell, setting_list_t *out,
+			   char leader[HL_ADDRESS_MAX]);
 
 void presence_tell_free(presence_tell_t *tell);
 
