Start work only on a copy that has just told of a free slot

Cause: after the final fault copies stayed overfull for 10 s at half of their capacity. A call that waits in a copy's own queue begins at whatever speed the copy then has (twice the work on average), and its held slot keeps others out; estimates of work had learned the waiting; unknown copies of other zones passed for good; each probe holds a slot for 6 ms.

Change: a call waits at its entry, asking two copies every 30 ms, until one has a free slot and is in time, or quick if that is past; what could not be answered by its deadline is refused at once; work is learned from calls that found a free slot.

--- a/entry-decide.h
+++ b/entry-decide.h
@@ -185,6 +185,13 @@
 usec_t entry_report_time(const entry_service_t *svc, const entry_call_t *call,
 			 const entry_copy_t *copy, usec_t now);
 
+/** entry_report_fresh - the copy told just now that it has a free slot. */
+bool entry_report_fresh(const entry_copy_t *copy, usec_t now);
+
+/** entry_report_late - not even a quick copy would be in time. */
+bool entry_report_late(const entry_service_t *svc, const entry_call_t *call,
+		       usec_t now);
+
 /** entry_report_took - learn the work of a kind from an answer. */
 void entry_report_took(entry_service_t *svc, const entry_call_t *call,
 		       usec_t took);
--- a/entry-http.c
+++ b/entry-http.c
@@ -173,6 +173,8 @@
 		entry_request_gone(req);
 	else
 		entry_measure_call(req, time_now());
+	entry_measure_log(req, code == MHD_REQUEST_TERMINATED_COMPLETED_OK,
+			  time_now());
 	*state = NULL;
 	entry_slow_idle(connection, time_now());
 	__atomic_fetch_sub(&entry->in_flight, 1, __ATOMIC_RELEASE);
--- a/entry-io.h
+++ b/entry-io.h
@@ -317,6 +317,10 @@
 
 /** entry_measure_call - count an answered call by tenant and class. */
 void entry_measure_call(entry_request_t *req, usec_t now);
+/** entry_measure_log - one line for a call that is over.
+ * @whole: its caller got all of the answer
+ */
+void entry_measure_log(entry_request_t *req, bool whole, usec_t now);
 void entry_measure_free(entry_route_t *route);
 
 typedef struct entry_forward entry_forward_t;
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -5,6 +5,10 @@
 #define PICK_SLOW_SHARE 0.1
 /* Candidates that are drawn at once. */
 #define PICK_CANDIDATES_MAX 8
+/* A copy that costs no more is quick and has a free slot. */
+#define PICK_COST_QUICK 1.7
+/* Time that must be left beside the answer for a call to wait on. */
+#define PICK_WAIT_MARGIN (60 * USEC_PER_MS)
 /* Chance among candidates: so many steps of so much cost. */
 #define PICK_CHANCE_STEPS 1000u
 #define PICK_CHANCE 0.0005
@@ -167,12 +171,41 @@
 		       call->arrived + call->objective;
 }
 
-bool entry_service_in_time(entry_service_t *svc, const entry_call_t *call,
-			   usec_t now)
+/*
+ * Whether a copy is worth starting on: it told just now that it has a free
+ * slot, and would be in time, or is quick if that is past.
+ */
+static bool pick_is_good(const entry_service_t *svc, const entry_call_t *call,
+			 const entry_copy_t *copy, usec_t now)
 {
-	const entry_copy_t *copy = pick_least_cost(svc, call, true, now);
+	if (!entry_report_fresh(copy, now))
+		return false;
+	if (pick_in_time(svc, call, copy, now))
+		return true;
+	return entry_report_cost(svc, copy, now) <= PICK_COST_QUICK &&
+	       entry_report_late(svc, call, now);
+}
 
-	return copy && pick_in_time(svc, call, copy, now);
+entry_wait_t entry_service_wait(entry_service_t *svc, const entry_call_t *call,
+				bool far, usec_t now)
+{
+	entry_copy_t *near_copy = pick_least_cost(svc, call, true, now);
+	entry_copy_t *far_copy = NULL;
+	entry_copy_t *copy = near_copy;
+
+	if (near_copy && pick_is_good(svc, call, near_copy, now))
+		return ENTRY_WAIT_NOT;
+	if (far || !near_copy)
+		far_copy = pick_least_cost(svc, call, false, now);
+	if (far_copy && pick_is_good(svc, call, far_copy, now))
+		return ENTRY_WAIT_NOT;
+	if (!copy)
+		copy = far_copy;
+	if (!copy || now + entry_report_time(svc, call, copy, now) +
+			     PICK_WAIT_MARGIN >=
+		     call->deadline)
+		return ENTRY_WAIT_OVER;
+	return ENTRY_WAIT_MORE;
 }
 
 /* Another zone's copy costs bytes between zones: only for an answer in time
@@ -188,10 +221,10 @@
 	if (near)
 		return near;
 	near = pick_least_cost(svc, call, true, now);
-	if (near && pick_in_time(svc, call, near, now))
+	if (near && pick_is_good(svc, call, near, now))
 		return near;
 	far = pick_least_cost(svc, call, false, now);
-	if (!near || (far && pick_in_time(svc, call, far, now)))
+	if (!near || (far && pick_is_good(svc, call, far, now)))
 		return far;
 	return near;
 }
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -138,9 +138,14 @@
  * call, then let the policy choose by what they told.
  */
 
-/* Copies asked at once, and how often more are asked. */
-#define PROBE_REPORTS 3u
-#define PROBE_ROUNDS_MAX 2
+/* Copies asked at once. */
+#define PROBE_REPORTS 2u
+/* Rounds in the zone before copies of other zones are asked. */
+#define PROBE_ROUNDS_NEAR 2
+/* A copy that told something so lately is not asked again. */
+#define PROBE_FRESH (30 * USEC_PER_MS)
+/* Between two looks for a copy that is quick. */
+#define PROBE_PAUSE (30 * USEC_PER_MS)
 /* One that answers takes at most this on an idle machine. */
 #define PROBE_WAIT_SOME (12 * USEC_PER_MS)
 #define PROBE_WAIT_ALL (40 * USEC_PER_MS)
@@ -178,12 +183,11 @@
 	return *path ? count : 0;
 }
 
-/* Note what the copies told; true if one of them will do. */
-static bool probe_learn(entry_route_t *route, const entry_probe_t *probes,
+/* Note what the copies told. */
+static void probe_learn(entry_route_t *route, const entry_probe_t *probes,
 			unsigned count, usec_t now)
 {
 	const load_t silent = { .slowness = PROBE_SLOWNESS_SILENT };
-	bool good = false;
 	unsigned i;
 
 	pthread_mutex_lock(&route->lock);
@@ -196,14 +200,12 @@
 		if (copy)
 			entry_service_report(&route->service, copy, load, told,
 					     now);
-		good = good || (told && probe_is_good(load));
 	}
 	pthread_mutex_unlock(&route->lock);
-	return good;
 }
 
-/* Ask one round of copies; true if one of them will do. */
-static bool probe_round(entry_request_t *req, bool near, usec_t start)
+/* Ask one round of copies, if there are some without a fresh report. */
+static void probe_round(entry_request_t *req, bool near, usec_t fresh_since)
 {
 	const entry_probe_wait_t wait = { PROBE_WAIT_ALL, PROBE_WAIT_SOME };
 	entry_probe_t probes[PROBE_REPORTS];
@@ -211,35 +213,77 @@
 	char path[HL_MESSAGE_MAX];
 	unsigned count;
 
-	count = probe_candidates(route, &req->call, start, near, probes, path);
+	count = probe_candidates(route, &req->call, fresh_since, near, probes,
+				 path);
 	if (!count)
-		return false;
+		return;
 	entry_prober_ask(req->entry->prober, path, probes, count, &wait,
 			 probe_is_good);
-	return probe_learn(route, probes, count, time_now());
+	probe_learn(route, probes, count, time_now());
 }
 
-/* Whether the zone would answer in time after all. */
-static bool probe_zone_suffices(entry_request_t *req)
+/* What the decision says after the copies have been asked. */
+static entry_wait_t probe_look(entry_request_t *req, bool far, usec_t now)
 {
 	entry_route_t *route = req->route;
-	bool suffices;
+	entry_wait_t wait;
 
 	pthread_mutex_lock(&route->lock);
-	suffices = entry_service_in_time(&route->service, &req->call,
-					 time_now());
+	wait = entry_service_wait(&route->service, &req->call, far, now);
 	pthread_mutex_unlock(&route->lock);
-	return suffices;
+	return wait;
+}
+
+/* Wait a moment; false if the caller went away. */
+static bool probe_pause(entry_request_t *req, usec_t until)
+{
+	struct timespec ts = { until / USEC_PER_SEC,
+			       until % USEC_PER_SEC * 1000 };
+	bool gone;
+
+	pthread_mutex_lock(&req->lock);
+	while (!req->gone &&
+	       !pthread_cond_timedwait(&req->changed, &req->lock, &ts))
+		;
+	gone = req->gone;
+	pthread_mutex_unlock(&req->lock);
+	return !gone;
+}
+
+static bool probe_possible(entry_route_t *route)
+{
+	bool possible;
+
+	pthread_mutex_lock(&route->lock);
+	possible = *route->health_path != '\0';
+	pthread_mutex_unlock(&route->lock);
+	return possible;
 }
 
 void entry_probe_reports(entry_request_t *req)
 {
 	usec_t start = time_now();
-	int round;
+	usec_t now = start;
+	bool far = false;
+	int round = 0;
 
-	for (round = 0; round < PROBE_ROUNDS_MAX; round++)
-		if (probe_round(req, true, start))
+	if (!probe_possible(req->route))
+		return;
+	for (;;) {
+		probe_round(req, true, now - PROBE_FRESH);
+		now = time_now();
+		if (probe_look(req, far, now) == ENTRY_WAIT_NOT)
+			return;
+		if (++round < PROBE_ROUNDS_NEAR)
+			continue;
+		if (!far) {
+			far = true;
+			probe_round(req, false, now - PROBE_FRESH);
+			now = time_now();
+		}
+		if (probe_look(req, far, now) != ENTRY_WAIT_MORE ||
+		    !probe_pause(req, now + PROBE_PAUSE))
 			return;
-	if (!probe_zone_suffices(req))
-		probe_round(req, false, start);
+		now = time_now();
+	}
 }
--- a/entry-report.c
+++ b/entry-report.c
@@ -18,6 +18,8 @@
 #define REPORT_FILL_COST 0.25
 /* Part of an objective that the work of an unknown kind takes. */
 #define REPORT_WORK_GUESS 0.4
+/* A report is as good as new for so long. */
+#define REPORT_FRESH (50 * USEC_PER_MS)
 /* Weight of a new answer in the work of its kind. */
 #define REPORT_WORK_WEIGHT 0.1
 /* How much slower a copy is that has just started. */
@@ -92,12 +94,22 @@
 			report_work(svc, call));
 }
 
+bool entry_report_late(const entry_service_t *svc, const entry_call_t *call,
+		       usec_t now)
+{
+	return now + (usec_t)report_work(svc, call) >
+	       call->arrived + call->objective;
+}
+
 void entry_report_took(entry_service_t *svc, const entry_call_t *call,
 		       usec_t took)
 {
 	double *work = &svc->work[call->kind % ENTRY_KINDS];
 	double usual = (double)took;
 
+	/* One that waited at its copy, or whose speed is a guess, tells little. */
+	if (!call->speed_known)
+		return;
 	if (call->slowness > 1)
 		usual /= call->slowness;
 	if (*work <= 0)
@@ -105,3 +117,11 @@
 	else
 		*work += REPORT_WORK_WEIGHT * (usual - *work);
 }
+
+bool entry_report_fresh(const entry_copy_t *copy, usec_t now)
+{
+	unsigned held = copy->outstanding + copy->report.others;
+
+	return copy->report.at && now - copy->report.at <= REPORT_FRESH &&
+	       held < entry_credit_slots(copy);
+}
--- a/entry-service.c
+++ b/entry-service.c
@@ -9,6 +9,9 @@
 /* Waiting calls that are looked at for one that may use a free copy. */
 #define SERVICE_SKIP_MAX 4
 
+/* Part of the expected time that must fit before the deadline. */
+#define SERVICE_HOPELESS 0.7
+
 /* Margins that must be left on arrival; one is asked for while it waits. */
 #define SERVICE_ADMIT_MARGIN 1.5
 
@@ -144,6 +147,7 @@
 {
 	entry_decision_t decision = { ENTRY_SEND, ENTRY_REFUSE_NONE, 0 };
 
+	call->speed_known = entry_report_fresh(copy, now);
 	service_take_credit(svc, copy, now);
 	call->copy = copy;
 	call->sent = now;
@@ -253,6 +257,28 @@
 	return decision;
 }
 
+/* Whether even the best copy would answer after the deadline. */
+static bool service_is_hopeless(const entry_service_t *svc,
+				const entry_call_t *call,
+				const entry_copy_t *copy, usec_t now)
+{
+	usec_t took;
+
+	if (svc->policy != ENTRY_POLICY_REPORTS || !call->objective)
+		return false;
+	took = entry_report_time(svc, call, copy, now);
+	return now + (usec_t)(SERVICE_HOPELESS * (double)took) > call->deadline;
+}
+
+/* When a call may come back that found all copies full; not all together. */
+static usec_t service_reports_retry(entry_service_t *svc,
+				    const entry_call_t *call)
+{
+	usec_t span = call->objective / 2;
+
+	return span / 2 + (usec_t)entry_pick_random(svc, (unsigned)span + 1);
+}
+
 entry_decision_t entry_service_arrive(entry_service_t *svc, entry_call_t *call,
 				      usec_t now)
 {
@@ -268,6 +294,9 @@
 		copy = service_pick(svc, call, now);
 	if (!copy)
 		return service_enqueue(svc, call, now);
+	if (service_is_hopeless(svc, call, copy, now))
+		return service_refuse(ENTRY_REFUSE_QUEUE,
+				      service_reports_retry(svc, call));
 	entry_queue_admitted(svc->queue, call, now);
 	return service_send(svc, call, copy, now);
 }
--- a/entry.h
+++ b/entry.h
@@ -101,6 +101,7 @@
 	usec_t objective;      /* span of its route; 0: none */
 	unsigned kind;	       /* of work: calls of a route are alike */
 	double slowness;       /* expected of its copy as it was sent */
+	bool speed_known; /* and its copy had just told it, with a free slot */
 	usec_t hedge_after;    /* until its second send; 0: as the profile */
 	unsigned attempts;     /* sends so far */
 	unsigned unsent;       /* those of which no byte left */
@@ -367,10 +368,23 @@
 				  bool near, entry_copy_t **out, unsigned max,
 				  usec_t now);
 
-/** entry_service_in_time - would a copy of the zone answer within the
- * objective, as far as is known? */
-bool entry_service_in_time(entry_service_t *svc, const entry_call_t *call,
-			   usec_t now);
+/** enum entry_wait_t - whether a call should wait for a quick copy. */
+typedef enum {
+	ENTRY_WAIT_NOT,	 /* one is known: send it */
+	ENTRY_WAIT_MORE, /* look again in a moment */
+	ENTRY_WAIT_OVER, /* no time is left to wait: take what there is */
+} entry_wait_t;
+
+/**
+ * entry_service_wait - is a copy quick enough now, or may a call wait for one?
+ * @far: copies of other zones count as well
+ *
+ * Work that begins on a slow copy stays slow and holds a slot several times as
+ * long, so while all are slow or full a call waits as long as a copy could
+ * still answer by its deadline.
+ */
+entry_wait_t entry_service_wait(entry_service_t *svc, const entry_call_t *call,
+				bool far, usec_t now);
 
 /** entry_service_leave - the caller of a waiting call went away. */
 void entry_service_leave(entry_service_t *svc, entry_call_t *call);
