Use few copies first where there are many, fetch at most every 150 ms

Change: an entry asks 12 copies of its own order first; answered questions to the leader are at least 150 ms apart.

--- a/config-direct.c
+++ b/config-direct.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include "config-node.h"
 #include "pack.h"
 
@@ -12,6 +13,8 @@
 
 /* A follower that has nothing yet, or is behind, asks again so soon. */
 #define DIRECT_AGAIN (60 * USEC_PER_MS)
+/* The least time between two questions that were answered. */
+#define DIRECT_GAP (150 * USEC_PER_MS)
 /* Most that a whole configuration may come to. */
 #define DIRECT_BYTES_MAX (64u * 1024 * 1024)
 
@@ -139,6 +142,16 @@
 	return result;
 }
 
+/* Wait for news, but let those of a short time come together. */
+static void direct_rest(config_follow_t *follow, usec_t poll,
+			const volatile int *stop)
+{
+	const struct timespec gap = { 0, DIRECT_GAP * 1000 };
+
+	nanosleep(&gap, NULL);
+	config_node_pause(follow, poll, stop);
+}
+
 int config_direct_run(void *context, const volatile int *stop)
 {
 	config_follow_t *follow = context;
@@ -153,7 +166,7 @@
 		if (result == DIRECT_FAILED)
 			config_node_pause(follow, DIRECT_AGAIN, stop);
 		else if (result == DIRECT_DONE)
-			config_node_pause(follow, poll, stop);
+			direct_rest(follow, poll, stop);
 	}
 	curl_easy_cleanup(follow->easy);
 	follow->easy = NULL;
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -122,8 +122,8 @@
 
 unsigned entry_service_candidates(entry_service_t *svc,
 				  const entry_call_t *call, usec_t asked_after,
-				  bool near, entry_copy_t **out, unsigned max,
-				  usec_t now)
+				  bool near, bool usual, entry_copy_t **out,
+				  unsigned max, usec_t now)
 {
 	double costs[PICK_CANDIDATES_MAX];
 	entry_copy_t *copy = NULL;
@@ -134,7 +134,7 @@
 	cds_list_for_each_entry (copy, &svc->copies, link) {
 		double cost;
 
-		if (pick_near(svc, copy) != near ||
+		if (pick_near(svc, copy) != near || (usual && !copy->usual) ||
 		    copy->report.at >= asked_after ||
 		    !pick_reports_open(svc, call, copy, now))
 			continue;
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -162,7 +162,7 @@
 
 /* Copies to ask that were not asked for this call; their number. */
 static unsigned probe_candidates(entry_route_t *route, entry_call_t *call,
-				 usec_t asked_after, bool near,
+				 usec_t asked_after, bool near, bool usual,
 				 entry_probe_t *probes, char *path)
 {
 	entry_copy_t *copies[PROBE_REPORTS];
@@ -171,7 +171,7 @@
 
 	pthread_mutex_lock(&route->lock);
 	count = entry_service_candidates(&route->service, call, asked_after,
-					 near, copies, PROBE_REPORTS,
+					 near, usual, copies, PROBE_REPORTS,
 					 time_now());
 	for (i = 0; i < count; i++) {
 		memset(&probes[i], 0, sizeof(probes[i]));
@@ -205,7 +205,8 @@
 }
 
 /* Ask one round of copies, if there are some without a fresh report. */
-static void probe_round(entry_request_t *req, bool near, usec_t fresh_since)
+static void probe_round(entry_request_t *req, bool near, bool usual,
+			usec_t fresh_since)
 {
 	const entry_probe_wait_t wait = { PROBE_WAIT_ALL, PROBE_WAIT_SOME };
 	entry_probe_t probes[PROBE_REPORTS];
@@ -213,8 +214,8 @@
 	char path[HL_MESSAGE_MAX];
 	unsigned count;
 
-	count = probe_candidates(route, &req->call, fresh_since, near, probes,
-				 path);
+	count = probe_candidates(route, &req->call, fresh_since, near, usual,
+				 probes, path);
 	if (!count)
 		return;
 	entry_prober_ask(req->entry->prober, path, probes, count, &wait,
@@ -270,7 +271,8 @@
 	if (!probe_possible(req->route))
 		return;
 	for (;;) {
-		probe_round(req, true, now - PROBE_FRESH);
+		probe_round(req, true, round < PROBE_ROUNDS_NEAR,
+			    now - PROBE_FRESH);
 		now = time_now();
 		if (probe_look(req, far, now) == ENTRY_WAIT_NOT)
 			return;
@@ -278,7 +280,7 @@
 			continue;
 		if (!far) {
 			far = true;
-			probe_round(req, false, now - PROBE_FRESH);
+			probe_round(req, false, false, now - PROBE_FRESH);
 			now = time_now();
 		}
 		if (probe_look(req, far, now) != ENTRY_WAIT_MORE ||
--- a/entry-service.c
+++ b/entry-service.c
@@ -101,6 +101,37 @@
 	return 0;
 }
 
+static uint64_t service_rank(const entry_copy_t *copy, uint64_t seed)
+{
+	return hl_hash(copy->name, strlen(copy->name), seed);
+}
+
+/* Copies of the zone that come before one in this entry's own order. */
+static unsigned service_before(const entry_service_t *svc,
+			       const entry_copy_t *copy, uint64_t seed)
+{
+	uint64_t rank = service_rank(copy, seed);
+	const entry_copy_t *other = NULL;
+	unsigned count = 0;
+
+	cds_list_for_each_entry (other, &svc->copies, link)
+		if (!other->draining && !strcmp(other->zone, copy->zone) &&
+		    service_rank(other, seed) < rank)
+			count++;
+	return count;
+}
+
+void entry_service_usual(entry_service_t *svc, uint64_t seed)
+{
+	entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		copy->usual = svc->copy_count <= ENTRY_USUAL_MAX ||
+			      (!strcmp(copy->zone, svc->zone) &&
+			       service_before(svc, copy, seed) <
+				       ENTRY_USUAL_MAX);
+}
+
 void entry_service_copy_reset(entry_service_t *svc, entry_copy_t *copy)
 {
 	usec_t sent_sum = copy->health->sent_sum;
--- a/entry-target.c
+++ b/entry-target.c
@@ -94,6 +94,14 @@
 	pthread_mutex_unlock(&route->lock);
 }
 
+/* Entries differ in the order in which they use copies. */
+static uint64_t target_seed(const entry_t *entry)
+{
+	const char *name = entry->settings.name;
+
+	return hl_hash(name, strlen(name), 0);
+}
+
 static void target_take_all(entry_t *entry, const config_t *config, usec_t now)
 {
 	entry_route_t *route = NULL;
@@ -107,8 +115,12 @@
 		if (pool && config_target_serves(target))
 			target_take(entry, target, pool, now);
 	}
-	while ((route = entry_route_next(entry, route)))
+	while ((route = entry_route_next(entry, route))) {
 		target_drop_unnamed(route, config);
+		pthread_mutex_lock(&route->lock);
+		entry_service_usual(&route->service, target_seed(entry));
+		pthread_mutex_unlock(&route->lock);
+	}
 }
 
 /* Put the routes into force, if operators have changed them. */
--- a/entry.h
+++ b/entry.h
@@ -75,6 +75,7 @@
 	usec_t lease_until;   /* no new work from then on */
 	bool draining;	      /* takes no new work */
 	uint64_t born;	      /* its start, where copies tell it */
+	bool usual;	      /* of those that this entry uses first */
 	usec_t announced;     /* when it was last heard of */
 	usec_t cold_until;    /* set by entry_service_cold() */
 	entry_report_t report;
@@ -215,6 +216,18 @@
  */
 int entry_service_copy_remove(entry_service_t *svc, entry_copy_t *copy);
 
+/* Copies of its zone that an entry uses first. */
+#define ENTRY_USUAL_MAX 12
+
+/**
+ * entry_service_usual - choose the copies of the zone that are used first.
+ * @seed: of this entry
+ *
+ * With many copies, each entry keeps connections to some of them; all entries
+ * together use all of them alike. The others are asked when these are busy.
+ */
+void entry_service_usual(entry_service_t *svc, uint64_t seed);
+
 /** entry_service_copy_reset - another process runs under the copy's name. */
 void entry_service_copy_reset(entry_service_t *svc, entry_copy_t *copy);
 
@@ -359,14 +372,15 @@
  * entry_service_candidates - copies to be asked before a call is sent.
  * @asked_after: those that told something since then are left out
  * @near: of this entry's zone, or of the others
+ * @usual: only of those that this entry uses first
  * @out: filled in, the least costly first
  *
  * Return: how many, at most @max.
  */
 unsigned entry_service_candidates(entry_service_t *svc,
 				  const entry_call_t *call, usec_t asked_after,
-				  bool near, entry_copy_t **out, unsigned max,
-				  usec_t now);
+				  bool near, bool usual, entry_copy_t **out,
+				  unsigned max, usec_t now);
 
 /** enum entry_wait_t - whether a call should wait for a quick copy. */
 typedef enum {
