Write logs from a thread, test the choice by reports

Cause: a line was written by whoever logged it, to standard error; a reader that stops would hold up calls. The choice by reports had no test of its own.

Change: lines go to standard output through a buffer of 64 KiB and at most 256 KiB a second, what is too much is dropped and counted. A quick copy with a free slot always does, also shortly before an objective (a case of the new table found calls that waited there for nothing).

--- a/entry-pick.c
+++ b/entry-pick.c
@@ -173,17 +173,14 @@
 
 /*
  * Whether a copy is worth starting on: it told just now that it has a free
- * slot, and would be in time, or is quick if that is past.
+ * slot, and it would be in time or is quick.
  */
 static bool pick_is_good(const entry_service_t *svc, const entry_call_t *call,
 			 const entry_copy_t *copy, usec_t now)
 {
-	if (!entry_report_fresh(copy, now))
-		return false;
-	if (pick_in_time(svc, call, copy, now))
-		return true;
-	return entry_report_cost(svc, copy, now) <= PICK_COST_QUICK &&
-	       entry_report_late(svc, call, now);
+	return entry_report_fresh(copy, now) &&
+	       (pick_in_time(svc, call, copy, now) ||
+		entry_report_cost(svc, copy, now) <= PICK_COST_QUICK);
 }
 
 entry_wait_t entry_service_wait(entry_service_t *svc, const entry_call_t *call,
--- a/entry-report.c
+++ b/entry-report.c
@@ -94,13 +94,6 @@
 			report_work(svc, call));
 }
 
-bool entry_report_late(const entry_service_t *svc, const entry_call_t *call,
-		       usec_t now)
-{
-	return now + (usec_t)report_work(svc, call) >
-	       call->arrived + call->objective;
-}
-
 void entry_report_took(entry_service_t *svc, const entry_call_t *call,
 		       usec_t took)
 {
--- a/hemlock-entry.c
+++ b/hemlock-entry.c
@@ -27,6 +27,7 @@
 {
 	static entry_settings_t settings;
 	hl_error_t err = { 0 };
+	int rc;
 
 	log_open("hemlock-entry", "-", LOG_LEVEL_INFO);
 	if (!path) {
@@ -42,9 +43,14 @@
 	}
 	log_open("hemlock-entry", settings.name, settings.log_level);
 	signals_block();
-	if (entry_main_run(&settings, path, first_start, &err))
-		return refuse(&err, false, EXIT_RUN);
-	return EXIT_SUCCESS;
+	if (log_start())
+		log_event(LOG_LEVEL_WARNING, "log-not-started",
+			  "message=\"no thread for it; give the VM more memory\"");
+	rc = entry_main_run(&settings, path, first_start, &err);
+	if (rc)
+		rc = refuse(&err, false, EXIT_RUN);
+	log_stop();
+	return rc;
 }
 
 int main(int argc, char **argv)
--- a/hemlock-keeper.c
+++ b/hemlock-keeper.c
@@ -134,6 +134,9 @@
 			     KEEPER_RESTARTS_WINDOW);
 	signals.supervisor = sup;
 	signals_block();
+	if (log_start())
+		log_event(LOG_LEVEL_WARNING, "log-not-started",
+			  "message=\"no thread for it; give the VM more memory\"");
 	if (!sup ||
 	    keeper_core_init(&core, settings, &keeper_file_posix, &err) ||
 	    !(links = keeper_links_new(&core)) ||
@@ -151,6 +154,7 @@
 	keeper_links_free(links);
 	keeper_core_free(&core);
 	log_event(LOG_LEVEL_NOTICE, "stopped", "status=%d", rc);
+	log_stop();
 	return rc;
 }
 
--- a/hemlock.h
+++ b/hemlock.h
@@ -100,7 +100,22 @@
 bool log_level_parse(const char *word, log_level_t *level);
 
 /**
- * log_event - write one key=value line to standard error.
+ * log_start - write lines from a thread of their own from now on.
+ *
+ * Nobody waits for them any more; what is too much is dropped and counted.
+ *
+ * Return: 0, or -1 if there is no thread; then log_event() writes itself.
+ */
+int log_start(void);
+
+/** log_stop - write what waits and end that thread. */
+void log_stop(void);
+
+/** log_dropped - lines that were dropped since the start. */
+uint64_t log_dropped(void);
+
+/**
+ * log_event - write one key=value line to standard output.
  * @level: severity
  * @event: a fixed word with dashes, such as "config-applied"
  * @fmt: printf format of further key=value pairs, or "" for none; wrap a
--- a/log.c
+++ b/log.c
@@ -1,3 +1,5 @@
+#include <errno.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -7,6 +9,31 @@
 
 /* Longest log line with its newline; a longer one is cut. */
 #define LOG_LINE_MAX 2048
+/* Lines that wait to be written; more are dropped and counted. */
+#define LOG_WAITING_MAX (64 * 1024)
+/* Bytes in a second; less severe lines beyond them are dropped and counted. */
+#define LOG_SECOND_MAX (256 * 1024)
+/* Lines wait at most this long. */
+#define LOG_FLUSH_NSEC (100 * 1000000L)
+
+/*
+ * With the writer running, log_event() only copies the line: whoever reads the
+ * logs, or does not, cannot hold up a call.
+ */
+static struct {
+	pthread_mutex_t lock;
+	pthread_cond_t more;
+	pthread_t thread;
+	bool running;
+	bool stop;
+	char waiting[LOG_WAITING_MAX];
+	size_t size;
+	usec_t second; /* when the present one began */
+	size_t in_second;
+	uint64_t dropped;
+	uint64_t dropped_told;
+} log_writer = { .lock = PTHREAD_MUTEX_INITIALIZER,
+		 .more = PTHREAD_COND_INITIALIZER };
 
 static const char *log_program = "hemlock";
 static char log_vm[HL_NAME_MAX] = "-";
@@ -93,6 +120,125 @@
 	return out;
 }
 
+/* Write all of some lines, however slowly they are read. */
+static void log_write(const char *bytes, size_t size)
+{
+	ssize_t n;
+
+	while (size > 0) {
+		n = write(STDOUT_FILENO, bytes, size);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return;
+		bytes += n;
+		size -= (size_t)n;
+	}
+}
+
+static void *log_run(void *context)
+{
+	const struct timespec pause = { 0, LOG_FLUSH_NSEC };
+	static char out[LOG_WAITING_MAX];
+	size_t size;
+
+	(void)context;
+	pthread_mutex_lock(&log_writer.lock);
+	while (!log_writer.stop || log_writer.size) {
+		if (!log_writer.size) {
+			pthread_cond_wait(&log_writer.more, &log_writer.lock);
+			continue;
+		}
+		size = log_writer.size;
+		memcpy(out, log_writer.waiting, size);
+		log_writer.size = 0;
+		pthread_mutex_unlock(&log_writer.lock);
+		log_write(out, size);
+		if (!__atomic_load_n(&log_writer.stop, __ATOMIC_ACQUIRE))
+			nanosleep(&pause, NULL);
+		pthread_mutex_lock(&log_writer.lock);
+	}
+	pthread_mutex_unlock(&log_writer.lock);
+	return NULL;
+}
+
+int log_start(void)
+{
+	if (pthread_create(&log_writer.thread, NULL, log_run, NULL))
+		return -1;
+	log_writer.running = true;
+	return 0;
+}
+
+void log_stop(void)
+{
+	if (!log_writer.running)
+		return;
+	pthread_mutex_lock(&log_writer.lock);
+	__atomic_store_n(&log_writer.stop, true, __ATOMIC_RELEASE);
+	pthread_cond_signal(&log_writer.more);
+	pthread_mutex_unlock(&log_writer.lock);
+	pthread_join(log_writer.thread, NULL);
+	log_writer.running = false;
+}
+
+uint64_t log_dropped(void)
+{
+	uint64_t dropped;
+
+	pthread_mutex_lock(&log_writer.lock);
+	dropped = log_writer.dropped;
+	pthread_mutex_unlock(&log_writer.lock);
+	return dropped;
+}
+
+/* Add a line to those that wait; false if there is no room. Lock held. */
+static bool log_add(const char *line, size_t size)
+{
+	if (log_writer.size + size > LOG_WAITING_MAX)
+		return false;
+	memcpy(log_writer.waiting + log_writer.size, line, size);
+	log_writer.size += size;
+	log_writer.in_second += size;
+	return true;
+}
+
+/* Say once a second how many lines are missing. Lock held. */
+static void log_tell_dropped(void)
+{
+	char line[LOG_LINE_MAX];
+	size_t used;
+
+	if (log_writer.dropped == log_writer.dropped_told)
+		return;
+	used = log_stamp(line, sizeof(line));
+	used += (size_t)snprintf(line + used, sizeof(line) - used,
+				 " level=warning program=%s vm=%s "
+				 "event=log-lines-dropped count=%" PRIu64 "\n",
+				 log_program, log_vm,
+				 log_writer.dropped - log_writer.dropped_told);
+	if (log_add(line, used))
+		log_writer.dropped_told = log_writer.dropped;
+}
+
+static void log_put(log_level_t level, const char *line, size_t size)
+{
+	usec_t now = time_now();
+
+	pthread_mutex_lock(&log_writer.lock);
+	if (now - log_writer.second >= USEC_PER_SEC) {
+		log_writer.second = now;
+		log_writer.in_second = 0;
+		log_tell_dropped();
+	}
+	if ((level > LOG_LEVEL_NOTICE &&
+	     log_writer.in_second + size > LOG_SECOND_MAX) ||
+	    !log_add(line, size))
+		log_writer.dropped++;
+	pthread_cond_signal(&log_writer.more);
+	pthread_mutex_unlock(&log_writer.lock);
+}
+
 void log_event(log_level_t level, const char *event, const char *fmt, ...)
 {
 	char line[LOG_LINE_MAX];
@@ -117,7 +263,8 @@
 	if (used > sizeof(line) - 2)
 		used = sizeof(line) - 2;
 	line[used++] = '\n';
-	/* One write, so that lines of several threads do not mix. */
-	if (write(STDERR_FILENO, line, used) < 0)
-		return;
+	if (log_writer.running)
+		log_put(level, line, used);
+	else
+		log_write(line, used);
 }
--- /dev/null
+++ b/regress/test-entry-reports.c
@@ -0,0 +1,506 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "entry-decide.h"
+
+/*
+ * Scripted runs of the choice by what copies report. A line is "TIME COMMAND
+ * ... = RESULT", the time in milliseconds; each case names the load that it
+ * answers. This entry is in zone "here"; work takes 100 ms at usual speed.
+ */
+
+#define CALLS_MAX 32
+#define WORK (100 * USEC_PER_MS)
+
+typedef struct {
+	char name[16];
+	entry_call_t call;
+} script_call_t;
+
+typedef struct {
+	entry_service_t svc;
+	config_profile_t profile;
+	script_call_t calls[CALLS_MAX];
+	unsigned call_count;
+	usec_t now;
+} script_t;
+
+static const struct {
+	const char *name;
+	const char *text;
+} cases[] = {
+	/* Copies whose speed changes five-fold, several times a second. */
+	{ "noisy-neighbours-quick-copy-wins",
+	  "0 copy a 2\n0 copy b 2\n"
+	  "0 told a 1 0 500\n0 told b 1 0 100\n"
+	  "1 wait x objective=250 = go\n1 arrive x = send b\n" },
+	{ "noisy-neighbours-all-slow-waits",
+	  "0 copy a 2\n0 copy b 2\n"
+	  "0 told a 0 0 500\n0 told b 0 0 500\n"
+	  "1 wait x objective=250 = more\n"
+	  "150 told a 0 0 100\n151 wait x = go\n" },
+	{ "noisy-neighbours-old-report-is-no-report",
+	  "0 copy a 2\n0 told a 0 0 100\n"
+	  "40 wait x objective=250 = go\n"
+	  "100 wait y objective=250 = more\n" },
+	{ "noisy-neighbours-deadline-ends-the-wait",
+	  "0 copy a 2\n0 told a 0 0 500\n"
+	  "0 wait x objective=250 deadline=1200 = more\n"
+	  "690 told a 0 0 500\n700 wait x = over\n" },
+
+	/* Copies that are full: what waits there begins at any speed. */
+	{ "full-copies-nothing-queues-there",
+	  "0 copy a 2\n0 copy b 2\n"
+	  "0 told a 2 0 100\n0 told b 2 3 100\n"
+	  "1 wait x objective=250 = more\n"
+	  "30 told a 1 0 100\n31 wait x = go\n31 arrive x = send a\n" },
+	{ "full-copies-own-calls-count-at-once",
+	  "0 copy a 2\n0 copy b 2\n0 told a 0 0 100\n0 told b 1 0 100\n"
+	  "0 arrive x objective=250 = send a\n"
+	  "0 arrive y objective=250 = send a\n"
+	  "0 arrive z objective=250 = send b\n" },
+	{ "overload-hopeless-is-refused-at-once",
+	  "0 copy a 2\n0 told a 2 9 500\n"
+	  "0 wait x objective=250 deadline=400 = over\n"
+	  "0 arrive x = refuse queue\n" },
+	{ "overload-late-calls-take-quick-copies-only",
+	  "0 copy a 2\n0 told a 0 0 500\n"
+	  "0 wait x objective=50 deadline=2000 = more\n"
+	  "150 told a 0 0 110\n150 wait x = late-go\n" },
+
+	/* A zone with few copies and many callers. */
+	{ "poor-zone-stays-while-in-time",
+	  "0 copy a 2\n0 copy f 2 zone=there\n"
+	  "0 told a 1 0 150\n0 told f 0 0 100\n"
+	  "0 wait x objective=250 far = go\n0 arrive x = send a\n" },
+	{ "poor-zone-spills-for-an-answer-in-time",
+	  "0 copy a 2\n0 copy f 2 zone=there\n"
+	  "0 told a 0 0 500\n0 told f 0 0 100\n"
+	  "0 wait x objective=250 = more\n0 wait x far = go\n"
+	  "0 arrive x = send f\n" },
+	{ "poor-zone-never-spills-blindly",
+	  "0 copy a 2\n0 copy f 2 zone=there\n0 told a 0 0 500\n"
+	  "0 wait x objective=250 far = more\n" },
+	{ "zone-lost-others-serve",
+	  "0 copy f 2 zone=there\n0 told f 0 0 100\n"
+	  "0 wait x objective=250 = go\n0 arrive x = send f\n" },
+
+	/* Asking costs slots: only those of which nothing new is known. */
+	{ "asking-skips-what-is-known",
+	  "0 copy a 2\n0 copy b 2\n0 copy c 2 zone=there\n"
+	  "0 told a 0 0 100\n"
+	  "10 candidates near = b\n10 candidates far = c\n"
+	  "50 candidates near = a b\n" },
+	{ "asking-skips-who-drains",
+	  "0 copy a 2\n0 copy b 2\n0 drain a\n"
+	  "50 candidates near = b\n" },
+
+	/* Copies that are dark or lie. */
+	{ "dark-copy-is-passed-over",
+	  "0 copy a 2\n0 copy b 2\n0 silent a\n0 told b 1 0 100\n"
+	  "0 wait x objective=250 = go\n0 arrive x = send b\n" },
+	{ "dark-copies-are-ejected-and-tried-again",
+	  "0 copy a 2\n0 copy b 2\n0 told a 0 0 100\n0 told b 1 0 200\n"
+	  "0 arrive x objective=250 idem = send a\n0 end x connect = wait\n"
+	  "0 next = x b\n0 end x ok = answer\n"
+	  "40 told a 0 0 100\n40 arrive y objective=250 = send a\n"
+	  "40 end y connect = wait\n40 next = y b\n40 end y ok = answer\n"
+	  "60 told a 0 0 100\n60 told b 0 0 200\n"
+	  "60 arrive z objective=250 = send b\n" },
+
+	/* Second sends, out of a budget that all entries share. */
+	{ "retry-abuse-budget-bounds-second-sends",
+	  "0 budget 0.2 1\n0 copy a 9\n0 copy b 9\n"
+	  "0 told a 0 0 100\n0 told b 1 0 100\n"
+	  "0 arrive x objective=250 idem = send a\n0 end x error = wait\n"
+	  "0 next = x b\n0 end x error = answer\n"
+	  "0 arrive y objective=250 idem = send a\n0 end y error = answer\n" },
+	{ "retry-what-no-copy-saw-is-free",
+	  "0 budget 0 0\n0 copy a 9\n0 copy b 9\n0 told a 0 0 100\n"
+	  "0 arrive x objective=250 attempts=1 = send a\n"
+	  "0 end x connect = wait\n0 next = x b\n" },
+	{ "retry-attempts-count-copies-that-saw-it",
+	  "0 budget 1 9\n0 copy a 9\n0 copy b 9\n0 told a 0 0 100\n"
+	  "0 arrive x objective=250 idem attempts=1 = send a\n"
+	  "0 end x error = answer\n" },
+	{ "once-only-call-is-not-sent-again",
+	  "0 budget 1 9\n0 copy a 9\n0 copy b 9\n0 told a 0 0 100\n"
+	  "0 arrive x objective=250 attempts=3 = send a\n"
+	  "0 end x cut = answer\n" },
+};
+
+static script_call_t *script_call(script_t *script, const char *name)
+{
+	script_call_t *call;
+	unsigned i;
+
+	for (i = 0; i < script->call_count; i++)
+		if (!strcmp(script->calls[i].name, name))
+			return &script->calls[i];
+	g_assert_cmpuint(script->call_count, <, CALLS_MAX);
+	call = &script->calls[script->call_count++];
+	g_strlcpy(call->name, name, sizeof(call->name));
+	call->call.arrived = script->now;
+	call->call.deadline = script->now + 2000 * USEC_PER_MS;
+	call->call.attempts_max = 3;
+	return call;
+}
+
+static const char *script_name(const script_t *script, const entry_call_t *call)
+{
+	unsigned i;
+
+	for (i = 0; i < script->call_count; i++)
+		if (&script->calls[i].call == call)
+			return script->calls[i].name;
+	return "none";
+}
+
+static bool script_option(const char *word, const char *key, long *value)
+{
+	size_t length = strlen(key);
+
+	if (strncmp(word, key, length) || word[length] != '=')
+		return false;
+	*value = strtol(word + length + 1, NULL, 10);
+	return true;
+}
+
+/* Options of a call, wherever they stand; true if "far" is among them. */
+static bool script_options(script_call_t *call, char **words)
+{
+	bool far = false;
+	long value;
+
+	for (; *words; words++) {
+		if (script_option(*words, "objective", &value))
+			call->call.objective = value * USEC_PER_MS;
+		else if (script_option(*words, "deadline", &value))
+			call->call.deadline = call->call.arrived +
+					      value * USEC_PER_MS;
+		else if (script_option(*words, "attempts", &value))
+			call->call.attempts_max = (unsigned)value;
+		else if (!strcmp(*words, "idem"))
+			call->call.idempotent = true;
+		else if (!strcmp(*words, "far"))
+			far = true;
+	}
+	return far;
+}
+
+static entry_copy_t *script_copy(script_t *script, const char *name)
+{
+	entry_copy_t *copy = entry_service_copy(&script->svc, name);
+
+	g_assert_nonnull(copy);
+	return copy;
+}
+
+static char *run_copy(script_t *script, char **words)
+{
+	entry_copy_t *copy;
+
+	copy = entry_service_copy_add(&script->svc, words[1], script->now);
+	copy->slots = (unsigned)atoi(words[2]);
+	copy->limit = 99;
+	copy->usual = true;
+	g_strlcpy(copy->zone,
+		  words[3] && g_str_has_prefix(words[3], "zone=") ?
+			  words[3] + strlen("zone=") :
+			  "here",
+		  sizeof(copy->zone));
+	return NULL;
+}
+
+static char *run_told(script_t *script, char **words)
+{
+	load_t load = { .running = (unsigned)atoi(words[2]),
+			.waiting = (unsigned)atoi(words[3]),
+			.slowness = (unsigned)atoi(words[4]) };
+
+	entry_service_report(&script->svc, script_copy(script, words[1]), &load,
+			     true, script->now);
+	return NULL;
+}
+
+static char *run_silent(script_t *script, char **words)
+{
+	const load_t load = { .slowness = 1000 };
+
+	entry_service_report(&script->svc, script_copy(script, words[1]), &load,
+			     false, script->now);
+	return NULL;
+}
+
+static char *run_drain(script_t *script, char **words)
+{
+	script_copy(script, words[1])->draining = true;
+	return NULL;
+}
+
+static char *run_budget(script_t *script, char **words)
+{
+	entry_service_budget(&script->svc, g_ascii_strtod(words[1], NULL),
+			     g_ascii_strtod(words[2], NULL));
+	return NULL;
+}
+
+static char *run_wait(script_t *script, char **words)
+{
+	script_call_t *call = script_call(script, words[1]);
+	bool far = script_options(call, words + 2);
+	entry_wait_t wait = entry_service_wait(&script->svc, &call->call, far,
+					       script->now);
+
+	if (wait == ENTRY_WAIT_NOT)
+		return g_strdup(script->now + WORK > call->call.arrived +
+							    call->call.objective ?
+					"late-go" :
+					"go");
+	return g_strdup(wait == ENTRY_WAIT_MORE ? "more" : "over");
+}
+
+static char *script_decision(const entry_call_t *call,
+			     const entry_decision_t *decision)
+{
+	switch (decision->verdict) {
+	case ENTRY_SEND:
+		return g_strdup_printf("send %s", call->copy->name);
+	case ENTRY_WAIT:
+		return g_strdup("wait");
+	case ENTRY_ANSWER:
+		return g_strdup("answer");
+	default:
+		return g_strdup_printf("refuse %s",
+				       entry_refusal_name(decision->refusal));
+	}
+}
+
+static char *run_arrive(script_t *script, char **words)
+{
+	script_call_t *call = script_call(script, words[1]);
+	entry_decision_t decision;
+
+	script_options(call, words + 2);
+	decision = entry_service_arrive(&script->svc, &call->call, script->now);
+	return script_decision(&call->call, &decision);
+}
+
+static char *run_end(script_t *script, char **words)
+{
+	static const char *const names[] = { "ok",  "error",	"shed",	 "connect",
+					     "cut", "deadline", "cancel" };
+	script_call_t *call = script_call(script, words[1]);
+	entry_decision_t decision;
+	unsigned result = 0;
+
+	while (strcmp(names[result], words[2]))
+		g_assert_cmpuint(++result, <, G_N_ELEMENTS(names));
+	decision = entry_service_end(&script->svc, &call->call,
+				     (entry_result_t)result, script->now);
+	return script_decision(&call->call, &decision);
+}
+
+static char *run_next(script_t *script, char **words)
+{
+	entry_call_t *call = entry_service_next(&script->svc, script->now);
+
+	(void)words;
+	if (!call)
+		return g_strdup("none");
+	return g_strdup_printf("%s %s", script_name(script, call),
+			       call->copy->name);
+}
+
+static int script_order(const void *a, const void *b)
+{
+	return strcmp((*(entry_copy_t *const *)a)->name,
+		      (*(entry_copy_t *const *)b)->name);
+}
+
+static char *run_candidates(script_t *script, char **words)
+{
+	entry_call_t call = { .objective = 250 * USEC_PER_MS };
+	GString *names = g_string_new(NULL);
+	entry_copy_t *copies[4];
+	unsigned count;
+	unsigned i;
+
+	count = entry_service_candidates(&script->svc, &call,
+					 script->now - 30 * USEC_PER_MS,
+					 !strcmp(words[1], "near"), false,
+					 copies, G_N_ELEMENTS(copies),
+					 script->now);
+	qsort(copies, count, sizeof(copies[0]), script_order);
+	for (i = 0; i < count; i++)
+		g_string_append_printf(names, "%s%s", i ? " " : "",
+				       copies[i]->name);
+	return g_string_free(names, FALSE);
+}
+
+static const struct {
+	const char *name;
+	char *(*run)(script_t *script, char **words);
+} commands[] = {
+	{ "copy", run_copy },	  { "told", run_told },
+	{ "silent", run_silent }, { "drain", run_drain },
+	{ "budget", run_budget }, { "wait", run_wait },
+	{ "arrive", run_arrive }, { "end", run_end },
+	{ "next", run_next },	  { "candidates", run_candidates },
+};
+
+static char *script_command(script_t *script, char **words)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(commands); i++)
+		if (!strcmp(commands[i].name, words[0]))
+			return commands[i].run(script, words);
+	g_error("unknown command %s", words[0]);
+	return NULL;
+}
+
+/* Run a line and write it down with what it gave. */
+static void script_line(script_t *script, const char *line, GString *seen)
+{
+	char **sides = g_strsplit(line, " = ", 2);
+	char **words = g_strsplit(sides[0], " ", -1);
+	char *result;
+
+	/* Time 0 stands for a while after the start. */
+	script->now = (1000 + strtol(words[0], NULL, 10)) * USEC_PER_MS;
+	result = script_command(script, words + 1);
+	g_string_append(seen, sides[0]);
+	if (result)
+		g_string_append_printf(seen, " = %s", result);
+	g_string_append_c(seen, '\n');
+	g_free(result);
+	g_strfreev(words);
+	g_strfreev(sides);
+}
+
+static void script_init(script_t *script)
+{
+	unsigned i;
+
+	memset(script, 0, sizeof(*script));
+	config_profile_preset(&script->profile);
+	entry_service_init(&script->svc, ENTRY_POLICY_REPORTS, &script->profile,
+			   1);
+	strcpy(script->svc.zone, "here");
+	for (i = 0; i < ENTRY_KINDS; i++)
+		script->svc.work[i] = WORK;
+}
+
+static void script_fini(script_t *script)
+{
+	entry_copy_t *copy;
+
+	cds_list_for_each_entry (copy, &script->svc.copies, link)
+		copy->outstanding = 0;
+	entry_service_fini(&script->svc);
+}
+
+static void test_script(gconstpointer data)
+{
+	const char *text = cases[GPOINTER_TO_SIZE(data)].text;
+	script_t *script = g_new(script_t, 1);
+	GString *seen = g_string_new(NULL);
+	char **lines = g_strsplit(text, "\n", -1);
+	unsigned i;
+
+	script_init(script);
+	for (i = 0; lines[i] && lines[i][0]; i++)
+		script_line(script, lines[i], seen);
+	g_assert_cmpstr(seen->str, ==, text);
+	script_fini(script);
+	g_strfreev(lines);
+	g_string_free(seen, TRUE);
+	g_free(script);
+}
+
+/*
+ * Many copies in one zone: every entry uses few of them first, and the
+ * entries together use all.
+ */
+static void test_usual(void)
+{
+	enum { COPIES = 80, ENTRIES = 40 };
+	unsigned used[COPIES] = { 0 };
+	config_profile_t profile = { 0 };
+	unsigned i, entry;
+
+	for (entry = 0; entry < ENTRIES; entry++) {
+		entry_service_t svc;
+		entry_copy_t *copy;
+		unsigned count = 0;
+
+		entry_service_init(&svc, ENTRY_POLICY_REPORTS, &profile, 1);
+		strcpy(svc.zone, "here");
+		for (i = 0; i < COPIES; i++) {
+			char name[16];
+
+			g_snprintf(name, sizeof(name), "c%u", i);
+			copy = entry_service_copy_add(&svc, name, 0);
+			strcpy(copy->zone, "here");
+		}
+		entry_service_usual(&svc, entry + 1);
+		i = 0;
+		cds_list_for_each_entry (copy, &svc.copies, link) {
+			used[i++] += copy->usual;
+			count += copy->usual;
+		}
+		g_assert_cmpuint(count, ==, ENTRY_USUAL_MAX);
+		entry_service_fini(&svc);
+	}
+	for (i = 0; i < COPIES; i++)
+		g_assert_cmpuint(used[i], >, 0);
+}
+
+/* Work is learned from calls that found a free slot of known speed. */
+static void test_work(void)
+{
+	const load_t free_slot = { .slowness = 200, .slots = 2 };
+	const load_t full = { .slowness = 100, .running = 2, .waiting = 4 };
+	script_t *script = g_new(script_t, 1);
+	entry_call_t call = { .objective = 250 * USEC_PER_MS,
+			      .kind = 1,
+			      .deadline = 9000 * USEC_PER_MS };
+	entry_copy_t *copy;
+
+	script_init(script);
+	copy = entry_service_copy_add(&script->svc, "a", 0);
+	strcpy(copy->zone, "here");
+	copy->slots = 2;
+	copy->limit = 9;
+	script->svc.work[1] = 0;
+	entry_service_report(&script->svc, copy, &full, true, 1000);
+	entry_service_arrive(&script->svc, &call, 1000);
+	entry_service_end(&script->svc, &call, ENTRY_RESULT_OK, 900000);
+	g_assert_cmpfloat(script->svc.work[1], ==, 0);
+	entry_service_report(&script->svc, copy, &free_slot, true, 1000000);
+	entry_service_arrive(&script->svc, &call, 1000000);
+	entry_service_end(&script->svc, &call, ENTRY_RESULT_OK,
+			  1000000 + 200 * USEC_PER_MS);
+	g_assert_cmpfloat(script->svc.work[1], >, 99 * USEC_PER_MS);
+	g_assert_cmpfloat(script->svc.work[1], <, 101 * USEC_PER_MS);
+	script_fini(script);
+	g_free(script);
+}
+
+int main(int argc, char **argv)
+{
+	char path[96];
+	size_t i;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_snprintf(path, sizeof(path), "/reports/%s", cases[i].name);
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_script);
+	}
+	g_test_add_func("/reports/many-copies-are-shared-out", test_usual);
+	g_test_add_func("/reports/work-is-learned-without-waiting", test_work);
+	return g_test_run();
+}
--- a/regress/test-keeper-rules.c
+++ b/regress/test-keeper-rules.c
@@ -52,6 +52,7 @@
 				     keeper_message_kind_t kind)
 {
 	keeper_message_t message = { .from = (char *)from,
+				     .from_address = (char *)"",
 				     .from_incarnation = from[0] - 'a' + 1,
 				     .to = (char *)"b",
 				     .to_incarnation = 2,
