Begin with what was known to be committed, test groups that heal themselves

Change: the log keeps what was committed beside the ballot, at no further sync; a restarted keeper applies it at once and an entry that has nothing begins with it, then asks the leader.

Ruled out: votes without the wait after a restart (leases rest on it); a commit record without a sync (it may be missing before a later one that is not).

--- a/config-direct.c
+++ b/config-direct.c
@@ -73,8 +73,9 @@
 	CURL *easy = follow->easy;
 	bool ok;
 
-	snprintf(url, sizeof(url), "http://%s/v1/follow?have=%" PRIu64, address,
-		 follow->revision);
+	/* One that has nothing yet begins with what any keeper knows. */
+	snprintf(url, sizeof(url), "http://%s/v1/follow?have=%" PRIu64 "%s",
+		 address, follow->revision, follow->ready ? "" : "&any=1");
 	curl_easy_reset(easy);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -119,9 +120,11 @@
 static direct_t direct_take(config_follow_t *follow, const char *address,
 			    keeper_fetch_res_t *res, usec_t now)
 {
-	if (res->status != KEEPER_OK || !res->confirmed ||
+	if (res->status != KEEPER_OK || !res->revision ||
 	    config_publish(follow, &res->body, res->revision, now))
 		return DIRECT_FAILED;
+	if (!res->confirmed)
+		return DIRECT_FAILED;
 	direct_lead(follow, address);
 	return follow->revision < res->revision ? DIRECT_MORE : DIRECT_DONE;
 }
--- a/keeper-core.c
+++ b/keeper-core.c
@@ -191,6 +191,46 @@
 	metrics_set(core->counters.syncs, core->store.syncs);
 }
 
+/* Apply one committed entry; the lock is held. */
+static int keeper_core_apply_entry(keeper_core_t *core,
+				   const keeper_entry_t *entry)
+{
+	config_change_t change = { 0 };
+	config_answer_t answer = { 0 };
+	int rc;
+
+	if (entry->kind != KEEPER_ENTRY_CHANGE)
+		return 0;
+	/* The same on all replicas: what does not decode changes nothing. */
+	if (!keeper_body_unpack(entry->body.body_val, entry->body.body_len,
+				&change))
+		return 0;
+	rc = config_state_apply(core->state, entry->index, &change, &answer);
+	keeper_core_unpend(core, change.id);
+	xdr_free((xdrproc_t)xdr_config_answer_t, &answer);
+	xdr_free((xdrproc_t)xdr_config_change_t, &change);
+	metrics_add(core->counters.changes, 1);
+	return rc;
+}
+
+static int keeper_core_apply(keeper_core_t *core, hl_error_t *err)
+{
+	const keeper_raft_t *raft = &core->raft;
+	int rc = 0;
+
+	pthread_mutex_lock(&core->lock);
+	while (rc == 0 && core->applied < raft->commit) {
+		rc = keeper_core_apply_entry(
+			core,
+			keeper_entries_at(&raft->entries, core->applied + 1));
+		core->applied += rc == 0;
+	}
+	pthread_mutex_unlock(&core->lock);
+	return rc == 0 ? 0 :
+			 hl_error_set(err, HL_ERR_NOMEM,
+				      "out of memory; give the VM more");
+}
+
 int keeper_core_open(keeper_core_t *core, hl_error_t *err)
 {
 	keeper_raft_settings_t settings;
@@ -202,7 +242,7 @@
 			      settings.cluster, settings.name,
 			      keeper_core_draw(), &core->raft, err))
 		return -1;
-	if (keeper_core_load_state(core, err)) {
+	if (keeper_core_load_state(core, err) || keeper_core_apply(core, err)) {
 		keeper_store_close(&core->store);
 		keeper_raft_free(&core->raft);
 		return -1;
@@ -347,46 +387,6 @@
 	return 0;
 }
 
-/* Apply one committed entry; the lock is held. */
-static int keeper_core_apply_entry(keeper_core_t *core,
-				   const keeper_entry_t *entry)
-{
-	config_change_t change = { 0 };
-	config_answer_t answer = { 0 };
-	int rc;
-
-	if (entry->kind != KEEPER_ENTRY_CHANGE)
-		return 0;
-	/* The same on all replicas: what does not decode changes nothing. */
-	if (!keeper_body_unpack(entry->body.body_val, entry->body.body_len,
-				&change))
-		return 0;
-	rc = config_state_apply(core->state, entry->index, &change, &answer);
-	keeper_core_unpend(core, change.id);
-	xdr_free((xdrproc_t)xdr_config_answer_t, &answer);
-	xdr_free((xdrproc_t)xdr_config_change_t, &change);
-	metrics_add(core->counters.changes, 1);
-	return rc;
-}
-
-static int keeper_core_apply(keeper_core_t *core, hl_error_t *err)
-{
-	const keeper_raft_t *raft = &core->raft;
-	int rc = 0;
-
-	pthread_mutex_lock(&core->lock);
-	while (rc == 0 && core->applied < raft->commit) {
-		rc = keeper_core_apply_entry(
-			core,
-			keeper_entries_at(&raft->entries, core->applied + 1));
-		core->applied += rc == 0;
-	}
-	pthread_mutex_unlock(&core->lock);
-	return rc == 0 ? 0 :
-			 hl_error_set(err, HL_ERR_NOMEM,
-				      "out of memory; give the VM more");
-}
-
 static void keeper_core_send(keeper_core_t *core)
 {
 	keeper_outgoing_t *outgoing, *next;
--- a/keeper-log.c
+++ b/keeper-log.c
@@ -51,6 +51,7 @@
 	log->ballot.term = ballot->term;
 	strcpy(log->ballot.vote, ballot->vote);
 	log->ballot.vote_incarnation = ballot->vote_incarnation;
+	log->commit = ballot->commit;
 	return 0;
 }
 
@@ -94,7 +95,7 @@
 }
 
 int keeper_log_put_ballot(keeper_buffer_t *buffer,
-			  const keeper_ballot_state_t *ballot)
+			  const keeper_ballot_state_t *ballot, uint64_t commit)
 {
 	keeper_record_t record = { .kind = KEEPER_RECORD_BALLOT };
 	keeper_ballot_record_t *out = &record.keeper_record_t_u.ballot;
@@ -102,6 +103,7 @@
 	out->term = ballot->term;
 	out->vote = (char *)ballot->vote;
 	out->vote_incarnation = ballot->vote_incarnation;
+	out->commit = commit;
 	return keeper_record_put(buffer, (xdrproc_t)xdr_keeper_record_t,
 				 &record);
 }
@@ -136,7 +138,7 @@
 	size_t i;
 
 	if (keeper_log_put_header(buffer, log) ||
-	    keeper_log_put_ballot(buffer, &log->ballot))
+	    keeper_log_put_ballot(buffer, &log->ballot, log->commit))
 		return -1;
 	for (i = 0; i < log->entries.count; i++)
 		if (keeper_log_put_entry(buffer, &log->entries.list[i]))
--- a/keeper-page.c
+++ b/keeper-page.c
@@ -244,6 +244,8 @@
 
 	if (have)
 		args.have = strtoull(have, NULL, 10);
+	args.confirmed = !MHD_lookup_connection_value(
+		page->connection, MHD_GET_ARGUMENT_KIND, "any");
 	ok = keeper_core_fetch(keeper_page_core(page), &args, &res, now) &&
 	     !config_encode((xdrproc_t)xdr_keeper_fetch_res_t, &res, &plain,
 			    &size);
--- a/keeper-raft.c
+++ b/keeper-raft.c
@@ -51,6 +51,16 @@
 	return keeper_raft_regroup(raft);
 }
 
+void keeper_raft_committed(keeper_raft_t *raft, uint64_t commit)
+{
+	uint64_t last = keeper_entries_last(&raft->entries);
+
+	if (commit > last)
+		commit = last;
+	if (commit > raft->commit)
+		raft->commit = commit;
+}
+
 void keeper_raft_free(keeper_raft_t *raft)
 {
 	keeper_outgoing_t *outgoing, *next;
--- a/keeper-store.c
+++ b/keeper-store.c
@@ -124,12 +124,14 @@
 /* Write a whole log in place of the old one. */
 static int keeper_store_write_log(keeper_store_t *store,
 				  const keeper_ballot_state_t *ballot,
+				  uint64_t commit,
 				  const keeper_entries_t *entries,
 				  hl_error_t *err)
 {
 	keeper_log_t log = { .cluster = store->cluster,
 			     .incarnation = store->incarnation,
 			     .ballot = *ballot,
+			     .commit = commit,
 			     .entries = *entries };
 	keeper_buffer_t buffer = { 0 };
 	int fd;
@@ -148,6 +150,7 @@
 		close(store->log_fd);
 	store->log_fd = fd;
 	store->log_bytes = buffer.size;
+	store->commit = commit;
 	store->syncs++;
 	return 0;
 }
@@ -179,8 +182,10 @@
 				keeper_raft_t *raft, hl_error_t *err)
 {
 	raft->settings.incarnation = store->incarnation;
-	if (keeper_raft_restore(raft, &log->ballot, snapshot, &log->entries))
+	if (keeper_raft_restore(raft, &log->ballot, snapshot, &log->entries)) {
+		keeper_raft_committed(raft, log->commit);
 		return 0;
+	}
 	return hl_error_set(err, HL_ERR_CORRUPT,
 			    "%s/log has a malformed group; move the data "
 			    "folder away and start again with an empty one",
@@ -215,7 +220,8 @@
 	if (snapshot.index &&
 	    keeper_store_write_snapshot(store, &snapshot, err))
 		goto fail;
-	if (keeper_store_write_log(store, &log.ballot, &log.entries, err))
+	if (keeper_store_write_log(store, &log.ballot, log.commit, &log.entries,
+				   err))
 		goto fail;
 	if (!keeper_store_restore(store, &log, &snapshot, raft, err))
 		return 0;
@@ -227,13 +233,16 @@
 	return -1;
 }
 
-static int keeper_store_frame(keeper_buffer_t *buffer,
+static int keeper_store_frame(const keeper_store_t *store,
+			      keeper_buffer_t *buffer,
 			      const keeper_raft_t *raft)
 {
 	const keeper_entry_t *entry;
 	uint64_t index = raft->saved + 1;
 
-	if (raft->ballot_dirty && keeper_log_put_ballot(buffer, &raft->ballot))
+	/* What is committed goes along for nothing. */
+	if ((raft->ballot_dirty || raft->commit > store->commit) &&
+	    keeper_log_put_ballot(buffer, &raft->ballot, raft->commit))
 		return -1;
 	for (; (entry = keeper_entries_at(&raft->entries, index)); index++)
 		if (keeper_log_put_entry(buffer, entry))
@@ -250,7 +259,7 @@
 
 	if (raft->snapshot_dirty)
 		return keeper_store_compact(store, raft, err);
-	if (keeper_store_frame(&buffer, raft)) {
+	if (keeper_store_frame(store, &buffer, raft)) {
 		keeper_store_nomem(err);
 		goto out;
 	}
@@ -264,6 +273,7 @@
 		goto out;
 	}
 	store->log_bytes += buffer.size;
+	store->commit = raft->commit;
 	store->syncs++;
 	rc = 0;
 out:
@@ -276,8 +286,8 @@
 {
 	if (keeper_store_write_snapshot(store, &raft->snapshot, err))
 		return -1;
-	return keeper_store_write_log(store, &raft->ballot, &raft->entries,
-				      err);
+	return keeper_store_write_log(store, &raft->ballot, raft->commit,
+				      &raft->entries, err);
 }
 
 void keeper_store_close(keeper_store_t *store)
--- a/keeper-store.h
+++ b/keeper-store.h
@@ -86,6 +86,7 @@
 	char name[HL_NAME_MAX];
 	uint64_t incarnation;
 	keeper_ballot_state_t ballot;
+	uint64_t commit; /* entries up to it were committed */
 	keeper_entries_t entries;
 	bool torn; /* a torn tail was cut off */
 } keeper_log_t;
@@ -104,9 +105,9 @@
 /** keeper_log_put - frame a header, a ballot and all entries. */
 int keeper_log_put(keeper_buffer_t *buffer, const keeper_log_t *log);
 
-/** keeper_log_put_ballot - frame a ballot. */
+/** keeper_log_put_ballot - frame a ballot and what was committed. */
 int keeper_log_put_ballot(keeper_buffer_t *buffer,
-			  const keeper_ballot_state_t *ballot);
+			  const keeper_ballot_state_t *ballot, uint64_t commit);
 
 /** keeper_log_put_entry - frame one entry. */
 int keeper_log_put_entry(keeper_buffer_t *buffer, const keeper_entry_t *entry);
@@ -131,6 +132,7 @@
 	int lock_fd;
 	int log_fd;
 	size_t log_bytes;
+	uint64_t commit; /* as the log has it */
 	uint64_t syncs; /* for the metrics */
 } keeper_store_t;
 
--- a/keeper.h
+++ b/keeper.h
@@ -231,6 +231,9 @@
 			 keeper_snapshot_t *snapshot,
 			 keeper_entries_t *entries);
 
+/** keeper_raft_committed - what is known to have been committed before. */
+void keeper_raft_committed(keeper_raft_t *raft, uint64_t commit);
+
 /** keeper_raft_free - free what @raft holds, outgoing messages included. */
 void keeper_raft_free(keeper_raft_t *raft);
 
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -30,6 +30,8 @@
 	/* The disk. */
 	uint64_t incarnation;
 	keeper_ballot_state_t ballot;
+	uint64_t commit;
+	bool gone; /* it is not started again */
 	keeper_entries_t entries;
 	keeper_snapshot_t snapshot;
 } node_t;
@@ -69,6 +71,8 @@
 	uint32_t ids;
 	answer_t answers[IDS_MAX];
 	usec_t heal_at; /* when the cuts end */
+	bool open;	/* the group looks after itself */
+	bool strangers; /* no disk may begin a group */
 	bool calm;	/* no faults any more */
 	bool quiet;	/* no changes but the test's own */
 	kill_t kill;	/* the next leader to get there */
@@ -124,7 +128,8 @@
 static void node_start(world_t *world, node_t *node)
 {
 	keeper_raft_settings_t settings = { .cluster = 7,
-					    .may_found = true,
+					    .may_found = !world->strangers,
+					    .open_group = world->open,
 					    .incarnation = node->incarnation,
 					    .heartbeat = HEARTBEAT,
 					    .election = ELECTION };
@@ -142,6 +147,7 @@
 	entries_copy(&node->entries, &entries);
 	g_assert_true(keeper_raft_restore(&node->raft, &node->ballot, &snapshot,
 					  &entries));
+	keeper_raft_committed(&node->raft, node->commit);
 	node_load(node);
 	node->up = true;
 }
@@ -163,6 +169,7 @@
 	free(node->snapshot.state);
 	memset(&node->snapshot, 0, sizeof(node->snapshot));
 	memset(&node->ballot, 0, sizeof(node->ballot));
+	node->commit = 0;
 	node->incarnation = ++world->incarnations;
 }
 
@@ -174,6 +181,7 @@
 		node_load(node);
 	}
 	entries_copy(&node->raft.entries, &node->entries);
+	node->commit = node->raft.commit;
 }
 
 /* Every replica gives an id the same answer, however often it comes. */
@@ -499,7 +507,7 @@
 	} else if (what < 988) {
 		world_regroup(world, node);
 	} else if (what < 994) {
-		if (!node->up)
+		if (!node->up && !node->gone)
 			node_start(world, node);
 	} else if (what < 996) {
 		if (node->up)
@@ -622,6 +630,7 @@
 	world_t *world = world_new(seed, founders[seed % 4], counts[seed % 4]);
 	unsigned i;
 
+	world->open = seed % 4 == 3;
 	world->haste = 150 + 100 * draw(world, 7);
 	for (i = 0; i < STEPS; i++)
 		world_step(world);
@@ -666,6 +675,95 @@
 	g_assert_not_reached();
 }
 
+/* Run calmly until a leader's group is these voters, "k0 k1 k2". */
+static void world_until_group(world_t *world, const char *voters)
+{
+	usec_t limit = world->now + 200 * ELECTION;
+	char **names = g_strsplit(voters, " ", -1);
+	bool same = false;
+	unsigned i;
+
+	while (!same && world->now < limit) {
+		const node_t *leader = world_leader(world);
+
+		world_step(world);
+		same = leader != NULL &&
+		       leader->raft.group.count == g_strv_length(names);
+		for (i = 0; same && names[i]; i++)
+			same = keeper_group_votes(
+				&leader->raft.group, names[i],
+				world_find(world, names[i])->incarnation);
+	}
+	g_assert_true(same);
+	g_strfreev(names);
+}
+
+static world_t *world_calm(uint32_t seed, unsigned founders, unsigned count)
+{
+	world_t *world = world_new(seed, founders, count);
+
+	world->calm = true;
+	world->quiet = true;
+	world->open = true;
+	world->haste = 600;
+	return world;
+}
+
+/* A fourth keeper is taken in without being named, and takes the place of one
+ * that is gone for good; a wiped disk comes back under its name. */
+static void test_open_group(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		world_t *world = world_calm(seed, 3, 4);
+
+		world->count = 3;
+		world_until_group(world, "k0 k1 k2");
+		world->count = 4;
+		world_until_group(world, "k0 k1 k2 k3");
+		node_stop(&world->nodes[seed % 3]);
+		world->nodes[seed % 3].gone = true;
+		world_until_group(world, seed % 3 == 0 ? "k1 k2 k3" :
+					 seed % 3 == 1 ? "k0 k2 k3" :
+							 "k0 k1 k3");
+		node_replace(world, &world->nodes[3]);
+		world_until_group(world, seed % 3 == 0 ? "k1 k2 k3" :
+					 seed % 3 == 1 ? "k0 k2 k3" :
+							 "k0 k1 k3");
+		world_free(world);
+	}
+}
+
+/* A voter that was dropped while it was away asks to be taken in again. */
+static void test_open_return(void)
+{
+	world_t *world = world_calm(7, 3, 4);
+
+	world_until_group(world, "k0 k1 k2 k3");
+	node_stop(&world->nodes[1]);
+	world->nodes[1].gone = true;
+	world_until_group(world, "k0 k2 k3");
+	world->nodes[1].gone = false;
+	world_until_group(world, "k0 k1 k2 k3");
+	world_free(world);
+}
+
+/* Empty disks that are not told that it is the first start begin nothing. */
+static void test_no_founding(void)
+{
+	world_t *world = world_calm(3, 3, 3);
+	usec_t limit = world->now + 50 * ELECTION;
+
+	world->strangers = true;
+	while (world->now < limit) {
+		world_step(world);
+		g_assert_null(world_leader(world));
+	}
+	g_assert_cmpuint(world->elected, ==, 0);
+	world_free(world);
+}
+
 /* A leader dies at one step of a commit. The change is sent again until it
  * has an answer; it is accepted once, wherever the first try came to. */
 static void test_kill(gconstpointer data)
@@ -717,6 +815,9 @@
 
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/keeper-raft/random", test_random);
+	g_test_add_func("/keeper-raft/open-group", test_open_group);
+	g_test_add_func("/keeper-raft/open-return", test_open_return);
+	g_test_add_func("/keeper-raft/no-founding", test_no_founding);
 	for (i = 0; i < G_N_ELEMENTS(kills); i++) {
 		char *path = g_strdup_printf("/keeper-raft/leader-killed-%s",
 					     kills[i]);
--- a/rpc/keeper_disk.h
+++ b/rpc/keeper_disk.h
@@ -38,6 +38,7 @@
 	u_quad_t term;
 	config_name_t vote;
 	u_quad_t vote_incarnation;
+	u_quad_t commit;
 };
 typedef struct keeper_ballot_record_t keeper_ballot_record_t;
 
--- a/rpc/keeper_disk.x
+++ b/rpc/keeper_disk.x
@@ -23,6 +23,7 @@
 	unsigned hyper term;
 	config_name_t vote;		/* "" for none */
 	unsigned hyper vote_incarnation;
+	unsigned hyper commit;		/* entries up to it were committed */
 };
 
 union keeper_record_t switch (keeper_record_kind_t kind) {
--- a/rpc/keeper_disk_xdr.c
+++ b/rpc/keeper_disk_xdr.c
@@ -47,6 +47,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->vote_incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->commit))
+		 return FALSE;
 	return TRUE;
 }
 
