Send an overdue idempotent call a second time

Change: a call that takes twice as long as its copy's report let expect gets a second send, out of the budget that all entries share.

--- a/entry-service.c
+++ b/entry-service.c
@@ -9,6 +9,9 @@
 /* Waiting calls that are looked at for one that may use a free copy. */
 #define SERVICE_SKIP_MAX 4
 
+/* A call that takes so many times as long as expected gets a second send. */
+#define SERVICE_OVERDUE 2.0
+#define SERVICE_OVERDUE_MIN (30 * USEC_PER_MS)
 /* Part of the expected time that must fit before the deadline. */
 #define SERVICE_HOPELESS 0.7
 
@@ -173,12 +176,25 @@
 	entry_health_ended(svc, copy, result, sent, depth, now);
 }
 
+/* After this a call is overdue by what its copy has told. */
+static usec_t service_overdue(const entry_service_t *svc,
+			      const entry_call_t *call,
+			      const entry_copy_t *copy, usec_t now)
+{
+	usec_t expected = entry_report_time(svc, call, copy, now);
+	usec_t after = (usec_t)(SERVICE_OVERDUE * (double)expected);
+
+	return after > SERVICE_OVERDUE_MIN ? after : SERVICE_OVERDUE_MIN;
+}
+
 static entry_decision_t service_send(entry_service_t *svc, entry_call_t *call,
 				     entry_copy_t *copy, usec_t now)
 {
 	entry_decision_t decision = { ENTRY_SEND, ENTRY_REFUSE_NONE, 0 };
 
 	call->speed_known = entry_report_fresh(copy, now);
+	if (svc->policy == ENTRY_POLICY_REPORTS && call->objective)
+		call->hedge_after = service_overdue(svc, call, copy, now);
 	service_take_credit(svc, copy, now);
 	call->copy = copy;
 	call->sent = now;
