Pass over a keeper that takes no connection for 200 ms

The first seed it asked was not there yet, the connection attempt hung, and the whole timeout of 700 ms passed before the next was asked.

Ruled out: the election (leader at 33.91 s, entries may begin with what any keeper knows to be committed) and the size of the answer.

Change: connecting has a time of its own, 200 ms.

--- a/config-direct.c
+++ b/config-direct.c
@@ -15,6 +15,9 @@
 #define DIRECT_AGAIN (60 * USEC_PER_MS)
 /* The least time between two questions that were answered. */
 #define DIRECT_GAP (150 * USEC_PER_MS)
+/* A keeper that takes no connection for so long is passed over; one that is
+ * starting is asked again soon. */
+#define DIRECT_CONNECT_MS 200L
 /* Most that a whole configuration may come to. */
 #define DIRECT_BYTES_MAX (64u * 1024 * 1024)
 
@@ -82,6 +85,7 @@
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(easy, CURLOPT_FAILONERROR, 1L);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, DIRECT_CONNECT_MS);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 			 (long)follow->settings.timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, direct_write);
