Log failed sends and copies that are set aside

Cause: a call's lines told where it went and how it ended, not which send failed and how; that a copy was set aside, or came back, was told nowhere, though every choice after it rests on that.

Change: entry-trace.c writes the lines call-sent, send-failed, call-ended, copy-set-aside and copy-back; the first two moved there. A service tells of its copies by a callback, so that the deciding code still writes nothing.

--- a/entry-http.c
+++ b/entry-http.c
@@ -173,7 +173,7 @@
 		entry_request_gone(req);
 	else
 		entry_measure_call(req, time_now());
-	entry_measure_log(req, code == MHD_REQUEST_TERMINATED_COMPLETED_OK,
+	entry_trace_ended(req, code == MHD_REQUEST_TERMINATED_COMPLETED_OK,
 			  time_now());
 	*state = NULL;
 	entry_slow_idle(connection, time_now());
--- a/entry-io.h
+++ b/entry-io.h
@@ -317,11 +317,28 @@
 
 /** entry_measure_call - count an answered call by tenant and class. */
 void entry_measure_call(entry_request_t *req, usec_t now);
-/** entry_measure_log - one line for a call that is over.
+void entry_measure_free(entry_route_t *route);
+
+/* entry-trace.c: what the log says of calls and of the copies they went to. */
+
+/** entry_trace_sent - a send to a copy begins, and what decided for it. */
+void entry_trace_sent(entry_request_t *req, usec_t now);
+
+/**
+ * entry_trace_failed - a send brought no good answer.
+ * @sent: when it began
+ */
+void entry_trace_failed(entry_request_t *req, entry_result_t result,
+			usec_t sent, usec_t now);
+
+/**
+ * entry_trace_ended - a call is over.
  * @whole: its caller got all of the answer
  */
-void entry_measure_log(entry_request_t *req, bool whole, usec_t now);
-void entry_measure_free(entry_route_t *route);
+void entry_trace_ended(entry_request_t *req, bool whole, usec_t now);
+
+/** entry_trace_health - entry_service_t.on_health for a route as context. */
+void entry_trace_health(void *context, const entry_copy_t *copy, bool ejected);
 
 typedef struct entry_forward entry_forward_t;
 
--- a/entry-measure.c
+++ b/entry-measure.c
@@ -86,26 +86,6 @@
 	metrics_add(measure->outcomes[outcome], 1);
 }
 
-void entry_measure_log(entry_request_t *req, bool whole, usec_t now)
-{
-	unsigned status;
-	const char *reason;
-	entry_outcome_t outcome;
-
-	pthread_mutex_lock(&req->lock);
-	status = req->answer.status;
-	reason = req->answer.reason;
-	outcome = req->answer.outcome;
-	pthread_mutex_unlock(&req->lock);
-	log_event(LOG_LEVEL_INFO, "call-ended",
-		  "call=%s route=%s status=%u whole=%d outcome=%s reason=%s "
-		  "attempts=%u took_ms=%" PRId64,
-		  *req->call_id ? req->call_id : "-",
-		  *req->rule ? req->rule : "-", status, whole,
-		  entry_outcome_name(outcome), reason ? reason : "copy",
-		  req->call.attempts, (now - req->call.arrived) / USEC_PER_MS);
-}
-
 void entry_measure_free(entry_route_t *route)
 {
 	measure_t *measure;
--- a/entry-names.c
+++ b/entry-names.c
@@ -34,6 +34,21 @@
 	return names[outcome];
 }
 
+const char *entry_result_name(entry_result_t result)
+{
+	static const char *const names[] = {
+		[ENTRY_RESULT_OK] = "ok",
+		[ENTRY_RESULT_ERROR] = "error",
+		[ENTRY_RESULT_SHED] = "shed",
+		[ENTRY_RESULT_CONNECT] = "connect",
+		[ENTRY_RESULT_CUT] = "cut",
+		[ENTRY_RESULT_DEADLINE] = "deadline",
+		[ENTRY_RESULT_CANCEL] = "cancel",
+	};
+
+	return names[result];
+}
+
 bool entry_policy_parse(const char *word, entry_policy_t *policy)
 {
 	static const char *const words[] = {
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -437,39 +437,11 @@
 }
 
 /* One line for each send: what it rests on. */
-static void relay_log(entry_request_t *req, usec_t now)
-{
-	entry_route_t *route = req->route;
-	const entry_copy_t *copy = req->call.copy;
-	entry_report_t report;
-	unsigned held;
-	bool near;
-
-	if (req->forward)
-		return;
-	pthread_mutex_lock(&route->lock);
-	report = copy->report;
-	held = copy->outstanding;
-	near = !strcmp(copy->zone, req->entry->settings.zone);
-	pthread_mutex_unlock(&route->lock);
-	log_event(
-		LOG_LEVEL_INFO, "call-sent",
-		"call=%s route=%s service=%s copy=%s attempt=%u hedge=%d "
-		"near=%d held=%u others=%u slowness=%.2f report_age_ms=%" PRId64
-		" waited_ms=%" PRId64 " left_ms=%" PRId64,
-		*req->call_id ? req->call_id : "-",
-		*req->rule ? req->rule : "-", route->name, copy->name,
-		req->call.attempts, req->first != NULL, near, held,
-		report.others, report.slowness,
-		report.at ? (now - report.at) / USEC_PER_MS : -1,
-		(now - req->call.arrived) / USEC_PER_MS,
-		(req->call.deadline - now) / USEC_PER_MS);
-}
-
 void entry_relay_send(entry_request_t *req)
 {
 	entry_transfer_t transfer = { .req = req };
 	entry_result_t result;
+	usec_t sent;
 
 	if (!relay_choose(req))
 		return;
@@ -477,11 +449,14 @@
 		entry_dispatch_end(req, ENTRY_RESULT_CONNECT, time_now());
 		return;
 	}
-	relay_log(req, time_now());
+	sent = time_now();
+	entry_trace_sent(req, sent);
 	transfer.place = relay_place(req);
 	result = relay_send_once(&transfer);
 	entry_place_unref(transfer.place);
 	if (transfer.head_whole)
 		relay_set_outcome(req, entry_transfer_outcome(&transfer));
+	if (result != ENTRY_RESULT_OK)
+		entry_trace_failed(req, result, sent, time_now());
 	entry_dispatch_end(req, result, time_now());
 }
--- a/entry-route.c
+++ b/entry-route.c
@@ -64,6 +64,8 @@
 		goto fail;
 	if (entry->settings.routed)
 		strcpy(route->service.zone, entry->settings.zone);
+	route->service.on_health = entry_trace_health;
+	route->service.context = route;
 	route->service.slots_only = !entry->settings.pipeline;
 	cds_list_add_tail(&route->link, &entry->routes);
 	g_hash_table_insert(entry->routes_by_name, route->name, route);
--- a/entry-rules.c
+++ b/entry-rules.c
@@ -108,11 +108,12 @@
 entry_rules_t *entry_rules_new(const config_t *config, uint64_t seed)
 {
 	entry_rules_t *rules = calloc(1, sizeof(*rules));
-	config_t routes = { .routes = config->routes };
+	config_t routes = { 0 };
 	u_int i;
 
 	if (!rules)
 		return NULL;
+	routes.routes = config->routes;
 	rules->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     rules_host_free);
 	if (config_copy((xdrproc_t)xdr_config_t, &routes, &rules->config,
--- a/entry-service.c
+++ b/entry-service.c
@@ -171,9 +171,13 @@
 				entry_result_t result, usec_t sent,
 				unsigned depth, usec_t now)
 {
+	bool before = copy->health->ejected;
+
 	copy->outstanding--;
 	svc->outstanding--;
 	entry_health_ended(svc, copy, result, sent, depth, now);
+	if (svc->on_health && before != copy->health->ejected)
+		svc->on_health(svc->context, copy, !before);
 }
 
 /* After this a call is overdue by what its copy has told. */
--- a/entry.h
+++ b/entry.h
@@ -181,6 +181,10 @@
 	struct cds_list_head running; /* calls sent, oldest send first */
 	entry_pace_t pace;
 	entry_reserve_t reserves[ENTRY_RESERVES_MAX];
+	/* Told that a copy was set aside for its failures, or is back. */
+	void (*on_health)(void *context, const entry_copy_t *copy,
+			  bool ejected);
+	void *context;
 } entry_service_t;
 
 /** entry_service_init - an empty service; returns -1 without memory. */
@@ -443,4 +447,7 @@
 /** entry_outcome_name - "not-run", "may-have-run" or "ran". */
 const char *entry_outcome_name(entry_outcome_t outcome);
 
+/** entry_result_name - the word for it in the log. */
+const char *entry_result_name(entry_result_t result);
+
 #endif
--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -136,6 +136,16 @@
 	grep -c "$1" "$DIR/calls" || true
 }
 
+# traced ENTRY CALL: the events that an entry logged for a call, without what
+# differs from run to run.
+traced () {
+	wait_until 2 grep -q "event=call-ended call=$2 " "$DIR/entry-$1.log"
+	grep "call=$2 " "$DIR/entry-$1.log" |
+		sed -E 's/^.*event=/event=/; s/ call=[^ ]*//
+			s/copy=[^ ]+/copy=ID/; s/([a-z]+_ms)=-?[0-9]+/\1=N/g
+			s/(near|held|others|slowness)=[0-9.]+/\1=N/g'
+}
+
 # served ENTRY PATH: a call is answered 200.
 served () {
 	via "$1" "$2" | grep -q status=200
--- a/regress/standin-copy.c
+++ b/regress/standin-copy.c
@@ -128,14 +128,15 @@
 	struct MHD_Daemon *daemon;
 	unsigned length;
 	sigset_t set;
+	gboolean parsed;
 	int number;
 
 	g_option_context_add_main_entries(context, options, NULL);
-	if (!g_option_context_parse(context, &argc, &argv, NULL) ||
-	    !opt_address || !opt_id || !opt_log ||
+	parsed = g_option_context_parse(context, &argc, &argv, NULL);
+	g_option_context_free(context);
+	if (!parsed || !opt_address || !opt_id || !opt_log ||
 	    hl_address_parse(opt_address, &storage, &length))
 		return 2;
-	g_option_context_free(context);
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
--- a/regress/test-config-target.c
+++ b/regress/test-config-target.c
@@ -63,11 +63,12 @@
 
 static unsigned state_of(const char *word)
 {
-	unsigned i = 0;
+	unsigned i;
 
-	while (strcmp(states[i], word))
-		g_assert_cmpuint(++i, <, G_N_ELEMENTS(states));
-	return i;
+	for (i = 0; i < G_N_ELEMENTS(states); i++)
+		if (!strcmp(states[i], word))
+			return i;
+	g_assert_not_reached();
 }
 
 static char *show(const config_state_t *state, const char *id)
@@ -92,8 +93,9 @@
 
 	change.items.items_len = 1;
 	change.items.items_val = item;
-	g_assert_cmpint(config_state_apply(state, ++index, &change, &answer),
-			==, 0);
+	index++;
+	g_assert_cmpint(config_state_apply(state, index, &change, &answer), ==,
+			0);
 	g_assert_cmpint(answer.verdict, ==, CONFIG_ACCEPTED);
 	xdr_free((xdrproc_t)xdr_config_answer_t, &answer);
 	count = config_state_deltas(state, follower->revision, deltas, 4);
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -24,6 +24,7 @@
 	script_call_t calls[CALLS_MAX];
 	unsigned call_count;
 	usec_t now;
+	char told[64]; /* what on_health said, oldest first */
 } script_t;
 
 static const struct {
@@ -321,8 +322,13 @@
 	{ "errors-alike-readmit", "0 copy c1 1\n0 copy c2 1\n0 copy c3 1\n"
 				  "0 warm 10 10\n200 run c1 1 error 4\n"
 				  "210 state c1 = ejected\n"
+				  "210 told = c1=aside\n"
 				  "210 alike 1 error 8\n"
-				  "300 state c1 = good\n" },
+				  "300 state c1 = good\n"
+				  "300 told = c1=aside,c1=back\n" },
+	{ "tells-of-no-pause", "0 copy c1 1\n0 copy c2 1\n"
+			       "0 run c1 1 connect 1\n"
+			       "1 state c1 = paused\n1 told = nothing\n" },
 	{ "cut-answers-eject", "0 copy c1 1\n0 copy c2 1\n0 copy c3 1\n"
 			       "0 warm 10 10\n200 run c1 10 cut 4\n"
 			       "300 state c1 = ejected\n" },
@@ -779,6 +785,8 @@
 			"%u", entry_service_copy(svc, words[2])->outstanding);
 	if (!strcmp(words[1], "state"))
 		return script_state(script, entry_service_copy(svc, words[2]));
+	if (!strcmp(words[1], "told"))
+		return g_strdup(*script->told ? script->told : "nothing");
 	if (!strcmp(words[1], "free"))
 		return g_strdup_printf("%u",
 				       entry_reserve_free(svc, script->now));
@@ -835,6 +843,17 @@
 	g_strfreev(sides);
 }
 
+/* Remember what the service says of its copies. */
+static void script_on_health(void *context, const entry_copy_t *copy,
+			     bool ejected)
+{
+	script_t *script = context;
+	size_t used = strlen(script->told);
+
+	g_snprintf(script->told + used, sizeof(script->told) - used, "%s%s=%s",
+		   used ? "," : "", copy->name, ejected ? "aside" : "back");
+}
+
 static void script_init(script_t *script)
 {
 	memset(script, 0, sizeof(*script));
@@ -844,6 +863,8 @@
 	script->profile.classes.classes_len = G_N_ELEMENTS(script->classes);
 	entry_service_init(&script->svc, ENTRY_POLICY_OWNER, &script->profile,
 			   1);
+	script->svc.on_health = script_on_health;
+	script->svc.context = script;
 }
 
 static void script_fini(script_t *script)
