--- a/entry-trace.c
+++ b/entry-trace.c
@@ -54,12 +54,16 @@
 	unsigned status;
 	const char *reason;
 	entry_outcome_t outcome;
+	bool gone;
 
 	pthread_mutex_lock(&req->lock);
 	status = req->answer.status;
 	reason = req->answer.reason;
 	outcome = req->answer.outcome;
+	gone = req->gone && !whole;
 	pthread_mutex_unlock(&req->lock);
+	if (gone)
+		reason = "gone";
 	log_event(LOG_LEVEL_INFO, "call-ended",
 		  "call=%s route=%s status=%u whole=%d outcome=%s reason=%s "
 		  "attempts=%u took_ms=%" PRId64,
