Decide anew on a call whose owner refuses the connection

Status before and after the call: no credit at any copy, the other entry not among the members; no line of a send. So the call had been handed to the dead entry: membership had dropped it 16 ms before, the table of owners had not yet. A call that was handed over for want of copies and met a refused connection was ended; only one that a sibling had offered to take came back.

Ruled out: a lease that still ran (limit 0 in both answers), a copy (both were killed).

Change: any call that was handed over and met a refused connection is decided anew at the entry, unless its body was spent.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -104,15 +104,15 @@
 }
 
 /*
- * A sibling that cannot take what it offered leaves the call to us, unless a
- * body that is not held has gone there.
+ * A sibling that cannot take what it offered, or that is gone, leaves the call
+ * to us, unless a body that is not held has gone there.
  */
 static void dispatch_forward_end(entry_request_t *req, entry_result_t result,
 				 usec_t now)
 {
-	bool again = req->handed_over && !req->body_spent &&
-		     (result == ENTRY_RESULT_SHED ||
-		      result == ENTRY_RESULT_CONNECT);
+	bool refused = req->handed_over && result == ENTRY_RESULT_SHED;
+	bool again = !req->body_spent &&
+		     (refused || result == ENTRY_RESULT_CONNECT);
 
 	if (req->offered)
 		entry_forward_waiting(req->route, req->forward->address,
