Read whether a page is decided under the lock alone

Cause: two whole runs of the checks showed the same data race under the thread sanitizer, in routed-basic.script and routed-lost.script: the HTTP thread of a keeper read after unlocking whether a page was decided, which the core's round may write as soon as the page waits. Had the round come between, the answer would have been sent on a connection that was still suspended.

Ruled out: a false report for MHD's own uninstrumented locks alone; the read in control_wait() stood outside of any lock.

Change: control_wait() takes the value while it holds the lock; control_decided() does so for a page that is resumed.

Measured: both scripts red in both runs before; green twice under the thread sanitizer after.

--- a/keeper-control.c
+++ b/keeper-control.c
@@ -159,19 +159,32 @@
 static enum MHD_Result control_wait(keeper_page_t *page)
 {
 	keeper_control_t *control = page->control;
+	bool decided;
 
 	pthread_mutex_lock(&control->lock);
 	control_look(page, time_now());
 	if (control->stopping && !page->decided)
 		keeper_page_error(page, MHD_HTTP_SERVICE_UNAVAILABLE,
 				  "this keeper stops; ask another one");
-	if (!page->decided) {
+	decided = page->decided;
+	if (!decided) {
 		page->suspended = true;
 		cds_list_add_tail(&page->link, &control->waiting);
 		MHD_suspend_connection(page->connection);
 	}
 	pthread_mutex_unlock(&control->lock);
-	return page->decided ? control_send(page) : MHD_YES;
+	return decided ? control_send(page) : MHD_YES;
+}
+
+/* Whether a round has decided on a page that waited. */
+static bool control_decided(keeper_page_t *page)
+{
+	bool decided;
+
+	pthread_mutex_lock(&page->control->lock);
+	decided = page->decided;
+	pthread_mutex_unlock(&page->control->lock);
+	return decided;
 }
 
 static void control_take(keeper_page_t *page, const char *bytes, size_t size)
@@ -229,7 +242,7 @@
 		*size = 0;
 		return MHD_YES;
 	}
-	if (page->decided)
+	if (control_decided(page))
 		return control_send(page);
 	if (page->oversize)
 		keeper_page_error(page, MHD_HTTP_CONTENT_TOO_LARGE,
