Count what the last slot of a copy costs, ask others before taking it

Change: a service learns how much longer work takes in a last slot, from answers whose copy had just told its load; the cost counts it, and the first two looks of a call take only a quick copy, so that up to three rounds of two copies are asked before a last slot is taken for being in time.

--- a/entry-pick.c
+++ b/entry-pick.c
@@ -171,6 +171,14 @@
 		       call->arrived + call->objective;
 }
 
+/* Whether a copy told just now that it has a free slot, and is quick. */
+static bool pick_is_quick(const entry_service_t *svc, const entry_copy_t *copy,
+			  usec_t now)
+{
+	return entry_report_fresh(copy, now) &&
+	       entry_report_cost(svc, copy, now) <= PICK_COST_QUICK;
+}
+
 /*
  * Whether a copy is worth starting on: it told just now that it has a free
  * slot, and it would be in time or is quick.
@@ -178,18 +186,22 @@
 static bool pick_is_good(const entry_service_t *svc, const entry_call_t *call,
 			 const entry_copy_t *copy, usec_t now)
 {
-	return entry_report_fresh(copy, now) &&
-	       (pick_in_time(svc, call, copy, now) ||
-		entry_report_cost(svc, copy, now) <= PICK_COST_QUICK);
+	return pick_is_quick(svc, copy, now) ||
+	       (entry_report_fresh(copy, now) &&
+		pick_in_time(svc, call, copy, now));
 }
 
 entry_wait_t entry_service_wait(entry_service_t *svc, const entry_call_t *call,
-				bool far, usec_t now)
+				bool far, bool choosy, usec_t now)
 {
 	entry_copy_t *near_copy = pick_least_cost(svc, call, true, now);
 	entry_copy_t *far_copy = NULL;
 	entry_copy_t *copy = near_copy;
 
+	if (choosy)
+		return near_copy && pick_is_quick(svc, near_copy, now) ?
+			       ENTRY_WAIT_NOT :
+			       ENTRY_WAIT_MORE;
 	if (near_copy && pick_is_good(svc, call, near_copy, now))
 		return ENTRY_WAIT_NOT;
 	if (far || !near_copy)
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -141,7 +141,9 @@
 /* Copies asked at once. */
 #define PROBE_REPORTS 2u
 /* Rounds in the zone before copies of other zones are asked. */
-#define PROBE_ROUNDS_NEAR 2
+#define PROBE_ROUNDS_NEAR 3
+/* Those of them after which only a quick copy will do. */
+#define PROBE_ROUNDS_CHOOSY 2
 /* A copy that told something so lately is not asked again. */
 #define PROBE_FRESH (30 * USEC_PER_MS)
 /* Between two looks for a copy that is quick. */
@@ -224,13 +226,15 @@
 }
 
 /* What the decision says after the copies have been asked. */
-static entry_wait_t probe_look(entry_request_t *req, bool far, usec_t now)
+static entry_wait_t probe_look(entry_request_t *req, bool far, bool choosy,
+			       usec_t now)
 {
 	entry_route_t *route = req->route;
 	entry_wait_t wait;
 
 	pthread_mutex_lock(&route->lock);
-	wait = entry_service_wait(&route->service, &req->call, far, now);
+	wait = entry_service_wait(&route->service, &req->call, far, choosy,
+				  now);
 	pthread_mutex_unlock(&route->lock);
 	return wait;
 }
@@ -274,7 +278,8 @@
 		probe_round(req, true, round < PROBE_ROUNDS_NEAR,
 			    now - PROBE_FRESH);
 		now = time_now();
-		if (probe_look(req, far, now) == ENTRY_WAIT_NOT)
+		if (probe_look(req, far, round < PROBE_ROUNDS_CHOOSY, now) ==
+		    ENTRY_WAIT_NOT)
 			return;
 		if (++round < PROBE_ROUNDS_NEAR)
 			continue;
@@ -283,7 +288,7 @@
 			probe_round(req, false, false, now - PROBE_FRESH);
 			now = time_now();
 		}
-		if (probe_look(req, far, now) != ENTRY_WAIT_MORE ||
+		if (probe_look(req, far, false, now) != ENTRY_WAIT_MORE ||
 		    !probe_pause(req, now + PROBE_PAUSE))
 			return;
 		now = time_now();
--- a/entry-report.c
+++ b/entry-report.c
@@ -22,6 +22,10 @@
 #define REPORT_FRESH (50 * USEC_PER_MS)
 /* Weight of a new answer in the work of its kind. */
 #define REPORT_WORK_WEIGHT 0.1
+/* Weight of a new answer in what the last slot of a copy costs. */
+#define REPORT_CROWDING_WEIGHT 0.05
+/* Most that one answer counts for there. */
+#define REPORT_CROWDING_MAX 4.0
 /* How much slower a copy is that has just started. */
 #define REPORT_COLD_COST 2.0
 
@@ -61,18 +65,37 @@
 	return usual + worth * (copy->report.slowness - usual);
 }
 
-double entry_report_cost(const entry_service_t *svc, const entry_copy_t *copy,
-			 usec_t now)
+/* Calls that a copy is expected to hold now, those of others included. */
+static double report_held(const entry_copy_t *copy, usec_t now)
 {
-	double slots = entry_credit_slots(copy);
-	double cost = entry_report_slowness(svc, copy, now);
 	double held = copy->outstanding;
-	double fill;
 
 	if (copy->report.at)
 		held += copy->report.others *
 			report_worth(now - copy->report.at, REPORT_CALLS_SPAN);
-	fill = held / slots;
+	return held;
+}
+
+/* How much slower one more call is where it takes the last slot, 1 or more. */
+static double report_crowding(const entry_service_t *svc, double held,
+			      double slots)
+{
+	double part = held + 2 - slots;
+
+	if (svc->crowding <= 1 || slots < 2 || part <= 0)
+		return 1;
+	return 1 + (svc->crowding - 1) * (part < 1 ? part : 1);
+}
+
+double entry_report_cost(const entry_service_t *svc, const entry_copy_t *copy,
+			 usec_t now)
+{
+	double slots = entry_credit_slots(copy);
+	double cost = entry_report_slowness(svc, copy, now);
+	double held = report_held(copy, now);
+	double fill = held / slots;
+
+	cost *= report_crowding(svc, held, slots);
 	if (held + 1 > slots)
 		cost *= 1 + (held + 1 - slots) / slots;
 	if (now < copy->cold_until)
@@ -94,6 +117,16 @@
 			report_work(svc, call));
 }
 
+/* Learn from a call in a last slot, whose usual work is known. */
+static void report_crowded(entry_service_t *svc, double times)
+{
+	if (times > REPORT_CROWDING_MAX)
+		times = REPORT_CROWDING_MAX;
+	if (svc->crowding <= 0)
+		svc->crowding = 1;
+	svc->crowding += REPORT_CROWDING_WEIGHT * (times - svc->crowding);
+}
+
 void entry_report_took(entry_service_t *svc, const entry_call_t *call,
 		       usec_t took)
 {
@@ -105,12 +138,22 @@
 		return;
 	if (call->slowness > 1)
 		usual /= call->slowness;
-	if (*work <= 0)
+	if (call->last_slot && *work > 0)
+		report_crowded(svc, usual / *work);
+	else if (*work <= 0)
 		*work = usual;
 	else
 		*work += REPORT_WORK_WEIGHT * (usual - *work);
 }
 
+bool entry_report_last_slot(const entry_copy_t *copy)
+{
+	unsigned slots = entry_credit_slots(copy);
+
+	return slots > 1 &&
+	       copy->outstanding + copy->report.others + 1 >= slots;
+}
+
 bool entry_report_fresh(const entry_copy_t *copy, usec_t now)
 {
 	unsigned held = copy->outstanding + copy->report.others;
--- a/entry.h
+++ b/entry.h
@@ -103,6 +103,7 @@
 	unsigned kind;	       /* of work: calls of a route are alike */
 	double slowness;       /* expected of its copy as it was sent */
 	bool speed_known; /* and its copy had just told it, with a free slot */
+	bool last_slot;	  /* it took the last one there */
 	usec_t hedge_after; /* until its second send; 0: as the profile */
 	unsigned attempts;  /* sends so far */
 	unsigned unsent;    /* those of which no byte left */
@@ -171,6 +172,7 @@
 	char zone[HL_NAME_MAX];	  /* of this entry; "": copies of all count */
 	double slowness;	  /* mean of what copies report; 0: unknown */
 	double work[ENTRY_KINDS]; /* at usual speed, microseconds; 0: unknown */
+	double crowding; /* work in a copy's last slot, of usual; 0: unknown */
 	entry_policy_t policy;
 	const config_profile_t *profile; /* in force; outlives the calls */
 	struct entry_queue *queue;
@@ -396,13 +398,14 @@
 /**
  * entry_service_wait - is a copy quick enough now, or may a call wait for one?
  * @far: copies of other zones count as well
+ * @choosy: others can still be asked, so only a quick copy will do
  *
  * Work that begins on a slow copy stays slow and holds a slot several times as
  * long, so while all are slow or full a call waits as long as a copy could
  * still answer by its deadline.
  */
 entry_wait_t entry_service_wait(entry_service_t *svc, const entry_call_t *call,
-				bool far, usec_t now);
+				bool far, bool choosy, usec_t now);
 
 /** entry_service_leave - the caller of a waiting call went away. */
 void entry_service_leave(entry_service_t *svc, entry_call_t *call);
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -69,6 +69,21 @@
 	  "0 wait x objective=50 deadline=2000 = more\n"
 	  "150 told a 0 0 110\n150 wait x = late-go\n" },
 
+	/* Copies whose work slows down while they are nearly full. */
+	{ "crowded-copies-emptier-one-wins",
+	  "0 crowding 1.7\n0 copy a 3\n0 copy b 3\n"
+	  "0 told a 2 0 100\n0 told b 1 0 130\n"
+	  "1 arrive x objective=250 = send b\n" },
+	{ "crowded-copies-ask-others-before-the-last-slot",
+	  "0 crowding 1.7\n0 copy a 3\n0 told a 2 0 100\n"
+	  "1 wait x objective=250 choosy = more\n1 wait x = go\n" },
+	{ "crowded-copies-last-slot-is-like-others-where-it-costs-nothing",
+	  "0 copy a 3\n0 told a 2 0 100\n"
+	  "1 wait x objective=250 choosy = go\n" },
+	{ "crowded-copies-one-slot-is-no-last-slot",
+	  "0 crowding 3\n0 copy a 1\n0 told a 0 0 100\n"
+	  "1 wait x objective=250 choosy = go\n" },
+
 	/* A zone with few copies and many callers. */
 	{ "poor-zone-stays-while-in-time",
 	  "0 copy a 2\n0 copy f 2 zone=there\n"
@@ -166,10 +181,18 @@
 	return true;
 }
 
-/* Options of a call, wherever they stand; true if "far" is among them. */
-static bool script_options(script_call_t *call, char **words)
+/* Whether a word stands among the options. */
+static bool script_flag(char **words, const char *flag)
+{
+	for (; *words; words++)
+		if (!strcmp(*words, flag))
+			return true;
+	return false;
+}
+
+/* Options of a call, wherever they stand. */
+static void script_options(script_call_t *call, char **words)
 {
-	bool far = false;
 	long value;
 
 	for (; *words; words++) {
@@ -182,10 +205,7 @@
 			call->call.attempts_max = (unsigned)value;
 		else if (!strcmp(*words, "idem"))
 			call->call.idempotent = true;
-		else if (!strcmp(*words, "far"))
-			far = true;
 	}
-	return far;
 }
 
 static entry_copy_t *script_copy(script_t *script, const char *name)
@@ -245,13 +265,21 @@
 	return NULL;
 }
 
+static char *run_crowding(script_t *script, char **words)
+{
+	script->svc.crowding = g_ascii_strtod(words[1], NULL);
+	return NULL;
+}
+
 static char *run_wait(script_t *script, char **words)
 {
 	script_call_t *call = script_call(script, words[1]);
-	bool far = script_options(call, words + 2);
-	entry_wait_t wait = entry_service_wait(&script->svc, &call->call, far,
-					       script->now);
+	entry_wait_t wait;
 
+	script_options(call, words + 2);
+	wait = entry_service_wait(&script->svc, &call->call,
+				  script_flag(words, "far"),
+				  script_flag(words, "choosy"), script->now);
 	if (wait == ENTRY_WAIT_NOT)
 		return g_strdup(script->now + WORK >
 						call->call.arrived +
@@ -344,11 +372,12 @@
 	const char *name;
 	char *(*run)(script_t *script, char **words);
 } commands[] = {
-	{ "copy", run_copy },	  { "told", run_told },
-	{ "silent", run_silent }, { "drain", run_drain },
-	{ "budget", run_budget }, { "wait", run_wait },
-	{ "arrive", run_arrive }, { "end", run_end },
-	{ "next", run_next },	  { "candidates", run_candidates },
+	{ "copy", run_copy },	      { "told", run_told },
+	{ "silent", run_silent },     { "drain", run_drain },
+	{ "budget", run_budget },     { "wait", run_wait },
+	{ "arrive", run_arrive },     { "end", run_end },
+	{ "next", run_next },	      { "candidates", run_candidates },
+	{ "crowding", run_crowding },
 };
 
 static char *script_command(script_t *script, char **words)
@@ -490,6 +519,36 @@
 	g_free(script);
 }
 
+/* What the last slot of a copy costs is learned from calls that took it. */
+static void test_crowding(void)
+{
+	const load_t crowded = { .slowness = 100, .running = 2, .slots = 3 };
+	script_t *script = g_new(script_t, 1);
+	entry_copy_t *copy;
+	usec_t now = 1000;
+	int i;
+
+	script_init(script);
+	copy = entry_service_copy_add(&script->svc, "a", 0);
+	strcpy(copy->zone, "here");
+	copy->slots = 3;
+	copy->limit = 9;
+	for (i = 0; i < 100; i++) {
+		entry_call_t call = { .objective = 250 * USEC_PER_MS,
+				      .deadline = now + 2 * USEC_PER_SEC };
+
+		entry_service_report(&script->svc, copy, &crowded, true, now);
+		entry_service_arrive(&script->svc, &call, now);
+		now += WORK * 17 / 10;
+		entry_service_end(&script->svc, &call, ENTRY_RESULT_OK, now);
+	}
+	g_assert_cmpfloat(script->svc.crowding, >, 1.65);
+	g_assert_cmpfloat(script->svc.crowding, <, 1.75);
+	g_assert_cmpfloat(script->svc.work[0], ==, WORK);
+	script_fini(script);
+	g_free(script);
+}
+
 int main(int argc, char **argv)
 {
 	char path[96];
@@ -503,5 +562,6 @@
 	}
 	g_test_add_func("/reports/many-copies-are-shared-out", test_usual);
 	g_test_add_func("/reports/work-is-learned-without-waiting", test_work);
+	g_test_add_func("/reports/last-slot-is-learned-apart", test_crowding);
 	return g_test_run();
 }
