Bound repeats over restarts, let half of the fixed number come with time

Cause: the budget of second sends began full in every process and filled up by calls alone. A process that started anew could spend at once what the one before it had just spent, so that a herd of restarts could pass the bound over the window that operators set; and the fixed number, once spent, came back only as a share of the calls.

Change: half of an entry's share of the fixed number may be spent at once, the other half comes evenly over the window (retry_window_s, from the platform's bounds); a process begins with none. So no window of that length passes the bound, restarts included: regress/test-entry-retry.c checks every span of seeded runs; the old start fails its row of restarts.

Ruled out: counting calls and sends of the last window exactly.

--- a/entry-decide.h
+++ b/entry-decide.h
@@ -204,15 +204,21 @@
 void entry_retry_earn(struct entry_retry *retry,
 		      const config_profile_t *profile, usec_t now);
 
-/** entry_retry_share - bound the budget by this entry's share of another. */
-void entry_retry_share(struct entry_retry *retry, double ratio, double slack);
+/**
+ * entry_retry_share - bound the budget by this entry's share of another.
+ * @ratio: sends beyond the first, of the calls
+ * @slack: such sends besides
+ * @span: in every time of this length, also where the process starts anew
+ */
+void entry_retry_share(struct entry_retry *retry, double ratio, double slack,
+		       usec_t span, usec_t now);
 
 /** entry_retry_allowed - whether a failed send may be repeated by rule. */
 bool entry_retry_allowed(const config_profile_t *profile,
 			 const entry_call_t *call, entry_result_t result);
 
 /** entry_retry_spend - take one send from the budget; false if empty. */
-bool entry_retry_spend(struct entry_retry *retry);
+bool entry_retry_spend(struct entry_retry *retry, usec_t now);
 
 /** entry_retry_free_of_charge - a send that cost no copy anything. */
 bool entry_retry_free_of_charge(const struct entry_retry *retry,
--- a/entry-io.h
+++ b/entry-io.h
@@ -73,6 +73,7 @@
 	int64_t spares;		   /* connections opened ahead */
 	double retry_ratio;	   /* used if retry_slack is not 0 */
 	int64_t retry_slack;	   /* sends of one service over all entries */
+	int64_t retry_window_s;	   /* both hold in every time so long */
 	int64_t beat_ms;	   /* between datagrams to the keepers */
 	char cluster[HL_NAME_MAX]; /* name that all its keepers share */
 	int64_t http_threads;
--- a/entry-retry.c
+++ b/entry-retry.c
@@ -7,15 +7,20 @@
 /* Sends a second that a service with few calls earns. */
 #define RETRY_FLOOR_RATE 1.0
 
+/* Part of a shared budget's fixed number that may be spent at once; the rest
+   comes over its span. */
+#define RETRY_BURST_PART 0.5
+
 /* Sends of which no byte left, for one call. */
 #define RETRY_UNSENT_MAX 4
 
 struct entry_retry {
 	double sends;
-	usec_t earned; /* when the floor was last added */
+	usec_t earned; /* when what comes with time was last added */
 	bool shared;   /* bound by what follows, not by the profile */
 	double ratio;
-	double slack;
+	double burst; /* most that is held */
+	double rate;  /* a second */
 };
 
 struct entry_retry *entry_retry_new(void)
@@ -32,22 +37,43 @@
 	free(retry);
 }
 
-void entry_retry_share(struct entry_retry *retry, double ratio, double slack)
+/* What comes with time to a budget that is shared. */
+static void retry_refill(struct entry_retry *retry, usec_t now)
+{
+	double span = (double)(now - retry->earned) / USEC_PER_SEC;
+
+	retry->earned = now;
+	retry->sends += span * retry->rate;
+	if (retry->sends > retry->burst)
+		retry->sends = retry->burst;
+}
+
+/*
+ * A process begins with nothing: one that went before it may have spent what
+ * was there.
+ */
+void entry_retry_share(struct entry_retry *retry, double ratio, double slack,
+		       usec_t span, usec_t now)
 {
-	if (!retry->shared)
-		retry->sends = slack;
+	double later = (1 - RETRY_BURST_PART) * slack;
+
+	if (!retry->shared) {
+		retry->sends = 0;
+		retry->earned = now;
+	}
+	retry_refill(retry, now);
 	retry->shared = true;
 	retry->ratio = ratio;
-	retry->slack = slack;
-	if (retry->sends > slack)
-		retry->sends = slack;
+	retry->burst = RETRY_BURST_PART * slack;
+	retry->rate = later * USEC_PER_SEC / (double)span;
 }
 
-static void retry_earn_shared(struct entry_retry *retry)
+static void retry_earn_shared(struct entry_retry *retry, usec_t now)
 {
+	retry_refill(retry, now);
 	retry->sends += retry->ratio;
-	if (retry->sends > retry->slack)
-		retry->sends = retry->slack;
+	if (retry->sends > retry->burst)
+		retry->sends = retry->burst;
 }
 
 void entry_retry_earn(struct entry_retry *retry,
@@ -56,7 +82,7 @@
 	double span = (double)(now - retry->earned) / USEC_PER_SEC;
 
 	if (retry->shared) {
-		retry_earn_shared(retry);
+		retry_earn_shared(retry, now);
 		return;
 	}
 	if (profile->retry_percent == 0) {
@@ -99,8 +125,10 @@
 	}
 }
 
-bool entry_retry_spend(struct entry_retry *retry)
+bool entry_retry_spend(struct entry_retry *retry, usec_t now)
 {
+	if (retry->shared)
+		retry_refill(retry, now);
 	if (retry->sends < 1)
 		return false;
 	retry->sends -= 1;
--- a/entry-service.c
+++ b/entry-service.c
@@ -147,9 +147,10 @@
 	copy->cold_until = 0;
 }
 
-void entry_service_budget(entry_service_t *svc, double ratio, double slack)
+void entry_service_budget(entry_service_t *svc, double ratio, double slack,
+			  usec_t span, usec_t now)
 {
-	entry_retry_share(svc->retry, ratio, slack);
+	entry_retry_share(svc->retry, ratio, slack, span, now);
 }
 
 void entry_service_cold(entry_copy_t *copy, usec_t until, usec_t now)
@@ -446,7 +447,7 @@
 	return now + service_margin(svc, call) < call->deadline &&
 	       entry_retry_allowed(svc->profile, call, result) &&
 	       (entry_retry_free_of_charge(svc->retry, result) ||
-		entry_retry_spend(svc->retry));
+		entry_retry_spend(svc->retry, now));
 }
 
 static void service_learn_outcome(entry_call_t *call, entry_result_t result)
@@ -543,7 +544,7 @@
 		call->avoid = call->copy;
 		copy = entry_pick_fast(svc, call, now);
 		if (!copy || copy == call->copy ||
-		    !entry_retry_spend(svc->retry)) {
+		    !entry_retry_spend(svc->retry, now)) {
 			/* One with a time of its own is looked at later. */
 			call->hedge_after *= 2;
 			return NULL;
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -42,8 +42,12 @@
 	  "of the calls" },
 	{ "entry", "retry_slack", SETTING_INTEGER, FIELD(retry_slack), false,
 	  "0", 0, 1000000,
-	  "and so many more in 10 s, of one service over all entries; 0: the "
-	  "profile bounds them" },
+	  "and so many more in retry_window_s, of one service over all "
+	  "entries; 0: the profile bounds them" },
+	{ "entry", "retry_window_s", SETTING_INTEGER, FIELD(retry_window_s),
+	  false, "10", 1, 3600,
+	  "seconds in which retry_ratio and retry_slack hold, whenever they "
+	  "begin" },
 	{ "entry", "cluster", SETTING_NAME, FIELD(cluster), false, "hemlock", 0,
 	  0, "name that all keepers share" },
 	{ "entry", "beat_ms", SETTING_INTEGER, FIELD(beat_ms), false, "1000",
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -32,18 +32,20 @@
 	return own ? (double)own / all : 1;
 }
 
-static void tick_limits(entry_t *entry, entry_route_t *route)
+static void tick_limits(entry_t *entry, entry_route_t *route, usec_t now)
 {
+	const entry_settings_t *settings = &entry->settings;
 	double share = tick_share(entry, route);
 
 	pthread_mutex_lock(&route->lock);
 	entry_service_limits(&route->service, route->rate, share);
-	if (entry->settings.retry_slack)
+	if (settings->retry_slack)
 		entry_service_budget(&route->service,
-				     TICK_BUDGET_PART *
-					     entry->settings.retry_ratio,
+				     TICK_BUDGET_PART * settings->retry_ratio,
 				     TICK_BUDGET_PART * share *
-					     entry->settings.retry_slack);
+					     settings->retry_slack,
+				     settings->retry_window_s * USEC_PER_SEC,
+				     now);
 	pthread_mutex_unlock(&route->lock);
 }
 
@@ -82,13 +84,13 @@
 	return due;
 }
 
-static void tick_shares(entry_t *entry)
+static void tick_shares(entry_t *entry, usec_t now)
 {
 	entry_route_t *route = NULL;
 
 	/* owner_lookup() may ask for routes, so their list must be free. */
 	while ((route = entry_route_next(entry, route)))
-		tick_limits(entry, route);
+		tick_limits(entry, route, now);
 }
 
 /* From now on, whatever becomes due is told by entry_tick_by(). */
@@ -130,7 +132,7 @@
 			return 0;
 		now = time_now();
 		if (now >= share) {
-			tick_shares(entry);
+			tick_shares(entry, now);
 			entry_slow_sweep(entry->slow, now);
 			share = now + TICK_SHARE;
 		}
--- a/entry.h
+++ b/entry.h
@@ -240,11 +240,13 @@
 /**
  * entry_service_budget - bound sends beyond the first of each call.
  * @ratio: of the calls of this entry
- * @slack: sends that may be made besides, in any short time
+ * @slack: sends that may be made besides
+ * @span: in every time of this length
  *
  * In place of the profile's bound.
  */
-void entry_service_budget(entry_service_t *svc, double ratio, double slack);
+void entry_service_budget(entry_service_t *svc, double ratio, double slack,
+			  usec_t span, usec_t now);
 
 /**
  * entry_service_arrive - a call has arrived whole or far enough to send.
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -12,6 +12,7 @@
 
 #define CALLS_MAX 32
 #define WORK (100 * USEC_PER_MS)
+#define BUDGET_SPAN (10 * USEC_PER_SEC)
 
 typedef struct {
 	char name[16];
@@ -125,7 +126,7 @@
 
 	/* Second sends, out of a budget that all entries share. */
 	{ "retry-abuse-budget-bounds-second-sends",
-	  "0 budget 0.2 1\n0 copy a 9\n0 copy b 9\n"
+	  "0 budget 0.2 2\n0 copy a 9\n0 copy b 9\n"
 	  "0 told a 0 0 100\n0 told b 1 0 100\n"
 	  "0 arrive x objective=250 idem = send a\n0 end x error = wait\n"
 	  "0 next = x b\n0 end x error = answer\n"
@@ -261,7 +262,8 @@
 static char *run_budget(script_t *script, char **words)
 {
 	entry_service_budget(&script->svc, g_ascii_strtod(words[1], NULL),
-			     g_ascii_strtod(words[2], NULL));
+			     g_ascii_strtod(words[2], NULL), BUDGET_SPAN,
+			     script->now - BUDGET_SPAN);
 	return NULL;
 }
 
--- /dev/null
+++ b/regress/test-entry-retry.c
@@ -0,0 +1,120 @@
+#include <glib.h>
+#include "entry-decide.h"
+
+/*
+ * The budget that entries share: seeded runs in which no span of the length,
+ * wherever it begins, passes the bound, restarts included.
+ */
+
+#define SPAN (10 * USEC_PER_SEC)
+#define RATIO 0.2
+#define SLACK 6.0
+#define EVENTS 20000
+
+typedef struct {
+	usec_t at;
+	bool send; /* beyond the first, and it was let through */
+} event_t;
+
+static const struct {
+	const char *name;
+	uint32_t seed;
+	usec_t gap;	 /* between events at most */
+	unsigned spends; /* of 100 events */
+	usec_t quiet;	 /* pause now and then; 0: none */
+	bool restarts;
+} runs[] = {
+	{ "steady", 1, 200 * USEC_PER_MS, 50, 0, false },
+	{ "nothing-but-repeats", 2, 50 * USEC_PER_MS, 100, 0, false },
+	{ "few-calls", 3, 3 * USEC_PER_SEC, 60, 0, false },
+	{ "bursts-after-quiet-times", 4, 20 * USEC_PER_MS, 70,
+	  12 * USEC_PER_SEC, false },
+	{ "restarts", 5, 50 * USEC_PER_MS, 70, 0, true },
+};
+
+/* Sends and calls in the span that ends with an event. */
+static void check_span(const event_t *events, unsigned last)
+{
+	double calls = 0;
+	double sends = 0;
+	unsigned i = last + 1;
+
+	while (i-- > 0 && events[i].at > events[last].at - SPAN) {
+		calls += !events[i].send;
+		sends += events[i].send;
+	}
+	g_assert_cmpfloat(sends, <=, RATIO * calls + SLACK + 1e-9);
+}
+
+static struct entry_retry *start(usec_t now)
+{
+	struct entry_retry *retry = entry_retry_new();
+
+	entry_retry_share(retry, RATIO, SLACK, SPAN, now);
+	return retry;
+}
+
+static void test_run(gconstpointer data)
+{
+	unsigned row = GPOINTER_TO_UINT(data);
+	GRand *generator = g_rand_new_with_seed(runs[row].seed);
+	event_t *events = g_new0(event_t, EVENTS);
+	usec_t now = 1000 * USEC_PER_SEC;
+	struct entry_retry *retry = start(now);
+	config_profile_t profile = { 0 };
+	unsigned spent = 0;
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < EVENTS; i++) {
+		now += (usec_t)(g_rand_double(generator) *
+				(double)runs[row].gap);
+		if (runs[row].quiet && i % 1000 == 0)
+			now += runs[row].quiet;
+		if (runs[row].restarts && i % 300 == 0) {
+			entry_retry_free(retry);
+			retry = start(now);
+		}
+		events[count].at = now;
+		events[count].send = g_rand_int_range(generator, 0, 100) <
+				     (int)runs[row].spends;
+		if (!events[count].send)
+			entry_retry_earn(retry, &profile, now);
+		else if (!entry_retry_spend(retry, now))
+			continue;
+		spent += events[count].send;
+		check_span(events, count++);
+	}
+	g_assert_cmpuint(spent, >, 0);
+	entry_retry_free(retry);
+	g_rand_free(generator);
+	g_free(events);
+}
+
+/* The fixed number comes again in each span, also with no call at all. */
+static void test_again(void)
+{
+	struct entry_retry *retry = start(0);
+	unsigned spent = 0;
+	usec_t now;
+
+	for (now = 0; now < 5 * SPAN; now += SPAN / 20)
+		spent += entry_retry_spend(retry, now);
+	g_assert_cmpuint(spent, >=, 4 * SLACK / 2);
+	entry_retry_free(retry);
+}
+
+int main(int argc, char **argv)
+{
+	char path[64];
+	unsigned i;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
+	for (i = 0; i < G_N_ELEMENTS(runs); i++) {
+		g_snprintf(path, sizeof(path), "/retry/%s", runs[i].name);
+		g_test_add_data_func(path, GUINT_TO_POINTER(i), test_run);
+	}
+	g_test_add_func("/retry/comes-again", test_again);
+	return g_test_run();
+}
