Call back soon whoever was shed by copies with free slots

Change: the decision, not a constant of the relay, says when to come back: within 20 ms, at random, where a copy of the zone is known to have a free slot, for then the refusal was not for want of room; else after a part of the objective, spread. Nothing is held back.

--- a/entry-decide.h
+++ b/entry-decide.h
@@ -188,6 +188,9 @@
 /** entry_report_fresh - the copy told just now that it has a free slot. */
 bool entry_report_fresh(const entry_copy_t *copy, usec_t now);
 
+/** entry_report_has_room - by what it told a copy should have a free slot. */
+bool entry_report_has_room(const entry_copy_t *copy, usec_t now);
+
 /** entry_report_last_slot - by its report one more call would fill it. */
 bool entry_report_last_slot(const entry_copy_t *copy);
 
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -4,8 +4,6 @@
 
 #define RELAY_HEADER_MAX (2 * HL_NAME_MAX)
 #define RELAY_HOP_MAX (sizeof("Hemlock-Hop: ") + KEYS_HOP_MAX)
-/* When a caller may come back whose call no copy took. */
-#define RELAY_RETRY_AFTER USEC_PER_SEC
 #define HTTP_CONFLICT 409
 #define HTTP_BAD_GATEWAY 502
 #define HTTP_UNAVAILABLE 503
@@ -362,6 +360,19 @@
 	return last > before ? last : before;
 }
 
+/* When the caller of a call that no copy took may come back. */
+static usec_t relay_retry_after(entry_request_t *req)
+{
+	entry_route_t *route = req->route;
+	usec_t after;
+
+	pthread_mutex_lock(&route->lock);
+	after = entry_service_retry_after(&route->service, &req->call,
+					  time_now());
+	pthread_mutex_unlock(&route->lock);
+	return after;
+}
+
 /* The final word when no whole answer came. */
 static void relay_fail(entry_request_t *req, entry_result_t result)
 {
@@ -376,7 +387,7 @@
 				   "deadline", 0);
 	else if (!sent)
 		entry_request_fail(req, HTTP_UNAVAILABLE, outcome, "connect",
-				   RELAY_RETRY_AFTER);
+				   relay_retry_after(req));
 	else
 		entry_request_fail(req, HTTP_BAD_GATEWAY, outcome, "cut", 0);
 }
@@ -392,7 +403,7 @@
 	if (result == ENTRY_RESULT_SHED && !req->entry->settings.headers->own)
 		entry_request_fail(req, HTTP_UNAVAILABLE,
 				   relay_over_all(req, ENTRY_NOT_RUN), "shed",
-				   RELAY_RETRY_AFTER);
+				   relay_retry_after(req));
 	else if (whole)
 		entry_request_end(req, false);
 	else if (req->answer.published)
--- a/entry-report.c
+++ b/entry-report.c
@@ -76,6 +76,12 @@
 	return held;
 }
 
+bool entry_report_has_room(const entry_copy_t *copy, usec_t now)
+{
+	return copy->report.at &&
+	       report_held(copy, now) + 1 <= entry_credit_slots(copy);
+}
+
 /* How much slower one more call is where it takes the last slot, 1 or more. */
 static double report_crowding(const entry_service_t *svc, double held,
 			      double slots)
--- a/entry-service.c
+++ b/entry-service.c
@@ -4,6 +4,8 @@
 
 /* When to come back if nothing better is known. */
 #define SERVICE_RETRY_AFTER USEC_PER_SEC
+/* The most, where a copy has a free slot: it refused for another reason. */
+#define SERVICE_RETRY_SOON (20 * USEC_PER_MS)
 /* The least a caller is told to wait. */
 #define SERVICE_RETRY_AFTER_MIN USEC_PER_MS
 /* Waiting calls that are looked at for one that may use a free copy. */
@@ -323,6 +325,19 @@
 	return now + (usec_t)(SERVICE_HOPELESS * (double)took) > call->deadline;
 }
 
+/* A copy that is known to have a free slot, whatever it did to the last call. */
+static bool service_has_room(const entry_service_t *svc, usec_t now)
+{
+	const entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (!copy->draining && copy->limit > 0 &&
+		    !strcmp(copy->zone, svc->zone) &&
+		    entry_report_has_room(copy, now))
+			return true;
+	return false;
+}
+
 /* When a call may come back that found all copies full; not all together. */
 static usec_t service_reports_retry(entry_service_t *svc,
 				    const entry_call_t *call)
@@ -332,6 +347,16 @@
 	return span / 2 + (usec_t)entry_pick_random(svc, (unsigned)span + 1);
 }
 
+usec_t entry_service_retry_after(entry_service_t *svc, const entry_call_t *call,
+				 usec_t now)
+{
+	if (svc->policy != ENTRY_POLICY_REPORTS || !call->objective)
+		return SERVICE_RETRY_AFTER;
+	if (service_has_room(svc, now))
+		return (usec_t)entry_pick_random(svc, SERVICE_RETRY_SOON);
+	return service_reports_retry(svc, call);
+}
+
 entry_decision_t entry_service_arrive(entry_service_t *svc, entry_call_t *call,
 				      usec_t now)
 {
--- a/entry.h
+++ b/entry.h
@@ -259,6 +259,15 @@
 entry_decision_t entry_service_arrive(entry_service_t *svc, entry_call_t *call,
 				      usec_t now);
 
+/**
+ * entry_service_retry_after - when to come back with a call that no copy took.
+ *
+ * Soon where a copy is known to have a free slot, for then the refusal was not
+ * for want of room; else when one should have become free, callers spread out.
+ */
+usec_t entry_service_retry_after(entry_service_t *svc, const entry_call_t *call,
+				 usec_t now);
+
 /**
  * entry_service_next - the next waiting call that a copy has a credit for.
  *
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -85,6 +85,21 @@
 	  "0 crowding 3\n0 copy a 1\n0 told a 0 0 100\n"
 	  "1 wait x objective=250 choosy = go\n" },
 
+	/* Copies that shed a share of their calls while slots are free. */
+	{ "shedding-copies-callers-come-back-soon",
+	  "0 budget 0 0\n0 copy a 2\n0 told a 0 0 100\n"
+	  "0 arrive x objective=250 = send a\n0 end x shed = answer\n"
+	  "1 back x = soon\n" },
+	{ "full-copies-callers-come-back-when-a-slot-may-be-free",
+	  "0 budget 0 0\n0 copy a 2\n0 told a 2 3 100\n"
+	  "0 arrive x objective=250 = send a\n0 end x shed = answer\n"
+	  "1 back x = later\n" },
+	{ "copies-of-other-zones-with-room-do-not-call-back",
+	  "0 budget 0 0\n0 copy a 2\n0 copy f 2 zone=there\n"
+	  "0 told a 2 3 100\n0 told f 0 0 500\n"
+	  "0 arrive x objective=250 = send a\n0 end x shed = answer\n"
+	  "1 back x = later\n" },
+
 	/* A zone with few copies and many callers. */
 	{ "poor-zone-stays-while-in-time",
 	  "0 copy a 2\n0 copy f 2 zone=there\n"
@@ -344,6 +359,17 @@
 			       call->copy->name);
 }
 
+/* When the caller may come back: with the next call or after some work. */
+static char *run_back(script_t *script, char **words)
+{
+	script_call_t *call = script_call(script, words[1]);
+	usec_t after;
+
+	after = entry_service_retry_after(&script->svc, &call->call,
+					  script->now);
+	return g_strdup(after < WORK / 4 ? "soon" : "later");
+}
+
 static int script_order(const void *a, const void *b)
 {
 	return strcmp((*(entry_copy_t *const *)a)->name,
@@ -379,7 +405,7 @@
 	{ "budget", run_budget },     { "wait", run_wait },
 	{ "arrive", run_arrive },     { "end", run_end },
 	{ "next", run_next },	      { "candidates", run_candidates },
-	{ "crowding", run_crowding },
+	{ "crowding", run_crowding }, { "back", run_back },
 };
 
 static char *script_command(script_t *script, char **words)
