Leave last slots free that cost more than they add, count what callers spent

There work takes 1.7 times as long, so a full copy does 3/1.7 calls in the time in which one with a free slot does 2: the backlog stayed for 3 s, with calls running 240 ms where 149 ms are usual. Besides, a caller that came back after a failed attempt was looked at as if its objective began anew.

Change: a slot counts as free only while taking it adds to what the copy does; what is known of last slots fades, so one is tried again now and then; a last slot teaches no usual work. A caller that gives less time than others of its kind has spent the rest: it counts against the objective, and call-sent lines tell it (spent_ms).

--- a/entry-decide.h
+++ b/entry-decide.h
@@ -185,8 +185,12 @@
 usec_t entry_report_time(const entry_service_t *svc, const entry_call_t *call,
 			 const entry_copy_t *copy, usec_t now);
 
-/** entry_report_fresh - the copy told just now that it has a free slot. */
-bool entry_report_fresh(const entry_copy_t *copy, usec_t now);
+/** entry_report_fresh - the copy told just now of a slot worth taking. */
+bool entry_report_fresh(const entry_service_t *svc, const entry_copy_t *copy,
+			usec_t now);
+
+/** entry_report_due - when a call's objective ends. */
+usec_t entry_report_due(const entry_call_t *call);
 
 /** entry_report_has_room - by what it told a copy should have a free slot. */
 bool entry_report_has_room(const entry_copy_t *copy, usec_t now);
--- a/entry-head.c
+++ b/entry-head.c
@@ -308,6 +308,7 @@
 	call->idempotent = rule->idempotent;
 	call->attempts_max = rule->attempts_max;
 	call->objective = rule->objective;
+	call->patience = req->deadline_ms * USEC_PER_MS;
 	call->kind = (unsigned)hl_hash(req->rule, strlen(req->rule), 0);
 	call->arrived = now;
 	call->deadline = now + left;
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -168,14 +168,14 @@
 {
 	return !call->objective ||
 	       now + entry_report_time(svc, call, copy, now) <=
-		       call->arrived + call->objective;
+		       entry_report_due(call);
 }
 
 /* Whether a copy told just now that it has a free slot, and is quick. */
 static bool pick_is_quick(const entry_service_t *svc, const entry_copy_t *copy,
 			  usec_t now)
 {
-	return entry_report_fresh(copy, now) &&
+	return entry_report_fresh(svc, copy, now) &&
 	       entry_report_cost(svc, copy, now) <= PICK_COST_QUICK;
 }
 
@@ -187,7 +187,7 @@
 			 const entry_copy_t *copy, usec_t now)
 {
 	return pick_is_quick(svc, copy, now) ||
-	       (entry_report_fresh(copy, now) &&
+	       (entry_report_fresh(svc, copy, now) &&
 		pick_in_time(svc, call, copy, now));
 }
 
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -255,12 +255,14 @@
 	return !gone;
 }
 
-static bool probe_possible(entry_route_t *route)
+/* Look at the caller; whether copies can be asked at all. */
+static bool probe_begin_reports(entry_route_t *route, entry_call_t *call)
 {
 	bool possible;
 
 	pthread_mutex_lock(&route->lock);
 	possible = *route->health_path != '\0';
+	entry_service_caller(&route->service, call);
 	pthread_mutex_unlock(&route->lock);
 	return possible;
 }
@@ -272,7 +274,7 @@
 	bool far = false;
 	int round = 0;
 
-	if (!probe_possible(req->route))
+	if (!probe_begin_reports(req->route, &req->call))
 		return;
 	for (;;) {
 		probe_round(req, true, round < PROBE_ROUNDS_NEAR,
--- a/entry-report.c
+++ b/entry-report.c
@@ -22,10 +22,15 @@
 #define REPORT_FRESH (50 * USEC_PER_MS)
 /* Weight of a new answer in the work of its kind. */
 #define REPORT_WORK_WEIGHT 0.1
-/* Weight of a new answer in what the last slot of a copy costs. */
+/* Least weight of a new answer in what the last slot of a copy costs; the
+   first ones count more. */
 #define REPORT_CROWDING_WEIGHT 0.05
+/* What is forgotten of it at each answer from another slot. */
+#define REPORT_CROWDING_FADE 0.002
 /* Most that one answer counts for there. */
 #define REPORT_CROWDING_MAX 4.0
+/* Weight of a caller with less patience than others of its kind. */
+#define REPORT_PATIENCE_WEIGHT 0.01
 /* How much slower a copy is that has just started. */
 #define REPORT_COLD_COST 2.0
 
@@ -116,6 +121,26 @@
 	return work > 0 ? work : REPORT_WORK_GUESS * (double)call->objective;
 }
 
+usec_t entry_report_due(const entry_call_t *call)
+{
+	return call->arrived - call->spent + call->objective;
+}
+
+void entry_service_caller(entry_service_t *svc, entry_call_t *call)
+{
+	double *usual = &svc->patience[call->kind % ENTRY_KINDS];
+	double given = (double)call->patience;
+
+	if (!call->patience || !call->objective)
+		return;
+	if (given >= *usual)
+		*usual = given;
+	else
+		*usual -= REPORT_PATIENCE_WEIGHT * (*usual - given);
+	if (given < *usual)
+		call->spent = (usec_t)(*usual - given);
+}
+
 usec_t entry_report_time(const entry_service_t *svc, const entry_call_t *call,
 			 const entry_copy_t *copy, usec_t now)
 {
@@ -126,11 +151,23 @@
 /* Learn from a call in a last slot, whose usual work is known. */
 static void report_crowded(entry_service_t *svc, double times)
 {
+	double weight = 1.0 / (svc->crowding_seen + 2);
+
+	if (weight < REPORT_CROWDING_WEIGHT)
+		weight = REPORT_CROWDING_WEIGHT;
 	if (times > REPORT_CROWDING_MAX)
 		times = REPORT_CROWDING_MAX;
 	if (svc->crowding <= 0)
 		svc->crowding = 1;
-	svc->crowding += REPORT_CROWDING_WEIGHT * (times - svc->crowding);
+	svc->crowding += weight * (times - svc->crowding);
+	svc->crowding_seen++;
+}
+
+/* While last slots are left free, what is known of them fades, so that one
+ * is tried again now and then. */
+static void report_uncrowded(entry_service_t *svc)
+{
+	svc->crowding += REPORT_CROWDING_FADE * (1 - svc->crowding);
 }
 
 void entry_report_took(entry_service_t *svc, const entry_call_t *call,
@@ -144,9 +181,13 @@
 		return;
 	if (call->slowness > 1)
 		usual /= call->slowness;
-	if (call->last_slot && *work > 0)
-		report_crowded(svc, usual / *work);
-	else if (*work <= 0)
+	if (call->last_slot) {
+		if (*work > 0)
+			report_crowded(svc, usual / *work);
+		return;
+	}
+	report_uncrowded(svc);
+	if (*work <= 0)
 		*work = usual;
 	else
 		*work += REPORT_WORK_WEIGHT * (usual - *work);
@@ -160,10 +201,25 @@
 	       copy->outstanding + copy->report.others + 1 >= slots;
 }
 
-bool entry_report_fresh(const entry_copy_t *copy, usec_t now)
+/*
+ * Calls that a copy does best with at once. Where a last slot makes work slower
+ * by more than a slot adds, copies that leave it free do more in all.
+ */
+static unsigned report_useful_slots(const entry_service_t *svc,
+				    const entry_copy_t *copy)
+{
+	unsigned slots = entry_credit_slots(copy);
+
+	if (slots < 2 || svc->crowding * (slots - 1) <= slots)
+		return slots;
+	return slots - 1;
+}
+
+bool entry_report_fresh(const entry_service_t *svc, const entry_copy_t *copy,
+			usec_t now)
 {
 	unsigned held = copy->outstanding + copy->report.others;
 
 	return copy->report.at && now - copy->report.at <= REPORT_FRESH &&
-	       held < entry_credit_slots(copy);
+	       held < report_useful_slots(svc, copy);
 }
--- a/entry-service.c
+++ b/entry-service.c
@@ -199,7 +199,7 @@
 {
 	entry_decision_t decision = { ENTRY_SEND, ENTRY_REFUSE_NONE, 0 };
 
-	call->speed_known = entry_report_fresh(copy, now);
+	call->speed_known = entry_report_fresh(svc, copy, now);
 	call->last_slot = entry_report_last_slot(copy);
 	if (svc->policy == ENTRY_POLICY_REPORTS && call->objective)
 		call->hedge_after = service_overdue(svc, call, copy, now);
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -27,12 +27,13 @@
 		LOG_LEVEL_INFO, "call-sent",
 		"call=%s route=%s service=%s copy=%s attempt=%u hedge=%d "
 		"near=%d held=%u others=%u slowness=%.2f report_age_ms=%" PRId64
-		" waited_ms=%" PRId64 " left_ms=%" PRId64,
+		" waited_ms=%" PRId64 " spent_ms=%" PRId64 " left_ms=%" PRId64,
 		trace_word(req->call_id), trace_word(req->rule), route->name,
 		copy->name, req->call.attempts, req->first != NULL, near, held,
 		report.others, report.slowness,
 		report.at ? (now - report.at) / USEC_PER_MS : -1,
 		(now - req->call.arrived) / USEC_PER_MS,
+		req->call.spent / USEC_PER_MS,
 		(req->call.deadline - now) / USEC_PER_MS);
 }
 
--- a/entry.h
+++ b/entry.h
@@ -100,6 +100,8 @@
 	bool no_hedge;	 /* hedged before, or its body or answer streams */
 	unsigned attempts_max; /* of its route; 0: as the profile says */
 	usec_t objective;      /* span of its route; 0: none */
+	usec_t patience;       /* that its caller gave; 0: not said */
+	usec_t spent;	       /* of it, before the caller came here */
 	unsigned kind;	       /* of work: calls of a route are alike */
 	double slowness;       /* expected of its copy as it was sent */
 	bool speed_known; /* and its copy had just told it, with a free slot */
@@ -172,7 +174,9 @@
 	char zone[HL_NAME_MAX];	  /* of this entry; "": copies of all count */
 	double slowness;	  /* mean of what copies report; 0: unknown */
 	double work[ENTRY_KINDS]; /* at usual speed, microseconds; 0: unknown */
+	double patience[ENTRY_KINDS]; /* of callers that come first time */
 	double crowding; /* work in a copy's last slot, of usual; 0: unknown */
+	unsigned crowding_seen; /* answers that told it */
 	entry_policy_t policy;
 	const config_profile_t *profile; /* in force; outlives the calls */
 	struct entry_queue *queue;
@@ -406,6 +410,15 @@
 	ENTRY_WAIT_OVER, /* no time is left to wait: take what there is */
 } entry_wait_t;
 
+/**
+ * entry_service_caller - learn from a caller how long callers are patient.
+ *
+ * One that gives less than others of its kind has spent the rest already, with
+ * an attempt that failed: sets @call->spent, which counts against the
+ * objective.
+ */
+void entry_service_caller(entry_service_t *svc, entry_call_t *call);
+
 /**
  * entry_service_wait - is a copy quick enough now, or may a call wait for one?
  * @far: copies of other zones count as well
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -76,11 +76,18 @@
 	  "0 told a 2 0 100\n0 told b 1 0 130\n"
 	  "1 arrive x objective=250 = send b\n" },
 	{ "crowded-copies-ask-others-before-the-last-slot",
-	  "0 crowding 1.7\n0 copy a 3\n0 told a 2 0 100\n"
+	  "0 crowding 1.4\n0 copy a 3\n0 told a 2 0 130\n"
 	  "1 wait x objective=250 choosy = more\n1 wait x = go\n" },
 	{ "crowded-copies-last-slot-is-like-others-where-it-costs-nothing",
 	  "0 copy a 3\n0 told a 2 0 100\n"
 	  "1 wait x objective=250 choosy = go\n" },
+	{ "crowded-copies-do-more-with-the-last-slot-free",
+	  "0 crowding 1.6\n0 copy a 3\n0 told a 2 0 100\n"
+	  "1 wait x objective=250 = more\n20 told a 1 0 100\n"
+	  "21 wait x = go\n" },
+	{ "crowded-copies-last-slot-that-adds-is-used",
+	  "0 crowding 1.6\n0 copy a 2\n0 told a 1 0 100\n"
+	  "1 wait x objective=250 = go\n" },
 	{ "crowded-copies-one-slot-is-no-last-slot",
 	  "0 crowding 3\n0 copy a 1\n0 told a 0 0 100\n"
 	  "1 wait x objective=250 choosy = go\n" },
@@ -100,6 +107,17 @@
 	  "0 arrive x objective=250 = send a\n0 end x shed = answer\n"
 	  "1 back x = later\n" },
 
+	/* Callers that come again have spent a part of their time. */
+	{ "returned-caller-is-late-sooner",
+	  "0 copy a 2\n0 told a 0 0 180\n"
+	  "0 caller x objective=250 patience=2000 = spent 0\n"
+	  "0 wait x = go\n"
+	  "0 caller y objective=250 patience=1900 = spent 99\n"
+	  "0 wait y = more\n" },
+	{ "callers-of-less-patience-become-usual",
+	  "0 copy a 2\n0 callers 1000 patience=500\n"
+	  "0 caller x objective=250 patience=500 = spent 0\n" },
+
 	/* A zone with few copies and many callers. */
 	{ "poor-zone-stays-while-in-time",
 	  "0 copy a 2\n0 copy f 2 zone=there\n"
@@ -219,6 +237,8 @@
 					      value * USEC_PER_MS;
 		else if (script_option(*words, "attempts", &value))
 			call->call.attempts_max = (unsigned)value;
+		else if (script_option(*words, "patience", &value))
+			call->call.patience = value * USEC_PER_MS;
 		else if (!strcmp(*words, "idem"))
 			call->call.idempotent = true;
 	}
@@ -359,6 +379,30 @@
 			       call->copy->name);
 }
 
+static char *run_caller(script_t *script, char **words)
+{
+	script_call_t *call = script_call(script, words[1]);
+
+	script_options(call, words + 2);
+	entry_service_caller(&script->svc, &call->call);
+	return g_strdup_printf("spent %" PRId64,
+			       call->call.spent / USEC_PER_MS);
+}
+
+/* So many callers alike, after one of long patience. */
+static char *run_callers(script_t *script, char **words)
+{
+	script_call_t call = { .call = { .objective = 250 * USEC_PER_MS,
+					 .patience = 2000 * USEC_PER_MS } };
+	int left = atoi(words[1]);
+
+	entry_service_caller(&script->svc, &call.call);
+	script_options(&call, words + 2);
+	while (left-- > 0)
+		entry_service_caller(&script->svc, &call.call);
+	return NULL;
+}
+
 /* When the caller may come back: with the next call or after some work. */
 static char *run_back(script_t *script, char **words)
 {
@@ -406,6 +450,7 @@
 	{ "arrive", run_arrive },     { "end", run_end },
 	{ "next", run_next },	      { "candidates", run_candidates },
 	{ "crowding", run_crowding }, { "back", run_back },
+	{ "caller", run_caller },     { "callers", run_callers },
 };
 
 static char *script_command(script_t *script, char **words)
@@ -567,11 +612,11 @@
 
 		entry_service_report(&script->svc, copy, &crowded, true, now);
 		entry_service_arrive(&script->svc, &call, now);
-		now += WORK * 17 / 10;
+		now += WORK * 14 / 10;
 		entry_service_end(&script->svc, &call, ENTRY_RESULT_OK, now);
 	}
-	g_assert_cmpfloat(script->svc.crowding, >, 1.65);
-	g_assert_cmpfloat(script->svc.crowding, <, 1.75);
+	g_assert_cmpfloat(script->svc.crowding, >, 1.38);
+	g_assert_cmpfloat(script->svc.crowding, <, 1.42);
 	g_assert_cmpfloat(script->svc.work[0], ==, WORK);
 	script_fini(script);
 	g_free(script);
