Refuse at once a call that all copies rest beyond

Cause: path-once.script failed once more under the thread sanitizer, its logs kept: the copy shed the call seven times, at 0, 34, 97, 228, 472, 955 and 1918 ms of 2000, and rested 1.9 s after the last. The entry that had taken the call over kept it waiting although no copy could have it any more, and refused it 2 ms before its deadline; the entry that had handed it over had then run into that deadline itself and answered 504, may have run, where 503, not run, was true.

Change: a waiting call is refused as soon as every copy rests until it is too late for it. Fails without the change: /entry/shed-until-too-late-is-refused-at-once.

Ruled out: a lost wake-up of the relay (the copy's record shows every send answered within 2 ms).

--- a/entry-service.c
+++ b/entry-service.c
@@ -440,6 +440,24 @@
 	return service_refuse(ENTRY_REFUSE_DEADLINE, service_queue_refill(svc));
 }
 
+/*
+ * Whether all copies rest until it is too late for a call, each for having
+ * refused or failed calls: no waiting helps it. One without a lease may get
+ * one again.
+ */
+static bool service_is_shut(const entry_service_t *svc,
+			    const entry_call_t *call)
+{
+	const entry_copy_t *copy = NULL;
+	usec_t latest = call->deadline - service_margin(svc, call);
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (!copy->draining &&
+		    (copy->limit == 0 || copy->health->paused_until < latest))
+			return false;
+	return true;
+}
+
 entry_call_t *entry_service_expire(entry_service_t *svc, usec_t now,
 				   entry_decision_t *decision)
 {
@@ -459,7 +477,8 @@
 					   SERVICE_RETRY_AFTER);
 		return call;
 	}
-	if (now + service_margin(svc, call) < call->deadline)
+	if (now + service_margin(svc, call) < call->deadline &&
+	    !service_is_shut(svc, call))
 		return NULL;
 	entry_queue_remove(svc->queue, call);
 	*decision = service_refuse_late(svc, call);
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -216,6 +216,12 @@
 	{ "connect-is-not-run", "0 copy c1 1\n0 copy c2 1\n"
 				"0 arrive a noretry = send c1\n"
 				"1 end a connect = wait\n1 next = a c2\n" },
+	/* The only copy sheds and rests longer each time, 30 ms at first. */
+	{ "shed-until-too-late-is-refused-at-once",
+	  "0 profile attempts=9\n0 copy c1 1\n"
+	  "0 arrive a d=80 = send c1\n1 end a shed = wait\n"
+	  "2 expire = none\n31 next = a c1\n32 end a shed = wait\n"
+	  "32 expire = a no-copy not-run\n" },
 	{ "shed-and-no-retry", "0 copy c1 1\n0 copy c2 1\n"
 			       "0 arrive a idem noretry = send c1\n"
 			       "1 end a shed = answer\n" },
