Let an entry among many spend its share of the repeats

Cause: with 136 entries an entry's share of the fixed number is 1.2 in 10 s, half of which, 0.6, was the most that its budget could hold: no send costs less than 1, so no repeat was ever sent there.

Change: the budget holds one at least, the rest of the share comes with time. /retry/one-entry-of-many fails without it; the bound over every span is checked for such an entry too.

--- a/entry-retry.c
+++ b/entry-retry.c
@@ -55,8 +55,11 @@
 void entry_retry_share(struct entry_retry *retry, double ratio, double slack,
 		       usec_t span, usec_t now)
 {
-	double later = (1 - RETRY_BURST_PART) * slack;
+	double burst = RETRY_BURST_PART * slack;
 
+	/* Less than one could never be spent. */
+	if (burst < 1)
+		burst = 1;
 	if (!retry->shared) {
 		retry->sends = 0;
 		retry->earned = now;
@@ -64,8 +67,10 @@
 	retry_refill(retry, now);
 	retry->shared = true;
 	retry->ratio = ratio;
-	retry->burst = RETRY_BURST_PART * slack;
-	retry->rate = later * USEC_PER_SEC / (double)span;
+	retry->burst = burst;
+	retry->rate = 0;
+	if (slack > burst)
+		retry->rate = (slack - burst) * USEC_PER_SEC / (double)span;
 }
 
 static void retry_earn_shared(struct entry_retry *retry, usec_t now)
--- a/regress/test-entry-retry.c
+++ b/regress/test-entry-retry.c
@@ -9,6 +9,8 @@
 #define SPAN (10 * USEC_PER_SEC)
 #define RATIO 0.2
 #define SLACK 6.0
+/* Of an entry among many. */
+#define SLACK_SMALL 1.2
 #define EVENTS 20000
 
 typedef struct {
@@ -23,17 +25,21 @@
 	unsigned spends; /* of 100 events */
 	usec_t quiet;	 /* pause now and then; 0: none */
 	bool restarts;
+	double slack;
 } runs[] = {
-	{ "steady", 1, 200 * USEC_PER_MS, 50, 0, false },
-	{ "nothing-but-repeats", 2, 50 * USEC_PER_MS, 100, 0, false },
-	{ "few-calls", 3, 3 * USEC_PER_SEC, 60, 0, false },
+	{ "steady", 1, 200 * USEC_PER_MS, 50, 0, false, SLACK },
+	{ "nothing-but-repeats", 2, 50 * USEC_PER_MS, 100, 0, false, SLACK },
+	{ "few-calls", 3, 3 * USEC_PER_SEC, 60, 0, false, SLACK },
 	{ "bursts-after-quiet-times", 4, 20 * USEC_PER_MS, 70,
-	  12 * USEC_PER_SEC, false },
-	{ "restarts", 5, 50 * USEC_PER_MS, 70, 0, true },
+	  12 * USEC_PER_SEC, false, SLACK },
+	{ "restarts", 5, 50 * USEC_PER_MS, 70, 0, true, SLACK },
+	{ "one-entry-of-many", 6, 300 * USEC_PER_MS, 50, 0, true, SLACK_SMALL },
+	{ "one-entry-of-many-without-calls", 7, USEC_PER_SEC, 100, 0, false,
+	  SLACK_SMALL },
 };
 
 /* Sends and calls in the span that ends with an event. */
-static void check_span(const event_t *events, unsigned last)
+static void check_span(const event_t *events, unsigned last, double slack)
 {
 	double calls = 0;
 	double sends = 0;
@@ -43,14 +49,14 @@
 		calls += !events[i].send;
 		sends += events[i].send;
 	}
-	g_assert_cmpfloat(sends, <=, RATIO * calls + SLACK + 1e-9);
+	g_assert_cmpfloat(sends, <=, RATIO * calls + slack + 1e-9);
 }
 
-static struct entry_retry *start(usec_t now)
+static struct entry_retry *start(double slack, usec_t now)
 {
 	struct entry_retry *retry = entry_retry_new();
 
-	entry_retry_share(retry, RATIO, SLACK, SPAN, now);
+	entry_retry_share(retry, RATIO, slack, SPAN, now);
 	return retry;
 }
 
@@ -60,7 +66,7 @@
 	GRand *generator = g_rand_new_with_seed(runs[row].seed);
 	event_t *events = g_new0(event_t, EVENTS);
 	usec_t now = 1000 * USEC_PER_SEC;
-	struct entry_retry *retry = start(now);
+	struct entry_retry *retry = start(runs[row].slack, now);
 	config_profile_t profile = { 0 };
 	unsigned spent = 0;
 	unsigned count = 0;
@@ -73,7 +79,7 @@
 			now += runs[row].quiet;
 		if (runs[row].restarts && i % 300 == 0) {
 			entry_retry_free(retry);
-			retry = start(now);
+			retry = start(runs[row].slack, now);
 		}
 		events[count].at = now;
 		events[count].send = g_rand_int_range(generator, 0, 100) <
@@ -83,7 +89,7 @@
 		else if (!entry_retry_spend(retry, now))
 			continue;
 		spent += events[count].send;
-		check_span(events, count++);
+		check_span(events, count++, runs[row].slack);
 	}
 	g_assert_cmpuint(spent, >, 0);
 	entry_retry_free(retry);
@@ -94,7 +100,7 @@
 /* The fixed number comes again in each span, also with no call at all. */
 static void test_again(void)
 {
-	struct entry_retry *retry = start(0);
+	struct entry_retry *retry = start(SLACK, 0);
 	unsigned spent = 0;
 	usec_t now;
 
