--- a/cmd.h
+++ b/cmd.h
@@ -49,6 +49,8 @@
 cmd_exit_t cmd_apply(cmd_t *cmd, char **arguments);
 cmd_exit_t cmd_diff(cmd_t *cmd, char **arguments);
 cmd_exit_t cmd_get(cmd_t *cmd, char **arguments);
+cmd_exit_t cmd_routing(cmd_t *cmd, char **arguments);
+cmd_exit_t cmd_copies(cmd_t *cmd, char **arguments);
 cmd_exit_t cmd_history(cmd_t *cmd, char **arguments);
 cmd_exit_t cmd_retire(cmd_t *cmd, char **arguments);
 cmd_exit_t cmd_stop(cmd_t *cmd, char **arguments);
--- a/log.c
+++ b/log.c
@@ -11,6 +11,8 @@
 #define LOG_LINE_MAX 2048
 /* Lines that wait to be written; more are dropped and counted. */
 #define LOG_WAITING_MAX (64 * 1024)
+/* Part of them that is kept for lines that are more severe than info. */
+#define LOG_SEVERE_ROOM (8 * 1024)
 /* Bytes in a second; less severe lines beyond them are dropped and counted. */
 #define LOG_SECOND_MAX (256 * 1024)
 /* Lines wait at most this long. */
@@ -193,9 +195,13 @@
 }
 
 /* Add a line to those that wait; false if there is no room. Lock held. */
-static bool log_add(const char *line, size_t size)
+static bool log_add(log_level_t level, const char *line, size_t size)
 {
-	if (log_writer.size + size > LOG_WAITING_MAX)
+	size_t room = LOG_WAITING_MAX;
+
+	if (level > LOG_LEVEL_NOTICE)
+		room -= LOG_SEVERE_ROOM;
+	if (log_writer.size + size > room)
 		return false;
 	memcpy(log_writer.waiting + log_writer.size, line, size);
 	log_writer.size += size;
@@ -217,7 +223,7 @@
 				 "event=log-lines-dropped count=%" PRIu64 "\n",
 				 log_program, log_vm,
 				 log_writer.dropped - log_writer.dropped_told);
-	if (log_add(line, used))
+	if (log_add(LOG_LEVEL_WARNING, line, used))
 		log_writer.dropped_told = log_writer.dropped;
 }
 
@@ -233,7 +239,7 @@
 	}
 	if ((level > LOG_LEVEL_NOTICE &&
 	     log_writer.in_second + size > LOG_SECOND_MAX) ||
-	    !log_add(line, size))
+	    !log_add(level, line, size))
 		log_writer.dropped++;
 	pthread_cond_signal(&log_writer.more);
 	pthread_mutex_unlock(&log_writer.lock);
