--- a/entry-main.c
+++ b/entry-main.c
@@ -7,8 +7,7 @@
 #define MAIN_RESTARTS_MAX 5
 #define MAIN_RESTARTS_WINDOW (60 * USEC_PER_SEC)
 
-/* SIGHUP: the log level and the keys in the key file can change without a
- * restart. */
+/* The log level and the keys in the key file can change without a restart. */
 static void main_reload(void *context)
 {
 	entry_t *entry = context;
@@ -62,6 +61,7 @@
 	entry->signals.supervisor = sup;
 	entry->signals.reload = main_reload;
 	entry->signals.context = entry;
+	entry->signals.settings_path = entry->settings_path;
 	if (supervisor_add(sup, &signals, err) ||
 	    supervisor_add(sup, &watch, err) || main_add_peers(entry, sup, err))
 		return -1;
--- a/hemlock-keeper.c
+++ b/hemlock-keeper.c
@@ -14,7 +14,7 @@
 #define KEEPER_RESTARTS_MAX 10
 #define KEEPER_RESTARTS_WINDOW (60 * USEC_PER_SEC)
 
-/* SIGHUP: the log level alone can change without a restart. */
+/* The log level alone can change without a restart. */
 static void keeper_reload(void *context)
 {
 	keeper_settings_t settings;
@@ -122,7 +122,9 @@
 
 static int keeper_run(const keeper_settings_t *settings, char *path)
 {
-	signals_t signals = { .reload = keeper_reload, .context = path };
+	signals_t signals = { .reload = keeper_reload,
+			      .context = path,
+			      .settings_path = path };
 	static keeper_core_t core;
 	keeper_pages_t pages = { .core = &core };
 	keeper_links_t *links = NULL;
--- a/hemlock.h
+++ b/hemlock.h
@@ -171,12 +171,14 @@
 
 /**
  * struct signals_t - what the signals of a daemon do: SIGTERM and SIGINT ask
- * its supervisor to stop, SIGHUP calls reload().
+ * its supervisor to stop; SIGHUP calls reload(), and so does a settings file
+ * that was changed without a signal.
  */
 typedef struct {
 	supervisor_t *supervisor;
 	void (*reload)(void *context); /* may be NULL */
 	void *context;
+	const char *settings_path; /* looked at now and then; NULL: none */
 } signals_t;
 
 /** signals_block - before any thread starts, leave signals to the child. */
