Let the prober keep 256 connections

An entry there asks up to 100 copies of its zone while the usual ones are full, and the prober kept 64 connections, so each question opened one and closed another.

--- a/entry-prober.c
+++ b/entry-prober.c
@@ -9,7 +9,7 @@
 #define PROBER_TIMEOUT_MS 400L
 #define PROBER_CONNECT_MS 200L
 /* Connections that are kept between questions. */
-#define PROBER_CONNECTIONS 64L
+#define PROBER_CONNECTIONS 256L
 /* Handles that are kept for further questions. */
 #define PROBER_IDLE_MAX 16
 /* How long the thread sleeps with nothing to do. */
