--- a/entry-pick.c
+++ b/entry-pick.c
@@ -9,7 +9,7 @@
 #define PICK_COST_QUICK 1.7
 /* Time that must be left beside the answer for a call to wait on. */
 #define PICK_WAIT_MARGIN (60 * USEC_PER_MS)
-/* A late call takes any free slot once it has time for no more answers than this. */
+/* A late call takes any free slot once it has time for no more answers. */
 #define PICK_YIELD_TIMES 2.0
 /* Chance among candidates: so many steps of so much cost. */
 #define PICK_CHANCE_STEPS 1000u
