Take the round trip of a copy from the kernel, not from connect times

KNOWN-RED: owner-credits.script and owner-handover.script saw 4 calls at a copy that has 3 credits.

Cause: the pipeline of a copy is slots x round trip / answer time. The round trip was the least of three connect times, and these were taken while all processes of the test started: with the machine full they held a wait for a processor of 5 to 20 ms (logged: rtt=20657 samples=3 median=21134, rtt=5377 median=10230). Calls that follow use sockets that are connected in advance, which were not counted, so the estimate stayed and the copy got one or two more credits than its slots need.

Ruled out: a change of owner at the start (one entry alone held 4 and 5 calls, call-sent held=4, held=5), a call of a former owner, the count of the stand-in (it stamps what leaves before it answers).

Change: the least round trip of a new connection by TCP_INFO, which the kernel measures, also for sockets that were connected in advance; only under the policy that has a pipeline.

--- a/entry-credit.c
+++ b/entry-credit.c
@@ -15,11 +15,10 @@
 #define CREDIT_REGROW_ROUNDS 8.0
 /* Credits added by each response during slow start. */
 #define CREDIT_RAMP_STEP 0.5
-/* Number of connects needed before their minimum time is used as the round
-   trip. */
+/* Number of connections needed before their minimum round trip is used. */
 #define CREDIT_CONNECT_SAMPLES_MIN 3
-/* Max growth of the round trip estimate by one slower connect, as a fraction of
-   the estimate. */
+/* Max growth of the round trip estimate by one connection with a longer round
+   trip, as a fraction of the estimate. */
 #define CREDIT_ROUND_TRIP_GROWTH 0.05
 
 /* Fraction of a call by which the pipeline may be rounded down. */
@@ -117,17 +116,16 @@
 }
 
 /*
- * The round trip is estimated by the minimum connect time, as the time of a
- * slower connect includes waiting for a processor. The estimate may grow
- * slowly, as a copy may have moved to another machine.
+ * The estimate is the minimum over connections, as a link may be congested. It
+ * may grow slowly, as a copy may have moved to another machine.
  */
-void entry_service_on_connect(entry_copy_t *copy, usec_t took)
+void entry_service_on_connect(entry_copy_t *copy, usec_t round_trip)
 {
 	entry_credit_t *credit = copy->credit;
 	double max = credit->round_trip * (1 + CREDIT_ROUND_TRIP_GROWTH);
 
-	if (!credit->connect_samples || took < max)
-		credit->round_trip = took;
+	if (!credit->connect_samples || (double)round_trip < max)
+		credit->round_trip = (double)round_trip;
 	else
 		credit->round_trip = max;
 	if (credit->connect_samples < CREDIT_CONNECT_SAMPLES_MIN)
--- a/entry-decide.h
+++ b/entry-decide.h
@@ -102,8 +102,8 @@
 /* entry-credit.c: the number of calls that a copy may have outstanding. */
 
 typedef struct entry_credit {
-	unsigned connect_samples; /* connect times seen, up to a minimum */
-	double round_trip;	  /* microseconds, from connect times */
+	unsigned connect_samples; /* round trips seen, up to a minimum */
+	double round_trip;	  /* microseconds, minimum of connections */
 	double ramp;		  /* max credits during slow start */
 	bool ramping;		  /* slow start after an ejection */
 	double concurrency;	  /* max running calls; 0: number of slots */
--- a/entry-io.h
+++ b/entry-io.h
@@ -172,6 +172,17 @@
  */
 void entry_conn_pool_preconnect(entry_conn_pool_t *pool, unsigned count);
 
+/**
+ * entry_conn_round_trip - return the least round trip time of a connection.
+ * @fd: a connected TCP socket
+ *
+ * The kernel measures it, so a wait of either process for a processor does not
+ * count.
+ *
+ * Return: microseconds, or 0 if it is not known.
+ */
+usec_t entry_conn_round_trip(int fd);
+
 /** struct entry_buffer_t - bytes, appended at the end, read from the front. */
 typedef struct {
 	char *bytes;
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -183,17 +183,23 @@
 	return needed;
 }
 
-/* Records the connect time of a new connection, unless its socket was
-   preconnected. */
-static void relay_record_connect_time(entry_request_t *req, CURL *easy)
+/* Records the round trip time of a new connection to a copy. */
+static void relay_record_round_trip(entry_request_t *req, CURL *easy)
 {
-	curl_off_t connect_time = 0;
-
-	curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_time);
-	if (req->forward || connect_time <= 0)
+	curl_socket_t fd = CURL_SOCKET_BAD;
+	long connects = 0;
+	usec_t round_trip;
+
+	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
+	curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &fd);
+	if (req->forward || req->entry->policy != ENTRY_POLICY_OWNER ||
+	    !connects || fd == CURL_SOCKET_BAD)
+		return;
+	round_trip = entry_conn_round_trip(fd);
+	if (round_trip <= 0)
 		return;
 	pthread_mutex_lock(&req->upstream->lock);
-	entry_service_on_connect(req->call.copy, connect_time);
+	entry_service_on_connect(req->call.copy, round_trip);
 	pthread_mutex_unlock(&req->upstream->lock);
 }
 
@@ -342,7 +348,7 @@
 	relay_set_active(req, NULL);
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &transfer->bytes_sent);
 	if (transfer->head_complete)
-		relay_record_connect_time(req, easy);
+		relay_record_round_trip(req, easy);
 	curl_multi_remove_handle(transfer->conn->multi, easy);
 	entry_conn_pool_put(transfer->pool, transfer->conn,
 			    transfer->code == CURLE_OK &&
--- a/entry.h
+++ b/entry.h
@@ -410,10 +410,10 @@
 void entry_service_slow_start(entry_copy_t *copy, usec_t until, usec_t now);
 
 /**
- * entry_service_on_connect - learn the round trip time from a connect.
- * @took: duration of the connect in microseconds, about one round trip
+ * entry_service_on_connect - learn the round trip time from a connection.
+ * @round_trip: least round trip time of the new connection, microseconds
  */
-void entry_service_on_connect(entry_copy_t *copy, usec_t took);
+void entry_service_on_connect(entry_copy_t *copy, usec_t round_trip);
 
 /**
  * entry_service_on_report - record a load report of a copy.
