Keep a waiting call when its hand-over has no memory for a connection pool

Cause: forward_one() took a waiting call out of the queue before it had the pool of the sibling, and did not check the pool; without memory the call would have gone on with neither a sibling nor a copy.

Change: the pool comes first; without it the call stays in the queue. No measurement: the path needs a failed allocation. The tests of owners (37) pass.

--- a/entry-forward.c
+++ b/entry-forward.c
@@ -83,21 +83,26 @@
 	return pool;
 }
 
-/* Hands one waiting call over; false if none waits. */
+/* Hands one waiting call over; false if none waits or memory is short. */
 static bool forward_one(entry_upstream_t *upstream, const char *address)
 {
 	entry_t *entry = upstream->entry;
+	entry_conn_pool_t *pool = entry_forward_pool(entry->forward, address);
 	entry_request_t *req;
 	entry_call_t *call;
 
+	if (!pool)
+		return false;
 	pthread_mutex_lock(&upstream->lock);
 	call = entry_service_take_for_sibling(&upstream->service, time_now());
 	pthread_mutex_unlock(&upstream->lock);
-	if (!call)
+	if (!call) {
+		entry_conn_pool_unref(pool);
 		return false;
+	}
 	req = caa_container_of(call, entry_request_t, call);
 	req->handed_over = true;
-	req->forward = entry_forward_pool(entry->forward, address);
+	req->forward = pool;
 	entry_work_push(entry->work, req);
 	return true;
 }
