Take routes whose calls have a large body

Change: kind "upload", which runs at most once like "once". The matched rule also carries the limit of the body from the document's limits.

--- a/cmd-routing.c
+++ b/cmd-routing.c
@@ -39,7 +39,7 @@
 
 	cmd_routing_format_parts(route, parts, sizeof(parts));
 	printf("%-16s %-10s %8" PRIu64 " %9" PRIu64 " %8u %8u  %s%s  %s\n",
-	       route->name, route->idempotent ? "idempotent" : "once",
+	       route->name, config_route_kind_name(route->kind),
 	       (uint64_t)route->timeout_us / USEC_PER_MS,
 	       (uint64_t)route->objective_us / USEC_PER_MS, route->attempts_max,
 	       route->priority, route->host, route->prefix, parts);
--- a/config.h
+++ b/config.h
@@ -106,4 +106,17 @@
  */
 int config_merge(config_t *config, const keeper_fetch_body_t *body);
 
+/** config_route_kind_name - name of a kind of routes; "unknown" if unknown. */
+const char *config_route_kind_name(config_route_kind_t kind);
+
+/**
+ * config_route_kind_parse - find a kind of routes by its name.
+ *
+ * Return: false if the name is unknown.
+ */
+bool config_route_kind_parse(const char *word, config_route_kind_t *kind);
+
+/** config_route_kinds - the names of all kinds, for error messages. */
+const char *config_route_kinds(void);
+
 #endif
--- a/entry-rules.c
+++ b/entry-rules.c
@@ -121,6 +121,7 @@
 	if (!rules)
 		return NULL;
 	routes.routes = config->routes;
+	routes.limits = config->limits;
 	rules->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     rules_host_free);
 	if (config_copy((xdrproc_t)xdr_config_t, &routes, &rules->config,
@@ -182,6 +183,14 @@
 	return NULL;
 }
 
+/* Returns the largest body that a caller may send; 0: no limit. */
+static uint64_t rules_body_max(const config_t *config)
+{
+	if (!config->limits.limits_len)
+		return 0;
+	return config->limits.limits_val[0].body_bytes;
+}
+
 bool entry_rules_match(entry_rules_t *rules, const char *host,
 		       const char *target, entry_rule_t *rule)
 {
@@ -194,7 +203,9 @@
 		return false;
 	rule->name = matched->route->name;
 	rule->service = rules_next_part(matched);
-	rule->idempotent = matched->route->idempotent;
+	rule->idempotent = matched->route->kind == CONFIG_ROUTE_IDEMPOTENT;
+	rule->upload = matched->route->kind == CONFIG_ROUTE_UPLOAD;
+	rule->body_max = rules_body_max(&rules->config);
 	rule->timeout = (usec_t)matched->route->timeout_us;
 	rule->objective = (usec_t)matched->route->objective_us;
 	rule->attempts_max = matched->route->attempts_max;
--- a/entry-rules.h
+++ b/entry-rules.h
@@ -14,6 +14,8 @@
 	const char *name;    /* name of the route */
 	const char *service; /* chosen part of the route's traffic split */
 	bool idempotent;
+	bool upload;	   /* calls have a large body */
+	uint64_t body_max; /* bytes of a call's body; 0: no limit */
 	usec_t timeout;
 	usec_t objective;
 	unsigned attempts_max;
--- a/regress/test-routing.c
+++ b/regress/test-routing.c
@@ -118,6 +118,16 @@
 		     "\"maybe\",\"timeout_ms\":1,\"objective_ms\":1,"
 		     "\"attempts_max\":1,\"service\":\"desk\"}"),
 	  "unreadable" },
+	{ "upload",
+	  WHOLE("5", "\"r\":{\"host\":\"a\",\"prefix\":\"/p/\",\"kind\":"
+		     "\"upload\",\"timeout_ms\":1,\"objective_ms\":1,"
+		     "\"attempts_max\":1,\"service\":\"desk\"}"),
+	  "accepted" },
+	{ "no-kind",
+	  WHOLE("5", "\"r\":{\"host\":\"a\",\"prefix\":\"/p/\","
+		     "\"timeout_ms\":1,\"objective_ms\":1,"
+		     "\"attempts_max\":1,\"service\":\"desk\"}"),
+	  "unreadable" },
 	{ "no-timeout",
 	  WHOLE("5", "\"r\":{\"host\":\"a\",\"prefix\":\"/p/\",\"kind\":"
 		     "\"once\",\"objective_ms\":1,"
@@ -179,7 +189,11 @@
 			   "\"objective_ms\":0.25,\"priority\":2,"
 			   "\"attempts_max\":3,\"split\":[{\"service\":"
 			   "\"desk\",\"weight\":90},{\"service\":\"ledger\","
-			   "\"weight\":10}]}");
+			   "\"weight\":10}]},\"r3\":{\"host\":\"b\","
+			   "\"prefix\":\"/up/\",\"kind\":\"upload\","
+			   "\"timeout_ms\":5000,\"objective_ms\":1200,"
+			   "\"priority\":1,\"attempts_max\":2,"
+			   "\"service\":\"ledger\"}");
 	fixture_t *fixture = fixture_new();
 	json_t *one, *two;
 	char *text;
@@ -196,6 +210,65 @@
 	fixture_free(fixture);
 }
 
+/* The error for an unknown kind names the route and the known kinds. */
+static void test_unknown_kind(void)
+{
+	const char *text =
+		WHOLE("5", "\"r7\":{\"host\":\"a\",\"prefix\":\"/p/\",\"kind\":"
+			   "\"maybe\",\"timeout_ms\":1,\"objective_ms\":1,"
+			   "\"attempts_max\":1,\"service\":\"desk\"}");
+	routing_document_t document;
+	hl_error_t err = { 0 };
+
+	g_assert_cmpint(routing_read(text, strlen(text), ROUTING_FULL,
+				     &document, &err),
+			==, -1);
+	g_assert_nonnull(strstr(err.message, "r7"));
+	g_assert_nonnull(strstr(err.message, "\"idempotent\""));
+	g_assert_nonnull(strstr(err.message, "\"once\""));
+	g_assert_nonnull(strstr(err.message, "\"upload\""));
+	routing_clear(&document);
+}
+
+/* Only an idempotent route allows a call to run more than once, and only an
+   upload route announces a large body. */
+static void test_rule_kinds(void)
+{
+	static const struct {
+		const char *kind;
+		bool idempotent, upload;
+	} rows[] = {
+		{ "idempotent", true, false },
+		{ "once", false, false },
+		{ "upload", false, true },
+	};
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		fixture_t *fixture = fixture_new();
+		entry_rules_t *rules;
+		entry_rule_t rule;
+		char *text;
+
+		text = g_strdup_printf(
+			"{\"version\":4,\"put\":{\"routes\":{\"r9\":{"
+			"\"host\":\"k\",\"prefix\":\"/\",\"kind\":\"%s\","
+			"\"timeout_ms\":5,\"objective_ms\":5,"
+			"\"attempts_max\":1,\"service\":\"ledger\"}}}}",
+			rows[i].kind);
+		g_assert_cmpstr(send_document(fixture, ROUTING_CHANGES, text),
+				==, "accepted");
+		rules = entry_rules_new(config_state_config(fixture->state), 1);
+		g_assert_true(entry_rules_match(rules, "k", "/x", &rule));
+		g_assert_cmpint(rule.idempotent, ==, rows[i].idempotent);
+		g_assert_cmpint(rule.upload, ==, rows[i].upload);
+		g_assert_cmpuint(rule.body_max, ==, 67108864);
+		entry_rules_free(rules);
+		g_free(text);
+		fixture_free(fixture);
+	}
+}
+
 /* A partial document changes only its items and retires no service in use. */
 static void test_partial_document(void)
 {
@@ -470,6 +543,8 @@
 				     test_announcement);
 	}
 	g_test_add_func("/routing/read-back", test_read_back);
+	g_test_add_func("/routing/unknown-kind", test_unknown_kind);
+	g_test_add_func("/routing/rule-kinds", test_rule_kinds);
 	g_test_add_func("/routing/changes", test_partial_document);
 	g_test_add_func("/routing/race", test_concurrent_documents);
 	g_test_add_func("/routing/match", test_rule_match);
--- a/routing-read.c
+++ b/routing-read.c
@@ -81,15 +81,13 @@
 				   "out of memory; give the VM more memory");
 }
 
-static int read_kind(const json_t *object, const char *name, bool_t *out,
-		     hl_error_t *err)
+static int read_kind(const json_t *object, const char *name,
+		     config_route_kind_t *out, hl_error_t *err)
 {
 	const char *kind = json_string_value(json_object_get(object, "kind"));
 
-	if (!kind || (strcmp(kind, "idempotent") && strcmp(kind, "once")))
-		return read_invalid(err, name, "kind",
-				    "\"idempotent\" or \"once\"");
-	*out = !strcmp(kind, "idempotent");
+	if (!kind || !config_route_kind_parse(kind, out))
+		return read_invalid(err, name, "kind", config_route_kinds());
 	return 0;
 }
 
@@ -155,7 +153,7 @@
 		      err) ||
 	    read_text(object, name, "prefix", CONFIG_PATH_MAX, &route->prefix,
 		      err) ||
-	    read_kind(object, name, &route->idempotent, err) ||
+	    read_kind(object, name, &route->kind, err) ||
 	    read_time(object, name, "timeout_ms", &route->timeout_us, err) ||
 	    read_time(object, name, "objective_ms", &route->objective_us,
 		      err) ||
--- a/routing-write.c
+++ b/routing-write.c
@@ -36,7 +36,7 @@
 
 	object = json_pack("{s:s, s:s, s:s, s:o, s:o, s:I, s:I}", "host",
 			   route->host, "prefix", route->prefix, "kind",
-			   route->idempotent ? "idempotent" : "once",
+			   config_route_kind_name(route->kind),
 			   "timeout_ms", write_time(route->timeout_us),
 			   "objective_ms", write_time(route->objective_us),
 			   "priority", (json_int_t)route->priority,
--- a/rpc/config_rpc.h
+++ b/rpc/config_rpc.h
@@ -81,12 +81,19 @@
 };
 typedef struct config_part_t config_part_t;
 
+enum config_route_kind_t {
+	CONFIG_ROUTE_ONCE = 0,
+	CONFIG_ROUTE_IDEMPOTENT = 1,
+	CONFIG_ROUTE_UPLOAD = 2,
+};
+typedef enum config_route_kind_t config_route_kind_t;
+
 struct config_route_t {
 	config_name_t name;
 	u_quad_t revision;
 	char *host;
 	char *prefix;
-	bool_t idempotent;
+	config_route_kind_t kind;
 	u_quad_t timeout_us;
 	u_quad_t objective_us;
 	u_int attempts_max;
@@ -300,6 +307,7 @@
 extern  bool_t xdr_config_service_t (XDR *, config_service_t*);
 extern  bool_t xdr_config_stop_t (XDR *, config_stop_t*);
 extern  bool_t xdr_config_part_t (XDR *, config_part_t*);
+extern  bool_t xdr_config_route_kind_t (XDR *, config_route_kind_t*);
 extern  bool_t xdr_config_route_t (XDR *, config_route_t*);
 extern  bool_t xdr_config_pool_t (XDR *, config_pool_t*);
 extern  bool_t xdr_config_limits_t (XDR *, config_limits_t*);
@@ -325,6 +333,7 @@
 extern bool_t xdr_config_service_t ();
 extern bool_t xdr_config_stop_t ();
 extern bool_t xdr_config_part_t ();
+extern bool_t xdr_config_route_kind_t ();
 extern bool_t xdr_config_route_t ();
 extern bool_t xdr_config_pool_t ();
 extern bool_t xdr_config_limits_t ();
--- a/rpc/config_rpc.x
+++ b/rpc/config_rpc.x
@@ -76,13 +76,21 @@
 	unsigned int weight;
 };
 
+/* How often a call of a route may run. The first two values are those of the
+   boolean that earlier releases had in their place. */
+enum config_route_kind_t {
+	CONFIG_ROUTE_ONCE = 0,		/* at most once */
+	CONFIG_ROUTE_IDEMPOTENT = 1,	/* any number of times */
+	CONFIG_ROUTE_UPLOAD = 2		/* at most once; has a large body */
+};
+
 /* Routes calls to a host whose path has a prefix to one or more services. */
 struct config_route_t {
 	config_name_t name;
 	unsigned hyper revision;
 	string host<CONFIG_HOST_MAX>;
 	string prefix<CONFIG_PATH_MAX>;
-	bool idempotent;		/* a call may run more than once */
+	config_route_kind_t kind;
 	unsigned hyper timeout_us;	/* deadline of the final response */
 	unsigned hyper objective_us;	/* latency objective of responses */
 	unsigned int attempts_max;	/* maximum number of copies per call */
--- a/rpc/config_rpc_xdr.c
+++ b/rpc/config_rpc_xdr.c
@@ -209,6 +209,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_config_route_kind_t (XDR *xdrs, config_route_kind_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_config_route_t (XDR *xdrs, config_route_t *objp)
 {
@@ -224,7 +234,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->prefix, CONFIG_PATH_MAX))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->idempotent))
+		 if (!xdr_config_route_kind_t (xdrs, &objp->kind))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->timeout_us))
 			 return FALSE;
@@ -257,7 +267,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->prefix, CONFIG_PATH_MAX))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->idempotent))
+		 if (!xdr_config_route_kind_t (xdrs, &objp->kind))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->timeout_us))
 			 return FALSE;
@@ -291,7 +301,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->prefix, CONFIG_PATH_MAX))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->idempotent))
+	 if (!xdr_config_route_kind_t (xdrs, &objp->kind))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->timeout_us))
 		 return FALSE;
