Decide on a call with a large body before the body is read

Cause: a body above 64 KiB was read up to there before the call was dispatched, and libmicrohttpd takes no response in the middle of a body. So a call that was refused (no copy, no room, deadline) was answered only after its caller had sent all of it, up to 64 MB over a link of 3.4 Mbit/s; a caller with Expect: 100-continue was told to go on before anything was known; and a worker that waited for the caller's next bytes sat in a callback of libcurl, where it could not see that the copy had already responded. The limit of a body was not applied.

Change: a body above 64 KiB, and a chunked one on an upload route, is read only once the copy takes it (ENTRY_STAGE_DECISION). The send pauses libcurl while the caller has sent no more, and goes on when bytes come. A whole response ends the send if the copy takes no more of the body for 300 ms, or at the deadline; the connection to the copy is not used again. A length above the route's limit is refused with 413, a longer chunked body ends the connection.

Ruled out: a refusal in the middle of a body (libmicrohttpd refuses the response); reading 64 KiB first (the same problem for the rest).

--- a/entry-head.c
+++ b/entry-head.c
@@ -17,6 +17,7 @@
 #define HTTP_BAD_REQUEST 400
 #define HTTP_FORBIDDEN 403
 #define HTTP_NOT_FOUND 404
+#define HTTP_CONTENT_TOO_LARGE 413
 #define HTTP_UNAVAILABLE 503
 
 /* State of the iteration over the headers of a request. */
@@ -316,6 +317,8 @@
 	strcpy(call->tenant, "none");
 	strcpy(req->tenant, "none");
 	strcpy(req->class_name, req->rule_name);
+	req->upload = rule->upload;
+	req->body_max = rule->body_max;
 	call->priority = rule->priority;
 	call->idempotent = rule->idempotent;
 	call->attempts_max = rule->attempts_max;
@@ -439,6 +442,9 @@
 	if (head_find_rule(req, &rule, &err))
 		return head_refuse_service(req, err.kind);
 	head_set_rule(req, &rule, req->call.arrived);
+	if (req->body_max && req->body_length > (int64_t)req->body_max)
+		return head_refuse(req, HTTP_CONTENT_TOO_LARGE,
+				   "body-too-large");
 	return 0;
 }
 
--- a/entry-hedge.c
+++ b/entry-hedge.c
@@ -144,9 +144,7 @@
 		return;
 	pthread_mutex_lock(&hedge->lock);
 	hedge->cancelled = true;
-	pthread_cond_broadcast(&hedge->changed);
-	if (hedge->active_conn)
-		curl_multi_wakeup(hedge->active_conn->multi);
+	entry_request_wake_sender(hedge);
 	pthread_mutex_unlock(&hedge->lock);
 }
 
@@ -185,9 +183,7 @@
 		primary->hedge_won = true;
 		primary->winning_hedge = hedge;
 		entry_request_ref(hedge);
-		pthread_cond_broadcast(&primary->changed);
-		if (primary->active_conn)
-			curl_multi_wakeup(primary->active_conn->multi);
+		entry_request_wake_sender(primary);
 	}
 	pthread_mutex_unlock(&primary->lock);
 }
--- a/entry-http.c
+++ b/entry-http.c
@@ -44,6 +44,14 @@
 	return info ? info->connect_fd : -1;
 }
 
+/* Suspends the connection of the caller until entry_request_wake(). The caller
+   of the function holds req->lock. */
+static void http_suspend(entry_request_t *req)
+{
+	req->suspended = true;
+	MHD_suspend_connection(req->connection);
+}
+
 /* Buffers the next bytes of the body; false, with the connection suspended, if
    the buffer is full. */
 static bool http_take_body(entry_request_t *req, const char *bytes, size_t size)
@@ -55,13 +63,14 @@
 		; /* the body is not needed any more: discard it */
 	} else if (req->body_streamed &&
 		   entry_buffer_length(&req->body) > ENTRY_BODY_BUFFER_BYTES) {
-		req->suspended = true;
-		MHD_suspend_connection(req->connection);
+		http_suspend(req);
 		taken = false;
 	} else if (entry_buffer_add(&req->body, bytes, size)) {
 		req->cancelled = true;
 	}
-	pthread_cond_broadcast(&req->changed);
+	if (taken)
+		req->body_received += size;
+	entry_request_wake_sender(req);
 	pthread_mutex_unlock(&req->lock);
 	return taken;
 }
@@ -86,12 +95,35 @@
 	entry_dispatch_arrive(req, time_now());
 }
 
+/* Whether the body is larger than the route of the call allows. */
+static bool http_body_too_large(const entry_request_t *req)
+{
+	return req->body_max && req->body_received > req->body_max;
+}
+
+/*
+ * Whether the call is decided on before its body is read: the body is too large
+ * to be buffered, so that a refusal need not wait for it.
+ */
+static bool http_decides_first(const entry_request_t *req)
+{
+	if (!req->has_body)
+		return false;
+	if (req->body_length < 0)
+		return req->upload;
+	return req->body_length > ENTRY_BODY_BUFFER_BYTES;
+}
+
 static enum MHD_Result http_body(entry_request_t *req, const char *bytes,
 				 size_t *size)
 {
 	if (!http_take_body(req, bytes, *size))
 		return MHD_YES;
 	*size = 0;
+	/* A chunked body shows its size only while it is read. libmicrohttpd
+	   sends no response before its end, so the connection is closed. */
+	if (http_body_too_large(req))
+		return MHD_NO;
 	if (!req->dispatched &&
 	    entry_buffer_length(&req->body) > ENTRY_BODY_BUFFER_BYTES) {
 		req->body_streamed = true;
@@ -100,19 +132,25 @@
 	return MHD_YES;
 }
 
-/* Sends the response if there is one, else suspends the connection. */
-static enum MHD_Result http_respond_or_suspend(entry_request_t *req)
+/*
+ * Sends the response if there is one; else reads the body if that is still to be
+ * read and the copy takes it; else suspends the connection.
+ */
+static enum MHD_Result http_proceed(entry_request_t *req)
 {
-	bool ready;
+	bool respond;
+	bool read_body;
 
 	pthread_mutex_lock(&req->lock);
-	ready = req->response.published;
-	if (!ready) {
-		req->suspended = true;
-		MHD_suspend_connection(req->connection);
-	}
+	respond = req->response.published;
+	read_body = !respond && req->stage == ENTRY_STAGE_DECISION &&
+		    req->body_wanted;
+	if (!respond && !read_body)
+		http_suspend(req);
 	pthread_mutex_unlock(&req->lock);
-	if (!ready)
+	if (read_body)
+		req->stage = ENTRY_STAGE_BODY;
+	if (!respond)
 		return MHD_YES;
 	req->stage = ENTRY_STAGE_RESPONSE;
 	return entry_respond_queue(req);
@@ -127,7 +165,25 @@
 	req->stage = ENTRY_STAGE_WAIT;
 	entry_read_timeout_stop(req->connection);
 	http_dispatch(req);
-	return http_respond_or_suspend(req);
+	return http_proceed(req);
+}
+
+/* Handles the head of a call; its body, if any, is not read yet. */
+static enum MHD_Result http_head(entry_request_t *req, const char *method)
+{
+	req->stage = ENTRY_STAGE_BODY;
+	if (entry_head_read(req, method)) {
+		req->stage = ENTRY_STAGE_RESPONSE;
+		return entry_respond_queue(req);
+	}
+	entry_read_timeout_body(req->entry->read_timeout, req->connection,
+				req->call.deadline);
+	if (!http_decides_first(req))
+		return MHD_YES;
+	req->stage = ENTRY_STAGE_DECISION;
+	req->body_streamed = true;
+	http_dispatch(req);
+	return http_proceed(req);
 }
 
 static enum MHD_Result http_handle(void *context,
@@ -146,25 +202,32 @@
 	switch (req->stage) {
 	case ENTRY_STAGE_HEAD:
 		req->connection = connection;
-		req->stage = ENTRY_STAGE_BODY;
-		if (entry_head_read(req, method) == 0) {
-			entry_read_timeout_body(req->entry->read_timeout,
-						connection, req->call.deadline);
-			return MHD_YES;
-		}
-		req->stage = ENTRY_STAGE_RESPONSE;
-		return entry_respond_queue(req);
+		return http_head(req, method);
 	case ENTRY_STAGE_BODY:
 		if (*size)
 			return http_body(req, bytes, size);
 		return http_body_end(req);
+	case ENTRY_STAGE_DECISION:
 	case ENTRY_STAGE_WAIT:
-		return http_respond_or_suspend(req);
+		return http_proceed(req);
 	default:
 		return MHD_YES;
 	}
 }
 
+/* Keeps the socket of a caller that may still send the rest of a body, so that
+   the close does not take the response from it. */
+static void http_linger(entry_request_t *req)
+{
+	entry_t *entry = req->entry;
+	int fd = entry_http_fd(req->connection);
+
+	if (!req->has_body || req->body_complete || fd < 0)
+		return;
+	entry_tick_schedule(entry,
+			    entry_linger_add(entry->linger, fd, time_now()));
+}
+
 static void http_completed(void *context, struct MHD_Connection *connection,
 			   void **state, enum MHD_RequestTerminationCode code)
 {
@@ -174,6 +237,8 @@
 	if (!req)
 		return;
 	entry_watch_remove(entry->watch, req, entry_http_fd(connection));
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		http_linger(req);
 	pthread_mutex_lock(&req->lock);
 	req->connection = NULL;
 	pthread_mutex_unlock(&req->lock);
--- a/entry-io.h
+++ b/entry-io.h
@@ -231,6 +231,7 @@
 /** enum entry_stage_t - how much of a request has been received. */
 typedef enum {
 	ENTRY_STAGE_HEAD,     /* the request line; headers follow */
+	ENTRY_STAGE_DECISION, /* the headers; the body is not read yet */
 	ENTRY_STAGE_BODY,     /* the headers; the body follows */
 	ENTRY_STAGE_WAIT,     /* the whole request; no response yet */
 	ENTRY_STAGE_RESPONSE, /* the whole request; a response is being sent */
@@ -261,8 +262,11 @@
 	bool pending;		    /* received before there were routes */
 	struct curl_slist *headers; /* headers of the caller to be relayed */
 	bool has_body;
-	int64_t body_length;	    /* bytes; -1: chunked */
-	bool head_only;		    /* the method is HEAD */
+	int64_t body_length;	/* bytes; -1: chunked */
+	uint64_t body_max;	/* bytes allowed by its route; 0: no limit */
+	uint64_t body_received; /* bytes */
+	bool upload;		/* its route announces a large body */
+	bool head_only;		/* the method is HEAD */
 	entry_conn_pool_t *forward; /* pool of the sibling to use, or NULL */
 	struct entry_claim *claim;  /* claim of its Idempotency-Key, or NULL */
 	bool handed_over; /* taken out of the queue for an idle sibling */
@@ -288,6 +292,7 @@
 	entry_buffer_t body;
 	bool body_complete;
 	bool body_streamed;	   /* sending began before it was complete */
+	bool body_wanted;	   /* the copy takes the body: read it */
 	bool body_consumed;	   /* bytes were sent that are not buffered */
 	entry_conn_t *active_conn; /* connection of the running transfer */
 	entry_response_t response;
@@ -317,6 +322,13 @@
  */
 void entry_request_wake(entry_request_t *req);
 
+/**
+ * entry_request_wake_sender - let the worker that sends the request go on.
+ *
+ * The caller of the function holds req->lock.
+ */
+void entry_request_wake_sender(entry_request_t *req);
+
 /**
  * entry_request_end - finish the response.
  * @truncated: the body ended before it was complete
@@ -515,6 +527,36 @@
  */
 void entry_read_timeout_sweep(entry_read_timeout_t *timeouts, usec_t now);
 
+typedef struct entry_linger entry_linger_t;
+
+/**
+ * entry_linger_new - create the table of sockets that are kept for a while.
+ *
+ * Return: the table, or NULL if out of memory.
+ */
+entry_linger_t *entry_linger_new(void);
+
+/** entry_linger_free - close all sockets and free the table; NULL is allowed. */
+void entry_linger_free(entry_linger_t *linger);
+
+/**
+ * entry_linger_add - keep a socket after its response until the caller closes.
+ * @fd: socket of the connection, which its owner may close afterwards
+ *
+ * Ends the output of the socket, so that the caller sees the end of the
+ * response. Does nothing if the table is full.
+ *
+ * Return: when to call entry_linger_sweep(), or INT64_MAX.
+ */
+usec_t entry_linger_add(entry_linger_t *linger, int fd, usec_t now);
+
+/**
+ * entry_linger_sweep - discard input, and close sockets that have ended.
+ *
+ * Return: when to call it again, or INT64_MAX if no socket is kept.
+ */
+usec_t entry_linger_sweep(entry_linger_t *linger, usec_t now);
+
 typedef struct entry_pending entry_pending_t;
 
 /**
@@ -585,6 +627,7 @@
 	entry_work_t *work;
 	entry_watch_t *watch;
 	entry_read_timeout_t *read_timeout;
+	entry_linger_t *linger;
 	entry_forward_t *forward;
 	uint64_t *lend_header_bytes; /* counter: credit headers on calls */
 	member_t *member;
--- a/entry-main.c
+++ b/entry-main.c
@@ -226,10 +226,11 @@
 	entry.work = entry_work_new((unsigned)settings->workers_max);
 	entry.watch = entry_watch_new(err);
 	entry.read_timeout = entry_read_timeout_new(settings, entry.metrics);
+	entry.linger = entry_linger_new();
 	entry.forward = entry_forward_new();
 	sup = supervisor_new("entry", MAIN_RESTARTS_MAX, MAIN_RESTART_WINDOW);
 	if (!entry.metrics || !entry.work || !entry.watch ||
-	    !entry.read_timeout || !entry.forward || !sup) {
+	    !entry.read_timeout || !entry.linger || !entry.forward || !sup) {
 		hl_error_set(err, HL_ERR_NOMEM,
 			     "out of memory; give the VM more memory");
 		goto out;
@@ -248,6 +249,7 @@
 	supervisor_free(sup);
 	entry_watch_free(entry.watch);
 	entry_read_timeout_free(entry.read_timeout);
+	entry_linger_free(entry.linger);
 	entry_claims_free(entry.claims);
 	config_follow_free(entry.follow);
 	presence_client_free(entry.presence);
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -7,6 +7,8 @@
  * up the transfer of libcurl, drives it, and turns its end into a result.
  */
 
+/* Time that a copy has, after a whole response, to take more of the body. */
+#define RELAY_EARLY_RESPONSE_TIMEOUT (300 * USEC_PER_MS)
 #define RELAY_HEADER_MAX (2 * HL_NAME_MAX) /* bytes */
 #define RELAY_HOP_MAX (sizeof("Hemlock-Hop: ") + KEYS_HOP_MAX)
 #define HTTP_CONFLICT 409
@@ -89,6 +91,8 @@
 	    !req->primary &&
 	    req->head_received + ENTRY_RESPONSE_BUFFER_TIME < until)
 		until = req->head_received + ENTRY_RESPONSE_BUFFER_TIME;
+	if (transfer->whole_at && now + RELAY_EARLY_RESPONSE_TIMEOUT < until)
+		until = now + RELAY_EARLY_RESPONSE_TIMEOUT;
 	if (until <= now)
 		return 1;
 	return (int)((until - now + USEC_PER_MS - 1) / USEC_PER_MS);
@@ -111,6 +115,26 @@
 	       !entry_transfer_matches_call(transfer);
 }
 
+/*
+ * Whether to end a send whose response is whole although the copy has not taken
+ * the whole body: it takes no more of it, or the deadline has passed.
+ */
+static bool relay_ends_early(entry_transfer_t *transfer, usec_t now)
+{
+	usec_t since;
+
+	if (!transfer->req->body_streamed ||
+	    !entry_transfer_response_whole(transfer))
+		return false;
+	if (!transfer->whole_at)
+		transfer->whole_at = now;
+	since = transfer->read_at > transfer->whole_at ? transfer->read_at :
+							 transfer->whole_at;
+	return transfer->expired ||
+	       (!transfer->read_paused &&
+		now - since >= RELAY_EARLY_RESPONSE_TIMEOUT);
+}
+
 /* Drives the transfer until it ends, the deadline passes or it is cancelled. */
 static void relay_drive(entry_transfer_t *transfer)
 {
@@ -128,12 +152,14 @@
 		now = time_now();
 		transfer->cancelled = relay_is_cancelled(transfer->req);
 		transfer->expired = now >= transfer->req->call.deadline;
+		transfer->early = relay_ends_early(transfer, now);
 		if (transfer->cancelled || transfer->expired ||
-		    relay_response_mismatched(transfer))
+		    transfer->early || relay_response_mismatched(transfer))
 			return;
 		entry_transfer_publish_partial(transfer, now);
 		curl_multi_poll(multi, NULL, 0, relay_poll_ms(transfer, now),
 				NULL);
+		entry_transfer_resume_read(transfer);
 	}
 	while ((message = curl_multi_info_read(multi, &left)))
 		if (message->msg == CURLMSG_DONE)
@@ -149,7 +175,8 @@
 
 static entry_result_t relay_result(const entry_transfer_t *transfer)
 {
-	bool complete = transfer->code == CURLE_OK && transfer->head_complete &&
+	bool complete = (transfer->code == CURLE_OK || transfer->early) &&
+			transfer->head_complete &&
 			!relay_response_mismatched(transfer);
 
 	if (transfer->cancelled ||
--- a/entry-request.c
+++ b/entry-request.c
@@ -89,6 +89,13 @@
 	MHD_resume_connection(req->connection);
 }
 
+void entry_request_wake_sender(entry_request_t *req)
+{
+	pthread_cond_broadcast(&req->changed);
+	if (req->active_conn)
+		curl_multi_wakeup(req->active_conn->multi);
+}
+
 void entry_request_end(entry_request_t *req, bool truncated)
 {
 	req->response.truncated = truncated;
@@ -173,9 +180,7 @@
 {
 	pthread_mutex_lock(&req->lock);
 	req->cancelled = true;
-	pthread_cond_broadcast(&req->changed);
-	if (req->active_conn)
-		curl_multi_wakeup(req->active_conn->multi);
+	entry_request_wake_sender(req);
 	pthread_mutex_unlock(&req->lock);
 	if (!request_leave_queue(req))
 		return;
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -86,6 +86,7 @@
 				     INT64_MAX;
 	entry_upstream_t *upstream;
 
+	due = tick_earlier(due, entry_linger_sweep(entry->linger, now));
 	if (entry->pending)
 		due = tick_earlier(due, entry_pending_expire(entry, now));
 	pthread_mutex_lock(&entry->upstreams_lock);
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -53,7 +53,23 @@
 	pthread_cond_timedwait(&req->changed, &req->lock, &ts);
 }
 
-/* Supplies the next bytes of a body that is still being received. */
+/* Whether the next bytes of the body, or its end, can be sent. The caller holds
+   req->lock. */
+static bool transfer_has_body(const entry_request_t *req)
+{
+	return entry_buffer_length(&req->body) || req->body_complete;
+}
+
+/* Whether a paused send of the body must go on, if only to be ended. The caller
+   holds req->lock. */
+static bool transfer_read_due(const entry_request_t *req)
+{
+	return transfer_has_body(req) || req->cancelled ||
+	       time_now() >= req->call.deadline;
+}
+
+/* Supplies the next bytes of a body that is still being received. It does not
+   wait for the caller, since the copy may respond before it has the body. */
 size_t entry_transfer_read(char *out, size_t size, size_t count, void *context)
 {
 	entry_transfer_t *transfer = context;
@@ -61,19 +77,38 @@
 	size_t length;
 
 	pthread_mutex_lock(&req->lock);
-	while (!entry_buffer_length(&req->body) && !req->body_complete &&
-	       !req->cancelled && time_now() < req->call.deadline)
-		transfer_wait(req);
 	length = entry_buffer_take(&req->body, out, size * count);
-	if (length)
+	if (length) {
 		req->body_consumed = true;
-	if (!length && !req->body_complete)
+		transfer->read_at = time_now();
+	}
+	transfer->read_paused = !transfer_read_due(req) && !length;
+	if (transfer->read_paused)
+		length = CURL_READFUNC_PAUSE;
+	else if (!length && !req->body_complete)
 		length = CURL_READFUNC_ABORT;
+	req->body_wanted = true;
 	entry_request_wake(req);
 	pthread_mutex_unlock(&req->lock);
 	return length;
 }
 
+void entry_transfer_resume_read(entry_transfer_t *transfer)
+{
+	entry_request_t *req = transfer->req;
+	bool due;
+
+	if (!transfer->read_paused)
+		return;
+	pthread_mutex_lock(&req->lock);
+	due = transfer_read_due(req);
+	pthread_mutex_unlock(&req->lock);
+	if (!due)
+		return;
+	transfer->read_paused = false;
+	curl_easy_pause(transfer->conn->easy, CURLPAUSE_CONT);
+}
+
 /* Adds one header to the response; -1 if out of memory. */
 static int transfer_add_header(entry_response_t *response, const char *line,
 			       size_t name_length, const char *value,
@@ -191,6 +226,7 @@
 	transfer->call_id_matches = false;
 	transfer->has_signature = false;
 	transfer->has_load = false;
+	transfer->body_received = 0;
 	transfer->req->credits_offered = 0;
 	if (space)
 		transfer->req->response.status = (unsigned)strtoul(space + 1,
@@ -251,6 +287,14 @@
 	return status == HTTP_UNAVAILABLE && transfer->has_retry_after;
 }
 
+bool entry_transfer_response_whole(const entry_transfer_t *transfer)
+{
+	const entry_response_t *response = &transfer->req->response;
+
+	return transfer->head_complete && response->length >= 0 &&
+	       transfer->body_received >= response->length;
+}
+
 entry_outcome_t entry_transfer_outcome(const entry_transfer_t *transfer)
 {
 	if (entry_transfer_is_shed(transfer))
@@ -323,6 +367,7 @@
 	size_t length = size * count;
 	bool published = false;
 
+	transfer->body_received += (int64_t)length;
 	pthread_mutex_lock(&req->lock);
 	if (!transfer_wait_for_room(req) ||
 	    entry_buffer_add(&response->body, bytes, length))
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -25,16 +25,29 @@
 	bool cancelled; /* see entry_transfer_is_cancelled() */
 	CURLcode code;
 	long bytes_sent;
+	bool read_paused; /* libcurl waits for more of the body to send */
+	usec_t read_at;	  /* when bytes of the body were last sent; 0: never */
+	int64_t body_received; /* bytes of the response's body */
+	usec_t whole_at; /* when the response was whole; 0: it is not yet */
+	bool early;	 /* ended without the rest of the request's body */
 } entry_transfer_t;
 
 /**
  * entry_transfer_read - supply the next bytes of the body of the request.
  * @context: the transfer
  *
- * Return: the number of bytes, 0 at the end, or CURL_READFUNC_ABORT.
+ * Return: the number of bytes, 0 at the end, CURL_READFUNC_PAUSE while the
+ * caller has sent no more, or CURL_READFUNC_ABORT.
  */
 size_t entry_transfer_read(char *out, size_t size, size_t count, void *context);
 
+/**
+ * entry_transfer_resume_read - go on sending the body if more was received.
+ *
+ * Called by the worker that drives the transfer.
+ */
+void entry_transfer_resume_read(entry_transfer_t *transfer);
+
 /**
  * entry_transfer_header - store a header line of the response.
  * @context: the transfer
@@ -86,6 +99,14 @@
  */
 bool entry_transfer_matches_call(const entry_transfer_t *transfer);
 
+/**
+ * entry_transfer_response_whole - is the response complete?
+ *
+ * It can be before the request has been sent. False for a response without a
+ * length, whose end only libcurl knows.
+ */
+bool entry_transfer_response_whole(const entry_transfer_t *transfer);
+
 /** entry_transfer_outcome - outcome of a call that got a complete response. */
 entry_outcome_t entry_transfer_outcome(const entry_transfer_t *transfer);
 
--- a/headers.c
+++ b/headers.c
@@ -5,6 +5,7 @@
 static const headers_t headers_hemlock = {
 	.interface = "hemlock",
 	.deadline_ms = "Hemlock-Deadline-Ms",
+	.leaving = "Hemlock-Leaving",
 	.base_version = "Hemlock-Base",
 	.native = true,
 };
--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -69,6 +69,15 @@
 	ready "$id"
 }
 
+# raw_copy_start ID PORT OPTION...: start a raw stand-in copy at $NET.20:PORT.
+raw_copy_start () {
+	id=$1 port=$2
+	shift 2
+	spawn "$id" "$BUILD/regress/standin-raw" --address "$NET.20:$port" \
+		--id "$id" --log "$DIR/calls" "$@"
+	ready "$id"
+}
+
 # keeper_request METHOD PATH OPTION...: send a request to the keepers in $KEEPERS
 # one after the other, following redirects to the leader, until one responds with
 # a status other than 503 and 307. Prints the status; $DIR/answer has the body,
@@ -118,7 +127,7 @@
 \"connections\":64,\"protocol\":\"h1\",\"tls\":false},\"ledger\":{\
 \"health_path\":\"/health\",\"connections\":64,\"protocol\":\"h1\",\
 \"tls\":false}}"
-LIMITS="\"limits\":{\"head_bytes\":16384,\"body_bytes\":1000000,\
+LIMITS="\"limits\":{\"head_bytes\":16384,\"body_bytes\":${BODY_BYTES:-1000000},\
 \"head_ms\":3000,\"idle_ms\":15000}"
 
 # put_routing BASE VERSION ROUTES: replace the whole routing.
--- /dev/null
+++ b/regress/standin-raw.c
@@ -0,0 +1,470 @@
+/*
+ * standin-raw: a stand-in for one copy that uses the header set "platform" and
+ * writes its responses byte by byte, so that they can be wrong in ways that an
+ * HTTP library does not allow. It reads the body of a request and responds with
+ * its size and hash. A path that contains one of these words selects another
+ * behaviour:
+ *
+ *	/slow			reads the body in small pieces with pauses
+ *	/early			responds before it reads the body
+ *	/early-stop		responds and does not read the body
+ *	/early-full		refuses the call and does not read the body
+ *	/leaving		responds that the copy leaves
+ *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
+ *	/endless-head		header lines without end
+ *	/endless-line		a header line without end
+ *	/endless-interim	1xx responses without end
+ *	/endless-body		a chunked body without end
+ *	/endless-chunk-line	a chunk line without end
+ *	/endless-trailer	trailers without end
+ *	/endless-excess		bytes without end after a complete response
+ */
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include "headers.h"
+
+#define HEAD_BYTES_MAX 32768
+#define BLOCK_BYTES 65536
+#define SLOW_PIECE_BYTES 16384
+#define SLOW_PAUSE_USEC 20000
+#define RECORD_BYTES_MAX (1024 * 1024)
+/* Parameters of the 64-bit FNV-1a hash. */
+#define FNV_BASIS 0xcbf29ce484222325ULL
+#define FNV_PRIME 0x100000001b3ULL
+
+static gchar *opt_address, *opt_id, *opt_log;
+static gint opt_slots = 2;
+static gboolean opt_leaving;
+static const headers_t *headers;
+static FILE *record_file;
+
+/* One connection and the request that is being read from it. */
+typedef struct {
+	int fd;
+	char buffer[BLOCK_BYTES]; /* input that was not used yet */
+	size_t length;
+	char head[HEAD_BYTES_MAX];
+	char method[16], path[256];
+	uint64_t body_bytes, body_hash;
+} connection_t;
+
+static bool send_bytes(int fd, const char *bytes, size_t length)
+{
+	while (length) {
+		ssize_t n = send(fd, bytes, length, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return false;
+		bytes += n;
+		length -= (size_t)n;
+	}
+	return true;
+}
+
+static bool fill(connection_t *conn, size_t max)
+{
+	ssize_t n = recv(conn->fd, conn->buffer + conn->length,
+			 MIN(max, sizeof(conn->buffer) - conn->length), 0);
+
+	if (n <= 0)
+		return false;
+	conn->length += (size_t)n;
+	return true;
+}
+
+static void consume(connection_t *conn, size_t length)
+{
+	conn->length -= length;
+	memmove(conn->buffer, conn->buffer + length, conn->length);
+}
+
+static bool read_head(connection_t *conn)
+{
+	char *end;
+	size_t length;
+
+	while (!(end = memmem(conn->buffer, conn->length, "\r\n\r\n", 4)))
+		if (!fill(conn, SIZE_MAX))
+			return false;
+	length = (size_t)(end - conn->buffer) + 4;
+	if (length >= sizeof(conn->head))
+		return false;
+	memcpy(conn->head, conn->buffer, length);
+	conn->head[length] = '\0';
+	consume(conn, length);
+	return sscanf(conn->head, "%15s %255s", conn->method, conn->path) == 2;
+}
+
+/* Copies the value of a request header; "-" if it is absent. */
+static void head_value(const connection_t *conn, const char *name, char *out,
+		       size_t size)
+{
+	char **lines = g_strsplit(conn->head, "\r\n", -1);
+	size_t length = strlen(name);
+	unsigned i;
+
+	g_strlcpy(out, "-", size);
+	for (i = 1; lines[i]; i++)
+		if (!strncasecmp(lines[i], name, length) &&
+		    lines[i][length] == ':')
+			g_strlcpy(out, g_strstrip(lines[i] + length + 1), size);
+	g_strfreev(lines);
+}
+
+static void hash_bytes(connection_t *conn, size_t length)
+{
+	size_t i;
+
+	for (i = 0; i < length; i++)
+		conn->body_hash = (conn->body_hash ^
+				   (unsigned char)conn->buffer[i]) *
+				  FNV_PRIME;
+	conn->body_bytes += length;
+	consume(conn, length);
+}
+
+/* Reads @left bytes of the body; false if the connection ends before. */
+static bool read_length(connection_t *conn, uint64_t left, bool slow)
+{
+	while (left) {
+		size_t used;
+
+		if (!conn->length &&
+		    !fill(conn, slow ? SLOW_PIECE_BYTES : SIZE_MAX))
+			return false;
+		used = MIN(conn->length, left);
+		hash_bytes(conn, used);
+		left -= used;
+		if (slow)
+			g_usleep(SLOW_PAUSE_USEC);
+	}
+	return true;
+}
+
+/* Reads one line into @line; false if the connection ends before. */
+static bool read_line(connection_t *conn, char *line, size_t size)
+{
+	char *end;
+	size_t length;
+
+	while (!(end = memmem(conn->buffer, conn->length, "\r\n", 2)))
+		if (!fill(conn, SIZE_MAX))
+			return false;
+	length = (size_t)(end - conn->buffer);
+	g_strlcpy(line, "", size);
+	memcpy(line, conn->buffer, MIN(length, size - 1));
+	line[MIN(length, size - 1)] = '\0';
+	consume(conn, length + 2);
+	return true;
+}
+
+static bool read_chunks(connection_t *conn, bool slow)
+{
+	char line[64];
+	uint64_t size;
+
+	for (;;) {
+		if (!read_line(conn, line, sizeof(line)))
+			return false;
+		size = g_ascii_strtoull(line, NULL, 16);
+		if (!size)
+			return read_line(conn, line, sizeof(line));
+		if (!read_length(conn, size, slow) ||
+		    !read_line(conn, line, sizeof(line)))
+			return false;
+	}
+}
+
+static bool read_body(connection_t *conn)
+{
+	bool slow = strstr(conn->path, "/slow") != NULL;
+	char value[64];
+
+	head_value(conn, "Transfer-Encoding", value, sizeof(value));
+	if (strcmp(value, "-"))
+		return read_chunks(conn, slow);
+	head_value(conn, "Content-Length", value, sizeof(value));
+	return read_length(conn, g_ascii_strtoull(value, NULL, 10), slow);
+}
+
+static void record_call(const connection_t *conn, const char *result)
+{
+	char id[HL_NAME_MAX];
+
+	head_value(conn, headers->call_id, id, sizeof(id));
+	fprintf(record_file,
+		"copy=%s method=%s url=%s call=%s body=%" PRIu64
+		" hash=%016" PRIx64 " result=%s\n",
+		opt_id, conn->method, conn->path, id, conn->body_bytes,
+		conn->body_hash, result);
+	fflush(record_file);
+}
+
+/* Writes a status line and the headers of this copy, without the empty line. */
+static bool send_head(const connection_t *conn, const char *status,
+		      const char *more)
+{
+	char id[HL_NAME_MAX];
+	GString *text = g_string_new("");
+	bool leaves = opt_leaving || strstr(conn->path, "/leaving");
+	bool sent;
+
+	head_value(conn, headers->call_id, id, sizeof(id));
+	g_string_append_printf(text,
+			       "HTTP/1.1 %s\r\n%s: %s\r\n%s: 0,0,%d,100\r\n",
+			       status, headers->responding_copy, opt_id,
+			       headers->load, opt_slots);
+	if (strcmp(id, "-"))
+		g_string_append_printf(text, "%s: %s\r\n", headers->call_id,
+				       id);
+	if (!g_str_has_prefix(status, "503"))
+		g_string_append_printf(text, "%s: %s\r\n", headers->signature,
+				       opt_id);
+	else
+		g_string_append_printf(text, "%s: 1\r\n", headers->not_run);
+	if (leaves)
+		g_string_append_printf(text, "%s: 1\r\n", headers->leaving);
+	g_string_append(text, more);
+	sent = send_bytes(conn->fd, text->str, text->len);
+	g_string_free(text, TRUE);
+	return sent;
+}
+
+static bool send_response(const connection_t *conn, const char *status,
+			  const char *more, const char *body)
+{
+	char *fields = g_strdup_printf("%sContent-Length: %zu\r\n\r\n%s", more,
+				       strlen(body), body);
+	bool sent = send_head(conn, status, fields);
+
+	g_free(fields);
+	return sent;
+}
+
+/* Sends @text again and again until the peer closes the connection; returns
+   false, as the connection is of no further use. */
+static bool send_endless(const connection_t *conn, const char *text)
+{
+	GString *block = g_string_new("");
+	uint64_t sent = 0;
+	char result[64];
+
+	while (block->len < BLOCK_BYTES)
+		g_string_append(block, text);
+	while (send_bytes(conn->fd, block->str, block->len))
+		sent += block->len;
+	g_string_free(block, TRUE);
+	g_snprintf(result, sizeof(result), "closed-%s",
+		   sent < RECORD_BYTES_MAX * 8 ? "early" : "late");
+	record_call(conn, result);
+	return false;
+}
+
+static const char chunked[] = "Transfer-Encoding: chunked\r\n\r\n";
+
+static const struct {
+	const char *word, *before, *repeated;
+} endless[] = {
+	{ "/endless-head", "", "X-More: bytes\r\n" },
+	{ "/endless-line", "X-More: ", "bytes" },
+	{ "/endless-body", chunked, "5\r\nbytes\r\n" },
+	{ "/endless-chunk-line",
+	  "Transfer-Encoding: chunked\r\n\r\n5;more=", "bytes" },
+	{ "/endless-trailer",
+	  "Transfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n",
+	  "X-More: bytes\r\n" },
+	{ "/endless-excess", "Content-Length: 5\r\n\r\nbytes", "bytes" },
+};
+
+/* Handles a path that asks for bytes without end; false for other paths. */
+static bool serve_endless(const connection_t *conn)
+{
+	size_t i;
+
+	if (!strstr(conn->path, "/endless-"))
+		return false;
+	record_call(conn, "run");
+	if (strstr(conn->path, "/endless-interim")) {
+		send_endless(conn, "HTTP/1.1 102 Processing\r\n\r\n");
+		return true;
+	}
+	for (i = 0; i < G_N_ELEMENTS(endless); i++) {
+		if (!g_str_has_suffix(conn->path, endless[i].word))
+			continue;
+		if (send_head(conn, "200 OK", endless[i].before))
+			send_endless(conn, endless[i].repeated);
+	}
+	return true;
+}
+
+/* Refuses a call that asks the copy to rest; false for other paths. */
+static bool serve_rest(const connection_t *conn, bool *keep)
+{
+	const char *rest = strstr(conn->path, "/rest-");
+	char *fields;
+
+	if (!rest)
+		return false;
+	record_call(conn, "shed");
+	fields = g_strdup_printf("Retry-After: %s\r\n",
+				 rest + strlen("/rest-"));
+	*keep = send_response(conn, "503 Unavailable", fields, "");
+	g_free(fields);
+	return true;
+}
+
+/* Handles a path that responds before the body; false for other paths. */
+static bool serve_early(connection_t *conn, bool *keep)
+{
+	if (!strstr(conn->path, "/early"))
+		return false;
+	*keep = false;
+	if (strstr(conn->path, "/early-full")) {
+		record_call(conn, "shed");
+		send_response(conn, "503 Unavailable", "", "");
+		shutdown(conn->fd, SHUT_WR);
+		/* A close with unread bytes could take the response back. */
+		g_usleep(G_USEC_PER_SEC);
+		return true;
+	}
+	record_call(conn, "run");
+	if (!send_response(conn, "200 OK", "", "early\n"))
+		return true;
+	if (strstr(conn->path, "/early-stop")) {
+		g_usleep(5 * G_USEC_PER_SEC);
+		return true;
+	}
+	*keep = read_body(conn);
+	record_call(conn, *keep ? "body-read" : "body-cut");
+	return true;
+}
+
+/* Serves one request; false if the connection is to be closed. */
+static bool serve(connection_t *conn)
+{
+	char expected[HL_NAME_MAX];
+	char text[64];
+	bool keep = true;
+
+	conn->body_bytes = 0;
+	conn->body_hash = FNV_BASIS;
+	if (!read_head(conn))
+		return false;
+	if (!strcmp(conn->path, "/health"))
+		return send_response(conn, "200 OK", "", "");
+	head_value(conn, headers->expected_copy, expected, sizeof(expected));
+	if (strcmp(expected, "-") && strcmp(expected, opt_id)) {
+		record_call(conn, "misdirected");
+		return send_response(conn, "421 Misdirected", "", "");
+	}
+	if (serve_endless(conn))
+		return false;
+	if (serve_early(conn, &keep))
+		return keep;
+	if (!read_body(conn)) {
+		record_call(conn, "body-cut");
+		return false;
+	}
+	if (serve_rest(conn, &keep))
+		return keep;
+	record_call(conn, "run");
+	g_snprintf(text, sizeof(text),
+		   "bytes=%" PRIu64 " hash=%016" PRIx64 "\n", conn->body_bytes,
+		   conn->body_hash);
+	return send_response(conn, "200 OK", "", text);
+}
+
+static void *connection_main(void *context)
+{
+	connection_t *conn = context;
+
+	while (serve(conn))
+		;
+	close(conn->fd);
+	g_free(conn);
+	return NULL;
+}
+
+static void accept_connections(int listener)
+{
+	pthread_attr_t attr;
+	pthread_t thread;
+
+	pthread_attr_init(&attr);
+	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
+	for (;;) {
+		connection_t *conn = g_new0(connection_t, 1);
+
+		conn->fd = accept(listener, NULL, NULL);
+		if (conn->fd >= 0 &&
+		    !pthread_create(&thread, &attr, connection_main, conn))
+			continue;
+		if (conn->fd >= 0)
+			close(conn->fd);
+		g_free(conn);
+	}
+}
+
+static int listen_on(const char *text)
+{
+	struct sockaddr_storage storage;
+	unsigned length;
+	int one = 1;
+	int fd;
+
+	if (hl_address_parse(text, &storage, &length))
+		return -1;
+	fd = socket(storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&storage, length) || listen(fd, 512)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static const GOptionEntry options[] = {
+	{ "address", 0, 0, G_OPTION_ARG_STRING, &opt_address,
+	  "address to listen on", "IP:PORT" },
+	{ "id", 0, 0, G_OPTION_ARG_STRING, &opt_id, "instance id of the copy",
+	  "ID" },
+	{ "slots", 0, 0, G_OPTION_ARG_INT, &opt_slots,
+	  "slots in the reported load", "N" },
+	{ "leaving", 0, 0, G_OPTION_ARG_NONE, &opt_leaving,
+	  "say in every response that the copy leaves", NULL },
+	{ "log", 0, 0, G_OPTION_ARG_STRING, &opt_log,
+	  "file to which calls are recorded", "FILE" },
+	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+};
+
+int main(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new("");
+	gboolean parsed;
+	int listener;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	parsed = g_option_context_parse(context, &argc, &argv, NULL);
+	g_option_context_free(context);
+	if (!parsed || !opt_address || !opt_id || !opt_log)
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	headers = headers_find("platform");
+	record_file = fopen(opt_log, "a");
+	listener = listen_on(opt_address);
+	if (!record_file || listener < 0)
+		return 1;
+	puts("ready");
+	fflush(stdout);
+	accept_connections(listener);
+	return 0;
+}
