Send nothing to a copy that says it leaves or asks for rest

Cause: an entry knew that a copy leaves only from the keepers, seconds after the copy's own answers had said so; and a 503 with Retry-After put a copy out of use for 30 ms at first, after which probes and calls went there again.

Change: the header of the interface (`leaving`, Hemlock-Leaving natively) in any answer of a copy, probes included, ends new work to that process from this entry at once: choice, candidates of probes, hedges, probation calls, and a call that waits for a worker. It stays so whatever the copy announces, until a new process runs under its name. While all copies rest, a call that could not be in time after the first is back is refused at once with that time and jitter; another waits for it, which serves its caller sooner than a refusal. Answers of another process at the address (421, another responding copy of a probe) do not count. The prober reports a copy's state by a callback, as a response can come after its worker went on; it also bounds a response to 16 KiB.

Ruled out: the ejection's own pause (it is shortened by the next refusal); telling the keepers (left: they learn it from the copy).

--- a/entry-baseline.c
+++ b/entry-baseline.c
@@ -27,7 +27,8 @@
 	copy->slots = announced->slots;
 	copy->connections = announced->connections;
 	copy->limit = announced->connections;
-	copy->draining = announced->state == OWNER_COPY_DRAINING;
+	copy->draining = copy->leaving ||
+			 announced->state == OWNER_COPY_DRAINING;
 	copy->last_seen = now;
 	copy->lease_until = until;
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -436,6 +436,14 @@
  */
 void entry_trace_ended(entry_request_t *req, bool complete, usec_t now);
 
+/** entry_trace_copy_leaves - log that a copy has responded that it leaves. */
+void entry_trace_copy_leaves(const char *service, const char *copy,
+			     const char *call_id);
+
+/** entry_trace_copy_rests - log that a copy has asked for no calls for @rest. */
+void entry_trace_copy_rests(const char *service, const char *copy,
+			    const char *call_id, usec_t rest);
+
 /**
  * entry_trace_health - log that a copy was ejected or readmitted.
  * @context: the entry_upstream_t
@@ -765,6 +773,14 @@
  */
 entry_decision_t entry_probe_choose(entry_request_t *req);
 
+/**
+ * entry_probe_on_state - record that a probed copy leaves or rests.
+ * @probe: its context is the upstream of the copy
+ *
+ * Callback of the prober.
+ */
+void entry_probe_on_state(const entry_probe_t *probe);
+
 /**
  * entry_target_presence_new - start to report this entry to the keepers.
  *
--- a/entry-owner.c
+++ b/entry-owner.c
@@ -39,7 +39,10 @@
 	memcpy(copy->zone, announced->zone, HL_NAME_MAX);
 	copy->slots = announced->slots;
 	copy->connections = announced->connections;
-	copy->draining = announced->state == OWNER_COPY_DRAINING;
+	if (announced->state == OWNER_COPY_COLD)
+		copy->leaving = false;
+	copy->draining = copy->leaving ||
+			 announced->state == OWNER_COPY_DRAINING;
 	copy->last_seen = now;
 	if (announced->state == OWNER_COPY_COLD)
 		entry_service_slow_start(copy, now + OWNER_WARMUP_MAX, now);
@@ -240,7 +243,8 @@
 	if (req->forward)
 		return true;
 	pthread_mutex_lock(&upstream->lock);
-	allowed = now < req->call.copy->lease_until;
+	allowed = now < req->call.copy->lease_until &&
+		  entry_service_may_send(req->call.copy, now);
 	/* With entry.routed a lease has no end, so a draining copy is excluded
 	   here from further calls. */
 	if (req->entry->settings.routed && req->call.copy->draining)
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -53,7 +53,8 @@
 			    const entry_call_t *call, const entry_copy_t *copy,
 			    usec_t now)
 {
-	return !copy->draining && now >= copy->health->paused_until &&
+	return !copy->draining && now >= copy->rests_until &&
+	       now >= copy->health->paused_until &&
 	       copy->outstanding < entry_credit_of(svc, copy, now) &&
 	       !pick_must_avoid(svc, call, copy);
 }
@@ -77,7 +78,7 @@
 				  const entry_copy_t *copy, usec_t now)
 {
 	return !copy->draining && copy->limit > 0 && !copy->health->ejected &&
-	       now >= copy->health->paused_until &&
+	       now >= copy->rests_until && now >= copy->health->paused_until &&
 	       copy->outstanding < copy->limit &&
 	       !pick_must_avoid(svc, call, copy);
 }
@@ -177,6 +178,7 @@
 	cds_list_for_each_entry (copy, &svc->copies, link)
 		if (copy->health->ejected && pick_in_zone(svc, copy) &&
 		    !copy->draining && copy->limit > 0 &&
+		    now >= copy->rests_until &&
 		    !pick_must_avoid(svc, call, copy) &&
 		    entry_health_probation_due(copy, call, now))
 			return copy;
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -191,12 +191,33 @@
 		memset(&probes[i], 0, sizeof(probes[i]));
 		strcpy(probes[i].address, copies[i]->address);
 		strcpy(probes[i].copy, copies[i]->name);
+		probes[i].context = upstream;
 	}
 	strcpy(path, upstream->health_path);
 	pthread_mutex_unlock(&upstream->lock);
 	return *path ? count : 0;
 }
 
+void entry_probe_on_state(const entry_probe_t *probe)
+{
+	entry_upstream_t *upstream = probe->context;
+	bool leaves = false;
+	entry_copy_t *copy;
+
+	pthread_mutex_lock(&upstream->lock);
+	copy = entry_service_copy_find(&upstream->service, probe->copy);
+	if (copy && probe->rests)
+		entry_service_on_rest(copy, probe->rest, time_now());
+	if (copy && probe->leaves)
+		leaves = entry_service_on_leaving(copy);
+	pthread_mutex_unlock(&upstream->lock);
+	if (copy && probe->rests)
+		entry_trace_copy_rests(upstream->name, probe->copy, "",
+				       probe->rest);
+	if (leaves)
+		entry_trace_copy_leaves(upstream->name, probe->copy, "");
+}
+
 /* Stores the reports of the copies in the state of the service. */
 static void probe_record(entry_upstream_t *upstream,
 			 const entry_probe_t *probes, unsigned count,
--- a/entry-prober.c
+++ b/entry-prober.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <urcu/list.h>
 #include "entry-prober.h"
+#include "entry.h"
 
 /* Timeout of a query. */
 #define PROBER_TIMEOUT_MS 400L
@@ -12,6 +13,9 @@
 #define PROBER_CONNECTIONS 256L
 /* Maximum number of idle libcurl handles. */
 #define PROBER_IDLE_MAX 16
+/* Maximum size of a response, headers included. */
+#define PROBER_RESPONSE_BYTES_MAX (16 * 1024)
+#define HTTP_UNAVAILABLE 503
 /* Poll timeout of the thread. */
 #define PROBER_IDLE_MS 60000
 
@@ -34,13 +38,19 @@
 	prober_batch_t *batch;
 	unsigned index;
 	CURL *easy;
+	size_t bytes; /* received so far, headers included */
 	bool has_load;
 	load_t load;
+	bool other_copy; /* another copy responded */
+	bool leaves;
+	bool rests; /* Retry-After can be read */
+	usec_t rest;
 	char url[HL_ADDRESS_MAX + HL_MESSAGE_MAX + sizeof("http://")];
 } prober_query_t;
 
 struct entry_prober {
 	const headers_t *headers;
+	entry_prober_state_t on_state;
 	CURLM *multi;
 	pthread_mutex_t lock; /* guards queued */
 	struct cds_list_head queued;
@@ -80,33 +90,89 @@
 	return batch;
 }
 
+/* Copies the value of a header line if it has this name, without the spaces
+   around it; false if it has another name or does not fit. */
+static bool prober_value(const char *line, size_t length, const char *name,
+			 char value[HL_NAME_MAX])
+{
+	size_t name_length = name ? strlen(name) : 0;
+
+	if (!name || length <= name_length || line[name_length] != ':' ||
+	    strncasecmp(line, name, name_length))
+		return false;
+	line += name_length + 1;
+	length -= name_length + 1;
+	while (length && strchr(" \t", *line)) {
+		line++;
+		length--;
+	}
+	while (length && strchr(" \t\r\n", line[length - 1]))
+		length--;
+	if (length >= HL_NAME_MAX)
+		return false;
+	memcpy(value, line, length);
+	value[length] = '\0';
+	return true;
+}
+
+/* Reads the headers of the interface, and Retry-After. */
+static void prober_read_header(prober_query_t *query, const char *line,
+			       size_t length)
+{
+	const headers_t *names = query->prober->headers;
+	const char *copy = query->batch->probes[query->index].copy;
+	char value[HL_NAME_MAX];
+
+	if (prober_value(line, length, names->load, value))
+		query->has_load = names->load_read(value, &query->load);
+	else if (prober_value(line, length, names->responding_copy, value))
+		query->other_copy = strcmp(value, copy) != 0;
+	else if (prober_value(line, length, names->leaving, value))
+		query->leaves = !strcmp(value, "1");
+	else if (prober_value(line, length, "Retry-After", value))
+		query->rests = entry_retry_after_read(value, &query->rest);
+}
+
 static size_t prober_header(char *line, size_t size, size_t count,
 			    void *context)
 {
 	prober_query_t *query = context;
-	const char *name = query->prober->headers->load;
 	size_t length = size * count;
-	size_t name_length = strlen(name);
-	char text[HL_NAME_MAX];
-	size_t value_length;
 
-	if (length <= name_length + 1 || line[name_length] != ':' ||
-	    strncasecmp(line, name, name_length))
-		return length;
-	value_length = length - name_length - 1;
-	if (value_length >= sizeof(text))
-		return length;
-	memcpy(text, line + name_length + 1, value_length);
-	text[value_length] = '\0';
-	query->has_load = query->prober->headers->load_read(text, &query->load);
+	query->bytes += length;
+	if (query->bytes > PROBER_RESPONSE_BYTES_MAX)
+		return 0;
+	prober_read_header(query, line, length);
 	return length;
 }
 
 static size_t prober_body(char *bytes, size_t size, size_t count, void *context)
 {
+	prober_query_t *query = context;
+
 	(void)bytes;
-	(void)context;
-	return size * count;
+	query->bytes += size * count;
+	return query->bytes > PROBER_RESPONSE_BYTES_MAX ? 0 : size * count;
+}
+
+/* Whether a query ended with the load of the copy that it was for. */
+static bool query_answered(const prober_query_t *query, bool complete)
+{
+	return complete && query->has_load && !query->other_copy;
+}
+
+/* Reports what the copy said of itself in a complete response. */
+static void query_report_state(const prober_query_t *query)
+{
+	entry_probe_t probe = query->batch->probes[query->index];
+	long status = 0;
+
+	curl_easy_getinfo(query->easy, CURLINFO_RESPONSE_CODE, &status);
+	probe.leaves = query->leaves;
+	probe.rests = query->rests && status == HTTP_UNAVAILABLE;
+	probe.rest = query->rest;
+	if (probe.leaves || probe.rests)
+		query->prober->on_state(&probe);
 }
 
 /* Stores the result of a query and wakes its worker. */
@@ -115,9 +181,11 @@
 	prober_batch_t *batch = query->batch;
 	entry_probe_t *probe = &batch->probes[query->index];
 
+	if (complete && !query->other_copy)
+		query_report_state(query);
 	pthread_mutex_lock(&batch->lock);
-	probe->state = complete && query->has_load ? ENTRY_PROBE_ANSWERED :
-						     ENTRY_PROBE_FAILED;
+	probe->state = query_answered(query, complete) ? ENTRY_PROBE_ANSWERED :
+							 ENTRY_PROBE_FAILED;
 	probe->load = query->load;
 	batch->unanswered--;
 	if (probe->state == ENTRY_PROBE_ANSWERED &&
@@ -243,8 +311,9 @@
 	return child;
 }
 
-entry_prober_t *entry_prober_new(const headers_t *headers, metrics_t *metrics,
-				 hl_error_t *err)
+entry_prober_t *entry_prober_new(const headers_t *headers,
+				 entry_prober_state_t on_state,
+				 metrics_t *metrics, hl_error_t *err)
 {
 	entry_prober_t *prober = calloc(1, sizeof(*prober));
 
@@ -254,6 +323,7 @@
 		return NULL;
 	}
 	prober->headers = headers;
+	prober->on_state = on_state;
 	pthread_mutex_init(&prober->lock, NULL);
 	CDS_INIT_LIST_HEAD(&prober->queued);
 	CDS_INIT_LIST_HEAD(&prober->running);
--- a/entry-prober.h
+++ b/entry-prober.h
@@ -16,18 +16,31 @@
 /** enum entry_probe_state_t - result of a probe. */
 typedef enum {
 	ENTRY_PROBE_TIMEOUT,  /* no response in time */
-	ENTRY_PROBE_FAILED,   /* no connection, or a response without a load */
+	ENTRY_PROBE_FAILED,   /* no connection, or no load of this copy */
 	ENTRY_PROBE_ANSWERED, /* load is filled in */
 } entry_probe_state_t;
 
 /** struct entry_probe_t - a probe of one copy. */
 typedef struct {
 	char address[HL_ADDRESS_MAX];
-	char copy[HL_NAME_MAX]; /* name, for the caller of the prober */
+	char copy[HL_NAME_MAX]; /* name that the response must have, if any */
+	void *context;		/* for entry_prober_state_t */
 	entry_probe_state_t state;
 	load_t load;
+	bool leaves; /* the copy responded that it leaves */
+	bool rests;  /* the copy asked for no calls, for the time @rest */
+	usec_t rest; /* microseconds */
 } entry_probe_t;
 
+/**
+ * entry_prober_state_t - called when a copy responded that it leaves or rests.
+ * @probe: the probe, with its context
+ *
+ * Called by the thread of the prober, also if the response comes after
+ * entry_prober_query() has returned.
+ */
+typedef void (*entry_prober_state_t)(const entry_probe_t *probe);
+
 /** struct entry_probe_wait_t - limits for the wait of a batch. */
 typedef struct {
 	usec_t max;   /* maximum wait for all responses, microseconds */
@@ -37,11 +50,13 @@
 /**
  * entry_prober_new - create a prober.
  * @headers: interface of the copies, with a load header
+ * @on_state: called for copies that leave or rest
  *
  * Return: the prober, or NULL with @err set.
  */
-entry_prober_t *entry_prober_new(const headers_t *headers, metrics_t *metrics,
-				 hl_error_t *err);
+entry_prober_t *entry_prober_new(const headers_t *headers,
+				 entry_prober_state_t on_state,
+				 metrics_t *metrics, hl_error_t *err);
 
 /** entry_prober_child - return the thread of the prober, for the supervisor. */
 supervisor_child_t entry_prober_child(entry_prober_t *prober);
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -13,7 +13,6 @@
 #define RELAY_HOP_MAX (sizeof("Hemlock-Hop: ") + KEYS_HOP_MAX)
 #define HTTP_CONFLICT 409
 #define HTTP_BAD_GATEWAY 502
-#define HTTP_UNAVAILABLE 503
 #define HTTP_GATEWAY_TIMEOUT 504
 
 static void relay_set_body(entry_transfer_t *transfer)
@@ -346,6 +345,35 @@
 	pthread_mutex_unlock(&upstream->lock);
 }
 
+/*
+ * Records that the copy leaves, or asks for a rest. A response with status 421
+ * was made by another copy that has the address now.
+ */
+static void relay_record_state(entry_transfer_t *transfer)
+{
+	entry_request_t *req = transfer->req;
+	unsigned status = req->response.status;
+	usec_t now = time_now();
+	bool rests = transfer->has_rest && status == HTTP_UNAVAILABLE;
+	bool leaves = transfer->copy_leaves;
+
+	if (!transfer->head_complete || req->forward ||
+	    status == HTTP_MISDIRECTED_REQUEST || (!leaves && !rests))
+		return;
+	pthread_mutex_lock(&req->upstream->lock);
+	if (rests)
+		entry_service_on_rest(req->call.copy, transfer->rest, now);
+	leaves = leaves && entry_service_on_leaving(req->call.copy);
+	pthread_mutex_unlock(&req->upstream->lock);
+	if (leaves)
+		entry_trace_copy_leaves(req->upstream->name,
+					req->call.copy->name, req->call_id);
+	if (rests)
+		entry_trace_copy_rests(req->upstream->name,
+				       req->call.copy->name, req->call_id,
+				       transfer->rest);
+}
+
 /* Sends once over the pool of the transfer and stores the response in the
    request. */
 static entry_result_t relay_send_once(entry_transfer_t *transfer)
@@ -385,6 +413,7 @@
 		entry_conn_pool_preconnect(
 			transfer->pool, (unsigned)req->entry->settings.spares);
 	relay_record_load(transfer);
+	relay_record_state(transfer);
 	return relay_result(transfer);
 }
 
--- a/entry-service.c
+++ b/entry-service.c
@@ -15,6 +15,10 @@
 #define SERVICE_RETRY_FREE_SLOT_MAX (20 * USEC_PER_MS)
 /* Min retry-after time. */
 #define SERVICE_RETRY_AFTER_MIN USEC_PER_MS
+/* Jitter of the wait suggested while all copies rest: a minimum, and a fraction
+   of the wait. */
+#define SERVICE_REST_JITTER_MIN (100 * USEC_PER_MS)
+#define SERVICE_REST_JITTER 0.25
 /* Max number of waiting calls skipped to find one that a copy can take. */
 #define SERVICE_SKIP_MAX 4
 
@@ -158,6 +162,28 @@
 	copy->health->sent_sum = sent_sum;
 	copy->credit->ramp = 1;
 	copy->slow_start_until = 0;
+	copy->leaving = false;
+	copy->rests_until = 0;
+}
+
+bool entry_service_on_leaving(entry_copy_t *copy)
+{
+	bool is_new = !copy->leaving;
+
+	copy->leaving = true;
+	copy->draining = true;
+	return is_new;
+}
+
+void entry_service_on_rest(entry_copy_t *copy, usec_t wait, usec_t now)
+{
+	if (now + wait > copy->rests_until)
+		copy->rests_until = now + wait;
+}
+
+bool entry_service_may_send(const entry_copy_t *copy, usec_t now)
+{
+	return !copy->leaving && now >= copy->rests_until;
 }
 
 void entry_service_set_retry_budget(entry_service_t *svc, double ratio,
@@ -270,6 +296,36 @@
 	return p95 < half ? p95 : half;
 }
 
+/* Return the time from which a copy takes calls again if all copies rest now;
+   0 if one takes calls. */
+static usec_t service_rest_end(const entry_service_t *svc, usec_t now)
+{
+	const entry_copy_t *copy = NULL;
+	usec_t earliest = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		if (copy->draining)
+			continue;
+		if (now >= copy->rests_until)
+			return 0;
+		if (!earliest || copy->rests_until < earliest)
+			earliest = copy->rests_until;
+	}
+	return earliest;
+}
+
+/* Return the wait to suggest while all copies rest until @rest_end. The jitter
+   keeps callers from returning all at once. */
+static usec_t service_rest_wait(entry_service_t *svc, usec_t rest_end,
+				usec_t now)
+{
+	usec_t wait = rest_end - now;
+	usec_t max_jitter = SERVICE_REST_JITTER_MIN +
+			    (usec_t)(SERVICE_REST_JITTER * (double)wait);
+
+	return wait + (usec_t)entry_pick_random(svc, (unsigned)max_jitter);
+}
+
 /* Return the expected time until half of the queue is served. */
 static usec_t service_queue_half_time(const entry_service_t *svc)
 {
@@ -350,6 +406,7 @@
 
 	cds_list_for_each_entry (copy, &svc->copies, link)
 		if (!copy->draining && copy->limit > 0 &&
+		    now >= copy->rests_until &&
 		    !strcmp(copy->zone, svc->zone) &&
 		    entry_report_has_room(copy, now))
 			return true;
@@ -368,6 +425,10 @@
 usec_t entry_service_retry_after(entry_service_t *svc, const entry_call_t *call,
 				 usec_t now)
 {
+	usec_t rest_end = service_rest_end(svc, now);
+
+	if (rest_end)
+		return service_rest_wait(svc, rest_end, now);
 	if (svc->policy != ENTRY_POLICY_REPORTS || !call->objective)
 		return SERVICE_RETRY_AFTER_DEFAULT;
 	if (service_has_room(svc, now))
@@ -376,14 +437,31 @@
 	return service_slot_wait(svc, call);
 }
 
+/* Whether a call that is sent at @from cannot be served in time: within its
+   objective if it has one, else by its deadline. */
+static bool service_too_late(const entry_service_t *svc,
+			     const entry_call_t *call, usec_t from)
+{
+	usec_t latest = call->deadline;
+
+	if (call->objective && entry_report_objective_end(call) < latest)
+		latest = entry_report_objective_end(call);
+	return from + service_margin(svc, call) >= latest;
+}
+
 entry_decision_t entry_service_arrive(entry_service_t *svc, entry_call_t *call,
 				      usec_t now)
 {
 	entry_decision_t decision = service_admit(svc, call, now);
 	entry_copy_t *copy = NULL;
+	usec_t rest_end;
 
 	if (decision.verdict == ENTRY_REFUSE)
 		return decision;
+	rest_end = service_rest_end(svc, now);
+	if (rest_end && service_too_late(svc, call, rest_end))
+		return service_refuse(ENTRY_REFUSE_NO_COPY,
+				      service_rest_wait(svc, rest_end, now));
 	entry_health_refresh(svc, now);
 	if (call->from_sibling && entry_reserve_use(svc, now))
 		copy = entry_pick(svc, call, now);
@@ -456,9 +534,15 @@
 /* Return the decision that refuses a call whose time to wait has passed: for
    the lack of a copy if the call was not run and no copy accepts calls, else
    for its deadline. */
-static entry_decision_t service_refuse_expired(const entry_service_t *svc,
-					       const entry_call_t *call)
+static entry_decision_t service_refuse_expired(entry_service_t *svc,
+					       const entry_call_t *call,
+					       usec_t now)
 {
+	usec_t rest_end = service_rest_end(svc, now);
+
+	if (call->outcome == ENTRY_NOT_RUN && rest_end)
+		return service_refuse(ENTRY_REFUSE_NO_COPY,
+				      service_rest_wait(svc, rest_end, now));
 	if (call->outcome == ENTRY_NOT_RUN && !service_accepts_calls(svc))
 		return service_refuse(ENTRY_REFUSE_NO_COPY,
 				      SERVICE_RETRY_AFTER_DEFAULT);
@@ -467,8 +551,8 @@
 }
 
 /*
- * Whether all copies are paused, because they refused or failed calls, until it
- * is too late for a call, so that waiting is useless. A copy without a lease
+ * Whether all copies are paused, because they refused or failed calls or asked
+ * for a rest, until it is too late for a call, so that waiting is useless. A copy without a lease
  * does not count as paused, since it may get a lease again.
  */
 static bool service_all_paused(const entry_service_t *svc,
@@ -479,7 +563,8 @@
 
 	cds_list_for_each_entry (copy, &svc->copies, link)
 		if (!copy->draining &&
-		    (copy->limit == 0 || copy->health->paused_until < latest))
+		    (copy->limit == 0 || (copy->health->paused_until < latest &&
+					  copy->rests_until < latest)))
 			return false;
 	return true;
 }
@@ -507,7 +592,7 @@
 	    !service_all_paused(svc, call))
 		return NULL;
 	entry_queue_remove(svc->queue, call);
-	*decision = service_refuse_expired(svc, call);
+	*decision = service_refuse_expired(svc, call, now);
 	return call;
 }
 
--- a/entry-target.c
+++ b/entry-target.c
@@ -49,7 +49,7 @@
 	copy->connections = connections;
 	target_update_pool(copy, target->address, connections);
 	copy->limit = copy->io ? connections : 0;
-	copy->draining = target->state != CONFIG_TARGET_READY;
+	copy->draining = copy->leaving || target->state != CONFIG_TARGET_READY;
 	copy->last_seen = now;
 	copy->lease_until = USEC_NEVER;
 }
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -79,6 +79,21 @@
 		  (now - req->call.arrived) / USEC_PER_MS);
 }
 
+void entry_trace_copy_leaves(const char *service, const char *copy,
+			     const char *call_id)
+{
+	log_event(LOG_LEVEL_NOTICE, "copy-leaves", "service=%s copy=%s call=%s",
+		  service, copy, trace_value(call_id));
+}
+
+void entry_trace_copy_rests(const char *service, const char *copy,
+			    const char *call_id, usec_t rest)
+{
+	log_event(LOG_LEVEL_INFO, "copy-rests",
+		  "service=%s copy=%s call=%s rest_ms=%" PRId64, service, copy,
+		  trace_value(call_id), rest / USEC_PER_MS);
+}
+
 void entry_trace_health(void *context, const entry_copy_t *copy, bool ejected)
 {
 	const entry_upstream_t *upstream = context;
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -10,9 +10,7 @@
  * the response, and preconnected sockets.
  */
 
-#define HTTP_MISDIRECTED_REQUEST 421
 #define HTTP_TOO_MANY_REQUESTS 429
-#define HTTP_UNAVAILABLE 503
 /* entry_conn_t.preconnected_fd after libcurl has taken the socket. */
 #define PRECONNECTED_TAKEN (-2)
 
@@ -150,6 +148,19 @@
 	return name && transfer_name_is(line, length, name);
 }
 
+static void transfer_read_retry_after(entry_transfer_t *transfer,
+				      const char *value, size_t length)
+{
+	char text[HL_NAME_MAX];
+
+	transfer->has_retry_after = true;
+	if (length >= sizeof(text))
+		return;
+	memcpy(text, value, length);
+	text[length] = '\0';
+	transfer->has_rest = entry_retry_after_read(text, &transfer->rest);
+}
+
 /* Reads a header of a copy's response if its name is one of those in
    transfer_names(), the header names of the interface that the settings
    select. */
@@ -169,6 +180,8 @@
 		transfer->has_signature = true;
 	else if (transfer_header_is(line, length, names->not_run))
 		transfer->outcome_not_run = true;
+	else if (transfer_header_is(line, length, names->leaving))
+		transfer->copy_leaves = value_length == 1 && *value == '1';
 	if (!transfer_header_is(line, length, names->load) ||
 	    value_length >= sizeof(text))
 		return;
@@ -192,7 +205,7 @@
 				 size_t value_length)
 {
 	if (transfer_name_is(line, length, "Retry-After"))
-		transfer->has_retry_after = true;
+		transfer_read_retry_after(transfer, value, value_length);
 	if (transfer_name_is(line, length, "Connection") &&
 	    !transfer->req->response.connection)
 		transfer->req->response.connection = strndup(value,
@@ -221,6 +234,8 @@
 
 	entry_request_reset(transfer->req);
 	transfer->has_retry_after = false;
+	transfer->has_rest = false;
+	transfer->copy_leaves = false;
 	transfer->outcome_not_run = false;
 	transfer->outcome_may_have_run = false;
 	transfer->call_id_matches = false;
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -8,6 +8,9 @@
  * call and store the response in the request.
  */
 
+#define HTTP_MISDIRECTED_REQUEST 421
+#define HTTP_UNAVAILABLE 503
+
 /** struct entry_transfer_t - one send of a request over one connection. */
 typedef struct {
 	entry_request_t *req;
@@ -15,6 +18,9 @@
 	entry_conn_t *conn;
 	bool head_complete;	   /* the final head (not 1xx) was received */
 	bool has_retry_after;	   /* Retry-After is present */
+	bool has_rest;		   /* and can be read */
+	usec_t rest;		   /* its value; valid with has_rest */
+	bool copy_leaves;	   /* the copy takes no further calls */
 	bool outcome_not_run;	   /* the copy declares the call not run */
 	bool outcome_may_have_run; /* Hemlock-Outcome is may-have-run */
 	bool call_id_matches;	   /* the response has the id of this call */
--- a/entry.h
+++ b/entry.h
@@ -81,6 +81,8 @@
 	unsigned outstanding; /* sends begun and not ended */
 	usec_t lease_until;   /* end of the lease; no new calls afterwards */
 	bool draining;	      /* gets no new calls */
+	bool leaving;	      /* its process has responded that it leaves */
+	usec_t rests_until;   /* it has asked for no calls until then */
 	uint64_t started_ms;  /* reported start, wall clock in ms; 0: none */
 	bool in_subset;	      /* see entry_service_choose_subset() */
 	usec_t last_seen;     /* last announcement of the copy */
@@ -475,6 +477,41 @@
 					 bool other_zones, bool quick_only,
 					 usec_t now);
 
+/**
+ * entry_retry_after_read - parse the value of a Retry-After header.
+ * @text: seconds, with or without a fraction
+ * @wait: filled in with microseconds, at most a minute
+ *
+ * Return: false if the value is not a number of seconds of 0 or more.
+ */
+bool entry_retry_after_read(const char *text, usec_t *wait);
+
+/**
+ * entry_service_on_leaving - record that the process of a copy leaves.
+ *
+ * The copy gets no further calls or probes, whatever it announces, until a new
+ * process runs under its name.
+ *
+ * Return: false if that was known.
+ */
+bool entry_service_on_leaving(entry_copy_t *copy);
+
+/**
+ * entry_service_on_rest - record that a copy asks for no calls for a while.
+ * @wait: from the Retry-After header of a response with status 503
+ *
+ * The copy gets no calls or probes until then. A shorter wait does not end an
+ * earlier, longer one.
+ */
+void entry_service_on_rest(entry_copy_t *copy, usec_t wait, usec_t now);
+
+/**
+ * entry_service_may_send - may a call be sent to a copy that was chosen before?
+ *
+ * False if the copy has responded meanwhile that it leaves or rests.
+ */
+bool entry_service_may_send(const entry_copy_t *copy, usec_t now);
+
 /** entry_service_cancel - dequeue a call whose caller closed its connection. */
 void entry_service_cancel(entry_service_t *svc, entry_call_t *call);
 
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -160,6 +160,68 @@
 	{ "probing-skips-draining-copies", "0 copy a 2\n0 copy b 2\n0 drain a\n"
 					   "50 candidates same-zone = b\n" },
 
+	/* Copies that respond that they leave, before they announce it. */
+	{ "leaving-copy-gets-no-calls",
+	  "0 copy a 2\n0 copy b 2\n0 report a 0 0 100\n0 report b 1 0 100\n"
+	  "0 leaving a = new\n0 leaving a = known\n"
+	  "0 arrive x objective=250 = send b\n" },
+	{ "leaving-copy-is-not-probed",
+	  "0 copy a 2\n0 copy b 2\n0 leaving a = new\n"
+	  "50 candidates same-zone = b\n" },
+	{ "leaving-copy-loses-the-call-chosen-for-it",
+	  "0 copy a 2\n0 copy b 2\n0 report a 0 0 100\n0 report b 1 0 100\n"
+	  "0 arrive x objective=250 = send a\n0 may-send a = yes\n"
+	  "0 leaving a = new\n0 may-send a = no\n"
+	  "0 end x connect = wait\n0 next = x b\n" },
+	{ "leaving-copy-gets-no-hedge",
+	  "0 budget 1 9\n0 copy a 2\n0 copy b 2\n0 report a 0 0 100\n"
+	  "0 report b 1 0 100\n0 arrive x objective=250 idem = send a\n"
+	  "1 leaving b = new\n400 hedge = none\n" },
+	{ "leaving-last-copy-refuses-at-once",
+	  "0 copy a 2\n0 report a 0 0 100\n0 leaving a = new\n"
+	  "0 arrive x objective=250 = refuse no-copy\n" },
+	{ "leaving-copy-has-a-successor-at-its-address",
+	  "0 copy a 2\n0 leaving a = new\n0 copy a2 2\n"
+	  "0 report a2 0 0 100\n0 arrive x objective=250 = send a2\n" },
+	{ "leaving-ends-with-a-new-process",
+	  "0 copy a 2\n0 leaving a = new\n0 new-process a\n"
+	  "0 report a 0 0 100\n0 may-send a = yes\n" },
+
+	/* Copies that turn calls away and ask for none for a while. */
+	{ "resting-copy-gets-no-calls-until-the-end",
+	  "0 copy a 2\n0 copy b 2\n0 report a 0 0 100\n0 report b 1 0 100\n"
+	  "0 rest a 500\n0 arrive x objective=250 = send b\n"
+	  "0 may-send a = no\n499 may-send a = no\n500 may-send a = yes\n"
+	  "500 report a 0 0 100\n500 arrive y objective=250 = send a\n" },
+	{ "resting-copy-is-not-probed",
+	  "0 copy a 2\n0 copy b 2\n0 rest a 500\n"
+	  "50 candidates same-zone = b\n500 candidates same-zone = a b\n" },
+	{ "resting-copy-gets-no-hedge",
+	  "0 budget 1 9\n0 copy a 2\n0 copy b 2\n0 report a 0 0 100\n"
+	  "0 report b 1 0 100\n0 arrive x objective=250 idem = send a\n"
+	  "1 rest b 2000\n400 hedge = none\n" },
+	{ "resting-copy-is-not-shortened",
+	  "0 copy a 2\n0 rest a 500\n0 rest a 100\n"
+	  "499 may-send a = no\n500 may-send a = yes\n" },
+	{ "resting-ejected-copy-gets-no-probation-call",
+	  "0 copy a 2\n0 copy b 2\n0 report a 0 0 100\n0 report b 1 0 200\n"
+	  "0 arrive x objective=250 idem = send a\n0 end x connect = wait\n"
+	  "0 next = x b\n0 end x ok = respond\n"
+	  "40 report a 0 0 100\n40 arrive y objective=250 = send a\n"
+	  "40 end y connect = wait\n40 next = y b\n40 end y ok = respond\n"
+	  "41 rest a 5000\n900 report b 0 0 200\n"
+	  "900 arrive z objective=250 idem = send b\n" },
+	{ "all-rest-late-call-is-refused-at-once",
+	  "0 copy a 2\n0 copy b 2\n0 rest a 5000\n0 rest b 4000\n"
+	  "0 arrive x objective=250 = refuse no-copy\n"
+	  "0 retry-after x = 4000 to 5100\n" },
+	{ "all-rest-shortly-call-waits",
+	  "0 copy a 2\n0 rest a 50\n0 arrive x objective=250 = wait\n"
+	  "49 next = none\n50 report a 0 0 100\n50 next = x a\n" },
+	{ "all-rest-except-leaving-ones",
+	  "0 copy a 2\n0 copy b 2\n0 leaving a = new\n0 rest b 4000\n"
+	  "0 arrive x objective=250 = refuse no-copy\n" },
+
 	/* Copies without reports, or with reports but unreachable. */
 	{ "silent-copy-is-skipped",
 	  "0 copy a 2\n0 copy b 2\n0 no-report a\n0 report b 1 0 100\n"
@@ -310,6 +372,48 @@
 	return NULL;
 }
 
+static char *run_leaving(script_t *script, char **words)
+{
+	bool is_new = entry_service_on_leaving(script_copy(script, words[1]));
+
+	return g_strdup(is_new ? "new" : "known");
+}
+
+static char *run_rest(script_t *script, char **words)
+{
+	entry_service_on_rest(script_copy(script, words[1]),
+			      atoi(words[2]) * USEC_PER_MS, script->now);
+	return NULL;
+}
+
+static char *run_may_send(script_t *script, char **words)
+{
+	bool may = entry_service_may_send(script_copy(script, words[1]),
+					  script->now);
+
+	return g_strdup(may ? "yes" : "no");
+}
+
+static char *run_new_process(script_t *script, char **words)
+{
+	entry_copy_t *copy = script_copy(script, words[1]);
+
+	entry_service_copy_reset(&script->svc, copy);
+	copy->draining = copy->leaving;
+	return NULL;
+}
+
+static char *run_hedge(script_t *script, char **words)
+{
+	entry_call_t *call = entry_service_hedge(&script->svc, script->now);
+
+	(void)words;
+	if (!call)
+		return g_strdup("none");
+	return g_strdup_printf("%s %s", script_name(script, call),
+			       call->hedged_copy->name);
+}
+
 static char *run_budget(script_t *script, char **words)
 {
 	entry_service_set_retry_budget(&script->svc,
@@ -424,8 +528,8 @@
 	return NULL;
 }
 
-/* Return whether the retry-after of a refusal is short, or as long as a call
- * occupies a slot. */
+/* Return whether the retry-after of a refusal is short, as long as a call
+ * occupies a slot, or in the range, in ms, after a rest of 4 s. */
 static char *run_retry_after(script_t *script, char **words)
 {
 	script_call_t *call = script_call(script, words[1]);
@@ -433,6 +537,8 @@
 
 	after = entry_service_retry_after(&script->svc, &call->call,
 					  script->now);
+	if (after >= 4000 * USEC_PER_MS && after <= 5100 * USEC_PER_MS)
+		return g_strdup("4000 to 5100");
 	return g_strdup(after < SERVICE_TIME / 4 ? "short" : "long");
 }
 
@@ -470,6 +576,11 @@
 	{ "report", run_report },
 	{ "no-report", run_no_report },
 	{ "drain", run_drain },
+	{ "leaving", run_leaving },
+	{ "rest", run_rest },
+	{ "may-send", run_may_send },
+	{ "new-process", run_new_process },
+	{ "hedge", run_hedge },
 	{ "budget", run_budget },
 	{ "wait", run_wait },
 	{ "arrive", run_arrive },
--- a/routing-write.c
+++ b/routing-write.c
@@ -36,11 +36,11 @@
 
 	object = json_pack("{s:s, s:s, s:s, s:o, s:o, s:I, s:I}", "host",
 			   route->host, "prefix", route->prefix, "kind",
-			   config_route_kind_name(route->kind),
-			   "timeout_ms", write_time(route->timeout_us),
-			   "objective_ms", write_time(route->objective_us),
-			   "priority", (json_int_t)route->priority,
-			   "attempts_max", (json_int_t)route->attempts_max);
+			   config_route_kind_name(route->kind), "timeout_ms",
+			   write_time(route->timeout_us), "objective_ms",
+			   write_time(route->objective_us), "priority",
+			   (json_int_t)route->priority, "attempts_max",
+			   (json_int_t)route->attempts_max);
 	if (route->split)
 		json_object_set_new(object, "split", write_split(route));
 	else
