Bound what a copy can send in place of a response

Header lines of a response and trailers were read until the call's deadline without a limit in bytes of our own; bytes after a complete response stayed in the socket of an idle connection until the next call there, as did the memory of connections that a copy had closed.

Change: the heads of a response, interim ones and trailers included, end the send above 128 KiB; the connection is closed, the copy counts as failing, the caller is told that the call may have run, or its streamed response is cut. Once a second idle connections with input, closed ones and those idle for 30 s are closed. A body or a chunk line without end passes through buffers of fixed size and ends at the deadline.

Test: routed-endless.script, seven ways to send without end, by the stand-in that writes its own bytes.

--- a/entry-conn-pool.c
+++ b/entry-conn-pool.c
@@ -12,6 +12,9 @@
  * without earlier calls.
  */
 
+/* Time after which an idle connection is closed. */
+#define POOL_IDLE_TIME (30 * USEC_PER_SEC)
+
 entry_conn_pool_t *entry_conn_pool_new(const char *address, unsigned idle_max)
 {
 	entry_conn_pool_t *pool = calloc(1, sizeof(*pool));
@@ -65,6 +68,7 @@
 	if (!conn)
 		return NULL;
 	conn->preconnected_fd = -1;
+	conn->fd = -1;
 	conn->multi = curl_multi_init();
 	conn->easy = curl_easy_init();
 	if (!conn->multi || !conn->easy) {
@@ -138,7 +142,17 @@
 	return conn;
 }
 
-void entry_conn_pool_put(entry_conn_pool_t *pool, entry_conn_t *conn, bool keep)
+/* Whether the peer has closed a connection, or sent bytes that belong to no
+   call. */
+static bool conn_has_input(const entry_conn_t *conn)
+{
+	struct pollfd input = { conn->fd, POLLIN | POLLRDHUP, 0 };
+
+	return conn->fd >= 0 && poll(&input, 1, 0) > 0;
+}
+
+void entry_conn_pool_put(entry_conn_pool_t *pool, entry_conn_t *conn, bool keep,
+			 usec_t now)
 {
 	if (conn->preconnected_fd >= 0) {
 		close(conn->preconnected_fd);
@@ -148,6 +162,7 @@
 		conn_free(conn);
 		return;
 	}
+	conn->idle_since = now;
 	pthread_mutex_lock(&pool->lock);
 	if (pool->idle_count < pool->idle_max) {
 		cds_list_add(&conn->link, &pool->idle);
@@ -159,6 +174,27 @@
 		conn_free(conn);
 }
 
+void entry_conn_pool_sweep(entry_conn_pool_t *pool, usec_t now)
+{
+	struct cds_list_head closed;
+	entry_conn_t *conn;
+	entry_conn_t *next;
+
+	CDS_INIT_LIST_HEAD(&closed);
+	pthread_mutex_lock(&pool->lock);
+	cds_list_for_each_entry_safe (conn, next, &pool->idle, link) {
+		if (now - conn->idle_since < POOL_IDLE_TIME &&
+		    !conn_has_input(conn))
+			continue;
+		cds_list_del(&conn->link);
+		cds_list_add(&conn->link, &closed);
+		pool->idle_count--;
+	}
+	pthread_mutex_unlock(&pool->lock);
+	cds_list_for_each_entry_safe (conn, next, &closed, link)
+		conn_free(conn);
+}
+
 /* Starts a non-blocking connect; returns the socket, or -1. */
 static int pool_connect(const char *address)
 {
--- a/entry-io.h
+++ b/entry-io.h
@@ -116,6 +116,8 @@
 	CURLM *multi;		   /* owns the connection between calls */
 	CURL *easy;
 	int preconnected_fd; /* socket for the next transfer, or -1 */
+	int fd;		     /* socket of the last transfer, or -1 */
+	usec_t idle_since;   /* when it was returned to the pool */
 } entry_conn_t;
 
 /* Maximum number of preconnected sockets of one pool. */
@@ -161,9 +163,19 @@
 /**
  * entry_conn_pool_put - return a connection to its pool.
  * @keep: false after a failure: the connection is closed
+ *
+ * The caller has set @conn->fd.
+ */
+void entry_conn_pool_put(entry_conn_pool_t *pool, entry_conn_t *conn, bool keep,
+			 usec_t now);
+
+/**
+ * entry_conn_pool_sweep - close idle connections that are of no further use.
+ *
+ * These are connections that the peer has closed or on which it has sent bytes,
+ * which belong to no call, and those that were idle for a long time.
  */
-void entry_conn_pool_put(entry_conn_pool_t *pool, entry_conn_t *conn,
-			 bool keep);
+void entry_conn_pool_sweep(entry_conn_pool_t *pool, usec_t now);
 
 /**
  * entry_conn_pool_preconnect - open sockets for later calls, without blocking.
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -74,7 +74,8 @@
 	if (!probe->conn)
 		return;
 	curl_multi_remove_handle(multi, probe->conn->easy);
-	entry_conn_pool_put(probe->pool, probe->conn, true);
+	probe->conn->fd = -1;
+	entry_conn_pool_put(probe->pool, probe->conn, true, time_now());
 	probe_read(probe);
 }
 
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -209,19 +209,27 @@
 	return needed;
 }
 
+/* Returns the socket of the last transfer of a handle, or -1. */
+static int relay_socket(CURL *easy)
+{
+	curl_socket_t fd = CURL_SOCKET_BAD;
+
+	curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &fd);
+	return fd == CURL_SOCKET_BAD ? -1 : fd;
+}
+
 /* Records the round trip time of a new connection to a copy. */
 static void relay_record_round_trip(entry_request_t *req, CURL *easy)
 {
-	curl_socket_t fd = CURL_SOCKET_BAD;
 	long connects = 0;
 	usec_t round_trip;
 
+	if (req->forward || req->entry->policy != ENTRY_POLICY_OWNER)
+		return;
 	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
-	curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &fd);
-	if (req->forward || req->entry->policy != ENTRY_POLICY_OWNER ||
-	    !connects || fd == CURL_SOCKET_BAD)
+	if (!connects)
 		return;
-	round_trip = entry_conn_round_trip(fd);
+	round_trip = entry_conn_round_trip(relay_socket(easy));
 	if (round_trip <= 0)
 		return;
 	pthread_mutex_lock(&req->upstream->lock);
@@ -374,6 +382,13 @@
 				       transfer->rest);
 }
 
+/* Whether the connection can carry another call. */
+static bool relay_keeps_connection(const entry_transfer_t *transfer)
+{
+	return transfer->code == CURLE_OK && transfer->head_complete &&
+	       !relay_response_mismatched(transfer);
+}
+
 /* Sends once over the pool of the transfer and stores the response in the
    request. */
 static entry_result_t relay_send_once(entry_transfer_t *transfer)
@@ -385,6 +400,7 @@
 	struct curl_slist *headers;
 	relay_head_t head;
 	CURL *easy;
+	bool keep;
 
 	if (time_left <= 0)
 		return ENTRY_RESULT_CONNECT;
@@ -404,11 +420,10 @@
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &transfer->bytes_sent);
 	if (transfer->head_complete)
 		relay_record_round_trip(req, easy);
+	keep = relay_keeps_connection(transfer);
+	transfer->conn->fd = relay_socket(easy);
 	curl_multi_remove_handle(transfer->conn->multi, easy);
-	entry_conn_pool_put(transfer->pool, transfer->conn,
-			    transfer->code == CURLE_OK &&
-				    transfer->head_complete &&
-				    !relay_response_mismatched(transfer));
+	entry_conn_pool_put(transfer->pool, transfer->conn, keep, time_now());
 	if (fresh)
 		entry_conn_pool_preconnect(
 			transfer->pool, (unsigned)req->entry->settings.spares);
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -10,8 +10,9 @@
 /* Shortest interval between runs of the timers, and their interval while calls
    wait, which bounds how late a deadline is noticed. */
 #define TICK_INTERVAL_MIN (2 * USEC_PER_MS)
-/* Interval at which this entry's share of each service is recomputed and
-   callers that are slow to send a call are disconnected. */
+/* Interval at which this entry's share of each service is recomputed, callers
+   that are slow to send a call are disconnected, and idle connections to copies
+   are checked. */
 #define TICK_LIMITS_INTERVAL USEC_PER_SEC
 /* Fraction of its share of the retry budget that an entry uses. Entries may
    count different numbers of live entries, so that full shares could exceed the
@@ -106,6 +107,41 @@
 		tick_update_limits(entry, upstream, now);
 }
 
+/* Returns the connection pools of the copies of a service, with a reference to
+   each. */
+static GPtrArray *tick_pools(entry_upstream_t *upstream)
+{
+	GPtrArray *pools = g_ptr_array_new();
+	const entry_copy_t *copy;
+
+	pthread_mutex_lock(&upstream->lock);
+	cds_list_for_each_entry (copy, &upstream->service.copies, link) {
+		if (!copy->io)
+			continue;
+		entry_conn_pool_ref(copy->io);
+		g_ptr_array_add(pools, copy->io);
+	}
+	pthread_mutex_unlock(&upstream->lock);
+	return pools;
+}
+
+/* Closes idle connections to copies that are of no further use. */
+static void tick_sweep_connections(entry_t *entry, usec_t now)
+{
+	entry_upstream_t *upstream = NULL;
+	GPtrArray *pools;
+	guint i;
+
+	while ((upstream = entry_upstream_next(entry, upstream))) {
+		pools = tick_pools(upstream);
+		for (i = 0; i < pools->len; i++) {
+			entry_conn_pool_sweep(pools->pdata[i], now);
+			entry_conn_pool_unref(pools->pdata[i]);
+		}
+		g_ptr_array_free(pools, TRUE);
+	}
+}
+
 /* Clears the due time before the timers run; entry_tick_schedule() sets it for
    work that is added meanwhile. */
 static void tick_reset_due(entry_t *entry)
@@ -148,6 +184,7 @@
 		if (now >= limits_due) {
 			tick_update_all_limits(entry, now);
 			entry_read_timeout_sweep(entry->read_timeout, now);
+			tick_sweep_connections(entry, now);
 			limits_due = now + TICK_LIMITS_INTERVAL;
 		}
 		due = tick_earlier(tick_all(entry, now), limits_due);
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -14,6 +14,10 @@
 /* entry_conn_t.preconnected_fd after libcurl has taken the socket. */
 #define PRECONNECTED_TAKEN (-2)
 
+/* Max size of the heads of a response, interim ones (1xx) and trailers included.
+   A copy that sends more makes no response. */
+#define TRANSFER_HEAD_BYTES_MAX (128 * 1024)
+
 /* Headers of a response that are not relayed to the caller. */
 static const char *const transfer_hop_headers[] = {
 	"Connection",	    "Keep-Alive",
@@ -258,6 +262,9 @@
 	const char *value;
 	const char *end = line + length;
 
+	transfer->head_received += length;
+	if (transfer->head_received > TRANSFER_HEAD_BYTES_MAX)
+		return 0;
 	if (transfer->head_complete)
 		return length; /* a trailer */
 	if (length > 5 && !strncmp(line, "HTTP/", 5)) {
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -33,6 +33,7 @@
 	long bytes_sent;
 	bool read_paused; /* libcurl waits for more of the body to send */
 	usec_t read_at;	  /* when bytes of the body were last sent; 0: never */
+	size_t head_received;  /* bytes of heads and trailers */
 	int64_t body_received; /* bytes of the response's body */
 	usec_t whole_at; /* when the response was whole; 0: it is not yet */
 	bool early;	 /* ended without the rest of the request's body */
