Give a new entry the whole configuration, not its history

A keeper answers a follower that has nothing with 64 changes from the beginning of its log at a time, and the follower put each answer in force. So after any restart a withdrawn route or a copy that has left could be in use again, which operators of similar systems have met too.

Change: a follower over HTTP that has no configuration gets the whole one. RPC fetches are as before (hemlockctl history needs the changes).

Ruled out: a lagging keeper (the answers came from all five, each with 64 changes more).

--- a/keeper-core.h
+++ b/keeper-core.h
@@ -263,6 +263,8 @@
 
 /**
  * keeper_core_fetch - return the deltas since version @args->have.
+ * @first: return the whole configuration to a process that has none, so that it
+ *         takes over no earlier state on the way to the present one
  * @res: the deltas, or the whole configuration if they are not available;
  *       KEEPER_NOT_LEADER if @args requests a revision that a quorum confirms
  *       and this keeper cannot have it confirmed
@@ -270,7 +272,7 @@
  * Return: false if out of memory.
  */
 bool keeper_core_fetch(keeper_core_t *core, const keeper_fetch_args_t *args,
-		       keeper_fetch_res_t *res, usec_t now);
+		       bool first, keeper_fetch_res_t *res, usec_t now);
 
 /**
  * enum keeper_verdict_t - the state of a requested change, or the result of a
--- a/keeper-handler.c
+++ b/keeper-handler.c
@@ -276,8 +276,8 @@
 	args.confirmed = !MHD_lookup_connection_value(request->connection,
 						      MHD_GET_ARGUMENT_KIND,
 						      "any");
-	ok = keeper_core_fetch(keeper_control_core(request), &args, &res,
-			       now) &&
+	ok = keeper_core_fetch(keeper_control_core(request), &args, !args.have,
+			       &res, now) &&
 	     !config_encode((xdrproc_t)xdr_keeper_fetch_res_t, &res, &plain,
 			    &size);
 	if (ok)
--- a/keeper-request.c
+++ b/keeper-request.c
@@ -230,7 +230,7 @@
 }
 
 bool keeper_core_fetch(keeper_core_t *core, const keeper_fetch_args_t *args,
-		       keeper_fetch_res_t *res, usec_t now)
+		       bool first, keeper_fetch_res_t *res, usec_t now)
 {
 	bool ok;
 
@@ -246,9 +246,10 @@
 		res->revision = config_state_config(core->state)->revision;
 	} else {
 		res->revision = config_state_config(core->state)->revision;
-		ok = ok && (keeper_request_fill_deltas(core, args->have,
-						       &res->body) ||
-			    keeper_request_fill_config(core, &res->body));
+		ok = ok &&
+		     ((!first && keeper_request_fill_deltas(core, args->have,
+							    &res->body)) ||
+		      keeper_request_fill_config(core, &res->body));
 	}
 	pthread_mutex_unlock(&core->lock);
 	return ok;
--- a/keeper-rpc.c
+++ b/keeper-rpc.c
@@ -40,7 +40,8 @@
 {
 	(void)request;
 	keeper_rpc_calls++;
-	return keeper_core_fetch(keeper_rpc_core, &args, res, time_now());
+	return keeper_core_fetch(keeper_rpc_core, &args, false, res,
+				 time_now());
 }
 
 bool_t keeper_report_1_svc(keeper_report_args_t args, void *res,
