Answer look-ups of entries at the entries too

Cause: callers look up an entry at the keepers alone, nearest first, one second for each.

Change: entry.directory_listen. An entry answers with itself, also while it holds calls for want of routes, and with the ready entries of its zone, which it asks one keeper for each second; the keeper answers if the list differs, with up to 32 addresses and another part of a large zone for each entry (two new kinds of datagram; old keepers ignore them). A stopping entry names its peers only. 5 s without a keeper: itself alone.

The own address alone was not kept: its callers have no second address when the entry fails.

--- a/entry-control.c
+++ b/entry-control.c
@@ -28,6 +28,7 @@
 	void (*handle)(const entry_control_request_t *in, entry_reply_t *reply);
 	bool needs_owner; /* 404 with entry.routed, which has no owners */
 } control_routes[] = {
+	{ "GET", "/v1/directory", entry_directory_handle, false },
 	{ "GET", "/v1/lookup", entry_lookup_handle, true },
 	{ "POST", "/v1/announce", entry_announce_handle, true },
 	{ "GET", "/v1/status", entry_status_handle, false },
@@ -174,34 +175,55 @@
 	*state = NULL;
 }
 
-int entry_control_start(entry_t *entry, hl_error_t *err)
+/* Starts a server at an address; returns NULL with @err set. */
+static struct MHD_Daemon *control_listen(entry_t *entry, const char *listen,
+					 int64_t port, hl_error_t *err)
 {
-	const entry_settings_t *settings = &entry->settings;
-	struct sockaddr_storage storage;
 	unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC;
+	struct sockaddr_storage storage;
+	struct MHD_Daemon *daemon;
 
-	if (entry_http_address(entry, settings->control_listen,
-			       settings->control_port, &storage, err))
-		return -1;
+	if (entry_http_address(entry, listen, port, &storage, err))
+		return NULL;
 	if (storage.ss_family == AF_INET6)
 		flags |= MHD_USE_IPv6;
-	entry->control_daemon = MHD_start_daemon(
+	daemon = MHD_start_daemon(
 		flags, 0, NULL, NULL, control_handle, entry,
 		MHD_OPTION_SOCK_ADDR, &storage, MHD_OPTION_NOTIFY_COMPLETED,
 		control_completed, NULL, MHD_OPTION_CONNECTION_LIMIT,
 		CONTROL_CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
 		CONTROL_IDLE_TIMEOUT_SECONDS, MHD_OPTION_STRICT_FOR_CLIENT, 1,
 		MHD_OPTION_END);
+	if (!daemon)
+		hl_error_set(err, HL_ERR_IO,
+			     "cannot listen on %s port %" PRId64
+			     "; free the port or correct the settings of "
+			     "[entry]",
+			     *listen ? listen : entry->settings.address, port);
+	return daemon;
+}
+
+int entry_control_start(entry_t *entry, hl_error_t *err)
+{
+	const entry_settings_t *settings = &entry->settings;
+
+	entry->control_daemon = control_listen(entry, settings->control_listen,
+					       settings->control_port, err);
 	if (!entry->control_daemon)
-		return hl_error_set(err, HL_ERR_IO,
-				    "cannot listen on %s port %" PRId64
-				    "; free the port or set entry.control_port",
-				    settings->address, settings->control_port);
-	return 0;
+		return -1;
+	if (!*settings->directory_listen)
+		return 0;
+	entry->directory_daemon = control_listen(entry,
+						 settings->directory_listen, 0,
+						 err);
+	return entry->directory_daemon ? 0 : -1;
 }
 
 void entry_control_stop(entry_t *entry)
 {
+	if (entry->directory_daemon)
+		MHD_stop_daemon(entry->directory_daemon);
+	entry->directory_daemon = NULL;
 	if (entry->control_daemon)
 		MHD_stop_daemon(entry->control_daemon);
 	entry->control_daemon = NULL;
--- a/entry-io.h
+++ b/entry-io.h
@@ -70,10 +70,11 @@
 	char interface[HL_NAME_MAX];
 	const headers_t *headers; /* header names of the interface */
 	bool routed; /* match calls by host and path to routes of the keepers */
-	char call_listen[HL_ADDRESS_MAX];    /* "": address and call_port */
-	char control_listen[HL_ADDRESS_MAX]; /* "": address, control_port */
-	int64_t connect_ms;		     /* connect timeout */
-	int64_t spares;			     /* preconnected sockets per copy */
+	char call_listen[HL_ADDRESS_MAX];      /* "": address and call_port */
+	char control_listen[HL_ADDRESS_MAX];   /* "": address, control_port */
+	char directory_listen[HL_ADDRESS_MAX]; /* "": no look-ups answered */
+	int64_t connect_ms;		       /* connect timeout */
+	int64_t spares;	     /* preconnected sockets per copy */
 	double retry_ratio;  /* retries per call; used if retry_slack is set */
 	int64_t retry_slack; /* retries per service over all entries */
 	int64_t retry_window_s; /* sliding window of retry_ratio, retry_slack */
@@ -669,6 +670,7 @@
 	signals_t signals;
 	struct MHD_Daemon *call_daemon;
 	struct MHD_Daemon *control_daemon;
+	struct MHD_Daemon *directory_daemon; /* NULL without directory_listen */
 	volatile int stopping;
 	unsigned in_flight;
 } entry_t;
@@ -925,6 +927,10 @@
 void entry_announce_handle(const entry_control_request_t *in,
 			   entry_reply_t *reply);
 
+/** entry_directory_handle - GET /v1/directory: entries of this zone. */
+void entry_directory_handle(const entry_control_request_t *in,
+			    entry_reply_t *reply);
+
 /** entry_status_handle - GET /v1/status: state of this entry as JSON. */
 void entry_status_handle(const entry_control_request_t *in,
 			 entry_reply_t *reply);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -37,6 +37,10 @@
 	  false, NULL, 0, 0,
 	  "\"ip:port\" to listen on for health and metrics, instead of address "
 	  "and control_port" },
+	{ "entry", "directory_listen", SETTING_ADDRESS, FIELD(directory_listen),
+	  false, NULL, 0, 0,
+	  "\"ip:port\" to answer look-ups of entries on, with routed; if it is "
+	  "not set, only keepers answer them" },
 	{ "entry", "connect_ms", SETTING_INTEGER, FIELD(connect_ms), false,
 	  "1000", 10, 60000, "milliseconds until a connect to a copy fails" },
 	{ "entry", "spares", SETTING_INTEGER, FIELD(spares), false, "4", 0,
--- a/entry-target.c
+++ b/entry-target.c
@@ -255,6 +255,7 @@
 		.address = settings->address,
 		.keepers = &keepers,
 		.interval = settings->beat_ms * USEC_PER_MS,
+		.wants_peers = *settings->directory_listen != '\0',
 		.ready = target_is_ready,
 		.revision = entry_config_revision,
 		.on_newer_revision = target_on_newer_revision,
--- a/keeper-registry.c
+++ b/keeper-registry.c
@@ -144,6 +144,32 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
+/* Sends the peers of an entry unless it has the same list. */
+static void registry_on_peers_request(keeper_registry_t *registry,
+				      const presence_peers_request_t *request,
+				      const struct sockaddr_storage *from,
+				      socklen_t length, usec_t now)
+{
+	presence_t message = { .cluster = registry->cluster };
+	presence_peers_t *response = &message.body.presence_body_t_u.peers;
+	char *addresses[PRESENCE_PEERS_MAX];
+	presence_peers_list_t list;
+	unsigned i;
+
+	pthread_mutex_lock(&registry->lock);
+	presence_table_peers(registry->entries, request->id, request->zone, now,
+			     &list);
+	pthread_mutex_unlock(&registry->lock);
+	if (presence_peers_hash(&list) == request->hash)
+		return;
+	for (i = 0; i < list.count; i++)
+		addresses[i] = list.addresses[i];
+	message.body.kind = PRESENCE_PEERS;
+	response->addresses.addresses_len = list.count;
+	response->addresses.addresses_val = addresses;
+	registry_send(registry, &message, from, length);
+}
+
 static void registry_receive(keeper_registry_t *registry, usec_t now)
 {
 	struct sockaddr_storage from = { 0 };
@@ -163,6 +189,11 @@
 					registry,
 					&body->presence_body_t_u.entry, &from,
 					length, now);
+			else if (body->kind == PRESENCE_PEERS_REQUEST)
+				registry_on_peers_request(
+					registry,
+					&body->presence_body_t_u.peers_request,
+					&from, length, now);
 			else if (body->kind == PRESENCE_COPIES_SEEN)
 				registry_on_peer(
 					registry,
--- a/presence-client.c
+++ b/presence-client.c
@@ -20,6 +20,10 @@
 #define CLIENT_KEEPER_LOST_AGE (3 * USEC_PER_SEC)
 /* Interval of heartbeats to a keeper that does not respond. */
 #define CLIENT_RETRY_INTERVAL (150 * USEC_PER_MS)
+/* Time since its last response up to which a keeper is asked for peers. */
+#define CLIENT_PEERS_KEEPER_AGE (2200 * USEC_PER_MS)
+/* Time without a response of a keeper after which the peers are not known. */
+#define CLIENT_PEERS_MAX_AGE (5 * USEC_PER_SEC)
 /* Maximum number of keepers that get heartbeats: those of the settings and
  * those reported by keepers. */
 #define CLIENT_KEEPERS_MAX (2 * PRESENCE_KEEPERS_MAX)
@@ -53,7 +57,9 @@
 
 	/* Protected by the lock. */
 	pthread_mutex_t lock;
-	char leader[HL_ADDRESS_MAX];	 /* last one to report that it leads */
+	char leader[HL_ADDRESS_MAX]; /* last one to report that it leads */
+	presence_peers_list_t peers; /* as a keeper last reported them */
+	usec_t peers_confirmed; /* last response of the keeper asked for peers */
 	setting_list_t reported_keepers; /* last list from a keeper */
 };
 
@@ -199,6 +205,32 @@
 		client->options.on_newer_revision(client->options.context);
 }
 
+static void client_on_peers(presence_client_t *client,
+			    const presence_peers_t *response, usec_t now)
+{
+	presence_peers_list_t list = { 0 };
+	u_int i;
+
+	for (i = 0; i < response->addresses.addresses_len; i++)
+		snprintf(list.addresses[list.count++], HL_ADDRESS_MAX, "%s",
+			 response->addresses.addresses_val[i]);
+	pthread_mutex_lock(&client->lock);
+	client->peers = list;
+	client->peers_confirmed = now;
+	pthread_mutex_unlock(&client->lock);
+}
+
+static void client_on_message(presence_client_t *client,
+			      client_keeper_t *keeper,
+			      const presence_body_t *body, usec_t now)
+{
+	if (body->kind == PRESENCE_KEEPER_STATUS)
+		client_on_response(client, keeper,
+				   &body->presence_body_t_u.keeper_status, now);
+	else if (body->kind == PRESENCE_PEERS)
+		client_on_peers(client, &body->presence_body_t_u.peers, now);
+}
+
 static void client_receive(presence_client_t *client, usec_t now)
 {
 	struct sockaddr_storage from = { 0 };
@@ -214,12 +246,7 @@
 		keeper = client_find_keeper(client, &from);
 		if (keeper && presence_decode(bytes, (size_t)size,
 					      client->cluster, &message)) {
-			if (message.body.kind == PRESENCE_KEEPER_STATUS)
-				client_on_response(
-					client, keeper,
-					&message.body.presence_body_t_u
-						 .keeper_status,
-					now);
+			client_on_message(client, keeper, &message.body, now);
 			presence_clear(&message);
 		}
 		memset(&from, 0, sizeof(from));
@@ -255,6 +282,61 @@
 			  "keeper=%s errno=%d", keeper->address, errno);
 }
 
+/*
+ * Return the keeper to ask for peers: one that has responded lately. Entries
+ * start at different keepers, so that all are asked about equally often.
+ */
+static client_keeper_t *client_peers_keeper(presence_client_t *client,
+					    usec_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < client->count; i++) {
+		unsigned index = (unsigned)((client->id + i) % client->count);
+		client_keeper_t *keeper = &client->keepers[index];
+
+		if (keeper->has_identity &&
+		    now - keeper->last_seen <= CLIENT_PEERS_KEEPER_AGE)
+			return keeper;
+	}
+	return NULL;
+}
+
+static void client_request_peers(presence_client_t *client, usec_t now)
+{
+	client_keeper_t *keeper = client_peers_keeper(client, now);
+	presence_t message = { .cluster = client->cluster };
+	presence_peers_request_t *request =
+		&message.body.presence_body_t_u.peers_request;
+	char bytes[PRESENCE_BYTES_MAX];
+	size_t size;
+
+	if (!keeper || !client->options.wants_peers)
+		return;
+	message.body.kind = PRESENCE_PEERS_REQUEST;
+	request->id = client->id;
+	request->zone = client->zone;
+	pthread_mutex_lock(&client->lock);
+	request->hash = presence_peers_hash(&client->peers);
+	client->peers_confirmed = keeper->last_seen;
+	pthread_mutex_unlock(&client->lock);
+	size = presence_encode(&message, bytes);
+	if (size && sendto(client->socket, bytes, size, 0,
+			   (struct sockaddr *)&keeper->to, keeper->length) < 0)
+		log_event(LOG_LEVEL_DEBUG, "presence-not-sent",
+			  "keeper=%s errno=%d", keeper->address, errno);
+}
+
+void presence_client_peers(presence_client_t *client, usec_t now,
+			   presence_peers_list_t *out)
+{
+	pthread_mutex_lock(&client->lock);
+	*out = client->peers;
+	if (now - client->peers_confirmed > CLIENT_PEERS_MAX_AGE)
+		out->count = 0;
+	pthread_mutex_unlock(&client->lock);
+}
+
 /* True if a keeper has not responded to the last heartbeat, or lacks the
  * identity. */
 static bool client_needs_retry(const client_keeper_t *keeper)
@@ -320,9 +402,12 @@
 
 	if (now >= *due) {
 		client_send_all(client, false, now);
+		client_request_peers(client, now);
 		*due = now + client->options.interval;
 	} else if (now >= client->retry_at) {
 		client_send_all(client, true, now);
+		if (!client->peers.count)
+			client_request_peers(client, now);
 	} else {
 		next = client_any_needs_retry(client) ? client->retry_at : *due;
 		return next < *due ? next : *due;
--- a/presence-codec.c
+++ b/presence-codec.c
@@ -36,6 +36,17 @@
 	memset(message, 0, sizeof(*message));
 }
 
+uint64_t presence_peers_hash(const presence_peers_list_t *list)
+{
+	uint64_t hash = 0;
+	unsigned i;
+
+	for (i = 0; i < list->count; i++)
+		hash += hl_hash(list->addresses[i], strlen(list->addresses[i]),
+				0);
+	return hash;
+}
+
 uint64_t presence_keepers_hash(const setting_list_t *list)
 {
 	uint64_t hash = list->count;
--- a/presence-table.c
+++ b/presence-table.c
@@ -171,3 +171,47 @@
 		count = presence_collect(table, NULL, now, out, max);
 	return count;
 }
+
+static uint64_t presence_peer_rank(const presence_member_t *member, uint64_t id)
+{
+	return hl_hash(member->call_address, strlen(member->call_address), id);
+}
+
+/* A member with its rank for the entry that asks. */
+typedef struct {
+	uint64_t rank;
+	const presence_member_t *member;
+} presence_ranked_t;
+
+static int presence_compare_rank(const void *a, const void *b)
+{
+	const presence_ranked_t *x = a;
+	const presence_ranked_t *y = b;
+
+	return (x->rank > y->rank) - (x->rank < y->rank);
+}
+
+void presence_table_peers(const presence_table_t *table, uint64_t id,
+			  const char *zone, usec_t now,
+			  presence_peers_list_t *out)
+{
+	unsigned max = g_hash_table_size(table->members);
+	const presence_member_t **members = calloc(max + 1, sizeof(*members));
+	presence_ranked_t *ranked = calloc(max + 1, sizeof(*ranked));
+	unsigned count = 0;
+	unsigned i;
+
+	out->count = 0;
+	if (members && ranked)
+		count = presence_table_choose(table, zone, now, members, max);
+	for (i = 0; i < count; i++) {
+		ranked[i].rank = presence_peer_rank(members[i], id);
+		ranked[i].member = members[i];
+	}
+	qsort(ranked, count, sizeof(*ranked), presence_compare_rank);
+	for (i = 0; i < count && i < PRESENCE_PEERS_MAX; i++)
+		strcpy(out->addresses[out->count++],
+		       ranked[i].member->call_address);
+	free(members);
+	free(ranked);
+}
--- a/presence.h
+++ b/presence.h
@@ -15,6 +15,9 @@
  * report to one another which copies have announced themselves. All of this is
  * soft state: a later datagram makes up for a lost one.
  *
+ * An entry that answers look-ups asks one keeper for the entries that callers of
+ * its zone can use, its peers.
+ *
  * presence_table_*	the entries that a keeper has heartbeats of
  * presence_client_*	heartbeats of an entry to the keepers
  */
@@ -107,6 +110,28 @@
 			       usec_t now, const presence_member_t **out,
 			       unsigned max);
 
+/** struct presence_peers_list_t - call addresses of entries. */
+typedef struct {
+	unsigned count;
+	char addresses[PRESENCE_PEERS_MAX][HL_ADDRESS_MAX];
+} presence_peers_list_t;
+
+/** presence_peers_hash - hash a list of peers regardless of their order. */
+uint64_t presence_peers_hash(const presence_peers_list_t *list);
+
+/**
+ * presence_table_peers - choose the peers of an entry.
+ * @id: id of the entry
+ * @zone: zone of the entry
+ * @out: filled in
+ *
+ * As presence_table_choose(). If there are too many, each entry gets another
+ * part of them, so that all are named about equally often.
+ */
+void presence_table_peers(const presence_table_t *table, uint64_t id,
+			  const char *zone, usec_t now,
+			  presence_peers_list_t *out);
+
 /** struct presence_client_t - sends an entry's heartbeats to the keepers. */
 typedef struct presence_client presence_client_t;
 
@@ -124,6 +149,7 @@
 	const char *address;	       /* IP address to send from */
 	const setting_list_t *keepers; /* "ip:port" of some keepers */
 	usec_t interval;	       /* interval between heartbeats */
+	bool wants_peers;	       /* it answers look-ups */
 	bool (*ready)(void *context);  /* true if the entry takes calls */
 	uint64_t (*revision)(void *context); /* returns the one in force */
 	/* Called when a keeper reports a newer revision than revision(). */
@@ -160,6 +186,13 @@
 void presence_client_keepers(presence_client_t *client, setting_list_t *out,
 			     char leader[HL_ADDRESS_MAX]);
 
+/**
+ * presence_client_peers - copy the peers that a keeper last reported.
+ * @out: filled in; empty if no keeper has responded for a while
+ */
+void presence_client_peers(presence_client_t *client, usec_t now,
+			   presence_peers_list_t *out);
+
 /** presence_client_free - free a client whose thread has ended, or NULL. */
 void presence_client_free(presence_client_t *client);
 
--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -44,6 +44,7 @@
 	policy = "reports"
 	call_listen = "$NET.1$1:7080"
 	control_listen = "$NET.1$1:7081"
+	directory_listen = "$NET.1$1:7071"
 	connect_ms = 300
 	spares = 0
 	retry_ratio = 0.2
--- a/regress/test-presence.c
+++ b/regress/test-presence.c
@@ -1,5 +1,6 @@
 #include <fcntl.h>
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 #include "headers.h"
@@ -89,6 +90,58 @@
 	presence_table_free(table);
 }
 
+/* Number of entries of a zone, more than one list of peers has. */
+#define PEERS_ZONE_ENTRIES 90
+/* Bounds of the number of lists that name an entry; the mean is that of the
+ * addresses in a list. */
+#define PEERS_NAMED_MIN (PRESENCE_PEERS_MAX / 3)
+#define PEERS_NAMED_MAX (2 * PRESENCE_PEERS_MAX)
+
+/* In a large zone each entry gets a part of its peers, the same one each time,
+ * and all entries are named about equally often. */
+static void test_peers_of_large_zone(void)
+{
+	presence_table_t *table = presence_table_new();
+	unsigned named[PEERS_ZONE_ENTRIES + 1] = { 0 };
+	presence_peers_list_t list, again;
+	unsigned id, i;
+
+	for (id = 1; id <= PEERS_ZONE_ENTRIES; id++)
+		send_heartbeat(table, id, "a", true, true, 0, true);
+	for (id = 1; id <= PEERS_ZONE_ENTRIES; id++) {
+		presence_table_peers(table, id, "a", SECOND, &list);
+		presence_table_peers(table, id, "a", SECOND, &again);
+		g_assert_cmpuint(list.count, ==, PRESENCE_PEERS_MAX);
+		g_assert_cmpuint(presence_peers_hash(&list), ==,
+				 presence_peers_hash(&again));
+		for (i = 0; i < list.count; i++)
+			named[atoi(list.addresses[i] + strlen("10.0.0."))]++;
+	}
+	for (id = 1; id <= PEERS_ZONE_ENTRIES; id++) {
+		g_assert_cmpuint(named[id], >=, PEERS_NAMED_MIN);
+		g_assert_cmpuint(named[id], <=, PEERS_NAMED_MAX);
+	}
+	presence_table_free(table);
+}
+
+/* A datagram with a full list of peers is within the limit of its size. */
+static void test_peers_codec(void)
+{
+	char address[] = "255.255.255.255:65535";
+	char *addresses[PRESENCE_PEERS_MAX];
+	presence_t message = { .cluster = 7 };
+	presence_peers_t *peers = &message.body.presence_body_t_u.peers;
+	char bytes[PRESENCE_BYTES_MAX];
+	unsigned i;
+
+	message.body.kind = PRESENCE_PEERS;
+	for (i = 0; i < PRESENCE_PEERS_MAX; i++)
+		addresses[i] = address;
+	peers->addresses.addresses_len = PRESENCE_PEERS_MAX;
+	peers->addresses.addresses_val = addresses;
+	g_assert_cmpuint(presence_encode(&message, bytes), >, 0);
+}
+
 static void test_codec(void)
 {
 	presence_identity_t identity = { "e1", "a", "10.0.0.1:80" };
@@ -225,6 +278,9 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
+	g_test_add_func("/presence/peers-of-large-zone",
+			test_peers_of_large_zone);
+	g_test_add_func("/presence/peers-codec", test_peers_codec);
 	g_test_add_func("/presence/choose", test_choose);
 	g_test_add_func("/presence/codec", test_codec);
 	g_test_add_func("/presence/silence", test_silent_copies);
--- a/rpc/presence_rpc.h
+++ b/rpc/presence_rpc.h
@@ -17,6 +17,7 @@
 #include "config_rpc.h"
 #define PRESENCE_COPIES_SEEN_MAX 150
 #define PRESENCE_KEEPERS_MAX 7
+#define PRESENCE_PEERS_MAX 32
 
 typedef char *presence_address_t;
 
@@ -24,6 +25,8 @@
 	PRESENCE_ENTRY = 1,
 	PRESENCE_KEEPER_STATUS = 2,
 	PRESENCE_COPIES_SEEN = 3,
+	PRESENCE_PEERS_REQUEST = 4,
+	PRESENCE_PEERS = 5,
 };
 typedef enum presence_kind_t presence_kind_t;
 
@@ -67,12 +70,29 @@
 };
 typedef struct presence_copies_seen_t presence_copies_seen_t;
 
+struct presence_peers_request_t {
+	u_quad_t id;
+	config_name_t zone;
+	u_quad_t hash;
+};
+typedef struct presence_peers_request_t presence_peers_request_t;
+
+struct presence_peers_t {
+	struct {
+		u_int addresses_len;
+		presence_address_t *addresses_val;
+	} addresses;
+};
+typedef struct presence_peers_t presence_peers_t;
+
 struct presence_body_t {
 	presence_kind_t kind;
 	union {
 		presence_entry_t entry;
 		presence_keeper_status_t keeper_status;
 		presence_copies_seen_t copies_seen;
+		presence_peers_request_t peers_request;
+		presence_peers_t peers;
 	} presence_body_t_u;
 };
 typedef struct presence_body_t presence_body_t;
@@ -92,6 +112,8 @@
 extern  bool_t xdr_presence_entry_t (XDR *, presence_entry_t*);
 extern  bool_t xdr_presence_keeper_status_t (XDR *, presence_keeper_status_t*);
 extern  bool_t xdr_presence_copies_seen_t (XDR *, presence_copies_seen_t*);
+extern  bool_t xdr_presence_peers_request_t (XDR *, presence_peers_request_t*);
+extern  bool_t xdr_presence_peers_t (XDR *, presence_peers_t*);
 extern  bool_t xdr_presence_body_t (XDR *, presence_body_t*);
 extern  bool_t xdr_presence_t (XDR *, presence_t*);
 
@@ -102,6 +124,8 @@
 extern bool_t xdr_presence_entry_t ();
 extern bool_t xdr_presence_keeper_status_t ();
 extern bool_t xdr_presence_copies_seen_t ();
+extern bool_t xdr_presence_peers_request_t ();
+extern bool_t xdr_presence_peers_t ();
 extern bool_t xdr_presence_body_t ();
 extern bool_t xdr_presence_t ();
 
--- a/rpc/presence_rpc.x
+++ b/rpc/presence_rpc.x
@@ -7,13 +7,16 @@
 
 const PRESENCE_COPIES_SEEN_MAX = 150;
 const PRESENCE_KEEPERS_MAX = 7;
+const PRESENCE_PEERS_MAX = 32;
 
 typedef string presence_address_t<63>;
 
 enum presence_kind_t {
 	PRESENCE_ENTRY = 1,		/* entry to keeper: heartbeat */
 	PRESENCE_KEEPER_STATUS = 2,	/* keeper to entry */
-	PRESENCE_COPIES_SEEN = 3	/* keeper to keeper: copies seen */
+	PRESENCE_COPIES_SEEN = 3,	/* keeper to keeper: copies seen */
+	PRESENCE_PEERS_REQUEST = 4,	/* entry to keeper */
+	PRESENCE_PEERS = 5		/* keeper to entry, if its list differs */
 };
 
 /* The identity of an entry, which heartbeats omit once the keeper has it. */
@@ -47,6 +50,19 @@
 	unsigned hyper ids<PRESENCE_COPIES_SEEN_MAX>;
 };
 
+/* An entry asks for the ready entries that callers of its zone can use. */
+struct presence_peers_request_t {
+	unsigned hyper id;		/* as in presence_entry_t */
+	config_name_t zone;
+	unsigned hyper hash;		/* hash of the list that the entry has */
+};
+
+/* Call addresses of ready entries: all that callers of the zone would get from
+   the keeper, or some of them if there are more than fit. */
+struct presence_peers_t {
+	presence_address_t addresses<PRESENCE_PEERS_MAX>;
+};
+
 union presence_body_t switch (presence_kind_t kind) {
 case PRESENCE_ENTRY:
 	presence_entry_t entry;
@@ -54,6 +70,10 @@
 	presence_keeper_status_t keeper_status;
 case PRESENCE_COPIES_SEEN:
 	presence_copies_seen_t copies_seen;
+case PRESENCE_PEERS_REQUEST:
+	presence_peers_request_t peers_request;
+case PRESENCE_PEERS:
+	presence_peers_t peers;
 };
 
 struct presence_t {
--- a/rpc/presence_rpc_xdr.c
+++ b/rpc/presence_rpc_xdr.c
@@ -140,6 +140,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_presence_peers_request_t (XDR *xdrs, presence_peers_request_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->hash))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_presence_peers_t (XDR *xdrs, presence_peers_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->addresses.addresses_val, (u_int *) &objp->addresses.addresses_len, PRESENCE_PEERS_MAX,
+		sizeof (presence_address_t), (xdrproc_t) xdr_presence_address_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_presence_body_t (XDR *xdrs, presence_body_t *objp)
 {
@@ -160,6 +185,14 @@
 		 if (!xdr_presence_copies_seen_t (xdrs, &objp->presence_body_t_u.copies_seen))
 			 return FALSE;
 		break;
+	case PRESENCE_PEERS_REQUEST:
+		 if (!xdr_presence_peers_request_t (xdrs, &objp->presence_body_t_u.peers_request))
+			 return FALSE;
+		break;
+	case PRESENCE_PEERS:
+		 if (!xdr_presence_peers_t (xdrs, &objp->presence_body_t_u.peers))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
