Read a probe's status before its handle is given back

Change: the query ends first.

Test: test-entry-prober.c, 64 probes at once; the program replaces curl_easy_cleanup() and curl_easy_getinfo() to notice a freed handle. Also the state of a copy that responds late, and of another copy at the address.

--- a/entry-prober.c
+++ b/entry-prober.c
@@ -259,9 +259,9 @@
 			  bool complete)
 {
 	curl_multi_remove_handle(prober->multi, query->easy);
-	prober_put_handle(prober, query->easy);
 	cds_list_del(&query->link);
 	query_end(query, complete);
+	prober_put_handle(prober, query->easy);
 	free(query);
 }
 
--- /dev/null
+++ b/regress/test-entry-prober.c
@@ -0,0 +1,274 @@
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <dlfcn.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include "entry-prober.h"
+
+/*
+ * The prober with more queries at once than it keeps handles for, and what it
+ * reports of copies that leave or rest. Guards against a handle that is used
+ * after it has been freed, and against the state of a copy that is lost because
+ * its worker no longer waits, or taken from another copy at the address.
+ */
+
+#define WORKERS 16
+#define ROUNDS 4
+#define COPY "c-1"
+/* Time for which the server holds a response, so that queries overlap. */
+#define SERVER_DELAY_USEC (60 * USEC_PER_MS)
+
+/* Handles that have been freed. libcurl is not built with a sanitizer, so a use
+ * of a freed handle is detected here: the two functions below replace those of
+ * libcurl in this program. */
+#define FREED_MAX 1024
+static CURL *freed[FREED_MAX];
+static unsigned freed_count;
+static GMutex freed_lock;
+
+static bool handle_is_freed(CURL *easy)
+{
+	bool found = false;
+	unsigned i;
+
+	g_mutex_lock(&freed_lock);
+	for (i = 0; i < freed_count; i++)
+		found = found || freed[i] == easy;
+	g_mutex_unlock(&freed_lock);
+	return found;
+}
+
+/* The handle is kept, so that its address is not used again. */
+void curl_easy_cleanup(CURL *easy)
+{
+	curl_easy_reset(easy);
+	g_mutex_lock(&freed_lock);
+	if (freed_count < FREED_MAX)
+		freed[freed_count++] = easy;
+	g_mutex_unlock(&freed_lock);
+}
+
+#undef curl_easy_getinfo
+CURLcode curl_easy_getinfo(CURL *easy, CURLINFO info, ...)
+{
+	static CURLcode (*real)(CURL *, CURLINFO, void *);
+	void *out;
+	va_list ap;
+
+	if (!real)
+		real = (CURLcode(*)(CURL *, CURLINFO,
+				    void *))dlsym(RTLD_NEXT,
+						  "curl_easy_getinfo");
+	g_assert_false(handle_is_freed(easy));
+	va_start(ap, info);
+	out = va_arg(ap, void *);
+	va_end(ap);
+	return real(easy, info, out);
+}
+
+static const headers_t *headers;
+static char server_address[HL_ADDRESS_MAX];
+static gint reports_leaving, reports_resting;
+
+static enum MHD_Result server_respond(
+	void *context G_GNUC_UNUSED, struct MHD_Connection *connection,
+	const char *url, const char *method G_GNUC_UNUSED,
+	const char *version G_GNUC_UNUSED, const char *bytes G_GNUC_UNUSED,
+	size_t *size G_GNUC_UNUSED, void **state G_GNUC_UNUSED)
+{
+	bool rests = strstr(url, "/rests") != NULL;
+	struct MHD_Response *response;
+	enum MHD_Result result;
+
+	g_usleep(SERVER_DELAY_USEC);
+	response = MHD_create_response_from_buffer(0, "",
+						   MHD_RESPMEM_PERSISTENT);
+	MHD_add_response_header(response, headers->load, "0,0,3,100");
+	MHD_add_response_header(response, headers->responding_copy,
+				strstr(url, "/other") ? "c-2" : COPY);
+	if (strstr(url, "/leaves"))
+		MHD_add_response_header(response, headers->leaving, "1");
+	if (rests)
+		MHD_add_response_header(response, "Retry-After", "1.5");
+	result = MHD_queue_response(connection, rests ? 503 : 200, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static struct MHD_Daemon *server_start(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	const union MHD_DaemonInfo *info;
+	struct MHD_Daemon *daemon;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	daemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION |
+					  MHD_USE_INTERNAL_POLLING_THREAD,
+				  0, NULL, NULL, server_respond, NULL,
+				  MHD_OPTION_SOCK_ADDR, &address,
+				  MHD_OPTION_END);
+	g_assert_nonnull(daemon);
+	info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT);
+	g_snprintf(server_address, sizeof(server_address), "127.0.0.1:%u",
+		   info->port);
+	return daemon;
+}
+
+static void on_state(const entry_probe_t *probe)
+{
+	g_assert_cmpstr(probe->copy, ==, COPY);
+	g_atomic_int_add(&reports_leaving, probe->leaves);
+	g_atomic_int_add(&reports_resting, probe->rests);
+	if (probe->rests)
+		g_assert_cmpint(probe->rest, ==, 1500 * USEC_PER_MS);
+}
+
+static bool satisfies(const load_t *load G_GNUC_UNUSED)
+{
+	return false;
+}
+
+/* Probes the copy ENTRY_PROBES_MAX times at once; returns how many responded in
+ * time with its load. */
+static unsigned query(entry_prober_t *prober, const char *path, usec_t max)
+{
+	const entry_probe_wait_t wait = { max, max };
+	entry_probe_t probes[ENTRY_PROBES_MAX] = { 0 };
+	unsigned answered = 0;
+	unsigned i;
+
+	for (i = 0; i < ENTRY_PROBES_MAX; i++) {
+		g_strlcpy(probes[i].address, server_address,
+			  sizeof(probes[i].address));
+		g_strlcpy(probes[i].copy, COPY, sizeof(probes[i].copy));
+	}
+	entry_prober_query(prober, path, probes, ENTRY_PROBES_MAX, &wait,
+			   satisfies);
+	for (i = 0; i < ENTRY_PROBES_MAX; i++)
+		answered += probes[i].state == ENTRY_PROBE_ANSWERED;
+	return answered;
+}
+
+static gpointer worker(gpointer context)
+{
+	unsigned round;
+
+	for (round = 0; round < ROUNDS; round++)
+		query(context, "/leaves", 2 * USEC_PER_SEC);
+	return NULL;
+}
+
+/* A prober and the thread that runs it. */
+typedef struct {
+	entry_prober_t *prober;
+	metrics_t *metrics;
+	volatile int stop;
+	GThread *thread;
+} fixture_t;
+
+static gpointer run_prober(gpointer context)
+{
+	fixture_t *fixture = context;
+	supervisor_child_t child = entry_prober_child(fixture->prober);
+
+	child.run(child.context, &fixture->stop);
+	return NULL;
+}
+
+static void fixture_start(fixture_t *fixture)
+{
+	hl_error_t err = { 0 };
+
+	fixture->stop = 0;
+	fixture->metrics = metrics_new();
+	fixture->prober = entry_prober_new(headers, on_state, fixture->metrics,
+					   &err);
+	g_assert_nonnull(fixture->prober);
+	fixture->thread = g_thread_new("prober", run_prober, fixture);
+	g_atomic_int_set(&reports_leaving, 0);
+	g_atomic_int_set(&reports_resting, 0);
+}
+
+static void fixture_stop(fixture_t *fixture)
+{
+	supervisor_child_t child = entry_prober_child(fixture->prober);
+
+	__atomic_store_n(&fixture->stop, 1, __ATOMIC_RELEASE);
+	child.wake(child.context);
+	g_thread_join(fixture->thread);
+	entry_prober_free(fixture->prober);
+	metrics_free(fixture->metrics);
+}
+
+/* All queries end, with the state of the copy, also if there are many. */
+static void test_many_queries(void)
+{
+	GThread *threads[WORKERS];
+	fixture_t fixture;
+	unsigned i;
+
+	fixture_start(&fixture);
+	for (i = 0; i < WORKERS; i++)
+		threads[i] = g_thread_new("worker", worker, fixture.prober);
+	for (i = 0; i < WORKERS; i++)
+		g_thread_join(threads[i]);
+	g_assert_cmpint(g_atomic_int_get(&reports_leaving), ==,
+			WORKERS * ROUNDS * ENTRY_PROBES_MAX);
+	fixture_stop(&fixture);
+}
+
+static void test_state(void)
+{
+	fixture_t fixture;
+
+	fixture_start(&fixture);
+	g_assert_cmpuint(query(fixture.prober, "/plain", USEC_PER_SEC), ==,
+			 ENTRY_PROBES_MAX);
+	g_assert_cmpint(g_atomic_int_get(&reports_leaving), ==, 0);
+	g_assert_cmpuint(query(fixture.prober, "/rests", USEC_PER_SEC), ==,
+			 ENTRY_PROBES_MAX);
+	g_assert_cmpint(g_atomic_int_get(&reports_resting), ==,
+			ENTRY_PROBES_MAX);
+	/* Another copy at the address reports nothing of this one. */
+	g_assert_cmpuint(query(fixture.prober, "/leaves/other", USEC_PER_SEC),
+			 ==, 0);
+	g_assert_cmpint(g_atomic_int_get(&reports_leaving), ==, 0);
+	fixture_stop(&fixture);
+}
+
+/* The state is reported although the worker waits no longer. */
+static void test_late_response(void)
+{
+	fixture_t fixture;
+	int polls = 0;
+
+	fixture_start(&fixture);
+	g_assert_cmpuint(query(fixture.prober, "/leaves", USEC_PER_MS), ==, 0);
+	while (g_atomic_int_get(&reports_leaving) < ENTRY_PROBES_MAX &&
+	       polls++ < 300)
+		g_usleep(10 * USEC_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(&reports_leaving), ==,
+			ENTRY_PROBES_MAX);
+	fixture_stop(&fixture);
+}
+
+int main(int argc, char **argv)
+{
+	struct MHD_Daemon *server;
+	int rc;
+
+	g_test_init(&argc, &argv, NULL);
+	signals_block();
+	curl_global_init(CURL_GLOBAL_ALL);
+	headers = headers_find("platform");
+	server = server_start();
+	g_test_add_func("/entry-prober/many-queries", test_many_queries);
+	g_test_add_func("/entry-prober/state", test_state);
+	g_test_add_func("/entry-prober/late-response", test_late_response);
+	rc = g_test_run();
+	MHD_stop_daemon(server);
+	return rc;
+}
