Read a large body although its answer has begun

Cause: a copy may answer before it has the body. If its answer was being streamed when the entry decided to read the body, libmicrohttpd sent the answer and read no body, so the copy waited for the rest until the deadline. Found by reading the states of http_proceed(); the window is the time between the first bytes that the copy takes and its answer.

--- a/entry-http.c
+++ b/entry-http.c
@@ -133,18 +133,19 @@
 }
 
 /*
- * Sends the response if there is one; else reads the body if that is still to be
- * read and the copy takes it; else suspends the connection.
+ * Sends the response if there is one, or suspends the connection. Before the
+ * body is read, a response that has not ended waits: libmicrohttpd would not
+ * read the body after it, which the copy still takes.
  */
 static enum MHD_Result http_proceed(entry_request_t *req)
 {
+	bool before_body = req->stage == ENTRY_STAGE_DECISION;
 	bool respond;
 	bool read_body;
 
 	pthread_mutex_lock(&req->lock);
-	respond = req->response.published;
-	read_body = !respond && req->stage == ENTRY_STAGE_DECISION &&
-		    req->body_wanted;
+	respond = before_body ? req->response.ended : req->response.published;
+	read_body = before_body && !respond && req->body_wanted;
 	if (!respond && !read_body)
 		http_suspend(req);
 	pthread_mutex_unlock(&req->lock);
