End the calls in flight before the call server stops

Cause: an entry whose calls outlast entry.stop_ms ended with signal 6. libmicrohttpd aborts the process when it is stopped while a connection is suspended, and each call that waits for a copy is. All of its callers were cut without an answer, and the keepers' view of the entry ended with it. Found when routed-stop.script was run with a short time to stop to see that it fails (exit status 134, 12 calls closed).

Change: after stop_ms the calls in flight are cancelled, which ends their sends and tells each caller whether it may have run; after 200 ms more the connections that are left are closed rather than suspended again.

Tests: routed-stop.script: callers that go on until an answer says that the connection closes lose none; calls that outlast the time to stop get an answer, and the exit status is 0. routed-twice.script: a second answer of a copy that comes 30 ms late reaches no caller; with the check of the call's id taken out 27 of 40 callers get another one's answer. Both also with the thread and address sanitizers.

--- a/entry-http.c
+++ b/entry-http.c
@@ -19,6 +19,8 @@
 #define HTTP_HEADER_BYTES (32u * 1024) /* memory of one connection */
 /* Interval between checks for calls in flight during a shutdown. */
 #define HTTP_STOP_PERIOD (5 * USEC_PER_MS)
+/* Time for the responses of calls that are ended at a stop. */
+#define HTTP_STOP_CANCEL_TIME (200 * USEC_PER_MS)
 
 static void *http_first_line(void *context, const char *uri,
 			     struct MHD_Connection *connection)
@@ -44,35 +46,41 @@
 	return info ? info->connect_fd : -1;
 }
 
-/* Suspends the connection of the caller until entry_request_wake(). The caller
-   of the function holds req->lock. */
-static void http_suspend(entry_request_t *req)
+/* Suspends the connection of the caller until entry_request_wake(). Returns
+   MHD_NO if the connection is to be closed instead, as the entry stops. The
+   caller of the function holds req->lock. */
+static enum MHD_Result http_suspend(entry_request_t *req)
 {
+	if (__atomic_load_n(&req->entry->cut_calls, __ATOMIC_ACQUIRE))
+		return MHD_NO;
 	req->suspended = true;
 	MHD_suspend_connection(req->connection);
+	return MHD_YES;
 }
 
-/* Buffers the next bytes of the body; false, with the connection suspended, if
-   the buffer is full. */
-static bool http_take_body(entry_request_t *req, const char *bytes, size_t size)
+/* Buffers the next bytes of the body. If the buffer is full it suspends the
+   connection, with *@taken false; the result is for libmicrohttpd. */
+static enum MHD_Result http_take_body(entry_request_t *req, const char *bytes,
+				      size_t size, bool *taken)
 {
-	bool taken = true;
+	enum MHD_Result result = MHD_YES;
 
+	*taken = true;
 	pthread_mutex_lock(&req->lock);
 	if (req->cancelled || req->response.ended) {
 		; /* the body is not needed any more: discard it */
 	} else if (req->body_streamed &&
 		   entry_buffer_length(&req->body) > ENTRY_BODY_BUFFER_BYTES) {
-		http_suspend(req);
-		taken = false;
+		result = http_suspend(req);
+		*taken = false;
 	} else if (entry_buffer_add(&req->body, bytes, size)) {
 		req->cancelled = true;
 	}
-	if (taken)
+	if (*taken)
 		req->body_received += size;
 	entry_request_wake_sender(req);
 	pthread_mutex_unlock(&req->lock);
-	return taken;
+	return result;
 }
 
 static void http_dispatch(entry_request_t *req)
@@ -117,8 +125,12 @@
 static enum MHD_Result http_body(entry_request_t *req, const char *bytes,
 				 size_t *size)
 {
-	if (!http_take_body(req, bytes, *size))
-		return MHD_YES;
+	enum MHD_Result result;
+	bool taken;
+
+	result = http_take_body(req, bytes, *size, &taken);
+	if (!taken)
+		return result;
 	*size = 0;
 	/* A chunked body shows its size only while it is read. libmicrohttpd
 	   sends no response before its end, so the connection is closed. */
@@ -140,6 +152,7 @@
 static enum MHD_Result http_proceed(entry_request_t *req)
 {
 	bool before_body = req->stage == ENTRY_STAGE_DECISION;
+	enum MHD_Result result = MHD_YES;
 	bool respond;
 	bool read_body;
 
@@ -147,12 +160,12 @@
 	respond = before_body ? req->response.ended : req->response.published;
 	read_body = before_body && !respond && req->body_wanted;
 	if (!respond && !read_body)
-		http_suspend(req);
+		result = http_suspend(req);
 	pthread_mutex_unlock(&req->lock);
 	if (read_body)
 		req->stage = ENTRY_STAGE_BODY;
 	if (!respond)
-		return MHD_YES;
+		return result;
 	req->stage = ENTRY_STAGE_RESPONSE;
 	return entry_respond_queue(req);
 }
@@ -316,9 +329,38 @@
 	return 0;
 }
 
-void entry_http_stop(entry_t *entry)
+/* Waits until no call is in flight, at most until @until; true if none is. */
+static bool http_wait_idle(const entry_t *entry, usec_t until)
 {
 	const struct timespec period = { 0, HTTP_STOP_PERIOD * 1000 };
+
+	while (__atomic_load_n(&entry->in_flight, __ATOMIC_ACQUIRE)) {
+		if (time_now() >= until)
+			return false;
+		nanosleep(&period, NULL);
+	}
+	return true;
+}
+
+/*
+ * Ends the calls that are still in flight: with a response if that takes a short
+ * time, else by closing their connections. libmicrohttpd aborts the process if
+ * it is stopped while a connection is suspended.
+ */
+static void http_end_calls(entry_t *entry)
+{
+	log_event(LOG_LEVEL_WARNING, "calls-cut", "in_flight=%u",
+		  __atomic_load_n(&entry->in_flight, __ATOMIC_ACQUIRE));
+	entry_watch_cancel_all(entry->watch);
+	if (http_wait_idle(entry, time_now() + HTTP_STOP_CANCEL_TIME))
+		return;
+	__atomic_store_n(&entry->cut_calls, true, __ATOMIC_RELEASE);
+	entry_watch_cancel_all(entry->watch);
+	http_wait_idle(entry, time_now() + HTTP_STOP_CANCEL_TIME);
+}
+
+void entry_http_stop(entry_t *entry)
+{
 	usec_t until = time_now() + entry->settings.stop_ms * USEC_PER_MS;
 	MHD_socket fd;
 
@@ -327,12 +369,8 @@
 	fd = MHD_quiesce_daemon(entry->call_daemon);
 	if (fd >= 0)
 		close(fd);
-	while (__atomic_load_n(&entry->in_flight, __ATOMIC_ACQUIRE) &&
-	       time_now() < until)
-		nanosleep(&period, NULL);
-	if (entry->in_flight)
-		log_event(LOG_LEVEL_WARNING, "calls-cut", "in_flight=%u",
-			  entry->in_flight);
+	if (!http_wait_idle(entry, until))
+		http_end_calls(entry);
 	MHD_stop_daemon(entry->call_daemon);
 	entry->call_daemon = NULL;
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -633,6 +633,13 @@
 /** entry_watch_remove - end the watch of a request; no-op if not watched. */
 void entry_watch_remove(entry_watch_t *watch, entry_request_t *req, int fd);
 
+/**
+ * entry_watch_cancel_all - cancel all requests in flight.
+ *
+ * Their sends end, and each gets a response that says whether it may have run.
+ */
+void entry_watch_cancel_all(entry_watch_t *watch);
+
 /** entry_watch_free - close the watch; NULL is allowed. */
 void entry_watch_free(entry_watch_t *watch);
 
@@ -669,6 +676,7 @@
 	const char *settings_path;
 	signals_t signals;
 	struct MHD_Daemon *call_daemon;
+	bool cut_calls; /* calls in flight are cut; accessed atomically */
 	struct MHD_Daemon *control_daemon;
 	struct MHD_Daemon *directory_daemon; /* NULL without directory_listen */
 	volatile int stopping;
@@ -863,7 +871,7 @@
 /**
  * entry_http_stop - stop listening and close all connections.
  *
- * Waits up to the setting entry.stop_ms for calls in flight.
+ * Waits up to the setting entry.stop_ms for calls in flight, then ends them.
  */
 void entry_http_stop(entry_t *entry);
 
--- a/entry-respond.c
+++ b/entry-respond.c
@@ -45,6 +45,9 @@
 		result = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else if (response->ended) {
 		result = MHD_CONTENT_READER_END_OF_STREAM;
+	} else if (__atomic_load_n(&req->entry->cut_calls, __ATOMIC_ACQUIRE)) {
+		respond_reset(req);
+		result = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else {
 		req->suspended = true;
 		MHD_suspend_connection(req->connection);
--- a/entry-watch.c
+++ b/entry-watch.c
@@ -124,6 +124,40 @@
 	req->watch_id = 0;
 }
 
+/* Returns the watched requests, with a reference to each. */
+static GPtrArray *watch_requests(entry_watch_t *watch)
+{
+	GPtrArray *requests = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	pthread_mutex_lock(&watch->lock);
+	g_hash_table_iter_init(&iter, watch->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		entry_request_ref(value);
+		g_ptr_array_add(requests, value);
+	}
+	pthread_mutex_unlock(&watch->lock);
+	return requests;
+}
+
+void entry_watch_cancel_all(entry_watch_t *watch)
+{
+	GPtrArray *requests = watch_requests(watch);
+	guint i;
+
+	for (i = 0; i < requests->len; i++) {
+		entry_request_t *req = requests->pdata[i];
+
+		entry_request_cancel(req);
+		pthread_mutex_lock(&req->lock);
+		entry_request_wake(req);
+		pthread_mutex_unlock(&req->lock);
+		entry_request_unref(req);
+	}
+	g_ptr_array_free(requests, TRUE);
+}
+
 void entry_watch_free(entry_watch_t *watch)
 {
 	if (!watch)
--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -51,7 +51,7 @@
 	retry_slack = 60
 	beat_ms = 200
 	linger_ms = ${LINGER_MS:-300}
-	stop_ms = 5000
+	stop_ms = ${STOP_MS:-5000}
 	[config]
 	keepers = [$SEEDS]
 	keeper_port = 7090
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -9,6 +9,7 @@
  *	/early			responds before it reads the body
  *	/early-stop		responds and does not read the body
  *	/early-full		refuses the call and does not read the body
+ *	/twice			sends its response again, 30 ms later
  *	/leaving		responds that the copy leaves
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
  *	/endless-head		header lines without end
@@ -34,6 +35,7 @@
 #define BLOCK_BYTES 65536
 #define SLOW_PIECE_BYTES 16384
 #define SLOW_PAUSE_USEC 20000
+#define TWICE_PAUSE_USEC 30000
 #define RECORD_BYTES_MAX (1024 * 1024)
 /* Parameters of the 64-bit FNV-1a hash. */
 #define FNV_BASIS 0xcbf29ce484222325ULL
@@ -378,7 +380,12 @@
 	g_snprintf(text, sizeof(text),
 		   "bytes=%" PRIu64 " hash=%016" PRIx64 "\n", conn->body_bytes,
 		   conn->body_hash);
-	return send_response(conn, "200 OK", "", text);
+	if (!send_response(conn, "200 OK", "", text))
+		return false;
+	if (!strstr(conn->path, "/twice"))
+		return true;
+	g_usleep(TWICE_PAUSE_USEC);
+	return send_response(conn, "200 OK", "", "a late response\n");
 }
 
 static void *connection_main(void *context)
