Satisfy the linter in the peers of a zone and in cut responses

Cause: clang-tidy found two branches alike in respond_read(), the size of a pointer in an allocation and a sort without memory.

--- a/entry-respond.c
+++ b/entry-respond.c
@@ -31,23 +31,24 @@
 {
 	entry_request_t *req = context;
 	entry_response_t *response = &req->response;
+	bool cut;
 	size_t length;
 	ssize_t result = 0;
 
 	(void)offset;
 	pthread_mutex_lock(&req->lock);
+	cut = response->ended ?
+		      response->truncated :
+		      __atomic_load_n(&req->entry->cut_calls, __ATOMIC_ACQUIRE);
 	length = entry_buffer_take(&response->body, out, max);
 	if (length) {
 		pthread_cond_broadcast(&req->changed);
 		result = (ssize_t)length;
-	} else if (response->ended && response->truncated) {
+	} else if (cut) {
 		respond_reset(req);
 		result = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else if (response->ended) {
 		result = MHD_CONTENT_READER_END_OF_STREAM;
-	} else if (__atomic_load_n(&req->entry->cut_calls, __ATOMIC_ACQUIRE)) {
-		respond_reset(req);
-		result = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else {
 		req->suspended = true;
 		MHD_suspend_connection(req->connection);
--- a/presence-table.c
+++ b/presence-table.c
@@ -196,14 +196,16 @@
 			  presence_peers_list_t *out)
 {
 	unsigned max = g_hash_table_size(table->members);
-	const presence_member_t **members = calloc(max + 1, sizeof(*members));
+	const presence_member_t **members =
+		calloc(max + 1, sizeof(const presence_member_t *));
 	presence_ranked_t *ranked = calloc(max + 1, sizeof(*ranked));
-	unsigned count = 0;
+	unsigned count;
 	unsigned i;
 
 	out->count = 0;
-	if (members && ranked)
-		count = presence_table_choose(table, zone, now, members, max);
+	if (!members || !ranked)
+		goto out;
+	count = presence_table_choose(table, zone, now, members, max);
 	for (i = 0; i < count; i++) {
 		ranked[i].rank = presence_peer_rank(members[i], id);
 		ranked[i].member = members[i];
@@ -212,6 +214,7 @@
 	for (i = 0; i < count && i < PRESENCE_PEERS_MAX; i++)
 		strcpy(out->addresses[out->count++],
 		       ranked[i].member->call_address);
+out:
 	free(members);
 	free(ranked);
 }
