--- a/entry-baseline.c
+++ b/entry-baseline.c
@@ -7,8 +7,6 @@
  * Every entry sends to every copy, without ownership or shared credits.
  */
 
-#define HTTP_UNAVAILABLE 503
-
 /* Updates a copy from its announcement. Without ownership no entry knows the
    number of free slots, so the limit of the copy is its number of
    connections. */
--- a/entry-claim-response.c
+++ b/entry-claim-response.c
@@ -12,7 +12,6 @@
 
 #define RESPONSE_MEMBERS_MAX 256
 #define RESPONSE_TARGET_SIZE 96
-#define HTTP_CONFLICT 409
 
 /* A stored response. */
 typedef struct {
--- a/entry-claim.c
+++ b/entry-claim.c
@@ -12,9 +12,6 @@
    which it is given up. */
 #define CLAIM_SETTLE_INTERVAL (100 * USEC_PER_MS)
 #define CLAIM_SETTLE_TIMEOUT (30 * USEC_PER_SEC)
-#define HTTP_CONFLICT 409
-#define HTTP_UNPROCESSABLE 422
-#define HTTP_UNAVAILABLE 503
 
 void entry_claims_send(entry_claims_t *claims, peer_kind_t kind,
 		       const claim_record_t *record, const char *replica,
--- a/entry-head.c
+++ b/entry-head.c
@@ -14,11 +14,6 @@
 #define HEAD_DEADLINE_MAX_MS 600000
 /* Time from arrival to deadline of a call that waits for the first routes. */
 #define HEAD_PENDING_TIMEOUT (2 * USEC_PER_SEC)
-#define HTTP_BAD_REQUEST 400
-#define HTTP_FORBIDDEN 403
-#define HTTP_NOT_FOUND 404
-#define HTTP_CONTENT_TOO_LARGE 413
-#define HTTP_UNAVAILABLE 503
 
 /* State of the iteration over the headers of a request. */
 typedef struct {
--- a/entry-io.h
+++ b/entry-io.h
@@ -10,6 +10,7 @@
 #include "entry-rules.h"
 #include "entry.h"
 #include "headers.h"
+#include "http-status.h"
 #include "member.h"
 #include "metrics.h"
 #include "owner.h"
--- a/entry-pending.c
+++ b/entry-pending.c
@@ -15,7 +15,6 @@
 #define PENDING_CALLS_MAX 1024u
 /* Wait that the Retry-After header of a refused call suggests. */
 #define PENDING_RETRY_AFTER (300 * USEC_PER_MS)
-#define HTTP_UNAVAILABLE 503
 
 struct entry_pending {
 	pthread_mutex_t lock;
--- a/entry-prober.c
+++ b/entry-prober.c
@@ -5,6 +5,7 @@
 #include <urcu/list.h>
 #include "entry-prober.h"
 #include "entry.h"
+#include "http-status.h"
 
 /* Timeout of a query. */
 #define PROBER_TIMEOUT_MS 400L
@@ -15,7 +16,6 @@
 #define PROBER_IDLE_MAX 16
 /* Maximum size of a response, headers included. */
 #define PROBER_RESPONSE_BYTES_MAX (16 * 1024)
-#define HTTP_UNAVAILABLE 503
 /* Poll timeout of the thread. */
 #define PROBER_IDLE_MS 60000
 
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -11,9 +11,6 @@
 #define RELAY_EARLY_RESPONSE_TIMEOUT (300 * USEC_PER_MS)
 #define RELAY_HEADER_MAX (2 * HL_NAME_MAX) /* bytes */
 #define RELAY_HOP_MAX (sizeof("Hemlock-Hop: ") + KEYS_HOP_MAX)
-#define HTTP_CONFLICT 409
-#define HTTP_BAD_GATEWAY 502
-#define HTTP_GATEWAY_TIMEOUT 504
 
 static void relay_set_body(entry_transfer_t *transfer)
 {
--- a/entry-request.c
+++ b/entry-request.c
@@ -10,10 +10,6 @@
  */
 
 #define REQUEST_BODY_MAX 160 /* bytes of a response made by this entry */
-#define HTTP_CLIENT_CLOSED_REQUEST 499
-#define HTTP_BAD_GATEWAY 502
-#define HTTP_UNAVAILABLE 503
-#define HTTP_GATEWAY_TIMEOUT 504
 
 static void request_headers_free(entry_response_t *response)
 {
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -10,7 +10,6 @@
  * the response, and preconnected sockets.
  */
 
-#define HTTP_TOO_MANY_REQUESTS 429
 /* entry_conn_t.preconnected_fd after libcurl has taken the socket. */
 #define PRECONNECTED_TAKEN (-2)
 
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -8,9 +8,6 @@
  * call and store the response in the request.
  */
 
-#define HTTP_MISDIRECTED_REQUEST 421
-#define HTTP_UNAVAILABLE 503
-
 /** struct entry_transfer_t - one send of a request over one connection. */
 typedef struct {
 	entry_request_t *req;
