Split the settings and the control server out of entry-io.h

Cause: entry-io.h had grown to 33 kB; each module of the entry included the settings' layout and the control server's interface with it. Change: entry-settings.h and entry-control.h; the handlers' modules include the latter.

--- a/entry-announce.c
+++ b/entry-announce.c
@@ -2,7 +2,7 @@
 #include <sys/socket.h>
 #include <stdio.h>
 #include <string.h>
-#include "entry-io.h"
+#include "entry-control.h"
 
 /*
  * POST /v1/announce: checks the announcement of a copy and passes it to the
--- a/entry-baseline.c
+++ b/entry-baseline.c
@@ -1,6 +1,6 @@
 #include <jansson.h>
 #include <string.h>
-#include "entry-io.h"
+#include "entry-control.h"
 
 /*
  * Announcements under the policies that serve as baselines for comparison.
--- a/entry-claim-response.c
+++ b/entry-claim-response.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "entry-claim-internal.h"
+#include "entry-control.h"
 
 /*
  * Responses of keyed calls. The coordinator of a call stores its response and
--- a/entry-claim.h
+++ b/entry-claim.h
@@ -2,7 +2,7 @@
 #define ENTRY_CLAIM_H
 
 #include "claim.h"
-#include "entry-io.h"
+#include "entry-control.h"
 
 /*
  * Claims of idempotency keys over the network; claim.h has the rules. A keyed
--- a/entry-control.c
+++ b/entry-control.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include "entry-claim.h"
+#include "entry-control.h"
 #include "entry-http.h"
 
 /*
--- a/entry-directory.c
+++ b/entry-directory.c
@@ -1,6 +1,6 @@
 #include <jansson.h>
 #include <string.h>
-#include "entry-io.h"
+#include "entry-control.h"
 
 /*
  * Look-ups of entries that an entry answers itself, so that callers find one
--- a/entry-io.h
+++ b/entry-io.h
@@ -8,6 +8,7 @@
 #include "config-follow.h"
 #include "entry-prober.h"
 #include "entry-rules.h"
+#include "entry-settings.h"
 #include "entry.h"
 #include "headers.h"
 #include "http-status.h"
@@ -42,76 +43,6 @@
 /* Maximum number of waiting calls or credits in one header. */
 #define ENTRY_QUEUE_REPORT_MAX 65536
 
-/* Replica groups in the settings; the record of an idempotency key has one
-   replica in each group. */
-#define ENTRY_CLAIM_GROUPS 3
-
-/** struct entry_claim_settings_t - the settings table [claims] of an entry. */
-typedef struct {
-	setting_list_t groups[ENTRY_CLAIM_GROUPS];
-	int64_t timeout_ms;  /* timeout for the responses of a key's replicas */
-	int64_t records_max; /* keys stored on this entry as a replica */
-	int64_t hold_max_s;  /* maximum key_hold_s of a profile */
-	int64_t answers_kb;  /* size of the cache of responses to replay, KiB */
-} entry_claim_settings_t;
-
-/** struct entry_settings_t - the settings file of an entry. */
-typedef struct {
-	char name[HL_NAME_MAX];
-	char zone[HL_NAME_MAX];
-	char region[HL_NAME_MAX];
-	char address[HL_ADDRESS_MAX]; /* IP address of all ports */
-	log_level_t log_level;
-	char key_file[HL_MESSAGE_MAX]; /* "": messages are not signed */
-	int64_t call_port;
-	int64_t control_port;
-	int64_t rpc_port;
-	int64_t peer_port;
-	char peer_bind[HL_ADDRESS_MAX]; /* "": address and peer_port */
-	char interface[HL_NAME_MAX];
-	const headers_t *headers; /* header names of the interface */
-	bool routed; /* match calls by host and path to routes of the keepers */
-	char call_listen[HL_ADDRESS_MAX];      /* "": address and call_port */
-	char control_listen[HL_ADDRESS_MAX];   /* "": address, control_port */
-	char directory_listen[HL_ADDRESS_MAX]; /* "": no look-ups answered */
-	int64_t connect_ms;		       /* connect timeout */
-	int64_t spares;	     /* preconnected sockets per copy */
-	double retry_ratio;  /* retries per call; used if retry_slack is set */
-	int64_t retry_slack; /* retries per service over all entries */
-	int64_t retry_window_s; /* sliding window of retry_ratio, retry_slack */
-	int64_t beat_ms;	/* interval of datagrams to the keepers */
-	char cluster[HL_NAME_MAX]; /* name of the keeper cluster */
-	int64_t http_threads;	   /* threads that receive calls */
-	int64_t workers_max;	   /* threads that send to copies */
-	int64_t connections_max;   /* connections of callers */
-	int64_t head_ms;	   /* timeout for the head of a request */
-	int64_t keep_ms;	   /* how long a look-up may be cached */
-	int64_t interval_ms;	   /* interval of announcements of a copy */
-	int64_t lease_ms;	   /* validity of an announcement */
-	int64_t linger_ms; /* time after SIGTERM in which calls are accepted */
-	int64_t stop_ms;   /* limit for calls in flight at shutdown */
-	char policy[HL_NAME_MAX];
-	char probe_path[HL_MESSAGE_MAX]; /* used by the policy "two-choices" */
-	bool lending;	      /* hand waiting calls over to idle owners */
-	int64_t lend_bytes;   /* limit of lending traffic, bytes per second */
-	bool pipeline;	      /* give a copy more credits than it has slots */
-	setting_list_t seeds; /* peer addresses of other entries */
-	config_follow_settings_t follow;
-	entry_claim_settings_t claims;
-} entry_settings_t;
-
-/* Description of the settings, for the parser and for --help-settings. */
-extern const setting_t entry_settings[];
-extern const size_t entry_settings_count;
-
-/**
- * entry_settings_load - read and check the settings file of an entry.
- *
- * Return: 0, or -1 with @err set.
- */
-int entry_settings_load(const char *path, entry_settings_t *settings,
-			hl_error_t *err);
-
 /** struct entry_conn_t - one connection of a pool, used by one worker. */
 typedef struct entry_conn {
 	struct cds_list_head link; /* entry_conn_pool_t.idle */
@@ -876,82 +807,6 @@
  */
 void entry_http_stop(entry_t *entry);
 
-/**
- * entry_control_start - listen for look-ups, announcements and scrapes.
- *
- * Return: 0, or -1 with @err set.
- */
-int entry_control_start(entry_t *entry, hl_error_t *err);
-
-/** entry_control_stop - close the control port. */
-void entry_control_stop(entry_t *entry);
-
-/** struct entry_reply_t - the response to a request to the control port. */
-typedef struct {
-	unsigned status;
-	const char *type; /* content type */
-	char *body;	  /* allocated by malloc() */
-	size_t size;	  /* bytes of the body; 0: it ends with a NUL */
-	unsigned retry_after_s;
-	const char *outcome;	      /* Hemlock-Outcome, or NULL */
-	struct cds_list_head headers; /* entry_header_t */
-} entry_reply_t;
-
-/**
- * entry_reply_error - make the reply a JSON error.
- * @fmt: text of the error: what is wrong and how the sender can correct it
- */
-void entry_reply_error(entry_reply_t *reply, unsigned status, const char *fmt,
-		       ...) __attribute__((format(printf, 3, 4)));
-
-/** struct entry_control_request_t - a request to the control port. */
-typedef struct {
-	entry_t *entry;
-	struct MHD_Connection *connection;
-	const char *body;
-	size_t size;
-	usec_t now;
-} entry_control_request_t;
-
-/**
- * entry_baseline_announce - handle the announcement of a copy under a policy
- * without owners.
- *
- * All policies but "owner" are baselines for comparison: each copy announces
- * itself to every entry, and every entry sends to every copy.
- *
- * Return: true with @reply filled in, false under the policy "owner".
- */
-bool entry_baseline_announce(const entry_control_request_t *in,
-			     const owner_copy_t *announced,
-			     entry_reply_t *reply);
-
-/* Request handlers of the control port, see the table in entry-control.c. */
-
-/** entry_lookup_handle - GET /v1/lookup: entries that receive calls. */
-void entry_lookup_handle(const entry_control_request_t *in,
-			 entry_reply_t *reply);
-
-/** entry_announce_handle - POST /v1/announce: a copy announces itself. */
-void entry_announce_handle(const entry_control_request_t *in,
-			   entry_reply_t *reply);
-
-/** entry_directory_handle - GET /v1/directory: entries of this zone. */
-void entry_directory_handle(const entry_control_request_t *in,
-			    entry_reply_t *reply);
-
-/** entry_status_handle - GET /v1/status: state of this entry as JSON. */
-void entry_status_handle(const entry_control_request_t *in,
-			 entry_reply_t *reply);
-
-/** entry_status_health - GET /v1/health: is this entry ready for calls? */
-void entry_status_health(const entry_control_request_t *in,
-			 entry_reply_t *reply);
-
-/** entry_status_metrics - GET /metrics: all metrics as text. */
-void entry_status_metrics(const entry_control_request_t *in,
-			  entry_reply_t *reply);
-
 /**
  * entry_owner_new - create the state of the copies that this entry owns.
  *
--- a/entry-lookup.c
+++ b/entry-lookup.c
@@ -1,7 +1,7 @@
 #include <jansson.h>
 #include <stdio.h>
 #include <string.h>
-#include "entry-io.h"
+#include "entry-control.h"
 
 /* GET /v1/lookup: the call addresses of a service's owners, as JSON. */
 
--- a/entry-main.c
+++ b/entry-main.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <time.h>
 #include "entry-claim.h"
+#include "entry-control.h"
 #include "entry-main.h"
 
 /*
--- a/entry-status.c
+++ b/entry-status.c
@@ -1,7 +1,7 @@
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
-#include "entry-io.h"
+#include "entry-control.h"
 
 /* Responds to GET requests for /v1/status, /v1/health and /metrics. */
 
