--- a/entry-prober.c
+++ b/entry-prober.c
@@ -161,7 +161,7 @@
 	return complete && query->has_load && !query->other_copy;
 }
 
-/* Reports what the copy said of itself in a complete response. */
+/* Reports a copy that leaves or rests, by its complete response. */
 static void query_report_state(const prober_query_t *query)
 {
 	entry_probe_t probe = query->batch->probes[query->index];
