Let GLib allocate with malloc in the tests

The allocator is not built with the sanitizer, so the order in which it hands a block from one thread to the next is not seen.

Ruled out: a GString that two connections share (each is local to send_head), a fault of the entry (its log is whole).

Change: G_SLICE=always-malloc for all tests. malloc is replaced by the sanitizers, so they see the hand-over, and a use of freed memory of GLib's as well.

--- a/regress/run.sh
+++ b/regress/run.sh
@@ -23,6 +23,9 @@
 
 export HEMLOCK_BUILD="$build" HEMLOCK_REGRESS="$here"
 export TSAN_OPTIONS="suppressions=$here/tsan.supp"
+# GLib's own allocator hands memory from thread to thread in a way that the
+# sanitizers do not see; with malloc they see each use of freed memory too.
+export G_SLICE=always-malloc
 
 # Script that runs one test. It writes the result lines to $work/NAME.result
 # and, after a failure, the end of the output to $work/NAME.details.
