--- a/regress/standin-copy.c
+++ b/regress/standin-copy.c
@@ -44,7 +44,8 @@
 
 	response = MHD_create_response_from_buffer(strlen(body), (void *)body,
 						   MHD_RESPMEM_MUST_COPY);
-	g_snprintf(load, sizeof(load), "%d,0,%d,%d", running, opt_slots,
+	g_snprintf(load, sizeof(load), "%d,0,%d,%d",
+		   __atomic_load_n(&running, __ATOMIC_RELAXED), opt_slots,
 		   opt_slowness);
 	MHD_add_response_header(response, headers->load, load);
 	MHD_add_response_header(response, headers->responding_copy, opt_id);
