Start both stand-in copies by one function in the routed tests

Cause: copy_start and raw_copy_start in routed-lib.sh were the same but for the program. Change: both call standin_start. The nine routed scripts pass in the plain build; checks are the same.

--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -61,22 +61,23 @@
 	spawn "entry-$1" "$BUILD/hemlock-entry" --settings "$DIR/entry-$1.toml"
 }
 
-# copy_start ID PORT OPTION...: start a stand-in copy at $NET.20:PORT.
-copy_start () {
-	id=$1 port=$2
-	shift 2
-	spawn "$id" "$BUILD/regress/standin-copy" --address "$NET.20:$port" \
+# standin_start PROGRAM ID PORT OPTION...: start a stand-in copy at $NET.20:PORT.
+standin_start () {
+	program=$1 id=$2 port=$3
+	shift 3
+	spawn "$id" "$BUILD/regress/$program" --address "$NET.20:$port" \
 		--id "$id" --log "$DIR/calls" "$@"
 	ready "$id"
 }
 
-# raw_copy_start ID PORT OPTION...: start a raw stand-in copy at $NET.20:PORT.
+# copy_start ID PORT OPTION...: start a stand-in copy of HTTP by a library.
+copy_start () {
+	standin_start standin-copy "$@"
+}
+
+# raw_copy_start ID PORT OPTION...: start one that writes its own bytes.
 raw_copy_start () {
-	id=$1 port=$2
-	shift 2
-	spawn "$id" "$BUILD/regress/standin-raw" --address "$NET.20:$port" \
-		--id "$id" --log "$DIR/calls" "$@"
-	ready "$id"
+	standin_start standin-raw "$@"
 }
 
 # keeper_request METHOD PATH OPTION...: send a request to the keepers in $KEEPERS
