Log the rate that a copy names in its responses

Calls and probes now read the header, and an entry logs copy-rate with the copy and the call when the rate changes. Nothing is decided by it yet. The stand-in standin-raw names a rate between two signals and records probes.

--- a/entry-io.h
+++ b/entry-io.h
@@ -389,6 +389,13 @@
 void entry_trace_copy_rests(const char *service, const char *copy,
 			    const char *call_id, usec_t rest);
 
+/**
+ * entry_trace_copy_rate - log that a copy names another rate that it accepts.
+ * @millirate: calls per 1000 seconds; 0: it names none any more
+ */
+void entry_trace_copy_rate(const char *service, const char *copy,
+			   const char *call_id, unsigned millirate);
+
 /**
  * entry_trace_health - log that a copy was ejected or readmitted.
  * @context: the entry_upstream_t
@@ -728,7 +735,8 @@
 entry_decision_t entry_probe_choose(entry_request_t *req);
 
 /**
- * entry_probe_on_state - record that a probed copy leaves or rests.
+ * entry_probe_on_state - record that a probed copy leaves or rests, or the rate
+ * that it accepts.
  * @probe: its context is the upstream of the copy
  *
  * Callback of the prober.
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -203,10 +203,13 @@
 {
 	entry_upstream_t *upstream = probe->context;
 	bool leaves = false;
+	bool new_rate = false;
 	entry_copy_t *copy;
 
 	pthread_mutex_lock(&upstream->lock);
 	copy = entry_service_copy_find(&upstream->service, probe->copy);
+	if (copy && probe->millirate)
+		new_rate = entry_service_on_rate(copy, probe->millirate);
 	if (copy && probe->rests)
 		entry_service_on_rest(copy, probe->rest, time_now());
 	if (copy && probe->leaves)
@@ -217,6 +220,9 @@
 				       probe->rest);
 	if (leaves)
 		entry_trace_copy_leaves(upstream->name, probe->copy, "");
+	if (new_rate)
+		entry_trace_copy_rate(upstream->name, probe->copy, "",
+				      probe->millirate);
 }
 
 /* Stores the reports of the copies in the state of the service. */
--- a/entry-prober.c
+++ b/entry-prober.c
@@ -45,6 +45,7 @@
 	bool leaves;
 	bool rests; /* Retry-After can be read */
 	usec_t rest;
+	unsigned millirate;
 	char url[HL_ADDRESS_MAX + HL_MESSAGE_MAX + sizeof("http://")];
 } prober_query_t;
 
@@ -129,6 +130,8 @@
 		query->other_copy = strcmp(value, copy) != 0;
 	else if (prober_value(line, length, names->leaving, value))
 		query->leaves = !strcmp(value, "1");
+	else if (prober_value(line, length, names->rate, value))
+		query->millirate = entry_rate_read(value);
 	else if (prober_value(line, length, "Retry-After", value))
 		query->rests = entry_retry_after_read(value, &query->rest);
 }
@@ -161,7 +164,7 @@
 	return complete && query->has_load && !query->other_copy;
 }
 
-/* Reports a copy that leaves or rests, by its complete response. */
+/* Reports a copy that leaves, rests or names a rate, by its complete response. */
 static void query_report_state(const prober_query_t *query)
 {
 	entry_probe_t probe = query->batch->probes[query->index];
@@ -171,7 +174,8 @@
 	probe.leaves = query->leaves;
 	probe.rests = query->rests && status == HTTP_UNAVAILABLE;
 	probe.rest = query->rest;
-	if (probe.leaves || probe.rests)
+	probe.millirate = query->millirate;
+	if (probe.leaves || probe.rests || probe.millirate)
 		query->prober->on_state(&probe);
 }
 
--- a/entry-prober.h
+++ b/entry-prober.h
@@ -30,10 +30,12 @@
 	bool leaves; /* the copy responded that it leaves */
 	bool rests;  /* the copy asked for no calls, for the time @rest */
 	usec_t rest; /* microseconds */
+	unsigned millirate; /* rate that the copy accepts; 0: none named */
 } entry_probe_t;
 
 /**
- * entry_prober_state_t - called when a copy responded that it leaves or rests.
+ * entry_prober_state_t - called when a copy responded that it leaves or rests,
+ * or with a rate that it accepts.
  * @probe: the probe, with its context
  *
  * Called by the thread of the prober, also if the response comes after
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -379,6 +379,25 @@
 				       transfer->rest);
 }
 
+/* Records the rate that the copy accepts, or that it names none any more. */
+static void relay_record_rate(entry_transfer_t *transfer)
+{
+	entry_request_t *req = transfer->req;
+	entry_copy_t *copy = req->call.copy;
+	bool is_new;
+
+	if (!transfer->head_complete || req->forward ||
+	    req->response.status == HTTP_MISDIRECTED_REQUEST ||
+	    !entry_transfer_matches_call(transfer))
+		return;
+	pthread_mutex_lock(&req->upstream->lock);
+	is_new = entry_service_on_rate(copy, transfer->millirate);
+	pthread_mutex_unlock(&req->upstream->lock);
+	if (is_new)
+		entry_trace_copy_rate(req->upstream->name, copy->name,
+				      req->call_id, transfer->millirate);
+}
+
 /* Whether the connection can carry another call. */
 static bool relay_keeps_connection(const entry_transfer_t *transfer)
 {
@@ -426,6 +445,7 @@
 			transfer->pool, (unsigned)req->entry->settings.spares);
 	relay_record_load(transfer);
 	relay_record_state(transfer);
+	relay_record_rate(transfer);
 	return relay_result(transfer);
 }
 
--- a/entry-service.c
+++ b/entry-service.c
@@ -164,6 +164,7 @@
 	copy->slow_start_until = 0;
 	copy->leaving = false;
 	copy->rests_until = 0;
+	copy->millirate = 0;
 }
 
 bool entry_service_on_leaving(entry_copy_t *copy)
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -94,6 +94,14 @@
 		  trace_value(call_id), rest / USEC_PER_MS);
 }
 
+void entry_trace_copy_rate(const char *service, const char *copy,
+			   const char *call_id, unsigned millirate)
+{
+	log_event(LOG_LEVEL_NOTICE, "copy-rate",
+		  "service=%s copy=%s call=%s per_second=%.3f", service, copy,
+		  trace_value(call_id), millirate / 1000.0);
+}
+
 void entry_trace_health(void *context, const entry_copy_t *copy, bool ejected)
 {
 	const entry_upstream_t *upstream = context;
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -185,12 +185,14 @@
 		transfer->outcome_not_run = true;
 	else if (transfer_header_is(line, length, names->leaving))
 		transfer->copy_leaves = value_length == 1 && *value == '1';
-	if (!transfer_header_is(line, length, names->load) ||
-	    value_length >= sizeof(text))
+	if (value_length >= sizeof(text))
 		return;
 	memcpy(text, value, value_length);
 	text[value_length] = '\0';
-	transfer->has_load = names->load_read(text, &transfer->load);
+	if (transfer_header_is(line, length, names->load))
+		transfer->has_load = names->load_read(text, &transfer->load);
+	else if (transfer_header_is(line, length, names->rate))
+		transfer->millirate = entry_rate_read(text);
 }
 
 bool entry_transfer_matches_call(const entry_transfer_t *transfer)
@@ -239,6 +241,7 @@
 	transfer->has_retry_after = false;
 	transfer->has_rest = false;
 	transfer->copy_leaves = false;
+	transfer->millirate = 0;
 	transfer->outcome_not_run = false;
 	transfer->outcome_may_have_run = false;
 	transfer->call_id_matches = false;
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -13,12 +13,13 @@
 	entry_request_t *req;
 	entry_conn_pool_t *pool;
 	entry_conn_t *conn;
-	bool head_complete;	   /* the final head (not 1xx) was received */
-	bool has_retry_after;	   /* Retry-After is present */
-	bool has_rest;		   /* and can be read */
-	usec_t rest;		   /* its value; valid with has_rest */
-	bool copy_leaves;	   /* the copy takes no further calls */
-	bool outcome_not_run;	   /* the copy declares the call not run */
+	bool head_complete;   /* the final head (not 1xx) was received */
+	bool has_retry_after; /* Retry-After is present */
+	bool has_rest;	      /* and can be read */
+	usec_t rest;	      /* its value; valid with has_rest */
+	bool copy_leaves;     /* the copy takes no further calls */
+	unsigned millirate;   /* rate that the copy accepts; 0: none named */
+	bool outcome_not_run; /* the copy declares the call not run */
 	bool outcome_may_have_run; /* Hemlock-Outcome is may-have-run */
 	bool call_id_matches;	   /* the response has the id of this call */
 	bool has_signature;	   /* the response has the copy's signature */
--- a/entry.h
+++ b/entry.h
@@ -83,6 +83,7 @@
 	bool draining;	      /* gets no new calls */
 	bool leaving;	      /* its process has responded that it leaves */
 	usec_t rests_until;   /* it has asked for no calls until then */
+	unsigned millirate;   /* calls per 1000 s that it accepts; 0: any */
 	uint64_t started_ms;  /* reported start, wall clock in ms; 0: none */
 	bool in_subset;	      /* see entry_service_choose_subset() */
 	usec_t last_seen;     /* last announcement of the copy */
@@ -512,6 +513,23 @@
  */
 bool entry_service_may_send(const entry_copy_t *copy, usec_t now);
 
+/**
+ * entry_rate_read - parse the rate that a copy accepts.
+ * @text: calls per second, a decimal number
+ *
+ * Return: calls per 1000 seconds, at least 1; 0 if @text is not a number of 0
+ * or more.
+ */
+unsigned entry_rate_read(const char *text);
+
+/**
+ * entry_service_on_rate - record the rate that a copy names in a response.
+ * @millirate: calls per 1000 seconds; 0 if the response names none
+ *
+ * Return: false if that was known.
+ */
+bool entry_service_on_rate(entry_copy_t *copy, unsigned millirate);
+
 /** entry_service_cancel - dequeue a call whose caller closed its connection. */
 void entry_service_cancel(entry_service_t *svc, entry_call_t *call);
 
--- a/headers.c
+++ b/headers.c
@@ -6,6 +6,7 @@
 	.interface = "hemlock",
 	.deadline_ms = "Hemlock-Deadline-Ms",
 	.leaving = "Hemlock-Leaving",
+	.rate = "Hemlock-Rate",
 	.base_version = "Hemlock-Base",
 	.native = true,
 };
--- a/headers.h
+++ b/headers.h
@@ -31,9 +31,11 @@
 	const char *expected_copy; /* id of the copy that the call is sent to */
 	const char *responding_copy; /* id of the copy that made the response */
 	const char *signature;	     /* present in every response of a copy */
-	const char *load;	  /* load of the copy, parsed by load_read() */
-	const char *not_run;	  /* present if the copy did not run the call */
-	const char *leaving;	  /* "1": the copy takes no further calls */
+	const char *load;    /* load of the copy, parsed by load_read() */
+	const char *not_run; /* present if the copy did not run the call */
+	const char *leaving; /* "1": the copy takes no further calls */
+	const char
+		*rate; /* calls per second that the copy accepts at present */
 	const char *base_version; /* version that a routing order is based on */
 	bool native; /* responses carry Hemlock-Outcome and Hemlock-Reason */
 	/* Parses the value of the load header; false if it is malformed. */
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -19,6 +19,9 @@
  *	/endless-chunk-line	a chunk line without end
  *	/endless-trailer	trailers without end
  *	/endless-excess		bytes without end after a complete response
+ *
+ * With --rate, it names that rate in its responses from SIGUSR1 to SIGUSR2, and
+ * records probes like calls.
  */
 #include <glib.h>
 #include <pthread.h>
@@ -43,7 +46,9 @@
 
 static gchar *opt_address, *opt_id, *opt_log;
 static gint opt_slots = 2;
+static gint opt_rate;
 static gboolean opt_leaving;
+static int names_rate; /* accessed atomically */
 static const headers_t *headers;
 static FILE *record_file;
 
@@ -203,9 +208,9 @@
 	head_value(conn, headers->call_id, id, sizeof(id));
 	fprintf(record_file,
 		"copy=%s method=%s url=%s call=%s body=%" PRIu64
-		" hash=%016" PRIx64 " result=%s\n",
+		" hash=%016" PRIx64 " result=%s at_ms=%" PRId64 "\n",
 		opt_id, conn->method, conn->path, id, conn->body_bytes,
-		conn->body_hash, result);
+		conn->body_hash, result, time_now() / USEC_PER_MS);
 	fflush(record_file);
 }
 
@@ -233,6 +238,9 @@
 		g_string_append_printf(text, "%s: 1\r\n", headers->not_run);
 	if (leaves)
 		g_string_append_printf(text, "%s: 1\r\n", headers->leaving);
+	if (__atomic_load_n(&names_rate, __ATOMIC_RELAXED))
+		g_string_append_printf(text, "%s: %d.0\r\n", headers->rate,
+				       opt_rate);
 	g_string_append(text, more);
 	sent = send_bytes(conn->fd, text->str, text->len);
 	g_string_free(text, TRUE);
@@ -359,8 +367,11 @@
 	conn->body_hash = FNV_BASIS;
 	if (!read_head(conn))
 		return false;
-	if (!strcmp(conn->path, "/health"))
+	if (!strcmp(conn->path, "/health")) {
+		if (opt_rate)
+			record_call(conn, "probe");
 		return send_response(conn, "200 OK", "", "");
+	}
 	head_value(conn, headers->expected_copy, expected, sizeof(expected));
 	if (strcmp(expected, "-") && strcmp(expected, opt_id)) {
 		record_call(conn, "misdirected");
@@ -419,6 +430,11 @@
 	}
 }
 
+static void on_rate_signal(int number)
+{
+	__atomic_store_n(&names_rate, number == SIGUSR1, __ATOMIC_RELAXED);
+}
+
 static int listen_on(const char *text)
 {
 	struct sockaddr_storage storage;
@@ -446,6 +462,9 @@
 	  "ID" },
 	{ "slots", 0, 0, G_OPTION_ARG_INT, &opt_slots,
 	  "slots in the reported load", "N" },
+	{ "rate", 0, 0, G_OPTION_ARG_INT, &opt_rate,
+	  "calls per second to name in responses from SIGUSR1 to SIGUSR2",
+	  "N" },
 	{ "leaving", 0, 0, G_OPTION_ARG_NONE, &opt_leaving,
 	  "say in every response that the copy leaves", NULL },
 	{ "log", 0, 0, G_OPTION_ARG_STRING, &opt_log,
@@ -465,6 +484,8 @@
 	if (!parsed || !opt_address || !opt_id || !opt_log)
 		return 2;
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGUSR1, on_rate_signal);
+	signal(SIGUSR2, on_rate_signal);
 	headers = headers_find("platform");
 	record_file = fopen(opt_log, "a");
 	listener = listen_on(opt_address);
