--- a/config-apply.c
+++ b/config-apply.c
@@ -1,5 +1,6 @@
 #include <string.h>
 #include "config-object.h"
+#include "config-rate.h"
 #include "config-target.h"
 
 /* Applies accepted items and deltas to a configuration. */
@@ -31,6 +32,8 @@
 		config_target_retire(config, value, item->base);
 		return 0;
 	}
+	if (type->put == CONFIG_PUT_COPY_RATE)
+		return config_rate_apply(config, item, revision);
 	if (item->body.kind == type->put)
 		return config_object_put(type, config, value, revision);
 	found = config_object_find(type, config, value);
--- a/config-object.c
+++ b/config-object.c
@@ -43,6 +43,10 @@
 	CONFIG_OBJECT("target", CONFIG_PUT_TARGET, CONFIG_RETIRE_TARGET,
 		      config_target_t, targets.targets, CONFIG_NO_COPY_NAME,
 		      CONFIG_TARGETS_MAX, true),
+	CONFIG_OBJECT("copy rate", CONFIG_PUT_COPY_RATE,
+		      CONFIG_RETIRE_COPY_RATE, config_copy_rate_t,
+		      copy_rates.copy_rates, CONFIG_NO_COPY_NAME,
+		      CONFIG_TARGETS_MAX, true),
 };
 
 #define CONFIG_OBJECT_COUNT (sizeof(config_objects) / sizeof(config_objects[0]))
@@ -146,6 +150,12 @@
 	return *(const u_quad_t *)((const char *)value + type->revision_offset);
 }
 
+bool config_object_is_reported(const config_object_type_t *type)
+{
+	return type->put == CONFIG_PUT_TARGET ||
+	       type->put == CONFIG_PUT_COPY_RATE;
+}
+
 u_int config_object_count(const config_object_type_t *type,
 			  const config_t *config)
 {
--- a/config-object.h
+++ b/config-object.h
@@ -47,6 +47,14 @@
 uint64_t config_object_revision(const config_object_type_t *type,
 				const void *value);
 
+/**
+ * config_object_is_reported - whether objects of a type are written after
+ * reports of running processes rather than by operators.
+ *
+ * Their items have an effect of their own, or none, and are idempotent.
+ */
+bool config_object_is_reported(const config_object_type_t *type);
+
 /** config_object_count - number of objects of a type. */
 u_int config_object_count(const config_object_type_t *type,
 			  const config_t *config);
--- a/config-state.c
+++ b/config-state.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include "config-check.h"
+#include "config-object.h"
+#include "config-rate.h"
 #include "config-ring.h"
 #include "config-state.h"
 #include "config-tail.h"
@@ -327,12 +329,39 @@
 	return existing && existing->revision == item->base;
 }
 
+/* Whether an item that a process reported changes the configuration. */
+static bool config_state_report_has_effect(const config_state_t *state,
+					   const config_item_t *item)
+{
+	if (item->body.kind == CONFIG_PUT_COPY_RATE ||
+	    item->body.kind == CONFIG_RETIRE_COPY_RATE)
+		return config_rate_has_effect(&state->config, item);
+	return config_state_target_has_effect(state, item);
+}
+
+/* Whether all items of a change, at least one, were reported by processes. */
+static bool config_state_is_report(const config_change_t *change)
+{
+	u_int i;
+
+	for (i = 0; i < change->items.items_len; i++) {
+		const config_object_type_t *type = config_object_type(
+			change->items.items_val[i].body.kind);
+
+		if (!type || !config_object_is_reported(type))
+			return false;
+	}
+	return change->items.items_len > 0;
+}
+
 /*
- * Applies a change that consists of copy announcements. Their start times and
- * sequence numbers make them idempotent, so they need no dedup record. They are
- * applied in place, without a copy of the configuration, as there are many.
+ * Applies a change that consists of reports of processes: announcements of
+ * copies, whose start times and sequence numbers make them idempotent, and rates
+ * of copies, which name the revision that they are based on. They need no dedup
+ * record, and are applied in place, without a copy of the configuration, as
+ * there are many.
  */
-static int config_state_apply_targets(config_state_t *state, uint64_t index,
+static int config_state_apply_reports(config_state_t *state, uint64_t index,
 				      const config_change_t *change,
 				      config_answer_t *answer)
 {
@@ -344,7 +373,7 @@
 	for (i = 0; i < change->items.items_len; i++) {
 		const config_item_t *item = &change->items.items_val[i];
 
-		if (!config_state_target_has_effect(state, item))
+		if (!config_state_report_has_effect(state, item))
 			continue;
 		has_effect = true;
 		if (config_apply_item(&state->config, delta.revision, item))
@@ -370,8 +399,8 @@
 	int rc = -1;
 
 	memset(answer, 0, sizeof(*answer));
-	if (config_target_only(change))
-		return config_state_apply_targets(state, index, change, answer);
+	if (config_state_is_report(change))
+		return config_state_apply_reports(state, index, change, answer);
 	if (first) {
 		rc = config_copy((xdrproc_t)xdr_config_answer_t, first, answer,
 				 sizeof(*answer));
@@ -475,6 +504,37 @@
 	free(snapshot->deltas.deltas_val);
 }
 
+/* Moves a snapshot of the older layout into one of the present layout. */
+static void config_state_convert_v2(const config_snapshot_v2_t *old,
+				    config_snapshot_t *snapshot)
+{
+	memset(snapshot, 0, sizeof(*snapshot));
+	memcpy(&snapshot->config, &old->config, sizeof(old->config));
+	snapshot->index = old->index;
+	snapshot->evicted_revision = old->evicted_revision;
+	memcpy(&snapshot->dedup, &old->dedup, sizeof(old->dedup));
+	memcpy(&snapshot->tombstones, &old->tombstones,
+	       sizeof(old->tombstones));
+	memcpy(&snapshot->deltas, &old->deltas, sizeof(old->deltas));
+}
+
+/* Decodes a snapshot of the present layout, or of the one before it, which
+   earlier releases wrote. */
+static int config_state_decode(const char *bytes, size_t size,
+			       config_snapshot_t *snapshot)
+{
+	config_snapshot_v2_t old;
+
+	if (!config_decode((xdrproc_t)xdr_config_snapshot_t, bytes, size,
+			   snapshot, sizeof(*snapshot)))
+		return 0;
+	if (config_decode((xdrproc_t)xdr_config_snapshot_v2_t, bytes, size,
+			  &old, sizeof(old)))
+		return -1;
+	config_state_convert_v2(&old, snapshot);
+	return 0;
+}
+
 config_state_t *config_state_load(const char *bytes, size_t size,
 				  hl_error_t *err)
 {
@@ -487,8 +547,7 @@
 			     "process more");
 		return NULL;
 	}
-	if (config_decode((xdrproc_t)xdr_config_snapshot_t, bytes, size,
-			  &snapshot, sizeof(snapshot))) {
+	if (config_state_decode(bytes, size, &snapshot)) {
 		hl_error_set(err, HL_ERR_CORRUPT,
 			     "the snapshot of the configuration is malformed; "
 			     "replace this replica's disk and let it catch up");
--- a/config-target.c
+++ b/config-target.c
@@ -1,5 +1,6 @@
 #include <string.h>
 #include "config-object.h"
+#include "config-rate.h"
 #include "config-target.h"
 
 /* Number of announcements after which a displaced copy regains its address. */
@@ -72,6 +73,7 @@
 			continue;
 		other->state = CONFIG_TARGET_DISPLACED;
 		other->revision = revision;
+		config_rate_drop_stale(config, other->name);
 	}
 }
 
@@ -84,7 +86,10 @@
 	if (!config_target_supersedes(existing, announced))
 		return 0;
 	target_displace(config, announced, revision);
-	return config_object_put(target_type(), config, announced, revision);
+	if (config_object_put(target_type(), config, announced, revision))
+		return -1;
+	config_rate_drop_stale(config, announced->name);
+	return 0;
 }
 
 void config_target_retire(config_t *config, const config_target_t *announced,
@@ -92,17 +97,9 @@
 {
 	void *existing = config_object_find(target_type(), config, announced);
 
-	if (existing && config_object_revision(target_type(), existing) == base)
-		config_object_remove(target_type(), config, existing);
-}
-
-bool config_target_only(const config_change_t *change)
-{
-	u_int i;
-
-	for (i = 0; i < change->items.items_len; i++)
-		if (config_object_type(change->items.items_val[i].body.kind) !=
-		    target_type())
-			return false;
-	return change->items.items_len > 0;
+	if (!existing ||
+	    config_object_revision(target_type(), existing) != base)
+		return;
+	config_object_remove(target_type(), config, existing);
+	config_rate_drop_stale(config, announced->name);
 }
--- a/config-target.h
+++ b/config-target.h
@@ -48,7 +48,4 @@
 void config_target_retire(config_t *config, const config_target_t *announced,
 			  uint64_t base);
 
-/** config_target_only - whether all items, at least one, are about copies. */
-bool config_target_only(const config_change_t *change);
-
 #endif
--- a/entry-decide.h
+++ b/entry-decide.h
@@ -75,6 +75,23 @@
 usec_t entry_queue_wait(const struct entry_queue *queue,
 			const entry_call_t *call, double rate);
 
+/* entry-rate.c: the rates that copies accept. */
+
+/**
+ * entry_rate_allows - may requests be sent to a copy now by its rate?
+ * @requests: number of requests, at most two
+ */
+bool entry_rate_allows(const entry_service_t *svc, const entry_copy_t *copy,
+		       unsigned requests, usec_t now);
+
+/** entry_rate_next - when the rate of a copy allows the next request. */
+usec_t entry_rate_next(const entry_service_t *svc, const entry_copy_t *copy,
+		       usec_t now);
+
+/** entry_rate_charge - count a request, a call or a probe, to a copy. */
+void entry_rate_charge(const entry_service_t *svc, entry_copy_t *copy,
+		       usec_t now);
+
 /* entry-limit.c: rate limits of tenants, classes and the service. */
 
 /** entry_limit_new - create a limiter; NULL if out of memory. */
--- a/entry-hedge.c
+++ b/entry-hedge.c
@@ -51,6 +51,7 @@
 	}
 	hedge->upstream = primary->upstream;
 	hedge->call.copy = primary->call.hedged_copy;
+	hedge->call.sent = primary->call.hedge_sent;
 	hedge->call.arrived = primary->call.arrived;
 	hedge->call.deadline = primary->call.deadline;
 	hedge->call.idempotent = true;
--- a/entry-owner.c
+++ b/entry-owner.c
@@ -244,7 +244,7 @@
 		return true;
 	pthread_mutex_lock(&upstream->lock);
 	allowed = now < req->call.copy->lease_until &&
-		  entry_service_may_send(req->call.copy, now);
+		  entry_service_may_send(req->call.copy, req->call.sent, now);
 	/* With entry.routed a lease has no end, so a draining copy is excluded
 	   here from further calls. */
 	if (req->entry->settings.routed && req->call.copy->draining)
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -21,6 +21,9 @@
 /* A late call takes any free slot once less than this number of response times
    remain until its deadline. */
 #define PICK_YIELD_RESPONSES 2.0
+/* Requests that a copy gets if it is probed and then chosen: both count where
+   the copy accepts calls at a limited rate. */
+#define PICK_PROBED_REQUESTS 2
 /* Jitter of the cost of candidates: number of steps, and cost of a step. */
 #define PICK_JITTER_STEPS 1000u
 #define PICK_JITTER_STEP_COST 0.0005
@@ -54,6 +57,7 @@
 			    usec_t now)
 {
 	return !copy->draining && now >= copy->rests_until &&
+	       entry_rate_allows(svc, copy, 1, now) &&
 	       now >= copy->health->paused_until &&
 	       copy->outstanding < entry_credit_of(svc, copy, now) &&
 	       !pick_must_avoid(svc, call, copy);
@@ -78,7 +82,9 @@
 				  const entry_copy_t *copy, usec_t now)
 {
 	return !copy->draining && copy->limit > 0 && !copy->health->ejected &&
-	       now >= copy->rests_until && now >= copy->health->paused_until &&
+	       now >= copy->rests_until &&
+	       entry_rate_allows(svc, copy, 1, now) &&
+	       now >= copy->health->paused_until &&
 	       copy->outstanding < copy->limit &&
 	       !pick_must_avoid(svc, call, copy);
 }
@@ -148,6 +154,7 @@
 	double costs[PICK_CANDIDATES_MAX];
 	entry_copy_t *copy = NULL;
 	unsigned count = 0;
+	unsigned i;
 
 	if (max > PICK_CANDIDATES_MAX)
 		max = PICK_CANDIDATES_MAX;
@@ -157,6 +164,7 @@
 		if (pick_in_zone(svc, copy) != same_zone ||
 		    (subset_only && !copy->in_subset) ||
 		    copy->report.received_at >= reported_before ||
+		    !entry_rate_allows(svc, copy, PICK_PROBED_REQUESTS, now) ||
 		    !pick_reports_eligible(svc, call, copy, now))
 			continue;
 		/* Jitter spreads probes over copies without recent reports. */
@@ -165,6 +173,8 @@
 			       entry_pick_random(svc, PICK_JITTER_STEPS);
 		count = pick_insert(out, costs, count, max, copy, cost);
 	}
+	for (i = 0; i < count; i++)
+		entry_rate_charge(svc, out[i], now);
 	return count;
 }
 
@@ -179,6 +189,7 @@
 		if (copy->health->ejected && pick_in_zone(svc, copy) &&
 		    !copy->draining && copy->limit > 0 &&
 		    now >= copy->rests_until &&
+		    entry_rate_allows(svc, copy, 1, now) &&
 		    !pick_must_avoid(svc, call, copy) &&
 		    entry_health_probation_due(copy, call, now))
 			return copy;
--- a/entry-prober.c
+++ b/entry-prober.c
@@ -378,6 +378,7 @@
 	query->prober = prober;
 	query->batch = batch;
 	query->index = index;
+	batch->probes[index].sent = time_now();
 	snprintf(query->url, sizeof(query->url), "http://%s%s",
 		 batch->probes[index].address, path);
 	__atomic_fetch_add(&batch->refs, 1, __ATOMIC_RELAXED);
--- a/entry-prober.h
+++ b/entry-prober.h
@@ -25,6 +25,7 @@
 	char address[HL_ADDRESS_MAX];
 	char copy[HL_NAME_MAX]; /* name that the response must have, if any */
 	void *context;		/* for entry_prober_state_t */
+	usec_t sent;		/* when the query was queued */
 	entry_probe_state_t state;
 	load_t load;
 	bool leaves; /* the copy responded that it leaves */
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -384,14 +384,18 @@
 {
 	entry_request_t *req = transfer->req;
 	entry_copy_t *copy = req->call.copy;
+	usec_t now = time_now();
 	bool is_new;
 
 	if (!transfer->head_complete || req->forward ||
 	    req->response.status == HTTP_MISDIRECTED_REQUEST ||
-	    !entry_transfer_matches_call(transfer))
+	    (!transfer->millirate && !entry_transfer_matches_call(transfer)))
 		return;
 	pthread_mutex_lock(&req->upstream->lock);
-	is_new = entry_service_on_rate(copy, transfer->millirate);
+	is_new = entry_service_on_rate(copy, transfer->millirate,
+				       transfer->sent, now);
+	if (is_new)
+		entry_upstream_report_rate(req->upstream, copy, now);
 	pthread_mutex_unlock(&req->upstream->lock);
 	if (is_new)
 		entry_trace_copy_rate(req->upstream->name, copy->name,
@@ -575,6 +579,7 @@
 		return;
 	}
 	sent = time_now();
+	transfer.sent = sent;
 	entry_trace_sent(req, sent);
 	transfer.pool = relay_pool(req);
 	result = relay_send_once(&transfer);
--- a/entry-service.c
+++ b/entry-service.c
@@ -50,6 +50,9 @@
 	svc->profile = profile;
 	svc->random_state = seed | 1;
 	svc->contention = ENTRY_CONTENTION_INITIAL;
+	svc->coordinated_until = USEC_NEVER;
+	svc->coordinated = true;
+	svc->entry_share = 1;
 	svc->queue = entry_queue_new();
 	svc->limit = entry_limit_new();
 	svc->retry = entry_retry_new();
@@ -81,6 +84,7 @@
 void entry_service_set_limits(entry_service_t *svc, unsigned rate, double share)
 {
 	entry_limit_set(svc->limit, rate, share);
+	svc->entry_share = share;
 }
 
 entry_copy_t *entry_service_copy_find(entry_service_t *svc, const char *name)
@@ -164,7 +168,7 @@
 	copy->slow_start_until = 0;
 	copy->leaving = false;
 	copy->rests_until = 0;
-	copy->millirate = 0;
+	memset(&copy->rate, 0, sizeof(copy->rate));
 }
 
 bool entry_service_on_leaving(entry_copy_t *copy)
@@ -182,9 +186,11 @@
 		copy->rests_until = now + wait;
 }
 
-bool entry_service_may_send(const entry_copy_t *copy, usec_t now)
+bool entry_service_may_send(const entry_copy_t *copy, usec_t chosen_at,
+			    usec_t now)
 {
-	return !copy->leaving && now >= copy->rests_until;
+	return !copy->leaving && now >= copy->rests_until &&
+	       (!copy->rate.millirate || chosen_at >= copy->rate.since);
 }
 
 void entry_service_set_retry_budget(entry_service_t *svc, double ratio,
@@ -205,6 +211,7 @@
 {
 	copy->outstanding++;
 	svc->outstanding++;
+	entry_rate_charge(svc, copy, now);
 	entry_health_on_send(copy, now);
 }
 
@@ -297,30 +304,44 @@
 	return p95 < half ? p95 : half;
 }
 
-/* Return the time from which a copy takes calls again if all copies rest now;
-   0 if one takes calls. */
+/* Return the time from which a copy takes calls after its rest and by its rate;
+   USEC_NEVER if only other entries may send to it. */
+static usec_t service_available_at(const entry_service_t *svc,
+				   const entry_copy_t *copy, usec_t now)
+{
+	usec_t next = entry_rate_next(svc, copy, now);
+
+	return next > copy->rests_until ? next : copy->rests_until;
+}
+
+/* Return the time from which a copy takes calls again if none does now; 0 if
+   one does, USEC_NEVER if only other entries may send to them. */
 static usec_t service_rest_end(const entry_service_t *svc, usec_t now)
 {
 	const entry_copy_t *copy = NULL;
 	usec_t earliest = 0;
 
 	cds_list_for_each_entry (copy, &svc->copies, link) {
+		usec_t available;
+
 		if (copy->draining)
 			continue;
-		if (now >= copy->rests_until)
+		available = service_available_at(svc, copy, now);
+		if (now >= available)
 			return 0;
-		if (!earliest || copy->rests_until < earliest)
-			earliest = copy->rests_until;
+		if (!earliest || available < earliest)
+			earliest = available;
 	}
 	return earliest;
 }
 
-/* Return the wait to suggest while all copies rest until @rest_end. The jitter
-   keeps callers from returning all at once. */
+/* Return the wait to suggest while no copy takes calls until @rest_end. The
+   jitter keeps callers from returning all at once. */
 static usec_t service_rest_wait(entry_service_t *svc, usec_t rest_end,
 				usec_t now)
 {
-	usec_t wait = rest_end - now;
+	usec_t wait = rest_end == USEC_NEVER ? SERVICE_RETRY_AFTER_DEFAULT :
+					       rest_end - now;
 	usec_t max_jitter = SERVICE_REST_JITTER_MIN +
 			    (usec_t)(SERVICE_REST_JITTER * (double)wait);
 
@@ -407,7 +428,7 @@
 
 	cds_list_for_each_entry (copy, &svc->copies, link)
 		if (!copy->draining && copy->limit > 0 &&
-		    now >= copy->rests_until &&
+		    now >= service_available_at(svc, copy, now) &&
 		    !strcmp(copy->zone, svc->zone) &&
 		    entry_report_has_room(copy, now))
 			return true;
@@ -447,6 +468,8 @@
 
 	if (call->objective && entry_report_objective_end(call) < latest)
 		latest = entry_report_objective_end(call);
+	if (from == USEC_NEVER)
+		return true;
 	return from + service_margin(svc, call) >= latest;
 }
 
@@ -552,20 +575,21 @@
 }
 
 /*
- * Whether all copies are paused, because they refused or failed calls or asked
- * for a rest, until it is too late for a call, so that waiting is useless. A copy without a lease
+ * Whether all copies are paused, because they refused or failed calls, asked
+ * for a rest or accept calls at a limited rate, until it is too late for a call, so that waiting is useless. A copy without a lease
  * does not count as paused, since it may get a lease again.
  */
 static bool service_all_paused(const entry_service_t *svc,
-			       const entry_call_t *call)
+			       const entry_call_t *call, usec_t now)
 {
 	const entry_copy_t *copy = NULL;
 	usec_t latest = call->deadline - service_margin(svc, call);
 
 	cds_list_for_each_entry (copy, &svc->copies, link)
 		if (!copy->draining &&
-		    (copy->limit == 0 || (copy->health->paused_until < latest &&
-					  copy->rests_until < latest)))
+		    (copy->limit == 0 ||
+		     (copy->health->paused_until < latest &&
+		      service_available_at(svc, copy, now) < latest)))
 			return false;
 	return true;
 }
@@ -590,7 +614,7 @@
 		return call;
 	}
 	if (now + service_margin(svc, call) < call->deadline &&
-	    !service_all_paused(svc, call))
+	    !service_all_paused(svc, call, now))
 		return NULL;
 	entry_queue_remove(svc->queue, call);
 	*decision = service_refuse_expired(svc, call, now);
--- a/entry-target.c
+++ b/entry-target.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "config-rate.h"
 #include "config-target.h"
 #include "entry-io.h"
 
@@ -54,7 +55,19 @@
 	copy->lease_until = USEC_NEVER;
 }
 
-static void target_apply_copy(entry_t *entry, const config_target_t *target,
+/* Applies the rate that the configuration has for a copy. The caller holds the
+   lock of the copy's upstream. */
+static void target_apply_rate(const entry_t *entry, entry_copy_t *copy,
+			      const config_copy_rate_t *rate, usec_t now)
+{
+	bool held = rate && !strcmp(rate->holder, entry->settings.name);
+
+	entry_service_declare_rate(copy, rate ? rate->millirate : 0,
+				   rate ? rate->revision : 0, held, now);
+}
+
+static void target_apply_copy(entry_t *entry, const config_t *config,
+			      const config_target_t *target,
 			      const config_pool_t *pool, usec_t now)
 {
 	entry_upstream_t *upstream =
@@ -73,8 +86,11 @@
 	if (!copy)
 		copy = entry_service_copy_add(&upstream->service, target->name,
 					      now);
-	if (copy)
+	if (copy) {
 		target_update_copy(upstream, copy, target, connections, now);
+		target_apply_rate(entry, copy,
+				  config_rate_find(config, copy->name), now);
+	}
 	pthread_mutex_unlock(&upstream->lock);
 }
 
@@ -126,7 +142,7 @@
 
 		pool = config_find_pool(config, target->service);
 		if (pool && config_target_serves(target))
-			target_apply_copy(entry, target, pool, now);
+			target_apply_copy(entry, config, target, pool, now);
 	}
 	while ((upstream = entry_upstream_next(entry, upstream))) {
 		target_remove_absent(upstream, config);
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -19,6 +19,11 @@
    budget. */
 #define TICK_BUDGET_FRACTION 0.8
 
+/* Time since the last message of a keeper up to which the holders of copies'
+   rates in the configuration are taken to be in force. A keeper gives a rate to
+   another entry when it has got no heartbeat for about as long. */
+#define TICK_COORDINATION_TIMEOUT (2500 * USEC_PER_MS)
+
 /* Returns the fraction of a service's limits that this entry may use: its
    fraction of the owners' slots or, with entry.routed, an equal fraction for
    each live entry. */
@@ -42,6 +47,25 @@
 	return own_weight ? (double)own_weight / total_weight : 1;
 }
 
+/* Reports rates of copies that are not in the configuration yet, and sets how
+   long the holders of rates are known. The caller holds upstream->lock. */
+static void tick_update_rates(entry_t *entry, entry_upstream_t *upstream,
+			      usec_t now)
+{
+	entry_copy_t *copy = NULL;
+	usec_t last;
+
+	if (!entry->presence)
+		return;
+	last = presence_client_last_response(entry->presence);
+	if (last)
+		entry_service_set_coordination(&upstream->service,
+					       last + TICK_COORDINATION_TIMEOUT,
+					       now);
+	cds_list_for_each_entry (copy, &upstream->service.copies, link)
+		entry_upstream_report_rate(upstream, copy, now);
+}
+
 static void tick_update_limits(entry_t *entry, entry_upstream_t *upstream,
 			       usec_t now)
 {
@@ -50,6 +74,7 @@
 
 	pthread_mutex_lock(&upstream->lock);
 	entry_service_set_limits(&upstream->service, upstream->rate, share);
+	tick_update_rates(entry, upstream, now);
 	if (settings->retry_slack)
 		entry_service_set_retry_budget(
 			&upstream->service,
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -13,6 +13,7 @@
 	entry_request_t *req;
 	entry_conn_pool_t *pool;
 	entry_conn_t *conn;
+	usec_t sent;	      /* when the send began */
 	bool head_complete;   /* the final head (not 1xx) was received */
 	bool has_retry_after; /* Retry-After is present */
 	bool has_rest;	      /* and can be read */
--- a/entry-upstream.c
+++ b/entry-upstream.c
@@ -25,6 +25,21 @@
 	return upstream;
 }
 
+void entry_upstream_report_rate(entry_upstream_t *upstream, entry_copy_t *copy,
+				usec_t now)
+{
+	presence_client_t *presence = upstream->entry->presence;
+	presence_copy_rate_t report = {
+		.copy = copy->name,
+		.started_ms = copy->started_ms,
+		.millirate = copy->rate.millirate,
+		.base = copy->rate.revision,
+	};
+
+	if (presence && entry_service_rate_report(copy, now))
+		presence_client_report_rate(presence, &report);
+}
+
 unsigned entry_upstream_count(entry_t *entry)
 {
 	unsigned count;
--- a/entry.h
+++ b/entry.h
@@ -64,6 +64,22 @@
 	unsigned other_calls; /* calls at the copy from other entries */
 } entry_report_t;
 
+/**
+ * struct entry_rate_t - the rate of requests that a copy accepts at present.
+ *
+ * All entries together keep it: one of them, the holder in the configuration,
+ * sends to the copy. An entry that learns another rate from a response than the
+ * configuration has reports it to the keepers.
+ */
+typedef struct {
+	unsigned millirate; /* requests per 1000 s; 0: any number */
+	usec_t since;	    /* when this rate was learned or declared */
+	usec_t due;	    /* theoretical arrival time of the next request */
+	unsigned declared;  /* rate in the configuration; 0: none */
+	uint64_t revision;  /* of the rate in the configuration; 0: none */
+	bool held;	    /* this entry is the holder */
+} entry_rate_t;
+
 /**
  * struct entry_copy_t - state of one copy of a service.
  *
@@ -83,7 +99,7 @@
 	bool draining;	      /* gets no new calls */
 	bool leaving;	      /* its process has responded that it leaves */
 	usec_t rests_until;   /* it has asked for no calls until then */
-	unsigned millirate;   /* calls per 1000 s that it accepts; 0: any */
+	entry_rate_t rate;    /* that it accepts */
 	uint64_t started_ms;  /* reported start, wall clock in ms; 0: none */
 	bool in_subset;	      /* see entry_service_choose_subset() */
 	usec_t last_seen;     /* last announcement of the copy */
@@ -195,7 +211,12 @@
 		*profile; /* profile in force; must outlive the calls */
 	struct entry_queue *queue;
 	struct entry_limit *limit;
-	bool slots_only; /* for comparison: no more credits than slots */
+	/* End of the time in which the holders of rates are known to be in
+	   force: the last message of a keeper and a timeout. */
+	usec_t coordinated_until;
+	bool coordinated;   /* as of entry_service_set_coordination() */
+	double entry_share; /* fraction of the live entries that this one is */
+	bool slots_only;    /* for comparison: no more credits than slots */
 	struct entry_retry *retry;
 	uint64_t random_state;	      /* generator state, seeded at init */
 	struct cds_list_head running; /* calls sent, oldest send first */
@@ -433,7 +454,8 @@
  * @reported_before: copies with a report at or after this time are left out
  * @same_zone: true for copies of this entry's zone, false for all other zones
  * @subset_only: choose only copies with in_subset set
- * @out: filled in, in order of cost, the lowest first
+ * @out: filled in, in order of cost, the lowest first; the probes are counted
+ *       where a copy accepts requests at a limited rate
  *
  * Return: the number of copies, at most @max.
  */
@@ -509,9 +531,13 @@
 /**
  * entry_service_may_send - may a call be sent to a copy that was chosen before?
  *
- * False if the copy has responded meanwhile that it leaves or rests.
+ * @chosen_at: when the copy was chosen
+ *
+ * False if the copy has responded meanwhile that it leaves or rests, or with a
+ * rate that it accepts.
  */
-bool entry_service_may_send(const entry_copy_t *copy, usec_t now);
+bool entry_service_may_send(const entry_copy_t *copy, usec_t chosen_at,
+			    usec_t now);
 
 /**
  * entry_rate_read - parse the rate that a copy accepts.
@@ -524,11 +550,41 @@
 
 /**
  * entry_service_on_rate - record the rate that a copy names in a response.
- * @millirate: calls per 1000 seconds; 0 if the response names none
+ * @millirate: requests per 1000 seconds; 0 if the response names none
+ * @sent: when the request was sent; the rate is ignored if the copy has had
+ *        another one since
  *
- * Return: false if that was known.
+ * Until the configuration has the rate, this entry sends nothing to the copy.
+ *
+ * Return: false if the rate is not new.
+ */
+bool entry_service_on_rate(entry_copy_t *copy, unsigned millirate, usec_t sent,
+			   usec_t now);
+
+/**
+ * entry_service_declare_rate - apply the rate of a copy in the configuration.
+ * @millirate: requests per 1000 seconds; 0 if there is none
+ * @revision: revision of the rate; 0 if there is none
+ * @held: this entry is the holder
+ */
+void entry_service_declare_rate(entry_copy_t *copy, unsigned millirate,
+				uint64_t revision, bool held, usec_t now);
+
+/**
+ * entry_service_set_coordination - set how long the holders of rates are known.
+ * @until: end of that time; afterwards each entry uses its share of the rates,
+ *         as it cannot learn which entries hold them
+ */
+void entry_service_set_coordination(entry_service_t *svc, usec_t until,
+				    usec_t now);
+
+/**
+ * entry_service_rate_report - whether to report the rate of a copy to keepers.
+ *
+ * A rate that the configuration still lacks after several reports is forgotten;
+ * the next response of the copy tells it again.
  */
-bool entry_service_on_rate(entry_copy_t *copy, unsigned millirate);
+bool entry_service_rate_report(entry_copy_t *copy, usec_t now);
 
 /** entry_service_cancel - dequeue a call whose caller closed its connection. */
 void entry_service_cancel(entry_service_t *svc, entry_call_t *call);
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -320,6 +320,17 @@
 keeper_verdict_t keeper_core_prepare_leave(keeper_core_t *core, const char *id,
 					   config_target_t *target, usec_t now);
 
+/**
+ * keeper_core_put_rate - as leader, queue a rate that a copy accepts.
+ * @rate: with millirate 0 the rate of the copy is removed
+ * @base: revision of the rate that it replaces, 0 if there is none
+ *
+ * Return: false if it is not queued, because this keeper does not lead or the
+ * rate has another revision by now.
+ */
+bool keeper_core_put_rate(keeper_core_t *core, const config_copy_rate_t *rate,
+			  uint64_t base);
+
 /**
  * keeper_core_retire - as leader, queue the removal of copies.
  * @targets: copies that have not announced themselves for the silence time
--- a/keeper-registry.c
+++ b/keeper-registry.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include "config-rate.h"
 #include "keeper-registry.h"
 
 /*
@@ -17,6 +18,11 @@
 /* Interval between reports to the other keepers, and between checks for silent
  * copies. */
 #define REGISTRY_TICK_INTERVAL USEC_PER_SEC
+/* Time for which a keeper leads, and collects heartbeats, before it gives the
+ * rate of a copy to another entry. */
+#define REGISTRY_HOLDER_WAIT (3 * USEC_PER_SEC)
+/* Maximum number of rates that change their holder in one interval. */
+#define REGISTRY_HOLDERS_MAX 32
 /* Maximum number of silent copies that are removed in one interval. */
 #define REGISTRY_SILENT_MAX 32
 
@@ -33,6 +39,7 @@
 	/* Used by the registry's thread only. */
 	uint64_t pushed_revision; /* revision last sent to entries as leader */
 	bool was_leading;	  /* leader in the previous interval */
+	usec_t leading_since;	  /* when it became leader */
 };
 
 /* A consistent copy of some of the core's state. */
@@ -170,6 +177,35 @@
 	registry_send(registry, &message, from, length);
 }
 
+/* Passes on the rate that a copy names to an entry. A rate that is not known yet
+ * is held by the entry that reports it first. */
+static void registry_on_copy_rate(keeper_registry_t *registry,
+				  const presence_copy_rate_t *report)
+{
+	keeper_core_t *core = registry->core;
+	config_copy_rate_t rate = { .name = report->copy,
+				    .started_ms = report->started_ms,
+				    .millirate = report->millirate };
+	const config_copy_rate_t *existing = NULL;
+	char holder[HL_NAME_MAX];
+
+	snprintf(holder, sizeof(holder), "%s", report->entry);
+	pthread_mutex_lock(&core->lock);
+	if (core->state)
+		existing = config_rate_find(config_state_config(core->state),
+					    report->copy);
+	if (existing)
+		snprintf(holder, sizeof(holder), "%s", existing->holder);
+	pthread_mutex_unlock(&core->lock);
+	rate.holder = holder;
+	if (keeper_core_put_rate(core, &rate, report->base))
+		log_event(LOG_LEVEL_NOTICE, "copy-rate-reported",
+			  "copy=%s per_second=%.3f holder=%s entry=%s "
+			  "base=%" PRIu64,
+			  report->copy, report->millirate / 1000.0, holder,
+			  report->entry, (uint64_t)report->base);
+}
+
 static void registry_receive(keeper_registry_t *registry, usec_t now)
 {
 	struct sockaddr_storage from = { 0 };
@@ -199,6 +235,10 @@
 					registry,
 					&body->presence_body_t_u.copies_seen,
 					now);
+			else if (body->kind == PRESENCE_COPY_RATE)
+				registry_on_copy_rate(
+					registry,
+					&body->presence_body_t_u.copy_rate);
 			presence_clear(&message);
 		}
 		length = sizeof(from);
@@ -302,6 +342,75 @@
 		xdr_free((xdrproc_t)xdr_config_target_t, (char *)&silent[i]);
 }
 
+/* A rate whose holder no longer takes calls, with the entry that gets it. */
+typedef struct {
+	char copy[HL_NAME_MAX];
+	uint64_t started_ms;
+	unsigned millirate;
+	uint64_t base;
+	char holder[HL_NAME_MAX];
+} registry_handover_t;
+
+/* Finds rates whose holder takes no calls. The caller holds both locks. */
+static unsigned registry_find_handovers(const keeper_registry_t *registry,
+					const config_t *config, usec_t now,
+					registry_handover_t *out)
+{
+	unsigned count = 0;
+	u_int i;
+
+	for (i = 0; i < config->copy_rates.copy_rates_len; i++) {
+		const config_copy_rate_t *rate =
+			&config->copy_rates.copy_rates_val[i];
+		const config_target_t *target = config_find_target(config,
+								   rate->name);
+		const presence_member_t *next;
+
+		if (count == REGISTRY_HOLDERS_MAX || !target ||
+		    presence_table_is_ready(registry->entries, rate->holder,
+					    now))
+			continue;
+		next = presence_table_choose_one(registry->entries,
+						 target->zone, rate->name, now);
+		if (!next)
+			continue;
+		snprintf(out[count].copy, HL_NAME_MAX, "%s", rate->name);
+		snprintf(out[count].holder, HL_NAME_MAX, "%s", next->name);
+		out[count].started_ms = rate->started_ms;
+		out[count].millirate = rate->millirate;
+		out[count++].base = rate->revision;
+	}
+	return count;
+}
+
+/* As leader, gives the rates of copies whose holder takes no calls any more to
+ * other entries. */
+static void registry_replace_holders(keeper_registry_t *registry, usec_t now)
+{
+	registry_handover_t found[REGISTRY_HOLDERS_MAX];
+	keeper_core_t *core = registry->core;
+	unsigned count = 0;
+	unsigned i;
+
+	pthread_mutex_lock(&registry->lock);
+	pthread_mutex_lock(&core->lock);
+	if (core->state)
+		count = registry_find_handovers(
+			registry, config_state_config(core->state), now, found);
+	pthread_mutex_unlock(&core->lock);
+	pthread_mutex_unlock(&registry->lock);
+	for (i = 0; i < count; i++) {
+		config_copy_rate_t rate = { .name = found[i].copy,
+					    .started_ms = found[i].started_ms,
+					    .millirate = found[i].millirate,
+					    .holder = found[i].holder };
+
+		if (keeper_core_put_rate(core, &rate, found[i].base))
+			log_event(LOG_LEVEL_NOTICE, "copy-rate-handed-over",
+				  "copy=%s holder=%s", rate.name, rate.holder);
+	}
+}
+
 static void registry_tick(keeper_registry_t *registry, usec_t now)
 {
 	registry_view_t view;
@@ -309,6 +418,7 @@
 	registry_read_core(registry->core, &view);
 	registry_report_copies(registry, &view);
 	if (view.leading && !registry->was_leading) {
+		registry->leading_since = now;
 		pthread_mutex_lock(&registry->lock);
 		keeper_last_seen_reset(registry->last_seen);
 		pthread_mutex_unlock(&registry->lock);
@@ -316,6 +426,9 @@
 	registry->was_leading = view.leading;
 	if (view.leading)
 		registry_remove_silent(registry, now);
+	if (view.leading &&
+	    now - registry->leading_since >= REGISTRY_HOLDER_WAIT)
+		registry_replace_holders(registry, now);
 }
 
 static void registry_wait(keeper_registry_t *registry, usec_t left)
--- a/presence-client.c
+++ b/presence-client.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
+#include <glib.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -24,6 +25,8 @@
 #define CLIENT_PEERS_KEEPER_AGE (2200 * USEC_PER_MS)
 /* Time without a response of a keeper after which the peers are not known. */
 #define CLIENT_PEERS_MAX_AGE (5 * USEC_PER_SEC)
+/* Maximum number of reports that wait to be sent. */
+#define CLIENT_REPORTS_MAX 64
 /* Maximum number of keepers that get heartbeats: those of the settings and
  * those reported by keepers. */
 #define CLIENT_KEEPERS_MAX (2 * PRESENCE_KEEPERS_MAX)
@@ -53,7 +56,8 @@
 	bool send_at_once; /* a heartbeat to all keepers is due */
 	usec_t retry_at;   /* next heartbeat to keepers that do not respond */
 	client_keeper_t keepers[CLIENT_KEEPERS_MAX];
-	unsigned entries; /* live entries that a keeper reported; atomic */
+	unsigned entries;     /* live entries that a keeper reported; atomic */
+	usec_t last_response; /* of any keeper; atomic */
 
 	/* Protected by the lock. */
 	pthread_mutex_t lock;
@@ -61,6 +65,7 @@
 	presence_peers_list_t peers; /* as a keeper last reported them */
 	usec_t peers_confirmed; /* last response of the keeper asked for peers */
 	setting_list_t reported_keepers; /* last list from a keeper */
+	GQueue reports; /* encoded datagrams to be sent to all keepers, GBytes */
 };
 
 static int client_open(presence_client_t *client, const char *address,
@@ -190,6 +195,7 @@
 			  keeper->address);
 	keeper->lost = false;
 	keeper->last_seen = now;
+	__atomic_store_n(&client->last_response, now, __ATOMIC_RELAXED);
 	/* A keeper that lost its table in a restart gets the identity without
 	 * delay. */
 	if (keeper->has_identity && !status->identity_known)
@@ -254,6 +260,16 @@
 	}
 }
 
+static void client_send_bytes(presence_client_t *client,
+			      const client_keeper_t *keeper, const char *bytes,
+			      size_t size)
+{
+	if (size && sendto(client->socket, bytes, size, 0,
+			   (struct sockaddr *)&keeper->to, keeper->length) < 0)
+		log_event(LOG_LEVEL_DEBUG, "presence-not-sent",
+			  "keeper=%s errno=%d", keeper->address, errno);
+}
+
 static void client_send(presence_client_t *client, client_keeper_t *keeper,
 			usec_t now)
 {
@@ -276,10 +292,7 @@
 		heartbeat->identity.identity_val = &identity;
 	}
 	size = presence_encode(&message, bytes);
-	if (size && sendto(client->socket, bytes, size, 0,
-			   (struct sockaddr *)&keeper->to, keeper->length) < 0)
-		log_event(LOG_LEVEL_DEBUG, "presence-not-sent",
-			  "keeper=%s errno=%d", keeper->address, errno);
+	client_send_bytes(client, keeper, bytes, size);
 }
 
 /*
@@ -321,10 +334,7 @@
 	client->peers_confirmed = keeper->last_seen;
 	pthread_mutex_unlock(&client->lock);
 	size = presence_encode(&message, bytes);
-	if (size && sendto(client->socket, bytes, size, 0,
-			   (struct sockaddr *)&keeper->to, keeper->length) < 0)
-		log_event(LOG_LEVEL_DEBUG, "presence-not-sent",
-			  "keeper=%s errno=%d", keeper->address, errno);
+	client_send_bytes(client, keeper, bytes, size);
 }
 
 void presence_client_peers(presence_client_t *client, usec_t now,
@@ -416,6 +426,33 @@
 	return client->retry_at < *due ? client->retry_at : *due;
 }
 
+static GBytes *client_take_report(presence_client_t *client)
+{
+	GBytes *report;
+
+	pthread_mutex_lock(&client->lock);
+	report = g_queue_pop_head(&client->reports);
+	pthread_mutex_unlock(&client->lock);
+	return report;
+}
+
+/* Send the queued reports to all keepers; only the leader acts on them. */
+static void client_send_reports(presence_client_t *client)
+{
+	GBytes *report;
+	gsize size;
+	unsigned i;
+
+	while ((report = client_take_report(client))) {
+		const char *bytes = g_bytes_get_data(report, &size);
+
+		for (i = 0; i < client->count; i++)
+			client_send_bytes(client, &client->keepers[i], bytes,
+					  size);
+		g_bytes_unref(report);
+	}
+}
+
 static int client_run(void *context, const volatile int *stop)
 {
 	presence_client_t *client = context;
@@ -425,6 +462,7 @@
 		usec_t now = time_now();
 		usec_t next = client_send_due(client, &due, now);
 
+		client_send_reports(client);
 		if (client_wait(client, next - now))
 			due = 0;
 		client_receive(client, time_now());
@@ -478,6 +516,7 @@
 	client->id = hl_hash(client->name, strlen(client->name),
 			     (uint64_t)start);
 	pthread_mutex_init(&client->lock, NULL);
+	g_queue_init(&client->reports);
 	for (i = 0; i < client->seeds.count; i++)
 		client_add_keeper(client, client->seeds.items[i]);
 	if (!client_open(client, options->address, err))
@@ -486,6 +525,29 @@
 	return NULL;
 }
 
+void presence_client_report_rate(presence_client_t *client,
+				 const presence_copy_rate_t *report)
+{
+	presence_t message = { .cluster = client->cluster };
+	char bytes[PRESENCE_BYTES_MAX];
+	size_t size;
+
+	message.body.kind = PRESENCE_COPY_RATE;
+	message.body.presence_body_t_u.copy_rate = *report;
+	message.body.presence_body_t_u.copy_rate.entry = client->name;
+	size = presence_encode(&message, bytes);
+	pthread_mutex_lock(&client->lock);
+	if (size && client->reports.length < CLIENT_REPORTS_MAX)
+		g_queue_push_tail(&client->reports, g_bytes_new(bytes, size));
+	pthread_mutex_unlock(&client->lock);
+	presence_client_trigger(client);
+}
+
+usec_t presence_client_last_response(presence_client_t *client)
+{
+	return __atomic_load_n(&client->last_response, __ATOMIC_RELAXED);
+}
+
 unsigned presence_client_live_entries(presence_client_t *client)
 {
 	return __atomic_load_n(&client->entries, __ATOMIC_RELAXED);
@@ -509,6 +571,7 @@
 		close(client->socket);
 	if (client->wake >= 0)
 		close(client->wake);
+	g_queue_clear_full(&client->reports, (GDestroyNotify)g_bytes_unref);
 	pthread_mutex_destroy(&client->lock);
 	free(client);
 }
--- a/presence-table.c
+++ b/presence-table.c
@@ -172,6 +172,51 @@
 	return count;
 }
 
+bool presence_table_is_ready(const presence_table_t *table, const char *name,
+			     usec_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const presence_member_t *member = value;
+
+		if (member->ready && presence_is_live(member, now) &&
+		    !strcmp(member->name, name))
+			return true;
+	}
+	return false;
+}
+
+const presence_member_t *presence_table_choose_one(
+	const presence_table_t *table, const char *zone, const char *key,
+	usec_t now)
+{
+	const presence_member_t *best = NULL;
+	uint64_t best_rank = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const presence_member_t *member = value;
+		uint64_t rank = hl_hash(member->name, strlen(member->name),
+					hl_hash(key, strlen(key), 0)) >>
+				1;
+
+		if (!member->ready || !presence_is_live(member, now))
+			continue;
+		if (!strcmp(member->zone, zone))
+			rank |= 1ULL << 63;
+		if (best && rank <= best_rank)
+			continue;
+		best = member;
+		best_rank = rank;
+	}
+	return best;
+}
+
 static uint64_t presence_peer_rank(const presence_member_t *member, uint64_t id)
 {
 	return hl_hash(member->call_address, strlen(member->call_address), id);
--- a/presence.h
+++ b/presence.h
@@ -110,6 +110,21 @@
 			       usec_t now, const presence_member_t **out,
 			       unsigned max);
 
+/** presence_table_is_ready - whether an entry of this name is ready. */
+bool presence_table_is_ready(const presence_table_t *table, const char *name,
+			     usec_t now);
+
+/**
+ * presence_table_choose_one - choose one entry for a task.
+ * @zone: zone whose entries are preferred
+ * @key: name of the task; tasks are spread evenly over the entries
+ *
+ * Return: the entry, valid until the table changes, or NULL if none is ready.
+ */
+const presence_member_t *presence_table_choose_one(
+	const presence_table_t *table, const char *zone, const char *key,
+	usec_t now);
+
 /** struct presence_peers_list_t - call addresses of entries. */
 typedef struct {
 	unsigned count;
@@ -171,6 +186,18 @@
 /** presence_client_trigger - send a heartbeat to all keepers at once. */
 void presence_client_trigger(presence_client_t *client);
 
+/**
+ * presence_client_report_rate - report the rate of a copy to all keepers.
+ * @report: the name of the entry is filled in here
+ *
+ * A report may get lost. It is dropped if many others wait to be sent.
+ */
+void presence_client_report_rate(presence_client_t *client,
+				 const presence_copy_rate_t *report);
+
+/** presence_client_last_response - time of the last datagram of any keeper. */
+usec_t presence_client_last_response(presence_client_t *client);
+
 /**
  * presence_client_live_entries - return the number of live entries that a
  * keeper last reported, at least 1.
--- a/regress/test-config-state.c
+++ b/regress/test-config-state.c
@@ -163,6 +163,37 @@
 	}
 }
 
+/* Earlier releases wrote snapshots without the rates of copies. */
+static void test_state_old_snapshot(void)
+{
+	config_target_t target = { .name = (char *)"a",
+				   .service = (char *)"desk",
+				   .address = (char *)"h:1",
+				   .zone = (char *)"here",
+				   .started_ms = 7 };
+	config_snapshot_v2_t old = { .index = 9 };
+	const config_t *config;
+	config_state_t *state;
+	hl_error_t err = { 0 };
+	char *bytes;
+	size_t size;
+
+	old.config.revision = 5;
+	old.config.targets.targets_len = 1;
+	old.config.targets.targets_val = &target;
+	g_assert_cmpint(config_encode((xdrproc_t)xdr_config_snapshot_v2_t, &old,
+				      &bytes, &size),
+			==, 0);
+	state = config_state_load(bytes, size, &err);
+	free(bytes);
+	g_assert_nonnull(state);
+	config = config_state_config(state);
+	g_assert_cmpuint(config->revision, ==, 5);
+	g_assert_cmpuint(config->copy_rates.copy_rates_len, ==, 0);
+	g_assert_cmpuint(config_find_target(config, "a")->started_ms, ==, 7);
+	config_state_free(state);
+}
+
 /* A repeated change gets its first answer, also from a loaded snapshot. */
 static void test_state_resend(fixture_t *fixture, gconstpointer data)
 {
@@ -262,5 +293,6 @@
 		   test_state_window, teardown);
 	g_test_add("/config-state/deltas", fixture_t, NULL, setup,
 		   test_state_deltas, teardown);
+	g_test_add_func("/config-state/old-snapshot", test_state_old_snapshot);
 	return g_test_run();
 }
--- a/regress/test-config-target.c
+++ b/regress/test-config-target.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include "config-rate.h"
 #include "config-state.h"
 #include "config-target.h"
 
@@ -61,6 +62,37 @@
 	{ "announced-again-is-kept", "put a 0 1 ready h:1 = ready h:1\n"
 				     "put a 0 2 ready h:2 = ready h:2\n"
 				     "retire a 1 = ready h:2\n" },
+
+	/* The rates that copies name. */
+	{ "rate-of-first-report-wins", "put a 7 1 ready h:1 = ready h:1\n"
+				       "rate a 7 2000 e1 0 = 2000 e1\n"
+				       "rate a 7 3000 e2 0 = 2000 e1\n"
+				       "revision = 2\n"
+				       "rate a 7 3000 e2 2 = 3000 e2\n"
+				       "rate a 7 4000 e1 2 = 3000 e2\n" },
+	{ "rate-ends", "put a 7 1 ready h:1 = ready h:1\n"
+		       "rate a 7 2000 e1 0 = 2000 e1\n"
+		       "rate a 7 0 e1 0 = 2000 e1\n"
+		       "rate a 7 0 e1 2 = none\n"
+		       "rate a 7 0 e1 2 = none\n"
+		       "rate a 7 1000 e2 0 = 1000 e2\n" },
+	{ "rate-of-other-process-is-ignored",
+	  "rate a 7 1000 e1 0 = none\n"
+	  "put a 7 1 ready h:1 = ready h:1\n"
+	  "rate a 6 1000 e1 0 = none\n" },
+	{ "rate-ends-with-the-process",
+	  "put a 7 1 ready h:1 = ready h:1\n"
+	  "rate a 7 1000 e1 0 = 1000 e1\n"
+	  "put a 8 1 ready h:1 = ready h:1\nshow-rate a = none\n"
+	  "rate a 8 1000 e1 0 = 1000 e1\n"
+	  "put b 9 1 ready h:1 = ready h:1\nshow-rate a = none\n"
+	  "rate b 9 1000 e1 0 = 1000 e1\n"
+	  "retire b 5 = none\nshow-rate b = none\n" },
+	{ "rate-stays-while-the-copy-drains",
+	  "put a 7 1 ready h:1 = ready h:1\n"
+	  "rate a 7 1000 e1 0 = 1000 e1\n"
+	  "put a 7 2 draining h:1 = draining h:1\nshow-rate a = 1000 e1\n"
+	  "put a 7 3 left h:1 = left h:1\nshow-rate a = none\n" },
 };
 
 static const char *const states[] = { "ready", "draining", "left",
@@ -111,6 +143,32 @@
 	}
 }
 
+static char *show_rate(const config_state_t *state, const char *id)
+{
+	const config_copy_rate_t *rate;
+
+	rate = config_rate_find(config_state_config(state), id);
+	if (!rate)
+		return g_strdup("none");
+	return g_strdup_printf("%u %s", rate->millirate, rate->holder);
+}
+
+/* "rate ID START MILLIRATE HOLDER BASE" writes or, with 0, removes a rate. */
+static char *run_rate(config_state_t *state, config_t *follower, char **words)
+{
+	config_item_t item = { .base = strtoull(words[5], NULL, 10) };
+	config_copy_rate_t *rate = &item.body.config_body_t_u.copy_rate;
+
+	rate->name = words[1];
+	rate->started_ms = strtoull(words[2], NULL, 10);
+	rate->millirate = (u_int)strtoul(words[3], NULL, 10);
+	rate->holder = words[4];
+	item.body.kind = rate->millirate ? CONFIG_PUT_COPY_RATE :
+					   CONFIG_RETIRE_COPY_RATE;
+	apply(state, follower, &item);
+	return show_rate(state, words[1]);
+}
+
 static char *run_command(config_state_t *state, config_t *follower,
 			 char **words)
 {
@@ -119,6 +177,10 @@
 
 	if (!strcmp(words[0], "show"))
 		return show(state, words[1]);
+	if (!strcmp(words[0], "show-rate"))
+		return show_rate(state, words[1]);
+	if (!strcmp(words[0], "rate"))
+		return run_rate(state, follower, words);
 	if (!strcmp(words[0], "revision"))
 		return g_strdup_printf(
 			"%" PRIu64,
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -222,6 +222,66 @@
 	  "0 copy a 2\n0 copy b 2\n0 leaving a = new\n0 rest b 4000\n"
 	  "0 arrive x objective=250 = refuse no-copy\n" },
 
+	/* Copies that name a rate of requests that they accept from all entries
+	   together. */
+	{ "limited-copy-gets-no-calls-until-the-rate-is-held",
+	  "0 copy a 2\n0 copy b 2\n0 report a 0 0 100\n0 report b 1 0 100\n"
+	  "0 rate a 1000 0 = new\n0 arrive x objective=250 = send b\n"
+	  "0 candidates same-zone = \n50 candidates same-zone = b\n"
+	  "900 report a 0 0 100\n900 report b 1 0 100\n"
+	  "900 declare a 1000 1 other\n4000 report a 0 0 100\n"
+	  "4000 report b 1 0 100\n4000 arrive y objective=250 = send b\n" },
+	{ "limited-copy-gets-calls-of-the-holder-at-the-rate",
+	  "0 copy a 2\n0 declare a 1000 1 held\n"
+	  "999 arrive x objective=250 = wait\n999 next = none\n"
+	  "1000 report a 0 0 100\n1000 next = x a\n1000 end x ok = respond\n"
+	  "1999 arrive y objective=250 = wait\n1999 next = none\n"
+	  "2000 next = y a\n" },
+	{ "limited-copy-has-its-probes-counted",
+	  "0 copy a 2\n0 copy b 2\n0 declare a 1000 1 held\n"
+	  "1999 candidates same-zone = b\n2000 candidates same-zone = a b\n"
+	  "2000 report a 0 0 100\n2001 report b 2 0 100\n"
+	  "2001 arrive x objective=250 = send a\n"
+	  "2100 report a 0 0 100\n2100 report b 0 0 500\n"
+	  "2100 arrive y objective=250 = send b\n"
+	  "3999 candidates same-zone = b\n4000 candidates same-zone = a b\n" },
+	{ "limited-copy-gets-no-hedge",
+	  "0 budget 1 9\n0 copy a 2\n0 copy b 2\n0 report a 0 0 100\n"
+	  "0 report b 1 0 100\n0 arrive x objective=250 idem = send a\n"
+	  "1 rate b 1000 0 = new\n400 hedge = none\n" },
+	{ "limited-copy-is-free-once-it-names-no-rate",
+	  "0 copy a 2\n0 declare a 1000 1 held\n1500 rate a 0 1400 = new\n"
+	  "1500 rate-report a = yes\n1500 report a 0 0 100\n"
+	  "1500 arrive x objective=250 = send a\n"
+	  "1501 arrive y objective=250 = send a\n"
+	  "1502 declare a 0 0 other\n1502 rate-report a = no\n" },
+	{ "limited-copy-is-not-freed-by-an-earlier-request",
+	  "0 copy a 2\n10 rate a 1000 5 = new\n20 rate a 0 9 = known\n"
+	  "20 rate a 1000 15 = known\n20 rate-report a = yes\n"
+	  "30 declare a 1000 1 held\n30 rate-report a = no\n"
+	  "40 rate a 0 29 = known\n" },
+	{ "limited-copy-is-free-if-the-keepers-do-not-confirm",
+	  "0 copy a 2\n0 rate a 1000 0 = new\n4999 rate-report a = yes\n"
+	  "5000 rate-report a = no\n5000 report a 0 0 100\n"
+	  "5000 arrive x objective=250 = send a\n" },
+	{ "limited-copy-is-shared-by-entries-that-lost-the-keepers",
+	  "0 copy a 2\n0 share 0.25\n0 declare a 1000 1 other\n"
+	  "0 coordination 900\n950 candidates same-zone = \n"
+	  "1000 coordination 900\n8999 candidates same-zone = \n"
+	  "13001 candidates same-zone = a\n13002 candidates same-zone = \n"
+	  "17002 candidates same-zone = a\n" },
+	{ "limited-copy-is-left-by-a-holder-that-lost-the-keepers",
+	  "0 copy a 2\n0 declare a 1000 1 held\n0 coordination 1500\n"
+	  "1400 report a 0 0 100\n1400 arrive x objective=250 = send a\n"
+	  "1400 end x ok = respond\n3500 candidates same-zone = \n" },
+	{ "limited-copies-of-other-entries-are-refused-at-once",
+	  "0 copy a 2\n0 declare a 1000 1 other\n"
+	  "0 arrive x objective=250 = refuse no-copy\n"
+	  "0 retry-after x = 1000 to 1400\n" },
+	{ "limited-copy-has-a-new-process",
+	  "0 copy a 2\n0 declare a 1000 1 other\n0 new-process a\n"
+	  "0 report a 0 0 100\n0 arrive x objective=250 = send a\n" },
+
 	/* Copies without reports, or with reports but unreachable. */
 	{ "silent-copy-is-skipped",
 	  "0 copy a 2\n0 copy b 2\n0 no-report a\n0 report b 1 0 100\n"
@@ -386,10 +446,54 @@
 	return NULL;
 }
 
+/* "rate COPY MILLIRATE SENT_MS" */
+static char *run_rate(script_t *script, char **words)
+{
+	usec_t sent = (1000 + strtol(words[3], NULL, 10)) * USEC_PER_MS;
+	bool is_new;
+
+	is_new = entry_service_on_rate(script_copy(script, words[1]),
+				       (unsigned)atoi(words[2]), sent,
+				       script->now);
+	return g_strdup(is_new ? "new" : "known");
+}
+
+/* "declare COPY MILLIRATE REVISION held|other" */
+static char *run_declare(script_t *script, char **words)
+{
+	entry_service_declare_rate(script_copy(script, words[1]),
+				   (unsigned)atoi(words[2]),
+				   (uint64_t)atoi(words[3]),
+				   !strcmp(words[4], "held"), script->now);
+	return NULL;
+}
+
+static char *run_rate_report(script_t *script, char **words)
+{
+	bool due = entry_service_rate_report(script_copy(script, words[1]),
+					     script->now);
+
+	return g_strdup(due ? "yes" : "no");
+}
+
+static char *run_coordination(script_t *script, char **words)
+{
+	usec_t until = (1000 + strtol(words[1], NULL, 10)) * USEC_PER_MS;
+
+	entry_service_set_coordination(&script->svc, until, script->now);
+	return NULL;
+}
+
+static char *run_share(script_t *script, char **words)
+{
+	entry_service_set_limits(&script->svc, 0, g_strtod(words[1], NULL));
+	return NULL;
+}
+
 static char *run_may_send(script_t *script, char **words)
 {
 	bool may = entry_service_may_send(script_copy(script, words[1]),
-					  script->now);
+					  script->now, script->now);
 
 	return g_strdup(may ? "yes" : "no");
 }
@@ -539,6 +643,8 @@
 					  script->now);
 	if (after >= 4000 * USEC_PER_MS && after <= 5100 * USEC_PER_MS)
 		return g_strdup("4000 to 5100");
+	if (after >= 1000 * USEC_PER_MS && after <= 1400 * USEC_PER_MS)
+		return g_strdup("1000 to 1400");
 	return g_strdup(after < SERVICE_TIME / 4 ? "short" : "long");
 }
 
@@ -578,6 +684,11 @@
 	{ "drain", run_drain },
 	{ "leaving", run_leaving },
 	{ "rest", run_rest },
+	{ "rate", run_rate },
+	{ "declare", run_declare },
+	{ "rate-report", run_rate_report },
+	{ "coordination", run_coordination },
+	{ "share", run_share },
 	{ "may-send", run_may_send },
 	{ "new-process", run_new_process },
 	{ "hedge", run_hedge },
--- a/regress/test-presence.c
+++ b/regress/test-presence.c
@@ -90,6 +90,32 @@
 	presence_table_free(table);
 }
 
+/* One ready entry, of the zone if it has one, gets a task; another one gets it
+ * once the first takes no calls. */
+static void test_choose_one(void)
+{
+	presence_table_t *table = presence_table_new();
+	const presence_member_t *first, *second;
+
+	g_assert_null(presence_table_choose_one(table, "a", "task", 0));
+	send_heartbeat(table, 1, "a", true, true, 0, true);
+	send_heartbeat(table, 2, "a", true, true, 0, true);
+	send_heartbeat(table, 3, "b", true, true, 0, true);
+	first = presence_table_choose_one(table, "a", "task", SECOND);
+	g_assert_cmpstr(first->zone, ==, "a");
+	g_assert_true(presence_table_is_ready(table, first->name, SECOND));
+	send_heartbeat(table, first->id, "a", false, false, SECOND, true);
+	g_assert_false(presence_table_is_ready(table, first->name, SECOND));
+	second = presence_table_choose_one(table, "a", "task", SECOND);
+	g_assert_cmpstr(second->zone, ==, "a");
+	g_assert_cmpuint(second->id, !=, first->id);
+	send_heartbeat(table, 3, "b", true, true, 3 * SECOND, true);
+	second = presence_table_choose_one(table, "a", "task", 3 * SECOND);
+	g_assert_cmpstr(second->zone, ==, "b");
+	g_assert_false(presence_table_is_ready(table, "e9", SECOND));
+	presence_table_free(table);
+}
+
 /* Number of entries of a zone, more than one list of peers has. */
 #define PEERS_ZONE_ENTRIES 90
 /* Bounds of the number of lists that name an entry; the mean is that of the
@@ -282,6 +308,7 @@
 			test_peers_of_large_zone);
 	g_test_add_func("/presence/peers-codec", test_peers_codec);
 	g_test_add_func("/presence/choose", test_choose);
+	g_test_add_func("/presence/choose-one", test_choose_one);
 	g_test_add_func("/presence/codec", test_codec);
 	g_test_add_func("/presence/silence", test_silent_copies);
 	g_test_add_func("/presence/load", test_load_header);
--- a/rpc/config_rpc.h
+++ b/rpc/config_rpc.h
@@ -153,6 +153,15 @@
 };
 typedef struct config_target_t config_target_t;
 
+struct config_copy_rate_t {
+	config_name_t name;
+	u_quad_t revision;
+	u_quad_t started_ms;
+	u_int millirate;
+	config_name_t holder;
+};
+typedef struct config_copy_rate_t config_copy_rate_t;
+
 struct config_t {
 	u_quad_t revision;
 	struct {
@@ -187,6 +196,10 @@
 		u_int targets_len;
 		config_target_t *targets_val;
 	} targets;
+	struct {
+		u_int copy_rates_len;
+		config_copy_rate_t *copy_rates_val;
+	} copy_rates;
 };
 typedef struct config_t config_t;
 
@@ -207,6 +220,8 @@
 	CONFIG_RETIRE_ROUTING_VERSION = 14,
 	CONFIG_PUT_TARGET = 15,
 	CONFIG_RETIRE_TARGET = 16,
+	CONFIG_PUT_COPY_RATE = 17,
+	CONFIG_RETIRE_COPY_RATE = 18,
 };
 typedef enum config_item_kind_t config_item_kind_t;
 
@@ -221,6 +236,7 @@
 		config_limits_t limits;
 		config_routing_version_t routing_version;
 		config_target_t target;
+		config_copy_rate_t copy_rate;
 	} config_body_t_u;
 };
 typedef struct config_body_t config_body_t;
@@ -298,6 +314,62 @@
 };
 typedef struct config_snapshot_t config_snapshot_t;
 
+struct config_v2_t {
+	u_quad_t revision;
+	struct {
+		u_int profiles_len;
+		config_profile_t *profiles_val;
+	} profiles;
+	struct {
+		u_int services_len;
+		config_service_t *services_val;
+	} services;
+	struct {
+		u_int stops_len;
+		config_stop_t *stops_val;
+	} stops;
+	struct {
+		u_int routes_len;
+		config_route_t *routes_val;
+	} routes;
+	struct {
+		u_int pools_len;
+		config_pool_t *pools_val;
+	} pools;
+	struct {
+		u_int limits_len;
+		config_limits_t *limits_val;
+	} limits;
+	struct {
+		u_int routing_versions_len;
+		config_routing_version_t *routing_versions_val;
+	} routing_versions;
+	struct {
+		u_int targets_len;
+		config_target_t *targets_val;
+	} targets;
+};
+typedef struct config_v2_t config_v2_t;
+
+struct config_snapshot_v2_t {
+	config_v2_t config;
+	u_quad_t index;
+	u_quad_t evicted_revision;
+	struct {
+		u_int dedup_len;
+		config_dedup_t *dedup_val;
+	} dedup;
+	struct {
+		u_int tombstones_len;
+		config_tombstone_t *tombstones_val;
+	} tombstones;
+	struct {
+		u_int deltas_len;
+		config_delta_t *deltas_val;
+	} deltas;
+};
+typedef struct config_snapshot_v2_t config_snapshot_v2_t;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -314,6 +386,7 @@
 extern  bool_t xdr_config_routing_version_t (XDR *, config_routing_version_t*);
 extern  bool_t xdr_config_target_state_t (XDR *, config_target_state_t*);
 extern  bool_t xdr_config_target_t (XDR *, config_target_t*);
+extern  bool_t xdr_config_copy_rate_t (XDR *, config_copy_rate_t*);
 extern  bool_t xdr_config_t (XDR *, config_t*);
 extern  bool_t xdr_config_item_kind_t (XDR *, config_item_kind_t*);
 extern  bool_t xdr_config_body_t (XDR *, config_body_t*);
@@ -325,6 +398,8 @@
 extern  bool_t xdr_config_dedup_t (XDR *, config_dedup_t*);
 extern  bool_t xdr_config_tombstone_t (XDR *, config_tombstone_t*);
 extern  bool_t xdr_config_snapshot_t (XDR *, config_snapshot_t*);
+extern  bool_t xdr_config_v2_t (XDR *, config_v2_t*);
+extern  bool_t xdr_config_snapshot_v2_t (XDR *, config_snapshot_v2_t*);
 
 #else /* K&R C */
 extern bool_t xdr_config_name_t ();
@@ -340,6 +415,7 @@
 extern bool_t xdr_config_routing_version_t ();
 extern bool_t xdr_config_target_state_t ();
 extern bool_t xdr_config_target_t ();
+extern bool_t xdr_config_copy_rate_t ();
 extern bool_t xdr_config_t ();
 extern bool_t xdr_config_item_kind_t ();
 extern bool_t xdr_config_body_t ();
@@ -351,6 +427,8 @@
 extern bool_t xdr_config_dedup_t ();
 extern bool_t xdr_config_tombstone_t ();
 extern bool_t xdr_config_snapshot_t ();
+extern bool_t xdr_config_v2_t ();
+extern bool_t xdr_config_snapshot_v2_t ();
 
 #endif /* K&R C */
 
--- a/rpc/config_rpc.x
+++ b/rpc/config_rpc.x
@@ -146,6 +146,16 @@
 	unsigned int cold_ms;		/* length of its slow start */
 };
 
+/* The rate of calls that a copy accepts at present, as its process that started
+   at started_ms names it in responses. Only the holder sends to the copy. */
+struct config_copy_rate_t {
+	config_name_t name;		/* id of the copy */
+	unsigned hyper revision;
+	unsigned hyper started_ms;	/* as in config_target_t */
+	unsigned int millirate;		/* calls per 1000 seconds */
+	config_name_t holder;		/* name of an entry */
+};
+
 /* The revision of an object, and that of the configuration, is the number of
    the accepted change that wrote it last. */
 struct config_t {
@@ -158,6 +168,7 @@
 	config_limits_t limits<1>;
 	config_routing_version_t routing_versions<1>;
 	config_target_t targets<CONFIG_TARGETS_MAX>;
+	config_copy_rate_t copy_rates<CONFIG_TARGETS_MAX>;
 };
 
 enum config_item_kind_t {
@@ -176,7 +187,9 @@
 	CONFIG_PUT_ROUTING_VERSION = 13,
 	CONFIG_RETIRE_ROUTING_VERSION = 14,
 	CONFIG_PUT_TARGET = 15,
-	CONFIG_RETIRE_TARGET = 16
+	CONFIG_RETIRE_TARGET = 16,
+	CONFIG_PUT_COPY_RATE = 17,
+	CONFIG_RETIRE_COPY_RATE = 18
 };
 
 /* RETIRE items use only the name; those of stops the service and the copy. */
@@ -205,6 +218,9 @@
 case CONFIG_PUT_TARGET:
 case CONFIG_RETIRE_TARGET:
 	config_target_t target;
+case CONFIG_PUT_COPY_RATE:
+case CONFIG_RETIRE_COPY_RATE:
+	config_copy_rate_t copy_rate;
 };
 
 /* Puts or retires an object by compare-and-set. base is the expected revision
@@ -271,3 +287,26 @@
 	config_tombstone_t tombstones<CONFIG_TOMBSTONES_MAX>;
 	config_delta_t deltas<CONFIG_DELTAS_MAX>;
 };
+
+/* The layout of config_t before it had copy_rates. */
+struct config_v2_t {
+	unsigned hyper revision;
+	config_profile_t profiles<CONFIG_OBJECTS_MAX>;
+	config_service_t services<CONFIG_OBJECTS_MAX>;
+	config_stop_t stops<CONFIG_OBJECTS_MAX>;
+	config_route_t routes<CONFIG_OBJECTS_MAX>;
+	config_pool_t pools<CONFIG_OBJECTS_MAX>;
+	config_limits_t limits<1>;
+	config_routing_version_t routing_versions<1>;
+	config_target_t targets<CONFIG_TARGETS_MAX>;
+};
+
+/* The layout of config_snapshot_t with config_v2_t. */
+struct config_snapshot_v2_t {
+	config_v2_t config;
+	unsigned hyper index;
+	unsigned hyper evicted_revision;
+	config_dedup_t dedup<CONFIG_DEDUP_MAX>;
+	config_tombstone_t tombstones<CONFIG_TOMBSTONES_MAX>;
+	config_delta_t deltas<CONFIG_DELTAS_MAX>;
+};
--- a/rpc/config_rpc_xdr.c
+++ b/rpc/config_rpc_xdr.c
@@ -407,6 +407,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_config_copy_rate_t (XDR *xdrs, config_copy_rate_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->millirate))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->holder))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_config_t (XDR *xdrs, config_t *objp)
 {
@@ -438,6 +456,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, CONFIG_TARGETS_MAX,
 		sizeof (config_target_t), (xdrproc_t) xdr_config_target_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->copy_rates.copy_rates_val, (u_int *) &objp->copy_rates.copy_rates_len, CONFIG_TARGETS_MAX,
+		sizeof (config_copy_rate_t), (xdrproc_t) xdr_config_copy_rate_t))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -499,6 +520,11 @@
 		 if (!xdr_config_target_t (xdrs, &objp->config_body_t_u.target))
 			 return FALSE;
 		break;
+	case CONFIG_PUT_COPY_RATE:
+	case CONFIG_RETIRE_COPY_RATE:
+		 if (!xdr_config_copy_rate_t (xdrs, &objp->config_body_t_u.copy_rate))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -626,3 +652,60 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_config_v2_t (XDR *xdrs, config_v2_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->profiles.profiles_val, (u_int *) &objp->profiles.profiles_len, CONFIG_OBJECTS_MAX,
+		sizeof (config_profile_t), (xdrproc_t) xdr_config_profile_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, CONFIG_OBJECTS_MAX,
+		sizeof (config_service_t), (xdrproc_t) xdr_config_service_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->stops.stops_val, (u_int *) &objp->stops.stops_len, CONFIG_OBJECTS_MAX,
+		sizeof (config_stop_t), (xdrproc_t) xdr_config_stop_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, CONFIG_OBJECTS_MAX,
+		sizeof (config_route_t), (xdrproc_t) xdr_config_route_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->pools.pools_val, (u_int *) &objp->pools.pools_len, CONFIG_OBJECTS_MAX,
+		sizeof (config_pool_t), (xdrproc_t) xdr_config_pool_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, 1,
+		sizeof (config_limits_t), (xdrproc_t) xdr_config_limits_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->routing_versions.routing_versions_val, (u_int *) &objp->routing_versions.routing_versions_len, 1,
+		sizeof (config_routing_version_t), (xdrproc_t) xdr_config_routing_version_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, CONFIG_TARGETS_MAX,
+		sizeof (config_target_t), (xdrproc_t) xdr_config_target_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_snapshot_v2_t (XDR *xdrs, config_snapshot_v2_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_v2_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->evicted_revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->dedup.dedup_val, (u_int *) &objp->dedup.dedup_len, CONFIG_DEDUP_MAX,
+		sizeof (config_dedup_t), (xdrproc_t) xdr_config_dedup_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tombstones.tombstones_val, (u_int *) &objp->tombstones.tombstones_len, CONFIG_TOMBSTONES_MAX,
+		sizeof (config_tombstone_t), (xdrproc_t) xdr_config_tombstone_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->deltas.deltas_val, (u_int *) &objp->deltas.deltas_len, CONFIG_DELTAS_MAX,
+		sizeof (config_delta_t), (xdrproc_t) xdr_config_delta_t))
+		 return FALSE;
+	return TRUE;
+}
--- a/rpc/presence_rpc.h
+++ b/rpc/presence_rpc.h
@@ -27,6 +27,7 @@
 	PRESENCE_COPIES_SEEN = 3,
 	PRESENCE_PEERS_REQUEST = 4,
 	PRESENCE_PEERS = 5,
+	PRESENCE_COPY_RATE = 6,
 };
 typedef enum presence_kind_t presence_kind_t;
 
@@ -85,6 +86,15 @@
 };
 typedef struct presence_peers_t presence_peers_t;
 
+struct presence_copy_rate_t {
+	config_name_t entry;
+	config_name_t copy;
+	u_quad_t started_ms;
+	u_int millirate;
+	u_quad_t base;
+};
+typedef struct presence_copy_rate_t presence_copy_rate_t;
+
 struct presence_body_t {
 	presence_kind_t kind;
 	union {
@@ -93,6 +103,7 @@
 		presence_copies_seen_t copies_seen;
 		presence_peers_request_t peers_request;
 		presence_peers_t peers;
+		presence_copy_rate_t copy_rate;
 	} presence_body_t_u;
 };
 typedef struct presence_body_t presence_body_t;
@@ -114,6 +125,7 @@
 extern  bool_t xdr_presence_copies_seen_t (XDR *, presence_copies_seen_t*);
 extern  bool_t xdr_presence_peers_request_t (XDR *, presence_peers_request_t*);
 extern  bool_t xdr_presence_peers_t (XDR *, presence_peers_t*);
+extern  bool_t xdr_presence_copy_rate_t (XDR *, presence_copy_rate_t*);
 extern  bool_t xdr_presence_body_t (XDR *, presence_body_t*);
 extern  bool_t xdr_presence_t (XDR *, presence_t*);
 
@@ -126,6 +138,7 @@
 extern bool_t xdr_presence_copies_seen_t ();
 extern bool_t xdr_presence_peers_request_t ();
 extern bool_t xdr_presence_peers_t ();
+extern bool_t xdr_presence_copy_rate_t ();
 extern bool_t xdr_presence_body_t ();
 extern bool_t xdr_presence_t ();
 
--- a/rpc/presence_rpc.x
+++ b/rpc/presence_rpc.x
@@ -16,7 +16,8 @@
 	PRESENCE_KEEPER_STATUS = 2,	/* keeper to entry */
 	PRESENCE_COPIES_SEEN = 3,	/* keeper to keeper: copies seen */
 	PRESENCE_PEERS_REQUEST = 4,	/* entry to keeper */
-	PRESENCE_PEERS = 5		/* keeper to entry, if its list differs */
+	PRESENCE_PEERS = 5,		/* keeper to entry, if its list differs */
+	PRESENCE_COPY_RATE = 6		/* entry to keeper */
 };
 
 /* The identity of an entry, which heartbeats omit once the keeper has it. */
@@ -63,6 +64,16 @@
 	presence_address_t addresses<PRESENCE_PEERS_MAX>;
 };
 
+/* An entry reports the rate that a copy names in its responses. The keepers make
+   the entry the holder of a rate that they do not know yet. */
+struct presence_copy_rate_t {
+	config_name_t entry;		/* name of the entry */
+	config_name_t copy;
+	unsigned hyper started_ms;	/* as in config_target_t */
+	unsigned int millirate;		/* 0: the copy names no rate any more */
+	unsigned hyper base;		/* revision of the known rate; 0: none */
+};
+
 union presence_body_t switch (presence_kind_t kind) {
 case PRESENCE_ENTRY:
 	presence_entry_t entry;
@@ -74,6 +85,8 @@
 	presence_peers_request_t peers_request;
 case PRESENCE_PEERS:
 	presence_peers_t peers;
+case PRESENCE_COPY_RATE:
+	presence_copy_rate_t copy_rate;
 };
 
 struct presence_t {
--- a/rpc/presence_rpc_xdr.c
+++ b/rpc/presence_rpc_xdr.c
@@ -165,6 +165,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_presence_copy_rate_t (XDR *xdrs, presence_copy_rate_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->entry))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->copy))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->millirate))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_presence_body_t (XDR *xdrs, presence_body_t *objp)
 {
@@ -193,6 +211,10 @@
 		 if (!xdr_presence_peers_t (xdrs, &objp->presence_body_t_u.peers))
 			 return FALSE;
 		break;
+	case PRESENCE_COPY_RATE:
+		 if (!xdr_presence_copy_rate_t (xdrs, &objp->presence_body_t_u.copy_rate))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
