Log which call was running at a copy that crashed

After a send is cut the entry tries to connect to the copy. If the copy refuses, copy-crashed has a digest of the call's content. The check takes one connect, at most 100 ms. Nothing is decided by it yet. The stand-in standin-raw ends at a path with /crash.

--- a/entry-io.h
+++ b/entry-io.h
@@ -390,6 +390,9 @@
  */
 void entry_trace_ended(entry_request_t *req, bool complete, usec_t now);
 
+/** entry_trace_copy_crashed - log that a copy crashed while it ran a call. */
+void entry_trace_copy_crashed(const entry_request_t *req, const char *digest);
+
 /** entry_trace_copy_leaves - log that a copy has responded that it leaves. */
 void entry_trace_copy_leaves(const char *service, const char *copy,
 			     const char *call_id);
@@ -752,6 +755,26 @@
  */
 void entry_probe_on_state(const entry_probe_t *probe);
 
+/* Size of the digest of a call, hexadecimal digits and a zero byte. */
+#define ENTRY_DIGEST_SIZE 33
+
+/**
+ * entry_crash_digest - compute the digest of a call's content.
+ *
+ * Covers the tenant, the method, the host, the path with query and the body; of
+ * a body that is streamed only the length.
+ */
+void entry_crash_digest(const entry_request_t *req,
+			char out[ENTRY_DIGEST_SIZE]);
+
+/**
+ * entry_crash_check - after a send was cut, check whether its copy has crashed.
+ * @address: address of the copy
+ *
+ * Blocks for at most 100 ms.
+ */
+void entry_crash_check(entry_request_t *req, const char *address);
+
 /**
  * entry_target_presence_new - start to report this entry to the keepers.
  *
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -583,6 +583,8 @@
 	entry_trace_sent(req, sent);
 	transfer.pool = relay_pool(req);
 	result = relay_send_once(&transfer);
+	if (result == ENTRY_RESULT_TRUNCATED)
+		entry_crash_check(req, transfer.pool->address);
 	entry_conn_pool_unref(transfer.pool);
 	if (transfer.head_complete)
 		relay_set_outcome(req, entry_transfer_outcome(&transfer));
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -79,6 +79,15 @@
 		  (now - req->call.arrived) / USEC_PER_MS);
 }
 
+void entry_trace_copy_crashed(const entry_request_t *req, const char *digest)
+{
+	log_event(LOG_LEVEL_NOTICE, "copy-crashed",
+		  "service=%s copy=%s call=%s route=%s digest=%s",
+		  req->upstream->name, req->call.copy->name,
+		  trace_value(req->call_id), trace_value(req->rule_name),
+		  digest);
+}
+
 void entry_trace_copy_leaves(const char *service, const char *copy,
 			     const char *call_id)
 {
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -12,6 +12,7 @@
  *	/twice			sends its response again, 30 ms later
  *	/leaving		responds that the copy leaves
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
+ *	/crash			the process ends without a response
  *	/endless-head		header lines without end
  *	/endless-line		a header line without end
  *	/endless-interim	1xx responses without end
@@ -387,6 +388,10 @@
 	}
 	if (serve_rest(conn, &keep))
 		return keep;
+	if (strstr(conn->path, "/crash")) {
+		record_call(conn, "crash");
+		_exit(1);
+	}
 	record_call(conn, "run");
 	g_snprintf(text, sizeof(text),
 		   "bytes=%" PRIu64 " hash=%016" PRIx64 "\n", conn->body_bytes,
