Write only the first report of a copy's rate into the log

Cause: routed-rate failed once in a whole run of the tests. Entries report a rate within milliseconds of each other; the leader queued each report and logged each reporter as the holder, though only the first has an effect. The log thus named an entry that did not hold the rate, and the test ended that one, so that nothing was handed over. Ruled out: a handover that fails.

While a report based on the same revision is queued, further ones are not.

--- a/keeper-announce.c
+++ b/keeper-announce.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include "config-rate.h"
@@ -47,12 +48,12 @@
 	return verdict;
 }
 
-/* Queue a change that has only targets. It needs no id, since applying it twice
- * has no further effect. The caller holds the core's lock. */
-static keeper_verdict_t announce_queue(keeper_core_t *core,
+/* Queue a change of items that processes have reported. Its id may be empty, since
+ * applying it twice has no further effect. The caller holds the core's lock. */
+static keeper_verdict_t announce_queue(keeper_core_t *core, const char *id,
 				       config_item_t *items, unsigned count)
 {
-	config_change_t change = { .id = "", .author = "copies" };
+	config_change_t change = { .id = (char *)id, .author = "copies" };
 	keeper_submit_res_t res = { 0 };
 	keeper_status_t status;
 
@@ -77,7 +78,7 @@
 	pthread_mutex_lock(&core->lock);
 	verdict = announce_check(core, target);
 	if (verdict == KEEPER_VERDICT_WAIT)
-		verdict = announce_queue(core, &item, 1);
+		verdict = announce_queue(core, "", &item, 1);
 	pthread_mutex_unlock(&core->lock);
 	return verdict;
 }
@@ -128,13 +129,19 @@
 {
 	const config_t *config;
 	config_item_t item;
+	char id[HL_NAME_MAX];
 	bool queued = false;
 
+	snprintf(id, sizeof(id), "rate-%016" PRIx64 "-%" PRIu64,
+		 hl_hash(rate->name, strlen(rate->name), 0), base);
+
 	pthread_mutex_lock(&core->lock);
 	config = core->state ? config_state_config(core->state) : NULL;
 	if (config && core->view.leading && core->view.serving &&
-	    announce_rate_item(config, rate, base, &item))
-		queued = announce_queue(core, &item, 1) == KEEPER_VERDICT_WAIT;
+	    announce_rate_item(config, rate, base, &item) &&
+	    !keeper_request_is_pending(core, id))
+		queued = announce_queue(core, id, &item, 1) ==
+			 KEEPER_VERDICT_WAIT;
 	pthread_mutex_unlock(&core->lock);
 	return queued;
 }
@@ -155,7 +162,7 @@
 	}
 	pthread_mutex_lock(&core->lock);
 	if (count && core->view.leading)
-		announce_queue(core, items, count);
+		announce_queue(core, "", items, count);
 	pthread_mutex_unlock(&core->lock);
 }
 
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -325,8 +325,10 @@
  * @rate: with millirate 0 the rate of the copy is removed
  * @base: revision of the rate that it replaces, 0 if there is none
  *
- * Return: false if it is not queued, because this keeper does not lead or the
- * rate has another revision by now.
+ * Of several reports that are based on the same revision the first is queued.
+ *
+ * Return: false if it is not queued, also because this keeper does not lead or
+ * the rate has another revision by now.
  */
 bool keeper_core_put_rate(keeper_core_t *core, const config_copy_rate_t *rate,
 			  uint64_t base);
