--- a/config-apply.c
+++ b/config-apply.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include "config-object.h"
 #include "config-rate.h"
+#include "config-suspect.h"
 #include "config-target.h"
 
 /* Applies accepted items and deltas to a configuration. */
@@ -19,6 +20,32 @@
 	}
 }
 
+static bool config_target_has_effect(const config_t *config,
+				     const config_item_t *item)
+{
+	const config_target_t *announced = &item->body.config_body_t_u.target;
+	const config_target_t *existing = config_find_target(config,
+							     announced->name);
+
+	if (item->body.kind == CONFIG_PUT_TARGET)
+		return config_target_supersedes(existing, announced);
+	return existing && existing->revision == item->base;
+}
+
+bool config_report_has_effect(const config_t *config, const config_item_t *item)
+{
+	switch (item->body.kind) {
+	case CONFIG_PUT_COPY_RATE:
+	case CONFIG_RETIRE_COPY_RATE:
+		return config_rate_has_effect(config, item);
+	case CONFIG_PUT_SUSPECT:
+	case CONFIG_RETIRE_SUSPECT:
+		return config_suspect_has_effect(config, item);
+	default:
+		return config_target_has_effect(config, item);
+	}
+}
+
 int config_apply_item(config_t *config, uint64_t revision,
 		      const config_item_t *item)
 {
@@ -34,6 +61,8 @@
 	}
 	if (type->put == CONFIG_PUT_COPY_RATE)
 		return config_rate_apply(config, item, revision);
+	if (type->put == CONFIG_PUT_SUSPECT)
+		return config_suspect_apply(config, item, revision);
 	if (item->body.kind == type->put)
 		return config_object_put(type, config, value, revision);
 	found = config_object_find(type, config, value);
--- a/config-object.c
+++ b/config-object.c
@@ -47,6 +47,9 @@
 		      CONFIG_RETIRE_COPY_RATE, config_copy_rate_t,
 		      copy_rates.copy_rates, CONFIG_NO_COPY_NAME,
 		      CONFIG_TARGETS_MAX, true),
+	CONFIG_OBJECT("suspect", CONFIG_PUT_SUSPECT, CONFIG_RETIRE_SUSPECT,
+		      config_suspect_t, suspects.suspects, CONFIG_NO_COPY_NAME,
+		      CONFIG_SUSPECTS_MAX, true),
 };
 
 #define CONFIG_OBJECT_COUNT (sizeof(config_objects) / sizeof(config_objects[0]))
@@ -153,7 +156,8 @@
 bool config_object_is_reported(const config_object_type_t *type)
 {
 	return type->put == CONFIG_PUT_TARGET ||
-	       type->put == CONFIG_PUT_COPY_RATE;
+	       type->put == CONFIG_PUT_COPY_RATE ||
+	       type->put == CONFIG_PUT_SUSPECT;
 }
 
 u_int config_object_count(const config_object_type_t *type,
--- a/config-state.c
+++ b/config-state.c
@@ -3,11 +3,9 @@
 #include <string.h>
 #include "config-check.h"
 #include "config-object.h"
-#include "config-rate.h"
 #include "config-ring.h"
 #include "config-state.h"
 #include "config-tail.h"
-#include "config-target.h"
 
 struct config_state {
 	config_t config;
@@ -316,29 +314,6 @@
 	free(state);
 }
 
-/* Whether an item about a copy changes the configuration. */
-static bool config_state_target_has_effect(const config_state_t *state,
-					   const config_item_t *item)
-{
-	const config_target_t *announced = &item->body.config_body_t_u.target;
-	const config_target_t *existing;
-
-	existing = config_find_target(&state->config, announced->name);
-	if (item->body.kind == CONFIG_PUT_TARGET)
-		return config_target_supersedes(existing, announced);
-	return existing && existing->revision == item->base;
-}
-
-/* Whether an item that a process reported changes the configuration. */
-static bool config_state_report_has_effect(const config_state_t *state,
-					   const config_item_t *item)
-{
-	if (item->body.kind == CONFIG_PUT_COPY_RATE ||
-	    item->body.kind == CONFIG_RETIRE_COPY_RATE)
-		return config_rate_has_effect(&state->config, item);
-	return config_state_target_has_effect(state, item);
-}
-
 /* Whether all items of a change, at least one, were reported by processes. */
 static bool config_state_is_report(const config_change_t *change)
 {
@@ -356,8 +331,9 @@
 
 /*
  * Applies a change that consists of reports of processes: announcements of
- * copies, whose start times and sequence numbers make them idempotent, and rates
- * of copies, which name the revision that they are based on. They need no dedup
+ * copies, whose start times and sequence numbers make them idempotent, rates of
+ * copies, which name the revision that they are based on, and crashes, of which
+ * each counts once. They need no dedup
  * record, and are applied in place, without a copy of the configuration, as
  * there are many.
  */
@@ -373,7 +349,7 @@
 	for (i = 0; i < change->items.items_len; i++) {
 		const config_item_t *item = &change->items.items_val[i];
 
-		if (!config_state_report_has_effect(state, item))
+		if (!config_report_has_effect(&state->config, item))
 			continue;
 		has_effect = true;
 		if (config_apply_item(&state->config, delta.revision, item))
--- a/config.h
+++ b/config.h
@@ -86,6 +86,15 @@
 int config_apply_item(config_t *config, uint64_t revision,
 		      const config_item_t *item);
 
+/**
+ * config_report_has_effect - whether an item that a process reported changes
+ * the configuration.
+ * @item: an item about a copy, the rate of a copy or a suspect; other items are
+ *        written by operators
+ */
+bool config_report_has_effect(const config_t *config,
+			      const config_item_t *item);
+
 /**
  * config_apply_delta - apply all items of an accepted change.
  * @config: the configuration at the revision before @delta; set to the
--- a/entry-crash.c
+++ b/entry-crash.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 #include <poll.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -14,6 +15,12 @@
 /* Time in which a copy must take or refuse a connection after a send was cut. */
 #define CRASH_CONNECT_TIMEOUT_MS 100
 
+struct entry_crashes {
+	pthread_mutex_t lock;
+	entry_suspects_t *suspects; /* guarded by the lock */
+	unsigned count;		    /* of the suspects; accessed atomically */
+};
+
 static void crash_digest_add(GChecksum *checksum, const char *text)
 {
 	g_checksum_update(checksum, (const guchar *)text,
@@ -37,7 +44,12 @@
 	crash_digest_add(checksum, length);
 }
 
-void entry_crash_digest(const entry_request_t *req, char out[ENTRY_DIGEST_SIZE])
+/*
+ * Computes the digest of a call's content: of the tenant, the method, the host,
+ * the path with query and the body; of a body that is streamed only the length.
+ */
+static void crash_digest(const entry_request_t *req,
+			 char out[ENTRY_DIGEST_SIZE])
 {
 	const entry_request_t *call = req->primary ? req->primary : req;
 	GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
@@ -90,12 +102,142 @@
 	return error == ECONNREFUSED;
 }
 
-void entry_crash_check(entry_request_t *req, const char *address)
+entry_crashes_t *entry_crashes_new(void)
 {
-	char digest[ENTRY_DIGEST_SIZE];
+	entry_crashes_t *crashes = calloc(1, sizeof(*crashes));
+
+	if (!crashes)
+		return NULL;
+	pthread_mutex_init(&crashes->lock, NULL);
+	crashes->suspects = entry_suspects_new();
+	return crashes;
+}
+
+void entry_crashes_free(entry_crashes_t *crashes)
+{
+	if (!crashes)
+		return;
+	entry_suspects_free(crashes->suspects);
+	pthread_mutex_destroy(&crashes->lock);
+	free(crashes);
+}
+
+/* Publishes the number of suspects. The caller holds crashes->lock. */
+static void crashes_update_count(entry_crashes_t *crashes)
+{
+	__atomic_store_n(&crashes->count,
+			 entry_suspects_count(crashes->suspects),
+			 __ATOMIC_RELEASE);
+}
+
+/* Whether there are suspects, so that the digest of a call is needed. */
+static bool crashes_any(const entry_crashes_t *crashes)
+{
+	return __atomic_load_n(&crashes->count, __ATOMIC_ACQUIRE) > 0;
+}
+
+/* Context of crash_report(). */
+typedef struct {
+	entry_t *entry;
+	usec_t now;
+} crash_report_t;
+
+static void crash_report(void *context, const entry_crash_t *crash)
+{
+	const crash_report_t *to = context;
+	presence_suspect_t report = {
+		.digest = (char *)crash->digest,
+		.copy = (char *)crash->copy,
+		.started_ms = crash->started_ms,
+		.ran_ms = (u_int)((to->now - crash->sent) / USEC_PER_MS),
+	};
+
+	if (to->entry->presence)
+		presence_client_report_suspect(to->entry->presence, &report);
+}
+
+void entry_crash_check(entry_request_t *req, const char *address, usec_t sent)
+{
+	entry_crashes_t *crashes = req->entry->crashes;
+	entry_crash_t crash = { .sent = sent };
+	crash_report_t to = { req->entry, 0 };
 
 	if (req->forward || !crash_refuses_connections(address))
 		return;
-	entry_crash_digest(req, digest);
-	entry_trace_copy_crashed(req, digest);
+	crash_digest(req, crash.digest);
+	crash.at = to.now = time_now();
+	pthread_mutex_lock(&req->upstream->lock);
+	strcpy(crash.copy, req->call.copy->name);
+	crash.started_ms = req->call.copy->started_ms;
+	pthread_mutex_unlock(&req->upstream->lock);
+	pthread_mutex_lock(&crashes->lock);
+	entry_suspects_add(crashes->suspects, &crash);
+	crashes_update_count(crashes);
+	pthread_mutex_unlock(&crashes->lock);
+	crash_report(&to, &crash);
+	entry_trace_copy_crashed(req, crash.digest);
+}
+
+bool entry_crash_is_blocked(const entry_request_t *req)
+{
+	entry_crashes_t *crashes = req->entry->crashes;
+	char digest[ENTRY_DIGEST_SIZE];
+	bool blocked;
+
+	if (req->forward || !crashes_any(crashes))
+		return false;
+	crash_digest(req, digest);
+	pthread_mutex_lock(&crashes->lock);
+	blocked = entry_suspects_blocked(crashes->suspects, digest);
+	pthread_mutex_unlock(&crashes->lock);
+	if (blocked)
+		entry_trace_blocked(req, digest);
+	return blocked;
+}
+
+void entry_crash_on_answer(const entry_request_t *req)
+{
+	entry_crashes_t *crashes = req->entry->crashes;
+	char digest[ENTRY_DIGEST_SIZE];
+	presence_suspect_t report = { .digest = digest,
+				      .copy = (char *)"",
+				      .answered = true };
+	uint64_t revision = 0;
+	bool cleared;
+
+	if (req->forward || !crashes_any(crashes))
+		return;
+	crash_digest(req, digest);
+	pthread_mutex_lock(&crashes->lock);
+	cleared = entry_suspects_clear(crashes->suspects, digest, &revision);
+	crashes_update_count(crashes);
+	pthread_mutex_unlock(&crashes->lock);
+	report.base = revision;
+	if (cleared && revision && req->entry->presence)
+		presence_client_report_suspect(req->entry->presence, &report);
+}
+
+void entry_crash_apply(entry_t *entry, const config_t *config, usec_t now)
+{
+	entry_crashes_t *crashes = entry->crashes;
+
+	pthread_mutex_lock(&crashes->lock);
+	entry_suspects_apply(crashes->suspects, config, now);
+	crashes_update_count(crashes);
+	pthread_mutex_unlock(&crashes->lock);
+}
+
+void entry_crash_tick(entry_t *entry, usec_t now)
+{
+	entry_crashes_t *crashes = entry->crashes;
+	crash_report_t to = { entry, now };
+
+	if (!crashes_any(crashes))
+		return;
+	pthread_mutex_lock(&crashes->lock);
+	entry_suspects_expire(crashes->suspects, now);
+	crashes_update_count(crashes);
+	entry_suspects_each_unconfirmed(crashes->suspects, now, crash_report,
+					&to);
+	pthread_mutex_unlock(&crashes->lock);
 }
--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -64,6 +64,8 @@
 
 void entry_dispatch_arrive(entry_request_t *req, usec_t now)
 {
+	const entry_decision_t blocked = { ENTRY_REFUSE, ENTRY_REFUSE_CRASHES,
+					   ENTRY_BLOCKED_RETRY_AFTER };
 	const entry_t *entry = req->entry;
 
 	entry_request_ref(req);
@@ -72,6 +74,10 @@
 		entry_work_push(req->entry->work, req);
 		return;
 	}
+	if (entry_crash_is_blocked(req)) {
+		entry_dispatch_refuse(req, &blocked);
+		return;
+	}
 	if (entry->policy == ENTRY_POLICY_TWO_CHOICES || entry->prober) {
 		req->probing = true;
 		entry_work_push(req->entry->work, req);
--- a/entry-health.c
+++ b/entry-health.c
@@ -372,6 +372,8 @@
 		if (copy->outstanding == 0)
 			health_on_refusal(svc, copy, now);
 		break;
+	case ENTRY_RESULT_BLOCKED:
+		break;
 	case ENTRY_RESULT_DEADLINE:
 	case ENTRY_RESULT_CANCEL:
 		if (took > svc->stats.median)
--- a/entry-io.h
+++ b/entry-io.h
@@ -9,6 +9,7 @@
 #include "entry-prober.h"
 #include "entry-rules.h"
 #include "entry-settings.h"
+#include "entry-suspect.h"
 #include "entry.h"
 #include "headers.h"
 #include "http-status.h"
@@ -40,6 +41,10 @@
 /* A response that is not complete after this time is streamed. */
 #define ENTRY_RESPONSE_BUFFER_TIME (50 * USEC_PER_MS)
 
+/* Wait to suggest to the caller of a call that crashes copies: the call is
+   refused for an hour. */
+#define ENTRY_BLOCKED_RETRY_AFTER (3600 * USEC_PER_SEC)
+
 /* Maximum number of waiting calls or credits in one header. */
 #define ENTRY_QUEUE_REPORT_MAX 65536
 
@@ -393,6 +398,9 @@
 /** entry_trace_copy_crashed - log that a copy crashed while it ran a call. */
 void entry_trace_copy_crashed(const entry_request_t *req, const char *digest);
 
+/** entry_trace_blocked - log that a call is not sent, as it crashes copies. */
+void entry_trace_blocked(const entry_request_t *req, const char *digest);
+
 /** entry_trace_copy_leaves - log that a copy has responded that it leaves. */
 void entry_trace_copy_leaves(const char *service, const char *copy,
 			     const char *call_id);
@@ -613,9 +621,10 @@
 	struct entry_claims *claims;
 	config_follow_t *follow;     /* NULL without keepers */
 	presence_client_t *presence; /* NULL without entry.routed */
-	entry_prober_t *prober;	     /* NULL unless the policy is "reports" */
-	pthread_mutex_t rules_lock;  /* guards the next two fields */
-	entry_rules_t *rules;	     /* routes by host and path, or NULL */
+	struct entry_crashes *crashes;
+	entry_prober_t *prober;	    /* NULL unless the policy is "reports" */
+	pthread_mutex_t rules_lock; /* guards the next two fields */
+	entry_rules_t *rules;	    /* routes by host and path, or NULL */
 	uint64_t rules_revision;
 	entry_pending_t *pending; /* NULL without entry.routed */
 	char call_address[HL_ADDRESS_MAX];
@@ -755,25 +764,39 @@
  */
 void entry_probe_on_state(const entry_probe_t *probe);
 
-/* Size of the digest of a call, hexadecimal digits and a zero byte. */
-#define ENTRY_DIGEST_SIZE 33
+/** struct entry_crashes_t - the suspected calls of an entry, with a lock. */
+typedef struct entry_crashes entry_crashes_t;
+
+/** entry_crashes_new - create the state; NULL if out of memory. */
+entry_crashes_t *entry_crashes_new(void);
+
+/** entry_crashes_free - free the state; NULL is allowed. */
+void entry_crashes_free(entry_crashes_t *crashes);
 
 /**
- * entry_crash_digest - compute the digest of a call's content.
+ * entry_crash_check - after a send was cut, check whether its copy has crashed.
+ * @address: address of the copy
+ * @sent: when the send began
  *
- * Covers the tenant, the method, the host, the path with query and the body; of
- * a body that is streamed only the length.
+ * Records and reports the crash. Blocks for at most 100 ms.
  */
-void entry_crash_digest(const entry_request_t *req,
-			char out[ENTRY_DIGEST_SIZE]);
+void entry_crash_check(entry_request_t *req, const char *address, usec_t sent);
+
+/** entry_crash_is_blocked - whether a call has crashed too many copies. */
+bool entry_crash_is_blocked(const entry_request_t *req);
+
+/** entry_crash_on_answer - a copy has answered a call, so it does not crash. */
+void entry_crash_on_answer(const entry_request_t *req);
+
+/** entry_crash_apply - apply the suspected calls in a new configuration. */
+void entry_crash_apply(entry_t *entry, const config_t *config, usec_t now);
 
 /**
- * entry_crash_check - after a send was cut, check whether its copy has crashed.
- * @address: address of the copy
+ * entry_crash_tick - report crashes again that the configuration lacks.
  *
- * Blocks for at most 100 ms.
+ * To be called about once a second.
  */
-void entry_crash_check(entry_request_t *req, const char *address);
+void entry_crash_tick(entry_t *entry, usec_t now);
 
 /**
  * entry_target_presence_new - start to report this entry to the keepers.
--- a/entry-main.c
+++ b/entry-main.c
@@ -230,9 +230,11 @@
 	entry.read_timeout = entry_read_timeout_new(settings, entry.metrics);
 	entry.linger = entry_linger_new();
 	entry.forward = entry_forward_new();
+	entry.crashes = entry_crashes_new();
 	sup = supervisor_new("entry", MAIN_RESTARTS_MAX, MAIN_RESTART_WINDOW);
 	if (!entry.metrics || !entry.work || !entry.watch ||
-	    !entry.read_timeout || !entry.linger || !entry.forward || !sup) {
+	    !entry.read_timeout || !entry.linger || !entry.forward ||
+	    !entry.crashes || !sup) {
 		hl_error_set(err, HL_ERR_NOMEM,
 			     "out of memory; give the VM more memory");
 		goto out;
@@ -264,6 +266,7 @@
 	entry_upstream_free_all(&entry);
 	g_hash_table_destroy(entry.upstreams_by_name);
 	entry_forward_free(entry.forward);
+	entry_crashes_free(entry.crashes);
 	metrics_free(entry.metrics);
 	pthread_mutex_destroy(&entry.rules_lock);
 	pthread_mutex_destroy(&entry.upstreams_lock);
--- a/entry-names.c
+++ b/entry-names.c
@@ -13,6 +13,7 @@
 	[ENTRY_REFUSE_QUEUE] = { "queue", 503 },
 	[ENTRY_REFUSE_DEADLINE] = { "deadline", 504 },
 	[ENTRY_REFUSE_NO_COPY] = { "no-copy", 503 },
+	[ENTRY_REFUSE_CRASHES] = { "crashes", 503 },
 };
 
 const char *entry_refusal_name(entry_refusal_t refusal)
@@ -45,6 +46,7 @@
 		[ENTRY_RESULT_CONNECT] = "connect",
 		[ENTRY_RESULT_TRUNCATED] = "cut",
 		[ENTRY_RESULT_DEADLINE] = "deadline",
+		[ENTRY_RESULT_BLOCKED] = "blocked",
 		[ENTRY_RESULT_CANCEL] = "cancel",
 	};
 
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -492,12 +492,19 @@
 static void relay_fail(entry_request_t *req, entry_result_t result)
 {
 	bool late = time_now() >= req->call.deadline;
-	bool sent = result != ENTRY_RESULT_CONNECT;
+	bool sent = result != ENTRY_RESULT_CONNECT &&
+		    result != ENTRY_RESULT_BLOCKED;
 	entry_outcome_t outcome;
 
 	outcome = relay_combined_outcome(req, sent ? ENTRY_MAY_HAVE_RUN :
 						     ENTRY_NOT_RUN);
-	if (result == ENTRY_RESULT_DEADLINE || (!sent && late))
+	if (result == ENTRY_RESULT_BLOCKED && outcome == ENTRY_NOT_RUN)
+		entry_request_fail(req, HTTP_UNAVAILABLE, outcome, "crashes",
+				   ENTRY_BLOCKED_RETRY_AFTER);
+	else if (result == ENTRY_RESULT_BLOCKED)
+		entry_request_fail(req, HTTP_BAD_GATEWAY, outcome, "crashes",
+				   0);
+	else if (result == ENTRY_RESULT_DEADLINE || (!sent && late))
 		entry_request_fail(req, HTTP_GATEWAY_TIMEOUT, outcome,
 				   "deadline", 0);
 	else if (!sent)
@@ -578,13 +585,19 @@
 		entry_dispatch_end(req, ENTRY_RESULT_CONNECT, time_now());
 		return;
 	}
+	if (entry_crash_is_blocked(req)) {
+		entry_dispatch_end(req, ENTRY_RESULT_BLOCKED, time_now());
+		return;
+	}
 	sent = time_now();
 	transfer.sent = sent;
 	entry_trace_sent(req, sent);
 	transfer.pool = relay_pool(req);
 	result = relay_send_once(&transfer);
 	if (result == ENTRY_RESULT_TRUNCATED)
-		entry_crash_check(req, transfer.pool->address);
+		entry_crash_check(req, transfer.pool->address, sent);
+	else if (result == ENTRY_RESULT_OK)
+		entry_crash_on_answer(req);
 	entry_conn_pool_unref(transfer.pool);
 	if (transfer.head_complete)
 		relay_set_outcome(req, entry_transfer_outcome(&transfer));
--- a/entry-service.c
+++ b/entry-service.c
@@ -633,7 +633,8 @@
 
 static void service_update_outcome(entry_call_t *call, entry_result_t result)
 {
-	if (result == ENTRY_RESULT_SHED || result == ENTRY_RESULT_CONNECT)
+	if (result == ENTRY_RESULT_SHED || result == ENTRY_RESULT_CONNECT ||
+	    result == ENTRY_RESULT_BLOCKED)
 		return;
 	if (result == ENTRY_RESULT_OK || result == ENTRY_RESULT_ERROR)
 		call->outcome = ENTRY_RAN;
--- a/entry-target.c
+++ b/entry-target.c
@@ -192,6 +192,7 @@
 {
 	entry_upstream_t *upstream = NULL;
 
+	entry_crash_apply(entry, config, now);
 	target_apply_copies(entry, config, now);
 	target_apply_rules(entry, config);
 	while ((upstream = entry_upstream_next(entry, upstream)))
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -210,6 +210,7 @@
 			tick_update_all_limits(entry, now);
 			entry_read_timeout_sweep(entry->read_timeout, now);
 			tick_sweep_connections(entry, now);
+			entry_crash_tick(entry, now);
 			limits_due = now + TICK_LIMITS_INTERVAL;
 		}
 		due = tick_earlier(tick_all(entry, now), limits_due);
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -88,6 +88,14 @@
 		  digest);
 }
 
+void entry_trace_blocked(const entry_request_t *req, const char *digest)
+{
+	log_event(LOG_LEVEL_INFO, "call-blocked",
+		  "call=%s route=%s service=%s digest=%s",
+		  trace_value(req->call_id), trace_value(req->rule_name),
+		  req->upstream->name, digest);
+}
+
 void entry_trace_copy_leaves(const char *service, const char *copy,
 			     const char *call_id)
 {
--- a/entry.h
+++ b/entry.h
@@ -35,6 +35,7 @@
 	ENTRY_RESULT_CONNECT, /* no connection, no byte sent: not run */
 	ENTRY_RESULT_TRUNCATED, /* bytes were sent, no complete response came */
 	ENTRY_RESULT_DEADLINE,	/* the deadline passed after bytes were sent */
+	ENTRY_RESULT_BLOCKED,	/* not sent: the call crashes copies */
 	ENTRY_RESULT_CANCEL, /* cancelled by the caller or for a faster hedge */
 } entry_result_t;
 
@@ -46,6 +47,7 @@
 	ENTRY_REFUSE_QUEUE,    /* 503: the queue is full */
 	ENTRY_REFUSE_DEADLINE, /* 504: no response expected by the deadline */
 	ENTRY_REFUSE_NO_COPY,  /* 503: no copy of the service accepts calls */
+	ENTRY_REFUSE_CRASHES,  /* 503: the call has crashed several copies */
 } entry_refusal_t;
 
 /** enum entry_policy_t - how a copy is chosen; B0 to B2 are baselines. */
--- a/keeper-announce.c
+++ b/keeper-announce.c
@@ -1,7 +1,5 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include "config-rate.h"
 #include "config-target.h"
 #include "keeper-request.h"
 
@@ -110,37 +108,18 @@
 	return verdict;
 }
 
-/* Fill in the item for a rate that differs from the one in the configuration;
- * false if there is nothing to write. */
-static bool announce_rate_item(const config_t *config,
-			       const config_copy_rate_t *rate, uint64_t base,
-			       config_item_t *item)
-{
-	memset(item, 0, sizeof(*item));
-	item->base = base;
-	item->body.kind = rate->millirate ? CONFIG_PUT_COPY_RATE :
-					    CONFIG_RETIRE_COPY_RATE;
-	item->body.config_body_t_u.copy_rate = *rate;
-	return config_rate_has_effect(config, item);
-}
-
-bool keeper_core_put_rate(keeper_core_t *core, const config_copy_rate_t *rate,
-			  uint64_t base)
+bool keeper_core_put_reported(keeper_core_t *core, const char *id,
+			      config_item_t *item)
 {
 	const config_t *config;
-	config_item_t item;
-	char id[HL_NAME_MAX];
 	bool queued = false;
 
-	snprintf(id, sizeof(id), "rate-%016" PRIx64 "-%" PRIu64,
-		 hl_hash(rate->name, strlen(rate->name), 0), base);
-
 	pthread_mutex_lock(&core->lock);
 	config = core->state ? config_state_config(core->state) : NULL;
 	if (config && core->view.leading && core->view.serving &&
-	    announce_rate_item(config, rate, base, &item) &&
-	    !keeper_request_is_pending(core, id))
-		queued = announce_queue(core, id, &item, 1) ==
+	    config_report_has_effect(config, item) &&
+	    !(*id && keeper_request_is_pending(core, id)))
+		queued = announce_queue(core, id, item, 1) ==
 			 KEEPER_VERDICT_WAIT;
 	pthread_mutex_unlock(&core->lock);
 	return queued;
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -321,17 +321,15 @@
 					   config_target_t *target, usec_t now);
 
 /**
- * keeper_core_put_rate - as leader, queue a rate that a copy accepts.
- * @rate: with millirate 0 the rate of the copy is removed
- * @base: revision of the rate that it replaces, 0 if there is none
- *
- * Of several reports that are based on the same revision the first is queued.
+ * keeper_core_put_reported - as leader, queue an item that a process has reported.
+ * @id: while a change with the same id is queued, the item is not; "" for none
+ * @item: as for config_report_has_effect()
  *
  * Return: false if it is not queued, also because this keeper does not lead or
- * the rate has another revision by now.
+ * the item has no effect.
  */
-bool keeper_core_put_rate(keeper_core_t *core, const config_copy_rate_t *rate,
-			  uint64_t base);
+bool keeper_core_put_reported(keeper_core_t *core, const char *id,
+			      config_item_t *item);
 
 /**
  * keeper_core_retire - as leader, queue the removal of copies.
--- a/keeper-registry.c
+++ b/keeper-registry.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <glib.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -23,6 +24,10 @@
 #define REGISTRY_HOLDER_WAIT (3 * USEC_PER_SEC)
 /* Maximum number of rates that change their holder in one interval. */
 #define REGISTRY_HOLDERS_MAX 32
+/* Age of its last crash after which a suspected call is forgotten. */
+#define REGISTRY_SUSPECT_AGE_MS (3600 * 1000)
+/* Maximum number of suspects that are forgotten in one interval. */
+#define REGISTRY_SUSPECTS_MAX 32
 /* Maximum number of silent copies that are removed in one interval. */
 #define REGISTRY_SILENT_MAX 32
 
@@ -177,6 +182,22 @@
 	registry_send(registry, &message, from, length);
 }
 
+/* As leader, queues a rate in place of the one with revision @base; millirate 0
+ * removes it. Of several reports only the first is queued. */
+static bool registry_put_rate(keeper_core_t *core,
+			      const config_copy_rate_t *rate, uint64_t base)
+{
+	config_item_t item = { .base = base };
+	char id[HL_NAME_MAX];
+
+	item.body.kind = rate->millirate ? CONFIG_PUT_COPY_RATE :
+					   CONFIG_RETIRE_COPY_RATE;
+	item.body.config_body_t_u.copy_rate = *rate;
+	snprintf(id, sizeof(id), "rate-%016" PRIx64 "-%" PRIu64,
+		 hl_hash(rate->name, strlen(rate->name), 0), base);
+	return keeper_core_put_reported(core, id, &item);
+}
+
 /* Passes on the rate that a copy names to an entry. A rate that is not known yet
  * is held by the entry that reports it first. */
 static void registry_on_copy_rate(keeper_registry_t *registry,
@@ -198,7 +219,7 @@
 		snprintf(holder, sizeof(holder), "%s", existing->holder);
 	pthread_mutex_unlock(&core->lock);
 	rate.holder = holder;
-	if (keeper_core_put_rate(core, &rate, report->base))
+	if (registry_put_rate(core, &rate, report->base))
 		log_event(LOG_LEVEL_NOTICE, "copy-rate-reported",
 			  "copy=%s per_second=%.3f holder=%s entry=%s "
 			  "base=%" PRIu64,
@@ -206,6 +227,35 @@
 			  report->entry, (uint64_t)report->base);
 }
 
+static int64_t registry_wall_ms(void)
+{
+	return g_get_real_time() / USEC_PER_MS;
+}
+
+/* Passes on that a copy crashed while it ran a call, or that the call was
+ * answered, so that it does not crash copies. */
+static void registry_on_suspect(keeper_registry_t *registry,
+				const presence_suspect_t *report)
+{
+	config_item_t item = { .base = report->base };
+	config_suspect_t *suspect = &item.body.config_body_t_u.suspect;
+	config_crash_t crash = { .copy = report->copy,
+				 .started_ms = report->started_ms,
+				 .at_ms = registry_wall_ms(),
+				 .ran_ms = report->ran_ms };
+
+	item.body.kind = report->answered ? CONFIG_RETIRE_SUSPECT :
+					    CONFIG_PUT_SUSPECT;
+	suspect->name = report->digest;
+	suspect->crashes.crashes_len = !report->answered;
+	suspect->crashes.crashes_val = &crash;
+	if (keeper_core_put_reported(registry->core, "", &item))
+		log_event(LOG_LEVEL_NOTICE, "suspect-reported",
+			  "digest=%s copy=%s answered=%d ran_ms=%u",
+			  report->digest, *report->copy ? report->copy : "-",
+			  report->answered, report->ran_ms);
+}
+
 static void registry_receive(keeper_registry_t *registry, usec_t now)
 {
 	struct sockaddr_storage from = { 0 };
@@ -239,6 +289,10 @@
 				registry_on_copy_rate(
 					registry,
 					&body->presence_body_t_u.copy_rate);
+			else if (body->kind == PRESENCE_SUSPECT)
+				registry_on_suspect(
+					registry,
+					&body->presence_body_t_u.suspect);
 			presence_clear(&message);
 		}
 		length = sizeof(from);
@@ -405,12 +459,51 @@
 					    .millirate = found[i].millirate,
 					    .holder = found[i].holder };
 
-		if (keeper_core_put_rate(core, &rate, found[i].base))
+		if (registry_put_rate(core, &rate, found[i].base))
 			log_event(LOG_LEVEL_NOTICE, "copy-rate-handed-over",
 				  "copy=%s holder=%s", rate.name, rate.holder);
 	}
 }
 
+/* As leader, forgets suspected calls after a time, so that a call is served
+ * again when the fault in the copies has been corrected. */
+static void registry_forget_suspects(keeper_registry_t *registry,
+				     int64_t wall_ms)
+{
+	struct {
+		char digest[HL_NAME_MAX];
+		uint64_t revision;
+	} found[REGISTRY_SUSPECTS_MAX];
+	keeper_core_t *core = registry->core;
+	const config_t *config;
+	unsigned count = 0;
+	u_int i;
+
+	pthread_mutex_lock(&core->lock);
+	config = core->state ? config_state_config(core->state) : NULL;
+	for (i = 0; config && i < config->suspects.suspects_len &&
+		    count < REGISTRY_SUSPECTS_MAX;
+	     i++) {
+		const config_suspect_t *suspect =
+			&config->suspects.suspects_val[i];
+		u_int last = suspect->crashes.crashes_len - 1;
+
+		if (wall_ms - suspect->crashes.crashes_val[last].at_ms <
+		    REGISTRY_SUSPECT_AGE_MS)
+			continue;
+		snprintf(found[count].digest, HL_NAME_MAX, "%s", suspect->name);
+		found[count++].revision = suspect->revision;
+	}
+	pthread_mutex_unlock(&core->lock);
+	for (i = 0; i < count; i++) {
+		config_item_t item = { .base = found[i].revision };
+
+		item.body.kind = CONFIG_RETIRE_SUSPECT;
+		item.body.config_body_t_u.suspect.name = found[i].digest;
+		keeper_core_put_reported(core, "", &item);
+	}
+}
+
 static void registry_tick(keeper_registry_t *registry, usec_t now)
 {
 	registry_view_t view;
@@ -424,8 +517,10 @@
 		pthread_mutex_unlock(&registry->lock);
 	}
 	registry->was_leading = view.leading;
-	if (view.leading)
+	if (view.leading) {
 		registry_remove_silent(registry, now);
+		registry_forget_suspects(registry, registry_wall_ms());
+	}
 	if (view.leading &&
 	    now - registry->leading_since >= REGISTRY_HOLDER_WAIT)
 		registry_replace_holders(registry, now);
--- a/presence-client.c
+++ b/presence-client.c
@@ -525,17 +525,13 @@
 	return NULL;
 }
 
-void presence_client_report_rate(presence_client_t *client,
-				 const presence_copy_rate_t *report)
+/* Queue a report for the client's thread. */
+static void client_queue_report(presence_client_t *client,
+				const presence_t *message)
 {
-	presence_t message = { .cluster = client->cluster };
 	char bytes[PRESENCE_BYTES_MAX];
-	size_t size;
+	size_t size = presence_encode(message, bytes);
 
-	message.body.kind = PRESENCE_COPY_RATE;
-	message.body.presence_body_t_u.copy_rate = *report;
-	message.body.presence_body_t_u.copy_rate.entry = client->name;
-	size = presence_encode(&message, bytes);
 	pthread_mutex_lock(&client->lock);
 	if (size && client->reports.length < CLIENT_REPORTS_MAX)
 		g_queue_push_tail(&client->reports, g_bytes_new(bytes, size));
@@ -543,6 +539,27 @@
 	presence_client_trigger(client);
 }
 
+void presence_client_report_rate(presence_client_t *client,
+				 const presence_copy_rate_t *report)
+{
+	presence_t message = { .cluster = client->cluster };
+
+	message.body.kind = PRESENCE_COPY_RATE;
+	message.body.presence_body_t_u.copy_rate = *report;
+	message.body.presence_body_t_u.copy_rate.entry = client->name;
+	client_queue_report(client, &message);
+}
+
+void presence_client_report_suspect(presence_client_t *client,
+				    const presence_suspect_t *report)
+{
+	presence_t message = { .cluster = client->cluster };
+
+	message.body.kind = PRESENCE_SUSPECT;
+	message.body.presence_body_t_u.suspect = *report;
+	client_queue_report(client, &message);
+}
+
 usec_t presence_client_last_response(presence_client_t *client)
 {
 	return __atomic_load_n(&client->last_response, __ATOMIC_RELAXED);
--- a/presence.h
+++ b/presence.h
@@ -195,6 +195,13 @@
 void presence_client_report_rate(presence_client_t *client,
 				 const presence_copy_rate_t *report);
 
+/**
+ * presence_client_report_suspect - report a crash, or the answer to a call that
+ * had crashed copies, to all keepers; as presence_client_report_rate().
+ */
+void presence_client_report_suspect(presence_client_t *client,
+				    const presence_suspect_t *report);
+
 /** presence_client_last_response - time of the last datagram of any keeper. */
 usec_t presence_client_last_response(presence_client_t *client);
 
--- a/regress/test-config-target.c
+++ b/regress/test-config-target.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include "config-rate.h"
 #include "config-state.h"
+#include "config-suspect.h"
 #include "config-target.h"
 
 /*
@@ -93,6 +94,27 @@
 	  "rate a 7 1000 e1 0 = 1000 e1\n"
 	  "put a 7 2 draining h:1 = draining h:1\nshow-rate a = 1000 e1\n"
 	  "put a 7 3 left h:1 = left h:1\nshow-rate a = none\n" },
+
+	/* Calls that copies ran when they crashed. */
+	{ "suspect-of-three-crashes", "crash x a 1 1000 100 = 1\n"
+				      "crash x b 1 1200 100 = 2\n"
+				      "crash x c 1 1400 100 = 3\n"
+				      "crash x d 1 1600 100 = 3\n"
+				      "revision = 3\n"
+				      "crash y a 1 1000 100 = 1\n" },
+	{ "suspect-of-a-crash-that-is-reported-again",
+	  "crash x a 1 1000 100 = 1\ncrash x a 1 2000 1100 = 1\n"
+	  "crash x a 2 3000 100 = 2\n" },
+	{ "suspect-of-crashes-at-the-same-time-counts-once",
+	  "crash x a 1 1000 100 = 1\ncrash x b 1 1000 300 = 1\n"
+	  "crash x c 1 1050 500 = 1\ncrash x d 1 1050 71 = 1\n"
+	  "crash x e 1 1050 60 = 2\n" },
+	{ "suspect-under-a-clock-that-was-set-back",
+	  "crash x a 1 9000 100 = 1\ncrash x b 1 1000 100 = 2\n" },
+	{ "suspect-that-was-answered",
+	  "crash x a 1 1000 100 = 1\ncrash x b 1 1200 100 = 2\n"
+	  "answered x 1 = 2\nanswered x 2 = 0\nanswered x 2 = 0\n"
+	  "crash x c 1 1400 100 = 1\n" },
 };
 
 static const char *const states[] = { "ready", "draining", "left",
@@ -169,6 +191,40 @@
 	return show_rate(state, words[1]);
 }
 
+static char *show_crashes(const config_state_t *state, const char *digest)
+{
+	const config_suspect_t *suspect;
+
+	suspect = config_suspect_find(config_state_config(state), digest);
+	return g_strdup_printf("%u",
+			       suspect ? suspect->crashes.crashes_len : 0);
+}
+
+/* "crash DIGEST COPY START AT_MS RAN_MS", "answered DIGEST BASE"; both result in
+   the number of crashes that count. */
+static char *run_suspect(config_state_t *state, config_t *follower,
+			 char **words)
+{
+	config_item_t item = { .body.kind = CONFIG_RETIRE_SUSPECT };
+	config_suspect_t *suspect = &item.body.config_body_t_u.suspect;
+	config_crash_t crash = { 0 };
+
+	suspect->name = words[1];
+	if (!strcmp(words[0], "answered")) {
+		item.base = strtoull(words[2], NULL, 10);
+	} else {
+		item.body.kind = CONFIG_PUT_SUSPECT;
+		crash.copy = words[2];
+		crash.started_ms = strtoull(words[3], NULL, 10);
+		crash.at_ms = strtoll(words[4], NULL, 10);
+		crash.ran_ms = (u_int)strtoul(words[5], NULL, 10);
+		suspect->crashes.crashes_len = 1;
+		suspect->crashes.crashes_val = &crash;
+	}
+	apply(state, follower, &item);
+	return show_crashes(state, words[1]);
+}
+
 static char *run_command(config_state_t *state, config_t *follower,
 			 char **words)
 {
@@ -181,6 +237,8 @@
 		return show_rate(state, words[1]);
 	if (!strcmp(words[0], "rate"))
 		return run_rate(state, follower, words);
+	if (!strcmp(words[0], "crash") || !strcmp(words[0], "answered"))
+		return run_suspect(state, follower, words);
 	if (!strcmp(words[0], "revision"))
 		return g_strdup_printf(
 			"%" PRIu64,
@@ -247,6 +305,41 @@
 	g_strfreev(lines);
 }
 
+/* One more suspect than there is room for takes the place of the oldest one that
+   is still sent to copies; a follower drops the same one. */
+static void test_many_suspects(void)
+{
+	config_state_t *state = config_state_new();
+	config_t follower = { 0 };
+	char digest[32], text[64], at[4][32];
+	unsigned i, crash;
+
+	for (i = 0; i <= CONFIG_SUSPECTS_MAX; i++) {
+		/* The first one has all crashes that it needs to be blocked. */
+		unsigned count = i ? 1 : CONFIG_SUSPECT_CRASHES_MAX;
+
+		g_snprintf(digest, sizeof(digest), "d%04u", i);
+		for (crash = 0; crash < count; crash++) {
+			char *words[] = { (char *)"crash", digest, at[0], at[1],
+					  at[2],	   at[3],  NULL };
+
+			g_snprintf(at[0], sizeof(at[0]), "c%u", crash);
+			g_snprintf(at[1], sizeof(at[1]), "1");
+			g_snprintf(at[2], sizeof(at[2]), "%u", 100 * crash);
+			g_snprintf(at[3], sizeof(at[3]), "10");
+			g_free(run_suspect(state, &follower, words));
+		}
+	}
+	g_snprintf(text, sizeof(text), "d%04u", CONFIG_SUSPECTS_MAX);
+	g_assert_nonnull(config_suspect_find(&follower, "d0000"));
+	g_assert_null(config_suspect_find(&follower, "d0001"));
+	g_assert_nonnull(config_suspect_find(&follower, "d0002"));
+	g_assert_nonnull(config_suspect_find(&follower, text));
+	check_equal(config_state_config(state), &follower);
+	xdr_free((xdrproc_t)xdr_config_t, &follower);
+	config_state_free(state);
+}
+
 int main(int argc, char **argv)
 {
 	char path[96];
@@ -258,5 +351,6 @@
 		g_snprintf(path, sizeof(path), "/target/%s", cases[i].name);
 		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_case);
 	}
+	g_test_add_func("/target/many-suspects", test_many_suspects);
 	return g_test_run();
 }
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -493,9 +493,13 @@
 };
 
 static const char *const result_names[] = {
-	[ENTRY_RESULT_OK] = "ok",	  [ENTRY_RESULT_ERROR] = "error",
-	[ENTRY_RESULT_SHED] = "shed",	  [ENTRY_RESULT_CONNECT] = "connect",
-	[ENTRY_RESULT_TRUNCATED] = "cut", [ENTRY_RESULT_DEADLINE] = "deadline",
+	[ENTRY_RESULT_OK] = "ok",
+	[ENTRY_RESULT_ERROR] = "error",
+	[ENTRY_RESULT_SHED] = "shed",
+	[ENTRY_RESULT_CONNECT] = "connect",
+	[ENTRY_RESULT_TRUNCATED] = "cut",
+	[ENTRY_RESULT_DEADLINE] = "deadline",
+	[ENTRY_RESULT_BLOCKED] = "blocked",
 	[ENTRY_RESULT_CANCEL] = "cancel",
 };
 
--- a/rpc/config_rpc.h
+++ b/rpc/config_rpc.h
@@ -27,6 +27,8 @@
 #define CONFIG_DEDUP_MAX 65536
 #define CONFIG_TOMBSTONES_MAX 4096
 #define CONFIG_DELTAS_MAX 1024
+#define CONFIG_SUSPECTS_MAX 1024
+#define CONFIG_SUSPECT_CRASHES_MAX 3
 
 typedef char *config_name_t;
 
@@ -162,6 +164,24 @@
 };
 typedef struct config_copy_rate_t config_copy_rate_t;
 
+struct config_crash_t {
+	config_name_t copy;
+	u_quad_t started_ms;
+	quad_t at_ms;
+	u_int ran_ms;
+};
+typedef struct config_crash_t config_crash_t;
+
+struct config_suspect_t {
+	config_name_t name;
+	u_quad_t revision;
+	struct {
+		u_int crashes_len;
+		config_crash_t *crashes_val;
+	} crashes;
+};
+typedef struct config_suspect_t config_suspect_t;
+
 struct config_t {
 	u_quad_t revision;
 	struct {
@@ -200,6 +220,10 @@
 		u_int copy_rates_len;
 		config_copy_rate_t *copy_rates_val;
 	} copy_rates;
+	struct {
+		u_int suspects_len;
+		config_suspect_t *suspects_val;
+	} suspects;
 };
 typedef struct config_t config_t;
 
@@ -222,6 +246,8 @@
 	CONFIG_RETIRE_TARGET = 16,
 	CONFIG_PUT_COPY_RATE = 17,
 	CONFIG_RETIRE_COPY_RATE = 18,
+	CONFIG_PUT_SUSPECT = 19,
+	CONFIG_RETIRE_SUSPECT = 20,
 };
 typedef enum config_item_kind_t config_item_kind_t;
 
@@ -237,6 +263,7 @@
 		config_routing_version_t routing_version;
 		config_target_t target;
 		config_copy_rate_t copy_rate;
+		config_suspect_t suspect;
 	} config_body_t_u;
 };
 typedef struct config_body_t config_body_t;
@@ -387,6 +414,8 @@
 extern  bool_t xdr_config_target_state_t (XDR *, config_target_state_t*);
 extern  bool_t xdr_config_target_t (XDR *, config_target_t*);
 extern  bool_t xdr_config_copy_rate_t (XDR *, config_copy_rate_t*);
+extern  bool_t xdr_config_crash_t (XDR *, config_crash_t*);
+extern  bool_t xdr_config_suspect_t (XDR *, config_suspect_t*);
 extern  bool_t xdr_config_t (XDR *, config_t*);
 extern  bool_t xdr_config_item_kind_t (XDR *, config_item_kind_t*);
 extern  bool_t xdr_config_body_t (XDR *, config_body_t*);
@@ -416,6 +445,8 @@
 extern bool_t xdr_config_target_state_t ();
 extern bool_t xdr_config_target_t ();
 extern bool_t xdr_config_copy_rate_t ();
+extern bool_t xdr_config_crash_t ();
+extern bool_t xdr_config_suspect_t ();
 extern bool_t xdr_config_t ();
 extern bool_t xdr_config_item_kind_t ();
 extern bool_t xdr_config_body_t ();
--- a/rpc/config_rpc.x
+++ b/rpc/config_rpc.x
@@ -23,6 +23,11 @@
 /* Number of accepted changes stored for followers and for the history. */
 const CONFIG_DELTAS_MAX = 1024;
 
+/* Number of calls that are suspected to crash copies. */
+const CONFIG_SUSPECTS_MAX = 1024;
+/* Number of crashes after which a call is no longer sent to copies. */
+const CONFIG_SUSPECT_CRASHES_MAX = 3;
+
 typedef string config_name_t<CONFIG_NAME_MAX>;
 
 /* A class of callers. The rate is a limit on their calls to one service over
@@ -156,6 +161,22 @@
 	config_name_t holder;		/* name of an entry */
 };
 
+/* The process of a copy that ended while it ran a call. */
+struct config_crash_t {
+	config_name_t copy;		/* id of the copy */
+	unsigned hyper started_ms;	/* as in config_target_t */
+	hyper at_ms;			/* wall clock of the leader */
+	unsigned int ran_ms;		/* time since the call was sent */
+};
+
+/* A call that copies ran when they crashed. It is no longer sent to copies once
+   there are CONFIG_SUSPECT_CRASHES_MAX crashes. */
+struct config_suspect_t {
+	config_name_t name;		/* digest of the call's content */
+	unsigned hyper revision;
+	config_crash_t crashes<CONFIG_SUSPECT_CRASHES_MAX>;
+};
+
 /* The revision of an object, and that of the configuration, is the number of
    the accepted change that wrote it last. */
 struct config_t {
@@ -169,6 +190,7 @@
 	config_routing_version_t routing_versions<1>;
 	config_target_t targets<CONFIG_TARGETS_MAX>;
 	config_copy_rate_t copy_rates<CONFIG_TARGETS_MAX>;
+	config_suspect_t suspects<CONFIG_SUSPECTS_MAX>;
 };
 
 enum config_item_kind_t {
@@ -189,7 +211,9 @@
 	CONFIG_PUT_TARGET = 15,
 	CONFIG_RETIRE_TARGET = 16,
 	CONFIG_PUT_COPY_RATE = 17,
-	CONFIG_RETIRE_COPY_RATE = 18
+	CONFIG_RETIRE_COPY_RATE = 18,
+	CONFIG_PUT_SUSPECT = 19,
+	CONFIG_RETIRE_SUSPECT = 20
 };
 
 /* RETIRE items use only the name; those of stops the service and the copy. */
@@ -221,6 +245,9 @@
 case CONFIG_PUT_COPY_RATE:
 case CONFIG_RETIRE_COPY_RATE:
 	config_copy_rate_t copy_rate;
+case CONFIG_PUT_SUSPECT:
+case CONFIG_RETIRE_SUSPECT:
+	config_suspect_t suspect;
 };
 
 /* Puts or retires an object by compare-and-set. base is the expected revision
@@ -288,7 +315,7 @@
 	config_delta_t deltas<CONFIG_DELTAS_MAX>;
 };
 
-/* The layout of config_t before it had copy_rates. */
+/* The layout of config_t before it had copy_rates and suspects. */
 struct config_v2_t {
 	unsigned hyper revision;
 	config_profile_t profiles<CONFIG_OBJECTS_MAX>;
--- a/rpc/config_rpc_xdr.c
+++ b/rpc/config_rpc_xdr.c
@@ -425,6 +425,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_config_crash_t (XDR *xdrs, config_crash_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->copy))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->at_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ran_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_suspect_t (XDR *xdrs, config_suspect_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CONFIG_SUSPECT_CRASHES_MAX,
+		sizeof (config_crash_t), (xdrproc_t) xdr_config_crash_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_config_t (XDR *xdrs, config_t *objp)
 {
@@ -459,6 +490,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->copy_rates.copy_rates_val, (u_int *) &objp->copy_rates.copy_rates_len, CONFIG_TARGETS_MAX,
 		sizeof (config_copy_rate_t), (xdrproc_t) xdr_config_copy_rate_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, CONFIG_SUSPECTS_MAX,
+		sizeof (config_suspect_t), (xdrproc_t) xdr_config_suspect_t))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -525,6 +559,11 @@
 		 if (!xdr_config_copy_rate_t (xdrs, &objp->config_body_t_u.copy_rate))
 			 return FALSE;
 		break;
+	case CONFIG_PUT_SUSPECT:
+	case CONFIG_RETIRE_SUSPECT:
+		 if (!xdr_config_suspect_t (xdrs, &objp->config_body_t_u.suspect))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/rpc/presence_rpc.h
+++ b/rpc/presence_rpc.h
@@ -28,6 +28,7 @@
 	PRESENCE_PEERS_REQUEST = 4,
 	PRESENCE_PEERS = 5,
 	PRESENCE_COPY_RATE = 6,
+	PRESENCE_SUSPECT = 7,
 };
 typedef enum presence_kind_t presence_kind_t;
 
@@ -95,6 +96,16 @@
 };
 typedef struct presence_copy_rate_t presence_copy_rate_t;
 
+struct presence_suspect_t {
+	config_name_t digest;
+	config_name_t copy;
+	u_quad_t started_ms;
+	u_int ran_ms;
+	bool_t answered;
+	u_quad_t base;
+};
+typedef struct presence_suspect_t presence_suspect_t;
+
 struct presence_body_t {
 	presence_kind_t kind;
 	union {
@@ -104,6 +115,7 @@
 		presence_peers_request_t peers_request;
 		presence_peers_t peers;
 		presence_copy_rate_t copy_rate;
+		presence_suspect_t suspect;
 	} presence_body_t_u;
 };
 typedef struct presence_body_t presence_body_t;
@@ -126,6 +138,7 @@
 extern  bool_t xdr_presence_peers_request_t (XDR *, presence_peers_request_t*);
 extern  bool_t xdr_presence_peers_t (XDR *, presence_peers_t*);
 extern  bool_t xdr_presence_copy_rate_t (XDR *, presence_copy_rate_t*);
+extern  bool_t xdr_presence_suspect_t (XDR *, presence_suspect_t*);
 extern  bool_t xdr_presence_body_t (XDR *, presence_body_t*);
 extern  bool_t xdr_presence_t (XDR *, presence_t*);
 
@@ -139,6 +152,7 @@
 extern bool_t xdr_presence_peers_request_t ();
 extern bool_t xdr_presence_peers_t ();
 extern bool_t xdr_presence_copy_rate_t ();
+extern bool_t xdr_presence_suspect_t ();
 extern bool_t xdr_presence_body_t ();
 extern bool_t xdr_presence_t ();
 
--- a/rpc/presence_rpc.x
+++ b/rpc/presence_rpc.x
@@ -17,7 +17,8 @@
 	PRESENCE_COPIES_SEEN = 3,	/* keeper to keeper: copies seen */
 	PRESENCE_PEERS_REQUEST = 4,	/* entry to keeper */
 	PRESENCE_PEERS = 5,		/* keeper to entry, if its list differs */
-	PRESENCE_COPY_RATE = 6		/* entry to keeper */
+	PRESENCE_COPY_RATE = 6,		/* entry to keeper */
+	PRESENCE_SUSPECT = 7		/* entry to keeper */
 };
 
 /* The identity of an entry, which heartbeats omit once the keeper has it. */
@@ -74,6 +75,17 @@
 	unsigned hyper base;		/* revision of the known rate; 0: none */
 };
 
+/* An entry reports that a copy crashed while it ran a call, or that a call which
+   had crashed copies was answered. */
+struct presence_suspect_t {
+	config_name_t digest;		/* as in config_suspect_t */
+	config_name_t copy;
+	unsigned hyper started_ms;	/* as in config_target_t */
+	unsigned int ran_ms;		/* time from the send to the crash */
+	bool answered;
+	unsigned hyper base;		/* revision of the suspect, if answered */
+};
+
 union presence_body_t switch (presence_kind_t kind) {
 case PRESENCE_ENTRY:
 	presence_entry_t entry;
@@ -87,6 +99,8 @@
 	presence_peers_t peers;
 case PRESENCE_COPY_RATE:
 	presence_copy_rate_t copy_rate;
+case PRESENCE_SUSPECT:
+	presence_suspect_t suspect;
 };
 
 struct presence_t {
--- a/rpc/presence_rpc_xdr.c
+++ b/rpc/presence_rpc_xdr.c
@@ -183,6 +183,26 @@
 	return TRUE;
 }
 
+bool_t
+xdr_presence_suspect_t (XDR *xdrs, presence_suspect_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_config_name_t (xdrs, &objp->copy))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ran_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answered))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_presence_body_t (XDR *xdrs, presence_body_t *objp)
 {
@@ -215,6 +235,10 @@
 		 if (!xdr_presence_copy_rate_t (xdrs, &objp->presence_body_t_u.copy_rate))
 			 return FALSE;
 		break;
+	case PRESENCE_SUSPECT:
+		 if (!xdr_presence_suspect_t (xdrs, &objp->presence_body_t_u.suspect))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
