Tell all entries that a copy leaves

That a copy responds that it leaves was known only to the entries that had got such a response, and was lost with their process, unless the copy announced it too.

An entry now reports it to the keepers by datagram until the configuration has the copy as draining; the leader marks it so, as if the copy had announced it. All entries, new processes included, follow.

routed-leaving-all failed before: after one entry had seen that the copy leaves, another one sent it a request, and so did the first one after a restart.

--- a/entry-io.h
+++ b/entry-io.h
@@ -355,6 +355,15 @@
 void entry_upstream_report_rate(entry_upstream_t *upstream, entry_copy_t *copy,
 				usec_t now);
 
+/**
+ * entry_upstream_report_leaving - report a copy that has responded that it
+ * leaves, and is not yet draining in the configuration, to the keepers.
+ *
+ * Does nothing without entry.routed. The caller holds upstream->lock.
+ */
+void entry_upstream_report_leaving(const entry_upstream_t *upstream,
+				   entry_copy_t *copy);
+
 /** entry_upstream_count - return the number of upstreams. */
 unsigned entry_upstream_count(struct entry *entry);
 
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -217,6 +217,8 @@
 		entry_service_on_rest(copy, probe->rest, time_now());
 	if (copy && probe->leaves)
 		leaves = entry_service_on_leaving(copy);
+	if (leaves)
+		entry_upstream_report_leaving(upstream, copy);
 	pthread_mutex_unlock(&upstream->lock);
 	if (copy && probe->rests)
 		entry_trace_copy_rests(upstream->name, probe->copy, "",
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -369,6 +369,8 @@
 	if (rests)
 		entry_service_on_rest(req->call.copy, transfer->rest, now);
 	leaves = leaves && entry_service_on_leaving(req->call.copy);
+	if (leaves)
+		entry_upstream_report_leaving(req->upstream, req->call.copy);
 	pthread_mutex_unlock(&req->upstream->lock);
 	if (leaves)
 		entry_trace_copy_leaves(req->upstream->name,
--- a/entry-target.c
+++ b/entry-target.c
@@ -50,7 +50,8 @@
 	copy->connections = connections;
 	target_update_pool(copy, target->address, connections);
 	copy->limit = copy->io ? connections : 0;
-	copy->draining = copy->leaving || target->state != CONFIG_TARGET_READY;
+	copy->drain_declared = target->state != CONFIG_TARGET_READY;
+	copy->draining = copy->leaving || copy->drain_declared;
 	copy->last_seen = now;
 	copy->lease_until = USEC_NEVER;
 }
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -47,10 +47,10 @@
 	return own_weight ? (double)own_weight / total_weight : 1;
 }
 
-/* Reports rates of copies that are not in the configuration yet, and sets how
+/* Reports what copies have responded and the configuration lacks, and sets how
    long the holders of rates are known. The caller holds upstream->lock. */
-static void tick_update_rates(entry_t *entry, entry_upstream_t *upstream,
-			      usec_t now)
+static void tick_update_copies(entry_t *entry, entry_upstream_t *upstream,
+			       usec_t now)
 {
 	entry_copy_t *copy = NULL;
 	usec_t last;
@@ -62,8 +62,10 @@
 		entry_service_set_coordination(&upstream->service,
 					       last + TICK_COORDINATION_TIMEOUT,
 					       now);
-	cds_list_for_each_entry (copy, &upstream->service.copies, link)
+	cds_list_for_each_entry (copy, &upstream->service.copies, link) {
 		entry_upstream_report_rate(upstream, copy, now);
+		entry_upstream_report_leaving(upstream, copy);
+	}
 }
 
 static void tick_update_limits(entry_t *entry, entry_upstream_t *upstream,
@@ -74,7 +76,7 @@
 
 	pthread_mutex_lock(&upstream->lock);
 	entry_service_set_limits(&upstream->service, upstream->rate, share);
-	tick_update_rates(entry, upstream, now);
+	tick_update_copies(entry, upstream, now);
 	if (settings->retry_slack)
 		entry_service_set_retry_budget(
 			&upstream->service,
--- a/entry-upstream.c
+++ b/entry-upstream.c
@@ -40,6 +40,17 @@
 		presence_client_report_rate(presence, &report);
 }
 
+void entry_upstream_report_leaving(const entry_upstream_t *upstream,
+				   entry_copy_t *copy)
+{
+	presence_client_t *presence = upstream->entry->presence;
+	presence_copy_leaves_t report = { .copy = copy->name,
+					  .started_ms = copy->started_ms };
+
+	if (presence && copy->leaving && !copy->drain_declared)
+		presence_client_report_leaving(presence, &report);
+}
+
 unsigned entry_upstream_count(entry_t *entry)
 {
 	unsigned count;
--- a/keeper-registry.c
+++ b/keeper-registry.c
@@ -256,6 +256,38 @@
 			  report->answered, report->ran_ms);
 }
 
+/* Marks a copy that has responded to an entry that it leaves as draining, as if it
+ * had announced that. */
+static void registry_on_copy_leaves(keeper_registry_t *registry,
+				    const presence_copy_leaves_t *report)
+{
+	config_target_t *target;
+	config_item_t item = { .body.kind = CONFIG_PUT_TARGET };
+	keeper_core_t *core = registry->core;
+	const config_target_t *current = NULL;
+	char id[HL_NAME_MAX];
+	bool copied = false;
+
+	target = &item.body.config_body_t_u.target;
+	pthread_mutex_lock(&core->lock);
+	if (core->state)
+		current = config_find_target(config_state_config(core->state),
+					     report->copy);
+	if (current && current->started_ms == report->started_ms)
+		copied = !config_copy((xdrproc_t)xdr_config_target_t, current,
+				      target, sizeof(*target));
+	pthread_mutex_unlock(&core->lock);
+	if (!copied)
+		return;
+	target->state = CONFIG_TARGET_DRAINING;
+	snprintf(id, sizeof(id), "leaves-%016" PRIx64,
+		 hl_hash(report->copy, strlen(report->copy), 0));
+	if (keeper_core_put_reported(core, id, &item))
+		log_event(LOG_LEVEL_NOTICE, "copy-leaving-reported", "copy=%s",
+			  report->copy);
+	xdr_free((xdrproc_t)xdr_config_target_t, (char *)target);
+}
+
 static void registry_receive(keeper_registry_t *registry, usec_t now)
 {
 	struct sockaddr_storage from = { 0 };
@@ -293,6 +325,10 @@
 				registry_on_suspect(
 					registry,
 					&body->presence_body_t_u.suspect);
+			else if (body->kind == PRESENCE_COPY_LEAVES)
+				registry_on_copy_leaves(
+					registry,
+					&body->presence_body_t_u.copy_leaves);
 			presence_clear(&message);
 		}
 		length = sizeof(from);
--- a/presence-client.c
+++ b/presence-client.c
@@ -560,6 +560,16 @@
 	client_queue_report(client, &message);
 }
 
+void presence_client_report_leaving(presence_client_t *client,
+				    const presence_copy_leaves_t *report)
+{
+	presence_t message = { .cluster = client->cluster };
+
+	message.body.kind = PRESENCE_COPY_LEAVES;
+	message.body.presence_body_t_u.copy_leaves = *report;
+	client_queue_report(client, &message);
+}
+
 usec_t presence_client_last_response(presence_client_t *client)
 {
 	return __atomic_load_n(&client->last_response, __ATOMIC_RELAXED);
--- a/presence.h
+++ b/presence.h
@@ -202,6 +202,13 @@
 void presence_client_report_suspect(presence_client_t *client,
 				    const presence_suspect_t *report);
 
+/**
+ * presence_client_report_leaving - report a copy that leaves to all keepers; as
+ * presence_client_report_rate().
+ */
+void presence_client_report_leaving(presence_client_t *client,
+				    const presence_copy_leaves_t *report);
+
 /** presence_client_last_response - time of the last datagram of any keeper. */
 usec_t presence_client_last_response(presence_client_t *client);
 
--- a/rpc/presence_rpc.h
+++ b/rpc/presence_rpc.h
@@ -29,6 +29,7 @@
 	PRESENCE_PEERS = 5,
 	PRESENCE_COPY_RATE = 6,
 	PRESENCE_SUSPECT = 7,
+	PRESENCE_COPY_LEAVES = 8,
 };
 typedef enum presence_kind_t presence_kind_t;
 
@@ -106,6 +107,12 @@
 };
 typedef struct presence_suspect_t presence_suspect_t;
 
+struct presence_copy_leaves_t {
+	config_name_t copy;
+	u_quad_t started_ms;
+};
+typedef struct presence_copy_leaves_t presence_copy_leaves_t;
+
 struct presence_body_t {
 	presence_kind_t kind;
 	union {
@@ -116,6 +123,7 @@
 		presence_peers_t peers;
 		presence_copy_rate_t copy_rate;
 		presence_suspect_t suspect;
+		presence_copy_leaves_t copy_leaves;
 	} presence_body_t_u;
 };
 typedef struct presence_body_t presence_body_t;
@@ -139,6 +147,7 @@
 extern  bool_t xdr_presence_peers_t (XDR *, presence_peers_t*);
 extern  bool_t xdr_presence_copy_rate_t (XDR *, presence_copy_rate_t*);
 extern  bool_t xdr_presence_suspect_t (XDR *, presence_suspect_t*);
+extern  bool_t xdr_presence_copy_leaves_t (XDR *, presence_copy_leaves_t*);
 extern  bool_t xdr_presence_body_t (XDR *, presence_body_t*);
 extern  bool_t xdr_presence_t (XDR *, presence_t*);
 
@@ -153,6 +162,7 @@
 extern bool_t xdr_presence_peers_t ();
 extern bool_t xdr_presence_copy_rate_t ();
 extern bool_t xdr_presence_suspect_t ();
+extern bool_t xdr_presence_copy_leaves_t ();
 extern bool_t xdr_presence_body_t ();
 extern bool_t xdr_presence_t ();
 
--- a/rpc/presence_rpc.x
+++ b/rpc/presence_rpc.x
@@ -18,7 +18,8 @@
 	PRESENCE_PEERS_REQUEST = 4,	/* entry to keeper */
 	PRESENCE_PEERS = 5,		/* keeper to entry, if its list differs */
 	PRESENCE_COPY_RATE = 6,		/* entry to keeper */
-	PRESENCE_SUSPECT = 7		/* entry to keeper */
+	PRESENCE_SUSPECT = 7,		/* entry to keeper */
+	PRESENCE_COPY_LEAVES = 8	/* entry to keeper */
 };
 
 /* The identity of an entry, which heartbeats omit once the keeper has it. */
@@ -86,6 +87,12 @@
 	unsigned hyper base;		/* revision of the suspect, if answered */
 };
 
+/* An entry reports that a copy has responded that it leaves. */
+struct presence_copy_leaves_t {
+	config_name_t copy;
+	unsigned hyper started_ms;	/* as in config_target_t */
+};
+
 union presence_body_t switch (presence_kind_t kind) {
 case PRESENCE_ENTRY:
 	presence_entry_t entry;
@@ -101,6 +108,8 @@
 	presence_copy_rate_t copy_rate;
 case PRESENCE_SUSPECT:
 	presence_suspect_t suspect;
+case PRESENCE_COPY_LEAVES:
+	presence_copy_leaves_t copy_leaves;
 };
 
 struct presence_t {
--- a/rpc/presence_rpc_xdr.c
+++ b/rpc/presence_rpc_xdr.c
@@ -203,6 +203,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_presence_copy_leaves_t (XDR *xdrs, presence_copy_leaves_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_config_name_t (xdrs, &objp->copy))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_presence_body_t (XDR *xdrs, presence_body_t *objp)
 {
@@ -239,6 +251,10 @@
 		 if (!xdr_presence_suspect_t (xdrs, &objp->presence_body_t_u.suspect))
 			 return FALSE;
 		break;
+	case PRESENCE_COPY_LEAVES:
+		 if (!xdr_presence_copy_leaves_t (xdrs, &objp->presence_body_t_u.copy_leaves))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
