Restart the bucket of a held rate when the keepers are back

Cause: found in review. An entry that loses the keepers spaces its requests to a copy with a rate by its share; when the keepers were back, the holder kept that due time, 2 to 3 intervals of a share, up to 48 s with 16 entries and 1 request a second, and used the copy no more until then.

The bucket starts anew whenever the entry loses or regains the keepers. The new row limited-copy-gets-calls-again covers it.

--- a/entry-rate.c
+++ b/entry-rate.c
@@ -144,28 +144,33 @@
 }
 
 /*
- * Entries that lose the keepers at the same time begin to use their shares at
- * times that are spread over the interval of a share.
+ * Start the bucket of a copy anew for another interval between requests. Entries
+ * that lose the keepers at the same time begin to use their shares at times that
+ * are spread over the interval of a share.
  */
+static void rate_restart(entry_service_t *svc, entry_copy_t *copy, usec_t now)
+{
+	usec_t interval = rate_own_interval(svc, copy, now);
+	usec_t spread = 0;
+
+	if (interval == USEC_NEVER)
+		return;
+	if (!svc->coordinated)
+		spread = (usec_t)entry_pick_random(
+			svc, (unsigned)(interval % UINT32_MAX) + 1);
+	copy->rate.due = now + RATE_BURST * interval + spread;
+}
+
 void entry_service_set_coordination(entry_service_t *svc, usec_t until,
 				    usec_t now)
 {
-	bool lost = svc->coordinated && now >= until;
+	bool coordinated = now < until;
+	bool changed = coordinated != svc->coordinated;
 	entry_copy_t *copy = NULL;
 
 	svc->coordinated_until = until;
-	svc->coordinated = now < until;
-	if (!lost)
-		return;
-	cds_list_for_each_entry (copy, &svc->copies, link) {
-		usec_t interval;
-
-		if (!copy->rate.millirate)
-			continue;
-		interval = rate_own_interval(svc, copy, now);
-		copy->rate.due = now + RATE_BURST * interval +
-				 (usec_t)entry_pick_random(
-					 svc,
-					 (unsigned)(interval % UINT32_MAX) + 1);
-	}
+	svc->coordinated = coordinated;
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (changed && copy->rate.millirate)
+			rate_restart(svc, copy, now);
 }
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -274,6 +274,11 @@
 	  "0 copy a 2\n0 declare a 1000 1 held\n0 coordination 1500\n"
 	  "1400 report a 0 0 100\n1400 arrive x objective=250 = send a\n"
 	  "1400 end x ok = respond\n3500 candidates same-zone = \n" },
+	{ "limited-copy-gets-calls-again-when-the-keepers-are-back",
+	  "0 copy a 2\n0 share 0.25\n0 declare a 1000 1 held\n"
+	  "0 coordination 1500\n2000 coordination 1500\n"
+	  "3000 coordination 5000\n4999 candidates same-zone = \n"
+	  "5000 coordination 9000\n5001 candidates same-zone = a\n" },
 	{ "limited-copies-of-other-entries-are-refused-at-once",
 	  "0 copy a 2\n0 declare a 1000 1 other\n"
 	  "0 arrive x objective=250 = refuse no-copy\n"
