Add no empty body to the digest of a call

Cause: found in review. A call without a body has no buffer, and an offset was added to its null pointer before the length, 0, was looked at.

The body is added to the digest only if there is one; digests stay the same.

--- a/entry-crash.c
+++ b/entry-crash.c
@@ -34,14 +34,14 @@
 	const entry_buffer_t *body = &req->body;
 	char length[32];
 
-	if (!req->body_streamed) {
+	if (req->body_streamed) {
+		snprintf(length, sizeof(length), "%" PRId64, req->body_length);
+		crash_digest_add(checksum, length);
+	} else if (entry_buffer_length(body)) {
 		g_checksum_update(checksum,
 				  (const guchar *)body->bytes + body->start,
 				  (gssize)entry_buffer_length(body));
-		return;
 	}
-	snprintf(length, sizeof(length), "%" PRId64, req->body_length);
-	crash_digest_add(checksum, length);
 }
 
 /*
