Let an entry of the copy's zone hold its rate

Cause: found in review. The first entry to report a rate held it, also one of another zone, which sends to the copy only while its own zone is short. The rate was then hardly used, and its end was noticed late.

The leader chooses a ready entry of the copy's zone, as when a holder has gone.

--- a/keeper-registry.c
+++ b/keeper-registry.c
@@ -198,28 +198,49 @@
 	return keeper_core_put_reported(core, id, &item);
 }
 
-/* Passes on the rate that a copy names to an entry. A rate that is not known yet
- * is held by the entry that reports it first. */
-static void registry_on_copy_rate(keeper_registry_t *registry,
-				  const presence_copy_rate_t *report)
+/* Copies the name of the entry that holds the rate of a copy: the present holder
+ * or, for a rate that is not known yet, an entry of the copy's zone. */
+static bool registry_find_holder(keeper_registry_t *registry, const char *copy,
+				 char holder[HL_NAME_MAX], usec_t now)
 {
 	keeper_core_t *core = registry->core;
-	config_copy_rate_t rate = { .name = report->copy,
-				    .started_ms = report->started_ms,
-				    .millirate = report->millirate };
+	const presence_member_t *member = NULL;
 	const config_copy_rate_t *existing = NULL;
-	char holder[HL_NAME_MAX];
+	const config_target_t *target = NULL;
 
-	snprintf(holder, sizeof(holder), "%s", report->entry);
+	pthread_mutex_lock(&registry->lock);
 	pthread_mutex_lock(&core->lock);
-	if (core->state)
-		existing = config_rate_find(config_state_config(core->state),
-					    report->copy);
+	if (core->state) {
+		const config_t *config = config_state_config(core->state);
+
+		existing = config_rate_find(config, copy);
+		target = config_find_target(config, copy);
+	}
+	if (!existing && target)
+		member = presence_table_choose_one(registry->entries,
+						   target->zone, copy, now);
 	if (existing)
-		snprintf(holder, sizeof(holder), "%s", existing->holder);
+		snprintf(holder, HL_NAME_MAX, "%s", existing->holder);
+	else if (member)
+		snprintf(holder, HL_NAME_MAX, "%s", member->name);
 	pthread_mutex_unlock(&core->lock);
+	pthread_mutex_unlock(&registry->lock);
+	return existing || member;
+}
+
+/* Passes on the rate that a copy names to an entry. */
+static void registry_on_copy_rate(keeper_registry_t *registry,
+				  const presence_copy_rate_t *report,
+				  usec_t now)
+{
+	config_copy_rate_t rate = { .name = report->copy,
+				    .started_ms = report->started_ms,
+				    .millirate = report->millirate };
+	char holder[HL_NAME_MAX];
+
 	rate.holder = holder;
-	if (registry_put_rate(core, &rate, report->base))
+	if (registry_find_holder(registry, report->copy, holder, now) &&
+	    registry_put_rate(registry->core, &rate, report->base))
 		log_event(LOG_LEVEL_NOTICE, "copy-rate-reported",
 			  "copy=%s per_second=%.3f holder=%s entry=%s "
 			  "base=%" PRIu64,
@@ -320,7 +341,8 @@
 			else if (body->kind == PRESENCE_COPY_RATE)
 				registry_on_copy_rate(
 					registry,
-					&body->presence_body_t_u.copy_rate);
+					&body->presence_body_t_u.copy_rate,
+					now);
 			else if (body->kind == PRESENCE_SUSPECT)
 				registry_on_suspect(
 					registry,
--- a/rpc/presence_rpc.x
+++ b/rpc/presence_rpc.x
@@ -66,8 +66,7 @@
 	presence_address_t addresses<PRESENCE_PEERS_MAX>;
 };
 
-/* An entry reports the rate that a copy names in its responses. The keepers make
-   the entry the holder of a rate that they do not know yet. */
+/* An entry reports the rate that a copy names in its responses. */
 struct presence_copy_rate_t {
 	config_name_t entry;		/* name of the entry */
 	config_name_t copy;
