Keep a rate that is learned without keepers

Cause: found in review. An entry that learned a rate while it had no keepers began with the bucket of a holder, and forgot the rate after 5 s without confirmation, so that in an outage of the keepers each entry could send a few requests every 5 s.

The bucket now begins with the interval that applies to the entry, and a rate is forgotten only if keepers that respond do not confirm it. New row limited-copy-learned-without-keepers-is-shared.

--- a/config-state.c
+++ b/config-state.c
@@ -333,9 +333,8 @@
  * Applies a change that consists of reports of processes: announcements of
  * copies, whose start times and sequence numbers make them idempotent, rates of
  * copies, which name the revision that they are based on, and crashes, of which
- * each counts once. They need no dedup
- * record, and are applied in place, without a copy of the configuration, as
- * there are many.
+ * each counts once. They need no dedup record, and are applied in place, without
+ * a copy of the configuration, as there are many.
  */
 static int config_state_apply_reports(config_state_t *state, uint64_t index,
 				      const config_change_t *change,
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -209,8 +209,9 @@
 	pthread_mutex_lock(&upstream->lock);
 	copy = entry_service_copy_find(&upstream->service, probe->copy);
 	if (copy && probe->millirate)
-		new_rate = entry_service_on_rate(copy, probe->millirate,
-						 probe->sent, time_now());
+		new_rate = entry_service_on_rate(&upstream->service, copy,
+						 probe->millirate, probe->sent,
+						 time_now());
 	if (new_rate)
 		entry_upstream_report_rate(upstream, copy, time_now());
 	if (copy && probe->rests)
--- a/entry-rate.c
+++ b/entry-rate.c
@@ -37,27 +37,69 @@
 	return (usec_t)(RATE_MILLI * USEC_PER_SEC / millirate);
 }
 
+/* Return whether this entry alone sends to the copy: as the owner of the copy
+   or as the holder of its rate. */
+static bool rate_is_held(const entry_service_t *svc, const entry_copy_t *copy,
+			 usec_t now)
+{
+	return svc->policy != ENTRY_POLICY_REPORTS ||
+	       (copy->rate.held && now < svc->coordinated_until);
+}
+
+/* Return the interval between requests of this entry; USEC_NEVER if it may send
+   none. */
+static usec_t rate_own_interval(const entry_service_t *svc,
+				const entry_copy_t *copy, usec_t now)
+{
+	usec_t interval = rate_interval(copy->rate.millirate);
+
+	if (rate_is_held(svc, copy, now))
+		return interval;
+	if (!svc->coordinated)
+		return (usec_t)((double)interval / svc->entry_share);
+	return USEC_NEVER;
+}
+
+/*
+ * Start the bucket of a copy anew for another interval between requests. Entries
+ * that lose the keepers at the same time begin to use their shares at times that
+ * are spread over the interval of a share.
+ */
+static void rate_restart(entry_service_t *svc, entry_copy_t *copy, usec_t now)
+{
+	usec_t interval = rate_own_interval(svc, copy, now);
+	usec_t spread = 0;
+
+	if (interval == USEC_NEVER)
+		return;
+	if (!svc->coordinated)
+		spread = (usec_t)entry_pick_random(
+			svc, (unsigned)(interval % UINT32_MAX) + 1);
+	copy->rate.due = now + RATE_BURST * interval + spread;
+}
+
 /* Set another rate, with an empty bucket. */
-static void rate_set(entry_rate_t *rate, unsigned millirate, usec_t now)
+static void rate_set(entry_service_t *svc, entry_copy_t *copy,
+		     unsigned millirate, usec_t now)
 {
-	rate->millirate = millirate;
-	rate->since = now;
-	rate->due = now;
+	copy->rate.millirate = millirate;
+	copy->rate.since = now;
 	if (millirate)
-		rate->due += RATE_BURST * rate_interval(millirate);
+		rate_restart(svc, copy, now);
 }
 
-bool entry_service_on_rate(entry_copy_t *copy, unsigned millirate, usec_t sent,
-			   usec_t now)
+bool entry_service_on_rate(entry_service_t *svc, entry_copy_t *copy,
+			   unsigned millirate, usec_t sent, usec_t now)
 {
 	if (millirate == copy->rate.millirate || sent < copy->rate.since)
 		return false;
-	rate_set(&copy->rate, millirate, now);
+	rate_set(svc, copy, millirate, now);
 	return true;
 }
 
-void entry_service_declare_rate(entry_copy_t *copy, unsigned millirate,
-				uint64_t revision, bool held, usec_t now)
+void entry_service_declare_rate(entry_service_t *svc, entry_copy_t *copy,
+				unsigned millirate, uint64_t revision,
+				bool held, usec_t now)
 {
 	entry_rate_t *rate = &copy->rate;
 
@@ -66,44 +108,22 @@
 	rate->revision = revision;
 	rate->declared = millirate;
 	rate->held = held;
-	rate_set(rate, millirate, now);
+	rate_set(svc, copy, millirate, now);
 }
 
-bool entry_service_rate_report(entry_copy_t *copy, usec_t now)
+bool entry_service_rate_report(entry_service_t *svc, entry_copy_t *copy,
+			       usec_t now)
 {
 	entry_rate_t *rate = &copy->rate;
 
-	if (rate->millirate == rate->declared)
+	if (rate->millirate == rate->declared || !svc->coordinated)
 		return false;
 	if (now - rate->since < RATE_REPORT_TIMEOUT)
 		return true;
-	rate_set(rate, rate->declared, now);
+	rate_set(svc, copy, rate->declared, now);
 	return false;
 }
 
-/* Return whether this entry alone sends to the copy: as the owner of the copy
-   or as the holder of its rate. */
-static bool rate_is_held(const entry_service_t *svc, const entry_copy_t *copy,
-			 usec_t now)
-{
-	return svc->policy != ENTRY_POLICY_REPORTS ||
-	       (copy->rate.held && now < svc->coordinated_until);
-}
-
-/* Return the interval between requests of this entry; USEC_NEVER if it may send
-   none. */
-static usec_t rate_own_interval(const entry_service_t *svc,
-				const entry_copy_t *copy, usec_t now)
-{
-	usec_t interval = rate_interval(copy->rate.millirate);
-
-	if (rate_is_held(svc, copy, now))
-		return interval;
-	if (!svc->coordinated)
-		return (usec_t)((double)interval / svc->entry_share);
-	return USEC_NEVER;
-}
-
 usec_t entry_rate_next(const entry_service_t *svc, const entry_copy_t *copy,
 		       usec_t now)
 {
@@ -143,24 +163,6 @@
 	rate->due = (rate->due > now ? rate->due : now) + interval;
 }
 
-/*
- * Start the bucket of a copy anew for another interval between requests. Entries
- * that lose the keepers at the same time begin to use their shares at times that
- * are spread over the interval of a share.
- */
-static void rate_restart(entry_service_t *svc, entry_copy_t *copy, usec_t now)
-{
-	usec_t interval = rate_own_interval(svc, copy, now);
-	usec_t spread = 0;
-
-	if (interval == USEC_NEVER)
-		return;
-	if (!svc->coordinated)
-		spread = (usec_t)entry_pick_random(
-			svc, (unsigned)(interval % UINT32_MAX) + 1);
-	copy->rate.due = now + RATE_BURST * interval + spread;
-}
-
 void entry_service_set_coordination(entry_service_t *svc, usec_t until,
 				    usec_t now)
 {
@@ -172,5 +174,5 @@
 	svc->coordinated = coordinated;
 	cds_list_for_each_entry (copy, &svc->copies, link)
 		if (changed && copy->rate.millirate)
-			rate_restart(svc, copy, now);
+			rate_set(svc, copy, copy->rate.millirate, now);
 }
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -394,8 +394,9 @@
 	    (!transfer->millirate && !entry_transfer_matches_call(transfer)))
 		return;
 	pthread_mutex_lock(&req->upstream->lock);
-	is_new = entry_service_on_rate(copy, transfer->millirate,
-				       transfer->sent, now);
+	is_new = entry_service_on_rate(&req->upstream->service, copy,
+				       transfer->millirate, transfer->sent,
+				       now);
 	if (is_new)
 		entry_upstream_report_rate(req->upstream, copy, now);
 	pthread_mutex_unlock(&req->upstream->lock);
--- a/entry-service.c
+++ b/entry-service.c
@@ -576,8 +576,9 @@
 
 /*
  * Whether all copies are paused, because they refused or failed calls, asked
- * for a rest or accept calls at a limited rate, until it is too late for a call, so that waiting is useless. A copy without a lease
- * does not count as paused, since it may get a lease again.
+ * for a rest or accept calls at a limited rate, until it is too late for a call,
+ * so that waiting is useless. A copy without a lease does not count as paused,
+ * since it may get a lease again.
  */
 static bool service_all_paused(const entry_service_t *svc,
 			       const entry_call_t *call, usec_t now)
--- a/entry-target.c
+++ b/entry-target.c
@@ -58,12 +58,14 @@
 
 /* Applies the rate that the configuration has for a copy. The caller holds the
    lock of the copy's upstream. */
-static void target_apply_rate(const entry_t *entry, entry_copy_t *copy,
+static void target_apply_rate(entry_upstream_t *upstream, entry_copy_t *copy,
 			      const config_copy_rate_t *rate, usec_t now)
 {
-	bool held = rate && !strcmp(rate->holder, entry->settings.name);
+	const char *self = upstream->entry->settings.name;
+	bool held = rate && !strcmp(rate->holder, self);
 
-	entry_service_declare_rate(copy, rate ? rate->millirate : 0,
+	entry_service_declare_rate(&upstream->service, copy,
+				   rate ? rate->millirate : 0,
 				   rate ? rate->revision : 0, held, now);
 }
 
@@ -89,7 +91,7 @@
 					      now);
 	if (copy) {
 		target_update_copy(upstream, copy, target, connections, now);
-		target_apply_rate(entry, copy,
+		target_apply_rate(upstream, copy,
 				  config_rate_find(config, copy->name), now);
 	}
 	pthread_mutex_unlock(&upstream->lock);
--- a/entry-upstream.c
+++ b/entry-upstream.c
@@ -36,7 +36,8 @@
 		.base = copy->rate.revision,
 	};
 
-	if (presence && entry_service_rate_report(copy, now))
+	if (presence &&
+	    entry_service_rate_report(&upstream->service, copy, now))
 		presence_client_report_rate(presence, &report);
 }
 
--- a/entry.h
+++ b/entry.h
@@ -561,8 +561,8 @@
  *
  * Return: false if the rate is not new.
  */
-bool entry_service_on_rate(entry_copy_t *copy, unsigned millirate, usec_t sent,
-			   usec_t now);
+bool entry_service_on_rate(entry_service_t *svc, entry_copy_t *copy,
+			   unsigned millirate, usec_t sent, usec_t now);
 
 /**
  * entry_service_declare_rate - apply the rate of a copy in the configuration.
@@ -570,8 +570,9 @@
  * @revision: revision of the rate; 0 if there is none
  * @held: this entry is the holder
  */
-void entry_service_declare_rate(entry_copy_t *copy, unsigned millirate,
-				uint64_t revision, bool held, usec_t now);
+void entry_service_declare_rate(entry_service_t *svc, entry_copy_t *copy,
+				unsigned millirate, uint64_t revision,
+				bool held, usec_t now);
 
 /**
  * entry_service_set_coordination - set how long the holders of rates are known.
@@ -585,9 +586,10 @@
  * entry_service_rate_report - whether to report the rate of a copy to keepers.
  *
  * A rate that the configuration still lacks after several reports is forgotten;
- * the next response of the copy tells it again.
+ * the next response of the copy tells it again. Without keepers it is kept.
  */
-bool entry_service_rate_report(entry_copy_t *copy, usec_t now);
+bool entry_service_rate_report(entry_service_t *svc, entry_copy_t *copy,
+			       usec_t now);
 
 /** entry_service_cancel - dequeue a call whose caller closed its connection. */
 void entry_service_cancel(entry_service_t *svc, entry_call_t *call);
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -270,6 +270,13 @@
 	  "1000 coordination 900\n8999 candidates same-zone = \n"
 	  "13001 candidates same-zone = a\n13002 candidates same-zone = \n"
 	  "17002 candidates same-zone = a\n" },
+	{ "limited-copy-learned-without-keepers-is-shared",
+	  "0 copy a 2\n0 share 0.25\n0 coordination 0\n"
+	  "10 rate a 1000 5 = new\n4000 candidates same-zone = \n"
+	  "4000 rate-report a = no\n7999 candidates same-zone = \n"
+	  "12011 candidates same-zone = a\n20000 coordination 30000\n"
+	  "20001 rate-report a = yes\n24999 rate-report a = yes\n"
+	  "25000 rate-report a = no\n" },
 	{ "limited-copy-is-left-by-a-holder-that-lost-the-keepers",
 	  "0 copy a 2\n0 declare a 1000 1 held\n0 coordination 1500\n"
 	  "1400 report a 0 0 100\n1400 arrive x objective=250 = send a\n"
@@ -457,7 +464,8 @@
 	usec_t sent = (1000 + strtol(words[3], NULL, 10)) * USEC_PER_MS;
 	bool is_new;
 
-	is_new = entry_service_on_rate(script_copy(script, words[1]),
+	is_new = entry_service_on_rate(&script->svc,
+				       script_copy(script, words[1]),
 				       (unsigned)atoi(words[2]), sent,
 				       script->now);
 	return g_strdup(is_new ? "new" : "known");
@@ -466,7 +474,7 @@
 /* "declare COPY MILLIRATE REVISION held|other" */
 static char *run_declare(script_t *script, char **words)
 {
-	entry_service_declare_rate(script_copy(script, words[1]),
+	entry_service_declare_rate(&script->svc, script_copy(script, words[1]),
 				   (unsigned)atoi(words[2]),
 				   (uint64_t)atoi(words[3]),
 				   !strcmp(words[4], "held"), script->now);
@@ -475,7 +483,8 @@
 
 static char *run_rate_report(script_t *script, char **words)
 {
-	bool due = entry_service_rate_report(script_copy(script, words[1]),
+	bool due = entry_service_rate_report(&script->svc,
+					     script_copy(script, words[1]),
 					     script->now);
 
 	return g_strdup(due ? "yes" : "no");
