--- a/keeper-announce.c
+++ b/keeper-announce.c
@@ -46,7 +46,7 @@
 	return verdict;
 }
 
-/* Queue a change of items that processes have reported. Its id may be empty, since
+/* Queue a change of items that processes have reported. Its id may be empty, as
  * applying it twice has no further effect. The caller holds the core's lock. */
 static keeper_verdict_t announce_queue(keeper_core_t *core, const char *id,
 				       config_item_t *items, unsigned count)
