--- a/entry-main.c
+++ b/entry-main.c
@@ -158,6 +158,7 @@
 		return -1;
 	if (entry->policy == ENTRY_POLICY_REPORTS && settings->headers->load) {
 		entry->prober = entry_prober_new(settings->headers,
+						 settings->connect_from,
 						 entry_probe_on_state,
 						 entry->metrics, err);
 		if (!entry->prober)
--- a/entry-prober.c
+++ b/entry-prober.c
@@ -51,6 +51,7 @@
 
 struct entry_prober {
 	const headers_t *headers;
+	const char *connect_from; /* source address; "": the system's choice */
 	entry_prober_state_t on_state;
 	CURLM *multi;
 	pthread_mutex_t lock; /* guards queued */
@@ -233,6 +234,9 @@
 	curl_easy_setopt(query->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 PROBER_CONNECT_MS);
 	curl_easy_setopt(query->easy, CURLOPT_TIMEOUT_MS, PROBER_TIMEOUT_MS);
+	if (*prober->connect_from)
+		curl_easy_setopt(query->easy, CURLOPT_INTERFACE,
+				 prober->connect_from);
 	curl_easy_setopt(query->easy, CURLOPT_HEADERFUNCTION, prober_header);
 	curl_easy_setopt(query->easy, CURLOPT_HEADERDATA, query);
 	curl_easy_setopt(query->easy, CURLOPT_WRITEFUNCTION, prober_body);
@@ -316,6 +320,7 @@
 }
 
 entry_prober_t *entry_prober_new(const headers_t *headers,
+				 const char *connect_from,
 				 entry_prober_state_t on_state,
 				 metrics_t *metrics, hl_error_t *err)
 {
@@ -327,6 +332,7 @@
 		return NULL;
 	}
 	prober->headers = headers;
+	prober->connect_from = connect_from;
 	prober->on_state = on_state;
 	pthread_mutex_init(&prober->lock, NULL);
 	CDS_INIT_LIST_HEAD(&prober->queued);
--- a/entry-prober.h
+++ b/entry-prober.h
@@ -53,11 +53,14 @@
 /**
  * entry_prober_new - create a prober.
  * @headers: interface of the copies, with a load header
+ * @connect_from: source address of the connections, or ""; must outlive the
+ *                prober
  * @on_state: called for copies that leave or rest
  *
  * Return: the prober, or NULL with @err set.
  */
 entry_prober_t *entry_prober_new(const headers_t *headers,
+				 const char *connect_from,
 				 entry_prober_state_t on_state,
 				 metrics_t *metrics, hl_error_t *err);
 
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -58,6 +58,9 @@
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)req->entry->settings.connect_ms);
+	if (*req->entry->settings.connect_from)
+		curl_easy_setopt(easy, CURLOPT_INTERFACE,
+				 req->entry->settings.connect_from);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, entry_transfer_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -41,6 +41,10 @@
 	  false, NULL, 0, 0,
 	  "\"ip:port\" to answer look-ups of entries on, with routed; if it is "
 	  "not set, only keepers answer them" },
+	{ "entry", "connect_from", SETTING_IP, FIELD(connect_from), false, NULL,
+	  0, 0,
+	  "IP address that connections to copies come from; the system chooses "
+	  "one if it is not set" },
 	{ "entry", "connect_ms", SETTING_INTEGER, FIELD(connect_ms), false,
 	  "1000", 10, 60000, "milliseconds until a connect to a copy fails" },
 	{ "entry", "spares", SETTING_INTEGER, FIELD(spares), false, "4", 0,
--- a/entry-settings.h
+++ b/entry-settings.h
@@ -40,8 +40,9 @@
 	char call_listen[HL_ADDRESS_MAX];      /* "": address and call_port */
 	char control_listen[HL_ADDRESS_MAX];   /* "": address, control_port */
 	char directory_listen[HL_ADDRESS_MAX]; /* "": no look-ups answered */
-	int64_t connect_ms;		       /* connect timeout */
-	int64_t spares;	     /* preconnected sockets per copy */
+	char connect_from[HL_ADDRESS_MAX]; /* source IP address of sends; "" */
+	int64_t connect_ms;		   /* connect timeout */
+	int64_t spares;			   /* preconnected sockets per copy */
 	double retry_ratio;  /* retries per call; used if retry_slack is set */
 	int64_t retry_slack; /* retries per service over all entries */
 	int64_t retry_window_s; /* sliding window of retry_ratio, retry_slack */
--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -46,6 +46,7 @@
 	control_listen = "$NET.1$1:7081"
 	directory_listen = "$NET.1$1:7071"
 	connect_ms = 300
+	${ENTRY_SETTINGS-}
 	spares = 0
 	retry_ratio = 0.2
 	retry_slack = 60
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -21,10 +21,20 @@
  *	/endless-trailer	trailers without end
  *	/endless-excess		bytes without end after a complete response
  *
+ * With --cut, it reads a file each 10 ms: each line has an IP address and how its
+ * path to the copy is cut. A segment of the address to the listening socket is
+ * dropped, in addition:
+ *
+ *	hang			those of open connections are dropped, too
+ *	new			open connections live on
+ *	reset			open connections are reset
+ *
  * With --rate, it names that rate in its responses from SIGUSR1 to SIGUSR2, and
  * records probes like calls.
  */
+#include <arpa/inet.h>
 #include <glib.h>
+#include <linux/filter.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -45,7 +55,11 @@
 #define FNV_BASIS 0xcbf29ce484222325ULL
 #define FNV_PRIME 0x100000001b3ULL
 
-static gchar *opt_address, *opt_id, *opt_log;
+/* Maximum number of addresses that are cut at the same time. */
+#define CUTS_MAX 16
+#define CUT_PERIOD_USEC 10000
+
+static gchar *opt_address, *opt_id, *opt_log, *opt_cut;
 static gint opt_slots = 2;
 static gint opt_rate;
 static gboolean opt_leaving;
@@ -56,6 +70,7 @@
 /* One connection and the request that is being read from it. */
 typedef struct {
 	int fd;
+	in_addr_t peer;		  /* in network byte order */
 	char buffer[BLOCK_BYTES]; /* input that was not used yet */
 	size_t length;
 	char head[HEAD_BYTES_MAX];
@@ -405,13 +420,129 @@
 	return send_response(conn, "200 OK", "", "a late response\n");
 }
 
+/* The addresses whose paths are cut, and all connections. */
+typedef struct {
+	in_addr_t address;
+	char how[16];
+} cut_t;
+
+static pthread_mutex_t cut_lock = PTHREAD_MUTEX_INITIALIZER;
+static GPtrArray *connections; /* connection_t, guarded by cut_lock */
+static cut_t cuts[CUTS_MAX];   /* guarded by cut_lock */
+static unsigned cut_count;     /* guarded by cut_lock */
+
+/* Drops the segments that a socket receives from the cut addresses. A connection
+   inherits the filter of the listening socket, so it gets one of its own. */
+static void cut_filter(int fd, bool all)
+{
+	struct sock_filter code[CUTS_MAX + 3] = {
+		BPF_STMT(BPF_LD | BPF_W | BPF_ABS, SKF_NET_OFF + 12),
+	};
+	struct sock_fprog program = { 1, code };
+	unsigned i;
+
+	for (i = 0; i < cut_count; i++)
+		if (all || !strcmp(cuts[i].how, "hang"))
+			code[program.len++] = (struct sock_filter)
+				BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K,
+					 ntohl(cuts[i].address), 0, 0);
+	/* A match jumps to the last instruction, which drops the segment. */
+	for (i = 1; i < program.len; i++)
+		code[i].jt = (uint8_t)(program.len - i);
+	code[program.len++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K,
+							   UINT32_MAX);
+	code[program.len++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, 0);
+	setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
+/* Makes the close of a connection a TCP reset, and ends its thread. */
+static void cut_reset(const connection_t *conn)
+{
+	const struct linger now = { 1, 0 };
+
+	setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	shutdown(conn->fd, SHUT_RD);
+}
+
+static void cut_apply_connection(const connection_t *conn)
+{
+	unsigned i;
+
+	cut_filter(conn->fd, false);
+	for (i = 0; i < cut_count; i++)
+		if (conn->peer == cuts[i].address &&
+		    !strcmp(cuts[i].how, "reset"))
+			cut_reset(conn);
+}
+
+static void cut_read(const char *text)
+{
+	char **lines = g_strsplit(text, "\n", CUTS_MAX + 1);
+	char address[64];
+	unsigned i;
+
+	cut_count = 0;
+	for (i = 0; lines[i] && cut_count < CUTS_MAX; i++) {
+		cut_t *cut = &cuts[cut_count];
+
+		if (sscanf(lines[i], "%63s %15s", address, cut->how) != 2)
+			continue;
+		cut->address = inet_addr(address);
+		cut_count++;
+	}
+	g_strfreev(lines);
+}
+
+/* Applies the file of cuts whenever it has changed. */
+static void *cut_main(void *context)
+{
+	int listener = GPOINTER_TO_INT(context);
+	char *last = g_strdup("");
+	char *text = NULL;
+	unsigned i;
+
+	for (;; g_usleep(CUT_PERIOD_USEC)) {
+		if (!g_file_get_contents(opt_cut, &text, NULL, NULL))
+			continue;
+		if (!strcmp(text, last)) {
+			g_free(text);
+			continue;
+		}
+		g_free(last);
+		last = text;
+		pthread_mutex_lock(&cut_lock);
+		cut_read(text);
+		cut_filter(listener, true);
+		for (i = 0; i < connections->len; i++)
+			cut_apply_connection(connections->pdata[i]);
+		pthread_mutex_unlock(&cut_lock);
+	}
+	return NULL;
+}
+
+static void connection_add(connection_t *conn)
+{
+	struct sockaddr_in peer = { 0 };
+	socklen_t size = sizeof(peer);
+
+	getpeername(conn->fd, (struct sockaddr *)&peer, &size);
+	conn->peer = peer.sin_addr.s_addr;
+	pthread_mutex_lock(&cut_lock);
+	g_ptr_array_add(connections, conn);
+	cut_filter(conn->fd, false);
+	pthread_mutex_unlock(&cut_lock);
+}
+
 static void *connection_main(void *context)
 {
 	connection_t *conn = context;
 
 	while (serve(conn))
 		;
+	pthread_mutex_lock(&cut_lock);
+	g_ptr_array_remove_fast(connections, conn);
 	close(conn->fd);
+	pthread_mutex_unlock(&cut_lock);
 	g_free(conn);
 	return NULL;
 }
@@ -427,11 +558,17 @@
 		connection_t *conn = g_new0(connection_t, 1);
 
 		conn->fd = accept(listener, NULL, NULL);
-		if (conn->fd >= 0 &&
-		    !pthread_create(&thread, &attr, connection_main, conn))
+		if (conn->fd < 0) {
+			g_free(conn);
 			continue;
-		if (conn->fd >= 0)
-			close(conn->fd);
+		}
+		connection_add(conn);
+		if (!pthread_create(&thread, &attr, connection_main, conn))
+			continue;
+		pthread_mutex_lock(&cut_lock);
+		g_ptr_array_remove_fast(connections, conn);
+		pthread_mutex_unlock(&cut_lock);
+		close(conn->fd);
 		g_free(conn);
 	}
 }
@@ -473,6 +610,8 @@
 	  "N" },
 	{ "leaving", 0, 0, G_OPTION_ARG_NONE, &opt_leaving,
 	  "say in every response that the copy leaves", NULL },
+	{ "cut", 0, 0, G_OPTION_ARG_STRING, &opt_cut,
+	  "file with the addresses whose paths to the copy are cut", "FILE" },
 	{ "log", 0, 0, G_OPTION_ARG_STRING, &opt_log,
 	  "file to which calls are recorded", "FILE" },
 	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
@@ -481,6 +620,7 @@
 int main(int argc, char **argv)
 {
 	GOptionContext *context = g_option_context_new("");
+	pthread_t cutter;
 	gboolean parsed;
 	int listener;
 
@@ -494,9 +634,13 @@
 	signal(SIGUSR2, on_rate_signal);
 	headers = headers_find("platform");
 	record_file = fopen(opt_log, "a");
+	connections = g_ptr_array_new();
 	listener = listen_on(opt_address);
 	if (!record_file || listener < 0)
 		return 1;
+	if (opt_cut &&
+	    pthread_create(&cutter, NULL, cut_main, GINT_TO_POINTER(listener)))
+		return 1;
 	puts("ready");
 	fflush(stdout);
 	accept_connections(listener);
