--- a/regress/routed-cut-lib.sh
+++ b/regress/routed-cut-lib.sh
@@ -29,8 +29,9 @@
 
 # call_logged ENTRY PATH OPTION...: make a call and record its id and status.
 call_logged () {
-	status=$(entry_call "$@" | sed 's/^status=\([0-9]*\).*/\1/')
-	echo "call-$calls $status" >>"$DIR/statuses"
+	entry_call "$@" >"$DIR/one"
+	sed "s/^status=\([0-9]*\).*/call-$calls \1/" "$DIR/one" \
+		>>"$DIR/statuses"
 }
 
 # calls_mixed ROUNDS: make calls of three routes at both cut entries.
@@ -100,8 +101,8 @@
 	done
 	ENTRY_SETTINGS=
 	routes="$(route_json r1 /desk/ idempotent '"service":"desk"'),\
-	$(route_json r2 /once/ once '"service":"desk"'),\
-	$(route_json r3 /ledger/ idempotent '"service":"ledger"')"
+$(route_json r2 /once/ once '"service":"desk"'),\
+$(route_json r3 /ledger/ idempotent '"service":"ledger"')"
 	put_routing 0 3 "$routes" >"$DIR/null"
 	for n in 1 2 3
 	do
