--- a/entry-decide.h
+++ b/entry-decide.h
@@ -202,6 +202,9 @@
 bool entry_health_probation_due(const entry_copy_t *copy,
 				const entry_call_t *call, usec_t now);
 
+/** entry_health_on_reachable - end what failed connects have done to a copy. */
+void entry_health_on_reachable(entry_copy_t *copy);
+
 /** entry_health_refresh - recompute the service statistics if outdated. */
 void entry_health_refresh(entry_service_t *svc, usec_t now);
 
--- a/entry-directory.c
+++ b/entry-directory.c
@@ -49,7 +49,9 @@
 	}
 	addresses = json_array();
 	directory_add_peers(entry, addresses, in->now);
-	if (directory_takes_calls(entry, in->now))
+	if (directory_takes_calls(entry, in->now) &&
+	    (!json_array_size(addresses) ||
+	     !entry_reach_test_siblings_reach(entry)))
 		json_array_append_new(addresses,
 				      json_string(entry->call_address));
 	if (!json_array_size(addresses)) {
--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -43,6 +43,8 @@
 void entry_dispatch_refuse(entry_request_t *req,
 			   const entry_decision_t *decision)
 {
+	if (entry_handover_refused(req, decision->refusal, time_now()))
+		return;
 	dispatch_fail(req, decision);
 	entry_request_unref(req);
 }
@@ -172,6 +174,27 @@
 	return decision;
 }
 
+/* Records what the end of a send shows of the path to the copy. The caller holds
+   the lock of the upstream. */
+static void dispatch_update_reach(entry_request_t *req, entry_result_t result,
+				  usec_t now)
+{
+	switch (result) {
+	case ENTRY_RESULT_OK:
+	case ENTRY_RESULT_ERROR:
+	case ENTRY_RESULT_SHED:
+		entry_reach_on_response(&req->upstream->service, now);
+		break;
+	case ENTRY_RESULT_CONNECT:
+	case ENTRY_RESULT_TRUNCATED:
+	case ENTRY_RESULT_DEADLINE:
+		entry_reach_doubt(req->call.copy, now);
+		break;
+	default:
+		break;
+	}
+}
+
 /* Responds with the response of this send, or of the hedge that won. */
 static void dispatch_respond(entry_request_t *req, entry_result_t result)
 {
@@ -182,6 +205,13 @@
 	entry_relay_finish(req, result);
 }
 
+/* Responds and drops the reference of the dispatch. */
+static void dispatch_finish(entry_request_t *req, entry_result_t result)
+{
+	dispatch_respond(req, result);
+	entry_request_unref(req);
+}
+
 void entry_dispatch_end(entry_request_t *req, entry_result_t result, usec_t now)
 {
 	entry_upstream_t *upstream = req->upstream;
@@ -192,20 +222,24 @@
 		entry_hedge_end(req, result, now);
 		return;
 	}
+	if (req->handovers) {
+		if (!entry_handover_end(req, result, now))
+			dispatch_finish(req, result);
+		return;
+	}
 	if (req->forward) {
 		dispatch_forward_end(req, result, now);
 		return;
 	}
 	pthread_mutex_lock(&upstream->lock);
+	dispatch_update_reach(req, result, now);
 	decision = dispatch_decide(req, &result, now);
 	pthread_mutex_unlock(&upstream->lock);
-	if (decision.verdict == ENTRY_REFUSE)
-		dispatch_fail(req, &decision);
-	else if (decision.verdict == ENTRY_RESPOND)
-		dispatch_respond(req, result);
-	if (decision.verdict == ENTRY_WAIT)
+	if (decision.verdict == ENTRY_WAIT || result == ENTRY_RESULT_CONNECT)
 		entry_tick_schedule_soon(entry, now);
-	else
-		entry_request_unref(req);
+	if (decision.verdict != ENTRY_WAIT &&
+	    (result != ENTRY_RESULT_CONNECT ||
+	     !entry_handover_unsent(req, now)))
+		dispatch_finish(req, result);
 	entry_dispatch_next(upstream, now);
 }
--- a/entry-forward.c
+++ b/entry-forward.c
@@ -15,6 +15,7 @@
 typedef struct {
 	struct cds_list_head link;
 	entry_conn_pool_t *pool;
+	usec_t unfit_until; /* it gets no calls that this entry cannot send */
 } forward_peer_t;
 
 struct entry_forward {
@@ -48,16 +49,16 @@
 	free(forward);
 }
 
-/* Returns the pool of an address and adds it if it is missing; NULL if out of
+/* Returns the entry of an address and adds it if it is missing; NULL if out of
    memory. The caller holds forward->lock. */
-static entry_conn_pool_t *forward_find(entry_forward_t *forward,
-				       const char *address)
+static forward_peer_t *forward_find(entry_forward_t *forward,
+				    const char *address)
 {
 	forward_peer_t *peer;
 
 	cds_list_for_each_entry (peer, &forward->peers, link)
 		if (!strcmp(peer->pool->address, address))
-			return peer->pool;
+			return peer;
 	peer = calloc(1, sizeof(*peer));
 	if (!peer)
 		return NULL;
@@ -67,22 +68,50 @@
 		return NULL;
 	}
 	cds_list_add_tail(&peer->link, &forward->peers);
-	return peer->pool;
+	return peer;
 }
 
 entry_conn_pool_t *entry_forward_pool(entry_forward_t *forward,
 				      const char *address)
 {
-	entry_conn_pool_t *pool;
+	entry_conn_pool_t *pool = NULL;
+	forward_peer_t *peer;
 
 	pthread_mutex_lock(&forward->lock);
-	pool = forward_find(forward, address);
-	if (pool)
+	peer = forward_find(forward, address);
+	if (peer) {
+		pool = peer->pool;
 		entry_conn_pool_ref(pool);
+	}
 	pthread_mutex_unlock(&forward->lock);
 	return pool;
 }
 
+bool entry_forward_is_fit(entry_forward_t *forward, const char *address,
+			  usec_t now)
+{
+	const forward_peer_t *peer;
+	bool fit;
+
+	pthread_mutex_lock(&forward->lock);
+	peer = forward_find(forward, address);
+	fit = peer && now >= peer->unfit_until;
+	pthread_mutex_unlock(&forward->lock);
+	return fit;
+}
+
+void entry_forward_set_unfit(entry_forward_t *forward, const char *address,
+			     usec_t until)
+{
+	forward_peer_t *peer;
+
+	pthread_mutex_lock(&forward->lock);
+	peer = forward_find(forward, address);
+	if (peer)
+		peer->unfit_until = until;
+	pthread_mutex_unlock(&forward->lock);
+}
+
 /* Hands one waiting call over; false if none waits or memory is short. */
 static bool forward_one(entry_upstream_t *upstream, const char *address)
 {
--- /dev/null
+++ b/entry-handover.c
@@ -0,0 +1,188 @@
+#include <string.h>
+#include "entry-decide.h"
+#include "entry-io.h"
+
+/*
+ * Hand-over of calls to sibling entries with entry.routed: a call that this
+ * entry cannot send to any copy is relayed by an entry that may reach one. A
+ * call is handed over once; a sibling that cannot serve it says so at once, and
+ * then another one is tried.
+ */
+
+/* Max number of siblings that a call is sent to, while this entry reaches no
+   copy, and if it was refused for the lack of copies or room. */
+#define HANDOVER_TRIES_UNREACHABLE 4
+#define HANDOVER_TRIES_REFUSED 1
+/* Time for which a sibling that could not serve a call gets no calls. */
+#define HANDOVER_UNFIT_TIME USEC_PER_SEC
+/* Time that must remain until the deadline of a call. */
+#define HANDOVER_TIME_MIN (20 * USEC_PER_MS)
+
+/* Whether no copy has begun to run a call, or it may run again. The caller holds
+   upstream->lock. */
+static bool handover_is_safe(const entry_request_t *req)
+{
+	const entry_call_t *call = &req->call;
+	unsigned sent = call->attempts - call->unsent_attempts;
+
+	if (req->body_consumed || req->response.published)
+		return false;
+	if (!sent && call->outcome == ENTRY_NOT_RUN)
+		return true;
+	return call->idempotent && !call->not_replayable && !call->no_retry &&
+	       sent < call->attempts_max;
+}
+
+/* Whether a call may be sent to a sibling now; charges the retry budget for one
+   that was sent to a copy before. */
+static bool handover_allowed(entry_request_t *req, unsigned tries, usec_t now)
+{
+	entry_upstream_t *upstream = req->upstream;
+	bool allowed;
+
+	if (!req->entry->presence || *req->forwarded_by ||
+	    req->handovers >= tries ||
+	    now + HANDOVER_TIME_MIN >= req->call.deadline)
+		return false;
+	pthread_mutex_lock(&upstream->lock);
+	allowed = handover_is_safe(req);
+	if (allowed && req->call.attempts > req->call.unsent_attempts)
+		allowed = entry_retry_spend(upstream->service.retry, now);
+	pthread_mutex_unlock(&upstream->lock);
+	return allowed;
+}
+
+/* Returns the pool of a random sibling that is not known to be unfit, or NULL.
+   If there is none, the keepers are asked for the entries of all zones. */
+static entry_conn_pool_t *handover_choose(entry_t *entry, usec_t now)
+{
+	presence_peers_list_t peers;
+	const char *fit[PRESENCE_PEERS_MAX];
+	unsigned count = 0;
+	unsigned i;
+
+	presence_client_peers(entry->presence, now, &peers);
+	for (i = 0; i < peers.count; i++)
+		if (strcmp(peers.addresses[i], entry->call_address) &&
+		    entry_forward_is_fit(entry->forward, peers.addresses[i],
+					 now))
+			fit[count++] = peers.addresses[i];
+	if (!count) {
+		presence_client_ask_all_zones(entry->presence, true);
+		return NULL;
+	}
+	i = (unsigned)g_random_int_range(0, (gint32)count);
+	return entry_forward_pool(entry->forward, fit[i]);
+}
+
+static bool handover_try(entry_request_t *req, unsigned tries,
+			 const char *reason, usec_t now)
+{
+	entry_conn_pool_t *pool;
+
+	if (!handover_allowed(req, tries, now))
+		return false;
+	pool = handover_choose(req->entry, now);
+	if (!pool)
+		return false;
+	if (req->forward)
+		entry_conn_pool_unref(req->forward);
+	req->forward = pool;
+	req->handovers++;
+	entry_request_reset(req);
+	entry_trace_handed_over(req, pool->address, reason);
+	entry_work_push(req->entry->work, req);
+	return true;
+}
+
+bool entry_handover_refused(entry_request_t *req, entry_refusal_t refusal,
+			    usec_t now)
+{
+	const entry_service_t *svc;
+	const char *reason = entry_refusal_name(refusal);
+	bool impaired;
+	unsigned total;
+
+	if (!req->upstream || !req->entry->settings.routed)
+		return false;
+	svc = &req->upstream->service;
+	pthread_mutex_lock(&req->upstream->lock);
+	impaired = entry_reach_is_impaired(svc);
+	entry_reach_count(svc, &total);
+	pthread_mutex_unlock(&req->upstream->lock);
+	switch (refusal) {
+	case ENTRY_REFUSE_UNREACHABLE:
+		return handover_try(req, HANDOVER_TRIES_UNREACHABLE, reason,
+				    now);
+	case ENTRY_REFUSE_NO_COPY:
+		return total &&
+		       handover_try(req, HANDOVER_TRIES_REFUSED, reason, now);
+	case ENTRY_REFUSE_QUEUE:
+	case ENTRY_REFUSE_DEADLINE:
+		return impaired &&
+		       handover_try(req, HANDOVER_TRIES_REFUSED, reason, now);
+	default:
+		return false;
+	}
+}
+
+bool entry_handover_unsent(entry_request_t *req, usec_t now)
+{
+	return req->entry->settings.routed &&
+	       handover_try(req, HANDOVER_TRIES_UNREACHABLE, "connect", now);
+}
+
+/* Records that a sibling had a response of a copy for a call of a service that
+   this entry does not reach, and reports that to the keepers. */
+static void handover_confirm(entry_request_t *req)
+{
+	entry_upstream_t *upstream = req->upstream;
+	bool is_new;
+
+	pthread_mutex_lock(&upstream->lock);
+	is_new = entry_reach_is_cut_off(&upstream->service) &&
+		 !upstream->siblings_reach;
+	upstream->siblings_reach = upstream->siblings_reach || is_new;
+	pthread_mutex_unlock(&upstream->lock);
+	if (is_new)
+		presence_client_trigger(req->entry->presence);
+}
+
+/* Whether a sibling did not serve a call and another one may. */
+static bool handover_continues(const entry_request_t *req,
+			       entry_result_t result)
+{
+	if (result == ENTRY_RESULT_CONNECT)
+		return true;
+	if (result == ENTRY_RESULT_SHED)
+		return req->sibling_unfit;
+	return result == ENTRY_RESULT_TRUNCATED && req->call.idempotent;
+}
+
+static bool handover_is_unfit(const entry_request_t *req, entry_result_t result)
+{
+	return result == ENTRY_RESULT_CONNECT ||
+	       result == ENTRY_RESULT_TRUNCATED ||
+	       result == ENTRY_RESULT_DEADLINE ||
+	       (result == ENTRY_RESULT_SHED && req->sibling_unfit);
+}
+
+bool entry_handover_end(entry_request_t *req, entry_result_t result, usec_t now)
+{
+	if (result == ENTRY_RESULT_OK || result == ENTRY_RESULT_ERROR) {
+		handover_confirm(req);
+		return false;
+	}
+	if (handover_is_unfit(req, result))
+		entry_forward_set_unfit(req->entry->forward,
+					req->forward->address,
+					now + HANDOVER_UNFIT_TIME);
+	if (result == ENTRY_RESULT_TRUNCATED) {
+		pthread_mutex_lock(&req->upstream->lock);
+		req->call.attempts++;
+		req->call.outcome = ENTRY_MAY_HAVE_RUN;
+		pthread_mutex_unlock(&req->upstream->lock);
+	}
+	return handover_continues(req, result) &&
+	       handover_try(req, HANDOVER_TRIES_UNREACHABLE, "sibling", now);
+}
--- a/entry-head.c
+++ b/entry-head.c
@@ -21,6 +21,8 @@
 	const char *connection; /* Connection: names of hop-by-hop headers */
 	const char *host;
 	const char *hop;     /* Hemlock-Hop: signature of a forwarding entry */
+	uint64_t revision;   /* of the routes of that entry; 0: not given */
+	const char *part;    /* service that it has chosen, or NULL */
 	const char *bad;     /* word for an error in the head, or NULL */
 	unsigned lengths;    /* number of Content-Length headers */
 	unsigned encodings;  /* number of Transfer-Encoding headers */
@@ -43,6 +45,8 @@
 	"Expect",
 	"Hemlock-Hop",
 	"Hemlock-Queue",
+	"Hemlock-Revision",
+	"Hemlock-Part",
 	"Hemlock-Deadline-Ms",
 	"Proxy-Authorization",
 	"Hemlock-No-Retry",
@@ -171,6 +175,10 @@
 		head_copy_name(head, req->class_name, value, "class");
 	else if (!strcasecmp(name, "Hemlock-Hop"))
 		head->hop = value;
+	else if (!strcasecmp(name, "Hemlock-Revision"))
+		head->revision = g_ascii_strtoull(value, NULL, 10);
+	else if (!strcasecmp(name, "Hemlock-Part"))
+		head->part = value;
 	else if (!strcasecmp(name, "Hemlock-Queue"))
 		head_read_queue(head, value);
 	else if (!strcasecmp(name, "Hemlock-Deadline-Ms"))
@@ -283,15 +291,15 @@
 }
 
 /* Finds the route of a call by host and path, with entry.routed. */
-static int head_find_rule(entry_request_t *req, entry_rule_t *rule,
-			  hl_error_t *err)
+static int head_find_rule(entry_request_t *req, const char *part,
+			  entry_rule_t *rule, hl_error_t *err)
 {
 	char service[HL_NAME_MAX];
 
 	if (!req->host)
 		return hl_error_set(err, HL_ERR_PROTOCOL, "no Host header");
-	if (!entry_target_match_route(req->entry, req->host, req->target, rule,
-				      service, req->rule_name))
+	if (!entry_target_match_route(req->entry, req->host, req->target, part,
+				      rule, service, req->rule_name))
 		return hl_error_set(err, HL_ERR_NOT_FOUND, "no route matches");
 	req->upstream = entry_upstream_find_or_add(req->entry, service);
 	if (!req->upstream)
@@ -429,12 +437,13 @@
 	}
 }
 
-int entry_head_route(entry_request_t *req)
+/* Finds the route of a call; @part is as in entry_rules_match(). */
+static int head_route_part(entry_request_t *req, const char *part)
 {
 	entry_rule_t rule = { 0 };
 	hl_error_t err;
 
-	if (head_find_rule(req, &rule, &err))
+	if (head_find_rule(req, part, &rule, &err))
 		return head_refuse_service(req, err.kind);
 	head_set_rule(req, &rule, req->call.arrived);
 	if (req->body_max && req->body_length > (int64_t)req->body_max)
@@ -443,12 +452,37 @@
 	return 0;
 }
 
+int entry_head_route(entry_request_t *req)
+{
+	return head_route_part(req, NULL);
+}
+
+/*
+ * Routes a call that a sibling could not send to any copy. Its caller may have
+ * seen the effect of the sibling's routes, so older ones must not be applied.
+ */
+static int head_route_handover(head_t *head)
+{
+	entry_request_t *req = head->req;
+
+	if (head->revision > entry_target_rules_revision(req->entry))
+		return head_refuse(req, HTTP_UNAVAILABLE, "revision");
+	if (head_route_part(req, head->part))
+		return -1;
+	if (!head_read_hop(head))
+		return head_refuse(req, HTTP_FORBIDDEN, "hop");
+	req->call.from_sibling = true;
+	return 0;
+}
+
 /* Finds the upstream of a call, and its deadline. */
 static int head_route(head_t *head)
 {
 	entry_request_t *req = head->req;
 	hl_error_t err;
 
+	if (req->entry->settings.routed && head->hop)
+		return head_route_handover(head);
 	if (req->entry->settings.routed)
 		return req->pending ? 0 : entry_head_route(req);
 	if (head_find_service(head, &err))
@@ -495,7 +529,8 @@
 	if (head_store_for_match(&head))
 		return head_refuse(req, HTTP_UNAVAILABLE, "memory");
 	if (head_config_missing(req->entry)) {
-		req->pending = entry_pending_accepts(req->entry->pending,
+		req->pending = !head.hop &&
+			       entry_pending_accepts(req->entry->pending,
 						     req->call.arrived);
 		if (!req->pending) {
 			entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN,
--- a/entry-health.c
+++ b/entry-health.c
@@ -266,6 +266,19 @@
 	entry_credit_ramp_start(copy);
 }
 
+void entry_health_on_reachable(entry_copy_t *copy)
+{
+	entry_health_t *health = copy->health;
+
+	if (!health->consecutive_refusals)
+		return;
+	health->consecutive_refusals = 0;
+	health->paused_until = 0;
+	health->backoff = 0;
+	health->probe_at = 0;
+	health_readmit(copy);
+}
+
 /* Handle a complete response. Even a slow one readmits an ejected copy. */
 static void health_on_success(entry_service_t *svc, entry_copy_t *copy,
 			      double took, unsigned depth, bool probation,
--- a/entry-io.h
+++ b/entry-io.h
@@ -188,7 +188,7 @@
 } entry_stage_t;
 
 struct entry_upstream;
-struct entry;
+typedef struct entry entry_t;
 typedef struct entry_claims entry_claims_t;
 
 /** struct entry_request_t - a call with its I/O state. */
@@ -219,7 +219,9 @@
 	bool head_only;		/* the method is HEAD */
 	entry_conn_pool_t *forward; /* pool of the sibling to use, or NULL */
 	struct entry_claim *claim;  /* claim of its Idempotency-Key, or NULL */
-	bool handed_over; /* taken out of the queue for an idle sibling */
+	bool handed_over;   /* taken out of the queue for an idle sibling */
+	unsigned handovers; /* siblings it was sent to, see entry-handover.c */
+	bool sibling_unfit; /* the sibling could not serve it, others may */
 	unsigned forwarder_queue;  /* calls waiting at the forwarding entry */
 	unsigned credits_to_offer; /* sent with the response */
 	unsigned credits_offered;  /* received with the response */
@@ -317,6 +319,8 @@
 	entry_service_t service;
 	config_profile_t *profile;
 	bool declared; /* the service is in the configuration in force */
+	bool cut_off;  /* this entry reaches no copy; entry-reach-test.c */
+	bool siblings_reach; /* and a sibling entry has reached one since */
 	char health_path[HL_MESSAGE_MAX]; /* "": copies are not probed */
 	unsigned rate;	 /* limit of the service, calls/s; 0: none */
 	unsigned owners; /* number of owners; 0: see owner_hash_service() */
@@ -418,6 +422,13 @@
 void entry_trace_copy_rests(const char *service, const char *copy,
 			    const char *call_id, usec_t rest);
 
+/**
+ * entry_trace_handed_over - log that a call is sent to a sibling entry.
+ * @reason: why this entry does not send it to a copy
+ */
+void entry_trace_handed_over(const entry_request_t *req, const char *sibling,
+			     const char *reason);
+
 /**
  * entry_trace_copy_rate - log that a copy names another rate that it accepts.
  * @millirate: calls per 1000 seconds; 0: it names none any more
@@ -454,6 +465,14 @@
 entry_conn_pool_t *entry_forward_pool(entry_forward_t *forward,
 				      const char *address);
 
+/** entry_forward_is_fit - whether a sibling is not known to be unfit. */
+bool entry_forward_is_fit(entry_forward_t *forward, const char *address,
+			  usec_t now);
+
+/** entry_forward_set_unfit - avoid a sibling that could not serve a call. */
+void entry_forward_set_unfit(entry_forward_t *forward, const char *address,
+			     usec_t until);
+
 /**
  * entry_forward_waiting - hand waiting calls over to a sibling owner.
  * @upstream: upstream of the service of the calls
@@ -480,6 +499,40 @@
  */
 void entry_forward_to_owner(entry_request_t *req);
 
+/**
+ * entry_handover_refused - hand a call over instead of refusing it.
+ *
+ * Return: true if the call was passed to a worker, which sends it to a sibling
+ * entry.
+ */
+bool entry_handover_refused(entry_request_t *req, entry_refusal_t refusal,
+			    usec_t now);
+
+/** entry_handover_unsent - the same for a call that could not be sent. */
+bool entry_handover_unsent(entry_request_t *req, usec_t now);
+
+/**
+ * entry_handover_end - handle the end of a send to a sibling entry.
+ *
+ * Return: true if the call was passed to a worker again, for another sibling.
+ */
+bool entry_handover_end(entry_request_t *req, entry_result_t result,
+			usec_t now);
+
+/**
+ * entry_reach_test_run - start the tests of the copies of a service that are
+ * due.
+ *
+ * Return: when to call it again, or INT64_MAX.
+ */
+usec_t entry_reach_test_run(entry_upstream_t *upstream, usec_t now);
+
+/**
+ * entry_reach_test_siblings_reach - whether siblings reach copies of a service
+ * that this entry does not reach.
+ */
+bool entry_reach_test_siblings_reach(entry_t *entry);
+
 typedef struct entry_work entry_work_t;
 
 /**
@@ -612,7 +665,7 @@
 void entry_watch_free(entry_watch_t *watch);
 
 /** struct entry_t - state of the entry process. */
-typedef struct entry {
+struct entry {
 	entry_settings_t settings;
 	keys_t *keys;
 	entry_policy_t policy;
@@ -650,7 +703,7 @@
 	struct MHD_Daemon *directory_daemon; /* NULL without directory_listen */
 	volatile int stopping;
 	unsigned in_flight;
-} entry_t;
+};
 
 /**
  * entry_dispatch_arrive - dispatch a request that has been received.
@@ -819,6 +872,12 @@
 /** entry_target_apply - apply the routes and copies of a configuration. */
 void entry_target_apply(entry_t *entry, const config_t *config, usec_t now);
 
+/**
+ * entry_target_rules_revision - return the revision of the routes in force, 0 if
+ * there are none.
+ */
+uint64_t entry_target_rules_revision(entry_t *entry);
+
 /** entry_target_has_routes - are routes in force? */
 bool entry_target_has_routes(entry_t *entry);
 
@@ -826,6 +885,7 @@
  * entry_target_match_route - find the route of a call by host and path.
  * @host: value of the Host header
  * @target: path and query of the request
+ * @part: as in entry_rules_match()
  * @rule: filled in; its strings point to @service and @name
  * @service: receives the name of the service
  * @name: receives the name of the route
@@ -835,8 +895,8 @@
  * Return: false if no route matches.
  */
 bool entry_target_match_route(entry_t *entry, const char *host,
-			      const char *target, entry_rule_t *rule,
-			      char service[HL_NAME_MAX],
+			      const char *target, const char *part,
+			      entry_rule_t *rule, char service[HL_NAME_MAX],
 			      char name[HL_NAME_MAX]);
 
 /**
--- a/entry-names.c
+++ b/entry-names.c
@@ -14,6 +14,7 @@
 	[ENTRY_REFUSE_DEADLINE] = { "deadline", 504 },
 	[ENTRY_REFUSE_NO_COPY] = { "no-copy", 503 },
 	[ENTRY_REFUSE_CRASHES] = { "crashes", 503 },
+	[ENTRY_REFUSE_UNREACHABLE] = { "unreachable", 503 },
 };
 
 const char *entry_refusal_name(entry_refusal_t refusal)
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -47,7 +47,7 @@
 		return false;
 	cds_list_for_each_entry (other, &svc->copies, link)
 		if (other != copy && !other->draining && other->limit > 0 &&
-		    !other->health->ejected)
+		    !other->health->ejected && !other->reach.unreachable)
 			return true;
 	return false;
 }
@@ -82,7 +82,7 @@
 				  const entry_copy_t *copy, usec_t now)
 {
 	return !copy->draining && copy->limit > 0 && !copy->health->ejected &&
-	       now >= copy->rests_until &&
+	       !copy->reach.unreachable && now >= copy->rests_until &&
 	       entry_rate_allows(svc, copy, 1, now) &&
 	       now >= copy->health->paused_until &&
 	       copy->outstanding < copy->limit &&
@@ -188,7 +188,7 @@
 	cds_list_for_each_entry (copy, &svc->copies, link)
 		if (copy->health->ejected && pick_in_zone(svc, copy) &&
 		    !copy->draining && copy->limit > 0 &&
-		    now >= copy->rests_until &&
+		    !copy->reach.unreachable && now >= copy->rests_until &&
 		    entry_rate_allows(svc, copy, 1, now) &&
 		    !pick_must_avoid(svc, call, copy) &&
 		    entry_health_probation_due(copy, call, now))
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -237,6 +237,7 @@
 			 usec_t now)
 {
 	const load_t no_answer = { .slowness = PROBE_SLOWNESS_TIMEOUT };
+	usec_t test_due;
 	unsigned i;
 
 	pthread_mutex_lock(&upstream->lock);
@@ -251,7 +252,9 @@
 			entry_service_on_report(&upstream->service, copy, load,
 						answered, now);
 	}
+	test_due = entry_reach_test_due(&upstream->service);
 	pthread_mutex_unlock(&upstream->lock);
+	entry_tick_schedule(upstream->entry, test_due);
 }
 
 /* Probes one round of copies, if there are copies without a recent report. */
--- a/entry-prober.c
+++ b/entry-prober.c
@@ -28,6 +28,7 @@
 	unsigned unanswered; /* queries that have not ended */
 	bool satisfied;
 	bool (*satisfies)(const load_t *load);
+	entry_prober_end_t on_end; /* set for a test, else NULL */
 	entry_probe_t probes[ENTRY_PROBES_MAX];
 } prober_batch_t;
 
@@ -188,12 +189,14 @@
 
 	if (complete && !query->other_copy)
 		query_report_state(query);
+	if (batch->on_end)
+		batch->on_end(probe, query->bytes > 0);
 	pthread_mutex_lock(&batch->lock);
 	probe->state = query_answered(query, complete) ? ENTRY_PROBE_ANSWERED :
 							 ENTRY_PROBE_FAILED;
 	probe->load = query->load;
 	batch->unanswered--;
-	if (probe->state == ENTRY_PROBE_ANSWERED &&
+	if (probe->state == ENTRY_PROBE_ANSWERED && batch->satisfies &&
 	    batch->satisfies(&query->load))
 		batch->satisfied = true;
 	pthread_cond_signal(&batch->changed);
@@ -241,6 +244,8 @@
 	curl_easy_setopt(query->easy, CURLOPT_HEADERDATA, query);
 	curl_easy_setopt(query->easy, CURLOPT_WRITEFUNCTION, prober_body);
 	curl_easy_setopt(query->easy, CURLOPT_PRIVATE, query);
+	if (query->batch->on_end)
+		curl_easy_setopt(query->easy, CURLOPT_FRESH_CONNECT, 1L);
 	cds_list_add_tail(&query->link, &prober->running);
 	metrics_add(prober->sent, 1);
 	curl_multi_add_handle(prober->multi, query->easy);
@@ -374,13 +379,13 @@
 	free(prober);
 }
 
-static void prober_enqueue(entry_prober_t *prober, prober_batch_t *batch,
-			   const char *path, unsigned index)
+static int prober_enqueue(entry_prober_t *prober, prober_batch_t *batch,
+			  const char *path, unsigned index)
 {
 	prober_query_t *query = calloc(1, sizeof(*query));
 
 	if (!query)
-		return;
+		return -1;
 	query->prober = prober;
 	query->batch = batch;
 	query->index = index;
@@ -392,6 +397,22 @@
 	pthread_mutex_lock(&prober->lock);
 	cds_list_add_tail(&query->link, &prober->queued);
 	pthread_mutex_unlock(&prober->lock);
+	return 0;
+}
+
+int entry_prober_test(entry_prober_t *prober, const char *path,
+		      const entry_probe_t *probe, entry_prober_end_t on_end)
+{
+	prober_batch_t *batch = batch_new(probe, 1, NULL);
+	int rc;
+
+	if (!batch)
+		return -1;
+	batch->on_end = on_end;
+	rc = prober_enqueue(prober, batch, path, 0);
+	curl_multi_wakeup(prober->multi);
+	batch_unref(batch);
+	return rc;
 }
 
 /*
--- a/entry-prober.h
+++ b/entry-prober.h
@@ -70,6 +70,24 @@
 /** entry_prober_free - free the prober and its probes; its thread has ended. */
 void entry_prober_free(entry_prober_t *prober);
 
+/**
+ * entry_prober_end_t - called at the end of a test, by the thread of the prober.
+ * @probe: the probe, with its context
+ * @reached: the copy sent a response
+ */
+typedef void (*entry_prober_end_t)(const entry_probe_t *probe, bool reached);
+
+/**
+ * entry_prober_test - test whether a copy responds over a new connection.
+ * @path: path of the request
+ * @probe: address, name and context are set by the caller
+ * @on_end: called once
+ *
+ * Return: 0, or -1 if out of memory; then @on_end is not called.
+ */
+int entry_prober_test(entry_prober_t *prober, const char *path,
+		      const entry_probe_t *probe, entry_prober_end_t on_end);
+
 /**
  * entry_prober_query - probe copies and wait for the results.
  * @path: path of the request
--- /dev/null
+++ b/entry-reach-test.c
@@ -0,0 +1,137 @@
+#include <string.h>
+#include "entry-io.h"
+
+/*
+ * Runs the tests of entry-reach.c: requests of the health path of a copy over a
+ * new connection, by the prober.
+ */
+
+/* Number of copies of each other service that are tested once an entry is cut
+   off from one service. */
+#define REACH_TEST_OTHER_SERVICES 3
+
+/* State of a service after a test, for the log. */
+typedef struct {
+	bool changed; /* of the copy */
+	bool cut_off;
+	bool cut_off_changed;
+	unsigned unreachable;
+	unsigned total;
+} reach_change_t;
+
+static void reach_test_log(const entry_upstream_t *upstream, const char *copy,
+			   bool reached, const reach_change_t *change)
+{
+	if (change->changed)
+		log_event(LOG_LEVEL_NOTICE,
+			  reached ? "copy-reached" : "copy-unreachable",
+			  "service=%s copy=%s unreachable=%u copies=%u",
+			  upstream->name, copy, change->unreachable,
+			  change->total);
+	if (change->cut_off_changed)
+		log_event(LOG_LEVEL_WARNING,
+			  change->cut_off ? "service-unreachable" :
+					    "service-reached",
+			  "service=%s unreachable=%u copies=%u", upstream->name,
+			  change->unreachable, change->total);
+}
+
+/* Tests some copies of all services, as this entry may be cut off from them. */
+static void reach_test_others(entry_t *entry, usec_t now)
+{
+	entry_upstream_t *upstream = NULL;
+
+	while ((upstream = entry_upstream_next(entry, upstream))) {
+		pthread_mutex_lock(&upstream->lock);
+		entry_reach_doubt_service(&upstream->service,
+					  REACH_TEST_OTHER_SERVICES, now);
+		pthread_mutex_unlock(&upstream->lock);
+	}
+}
+
+/* Updates what depends on whether the service is cut off. The caller holds
+   upstream->lock. */
+static void reach_test_update(entry_upstream_t *upstream,
+			      reach_change_t *change)
+{
+	change->unreachable = entry_reach_count(&upstream->service,
+						&change->total);
+	change->cut_off = entry_reach_is_cut_off(&upstream->service);
+	change->cut_off_changed = change->cut_off != upstream->cut_off;
+	upstream->cut_off = change->cut_off;
+	if (!change->cut_off)
+		upstream->siblings_reach = false;
+}
+
+static void reach_test_on_end(const entry_probe_t *probe, bool reached)
+{
+	entry_upstream_t *upstream = probe->context;
+	reach_change_t change = { 0 };
+	usec_t now = time_now();
+	entry_copy_t *copy;
+
+	pthread_mutex_lock(&upstream->lock);
+	copy = entry_service_copy_find(&upstream->service, probe->copy);
+	if (copy)
+		change.changed = entry_reach_on_test(&upstream->service, copy,
+						     reached, now);
+	reach_test_update(upstream, &change);
+	pthread_mutex_unlock(&upstream->lock);
+	reach_test_log(upstream, probe->copy, reached, &change);
+	if (change.cut_off_changed && change.cut_off)
+		reach_test_others(upstream->entry, now);
+	if (change.cut_off_changed && !change.cut_off)
+		presence_client_ask_all_zones(upstream->entry->presence, false);
+	entry_tick_schedule_soon(upstream->entry, now);
+}
+
+/* Fills in the next test that is due; false if none is. */
+static bool reach_test_next(entry_upstream_t *upstream, entry_probe_t *probe,
+			    char path[HL_MESSAGE_MAX], usec_t now)
+{
+	entry_copy_t *copy = NULL;
+
+	pthread_mutex_lock(&upstream->lock);
+	if (*upstream->health_path)
+		copy = entry_reach_next_test(&upstream->service, now);
+	if (copy) {
+		memset(probe, 0, sizeof(*probe));
+		strcpy(probe->address, copy->address);
+		strcpy(probe->copy, copy->name);
+		probe->context = upstream;
+		strcpy(path, upstream->health_path);
+	}
+	pthread_mutex_unlock(&upstream->lock);
+	return copy != NULL;
+}
+
+usec_t entry_reach_test_run(entry_upstream_t *upstream, usec_t now)
+{
+	entry_prober_t *prober = upstream->entry->prober;
+	char path[HL_MESSAGE_MAX];
+	entry_probe_t probe;
+	usec_t due;
+
+	if (!prober)
+		return INT64_MAX;
+	while (reach_test_next(upstream, &probe, path, now))
+		if (entry_prober_test(prober, path, &probe, reach_test_on_end))
+			reach_test_on_end(&probe, true);
+	pthread_mutex_lock(&upstream->lock);
+	due = entry_reach_test_due(&upstream->service);
+	pthread_mutex_unlock(&upstream->lock);
+	return due;
+}
+
+bool entry_reach_test_siblings_reach(entry_t *entry)
+{
+	entry_upstream_t *upstream = NULL;
+	bool found = false;
+
+	while (!found && (upstream = entry_upstream_next(entry, upstream))) {
+		pthread_mutex_lock(&upstream->lock);
+		found = upstream->siblings_reach;
+		pthread_mutex_unlock(&upstream->lock);
+	}
+	return found;
+}
--- /dev/null
+++ b/entry-reach.c
@@ -0,0 +1,193 @@
+#include "entry-decide.h"
+
+/*
+ * Reachability of the copies of a service from this entry, which may be cut off
+ * from copies that other entries reach. Owns entry_reach_t. A send or probe
+ * without a response only raises a doubt: a test, one request over a new
+ * connection, decides, so that old connections that still work do not count.
+ */
+
+/* Consecutive failed tests after which a copy counts as unreachable. */
+#define REACH_FAILURES_MIN 2
+/* Time from the first failed test to the second one. */
+#define REACH_CONFIRM_DELAY (20 * USEC_PER_MS)
+/* Interval between the tests of a copy that is reached. */
+#define REACH_INTERVAL_MIN (500 * USEC_PER_MS)
+/* Interval between the tests of an unreachable copy, doubled after each one. */
+#define REACH_RETRY_MIN (150 * USEC_PER_MS)
+#define REACH_RETRY_MAX (1200 * USEC_PER_MS)
+/* Fraction of an interval by which tests are spread at random. */
+#define REACH_JITTER 0.25
+/* Max number of copies of a service that are tested at the same time. */
+#define REACH_TESTS_MAX 32
+/* Number of unreachable copies from which an entry that has no response of any
+   copy is cut off, however many copies it has not tested. */
+#define REACH_SAMPLE_MIN 16
+
+/* Whether a copy may get calls from this entry once it is reachable. */
+static bool reach_counts(const entry_copy_t *copy)
+{
+	return !copy->draining && copy->limit > 0;
+}
+
+static bool reach_is_pending(const entry_copy_t *copy)
+{
+	return copy->reach.testing || copy->reach.test_at;
+}
+
+void entry_reach_doubt(entry_copy_t *copy, usec_t now)
+{
+	usec_t due = copy->reach.tested_at + REACH_INTERVAL_MIN;
+
+	if (copy->reach.unreachable || reach_is_pending(copy))
+		return;
+	if (!copy->reach.tested_at || due < now)
+		due = now;
+	copy->reach.test_at = due;
+}
+
+void entry_reach_doubt_service(entry_service_t *svc, unsigned max, usec_t now)
+{
+	entry_copy_t *copy = NULL;
+	unsigned pending = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		pending += !copy->reach.unreachable && reach_is_pending(copy);
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		if (pending >= max)
+			return;
+		if (!reach_counts(copy) || copy->reach.unreachable ||
+		    reach_is_pending(copy))
+			continue;
+		copy->reach.test_at = now;
+		pending++;
+	}
+}
+
+void entry_reach_on_response(entry_service_t *svc, usec_t now)
+{
+	svc->answered_at = now;
+}
+
+entry_copy_t *entry_reach_next_test(entry_service_t *svc, usec_t now)
+{
+	entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		if (!copy->reach.test_at || now < copy->reach.test_at)
+			continue;
+		if (!reach_counts(copy) || now < copy->rests_until ||
+		    !entry_rate_allows(svc, copy, 1, now)) {
+			copy->reach.test_at = now + REACH_INTERVAL_MIN;
+			continue;
+		}
+		entry_rate_charge(svc, copy, now);
+		copy->reach.test_at = 0;
+		copy->reach.testing = true;
+		return copy;
+	}
+	return NULL;
+}
+
+usec_t entry_reach_test_due(const entry_service_t *svc)
+{
+	const entry_copy_t *copy = NULL;
+	usec_t due = USEC_NEVER;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (copy->reach.test_at && copy->reach.test_at < due)
+			due = copy->reach.test_at;
+	return due;
+}
+
+/* Return the time until the next test after a failed one. */
+static usec_t reach_retry_delay(entry_service_t *svc, unsigned failures)
+{
+	usec_t delay = REACH_RETRY_MIN;
+
+	if (failures < REACH_FAILURES_MIN)
+		return REACH_CONFIRM_DELAY;
+	while (failures-- > REACH_FAILURES_MIN && delay < REACH_RETRY_MAX)
+		delay *= 2;
+	if (delay > REACH_RETRY_MAX)
+		delay = REACH_RETRY_MAX;
+	return delay +
+	       (usec_t)entry_pick_random(svc, (unsigned)(REACH_JITTER *
+							 (double)delay));
+}
+
+static void reach_on_reached(entry_copy_t *copy)
+{
+	if (copy->reach.unreachable)
+		entry_health_on_reachable(copy);
+	copy->reach.failures = 0;
+	copy->reach.unreachable = false;
+}
+
+/* Test further copies once several cannot be reached and none has responded
+   since, so that no call has to find out about each of them. */
+static void reach_widen(entry_service_t *svc, usec_t now)
+{
+	if (entry_reach_count(svc, NULL) >= REACH_FAILURES_MIN &&
+	    svc->answered_at < svc->unreachable_since)
+		entry_reach_doubt_service(svc, REACH_TESTS_MAX, now);
+}
+
+bool entry_reach_on_test(entry_service_t *svc, entry_copy_t *copy, bool reached,
+			 usec_t now)
+{
+	entry_reach_t *reach = &copy->reach;
+	bool was_unreachable = reach->unreachable;
+
+	reach->testing = false;
+	reach->tested_at = now;
+	if (reached) {
+		reach_on_reached(copy);
+		entry_reach_on_response(svc, now);
+		return was_unreachable;
+	}
+	if (!entry_reach_count(svc, NULL))
+		svc->unreachable_since = now;
+	reach->failures++;
+	reach->test_at = now + reach_retry_delay(svc, reach->failures);
+	reach->unreachable = reach->failures >= REACH_FAILURES_MIN;
+	reach_widen(svc, now);
+	return reach->unreachable && !was_unreachable;
+}
+
+unsigned entry_reach_count(const entry_service_t *svc, unsigned *total)
+{
+	const entry_copy_t *copy = NULL;
+	unsigned unreachable = 0;
+	unsigned count = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		if (!reach_counts(copy))
+			continue;
+		count++;
+		unreachable += copy->reach.unreachable;
+	}
+	if (total)
+		*total = count;
+	return unreachable;
+}
+
+bool entry_reach_is_cut_off(const entry_service_t *svc)
+{
+	unsigned total;
+	unsigned unreachable = entry_reach_count(svc, &total);
+
+	if (!unreachable)
+		return false;
+	return unreachable == total ||
+	       (unreachable >= REACH_SAMPLE_MIN &&
+		svc->answered_at < svc->unreachable_since);
+}
+
+bool entry_reach_is_impaired(const entry_service_t *svc)
+{
+	unsigned total;
+	unsigned unreachable = entry_reach_count(svc, &total);
+
+	return unreachable > 0 && 2 * unreachable >= total;
+}
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -282,6 +282,8 @@
 	char queue[RELAY_HEADER_MAX];
 	char no_retry[sizeof("Hemlock-No-Retry: 1")];
 	char copy[RELAY_HEADER_MAX];
+	char revision[RELAY_HEADER_MAX];
+	char part[RELAY_HEADER_MAX];
 	struct curl_slist nodes[5];
 } relay_head_t;
 
@@ -293,6 +295,31 @@
 	return &head->nodes[index];
 }
 
+/*
+ * Adds the headers to a sibling with entry.routed. The sibling refuses the call
+ * if it has older routes than this entry, and does not repeat it if this entry
+ * has sent it to a copy before.
+ */
+static struct curl_slist *relay_head_handover(entry_request_t *req,
+					      relay_head_t *head,
+					      struct curl_slist *list)
+{
+	relay_write_hop(req, head->hop, sizeof(head->hop));
+	list = relay_push(head, 1, head->hop, list);
+	snprintf(head->revision, sizeof(head->revision),
+		 "Hemlock-Revision: %" PRIu64,
+		 entry_target_rules_revision(req->entry));
+	list = relay_push(head, 2, head->revision, list);
+	snprintf(head->part, sizeof(head->part), "Hemlock-Part: %s",
+		 req->upstream->name);
+	list = relay_push(head, 3, head->part, list);
+	strcpy(head->no_retry, "Hemlock-No-Retry: 1");
+	if (req->call.no_retry ||
+	    req->call.attempts > req->call.unsent_attempts)
+		list = relay_push(head, 4, head->no_retry, list);
+	return list;
+}
+
 /* Adds the headers to a copy under a non-native interface. */
 static struct curl_slist *relay_head_interface(entry_request_t *req,
 					       relay_head_t *head,
@@ -335,6 +362,8 @@
 		 names->deadline_ms,
 		 (time_left + USEC_PER_MS - 1) / USEC_PER_MS);
 	list = relay_push(head, 0, head->deadline, req->headers);
+	if (req->handovers)
+		return relay_head_handover(req, head, list);
 	return names->native ? relay_head_native(req, head, list) :
 			       relay_head_interface(req, head, list);
 }
--- a/entry-report.c
+++ b/entry-report.c
@@ -58,8 +58,11 @@
 					   calls - copy->outstanding :
 					   0;
 	copy->report.received_at = now;
-	if (!reported)
+	if (!reported) {
+		entry_reach_doubt(copy, now);
 		return;
+	}
+	entry_reach_on_response(svc, now);
 	if (svc->mean_slowness <= 0)
 		svc->mean_slowness = 1;
 	svc->mean_slowness += REPORT_MEAN_WEIGHT *
--- a/entry-respond.c
+++ b/entry-respond.c
@@ -96,17 +96,24 @@
 	return mhd_response;
 }
 
-static void respond_native_headers(entry_request_t *req,
-				   struct MHD_Response *mhd_response)
+/* Adds whether the call ran, and why not. */
+static void respond_outcome_headers(const entry_response_t *response,
+				    struct MHD_Response *mhd_response)
 {
-	const entry_response_t *response = &req->response;
-	char text[RESPOND_TEXT_MAX];
-
 	MHD_add_response_header(mhd_response, "Hemlock-Outcome",
 				entry_outcome_name(response->outcome));
 	if (response->reason)
 		MHD_add_response_header(mhd_response, "Hemlock-Reason",
 					response->reason);
+}
+
+static void respond_native_headers(entry_request_t *req,
+				   struct MHD_Response *mhd_response)
+{
+	const entry_response_t *response = &req->response;
+	char text[RESPOND_TEXT_MAX];
+
+	respond_outcome_headers(response, mhd_response);
 	if (response->retry_after > 0) {
 		snprintf(text, sizeof(text), "%" PRId64,
 			 (response->retry_after + USEC_PER_SEC - 1) /
@@ -127,7 +134,7 @@
 }
 
 /* Adds the headers that a non-native interface requires in a response made by
-   this entry. */
+   this entry, and for a sibling those of the outcome. */
 static void respond_interface_headers(entry_request_t *req,
 				      struct MHD_Response *mhd_response)
 {
@@ -135,6 +142,8 @@
 	const entry_response_t *response = &req->response;
 	char text[RESPOND_TEXT_MAX];
 
+	if (*req->forwarded_by)
+		respond_outcome_headers(response, mhd_response);
 	if (!response->reason)
 		return;
 	if (names->call_id && *req->call_id)
--- a/entry-rules.c
+++ b/entry-rules.c
@@ -166,6 +166,19 @@
 	return route->parts.parts_val[i].service;
 }
 
+/* Returns the service of the part of this name that gets calls, or NULL. */
+static const char *rules_find_part(const rules_route_t *split, const char *part)
+{
+	const config_route_t *route = split->route;
+	u_int i;
+
+	for (i = 0; part && i < route->parts.parts_len; i++)
+		if (route->parts.parts_val[i].weight &&
+		    !strcmp(route->parts.parts_val[i].service, part))
+			return route->parts.parts_val[i].service;
+	return NULL;
+}
+
 static rules_route_t *rules_find_route(const rules_host_t *host,
 				       const char *target)
 {
@@ -192,7 +205,8 @@
 }
 
 bool entry_rules_match(entry_rules_t *rules, const char *host,
-		       const char *target, entry_rule_t *rule)
+		       const char *target, const char *part,
+		       entry_rule_t *rule)
 {
 	char *name = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
 	const rules_host_t *found = g_hash_table_lookup(rules->hosts, name);
@@ -202,7 +216,9 @@
 	if (!matched)
 		return false;
 	rule->name = matched->route->name;
-	rule->service = rules_next_part(matched);
+	rule->service = rules_find_part(matched, part);
+	if (!rule->service)
+		rule->service = rules_next_part(matched);
 	rule->idempotent = matched->route->kind == CONFIG_ROUTE_IDEMPOTENT;
 	rule->upload = matched->route->kind == CONFIG_ROUTE_UPLOAD;
 	rule->body_max = rules_body_max(&rules->config);
--- a/entry-rules.h
+++ b/entry-rules.h
@@ -38,15 +38,18 @@
  * entry_rules_match - find the route of a call.
  * @host: Host header as the caller sent it, with or without a port
  * @target: path and query
+ * @part: service of the traffic split that a sibling has chosen, or NULL; ignored
+ *        if the route does not have it
  * @rule: filled in; its strings are valid as long as @rules
  *
- * Each match assigns the call to one part (service) of the route's traffic
+ * Without @part, each match assigns the call to one part (service) of the route's traffic
  * split. The parts get calls in proportion to their weights, also over short
  * sequences of calls.
  *
  * Return: false if no route matches.
  */
 bool entry_rules_match(entry_rules_t *rules, const char *host,
-		       const char *target, entry_rule_t *rule);
+		       const char *target, const char *part,
+		       entry_rule_t *rule);
 
 #endif
--- a/entry-service.c
+++ b/entry-service.c
@@ -169,6 +169,7 @@
 	copy->leaving = false;
 	copy->rests_until = 0;
 	memset(&copy->rate, 0, sizeof(copy->rate));
+	memset(&copy->reach, 0, sizeof(copy->reach));
 }
 
 bool entry_service_on_leaving(entry_copy_t *copy)
@@ -271,6 +272,17 @@
 	return decision;
 }
 
+/* Refuse a call because this entry reaches no copy. The jitter keeps callers
+   from returning all at once. */
+static entry_decision_t service_refuse_unreachable(entry_service_t *svc)
+{
+	usec_t jitter = (usec_t)
+		entry_pick_random(svc, (unsigned)SERVICE_RETRY_AFTER_DEFAULT);
+
+	return service_refuse(ENTRY_REFUSE_UNREACHABLE,
+			      SERVICE_RETRY_AFTER_DEFAULT / 2 + jitter);
+}
+
 /* Choose a copy for a call that must not use reserved credits. */
 static entry_copy_t *service_pick(entry_service_t *svc,
 				  const entry_call_t *call, usec_t now)
@@ -428,6 +440,7 @@
 
 	cds_list_for_each_entry (copy, &svc->copies, link)
 		if (!copy->draining && copy->limit > 0 &&
+		    !copy->reach.unreachable &&
 		    now >= service_available_at(svc, copy, now) &&
 		    !strcmp(copy->zone, svc->zone) &&
 		    entry_report_has_room(copy, now))
@@ -482,6 +495,8 @@
 
 	if (decision.verdict == ENTRY_REFUSE)
 		return decision;
+	if (entry_reach_is_cut_off(svc))
+		return service_refuse_unreachable(svc);
 	rest_end = service_rest_end(svc, now);
 	if (rest_end && service_too_late(svc, call, rest_end))
 		return service_refuse(ENTRY_REFUSE_NO_COPY,
@@ -614,6 +629,11 @@
 					   SERVICE_RETRY_AFTER_DEFAULT);
 		return call;
 	}
+	if (entry_reach_is_cut_off(svc)) {
+		entry_queue_remove(svc->queue, call);
+		*decision = service_refuse_unreachable(svc);
+		return call;
+	}
 	if (now + service_margin(svc, call) < call->deadline &&
 	    !service_all_paused(svc, call, now))
 		return NULL;
--- a/entry-target.c
+++ b/entry-target.c
@@ -205,13 +205,14 @@
 }
 
 bool entry_target_match_route(entry_t *entry, const char *host,
-			      const char *target, entry_rule_t *rule,
+			      const char *target, const char *part,
+			      entry_rule_t *rule,
 			      char service[HL_NAME_MAX], char name[HL_NAME_MAX])
 {
 	bool found;
 
 	pthread_mutex_lock(&entry->rules_lock);
-	found = entry_rules_match(entry->rules, host, target, rule);
+	found = entry_rules_match(entry->rules, host, target, part, rule);
 	if (found) {
 		snprintf(service, HL_NAME_MAX, "%s", rule->service);
 		snprintf(name, HL_NAME_MAX, "%s", rule->name);
@@ -222,6 +223,16 @@
 	return found;
 }
 
+uint64_t entry_target_rules_revision(entry_t *entry)
+{
+	uint64_t revision;
+
+	pthread_mutex_lock(&entry->rules_lock);
+	revision = entry->rules_revision;
+	pthread_mutex_unlock(&entry->rules_lock);
+	return revision;
+}
+
 bool entry_target_has_routes(entry_t *entry)
 {
 	bool routed;
@@ -242,6 +253,11 @@
 	       entry_config_ready(entry) && entry_target_has_routes(entry);
 }
 
+static bool target_is_impaired(void *context)
+{
+	return entry_reach_test_siblings_reach(context);
+}
+
 /* TCP port of the keepers' control servers. */
 static uint16_t target_keeper_control_port(const entry_t *entry)
 {
@@ -275,8 +291,8 @@
 		.address = settings->address,
 		.keepers = &keepers,
 		.interval = settings->beat_ms * USEC_PER_MS,
-		.wants_peers = *settings->directory_listen != '\0',
 		.ready = target_is_ready,
+		.impaired = target_is_impaired,
 		.revision = entry_config_revision,
 		.on_newer_revision = target_on_newer_revision,
 		.context = entry,
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -24,6 +24,11 @@
    another entry when it has got no heartbeat for about as long. */
 #define TICK_COORDINATION_TIMEOUT (2500 * USEC_PER_MS)
 
+static usec_t tick_earlier(usec_t a, usec_t b)
+{
+	return a < b ? a : b;
+}
+
 /* Returns the fraction of a service's limits that this entry may use: its
    fraction of the owners' slots or, with entry.routed, an equal fraction for
    each live entry. */
@@ -86,15 +91,11 @@
 	pthread_mutex_unlock(&upstream->lock);
 }
 
-static usec_t tick_earlier(usec_t a, usec_t b)
-{
-	return a < b ? a : b;
-}
-
 /* Runs the timers of one service; returns when to run them again. */
 static usec_t tick_upstream(entry_upstream_t *upstream, usec_t now)
 {
-	usec_t due = entry_hedge_send_due(upstream, now);
+	usec_t due = tick_earlier(entry_hedge_send_due(upstream, now),
+				  entry_reach_test_run(upstream, now));
 	bool waiting;
 
 	entry_dispatch_expire(upstream, now);
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -111,6 +111,15 @@
 		  trace_value(call_id), rest / USEC_PER_MS);
 }
 
+void entry_trace_handed_over(const entry_request_t *req, const char *sibling,
+			     const char *reason)
+{
+	log_event(LOG_LEVEL_INFO, "call-handed-over",
+		  "call=%s route=%s service=%s sibling=%s try=%u reason=%s",
+		  trace_value(req->call_id), trace_value(req->rule_name),
+		  req->upstream->name, sibling, req->handovers, reason);
+}
+
 void entry_trace_copy_rate(const char *service, const char *copy,
 			   const char *call_id, unsigned millirate)
 {
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -202,7 +202,18 @@
 	if (names->call_id && *transfer->req->call_id &&
 	    !transfer->call_id_matches)
 		return false;
-	return !names->signature || transfer->has_signature;
+	/* A sibling entry may make a response itself. */
+	return !names->signature || transfer->has_signature ||
+	       (transfer->req->handovers && transfer->has_outcome);
+}
+
+/* Whether the reason of a refusal concerns the sibling entry only, so that
+   another one may serve the call. */
+static bool transfer_is_unfit(const char *reason, size_t length)
+{
+	return transfer_name_is(reason, length, "unreachable") ||
+	       transfer_name_is(reason, length, "revision") ||
+	       transfer_name_is(reason, length, "starting");
 }
 
 static void transfer_read_header(entry_transfer_t *transfer, const char *line,
@@ -222,12 +233,17 @@
 	if (transfer->req->handed_over &&
 	    transfer_name_is(line, length, "Hemlock-Offer"))
 		transfer->req->credits_offered = transfer_parse_offer(value);
+	if (transfer->req->handovers &&
+	    transfer_name_is(line, length, "Hemlock-Reason"))
+		transfer->req->sibling_unfit = transfer_is_unfit(value,
+								 value_length);
 	if (!transfer_name_is(line, length, "Hemlock-Outcome"))
 		return;
 	transfer->outcome_not_run = transfer_name_is(value, value_length,
 						     "not-run");
 	transfer->outcome_may_have_run = transfer_name_is(value, value_length,
 							  "may-have-run");
+	transfer->has_outcome = true;
 }
 
 /* Handles a status line, which starts a head. If another head preceded it, that
@@ -244,6 +260,8 @@
 	transfer->millirate = 0;
 	transfer->outcome_not_run = false;
 	transfer->outcome_may_have_run = false;
+	transfer->has_outcome = false;
+	transfer->req->sibling_unfit = false;
 	transfer->call_id_matches = false;
 	transfer->has_signature = false;
 	transfer->has_load = false;
@@ -323,7 +341,7 @@
 {
 	if (entry_transfer_is_shed(transfer))
 		return ENTRY_NOT_RUN;
-	if (transfer_names(transfer)->not_run)
+	if (transfer_names(transfer)->not_run && !transfer->has_outcome)
 		return ENTRY_RAN;
 	if (transfer->outcome_may_have_run ||
 	    transfer->req->response.status == HTTP_UNAVAILABLE)
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -22,6 +22,7 @@
 	unsigned millirate;   /* rate that the copy accepts; 0: none named */
 	bool outcome_not_run; /* the copy declares the call not run */
 	bool outcome_may_have_run; /* Hemlock-Outcome is may-have-run */
+	bool has_outcome;	   /* Hemlock-Outcome is present */
 	bool call_id_matches;	   /* the response has the id of this call */
 	bool has_signature;	   /* the response has the copy's signature */
 	bool has_load;
--- a/entry.h
+++ b/entry.h
@@ -48,6 +48,7 @@
 	ENTRY_REFUSE_DEADLINE, /* 504: no response expected by the deadline */
 	ENTRY_REFUSE_NO_COPY,  /* 503: no copy of the service accepts calls */
 	ENTRY_REFUSE_CRASHES,  /* 503: the call has crashed several copies */
+	ENTRY_REFUSE_UNREACHABLE, /* 503: this entry reaches no copy */
 } entry_refusal_t;
 
 /** enum entry_policy_t - how a copy is chosen; B0 to B2 are baselines. */
@@ -82,6 +83,15 @@
 	bool held;	    /* this entry is the holder */
 } entry_rate_t;
 
+/** struct entry_reach_t - whether this entry reaches a copy; entry-reach.c. */
+typedef struct {
+	unsigned failures; /* consecutive tests that failed */
+	bool unreachable;  /* it gets no calls until a test succeeds */
+	bool testing;	   /* a test runs */
+	usec_t test_at;	   /* when the next test is due; 0: none is */
+	usec_t tested_at;  /* end of the last test; 0: not tested yet */
+} entry_reach_t;
+
 /**
  * struct entry_copy_t - state of one copy of a service.
  *
@@ -108,6 +118,7 @@
 	usec_t last_seen;     /* last announcement of the copy */
 	usec_t slow_start_until; /* set by entry_service_slow_start() */
 	entry_report_t report;
+	entry_reach_t reach;
 	void *io; /* connection pool of the relay */
 	struct entry_credit *credit;
 	struct entry_health *health;
@@ -207,6 +218,8 @@
 	double service_time[ENTRY_WORK_KINDS];
 	/* Timeout that callers give with a first attempt, microseconds. */
 	double first_attempt_timeout[ENTRY_WORK_KINDS];
+	usec_t answered_at;	  /* last response of any copy */
+	usec_t unreachable_since; /* last time that copies became unreachable */
 	double contention; /* slowdown of a call in the last slot of a copy */
 	unsigned contention_samples; /* responses in the contention estimate */
 	entry_policy_t policy;
@@ -591,6 +604,54 @@
 bool entry_service_rate_report(entry_service_t *svc, entry_copy_t *copy,
 			       usec_t now);
 
+/**
+ * entry_reach_doubt - have a copy tested, as it did not respond.
+ *
+ * A copy that was reached lately is tested a while later.
+ */
+void entry_reach_doubt(entry_copy_t *copy, usec_t now);
+
+/**
+ * entry_reach_doubt_service - have copies of a service tested at once.
+ * @max: number of copies that are tested at the same time
+ */
+void entry_reach_doubt_service(entry_service_t *svc, unsigned max, usec_t now);
+
+/** entry_reach_on_response - record that any copy of a service responded. */
+void entry_reach_on_response(entry_service_t *svc, usec_t now);
+
+/**
+ * entry_reach_next_test - return a copy whose test is due, or NULL.
+ *
+ * The test is one request over a new connection; its end is passed to
+ * entry_reach_on_test(). Copies that must not get a request now are skipped.
+ */
+entry_copy_t *entry_reach_next_test(entry_service_t *svc, usec_t now);
+
+/** entry_reach_test_due - time of the next test; USEC_NEVER if none is due. */
+usec_t entry_reach_test_due(const entry_service_t *svc);
+
+/**
+ * entry_reach_on_test - handle the end of a test.
+ * @reached: the copy responded
+ *
+ * Return: true if the copy became unreachable or reachable.
+ */
+bool entry_reach_on_test(entry_service_t *svc, entry_copy_t *copy, bool reached,
+			 usec_t now);
+
+/**
+ * entry_reach_count - return the number of unreachable copies.
+ * @total: set to the number of copies that take calls, unless it is NULL
+ */
+unsigned entry_reach_count(const entry_service_t *svc, unsigned *total);
+
+/** entry_reach_is_cut_off - whether this entry reaches no copy of a service. */
+bool entry_reach_is_cut_off(const entry_service_t *svc);
+
+/** entry_reach_is_impaired - whether it does not reach half of them or more. */
+bool entry_reach_is_impaired(const entry_service_t *svc);
+
 /** entry_service_cancel - dequeue a call whose caller closed its connection. */
 void entry_service_cancel(entry_service_t *svc, entry_call_t *call);
 
--- a/keeper-registry.c
+++ b/keeper-registry.c
@@ -309,6 +309,55 @@
 	xdr_free((xdrproc_t)xdr_config_target_t, (char *)target);
 }
 
+/* Records that an entry does not reach copies that other entries reach. */
+static void registry_on_impaired(keeper_registry_t *registry,
+				 const presence_impaired_t *report, usec_t now)
+{
+	pthread_mutex_lock(&registry->lock);
+	presence_table_set_impaired(registry->entries, report->id, now);
+	pthread_mutex_unlock(&registry->lock);
+}
+
+static void registry_on_message(keeper_registry_t *registry,
+				const presence_body_t *body,
+				const struct sockaddr_storage *from,
+				socklen_t length, usec_t now)
+{
+	switch (body->kind) {
+	case PRESENCE_ENTRY:
+		registry_on_entry(registry, &body->presence_body_t_u.entry,
+				  from, length, now);
+		break;
+	case PRESENCE_PEERS_REQUEST:
+		registry_on_peers_request(
+			registry, &body->presence_body_t_u.peers_request, from,
+			length, now);
+		break;
+	case PRESENCE_COPIES_SEEN:
+		registry_on_peer(registry, &body->presence_body_t_u.copies_seen,
+				 now);
+		break;
+	case PRESENCE_COPY_RATE:
+		registry_on_copy_rate(registry,
+				      &body->presence_body_t_u.copy_rate, now);
+		break;
+	case PRESENCE_SUSPECT:
+		registry_on_suspect(registry, &body->presence_body_t_u.suspect);
+		break;
+	case PRESENCE_COPY_LEAVES:
+		registry_on_copy_leaves(registry,
+					&body->presence_body_t_u.copy_leaves);
+		break;
+	case PRESENCE_IMPAIRED:
+		registry_on_impaired(registry,
+				     &body->presence_body_t_u.impaired, now);
+		break;
+	case PRESENCE_KEEPER_STATUS:
+	case PRESENCE_PEERS:
+		break; /* sent to entries only */
+	}
+}
+
 static void registry_receive(keeper_registry_t *registry, usec_t now)
 {
 	struct sockaddr_storage from = { 0 };
@@ -319,38 +368,11 @@
 	while ((size = recvfrom(registry->socket, bytes, sizeof(bytes), 0,
 				(struct sockaddr *)&from, &length)) >= 0) {
 		presence_t message = { 0 };
-		const presence_body_t *body = &message.body;
 
 		if (presence_decode(bytes, (size_t)size, registry->cluster,
 				    &message)) {
-			if (body->kind == PRESENCE_ENTRY)
-				registry_on_entry(
-					registry,
-					&body->presence_body_t_u.entry, &from,
-					length, now);
-			else if (body->kind == PRESENCE_PEERS_REQUEST)
-				registry_on_peers_request(
-					registry,
-					&body->presence_body_t_u.peers_request,
-					&from, length, now);
-			else if (body->kind == PRESENCE_COPIES_SEEN)
-				registry_on_peer(
-					registry,
-					&body->presence_body_t_u.copies_seen,
-					now);
-			else if (body->kind == PRESENCE_COPY_RATE)
-				registry_on_copy_rate(
-					registry,
-					&body->presence_body_t_u.copy_rate,
-					now);
-			else if (body->kind == PRESENCE_SUSPECT)
-				registry_on_suspect(
-					registry,
-					&body->presence_body_t_u.suspect);
-			else if (body->kind == PRESENCE_COPY_LEAVES)
-				registry_on_copy_leaves(
-					registry,
-					&body->presence_body_t_u.copy_leaves);
+			registry_on_message(registry, &message.body, &from,
+					    length, now);
 			presence_clear(&message);
 		}
 		length = sizeof(from);
--- a/presence-client.c
+++ b/presence-client.c
@@ -63,6 +63,7 @@
 	pthread_mutex_t lock;
 	char leader[HL_ADDRESS_MAX]; /* last one to report that it leads */
 	presence_peers_list_t peers; /* as a keeper last reported them */
+	bool all_zones;		     /* peers of all zones are asked for */
 	usec_t peers_confirmed; /* last response of the keeper asked for peers */
 	setting_list_t reported_keepers; /* last list from a keeper */
 	GQueue reports; /* encoded datagrams to be sent to all keepers, GBytes */
@@ -270,6 +271,19 @@
 			  "keeper=%s errno=%d", keeper->address, errno);
 }
 
+static void client_send_impaired(presence_client_t *client,
+				 const client_keeper_t *keeper)
+{
+	presence_t message = { .cluster = client->cluster };
+	char bytes[PRESENCE_BYTES_MAX];
+	size_t size;
+
+	message.body.kind = PRESENCE_IMPAIRED;
+	message.body.presence_body_t_u.impaired.id = client->id;
+	size = presence_encode(&message, bytes);
+	client_send_bytes(client, keeper, bytes, size);
+}
+
 static void client_send(presence_client_t *client, client_keeper_t *keeper,
 			usec_t now)
 {
@@ -293,6 +307,8 @@
 	}
 	size = presence_encode(&message, bytes);
 	client_send_bytes(client, keeper, bytes, size);
+	if (client->options.impaired(client->options.context))
+		client_send_impaired(client, keeper);
 }
 
 /*
@@ -324,12 +340,12 @@
 	char bytes[PRESENCE_BYTES_MAX];
 	size_t size;
 
-	if (!keeper || !client->options.wants_peers)
+	if (!keeper)
 		return;
 	message.body.kind = PRESENCE_PEERS_REQUEST;
 	request->id = client->id;
-	request->zone = client->zone;
 	pthread_mutex_lock(&client->lock);
+	request->zone = client->all_zones ? (char *)"" : client->zone;
 	request->hash = presence_peers_hash(&client->peers);
 	client->peers_confirmed = keeper->last_seen;
 	pthread_mutex_unlock(&client->lock);
@@ -590,6 +606,18 @@
 	pthread_mutex_unlock(&client->lock);
 }
 
+void presence_client_ask_all_zones(presence_client_t *client, bool all_zones)
+{
+	bool changed;
+
+	pthread_mutex_lock(&client->lock);
+	changed = client->all_zones != all_zones;
+	client->all_zones = all_zones;
+	pthread_mutex_unlock(&client->lock);
+	if (changed)
+		presence_client_trigger(client);
+}
+
 void presence_client_free(presence_client_t *client)
 {
 	if (!client)
--- a/presence-table.c
+++ b/presence-table.c
@@ -114,6 +114,22 @@
 	return now - member->last_seen <= PRESENCE_LIVE_MAX_AGE;
 }
 
+/* An impaired entry repeats its report with each heartbeat. */
+static bool presence_is_impaired(const presence_member_t *member, usec_t now)
+{
+	return member->impaired_at &&
+	       now - member->impaired_at <= PRESENCE_LIVE_MAX_AGE;
+}
+
+void presence_table_set_impaired(presence_table_t *table, uint64_t id,
+				 usec_t now)
+{
+	presence_member_t *member = g_hash_table_lookup(table->members, &id);
+
+	if (member)
+		member->impaired_at = now;
+}
+
 unsigned presence_table_count_live(const presence_table_t *table, usec_t now)
 {
 	GHashTableIter iter;
@@ -142,7 +158,7 @@
 
 /* Collect the live, ready entries of @zone, or of all zones if it is NULL. */
 static unsigned presence_collect(const presence_table_t *table,
-				 const char *zone, usec_t now,
+				 const char *zone, bool impaired, usec_t now,
 				 const presence_member_t **out, unsigned max)
 {
 	GHashTableIter iter;
@@ -153,7 +169,8 @@
 	while (count < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const presence_member_t *member = value;
 
-		if (!member->ready || !presence_is_live(member, now))
+		if (!member->ready || !presence_is_live(member, now) ||
+		    (!impaired && presence_is_impaired(member, now)))
 			continue;
 		if (!zone || !strcmp(member->zone, zone))
 			out[count++] = member;
@@ -165,10 +182,12 @@
 			       usec_t now, const presence_member_t **out,
 			       unsigned max)
 {
-	unsigned count = presence_collect(table, zone, now, out, max);
+	unsigned count = presence_collect(table, zone, false, now, out, max);
 
 	if (count < PRESENCE_ZONE_MIN)
-		count = presence_collect(table, NULL, now, out, max);
+		count = presence_collect(table, NULL, false, now, out, max);
+	if (!count)
+		count = presence_collect(table, NULL, true, now, out, max);
 	return count;
 }
 
@@ -183,6 +202,7 @@
 		const presence_member_t *member = value;
 
 		if (member->ready && presence_is_live(member, now) &&
+		    !presence_is_impaired(member, now) &&
 		    !strcmp(member->name, name))
 			return true;
 	}
@@ -205,7 +225,8 @@
 					hl_hash(key, strlen(key), 0)) >>
 				1;
 
-		if (!member->ready || !presence_is_live(member, now))
+		if (!member->ready || !presence_is_live(member, now) ||
+		    presence_is_impaired(member, now))
 			continue;
 		if (!strcmp(member->zone, zone))
 			rank |= 1ULL << 63;
--- a/presence.h
+++ b/presence.h
@@ -15,8 +15,9 @@
  * report to one another which copies have announced themselves. All of this is
  * soft state: a later datagram makes up for a lost one.
  *
- * An entry that answers look-ups asks one keeper for the entries that callers of
- * its zone can use, its peers.
+ * An entry asks one keeper for the entries that callers of its zone can use, its
+ * peers. An entry that does not reach copies that other entries reach is impaired
+ * and reports that with each heartbeat.
  *
  * presence_table_*	the entries that a keeper has heartbeats of
  * presence_client_*	heartbeats of an entry to the keepers
@@ -54,8 +55,9 @@
 	char zone[HL_NAME_MAX];
 	char call_address[HL_ADDRESS_MAX]; /* "ip:port" for callers */
 	bool ready;
-	uint64_t revision; /* revision in force at the entry */
-	usec_t last_seen;  /* time of the entry's last heartbeat */
+	uint64_t revision;  /* revision in force at the entry */
+	usec_t last_seen;   /* time of the entry's last heartbeat */
+	usec_t impaired_at; /* last report that it is impaired; 0: none */
 	struct sockaddr_storage from;
 	socklen_t from_length;
 } presence_member_t;
@@ -100,9 +102,10 @@
  * @out: filled in; the pointers are valid until the table changes
  * @max: size of @out
  *
- * Chooses the ready entries of the zone. If the zone has fewer than two, the
- * ready entries of all zones are chosen, so that the failure of one entry does
- * not leave the caller without any.
+ * Chooses the ready entries of the zone that are not impaired. If the zone has
+ * fewer than two, those of all zones are chosen, so that the failure of one entry
+ * does not leave the caller without any; impaired ones only if there are no
+ * others.
  *
  * Return: the number of entries.
  */
@@ -110,7 +113,14 @@
 			       usec_t now, const presence_member_t **out,
 			       unsigned max);
 
-/** presence_table_is_ready - whether an entry of this name is ready. */
+/** presence_table_set_impaired - record that an entry reports to be impaired. */
+void presence_table_set_impaired(presence_table_t *table, uint64_t id,
+				 usec_t now);
+
+/**
+ * presence_table_is_ready - whether an entry of this name is ready and not
+ * impaired.
+ */
 bool presence_table_is_ready(const presence_table_t *table, const char *name,
 			     usec_t now);
 
@@ -164,8 +174,9 @@
 	const char *address;	       /* IP address to send from */
 	const setting_list_t *keepers; /* "ip:port" of some keepers */
 	usec_t interval;	       /* interval between heartbeats */
-	bool wants_peers;	       /* it answers look-ups */
 	bool (*ready)(void *context);  /* true if the entry takes calls */
+	/* True if other entries reach copies that this entry does not reach. */
+	bool (*impaired)(void *context);
 	uint64_t (*revision)(void *context); /* returns the one in force */
 	/* Called when a keeper reports a newer revision than revision(). */
 	void (*on_newer_revision)(void *context);
@@ -234,6 +245,13 @@
 void presence_client_peers(presence_client_t *client, usec_t now,
 			   presence_peers_list_t *out);
 
+/**
+ * presence_client_ask_all_zones - set whether to ask for peers of all zones.
+ *
+ * Set while no peer of the entry's own zone can serve what it cannot.
+ */
+void presence_client_ask_all_zones(presence_client_t *client, bool all_zones);
+
 /** presence_client_free - free a client whose thread has ended, or NULL. */
 void presence_client_free(presence_client_t *client);
 
--- /dev/null
+++ b/regress/test-entry-reach.c
@@ -0,0 +1,237 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include "entry-decide.h"
+
+/*
+ * Tests of which copies an entry reaches. A failure here sends calls of an entry
+ * that is cut off from copies into these copies, or takes copies from service
+ * that only lose a segment or end.
+ */
+
+#define COPIES_MAX 64
+#define STEP USEC_PER_MS
+/* Time in which a lost path must be noticed. */
+#define NOTICE_MAX (500 * USEC_PER_MS)
+/* Time in which a copy must be used again after its path is back. */
+#define RETURN_MAX (2 * USEC_PER_SEC)
+
+typedef struct {
+	entry_service_t svc;
+	config_profile_t profile;
+	entry_copy_t *copies[COPIES_MAX];
+	bool reached[COPIES_MAX]; /* whether a test of the copy succeeds */
+	unsigned count;
+	unsigned tests;
+	usec_t now;
+} fixture_t;
+
+static fixture_t *fixture_new(unsigned count)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	char name[16];
+	unsigned i;
+
+	config_profile_set_defaults(&fixture->profile);
+	entry_service_init(&fixture->svc, ENTRY_POLICY_REPORTS,
+			   &fixture->profile, 7);
+	fixture->now = USEC_PER_SEC;
+	fixture->count = count;
+	for (i = 0; i < count; i++) {
+		g_snprintf(name, sizeof(name), "c%u", i);
+		fixture->copies[i] = entry_service_copy_add(&fixture->svc, name,
+							    fixture->now);
+		fixture->copies[i]->limit = 8;
+		fixture->reached[i] = true;
+	}
+	return fixture;
+}
+
+static void fixture_free(fixture_t *fixture)
+{
+	entry_service_fini(&fixture->svc);
+	g_free(fixture);
+}
+
+static void set_reached(fixture_t *fixture, unsigned first, unsigned end,
+			bool reached)
+{
+	for (; first < end; first++)
+		fixture->reached[first] = reached;
+}
+
+static unsigned copy_index(const fixture_t *fixture, const entry_copy_t *copy)
+{
+	unsigned i = 0;
+
+	while (fixture->copies[i] != copy)
+		i++;
+	return i;
+}
+
+/* Runs the tests that become due for a while; a test ends at once. */
+static void run(fixture_t *fixture, usec_t length)
+{
+	usec_t end = fixture->now + length;
+	entry_copy_t *copy;
+
+	for (; fixture->now < end; fixture->now += STEP)
+		while ((copy = entry_reach_next_test(&fixture->svc,
+						     fixture->now))) {
+			unsigned i = copy_index(fixture, copy);
+
+			fixture->tests++;
+			entry_reach_on_test(&fixture->svc, copy,
+					    fixture->reached[i], fixture->now);
+		}
+}
+
+static entry_decision_t arrive(fixture_t *fixture, entry_call_t *call)
+{
+	memset(call, 0, sizeof(*call));
+	call->idempotent = true;
+	call->attempts_max = 2;
+	call->objective = 300 * USEC_PER_MS;
+	call->arrived = fixture->now;
+	call->deadline = fixture->now + USEC_PER_SEC;
+	return entry_service_arrive(&fixture->svc, call, fixture->now);
+}
+
+/* Two calls that fail must be enough to find that all paths are lost. */
+static void test_cut_off(void)
+{
+	fixture_t *fixture = fixture_new(20);
+	entry_decision_t decision;
+	entry_call_t call;
+
+	set_reached(fixture, 0, 20, false);
+	entry_reach_doubt(fixture->copies[0], fixture->now);
+	entry_reach_doubt(fixture->copies[1], fixture->now);
+	run(fixture, NOTICE_MAX);
+	g_assert_true(entry_reach_is_cut_off(&fixture->svc));
+	decision = arrive(fixture, &call);
+	g_assert_cmpint(decision.verdict, ==, ENTRY_REFUSE);
+	g_assert_cmpint(decision.refusal, ==, ENTRY_REFUSE_UNREACHABLE);
+	fixture_free(fixture);
+}
+
+/* A large service must not be tested whole, nor all copies at the same time. */
+static void test_cut_off_large(void)
+{
+	fixture_t *fixture = fixture_new(COPIES_MAX);
+
+	set_reached(fixture, 0, COPIES_MAX, false);
+	entry_reach_doubt_service(&fixture->svc, 3, fixture->now);
+	run(fixture, NOTICE_MAX);
+	g_assert_true(entry_reach_is_cut_off(&fixture->svc));
+	fixture_free(fixture);
+}
+
+/* The paths to some copies are lost: the others get the calls, and the entry is
+   not cut off. */
+static void test_some_lost(void)
+{
+	fixture_t *fixture = fixture_new(6);
+	entry_decision_t decision;
+	entry_call_t call;
+	unsigned i;
+
+	set_reached(fixture, 0, 4, false);
+	for (i = 0; i < 6; i++)
+		entry_reach_doubt(fixture->copies[i], fixture->now);
+	run(fixture, NOTICE_MAX);
+	g_assert_cmpuint(entry_reach_count(&fixture->svc, NULL), ==, 4);
+	g_assert_false(entry_reach_is_cut_off(&fixture->svc));
+	g_assert_true(entry_reach_is_impaired(&fixture->svc));
+	for (i = 0; i < 8; i++) {
+		decision = arrive(fixture, &call);
+		g_assert_cmpint(decision.verdict, ==, ENTRY_SEND);
+		g_assert_cmpuint(copy_index(fixture, call.copy), >=, 4);
+		entry_service_end(&fixture->svc, &call, ENTRY_RESULT_OK,
+				  fixture->now);
+	}
+	fixture_free(fixture);
+}
+
+/* One test that fails, as a segment may get lost, takes no copy from service. */
+static void test_lost_segment(void)
+{
+	fixture_t *fixture = fixture_new(2);
+	entry_copy_t *copy = fixture->copies[0];
+
+	entry_reach_doubt(copy, fixture->now);
+	g_assert_true(entry_reach_next_test(&fixture->svc, fixture->now) ==
+		      copy);
+	g_assert_false(
+		entry_reach_on_test(&fixture->svc, copy, false, fixture->now));
+	run(fixture, NOTICE_MAX);
+	g_assert_false(copy->reach.unreachable);
+	g_assert_cmpuint(copy->reach.failures, ==, 0);
+	fixture_free(fixture);
+}
+
+/* Copies are used again by themselves when the paths are back, and the tests
+   until then are few. */
+static void test_return(void)
+{
+	fixture_t *fixture = fixture_new(8);
+	unsigned i;
+
+	set_reached(fixture, 0, 8, false);
+	for (i = 0; i < 8; i++)
+		entry_reach_doubt(fixture->copies[i], fixture->now);
+	run(fixture, 10 * USEC_PER_SEC);
+	g_assert_cmpuint(fixture->tests, <, 8 * 16);
+	set_reached(fixture, 0, 8, true);
+	run(fixture, RETURN_MAX);
+	g_assert_cmpuint(entry_reach_count(&fixture->svc, NULL), ==, 0);
+	fixture->tests = 0;
+	run(fixture, 10 * USEC_PER_SEC);
+	g_assert_cmpuint(fixture->tests, ==, 0);
+	fixture_free(fixture);
+}
+
+/* Doubts that turn out wrong, as at a slow VM, cost two tests a second at most
+   for each copy. */
+static void test_wrong_doubts(void)
+{
+	fixture_t *fixture = fixture_new(1);
+	unsigned i;
+
+	for (i = 0; i < 1000; i++) {
+		entry_reach_doubt(fixture->copies[0], fixture->now);
+		run(fixture, 10 * USEC_PER_MS);
+	}
+	g_assert_cmpuint(fixture->tests, <=, 21);
+	fixture_free(fixture);
+}
+
+/* No test reaches a copy that asked for a rest, or that another entry holds the
+   rate of. */
+static void test_rest_and_rate(void)
+{
+	fixture_t *fixture = fixture_new(2);
+
+	entry_service_on_rest(fixture->copies[0], USEC_PER_SEC, fixture->now);
+	entry_service_declare_rate(&fixture->svc, fixture->copies[1], 1000, 5,
+				   false, fixture->now);
+	entry_reach_doubt_service(&fixture->svc, 2, fixture->now);
+	run(fixture, USEC_PER_SEC);
+	g_assert_cmpuint(fixture->tests, ==, 0);
+	run(fixture, USEC_PER_SEC);
+	g_assert_cmpuint(fixture->tests, ==, 1);
+	fixture_free(fixture);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry-reach/cut-off", test_cut_off);
+	g_test_add_func("/entry-reach/cut-off-large", test_cut_off_large);
+	g_test_add_func("/entry-reach/some-lost", test_some_lost);
+	g_test_add_func("/entry-reach/lost-segment", test_lost_segment);
+	g_test_add_func("/entry-reach/return", test_return);
+	g_test_add_func("/entry-reach/wrong-doubts", test_wrong_doubts);
+	g_test_add_func("/entry-reach/rest-and-rate", test_rest_and_rate);
+	return g_test_run();
+}
--- a/regress/test-presence.c
+++ b/regress/test-presence.c
@@ -92,6 +92,36 @@
 
 /* One ready entry, of the zone if it has one, gets a task; another one gets it
  * once the first takes no calls. */
+/* Callers must not be sent to entries that lack paths to copies, unless there are
+   no others, and must be sent there again once these paths are back. */
+static void test_impaired(void)
+{
+	presence_table_t *table = presence_table_new();
+	const presence_member_t *member;
+	unsigned id;
+
+	for (id = 1; id <= 3; id++)
+		send_heartbeat(table, id, "a", true, true, 0, true);
+	send_heartbeat(table, 4, "b", true, true, 0, true);
+	presence_table_set_impaired(table, 1, SECOND);
+	presence_table_set_impaired(table, 99, SECOND);
+	ASSERT_CHOSEN("a", SECOND, "2 3");
+	g_assert_false(presence_table_is_ready(table, "e1", SECOND));
+	g_assert_true(presence_table_is_ready(table, "e2", SECOND));
+	presence_table_set_impaired(table, 2, SECOND);
+	ASSERT_CHOSEN("a", SECOND, "3 4");
+	presence_table_set_impaired(table, 3, SECOND);
+	presence_table_set_impaired(table, 4, SECOND);
+	ASSERT_CHOSEN("a", SECOND, "1 2 3 4");
+	member = presence_table_choose_one(table, "a", "task", SECOND);
+	g_assert_null(member);
+	for (id = 1; id <= 4; id++)
+		send_heartbeat(table, id, "", true, false, 3 * SECOND, true);
+	presence_table_set_impaired(table, 4, 3 * SECOND);
+	ASSERT_CHOSEN("a", 4 * SECOND, "1 2 3");
+	presence_table_free(table);
+}
+
 static void test_choose_one(void)
 {
 	presence_table_t *table = presence_table_new();
@@ -308,6 +338,7 @@
 			test_peers_of_large_zone);
 	g_test_add_func("/presence/peers-codec", test_peers_codec);
 	g_test_add_func("/presence/choose", test_choose);
+	g_test_add_func("/presence/impaired", test_impaired);
 	g_test_add_func("/presence/choose-one", test_choose_one);
 	g_test_add_func("/presence/codec", test_codec);
 	g_test_add_func("/presence/silence", test_silent_copies);
--- a/regress/test-routing.c
+++ b/regress/test-routing.c
@@ -259,7 +259,7 @@
 		g_assert_cmpstr(send_document(fixture, ROUTING_CHANGES, text),
 				==, "accepted");
 		rules = entry_rules_new(config_state_config(fixture->state), 1);
-		g_assert_true(entry_rules_match(rules, "k", "/x", &rule));
+		g_assert_true(entry_rules_match(rules, "k", "/x", NULL, &rule));
 		g_assert_cmpint(rule.idempotent, ==, rows[i].idempotent);
 		g_assert_cmpint(rule.upload, ==, rows[i].upload);
 		g_assert_cmpuint(rule.body_max, ==, 67108864);
@@ -438,15 +438,15 @@
 	rules = entry_rules_new(config_state_config(fixture->state), 42);
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		bool found = entry_rules_match(rules, rows[i].host,
-					       rows[i].target, &rule);
+					       rows[i].target, NULL, &rule);
 
 		g_assert_cmpint(found, ==, rows[i].route != NULL);
 		if (found)
 			g_assert_cmpstr(rule.name, ==, rows[i].route);
 	}
 	for (i = 0; i < 300; i++) {
-		g_assert_true(
-			entry_rules_match(rules, "a.example", "/p/q/", &rule));
+		g_assert_true(entry_rules_match(rules, "a.example", "/p/q/",
+						NULL, &rule));
 		run = strcmp(rule.service, "ledger") ? run + 1 : 0;
 		ledger += run == 0;
 		longest_run = run > longest_run ? run : longest_run;
@@ -455,6 +455,14 @@
 	g_assert_cmpuint(ledger, >=, 28);
 	g_assert_cmpuint(ledger, <=, 32);
 	g_assert_cmpuint(longest_run, <, 20);
+	/* A call that a sibling handed over keeps its part. */
+	for (i = 0; i < 20; i++) {
+		entry_rules_match(rules, "a.example", "/p/q/", "ledger", &rule);
+		g_assert_cmpstr(rule.service, ==, "ledger");
+	}
+	g_assert_true(
+		entry_rules_match(rules, "a.example", "/p/q/", "other", &rule));
+	g_assert_cmpstr(rule.service, !=, "other");
 	entry_rules_free(rules);
 	fixture_free(fixture);
 }
--- a/rpc/presence_rpc.h
+++ b/rpc/presence_rpc.h
@@ -30,6 +30,7 @@
 	PRESENCE_COPY_RATE = 6,
 	PRESENCE_SUSPECT = 7,
 	PRESENCE_COPY_LEAVES = 8,
+	PRESENCE_IMPAIRED = 9,
 };
 typedef enum presence_kind_t presence_kind_t;
 
@@ -113,6 +114,11 @@
 };
 typedef struct presence_copy_leaves_t presence_copy_leaves_t;
 
+struct presence_impaired_t {
+	u_quad_t id;
+};
+typedef struct presence_impaired_t presence_impaired_t;
+
 struct presence_body_t {
 	presence_kind_t kind;
 	union {
@@ -124,6 +130,7 @@
 		presence_copy_rate_t copy_rate;
 		presence_suspect_t suspect;
 		presence_copy_leaves_t copy_leaves;
+		presence_impaired_t impaired;
 	} presence_body_t_u;
 };
 typedef struct presence_body_t presence_body_t;
@@ -148,6 +155,7 @@
 extern  bool_t xdr_presence_copy_rate_t (XDR *, presence_copy_rate_t*);
 extern  bool_t xdr_presence_suspect_t (XDR *, presence_suspect_t*);
 extern  bool_t xdr_presence_copy_leaves_t (XDR *, presence_copy_leaves_t*);
+extern  bool_t xdr_presence_impaired_t (XDR *, presence_impaired_t*);
 extern  bool_t xdr_presence_body_t (XDR *, presence_body_t*);
 extern  bool_t xdr_presence_t (XDR *, presence_t*);
 
@@ -163,6 +171,7 @@
 extern bool_t xdr_presence_copy_rate_t ();
 extern bool_t xdr_presence_suspect_t ();
 extern bool_t xdr_presence_copy_leaves_t ();
+extern bool_t xdr_presence_impaired_t ();
 extern bool_t xdr_presence_body_t ();
 extern bool_t xdr_presence_t ();
 
--- a/rpc/presence_rpc.x
+++ b/rpc/presence_rpc.x
@@ -19,7 +19,8 @@
 	PRESENCE_PEERS = 5,		/* keeper to entry, if its list differs */
 	PRESENCE_COPY_RATE = 6,		/* entry to keeper */
 	PRESENCE_SUSPECT = 7,		/* entry to keeper */
-	PRESENCE_COPY_LEAVES = 8	/* entry to keeper */
+	PRESENCE_COPY_LEAVES = 8,	/* entry to keeper */
+	PRESENCE_IMPAIRED = 9		/* entry to keeper, with a heartbeat */
 };
 
 /* The identity of an entry, which heartbeats omit once the keeper has it. */
@@ -92,6 +93,11 @@
 	unsigned hyper started_ms;	/* as in config_target_t */
 };
 
+/* An entry reports that it does not reach copies that other entries reach. */
+struct presence_impaired_t {
+	unsigned hyper id;		/* as in presence_entry_t */
+};
+
 union presence_body_t switch (presence_kind_t kind) {
 case PRESENCE_ENTRY:
 	presence_entry_t entry;
@@ -109,6 +115,8 @@
 	presence_suspect_t suspect;
 case PRESENCE_COPY_LEAVES:
 	presence_copy_leaves_t copy_leaves;
+case PRESENCE_IMPAIRED:
+	presence_impaired_t impaired;
 };
 
 struct presence_t {
--- a/rpc/presence_rpc_xdr.c
+++ b/rpc/presence_rpc_xdr.c
@@ -215,6 +215,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_presence_impaired_t (XDR *xdrs, presence_impaired_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_presence_body_t (XDR *xdrs, presence_body_t *objp)
 {
@@ -255,6 +265,10 @@
 		 if (!xdr_presence_copy_leaves_t (xdrs, &objp->presence_body_t_u.copy_leaves))
 			 return FALSE;
 		break;
+	case PRESENCE_IMPAIRED:
+		 if (!xdr_presence_impaired_t (xdrs, &objp->presence_body_t_u.impaired))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
