Hand calls over from entries that reach few copies

What callers saw: at VMs that reached 1 copy of 15 calls waited about 1 s for that copy and then went to its queue; others were handed over to siblings of the zone that lacked the same paths.

Cause: only an entry that reached no copy at all handed calls over, and a sibling that reached few let such calls wait.

Now an entry that lacks the paths to half of a service's copies or more hands a call over that would wait here. A sibling that lacks as many and has no room declines at once and is left out for a second; responses say whether the sibling lacks paths, too, so that only an entry that is worse off than others reports itself as impaired. If no sibling had room, calls wait for the reached copies for half a second.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -90,10 +90,18 @@
 
 void entry_dispatch_decide(entry_request_t *req, usec_t now)
 {
+	const entry_decision_t declined = { ENTRY_REFUSE,
+					    ENTRY_REFUSE_UNREACHABLE, 0 };
 	entry_upstream_t *upstream = req->upstream;
 	entry_decision_t decision;
 	usec_t due = INT64_MAX;
 
+	if (entry_handover_preferred(req, now))
+		return;
+	if (entry_handover_declines(req, now)) {
+		entry_dispatch_refuse(req, &declined);
+		return;
+	}
 	pthread_mutex_lock(&upstream->lock);
 	decision = entry_service_arrive(&upstream->service, &req->call, now);
 	if (decision.verdict == ENTRY_SEND)
@@ -222,7 +230,7 @@
 		entry_hedge_end(req, result, now);
 		return;
 	}
-	if (req->handovers) {
+	if (req->forward && req->handovers) {
 		if (!entry_handover_end(req, result, now))
 			dispatch_finish(req, result);
 		return;
--- a/entry-handover.c
+++ b/entry-handover.c
@@ -5,16 +5,22 @@
 /*
  * Hand-over of calls to sibling entries with entry.routed: a call that this
  * entry cannot send to any copy is relayed by an entry that may reach one. A
- * call is handed over once; a sibling that cannot serve it says so at once, and
- * then another one is tried.
+ * sibling does not hand it over again; one that cannot serve it says so at once,
+ * and then another one is tried.
+ *
+ * An entry is impaired for a service if it lacks paths to many of its copies,
+ * see entry-reach.c.
  */
 
-/* Max number of siblings that a call is sent to, while this entry reaches no
-   copy, and if it was refused for the lack of copies or room. */
-#define HANDOVER_TRIES_UNREACHABLE 4
+/* Max number of siblings that a call is sent to: while this entry is impaired,
+   and if a call was refused although it is not. */
+#define HANDOVER_TRIES_IMPAIRED 4
 #define HANDOVER_TRIES_REFUSED 1
 /* Time for which a sibling that could not serve a call gets no calls. */
 #define HANDOVER_UNFIT_TIME USEC_PER_SEC
+/* Time for which calls wait for the copies that this entry reaches, after no
+   sibling had room for one. */
+#define HANDOVER_ALIKE_TIME (500 * USEC_PER_MS)
 /* Time that must remain until the deadline of a call. */
 #define HANDOVER_TIME_MIN (20 * USEC_PER_MS)
 
@@ -75,6 +81,7 @@
 	return entry_forward_pool(entry->forward, fit[i]);
 }
 
+/* Passes a call to a worker that sends it to a sibling, if possible. */
 static bool handover_try(entry_request_t *req, unsigned tries,
 			 const char *reason, usec_t now)
 {
@@ -98,8 +105,8 @@
 bool entry_handover_refused(entry_request_t *req, entry_refusal_t refusal,
 			    usec_t now)
 {
-	const entry_service_t *svc;
 	const char *reason = entry_refusal_name(refusal);
+	const entry_service_t *svc;
 	bool impaired;
 	unsigned total;
 
@@ -112,42 +119,110 @@
 	pthread_mutex_unlock(&req->upstream->lock);
 	switch (refusal) {
 	case ENTRY_REFUSE_UNREACHABLE:
-		return handover_try(req, HANDOVER_TRIES_UNREACHABLE, reason,
-				    now);
-	case ENTRY_REFUSE_NO_COPY:
-		return total &&
-		       handover_try(req, HANDOVER_TRIES_REFUSED, reason, now);
 	case ENTRY_REFUSE_QUEUE:
 	case ENTRY_REFUSE_DEADLINE:
 		return impaired &&
+		       handover_try(req, HANDOVER_TRIES_IMPAIRED, reason, now);
+	case ENTRY_REFUSE_NO_COPY:
+		return total &&
 		       handover_try(req, HANDOVER_TRIES_REFUSED, reason, now);
 	default:
 		return false;
 	}
 }
 
+/* Whether this entry is impaired, and no copy that it reaches has room for a
+   call. The caller holds upstream->lock. */
+static bool handover_lacks_room(entry_request_t *req, usec_t now)
+{
+	entry_service_t *svc = &req->upstream->service;
+
+	return entry_reach_is_impaired(svc) &&
+	       entry_service_wait_for_copy(svc, &req->call, true, false, now) !=
+		       ENTRY_WAIT_READY;
+}
+
+bool entry_handover_declines(entry_request_t *req, usec_t now)
+{
+	bool declines;
+
+	if (!req->call.from_sibling || !req->entry->settings.routed)
+		return false;
+	pthread_mutex_lock(&req->upstream->lock);
+	declines = handover_lacks_room(req, now);
+	pthread_mutex_unlock(&req->upstream->lock);
+	return declines;
+}
+
+/* Whether a sibling may have room for a call that would wait here. */
+static bool handover_is_better(entry_request_t *req, usec_t now)
+{
+	entry_upstream_t *upstream = req->upstream;
+	bool better;
+
+	pthread_mutex_lock(&upstream->lock);
+	better = now >= upstream->siblings_alike_until &&
+		 !entry_reach_is_cut_off(&upstream->service) &&
+		 handover_lacks_room(req, now);
+	pthread_mutex_unlock(&upstream->lock);
+	return better;
+}
+
+bool entry_handover_preferred(entry_request_t *req, usec_t now)
+{
+	return req->entry->settings.routed && !*req->forwarded_by &&
+	       handover_is_better(req, now) &&
+	       handover_try(req, HANDOVER_TRIES_IMPAIRED, "room", now);
+}
+
 bool entry_handover_unsent(entry_request_t *req, usec_t now)
 {
 	return req->entry->settings.routed &&
-	       handover_try(req, HANDOVER_TRIES_UNREACHABLE, "connect", now);
+	       handover_try(req, HANDOVER_TRIES_IMPAIRED, "connect", now);
 }
 
-/* Records that a sibling had a response of a copy for a call of a service that
-   this entry does not reach, and reports that to the keepers. */
+/* Records that a sibling that is not impaired has served a call of a service for
+   which this entry is, and reports that to the keepers. */
 static void handover_confirm(entry_request_t *req)
 {
 	entry_upstream_t *upstream = req->upstream;
 	bool is_new;
 
 	pthread_mutex_lock(&upstream->lock);
-	is_new = entry_reach_is_cut_off(&upstream->service) &&
-		 !upstream->siblings_reach;
+	is_new = !req->sibling_impaired && !upstream->siblings_reach &&
+		 entry_reach_is_impaired(&upstream->service);
 	upstream->siblings_reach = upstream->siblings_reach || is_new;
 	pthread_mutex_unlock(&upstream->lock);
 	if (is_new)
 		presence_client_trigger(req->entry->presence);
 }
 
+/* Dispatches a call here that no sibling has run, if a copy is reached. */
+static bool handover_return(entry_request_t *req, entry_result_t result,
+			    usec_t now)
+{
+	entry_upstream_t *upstream = req->upstream;
+	bool possible;
+
+	if (result != ENTRY_RESULT_CONNECT && result != ENTRY_RESULT_SHED)
+		return false;
+	pthread_mutex_lock(&upstream->lock);
+	upstream->siblings_alike_until = now + HANDOVER_ALIKE_TIME;
+	possible = handover_is_safe(req) &&
+		   req->call.outcome == ENTRY_NOT_RUN &&
+		   !entry_reach_is_cut_off(&upstream->service);
+	pthread_mutex_unlock(&upstream->lock);
+	if (!possible || now + HANDOVER_TIME_MIN >= req->call.deadline)
+		return false;
+	entry_conn_pool_unref(req->forward);
+	req->forward = NULL;
+	req->handovers = HANDOVER_TRIES_IMPAIRED;
+	entry_request_reset(req);
+	entry_dispatch_arrive(req, now);
+	entry_request_unref(req);
+	return true;
+}
+
 /* Whether a sibling did not serve a call and another one may. */
 static bool handover_continues(const entry_request_t *req,
 			       entry_result_t result)
@@ -167,6 +242,15 @@
 	       (result == ENTRY_RESULT_SHED && req->sibling_unfit);
 }
 
+/* Counts a send of which a copy may have run the call. */
+static void handover_count_attempt(entry_request_t *req)
+{
+	pthread_mutex_lock(&req->upstream->lock);
+	req->call.attempts++;
+	req->call.outcome = ENTRY_MAY_HAVE_RUN;
+	pthread_mutex_unlock(&req->upstream->lock);
+}
+
 bool entry_handover_end(entry_request_t *req, entry_result_t result, usec_t now)
 {
 	if (result == ENTRY_RESULT_OK || result == ENTRY_RESULT_ERROR) {
@@ -177,12 +261,10 @@
 		entry_forward_set_unfit(req->entry->forward,
 					req->forward->address,
 					now + HANDOVER_UNFIT_TIME);
-	if (result == ENTRY_RESULT_TRUNCATED) {
-		pthread_mutex_lock(&req->upstream->lock);
-		req->call.attempts++;
-		req->call.outcome = ENTRY_MAY_HAVE_RUN;
-		pthread_mutex_unlock(&req->upstream->lock);
-	}
-	return handover_continues(req, result) &&
-	       handover_try(req, HANDOVER_TRIES_UNREACHABLE, "sibling", now);
+	if (result == ENTRY_RESULT_TRUNCATED)
+		handover_count_attempt(req);
+	if (handover_continues(req, result) &&
+	    handover_try(req, HANDOVER_TRIES_IMPAIRED, "sibling", now))
+		return true;
+	return handover_return(req, result, now);
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -221,7 +221,8 @@
 	struct entry_claim *claim;  /* claim of its Idempotency-Key, or NULL */
 	bool handed_over;   /* taken out of the queue for an idle sibling */
 	unsigned handovers; /* siblings it was sent to, see entry-handover.c */
-	bool sibling_unfit; /* the sibling could not serve it, others may */
+	bool sibling_impaired; /* the sibling lacks paths to many copies, too */
+	bool sibling_unfit;    /* the sibling could not serve it, others may */
 	unsigned forwarder_queue;  /* calls waiting at the forwarding entry */
 	unsigned credits_to_offer; /* sent with the response */
 	unsigned credits_offered;  /* received with the response */
@@ -320,7 +321,8 @@
 	config_profile_t *profile;
 	bool declared; /* the service is in the configuration in force */
 	bool cut_off;  /* this entry reaches no copy; entry-reach-test.c */
-	bool siblings_reach; /* and a sibling entry has reached one since */
+	bool siblings_reach; /* a sibling reaches copies that this entry lacks */
+	usec_t siblings_alike_until; /* until then no sibling is asked for room */
 	char health_path[HL_MESSAGE_MAX]; /* "": copies are not probed */
 	unsigned rate;	 /* limit of the service, calls/s; 0: none */
 	unsigned owners; /* number of owners; 0: see owner_hash_service() */
@@ -508,7 +510,21 @@
 bool entry_handover_refused(entry_request_t *req, entry_refusal_t refusal,
 			    usec_t now);
 
-/** entry_handover_unsent - the same for a call that could not be sent. */
+/**
+ * entry_handover_preferred - hand a call over that would wait for the few copies
+ * that this entry reaches.
+ *
+ * Return: as entry_handover_refused().
+ */
+bool entry_handover_preferred(entry_request_t *req, usec_t now);
+
+/**
+ * entry_handover_declines - whether to refuse a call of a sibling at once, since
+ * it would wait for the few copies that this entry reaches.
+ */
+bool entry_handover_declines(entry_request_t *req, usec_t now);
+
+/** entry_handover_unsent - as entry_handover_refused() for a call that could not be sent. */
 bool entry_handover_unsent(entry_request_t *req, usec_t now);
 
 /**
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -319,6 +319,19 @@
 	return possible;
 }
 
+/* Whether siblings may have more copies for a call than this entry reaches. */
+static bool probe_is_impaired(entry_request_t *req)
+{
+	entry_upstream_t *upstream = req->upstream;
+	bool impaired;
+
+	pthread_mutex_lock(&upstream->lock);
+	impaired = entry_reach_is_impaired(&upstream->service) &&
+		   time_now() >= upstream->siblings_alike_until;
+	pthread_mutex_unlock(&upstream->lock);
+	return impaired;
+}
+
 void entry_probe_refresh_reports(entry_request_t *req)
 {
 	usec_t start = time_now();
@@ -346,6 +359,7 @@
 		}
 		if (probe_check_wait(req, other_zones, false, now) !=
 			    ENTRY_WAIT_AGAIN ||
+		    probe_is_impaired(req) ||
 		    !probe_wait(req, now + PROBE_RETRY_INTERVAL))
 			return;
 		now = time_now();
--- a/entry-reach-test.c
+++ b/entry-reach-test.c
@@ -15,6 +15,7 @@
 	bool changed; /* of the copy */
 	bool cut_off;
 	bool cut_off_changed;
+	bool recovered; /* few or no copies are unreachable any more */
 	unsigned unreachable;
 	unsigned total;
 } reach_change_t;
@@ -59,7 +60,9 @@
 	change->cut_off = entry_reach_is_cut_off(&upstream->service);
 	change->cut_off_changed = change->cut_off != upstream->cut_off;
 	upstream->cut_off = change->cut_off;
-	if (!change->cut_off)
+	change->recovered = change->changed &&
+			    !entry_reach_is_impaired(&upstream->service);
+	if (change->recovered)
 		upstream->siblings_reach = false;
 }
 
@@ -80,7 +83,7 @@
 	reach_test_log(upstream, probe->copy, reached, &change);
 	if (change.cut_off_changed && change.cut_off)
 		reach_test_others(upstream->entry, now);
-	if (change.cut_off_changed && !change.cut_off)
+	if (change.recovered)
 		presence_client_ask_all_zones(upstream->entry->presence, false);
 	entry_tick_schedule_soon(upstream->entry, now);
 }
--- a/entry-respond.c
+++ b/entry-respond.c
@@ -133,6 +133,20 @@
 	}
 }
 
+/* Whether this entry lacks paths to many copies of the service of a call. */
+static bool respond_is_impaired(const entry_request_t *req)
+{
+	entry_upstream_t *upstream = req->upstream;
+	bool impaired;
+
+	if (!upstream)
+		return false;
+	pthread_mutex_lock(&upstream->lock);
+	impaired = entry_reach_is_impaired(&upstream->service);
+	pthread_mutex_unlock(&upstream->lock);
+	return impaired;
+}
+
 /* Adds the headers that a non-native interface requires in a response made by
    this entry, and for a sibling those of the outcome. */
 static void respond_interface_headers(entry_request_t *req,
@@ -144,6 +158,8 @@
 
 	if (*req->forwarded_by)
 		respond_outcome_headers(response, mhd_response);
+	if (*req->forwarded_by && respond_is_impaired(req))
+		MHD_add_response_header(mhd_response, "Hemlock-Impaired", "1");
 	if (!response->reason)
 		return;
 	if (names->call_id && *req->call_id)
--- a/entry-rules.c
+++ b/entry-rules.c
@@ -205,8 +205,7 @@
 }
 
 bool entry_rules_match(entry_rules_t *rules, const char *host,
-		       const char *target, const char *part,
-		       entry_rule_t *rule)
+		       const char *target, const char *part, entry_rule_t *rule)
 {
 	char *name = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
 	const rules_host_t *found = g_hash_table_lookup(rules->hosts, name);
--- a/entry-target.c
+++ b/entry-target.c
@@ -206,8 +206,8 @@
 
 bool entry_target_match_route(entry_t *entry, const char *host,
 			      const char *target, const char *part,
-			      entry_rule_t *rule,
-			      char service[HL_NAME_MAX], char name[HL_NAME_MAX])
+			      entry_rule_t *rule, char service[HL_NAME_MAX],
+			      char name[HL_NAME_MAX])
 {
 	bool found;
 
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -24,6 +24,7 @@
 	"Trailer",	    "Transfer-Encoding",
 	"Upgrade",	    "Content-Length",
 	"Hemlock-Outcome",  "Hemlock-Offer",
+	"Hemlock-Impaired",
 };
 
 static bool transfer_is_hop_header(const char *name, size_t length)
@@ -237,6 +238,9 @@
 	    transfer_name_is(line, length, "Hemlock-Reason"))
 		transfer->req->sibling_unfit = transfer_is_unfit(value,
 								 value_length);
+	if (transfer->req->handovers &&
+	    transfer_name_is(line, length, "Hemlock-Impaired"))
+		transfer->req->sibling_impaired = true;
 	if (!transfer_name_is(line, length, "Hemlock-Outcome"))
 		return;
 	transfer->outcome_not_run = transfer_name_is(value, value_length,
@@ -262,6 +266,7 @@
 	transfer->outcome_may_have_run = false;
 	transfer->has_outcome = false;
 	transfer->req->sibling_unfit = false;
+	transfer->req->sibling_impaired = false;
 	transfer->call_id_matches = false;
 	transfer->has_signature = false;
 	transfer->has_load = false;
