Bound the tests of an entry that is cut off from many services

Cause: found in review, not seen: an entry of the target size that is cut off from all of 510 services would test each known copy of each of them every 1.2 s. Now 64 tests run at a time at most, three for a service that is cut off, and the first one that succeeds has the other copies tested at once. test-entry-reach passes; its row of the return bounds the tests.

--- a/entry-reach-test.c
+++ b/entry-reach-test.c
@@ -10,6 +10,11 @@
    off from one service. */
 #define REACH_TEST_OTHER_SERVICES 3
 
+/* Max number of tests that run at the same time, over all services, and time
+   after which a test is tried again that was not started for that. */
+#define REACH_TESTS_RUNNING_MAX 64
+#define REACH_TESTS_DELAY (20 * USEC_PER_MS)
+
 /* State of a service after a test, for the log. */
 typedef struct {
 	bool changed; /* of the copy */
@@ -73,6 +78,7 @@
 	usec_t now = time_now();
 	entry_copy_t *copy;
 
+	__atomic_fetch_sub(&upstream->entry->reach_tests, 1, __ATOMIC_RELAXED);
 	pthread_mutex_lock(&upstream->lock);
 	copy = entry_service_copy_find(&upstream->service, probe->copy);
 	if (copy)
@@ -108,22 +114,46 @@
 	return copy != NULL;
 }
 
-usec_t entry_reach_test_run(entry_upstream_t *upstream, usec_t now)
+/* Whether another test may run; counts it if so. */
+static bool reach_test_acquire(entry_t *entry)
+{
+	if (__atomic_add_fetch(&entry->reach_tests, 1, __ATOMIC_RELAXED) <=
+	    REACH_TESTS_RUNNING_MAX)
+		return true;
+	__atomic_fetch_sub(&entry->reach_tests, 1, __ATOMIC_RELAXED);
+	return false;
+}
+
+/* Starts the next test that is due; false if none is started. */
+static bool reach_test_start(entry_upstream_t *upstream, usec_t now)
 {
-	entry_prober_t *prober = upstream->entry->prober;
+	entry_t *entry = upstream->entry;
 	char path[HL_MESSAGE_MAX];
 	entry_probe_t probe;
+
+	if (!reach_test_acquire(entry))
+		return false;
+	if (!reach_test_next(upstream, &probe, path, now)) {
+		__atomic_fetch_sub(&entry->reach_tests, 1, __ATOMIC_RELAXED);
+		return false;
+	}
+	if (entry_prober_test(entry->prober, path, &probe, reach_test_on_end))
+		reach_test_on_end(&probe, true);
+	return true;
+}
+
+usec_t entry_reach_test_run(entry_upstream_t *upstream, usec_t now)
+{
 	usec_t due;
 
-	if (!prober)
+	if (!upstream->entry->prober)
 		return INT64_MAX;
-	while (reach_test_next(upstream, &probe, path, now))
-		if (entry_prober_test(prober, path, &probe, reach_test_on_end))
-			reach_test_on_end(&probe, true);
+	while (reach_test_start(upstream, now))
+		;
 	pthread_mutex_lock(&upstream->lock);
 	due = entry_reach_test_due(&upstream->service);
 	pthread_mutex_unlock(&upstream->lock);
-	return due;
+	return due > now ? due : now + REACH_TESTS_DELAY;
 }
 
 bool entry_reach_test_siblings_reach(entry_t *entry)
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include "entry-decide.h"
 
 /*
@@ -20,6 +21,9 @@
 #define REACH_JITTER 0.25
 /* Max number of copies of a service that are tested at the same time. */
 #define REACH_TESTS_MAX 32
+/* The same once this entry is cut off from the service: a few tests show that
+   paths are back, and then all copies are tested. */
+#define REACH_TESTS_CUT_OFF_MAX 3
 /* Number of unreachable copies from which an entry that has no response of any
    copy is cut off, however many copies it has not tested. */
 #define REACH_SAMPLE_MIN 16
@@ -69,15 +73,36 @@
 	svc->answered_at = now;
 }
 
+static unsigned reach_count_running(const entry_service_t *svc)
+{
+	const entry_copy_t *copy = NULL;
+	unsigned running = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		running += copy->reach.testing;
+	return running;
+}
+
+/* Whether a copy may get the request of a test now. */
+static bool reach_may_test(const entry_service_t *svc, const entry_copy_t *copy,
+			   usec_t now)
+{
+	return reach_counts(copy) && now >= copy->rests_until &&
+	       entry_rate_allows(svc, copy, 1, now);
+}
+
 entry_copy_t *entry_reach_next_test(entry_service_t *svc, usec_t now)
 {
+	unsigned left = REACH_TESTS_MAX;
 	entry_copy_t *copy = NULL;
 
+	if (entry_reach_is_cut_off(svc))
+		left = REACH_TESTS_CUT_OFF_MAX;
+	left -= MIN(left, reach_count_running(svc));
 	cds_list_for_each_entry (copy, &svc->copies, link) {
 		if (!copy->reach.test_at || now < copy->reach.test_at)
 			continue;
-		if (!reach_counts(copy) || now < copy->rests_until ||
-		    !entry_rate_allows(svc, copy, 1, now)) {
+		if (!left || !reach_may_test(svc, copy, now)) {
 			copy->reach.test_at = now + REACH_INTERVAL_MIN;
 			continue;
 		}
@@ -116,10 +141,23 @@
 							 (double)delay));
 }
 
-static void reach_on_reached(entry_copy_t *copy)
+/* Test the other unreachable copies at once, as paths seem to be back. */
+static void reach_hasten(entry_service_t *svc, usec_t now)
+{
+	entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (copy->reach.unreachable && copy->reach.test_at)
+			copy->reach.test_at = now;
+}
+
+static void reach_on_reached(entry_service_t *svc, entry_copy_t *copy,
+			     usec_t now)
 {
 	if (copy->reach.unreachable)
 		entry_health_on_reachable(copy);
+	if (entry_reach_is_cut_off(svc))
+		reach_hasten(svc, now);
 	copy->reach.failures = 0;
 	copy->reach.unreachable = false;
 }
@@ -142,7 +180,7 @@
 	reach->testing = false;
 	reach->tested_at = now;
 	if (reached) {
-		reach_on_reached(copy);
+		reach_on_reached(svc, copy, now);
 		entry_reach_on_response(svc, now);
 		return was_unreachable;
 	}
