Count no closed call as outstanding at the stand-in copy

The entry closes the connection of a cancelled send before it gives its credit to the next call; the stand-in counts requests in one thread and handles closed connections in another, which ran later.

So the case is allowed: the copy had no caller for these calls any more. The stand-in now asks for each call that it counts whether its connection is closed before it counts a new one. A call that is still open counts as before. Not examined: which entry sent each request; no case has more than 3 without the calls that had been cancelled.

--- a/regress/standin-target.c
+++ b/regress/standin-target.c
@@ -26,6 +26,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -70,6 +71,7 @@
 	const char *zone;
 	struct MHD_Daemon *daemon;
 	struct cds_list_head waiting; /* requests that wait for a slot */
+	struct cds_list_head counted; /* requests that are outstanding */
 	unsigned running, outstanding, outstanding_max;
 	unsigned witness; /* bytes of the witness text that the copy echoes */
 	unsigned connections, connections_max;
@@ -90,7 +92,7 @@
 
 /* A request at a copy, from its headers to the end of the response. */
 typedef struct request {
-	struct cds_list_head timer_link, waiting_link;
+	struct cds_list_head timer_link, waiting_link, counted_link;
 	copy_t *copy;
 	struct MHD_Connection *connection;
 	int fd;
@@ -285,6 +287,7 @@
 	if (req->counted && !req->left) {
 		req->left = now;
 		req->copy->outstanding--;
+		cds_list_del(&req->counted_link);
 	}
 }
 
@@ -437,11 +440,36 @@
 	return NULL;
 }
 
-static void count_arrival(request_t *req)
+/* Whether the caller of a request has closed its connection. */
+static bool request_is_closed(const request_t *req)
+{
+	struct pollfd closed = { req->fd, POLLRDHUP, 0 };
+
+	return poll(&closed, 1, 0) > 0;
+}
+
+/*
+ * Ends the time of requests whose callers have closed their connections. The
+ * thread that handles these closes may run after the one that receives the next
+ * request, although the closes came first.
+ */
+static void count_closed(copy_t *copy, usec_t now)
+{
+	request_t *req = NULL;
+	request_t *next = NULL;
+
+	cds_list_for_each_entry_safe (req, next, &copy->counted, counted_link)
+		if (request_is_closed(req))
+			count_departure(req, now);
+}
+
+static void count_arrival(request_t *req, usec_t now)
 {
 	copy_t *copy = req->copy;
 
+	count_closed(copy, now);
 	req->counted = true;
+	cds_list_add_tail(&req->counted_link, &copy->counted);
 	req->outstanding = ++copy->outstanding;
 	copy->outstanding_max = MAX(copy->outstanding_max, copy->outstanding);
 	copy->requests++;
@@ -461,7 +489,7 @@
 					 draw_service_time(copy, req, now);
 	req->arrived = now;
 	if (!req->probe)
-		count_arrival(req);
+		count_arrival(req, now);
 	MHD_suspend_connection(req->connection);
 	epoll_ctl(epoll_fd, EPOLL_CTL_ADD, req->fd, &event);
 	req->stage = STAGE_LINK_IN;
@@ -1079,6 +1107,7 @@
 	copy->sequence = g_get_real_time() / USEC_PER_MS;
 	copy->random = (uint64_t)index + 1;
 	CDS_INIT_LIST_HEAD(&copy->waiting);
+	CDS_INIT_LIST_HEAD(&copy->counted);
 }
 
 static struct MHD_Daemon *listen_on(const char *address,
