End the circles config-rate/config-target and entry-pick/entry-rate

Two pairs of files called each other, so neither could be read alone. Random numbers of a service are in entry-random.c now, which entry-pick.c and entry-rate.c use. Stale rates of copies are dropped by config-apply.c after each change of a copy, so config-target.c no longer calls config-rate.c; a rate is stale only after such a change, so the same rates are dropped. entry-handover.c tells entry-dispatch.c what follows instead of calling it.

--- a/config-apply.c
+++ b/config-apply.c
@@ -46,6 +46,20 @@
 	}
 }
 
+/* Applies an item about a copy, with what depends on its process. */
+static int config_apply_target(config_t *config, uint64_t revision,
+			       const config_item_t *item)
+{
+	const config_target_t *target = &item->body.config_body_t_u.target;
+
+	if (item->body.kind == CONFIG_RETIRE_TARGET)
+		config_target_retire(config, target, item->base);
+	else if (config_target_put(config, target, revision))
+		return -1;
+	config_rate_drop_stale(config);
+	return 0;
+}
+
 int config_apply_item(config_t *config, uint64_t revision,
 		      const config_item_t *item)
 {
@@ -53,12 +67,8 @@
 	const void *value = &item->body.config_body_t_u;
 	void *found;
 
-	if (item->body.kind == CONFIG_PUT_TARGET)
-		return config_target_put(config, value, revision);
-	if (item->body.kind == CONFIG_RETIRE_TARGET) {
-		config_target_retire(config, value, item->base);
-		return 0;
-	}
+	if (type->put == CONFIG_PUT_TARGET)
+		return config_apply_target(config, revision, item);
 	if (type->put == CONFIG_PUT_COPY_RATE)
 		return config_rate_apply(config, item, revision);
 	if (type->put == CONFIG_PUT_SUSPECT)
--- a/config-rate.c
+++ b/config-rate.c
@@ -53,10 +53,15 @@
 	return 0;
 }
 
-void config_rate_drop_stale(config_t *config, const char *copy)
+void config_rate_drop_stale(config_t *config)
 {
-	const config_copy_rate_t *rate = config_rate_find(config, copy);
+	u_int i = config->copy_rates.copy_rates_len;
 
-	if (rate && !rate_is_current(config, copy, rate->started_ms))
-		config_object_remove(rate_type(), config, (void *)rate);
+	while (i-- > 0) {
+		config_copy_rate_t *rate =
+			&config->copy_rates.copy_rates_val[i];
+
+		if (!rate_is_current(config, rate->name, rate->started_ms))
+			config_object_remove(rate_type(), config, rate);
+	}
 }
--- a/config-rate.h
+++ b/config-rate.h
@@ -32,9 +32,10 @@
 		      uint64_t revision);
 
 /**
- * config_rate_drop_stale - remove the rate of a copy whose process has ended.
- * @copy: id of the copy, which has changed in @config or is no longer there
+ * config_rate_drop_stale - remove the rates of copies whose process has ended.
+ *
+ * To be called when a copy has changed in the configuration.
  */
-void config_rate_drop_stale(config_t *config, const char *copy);
+void config_rate_drop_stale(config_t *config);
 
 #endif
--- a/config-target.c
+++ b/config-target.c
@@ -1,6 +1,5 @@
 #include <string.h>
 #include "config-object.h"
-#include "config-rate.h"
 #include "config-target.h"
 
 /* Number of announcements after which a displaced copy regains its address. */
@@ -73,7 +72,6 @@
 			continue;
 		other->state = CONFIG_TARGET_DISPLACED;
 		other->revision = revision;
-		config_rate_drop_stale(config, other->name);
 	}
 }
 
@@ -86,10 +84,7 @@
 	if (!config_target_supersedes(existing, announced))
 		return 0;
 	target_displace(config, announced, revision);
-	if (config_object_put(target_type(), config, announced, revision))
-		return -1;
-	config_rate_drop_stale(config, announced->name);
-	return 0;
+	return config_object_put(target_type(), config, announced, revision);
 }
 
 void config_target_retire(config_t *config, const config_target_t *announced,
@@ -101,5 +96,4 @@
 	    config_object_revision(target_type(), existing) != base)
 		return;
 	config_object_remove(target_type(), config, existing);
-	config_rate_drop_stale(config, announced->name);
 }
--- a/entry-decide.h
+++ b/entry-decide.h
@@ -218,8 +218,10 @@
 entry_copy_t *entry_pick_fast(entry_service_t *svc, const entry_call_t *call,
 			      usec_t now);
 
-/** entry_pick_random - next pseudo-random number, 0 to @bound - 1. */
-unsigned entry_pick_random(entry_service_t *svc, unsigned bound);
+/* entry-random.c: pseudo-random numbers. */
+
+/** entry_random - next pseudo-random number, 0 to @bound - 1. */
+unsigned entry_random(entry_service_t *svc, unsigned bound);
 
 /* entry-report.c: costs and times derived from the load reports of copies. */
 
--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -220,6 +220,23 @@
 	entry_request_unref(req);
 }
 
+/* Handles the end of a send of a call that this entry could not send itself. */
+static void dispatch_handover_end(entry_request_t *req, entry_result_t result,
+				  usec_t now)
+{
+	switch (entry_handover_end(req, result, now)) {
+	case ENTRY_HANDOVER_SENT:
+		break;
+	case ENTRY_HANDOVER_RETURNED:
+		entry_dispatch_arrive(req, now);
+		entry_request_unref(req);
+		break;
+	case ENTRY_HANDOVER_ENDED:
+		dispatch_finish(req, result);
+		break;
+	}
+}
+
 void entry_dispatch_end(entry_request_t *req, entry_result_t result, usec_t now)
 {
 	entry_upstream_t *upstream = req->upstream;
@@ -231,8 +248,7 @@
 		return;
 	}
 	if (req->forward && req->handovers) {
-		if (!entry_handover_end(req, result, now))
-			dispatch_finish(req, result);
+		dispatch_handover_end(req, result, now);
 		return;
 	}
 	if (req->forward) {
--- a/entry-handover.c
+++ b/entry-handover.c
@@ -220,9 +220,9 @@
 		presence_client_trigger(req->entry->presence);
 }
 
-/* Dispatches a call here that no sibling has run, if a copy is reached. */
-static bool handover_return(entry_request_t *req, entry_result_t result,
-			    usec_t now)
+/* Whether a call that no sibling has run can be dispatched here after all. */
+static bool handover_returns(entry_request_t *req, entry_result_t result,
+			     usec_t now)
 {
 	entry_upstream_t *upstream = req->upstream;
 	bool possible;
@@ -235,15 +235,15 @@
 		   req->call.outcome == ENTRY_NOT_RUN &&
 		   !entry_reach_is_cut_off(&upstream->service);
 	pthread_mutex_unlock(&upstream->lock);
-	if (!possible || now + HANDOVER_TIME_MIN >= req->call.deadline)
-		return false;
+	return possible && now + HANDOVER_TIME_MIN < req->call.deadline;
+}
+
+static void handover_reset(entry_request_t *req)
+{
 	entry_conn_pool_unref(req->forward);
 	req->forward = NULL;
 	req->handovers = HANDOVER_TRIES_IMPAIRED;
 	entry_request_reset(req);
-	entry_dispatch_arrive(req, now);
-	entry_request_unref(req);
-	return true;
 }
 
 /* Whether a sibling did not serve a call and another one may. */
@@ -274,11 +274,12 @@
 	pthread_mutex_unlock(&req->upstream->lock);
 }
 
-bool entry_handover_end(entry_request_t *req, entry_result_t result, usec_t now)
+entry_handover_t entry_handover_end(entry_request_t *req, entry_result_t result,
+				    usec_t now)
 {
 	if (result == ENTRY_RESULT_OK || result == ENTRY_RESULT_ERROR) {
 		handover_confirm(req);
-		return false;
+		return ENTRY_HANDOVER_ENDED;
 	}
 	if (handover_is_unfit(req, result))
 		entry_forward_set_unfit(req->entry->forward,
@@ -288,6 +289,9 @@
 		handover_count_attempt(req);
 	if (handover_continues(req, result) &&
 	    handover_try(req, HANDOVER_TRIES_IMPAIRED, "sibling", now))
-		return true;
-	return handover_return(req, result, now);
+		return ENTRY_HANDOVER_SENT;
+	if (!handover_returns(req, result, now))
+		return ENTRY_HANDOVER_ENDED;
+	handover_reset(req);
+	return ENTRY_HANDOVER_RETURNED;
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -535,13 +535,16 @@
 /** entry_handover_unsent - as entry_handover_refused() for a call that could not be sent. */
 bool entry_handover_unsent(entry_request_t *req, usec_t now);
 
-/**
- * entry_handover_end - handle the end of a send to a sibling entry.
- *
- * Return: true if the call was passed to a worker again, for another sibling.
- */
-bool entry_handover_end(entry_request_t *req, entry_result_t result,
-			usec_t now);
+/** enum entry_handover_t - what follows the end of a send to a sibling. */
+typedef enum {
+	ENTRY_HANDOVER_ENDED,	 /* the call ends with this result */
+	ENTRY_HANDOVER_SENT,	 /* a worker sends it to another sibling */
+	ENTRY_HANDOVER_RETURNED, /* no sibling has run it: dispatch it here */
+} entry_handover_t;
+
+/** entry_handover_end - handle the end of a send to a sibling entry. */
+entry_handover_t entry_handover_end(entry_request_t *req, entry_result_t result,
+				    usec_t now);
 
 /**
  * entry_reach_test_run - start the tests of the copies of a service that are
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -28,15 +28,6 @@
 #define PICK_JITTER_STEPS 1000u
 #define PICK_JITTER_STEP_COST 0.0005
 
-unsigned entry_pick_random(entry_service_t *svc, unsigned bound)
-{
-	/* xorshift64* */
-	svc->random_state ^= svc->random_state >> 12;
-	svc->random_state ^= svc->random_state << 25;
-	svc->random_state ^= svc->random_state >> 27;
-	return (svc->random_state * 0x2545f4914f6cdd1dULL >> 33) % bound;
-}
-
 /* Whether a call failed at the copy and another copy can take it. */
 static bool pick_must_avoid(const entry_service_t *svc,
 			    const entry_call_t *call, const entry_copy_t *copy)
@@ -117,7 +108,7 @@
 		if (best && cost > min_cost)
 			continue;
 		ties = best && cost >= min_cost ? ties + 1 : 1;
-		if (ties > 1 && entry_pick_random(svc, ties) != 0)
+		if (ties > 1 && entry_random(svc, ties) != 0)
 			continue;
 		best = copy;
 		min_cost = cost;
@@ -170,7 +161,7 @@
 		/* Jitter spreads probes over copies without recent reports. */
 		cost = entry_report_cost(svc, copy, now) +
 		       PICK_JITTER_STEP_COST *
-			       entry_pick_random(svc, PICK_JITTER_STEPS);
+			       entry_random(svc, PICK_JITTER_STEPS);
 		count = pick_insert(out, costs, count, max, copy, cost);
 	}
 	for (i = 0; i < count; i++)
@@ -403,7 +394,7 @@
 {
 	unsigned count = pick_count_serving(svc);
 
-	return count ? pick_nth(svc, entry_pick_random(svc, count)) : NULL;
+	return count ? pick_nth(svc, entry_random(svc, count)) : NULL;
 }
 
 static entry_copy_t *pick_least_outstanding(entry_service_t *svc)
@@ -418,7 +409,7 @@
 		if (best && copy->outstanding > best->outstanding)
 			continue;
 		if (best && copy->outstanding == best->outstanding &&
-		    entry_pick_random(svc, ++ties + 1) != 0)
+		    entry_random(svc, ++ties + 1) != 0)
 			continue;
 		if (!best || copy->outstanding < best->outstanding)
 			ties = 0;
@@ -435,8 +426,8 @@
 
 	if (count == 0)
 		return -1;
-	first = entry_pick_random(svc, count);
-	second = count > 1 ? entry_pick_random(svc, count - 1) : first;
+	first = entry_random(svc, count);
+	second = count > 1 ? entry_random(svc, count - 1) : first;
 	if (count > 1 && second >= first)
 		second++;
 	two[0] = pick_nth(svc, first);
--- a/entry-rate.c
+++ b/entry-rate.c
@@ -73,7 +73,7 @@
 	if (interval == USEC_NEVER)
 		return;
 	if (!svc->coordinated)
-		spread = (usec_t)entry_pick_random(
+		spread = (usec_t)entry_random(
 			svc, (unsigned)(interval % UINT32_MAX) + 1);
 	copy->rate.due = now + RATE_BURST * interval + spread;
 }
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -136,9 +136,8 @@
 		delay *= 2;
 	if (delay > REACH_RETRY_MAX)
 		delay = REACH_RETRY_MAX;
-	return delay +
-	       (usec_t)entry_pick_random(svc, (unsigned)(REACH_JITTER *
-							 (double)delay));
+	return delay + (usec_t)entry_random(svc, (unsigned)(REACH_JITTER *
+							    (double)delay));
 }
 
 /* Test the other unreachable copies at once, as paths seem to be back. */
--- a/entry-service.c
+++ b/entry-service.c
@@ -277,7 +277,7 @@
 static entry_decision_t service_refuse_unreachable(entry_service_t *svc)
 {
 	usec_t jitter = (usec_t)
-		entry_pick_random(svc, (unsigned)SERVICE_RETRY_AFTER_DEFAULT);
+		entry_random(svc, (unsigned)SERVICE_RETRY_AFTER_DEFAULT);
 
 	return service_refuse(ENTRY_REFUSE_UNREACHABLE,
 			      SERVICE_RETRY_AFTER_DEFAULT / 2 + jitter);
@@ -357,7 +357,7 @@
 	usec_t max_jitter = SERVICE_REST_JITTER_MIN +
 			    (usec_t)(SERVICE_REST_JITTER * (double)wait);
 
-	return wait + (usec_t)entry_pick_random(svc, (unsigned)max_jitter);
+	return wait + (usec_t)entry_random(svc, (unsigned)max_jitter);
 }
 
 /* Return the expected time until half of the queue is served. */
@@ -454,7 +454,7 @@
 	usec_t max_jitter = call->objective / 2;
 
 	return max_jitter / 2 +
-	       (usec_t)entry_pick_random(svc, (unsigned)max_jitter + 1);
+	       (usec_t)entry_random(svc, (unsigned)max_jitter + 1);
 }
 
 usec_t entry_service_retry_after(entry_service_t *svc, const entry_call_t *call,
@@ -467,8 +467,7 @@
 	if (svc->policy != ENTRY_POLICY_REPORTS || !call->objective)
 		return SERVICE_RETRY_AFTER_DEFAULT;
 	if (service_has_room(svc, now))
-		return (usec_t)entry_pick_random(svc,
-						 SERVICE_RETRY_FREE_SLOT_MAX);
+		return (usec_t)entry_random(svc, SERVICE_RETRY_FREE_SLOT_MAX);
 	return service_slot_wait(svc, call);
 }
 
