Correct the head of returned calls and when siblings are asked

- A call that came back from siblings was then sent to a copy with the headers for an entry and without the id of the copy.
The stand-in copy now records such heads, and the three scripts count them.
- An entry stayed impaired, and went on asking for the entries of all zones, if the copies that it did not reach left the configuration: no test ended then.
State that depends on reachability is now updated each second; entries of all zones are asked for only while it is impaired.
- A copy that closes new connections, as it has too many, was taken for one that is not reached.
A test now asks for an open connection, not for a response. test-entry-prober (reached): refused and dropped segments are told from a reset.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -247,7 +247,7 @@
 		entry_hedge_end(req, result, now);
 		return;
 	}
-	if (req->forward && req->handovers) {
+	if (entry_handover_is_active(req)) {
 		dispatch_handover_end(req, result, now);
 		return;
 	}
--- a/entry-handover.c
+++ b/entry-handover.c
@@ -24,6 +24,11 @@
 /* Time that must remain until the deadline of a call. */
 #define HANDOVER_TIME_MIN (20 * USEC_PER_MS)
 
+bool entry_handover_is_active(const entry_request_t *req)
+{
+	return req->forward && req->handovers;
+}
+
 /* Whether no copy has begun to run a call, or it may run again. The caller holds
    upstream->lock. */
 static bool handover_is_safe(const entry_request_t *req)
@@ -59,8 +64,9 @@
 }
 
 /* Returns the pool of a random sibling that is not known to be unfit, or NULL.
-   If there is none, the keepers are asked for the entries of all zones. */
-static entry_conn_pool_t *handover_choose(entry_t *entry, usec_t now)
+   With @all_zones the keepers are then asked for the entries of all zones. */
+static entry_conn_pool_t *handover_choose(entry_t *entry, bool all_zones,
+					  usec_t now)
 {
 	presence_peers_list_t peers;
 	const char *fit[PRESENCE_PEERS_MAX];
@@ -73,10 +79,10 @@
 		    entry_forward_is_fit(entry->forward, peers.addresses[i],
 					 now))
 			fit[count++] = peers.addresses[i];
-	if (!count) {
+	if (!count && all_zones)
 		presence_client_ask_all_zones(entry->presence, true);
+	if (!count)
 		return NULL;
-	}
 	i = (unsigned)g_random_int_range(0, (gint32)count);
 	return entry_forward_pool(entry->forward, fit[i]);
 }
@@ -89,7 +95,8 @@
 
 	if (!handover_allowed(req, tries, now))
 		return false;
-	pool = handover_choose(req->entry, now);
+	pool = handover_choose(req->entry, tries == HANDOVER_TRIES_IMPAIRED,
+			       now);
 	if (!pool)
 		return false;
 	if (req->forward)
--- a/entry-io.h
+++ b/entry-io.h
@@ -532,9 +532,12 @@
  */
 bool entry_handover_waiting(entry_request_t *req, usec_t now);
 
-/** entry_handover_unsent - as entry_handover_refused() for a call that could not be sent. */
+/** entry_handover_unsent - as entry_handover_refused(), for a call not sent. */
 bool entry_handover_unsent(entry_request_t *req, usec_t now);
 
+/** entry_handover_is_active - whether a call is being sent to a sibling. */
+bool entry_handover_is_active(const entry_request_t *req);
+
 /** enum entry_handover_t - what follows the end of a send to a sibling. */
 typedef enum {
 	ENTRY_HANDOVER_ENDED,	 /* the call ends with this result */
@@ -554,6 +557,14 @@
  */
 usec_t entry_reach_test_run(entry_upstream_t *upstream, usec_t now);
 
+/**
+ * entry_reach_test_sweep - update what depends on reachability after a change of
+ * the copies.
+ *
+ * To be called about once a second.
+ */
+void entry_reach_test_sweep(entry_t *entry);
+
 /**
  * entry_reach_test_siblings_reach - whether siblings reach copies of a service
  * that this entry does not reach.
--- a/entry-prober.c
+++ b/entry-prober.c
@@ -181,6 +181,18 @@
 		query->prober->on_state(&probe);
 }
 
+/* Whether a query has reached the copy. A copy that closes a new connection, as it
+   has too many, is reached. */
+static bool query_reached(const prober_query_t *query)
+{
+	curl_off_t connect_time = 0;
+
+	if (query->easy)
+		curl_easy_getinfo(query->easy, CURLINFO_CONNECT_TIME_T,
+				  &connect_time);
+	return connect_time > 0 || query->bytes > 0;
+}
+
 /* Stores the result of a query and wakes its worker. */
 static void query_end(prober_query_t *query, bool complete)
 {
@@ -190,7 +202,7 @@
 	if (complete && !query->other_copy)
 		query_report_state(query);
 	if (batch->on_end)
-		batch->on_end(probe, query->bytes > 0);
+		batch->on_end(probe, query_reached(query));
 	pthread_mutex_lock(&batch->lock);
 	probe->state = query_answered(query, complete) ? ENTRY_PROBE_ANSWERED :
 							 ENTRY_PROBE_FAILED;
--- a/entry-prober.h
+++ b/entry-prober.h
@@ -73,12 +73,12 @@
 /**
  * entry_prober_end_t - called at the end of a test, by the thread of the prober.
  * @probe: the probe, with its context
- * @reached: the copy sent a response
+ * @reached: a connection to the copy could be opened
  */
 typedef void (*entry_prober_end_t)(const entry_probe_t *probe, bool reached);
 
 /**
- * entry_prober_test - test whether a copy responds over a new connection.
+ * entry_prober_test - test whether a copy is reached over a new connection.
  * @path: path of the request
  * @probe: address, name and context are set by the caller
  * @on_end: called once
--- a/entry-reach-test.c
+++ b/entry-reach-test.c
@@ -15,12 +15,12 @@
 #define REACH_TESTS_RUNNING_MAX 64
 #define REACH_TESTS_DELAY (20 * USEC_PER_MS)
 
-/* State of a service after a test, for the log. */
+/* State of a service after a test. */
 typedef struct {
 	bool changed; /* of the copy */
 	bool cut_off;
 	bool cut_off_changed;
-	bool recovered; /* few or no copies are unreachable any more */
+	bool impaired;
 	unsigned unreachable;
 	unsigned total;
 } reach_change_t;
@@ -65,9 +65,8 @@
 	change->cut_off = entry_reach_is_cut_off(&upstream->service);
 	change->cut_off_changed = change->cut_off != upstream->cut_off;
 	upstream->cut_off = change->cut_off;
-	change->recovered = change->changed &&
-			    !entry_reach_is_impaired(&upstream->service);
-	if (change->recovered)
+	change->impaired = entry_reach_is_impaired(&upstream->service);
+	if (!change->impaired)
 		upstream->siblings_reach = false;
 }
 
@@ -89,8 +88,6 @@
 	reach_test_log(upstream, probe->copy, reached, &change);
 	if (change.cut_off_changed && change.cut_off)
 		reach_test_others(upstream->entry, now);
-	if (change.recovered)
-		presence_client_ask_all_zones(upstream->entry->presence, false);
 	entry_tick_schedule_soon(upstream->entry, now);
 }
 
@@ -156,6 +153,26 @@
 	return due > now ? due : now + REACH_TESTS_DELAY;
 }
 
+void entry_reach_test_sweep(entry_t *entry)
+{
+	entry_upstream_t *upstream = NULL;
+	bool impaired = false;
+
+	if (!entry->presence)
+		return;
+	while ((upstream = entry_upstream_next(entry, upstream))) {
+		reach_change_t change = { 0 };
+
+		pthread_mutex_lock(&upstream->lock);
+		reach_test_update(upstream, &change);
+		pthread_mutex_unlock(&upstream->lock);
+		reach_test_log(upstream, "", false, &change);
+		impaired = impaired || change.impaired;
+	}
+	if (!impaired)
+		presence_client_ask_all_zones(entry->presence, false);
+}
+
 bool entry_reach_test_siblings_reach(entry_t *entry)
 {
 	entry_upstream_t *upstream = NULL;
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -362,7 +362,7 @@
 		 names->deadline_ms,
 		 (time_left + USEC_PER_MS - 1) / USEC_PER_MS);
 	list = relay_push(head, 0, head->deadline, req->headers);
-	if (req->handovers)
+	if (entry_handover_is_active(req))
 		return relay_head_handover(req, head, list);
 	return names->native ? relay_head_native(req, head, list) :
 			       relay_head_interface(req, head, list);
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -214,6 +214,7 @@
 			entry_read_timeout_sweep(entry->read_timeout, now);
 			tick_sweep_connections(entry, now);
 			entry_crash_tick(entry, now);
+			entry_reach_test_sweep(entry);
 			limits_due = now + TICK_LIMITS_INTERVAL;
 		}
 		due = tick_earlier(tick_all(entry, now), limits_due);
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -205,7 +205,8 @@
 		return false;
 	/* A sibling entry may make a response itself. */
 	return !names->signature || transfer->has_signature ||
-	       (transfer->req->handovers && transfer->has_outcome);
+	       (entry_handover_is_active(transfer->req) &&
+		transfer->has_outcome);
 }
 
 /* Whether the reason of a refusal concerns the sibling entry only, so that
@@ -234,11 +235,11 @@
 	if (transfer->req->handed_over &&
 	    transfer_name_is(line, length, "Hemlock-Offer"))
 		transfer->req->credits_offered = transfer_parse_offer(value);
-	if (transfer->req->handovers &&
+	if (entry_handover_is_active(transfer->req) &&
 	    transfer_name_is(line, length, "Hemlock-Reason"))
 		transfer->req->sibling_unfit = transfer_is_unfit(value,
 								 value_length);
-	if (transfer->req->handovers &&
+	if (entry_handover_is_active(transfer->req) &&
 	    transfer_name_is(line, length, "Hemlock-Impaired"))
 		transfer->req->sibling_impaired = true;
 	if (!transfer_name_is(line, length, "Hemlock-Outcome"))
--- a/entry.h
+++ b/entry.h
@@ -633,7 +633,7 @@
 
 /**
  * entry_reach_on_test - handle the end of a test.
- * @reached: the copy responded
+ * @reached: a connection to the copy could be opened
  *
  * Return: true if the copy became unreachable or reachable.
  */
--- a/regress/routed-cut-lib.sh
+++ b/regress/routed-cut-lib.sh
@@ -136,7 +136,8 @@
 
 # cut_summary: print how many calls of the run broke a promise of their response.
 cut_summary () {
-	echo "# calls that ran twice, and refused calls that ran"
+	echo "# calls with the head of a hand-over, calls that ran twice, refused calls that ran"
+	count_calls 'result=wrong-head'
 	grep 'url=/once/' "$DIR/calls" | grep -o 'call=[^ ]*' | sort | uniq -d | wc -l
 	grep ' 503$' "$DIR/all-statuses" | while read -r id status
 	do
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -393,6 +393,9 @@
 		record_call(conn, "misdirected");
 		return send_response(conn, "421 Misdirected", "", "");
 	}
+	head_value(conn, "Hemlock-Hop", text, sizeof(text));
+	if (strcmp(text, "-") || !strcmp(expected, "-"))
+		record_call(conn, "wrong-head");
 	if (serve_endless(conn))
 		return false;
 	if (serve_early(conn, &keep))
--- a/regress/test-entry-prober.c
+++ b/regress/test-entry-prober.c
@@ -2,10 +2,13 @@
 #include <curl/curl.h>
 #include <dlfcn.h>
 #include <glib.h>
+#include <linux/filter.h>
 #include <microhttpd.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include "entry-prober.h"
 
 /*
@@ -255,6 +258,101 @@
 	fixture_stop(&fixture);
 }
 
+/* How a stand-in treats new connections. */
+typedef enum {
+	LISTENER_REFUSES, /* its port is closed */
+	LISTENER_RESETS,  /* it resets each connection */
+	LISTENER_DROPS,	  /* it drops the segments of new connections */
+} listener_t;
+
+/* Opens a socket on a free port of @address; fills in the port. */
+static int listener_open(listener_t kind, uint16_t *port)
+{
+	const struct sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+	const struct sock_fprog program = { 1,
+					    (struct sock_filter *)&drop_all };
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==, 0);
+	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &size), ==,
+			0);
+	*port = ntohs(address.sin_port);
+	if (kind == LISTENER_DROPS)
+		setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+			   sizeof(program));
+	if (kind != LISTENER_REFUSES)
+		g_assert_cmpint(listen(fd, 8), ==, 0);
+	return fd;
+}
+
+static void *reset_connection(void *context)
+{
+	const struct linger now = { 1, 0 };
+	int fd = accept(GPOINTER_TO_INT(context), NULL, NULL);
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	close(fd);
+	return NULL;
+}
+
+static int tests_ended;
+static int tests_reached;
+
+static void on_test_end(const entry_probe_t *probe, bool reached)
+{
+	(void)probe;
+	g_atomic_int_add(&tests_reached, reached);
+	g_atomic_int_inc(&tests_ended);
+}
+
+/* Only a path that is lost may count as such: neither a lost one nor a copy that
+   has too many connections may be taken for the other. */
+static void test_reached(void)
+{
+	static const struct {
+		listener_t kind;
+		bool reached;
+	} rows[] = {
+		{ LISTENER_REFUSES, false },
+		{ LISTENER_RESETS, true },
+		{ LISTENER_DROPS, false },
+	};
+	fixture_t fixture;
+	unsigned i;
+
+	fixture_start(&fixture);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		entry_probe_t probe = { .copy = COPY };
+		GThread *thread = NULL;
+		uint16_t port;
+		int fd = listener_open(rows[i].kind, &port);
+		int polls = 0;
+
+		g_atomic_int_set(&tests_ended, 0);
+		g_atomic_int_set(&tests_reached, 0);
+		g_snprintf(probe.address, sizeof(probe.address), "127.0.0.1:%u",
+			   port);
+		if (rows[i].kind == LISTENER_RESETS)
+			thread = g_thread_new("reset", reset_connection,
+					      GINT_TO_POINTER(fd));
+		g_assert_cmpint(entry_prober_test(fixture.prober, "/", &probe,
+						  on_test_end),
+				==, 0);
+		while (!g_atomic_int_get(&tests_ended) && polls++ < 300)
+			g_usleep(10 * USEC_PER_MS);
+		g_assert_cmpint(g_atomic_int_get(&tests_ended), ==, 1);
+		g_assert_cmpint(g_atomic_int_get(&tests_reached), ==,
+				rows[i].reached);
+		if (thread)
+			g_thread_join(thread);
+		close(fd);
+	}
+	fixture_stop(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	struct MHD_Daemon *server;
@@ -268,6 +366,7 @@
 	g_test_add_func("/entry-prober/many-queries", test_many_queries);
 	g_test_add_func("/entry-prober/state", test_state);
 	g_test_add_func("/entry-prober/late-response", test_late_response);
+	g_test_add_func("/entry-prober/reached", test_reached);
 	rc = g_test_run();
 	MHD_stop_daemon(server);
 	return rc;
