--- a/entry-service.c
+++ b/entry-service.c
@@ -19,6 +19,10 @@
    of the wait. */
 #define SERVICE_REST_JITTER_MIN (100 * USEC_PER_MS)
 #define SERVICE_REST_JITTER 0.25
+/* Wait suggested while this entry reaches no copy: a minimum, and its jitter.
+   The caller can use another entry at once. */
+#define SERVICE_UNREACHABLE_WAIT (100 * USEC_PER_MS)
+#define SERVICE_UNREACHABLE_JITTER (200 * USEC_PER_MS)
 /* Max number of waiting calls skipped to find one that a copy can take. */
 #define SERVICE_SKIP_MAX 4
 
@@ -277,10 +281,10 @@
 static entry_decision_t service_refuse_unreachable(entry_service_t *svc)
 {
 	usec_t jitter = (usec_t)
-		entry_random(svc, (unsigned)SERVICE_RETRY_AFTER_DEFAULT);
+		entry_random(svc, (unsigned)SERVICE_UNREACHABLE_JITTER);
 
 	return service_refuse(ENTRY_REFUSE_UNREACHABLE,
-			      SERVICE_RETRY_AFTER_DEFAULT / 2 + jitter);
+			      SERVICE_UNREACHABLE_WAIT + jitter);
 }
 
 /* Choose a copy for a call that must not use reserved credits. */
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -43,8 +43,8 @@
 	  "not set, only keepers answer them" },
 	{ "entry", "connect_from", SETTING_IP, FIELD(connect_from), false, NULL,
 	  0, 0,
-	  "IP address that connections to copies come from; the system chooses "
-	  "one if it is not set" },
+	  "IP address that calls and probes are sent from; the system chooses "
+	  "one if it is not set; needs spares = 0" },
 	{ "entry", "connect_ms", SETTING_INTEGER, FIELD(connect_ms), false,
 	  "1000", 10, 60000, "milliseconds until a connect to a copy fails" },
 	{ "entry", "spares", SETTING_INTEGER, FIELD(spares), false, "4", 0,
@@ -171,6 +171,12 @@
 				    "%s",
 				    path, settings->interface,
 				    headers_interface_names());
+	if (*settings->connect_from && settings->spares)
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s: entry.connect_from does not apply to "
+				    "connections opened in advance; set "
+				    "entry.spares = 0",
+				    path);
 	if (settings->routed && !settings->follow.keepers.count)
 		return hl_error_set(err, HL_ERR_SETTINGS,
 				    "%s: entry.routed needs keepers; set "
