--- a/entry-handover.c
+++ b/entry-handover.c
@@ -5,8 +5,8 @@
 /*
  * Hand-over of calls to sibling entries with entry.routed: a call that this
  * entry cannot send to any copy is relayed by an entry that may reach one. A
- * sibling does not hand it over again; one that cannot serve it says so at once,
- * and then another one is tried.
+ * sibling does not hand it over again; one that cannot serve it refuses it at
+ * once, and then another one is tried.
  *
  * An entry is impaired for a service if it lacks paths to many of its copies,
  * see entry-reach.c.
