Tell siblings the outcome of each refusal

Found while reading the diff: a sibling that refused a call before it had verified who sent it (older routes, no routes yet, a body that is too large) did not say that the call had not run. Its caller was told 502, may have run, and no other sibling was tried. The header of the sender is verified first now; its tag is made over the part that it names.

An entry counts another one as better off only after an answer of a copy, not after that entry's own error. A service without a path for health checks wakes the timer thread no more than before.

--- a/entry-handover.c
+++ b/entry-handover.c
@@ -284,10 +284,10 @@
 entry_handover_t entry_handover_end(entry_request_t *req, entry_result_t result,
 				    usec_t now)
 {
-	if (result == ENTRY_RESULT_OK || result == ENTRY_RESULT_ERROR) {
+	if (result == ENTRY_RESULT_OK)
 		handover_confirm(req);
+	if (result == ENTRY_RESULT_OK || result == ENTRY_RESULT_ERROR)
 		return ENTRY_HANDOVER_ENDED;
-	}
 	if (handover_is_unfit(req, result))
 		entry_forward_set_unfit(req->entry->forward,
 					req->forward->address,
--- a/entry-head.c
+++ b/entry-head.c
@@ -469,12 +469,25 @@
 		return head_refuse(req, HTTP_UNAVAILABLE, "revision");
 	if (head_route_part(req, head->part))
 		return -1;
-	if (!head_read_hop(head))
-		return head_refuse(req, HTTP_FORBIDDEN, "hop");
 	req->call.from_sibling = true;
 	return 0;
 }
 
+/* Verifies the headers of a call that a sibling hands over with entry.routed. The
+   response tells the sibling the outcome, so this comes before any refusal. */
+static int head_check_handover(const head_t *head)
+{
+	entry_request_t *req = head->req;
+
+	if (!req->entry->settings.routed || !head->hop)
+		return 0;
+	if (keys_hop_read(req->entry->keys, head->hop,
+			  head->part ? head->part : "",
+			  g_get_real_time() / USEC_PER_MS, req->forwarded_by))
+		return 0;
+	return head_refuse(req, HTTP_FORBIDDEN, "hop");
+}
+
 /* Finds the upstream of a call, and its deadline. */
 static int head_route(head_t *head)
 {
@@ -526,6 +539,8 @@
 	bad = head_check(&head);
 	if (bad)
 		return head_refuse(req, HTTP_BAD_REQUEST, "request");
+	if (head_check_handover(&head))
+		return -1;
 	if (head_store_for_match(&head))
 		return head_refuse(req, HTTP_UNAVAILABLE, "memory");
 	if (head_config_missing(req->entry)) {
--- a/entry-reach-test.c
+++ b/entry-reach-test.c
@@ -141,14 +141,15 @@
 
 usec_t entry_reach_test_run(entry_upstream_t *upstream, usec_t now)
 {
-	usec_t due;
+	usec_t due = INT64_MAX;
 
 	if (!upstream->entry->prober)
 		return INT64_MAX;
 	while (reach_test_start(upstream, now))
 		;
 	pthread_mutex_lock(&upstream->lock);
-	due = entry_reach_test_due(&upstream->service);
+	if (*upstream->health_path)
+		due = entry_reach_test_due(&upstream->service);
 	pthread_mutex_unlock(&upstream->lock);
 	return due > now ? due : now + REACH_TESTS_DELAY;
 }
