Count the copies with failed tests in one place

entry_reach_count() and entry_reach_is_impaired() had the same loop. A copy is unreachable exactly from REACH_FAILURES_MIN failed tests in a row on, so one count with a limit serves both; behaviour stays.

Seen by duplicates. test-entry-reach (7 of 7), routed-cut and routed-cut-part pass.

--- a/entry-reach.c
+++ b/entry-reach.c
@@ -39,6 +39,26 @@
 	return copy->reach.testing || copy->reach.test_at;
 }
 
+/* Return the number of copies of which at least @failures tests have failed in a
+   row; set @total, unless it is NULL, to the number of copies that count. */
+static unsigned reach_count_failing(const entry_service_t *svc,
+				    unsigned failures, unsigned *total)
+{
+	const entry_copy_t *copy = NULL;
+	unsigned failing = 0;
+	unsigned count = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link) {
+		if (!reach_counts(copy))
+			continue;
+		count++;
+		failing += copy->reach.failures >= failures;
+	}
+	if (total)
+		*total = count;
+	return failing;
+}
+
 void entry_reach_doubt(entry_copy_t *copy, usec_t now)
 {
 	usec_t due = copy->reach.tested_at + REACH_INTERVAL_MIN;
@@ -194,19 +214,7 @@
 
 unsigned entry_reach_count(const entry_service_t *svc, unsigned *total)
 {
-	const entry_copy_t *copy = NULL;
-	unsigned unreachable = 0;
-	unsigned count = 0;
-
-	cds_list_for_each_entry (copy, &svc->copies, link) {
-		if (!reach_counts(copy))
-			continue;
-		count++;
-		unreachable += copy->reach.unreachable;
-	}
-	if (total)
-		*total = count;
-	return unreachable;
+	return reach_count_failing(svc, REACH_FAILURES_MIN, total);
 }
 
 bool entry_reach_is_cut_off(const entry_service_t *svc)
@@ -225,15 +233,8 @@
    one of many copies. */
 bool entry_reach_is_impaired(const entry_service_t *svc)
 {
-	const entry_copy_t *copy = NULL;
-	unsigned failing = 0;
-	unsigned total = 0;
+	unsigned total;
+	unsigned failing = reach_count_failing(svc, 1, &total);
 
-	cds_list_for_each_entry (copy, &svc->copies, link) {
-		if (!reach_counts(copy))
-			continue;
-		total++;
-		failing += copy->reach.failures > 0;
-	}
 	return failing > 0 && 2 * failing >= total;
 }
