--- a/entry-forward.c
+++ b/entry-forward.c
@@ -49,7 +49,7 @@
 	free(forward);
 }
 
-/* Returns the entry of an address and adds it if it is missing; NULL if out of
+/* Returns the peer at an address and adds it if it is missing; NULL if out of
    memory. The caller holds forward->lock. */
 static forward_peer_t *forward_find(entry_forward_t *forward,
 				    const char *address)
