Learn how long probes take before a copy is doubted

A probe without a response after 40 ms was taken for a lost path, but a quarter of the probes took more than 51 ms, a tenth 202 ms, as VMs of a tenth of a core and links of 3.4 Mbit/s were busy with the bodies of uploads; and a response after 40 ms was thrown away.

The limit is now learned from the responses (mean and deviation, as TCP learns its retransmission timeout), doubled by timeouts; only a probe that fails at that limit raises a doubt. Late responses count. How long a round waits follows from the same estimate and a fifth of the objective. The constants of 12 ms and 40 ms are gone.

--- a/entry-io.h
+++ b/entry-io.h
@@ -865,6 +865,9 @@
  */
 void entry_probe_on_state(const entry_probe_t *probe);
 
+/** entry_probe_on_late - record a probe that no worker waits for any more. */
+void entry_probe_on_late(const entry_probe_t *probe);
+
 /** struct entry_crashes_t - the suspected calls of an entry, with a lock. */
 typedef struct entry_crashes entry_crashes_t;
 
--- a/entry-main.c
+++ b/entry-main.c
@@ -160,6 +160,7 @@
 		entry->prober = entry_prober_new(settings->headers,
 						 settings->connect_from,
 						 entry_probe_on_state,
+						 entry_probe_on_late,
 						 entry->metrics, err);
 		if (!entry->prober)
 			return -1;
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -157,15 +157,10 @@
 #define PROBE_REPORT_MAX_AGE (30 * USEC_PER_MS)
 /* Interval between further rounds while no copy is good enough for the call. */
 #define PROBE_RETRY_INTERVAL (50 * USEC_PER_MS)
-/* Time from the start of a round after which one acceptable report ends the
-   round. On an idle machine the response to a probe takes at most this long. */
-#define PROBE_EARLY_WAIT (12 * USEC_PER_MS)
-/* Maximum wait for the responses of a round. */
-#define PROBE_MAX_WAIT (40 * USEC_PER_MS)
+/* Maximum wait for the responses of a round, as a fraction of the objective. */
+#define PROBE_WAIT_FRACTION 0.2
 /* Maximum slowness, in percent, of an acceptable copy with a free slot. */
 #define PROBE_SLOWNESS_ACCEPTABLE 150u
-/* Slowness, in percent, assumed for a copy that did not respond in time. */
-#define PROBE_SLOWNESS_TIMEOUT 1000u
 
 static bool probe_is_acceptable(const load_t *load)
 {
@@ -231,37 +226,70 @@
 				      probe->millirate);
 }
 
+/* Stores the result of one probe in the state of the service. */
+static void probe_record_one(entry_service_t *svc, entry_copy_t *copy,
+			     const entry_probe_t *probe, usec_t now)
+{
+	switch (probe->state) {
+	case ENTRY_PROBE_PENDING:
+		entry_service_on_probe_pending(copy, now);
+		break;
+	case ENTRY_PROBE_FAILED:
+		entry_service_on_probe_failed(copy, now);
+		break;
+	case ENTRY_PROBE_ANSWERED:
+		entry_service_on_report(svc, copy, &probe->load, now);
+		break;
+	}
+}
+
 /* Stores the reports of the copies in the state of the service. */
 static void probe_record(entry_upstream_t *upstream,
 			 const entry_probe_t *probes, unsigned count,
 			 usec_t now)
 {
-	const load_t no_answer = { .slowness = PROBE_SLOWNESS_TIMEOUT };
 	usec_t test_due;
 	unsigned i;
 
 	pthread_mutex_lock(&upstream->lock);
 	for (i = 0; i < count; i++) {
-		bool answered = probes[i].state == ENTRY_PROBE_ANSWERED;
-		const load_t *load = answered ? &probes[i].load : &no_answer;
 		entry_copy_t *copy;
 
 		copy = entry_service_copy_find(&upstream->service,
 					       probes[i].copy);
 		if (copy)
-			entry_service_on_report(&upstream->service, copy, load,
-						answered, now);
+			probe_record_one(&upstream->service, copy, &probes[i],
+					 now);
 	}
 	test_due = entry_reach_test_due(&upstream->service);
 	pthread_mutex_unlock(&upstream->lock);
 	entry_tick_schedule(upstream->entry, test_due);
 }
 
+void entry_probe_on_late(const entry_probe_t *probe)
+{
+	probe_record(probe->context, probe, 1, time_now());
+}
+
+/* Returns how long to wait for the responses of one round. */
+static entry_probe_wait_t probe_wait_limits(const entry_request_t *req)
+{
+	entry_probe_wait_t wait = entry_prober_wait(req->entry->prober);
+	usec_t max = (usec_t)(PROBE_WAIT_FRACTION *
+			      (double)req->call.objective);
+
+	if (max && max < wait.max)
+		wait.max = max;
+	if (wait.early > wait.max)
+		wait.early = wait.max;
+	return wait;
+}
+
 /* Probes one round of copies, if there are copies without a recent report. */
 static void probe_round(entry_request_t *req, bool same_zone, bool in_subset,
 			usec_t fresh_since)
 {
-	const entry_probe_wait_t wait = { PROBE_MAX_WAIT, PROBE_EARLY_WAIT };
+	const entry_probe_wait_t wait = probe_wait_limits(req);
 	entry_probe_t probes[PROBE_BATCH_SIZE];
 	entry_upstream_t *upstream = req->upstream;
 	char path[HL_MESSAGE_MAX];
--- a/entry-prober.c
+++ b/entry-prober.c
@@ -4,12 +4,13 @@
 #include <stdlib.h>
 #include <string.h>
 #include <urcu/list.h>
+#include "entry-probe-time.h"
 #include "entry-prober.h"
 #include "entry.h"
 #include "http-status.h"
 
-/* Timeout of a query. */
-#define PROBER_TIMEOUT_MS 400L
+/* Timeout of a test. */
+#define PROBER_TEST_TIMEOUT_MS 400L
 #define PROBER_CONNECT_MS 200L
 /* Maximum number of idle connections. */
 #define PROBER_CONNECTIONS 256L
@@ -28,6 +29,7 @@
 	unsigned refs;
 	unsigned unanswered; /* queries that have not ended */
 	bool satisfied;
+	bool abandoned; /* its worker waits no longer */
 	bool (*satisfies)(const load_t *load);
 	entry_prober_end_t on_end; /* set for a test, else NULL */
 	entry_probe_t probes[ENTRY_PROBES_MAX];
@@ -55,9 +57,11 @@
 	const headers_t *headers;
 	const char *connect_from; /* source address; "": the system's choice */
 	entry_prober_state_t on_state;
+	entry_prober_late_t on_late;
 	CURLM *multi;
-	pthread_mutex_t lock; /* guards queued */
+	pthread_mutex_t lock; /* guards queued and time */
 	struct cds_list_head queued;
+	entry_probe_time_t time;
 	/* Used by the thread only. */
 	struct cds_list_head running;
 	CURL *idle[PROBER_IDLE_MAX];
@@ -200,11 +204,29 @@
 	       connect_errno == ECONNRESET;
 }
 
+/* Learns from the time that a query took, unless it failed for another reason. */
+static void query_record_time(prober_query_t *query, bool complete,
+			      bool timed_out)
+{
+	entry_prober_t *prober = query->prober;
+	usec_t took = time_now() - query->batch->probes[query->index].sent;
+
+	if (query->batch->on_end || (!complete && !timed_out))
+		return;
+	pthread_mutex_lock(&prober->lock);
+	if (complete)
+		entry_probe_time_add(&prober->time, took);
+	else
+		entry_probe_time_add_timeout(&prober->time);
+	pthread_mutex_unlock(&prober->lock);
+}
+
 /* Stores the result of a query and wakes its worker. */
 static void query_end(prober_query_t *query, bool complete)
 {
 	prober_batch_t *batch = query->batch;
 	entry_probe_t *probe = &batch->probes[query->index];
+	bool late;
 
 	if (complete && !query->other_copy)
 		query_report_state(query);
@@ -218,8 +240,11 @@
 	if (probe->state == ENTRY_PROBE_ANSWERED && batch->satisfies &&
 	    batch->satisfies(&query->load))
 		batch->satisfied = true;
+	late = batch->abandoned;
 	pthread_cond_signal(&batch->changed);
 	pthread_mutex_unlock(&batch->lock);
+	if (late && query->prober->on_late)
+		query->prober->on_late(probe);
 	if (probe->state == ENTRY_PROBE_FAILED)
 		metrics_add(query->prober->failed, 1);
 	batch_unref(batch);
@@ -240,6 +265,26 @@
 	return curl_easy_init();
 }
 
+entry_probe_wait_t entry_prober_wait(entry_prober_t *prober)
+{
+	entry_probe_wait_t wait;
+
+	pthread_mutex_lock(&prober->lock);
+	wait.max = entry_probe_time_limit(&prober->time);
+	wait.early = entry_probe_time_usual(&prober->time);
+	pthread_mutex_unlock(&prober->lock);
+	return wait;
+}
+
+/* Returns the timeout of a query in milliseconds. */
+static long prober_timeout_ms(entry_prober_t *prober,
+			      const prober_query_t *query)
+{
+	if (query->batch->on_end)
+		return PROBER_TEST_TIMEOUT_MS;
+	return (long)(entry_prober_wait(prober).max / USEC_PER_MS);
+}
+
 static void prober_start(entry_prober_t *prober, prober_query_t *query)
 {
 	query->easy = prober_get_handle(prober);
@@ -255,7 +300,8 @@
 	curl_easy_setopt(query->easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(query->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 PROBER_CONNECT_MS);
-	curl_easy_setopt(query->easy, CURLOPT_TIMEOUT_MS, PROBER_TIMEOUT_MS);
+	curl_easy_setopt(query->easy, CURLOPT_TIMEOUT_MS,
+			 prober_timeout_ms(prober, query));
 	if (*prober->connect_from)
 		curl_easy_setopt(query->easy, CURLOPT_INTERFACE,
 				 prober->connect_from);
@@ -288,8 +334,11 @@
 }
 
 static void prober_finish(entry_prober_t *prober, prober_query_t *query,
-			  bool complete)
+			  CURLcode code)
 {
+	bool complete = code == CURLE_OK;
+
+	query_record_time(query, complete, code == CURLE_OPERATION_TIMEDOUT);
 	curl_multi_remove_handle(prober->multi, query->easy);
 	cds_list_del(&query->link);
 	query_end(query, complete);
@@ -304,13 +353,13 @@
 
 	while ((message = curl_multi_info_read(prober->multi, &left))) {
 		prober_query_t *query = NULL;
-		bool complete = message->data.result == CURLE_OK;
+		CURLcode code = message->data.result;
 
 		if (message->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
 				  (char **)&query);
-		prober_finish(prober, query, complete);
+		prober_finish(prober, query, code);
 	}
 }
 
@@ -346,6 +395,7 @@
 entry_prober_t *entry_prober_new(const headers_t *headers,
 				 const char *connect_from,
 				 entry_prober_state_t on_state,
+				 entry_prober_late_t on_late,
 				 metrics_t *metrics, hl_error_t *err)
 {
 	entry_prober_t *prober = calloc(1, sizeof(*prober));
@@ -358,6 +408,7 @@
 	prober->headers = headers;
 	prober->connect_from = connect_from;
 	prober->on_state = on_state;
+	prober->on_late = on_late;
 	pthread_mutex_init(&prober->lock, NULL);
 	CDS_INIT_LIST_HEAD(&prober->queued);
 	CDS_INIT_LIST_HEAD(&prober->running);
@@ -466,6 +517,7 @@
 	batch_wait(batch, start + wait->early, false);
 	batch_wait(batch, start + wait->max, true);
 	memcpy(probes, batch->probes, count * sizeof(*probes));
+	batch->abandoned = true;
 	pthread_mutex_unlock(&batch->lock);
 	batch_unref(batch);
 }
--- a/entry-prober.h
+++ b/entry-prober.h
@@ -15,8 +15,8 @@
 
 /** enum entry_probe_state_t - result of a probe. */
 typedef enum {
-	ENTRY_PROBE_TIMEOUT,  /* no response in time */
-	ENTRY_PROBE_FAILED,   /* no connection, or no load of this copy */
+	ENTRY_PROBE_PENDING,  /* it has not ended yet */
+	ENTRY_PROBE_FAILED,   /* no connection, response or load of this copy */
 	ENTRY_PROBE_ANSWERED, /* load is filled in */
 } entry_probe_state_t;
 
@@ -44,6 +44,15 @@
  */
 typedef void (*entry_prober_state_t)(const entry_probe_t *probe);
 
+/**
+ * entry_prober_late_t - called when a probe has ended after its worker has
+ * stopped waiting for it.
+ * @probe: the probe, with its state, load and context
+ *
+ * Called by the thread of the prober.
+ */
+typedef void (*entry_prober_late_t)(const entry_probe_t *probe);
+
 /** struct entry_probe_wait_t - limits for the wait of a batch. */
 typedef struct {
 	usec_t max;   /* maximum wait for all responses, microseconds */
@@ -56,12 +65,14 @@
  * @connect_from: source address of the connections, or ""; must outlive the
  *                prober
  * @on_state: called for copies that leave or rest
+ * @on_late: called for probes that end late; may be NULL
  *
  * Return: the prober, or NULL with @err set.
  */
 entry_prober_t *entry_prober_new(const headers_t *headers,
 				 const char *connect_from,
 				 entry_prober_state_t on_state,
+				 entry_prober_late_t on_late,
 				 metrics_t *metrics, hl_error_t *err);
 
 /** entry_prober_child - return the thread of the prober, for the supervisor. */
@@ -88,6 +99,13 @@
 int entry_prober_test(entry_prober_t *prober, const char *path,
 		      const entry_probe_t *probe, entry_prober_end_t on_end);
 
+/**
+ * entry_prober_wait - return the waits that fit the times of recent probes.
+ *
+ * @max is the time after which a probe fails without a response.
+ */
+entry_probe_wait_t entry_prober_wait(entry_prober_t *prober);
+
 /**
  * entry_prober_query - probe copies and wait for the results.
  * @path: path of the request
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -378,7 +378,7 @@
 		return;
 	pthread_mutex_lock(&upstream->lock);
 	entry_service_on_report(&upstream->service, req->call.copy,
-				&transfer->load, true, time_now());
+				&transfer->load, time_now());
 	pthread_mutex_unlock(&upstream->lock);
 }
 
--- a/entry-report.c
+++ b/entry-report.c
@@ -15,6 +15,8 @@
 /* Time constant by which the weight of a reported number of calls of other
    entries decays. */
 #define REPORT_CALLS_DECAY (250.0 * USEC_PER_MS)
+/* Slowness assumed for a copy that has not responded to a probe. */
+#define REPORT_SLOWNESS_SILENT 10.0
 /* Weight of a new report in the mean slowness of the service. */
 #define REPORT_MEAN_WEIGHT 0.05
 /* Extra cost of a call at a copy whose slots are all in use, relative to the
@@ -48,7 +50,7 @@
 }
 
 void entry_service_on_report(entry_service_t *svc, entry_copy_t *copy,
-			     const load_t *load, bool reported, usec_t now)
+			     const load_t *load, usec_t now)
 {
 	double slowness = (double)load->slowness / LOAD_SLOWNESS_NORMAL;
 	unsigned calls = load->running + load->waiting;
@@ -58,10 +60,6 @@
 					   calls - copy->outstanding :
 					   0;
 	copy->report.received_at = now;
-	if (!reported) {
-		entry_reach_doubt(copy, now);
-		return;
-	}
 	entry_reach_on_response(svc, now);
 	if (svc->mean_slowness <= 0)
 		svc->mean_slowness = 1;
@@ -69,6 +67,19 @@
 			      (slowness - svc->mean_slowness);
 }
 
+void entry_service_on_probe_pending(entry_copy_t *copy, usec_t now)
+{
+	copy->report.slowness = REPORT_SLOWNESS_SILENT;
+	copy->report.other_calls = 0;
+	copy->report.received_at = now;
+}
+
+void entry_service_on_probe_failed(entry_copy_t *copy, usec_t now)
+{
+	entry_service_on_probe_pending(copy, now);
+	entry_reach_doubt(copy, now);
+}
+
 double entry_report_slowness(const entry_service_t *svc,
 			     const entry_copy_t *copy, usec_t now)
 {
--- a/entry.h
+++ b/entry.h
@@ -457,13 +457,18 @@
 
 /**
  * entry_service_on_report - record a load report of a copy.
- * @reported: false if the copy gave no report and @load is a substitute
  *
  * For ENTRY_POLICY_REPORTS. A call whose response carries the report must
  * still count as outstanding.
  */
 void entry_service_on_report(entry_service_t *svc, entry_copy_t *copy,
-			     const load_t *load, bool reported, usec_t now);
+			     const load_t *load, usec_t now);
+
+/** entry_service_on_probe_pending - a probe has got no response so far. */
+void entry_service_on_probe_pending(entry_copy_t *copy, usec_t now);
+
+/** entry_service_on_probe_failed - a probe got no response when one was due. */
+void entry_service_on_probe_failed(entry_copy_t *copy, usec_t now);
 
 /**
  * entry_service_candidates - choose copies to probe before a call is sent.
--- a/regress/test-entry-prober.c
+++ b/regress/test-entry-prober.c
@@ -187,7 +187,7 @@
 
 	fixture->stop = 0;
 	fixture->metrics = metrics_new();
-	fixture->prober = entry_prober_new(headers, "", on_state,
+	fixture->prober = entry_prober_new(headers, "", on_state, NULL,
 					   fixture->metrics, &err);
 	g_assert_nonnull(fixture->prober);
 	fixture->thread = g_thread_new("prober", run_prober, fixture);
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -425,16 +425,14 @@
 			.slowness = (unsigned)atoi(words[4]) };
 
 	entry_service_on_report(&script->svc, script_copy(script, words[1]),
-				&load, true, script->now);
+				&load, script->now);
 	return NULL;
 }
 
 static char *run_no_report(script_t *script, char **words)
 {
-	const load_t load = { .slowness = 1000 };
-
-	entry_service_on_report(&script->svc, script_copy(script, words[1]),
-				&load, false, script->now);
+	entry_service_on_probe_failed(script_copy(script, words[1]),
+				      script->now);
 	return NULL;
 }
 
@@ -846,11 +844,11 @@
 	copy->slots = 2;
 	copy->limit = 9;
 	script->svc.service_time[1] = 0;
-	entry_service_on_report(&script->svc, copy, &full, true, 1000);
+	entry_service_on_report(&script->svc, copy, &full, 1000);
 	entry_service_arrive(&script->svc, &call, 1000);
 	entry_service_end(&script->svc, &call, ENTRY_RESULT_OK, 900000);
 	g_assert_cmpfloat(script->svc.service_time[1], ==, 0);
-	entry_service_on_report(&script->svc, copy, &free_slot, true, 1000000);
+	entry_service_on_report(&script->svc, copy, &free_slot, 1000000);
 	entry_service_arrive(&script->svc, &call, 1000000);
 	entry_service_end(&script->svc, &call, ENTRY_RESULT_OK,
 			  1000000 + 200 * USEC_PER_MS);
@@ -884,8 +882,7 @@
 		entry_call_t call = { .objective = 250 * USEC_PER_MS,
 				      .deadline = now + 2 * USEC_PER_SEC };
 
-		entry_service_on_report(&script->svc, copy, &almost_full, true,
-					now);
+		entry_service_on_report(&script->svc, copy, &almost_full, now);
 		entry_service_arrive(&script->svc, &call, now);
 		now += SERVICE_TIME * 14 / 10;
 		entry_service_end(&script->svc, &call, ENTRY_RESULT_OK, now);
