Judge calls by what copies report, bound probes, refuse at the last chance

A wrong belief goes: that a caller with a shorter timeout than others of its route has spent the difference before. Callers name timeouts up to 15 in 100 apart on their first attempt, and routes shared a row of 64 by hash, so most calls counted as late and left slots free. Probes are limited to what the platform allows for a copy and second, by a token bucket over this entry's share (entry.probes_per_s).

--- a/entry-decide.h
+++ b/entry-decide.h
@@ -92,6 +92,15 @@
 void entry_rate_charge(const entry_service_t *svc, entry_copy_t *copy,
 		       usec_t now);
 
+/* entry-probe-rate.c: the rate of probes of a service. */
+
+/** entry_probe_rate_take - take up to @count probes; returns how many. */
+unsigned entry_probe_rate_take(entry_service_t *svc, unsigned count,
+			       usec_t now);
+
+/** entry_probe_rate_charge - count a probe that is sent in any case. */
+void entry_probe_rate_charge(entry_service_t *svc, usec_t now);
+
 /* entry-limit.c: rate limits of tenants, classes and the service. */
 
 /** entry_limit_new - create a limiter; NULL if out of memory. */
@@ -261,7 +270,8 @@
 				 const entry_call_t *call);
 
 /** entry_report_has_room - whether a copy is expected to have a free slot. */
-bool entry_report_has_room(const entry_copy_t *copy, usec_t now);
+bool entry_report_has_room(const entry_service_t *svc, const entry_copy_t *copy,
+			   usec_t now);
 
 /** entry_report_fills_copy - whether one more call would take the last slot. */
 bool entry_report_fills_copy(const entry_copy_t *copy);
--- a/entry-head.c
+++ b/entry-head.c
@@ -326,7 +326,6 @@
 	call->idempotent = rule->idempotent;
 	call->attempts_max = rule->attempts_max;
 	call->objective = rule->objective;
-	call->caller_timeout = req->deadline_ms * USEC_PER_MS;
 	call->work_kind = (unsigned)hl_hash(req->rule_name,
 					    strlen(req->rule_name), 0);
 	call->arrived = now;
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -136,11 +136,24 @@
 	return count < max ? count + 1 : count;
 }
 
+static bool pick_in_scope(const entry_service_t *svc, const entry_copy_t *copy,
+			  entry_scope_t scope)
+{
+	switch (scope) {
+	case ENTRY_SCOPE_SUBSET:
+		return copy->in_subset && pick_in_zone(svc, copy);
+	case ENTRY_SCOPE_ZONE:
+		return pick_in_zone(svc, copy);
+	case ENTRY_SCOPE_OTHER_ZONES:
+		break;
+	}
+	return !pick_in_zone(svc, copy);
+}
+
 unsigned entry_service_candidates(entry_service_t *svc,
 				  const entry_call_t *call,
-				  usec_t reported_before, bool same_zone,
-				  bool subset_only, entry_copy_t **out,
-				  unsigned max, usec_t now)
+				  usec_t reported_before, entry_scope_t scope,
+				  entry_copy_t **out, unsigned max, usec_t now)
 {
 	double costs[PICK_CANDIDATES_MAX];
 	entry_copy_t *copy = NULL;
@@ -152,8 +165,7 @@
 	cds_list_for_each_entry (copy, &svc->copies, link) {
 		double cost;
 
-		if (pick_in_zone(svc, copy) != same_zone ||
-		    (subset_only && !copy->in_subset) ||
+		if (!pick_in_scope(svc, copy, scope) ||
 		    copy->report.received_at >= reported_before ||
 		    !entry_rate_allows(svc, copy, PICK_PROBED_REQUESTS, now) ||
 		    !pick_reports_eligible(svc, call, copy, now))
@@ -164,6 +176,7 @@
 			       entry_random(svc, PICK_JITTER_STEPS);
 		count = pick_insert(out, costs, count, max, copy, cost);
 	}
+	count = entry_probe_rate_take(svc, count, now);
 	for (i = 0; i < count; i++)
 		entry_rate_charge(svc, out[i], now);
 	return count;
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -171,9 +171,8 @@
 /* Fills @probes with copies that have no report since @reported_before. Returns
    their number. */
 static unsigned probe_candidates(entry_upstream_t *upstream, entry_call_t *call,
-				 usec_t reported_before, bool same_zone,
-				 bool in_subset, entry_probe_t *probes,
-				 char *path)
+				 usec_t reported_before, entry_scope_t scope,
+				 entry_probe_t *probes, char *path)
 {
 	entry_copy_t *copies[PROBE_BATCH_SIZE];
 	unsigned count;
@@ -181,8 +180,8 @@
 
 	pthread_mutex_lock(&upstream->lock);
 	count = entry_service_candidates(&upstream->service, call,
-					 reported_before, same_zone, in_subset,
-					 copies, PROBE_BATCH_SIZE, time_now());
+					 reported_before, scope, copies,
+					 PROBE_BATCH_SIZE, time_now());
 	for (i = 0; i < count; i++) {
 		memset(&probes[i], 0, sizeof(probes[i]));
 		strcpy(probes[i].address, copies[i]->address);
@@ -286,7 +285,7 @@
 }
 
 /* Probes one round of copies, if there are copies without a recent report. */
-static void probe_round(entry_request_t *req, bool same_zone, bool in_subset,
+static void probe_round(entry_request_t *req, entry_scope_t scope,
 			usec_t fresh_since)
 {
 	const entry_probe_wait_t wait = probe_wait_limits(req);
@@ -295,8 +294,8 @@
 	char path[HL_MESSAGE_MAX];
 	unsigned count;
 
-	count = probe_candidates(upstream, &req->call, fresh_since, same_zone,
-				 in_subset, probes, path);
+	count = probe_candidates(upstream, &req->call, fresh_since, scope,
+				 probes, path);
 	if (!count)
 		return;
 	entry_prober_query(req->entry->prober, path, probes, count, &wait,
@@ -334,15 +333,13 @@
 	return !cancelled;
 }
 
-/* Records the timeout of the caller; returns whether copies can be probed. */
-static bool probe_reports_possible(entry_upstream_t *upstream,
-				   entry_call_t *call)
+/* Returns whether copies can be probed. */
+static bool probe_reports_possible(entry_upstream_t *upstream)
 {
 	bool possible;
 
 	pthread_mutex_lock(&upstream->lock);
 	possible = *upstream->health_path != '\0';
-	entry_service_estimate_elapsed(&upstream->service, call);
 	pthread_mutex_unlock(&upstream->lock);
 	return possible;
 }
@@ -360,34 +357,38 @@
 	return impaired;
 }
 
+/* Returns the copies to probe in a round: first those of the subset, then once
+   those of other zones, then those of this zone. */
+static entry_scope_t probe_scope(unsigned round)
+{
+	if (round < PROBE_ZONE_ROUNDS)
+		return ENTRY_SCOPE_SUBSET;
+	if (round == PROBE_ZONE_ROUNDS)
+		return ENTRY_SCOPE_OTHER_ZONES;
+	return ENTRY_SCOPE_ZONE;
+}
+
 void entry_probe_refresh_reports(entry_request_t *req)
 {
-	usec_t start = time_now();
-	usec_t now = start;
-	bool other_zones = false;
-	int round = 0;
+	usec_t now = time_now();
+	unsigned round;
 
-	if (!probe_reports_possible(req->upstream, &req->call))
+	if (!probe_reports_possible(req->upstream))
 		return;
-	for (;;) {
-		probe_round(req, true, round < PROBE_ZONE_ROUNDS,
+	for (round = 0;; round++) {
+		bool other_zones = round >= PROBE_ZONE_ROUNDS;
+		entry_wait_t wait;
+
+		probe_round(req, probe_scope(round),
 			    now - PROBE_REPORT_MAX_AGE);
 		now = time_now();
-		if (probe_check_wait(req, other_zones,
-				     round < PROBE_FAST_ONLY_ROUNDS,
-				     now) == ENTRY_WAIT_READY)
+		wait = probe_check_wait(req, other_zones,
+					round < PROBE_FAST_ONLY_ROUNDS, now);
+		if (wait == ENTRY_WAIT_READY)
 			return;
-		if (++round < PROBE_ZONE_ROUNDS)
+		if (!other_zones)
 			continue;
-		if (!other_zones) {
-			other_zones = true;
-			probe_round(req, false, false,
-				    now - PROBE_REPORT_MAX_AGE);
-			now = time_now();
-		}
-		if (probe_check_wait(req, other_zones, false, now) !=
-			    ENTRY_WAIT_AGAIN ||
-		    probe_is_impaired(req) ||
+		if (wait == ENTRY_WAIT_EXPIRED || probe_is_impaired(req) ||
 		    !probe_wait(req, now + PROBE_RETRY_INTERVAL))
 			return;
 		now = time_now();
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -127,6 +127,7 @@
 			continue;
 		}
 		entry_rate_charge(svc, copy, now);
+		entry_probe_rate_charge(svc, now);
 		copy->reach.test_at = 0;
 		copy->reach.testing = true;
 		return copy;
--- a/entry-report.c
+++ b/entry-report.c
@@ -13,11 +13,11 @@
 /* Time constant by which the weight of a reported slowness decays. */
 #define REPORT_SLOWNESS_DECAY (90.0 * USEC_PER_MS)
 /* Time constant by which the weight of a reported number of calls of other
-   entries decays. */
+   entries decays, towards the mean of the service. */
 #define REPORT_CALLS_DECAY (250.0 * USEC_PER_MS)
 /* Slowness assumed for a copy that has not responded to a probe. */
 #define REPORT_SLOWNESS_SILENT 10.0
-/* Weight of a new report in the mean slowness of the service. */
+/* Weight of a new report in the means of the service. */
 #define REPORT_MEAN_WEIGHT 0.05
 /* Extra cost of a call at a copy whose slots are all in use, relative to the
    cost at an idle copy; in proportion for a copy with some slots in use. */
@@ -37,9 +37,6 @@
 #define REPORT_CONTENTION_DECAY 0.002
 /* Max slowdown that one response adds to the contention estimate. */
 #define REPORT_CONTENTION_MAX 4.0
-/* Weight with which a shorter timeout of a caller lowers the estimate of the
-   timeout that callers give with a first attempt. */
-#define REPORT_CALLER_TIMEOUT_WEIGHT 0.01
 /* Slowdown assumed for a copy in slow start. */
 #define REPORT_SLOW_START_COST 2.0
 
@@ -61,8 +58,12 @@
 					   0;
 	copy->report.received_at = now;
 	entry_reach_on_response(svc, now);
-	if (svc->mean_slowness <= 0)
+	if (svc->mean_slowness <= 0) {
 		svc->mean_slowness = 1;
+		svc->mean_calls = copy->report.other_calls;
+	}
+	svc->mean_calls += REPORT_MEAN_WEIGHT *
+			   (copy->report.other_calls - svc->mean_calls);
 	svc->mean_slowness += REPORT_MEAN_WEIGHT *
 			      (slowness - svc->mean_slowness);
 }
@@ -95,21 +96,26 @@
 
 /* Return the expected number of calls at a copy now, from this entry and from
    the others. */
-static double report_expected_calls(const entry_copy_t *copy, usec_t now)
+static double report_expected_calls(const entry_service_t *svc,
+				    const entry_copy_t *copy, usec_t now)
 {
-	double calls = copy->outstanding;
+	double others = svc->mean_calls;
+	double weight;
 
-	if (copy->report.received_at)
-		calls += copy->report.other_calls *
-			 report_weight(now - copy->report.received_at,
+	if (copy->report.received_at) {
+		weight = report_weight(now - copy->report.received_at,
 				       REPORT_CALLS_DECAY);
-	return calls;
+		others += weight * (copy->report.other_calls - others);
+	}
+	return copy->outstanding + others;
 }
 
-bool entry_report_has_room(const entry_copy_t *copy, usec_t now)
+bool entry_report_has_room(const entry_service_t *svc, const entry_copy_t *copy,
+			   usec_t now)
 {
 	return copy->report.received_at &&
-	       report_expected_calls(copy, now) + 1 <= entry_credit_slots(copy);
+	       report_expected_calls(svc, copy, now) + 1 <=
+		       entry_credit_slots(copy);
 }
 
 /*
@@ -134,7 +140,7 @@
 {
 	double slots = entry_credit_slots(copy);
 	double cost = entry_report_slowness(svc, copy, now);
-	double calls = report_expected_calls(copy, now);
+	double calls = report_expected_calls(svc, copy, now);
 	double fill = calls / slots;
 
 	cost *= report_contention(svc, calls, slots);
@@ -145,10 +151,28 @@
 	return cost * (1 + REPORT_FULL_EXTRA_COST * fill);
 }
 
+/* Return the index of the estimate of a kind, or of an unused one; its home
+   position if all are used by other kinds. */
+static unsigned report_work_index(const entry_service_t *svc, unsigned kind)
+{
+	unsigned home = kind % ENTRY_WORK_KINDS;
+	unsigned step;
+
+	for (step = 0; step < ENTRY_WORK_KINDS; step++) {
+		unsigned i = (home + step) % ENTRY_WORK_KINDS;
+		const entry_work_time_t *time = &svc->work_times[i];
+
+		if (time->normal <= 0 || time->kind == kind)
+			return i;
+	}
+	return home;
+}
+
 double entry_report_service_time(const entry_service_t *svc,
 				 const entry_call_t *call)
 {
-	double estimate = svc->service_time[call->work_kind % ENTRY_WORK_KINDS];
+	unsigned i = report_work_index(svc, call->work_kind);
+	double estimate = svc->work_times[i].normal;
 
 	return estimate > 0 ?
 		       estimate :
@@ -157,24 +181,7 @@
 
 usec_t entry_report_objective_end(const entry_call_t *call)
 {
-	return call->arrived - call->caller_elapsed + call->objective;
-}
-
-void entry_service_estimate_elapsed(entry_service_t *svc, entry_call_t *call)
-{
-	double *first_timeout =
-		&svc->first_attempt_timeout[call->work_kind % ENTRY_WORK_KINDS];
-	double timeout = (double)call->caller_timeout;
-
-	if (!call->caller_timeout || !call->objective)
-		return;
-	if (timeout >= *first_timeout)
-		*first_timeout = timeout;
-	else
-		*first_timeout -= REPORT_CALLER_TIMEOUT_WEIGHT *
-				  (*first_timeout - timeout);
-	if (timeout < *first_timeout)
-		call->caller_elapsed = (usec_t)(*first_timeout - timeout);
+	return call->arrived + call->objective;
 }
 
 usec_t entry_report_time(const entry_service_t *svc, const entry_call_t *call,
@@ -212,8 +219,8 @@
 void entry_report_learn_service_time(entry_service_t *svc,
 				     const entry_call_t *call, usec_t took)
 {
-	double *estimate =
-		&svc->service_time[call->work_kind % ENTRY_WORK_KINDS];
+	unsigned i = report_work_index(svc, call->work_kind);
+	double *estimate = &svc->work_times[i].normal;
 	double normal_time = (double)took;
 
 	/*
@@ -230,6 +237,7 @@
 		return;
 	}
 	report_decay_contention(svc);
+	svc->work_times[i].kind = call->work_kind;
 	if (*estimate <= 0)
 		*estimate = normal_time;
 	else
--- a/entry-service.c
+++ b/entry-service.c
@@ -436,6 +436,18 @@
 	       call->deadline;
 }
 
+/* Whether a copy, chosen as the best one, is expected to have no free slot. A call
+   that has waited for one as long as it can would only queue there. */
+static bool service_is_full(const entry_service_t *svc,
+			    const entry_call_t *call, const entry_copy_t *copy,
+			    usec_t now)
+{
+	return svc->policy == ENTRY_POLICY_REPORTS && call->objective &&
+	       copy->report.received_at &&
+	       !entry_report_has_fresh_slots(svc, copy, 0, now) &&
+	       !entry_report_has_room(svc, copy, now);
+}
+
 /* Whether a copy in the zone of this entry reports a free slot. A copy that is
    paused because it refused a call counts, too. */
 static bool service_has_room(const entry_service_t *svc, usec_t now)
@@ -447,7 +459,7 @@
 		    !copy->reach.unreachable &&
 		    now >= service_available_at(svc, copy, now) &&
 		    !strcmp(copy->zone, svc->zone) &&
-		    entry_report_has_room(copy, now))
+		    entry_report_has_room(svc, copy, now))
 			return true;
 	return false;
 }
@@ -511,7 +523,8 @@
 		copy = service_pick(svc, call, now);
 	if (!copy)
 		return service_enqueue(svc, call, now);
-	if (service_misses_deadline(svc, call, copy, now))
+	if (service_misses_deadline(svc, call, copy, now) ||
+	    service_is_full(svc, call, copy, now))
 		return service_refuse(ENTRY_REFUSE_QUEUE,
 				      service_slot_wait(svc, call));
 	entry_queue_count_admitted(svc->queue, call, now);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -62,6 +62,10 @@
 	{ "entry", "retry_window_s", SETTING_INTEGER, FIELD(retry_window_s),
 	  false, "10", 1, 3600,
 	  "seconds of the sliding window of retry_ratio and retry_slack" },
+	{ "entry", "probes_per_s", SETTING_REAL, FIELD(probes_per_s), false,
+	  "0", 0, 1000000,
+	  "probes of each copy per second of all entries together, on average "
+	  "over the copies of a service; 0: no limit" },
 	{ "entry", "cluster", SETTING_NAME, FIELD(cluster), false, "hemlock", 0,
 	  0, "name of the cluster, the same on all keepers" },
 	{ "entry", "beat_ms", SETTING_INTEGER, FIELD(beat_ms), false, "1000",
--- a/entry-settings.h
+++ b/entry-settings.h
@@ -46,6 +46,7 @@
 	double retry_ratio;  /* retries per call; used if retry_slack is set */
 	int64_t retry_slack; /* retries per service over all entries */
 	int64_t retry_window_s; /* sliding window of retry_ratio, retry_slack */
+	double probes_per_s;	/* to a copy, of all entries; 0: no limit */
 	int64_t beat_ms;	/* interval of datagrams to the keepers */
 	char cluster[HL_NAME_MAX]; /* name of the keeper cluster */
 	int64_t http_threads;	   /* threads that receive calls */
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -14,9 +14,9 @@
    that are slow to send a call are disconnected, and idle connections to copies
    are checked. */
 #define TICK_LIMITS_INTERVAL USEC_PER_SEC
-/* Fraction of its share of the retry budget that an entry uses. Entries may
-   count different numbers of live entries, so that full shares could exceed the
-   budget. */
+/* Fraction of its share of the budgets of retries and probes that an entry uses.
+   Entries may count different numbers of live entries, so that full shares could
+   exceed a budget. */
 #define TICK_BUDGET_FRACTION 0.8
 
 /* Time since the last message of a keeper up to which the holders of copies'
@@ -81,6 +81,10 @@
 
 	pthread_mutex_lock(&upstream->lock);
 	entry_service_set_limits(&upstream->service, upstream->rate, share);
+	entry_service_set_probe_rate(&upstream->service,
+				     share * settings->probes_per_s *
+					     upstream->service.copy_count,
+				     now);
 	tick_update_copies(entry, upstream, now);
 	if (settings->retry_slack)
 		entry_service_set_retry_budget(
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -29,7 +29,7 @@
 		LOG_LEVEL_INFO, "call-sent",
 		"call=%s route=%s service=%s copy=%s attempt=%u hedge=%d "
 		"near=%d held=%u others=%u slowness=%.2f report_age_ms=%" PRId64
-		" waited_ms=%" PRId64 " spent_ms=%" PRId64 " left_ms=%" PRId64,
+		" waited_ms=%" PRId64 " left_ms=%" PRId64,
 		trace_value(req->call_id), trace_value(req->rule_name),
 		upstream->name, copy->name, req->call.attempts,
 		req->primary != NULL, same_zone, outstanding,
@@ -37,7 +37,6 @@
 		report.received_at ? (now - report.received_at) / USEC_PER_MS :
 				     -1,
 		(now - req->call.arrived) / USEC_PER_MS,
-		req->call.caller_elapsed / USEC_PER_MS,
 		(req->call.deadline - now) / USEC_PER_MS);
 }
 
--- a/entry.h
+++ b/entry.h
@@ -140,8 +140,6 @@
 	bool no_hedge; /* already hedged, or its body or response streams */
 	unsigned attempts_max;	/* max sends by its route; 0: by the profile */
 	usec_t objective;	/* target response time of its route; 0: none */
-	usec_t caller_timeout;	/* timeout that its caller gave; 0: none */
-	usec_t caller_elapsed;	/* time its caller used for earlier attempts */
 	unsigned work_kind;	/* hash of its route */
 	double slowness;	/* expected slowness of its copy at the send */
 	bool copy_report_fresh; /* at the send: fresh report of a free slot */
@@ -203,10 +201,23 @@
 	usec_t until;	  /* end of the reservation */
 } entry_reserve_t;
 
-/* Number of service time estimates. Calls are assigned to them by the hash of
-   their route, as calls of a route are alike. */
+/* Max number of kinds of calls whose service time is known. Further kinds share
+   an estimate with another one. */
 #define ENTRY_WORK_KINDS 64
 
+/** struct entry_work_time_t - the service time of a kind of calls. */
+typedef struct {
+	unsigned kind;
+	double normal; /* microseconds at normal speed; 0: unknown */
+} entry_work_time_t;
+
+/** struct entry_probe_rate_t - a token bucket of probes. */
+typedef struct {
+	double rate;   /* tokens per second; 0: no limit */
+	double tokens; /* negative after probes that had to be sent */
+	usec_t filled_at;
+} entry_probe_rate_t;
+
 /** struct entry_service_t - all decision state of one entry for a service. */
 typedef struct entry_service {
 	struct cds_list_head copies;
@@ -214,10 +225,8 @@
 	unsigned outstanding;	/* calls outstanding at all copies */
 	char zone[HL_NAME_MAX]; /* zone of this entry; "": all zones match */
 	double mean_slowness;	/* mean over reports; 0: unknown */
-	/* Service time at normal speed in microseconds; 0: unknown. */
-	double service_time[ENTRY_WORK_KINDS];
-	/* Timeout that callers give with a first attempt, microseconds. */
-	double first_attempt_timeout[ENTRY_WORK_KINDS];
+	double mean_calls; /* mean of the reported calls of other entries */
+	entry_work_time_t work_times[ENTRY_WORK_KINDS];
 	usec_t answered_at;	  /* last response of any copy */
 	usec_t unreachable_since; /* last time that copies became unreachable */
 	double contention; /* slowdown of a call in the last slot of a copy */
@@ -234,6 +243,7 @@
 	double entry_share; /* fraction of the live entries that this one is */
 	bool slots_only;    /* for comparison: no more credits than slots */
 	struct entry_retry *retry;
+	entry_probe_rate_t probe_rate;
 	uint64_t random_state;	      /* generator state, seeded at init */
 	struct cds_list_head running; /* calls sent, oldest send first */
 	entry_service_stats_t stats;
@@ -470,21 +480,33 @@
 /** entry_service_on_probe_failed - a probe got no response when one was due. */
 void entry_service_on_probe_failed(entry_copy_t *copy, usec_t now);
 
+/** enum entry_scope_t - the copies that may be probed for a call. */
+typedef enum {
+	ENTRY_SCOPE_SUBSET,	 /* this entry's subset of its zone */
+	ENTRY_SCOPE_ZONE,	 /* this entry's zone */
+	ENTRY_SCOPE_OTHER_ZONES, /* all other zones */
+} entry_scope_t;
+
 /**
  * entry_service_candidates - choose copies to probe before a call is sent.
  * @reported_before: copies with a report at or after this time are left out
- * @same_zone: true for copies of this entry's zone, false for all other zones
- * @subset_only: choose only copies with in_subset set
  * @out: filled in, in order of cost, the lowest first; the probes are counted
- *       where a copy accepts requests at a limited rate
+ *       for the rate of probes, and where a copy accepts requests at a limited
+ *       rate
  *
  * Return: the number of copies, at most @max.
  */
 unsigned entry_service_candidates(entry_service_t *svc,
 				  const entry_call_t *call,
-				  usec_t reported_before, bool same_zone,
-				  bool subset_only, entry_copy_t **out,
-				  unsigned max, usec_t now);
+				  usec_t reported_before, entry_scope_t scope,
+				  entry_copy_t **out, unsigned max, usec_t now);
+
+/**
+ * entry_service_set_probe_rate - limit the probes of the copies of a service.
+ * @rate: probes of this entry per second; 0 for no limit
+ */
+void entry_service_set_probe_rate(entry_service_t *svc, double rate,
+				  usec_t now);
 
 /**
  * enum entry_wait_t - whether a call should wait for a quick copy.
@@ -498,15 +520,6 @@
 	ENTRY_WAIT_EXPIRED, /* no time is left: send it to any copy */
 } entry_wait_t;
 
-/**
- * entry_service_estimate_elapsed - learn from the timeout that a caller gave.
- *
- * If a caller gives a shorter timeout than other callers of the route, it is
- * assumed to have used the difference for an earlier attempt that failed. Sets
- * @call->caller_elapsed to the difference, which counts against the objective.
- */
-void entry_service_estimate_elapsed(entry_service_t *svc, entry_call_t *call);
-
 /**
  * entry_service_wait_for_copy - whether a call should wait for a quick copy.
  * @other_zones: copies of other zones count as well
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -87,14 +87,14 @@
 	  "1 wait x objective=250 = again\n1 report b 1 0 100\n"
 	  "1 wait x = ready\n" },
 	{ "backlog-late-calls-leave-the-last-slot-free",
-	  "0 copy a 2\n0 report a 1 0 100\n"
-	  "0 caller x objective=250 timeout=2000 = elapsed 0\n"
-	  "0 caller y objective=250 timeout=1700 = elapsed 297\n"
-	  "0 wait x = ready\n0 wait y = again\n0 report a 0 0 100\n"
-	  "0 wait y = late-ready\n" },
+	  "0 copy a 2\n0 report a 2 0 100\n"
+	  "0 wait y objective=250 deadline=2000 = again\n"
+	  "300 report a 1 0 100\n300 wait x objective=250 = ready\n"
+	  "300 wait y = again\n300 report a 0 0 100\n"
+	  "300 wait y = late-ready\n" },
 	{ "backlog-late-calls-are-sent-before-the-deadline",
-	  "0 copy a 2\n0 caller x objective=250 timeout=2000 = elapsed 0\n"
-	  "0 caller y objective=250 timeout=1700 = elapsed 297\n"
+	  "0 copy a 2\n0 report a 2 0 100\n"
+	  "0 wait y objective=250 deadline=2000 = again\n"
 	  "1700 report a 1 0 100\n1700 wait y = again\n"
 	  "1850 report a 1 0 100\n1850 wait y = late-ready\n" },
 	{ "contention-high-last-slot-stays-free",
@@ -114,25 +114,23 @@
 	  "0 arrive x objective=250 = send a\n0 end x shed = respond\n"
 	  "1 retry-after x = short\n" },
 	{ "full-copies-retry-after-is-long",
-	  "0 budget 0 0\n0 copy a 2\n0 report a 2 3 100\n"
-	  "0 arrive x objective=250 = send a\n0 end x shed = respond\n"
+	  "0 budget 0 0\n0 copy a 2\n0 report a 0 0 100\n"
+	  "0 arrive x objective=250 = send a\n0 report a 3 3 100\n"
+	  "0 end x shed = respond\n"
 	  "1 retry-after x = long\n" },
 	{ "copies-of-other-zones-do-not-shorten-retry-after",
 	  "0 budget 0 0\n0 copy a 2\n0 copy f 2 zone=there\n"
-	  "0 report a 2 3 100\n0 report f 0 0 500\n"
-	  "0 arrive x objective=250 = send a\n0 end x shed = respond\n"
+	  "0 report a 0 0 100\n0 report f 0 0 500\n"
+	  "0 arrive x objective=250 = send a\n0 report a 3 3 100\n"
+	  "0 end x shed = respond\n"
 	  "1 retry-after x = long\n" },
 
-	/* Callers that retry have used a part of their time. */
-	{ "returning-caller-is-late-sooner",
-	  "0 copy a 2\n0 report a 0 0 180\n"
-	  "0 caller x objective=250 timeout=2000 = elapsed 0\n"
-	  "0 wait x = ready\n"
-	  "0 caller y objective=250 timeout=1900 = elapsed 99\n"
-	  "0 wait y = again\n" },
-	{ "shorter-caller-timeouts-are-learned",
-	  "0 copy a 2\n0 callers 1000 timeout=500\n"
-	  "0 caller x objective=250 timeout=500 = elapsed 0\n" },
+	/* Callers of one route that wait for different times: a shorter timeout does
+	   not show that a caller has spent time before it came here. */
+	{ "unequal-patience-is-no-sign-of-lateness",
+	  "0 copy a 2\n0 copy b 2\n0 report a 1 0 100\n0 report b 1 0 100\n"
+	  "0 wait x objective=250 deadline=2000 = ready\n"
+	  "0 wait y objective=250 deadline=1700 = ready\n" },
 
 	/* A zone with few copies and many callers. */
 	{ "small-zone-serves-while-in-time",
@@ -157,6 +155,26 @@
 	  "0 report a 0 0 100\n"
 	  "10 candidates same-zone = b\n10 candidates other-zones = c\n"
 	  "50 candidates same-zone = a b\n" },
+	/* A crowd on all copies: a call that has waited in vain is refused, as it
+	   has not run, and does not queue at a copy behind the calls of others. */
+	{ "crowd-call-is-not-sent-blindly-at-last",
+	  "0 copy a 2\n0 report a 2 6 100\n"
+	  "0 wait x objective=250 deadline=1200 = again\n"
+	  "1050 wait x = expired\n1050 arrive x = refuse queue\n" },
+	{ "crowd-that-has-passed-is-forgotten",
+	  "0 copy a 2\n0 copy b 2\n0 report a 2 6 100\n0 reports b 100 0\n"
+	  "1050 arrive x objective=250 deadline=2000 = send b\n"
+	  "1050 arrive y objective=250 deadline=2000 = send a\n" },
+	/* A crowd on all copies: waiting calls do not probe without bound. */
+	{ "crowd-probes-within-the-rate",
+	  "0 copy a 2\n0 copy b 2\n0 probe-rate 0.8\n"
+	  "40 candidates same-zone = a b\n40 candidates same-zone = a b\n"
+	  "40 candidates same-zone = \n1200 candidates same-zone = \n"
+	  "2550 candidates same-zone = a b\n2550 candidates same-zone = \n" },
+	{ "crowd-probes-again-after-a-pause",
+	  "0 copy a 2\n0 copy b 2\n0 probe-rate 0.2\n"
+	  "10 candidates same-zone = one\n10 candidates same-zone = \n"
+	  "4900 candidates same-zone = \n5100 candidates same-zone = one\n" },
 	{ "probing-skips-draining-copies", "0 copy a 2\n0 copy b 2\n0 drain a\n"
 					   "50 candidates same-zone = b\n" },
 
@@ -387,8 +405,6 @@
 					      value * USEC_PER_MS;
 		else if (script_option(*words, "attempts", &value))
 			call->call.attempts_max = (unsigned)value;
-		else if (script_option(*words, "timeout", &value))
-			call->call.caller_timeout = value * USEC_PER_MS;
 		else if (!strcmp(*words, "idem"))
 			call->call.idempotent = true;
 	}
@@ -429,6 +445,19 @@
 	return NULL;
 }
 
+/* Record a number of reports of a copy with the same number of calls. */
+static char *run_reports(script_t *script, char **words)
+{
+	load_t load = { .running = (unsigned)atoi(words[3]), .slowness = 100 };
+	int left = atoi(words[2]);
+
+	while (left-- > 0)
+		entry_service_on_report(&script->svc,
+					script_copy(script, words[1]), &load,
+					script->now);
+	return NULL;
+}
+
 static char *run_no_report(script_t *script, char **words)
 {
 	entry_service_on_probe_failed(script_copy(script, words[1]),
@@ -619,31 +648,6 @@
 			       call->copy->name);
 }
 
-static char *run_caller(script_t *script, char **words)
-{
-	script_call_t *call = script_call(script, words[1]);
-
-	script_options(call, words + 2);
-	entry_service_estimate_elapsed(&script->svc, &call->call);
-	return g_strdup_printf("elapsed %" PRId64,
-			       call->call.caller_elapsed / USEC_PER_MS);
-}
-
-/* Run a number of equal callers, after one caller with a long timeout. */
-static char *run_callers(script_t *script, char **words)
-{
-	script_call_t call = { .call = { .objective = 250 * USEC_PER_MS,
-					 .caller_timeout = 2000 *
-							   USEC_PER_MS } };
-	int left = atoi(words[1]);
-
-	entry_service_estimate_elapsed(&script->svc, &call.call);
-	script_options(&call, words + 2);
-	while (left-- > 0)
-		entry_service_estimate_elapsed(&script->svc, &call.call);
-	return NULL;
-}
-
 /* Return whether the retry-after of a refusal is short, as long as a call
  * occupies a slot, or in the range, in ms, after a rest of 4 s. */
 static char *run_retry_after(script_t *script, char **words)
@@ -671,14 +675,19 @@
 	entry_call_t call = { .objective = 250 * USEC_PER_MS };
 	GString *names = g_string_new(NULL);
 	entry_copy_t *copies[4];
+	entry_scope_t scope = ENTRY_SCOPE_OTHER_ZONES;
 	unsigned count;
 	unsigned i;
 
+	if (!strcmp(words[1], "same-zone"))
+		scope = ENTRY_SCOPE_ZONE;
 	count = entry_service_candidates(&script->svc, &call,
-					 script->now - 30 * USEC_PER_MS,
-					 !strcmp(words[1], "same-zone"), false,
+					 script->now - 30 * USEC_PER_MS, scope,
 					 copies, G_N_ELEMENTS(copies),
 					 script->now);
+	/* One of two equal copies is chosen at random. */
+	if (count == 1 && script->svc.probe_rate.rate > 0)
+		return g_strdup("one");
 	qsort(copies, count, sizeof(entry_copy_t *), compare_names);
 	for (i = 0; i < count; i++)
 		g_string_append_printf(names, "%s%s", i ? " " : "",
@@ -686,12 +695,21 @@
 	return g_string_free(names, FALSE);
 }
 
+static char *run_probe_rate(script_t *script, char **words)
+{
+	entry_service_set_probe_rate(&script->svc,
+				     g_ascii_strtod(words[1], NULL),
+				     script->now);
+	return NULL;
+}
+
 static const struct {
 	const char *name;
 	char *(*run)(script_t *script, char **words);
 } commands[] = {
 	{ "copy", run_copy },
 	{ "report", run_report },
+	{ "reports", run_reports },
 	{ "no-report", run_no_report },
 	{ "drain", run_drain },
 	{ "leaving", run_leaving },
@@ -710,10 +728,9 @@
 	{ "end", run_end },
 	{ "next", run_next },
 	{ "candidates", run_candidates },
+	{ "probe-rate", run_probe_rate },
 	{ "contention", run_contention },
 	{ "retry-after", run_retry_after },
-	{ "caller", run_caller },
-	{ "callers", run_callers },
 };
 
 static char *script_command(script_t *script, char **words)
@@ -756,7 +773,8 @@
 			   1);
 	strcpy(script->svc.zone, "here");
 	for (i = 0; i < ENTRY_WORK_KINDS; i++)
-		script->svc.service_time[i] = SERVICE_TIME;
+		script->svc.work_times[i] = (entry_work_time_t){ i,
+								 SERVICE_TIME };
 }
 
 static void script_fini(script_t *script)
@@ -843,17 +861,69 @@
 	strcpy(copy->zone, "here");
 	copy->slots = 2;
 	copy->limit = 9;
-	script->svc.service_time[1] = 0;
+	script->svc.work_times[1].normal = 0;
 	entry_service_on_report(&script->svc, copy, &full, 1000);
 	entry_service_arrive(&script->svc, &call, 1000);
 	entry_service_end(&script->svc, &call, ENTRY_RESULT_OK, 900000);
-	g_assert_cmpfloat(script->svc.service_time[1], ==, 0);
+	g_assert_cmpfloat(script->svc.work_times[1].normal, ==, 0);
 	entry_service_on_report(&script->svc, copy, &free_slot, 1000000);
 	entry_service_arrive(&script->svc, &call, 1000000);
 	entry_service_end(&script->svc, &call, ENTRY_RESULT_OK,
 			  1000000 + 200 * USEC_PER_MS);
-	g_assert_cmpfloat(script->svc.service_time[1], >, 99 * USEC_PER_MS);
-	g_assert_cmpfloat(script->svc.service_time[1], <, 101 * USEC_PER_MS);
+	g_assert_cmpfloat(script->svc.work_times[1].normal, >,
+			  99 * USEC_PER_MS);
+	g_assert_cmpfloat(script->svc.work_times[1].normal, <,
+			  101 * USEC_PER_MS);
+	script_fini(script);
+	g_free(script);
+}
+
+/*
+ * Two routes whose hashes share a position in the table: each has its own service
+ * time. More routes than the table holds must not break it.
+ */
+static void test_work_kinds(void)
+{
+	const load_t idle = { .slowness = 100, .slots = 3 };
+	script_t *script = g_new(script_t, 1);
+	entry_copy_t *copy;
+	usec_t now = 1000;
+	unsigned i;
+
+	script_init(script);
+	memset(script->svc.work_times, 0, sizeof(script->svc.work_times));
+	copy = entry_service_copy_add(&script->svc, "a", 0);
+	strcpy(copy->zone, "here");
+	copy->slots = 3;
+	copy->limit = 9;
+	for (i = 0; i < 4 * ENTRY_WORK_KINDS; i++) {
+		usec_t took = (i % 2 ? 80 : 20) * USEC_PER_MS;
+		entry_call_t call = { .objective = 250 * USEC_PER_MS,
+				      .work_kind = 5 + i % 2 * ENTRY_WORK_KINDS,
+				      .deadline = now + 2 * USEC_PER_SEC };
+
+		entry_service_on_report(&script->svc, copy, &idle, now);
+		entry_service_arrive(&script->svc, &call, now);
+		now += took;
+		entry_service_end(&script->svc, &call, ENTRY_RESULT_OK, now);
+		if (i >= 2)
+			g_assert_cmpfloat(
+				entry_report_service_time(&script->svc, &call),
+				==, (double)took);
+	}
+	for (i = 0; i < 4 * ENTRY_WORK_KINDS; i++) {
+		entry_call_t call = { .objective = 250 * USEC_PER_MS,
+				      .work_kind = i,
+				      .deadline = now + 2 * USEC_PER_SEC };
+
+		entry_service_on_report(&script->svc, copy, &idle, now);
+		entry_service_arrive(&script->svc, &call, now);
+		now += 50 * USEC_PER_MS;
+		entry_service_end(&script->svc, &call, ENTRY_RESULT_OK, now);
+		g_assert_cmpfloat(entry_report_service_time(&script->svc,
+							    &call),
+				  >, 0);
+	}
 	script_fini(script);
 	g_free(script);
 }
@@ -889,7 +959,7 @@
 	}
 	g_assert_cmpfloat(script->svc.contention, >, 1.38);
 	g_assert_cmpfloat(script->svc.contention, <, 1.42);
-	g_assert_cmpfloat(script->svc.service_time[0], ==, SERVICE_TIME);
+	g_assert_cmpfloat(script->svc.work_times[0].normal, ==, SERVICE_TIME);
 	script_fini(script);
 	g_free(script);
 }
@@ -908,6 +978,7 @@
 	g_test_add_func("/reports/subsets-cover-all-copies", test_subset);
 	g_test_add_func("/reports/service-time-is-learned-without-waiting",
 			test_service_time);
+	g_test_add_func("/reports/work-kinds", test_work_kinds);
 	g_test_add_func("/reports/contention-is-learned-apart",
 			test_contention);
 	return g_test_run();
