--- a/entry-decide.h
+++ b/entry-decide.h
@@ -92,6 +92,42 @@
 void entry_rate_charge(const entry_service_t *svc, entry_copy_t *copy,
 		       usec_t now);
 
+/* entry-refuse.c: refusals, and the waits suggested to callers. */
+
+/* Wait suggested if there is no better estimate. */
+#define ENTRY_REFUSE_RETRY_AFTER USEC_PER_SEC
+
+/** entry_refuse - return the decision that refuses a call. */
+entry_decision_t entry_refuse(entry_refusal_t refusal, usec_t retry_after);
+
+/** entry_refuse_unreachable - refuse a call as this entry reaches no copy. */
+entry_decision_t entry_refuse_unreachable(entry_service_t *svc);
+
+/**
+ * entry_refuse_available_at - when a copy takes calls after its rest, by its rate.
+ *
+ * Return: USEC_NEVER if only other entries may send to it.
+ */
+usec_t entry_refuse_available_at(const entry_service_t *svc,
+				 const entry_copy_t *copy, usec_t now);
+
+/**
+ * entry_refuse_rest_end - when a copy takes calls again if none does now.
+ *
+ * Return: 0 if one does, USEC_NEVER if only other entries may send to them.
+ */
+usec_t entry_refuse_rest_end(const entry_service_t *svc, usec_t now);
+
+/** entry_refuse_rest_wait - wait to suggest while copies rest until @rest_end. */
+usec_t entry_refuse_rest_wait(entry_service_t *svc, usec_t rest_end,
+			      usec_t now);
+
+/** entry_refuse_queue_half_time - time until half of the queue is served. */
+usec_t entry_refuse_queue_half_time(const entry_service_t *svc);
+
+/** entry_refuse_slot_wait - expected time until a slot is free, with jitter. */
+usec_t entry_refuse_slot_wait(entry_service_t *svc, const entry_call_t *call);
+
 /* entry-probe-rate.c: the rate of probes of a service. */
 
 /** entry_probe_rate_take - take up to @count probes; returns how many. */
--- a/entry-service.c
+++ b/entry-service.c
@@ -5,24 +5,9 @@
 /*
  * Decisions of the entry for one service. Combines the queue, limits, credits,
  * health, choice of a copy and retry budget into the interface of entry.h, and
- * owns the copies and the list of running calls.
+ * owns the list of running calls.
  */
 
-/* Retry-after time if there is no better estimate. */
-#define SERVICE_RETRY_AFTER_DEFAULT USEC_PER_SEC
-/* Max retry-after time while a copy has a free slot: the call was then refused
-   for another reason than full copies. */
-#define SERVICE_RETRY_FREE_SLOT_MAX (20 * USEC_PER_MS)
-/* Min retry-after time. */
-#define SERVICE_RETRY_AFTER_MIN USEC_PER_MS
-/* Jitter of the wait suggested while all copies rest: a minimum, and a fraction
-   of the wait. */
-#define SERVICE_REST_JITTER_MIN (100 * USEC_PER_MS)
-#define SERVICE_REST_JITTER 0.25
-/* Wait suggested while this entry reaches no copy: a minimum, and its jitter.
-   The caller can use another entry at once. */
-#define SERVICE_UNREACHABLE_WAIT (100 * USEC_PER_MS)
-#define SERVICE_UNREACHABLE_JITTER (200 * USEC_PER_MS)
 /* Max number of waiting calls skipped to find one that a copy can take. */
 #define SERVICE_SKIP_MAX 4
 
@@ -37,13 +22,6 @@
 /* Factor of the response margin at arrival; for a waiting call it is 1. */
 #define SERVICE_ADMIT_MARGIN_FACTOR 1.5
 
-/* A copy with its credit and health, in one allocation. */
-typedef struct {
-	entry_copy_t copy;
-	entry_credit_t credit;
-	entry_health_t health;
-} service_copy_t;
-
 int entry_service_init(entry_service_t *svc, entry_policy_t policy,
 		       const config_profile_t *profile, uint64_t seed)
 {
@@ -91,91 +69,6 @@
 	svc->entry_share = share;
 }
 
-entry_copy_t *entry_service_copy_find(entry_service_t *svc, const char *name)
-{
-	entry_copy_t *copy;
-
-	cds_list_for_each_entry (copy, &svc->copies, link)
-		if (!strcmp(copy->name, name))
-			return copy;
-	return NULL;
-}
-
-entry_copy_t *entry_service_copy_add(entry_service_t *svc, const char *name,
-				     usec_t now)
-{
-	service_copy_t *block = calloc(1, sizeof(*block));
-
-	if (!block)
-		return NULL;
-	block->copy.credit = &block->credit;
-	block->copy.health = &block->health;
-	block->credit.ramp = 1;
-	strncpy(block->copy.name, name, sizeof(block->copy.name) - 1);
-	block->copy.last_seen = now;
-	cds_list_add_tail(&block->copy.link, &svc->copies);
-	svc->copy_count++;
-	return &block->copy;
-}
-
-int entry_service_copy_remove(entry_service_t *svc, entry_copy_t *copy)
-{
-	if (copy->outstanding)
-		return -1;
-	cds_list_del(&copy->link);
-	svc->copy_count--;
-	free(caa_container_of(copy, service_copy_t, copy));
-	return 0;
-}
-
-static uint64_t service_rank(const entry_copy_t *copy, uint64_t seed)
-{
-	return hl_hash(copy->name, strlen(copy->name), seed);
-}
-
-/* Return the number of copies of the zone that come before @copy in the order
-   of this entry's rendezvous hashing. */
-static unsigned service_rank_position(const entry_service_t *svc,
-				      const entry_copy_t *copy, uint64_t seed)
-{
-	uint64_t rank = service_rank(copy, seed);
-	const entry_copy_t *other = NULL;
-	unsigned count = 0;
-
-	cds_list_for_each_entry (other, &svc->copies, link)
-		if (!other->draining && !strcmp(other->zone, copy->zone) &&
-		    service_rank(other, seed) < rank)
-			count++;
-	return count;
-}
-
-void entry_service_choose_subset(entry_service_t *svc, uint64_t seed)
-{
-	entry_copy_t *copy = NULL;
-
-	cds_list_for_each_entry (copy, &svc->copies, link)
-		copy->in_subset = svc->copy_count <= ENTRY_SUBSET_MAX ||
-				  (!strcmp(copy->zone, svc->zone) &&
-				   service_rank_position(svc, copy, seed) <
-					   ENTRY_SUBSET_MAX);
-}
-
-void entry_service_copy_reset(entry_service_t *svc, entry_copy_t *copy)
-{
-	usec_t sent_sum = copy->health->sent_sum;
-
-	(void)svc;
-	memset(copy->credit, 0, sizeof(*copy->credit));
-	memset(copy->health, 0, sizeof(*copy->health));
-	copy->health->sent_sum = sent_sum;
-	copy->credit->ramp = 1;
-	copy->slow_start_until = 0;
-	copy->leaving = false;
-	copy->rests_until = 0;
-	memset(&copy->rate, 0, sizeof(copy->rate));
-	memset(&copy->reach, 0, sizeof(copy->reach));
-}
-
 bool entry_service_on_leaving(entry_copy_t *copy)
 {
 	bool is_new = !copy->leaving;
@@ -266,27 +159,6 @@
 	return decision;
 }
 
-static entry_decision_t service_refuse(entry_refusal_t refusal,
-				       usec_t retry_after)
-{
-	entry_decision_t decision = { ENTRY_REFUSE, refusal, retry_after };
-
-	if (retry_after < SERVICE_RETRY_AFTER_MIN)
-		decision.retry_after = SERVICE_RETRY_AFTER_MIN;
-	return decision;
-}
-
-/* Refuse a call because this entry reaches no copy. The jitter keeps callers
-   from returning all at once. */
-static entry_decision_t service_refuse_unreachable(entry_service_t *svc)
-{
-	usec_t jitter = (usec_t)
-		entry_random(svc, (unsigned)SERVICE_UNREACHABLE_JITTER);
-
-	return service_refuse(ENTRY_REFUSE_UNREACHABLE,
-			      SERVICE_UNREACHABLE_WAIT + jitter);
-}
-
 /* Choose a copy for a call that must not use reserved credits. */
 static entry_copy_t *service_pick(entry_service_t *svc,
 				  const entry_call_t *call, usec_t now)
@@ -320,59 +192,6 @@
 	return p95 < half ? p95 : half;
 }
 
-/* Return the time from which a copy takes calls after its rest and by its rate;
-   USEC_NEVER if only other entries may send to it. */
-static usec_t service_available_at(const entry_service_t *svc,
-				   const entry_copy_t *copy, usec_t now)
-{
-	usec_t next = entry_rate_next(svc, copy, now);
-
-	return next > copy->rests_until ? next : copy->rests_until;
-}
-
-/* Return the time from which a copy takes calls again if none does now; 0 if
-   one does, USEC_NEVER if only other entries may send to them. */
-static usec_t service_rest_end(const entry_service_t *svc, usec_t now)
-{
-	const entry_copy_t *copy = NULL;
-	usec_t earliest = 0;
-
-	cds_list_for_each_entry (copy, &svc->copies, link) {
-		usec_t available;
-
-		if (copy->draining)
-			continue;
-		available = service_available_at(svc, copy, now);
-		if (now >= available)
-			return 0;
-		if (!earliest || available < earliest)
-			earliest = available;
-	}
-	return earliest;
-}
-
-/* Return the wait to suggest while no copy takes calls until @rest_end. The
-   jitter keeps callers from returning all at once. */
-static usec_t service_rest_wait(entry_service_t *svc, usec_t rest_end,
-				usec_t now)
-{
-	usec_t wait = rest_end == USEC_NEVER ? SERVICE_RETRY_AFTER_DEFAULT :
-					       rest_end - now;
-	usec_t max_jitter = SERVICE_REST_JITTER_MIN +
-			    (usec_t)(SERVICE_REST_JITTER * (double)wait);
-
-	return wait + (usec_t)entry_random(svc, (unsigned)max_jitter);
-}
-
-/* Return the expected time until half of the queue is served. */
-static usec_t service_queue_half_time(const entry_service_t *svc)
-{
-	if (svc->stats.capacity <= 0)
-		return SERVICE_RETRY_AFTER_DEFAULT;
-	return (usec_t)(entry_queue_count(svc->queue) / 2.0 * USEC_PER_SEC /
-			svc->stats.capacity);
-}
-
 /* Queue a call unless it would miss its deadline or the queue is full. */
 static entry_decision_t service_enqueue(entry_service_t *svc,
 					entry_call_t *call, usec_t now)
@@ -385,11 +204,11 @@
 	usec_t late = wait + margin - left;
 
 	if (wait > 0 && late > 0)
-		return service_refuse(ENTRY_REFUSE_DEADLINE, late);
+		return entry_refuse(ENTRY_REFUSE_DEADLINE, late);
 	if (entry_queue_count(svc->queue) >= svc->profile->queue_max &&
 	    !entry_queue_evict(svc->queue, call))
-		return service_refuse(ENTRY_REFUSE_QUEUE,
-				      service_queue_half_time(svc));
+		return entry_refuse(ENTRY_REFUSE_QUEUE,
+				    entry_refuse_queue_half_time(svc));
 	entry_queue_push(svc->queue, call, now);
 	return decision;
 }
@@ -411,13 +230,13 @@
 	call->attempts = 0;
 	call->unsent_attempts = 0;
 	if (!service_has_copy(svc))
-		return service_refuse(ENTRY_REFUSE_NO_COPY,
-				      SERVICE_RETRY_AFTER_DEFAULT);
+		return entry_refuse(ENTRY_REFUSE_NO_COPY,
+				    ENTRY_REFUSE_RETRY_AFTER);
 	if (now >= call->deadline)
-		return service_refuse(ENTRY_REFUSE_DEADLINE, 0);
+		return entry_refuse(ENTRY_REFUSE_DEADLINE, 0);
 	if (!call->from_sibling &&
 	    !entry_limit_admit(svc->limit, svc->profile, call, now, &wait))
-		return service_refuse(ENTRY_REFUSE_LIMIT, wait);
+		return entry_refuse(ENTRY_REFUSE_LIMIT, wait);
 	entry_retry_earn(svc->retry, svc->profile, now);
 	return decision;
 }
@@ -448,45 +267,6 @@
 	       !entry_report_has_room(svc, copy, now);
 }
 
-/* Whether a copy in the zone of this entry reports a free slot. A copy that is
-   paused because it refused a call counts, too. */
-static bool service_has_room(const entry_service_t *svc, usec_t now)
-{
-	const entry_copy_t *copy = NULL;
-
-	cds_list_for_each_entry (copy, &svc->copies, link)
-		if (!copy->draining && copy->limit > 0 &&
-		    !copy->reach.unreachable &&
-		    now >= service_available_at(svc, copy, now) &&
-		    !strcmp(copy->zone, svc->zone) &&
-		    entry_report_has_room(svc, copy, now))
-			return true;
-	return false;
-}
-
-/* Return the expected time until a slot becomes free, with jitter. */
-static usec_t service_slot_wait(entry_service_t *svc, const entry_call_t *call)
-{
-	usec_t max_jitter = call->objective / 2;
-
-	return max_jitter / 2 +
-	       (usec_t)entry_random(svc, (unsigned)max_jitter + 1);
-}
-
-usec_t entry_service_retry_after(entry_service_t *svc, const entry_call_t *call,
-				 usec_t now)
-{
-	usec_t rest_end = service_rest_end(svc, now);
-
-	if (rest_end)
-		return service_rest_wait(svc, rest_end, now);
-	if (svc->policy != ENTRY_POLICY_REPORTS || !call->objective)
-		return SERVICE_RETRY_AFTER_DEFAULT;
-	if (service_has_room(svc, now))
-		return (usec_t)entry_random(svc, SERVICE_RETRY_FREE_SLOT_MAX);
-	return service_slot_wait(svc, call);
-}
-
 /* Whether a call that is sent at @from cannot be served in time: within its
    objective if it has one, else by its deadline. */
 static bool service_too_late(const entry_service_t *svc,
@@ -511,11 +291,11 @@
 	if (decision.verdict == ENTRY_REFUSE)
 		return decision;
 	if (entry_reach_is_cut_off(svc))
-		return service_refuse_unreachable(svc);
-	rest_end = service_rest_end(svc, now);
+		return entry_refuse_unreachable(svc);
+	rest_end = entry_refuse_rest_end(svc, now);
 	if (rest_end && service_too_late(svc, call, rest_end))
-		return service_refuse(ENTRY_REFUSE_NO_COPY,
-				      service_rest_wait(svc, rest_end, now));
+		return entry_refuse(ENTRY_REFUSE_NO_COPY,
+				    entry_refuse_rest_wait(svc, rest_end, now));
 	entry_health_refresh(svc, now);
 	if (call->from_sibling && entry_reserve_use(svc, now))
 		copy = entry_pick(svc, call, now);
@@ -525,8 +305,8 @@
 		return service_enqueue(svc, call, now);
 	if (service_misses_deadline(svc, call, copy, now) ||
 	    service_is_full(svc, call, copy, now))
-		return service_refuse(ENTRY_REFUSE_QUEUE,
-				      service_slot_wait(svc, call));
+		return entry_refuse(ENTRY_REFUSE_QUEUE,
+				    entry_refuse_slot_wait(svc, call));
 	entry_queue_count_admitted(svc->queue, call, now);
 	return service_send(svc, call, copy, now);
 }
@@ -593,16 +373,16 @@
 					       const entry_call_t *call,
 					       usec_t now)
 {
-	usec_t rest_end = service_rest_end(svc, now);
+	usec_t rest_end = entry_refuse_rest_end(svc, now);
 
 	if (call->outcome == ENTRY_NOT_RUN && rest_end)
-		return service_refuse(ENTRY_REFUSE_NO_COPY,
-				      service_rest_wait(svc, rest_end, now));
+		return entry_refuse(ENTRY_REFUSE_NO_COPY,
+				    entry_refuse_rest_wait(svc, rest_end, now));
 	if (call->outcome == ENTRY_NOT_RUN && !service_accepts_calls(svc))
-		return service_refuse(ENTRY_REFUSE_NO_COPY,
-				      SERVICE_RETRY_AFTER_DEFAULT);
-	return service_refuse(ENTRY_REFUSE_DEADLINE,
-			      service_queue_half_time(svc));
+		return entry_refuse(ENTRY_REFUSE_NO_COPY,
+				    ENTRY_REFUSE_RETRY_AFTER);
+	return entry_refuse(ENTRY_REFUSE_DEADLINE,
+			    entry_refuse_queue_half_time(svc));
 }
 
 /*
@@ -621,7 +401,7 @@
 		if (!copy->draining &&
 		    (copy->limit == 0 ||
 		     (copy->health->paused_until < latest &&
-		      service_available_at(svc, copy, now) < latest)))
+		      entry_refuse_available_at(svc, copy, now) < latest)))
 			return false;
 	return true;
 }
@@ -632,8 +412,8 @@
 	entry_call_t *call = entry_queue_next_evicted(svc->queue);
 
 	if (call) {
-		*decision = service_refuse(ENTRY_REFUSE_QUEUE,
-					   service_queue_half_time(svc));
+		*decision = entry_refuse(ENTRY_REFUSE_QUEUE,
+					 entry_refuse_queue_half_time(svc));
 		return call;
 	}
 	call = entry_queue_earliest(svc->queue);
@@ -641,13 +421,13 @@
 		return NULL;
 	if (!service_has_copy(svc)) {
 		entry_queue_remove(svc->queue, call);
-		*decision = service_refuse(ENTRY_REFUSE_NO_COPY,
-					   SERVICE_RETRY_AFTER_DEFAULT);
+		*decision = entry_refuse(ENTRY_REFUSE_NO_COPY,
+					 ENTRY_REFUSE_RETRY_AFTER);
 		return call;
 	}
 	if (entry_reach_is_cut_off(svc)) {
 		entry_queue_remove(svc->queue, call);
-		*decision = service_refuse_unreachable(svc);
+		*decision = entry_refuse_unreachable(svc);
 		return call;
 	}
 	if (now + service_margin(svc, call) < call->deadline &&
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -854,6 +854,7 @@
 	entry_call_t call = { .objective = 250 * USEC_PER_MS,
 			      .work_kind = 1,
 			      .deadline = 9000 * USEC_PER_MS };
+	entry_decision_t decision;
 	entry_copy_t *copy;
 
 	script_init(script);
@@ -862,18 +863,25 @@
 	copy->slots = 2;
 	copy->limit = 9;
 	script->svc.work_times[1].normal = 0;
-	entry_service_on_report(&script->svc, copy, &full, 1000);
-	entry_service_arrive(&script->svc, &call, 1000);
+	/* The report is too old to show that the call finds a free slot. */
+	entry_service_on_report(&script->svc, copy, &free_slot, 2000);
+	decision = entry_service_arrive(&script->svc, &call,
+					2000 + 60 * USEC_PER_MS);
+	g_assert_cmpint(decision.verdict, ==, ENTRY_SEND);
 	entry_service_end(&script->svc, &call, ENTRY_RESULT_OK, 900000);
 	g_assert_cmpfloat(script->svc.work_times[1].normal, ==, 0);
 	entry_service_on_report(&script->svc, copy, &free_slot, 1000000);
-	entry_service_arrive(&script->svc, &call, 1000000);
+	decision = entry_service_arrive(&script->svc, &call, 1000000);
+	g_assert_cmpint(decision.verdict, ==, ENTRY_SEND);
 	entry_service_end(&script->svc, &call, ENTRY_RESULT_OK,
 			  1000000 + 200 * USEC_PER_MS);
 	g_assert_cmpfloat(script->svc.work_times[1].normal, >,
 			  99 * USEC_PER_MS);
 	g_assert_cmpfloat(script->svc.work_times[1].normal, <,
 			  101 * USEC_PER_MS);
+	entry_service_on_report(&script->svc, copy, &full, 2000000);
+	decision = entry_service_arrive(&script->svc, &call, 2000000);
+	g_assert_cmpint(decision.verdict, ==, ENTRY_REFUSE);
 	script_fini(script);
 	g_free(script);
 }
