--- a/entry-io.h
+++ b/entry-io.h
@@ -233,11 +233,11 @@
 	struct entry_request *hedge;	     /* the second send while it runs */
 	struct entry_request *winning_hedge; /* hedge that responded first */
 	bool finished;			     /* the last send has ended */
+	entry_stage_t stage; /* used by the connection's thread only */
 
 	pthread_mutex_t lock; /* guards all fields below */
 	pthread_cond_t changed;
 	struct MHD_Connection *connection; /* NULL once it is closed */
-	entry_stage_t stage;
 	bool suspended; /* libmicrohttpd does not process the connection */
 	bool cancelled; /* no response is needed any more */
 	bool hedge_won; /* its hedge has the response: end this send */
