--- a/entry-refuse.c
+++ b/entry-refuse.c
@@ -2,7 +2,7 @@
 #include "entry-decide.h"
 
 /*
- * Refusals of calls, and the time after which a caller is told to come back.
+ * Refusals of calls, and the Retry-After times sent with them.
  */
 
 /* Max retry-after time while a copy has a free slot: the call was then refused
