--- a/entry-tick.c
+++ b/entry-tick.c
@@ -14,9 +14,9 @@
    that are slow to send a call are disconnected, and idle connections to copies
    are checked. */
 #define TICK_LIMITS_INTERVAL USEC_PER_SEC
-/* Fraction of its share of the budgets of retries and probes that an entry uses.
-   Entries may count different numbers of live entries, so that full shares could
-   exceed a budget. */
+/* Fraction of its share of the retry budget that an entry uses. Entries may
+   count different numbers of live entries, so that full shares could exceed the
+   budget. */
 #define TICK_BUDGET_FRACTION 0.8
 
 /* Time since the last message of a keeper up to which the holders of copies'
