Poll the keeper that has just reported a configuration, not one that is silent

Cause: after all VMs have lost power, keepers come back up to half a second after entries.

Change: the datagram by which a keeper tells its revision now names it as the next one to poll, and ends a poll of another keeper that is not connected yet. In the first 2 s heartbeats to silent keepers are repeated each 40 ms instead of 150 ms.

Ruled out: that the processes themselves start late (an entry is up 0.1 s after its VM; the keepers' VMs are up later, not their programs).

Test: test-config-follow, reporter-first: fails without the change.

--- a/config-direct.c
+++ b/config-direct.c
@@ -22,6 +22,8 @@
  * it up to the maximum, as the link of this VM may be slow. */
 #define DIRECT_CONNECT_TIMEOUT_MS 200L
 #define DIRECT_CONNECT_TIMEOUT_MAX_MS 1600L
+/* Maximum wait for events of a transfer. */
+#define DIRECT_EVENTS_WAIT_MS 1000
 /* Maximum size of a response, compressed or decompressed. */
 #define DIRECT_RESPONSE_BYTES_MAX (64u * 1024 * 1024)
 
@@ -82,6 +84,54 @@
 		       DIRECT_CONNECT_TIMEOUT_MAX_MS;
 }
 
+/* Whether a keeper has been named that is to be polled instead of the one at
+ * @address, to which the request has not been sent yet. */
+static bool direct_is_superseded(config_follow_t *follow, const char *address)
+{
+	curl_off_t sent_at = 0;
+	bool other;
+
+	curl_easy_getinfo(follow->easy, CURLINFO_PRETRANSFER_TIME_T, &sent_at);
+	pthread_mutex_lock(&follow->lock);
+	other = *follow->leader && strcmp(follow->leader, address);
+	pthread_mutex_unlock(&follow->lock);
+	return other && !sent_at;
+}
+
+/* Result of the transfer that has ended. */
+static CURLcode direct_transfer_result(config_follow_t *follow)
+{
+	CURLMsg *message;
+	int left;
+
+	message = curl_multi_info_read(follow->multi, &left);
+	if (!message || message->msg != CURLMSG_DONE)
+		return CURLE_RECV_ERROR;
+	return message->data.result;
+}
+
+/*
+ * Runs the transfer of follow->easy. A connect to a VM that is down gets no
+ * reply, so the transfer ends with CURLE_AGAIN if another keeper is to be polled
+ * before the request is sent.
+ */
+static CURLcode direct_transfer(config_follow_t *follow, const char *address)
+{
+	CURLcode result = CURLE_AGAIN;
+	int running = 0;
+
+	if (curl_multi_add_handle(follow->multi, follow->easy))
+		return CURLE_OUT_OF_MEMORY;
+	while (!curl_multi_perform(follow->multi, &running) && running &&
+	       !direct_is_superseded(follow, address))
+		curl_multi_poll(follow->multi, NULL, 0, DIRECT_EVENTS_WAIT_MS,
+				NULL);
+	if (!running)
+		result = direct_transfer_result(follow);
+	curl_multi_remove_handle(follow->multi, follow->easy);
+	return result;
+}
+
 /* Polls one keeper; returns false if it sends no valid response. */
 static bool direct_get(config_follow_t *follow, const char *address,
 		       keeper_fetch_res_t *res)
@@ -91,6 +141,7 @@
 	char url[HL_ADDRESS_MAX + 64];
 	direct_body_t body = { 0 };
 	CURL *easy = follow->easy;
+	CURLcode result;
 	bool ok;
 
 	/* The first configuration may come from any keeper, not only from the
@@ -109,13 +160,17 @@
 				 DIRECT_CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, direct_write);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &body);
-	ok = curl_easy_perform(easy) == CURLE_OK && direct_decode(&body, res);
+	result = direct_transfer(follow, address);
+	ok = result == CURLE_OK && direct_decode(&body, res);
 	free(body.bytes);
-	follow->failed_polls = ok ? 0 : follow->failed_polls + 1;
+	if (ok)
+		follow->failed_polls = 0;
+	else if (result != CURLE_AGAIN)
+		follow->failed_polls++;
 	return ok;
 }
 
-/* Chooses the reported leader, or else the next keeper of the list. */
+/* Chooses the keeper that was named, or else the next one of the list. */
 static void direct_choose_keeper(config_follow_t *follow, char *out)
 {
 	pthread_mutex_lock(&follow->lock);
@@ -180,15 +235,39 @@
 	config_follow_pause(follow, poll, stop);
 }
 
+static int direct_open(config_follow_t *follow)
+{
+	CURLM *multi = curl_multi_init();
+
+	follow->easy = curl_easy_init();
+	pthread_mutex_lock(&follow->lock);
+	follow->multi = multi;
+	pthread_mutex_unlock(&follow->lock);
+	return follow->easy && multi ? 0 : -1;
+}
+
+static void direct_close(config_follow_t *follow)
+{
+	CURLM *multi = follow->multi;
+
+	pthread_mutex_lock(&follow->lock);
+	follow->multi = NULL;
+	pthread_mutex_unlock(&follow->lock);
+	curl_easy_cleanup(follow->easy);
+	follow->easy = NULL;
+	curl_multi_cleanup(multi);
+}
+
 int config_direct_run(void *context, const volatile int *stop)
 {
 	config_follow_t *follow = context;
 	usec_t poll = follow->settings.poll_ms * USEC_PER_MS;
 	direct_result_t result;
 
-	follow->easy = curl_easy_init();
-	if (!follow->easy)
+	if (direct_open(follow)) {
+		direct_close(follow);
 		return -1;
+	}
 	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
 		result = direct_poll_once(follow, time_now());
 		if (result == DIRECT_FAILED)
@@ -197,7 +276,6 @@
 		else if (result == DIRECT_DONE)
 			direct_pause(follow, poll, stop);
 	}
-	curl_easy_cleanup(follow->easy);
-	follow->easy = NULL;
+	direct_close(follow);
 	return 0;
 }
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -43,12 +43,15 @@
 	unsigned ancestor_steps; /* 0: poll the parent, 1: its parent, ... */
 	unsigned ancestor_polls; /* polls since ancestor_steps increased */
 	unsigned keeper_index;	 /* next keeper to poll */
-	char leader[HL_ADDRESS_MAX];  /* leading keeper, or "" if unknown */
+	/* Leading keeper, or "" if unknown. Outside the tree, before the first
+	 * configuration, also a keeper that has reported one. */
+	char leader[HL_ADDRESS_MAX];
 	config_summary_t last_report; /* last report sent */
 	unsigned jitter_seed;	      /* state of the jitter generator */
 
 	SVCXPRT *listener;
 	CURL *easy;	       /* HTTP client of a follower outside the tree */
+	CURLM *multi;	       /* its transfers; lock protects the pointer */
 	unsigned failed_polls; /* over HTTP, since the last response */
 
 	struct {
--- a/config-follow.c
+++ b/config-follow.c
@@ -199,7 +199,8 @@
 }
 
 void config_follow_trigger(config_follow_t *follow,
-			   const setting_list_t *keepers, const char *leader)
+			   const setting_list_t *keepers, const char *leader,
+			   const char *reporter)
 {
 	pthread_mutex_lock(&follow->lock);
 	follow->triggered = true;
@@ -207,6 +208,10 @@
 		follow->keepers = *keepers;
 	if (*leader)
 		strcpy(follow->leader, leader);
+	else if (!follow->ready)
+		strcpy(follow->leader, reporter);
+	if (follow->multi)
+		curl_multi_wakeup(follow->multi);
 	pthread_cond_broadcast(&follow->wake);
 	pthread_mutex_unlock(&follow->lock);
 }
--- a/config-follow.h
+++ b/config-follow.h
@@ -162,9 +162,14 @@
  * @keepers: control addresses of the keepers; if the list is empty, the
  *           follower's current list remains
  * @leader: control address of the leading keeper, or "" if unknown
+ * @reporter: control address of the keeper that has reported a configuration; a
+ *            follower without one polls it if the leader is unknown
+ *
+ * A poll of another keeper that is not connected yet is given up.
  */
 void config_follow_trigger(config_follow_t *follow,
-			   const setting_list_t *keepers, const char *leader);
+			   const setting_list_t *keepers, const char *leader,
+			   const char *reporter);
 
 /** config_follow_free - free a stopped follower; NULL is allowed. */
 void config_follow_free(config_follow_t *follow);
--- a/entry-target.c
+++ b/entry-target.c
@@ -266,17 +266,21 @@
 	return (uint16_t)strtoul(strrchr(first, ':') + 1, NULL, 10);
 }
 
-static void target_on_newer_revision(void *context)
+static void target_on_newer_revision(void *context, const char *keeper)
 {
 	entry_t *entry = context;
 	setting_list_t leader = { .count = 1 };
+	setting_list_t reporter = { .count = 1 };
 	setting_list_t keepers;
 
+	strcpy(reporter.items[0], keeper);
 	presence_client_keepers(entry->presence, &keepers, leader.items[0]);
 	leader.count = *leader.items[0] != '\0';
 	config_follow_set_ports(&keepers, target_keeper_control_port(entry));
 	config_follow_set_ports(&leader, target_keeper_control_port(entry));
-	config_follow_trigger(entry->follow, &keepers, leader.items[0]);
+	config_follow_set_ports(&reporter, target_keeper_control_port(entry));
+	config_follow_trigger(entry->follow, &keepers, leader.items[0],
+			      reporter.items[0]);
 }
 
 int entry_target_presence_new(entry_t *entry, hl_error_t *err)
--- a/presence-client.c
+++ b/presence-client.c
@@ -19,8 +19,11 @@
 #define CLIENT_IDENTITY_RESEND_AGE (5 * USEC_PER_SEC)
 /* Time without a response after which a keeper is logged as lost. */
 #define CLIENT_KEEPER_LOST_AGE (3 * USEC_PER_SEC)
-/* Interval of heartbeats to a keeper that does not respond. */
+/* Interval of heartbeats to a keeper that does not respond, and the shorter one
+ * just after the start, when the entry needs a configuration to serve calls. */
 #define CLIENT_RETRY_INTERVAL (150 * USEC_PER_MS)
+#define CLIENT_START_RETRY_INTERVAL (40 * USEC_PER_MS)
+#define CLIENT_START_AGE_MAX (2 * USEC_PER_SEC)
 /* Time since its last response up to which a keeper is asked for peers. */
 #define CLIENT_PEERS_KEEPER_AGE (2200 * USEC_PER_MS)
 /* Time without a response of a keeper after which the peers are not known. */
@@ -55,6 +58,7 @@
 	unsigned count;	   /* number of keepers */
 	bool send_at_once; /* a heartbeat to all keepers is due */
 	usec_t retry_at;   /* next heartbeat to keepers that do not respond */
+	usec_t started;
 	client_keeper_t keepers[CLIENT_KEEPERS_MAX];
 	unsigned entries;     /* live entries that a keeper reported; atomic */
 	usec_t last_response; /* of any keeper; atomic */
@@ -209,7 +213,8 @@
 	client_update_leader(client, keeper, status->leading);
 	if (status->revision >
 	    client->options.revision(client->options.context))
-		client->options.on_newer_revision(client->options.context);
+		client->options.on_newer_revision(client->options.context,
+						  keeper->address);
 }
 
 static void client_on_peers(presence_client_t *client,
@@ -419,6 +424,13 @@
 	return true;
 }
 
+static usec_t client_retry_interval(const presence_client_t *client, usec_t now)
+{
+	if (now - client->started < CLIENT_START_AGE_MAX)
+		return CLIENT_START_RETRY_INTERVAL;
+	return CLIENT_RETRY_INTERVAL;
+}
+
 /* Send the heartbeats that are due. Set @due to the time of the next heartbeat
  * to all keepers; return the time of the next heartbeat to any keeper. */
 static usec_t client_send_due(presence_client_t *client, usec_t *due,
@@ -438,7 +450,7 @@
 		next = client_any_needs_retry(client) ? client->retry_at : *due;
 		return next < *due ? next : *due;
 	}
-	client->retry_at = now + CLIENT_RETRY_INTERVAL;
+	client->retry_at = now + client_retry_interval(client, now);
 	return client->retry_at < *due ? client->retry_at : *due;
 }
 
@@ -522,6 +534,7 @@
 	client->options = *options;
 	client->socket = client->wake = -1;
 	client->entries = 1;
+	client->started = start;
 	client->seeds = *options->keepers;
 	client->cluster = hl_hash(options->cluster, strlen(options->cluster),
 				  0);
--- a/presence.h
+++ b/presence.h
@@ -178,8 +178,9 @@
 	/* True if other entries reach copies that this entry does not reach. */
 	bool (*impaired)(void *context);
 	uint64_t (*revision)(void *context); /* returns the one in force */
-	/* Called when a keeper reports a newer revision than revision(). */
-	void (*on_newer_revision)(void *context);
+	/* Called when the keeper with this address reports a newer revision than
+	 * revision(). */
+	void (*on_newer_revision)(void *context, const char *keeper);
 	void *context;
 } presence_client_options_t;
 
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -1,3 +1,5 @@
+#include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <urcu.h>
@@ -275,6 +277,82 @@
 	g_assert_cmpint(config_direct_connect_timeout_ms(1000000), ==, 1600);
 }
 
+/* Listens on a free port of the loopback interface. */
+static int listen_open(int backlog, char address[HL_ADDRESS_MAX])
+{
+	struct sockaddr_in name = { .sin_family = AF_INET };
+	socklen_t length = sizeof(name);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&name, length), ==, 0);
+	g_assert_cmpint(listen(fd, backlog), ==, 0);
+	getsockname(fd, (struct sockaddr *)&name, &length);
+	g_snprintf(address, HL_ADDRESS_MAX, "127.0.0.1:%u",
+		   ntohs(name.sin_port));
+	return fd;
+}
+
+#define SILENT_CLIENTS 4
+
+/* Fills the queue of a listening socket, so that it answers no further connect,
+ * as a VM without power does. */
+static void silence(const char *address, int clients[SILENT_CLIENTS])
+{
+	struct sockaddr_storage storage;
+	unsigned length;
+	int i;
+
+	g_assert_cmpint(hl_address_parse(address, &storage, &length), ==, 0);
+	for (i = 0; i < SILENT_CLIENTS; i++) {
+		clients[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		connect(clients[i], (struct sockaddr *)&storage, length);
+	}
+}
+
+/*
+ * All VMs have lost power, and an entry starts before most keepers. Once a keeper
+ * reports that it has a configuration, the entry must poll that one, not wait for
+ * its connect to a VM that is still down. The first three polls take 1.4 s, so
+ * that the fourth, with the longest timeout, is under way at the trigger.
+ */
+static void test_reporter_first(void)
+{
+	metrics_t *metrics = metrics_new();
+	supervisor_t *sup = supervisor_new("test", 1, USEC_PER_SEC);
+	config_follow_options_t options = { .name = "e1", .metrics = metrics };
+	const setting_list_t unchanged = { 0 };
+	char silent_address[HL_ADDRESS_MAX], keeper_address[HL_ADDRESS_MAX];
+	int silent = listen_open(0, silent_address);
+	int keeper = listen_open(8, keeper_address);
+	struct pollfd connected = { keeper, POLLIN, 0 };
+	supervisor_child_t child;
+	config_follow_t *follow;
+	int clients[SILENT_CLIENTS];
+	hl_error_t err;
+	int i;
+
+	silence(silent_address, clients);
+	options.settings.poll_ms = 10000;
+	options.settings.timeout_ms = 1000;
+	options.settings.keepers.count = 1;
+	strcpy(options.settings.keepers.items[0], silent_address);
+	follow = config_follow_new(&options, &err);
+	g_assert_nonnull(follow);
+	child = config_follow_child(follow);
+	g_assert_cmpint(supervisor_add(sup, &child, NULL), ==, 0);
+	g_assert_cmpint(poll(&connected, 1, 1800), ==, 0);
+	config_follow_trigger(follow, &unchanged, "", keeper_address);
+	g_assert_cmpint(poll(&connected, 1, 700), ==, 1);
+	close(keeper);
+	close(silent);
+	supervisor_free(sup);
+	config_follow_free(follow);
+	metrics_free(metrics);
+	for (i = 0; i < SILENT_CLIENTS; i++)
+		close(clients[i]);
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -292,6 +370,7 @@
 		g_free(path);
 	}
 	g_test_add_func("/config-follow/connect-timeout", test_connect_timeout);
+	g_test_add_func("/config-follow/reporter-first", test_reporter_first);
 	rc = g_test_run();
 	rcu_unregister_thread();
 	return rc;
