Wake the waiting call that gains most when a copy reports room

Hypothesis: a call that finds no copy with room looks again each 50 ms, while a slot is free again after 20 to 60 ms and its reports arrive with the responses of other calls of the entry. Which call finds it is chance.

Change: calls without a copy stand in a list of their service (entry-await.c). Each report that arrives, with a response or a probe, wakes one of them: those that can meet their objective first, then the more urgent ones, then those whose time ends first. They look again by themselves after 20, 40 and then 80 ms.

Tests: crowd-* in test-entry-reports.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -270,4 +270,5 @@
 		dispatch_finish(req, result);
 	entry_request_unref(req);
 	entry_dispatch_next(upstream, now);
+	entry_probe_wake(upstream, now);
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -227,6 +227,7 @@
 	unsigned credits_to_offer; /* sent with the response */
 	unsigned credits_offered;  /* received with the response */
 	bool probing; /* copies have to be probed before one is chosen */
+	bool woken;   /* a copy has room; guarded by the lock below */
 	bool replay;  /* it gets the stored response of its key */
 	struct entry_request *primary; /* NULL unless this is a hedge */
 	/* Guarded by the lock of the upstream. */
@@ -953,6 +954,13 @@
  */
 void entry_probe_refresh_reports(entry_request_t *req);
 
+/**
+ * entry_probe_wake - wake a call that waits for a copy, if one has room now.
+ *
+ * Called after reports of copies have arrived, without a lock.
+ */
+void entry_probe_wake(entry_upstream_t *upstream, usec_t now);
+
 /** entry_tick_init - initialize the lock and due time of the tick thread. */
 void entry_tick_init(entry_t *entry);
 
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -155,8 +155,10 @@
 #define PROBE_FAST_ONLY_ROUNDS 2
 /* A copy with a report of at most this age is not probed again. */
 #define PROBE_REPORT_MAX_AGE (30 * USEC_PER_MS)
-/* Interval between further rounds while no copy is good enough for the call. */
-#define PROBE_RETRY_INTERVAL (50 * USEC_PER_MS)
+/* Interval between further rounds while no copy is good enough for the call,
+   doubled after each one up to the maximum. */
+#define PROBE_RETRY_INTERVAL_MIN (20 * USEC_PER_MS)
+#define PROBE_RETRY_INTERVAL_MAX (80 * USEC_PER_MS)
 /* Maximum wait for the responses of a round, as a fraction of the objective. */
 #define PROBE_WAIT_FRACTION 0.2
 /* Maximum slowness, in percent, of an acceptable copy with a free slot. */
@@ -301,6 +303,7 @@
 	entry_prober_query(req->entry->prober, path, probes, count, &wait,
 			   probe_is_acceptable);
 	probe_record(upstream, probes, count, time_now());
+	entry_probe_wake(upstream, time_now());
 }
 
 /* Decides, after a round of probes, whether the call has to wait. */
@@ -317,22 +320,69 @@
 	return wait;
 }
 
-/* Waits until @until; false if the caller disconnected. */
+static void probe_await(entry_request_t *req, bool begin)
+{
+	entry_upstream_t *upstream = req->upstream;
+
+	pthread_mutex_lock(&upstream->lock);
+	if (begin)
+		entry_await_add(&upstream->service, &req->call);
+	else
+		entry_await_remove(&req->call);
+	pthread_mutex_unlock(&upstream->lock);
+}
+
+/* Waits until @until or entry_probe_wake(); false if the caller disconnected. */
 static bool probe_wait(entry_request_t *req, usec_t until)
 {
 	struct timespec ts = { until / USEC_PER_SEC,
 			       until % USEC_PER_SEC * 1000 };
 	bool cancelled;
 
+	probe_await(req, true);
 	pthread_mutex_lock(&req->lock);
-	while (!req->cancelled &&
+	while (!req->cancelled && !req->woken &&
 	       !pthread_cond_timedwait(&req->changed, &req->lock, &ts))
 		;
 	cancelled = req->cancelled;
 	pthread_mutex_unlock(&req->lock);
+	probe_await(req, false);
 	return !cancelled;
 }
 
+/* Whether entry_probe_wake() has ended the last wait. */
+static bool probe_take_wake(entry_request_t *req)
+{
+	bool woken;
+
+	pthread_mutex_lock(&req->lock);
+	woken = req->woken;
+	req->woken = false;
+	pthread_mutex_unlock(&req->lock);
+	return woken;
+}
+
+void entry_probe_wake(entry_upstream_t *upstream, usec_t now)
+{
+	entry_request_t *req = NULL;
+	entry_call_t *call;
+
+	pthread_mutex_lock(&upstream->lock);
+	call = entry_await_take(&upstream->service, now);
+	if (call) {
+		req = caa_container_of(call, entry_request_t, call);
+		entry_request_ref(req);
+	}
+	pthread_mutex_unlock(&upstream->lock);
+	if (!req)
+		return;
+	pthread_mutex_lock(&req->lock);
+	req->woken = true;
+	pthread_cond_broadcast(&req->changed);
+	pthread_mutex_unlock(&req->lock);
+	entry_request_unref(req);
+}
+
 /* Returns whether copies can be probed. */
 static bool probe_reports_possible(entry_upstream_t *upstream)
 {
@@ -370,6 +420,7 @@
 
 void entry_probe_refresh_reports(entry_request_t *req)
 {
+	usec_t interval = PROBE_RETRY_INTERVAL_MIN;
 	usec_t now = time_now();
 	unsigned round;
 
@@ -379,8 +430,9 @@
 		bool other_zones = round >= PROBE_ZONE_ROUNDS;
 		entry_wait_t wait;
 
-		probe_round(req, probe_scope(round),
-			    now - PROBE_REPORT_MAX_AGE);
+		if (!probe_take_wake(req))
+			probe_round(req, probe_scope(round),
+				    now - PROBE_REPORT_MAX_AGE);
 		now = time_now();
 		wait = probe_check_wait(req, other_zones,
 					round < PROBE_FAST_ONLY_ROUNDS, now);
@@ -389,8 +441,9 @@
 		if (!other_zones)
 			continue;
 		if (wait == ENTRY_WAIT_EXPIRED || probe_is_impaired(req) ||
-		    !probe_wait(req, now + PROBE_RETRY_INTERVAL))
+		    !probe_wait(req, now + interval))
 			return;
+		interval = MIN(2 * interval, PROBE_RETRY_INTERVAL_MAX);
 		now = time_now();
 	}
 }
--- a/entry-service.c
+++ b/entry-service.c
@@ -28,6 +28,7 @@
 	memset(svc, 0, sizeof(*svc));
 	CDS_INIT_LIST_HEAD(&svc->copies);
 	CDS_INIT_LIST_HEAD(&svc->running);
+	CDS_INIT_LIST_HEAD(&svc->awaiting);
 	svc->policy = policy;
 	svc->profile = profile;
 	svc->random_state = seed | 1;
--- a/entry.h
+++ b/entry.h
@@ -154,6 +154,8 @@
 	entry_outcome_t outcome;
 	/* The following fields are private to the decision code. */
 	struct cds_list_head running_link; /* entry_service_t.running */
+	struct cds_list_head await_link;   /* entry_service_t.awaiting */
+	bool awaiting;			   /* it is in that list */
 	entry_heap_node_t urgency;	   /* position in its tenant's flow */
 	entry_heap_node_t expiry;	   /* position in the whole queue */
 	struct entry_flow *flow;
@@ -244,8 +246,9 @@
 	bool slots_only;    /* for comparison: no more credits than slots */
 	struct entry_retry *retry;
 	entry_probe_rate_t probe_rate;
-	uint64_t random_state;	      /* generator state, seeded at init */
-	struct cds_list_head running; /* calls sent, oldest send first */
+	uint64_t random_state;	       /* generator state, seeded at init */
+	struct cds_list_head running;  /* calls sent, oldest send first */
+	struct cds_list_head awaiting; /* calls without a copy; entry-await.c */
 	entry_service_stats_t stats;
 	entry_reserve_t reserves[ENTRY_RESERVES_MAX];
 	/* Called when a copy is ejected or readmitted. */
@@ -534,6 +537,26 @@
 					 bool other_zones, bool quick_only,
 					 usec_t now);
 
+/**
+ * entry_await_add - let a call wait until a copy has room.
+ *
+ * Under the lock of the service, like the next two functions.
+ */
+void entry_await_add(entry_service_t *svc, entry_call_t *call);
+
+/** entry_await_remove - end the wait of a call, if it waits. */
+void entry_await_remove(entry_call_t *call);
+
+/**
+ * entry_await_take - end the wait of the call that is to use a free slot.
+ *
+ * Calls that can meet their objective go first, then the more urgent ones, then
+ * those whose objective or deadline ends first.
+ *
+ * Return: the call, or NULL if none waits or no copy has room for it.
+ */
+entry_call_t *entry_await_take(entry_service_t *svc, usec_t now);
+
 /**
  * entry_retry_after_read - parse the value of a Retry-After header.
  * @text: seconds, with or without a fraction
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -132,6 +132,38 @@
 	  "0 wait x objective=250 deadline=2000 = ready\n"
 	  "0 wait y objective=250 deadline=1700 = ready\n" },
 
+	/* A crowd at few copies: several calls wait when a slot gets free. */
+	{ "crowd-no-free-slot-wakes-nobody",
+	  "0 copy a 2\n0 report a 2 0 100\n0 take = none\n"
+	  "0 await x objective=250\n1 take = none\n" },
+	{ "crowd-free-slot-wakes-one-call",
+	  "0 copy a 2\n0 report a 2 0 100\n"
+	  "0 await x objective=250\n1 await y objective=250\n"
+	  "20 report a 0 0 100\n20 take = x\n20 take = y\n20 take = none\n" },
+	{ "crowd-call-that-can-be-in-time-goes-first",
+	  "0 copy a 2\n0 report a 2 0 100\n"
+	  "0 await late objective=250 deadline=800\n"
+	  "200 await fresh objective=250 deadline=2000\n"
+	  "201 report a 0 0 100\n201 take = fresh\n201 take = late\n" },
+	{ "crowd-more-urgent-call-goes-first",
+	  "0 copy a 2\n0 report a 2 0 100\n"
+	  "0 await view objective=250 priority=2\n"
+	  "10 await order objective=250 priority=1\n"
+	  "20 report a 0 0 100\n20 take = order\n20 take = view\n" },
+	{ "crowd-objective-that-ends-first-goes-first",
+	  "0 copy a 2\n0 report a 2 0 100\n"
+	  "0 await long objective=900\n10 await short objective=250\n"
+	  "20 report a 0 0 100\n20 take = short\n20 take = long\n" },
+	{ "crowd-late-calls-leave-the-last-slot-free",
+	  "0 copy a 2\n0 report a 2 0 100\n"
+	  "0 await late objective=250 deadline=2000\n"
+	  "300 report a 1 0 100\n300 take = none\n"
+	  "310 report a 0 0 100\n310 take = late\n" },
+	{ "crowd-call-that-went-is-not-woken",
+	  "0 copy a 2\n0 report a 2 0 100\n0 await x objective=250\n"
+	  "10 leave x\n20 report a 0 0 100\n20 take = none\n"
+	  "20 leave x\n" },
+
 	/* A zone with few copies and many callers. */
 	{ "small-zone-serves-while-in-time",
 	  "0 copy a 2\n0 copy f 2 zone=there\n"
@@ -405,6 +437,8 @@
 					      value * USEC_PER_MS;
 		else if (script_option(*words, "attempts", &value))
 			call->call.attempts_max = (unsigned)value;
+		else if (script_option(*words, "priority", &value))
+			call->call.priority = (unsigned)value;
 		else if (!strcmp(*words, "idem"))
 			call->call.idempotent = true;
 	}
@@ -637,6 +671,29 @@
 	return script_decision(&call->call, &decision);
 }
 
+static char *run_await(script_t *script, char **words)
+{
+	script_call_t *call = script_call(script, words[1]);
+
+	script_options(call, words + 2);
+	entry_await_add(&script->svc, &call->call);
+	return NULL;
+}
+
+static char *run_leave(script_t *script, char **words)
+{
+	entry_await_remove(&script_call(script, words[1])->call);
+	return NULL;
+}
+
+static char *run_take(script_t *script, char **words)
+{
+	entry_call_t *call = entry_await_take(&script->svc, script->now);
+
+	(void)words;
+	return g_strdup(script_name(script, call));
+}
+
 static char *run_next(script_t *script, char **words)
 {
 	entry_call_t *call = entry_service_next(&script->svc, script->now);
@@ -730,6 +787,9 @@
 	{ "end", run_end },
 	{ "next", run_next },
 	{ "candidates", run_candidates },
+	{ "await", run_await },
+	{ "leave", run_leave },
+	{ "take", run_take },
 	{ "probe-rate", run_probe_rate },
 	{ "contention", run_contention },
 	{ "retry-after", run_retry_after },
