Halve the memory of a caller's connection

Hypothesis: libmicrohttpd clears its memory of a connection after each request on it, so that each open connection costs its whole limit, 32 KiB, and connections of callers are most of what an entry uses under load.

Change: 16 KiB, enough for a request head of 8 KiB and a response head of 2 KB beside it. Larger heads are refused with 431 as before.

--- a/entry-http.c
+++ b/entry-http.c
@@ -16,7 +16,7 @@
  */
 
 #define HTTP_BACKLOG 1024u	       /* connections not yet accepted */
-#define HTTP_HEADER_BYTES (32u * 1024) /* memory of one connection */
+#define HTTP_HEADER_BYTES (16u * 1024) /* memory of one connection */
 /* Interval between checks for calls in flight during a shutdown. */
 #define HTTP_STOP_PERIOD (5 * USEC_PER_MS)
 /* Time for the responses of calls that are ended at a stop. */
