Spend scarce probes on other zones, and by one waiting call at a time

The entries of that zone had used up their probes on its full copies.

Change: once half of the burst of probes is used (entry-probe-plan.c), copies of other zones are probed after one round in this zone instead of three, and then by turns, and of the calls that wait only the first one probes; what it learns wakes the others.

Tests: full-zone-* in test-entry-reports.

--- a/entry-await.c
+++ b/entry-await.c
@@ -47,6 +47,17 @@
 	return a->deadline < b->deadline;
 }
 
+bool entry_await_is_first(const entry_service_t *svc, const entry_call_t *call,
+			  usec_t now)
+{
+	const entry_call_t *other = NULL;
+
+	cds_list_for_each_entry (other, &svc->awaiting, await_link)
+		if (other != call && await_before(svc, other, call, now))
+			return false;
+	return true;
+}
+
 entry_call_t *entry_await_take(entry_service_t *svc, usec_t now)
 {
 	entry_call_t *best = NULL;
--- a/entry-decide.h
+++ b/entry-decide.h
@@ -134,6 +134,13 @@
 unsigned entry_probe_rate_take(entry_service_t *svc, unsigned count,
 			       usec_t now);
 
+/** entry_probe_rate_is_scarce - whether half of the burst of probes is used. */
+bool entry_probe_rate_is_scarce(entry_service_t *svc, usec_t now);
+
+/** entry_await_is_first - whether no waiting call goes before a call. */
+bool entry_await_is_first(const entry_service_t *svc, const entry_call_t *call,
+			  usec_t now);
+
 /** entry_probe_rate_charge - count a probe that is sent in any case. */
 void entry_probe_rate_charge(entry_service_t *svc, usec_t now);
 
--- a/entry-probe-rate.c
+++ b/entry-probe-rate.c
@@ -7,6 +7,8 @@
 
 /* Size of the bucket: the probes of this time at the limit. */
 #define PROBE_RATE_BURST (5 * USEC_PER_SEC)
+/* Fraction of a full bucket below which probes are scarce. */
+#define PROBE_RATE_SCARCE 0.5
 
 static double probe_rate_burst(const entry_probe_rate_t *bucket)
 {
@@ -41,6 +43,16 @@
 	bucket->tokens = probe_rate_burst(bucket);
 }
 
+bool entry_probe_rate_is_scarce(entry_service_t *svc, usec_t now)
+{
+	entry_probe_rate_t *bucket = &svc->probe_rate;
+
+	if (bucket->rate <= 0)
+		return false;
+	probe_rate_refill(bucket, now);
+	return bucket->tokens < PROBE_RATE_SCARCE * probe_rate_burst(bucket);
+}
+
 unsigned entry_probe_rate_take(entry_service_t *svc, unsigned count, usec_t now)
 {
 	entry_probe_rate_t *bucket = &svc->probe_rate;
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -147,12 +147,6 @@
 
 /* Number of copies probed in parallel in one round. */
 #define PROBE_BATCH_SIZE 2u
-/* Number of rounds of probes in this zone before copies of other zones are
-   probed. */
-#define PROBE_ZONE_ROUNDS 3
-/* Number of the first rounds in which the call is sent only to a copy that is
-   quick (see entry_wait_t), not to any that meets its objective. */
-#define PROBE_FAST_ONLY_ROUNDS 2
 /* A copy with a report of at most this age is not probed again. */
 #define PROBE_REPORT_MAX_AGE (30 * USEC_PER_MS)
 /* Interval between further rounds while no copy is good enough for the call,
@@ -407,15 +401,18 @@
 	return impaired;
 }
 
-/* Returns the copies to probe in a round: first those of the subset, then once
-   those of other zones, then those of this zone. */
-static entry_scope_t probe_scope(unsigned round)
+/* Plans the next round of probes of a call. */
+static entry_probe_plan_t probe_plan(entry_request_t *req, unsigned round,
+				     usec_t now)
 {
-	if (round < PROBE_ZONE_ROUNDS)
-		return ENTRY_SCOPE_SUBSET;
-	if (round == PROBE_ZONE_ROUNDS)
-		return ENTRY_SCOPE_OTHER_ZONES;
-	return ENTRY_SCOPE_ZONE;
+	entry_upstream_t *upstream = req->upstream;
+	entry_probe_plan_t plan;
+
+	pthread_mutex_lock(&upstream->lock);
+	plan = entry_service_plan_probes(&upstream->service, &req->call, round,
+					 now);
+	pthread_mutex_unlock(&upstream->lock);
+	return plan;
 }
 
 void entry_probe_refresh_reports(entry_request_t *req)
@@ -427,18 +424,18 @@
 	if (!probe_reports_possible(req->upstream))
 		return;
 	for (round = 0;; round++) {
-		bool other_zones = round >= PROBE_ZONE_ROUNDS;
+		entry_probe_plan_t plan = probe_plan(req, round, now);
 		entry_wait_t wait;
 
-		if (!probe_take_wake(req))
-			probe_round(req, probe_scope(round),
+		if (!probe_take_wake(req) && plan.probes)
+			probe_round(req, plan.scope,
 				    now - PROBE_REPORT_MAX_AGE);
 		now = time_now();
-		wait = probe_check_wait(req, other_zones,
-					round < PROBE_FAST_ONLY_ROUNDS, now);
+		wait = probe_check_wait(req, plan.other_zones, plan.quick_only,
+					now);
 		if (wait == ENTRY_WAIT_READY)
 			return;
-		if (!other_zones)
+		if (!plan.other_zones)
 			continue;
 		if (wait == ENTRY_WAIT_EXPIRED || probe_is_impaired(req) ||
 		    !probe_wait(req, now + interval))
--- a/entry.h
+++ b/entry.h
@@ -557,6 +557,24 @@
  */
 entry_call_t *entry_await_take(entry_service_t *svc, usec_t now);
 
+/** struct entry_probe_plan_t - the next round of probes of a call. */
+typedef struct {
+	bool probes; /* copies are probed; else just reports are looked at */
+	entry_scope_t scope;
+	bool other_zones; /* after the round copies of other zones count */
+	bool quick_only;  /* after the round only a quick copy is taken */
+} entry_probe_plan_t;
+
+/**
+ * entry_service_plan_probes - plan the next round of probes of a call.
+ * @round: number of its rounds so far
+ *
+ * Rounds before the first one with other_zones follow one another without a pause.
+ */
+entry_probe_plan_t entry_service_plan_probes(entry_service_t *svc,
+					     const entry_call_t *call,
+					     unsigned round, usec_t now);
+
 /**
  * entry_retry_after_read - parse the value of a Retry-After header.
  * @text: seconds, with or without a fraction
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -164,6 +164,27 @@
 	  "10 leave x\n20 report a 0 0 100\n20 take = none\n"
 	  "20 leave x\n" },
 
+	/* A zone whose copies are full, while other zones have room, and more calls
+	   than there may be probes. */
+	{ "full-zone-probes-the-zone-first",
+	  "0 copy a 2\n0 probe-rate 10\n"
+	  "0 plan x 0 = subset quick\n0 plan x 1 = subset quick\n"
+	  "0 plan x 2 = subset\n0 plan x 3 = others\n0 plan x 4 = zone\n"
+	  "0 plan x 5 = zone\n" },
+	{ "full-zone-scarce-probes-go-to-other-zones",
+	  "0 copy a 2\n0 copy b 2\n0 probe-rate 0.6\n"
+	  "0 candidates same-zone = a b\n"
+	  "0 plan x 0 = subset\n0 plan x 1 = others\n0 plan x 2 = zone\n"
+	  "0 plan x 3 = others\n"
+	  "5000 plan x 0 = subset quick\n5000 plan x 1 = subset quick\n" },
+	{ "full-zone-scarce-probes-are-made-by-the-first-call",
+	  "0 copy a 2\n0 copy b 2\n0 probe-rate 0.6\n"
+	  "0 candidates same-zone = a b\n"
+	  "0 await x objective=250 priority=1\n"
+	  "0 await y objective=250 priority=2\n"
+	  "0 plan x 1 = others\n0 plan y 0 = subset\n0 plan y 1 = none\n"
+	  "0 leave x\n0 plan y 1 = others\n" },
+
 	/* A zone with few copies and many callers. */
 	{ "small-zone-serves-while-in-time",
 	  "0 copy a 2\n0 copy f 2 zone=there\n"
@@ -671,6 +692,26 @@
 	return script_decision(&call->call, &decision);
 }
 
+/* Return the copies that the round probes, and whether only a quick one is taken
+ * after it. */
+static char *run_plan(script_t *script, char **words)
+{
+	static const char *const scopes[] = {
+		[ENTRY_SCOPE_SUBSET] = "subset",
+		[ENTRY_SCOPE_ZONE] = "zone",
+		[ENTRY_SCOPE_OTHER_ZONES] = "others",
+	};
+	script_call_t *call = script_call(script, words[1]);
+	entry_probe_plan_t plan;
+
+	plan = entry_service_plan_probes(&script->svc, &call->call,
+					 (unsigned)atoi(words[2]), script->now);
+	if (!plan.probes)
+		return g_strdup("none");
+	return g_strdup_printf("%s%s", scopes[plan.scope],
+			       plan.quick_only ? " quick" : "");
+}
+
 static char *run_await(script_t *script, char **words)
 {
 	script_call_t *call = script_call(script, words[1]);
@@ -788,6 +829,7 @@
 	{ "next", run_next },
 	{ "candidates", run_candidates },
 	{ "await", run_await },
+	{ "plan", run_plan },
 	{ "leave", run_leave },
 	{ "take", run_take },
 	{ "probe-rate", run_probe_rate },
