Take the cost of a new copy from its reports alone

A restarted entry has just found all copies, so for 3 s none of them counted as quick, in the seconds in which most calls wait; and a copy that is slow says so in its reports, which are asked for before each send.

Test: restart-copy-in-slow-start-costs-what-it-reports.

--- a/entry-report.c
+++ b/entry-report.c
@@ -37,8 +37,6 @@
 #define REPORT_CONTENTION_DECAY 0.002
 /* Max slowdown that one response adds to the contention estimate. */
 #define REPORT_CONTENTION_MAX 4.0
-/* Slowdown assumed for a copy in slow start. */
-#define REPORT_SLOW_START_COST 2.0
 
 /* Return the weight of a report of this age, from 1 (new) down to 0. */
 static double report_weight(usec_t age, double decay_time)
@@ -146,8 +144,6 @@
 	cost *= report_contention(svc, calls, slots);
 	if (calls + 1 > slots)
 		cost *= 1 + (calls + 1 - slots) / slots;
-	if (now < copy->slow_start_until)
-		cost *= REPORT_SLOW_START_COST;
 	return cost * (1 + REPORT_FULL_EXTRA_COST * fill);
 }
 
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -164,6 +164,13 @@
 	  "10 leave x\n20 report a 0 0 100\n20 take = none\n"
 	  "20 leave x\n" },
 
+	/* All VMs have stopped and started: to a new entry all copies are new. What a
+	   copy reports counts, not that its process may just have started. */
+	{ "restart-copy-in-slow-start-costs-what-it-reports",
+	  "0 copy a 2\n0 copy b 2\n0 slow-start a 3000\n"
+	  "0 report a 0 0 100\n0 report b 0 0 150\n"
+	  "1 wait x objective=250 quick-only = ready\n1 arrive x = send a\n" },
+
 	/* A zone whose copies are full, while other zones have room, and more calls
 	   than there may be probes. */
 	{ "full-zone-probes-the-zone-first",
@@ -712,6 +719,13 @@
 			       plan.quick_only ? " quick" : "");
 }
 
+static char *run_slow_start(script_t *script, char **words)
+{
+	entry_service_slow_start(script_copy(script, words[1]),
+				 atoi(words[2]) * USEC_PER_MS, script->now);
+	return NULL;
+}
+
 static char *run_await(script_t *script, char **words)
 {
 	script_call_t *call = script_call(script, words[1]);
@@ -829,6 +843,7 @@
 	{ "next", run_next },
 	{ "candidates", run_candidates },
 	{ "await", run_await },
+	{ "slow-start", run_slow_start },
 	{ "plan", run_plan },
 	{ "leave", run_leave },
 	{ "take", run_take },
