--- a/entry-await.c
+++ b/entry-await.c
@@ -1,9 +1,10 @@
 #include "entry-decide.h"
 
 /*
- * Calls that wait until a copy has room, under ENTRY_POLICY_REPORTS. Each of them
- * probes copies at intervals. A report that arrives meanwhile, with a response or
- * with the probe of another call, wakes the call that gains most from the room.
+ * Calls that wait until a copy has room, under ENTRY_POLICY_REPORTS. They probe
+ * copies at intervals, as planned by entry-probe-plan.c. A report that arrives
+ * meanwhile, with a response or with the probe of another call, wakes the call that
+ * gains most from the room.
  */
 
 void entry_await_add(entry_service_t *svc, entry_call_t *call)
--- a/entry-probe-plan.c
+++ b/entry-probe-plan.c
@@ -13,7 +13,7 @@
 #define PLAN_ZONE_ROUNDS_SCARCE 1
 /* Number of the first rounds after which the call is sent only to a copy that is
    quick (see entry_wait_t), not to any that meets its objective. */
-#define PLAN_FAST_ONLY_ROUNDS 2
+#define PLAN_QUICK_ONLY_ROUNDS 2
 
 /* The copies to probe in a round after those in this zone: those of other zones,
    then those of this zone, while probes are scarce by turns. */
@@ -35,7 +35,7 @@
 		.probes = !scarce || !round ||
 			  entry_await_is_first(svc, call, now),
 		.other_zones = round >= zone_rounds,
-		.quick_only = !scarce && round < PLAN_FAST_ONLY_ROUNDS,
+		.quick_only = !scarce && round < PLAN_QUICK_ONLY_ROUNDS,
 		.scope = ENTRY_SCOPE_SUBSET,
 	};
 
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -314,6 +314,7 @@
 	return wait;
 }
 
+/* Adds the call to those that entry_probe_wake() wakes, or removes it. */
 static void probe_await(entry_request_t *req, bool begin)
 {
 	entry_upstream_t *upstream = req->upstream;
