Hand over calls for which no copy has responded since they came

Traced: the first call was refused after 324 ms for the lack of a free slot, before the first test of a path, which takes 400 ms, had ended; waiting calls look at the copies at other moments than before.

Change: a call that would be refused goes to a sibling also if no copy of the service has responded since its arrival, 100 ms ago or more. An entry that gets a call from a sibling declines it if the copies that it probed have not responded.

--- a/entry-handover.c
+++ b/entry-handover.c
@@ -21,6 +21,9 @@
 /* Time for which calls wait for the copies that this entry reaches, after no
    sibling had room for one. */
 #define HANDOVER_ALIKE_TIME (500 * USEC_PER_MS)
+/* Time without a response of any copy, since the arrival of a call, after which
+   siblings may reach more copies, though no path has been tested yet. */
+#define HANDOVER_SILENCE_MIN (100 * USEC_PER_MS)
 /* Time that must remain until the deadline of a call. */
 #define HANDOVER_TIME_MIN (20 * USEC_PER_MS)
 
@@ -109,6 +112,17 @@
 	return true;
 }
 
+/* Whether siblings may reach copies that this entry does not reach. The caller
+   holds upstream->lock. */
+static bool handover_lacks_paths(const entry_request_t *req, usec_t now)
+{
+	const entry_service_t *svc = &req->upstream->service;
+
+	return entry_reach_is_impaired(svc) ||
+	       entry_reach_is_silent(svc, req->call.arrived,
+				     HANDOVER_SILENCE_MIN, now);
+}
+
 bool entry_handover_refused(entry_request_t *req, entry_refusal_t refusal,
 			    usec_t now)
 {
@@ -121,7 +135,7 @@
 		return false;
 	svc = &req->upstream->service;
 	pthread_mutex_lock(&req->upstream->lock);
-	impaired = entry_reach_is_impaired(svc);
+	impaired = handover_lacks_paths(req, now);
 	entry_reach_count(svc, &total);
 	pthread_mutex_unlock(&req->upstream->lock);
 	switch (refusal) {
@@ -149,6 +163,19 @@
 		       ENTRY_WAIT_READY;
 }
 
+/* Whether copies were probed for a call of a sibling, and none has responded: this
+   entry may lack paths as well, which it has not tested yet. The caller holds
+   upstream->lock. */
+static bool handover_probes_failed(const entry_request_t *req, usec_t now)
+{
+	const entry_upstream_t *upstream = req->upstream;
+
+	return *upstream->health_path &&
+	       entry_reach_is_silent(&upstream->service,
+				     req->call.arrived - HANDOVER_SILENCE_MIN,
+				     HANDOVER_SILENCE_MIN, now);
+}
+
 bool entry_handover_declines(entry_request_t *req, usec_t now)
 {
 	bool declines;
@@ -156,7 +183,8 @@
 	if (!req->call.from_sibling || !req->entry->settings.routed)
 		return false;
 	pthread_mutex_lock(&req->upstream->lock);
-	declines = handover_lacks_room(req, now);
+	declines = handover_lacks_room(req, now) ||
+		   handover_probes_failed(req, now);
 	pthread_mutex_unlock(&req->upstream->lock);
 	return declines;
 }
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -230,6 +230,12 @@
 		svc->answered_at < svc->unreachable_since);
 }
 
+bool entry_reach_is_silent(const entry_service_t *svc, usec_t since,
+			   usec_t silence, usec_t now)
+{
+	return now - since >= silence && svc->answered_at < since;
+}
+
 /* A copy with one failed test counts, so that calls need not wait for the second
    one of many copies. */
 bool entry_reach_is_impaired(const entry_service_t *svc)
--- a/entry.h
+++ b/entry.h
@@ -708,6 +708,14 @@
 /** entry_reach_is_cut_off - whether this entry reaches no copy of a service. */
 bool entry_reach_is_cut_off(const entry_service_t *svc);
 
+/**
+ * entry_reach_is_silent - whether no copy of a service has responded for a time.
+ * @since: start of the time
+ * @silence: least length of the time
+ */
+bool entry_reach_is_silent(const entry_service_t *svc, usec_t since,
+			   usec_t silence, usec_t now);
+
 /** entry_reach_is_impaired - whether tests of half of them or more failed. */
 bool entry_reach_is_impaired(const entry_service_t *svc);
 
--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -223,9 +223,30 @@
 	fixture_free(fixture);
 }
 
+/* An entry that starts while it is cut off: a call must not be refused for the lack
+ * of a free slot before the first test of a path has ended, if no copy has responded
+ * since it came. One response of any copy shows that there are paths. */
+static void test_silent_since_start(void)
+{
+	fixture_t *fixture = fixture_new(2);
+	entry_service_t *svc = &fixture->svc;
+	usec_t arrived = fixture->now;
+
+	g_assert_false(entry_reach_is_silent(svc, arrived, 100 * STEP,
+					     arrived + 99 * STEP));
+	g_assert_true(entry_reach_is_silent(svc, arrived, 100 * STEP,
+					    arrived + 100 * STEP));
+	entry_reach_on_response(svc, arrived + 150 * STEP);
+	g_assert_false(entry_reach_is_silent(svc, arrived, 100 * STEP,
+					     arrived + 300 * STEP));
+	fixture_free(fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry-reach/silent-since-start",
+			test_silent_since_start);
 	g_test_add_func("/entry-reach/cut-off", test_cut_off);
 	g_test_add_func("/entry-reach/cut-off-large", test_cut_off_large);
 	g_test_add_func("/entry-reach/some-lost", test_some_lost);
