--- a/entry-handover.c
+++ b/entry-handover.c
@@ -164,8 +164,9 @@
 }
 
 /* Whether copies were probed for a call of a sibling, and none has responded: this
-   entry may lack paths as well, which it has not tested yet. The caller holds
-   upstream->lock. */
+   entry may lack paths as well, which it has not tested yet. A response shortly
+   before the call counts, as copies with such a report are not probed again. The
+   caller holds upstream->lock. */
 static bool handover_probes_failed(const entry_request_t *req, usec_t now)
 {
 	const entry_upstream_t *upstream = req->upstream;
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -302,14 +302,14 @@
 
 /* Decides, after a round of probes, whether the call has to wait. */
 static entry_wait_t probe_check_wait(entry_request_t *req, bool other_zones,
-				     bool fast_only, usec_t now)
+				     bool quick_only, usec_t now)
 {
 	entry_upstream_t *upstream = req->upstream;
 	entry_wait_t wait;
 
 	pthread_mutex_lock(&upstream->lock);
 	wait = entry_service_wait_for_copy(&upstream->service, &req->call,
-					   other_zones, fast_only, now);
+					   other_zones, quick_only, now);
 	pthread_mutex_unlock(&upstream->lock);
 	return wait;
 }
