Log when an entry reports itself impaired, and how many are

Now entry-impaired and entry-recovered at the entry, entries-impaired at the keeper (one line a second at most), fit= in call-handed-over and from= in call-ended of a call that a sibling handed over. What is decided does not change. routed-cut and routed-basic pass; test-presence counts the impaired entries too, and one comment there is above its own test again.

--- a/entry-handover.c
+++ b/entry-handover.c
@@ -67,9 +67,10 @@
 }
 
 /* Returns the pool of a random sibling that is not known to be unfit, or NULL.
-   With @all_zones the keepers are then asked for the entries of all zones. */
+   With @all_zones the keepers are then asked for the entries of all zones. Sets
+   @fit_count to the number of such siblings. */
 static entry_conn_pool_t *handover_choose(entry_t *entry, bool all_zones,
-					  usec_t now)
+					  unsigned *fit_count, usec_t now)
 {
 	presence_peers_list_t peers;
 	const char *fit[PRESENCE_PEERS_MAX];
@@ -82,6 +83,7 @@
 		    entry_forward_is_fit(entry->forward, peers.addresses[i],
 					 now))
 			fit[count++] = peers.addresses[i];
+	*fit_count = count;
 	if (!count && all_zones)
 		presence_client_ask_all_zones(entry->presence, true);
 	if (!count)
@@ -95,11 +97,12 @@
 			 const char *reason, usec_t now)
 {
 	entry_conn_pool_t *pool;
+	unsigned fit;
 
 	if (!handover_allowed(req, tries, now))
 		return false;
 	pool = handover_choose(req->entry, tries == HANDOVER_TRIES_IMPAIRED,
-			       now);
+			       &fit, now);
 	if (!pool)
 		return false;
 	if (req->forward)
@@ -107,7 +110,7 @@
 	req->forward = pool;
 	req->handovers++;
 	entry_request_reset(req);
-	entry_trace_handed_over(req, pool->address, reason);
+	entry_trace_handed_over(req, pool->address, fit, reason);
 	entry_work_push(req->entry->work, req);
 	return true;
 }
@@ -252,8 +255,11 @@
 		 entry_reach_is_impaired(&upstream->service);
 	upstream->siblings_reach = upstream->siblings_reach || is_new;
 	pthread_mutex_unlock(&upstream->lock);
-	if (is_new)
-		presence_client_trigger(req->entry->presence);
+	if (!is_new)
+		return;
+	log_event(LOG_LEVEL_NOTICE, "entry-impaired", "service=%s sibling=%s",
+		  upstream->name, req->forward->address);
+	presence_client_trigger(req->entry->presence);
 }
 
 /* Whether a call that no sibling has run can be dispatched here after all. */
--- a/entry-io.h
+++ b/entry-io.h
@@ -427,10 +427,11 @@
 
 /**
  * entry_trace_handed_over - log that a call is sent to a sibling entry.
+ * @fit: number of siblings that it could have been sent to
  * @reason: why this entry does not send it to a copy
  */
 void entry_trace_handed_over(const entry_request_t *req, const char *sibling,
-			     const char *reason);
+			     unsigned fit, const char *reason);
 
 /**
  * entry_trace_copy_rate - log that a copy names another rate that it accepts.
--- a/entry-reach-test.c
+++ b/entry-reach-test.c
@@ -21,6 +21,7 @@
 	bool cut_off;
 	bool cut_off_changed;
 	bool impaired;
+	bool recovered; /* it is no longer reported as impaired */
 	unsigned unreachable;
 	unsigned total;
 } reach_change_t;
@@ -40,6 +41,9 @@
 					    "service-reached",
 			  "service=%s unreachable=%u copies=%u", upstream->name,
 			  change->unreachable, change->total);
+	if (change->recovered)
+		log_event(LOG_LEVEL_NOTICE, "entry-recovered", "service=%s",
+			  upstream->name);
 }
 
 /* Tests some copies of all services, as this entry may be cut off from them. */
@@ -66,7 +70,8 @@
 	change->cut_off_changed = change->cut_off != upstream->cut_off;
 	upstream->cut_off = change->cut_off;
 	change->impaired = entry_reach_is_impaired(&upstream->service);
-	if (!change->impaired)
+	change->recovered = upstream->siblings_reach && !change->impaired;
+	if (change->recovered)
 		upstream->siblings_reach = false;
 }
 
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -71,11 +71,12 @@
 		reason = "gone";
 	log_event(LOG_LEVEL_INFO, "call-ended",
 		  "call=%s route=%s status=%u whole=%d outcome=%s reason=%s "
-		  "attempts=%u took_ms=%" PRId64,
+		  "attempts=%u took_ms=%" PRId64 "%s%s",
 		  trace_value(req->call_id), trace_value(req->rule_name),
 		  status, complete, entry_outcome_name(outcome),
 		  reason ? reason : "copy", req->call.attempts,
-		  (now - req->call.arrived) / USEC_PER_MS);
+		  (now - req->call.arrived) / USEC_PER_MS,
+		  *req->forwarded_by ? " from=" : "", req->forwarded_by);
 }
 
 void entry_trace_copy_crashed(const entry_request_t *req, const char *digest)
@@ -111,12 +112,13 @@
 }
 
 void entry_trace_handed_over(const entry_request_t *req, const char *sibling,
-			     const char *reason)
+			     unsigned fit, const char *reason)
 {
 	log_event(LOG_LEVEL_INFO, "call-handed-over",
-		  "call=%s route=%s service=%s sibling=%s try=%u reason=%s",
+		  "call=%s route=%s service=%s sibling=%s try=%u fit=%u "
+		  "reason=%s",
 		  trace_value(req->call_id), trace_value(req->rule_name),
-		  req->upstream->name, sibling, req->handovers, reason);
+		  req->upstream->name, sibling, req->handovers, fit, reason);
 }
 
 void entry_trace_copy_rate(const char *service, const char *copy,
--- a/keeper-registry.c
+++ b/keeper-registry.c
@@ -45,6 +45,7 @@
 	uint64_t pushed_revision; /* revision last sent to entries as leader */
 	bool was_leading;	  /* leader in the previous interval */
 	usec_t leading_since;	  /* when it became leader */
+	unsigned impaired; /* impaired entries in the previous interval */
 };
 
 /* A consistent copy of some of the core's state. */
@@ -584,10 +585,28 @@
 	}
 }
 
+/* Logs how many entries callers are not sent to, if that has changed. */
+static void registry_log_impaired(keeper_registry_t *registry, usec_t now)
+{
+	unsigned impaired;
+	unsigned live;
+
+	pthread_mutex_lock(&registry->lock);
+	impaired = presence_table_count_impaired(registry->entries, now);
+	live = presence_table_count_live(registry->entries, now);
+	pthread_mutex_unlock(&registry->lock);
+	if (impaired == registry->impaired)
+		return;
+	registry->impaired = impaired;
+	log_event(LOG_LEVEL_NOTICE, "entries-impaired", "impaired=%u live=%u",
+		  impaired, live);
+}
+
 static void registry_tick(keeper_registry_t *registry, usec_t now)
 {
 	registry_view_t view;
 
+	registry_log_impaired(registry, now);
 	registry_read_core(registry->core, &view);
 	registry_report_copies(registry, &view);
 	if (view.leading && !registry->was_leading) {
--- a/presence-table.c
+++ b/presence-table.c
@@ -142,6 +142,20 @@
 	return count;
 }
 
+unsigned presence_table_count_impaired(const presence_table_t *table,
+				       usec_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned count = 0;
+
+	g_hash_table_iter_init(&iter, table->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += presence_is_live(value, now) &&
+			 presence_is_impaired(value, now);
+	return count;
+}
+
 void presence_table_each(const presence_table_t *table, usec_t now,
 			 void (*each)(void *context,
 				      const presence_member_t *member),
--- a/presence.h
+++ b/presence.h
@@ -90,6 +90,10 @@
 /** presence_table_count_live - count the entries with a recent heartbeat. */
 unsigned presence_table_count_live(const presence_table_t *table, usec_t now);
 
+/** presence_table_count_impaired - count the live entries that are impaired. */
+unsigned presence_table_count_impaired(const presence_table_t *table,
+				       usec_t now);
+
 /** presence_table_each - call @each for each entry with a recent heartbeat. */
 void presence_table_each(const presence_table_t *table, usec_t now,
 			 void (*each)(void *context,
--- a/regress/test-presence.c
+++ b/regress/test-presence.c
@@ -90,8 +90,6 @@
 	presence_table_free(table);
 }
 
-/* One ready entry, of the zone if it has one, gets a task; another one gets it
- * once the first takes no calls. */
 /* Callers must not be sent to entries that lack paths to copies, unless there are
    no others, and must be sent there again once these paths are back. */
 static void test_impaired(void)
@@ -106,6 +104,7 @@
 	presence_table_set_impaired(table, 1, SECOND);
 	presence_table_set_impaired(table, 99, SECOND);
 	ASSERT_CHOSEN("a", SECOND, "2 3");
+	g_assert_cmpuint(presence_table_count_impaired(table, SECOND), ==, 1);
 	g_assert_false(presence_table_is_ready(table, "e1", SECOND));
 	g_assert_true(presence_table_is_ready(table, "e2", SECOND));
 	presence_table_set_impaired(table, 2, SECOND);
@@ -119,9 +118,13 @@
 		send_heartbeat(table, id, "", true, false, 3 * SECOND, true);
 	presence_table_set_impaired(table, 4, 3 * SECOND);
 	ASSERT_CHOSEN("a", 4 * SECOND, "1 2 3");
+	g_assert_cmpuint(presence_table_count_impaired(table, 4 * SECOND), ==,
+			 1);
 	presence_table_free(table);
 }
 
+/* One ready entry, of the zone if it has one, gets a task; another one gets it
+ * once the first takes no calls. */
 static void test_choose_one(void)
 {
 	presence_table_t *table = presence_table_new();
