--- a/regress/routed-cut-lib.sh
+++ b/regress/routed-cut-lib.sh
@@ -1,10 +1,12 @@
 # Functions for tests in which entries lose their paths to copies; source lib.sh and
-# routed-lib.sh first. There is one keeper, four entries and nine copies.
+# routed-lib.sh first. There is one keeper and nine copies; the entries NEAR_ENTRIES
+# are in zone-1, FAR_ENTRIES in zone-2, and of these CUT_ENTRIES are cut.
 
 SEEDS="\"$NET.1:7070\""
 KEEPERS=1
 CUT_ENTRIES="1 2"
-ENTRY_4_ZONE=zone-1
+NEAR_ENTRIES="1 2 3 4"
+FAR_ENTRIES=
 
 # cut HOW FILE...: cut the paths of the cut entries to the copies that read FILE.
 cut () {
@@ -61,7 +63,7 @@
 
 # all_entries_listed: whether the directory lists all entries of zone-1.
 all_entries_listed () {
-	for n in 1 2 3
+	for n in $NEAR_ENTRIES
 	do
 		entry_is_listed $n || return 1
 	done
@@ -111,10 +113,10 @@
 	routed_keeper_settings 1 true
 	routed_keeper_start 1
 	heal
-	for n in 1 2 3 4
+	for n in $NEAR_ENTRIES $FAR_ENTRIES
 	do
 		zone=zone-1
-		[ $n -lt 4 ] || zone=$ENTRY_4_ZONE
+		case " $FAR_ENTRIES " in *" $n "*) zone=zone-2 ;; esac
 		ENTRY_SETTINGS="connect_from = \"$NET.1$n\""
 		routed_entry_start $n $zone
 	done
@@ -129,7 +131,7 @@
 		cut_copy_start e$number 901$number desk-2 desk zone-2
 		cut_copy_start l$number 902$number ledger ledger zone-1
 	done
-	for n in 1 2 3 4
+	for n in $NEAR_ENTRIES $FAR_ENTRIES
 	do
 		wait_until 10 call_succeeds $n /desk/x
 		wait_until 10 call_succeeds $n /ledger/x
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -33,6 +33,7 @@
  * records probes like calls.
  */
 #include <arpa/inet.h>
+#include <err.h>
 #include <glib.h>
 #include <linux/filter.h>
 #include <pthread.h>
@@ -56,7 +57,7 @@
 #define FNV_PRIME 0x100000001b3ULL
 
 /* Maximum number of addresses that are cut at the same time. */
-#define CUTS_MAX 16
+#define CUTS_MAX 64
 #define CUT_PERIOD_USEC 10000
 
 static gchar *opt_address, *opt_id, *opt_log, *opt_cut;
@@ -480,16 +481,22 @@
 
 static void cut_read(const char *text)
 {
-	char **lines = g_strsplit(text, "\n", CUTS_MAX + 1);
+	char **lines = g_strsplit(text, "\n", -1);
 	char address[64];
 	unsigned i;
 
 	cut_count = 0;
-	for (i = 0; lines[i] && cut_count < CUTS_MAX; i++) {
+	for (i = 0; lines[i]; i++) {
 		cut_t *cut = &cuts[cut_count];
 
-		if (sscanf(lines[i], "%63s %15s", address, cut->how) != 2)
+		if (!*lines[i])
 			continue;
+		if (cut_count == CUTS_MAX)
+			errx(1, "%s has more than %d addresses", opt_cut,
+			     CUTS_MAX);
+		if (sscanf(lines[i], "%63s %15s", address, cut->how) != 2)
+			errx(1, "%s: no address and how it is cut: %s", opt_cut,
+			     lines[i]);
 		cut->address = inet_addr(address);
 		cut_count++;
 	}
