Count the bytes of a probe's body for its own query

The prober set a function for the body of a response, but no context for it, so libcurl passed stdout. The function counted the bytes in the memory of that stream and compared the sum, whatever stood there, with the limit of a response. A copy that sends a body with its health response had its probes fail, and the memory of stdout was overwritten.

The other functions for bodies have their context (read).

--- a/entry-prober.c
+++ b/entry-prober.c
@@ -308,6 +308,7 @@
 	curl_easy_setopt(query->easy, CURLOPT_HEADERFUNCTION, prober_header);
 	curl_easy_setopt(query->easy, CURLOPT_HEADERDATA, query);
 	curl_easy_setopt(query->easy, CURLOPT_WRITEFUNCTION, prober_body);
+	curl_easy_setopt(query->easy, CURLOPT_WRITEDATA, query);
 	curl_easy_setopt(query->easy, CURLOPT_PRIVATE, query);
 	if (query->batch->on_end)
 		curl_easy_setopt(query->easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/regress/test-entry-prober.c
+++ b/regress/test-entry-prober.c
@@ -21,6 +21,9 @@
 #define WORKERS 16
 #define ROUNDS 4
 #define COPY "c-1"
+/* Size of the body of a response at the path /body. */
+#define SERVER_BODY_BYTES 4096
+#define BODY_ROUNDS 4
 /* Time for which the server holds a response, so that queries overlap. */
 #define SERVER_DELAY_USEC (60 * USEC_PER_MS)
 
@@ -82,12 +85,14 @@
 	const char *version G_GNUC_UNUSED, const char *bytes G_GNUC_UNUSED,
 	size_t *size G_GNUC_UNUSED, void **state G_GNUC_UNUSED)
 {
+	static char body[SERVER_BODY_BYTES];
 	bool rests = strstr(url, "/rests") != NULL;
+	size_t length = strstr(url, "/body") ? sizeof(body) : 0;
 	struct MHD_Response *response;
 	enum MHD_Result result;
 
 	g_usleep(SERVER_DELAY_USEC);
-	response = MHD_create_response_from_buffer(0, "",
+	response = MHD_create_response_from_buffer(length, body,
 						   MHD_RESPMEM_PERSISTENT);
 	MHD_add_response_header(response, headers->load, "0,0,3,100");
 	MHD_add_response_header(response, headers->responding_copy,
@@ -269,6 +274,20 @@
 	fixture_stop(&fixture);
 }
 
+/* The limit of the size of a response must count each response by itself: else
+ * all probes of a copy that sends a body fail after a while. */
+static void test_bodies(void)
+{
+	fixture_t fixture;
+	unsigned round;
+
+	fixture_start(&fixture);
+	for (round = 0; round < BODY_ROUNDS; round++)
+		g_assert_cmpuint(query(fixture.prober, "/body", USEC_PER_SEC),
+				 ==, ENTRY_PROBES_MAX);
+	fixture_stop(&fixture);
+}
+
 /* The state is reported although the worker waits no longer. */
 static void test_late_response(void)
 {
@@ -397,6 +416,7 @@
 	server = server_start();
 	g_test_add_func("/entry-prober/many-queries", test_many_queries);
 	g_test_add_func("/entry-prober/state", test_state);
+	g_test_add_func("/entry-prober/bodies", test_bodies);
 	g_test_add_func("/entry-prober/late-response", test_late_response);
 	g_test_add_func("/entry-prober/reached", test_reached);
 	rc = g_test_run();
