Leave probes to the calls that come after a cut

Tests of paths were taken from the bucket of probes without a bound, so that it could be far below zero after a cut; then a call can send no probe, and waits for a report that only other calls bring.

An entry that is cut off tested each copy each 1.2 s or more often: 524 tests in 10 s for 64 copies, where 90 probes are allowed to that entry. Now it starts three tests in 150 ms at most, whatever the size of the service, and no test takes more than half of the burst. /entry-reach/ probes-after-cut has 524 tests on the code before, where 200 are allowed. By reading and that test; a call that waited for this reason was not seen.

--- a/entry-decide.h
+++ b/entry-decide.h
@@ -141,7 +141,12 @@
 bool entry_await_is_first(const entry_service_t *svc, const entry_call_t *call,
 			  usec_t now);
 
-/** entry_probe_rate_charge - count a probe that is sent in any case. */
+/**
+ * entry_probe_rate_charge - count a test, which is sent in any case.
+ *
+ * Tests leave half of the burst to the probes of calls, since a call that can send
+ * no probe waits for a report.
+ */
 void entry_probe_rate_charge(entry_service_t *svc, usec_t now);
 
 /* entry-limit.c: rate limits of tenants, classes and the service. */
--- a/entry-probe-rate.c
+++ b/entry-probe-rate.c
@@ -72,8 +72,7 @@
 {
 	entry_probe_rate_t *bucket = &svc->probe_rate;
 
-	if (bucket->rate <= 0)
+	if (bucket->rate <= 0 || entry_probe_rate_is_scarce(svc, now))
 		return;
-	probe_rate_refill(bucket, now);
 	bucket->tokens--;
 }
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -21,9 +21,11 @@
 #define REACH_JITTER 0.25
 /* Max number of copies of a service that are tested at the same time. */
 #define REACH_TESTS_MAX 32
-/* The same once this entry is cut off from the service: a few tests show that
-   paths are back, and then all copies are tested. */
+/* The same once this entry is cut off from the service, and the time in which no
+   more tests are started: a few tests show that paths are back, and then all copies
+   are tested. */
 #define REACH_TESTS_CUT_OFF_MAX 3
+#define REACH_CUT_OFF_PERIOD (150 * USEC_PER_MS)
 /* Number of unreachable copies from which an entry that has no response of any
    copy is cut off, however many copies it has not tested. */
 #define REACH_SAMPLE_MIN 16
@@ -111,14 +113,28 @@
 	       entry_rate_allows(svc, copy, 1, now);
 }
 
+/* Return how many tests may be started now. */
+static unsigned reach_tests_left(entry_service_t *svc, usec_t now)
+{
+	unsigned busy = reach_count_running(svc);
+	unsigned max = REACH_TESTS_MAX;
+
+	if (!entry_reach_is_cut_off(svc))
+		return max - MIN(max, busy);
+	max = REACH_TESTS_CUT_OFF_MAX;
+	if (now >= svc->cut_off_period_end) {
+		svc->cut_off_period_end = now + REACH_CUT_OFF_PERIOD;
+		svc->cut_off_tests = 0;
+	}
+	busy = MAX(busy, svc->cut_off_tests);
+	return max - MIN(max, busy);
+}
+
 entry_copy_t *entry_reach_next_test(entry_service_t *svc, usec_t now)
 {
-	unsigned left = REACH_TESTS_MAX;
+	unsigned left = reach_tests_left(svc, now);
 	entry_copy_t *copy = NULL;
 
-	if (entry_reach_is_cut_off(svc))
-		left = REACH_TESTS_CUT_OFF_MAX;
-	left -= MIN(left, reach_count_running(svc));
 	cds_list_for_each_entry (copy, &svc->copies, link) {
 		if (!copy->reach.test_at || now < copy->reach.test_at)
 			continue;
@@ -128,6 +144,7 @@
 		}
 		entry_rate_charge(svc, copy, now);
 		entry_probe_rate_charge(svc, now);
+		svc->cut_off_tests++;
 		copy->reach.test_at = 0;
 		copy->reach.testing = true;
 		return copy;
--- a/entry.h
+++ b/entry.h
@@ -215,8 +215,8 @@
 
 /** struct entry_probe_rate_t - a token bucket of probes. */
 typedef struct {
-	double rate;   /* tokens per second; 0: no limit */
-	double tokens; /* negative after probes that had to be sent */
+	double rate; /* tokens per second; 0: no limit */
+	double tokens;
 	usec_t filled_at;
 } entry_probe_rate_t;
 
@@ -231,6 +231,8 @@
 	entry_work_time_t work_times[ENTRY_WORK_KINDS];
 	usec_t answered_at;	  /* last response of any copy */
 	usec_t unreachable_since; /* last time that copies became unreachable */
+	usec_t cut_off_period_end; /* tests are counted until then; entry-reach.c */
+	unsigned cut_off_tests; /* tests started in that period */
 	double contention; /* slowdown of a call in the last slot of a copy */
 	unsigned contention_samples; /* responses in the contention estimate */
 	entry_policy_t policy;
--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -191,6 +191,27 @@
 	fixture_free(fixture);
 }
 
+/* The tests of a long cut must leave probes for the calls that come after it, and a
+   large service must not be tested more often than a small one. */
+static void test_probes_after_cut(void)
+{
+	fixture_t *fixture = fixture_new(COPIES_MAX);
+
+	entry_service_set_probe_rate(&fixture->svc, 9, fixture->now);
+	set_reached(fixture, 0, COPIES_MAX, false);
+	entry_reach_doubt_service(&fixture->svc, COPIES_MAX, fixture->now);
+	run(fixture, NOTICE_MAX);
+	fixture->tests = 0;
+	run(fixture, 10 * USEC_PER_SEC);
+	g_assert_cmpuint(fixture->tests, <=, 10 * 20);
+	set_reached(fixture, 0, COPIES_MAX, true);
+	run(fixture, RETURN_MAX);
+	g_assert_cmpuint(entry_reach_count(&fixture->svc, NULL), ==, 0);
+	g_assert_cmpuint(entry_probe_rate_take(&fixture->svc, 2, fixture->now),
+			 ==, 2);
+	fixture_free(fixture);
+}
+
 /* Doubts that turn out wrong, as at a slow VM, cost two tests a second at most
    for each copy. */
 static void test_wrong_doubts(void)
@@ -252,6 +273,7 @@
 	g_test_add_func("/entry-reach/some-lost", test_some_lost);
 	g_test_add_func("/entry-reach/lost-segment", test_lost_segment);
 	g_test_add_func("/entry-reach/return", test_return);
+	g_test_add_func("/entry-reach/probes-after-cut", test_probes_after_cut);
 	g_test_add_func("/entry-reach/wrong-doubts", test_wrong_doubts);
 	g_test_add_func("/entry-reach/rest-and-rate", test_rest_and_rate);
 	return g_test_run();
