Go on probing other zones for a call whose zone has no copy

All copies of its service were in zone-1.

The trace (a scratch copy that logged each round): of the rounds that follow while a call waits only the first one probes copies of other zones, the later ones those of the own zone, which had none. The reports of that first round were 50 ms old when they were looked at, so the call waited for fresher ones for 900 ms, while all copies were idle; nothing but other calls could bring them.

Now the later rounds probe other zones if the own zone has no copy that may get the call. Two rows of test-entry-reports fail before (rounds 4 and 9 probe "zone") and pass now.

--- a/entry-decide.h
+++ b/entry-decide.h
@@ -271,6 +271,10 @@
 entry_copy_t *entry_pick(entry_service_t *svc, const entry_call_t *call,
 			 usec_t now);
 
+/** entry_pick_zone_has_copy - whether a copy of this zone may get a call. */
+bool entry_pick_zone_has_copy(const entry_service_t *svc,
+			      const entry_call_t *call, usec_t now);
+
 /** entry_pick_fast - as entry_pick(), but choose no slow or ejected copy. */
 entry_copy_t *entry_pick_fast(entry_service_t *svc, const entry_call_t *call,
 			      usec_t now);
--- a/entry-pick.c
+++ b/entry-pick.c
@@ -116,6 +116,18 @@
 	return best;
 }
 
+bool entry_pick_zone_has_copy(const entry_service_t *svc,
+			      const entry_call_t *call, usec_t now)
+{
+	const entry_copy_t *copy = NULL;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		if (pick_in_zone(svc, copy) &&
+		    pick_reports_eligible(svc, call, copy, now))
+			return true;
+	return false;
+}
+
 /* Insert a copy into the sorted list of the @max lowest costs. */
 static unsigned pick_insert(entry_copy_t **out, double *costs, unsigned count,
 			    unsigned max, entry_copy_t *copy, double cost)
--- a/entry-probe-plan.c
+++ b/entry-probe-plan.c
@@ -16,12 +16,14 @@
 #define PLAN_QUICK_ONLY_ROUNDS 2
 
 /* The copies to probe in a round after those in this zone: those of other zones,
-   then those of this zone, while probes are scarce by turns. */
-static entry_scope_t plan_later_scope(unsigned round, bool scarce)
+   then those of this zone if it has any, while probes are scarce by turns. */
+static entry_scope_t plan_later_scope(unsigned round, bool scarce,
+				      bool zone_has_copy)
 {
 	bool others = scarce ? round % 2 == 0 : round == 0;
 
-	return others ? ENTRY_SCOPE_OTHER_ZONES : ENTRY_SCOPE_ZONE;
+	return others || !zone_has_copy ? ENTRY_SCOPE_OTHER_ZONES :
+					  ENTRY_SCOPE_ZONE;
 }
 
 entry_probe_plan_t entry_service_plan_probes(entry_service_t *svc,
@@ -40,6 +42,9 @@
 	};
 
 	if (plan.other_zones)
-		plan.scope = plan_later_scope(round - zone_rounds, scarce);
+		plan.scope = plan_later_scope(round - zone_rounds, scarce,
+					      entry_pick_zone_has_copy(svc,
+								       call,
+								       now));
 	return plan;
 }
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -171,6 +171,16 @@
 	  "0 report a 0 0 100\n0 report b 0 0 150\n"
 	  "1 wait x objective=250 quick-only = ready\n1 arrive x = send a\n" },
 
+	/* All copies of a service are in other zones. A call that waits must go on
+	   probing them, as reports get old while it waits. */
+	{ "no-copy-in-zone-probes-others-in-each-round",
+	  "0 copy f 2 zone=there\n"
+	  "0 plan x 0 = subset quick\n0 plan x 3 = others\n"
+	  "0 plan x 4 = others\n0 plan x 9 = others\n" },
+	{ "copies-of-zone-end-probes-others-in-each-round",
+	  "0 copy a 2\n0 copy f 2 zone=there\n0 rest a 5000\n"
+	  "0 plan x 3 = others\n0 plan x 4 = others\n" },
+
 	/* A zone whose copies are full, while other zones have room, and more calls
 	   than there may be probes. */
 	{ "full-zone-probes-the-zone-first",
