Ask siblings which copies they reach, whether calls come or not

The cause: what an entry knew of its siblings came from its own calls. A call marked four siblings at most as unfit, for a second; siblings of other zones were sought only once all of the list were marked; and the entry reported itself impaired only after a sibling had served one of its calls, so keepers went on naming it to callers and to siblings. An entry with few calls never got out of a zone that is cut off.

Now an entry that doubts its paths to a service asks its siblings over their call address whether they reach it, four at a time, its own zone first, and the keepers at once for the siblings of all zones. An answer "yes" counts for 1.5 s and is renewed; six are enough. Calls go to siblings that have said so, and the first answer makes the entry report itself impaired. A sibling that does not know tests two copies first, so one entry that notices a cut has its siblings notice it.

Calls in the first seconds of a cut are still late.

--- a/entry-handover.c
+++ b/entry-handover.c
@@ -66,30 +66,43 @@
 	return allowed;
 }
 
-/* Returns the pool of a random sibling that is not known to be unfit, or NULL.
-   With @all_zones the keepers are then asked for the entries of all zones. Sets
-   @fit_count to the number of such siblings. */
-static entry_conn_pool_t *handover_choose(entry_t *entry, bool all_zones,
-					  unsigned *fit_count, usec_t now)
+/* Chooses a random sibling that is not known to be unfit; "" if there is none. Sets
+   @count to the number of such siblings. */
+static void handover_choose_any(entry_t *entry, char *address, unsigned *count,
+				usec_t now)
 {
 	presence_peers_list_t peers;
-	const char *fit[PRESENCE_PEERS_MAX];
-	unsigned count = 0;
+	unsigned fit[PRESENCE_PEERS_MAX];
 	unsigned i;
 
+	*count = 0;
+	*address = '\0';
 	presence_client_peers(entry->presence, now, &peers);
 	for (i = 0; i < peers.count; i++)
 		if (strcmp(peers.addresses[i], entry->call_address) &&
 		    entry_forward_is_fit(entry->forward, peers.addresses[i],
 					 now))
-			fit[count++] = peers.addresses[i];
-	*fit_count = count;
-	if (!count && all_zones)
-		presence_client_ask_all_zones(entry->presence, true);
-	if (!count)
+			fit[(*count)++] = i;
+	if (!*count)
+		return;
+	i = (unsigned)g_random_int_range(0, (gint32)*count);
+	strcpy(address, peers.addresses[fit[i]]);
+}
+
+/* Returns the pool of a sibling for a call, or NULL; sets @count to the number of
+   siblings that it was chosen from. While this entry lacks paths to copies of the
+   service, siblings are asked whether they reach these. */
+static entry_conn_pool_t *handover_choose(entry_request_t *req, unsigned *count,
+					  usec_t now)
+{
+	char address[HL_ADDRESS_MAX];
+	entry_t *entry = req->entry;
+
+	if (!entry_sibling_choose(req->upstream, address, count, now))
+		handover_choose_any(entry, address, count, now);
+	if (!*address)
 		return NULL;
-	i = (unsigned)g_random_int_range(0, (gint32)count);
-	return entry_forward_pool(entry->forward, fit[i]);
+	return entry_forward_pool(entry->forward, address);
 }
 
 /* Passes a call to a worker that sends it to a sibling, if possible. */
@@ -97,12 +110,11 @@
 			 const char *reason, usec_t now)
 {
 	entry_conn_pool_t *pool;
-	unsigned fit;
+	unsigned count;
 
 	if (!handover_allowed(req, tries, now))
 		return false;
-	pool = handover_choose(req->entry, tries == HANDOVER_TRIES_IMPAIRED,
-			       &fit, now);
+	pool = handover_choose(req, &count, now);
 	if (!pool)
 		return false;
 	if (req->forward)
@@ -110,7 +122,7 @@
 	req->forward = pool;
 	req->handovers++;
 	entry_request_reset(req);
-	entry_trace_handed_over(req, pool->address, fit, reason);
+	entry_trace_handed_over(req, pool->address, count, reason);
 	entry_work_push(req->entry->work, req);
 	return true;
 }
@@ -243,25 +255,6 @@
 	       handover_try(req, HANDOVER_TRIES_IMPAIRED, "connect", now);
 }
 
-/* Records that a sibling that is not impaired has served a call of a service for
-   which this entry is, and reports that to the keepers. */
-static void handover_confirm(entry_request_t *req)
-{
-	entry_upstream_t *upstream = req->upstream;
-	bool is_new;
-
-	pthread_mutex_lock(&upstream->lock);
-	is_new = !req->sibling_impaired && !upstream->siblings_reach &&
-		 entry_reach_is_impaired(&upstream->service);
-	upstream->siblings_reach = upstream->siblings_reach || is_new;
-	pthread_mutex_unlock(&upstream->lock);
-	if (!is_new)
-		return;
-	log_event(LOG_LEVEL_NOTICE, "entry-impaired", "service=%s sibling=%s",
-		  upstream->name, req->forward->address);
-	presence_client_trigger(req->entry->presence);
-}
-
 /* Whether a call that no sibling has run can be dispatched here after all. */
 static bool handover_returns(entry_request_t *req, entry_result_t result,
 			     usec_t now)
@@ -307,6 +300,20 @@
 	       (result == ENTRY_RESULT_SHED && req->sibling_unfit);
 }
 
+/* Sends no calls to the sibling for a while. */
+static void handover_set_unfit(entry_request_t *req, entry_result_t result,
+			       usec_t now)
+{
+	const char *address = req->forward->address;
+	entry_sibling_state_t state = ENTRY_SIBLING_SILENT;
+
+	if (result == ENTRY_RESULT_SHED)
+		state = ENTRY_SIBLING_LACKS;
+	entry_forward_set_unfit(req->entry->forward, address,
+				now + HANDOVER_UNFIT_TIME);
+	entry_sibling_record(req->upstream, address, state, now);
+}
+
 /* Counts a send of which a copy may have run the call. */
 static void handover_count_attempt(entry_request_t *req)
 {
@@ -319,14 +326,13 @@
 entry_handover_t entry_handover_end(entry_request_t *req, entry_result_t result,
 				    usec_t now)
 {
-	if (result == ENTRY_RESULT_OK)
-		handover_confirm(req);
+	if (result == ENTRY_RESULT_OK && !req->sibling_impaired)
+		entry_sibling_confirm(req->upstream, req->forward->address,
+				      now);
 	if (result == ENTRY_RESULT_OK || result == ENTRY_RESULT_ERROR)
 		return ENTRY_HANDOVER_ENDED;
 	if (handover_is_unfit(req, result))
-		entry_forward_set_unfit(req->entry->forward,
-					req->forward->address,
-					now + HANDOVER_UNFIT_TIME);
+		handover_set_unfit(req, result, now);
 	if (result == ENTRY_RESULT_TRUNCATED)
 		handover_count_attempt(req);
 	if (handover_continues(req, result) &&
--- a/entry-head.c
+++ b/entry-head.c
@@ -526,15 +526,34 @@
 	return req->host ? 0 : -1;
 }
 
+/* Answers the question of a sibling about a service; the result is that of
+   entry_head_read(). */
+static int head_answer_sibling(const head_t *head, const char *service)
+{
+	entry_request_t *req = head->req;
+	char sibling[HL_NAME_MAX];
+
+	req->question = true;
+	if (!head->hop ||
+	    !keys_hop_read(req->entry->keys, head->hop, service,
+			   g_get_real_time() / USEC_PER_MS, sibling))
+		return head_refuse(req, HTTP_FORBIDDEN, "hop");
+	entry_sibling_answer(req, service, req->call.arrived);
+	return -1;
+}
+
 int entry_head_read(entry_request_t *req, const char *method)
 {
 	head_t head = { .req = req };
+	const char *service = entry_sibling_question(req->target);
 	const char *bad;
 
 	req->method = strdup(method);
 	req->head_only = !strcmp(method, "HEAD");
 	MHD_get_connection_values(req->connection, MHD_HEADER_KIND, head_read,
 				  &head);
+	if (service)
+		return head_answer_sibling(&head, service);
 	bad = head_check(&head);
 	if (bad)
 		return head_refuse(req, HTTP_BAD_REQUEST, "request");
--- a/entry-http.c
+++ b/entry-http.c
@@ -260,8 +260,10 @@
 		entry_request_cancel(req);
 	else
 		entry_measure_call(req, time_now());
-	entry_trace_ended(req, code == MHD_REQUEST_TERMINATED_COMPLETED_OK,
-			  time_now());
+	if (!req->question)
+		entry_trace_ended(req,
+				  code == MHD_REQUEST_TERMINATED_COMPLETED_OK,
+				  time_now());
 	*state = NULL;
 	entry_read_timeout_idle(connection, time_now());
 	__atomic_fetch_sub(&entry->in_flight, 1, __ATOMIC_RELEASE);
--- a/entry-io.h
+++ b/entry-io.h
@@ -7,6 +7,7 @@
 #include <urcu/list.h>
 #include "config-follow.h"
 #include "entry-prober.h"
+#include "entry-sibling.h"
 #include "entry-rules.h"
 #include "entry-settings.h"
 #include "entry-suspect.h"
@@ -217,6 +218,7 @@
 	uint64_t body_received; /* bytes */
 	bool upload;		/* its route announces a large body */
 	bool head_only;		/* the method is HEAD */
+	bool question;		/* of a sibling, see entry-sibling-ask.c */
 	entry_conn_pool_t *forward; /* pool of the sibling to use, or NULL */
 	struct entry_claim *claim;  /* claim of its Idempotency-Key, or NULL */
 	bool handed_over;   /* taken out of the queue for an idle sibling */
@@ -322,7 +324,10 @@
 	config_profile_t *profile;
 	bool declared; /* the service is in the configuration in force */
 	bool cut_off;  /* this entry reaches no copy; entry-reach-test.c */
-	bool siblings_reach; /* a sibling reaches copies that this entry lacks */
+	entry_siblings_t siblings; /* while paths are lost; entry-sibling.c */
+	/* Until then this entry reports that a sibling reaches copies that it
+	   lacks; 0: it does not. */
+	usec_t impaired_until;
 	usec_t siblings_alike_until; /* until then no sibling is asked for room */
 	char health_path[HL_MESSAGE_MAX]; /* "": copies are not probed */
 	unsigned rate;	 /* limit of the service, calls/s; 0: none */
@@ -565,13 +570,52 @@
  *
  * To be called about once a second.
  */
-void entry_reach_test_sweep(entry_t *entry);
+void entry_reach_test_sweep(entry_t *entry, usec_t now);
 
 /**
- * entry_reach_test_siblings_reach - whether siblings reach copies of a service
- * that this entry does not reach.
+ * entry_sibling_run - ask siblings while this entry lacks paths to copies.
+ *
+ * Return: when to call it again, or USEC_NEVER.
+ */
+usec_t entry_sibling_run(entry_upstream_t *upstream, usec_t now);
+
+/**
+ * entry_sibling_question - return the service of a sibling's question, or NULL.
+ * @target: target of the request
+ */
+const char *entry_sibling_question(const char *target);
+
+/** entry_sibling_answer - answer the question of a sibling. */
+void entry_sibling_answer(entry_request_t *req, const char *service,
+			  usec_t now);
+
+/** entry_sibling_record - record what is known of a sibling for a service. */
+void entry_sibling_record(entry_upstream_t *upstream, const char *address,
+			  entry_sibling_state_t state, usec_t now);
+
+/**
+ * entry_sibling_confirm - record that a sibling reaches copies of a service.
+ *
+ * If this entry lacks paths to them, it reports to the keepers for some seconds
+ * that it is impaired.
+ */
+void entry_sibling_confirm(entry_upstream_t *upstream, const char *address,
+			   usec_t now);
+
+/**
+ * entry_sibling_choose - choose a sibling for a call, as entry_siblings_choose().
+ * @address: set to its call address, or ""
+ *
+ * Return: false if no sibling is known, as none was needed yet.
+ */
+bool entry_sibling_choose(entry_upstream_t *upstream, char *address,
+			  unsigned *count, usec_t now);
+
+/**
+ * entry_sibling_is_impaired - whether siblings reach copies of a service that this
+ * entry does not reach.
  */
-bool entry_reach_test_siblings_reach(entry_t *entry);
+bool entry_sibling_is_impaired(entry_t *entry, usec_t now);
 
 typedef struct entry_work entry_work_t;
 
@@ -725,6 +769,7 @@
 	presence_client_t *presence; /* NULL without entry.routed */
 	struct entry_crashes *crashes;
 	unsigned reach_tests;	/* running, see entry-reach-test.c; atomic */
+	unsigned questions;	/* to siblings that run; atomic */
 	entry_prober_t *prober; /* NULL unless the policy is "reports" */
 	pthread_mutex_t rules_lock; /* guards the next two fields */
 	entry_rules_t *rules;	    /* routes by host and path, or NULL */
--- a/entry-prober.c
+++ b/entry-prober.c
@@ -1,5 +1,6 @@
 #include <curl/curl.h>
 #include <errno.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -31,7 +32,9 @@
 	bool satisfied;
 	bool abandoned; /* its worker waits no longer */
 	bool (*satisfies)(const load_t *load);
-	entry_prober_end_t on_end; /* set for a test, else NULL */
+	entry_prober_end_t on_end;  /* set for a test or question, else NULL */
+	char *target;		    /* set for a question, else NULL */
+	struct curl_slist *headers; /* of a question */
 	entry_probe_t probes[ENTRY_PROBES_MAX];
 } prober_batch_t;
 
@@ -68,6 +71,7 @@
 	unsigned idle_count;
 	uint64_t *sent;
 	uint64_t *failed;
+	uint64_t *questions;
 };
 
 static void batch_unref(prober_batch_t *batch)
@@ -76,6 +80,8 @@
 		return;
 	pthread_cond_destroy(&batch->changed);
 	pthread_mutex_destroy(&batch->lock);
+	curl_slist_free_all(batch->headers);
+	g_free(batch->target);
 	free(batch);
 }
 
@@ -171,15 +177,23 @@
 	return complete && query->has_load && !query->other_copy;
 }
 
+/* Returns the HTTP status of the response, or 0. */
+static long query_status(const prober_query_t *query)
+{
+	long status = 0;
+
+	if (query->easy)
+		curl_easy_getinfo(query->easy, CURLINFO_RESPONSE_CODE, &status);
+	return status;
+}
+
 /* Reports a copy that leaves, rests or names a rate, by its complete response. */
 static void query_report_state(const prober_query_t *query)
 {
 	entry_probe_t probe = query->batch->probes[query->index];
-	long status = 0;
 
-	curl_easy_getinfo(query->easy, CURLINFO_RESPONSE_CODE, &status);
 	probe.leaves = query->leaves;
-	probe.rests = query->rests && status == HTTP_UNAVAILABLE;
+	probe.rests = query->rests && query_status(query) == HTTP_UNAVAILABLE;
 	probe.rest = query->rest;
 	probe.millirate = query->millirate;
 	if (probe.leaves || probe.rests || probe.millirate)
@@ -228,8 +242,10 @@
 	entry_probe_t *probe = &batch->probes[query->index];
 	bool late;
 
-	if (complete && !query->other_copy)
+	if (complete && !query->other_copy && !batch->target)
 		query_report_state(query);
+	if (complete)
+		probe->status = query_status(query);
 	if (batch->on_end)
 		batch->on_end(probe, query_reached(query));
 	pthread_mutex_lock(&batch->lock);
@@ -245,7 +261,7 @@
 	pthread_mutex_unlock(&batch->lock);
 	if (late && query->prober->on_late)
 		query->prober->on_late(probe);
-	if (probe->state == ENTRY_PROBE_FAILED)
+	if (probe->state == ENTRY_PROBE_FAILED && !batch->target)
 		metrics_add(query->prober->failed, 1);
 	batch_unref(batch);
 }
@@ -285,6 +301,14 @@
 	return (long)(entry_prober_wait(prober).max / USEC_PER_MS);
 }
 
+static void prober_set_question(prober_query_t *query)
+{
+	curl_easy_setopt(query->easy, CURLOPT_REQUEST_TARGET,
+			 query->batch->target);
+	curl_easy_setopt(query->easy, CURLOPT_HTTPHEADER,
+			 query->batch->headers);
+}
+
 static void prober_start(entry_prober_t *prober, prober_query_t *query)
 {
 	query->easy = prober_get_handle(prober);
@@ -310,10 +334,12 @@
 	curl_easy_setopt(query->easy, CURLOPT_WRITEFUNCTION, prober_body);
 	curl_easy_setopt(query->easy, CURLOPT_WRITEDATA, query);
 	curl_easy_setopt(query->easy, CURLOPT_PRIVATE, query);
-	if (query->batch->on_end)
+	if (query->batch->target)
+		prober_set_question(query);
+	else if (query->batch->on_end)
 		curl_easy_setopt(query->easy, CURLOPT_FRESH_CONNECT, 1L);
 	cds_list_add_tail(&query->link, &prober->running);
-	metrics_add(prober->sent, 1);
+	metrics_add(query->batch->target ? prober->questions : prober->sent, 1);
 	curl_multi_add_handle(prober->multi, query->easy);
 }
 
@@ -418,6 +444,9 @@
 	prober->failed = metrics_counter(metrics, "hemlock_probes_failed_total",
 					 "",
 					 "Those of them that brought no load.");
+	prober->questions = metrics_counter(
+		metrics, "hemlock_sibling_questions_total", "",
+		"Questions to sibling entries which copies they reach.");
 	prober->multi = curl_multi_init();
 	if (prober->multi) {
 		curl_multi_setopt(prober->multi, CURLMOPT_MAXCONNECTS,
@@ -486,6 +515,25 @@
 	return rc;
 }
 
+int entry_prober_ask(entry_prober_t *prober, const char *target,
+		     const char *header, const entry_probe_t *probe,
+		     entry_prober_end_t on_end)
+{
+	prober_batch_t *batch = batch_new(probe, 1, NULL);
+	int rc = -1;
+
+	if (!batch)
+		return -1;
+	batch->on_end = on_end;
+	batch->target = g_strdup(target);
+	batch->headers = curl_slist_append(NULL, header);
+	if (batch->headers)
+		rc = prober_enqueue(prober, batch, "/", 0);
+	curl_multi_wakeup(prober->multi);
+	batch_unref(batch);
+	return rc;
+}
+
 /*
  * Waits until @until or until all queries have ended; with @early also until a
  * reported load is acceptable. The caller holds batch->lock.
--- a/entry-prober.h
+++ b/entry-prober.h
@@ -32,6 +32,7 @@
 	bool rests;  /* the copy asked for no calls, for the time @rest */
 	usec_t rest; /* microseconds */
 	unsigned millirate; /* rate that the copy accepts; 0: none named */
+	long status;	    /* of the answer to a question; 0: no answer */
 } entry_probe_t;
 
 /**
@@ -99,6 +100,19 @@
 int entry_prober_test(entry_prober_t *prober, const char *path,
 		      const entry_probe_t *probe, entry_prober_end_t on_end);
 
+/**
+ * entry_prober_ask - ask a sibling entry a question.
+ * @target: target of the request, copied
+ * @header: header of the request, copied
+ * @probe: address and context are set by the caller
+ * @on_end: called once, with the status of the answer in the probe
+ *
+ * Return: 0, or -1 if out of memory; then @on_end is not called.
+ */
+int entry_prober_ask(entry_prober_t *prober, const char *target,
+		     const char *header, const entry_probe_t *probe,
+		     entry_prober_end_t on_end);
+
 /**
  * entry_prober_wait - return the waits that fit the times of recent probes.
  *
--- a/entry-reach-test.c
+++ b/entry-reach-test.c
@@ -62,7 +62,7 @@
 /* Updates what depends on whether the service is cut off. The caller holds
    upstream->lock. */
 static void reach_test_update(entry_upstream_t *upstream,
-			      reach_change_t *change)
+			      reach_change_t *change, usec_t now)
 {
 	change->unreachable = entry_reach_count(&upstream->service,
 						&change->total);
@@ -70,9 +70,11 @@
 	change->cut_off_changed = change->cut_off != upstream->cut_off;
 	upstream->cut_off = change->cut_off;
 	change->impaired = entry_reach_is_impaired(&upstream->service);
-	change->recovered = upstream->siblings_reach && !change->impaired;
+	change->recovered = upstream->impaired_until &&
+			    (!change->impaired ||
+			     now >= upstream->impaired_until);
 	if (change->recovered)
-		upstream->siblings_reach = false;
+		upstream->impaired_until = 0;
 }
 
 static void reach_test_on_end(const entry_probe_t *probe, bool reached)
@@ -88,7 +90,7 @@
 	if (copy)
 		change.changed = entry_reach_on_test(&upstream->service, copy,
 						     reached, now);
-	reach_test_update(upstream, &change);
+	reach_test_update(upstream, &change, now);
 	pthread_mutex_unlock(&upstream->lock);
 	reach_test_log(upstream, probe->copy, reached, &change);
 	if (change.cut_off_changed && change.cut_off)
@@ -159,7 +161,7 @@
 	return due > now ? due : now + REACH_TESTS_DELAY;
 }
 
-void entry_reach_test_sweep(entry_t *entry)
+void entry_reach_test_sweep(entry_t *entry, usec_t now)
 {
 	entry_upstream_t *upstream = NULL;
 	bool impaired = false;
@@ -170,7 +172,7 @@
 		reach_change_t change = { 0 };
 
 		pthread_mutex_lock(&upstream->lock);
-		reach_test_update(upstream, &change);
+		reach_test_update(upstream, &change, now);
 		pthread_mutex_unlock(&upstream->lock);
 		reach_test_log(upstream, "", false, &change);
 		impaired = impaired || change.impaired;
@@ -178,16 +180,3 @@
 	if (!impaired)
 		presence_client_ask_all_zones(entry->presence, false);
 }
-
-bool entry_reach_test_siblings_reach(entry_t *entry)
-{
-	entry_upstream_t *upstream = NULL;
-	bool found = false;
-
-	while (!found && (upstream = entry_upstream_next(entry, upstream))) {
-		pthread_mutex_lock(&upstream->lock);
-		found = upstream->siblings_reach;
-		pthread_mutex_unlock(&upstream->lock);
-	}
-	return found;
-}
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -262,3 +262,11 @@
 
 	return failing > 0 && 2 * failing >= total;
 }
+
+bool entry_reach_is_doubtful(const entry_service_t *svc)
+{
+	if (entry_reach_is_impaired(svc))
+		return true;
+	return reach_count_failing(svc, 1, NULL) > 0 &&
+	       svc->answered_at < svc->unreachable_since;
+}
--- a/entry-target.c
+++ b/entry-target.c
@@ -255,7 +255,7 @@
 
 static bool target_is_impaired(void *context)
 {
-	return entry_reach_test_siblings_reach(context);
+	return entry_sibling_is_impaired(context, time_now());
 }
 
 /* TCP port of the keepers' control servers. */
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -102,6 +102,7 @@
 				  entry_reach_test_run(upstream, now));
 	bool waiting;
 
+	due = tick_earlier(due, entry_sibling_run(upstream, now));
 	entry_dispatch_expire(upstream, now);
 	entry_dispatch_next(upstream, now);
 	pthread_mutex_lock(&upstream->lock);
@@ -218,7 +219,7 @@
 			entry_read_timeout_sweep(entry->read_timeout, now);
 			tick_sweep_connections(entry, now);
 			entry_crash_tick(entry, now);
-			entry_reach_test_sweep(entry);
+			entry_reach_test_sweep(entry, now);
 			limits_due = now + TICK_LIMITS_INTERVAL;
 		}
 		due = tick_earlier(tick_all(entry, now), limits_due);
--- a/entry-upstream.c
+++ b/entry-upstream.c
@@ -89,6 +89,7 @@
 	pthread_mutex_init(&upstream->lock, NULL);
 	pthread_mutex_init(&upstream->measure_lock, NULL);
 	CDS_INIT_LIST_HEAD(&upstream->measures);
+	entry_siblings_init(&upstream->siblings);
 	upstream->profile = calloc(1, sizeof(*upstream->profile));
 	if (!upstream->profile)
 		goto fail;
@@ -131,6 +132,7 @@
 	cds_list_for_each_entry (copy, &upstream->service.copies, link)
 		if (copy->io)
 			entry_conn_pool_unref(copy->io);
+	entry_siblings_clear(&upstream->siblings);
 	entry_service_fini(&upstream->service);
 	entry_measure_free(upstream);
 	xdr_free((xdrproc_t)xdr_config_profile_t, (char *)upstream->profile);
--- a/entry.h
+++ b/entry.h
@@ -718,6 +718,12 @@
 bool entry_reach_is_silent(const entry_service_t *svc, usec_t since,
 			   usec_t silence, usec_t now);
 
+/**
+ * entry_reach_is_doubtful - whether a path may be lost: this entry is impaired, or
+ * a test has failed and no copy has responded since.
+ */
+bool entry_reach_is_doubtful(const entry_service_t *svc);
+
 /** entry_reach_is_impaired - whether tests of half of them or more failed. */
 bool entry_reach_is_impaired(const entry_service_t *svc);
 
--- a/http-status.h
+++ b/http-status.h
@@ -3,6 +3,8 @@
 
 /* Status codes of HTTP that entries use towards callers and copies. */
 
+#define HTTP_OK 200
+#define HTTP_ACCEPTED 202
 #define HTTP_BAD_REQUEST 400
 #define HTTP_FORBIDDEN 403
 #define HTTP_NOT_FOUND 404
--- a/presence-client.c
+++ b/presence-client.c
@@ -227,6 +227,7 @@
 		snprintf(list.addresses[list.count++], HL_ADDRESS_MAX, "%s",
 			 response->addresses.addresses_val[i]);
 	pthread_mutex_lock(&client->lock);
+	list.all_zones = client->all_zones;
 	client->peers = list;
 	client->peers_confirmed = now;
 	pthread_mutex_unlock(&client->lock);
--- a/presence.h
+++ b/presence.h
@@ -142,6 +142,7 @@
 /** struct presence_peers_list_t - call addresses of entries. */
 typedef struct {
 	unsigned count;
+	bool all_zones; /* the peers of all zones were asked for */
 	char addresses[PRESENCE_PEERS_MAX][HL_ADDRESS_MAX];
 } presence_peers_list_t;
 
