Notice within two tests that a large service is cut off

Calls of an entry that had lost 136 of 137 copies waited or were late for seconds: the entry counted 16 copies as unreachable 0.94 s after the cut at the earliest, and 46 of them 4.3 s after it.

The cause: an entry was cut off once 16 copies had failed two tests, but impaired only once half of all had failed one, and from the first of these on just three tests ran at a time. What depends on being impaired (handing calls over, declining those of siblings, reporting to keepers) came seconds later, the more copies the later. A copy that had ended before hid a cut altogether: the time from which no copy responded was kept from then.

Now the copies count whose test has failed after the last response of any copy. Two of them have further copies tested, 16 mean that the entry is cut off, and then it is impaired too. Each copy still needs two failed tests to get no calls. Of three new rows of test-entry-reach two fail before (cut-off-is-impaired, cut-off-after-dead-copy), the third guards the way back.

--- a/entry-reach.c
+++ b/entry-reach.c
@@ -26,9 +26,11 @@
    are tested. */
 #define REACH_TESTS_CUT_OFF_MAX 3
 #define REACH_CUT_OFF_PERIOD (150 * USEC_PER_MS)
-/* Number of unreachable copies from which an entry that has no response of any
-   copy is cut off, however many copies it has not tested. */
+/* Number of copies whose test has failed, and no copy has responded since, from
+   which this entry is cut off, however many copies it has not tested. */
 #define REACH_SAMPLE_MIN 16
+/* Number of such copies from which further ones are tested. */
+#define REACH_WIDEN_MIN 2
 
 /* Whether a copy may get calls from this entry once it is reachable. */
 static bool reach_counts(const entry_copy_t *copy)
@@ -41,24 +43,39 @@
 	return copy->reach.testing || copy->reach.test_at;
 }
 
-/* Return the number of copies of which at least @failures tests have failed in a
-   row; set @total, unless it is NULL, to the number of copies that count. */
-static unsigned reach_count_failing(const entry_service_t *svc,
-				    unsigned failures, unsigned *total)
+/* Return the number of copies that count. */
+static unsigned reach_count_all(const entry_service_t *svc)
 {
 	const entry_copy_t *copy = NULL;
-	unsigned failing = 0;
 	unsigned count = 0;
 
-	cds_list_for_each_entry (copy, &svc->copies, link) {
-		if (!reach_counts(copy))
-			continue;
-		count++;
-		failing += copy->reach.failures >= failures;
-	}
-	if (total)
-		*total = count;
-	return failing;
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		count += reach_counts(copy);
+	return count;
+}
+
+/* Return the number of copies whose last test failed. */
+static unsigned reach_count_failing(const entry_service_t *svc)
+{
+	const entry_copy_t *copy = NULL;
+	unsigned count = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		count += reach_counts(copy) && copy->reach.failures > 0;
+	return count;
+}
+
+/* Return the number of copies whose test failed after the last response of any
+   copy: a copy that has ended for long does not hide that paths are lost. */
+static unsigned reach_count_silent(const entry_service_t *svc)
+{
+	const entry_copy_t *copy = NULL;
+	unsigned count = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		count += reach_counts(copy) && copy->reach.failures > 0 &&
+			 copy->reach.tested_at > svc->answered_at;
+	return count;
 }
 
 void entry_reach_doubt(entry_copy_t *copy, usec_t now)
@@ -199,12 +216,11 @@
 	copy->reach.unreachable = false;
 }
 
-/* Test further copies once several cannot be reached and none has responded
-   since, so that no call has to find out about each of them. */
+/* Test further copies once several tests have failed without a response of any
+   copy, so that no call has to find out about each of them. */
 static void reach_widen(entry_service_t *svc, usec_t now)
 {
-	if (entry_reach_count(svc, NULL) >= REACH_FAILURES_MIN &&
-	    svc->answered_at < svc->unreachable_since)
+	if (reach_count_silent(svc) >= REACH_WIDEN_MIN)
 		entry_reach_doubt_service(svc, REACH_TESTS_MAX, now);
 }
 
@@ -221,8 +237,6 @@
 		entry_reach_on_response(svc, now);
 		return was_unreachable;
 	}
-	if (!entry_reach_count(svc, NULL))
-		svc->unreachable_since = now;
 	reach->failures++;
 	reach->test_at = now + reach_retry_delay(svc, reach->failures);
 	reach->unreachable = reach->failures >= REACH_FAILURES_MIN;
@@ -232,7 +246,14 @@
 
 unsigned entry_reach_count(const entry_service_t *svc, unsigned *total)
 {
-	return reach_count_failing(svc, REACH_FAILURES_MIN, total);
+	const entry_copy_t *copy = NULL;
+	unsigned count = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		count += reach_counts(copy) && copy->reach.unreachable;
+	if (total)
+		*total = reach_count_all(svc);
+	return count;
 }
 
 bool entry_reach_is_cut_off(const entry_service_t *svc)
@@ -240,11 +261,9 @@
 	unsigned total;
 	unsigned unreachable = entry_reach_count(svc, &total);
 
-	if (!unreachable)
-		return false;
-	return unreachable == total ||
-	       (unreachable >= REACH_SAMPLE_MIN &&
-		svc->answered_at < svc->unreachable_since);
+	if (unreachable && unreachable == total)
+		return true;
+	return reach_count_silent(svc) >= REACH_SAMPLE_MIN;
 }
 
 bool entry_reach_is_silent(const entry_service_t *svc, usec_t since,
@@ -257,16 +276,14 @@
    one of many copies. */
 bool entry_reach_is_impaired(const entry_service_t *svc)
 {
-	unsigned total;
-	unsigned failing = reach_count_failing(svc, 1, &total);
+	unsigned failing = reach_count_failing(svc);
 
-	return failing > 0 && 2 * failing >= total;
+	if (failing && 2 * failing >= reach_count_all(svc))
+		return true;
+	return entry_reach_is_cut_off(svc);
 }
 
 bool entry_reach_is_doubtful(const entry_service_t *svc)
 {
-	if (entry_reach_is_impaired(svc))
-		return true;
-	return reach_count_failing(svc, 1, NULL) > 0 &&
-	       svc->answered_at < svc->unreachable_since;
+	return reach_count_silent(svc) > 0 || entry_reach_is_impaired(svc);
 }
--- a/entry.h
+++ b/entry.h
@@ -229,8 +229,7 @@
 	double mean_slowness;	/* mean over reports; 0: unknown */
 	double mean_calls; /* mean of the reported calls of other entries */
 	entry_work_time_t work_times[ENTRY_WORK_KINDS];
-	usec_t answered_at;	  /* last response of any copy */
-	usec_t unreachable_since; /* last time that copies became unreachable */
+	usec_t answered_at;	   /* last response of any copy */
 	usec_t cut_off_period_end; /* tests are counted until then; entry-reach.c */
 	unsigned cut_off_tests; /* tests started in that period */
 	double contention; /* slowdown of a call in the last slot of a copy */
@@ -707,7 +706,11 @@
  */
 unsigned entry_reach_count(const entry_service_t *svc, unsigned *total);
 
-/** entry_reach_is_cut_off - whether this entry reaches no copy of a service. */
+/**
+ * entry_reach_is_cut_off - whether this entry reaches no copy of a service.
+ *
+ * Of a service with many copies some are tested.
+ */
 bool entry_reach_is_cut_off(const entry_service_t *svc);
 
 /**
@@ -724,7 +727,10 @@
  */
 bool entry_reach_is_doubtful(const entry_service_t *svc);
 
-/** entry_reach_is_impaired - whether tests of half of them or more failed. */
+/**
+ * entry_reach_is_impaired - whether tests of half of the copies or more failed, or
+ * this entry is cut off.
+ */
 bool entry_reach_is_impaired(const entry_service_t *svc);
 
 /** entry_service_cancel - dequeue a call whose caller closed its connection. */
--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -9,8 +9,13 @@
  * that only lose a segment or end.
  */
 
-#define COPIES_MAX 64
+#define COPIES_MAX 160
+#define COPIES_LARGE 64
 #define STEP USEC_PER_MS
+/* Number of copies that are doubted at the same time. */
+#define REACH_DOUBTS 20
+/* Time after which a test of a lost path fails. */
+#define TEST_TIME (200 * USEC_PER_MS)
 /* Time in which a lost path must be noticed. */
 #define NOTICE_MAX (500 * USEC_PER_MS)
 /* Time in which a copy must be used again after its path is back. */
@@ -20,7 +25,8 @@
 	entry_service_t svc;
 	config_profile_t profile;
 	entry_copy_t *copies[COPIES_MAX];
-	bool reached[COPIES_MAX]; /* whether a test of the copy succeeds */
+	bool reached[COPIES_MAX];   /* whether a test of the copy succeeds */
+	usec_t ends_at[COPIES_MAX]; /* end of the test of the copy; 0: none */
 	unsigned count;
 	unsigned tests;
 	usec_t now;
@@ -86,6 +92,29 @@
 		}
 }
 
+/* As run(), but a test of a path that is lost ends after TEST_TIME. */
+static void run_slow(fixture_t *fixture, usec_t length)
+{
+	usec_t end = fixture->now + length;
+	entry_copy_t *copy;
+	unsigned i;
+
+	for (; fixture->now < end; fixture->now += STEP) {
+		while ((copy = entry_reach_next_test(&fixture->svc,
+						     fixture->now)))
+			fixture->ends_at[copy_index(fixture, copy)] =
+				fixture->now + TEST_TIME;
+		for (i = 0; i < fixture->count; i++) {
+			if (!fixture->ends_at[i] ||
+			    fixture->now < fixture->ends_at[i])
+				continue;
+			fixture->ends_at[i] = 0;
+			entry_reach_on_test(&fixture->svc, fixture->copies[i],
+					    fixture->reached[i], fixture->now);
+		}
+	}
+}
+
 static entry_decision_t arrive(fixture_t *fixture, entry_call_t *call)
 {
 	memset(call, 0, sizeof(*call));
@@ -117,16 +146,67 @@
 
 /* A large service must not be tested whole, nor all copies at the same time. */
 static void test_cut_off_large(void)
+{
+	fixture_t *fixture = fixture_new(COPIES_LARGE);
+
+	set_reached(fixture, 0, COPIES_LARGE, false);
+	entry_reach_doubt_service(&fixture->svc, 3, fixture->now);
+	run(fixture, NOTICE_MAX);
+	g_assert_true(entry_reach_is_cut_off(&fixture->svc));
+	fixture_free(fixture);
+}
+
+/* An entry that is cut off from a large service must count as cut off and as impaired
+   two tests after the first doubts, not when half of the copies have been tested:
+   until then its calls wait, and it does not decline those of siblings. */
+static void test_cut_off_is_impaired(void)
 {
 	fixture_t *fixture = fixture_new(COPIES_MAX);
 
 	set_reached(fixture, 0, COPIES_MAX, false);
-	entry_reach_doubt_service(&fixture->svc, 3, fixture->now);
+	entry_reach_doubt(fixture->copies[0], fixture->now);
+	entry_reach_doubt(fixture->copies[1], fixture->now);
+	run_slow(fixture, TEST_TIME + 2 * STEP);
+	g_assert_true(entry_reach_is_doubtful(&fixture->svc));
+	run_slow(fixture, TEST_TIME);
+	g_assert_true(entry_reach_is_cut_off(&fixture->svc));
+	g_assert_true(entry_reach_is_impaired(&fixture->svc));
+	fixture_free(fixture);
+}
+
+/* A copy that has ended long before must not hide that all paths are lost. */
+static void test_cut_off_after_dead_copy(void)
+{
+	fixture_t *fixture = fixture_new(COPIES_LARGE);
+
+	fixture->reached[0] = false;
+	entry_reach_doubt(fixture->copies[0], fixture->now);
+	run(fixture, USEC_PER_SEC);
+	entry_reach_on_response(&fixture->svc, fixture->now);
+	run(fixture, USEC_PER_SEC);
+	g_assert_false(entry_reach_is_doubtful(&fixture->svc) &&
+		       entry_reach_is_impaired(&fixture->svc));
+	set_reached(fixture, 0, COPIES_LARGE, false);
+	entry_reach_doubt(fixture->copies[1], fixture->now);
+	entry_reach_doubt(fixture->copies[2], fixture->now);
 	run(fixture, NOTICE_MAX);
 	g_assert_true(entry_reach_is_cut_off(&fixture->svc));
 	fixture_free(fixture);
 }
 
+/* Of a large service one response of any copy shows that there are paths. */
+static void test_response_ends_cut_off(void)
+{
+	fixture_t *fixture = fixture_new(COPIES_LARGE);
+
+	set_reached(fixture, 1, COPIES_LARGE, false);
+	entry_reach_doubt_service(&fixture->svc, REACH_DOUBTS, fixture->now);
+	run(fixture, NOTICE_MAX);
+	entry_reach_on_response(&fixture->svc, fixture->now);
+	g_assert_false(entry_reach_is_cut_off(&fixture->svc));
+	fixture_free(fixture);
+}
+
 /* The paths to some copies are lost: the others get the calls, and the entry is
    not cut off. */
 static void test_some_lost(void)
@@ -195,16 +275,16 @@
    large service must not be tested more often than a small one. */
 static void test_probes_after_cut(void)
 {
-	fixture_t *fixture = fixture_new(COPIES_MAX);
+	fixture_t *fixture = fixture_new(COPIES_LARGE);
 
 	entry_service_set_probe_rate(&fixture->svc, 9, fixture->now);
-	set_reached(fixture, 0, COPIES_MAX, false);
-	entry_reach_doubt_service(&fixture->svc, COPIES_MAX, fixture->now);
+	set_reached(fixture, 0, COPIES_LARGE, false);
+	entry_reach_doubt_service(&fixture->svc, COPIES_LARGE, fixture->now);
 	run(fixture, NOTICE_MAX);
 	fixture->tests = 0;
 	run(fixture, 10 * USEC_PER_SEC);
 	g_assert_cmpuint(fixture->tests, <=, 10 * 20);
-	set_reached(fixture, 0, COPIES_MAX, true);
+	set_reached(fixture, 0, COPIES_LARGE, true);
 	run(fixture, RETURN_MAX);
 	g_assert_cmpuint(entry_reach_count(&fixture->svc, NULL), ==, 0);
 	g_assert_cmpuint(entry_probe_rate_take(&fixture->svc, 2, fixture->now),
@@ -270,6 +350,12 @@
 			test_silent_since_start);
 	g_test_add_func("/entry-reach/cut-off", test_cut_off);
 	g_test_add_func("/entry-reach/cut-off-large", test_cut_off_large);
+	g_test_add_func("/entry-reach/cut-off-is-impaired",
+			test_cut_off_is_impaired);
+	g_test_add_func("/entry-reach/cut-off-after-dead-copy",
+			test_cut_off_after_dead_copy);
+	g_test_add_func("/entry-reach/response-ends-cut-off",
+			test_response_ends_cut_off);
 	g_test_add_func("/entry-reach/some-lost", test_some_lost);
 	g_test_add_func("/entry-reach/lost-segment", test_lost_segment);
 	g_test_add_func("/entry-reach/return", test_return);
