Hand calls over at once where no copy can be reached

The cause: a call that waits for a copy left the wait for a sibling only while the entry was impaired and no other call had found all siblings without room in the last half second. So at an entry that is cut off it probed on until its time was used up; a call of a sibling did the same before it was declined; and while no test had ended yet nothing ended the wait.

Now a call goes on at once if no copy is reached, and waits 0.2 s at most for the first answer of a sibling; if no copy has responded for 0.1 s and a sibling is known to reach some, it goes there; a call that a sibling sent is declined after that time at the latest. Of copies to test those go first whose last test did not fail, and only copies that begin to fail count for being cut off, so that an entry that reaches a few copies finds them.

--- a/entry-handover.c
+++ b/entry-handover.c
@@ -21,9 +21,9 @@
 /* Time for which calls wait for the copies that this entry reaches, after no
    sibling had room for one. */
 #define HANDOVER_ALIKE_TIME (500 * USEC_PER_MS)
-/* Time without a response of any copy, since the arrival of a call, after which
-   siblings may reach more copies, though no path has been tested yet. */
-#define HANDOVER_SILENCE_MIN (100 * USEC_PER_MS)
+/* Time since its arrival for which a call waits for the answers of siblings, while
+   this entry reaches no copy and does not know which sibling does. */
+#define HANDOVER_ANSWERS_WAIT (200 * USEC_PER_MS)
 /* Time that must remain until the deadline of a call. */
 #define HANDOVER_TIME_MIN (20 * USEC_PER_MS)
 
@@ -135,7 +135,7 @@
 
 	return entry_reach_is_impaired(svc) ||
 	       entry_reach_is_silent(svc, req->call.arrived,
-				     HANDOVER_SILENCE_MIN, now);
+				     ENTRY_REACH_SILENCE_MIN, now);
 }
 
 bool entry_handover_refused(entry_request_t *req, entry_refusal_t refusal,
@@ -179,17 +179,61 @@
 }
 
 /* Whether copies were probed for a call of a sibling, and none has responded: this
-   entry may lack paths as well, which it has not tested yet. A response shortly
-   before the call counts, as copies with such a report are not probed again. The
-   caller holds upstream->lock. */
+   entry may lack paths as well, which it has not tested yet. The caller holds
+   upstream->lock. */
 static bool handover_probes_failed(const entry_request_t *req, usec_t now)
 {
 	const entry_upstream_t *upstream = req->upstream;
 
 	return *upstream->health_path &&
-	       entry_reach_is_silent(&upstream->service,
-				     req->call.arrived - HANDOVER_SILENCE_MIN,
-				     HANDOVER_SILENCE_MIN, now);
+	       entry_reach_probes_failed(&upstream->service, &req->call, now);
+}
+
+/* What is known of the siblings for a call. The caller holds upstream->lock. */
+static entry_others_t handover_others(const entry_request_t *req, usec_t now)
+{
+	const entry_upstream_t *upstream = req->upstream;
+
+	if (entry_siblings_reach(&upstream->siblings, now))
+		return ENTRY_OTHERS_REACH;
+	return now < upstream->siblings_alike_until ? ENTRY_OTHERS_ALIKE :
+						      ENTRY_OTHERS_UNKNOWN;
+}
+
+/* Whether no copy has responded since the arrival of a call, while a sibling is known
+   to reach copies. The caller holds upstream->lock. */
+static bool handover_only_siblings_reach(const entry_request_t *req, usec_t now)
+{
+	return handover_others(req, now) == ENTRY_OTHERS_REACH &&
+	       entry_reach_is_silent(&req->upstream->service, req->call.arrived,
+				     ENTRY_REACH_SILENCE_MIN, now);
+}
+
+bool entry_handover_ends_wait(entry_request_t *req, usec_t now)
+{
+	entry_upstream_t *upstream = req->upstream;
+	bool ends;
+
+	pthread_mutex_lock(&upstream->lock);
+	ends = entry_reach_ends_wait(&upstream->service, &req->call,
+				     handover_others(req, now), now);
+	pthread_mutex_unlock(&upstream->lock);
+	return ends;
+}
+
+bool entry_handover_awaits_sibling(entry_request_t *req, usec_t now)
+{
+	entry_upstream_t *upstream = req->upstream;
+	bool awaits;
+
+	if (!req->entry->presence || req->call.from_sibling ||
+	    now - req->call.arrived >= HANDOVER_ANSWERS_WAIT)
+		return false;
+	pthread_mutex_lock(&upstream->lock);
+	awaits = entry_reach_is_cut_off(&upstream->service) &&
+		 entry_siblings_may_reach(&upstream->siblings, now);
+	pthread_mutex_unlock(&upstream->lock);
+	return awaits;
 }
 
 bool entry_handover_declines(entry_request_t *req, usec_t now)
@@ -212,9 +256,10 @@
 	bool better;
 
 	pthread_mutex_lock(&upstream->lock);
-	better = now >= upstream->siblings_alike_until &&
-		 !entry_reach_is_cut_off(&upstream->service) &&
-		 handover_lacks_room(req, now);
+	better = !entry_reach_is_cut_off(&upstream->service) &&
+		 ((now >= upstream->siblings_alike_until &&
+		   handover_lacks_room(req, now)) ||
+		  handover_only_siblings_reach(req, now));
 	pthread_mutex_unlock(&upstream->lock);
 	return better;
 }
@@ -235,7 +280,8 @@
 		return false;
 	pthread_mutex_lock(&upstream->lock);
 	taken = req->call.waiting &&
-		entry_reach_is_impaired(&upstream->service);
+		(entry_reach_is_impaired(&upstream->service) ||
+		 handover_only_siblings_reach(req, now));
 	if (taken)
 		entry_queue_remove(upstream->service.queue, &req->call);
 	pthread_mutex_unlock(&upstream->lock);
--- a/entry-io.h
+++ b/entry-io.h
@@ -517,6 +517,18 @@
 bool entry_handover_refused(entry_request_t *req, entry_refusal_t refusal,
 			    usec_t now);
 
+/**
+ * entry_handover_ends_wait - whether a call must not wait for a copy any longer, as
+ * siblings may serve it or, if a sibling sent it, others may.
+ */
+bool entry_handover_ends_wait(entry_request_t *req, usec_t now);
+
+/**
+ * entry_handover_awaits_sibling - whether a call that no copy can take here waits
+ * until siblings have answered whether they reach one.
+ */
+bool entry_handover_awaits_sibling(entry_request_t *req, usec_t now);
+
 /**
  * entry_handover_preferred - hand a call over that would wait for the few copies
  * that this entry reaches.
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -153,6 +153,8 @@
    doubled after each one up to the maximum. */
 #define PROBE_RETRY_INTERVAL_MIN (20 * USEC_PER_MS)
 #define PROBE_RETRY_INTERVAL_MAX (80 * USEC_PER_MS)
+/* Interval at which a call looks for answers of siblings. */
+#define PROBE_ANSWER_INTERVAL (10 * USEC_PER_MS)
 /* Maximum wait for the responses of a round, as a fraction of the objective. */
 #define PROBE_WAIT_FRACTION 0.2
 /* Maximum slowness, in percent, of an acceptable copy with a free slot. */
@@ -389,17 +391,27 @@
 	return possible;
 }
 
-/* Whether siblings may have more copies for a call than this entry reaches. */
-static bool probe_is_impaired(entry_request_t *req)
+/* Waits while siblings are asked whether they reach a copy for the call. */
+static void probe_await_sibling(entry_request_t *req)
 {
-	entry_upstream_t *upstream = req->upstream;
-	bool impaired;
+	usec_t now = time_now();
+
+	while (entry_handover_awaits_sibling(req, now)) {
+		if (!probe_wait(req, now + PROBE_ANSWER_INTERVAL))
+			return;
+		now = time_now();
+	}
+}
+
+/* Returns whether this entry reaches no copy that could be probed. */
+static bool probe_is_cut_off(entry_upstream_t *upstream)
+{
+	bool cut_off;
 
 	pthread_mutex_lock(&upstream->lock);
-	impaired = entry_reach_is_impaired(&upstream->service) &&
-		   time_now() >= upstream->siblings_alike_until;
+	cut_off = entry_reach_is_cut_off(&upstream->service);
 	pthread_mutex_unlock(&upstream->lock);
-	return impaired;
+	return cut_off;
 }
 
 /* Plans the next round of probes of a call. */
@@ -428,6 +440,10 @@
 		entry_probe_plan_t plan = probe_plan(req, round, now);
 		entry_wait_t wait;
 
+		if (probe_is_cut_off(req->upstream)) {
+			probe_await_sibling(req);
+			return;
+		}
 		if (!probe_take_wake(req) && plan.probes)
 			probe_round(req, plan.scope,
 				    now - PROBE_REPORT_MAX_AGE);
@@ -438,7 +454,8 @@
 			return;
 		if (!plan.other_zones)
 			continue;
-		if (wait == ENTRY_WAIT_EXPIRED || probe_is_impaired(req) ||
+		if (wait == ENTRY_WAIT_EXPIRED ||
+		    entry_handover_ends_wait(req, now) ||
 		    !probe_wait(req, now + interval))
 			return;
 		interval = MIN(2 * interval, PROBE_RETRY_INTERVAL_MAX);
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -65,8 +65,8 @@
 	return count;
 }
 
-/* Return the number of copies whose test failed after the last response of any
-   copy: a copy that has ended for long does not hide that paths are lost. */
+/* Return the number of copies whose tests fail since the last response of any copy:
+   further tests of a copy that failed before show nothing new. */
 static unsigned reach_count_silent(const entry_service_t *svc)
 {
 	const entry_copy_t *copy = NULL;
@@ -74,7 +74,7 @@
 
 	cds_list_for_each_entry (copy, &svc->copies, link)
 		count += reach_counts(copy) && copy->reach.failures > 0 &&
-			 copy->reach.tested_at > svc->answered_at;
+			 copy->reach.failing_since > svc->answered_at;
 	return count;
 }
 
@@ -95,11 +95,11 @@
 	unsigned pending = 0;
 
 	cds_list_for_each_entry (copy, &svc->copies, link)
-		pending += !copy->reach.unreachable && reach_is_pending(copy);
+		pending += !copy->reach.failures && reach_is_pending(copy);
 	cds_list_for_each_entry (copy, &svc->copies, link) {
 		if (pending >= max)
 			return;
-		if (!reach_counts(copy) || copy->reach.unreachable ||
+		if (!reach_counts(copy) || copy->reach.failures ||
 		    reach_is_pending(copy))
 			continue;
 		copy->reach.test_at = now;
@@ -147,28 +147,45 @@
 	return max - MIN(max, busy);
 }
 
-entry_copy_t *entry_reach_next_test(entry_service_t *svc, usec_t now)
+/* Return a copy whose test is due and that may get it, of those whose last test failed
+   or of the others; NULL if there is none. */
+static entry_copy_t *reach_find_due(entry_service_t *svc, bool failing,
+				    usec_t now)
 {
-	unsigned left = reach_tests_left(svc, now);
 	entry_copy_t *copy = NULL;
 
 	cds_list_for_each_entry (copy, &svc->copies, link) {
-		if (!copy->reach.test_at || now < copy->reach.test_at)
-			continue;
-		if (!left || !reach_may_test(svc, copy, now)) {
-			copy->reach.test_at = now + REACH_INTERVAL_MIN;
+		if ((copy->reach.failures > 0) != failing ||
+		    !copy->reach.test_at || now < copy->reach.test_at)
 			continue;
-		}
-		entry_rate_charge(svc, copy, now);
-		entry_probe_rate_charge(svc, now);
-		svc->cut_off_tests++;
-		copy->reach.test_at = 0;
-		copy->reach.testing = true;
-		return copy;
+		if (reach_may_test(svc, copy, now))
+			return copy;
+		copy->reach.test_at = now + REACH_INTERVAL_MIN;
 	}
 	return NULL;
 }
 
+/* Copies whose last test did not fail go first: if any of them responds, this entry is
+   not cut off. */
+entry_copy_t *entry_reach_next_test(entry_service_t *svc, usec_t now)
+{
+	entry_copy_t *copy;
+
+	if (!reach_tests_left(svc, now))
+		return NULL;
+	copy = reach_find_due(svc, false, now);
+	if (!copy)
+		copy = reach_find_due(svc, true, now);
+	if (!copy)
+		return NULL;
+	entry_rate_charge(svc, copy, now);
+	entry_probe_rate_charge(svc, now);
+	svc->cut_off_tests++;
+	copy->reach.test_at = 0;
+	copy->reach.testing = true;
+	return copy;
+}
+
 usec_t entry_reach_test_due(const entry_service_t *svc)
 {
 	const entry_copy_t *copy = NULL;
@@ -237,6 +254,8 @@
 		entry_reach_on_response(svc, now);
 		return was_unreachable;
 	}
+	if (!reach->failures)
+		reach->failing_since = now;
 	reach->failures++;
 	reach->test_at = now + reach_retry_delay(svc, reach->failures);
 	reach->unreachable = reach->failures >= REACH_FAILURES_MIN;
@@ -287,3 +306,27 @@
 {
 	return reach_count_silent(svc) > 0 || entry_reach_is_impaired(svc);
 }
+
+bool entry_reach_probes_failed(const entry_service_t *svc,
+			       const entry_call_t *call, usec_t now)
+{
+	return entry_reach_is_silent(svc,
+				     call->arrived - ENTRY_REACH_SILENCE_MIN,
+				     ENTRY_REACH_SILENCE_MIN, now);
+}
+
+bool entry_reach_ends_wait(const entry_service_t *svc, const entry_call_t *call,
+			   entry_others_t others, usec_t now)
+{
+	if (entry_reach_is_cut_off(svc))
+		return true;
+	if (call->from_sibling)
+		return entry_reach_is_impaired(svc) ||
+		       (now - call->arrived >= ENTRY_REACH_SILENCE_MIN &&
+			entry_reach_probes_failed(svc, call, now));
+	if (others == ENTRY_OTHERS_REACH &&
+	    entry_reach_is_silent(svc, call->arrived, ENTRY_REACH_SILENCE_MIN,
+				  now))
+		return true;
+	return others != ENTRY_OTHERS_ALIKE && entry_reach_is_impaired(svc);
+}
--- a/entry-sibling.c
+++ b/entry-sibling.c
@@ -95,6 +95,21 @@
 	return siblings_count_reaching(set, false, now) > 0;
 }
 
+/* A set without siblings has not been filled yet. */
+bool entry_siblings_may_reach(const entry_siblings_t *set, usec_t now)
+{
+	const entry_sibling_t *sibling = NULL;
+	bool open = !set->count;
+
+	cds_list_for_each_entry (sibling, &set->list, link) {
+		if (sibling_reaches(sibling, now))
+			return false;
+		open = open || !sibling->answered_at ||
+		       sibling->state == ENTRY_SIBLING_TESTING;
+	}
+	return open;
+}
+
 /* Whether a sibling is to be asked: while enough of them reach copies, only these
    are, so that what is known of them stays recent. */
 static bool sibling_is_due(const entry_sibling_t *sibling, bool enough,
--- a/entry-sibling.h
+++ b/entry-sibling.h
@@ -72,6 +72,12 @@
 /** entry_siblings_reach - whether a sibling is known to reach copies. */
 bool entry_siblings_reach(const entry_siblings_t *set, usec_t now);
 
+/**
+ * entry_siblings_may_reach - whether none is known to reach copies, but some have
+ * not answered yet or are testing.
+ */
+bool entry_siblings_may_reach(const entry_siblings_t *set, usec_t now);
+
 /**
  * entry_siblings_choose - choose a sibling for a call.
  * @random: any number
--- a/entry.h
+++ b/entry.h
@@ -85,11 +85,12 @@
 
 /** struct entry_reach_t - whether this entry reaches a copy; entry-reach.c. */
 typedef struct {
-	unsigned failures; /* consecutive tests that failed */
-	bool unreachable;  /* it gets no calls until a test succeeds */
-	bool testing;	   /* a test runs */
-	usec_t test_at;	   /* when the next test is due; 0: none is */
-	usec_t tested_at;  /* end of the last test; 0: not tested yet */
+	unsigned failures;    /* consecutive tests that failed */
+	usec_t failing_since; /* end of the first one of these */
+	bool unreachable;     /* it gets no calls until a test succeeds */
+	bool testing;	      /* a test runs */
+	usec_t test_at;	      /* when the next test is due; 0: none is */
+	usec_t tested_at;     /* end of the last test; 0: not tested yet */
 } entry_reach_t;
 
 /**
@@ -721,6 +722,33 @@
 bool entry_reach_is_silent(const entry_service_t *svc, usec_t since,
 			   usec_t silence, usec_t now);
 
+/* Time without a response of any copy, since the arrival of a call, after which
+   siblings may reach more copies, though no path has been tested yet. */
+#define ENTRY_REACH_SILENCE_MIN (100 * USEC_PER_MS)
+
+/**
+ * entry_reach_probes_failed - whether probes for a call of a sibling have failed.
+ *
+ * A response shortly before the call counts, as copies with such a report are not
+ * probed again.
+ */
+bool entry_reach_probes_failed(const entry_service_t *svc,
+			       const entry_call_t *call, usec_t now);
+
+/** enum entry_others_t - whether siblings reach more copies than this entry. */
+typedef enum {
+	ENTRY_OTHERS_UNKNOWN,
+	ENTRY_OTHERS_ALIKE, /* none had room for a call lately */
+	ENTRY_OTHERS_REACH, /* one is known to reach copies */
+} entry_others_t;
+
+/**
+ * entry_reach_ends_wait - whether a call must not wait here for a copy any longer:
+ * siblings may serve it or, if a sibling sent it, others may.
+ */
+bool entry_reach_ends_wait(const entry_service_t *svc, const entry_call_t *call,
+			   entry_others_t others, usec_t now);
+
 /**
  * entry_reach_is_doubtful - whether a path may be lost: this entry is impaired, or
  * a test has failed and no copy has responded since.
--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -18,6 +18,9 @@
 #define TEST_TIME (200 * USEC_PER_MS)
 /* Time in which a lost path must be noticed. */
 #define NOTICE_MAX (500 * USEC_PER_MS)
+/* Time in which an entry that is cut off must have tested all copies once, three at a
+   time. */
+#define ALL_TESTED_MAX (COPIES_MAX / 3 * TEST_TIME + USEC_PER_SEC)
 /* Time in which a copy must be used again after its path is back. */
 #define RETURN_MAX (2 * USEC_PER_SEC)
 
@@ -207,6 +210,21 @@
 	fixture_free(fixture);
 }
 
+/* An entry that reaches the last copies of a large service only must find that out,
+   however many others it tests in vain. */
+static void test_few_reached(void)
+{
+	fixture_t *fixture = fixture_new(COPIES_MAX);
+
+	set_reached(fixture, 0, COPIES_MAX - 4, false);
+	entry_reach_doubt(fixture->copies[0], fixture->now);
+	entry_reach_doubt(fixture->copies[1], fixture->now);
+	run_slow(fixture, ALL_TESTED_MAX);
+	g_assert_false(entry_reach_is_cut_off(&fixture->svc));
+	g_assert_true(entry_reach_is_impaired(&fixture->svc));
+	fixture_free(fixture);
+}
+
 /* The paths to some copies are lost: the others get the calls, and the entry is
    not cut off. */
 static void test_some_lost(void)
@@ -343,6 +361,64 @@
 	fixture_free(fixture);
 }
 
+/* A call must not wait for a copy where none can be reached, and a sibling's call must
+   be declined before the time that it has is used up. */
+static void test_wait_ends(void)
+{
+	static const struct {
+		unsigned lost;	 /* of 160 copies, found by tests */
+		usec_t waited;	 /* since the arrival of the call */
+		usec_t answered; /* last response, relative to the arrival */
+		bool from_sibling;
+		entry_others_t others;
+		bool ends;
+	} rows[] = {
+		/* This entry reaches no copy. */
+		{ 160, 0, -500, false, ENTRY_OTHERS_UNKNOWN, true },
+		{ 160, 0, -500, false, ENTRY_OTHERS_ALIKE, true },
+		{ 160, 0, -500, true, ENTRY_OTHERS_ALIKE, true },
+		/* It reaches a few copies. */
+		{ 120, 10, 0, false, ENTRY_OTHERS_UNKNOWN, true },
+		{ 120, 10, 0, false, ENTRY_OTHERS_ALIKE, false },
+		{ 120, 10, 0, true, ENTRY_OTHERS_ALIKE, true },
+		/* No path has been tested yet. */
+		{ 0, 99, -500, false, ENTRY_OTHERS_REACH, false },
+		{ 0, 100, -500, false, ENTRY_OTHERS_REACH, true },
+		{ 0, 100, -500, false, ENTRY_OTHERS_UNKNOWN, false },
+		{ 0, 99, -500, true, ENTRY_OTHERS_UNKNOWN, false },
+		{ 0, 100, -500, true, ENTRY_OTHERS_UNKNOWN, true },
+		{ 0, 100, -50, true, ENTRY_OTHERS_UNKNOWN, false },
+		/* All paths are there. */
+		{ 0, 500, 450, false, ENTRY_OTHERS_REACH, false },
+		{ 0, 500, 450, true, ENTRY_OTHERS_UNKNOWN, false },
+	};
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		fixture_t *fixture = fixture_new(COPIES_MAX);
+		entry_call_t call = { .from_sibling = rows[i].from_sibling };
+
+		fixture->now = 10 * USEC_PER_SEC;
+		set_reached(fixture, 0, rows[i].lost, false);
+		entry_reach_doubt_service(&fixture->svc, rows[i].lost,
+					  fixture->now);
+		run(fixture, NOTICE_MAX);
+		call.arrived = fixture->now;
+		entry_reach_on_response(&fixture->svc,
+					call.arrived +
+						rows[i].answered * USEC_PER_MS);
+		if (rows[i].lost)
+			run(fixture, 4 * USEC_PER_SEC);
+		g_test_message("row %u", i);
+		g_assert_cmpint(entry_reach_ends_wait(
+					&fixture->svc, &call, rows[i].others,
+					call.arrived +
+						rows[i].waited * USEC_PER_MS),
+				==, rows[i].ends);
+		fixture_free(fixture);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -356,6 +432,8 @@
 			test_cut_off_after_dead_copy);
 	g_test_add_func("/entry-reach/response-ends-cut-off",
 			test_response_ends_cut_off);
+	g_test_add_func("/entry-reach/wait-ends", test_wait_ends);
+	g_test_add_func("/entry-reach/few-reached", test_few_reached);
 	g_test_add_func("/entry-reach/some-lost", test_some_lost);
 	g_test_add_func("/entry-reach/lost-segment", test_lost_segment);
 	g_test_add_func("/entry-reach/return", test_return);
--- a/regress/test-entry-sibling.c
+++ b/regress/test-entry-sibling.c
@@ -104,8 +104,10 @@
 	fixture_t *fixture = fixture_new(24, 24);
 
 	g_assert_false(entry_siblings_reach(&fixture->set, fixture->now));
+	g_assert_true(entry_siblings_may_reach(&fixture->set, fixture->now));
 	run(fixture, 200 * USEC_PER_MS);
 	g_assert_true(entry_siblings_reach(&fixture->set, fixture->now));
+	g_assert_false(entry_siblings_may_reach(&fixture->set, fixture->now));
 	assert_chosen(fixture, 24, SIBLINGS);
 	fixture_free(fixture);
 }
