Count no crash where an entry reaches no other copy

A call could be blocked at all entries for an hour though it had crashed no copy.

The cause: a send that is cut and then a refused connection counted as a crash, but a path that is lost with resets, and a power failure of all copies, look the same.

Now one of up to four other copies, drawn at random, of the same service first, must take a connection too, unless there is no other copy. routed- copies-end has all copies end three times under the same call, the one that runs it last: the call is answered 503, blocked, on the code before, and 200 now, in 3 of 3 runs. routed-crash passes: three crashes still block. A path to one copy alone that is lost with a reset still counts as a crash.

--- a/entry-crash.c
+++ b/entry-crash.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include "entry-decide.h"
 #include "entry-io.h"
 
 /*
@@ -19,6 +20,8 @@
 #define CRASH_KEEP_MS 10
 /* Max number of connections that are tried after a send was cut. */
 #define CRASH_CONNECTS_MAX 3
+/* Max number of other copies of which one must take a connection. */
+#define CRASH_OTHERS_MAX 4
 
 struct entry_crashes {
 	pthread_mutex_t lock;
@@ -84,7 +87,8 @@
 
 /* How a copy treats a new connection. */
 typedef enum {
-	CRASH_CONNECT_KEPT,    /* taken, or no response */
+	CRASH_CONNECT_KEPT,    /* taken */
+	CRASH_CONNECT_SILENT,  /* no response */
 	CRASH_CONNECT_REFUSED, /* no process listens */
 	CRASH_CONNECT_CLOSED,  /* taken, and closed or reset at once */
 } crash_connect_t;
@@ -101,7 +105,7 @@
 static crash_connect_t crash_connect(const struct sockaddr_storage *to,
 				     unsigned length)
 {
-	crash_connect_t result = CRASH_CONNECT_KEPT;
+	crash_connect_t result = CRASH_CONNECT_SILENT;
 	int error = 0;
 	int fd;
 
@@ -117,16 +121,15 @@
 		result = CRASH_CONNECT_REFUSED;
 	else if (error == ECONNRESET || (!error && crash_connection_ends(fd)))
 		result = CRASH_CONNECT_CLOSED;
+	else if (!error)
+		result = CRASH_CONNECT_KEPT;
 	close(fd);
 	return result;
 }
 
-/*
- * Whether no process listens at an address any more. A host that does not answer
- * at all may be out of reach, so only a refused connection counts. A connection
- * that is closed at once shows neither, so another one is tried.
- */
-static bool crash_refuses_connections(const char *address)
+/* Connects to a copy. A connection that is closed at once shows neither that a process
+   listens nor that none does, so another one is tried. */
+static crash_connect_t crash_try_copy(const char *address)
 {
 	struct sockaddr_storage to;
 	crash_connect_t result = CRASH_CONNECT_CLOSED;
@@ -134,11 +137,84 @@
 	unsigned length;
 
 	if (hl_address_parse(address, &to, &length))
-		return false;
+		return CRASH_CONNECT_SILENT;
 	while (result == CRASH_CONNECT_CLOSED &&
 	       connects++ < CRASH_CONNECTS_MAX)
 		result = crash_connect(&to, length);
-	return result == CRASH_CONNECT_REFUSED;
+	return result;
+}
+
+/* Copies other than the one whose process may have ended. */
+typedef struct {
+	unsigned seen;	    /* that get calls */
+	unsigned reachable; /* of these, that are not known to be unreachable */
+	unsigned count; /* of the addresses, drawn from the reachable ones */
+	char addresses[CRASH_OTHERS_MAX][HL_ADDRESS_MAX];
+} crash_others_t;
+
+/* Draws a copy by reservoir sampling. */
+static void crash_draw(entry_service_t *svc, const entry_copy_t *copy,
+		       crash_others_t *others)
+{
+	unsigned i;
+
+	others->reachable++;
+	if (others->count < CRASH_OTHERS_MAX)
+		i = others->count++;
+	else
+		i = entry_random(svc, others->reachable);
+	if (i < CRASH_OTHERS_MAX)
+		strcpy(others->addresses[i], copy->address);
+}
+
+/* Adds the copies of a service other than the one at @address. */
+static void crash_add_others(entry_upstream_t *upstream, const char *address,
+			     crash_others_t *others)
+{
+	const entry_copy_t *copy = NULL;
+
+	pthread_mutex_lock(&upstream->lock);
+	cds_list_for_each_entry (copy, &upstream->service.copies, link) {
+		if (!copy->limit || copy->draining ||
+		    !strcmp(copy->address, address))
+			continue;
+		others->seen++;
+		if (!copy->reach.unreachable)
+			crash_draw(&upstream->service, copy, others);
+	}
+	pthread_mutex_unlock(&upstream->lock);
+}
+
+/*
+ * Whether this entry reaches another copy: if it does not, a copy that refuses
+ * connections may be out of reach, or all may have ended for a reason that is no
+ * call. Copies of the same service are tried first. True if there is no other copy.
+ */
+static bool crash_reaches_others(entry_request_t *req, const char *address)
+{
+	entry_upstream_t *upstream = NULL;
+	crash_others_t others = { 0 };
+	unsigned i;
+
+	crash_add_others(req->upstream, address, &others);
+	while (!others.count &&
+	       (upstream = entry_upstream_next(req->entry, upstream)))
+		if (upstream != req->upstream)
+			crash_add_others(upstream, address, &others);
+	for (i = 0; i < others.count; i++)
+		if (crash_try_copy(others.addresses[i]) == CRASH_CONNECT_KEPT)
+			return true;
+	return !others.seen;
+}
+
+/*
+ * Whether the process of the copy at an address has ended. A host that does not answer
+ * at all may be out of reach, so only a refused connection counts.
+ */
+static bool crash_has_ended(entry_request_t *req, const char *address)
+{
+	return crash_try_copy(address) == CRASH_CONNECT_REFUSED &&
+	       crash_reaches_others(req, address);
 }
 
 entry_crashes_t *entry_crashes_new(void)
@@ -201,7 +277,7 @@
 	entry_crash_t crash = { .sent = sent };
 	crash_report_t to = { req->entry, 0 };
 
-	if (req->forward || !crash_refuses_connections(address))
+	if (req->forward || !crash_has_ended(req, address))
 		return;
 	crash_digest(req, crash.digest);
 	crash.at = to.now = time_now();
