Send callers to impaired entries too where few others are left

These cannot serve the callers of all, and an overloaded entry is worse than one that hands its calls over. The quicker impaired entries are reported, the worse.

Now callers of a zone go to its unimpaired entries if these are half of it, else to those of all zones if these are half of all, else to all entries of the zone.

--- a/presence-table.c
+++ b/presence-table.c
@@ -13,6 +13,9 @@
 #define PRESENCE_REMOVE_AGE (60 * USEC_PER_SEC)
 /* With fewer ready entries in its zone, a caller gets those of all zones. */
 #define PRESENCE_ZONE_MIN 2
+/* Part of the ready entries, as a divisor, that are not impaired from which callers
+   are sent to these only: fewer ones could not serve the callers of all. */
+#define PRESENCE_UNIMPAIRED_PART 2
 
 struct presence_table {
 	GHashTable *members; /* id to presence_member_t */
@@ -170,7 +173,15 @@
 			each(context, value);
 }
 
-/* Collect the live, ready entries of @zone, or of all zones if it is NULL. */
+/* True if callers of @zone, or of all zones if it is NULL, can be sent to an entry. */
+static bool presence_is_usable(const presence_member_t *member,
+			       const char *zone, usec_t now)
+{
+	return member->ready && presence_is_live(member, now) &&
+	       (!zone || !strcmp(member->zone, zone));
+}
+
+/* Collect the usable entries of @zone, with @impaired also impaired ones. */
 static unsigned presence_collect(const presence_table_t *table,
 				 const char *zone, bool impaired, usec_t now,
 				 const presence_member_t **out, unsigned max)
@@ -183,26 +194,43 @@
 	while (count < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const presence_member_t *member = value;
 
-		if (!member->ready || !presence_is_live(member, now) ||
-		    (!impaired && presence_is_impaired(member, now)))
-			continue;
-		if (!zone || !strcmp(member->zone, zone))
+		if (presence_is_usable(member, zone, now) &&
+		    (impaired || !presence_is_impaired(member, now)))
 			out[count++] = member;
 	}
 	return count;
 }
 
+/* Whether @count entries that are not impaired can serve the callers of @zone. */
+static bool presence_are_enough(const presence_table_t *table, const char *zone,
+				unsigned count, usec_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned usable = 0;
+
+	g_hash_table_iter_init(&iter, table->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		usable += presence_is_usable(value, zone, now);
+	return count > 0 && count * PRESENCE_UNIMPAIRED_PART >= usable;
+}
+
 unsigned presence_table_choose(const presence_table_t *table, const char *zone,
 			       usec_t now, const presence_member_t **out,
 			       unsigned max)
 {
 	unsigned count = presence_collect(table, zone, false, now, out, max);
 
-	if (count < PRESENCE_ZONE_MIN)
-		count = presence_collect(table, NULL, false, now, out, max);
-	if (!count)
-		count = presence_collect(table, NULL, true, now, out, max);
-	return count;
+	if (count >= PRESENCE_ZONE_MIN &&
+	    presence_are_enough(table, zone, count, now))
+		return count;
+	count = presence_collect(table, NULL, false, now, out, max);
+	if (presence_are_enough(table, NULL, count, now))
+		return count;
+	count = presence_collect(table, zone, true, now, out, max);
+	if (count >= PRESENCE_ZONE_MIN)
+		return count;
+	return presence_collect(table, NULL, true, now, out, max);
 }
 
 bool presence_table_is_ready(const presence_table_t *table, const char *name,
--- a/presence.h
+++ b/presence.h
@@ -108,8 +108,9 @@
  *
  * Chooses the ready entries of the zone that are not impaired. If the zone has
  * fewer than two, those of all zones are chosen, so that the failure of one entry
- * does not leave the caller without any; impaired ones only if there are no
- * others.
+ * does not leave the caller without any. If more than half are impaired, the others
+ * could not serve all callers: then impaired ones, which hand calls over, are chosen
+ * too.
  *
  * Return: the number of entries.
  */
