Probe once for a call at an impaired entry, and judge it by a sample

At entries that had lost 136 of 137 copies calls waited 0.2 s (median) before they went to a sibling, for some four seconds of each cut.

The cause: an entry that is impaired but not cut off made three rounds of probes in its zone and one in others before it asked whether a sibling is better, and each round met further copies that were lost, but not tested yet. And one response of a copy that is left ended the cut-off state, so that the entry counted as impaired only once half of all had been tested.

test-entry-reach: one-reached-is-impaired fails before; some-end guards against taking copies that end for paths that are lost.

--- a/entry-probe.c
+++ b/entry-probe.c
@@ -450,12 +450,12 @@
 		now = time_now();
 		wait = probe_check_wait(req, plan.other_zones, plan.quick_only,
 					now);
-		if (wait == ENTRY_WAIT_READY)
+		if (wait == ENTRY_WAIT_READY ||
+		    entry_handover_ends_wait(req, now))
 			return;
 		if (!plan.other_zones)
 			continue;
 		if (wait == ENTRY_WAIT_EXPIRED ||
-		    entry_handover_ends_wait(req, now) ||
 		    !probe_wait(req, now + interval))
 			return;
 		interval = MIN(2 * interval, PROBE_RETRY_INTERVAL_MAX);
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -38,6 +38,26 @@
 	return !copy->draining && copy->limit > 0;
 }
 
+/* Return the number of copies that responded since paths were lost. */
+static unsigned reach_count_reached(const entry_service_t *svc)
+{
+	const entry_copy_t *copy = NULL;
+	unsigned count = 0;
+
+	cds_list_for_each_entry (copy, &svc->copies, link)
+		count += reach_counts(copy) && !copy->reach.failures &&
+			 (copy->reach.tested_at > svc->paths_lost_at ||
+			  copy->report.received_at > svc->paths_lost_at);
+	return count;
+}
+
+/* Whether most copies of a sample fail their tests. */
+static bool reach_sample_fails(const entry_service_t *svc, unsigned failing)
+{
+	return svc->paths_lost_at && failing >= REACH_SAMPLE_MIN &&
+	       failing >= 2 * reach_count_reached(svc);
+}
+
 static bool reach_is_pending(const entry_copy_t *copy)
 {
 	return copy->reach.testing || copy->reach.test_at;
@@ -237,7 +257,11 @@
    copy, so that no call has to find out about each of them. */
 static void reach_widen(entry_service_t *svc, usec_t now)
 {
-	if (reach_count_silent(svc) >= REACH_WIDEN_MIN)
+	unsigned silent = reach_count_silent(svc);
+
+	if (silent >= REACH_SAMPLE_MIN)
+		svc->paths_lost_at = svc->answered_at + 1;
+	if (silent >= REACH_WIDEN_MIN)
 		entry_reach_doubt_service(svc, REACH_TESTS_MAX, now);
 }
 
@@ -299,7 +323,7 @@
 
 	if (failing && 2 * failing >= reach_count_all(svc))
 		return true;
-	return entry_reach_is_cut_off(svc);
+	return reach_sample_fails(svc, failing) || entry_reach_is_cut_off(svc);
 }
 
 bool entry_reach_is_doubtful(const entry_service_t *svc)
--- a/entry.h
+++ b/entry.h
@@ -230,7 +230,8 @@
 	double mean_slowness;	/* mean over reports; 0: unknown */
 	double mean_calls; /* mean of the reported calls of other entries */
 	entry_work_time_t work_times[ENTRY_WORK_KINDS];
-	usec_t answered_at;	   /* last response of any copy */
+	usec_t answered_at; /* last response of any copy */
+	usec_t paths_lost_at; /* last time that this entry was cut off; 0: never */
 	usec_t cut_off_period_end; /* tests are counted until then; entry-reach.c */
 	unsigned cut_off_tests; /* tests started in that period */
 	double contention; /* slowdown of a call in the last slot of a copy */
@@ -757,7 +758,7 @@
 
 /**
  * entry_reach_is_impaired - whether tests of half of the copies or more failed, or
- * this entry is cut off.
+ * of most of a sample, or this entry is cut off.
  */
 bool entry_reach_is_impaired(const entry_service_t *svc);
 
--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -210,6 +210,44 @@
 	fixture_free(fixture);
 }
 
+/* Of a large service one copy responds: the entry is not cut off any more, but must
+   stay impaired, though most copies have not been tested. */
+static void test_one_reached_is_impaired(void)
+{
+	fixture_t *fixture = fixture_new(COPIES_MAX);
+	usec_t end;
+
+	set_reached(fixture, 0, COPIES_MAX - 1, false);
+	entry_reach_doubt(fixture->copies[0], fixture->now);
+	entry_reach_doubt(fixture->copies[1], fixture->now);
+	run_slow(fixture, 2 * TEST_TIME + 2 * STEP);
+	g_assert_true(entry_reach_is_cut_off(&fixture->svc));
+	end = fixture->now + 2 * USEC_PER_SEC;
+	while (fixture->now < end) {
+		entry_reach_on_response(&fixture->svc, fixture->now);
+		g_assert_false(entry_reach_is_cut_off(&fixture->svc));
+		g_assert_true(entry_reach_is_impaired(&fixture->svc));
+		run_slow(fixture, 10 * STEP);
+	}
+	fixture_free(fixture);
+}
+
+/* A part of the copies ends at once: the entry reaches the others, and is not
+   impaired. */
+static void test_some_end(void)
+{
+	fixture_t *fixture = fixture_new(COPIES_MAX);
+
+	set_reached(fixture, 0, REACH_DOUBTS, false);
+	entry_reach_doubt_service(&fixture->svc, 2 * REACH_DOUBTS,
+				  fixture->now);
+	run_slow(fixture, 2 * USEC_PER_SEC);
+	g_assert_cmpuint(entry_reach_count(&fixture->svc, NULL), ==,
+			 REACH_DOUBTS);
+	g_assert_false(entry_reach_is_impaired(&fixture->svc));
+	fixture_free(fixture);
+}
+
 /* An entry that reaches the last copies of a large service only must find that out,
    however many others it tests in vain. */
 static void test_few_reached(void)
@@ -433,6 +471,9 @@
 	g_test_add_func("/entry-reach/response-ends-cut-off",
 			test_response_ends_cut_off);
 	g_test_add_func("/entry-reach/wait-ends", test_wait_ends);
+	g_test_add_func("/entry-reach/one-reached-is-impaired",
+			test_one_reached_is_impaired);
+	g_test_add_func("/entry-reach/some-end", test_some_end);
 	g_test_add_func("/entry-reach/few-reached", test_few_reached);
 	g_test_add_func("/entry-reach/some-lost", test_some_lost);
 	g_test_add_func("/entry-reach/lost-segment", test_lost_segment);
