Name other siblings each second to an entry that seeks one

An entry whose siblings all lack the same paths gets at most 32 entries of all zones from the keepers, always the same ones, so that where three of 106 reach copies a third of the entries would never learn of any (worked out).

Now the part that is named changes each second for an entry that asks for all zones, and in a full set a new sibling replaces one that lacks the same paths. test-presence: peers-change (nine tenths of 90 entries named in ten lists; 32 before); test-entry-sibling: large-site.

--- a/entry-sibling.c
+++ b/entry-sibling.c
@@ -51,11 +51,34 @@
 	return NULL;
 }
 
+/* Remove the sibling that has least to offer: one that cannot serve calls, by the
+   oldest answer. Returns false if there is none. */
+static bool siblings_remove_one(entry_siblings_t *set)
+{
+	entry_sibling_t *sibling = NULL;
+	entry_sibling_t *oldest = NULL;
+
+	cds_list_for_each_entry (sibling, &set->list, link)
+		if ((sibling->state == ENTRY_SIBLING_LACKS ||
+		     sibling->state == ENTRY_SIBLING_SILENT) &&
+		    !sibling->asking &&
+		    (!oldest || sibling->answered_at < oldest->answered_at))
+			oldest = sibling;
+	if (!oldest)
+		return false;
+	cds_list_del(&oldest->link);
+	free(oldest);
+	set->count--;
+	return true;
+}
+
 void entry_siblings_add(entry_siblings_t *set, const char *address, bool near)
 {
 	entry_sibling_t *sibling;
 
-	if (set->count == SIBLINGS_MAX || siblings_find(set, address))
+	if (siblings_find(set, address))
+		return;
+	if (set->count == SIBLINGS_MAX && !siblings_remove_one(set))
 		return;
 	sibling = calloc(1, sizeof(*sibling));
 	if (!sibling)
--- a/entry-sibling.h
+++ b/entry-sibling.h
@@ -44,7 +44,10 @@
 void entry_siblings_clear(entry_siblings_t *set);
 
 /**
- * entry_siblings_add - add a sibling unless the set has it or is full.
+ * entry_siblings_add - add a sibling unless the set has it.
+ *
+ * In a full set it replaces one that lacks the same paths.
+ *
  * @near: it is in the zone of this entry
  */
 void entry_siblings_add(entry_siblings_t *set, const char *address, bool near);
--- a/presence-table.c
+++ b/presence-table.c
@@ -17,6 +17,10 @@
    are sent to these only: fewer ones could not serve the callers of all. */
 #define PRESENCE_UNIMPAIRED_PART 2
 
+/* Interval at which an entry that asks for peers of all zones gets others, so that it
+ * finds the few that can serve it however many entries there are. */
+#define PRESENCE_ROTATE_INTERVAL USEC_PER_SEC
+
 struct presence_table {
 	GHashTable *members; /* id to presence_member_t */
 };
@@ -311,6 +315,8 @@
 	unsigned i;
 
 	out->count = 0;
+	if (!*zone)
+		id += (uint64_t)(now / PRESENCE_ROTATE_INTERVAL);
 	if (!members || !ranked)
 		goto out;
 	count = presence_table_choose(table, zone, now, members, max);
--- a/presence.h
+++ b/presence.h
@@ -157,7 +157,8 @@
  * @out: filled in
  *
  * As presence_table_choose(). If there are too many, each entry gets another
- * part of them, so that all are named about equally often.
+ * part of them, so that all are named about equally often; if @zone is "", another
+ * part each second.
  */
 void presence_table_peers(const presence_table_t *table, uint64_t id,
 			  const char *zone, usec_t now,
--- a/regress/test-entry-sibling.c
+++ b/regress/test-entry-sibling.c
@@ -182,6 +182,31 @@
 	fixture_free(fixture);
 }
 
+/* Of hundreds of siblings just one reaches copies: it must be found, though the set
+   cannot hold all of them. */
+static void test_large_site(void)
+{
+	fixture_t *fixture = fixture_new(24, SIBLINGS);
+	const entry_sibling_t *sibling;
+	char address[HL_ADDRESS_MAX];
+	unsigned i, count;
+
+	for (i = SIBLINGS; i < 10 * SIBLINGS; i++) {
+		g_snprintf(address, sizeof(address), "10.0.%u.%u:80",
+			   i / SIBLINGS, i % SIBLINGS);
+		entry_siblings_add(&fixture->set, address, false);
+		if (i % 8 == 0)
+			run(fixture, 20 * USEC_PER_MS);
+	}
+	entry_siblings_add(&fixture->set, "10.1.0.1:80", false);
+	entry_siblings_on_answer(&fixture->set, "10.1.0.1:80",
+				 ENTRY_SIBLING_REACHES, fixture->now);
+	sibling = entry_siblings_choose(&fixture->set, 0, &count, fixture->now);
+	g_assert_nonnull(sibling);
+	g_assert_cmpstr(sibling->address, ==, "10.1.0.1:80");
+	fixture_free(fixture);
+}
+
 /* The entries of a large site must not be asked without end: once some siblings are
    known to reach copies, only these are asked again. */
 static void test_questions_are_few(void)
@@ -229,6 +254,7 @@
 	g_test_add_func("/entry-sibling/sibling-is-lost", test_sibling_is_lost);
 	g_test_add_func("/entry-sibling/questions-are-few",
 			test_questions_are_few);
+	g_test_add_func("/entry-sibling/large-site", test_large_site);
 	g_test_add_func("/entry-sibling/unknown-answers", test_unknown_answers);
 	return g_test_run();
 }
--- a/regress/test-presence.c
+++ b/regress/test-presence.c
@@ -180,6 +180,8 @@
  * addresses in a list. */
 #define PEERS_NAMED_MIN (PRESENCE_PEERS_MAX / 3)
 #define PEERS_NAMED_MAX (2 * PRESENCE_PEERS_MAX)
+/* Number of entries that ten lists name at least. */
+#define PEERS_LEARNED_MIN (PEERS_ZONE_ENTRIES * 9 / 10)
 
 /* In a large zone each entry gets a part of its peers, the same one each time,
  * and all entries are named about equally often. */
@@ -208,6 +210,32 @@
 	presence_table_free(table);
 }
 
+/* An entry that asks for peers of all zones must learn of all entries in time, as just
+ * a few of them may reach the copies that it lacks. */
+static void test_peers_change(void)
+{
+	presence_table_t *table = presence_table_new();
+	bool named[PEERS_ZONE_ENTRIES + 1] = { false };
+	presence_peers_list_t list;
+	unsigned count = 0;
+	unsigned id, i;
+	usec_t now;
+
+	for (id = 1; id <= PEERS_ZONE_ENTRIES; id++)
+		send_heartbeat(table, id, "a", true, true, 10 * SECOND, true);
+	for (now = SECOND; now <= 10 * SECOND; now += SECOND) {
+		presence_table_peers(table, 1, "", now, &list);
+		g_assert_cmpuint(list.count, ==, PRESENCE_PEERS_MAX);
+		for (i = 0; i < list.count; i++)
+			named[atoi(list.addresses[i] + strlen("10.0.0."))] =
+				true;
+	}
+	for (id = 1; id <= PEERS_ZONE_ENTRIES; id++)
+		count += named[id];
+	g_assert_cmpuint(count, >=, PEERS_LEARNED_MIN);
+	presence_table_free(table);
+}
+
 /* A datagram with a full list of peers is within the limit of its size. */
 static void test_peers_codec(void)
 {
@@ -364,6 +392,7 @@
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/presence/peers-of-large-zone",
 			test_peers_of_large_zone);
+	g_test_add_func("/presence/peers-change", test_peers_change);
 	g_test_add_func("/presence/peers-codec", test_peers_codec);
 	g_test_add_func("/presence/choose", test_choose);
 	g_test_add_func("/presence/impaired", test_impaired);
