Keep handed-over calls in the zone where a third of it reaches copies

In small zones, of five or six entries, calls of cut-off entries went to other zones though two or three siblings of their own reached the copies, since three had to be known: bytes between zones that callers do not need.

--- a/entry-sibling.c
+++ b/entry-sibling.c
@@ -9,9 +9,9 @@
 #define SIBLINGS_ASKING_MAX 4
 /* Number of siblings that reach copies from which no others are asked. */
 #define SIBLINGS_ENOUGH 6
-/* Number of such siblings in the own zone from which calls stay in the zone. With
-   fewer, the calls of a whole zone would fill these few. */
-#define SIBLINGS_NEAR_MIN 3
+/* Part, as a divisor, of the siblings of the own zone that must reach copies for calls
+   to stay in the zone. With fewer, the calls of a whole zone would fill these few. */
+#define SIBLINGS_NEAR_PART 3
 /* Age up to which an answer that a sibling reaches copies counts. */
 #define SIBLING_REACHES_AGE (1500 * USEC_PER_MS)
 /* Time after which a sibling is asked again, by its last answer. */
@@ -202,6 +202,18 @@
 	sibling->ask_at = now + sibling_intervals[state];
 }
 
+/* Whether calls stay in the zone, by the siblings of it that have answered. */
+static bool siblings_prefer_near(const entry_siblings_t *set, usec_t now)
+{
+	const entry_sibling_t *sibling = NULL;
+	unsigned answered = 0;
+
+	cds_list_for_each_entry (sibling, &set->list, link)
+		answered += sibling->near && sibling->answered_at;
+	return SIBLINGS_NEAR_PART * siblings_count_reaching(set, true, now) >=
+	       answered;
+}
+
 /* The kinds of siblings that a call can go to, worst first. */
 typedef enum {
 	SIBLING_UNUSABLE,
@@ -227,8 +239,7 @@
 					     unsigned random, unsigned *count,
 					     usec_t now)
 {
-	bool prefers_near = siblings_count_reaching(set, true, now) >=
-			    SIBLINGS_NEAR_MIN;
+	bool prefers_near = siblings_prefer_near(set, now);
 	const entry_sibling_t *candidates[SIBLINGS_MAX];
 	const entry_sibling_t *sibling = NULL;
 	sibling_rank_t best = SIBLING_FAR_UNKNOWN;
--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -404,31 +404,31 @@
 static void test_wait_ends(void)
 {
 	static const struct {
+		usec_t waited;	 /* ms since the arrival of the call */
+		usec_t answered; /* last response, ms from the arrival */
 		unsigned lost;	 /* of 160 copies, found by tests */
-		usec_t waited;	 /* since the arrival of the call */
-		usec_t answered; /* last response, relative to the arrival */
-		bool from_sibling;
 		entry_others_t others;
+		bool from_sibling;
 		bool ends;
 	} rows[] = {
 		/* This entry reaches no copy. */
-		{ 160, 0, -500, false, ENTRY_OTHERS_UNKNOWN, true },
-		{ 160, 0, -500, false, ENTRY_OTHERS_ALIKE, true },
-		{ 160, 0, -500, true, ENTRY_OTHERS_ALIKE, true },
+		{ 0, -500, 160, ENTRY_OTHERS_UNKNOWN, false, true },
+		{ 0, -500, 160, ENTRY_OTHERS_ALIKE, false, true },
+		{ 0, -500, 160, ENTRY_OTHERS_ALIKE, true, true },
 		/* It reaches a few copies. */
-		{ 120, 10, 0, false, ENTRY_OTHERS_UNKNOWN, true },
-		{ 120, 10, 0, false, ENTRY_OTHERS_ALIKE, false },
-		{ 120, 10, 0, true, ENTRY_OTHERS_ALIKE, true },
+		{ 10, 0, 120, ENTRY_OTHERS_UNKNOWN, false, true },
+		{ 10, 0, 120, ENTRY_OTHERS_ALIKE, false, false },
+		{ 10, 0, 120, ENTRY_OTHERS_ALIKE, true, true },
 		/* No path has been tested yet. */
-		{ 0, 99, -500, false, ENTRY_OTHERS_REACH, false },
-		{ 0, 100, -500, false, ENTRY_OTHERS_REACH, true },
-		{ 0, 100, -500, false, ENTRY_OTHERS_UNKNOWN, false },
-		{ 0, 99, -500, true, ENTRY_OTHERS_UNKNOWN, false },
-		{ 0, 100, -500, true, ENTRY_OTHERS_UNKNOWN, true },
-		{ 0, 100, -50, true, ENTRY_OTHERS_UNKNOWN, false },
+		{ 99, -500, 0, ENTRY_OTHERS_REACH, false, false },
+		{ 100, -500, 0, ENTRY_OTHERS_REACH, false, true },
+		{ 100, -500, 0, ENTRY_OTHERS_UNKNOWN, false, false },
+		{ 99, -500, 0, ENTRY_OTHERS_UNKNOWN, true, false },
+		{ 100, -500, 0, ENTRY_OTHERS_UNKNOWN, true, true },
+		{ 100, -50, 0, ENTRY_OTHERS_UNKNOWN, true, false },
 		/* All paths are there. */
-		{ 0, 500, 450, false, ENTRY_OTHERS_REACH, false },
-		{ 0, 500, 450, true, ENTRY_OTHERS_UNKNOWN, false },
+		{ 500, 450, 0, ENTRY_OTHERS_REACH, false, false },
+		{ 500, 450, 0, ENTRY_OTHERS_UNKNOWN, true, false },
 	};
 	unsigned i;
 
--- a/regress/test-presence.c
+++ b/regress/test-presence.c
@@ -115,6 +115,20 @@
 	ASSERT_CHOSEN("b", SECOND, "1 2 3 4");
 	member = presence_table_choose_one(table, "a", "task", SECOND);
 	g_assert_null(member);
+	presence_table_free(table);
+}
+
+/* An entry that no longer reports to be impaired gets callers again. */
+static void test_impaired_ends(void)
+{
+	presence_table_t *table = presence_table_new();
+	unsigned id;
+
+	for (id = 1; id <= 3; id++)
+		send_heartbeat(table, id, "a", true, true, 0, true);
+	send_heartbeat(table, 4, "b", true, true, 0, true);
+	for (id = 1; id <= 4; id++)
+		presence_table_set_impaired(table, id, SECOND);
 	for (id = 1; id <= 4; id++)
 		send_heartbeat(table, id, "", true, false, 3 * SECOND, true);
 	presence_table_set_impaired(table, 4, 3 * SECOND);
@@ -396,6 +410,7 @@
 	g_test_add_func("/presence/peers-codec", test_peers_codec);
 	g_test_add_func("/presence/choose", test_choose);
 	g_test_add_func("/presence/impaired", test_impaired);
+	g_test_add_func("/presence/impaired-ends", test_impaired_ends);
 	g_test_add_func("/presence/most-impaired", test_most_impaired);
 	g_test_add_func("/presence/choose-one", test_choose_one);
 	g_test_add_func("/presence/codec", test_codec);
