Ask siblings of other zones only where the own zone lacks the paths too

The questions of an entry that is cut off went to siblings of all zones until six were known, also where two of four in its own zone reach copies, and were repeated each half second though the same siblings served calls.

Now siblings of other zones are asked only while less than a third of those of the own zone that have answered reach copies, and a served call counts as an answer. test-entry-sibling: half-of-zone has a zone of five (four questions).

--- a/entry-handover.c
+++ b/entry-handover.c
@@ -360,6 +360,16 @@
 	entry_sibling_record(req->upstream, address, state, now);
 }
 
+/* Records that the sibling has served a call, so that it need not be asked. */
+static void handover_set_served(entry_request_t *req, usec_t now)
+{
+	const char *address = req->forward->address;
+
+	entry_sibling_record(req->upstream, address, ENTRY_SIBLING_REACHES,
+			     now);
+	entry_sibling_confirm(req->upstream, address, now);
+}
+
 /* Counts a send of which a copy may have run the call. */
 static void handover_count_attempt(entry_request_t *req)
 {
@@ -373,8 +383,7 @@
 				    usec_t now)
 {
 	if (result == ENTRY_RESULT_OK && !req->sibling_impaired)
-		entry_sibling_confirm(req->upstream, req->forward->address,
-				      now);
+		handover_set_served(req, now);
 	if (result == ENTRY_RESULT_OK || result == ENTRY_RESULT_ERROR)
 		return ENTRY_HANDOVER_ENDED;
 	if (handover_is_unfit(req, result))
--- a/entry-sibling.c
+++ b/entry-sibling.c
@@ -107,10 +107,37 @@
 	return count;
 }
 
-/* Whether enough siblings are known to reach copies, so that no others are asked. */
-static bool siblings_enough(const entry_siblings_t *set, usec_t now)
+/* Whether calls stay in the zone, by the siblings of it that have answered. */
+static bool siblings_prefer_near(const entry_siblings_t *set, usec_t now)
 {
-	return siblings_count_reaching(set, false, now) >= SIBLINGS_ENOUGH;
+	const entry_sibling_t *sibling = NULL;
+	unsigned answered = 0;
+	unsigned near = 0;
+
+	cds_list_for_each_entry (sibling, &set->list, link) {
+		near += sibling->near;
+		answered += sibling->near && sibling->answered_at;
+	}
+	return near &&
+	       SIBLINGS_NEAR_PART * siblings_count_reaching(set, true, now) >=
+		       answered;
+}
+
+/* What decides which siblings are asked. */
+typedef struct {
+	bool enough; /* of them reach copies */
+	bool near;   /* calls stay in the zone */
+} sibling_need_t;
+
+static sibling_need_t siblings_need(const entry_siblings_t *set, usec_t now)
+{
+	sibling_need_t need = {
+		.enough = siblings_count_reaching(set, false, now) >=
+			  SIBLINGS_ENOUGH,
+		.near = siblings_prefer_near(set, now),
+	};
+
+	return need;
 }
 
 bool entry_siblings_reach(const entry_siblings_t *set, usec_t now)
@@ -133,13 +160,13 @@
 	return open;
 }
 
-/* Whether a sibling is to be asked: while enough of them reach copies, only these
+/* Whether a sibling is worth a question: while enough of them reach copies, only these
    are, so that what is known of them stays recent. */
-static bool sibling_is_due(const entry_sibling_t *sibling, bool enough,
-			   usec_t now)
+static bool sibling_is_wanted(const entry_sibling_t *sibling,
+			      const sibling_need_t *need, usec_t now)
 {
-	return !sibling->asking && now >= sibling->ask_at &&
-	       (!enough || sibling_reaches(sibling, now));
+	return !sibling->asking && (sibling->near || !need->near) &&
+	       (!need->enough || sibling_reaches(sibling, now));
 }
 
 /* Whether @a is asked before @b: siblings of the own zone first, then those that
@@ -155,14 +182,15 @@
 
 entry_sibling_t *entry_siblings_next(entry_siblings_t *set, usec_t now)
 {
-	bool enough = siblings_enough(set, now);
+	sibling_need_t need = siblings_need(set, now);
 	entry_sibling_t *sibling = NULL;
 	entry_sibling_t *best = NULL;
 
 	if (set->asking >= SIBLINGS_ASKING_MAX)
 		return NULL;
 	cds_list_for_each_entry (sibling, &set->list, link)
-		if (sibling_is_due(sibling, enough, now) &&
+		if (now >= sibling->ask_at &&
+		    sibling_is_wanted(sibling, &need, now) &&
 		    (!best || sibling_before(sibling, best)))
 			best = sibling;
 	if (!best)
@@ -174,15 +202,15 @@
 
 usec_t entry_siblings_due(const entry_siblings_t *set, usec_t now)
 {
-	bool enough = siblings_enough(set, now);
+	sibling_need_t need = siblings_need(set, now);
 	const entry_sibling_t *sibling = NULL;
 	usec_t due = USEC_NEVER;
 
 	if (set->asking >= SIBLINGS_ASKING_MAX)
 		return USEC_NEVER;
 	cds_list_for_each_entry (sibling, &set->list, link)
-		if (!sibling->asking && sibling->ask_at < due &&
-		    (!enough || sibling_reaches(sibling, now)))
+		if (sibling->ask_at < due &&
+		    sibling_is_wanted(sibling, &need, now))
 			due = sibling->ask_at;
 	return due;
 }
@@ -202,18 +230,6 @@
 	sibling->ask_at = now + sibling_intervals[state];
 }
 
-/* Whether calls stay in the zone, by the siblings of it that have answered. */
-static bool siblings_prefer_near(const entry_siblings_t *set, usec_t now)
-{
-	const entry_sibling_t *sibling = NULL;
-	unsigned answered = 0;
-
-	cds_list_for_each_entry (sibling, &set->list, link)
-		answered += sibling->near && sibling->answered_at;
-	return SIBLINGS_NEAR_PART * siblings_count_reaching(set, true, now) >=
-	       answered;
-}
-
 /* The kinds of siblings that a call can go to, worst first. */
 typedef enum {
 	SIBLING_UNUSABLE,
--- a/regress/test-entry-sibling.c
+++ b/regress/test-entry-sibling.c
@@ -113,7 +113,7 @@
 }
 
 /* Half of the zone reaches copies: calls stay in the zone, and are not sent to the
-   other half. */
+   other half. A small zone does not ask siblings of others. */
 static void test_half_of_zone(void)
 {
 	fixture_t *fixture = fixture_new(24, 12);
@@ -121,6 +121,11 @@
 	run(fixture, 200 * USEC_PER_MS);
 	assert_chosen(fixture, 12, 24);
 	fixture_free(fixture);
+	fixture = fixture_new(4, 2);
+	run(fixture, 50 * USEC_PER_MS);
+	assert_chosen(fixture, 2, 4);
+	g_assert_cmpuint(fixture->questions, ==, 4);
+	fixture_free(fixture);
 }
 
 /* A single sibling of the zone reaches copies: it must not get the calls of the
