Bound the questions of an entry to its siblings over all services

Now it asks 64 times a second at most, over all services; a sibling that has served a call counts as asked. test-entry-sibling: questions-of-all-services.

--- a/entry-io.h
+++ b/entry-io.h
@@ -780,9 +780,10 @@
 	config_follow_t *follow;     /* NULL without keepers */
 	presence_client_t *presence; /* NULL without entry.routed */
 	struct entry_crashes *crashes;
-	unsigned reach_tests;	/* running, see entry-reach-test.c; atomic */
-	unsigned questions;	/* to siblings that run; atomic */
-	entry_prober_t *prober; /* NULL unless the policy is "reports" */
+	unsigned reach_tests; /* running, see entry-reach-test.c; atomic */
+	/* Of questions to siblings; used by the tick thread only. */
+	entry_question_rate_t question_rate;
+	entry_prober_t *prober;	    /* NULL unless the policy is "reports" */
 	pthread_mutex_t rules_lock; /* guards the next two fields */
 	entry_rules_t *rules;	    /* routes by host and path, or NULL */
 	uint64_t rules_revision;
--- a/entry-sibling-ask.c
+++ b/entry-sibling-ask.c
@@ -12,8 +12,6 @@
 /* Target of a question, followed by the name of the service. It is no path, so that
    an entry of an earlier version refuses it and sends it to no copy. */
 #define SIBLING_TARGET "hemlock-reach:"
-/* Max number of questions that run at the same time, over all services. */
-#define SIBLING_QUESTIONS_MAX 16
 /* Interval at which the keepers' list of siblings is read. */
 #define SIBLING_LIST_INTERVAL (50 * USEC_PER_MS)
 /* Age of the last response of a copy up to which its service counts as reached. */
@@ -97,7 +95,6 @@
 	usec_t now = time_now();
 
 	(void)reached;
-	__atomic_fetch_sub(&upstream->entry->questions, 1, __ATOMIC_RELAXED);
 	entry_sibling_record(upstream, probe->address,
 			     sibling_state(probe->status), now);
 	entry_tick_schedule_soon(upstream->entry, now);
@@ -129,35 +126,25 @@
 				 sibling_on_end);
 }
 
-/* Whether another question may be sent; counts it if so. */
-static bool sibling_acquire(entry_t *entry)
-{
-	if (__atomic_add_fetch(&entry->questions, 1, __ATOMIC_RELAXED) <=
-	    SIBLING_QUESTIONS_MAX)
-		return true;
-	__atomic_fetch_sub(&entry->questions, 1, __ATOMIC_RELAXED);
-	return false;
-}
-
 /* Asks the next sibling; false if none is asked now. */
 static bool sibling_ask(entry_upstream_t *upstream, usec_t now)
 {
+	entry_question_rate_t *rate = &upstream->entry->question_rate;
 	char address[HL_ADDRESS_MAX] = "";
-	entry_sibling_t *sibling;
+	entry_sibling_t *sibling = NULL;
 
-	if (!sibling_acquire(upstream->entry))
-		return false;
 	pthread_mutex_lock(&upstream->lock);
-	sibling = entry_siblings_next(&upstream->siblings, now);
+	if (entry_siblings_due(&upstream->siblings, now) <= now &&
+	    entry_question_rate_take(rate, now))
+		sibling = entry_siblings_next(&upstream->siblings, now);
 	if (sibling)
 		strcpy(address, sibling->address);
 	pthread_mutex_unlock(&upstream->lock);
-	if (sibling && sibling_send(upstream, address))
+	if (!sibling)
+		return false;
+	if (sibling_send(upstream, address))
 		return true;
-	__atomic_fetch_sub(&upstream->entry->questions, 1, __ATOMIC_RELAXED);
-	if (sibling)
-		entry_sibling_record(upstream, address, ENTRY_SIBLING_UNKNOWN,
-				     now);
+	entry_sibling_record(upstream, address, ENTRY_SIBLING_UNKNOWN, now);
 	return false;
 }
 
@@ -230,7 +217,9 @@
 	pthread_mutex_unlock(&upstream->lock);
 	if (*address)
 		entry_sibling_confirm(upstream, address, now);
-	return MIN(due, now + SIBLING_LIST_INTERVAL);
+	if (due <= now || due > now + SIBLING_LIST_INTERVAL)
+		due = now + SIBLING_LIST_INTERVAL;
+	return due;
 }
 
 usec_t entry_sibling_run(entry_upstream_t *upstream, usec_t now)
--- a/entry-sibling.c
+++ b/entry-sibling.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include "entry-sibling.h"
 
+/* Max number of questions of an entry in a second, over all services. */
+#define SIBLING_QUESTIONS_PER_SEC 64
 /* Max number of siblings that are known for a service. */
 #define SIBLINGS_MAX 64
 /* Max number of answers that are outstanding for a service. */
@@ -23,6 +25,18 @@
 	[ENTRY_SIBLING_REACHES] = 500 * USEC_PER_MS,
 };
 
+bool entry_question_rate_take(entry_question_rate_t *rate, usec_t now)
+{
+	if (now >= rate->period_end) {
+		rate->period_end = now + USEC_PER_SEC;
+		rate->count = 0;
+	}
+	if (rate->count == SIBLING_QUESTIONS_PER_SEC)
+		return false;
+	rate->count++;
+	return true;
+}
+
 void entry_siblings_init(entry_siblings_t *set)
 {
 	CDS_INIT_LIST_HEAD(&set->list);
--- a/entry-sibling.h
+++ b/entry-sibling.h
@@ -37,6 +37,19 @@
 	unsigned asking; /* answers that are outstanding */
 } entry_siblings_t;
 
+/** struct entry_question_rate_t - bounds the questions of an entry; zeroed at first. */
+typedef struct {
+	usec_t period_end; /* the count is of the period that ends then */
+	unsigned count;
+} entry_question_rate_t;
+
+/**
+ * entry_question_rate_take - count a question, over all services.
+ *
+ * Return: false if no question may be sent now.
+ */
+bool entry_question_rate_take(entry_question_rate_t *rate, usec_t now);
+
 /** entry_siblings_init - initialise an empty set. */
 void entry_siblings_init(entry_siblings_t *set);
 
--- a/regress/test-entry-sibling.c
+++ b/regress/test-entry-sibling.c
@@ -225,6 +225,20 @@
 	fixture_free(fixture);
 }
 
+/* An entry that is cut off from hundreds of services must not ask for all of them at
+   the rate at which it asks for one. */
+static void test_questions_of_all_services(void)
+{
+	entry_question_rate_t rate = { 0 };
+	unsigned sent = 0;
+	usec_t now;
+
+	for (now = USEC_PER_SEC; now < 11 * USEC_PER_SEC; now += USEC_PER_MS)
+		sent += entry_question_rate_take(&rate, now);
+	g_assert_cmpuint(sent, <=, 10 * 64);
+	g_assert_cmpuint(sent, >=, 9 * 64);
+}
+
 /* An entry of an earlier version does not understand the question: it may get calls
    until it has declined one. */
 static void test_unknown_answers(void)
@@ -259,6 +273,8 @@
 	g_test_add_func("/entry-sibling/sibling-is-lost", test_sibling_is_lost);
 	g_test_add_func("/entry-sibling/questions-are-few",
 			test_questions_are_few);
+	g_test_add_func("/entry-sibling/questions-of-all-services",
+			test_questions_of_all_services);
 	g_test_add_func("/entry-sibling/large-site", test_large_site);
 	g_test_add_func("/entry-sibling/unknown-answers", test_unknown_answers);
 	return g_test_run();
