Let a call wait here once it has been sent to all siblings it may be

Read in the diff: at an impaired entry a call that four siblings had declined left the wait for a copy at once, as a fifth was known to reach copies, though it could not go there; it was then sent or refused by old reports. And half a second without hand-over after a decline held also where a sibling had said that it reaches copies.

Now such a call counts its siblings as alike, and both questions use the same function.

--- a/entry-handover.c
+++ b/entry-handover.c
@@ -189,11 +189,14 @@
 	       entry_reach_probes_failed(&upstream->service, &req->call, now);
 }
 
-/* What is known of the siblings for a call. The caller holds upstream->lock. */
+/* What is known of the siblings for a call; one that was sent to as many as it may be
+   waits here. The caller holds upstream->lock. */
 static entry_others_t handover_others(const entry_request_t *req, usec_t now)
 {
 	const entry_upstream_t *upstream = req->upstream;
 
+	if (req->handovers >= HANDOVER_TRIES_IMPAIRED)
+		return ENTRY_OTHERS_ALIKE;
 	if (entry_siblings_reach(&upstream->siblings, now))
 		return ENTRY_OTHERS_REACH;
 	return now < upstream->siblings_alike_until ? ENTRY_OTHERS_ALIKE :
@@ -257,7 +260,7 @@
 
 	pthread_mutex_lock(&upstream->lock);
 	better = !entry_reach_is_cut_off(&upstream->service) &&
-		 ((now >= upstream->siblings_alike_until &&
+		 ((handover_others(req, now) != ENTRY_OTHERS_ALIKE &&
 		   handover_lacks_room(req, now)) ||
 		  handover_only_siblings_reach(req, now));
 	pthread_mutex_unlock(&upstream->lock);
--- a/entry-sibling-ask.c
+++ b/entry-sibling-ask.c
@@ -183,15 +183,14 @@
 void entry_sibling_confirm(entry_upstream_t *upstream, const char *address,
 			   usec_t now)
 {
+	bool impaired;
 	bool is_new;
 
 	pthread_mutex_lock(&upstream->lock);
-	if (!entry_reach_is_impaired(&upstream->service)) {
-		pthread_mutex_unlock(&upstream->lock);
-		return;
-	}
-	is_new = !upstream->impaired_until;
-	upstream->impaired_until = now + SIBLING_CONFIRMED_TIME;
+	impaired = entry_reach_is_impaired(&upstream->service);
+	is_new = impaired && !upstream->impaired_until;
+	if (impaired)
+		upstream->impaired_until = now + SIBLING_CONFIRMED_TIME;
 	pthread_mutex_unlock(&upstream->lock);
 	if (!is_new)
 		return;
--- a/entry-sibling.c
+++ b/entry-sibling.c
@@ -183,8 +183,8 @@
 	       (!need->enough || sibling_reaches(sibling, now));
 }
 
-/* Whether @a is asked before @b: siblings of the own zone first, then those that
-   were not asked yet, then those whose answer is older. */
+/* Whether @a is asked before @b: siblings that were not asked yet first, then those of
+   the own zone, then those whose answer is older. */
 static bool sibling_before(const entry_sibling_t *a, const entry_sibling_t *b)
 {
 	if (!a->answered_at != !b->answered_at)
