Word a comment on siblings that are asked plainly

Cause: the comment above sibling_is_wanted() said whether a sibling is "worth a question", which a newcomer has to guess at. Change: it says whether a sibling is to be asked, as the code does; wording alone.

The routed scripts pass (20 passed, 0 failed), test-entry 279 and test-presence 12 passed.

--- a/entry-sibling.c
+++ b/entry-sibling.c
@@ -174,7 +174,7 @@
 	return open;
 }
 
-/* Whether a sibling is worth a question: while enough of them reach copies, only these
+/* Whether a sibling is to be asked: while enough of them reach copies, only these
    are, so that what is known of them stays recent. */
 static bool sibling_is_wanted(const entry_sibling_t *sibling,
 			      const sibling_need_t *need, usec_t now)
