Admit no call after the last check for calls in flight at a stop

What callers saw: an entry that stopped in order aborted ("MHD_stop_daemon() called while we have suspended connections"), which cut its last calls and counts as a crash.

Cause: entry_http_stop() waited until no call was in flight and then stopped libmicrohttpd. A call that came over an open connection in between suspended its connection. The keeper does it right: its flag is set under the lock that suspends.

Now the entry refuses calls (503, stopping, not run) from the last check on: a call is counted before it reads the flag, and the flag is set before the count is read, so each call is either waited for or refused. A sibling that handed such a call over asks another one.

--- a/entry-http.c
+++ b/entry-http.c
@@ -19,6 +19,8 @@
 #define HTTP_HEADER_BYTES (16u * 1024) /* memory of one connection */
 /* Interval between checks for calls in flight during a shutdown. */
 #define HTTP_STOP_PERIOD (5 * USEC_PER_MS)
+/* Wait suggested to a caller at the end of a stop; others serve it at once. */
+#define HTTP_STOP_RETRY_AFTER (100 * USEC_PER_MS)
 /* Time for the responses of calls that are ended at a stop. */
 #define HTTP_STOP_CANCEL_TIME (200 * USEC_PER_MS)
 
@@ -33,7 +35,7 @@
 	req->call.arrived = time_now();
 	entry_read_timeout_head(entry->read_timeout, connection,
 				req->call.arrived);
-	__atomic_fetch_add(&entry->in_flight, 1, __ATOMIC_RELAXED);
+	__atomic_fetch_add(&entry->in_flight, 1, __ATOMIC_SEQ_CST);
 	return req;
 }
 
@@ -182,11 +184,23 @@
 	return http_proceed(req);
 }
 
+/* Refuses a call if the entry admits none any more; returns whether it does. The
+   call is counted in flight before, so either it is refused here or
+   entry_http_stop() waits for it. */
+static bool http_refuse_stopping(entry_request_t *req)
+{
+	if (!__atomic_load_n(&req->entry->refuse_calls, __ATOMIC_SEQ_CST))
+		return false;
+	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, "stopping",
+			   HTTP_STOP_RETRY_AFTER);
+	return true;
+}
+
 /* Handles the head of a call; its body, if any, is not read yet. */
 static enum MHD_Result http_head(entry_request_t *req, const char *method)
 {
 	req->stage = ENTRY_STAGE_BODY;
-	if (entry_head_read(req, method)) {
+	if (entry_head_read(req, method) || http_refuse_stopping(req)) {
 		req->stage = ENTRY_STAGE_RESPONSE;
 		return entry_respond_queue(req);
 	}
@@ -336,7 +350,7 @@
 {
 	const struct timespec period = { 0, HTTP_STOP_PERIOD * 1000 };
 
-	while (__atomic_load_n(&entry->in_flight, __ATOMIC_ACQUIRE)) {
+	while (__atomic_load_n(&entry->in_flight, __ATOMIC_SEQ_CST)) {
 		if (time_now() >= until)
 			return false;
 		nanosleep(&period, NULL);
@@ -371,6 +385,9 @@
 	fd = MHD_quiesce_daemon(entry->call_daemon);
 	if (fd >= 0)
 		close(fd);
+	http_wait_idle(entry, until);
+	/* Callers may still send calls over open connections. */
+	__atomic_store_n(&entry->refuse_calls, true, __ATOMIC_SEQ_CST);
 	if (!http_wait_idle(entry, until))
 		http_end_calls(entry);
 	MHD_stop_daemon(entry->call_daemon);
--- a/entry-io.h
+++ b/entry-io.h
@@ -797,7 +797,8 @@
 	const char *settings_path;
 	signals_t signals;
 	struct MHD_Daemon *call_daemon;
-	bool cut_calls; /* calls in flight are cut; accessed atomically */
+	bool refuse_calls; /* new calls are refused; accessed atomically */
+	bool cut_calls;	   /* calls in flight are cut; accessed atomically */
 	struct MHD_Daemon *control_daemon;
 	struct MHD_Daemon *directory_daemon; /* NULL without directory_listen */
 	volatile int stopping;
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -215,7 +215,8 @@
 {
 	return transfer_name_is(reason, length, "unreachable") ||
 	       transfer_name_is(reason, length, "revision") ||
-	       transfer_name_is(reason, length, "starting");
+	       transfer_name_is(reason, length, "starting") ||
+	       transfer_name_is(reason, length, "stopping");
 }
 
 static void transfer_read_header(entry_transfer_t *transfer, const char *line,
