--- a/regress/standin-target.c
+++ b/regress/standin-target.c
@@ -463,6 +463,16 @@
 			count_departure(req, now);
 }
 
+/* Records a new maximum of outstanding requests, and which they are. */
+static void record_maximum(copy_t *copy, usec_t now)
+{
+	const request_t *req = NULL;
+
+	copy->outstanding_max = copy->outstanding;
+	cds_list_for_each_entry (req, &copy->counted, counted_link)
+		record_line(req, "max", now);
+}
+
 static void count_arrival(request_t *req, usec_t now)
 {
 	copy_t *copy = req->copy;
@@ -471,8 +481,9 @@
 	req->counted = true;
 	cds_list_add_tail(&req->counted_link, &copy->counted);
 	req->outstanding = ++copy->outstanding;
-	copy->outstanding_max = MAX(copy->outstanding_max, copy->outstanding);
 	copy->requests++;
+	if (copy->outstanding > copy->outstanding_max)
+		record_maximum(copy, now);
 }
 
 /* Suspends a request that has been read and starts its network delay. */
