Charge the budget once for a repeat that goes to a sibling

What callers saw: idempotent calls that run while their VM loses all paths by resets end with 502, connect, though 3.3 s of their time and a repeat are left.

Cause: entry_service_end() charges the budget for the repeat; that no copy could be sent it is not counted as a send, but to hand it over to a sibling was charged again. An entry's share is one send at a time (172 / 106, half of it in a burst), so the second charge fails.

Now a charge lasts until a byte of the send has left, to a copy or to a sibling. What the budget allows is as before: one charge for each send beyond the first. /retry/paid-once fails with the charge on each question.

--- a/entry-handover.c
+++ b/entry-handover.c
@@ -61,7 +61,8 @@
 	pthread_mutex_lock(&upstream->lock);
 	allowed = handover_is_safe(req);
 	if (allowed && req->call.attempts > req->call.unsent_attempts)
-		allowed = entry_retry_spend(upstream->service.retry, now);
+		allowed = entry_service_pay_repeat(&upstream->service,
+						   &req->call, now);
 	pthread_mutex_unlock(&upstream->lock);
 	return allowed;
 }
@@ -378,6 +379,7 @@
 {
 	pthread_mutex_lock(&req->upstream->lock);
 	req->call.attempts++;
+	req->call.repeat_paid = false;
 	req->call.outcome = ENTRY_MAY_HAVE_RUN;
 	pthread_mutex_unlock(&req->upstream->lock);
 }
--- a/entry-service.c
+++ b/entry-service.c
@@ -439,14 +439,22 @@
 	return call;
 }
 
+bool entry_service_pay_repeat(entry_service_t *svc, entry_call_t *call,
+			      usec_t now)
+{
+	if (!call->repeat_paid)
+		call->repeat_paid = entry_retry_spend(svc->retry, now);
+	return call->repeat_paid;
+}
+
 /* Whether a failed send is repeated; charges the retry budget if so. */
-static bool service_take_retry(entry_service_t *svc, const entry_call_t *call,
+static bool service_take_retry(entry_service_t *svc, entry_call_t *call,
 			       entry_result_t result, usec_t now)
 {
 	return now + service_margin(svc, call) < call->deadline &&
 	       entry_retry_allowed(svc->profile, call, result) &&
 	       (entry_retry_is_exempt(svc->retry, result) ||
-		entry_retry_spend(svc->retry, now));
+		entry_service_pay_repeat(svc, call, now));
 }
 
 static void service_update_outcome(entry_call_t *call, entry_result_t result)
@@ -484,6 +492,8 @@
 			       now);
 	service_update_outcome(call, result);
 	service_count_unsent(call, result);
+	if (!entry_retry_is_exempt(svc->retry, result))
+		call->repeat_paid = false;
 	call->avoid = call->copy;
 	if (result == ENTRY_RESULT_OK && call->objective)
 		entry_report_learn_service_time(svc, call, now - call->sent);
--- a/entry.h
+++ b/entry.h
@@ -148,6 +148,7 @@
 	usec_t hedge_after;	/* time from send to hedge; 0: by the profile */
 	unsigned attempts;	/* sends so far, hedges included */
 	unsigned unsent_attempts; /* sends that failed before the first byte */
+	bool repeat_paid;	  /* the budget is charged for its next send */
 	entry_copy_t *copy;	  /* current or last copy */
 	/* The call comes from a sibling entry. Set before the arrival. */
 	bool from_sibling;
@@ -423,6 +424,17 @@
 					 entry_call_t *call,
 					 entry_result_t result, usec_t now);
 
+/**
+ * entry_service_pay_repeat - charge the retry budget for another send of a call.
+ *
+ * A send is charged once, wherever it goes: to a copy, or to a sibling after copies
+ * could not be reached. The charge lasts until a byte of that send has left.
+ *
+ * Return: false if the budget does not allow the send.
+ */
+bool entry_service_pay_repeat(entry_service_t *svc, entry_call_t *call,
+			      usec_t now);
+
 /**
  * entry_service_sets_no_retry - whether a send must carry the no-retry header.
  *
--- a/regress/test-entry-retry.c
+++ b/regress/test-entry-retry.c
@@ -14,6 +14,8 @@
 /* Slack of one entry among many. */
 #define SLACK_SMALL 1.2
 #define EVENTS 20000
+/* More copies than a call tries. */
+#define COPIES 16
 
 typedef struct {
 	usec_t at;
@@ -113,6 +115,53 @@
 	entry_retry_free(retry);
 }
 
+/* Sends a call whose first send is cut to copies that take no connection, until the
+ * rules allow no further one. */
+static void cut_and_connect(entry_service_t *svc, entry_call_t *call,
+			    usec_t now)
+{
+	entry_result_t result = ENTRY_RESULT_TRUNCATED;
+	entry_decision_t decision = entry_service_arrive(svc, call, now);
+
+	g_assert_cmpint(decision.verdict, ==, ENTRY_SEND);
+	do {
+		decision = entry_service_end(svc, call, result, now);
+		result = ENTRY_RESULT_CONNECT;
+	} while (decision.verdict == ENTRY_WAIT &&
+		 entry_service_next(svc, now) == call);
+	g_assert_cmpint(decision.verdict, ==, ENTRY_RESPOND);
+	g_assert_cmpuint(call->unsent_attempts, >, 0);
+}
+
+/* A repeat that no copy could be sent must not be charged again when it goes to a
+ * sibling; else its caller gets an error though the budget has allowed a send. */
+static void test_paid_once(void)
+{
+	config_profile_t profile;
+	entry_service_t svc;
+	entry_call_t call = { .idempotent = true,
+			      .attempts_max = 2,
+			      .objective = 300 * USEC_PER_MS,
+			      .deadline = 20 * WINDOW };
+	usec_t now = 10 * WINDOW;
+	char name[16];
+	unsigned i;
+
+	config_profile_set_defaults(&profile);
+	entry_service_init(&svc, ENTRY_POLICY_REPORTS, &profile, 7);
+	for (i = 0; i < COPIES; i++) {
+		g_snprintf(name, sizeof(name), "c%u", i);
+		entry_service_copy_add(&svc, name, now)->limit = 8;
+	}
+	entry_service_set_retry_budget(&svc, RATIO, SLACK_SMALL, WINDOW, 0);
+	call.arrived = now;
+	cut_and_connect(&svc, &call, now);
+	g_assert_true(entry_service_pay_repeat(&svc, &call, now));
+	call.repeat_paid = false;
+	g_assert_false(entry_service_pay_repeat(&svc, &call, now));
+	entry_service_fini(&svc);
+}
+
 int main(int argc, char **argv)
 {
 	char path[64];
@@ -124,6 +173,7 @@
 		g_snprintf(path, sizeof(path), "/retry/%s", runs[i].name);
 		g_test_add_data_func(path, GUINT_TO_POINTER(i), test_bound);
 	}
+	g_test_add_func("/retry/paid-once", test_paid_once);
 	g_test_add_func("/retry/slack-is-refilled", test_refill);
 	return g_test_run();
 }
