Repeat cut calls at a sibling where no copy takes a connection

What callers saw: idempotent calls that run as their VM loses all paths by resets end with 502, though seconds of their time and a repeat are left.

Cause: the repeat goes at once to another copy here, by reports from before the cut, over a path that is lost too; that the paths are lost is noticed 0.2 s later at the earliest. After a cut the entry already tries connections to the copy and to others, to find out whether the copy has crashed, and threw away that none was taken.

Now such a call goes to a sibling. No hedge is sent while that is found out. The connections come from entry.connect_from, as the calls do; before, they could take a path that calls do not have.

--- a/entry-crash.c
+++ b/entry-crash.c
@@ -20,8 +20,10 @@
 #define CRASH_KEEP_MS 10
 /* Max number of connections that are tried after a send was cut. */
 #define CRASH_CONNECTS_MAX 3
-/* Max number of other copies of which one must take a connection. */
+/* Max number of other copies of which one must take a connection; fewer are tried
+   if the copy of the call does not answer, as each may take CRASH_CONNECT_TIMEOUT_MS. */
 #define CRASH_OTHERS_MAX 4
+#define CRASH_OTHERS_SILENT_MAX 2
 
 struct entry_crashes {
 	pthread_mutex_t lock;
@@ -101,9 +103,25 @@
 	return poll(&poll_fd, 1, CRASH_KEEP_MS) > 0;
 }
 
+/* Makes a socket use the source address of calls to copies, if there is one. */
+static int crash_bind(int fd, const char *from)
+{
+	struct sockaddr_storage storage;
+	char text[HL_ADDRESS_MAX];
+	unsigned length;
+
+	if (!*from)
+		return 0;
+	snprintf(text, sizeof(text), strchr(from, ':') ? "[%s]:0" : "%s:0",
+		 from);
+	if (hl_address_parse(text, &storage, &length))
+		return -1;
+	return bind(fd, (const struct sockaddr *)&storage, length);
+}
+
 /* Opens a connection to an address and closes it again. */
 static crash_connect_t crash_connect(const struct sockaddr_storage *to,
-				     unsigned length)
+				     unsigned length, const char *from)
 {
 	crash_connect_t result = CRASH_CONNECT_SILENT;
 	int error = 0;
@@ -113,7 +131,8 @@
 		    0);
 	if (fd < 0)
 		return result;
-	if (connect(fd, (const struct sockaddr *)to, length))
+	if (crash_bind(fd, from) ||
+	    connect(fd, (const struct sockaddr *)to, length))
 		error = errno;
 	if (error == EINPROGRESS)
 		error = crash_connect_error(fd);
@@ -129,7 +148,7 @@
 
 /* Connects to a copy. A connection that is closed at once shows neither that a process
    listens nor that none does, so another one is tried. */
-static crash_connect_t crash_try_copy(const char *address)
+static crash_connect_t crash_try_copy(const char *address, const char *from)
 {
 	struct sockaddr_storage to;
 	crash_connect_t result = CRASH_CONNECT_CLOSED;
@@ -140,7 +159,7 @@
 		return CRASH_CONNECT_SILENT;
 	while (result == CRASH_CONNECT_CLOSED &&
 	       connects++ < CRASH_CONNECTS_MAX)
-		result = crash_connect(&to, length);
+		result = crash_connect(&to, length, from);
 	return result;
 }
 
@@ -188,11 +207,14 @@
 /*
  * Whether this entry reaches another copy: if it does not, a copy that refuses
  * connections may be out of reach, or all may have ended for a reason that is no
- * call. Copies of the same service are tried first. True if there is no other copy.
+ * call. At most @max copies are tried, those of the same service first. True if there
+ * is no other copy.
  */
-static bool crash_reaches_others(entry_request_t *req, const char *address)
+static bool crash_reaches_others(entry_request_t *req, const char *address,
+				 unsigned max)
 {
 	entry_upstream_t *upstream = NULL;
+	const char *from = req->entry->settings.connect_from;
 	crash_others_t others = { 0 };
 	unsigned i;
 
@@ -201,20 +223,39 @@
 	       (upstream = entry_upstream_next(req->entry, upstream)))
 		if (upstream != req->upstream)
 			crash_add_others(upstream, address, &others);
-	for (i = 0; i < others.count; i++)
-		if (crash_try_copy(others.addresses[i]) == CRASH_CONNECT_KEPT)
+	for (i = 0; i < MIN(others.count, max); i++)
+		if (crash_try_copy(others.addresses[i], from) ==
+		    CRASH_CONNECT_KEPT)
 			return true;
 	return !others.seen;
 }
 
+/* What is behind a send that was cut. */
+typedef enum {
+	CRASH_NONE,	  /* the process of the copy may live on */
+	CRASH_ENDED,	  /* it has ended */
+	CRASH_PATHS_LOST, /* this entry reaches no copy */
+} crash_verdict_t;
+
 /*
- * Whether the process of the copy at an address has ended. A host that does not answer
- * at all may be out of reach, so only a refused connection counts.
+ * Tries connections to the copy at an address and to others. A host that does not
+ * answer at all may be out of reach, so only a refused connection shows that a process
+ * has ended. After another failure the others are tried for a call that a sibling
+ * may repeat.
  */
-static bool crash_has_ended(entry_request_t *req, const char *address)
+static crash_verdict_t crash_judge(entry_request_t *req, const char *address)
 {
-	return crash_try_copy(address) == CRASH_CONNECT_REFUSED &&
-	       crash_reaches_others(req, address);
+	bool repeatable = req->call.idempotent && req->entry->settings.routed;
+	crash_connect_t connect =
+		crash_try_copy(address, req->entry->settings.connect_from);
+	bool refused = connect == CRASH_CONNECT_REFUSED;
+	unsigned max = refused ? CRASH_OTHERS_MAX : CRASH_OTHERS_SILENT_MAX;
+
+	if (connect == CRASH_CONNECT_KEPT || (!refused && !repeatable))
+		return CRASH_NONE;
+	if (!crash_reaches_others(req, address, max))
+		return CRASH_PATHS_LOST;
+	return refused ? CRASH_ENDED : CRASH_NONE;
 }
 
 entry_crashes_t *entry_crashes_new(void)
@@ -271,14 +312,13 @@
 		presence_client_report_suspect(to->entry->presence, &report);
 }
 
-void entry_crash_check(entry_request_t *req, const char *address, usec_t sent)
+/* Records and reports that a copy has ended under a call. */
+static void crash_record(entry_request_t *req, usec_t sent)
 {
 	entry_crashes_t *crashes = req->entry->crashes;
 	entry_crash_t crash = { .sent = sent };
 	crash_report_t to = { req->entry, 0 };
 
-	if (req->forward || !crash_has_ended(req, address))
-		return;
 	crash_digest(req, crash.digest);
 	crash.at = to.now = time_now();
 	pthread_mutex_lock(&req->upstream->lock);
@@ -293,6 +333,17 @@
 	entry_trace_copy_crashed(req, crash.digest);
 }
 
+bool entry_crash_check(entry_request_t *req, const char *address, usec_t sent)
+{
+	crash_verdict_t verdict = CRASH_NONE;
+
+	if (!req->forward)
+		verdict = crash_judge(req, address);
+	if (verdict == CRASH_ENDED)
+		crash_record(req, sent);
+	return verdict != CRASH_PATHS_LOST;
+}
+
 bool entry_crash_is_blocked(const entry_request_t *req)
 {
 	entry_crashes_t *crashes = req->entry->crashes;
--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -261,13 +261,13 @@
 	dispatch_update_reach(req, result, now);
 	decision = dispatch_decide(req, &result, now);
 	pthread_mutex_unlock(&upstream->lock);
-	if (decision.verdict == ENTRY_WAIT || result == ENTRY_RESULT_CONNECT)
-		entry_tick_schedule_soon(entry, now);
 	if (decision.verdict == ENTRY_WAIT)
 		entry_handover_waiting(req, now);
 	else if (result != ENTRY_RESULT_CONNECT ||
 		 !entry_handover_unsent(req, now))
 		dispatch_finish(req, result);
+	if (decision.verdict == ENTRY_WAIT || result == ENTRY_RESULT_CONNECT)
+		entry_tick_schedule_soon(entry, now);
 	entry_request_unref(req);
 	entry_dispatch_next(upstream, now);
 	entry_probe_wake(upstream, now);
--- a/entry-handover.c
+++ b/entry-handover.c
@@ -284,14 +284,16 @@
 		return false;
 	pthread_mutex_lock(&upstream->lock);
 	taken = req->call.waiting &&
-		(entry_reach_is_impaired(&upstream->service) ||
+		(req->paths_lost ||
+		 entry_reach_is_impaired(&upstream->service) ||
 		 handover_only_siblings_reach(req, now));
 	if (taken)
 		entry_queue_remove(upstream->service.queue, &req->call);
 	pthread_mutex_unlock(&upstream->lock);
 	if (!taken)
 		return false;
-	if (handover_try(req, HANDOVER_TRIES_IMPAIRED, "retry", now))
+	if (handover_try(req, HANDOVER_TRIES_IMPAIRED,
+			 req->paths_lost ? "cut" : "retry", now))
 		return true;
 	pthread_mutex_lock(&upstream->lock);
 	entry_queue_push(upstream->service.queue, &req->call, now);
--- a/entry-io.h
+++ b/entry-io.h
@@ -223,6 +223,7 @@
 	struct entry_claim *claim;  /* claim of its Idempotency-Key, or NULL */
 	bool handed_over;   /* taken out of the queue for an idle sibling */
 	unsigned handovers; /* siblings it was sent to, see entry-handover.c */
+	bool paths_lost; /* its last send was cut, and no copy can be reached */
 	bool sibling_impaired; /* the sibling lacks paths to many copies, too */
 	bool sibling_unfit;    /* the sibling could not serve it, others may */
 	unsigned forwarder_queue;  /* calls waiting at the forwarding entry */
@@ -943,9 +944,12 @@
  * @address: address of the copy
  * @sent: when the send began
  *
- * Records and reports the crash. Blocks for at most 100 ms.
+ * Records and reports the crash. Blocks for 100 ms for each copy that
+ * does not answer, five copies at most.
+ *
+ * Return: false if no copy takes a connection, so that paths are lost.
  */
-void entry_crash_check(entry_request_t *req, const char *address, usec_t sent);
+bool entry_crash_check(entry_request_t *req, const char *address, usec_t sent);
 
 /** entry_crash_is_blocked - whether a call has crashed too many copies. */
 bool entry_crash_is_blocked(const entry_request_t *req);
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -608,6 +608,19 @@
 	return pool;
 }
 
+/* Finds out why a send was cut. No hedge is sent meanwhile, as it would take the paths
+   that may be lost and use up the repeat of the call. */
+static void relay_check_cut(const entry_transfer_t *transfer)
+{
+	entry_request_t *req = transfer->req;
+
+	pthread_mutex_lock(&req->upstream->lock);
+	req->call.no_hedge = true;
+	pthread_mutex_unlock(&req->upstream->lock);
+	req->paths_lost = !entry_crash_check(req, transfer->pool->address,
+					     transfer->sent);
+}
+
 void entry_relay_send(entry_request_t *req)
 {
 	entry_transfer_t transfer = { .req = req };
@@ -629,8 +642,9 @@
 	entry_trace_sent(req, sent);
 	transfer.pool = relay_pool(req);
 	result = relay_send_once(&transfer);
+	req->paths_lost = false;
 	if (result == ENTRY_RESULT_TRUNCATED)
-		entry_crash_check(req, transfer.pool->address, sent);
+		relay_check_cut(&transfer);
 	else if (result == ENTRY_RESULT_OK)
 		entry_crash_on_answer(req);
 	entry_conn_pool_unref(transfer.pool);
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -12,6 +12,7 @@
  *	/twice			sends its response again, 30 ms later
  *	/leaving		responds that the copy leaves
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
+ *	/wait-MS		responds MS milliseconds after the request
  *	/crash			the process ends without a response
  *	/endless-head		header lines without end
  *	/endless-line		a header line without end
@@ -36,6 +37,7 @@
 #include <err.h>
 #include <glib.h>
 #include <linux/filter.h>
+#include <poll.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -373,6 +375,15 @@
 	return true;
 }
 
+/* Waits if the path says so; false if the connection ends meanwhile. */
+static bool serve_wait(const connection_t *conn)
+{
+	const char *wait = strstr(conn->path, "/wait-");
+	struct pollfd end = { conn->fd, POLLIN, 0 };
+
+	return !wait || !poll(&end, 1, atoi(wait + strlen("/wait-")));
+}
+
 /* Serves one request; false if the connection is to be closed. */
 static bool serve(connection_t *conn)
 {
@@ -413,6 +424,8 @@
 		kill(getpid(), SIGKILL);
 	}
 	record_call(conn, "run");
+	if (!serve_wait(conn))
+		return false;
 	g_snprintf(text, sizeof(text),
 		   "bytes=%" PRIu64 " hash=%016" PRIx64 "\n", conn->body_bytes,
 		   conn->body_hash);
