--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -375,7 +375,7 @@
 	return true;
 }
 
-/* Waits if the path says so; false if the connection ends meanwhile. */
+/* Waits if the path contains /wait-MS; false if the connection ends meanwhile. */
 static bool serve_wait(const connection_t *conn)
 {
 	const char *wait = strstr(conn->path, "/wait-");
