--- a/entry-crash.c
+++ b/entry-crash.c
@@ -10,7 +10,8 @@
 
 /*
  * Calls that were running at a copy when its process ended. A call is known by a
- * digest of its content, as each attempt of it has an id of its own.
+ * digest of its content, as each attempt of it has an id of its own. Connections that
+ * are tried after a send was cut also show whether this entry reaches no copy.
  */
 
 /* Time in which a copy must take or refuse a connection after a send was cut. */
--- a/entry-http.c
+++ b/entry-http.c
@@ -19,7 +19,8 @@
 #define HTTP_HEADER_BYTES (16u * 1024) /* memory of one connection */
 /* Interval between checks for calls in flight during a shutdown. */
 #define HTTP_STOP_PERIOD (5 * USEC_PER_MS)
-/* Wait suggested to a caller at the end of a stop; others serve it at once. */
+/* Wait suggested to a caller at the end of a stop; other entries may serve the call
+   sooner. */
 #define HTTP_STOP_RETRY_AFTER (100 * USEC_PER_MS)
 /* Time for the responses of calls that are ended at a stop. */
 #define HTTP_STOP_CANCEL_TIME (200 * USEC_PER_MS)
