Keep the listening descriptor open until the server has stopped

Cause: entry_http_stop() closed the descriptor that MHD_quiesce_daemon() returned while the threads of libmicrohttpd ran. Its manual forbids that, as a thread may still use it: it could act on a descriptor that was opened meanwhile, or abort the process as its call fails.

Now shutdown() ends listening at once, so new connections are refused as before, and the descriptor is closed after MHD_stop_daemon().

--- a/entry-http.c
+++ b/entry-http.c
@@ -384,8 +384,10 @@
 	if (!entry->call_daemon)
 		return;
 	fd = MHD_quiesce_daemon(entry->call_daemon);
-	if (fd >= 0)
-		close(fd);
+	/* New connections are refused at once; the descriptor stays open, as
+	   the threads of libmicrohttpd may still use it. */
+	if (fd != MHD_INVALID_SOCKET)
+		shutdown(fd, SHUT_RDWR);
 	http_wait_idle(entry, until);
 	/* Callers may still send calls over open connections. */
 	__atomic_store_n(&entry->refuse_calls, true, __ATOMIC_SEQ_CST);
@@ -393,4 +395,6 @@
 		http_end_calls(entry);
 	MHD_stop_daemon(entry->call_daemon);
 	entry->call_daemon = NULL;
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
 }
