Count a second send that no copy received as not sent

Cause: entry_service_end() counts a send that failed before its first byte as unsent, entry_service_hedge_end() did not, so it used up one of the attempts of its route.

/reports/retry-after-unsent-hedge failed before ("respond" where the call is to be repeated) and passes; retry-not-after-sent-hedge passed before too. In the scripts of that test "cancel" stood for the result after "deadline", which is "blocked"; none used it.

--- a/entry-service.c
+++ b/entry-service.c
@@ -597,6 +597,7 @@
 	service_release_credit(svc, call->hedged_copy, result, call->hedge_sent,
 			       call->hedge_depth, now);
 	service_update_outcome(call, result);
+	service_count_unsent(call, result);
 	call->hedged_copy = NULL;
 	if (result == ENTRY_RESULT_OK)
 		decision.verdict = ENTRY_RESPOND;
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -410,6 +410,20 @@
 	  "0 budget 1 9\n0 copy a 9\n0 copy b 9\n0 report a 0 0 100\n"
 	  "0 arrive x objective=250 idem attempts=1 = send a\n"
 	  "0 end x error = respond\n" },
+	/* Guards against a second send that no copy received and that uses up
+	   the repeat of its call. */
+	{ "retry-after-unsent-hedge",
+	  "0 budget 1 9\n0 copy a 9\n0 copy b 9\n0 report a 0 0 100\n"
+	  "0 report b 1 0 100\n"
+	  "0 arrive x objective=250 idem attempts=2 = send a\n"
+	  "400 hedge = x b\n401 hedge-end x connect = wait\n"
+	  "402 end x cut = wait\n" },
+	{ "retry-not-after-sent-hedge",
+	  "0 budget 1 9\n0 copy a 9\n0 copy b 9\n0 report a 0 0 100\n"
+	  "0 report b 1 0 100\n"
+	  "0 arrive x objective=250 idem attempts=2 = send a\n"
+	  "400 hedge = x b\n401 hedge-end x cut = wait\n"
+	  "402 end x cut = respond\n" },
 	{ "not-idempotent-call-is-not-sent-again",
 	  "0 budget 1 9\n0 copy a 9\n0 copy b 9\n0 report a 0 0 100\n"
 	  "0 arrive x objective=250 attempts=3 = send a\n"
@@ -693,19 +707,36 @@
 	return script_decision(&call->call, &decision);
 }
 
-static char *run_end(script_t *script, char **words)
+static entry_result_t script_result(const char *word)
 {
 	static const char *const names[] = { "ok",	"error", "shed",
 					     "connect", "cut",	 "deadline",
-					     "cancel" };
-	script_call_t *call = script_call(script, words[1]);
-	entry_decision_t decision;
+					     "blocked", "cancel" };
 	unsigned result = 0;
 
-	while (strcmp(names[result], words[2]))
+	while (strcmp(names[result], word))
 		g_assert_cmpuint(++result, <, G_N_ELEMENTS(names));
+	return (entry_result_t)result;
+}
+
+static char *run_end(script_t *script, char **words)
+{
+	script_call_t *call = script_call(script, words[1]);
+	entry_decision_t decision;
+
 	decision = entry_service_end(&script->svc, &call->call,
-				     (entry_result_t)result, script->now);
+				     script_result(words[2]), script->now);
+	return script_decision(&call->call, &decision);
+}
+
+static char *run_hedge_end(script_t *script, char **words)
+{
+	script_call_t *call = script_call(script, words[1]);
+	entry_decision_t decision;
+
+	decision = entry_service_hedge_end(&script->svc, &call->call,
+					   script_result(words[2]),
+					   script->now);
 	return script_decision(&call->call, &decision);
 }
 
@@ -846,6 +877,7 @@
 	{ "may-send", run_may_send },
 	{ "new-process", run_new_process },
 	{ "hedge", run_hedge },
+	{ "hedge-end", run_hedge_end },
 	{ "budget", run_budget },
 	{ "wait", run_wait },
 	{ "arrive", run_arrive },
