Learn of paths from second sends of calls too

By reading: dispatch_update_reach() was called for the first send of a call alone. A second send that found no connection did not have its path tested, and a response to one did not count as a response of any copy, which decides whether an entry takes itself for cut off.

Now entry_reach_on_send_end() records it, called where both kinds of send end (service_end_send() in entry-service.c).

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -182,27 +182,6 @@
 	return decision;
 }
 
-/* Records what the end of a send shows of the path to the copy. The caller holds
-   the lock of the upstream. */
-static void dispatch_update_reach(entry_request_t *req, entry_result_t result,
-				  usec_t now)
-{
-	switch (result) {
-	case ENTRY_RESULT_OK:
-	case ENTRY_RESULT_ERROR:
-	case ENTRY_RESULT_SHED:
-		entry_reach_on_response(&req->upstream->service, now);
-		break;
-	case ENTRY_RESULT_CONNECT:
-	case ENTRY_RESULT_TRUNCATED:
-	case ENTRY_RESULT_DEADLINE:
-		entry_reach_doubt(req->call.copy, now);
-		break;
-	default:
-		break;
-	}
-}
-
 /* Responds with the response of this send, or of the hedge that won. */
 static void dispatch_respond(entry_request_t *req, entry_result_t result)
 {
@@ -258,7 +237,6 @@
 	/* Another worker may take a waiting call and end it. */
 	entry_request_ref(req);
 	pthread_mutex_lock(&upstream->lock);
-	dispatch_update_reach(req, result, now);
 	decision = dispatch_decide(req, &result, now);
 	pthread_mutex_unlock(&upstream->lock);
 	if (decision.verdict == ENTRY_WAIT)
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -135,6 +135,25 @@
 	svc->answered_at = now;
 }
 
+void entry_reach_on_send_end(entry_service_t *svc, entry_copy_t *copy,
+			     entry_result_t result, usec_t now)
+{
+	switch (result) {
+	case ENTRY_RESULT_OK:
+	case ENTRY_RESULT_ERROR:
+	case ENTRY_RESULT_SHED:
+		entry_reach_on_response(svc, now);
+		break;
+	case ENTRY_RESULT_CONNECT:
+	case ENTRY_RESULT_TRUNCATED:
+	case ENTRY_RESULT_DEADLINE:
+		entry_reach_doubt(copy, now);
+		break;
+	default:
+		break;
+	}
+}
+
 static unsigned reach_count_running(const entry_service_t *svc)
 {
 	const entry_copy_t *copy = NULL;
--- a/entry-service.c
+++ b/entry-service.c
@@ -114,14 +114,17 @@
 	entry_health_on_send(copy, now);
 }
 
-static void service_release_credit(entry_service_t *svc, entry_copy_t *copy,
-				   entry_result_t result, usec_t sent,
-				   unsigned depth, usec_t now)
+/* Return the credit of a send that has ended and record what it shows of its
+   copy. */
+static void service_end_send(entry_service_t *svc, entry_copy_t *copy,
+			     entry_result_t result, usec_t sent, unsigned depth,
+			     usec_t now)
 {
 	bool was_ejected = copy->health->ejected;
 
 	copy->outstanding--;
 	svc->outstanding--;
+	entry_reach_on_send_end(svc, copy, result, now);
 	entry_health_on_send_end(svc, copy, result, sent, depth, now);
 	if (svc->on_health && was_ejected != copy->health->ejected)
 		svc->on_health(svc->context, copy, !was_ejected);
@@ -488,8 +491,7 @@
 	entry_decision_t decision = { ENTRY_RESPOND, ENTRY_REFUSE_NONE, 0 };
 
 	cds_list_del(&call->running_link);
-	service_release_credit(svc, call->copy, result, call->sent, call->depth,
-			       now);
+	service_end_send(svc, call->copy, result, call->sent, call->depth, now);
 	service_update_outcome(call, result);
 	service_count_unsent(call, result);
 	if (!entry_retry_is_exempt(svc->retry, result))
@@ -594,8 +596,8 @@
 {
 	entry_decision_t decision = { ENTRY_WAIT, ENTRY_REFUSE_NONE, 0 };
 
-	service_release_credit(svc, call->hedged_copy, result, call->hedge_sent,
-			       call->hedge_depth, now);
+	service_end_send(svc, call->hedged_copy, result, call->hedge_sent,
+			 call->hedge_depth, now);
 	service_update_outcome(call, result);
 	service_count_unsent(call, result);
 	call->hedged_copy = NULL;
--- a/entry.h
+++ b/entry.h
@@ -694,6 +694,13 @@
 /** entry_reach_on_response - record that any copy of a service responded. */
 void entry_reach_on_response(entry_service_t *svc, usec_t now);
 
+/**
+ * entry_reach_on_send_end - record what the end of a send shows of the path to
+ * its copy.
+ */
+void entry_reach_on_send_end(entry_service_t *svc, entry_copy_t *copy,
+			     entry_result_t result, usec_t now);
+
 /**
  * entry_reach_next_test - return a copy whose test is due, or NULL.
  *
--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -477,6 +477,58 @@
 	}
 }
 
+/* Sends a call to a second copy; returns that copy. */
+static entry_copy_t *hedge(fixture_t *fixture, entry_call_t *call)
+{
+	const load_t load = { .slowness = LOAD_SLOWNESS_NORMAL };
+	unsigned i;
+
+	entry_service_set_retry_budget(&fixture->svc, 1, 9, USEC_PER_SEC,
+				       fixture->now - USEC_PER_SEC);
+	for (i = 0; i < fixture->count; i++)
+		entry_service_on_report(&fixture->svc, fixture->copies[i],
+					&load, fixture->now);
+	g_assert_cmpint(arrive(fixture, call).verdict, ==, ENTRY_SEND);
+	fixture->now += 400 * USEC_PER_MS;
+	g_assert_true(entry_service_hedge(&fixture->svc, fixture->now) == call);
+	return call->hedged_copy;
+}
+
+/* Guards against a lost path that stays in use because only second sends of calls
+   found it lost, and against a response to one that does not count as a response. */
+static void test_hedge_shows_path(void)
+{
+	static const struct {
+		entry_result_t result;
+		bool tested;
+		bool responded;
+	} rows[] = {
+		{ ENTRY_RESULT_OK, false, true },
+		{ ENTRY_RESULT_SHED, false, true },
+		{ ENTRY_RESULT_CONNECT, true, false },
+		{ ENTRY_RESULT_TRUNCATED, true, false },
+		{ ENTRY_RESULT_CANCEL, false, false },
+	};
+	fixture_t *fixture;
+	entry_call_t call;
+	entry_copy_t *copy;
+	entry_copy_t *tested;
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		fixture = fixture_new(2);
+		copy = hedge(fixture, &call);
+		entry_service_hedge_end(&fixture->svc, &call, rows[i].result,
+					fixture->now);
+		g_test_message("row %u", i);
+		tested = entry_reach_next_test(&fixture->svc, fixture->now);
+		g_assert_true(tested == (rows[i].tested ? copy : NULL));
+		g_assert_cmpint(fixture->svc.answered_at == fixture->now, ==,
+				rows[i].responded);
+		fixture_free(fixture);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -502,5 +554,6 @@
 	g_test_add_func("/entry-reach/probes-after-cut", test_probes_after_cut);
 	g_test_add_func("/entry-reach/wrong-doubts", test_wrong_doubts);
 	g_test_add_func("/entry-reach/rest-and-rate", test_rest_and_rate);
+	g_test_add_func("/entry-reach/hedge-shows-path", test_hedge_shows_path);
 	return g_test_run();
 }
