Return a second send to the budget that no copy received

What callers saw: an entry can pay for about one repeat at a time. As it loses its paths, its next hedge takes that one; the hedge finds no connection, and calls that wait for a response over a lost path have none left.

Cause: the budget counts what copies receive. A repeat after a failed connect is exempt, but a hedge is charged before its send and stayed charged.

/reports/retry-after-unsent-hedge-is-in-the-budget failed before and passes; retry-after-sent-hedge-is-not-in-the-budget passed before too.

--- a/entry-decide.h
+++ b/entry-decide.h
@@ -362,6 +362,9 @@
 /** entry_retry_spend - take one send from the budget; false if empty. */
 bool entry_retry_spend(struct entry_retry *retry, usec_t now);
 
+/** entry_retry_refund - return a send to the budget that no copy received. */
+void entry_retry_refund(struct entry_retry *retry);
+
 /** entry_retry_is_exempt - whether a repeat is not charged to the budget. */
 bool entry_retry_is_exempt(const struct entry_retry *retry,
 			   entry_result_t result);
--- a/entry-retry.c
+++ b/entry-retry.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <stdlib.h>
 #include "entry-decide.h"
 
@@ -147,6 +148,11 @@
 	return true;
 }
 
+void entry_retry_refund(struct entry_retry *retry)
+{
+	retry->sends = MIN(retry->sends + 1, retry->burst);
+}
+
 bool entry_retry_is_exempt(const struct entry_retry *retry,
 			   entry_result_t result)
 {
--- a/entry-service.c
+++ b/entry-service.c
@@ -600,6 +600,8 @@
 			 call->hedge_depth, now);
 	service_update_outcome(call, result);
 	service_count_unsent(call, result);
+	if (entry_retry_is_exempt(svc->retry, result))
+		entry_retry_refund(svc->retry);
 	call->hedged_copy = NULL;
 	if (result == ENTRY_RESULT_OK)
 		decision.verdict = ENTRY_RESPOND;
--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -424,6 +424,16 @@
 	  "0 arrive x objective=250 idem attempts=2 = send a\n"
 	  "400 hedge = x b\n401 hedge-end x cut = wait\n"
 	  "402 end x cut = respond\n" },
+	{ "retry-after-unsent-hedge-is-in-the-budget",
+	  "0 budget 0.2 2\n0 copy a 9\n0 copy b 9\n0 report a 0 0 100\n"
+	  "0 report b 1 0 100\n0 arrive x objective=250 idem = send a\n"
+	  "400 hedge = x b\n401 hedge-end x connect = wait\n"
+	  "402 end x cut = wait\n" },
+	{ "retry-after-sent-hedge-is-not-in-the-budget",
+	  "0 budget 0.2 2\n0 copy a 9\n0 copy b 9\n0 report a 0 0 100\n"
+	  "0 report b 1 0 100\n0 arrive x objective=250 idem = send a\n"
+	  "400 hedge = x b\n401 hedge-end x cut = wait\n"
+	  "402 end x cut = respond\n" },
 	{ "not-idempotent-call-is-not-sent-again",
 	  "0 budget 1 9\n0 copy a 9\n0 copy b 9\n0 report a 0 0 100\n"
 	  "0 arrive x objective=250 attempts=3 = send a\n"
