Send hedges over new connections

Cause: a hedge says that a path may be lost, and took another one on trust. Over a new connection a lost path fails before the first byte (connect_ms), which costs neither. The path of the first send is tested then, too, as it is late, and at once: tests that an end of a hedge asks for waited for the next tick, up to 1 s.

Ruled out: to test the paths before a hedge if no copy has responded since the send of its call.

/entry-reach/hedge-shows-path (both copies are tested) failed before and passes.

--- a/entry-hedge.c
+++ b/entry-hedge.c
@@ -226,6 +226,8 @@
 			hedge_win(primary, hedge);
 	}
 	pthread_mutex_unlock(&upstream->lock);
+	if (result == ENTRY_RESULT_CONNECT)
+		entry_tick_schedule_soon(primary->entry, now);
 	if (is_only_send)
 		hedge_end_as_primary(primary, hedge, result, now);
 	entry_request_unref(primary);
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -449,7 +449,10 @@
 static entry_result_t relay_send_once(entry_transfer_t *transfer)
 {
 	entry_request_t *req = transfer->req;
-	bool fresh = !req->call.idempotent;
+	bool once = !req->call.idempotent;
+	/* An open connection may be of a path that is lost: the bytes of a hedge
+	   would count as sent. */
+	bool fresh = once || req->primary;
 	usec_t time_left = req->call.deadline - time_now();
 	char url[HL_ADDRESS_MAX + sizeof("http:///")];
 	struct curl_slist *headers;
@@ -461,7 +464,7 @@
 		return ENTRY_RESULT_CONNECT;
 	if (relay_is_cancelled(req))
 		return ENTRY_RESULT_CANCEL;
-	transfer->conn = entry_conn_pool_get(transfer->pool, fresh);
+	transfer->conn = entry_conn_pool_get(transfer->pool, once);
 	if (!transfer->conn)
 		return ENTRY_RESULT_CONNECT;
 	easy = transfer->conn->easy;
@@ -479,7 +482,7 @@
 	transfer->conn->fd = relay_socket(easy);
 	curl_multi_remove_handle(transfer->conn->multi, easy);
 	entry_conn_pool_put(transfer->pool, transfer->conn, keep, time_now());
-	if (fresh)
+	if (once)
 		entry_conn_pool_preconnect(
 			transfer->pool, (unsigned)req->entry->settings.spares);
 	relay_record_load(transfer);
--- a/entry-service.c
+++ b/entry-service.c
@@ -602,6 +602,9 @@
 	service_count_unsent(call, result);
 	if (entry_retry_is_exempt(svc->retry, result))
 		entry_retry_refund(svc->retry);
+	/* The first send, which is late, may go over a lost path, too. */
+	if (result == ENTRY_RESULT_CONNECT)
+		entry_reach_doubt(call->copy, now);
 	call->hedged_copy = NULL;
 	if (result == ENTRY_RESULT_OK)
 		decision.verdict = ENTRY_RESPOND;
--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -477,8 +477,8 @@
 	}
 }
 
-/* Sends a call to a second copy; returns that copy. */
-static entry_copy_t *hedge(fixture_t *fixture, entry_call_t *call)
+/* Sends a call of which no copy has responded when its hedge is due. */
+static void send_until_hedge_due(fixture_t *fixture, entry_call_t *call)
 {
 	const load_t load = { .slowness = LOAD_SLOWNESS_NORMAL };
 	unsigned i;
@@ -488,8 +488,15 @@
 	for (i = 0; i < fixture->count; i++)
 		entry_service_on_report(&fixture->svc, fixture->copies[i],
 					&load, fixture->now);
+	fixture->now += STEP;
 	g_assert_cmpint(arrive(fixture, call).verdict, ==, ENTRY_SEND);
 	fixture->now += 400 * USEC_PER_MS;
+}
+
+/* Sends a call to a second copy; returns that copy. */
+static entry_copy_t *hedge(fixture_t *fixture, entry_call_t *call)
+{
+	send_until_hedge_due(fixture, call);
 	g_assert_true(entry_service_hedge(&fixture->svc, fixture->now) == call);
 	return call->hedged_copy;
 }
@@ -500,31 +507,32 @@
 {
 	static const struct {
 		entry_result_t result;
-		bool tested;
+		unsigned tests;
 		bool responded;
 	} rows[] = {
-		{ ENTRY_RESULT_OK, false, true },
-		{ ENTRY_RESULT_SHED, false, true },
-		{ ENTRY_RESULT_CONNECT, true, false },
-		{ ENTRY_RESULT_TRUNCATED, true, false },
-		{ ENTRY_RESULT_CANCEL, false, false },
+		{ ENTRY_RESULT_OK, 0, true },
+		{ ENTRY_RESULT_SHED, 0, true },
+		{ ENTRY_RESULT_CONNECT, 2, false },
+		{ ENTRY_RESULT_TRUNCATED, 1, false },
+		{ ENTRY_RESULT_CANCEL, 0, false },
 	};
 	fixture_t *fixture;
 	entry_call_t call;
 	entry_copy_t *copy;
-	entry_copy_t *tested;
 	unsigned i;
 
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
-		fixture = fixture_new(2);
+		fixture = fixture_new(3);
 		copy = hedge(fixture, &call);
 		entry_service_hedge_end(&fixture->svc, &call, rows[i].result,
 					fixture->now);
 		g_test_message("row %u", i);
-		tested = entry_reach_next_test(&fixture->svc, fixture->now);
-		g_assert_true(tested == (rows[i].tested ? copy : NULL));
 		g_assert_cmpint(fixture->svc.answered_at == fixture->now, ==,
 				rows[i].responded);
+		run(fixture, STEP);
+		g_assert_cmpuint(fixture->tests, ==, rows[i].tests);
+		g_assert_cmpint(copy->reach.tested_at > 0, ==,
+				rows[i].tests > 0);
 		fixture_free(fixture);
 	}
 }
