Give up sends over lost paths that a sibling can repeat

What callers saw: an idempotent call that ran as segments of its path began to be dropped was held until its deadline and ended with 504, while siblings served the calls that came after it.

Cause: the end of a path is noticed by tests of entry-reach.c within half a second, but a send that runs is not told; it waits for a response that cannot come.

Now a send whose path fails a test is ended, while the entry lacks paths to many copies and a sibling reaches some: the call goes to the sibling. It is paid from the budget before, only idempotent calls are, none whose body or response streams, none that has two sends, none that is too late. The path of a late call is tested if it has not been (services of many copies are tested in part).

--- a/entry-handover.c
+++ b/entry-handover.c
@@ -301,6 +301,24 @@
 	return false;
 }
 
+void entry_handover_give_up(entry_upstream_t *upstream, usec_t now)
+{
+	entry_request_t *req;
+	entry_call_t *call;
+
+	if (!upstream->entry->presence)
+		return;
+	pthread_mutex_lock(&upstream->lock);
+	while (entry_siblings_reach(&upstream->siblings, now) &&
+	       (call = entry_service_give_up(&upstream->service, now))) {
+		req = caa_container_of(call, entry_request_t, call);
+		pthread_mutex_lock(&req->lock);
+		entry_request_wake_sender(req);
+		pthread_mutex_unlock(&req->lock);
+	}
+	pthread_mutex_unlock(&upstream->lock);
+}
+
 bool entry_handover_unsent(entry_request_t *req, usec_t now)
 {
 	return req->entry->settings.routed &&
--- a/entry-hedge.c
+++ b/entry-hedge.c
@@ -88,7 +88,7 @@
 	entry_request_t *hedge;
 
 	primary = caa_container_of(call, entry_request_t, call);
-	call->no_hedge = true;
+	call->hedged = true;
 	hedge = hedge_new(primary);
 	if (!hedge) {
 		entry_service_hedge_end(&primary->upstream->service, call,
--- a/entry-io.h
+++ b/entry-io.h
@@ -404,6 +404,9 @@
 /** entry_trace_sent - log the start of a send and the input of its decision. */
 void entry_trace_sent(entry_request_t *req, usec_t now);
 
+/** entry_trace_given_up - log that a send was ended, as its path is lost. */
+void entry_trace_given_up(const entry_request_t *req);
+
 /**
  * entry_trace_failed - log a send that got no successful response.
  * @sent: when the send began
@@ -552,6 +555,12 @@
  */
 bool entry_handover_waiting(entry_request_t *req, usec_t now);
 
+/**
+ * entry_handover_give_up - end sends whose path is lost, so that siblings repeat the
+ * calls.
+ */
+void entry_handover_give_up(entry_upstream_t *upstream, usec_t now);
+
 /** entry_handover_unsent - as entry_handover_refused(), for a call not sent. */
 bool entry_handover_unsent(entry_request_t *req, usec_t now);
 
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -107,6 +107,14 @@
 	return cancelled;
 }
 
+/* Whether the path of a send is lost, see entry_service_give_up(), before the head
+   of a response has arrived. */
+static bool relay_is_given_up(const entry_transfer_t *transfer)
+{
+	return !transfer->head_complete &&
+	       __atomic_load_n(&transfer->req->call.given_up, __ATOMIC_ACQUIRE);
+}
+
 /* Whether a response belongs to another call or was not made by a copy. */
 static bool relay_response_mismatched(const entry_transfer_t *transfer)
 {
@@ -152,8 +160,10 @@
 		transfer->cancelled = relay_is_cancelled(transfer->req);
 		transfer->expired = now >= transfer->req->call.deadline;
 		transfer->early = relay_ends_early(transfer, now);
+		transfer->given_up = relay_is_given_up(transfer);
 		if (transfer->cancelled || transfer->expired ||
-		    transfer->early || relay_response_mismatched(transfer))
+		    transfer->early || transfer->given_up ||
+		    relay_response_mismatched(transfer))
 			return;
 		entry_transfer_publish_partial(transfer, now);
 		curl_multi_poll(multi, NULL, 0, relay_poll_ms(transfer, now),
@@ -645,14 +655,16 @@
 	entry_trace_sent(req, sent);
 	transfer.pool = relay_pool(req);
 	result = relay_send_once(&transfer);
-	req->paths_lost = false;
-	if (result == ENTRY_RESULT_TRUNCATED)
+	req->paths_lost = transfer.given_up;
+	if (result == ENTRY_RESULT_TRUNCATED && !transfer.given_up)
 		relay_check_cut(&transfer);
 	else if (result == ENTRY_RESULT_OK)
 		entry_crash_on_answer(req);
 	entry_conn_pool_unref(transfer.pool);
 	if (transfer.head_complete)
 		relay_set_outcome(req, entry_transfer_outcome(&transfer));
+	if (transfer.given_up)
+		entry_trace_given_up(req);
 	if (result != ENTRY_RESULT_OK)
 		entry_trace_failed(req, result, sent, time_now());
 	entry_dispatch_end(req, result, time_now());
--- a/entry-service.c
+++ b/entry-service.c
@@ -233,6 +233,8 @@
 	call->hedged_copy = NULL;
 	call->attempts = 0;
 	call->unsent_attempts = 0;
+	call->hedged = false;
+	__atomic_store_n(&call->given_up, false, __ATOMIC_RELEASE);
 	if (!service_has_copy(svc))
 		return entry_refuse(ENTRY_REFUSE_NO_COPY,
 				    ENTRY_REFUSE_RETRY_AFTER);
@@ -494,8 +496,9 @@
 	service_end_send(svc, call->copy, result, call->sent, call->depth, now);
 	service_update_outcome(call, result);
 	service_count_unsent(call, result);
-	if (!entry_retry_is_exempt(svc->retry, result))
+	if (!call->given_up && !entry_retry_is_exempt(svc->retry, result))
 		call->repeat_paid = false;
+	__atomic_store_n(&call->given_up, false, __ATOMIC_RELEASE);
 	call->avoid = call->copy;
 	if (result == ENTRY_RESULT_OK && call->objective)
 		entry_report_learn_service_time(svc, call, now - call->sent);
@@ -515,9 +518,9 @@
 	return decision;
 }
 
-/* Whether a running call may be hedged. */
-static bool service_may_hedge(const entry_service_t *svc,
-			      const entry_call_t *call)
+/* Whether a running call may be sent again before its send has ended. */
+static bool service_may_send_twice(const entry_service_t *svc,
+				   const entry_call_t *call)
 {
 	unsigned max_attempts = call->attempts_max ? call->attempts_max :
 						     svc->profile->attempts_max;
@@ -527,6 +530,14 @@
 	       call->attempts - call->unsent_attempts < max_attempts;
 }
 
+/* Whether a running call may be hedged: once, so that no more than two sends of it
+   run in parallel. */
+static bool service_may_hedge(const entry_service_t *svc,
+			      const entry_call_t *call)
+{
+	return !call->hedged && service_may_send_twice(svc, call);
+}
+
 /* Return the time from the send of a call to its hedge; 0: no hedge. */
 static usec_t service_hedge_after(const entry_service_t *svc,
 				  const entry_call_t *call)
@@ -536,14 +547,61 @@
 	return svc->profile->hedge_after_ms * USEC_PER_MS;
 }
 
+/* Whether a call has run for longer than the time after which one is hedged. */
+static bool service_is_late(const entry_service_t *svc,
+			    const entry_call_t *call, usec_t now)
+{
+	usec_t after = service_hedge_after(svc, call);
+
+	return after > 0 && now - call->sent >= after;
+}
+
 /* Whether a call is due for its hedge. */
 static bool service_hedge_is_due(const entry_service_t *svc,
 				 const entry_call_t *call, usec_t now)
 {
-	usec_t after = service_hedge_after(svc, call);
+	return service_is_late(svc, call, now) && service_may_hedge(svc, call);
+}
+
+/* Whether a running call can still be repeated in time by another entry. */
+static bool service_may_give_up(const entry_service_t *svc,
+				const entry_call_t *call, usec_t now)
+{
+	return !call->given_up && !call->from_sibling &&
+	       service_may_send_twice(svc, call) &&
+	       now + service_margin(svc, call) < call->deadline;
+}
 
-	return after > 0 && now - call->sent >= after &&
-	       service_may_hedge(svc, call);
+/* Whether the path of a running call is lost. That of a late call is tested if it
+   is not known. */
+static bool service_has_lost_path(const entry_service_t *svc,
+				  const entry_call_t *call, usec_t now)
+{
+	if (call->copy->reach.failures)
+		return true;
+	if (service_is_late(svc, call, now) &&
+	    call->copy->reach.tested_at < call->sent)
+		entry_reach_doubt(call->copy, now);
+	return false;
+}
+
+entry_call_t *entry_service_give_up(entry_service_t *svc, usec_t now)
+{
+	entry_call_t *call = NULL;
+
+	if (!entry_reach_is_impaired(svc))
+		return NULL;
+	cds_list_for_each_entry (call, &svc->running, running_link) {
+		if (!service_may_give_up(svc, call, now) ||
+		    !service_has_lost_path(svc, call, now))
+			continue;
+		if (!entry_service_pay_repeat(svc, call, now))
+			return NULL;
+		__atomic_store_n(&call->given_up, true, __ATOMIC_RELEASE);
+		call->no_hedge = true;
+		return call;
+	}
+	return NULL;
 }
 
 entry_call_t *entry_service_hedge(entry_service_t *svc, usec_t now)
--- a/entry-tick.c
+++ b/entry-tick.c
@@ -98,10 +98,11 @@
 /* Runs the timers of one service; returns when to run them again. */
 static usec_t tick_upstream(entry_upstream_t *upstream, usec_t now)
 {
-	usec_t due = tick_earlier(entry_hedge_send_due(upstream, now),
-				  entry_reach_test_run(upstream, now));
+	usec_t due = entry_hedge_send_due(upstream, now);
 	bool waiting;
 
+	entry_handover_give_up(upstream, now);
+	due = tick_earlier(due, entry_reach_test_run(upstream, now));
 	due = tick_earlier(due, entry_sibling_run(upstream, now));
 	entry_dispatch_expire(upstream, now);
 	entry_dispatch_next(upstream, now);
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -54,6 +54,14 @@
 		(now - sent) / USEC_PER_MS);
 }
 
+void entry_trace_given_up(const entry_request_t *req)
+{
+	log_event(LOG_LEVEL_INFO, "send-given-up",
+		  "call=%s route=%s service=%s copy=%s",
+		  trace_value(req->call_id), trace_value(req->rule_name),
+		  req->upstream->name, req->call.copy->name);
+}
+
 void entry_trace_ended(entry_request_t *req, bool complete, usec_t now)
 {
 	unsigned status;
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -29,6 +29,7 @@
 	load_t load;	/* load that the copy reported; valid with has_load */
 	bool expired;	/* the deadline passed before the response */
 	bool cancelled; /* see entry_transfer_is_cancelled() */
+	bool given_up;	/* see entry_service_give_up() */
 	CURLcode code;
 	long bytes_sent;
 	bool read_paused; /* libcurl waits for more of the body to send */
--- a/entry.h
+++ b/entry.h
@@ -138,7 +138,8 @@
 	bool idempotent;     /* may be sent more than once */
 	bool no_retry;	     /* an earlier hop of the call retries it */
 	bool not_replayable; /* its body is gone: it cannot be sent again */
-	bool no_hedge; /* already hedged, or its body or response streams */
+	bool no_hedge; /* its body or response streams, or its send was cut */
+	bool hedged;   /* it was sent to a second copy already */
 	unsigned attempts_max;	/* max sends by its route; 0: by the profile */
 	usec_t objective;	/* target response time of its route; 0: none */
 	unsigned work_kind;	/* hash of its route */
@@ -149,7 +150,8 @@
 	unsigned attempts;	/* sends so far, hedges included */
 	unsigned unsent_attempts; /* sends that failed before the first byte */
 	bool repeat_paid;	  /* the budget is charged for its next send */
-	entry_copy_t *copy;	  /* current or last copy */
+	bool given_up; /* end its send, whose path is lost; accessed atomically */
+	entry_copy_t *copy; /* current or last copy */
 	/* The call comes from a sibling entry. Set before the arrival. */
 	bool from_sibling;
 	/* Outcome to report if the call is refused after an earlier send. */
@@ -392,6 +394,16 @@
 entry_decision_t entry_service_end(entry_service_t *svc, entry_call_t *call,
 				   entry_result_t result, usec_t now);
 
+/**
+ * entry_service_give_up - choose a running call to be repeated by another entry.
+ *
+ * Returns a call whose path to its copy is lost, or NULL if there is none that may
+ * be repeated in time and in the budget, which is charged. Its send is then to
+ * be ended with ENTRY_RESULT_TRUNCATED. Call it until it returns NULL, while another
+ * entry is known to reach copies.
+ */
+entry_call_t *entry_service_give_up(entry_service_t *svc, usec_t now);
+
 /**
  * entry_service_hedge - start the hedge of a running call that is due for it.
  *
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -26,7 +26,8 @@
  * path to the copy is cut. A segment of the address to the listening socket is
  * dropped, in addition:
  *
- *	hang			those of open connections are dropped, too
+ *	hang			those of open connections are dropped, too, and
+ *				the responses to calls wait for the end
  *	new			open connections live on
  *	reset			open connections are reset
  *
@@ -375,6 +376,39 @@
 	return true;
 }
 
+/* The addresses whose paths are cut, and all connections. */
+typedef struct {
+	in_addr_t address;
+	char how[16];
+} cut_t;
+
+static pthread_mutex_t cut_lock = PTHREAD_MUTEX_INITIALIZER;
+static GPtrArray *connections; /* connection_t, guarded by cut_lock */
+static cut_t cuts[CUTS_MAX];   /* guarded by cut_lock */
+static unsigned cut_count;     /* guarded by cut_lock */
+
+/* Whether segments of open connections to an address are dropped. */
+static bool cut_hangs(in_addr_t address)
+{
+	bool hangs = false;
+	unsigned i;
+
+	pthread_mutex_lock(&cut_lock);
+	for (i = 0; i < cut_count; i++)
+		hangs = hangs || (cuts[i].address == address &&
+				  !strcmp(cuts[i].how, "hang"));
+	pthread_mutex_unlock(&cut_lock);
+	return hangs;
+}
+
+/* Delays a response until the path is back, as the filter of a socket drops only
+   what it receives. */
+static void cut_delay_response(const connection_t *conn)
+{
+	while (cut_hangs(conn->peer))
+		g_usleep(CUT_PERIOD_USEC);
+}
+
 /* Waits if the path contains /wait-MS; false if the connection ends meanwhile. */
 static bool serve_wait(const connection_t *conn)
 {
@@ -426,6 +460,7 @@
 	record_call(conn, "run");
 	if (!serve_wait(conn))
 		return false;
+	cut_delay_response(conn);
 	g_snprintf(text, sizeof(text),
 		   "bytes=%" PRIu64 " hash=%016" PRIx64 "\n", conn->body_bytes,
 		   conn->body_hash);
@@ -437,17 +472,6 @@
 	return send_response(conn, "200 OK", "", "a late response\n");
 }
 
-/* The addresses whose paths are cut, and all connections. */
-typedef struct {
-	in_addr_t address;
-	char how[16];
-} cut_t;
-
-static pthread_mutex_t cut_lock = PTHREAD_MUTEX_INITIALIZER;
-static GPtrArray *connections; /* connection_t, guarded by cut_lock */
-static cut_t cuts[CUTS_MAX];   /* guarded by cut_lock */
-static unsigned cut_count;     /* guarded by cut_lock */
-
 /* Drops the segments that a socket receives from the cut addresses. A connection
    inherits the filter of the listening socket, so it gets one of its own. */
 static void cut_filter(int fd, bool all)
--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -481,6 +481,7 @@
 static void send_until_hedge_due(fixture_t *fixture, entry_call_t *call)
 {
 	const load_t load = { .slowness = LOAD_SLOWNESS_NORMAL };
+	entry_decision_t decision;
 	unsigned i;
 
 	entry_service_set_retry_budget(&fixture->svc, 1, 9, USEC_PER_SEC,
@@ -489,7 +490,8 @@
 		entry_service_on_report(&fixture->svc, fixture->copies[i],
 					&load, fixture->now);
 	fixture->now += STEP;
-	g_assert_cmpint(arrive(fixture, call).verdict, ==, ENTRY_SEND);
+	decision = arrive(fixture, call);
+	g_assert_cmpint(decision.verdict, ==, ENTRY_SEND);
 	fixture->now += 400 * USEC_PER_MS;
 }
 
@@ -537,6 +539,110 @@
 	}
 }
 
+/* What is special about a call of test_gives_up(). */
+typedef enum {
+	GIVE_UP_NONE,
+	GIVE_UP_ONCE,	 /* it is not idempotent */
+	GIVE_UP_RELAYED, /* it comes from a sibling */
+	GIVE_UP_STREAMS, /* its response streams */
+	GIVE_UP_LATE,	 /* its deadline is near */
+	GIVE_UP_UNPAID,	 /* the budget is used up */
+	GIVE_UP_REACHED, /* some paths are lost, not those of most copies */
+} give_up_t;
+
+static void use_up_budget(fixture_t *fixture)
+{
+	while (entry_retry_spend(fixture->svc.retry, fixture->now))
+		;
+}
+
+/* Guards against a call that waits until its deadline for a response over a lost path
+   while another entry could repeat it, and against a repeat of any other call. */
+static void test_gives_up(void)
+{
+	fixture_t *fixture;
+	entry_call_t call;
+	unsigned lost;
+	give_up_t row;
+
+	for (row = GIVE_UP_NONE; row <= GIVE_UP_REACHED; row++) {
+		fixture = fixture_new(20);
+		send_until_hedge_due(fixture, &call);
+		lost = copy_index(fixture, call.copy);
+		set_reached(fixture, lost, lost + 1, false);
+		if (row != GIVE_UP_REACHED)
+			set_reached(fixture, 0, 20, false);
+		entry_reach_doubt(call.copy, fixture->now);
+		entry_reach_doubt_service(&fixture->svc, 4, fixture->now);
+		run(fixture, USEC_PER_SEC);
+		call.deadline = fixture->now + USEC_PER_SEC;
+		call.idempotent = row != GIVE_UP_ONCE;
+		call.from_sibling = row == GIVE_UP_RELAYED;
+		call.no_hedge = row == GIVE_UP_STREAMS;
+		if (row == GIVE_UP_LATE)
+			call.deadline = fixture->now;
+		if (row == GIVE_UP_UNPAID)
+			use_up_budget(fixture);
+		g_test_message("row %d", row);
+		g_assert_cmpuint(call.copy->reach.failures, >, 0);
+		g_assert_true(
+			entry_service_give_up(&fixture->svc, fixture->now) ==
+			(row == GIVE_UP_NONE ? &call : NULL));
+		g_assert_null(
+			entry_service_give_up(&fixture->svc, fixture->now));
+		g_assert_cmpint(call.given_up, ==, row == GIVE_UP_NONE);
+		fixture_free(fixture);
+	}
+}
+
+/* Of a large service some copies are tested; that of a late call is, too. */
+static void test_gives_up_untested(void)
+{
+	const entry_reach_t untested = { 0 };
+	fixture_t *fixture = fixture_new(COPIES_MAX);
+	entry_call_t call;
+
+	send_until_hedge_due(fixture, &call);
+	set_reached(fixture, 0, COPIES_MAX - 9, false);
+	entry_reach_doubt_service(&fixture->svc, REACH_DOUBTS, fixture->now);
+	run(fixture, 20 * STEP);
+	entry_reach_on_response(&fixture->svc, fixture->now);
+	call.copy->reach = untested;
+	fixture->reached[copy_index(fixture, call.copy)] = false;
+	call.deadline = fixture->now + USEC_PER_SEC;
+	g_assert_true(entry_reach_is_impaired(&fixture->svc));
+	g_assert_null(entry_service_give_up(&fixture->svc, fixture->now));
+	run(fixture, 20 * STEP);
+	g_assert_true(entry_service_give_up(&fixture->svc, fixture->now) ==
+		      &call);
+	fixture_free(fixture);
+}
+
+/* The repeat of a call that was given up is paid once. */
+static void test_gives_up_paid_once(void)
+{
+	fixture_t *fixture = fixture_new(20);
+	entry_decision_t decision;
+	entry_call_t call;
+
+	send_until_hedge_due(fixture, &call);
+	set_reached(fixture, 0, 20, false);
+	entry_reach_doubt(call.copy, fixture->now);
+	entry_reach_doubt_service(&fixture->svc, 4, fixture->now);
+	run(fixture, USEC_PER_SEC);
+	call.deadline = fixture->now + USEC_PER_SEC;
+	g_assert_true(entry_service_give_up(&fixture->svc, fixture->now) ==
+		      &call);
+	use_up_budget(fixture);
+	decision = entry_service_end(&fixture->svc, &call,
+				     ENTRY_RESULT_TRUNCATED, fixture->now);
+	g_assert_cmpint(decision.verdict, ==, ENTRY_WAIT);
+	g_assert_false(call.given_up);
+	g_assert_true(call.repeat_paid);
+	entry_service_cancel(&fixture->svc, &call);
+	fixture_free(fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -563,5 +669,10 @@
 	g_test_add_func("/entry-reach/wrong-doubts", test_wrong_doubts);
 	g_test_add_func("/entry-reach/rest-and-rate", test_rest_and_rate);
 	g_test_add_func("/entry-reach/hedge-shows-path", test_hedge_shows_path);
+	g_test_add_func("/entry-reach/gives-up", test_gives_up);
+	g_test_add_func("/entry-reach/gives-up-untested",
+			test_gives_up_untested);
+	g_test_add_func("/entry-reach/gives-up-paid-once",
+			test_gives_up_paid_once);
 	return g_test_run();
 }
