--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -535,6 +535,8 @@
 		g_assert_cmpuint(fixture->tests, ==, rows[i].tests);
 		g_assert_cmpint(copy->reach.tested_at > 0, ==,
 				rows[i].tests > 0);
+		entry_service_end(&fixture->svc, &call, ENTRY_RESULT_CANCEL,
+				  fixture->now);
 		fixture_free(fixture);
 	}
 }
@@ -591,6 +593,8 @@
 		g_assert_null(
 			entry_service_give_up(&fixture->svc, fixture->now));
 		g_assert_cmpint(call.given_up, ==, row == GIVE_UP_NONE);
+		entry_service_end(&fixture->svc, &call, ENTRY_RESULT_CANCEL,
+				  fixture->now);
 		fixture_free(fixture);
 	}
 }
@@ -615,6 +619,8 @@
 	run(fixture, 20 * STEP);
 	g_assert_true(entry_service_give_up(&fixture->svc, fixture->now) ==
 		      &call);
+	entry_service_end(&fixture->svc, &call, ENTRY_RESULT_CANCEL,
+			  fixture->now);
 	fixture_free(fixture);
 }
 
