Keep the copies of the tests of cuts in service for their whole run

Traced: its copies announce themselves once. 20 s later the keeper dropped those that were announced first (copies-silent count=3 first=d1, count=3 first=d2); one copy a zone was left, so no second send was due.

--- a/regress/routed-cut-lib.sh
+++ b/regress/routed-cut-lib.sh
@@ -4,6 +4,8 @@
 
 SEEDS="\"$NET.1:7070\""
 KEEPERS=1
+# The copies announce themselves once.
+SILENCE_MS=120000
 CUT_ENTRIES="1 2"
 NEAR_ENTRIES="1 2 3 4"
 FAR_ENTRIES=
