--- a/regress/test-entry-reports.c
+++ b/regress/test-entry-reports.c
@@ -719,14 +719,12 @@
 
 static entry_result_t script_result(const char *word)
 {
-	static const char *const names[] = { "ok",	"error", "shed",
-					     "connect", "cut",	 "deadline",
-					     "blocked", "cancel" };
-	unsigned result = 0;
-
-	while (strcmp(names[result], word))
-		g_assert_cmpuint(++result, <, G_N_ELEMENTS(names));
-	return (entry_result_t)result;
+	entry_result_t result;
+
+	for (result = ENTRY_RESULT_OK; result <= ENTRY_RESULT_CANCEL; result++)
+		if (!strcmp(word, entry_result_name(result)))
+			return result;
+	g_error("unknown result %s", word);
 }
 
 static char *run_end(script_t *script, char **words)
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -492,24 +492,13 @@
 				     "30 hedge = none\n" },
 };
 
-static const char *const result_names[] = {
-	[ENTRY_RESULT_OK] = "ok",
-	[ENTRY_RESULT_ERROR] = "error",
-	[ENTRY_RESULT_SHED] = "shed",
-	[ENTRY_RESULT_CONNECT] = "connect",
-	[ENTRY_RESULT_TRUNCATED] = "cut",
-	[ENTRY_RESULT_DEADLINE] = "deadline",
-	[ENTRY_RESULT_BLOCKED] = "blocked",
-	[ENTRY_RESULT_CANCEL] = "cancel",
-};
-
 static entry_result_t script_result(const char *word)
 {
-	unsigned i;
+	entry_result_t result;
 
-	for (i = 0; i < G_N_ELEMENTS(result_names); i++)
-		if (!strcmp(word, result_names[i]))
-			return i;
+	for (result = ENTRY_RESULT_OK; result <= ENTRY_RESULT_CANCEL; result++)
+		if (!strcmp(word, entry_result_name(result)))
+			return result;
 	g_error("unknown result %s", word);
 }
 
