--- a/regress/test-entry-reach.c
+++ b/regress/test-entry-reach.c
@@ -552,6 +552,15 @@
 	GIVE_UP_REACHED, /* some paths are lost, not those of most copies */
 } give_up_t;
 
+/* Has some copies tested, that of a call among them, until their tests have ended. */
+static void test_paths(fixture_t *fixture, entry_call_t *call)
+{
+	entry_reach_doubt(call->copy, fixture->now);
+	entry_reach_doubt_service(&fixture->svc, 4, fixture->now);
+	run(fixture, USEC_PER_SEC);
+	call->deadline = fixture->now + USEC_PER_SEC;
+}
+
 static void use_up_budget(fixture_t *fixture)
 {
 	while (entry_retry_spend(fixture->svc.retry, fixture->now))
@@ -574,10 +583,7 @@
 		set_reached(fixture, lost, lost + 1, false);
 		if (row != GIVE_UP_REACHED)
 			set_reached(fixture, 0, 20, false);
-		entry_reach_doubt(call.copy, fixture->now);
-		entry_reach_doubt_service(&fixture->svc, 4, fixture->now);
-		run(fixture, USEC_PER_SEC);
-		call.deadline = fixture->now + USEC_PER_SEC;
+		test_paths(fixture, &call);
 		call.idempotent = row != GIVE_UP_ONCE;
 		call.from_sibling = row == GIVE_UP_RELAYED;
 		call.no_hedge = row == GIVE_UP_STREAMS;
@@ -633,10 +639,7 @@
 
 	send_until_hedge_due(fixture, &call);
 	set_reached(fixture, 0, 20, false);
-	entry_reach_doubt(call.copy, fixture->now);
-	entry_reach_doubt_service(&fixture->svc, 4, fixture->now);
-	run(fixture, USEC_PER_SEC);
-	call.deadline = fixture->now + USEC_PER_SEC;
+	test_paths(fixture, &call);
 	g_assert_true(entry_service_give_up(&fixture->svc, fixture->now) ==
 		      &call);
 	use_up_budget(fixture);
