Name the check of a call's path for what it does

service_has_lost_path() also has a path tested; paths_lost is set for sends that are given up as well.

--- a/entry-io.h
+++ b/entry-io.h
@@ -223,7 +223,7 @@
 	struct entry_claim *claim;  /* claim of its Idempotency-Key, or NULL */
 	bool handed_over;   /* taken out of the queue for an idle sibling */
 	unsigned handovers; /* siblings it was sent to, see entry-handover.c */
-	bool paths_lost; /* its last send was cut, and no copy can be reached */
+	bool paths_lost; /* its last send was cut or given up as paths are lost */
 	bool sibling_impaired; /* the sibling lacks paths to many copies, too */
 	bool sibling_unfit;    /* the sibling could not serve it, others may */
 	unsigned forwarder_queue;  /* calls waiting at the forwarding entry */
--- a/entry-service.c
+++ b/entry-service.c
@@ -572,10 +572,10 @@
 	       now + service_margin(svc, call) < call->deadline;
 }
 
-/* Whether the path of a running call is lost. That of a late call is tested if it
-   is not known. */
-static bool service_has_lost_path(const entry_service_t *svc,
-				  const entry_call_t *call, usec_t now)
+/* Check the path of a running call and return whether it is lost. That of a late
+   call is tested if it has not been since the send. */
+static bool service_check_path(const entry_service_t *svc,
+			       const entry_call_t *call, usec_t now)
 {
 	if (call->copy->reach.failures)
 		return true;
@@ -593,7 +593,7 @@
 		return NULL;
 	cds_list_for_each_entry (call, &svc->running, running_link) {
 		if (!service_may_give_up(svc, call, now) ||
-		    !service_has_lost_path(svc, call, now))
+		    !service_check_path(svc, call, now))
 			continue;
 		if (!entry_service_pay_repeat(svc, call, now))
 			return NULL;
