Store a commit index that covers only entries that are synced

Cause: the ballot record, which precedes the entries of its write, had a commit index that covers them. A write that is torn behind the ballot leaves that index on the disk together with the entries that the write was to replace, so a keeper takes entries for committed that no quorum has.

Evidence: a log with two entries that lost, then a write with the two that replace them, cut at each byte. Before, the entry at the commit index that was read had term 1 where the committed one has term 2: /keeper-store/torn-commit/layout and /keeper-store/torn-commit/old-layout failed (found == term: 1 == 2). Ruled out by it: the comparison of logs and the votes.

Now the index that is written is limited to entries that an earlier sync covers, so no tear can separate them. Logs of earlier versions are read with the same safety: an index counts once the entries up to it, or a later write, were read.

--- a/keeper-log.c
+++ b/keeper-log.c
@@ -6,6 +6,11 @@
  * The log file: a header, then ballots and entries in the order in which they
  * were written. The last ballot counts. An entry replaces an earlier one with
  * its index and all after that.
+ *
+ * A write has at most one ballot, which comes before its entries. The commit
+ * index of a ballot may cover entries of the same write, so it counts only once
+ * these have been read: a torn write may lack them, and the log then has others
+ * in their places that were never committed.
  */
 
 static int keeper_log_set_damaged(const char *path, size_t offset,
@@ -33,6 +38,14 @@
 	return 0;
 }
 
+/* Take over the commit index of the last ballot, whose write is complete as far
+ * as that index. */
+static void keeper_log_confirm_commit(keeper_log_t *log)
+{
+	if (log->commit < log->ballot_commit)
+		log->commit = log->ballot_commit;
+}
+
 /* Append an entry; it replaces an earlier one at its index and all after it. */
 static int keeper_log_read_entry(keeper_log_t *log, const keeper_entry_t *entry)
 {
@@ -40,14 +53,27 @@
 	    entry->index > keeper_entries_last(&log->entries) + 1)
 		return -1;
 	keeper_entries_truncate(&log->entries, entry->index - 1);
-	return keeper_entries_push(&log->entries, entry) ? 0 : -1;
+	if (!keeper_entries_push(&log->entries, entry))
+		return -1;
+	if (entry->index >= log->ballot_commit)
+		keeper_log_confirm_commit(log);
+	return 0;
+}
+
+static void keeper_log_read_ballot(keeper_log_t *log,
+				   const keeper_ballot_record_t *ballot)
+{
+	/* A ballot begins a write; the writes before it are complete. */
+	keeper_log_confirm_commit(log);
+	log->ballot.term = ballot->term;
+	strcpy(log->ballot.vote, ballot->vote);
+	log->ballot.vote_incarnation = ballot->vote_incarnation;
+	log->ballot_commit = ballot->commit;
 }
 
 static int keeper_log_read_record(keeper_log_t *log,
 				  const keeper_record_t *record)
 {
-	const keeper_ballot_record_t *ballot;
-
 	if (record->kind == KEEPER_RECORD_HEADER)
 		return keeper_log_read_header(
 			log, &record->keeper_record_t_u.header);
@@ -56,11 +82,7 @@
 	if (record->kind == KEEPER_RECORD_ENTRY)
 		return keeper_log_read_entry(log,
 					     &record->keeper_record_t_u.entry);
-	ballot = &record->keeper_record_t_u.ballot;
-	log->ballot.term = ballot->term;
-	strcpy(log->ballot.vote, ballot->vote);
-	log->ballot.vote_incarnation = ballot->vote_incarnation;
-	log->commit = ballot->commit;
+	keeper_log_read_ballot(log, &record->keeper_record_t_u.ballot);
 	return 0;
 }
 
--- a/keeper-store.c
+++ b/keeper-store.c
@@ -247,18 +247,26 @@
 	return -1;
 }
 
+/* Commit index to be written: it covers only entries that are synced already. A
+ * torn write may have the ballot but not the entries that follow it. */
+static uint64_t keeper_store_synced_commit(const keeper_raft_t *raft)
+{
+	return raft->commit < raft->saved ? raft->commit : raft->saved;
+}
+
 /* Encode the ballot and the entries that are not saved yet. */
 static int keeper_store_encode_unsaved(const keeper_store_t *store,
 				       keeper_buffer_t *buffer,
 				       const keeper_raft_t *raft)
 {
-	const keeper_entry_t *entry;
+	uint64_t commit = keeper_store_synced_commit(raft);
 	uint64_t index = raft->saved + 1;
+	const keeper_entry_t *entry;
 
 	/* The commit index is saved along with other records, which costs no
 	 * extra sync. */
-	if ((raft->ballot_dirty || raft->commit > store->commit) &&
-	    keeper_log_put_ballot(buffer, &raft->ballot, raft->commit))
+	if ((raft->ballot_dirty || commit > store->commit) &&
+	    keeper_log_put_ballot(buffer, &raft->ballot, commit))
 		return -1;
 	for (; (entry = keeper_entries_at(&raft->entries, index)); index++)
 		if (keeper_log_put_entry(buffer, entry))
@@ -289,7 +297,7 @@
 		goto out;
 	}
 	store->log_bytes += buffer.size;
-	store->commit = raft->commit;
+	store->commit = keeper_store_synced_commit(raft);
 	store->syncs++;
 	rc = 0;
 out:
--- a/keeper-store.h
+++ b/keeper-store.h
@@ -101,7 +101,8 @@
 	char name[HL_NAME_MAX];
 	uint64_t incarnation;
 	keeper_ballot_state_t ballot;
-	uint64_t commit; /* commit index when it was last written */
+	uint64_t commit; /* highest index that is known to be committed */
+	uint64_t ballot_commit; /* commit index in the last ballot */
 	keeper_entries_t entries;
 	bool truncated; /* an incomplete last record was left out */
 } keeper_log_t;
--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -498,6 +498,115 @@
 	folder_remove(folder);
 }
 
+/* Append an entry of @term whose body is its term. */
+static void raft_push(keeper_raft_t *raft, uint64_t term)
+{
+	keeper_entry_t entry = {
+		.index = keeper_entries_last(&raft->entries) + 1,
+		.term = term,
+		.kind = KEEPER_ENTRY_CHANGE,
+		.body = { sizeof(term), (char *)&term },
+	};
+
+	g_assert_true(keeper_entries_push(&raft->entries, &entry));
+}
+
+/* Replace the entries from @index on, which have lost, by two of a higher term,
+ * both committed, as a follower does that catches up. */
+static void raft_catch_up(keeper_raft_t *raft, uint64_t index)
+{
+	raft->ballot.term++;
+	raft->ballot_dirty = true;
+	keeper_entries_truncate(&raft->entries, index - 1);
+	raft->saved = index - 1;
+	raft_push(raft, raft->ballot.term);
+	raft_push(raft, raft->ballot.term);
+	raft->commit = index + 1;
+}
+
+/* Append the unsaved state in the layout of earlier versions, whose ballot has a
+ * commit index that covers the entries after it. */
+static void save_in_old_layout(const keeper_t *keeper)
+{
+	const keeper_raft_t *raft = &keeper->raft;
+	keeper_buffer_t buffer = { 0 };
+	const keeper_entry_t *entry;
+	uint64_t index = raft->saved + 1;
+
+	g_assert_cmpint(keeper_log_put_ballot(&buffer, &raft->ballot,
+					      raft->commit),
+			==, 0);
+	for (; (entry = keeper_entries_at(&raft->entries, index)); index++)
+		g_assert_cmpint(keeper_log_put_entry(&buffer, entry), ==, 0);
+	g_assert_cmpint(write(keeper->store.log_fd, buffer.bytes, buffer.size),
+			==, (ssize_t)buffer.size);
+	free(buffer.bytes);
+}
+
+/* Commit index of a log whose entries from @index on are those of @term, or are
+ * not committed. */
+static uint64_t log_check_commit(const char *bytes, size_t size, uint64_t index,
+				 uint64_t term)
+{
+	hl_error_t err = { 0 };
+	uint64_t found, commit;
+	keeper_log_t log;
+
+	g_assert_cmpint(keeper_log_parse("log", bytes, size, &log, &err), ==,
+			0);
+	commit = log.commit;
+	for (; index <= commit; index++) {
+		g_assert_true(keeper_entries_term(&log.entries, index, &found));
+		g_assert_cmpuint(found, ==, term);
+	}
+	keeper_entries_free(&log.entries);
+	return commit;
+}
+
+/* Guards against a torn write that makes a keeper take entries for committed
+ * that lost: the commit index is on the disk, but not the entries that it was
+ * stored with. */
+static void test_torn_commit(gconstpointer data)
+{
+	bool old_layout = GPOINTER_TO_INT(data);
+	keeper_t keeper = { .now = USEC_PER_SEC };
+	hl_error_t err = { 0 };
+	char folder[256], *bytes, *before;
+	size_t size, synced, length;
+	uint64_t index, term, commit;
+
+	folder_make(folder, sizeof(folder));
+	g_assert_cmpint(keeper_open(&keeper, &keeper_file_posix, folder, &err),
+			==, 0);
+	g_assert_cmpint(keeper_run_changes(&keeper, 2, &err), ==, 0);
+	commit = keeper.raft.commit;
+	index = keeper_entries_last(&keeper.raft.entries) + 1;
+	raft_push(&keeper.raft, keeper.raft.ballot.term);
+	raft_push(&keeper.raft, keeper.raft.ballot.term);
+	g_assert_cmpint(keeper_store_save(&keeper.store, &keeper.raft, &err),
+			==, 0);
+	g_assert_cmpint(keeper_file_read(folder, "log", &before, &synced, &err),
+			==, 1);
+	raft_catch_up(&keeper.raft, index);
+	term = keeper.raft.ballot.term;
+	if (old_layout)
+		save_in_old_layout(&keeper);
+	else
+		g_assert_cmpint(keeper_store_save(&keeper.store, &keeper.raft,
+						  &err),
+				==, 0);
+	g_assert_cmpint(keeper_file_read(folder, "log", &bytes, &size, &err),
+			==, 1);
+	g_assert_cmpuint(size, >, synced);
+	for (length = synced; length <= size; length++)
+		g_assert_cmpuint(log_check_commit(bytes, length, index, term),
+				 >=, commit - 1);
+	keeper_close(&keeper);
+	g_free(before);
+	g_free(bytes);
+	folder_remove(folder);
+}
+
 /* Arbitrary bytes that are framed as the body of a valid record. */
 typedef struct {
 	char bytes[256];
@@ -638,6 +747,10 @@
 	g_test_add_data_func("/keeper-store/read-again/snapshot", "snapshot",
 			     test_unsynced_at_open);
 	g_test_add_func("/keeper-store/torn-tail", test_truncated_log);
+	g_test_add_data_func("/keeper-store/torn-commit/layout",
+			     GINT_TO_POINTER(false), test_torn_commit);
+	g_test_add_data_func("/keeper-store/torn-commit/old-layout",
+			     GINT_TO_POINTER(true), test_torn_commit);
 	g_test_add_func("/keeper-store/bit-flip", test_bit_flip);
 	g_test_add_func("/keeper-store/fuzz", test_fuzz);
 	for (i = 0; i < G_N_ELEMENTS(refusals); i++) {
