Take a write that lacks any of its sectors for torn, not for damaged

Cause: a torn write was told from damage by the zeros at the end of the file, 512 or more. What decides is whether a sync had covered the bytes, and the log did not say where the last write begins.

Evidence: a write of four entries, at 16 alignments, without each subset of its sectors: before, /keeper-store/torn-sectors failed (found >= count: -1 >= 2). Ruled out: changed bytes before the write (the test changes none). A rule with fewer zeros alone would still refuse a write that lacks a sector in its middle.

Now each write begins with a ballot, also where neither term, vote nor commit index has changed. A complete ballot behind an invalid record proves a later write and so a sync of the record: damage. Else a sector without data makes it torn. Damage of synced bytes is refused as before (bit-flip, lost-sectors).

--- a/keeper-log.c
+++ b/keeper-log.c
@@ -1,3 +1,4 @@
+#include <endian.h>
 #include <string.h>
 #include "keeper-store.h"
 #include "keeper_disk.h"
@@ -7,10 +8,10 @@
  * were written. The last ballot counts. An entry replaces an earlier one with
  * its index and all after that.
  *
- * A write has at most one ballot, which comes before its entries. The commit
- * index of a ballot may cover entries of the same write, so it counts only once
- * these have been read: a torn write may lack them, and the log then has others
- * in their places that were never committed.
+ * A write begins with a ballot; earlier versions left it out of some writes. The
+ * commit index of a ballot may cover entries of the same write, so it counts only
+ * once these have been read: a torn write may lack them, and the log then has
+ * others in their places that were never committed.
  */
 
 static int keeper_log_set_damaged(const char *path, size_t offset,
@@ -100,6 +101,31 @@
 	return rc;
 }
 
+/* Whether there is a complete ballot at @offset. */
+static bool keeper_log_is_ballot(const char *bytes, size_t size, size_t offset)
+{
+	const char *body;
+	uint32_t kind;
+	size_t length;
+
+	if (keeper_record_next(bytes, size, &offset, &body, &length) !=
+		    KEEPER_RECORD_COMPLETE ||
+	    length < sizeof(kind))
+		return false;
+	memcpy(&kind, body, sizeof(kind));
+	return be32toh(kind) == KEEPER_RECORD_BALLOT;
+}
+
+/* Whether a write begins after @offset. Then a sync has covered the bytes at
+ * @offset, since a write comes only after the sync of the one before it. */
+static bool keeper_log_was_synced(const char *bytes, size_t size, size_t offset)
+{
+	while (keeper_record_seek(bytes, size, &offset))
+		if (keeper_log_is_ballot(bytes, size, offset))
+			return true;
+	return false;
+}
+
 int keeper_log_parse(const char *path, const char *bytes, size_t size,
 		     keeper_log_t *log, hl_error_t *err)
 {
@@ -116,6 +142,8 @@
 		start = offset;
 	}
 	log->truncated = state == KEEPER_RECORD_TRUNCATED;
+	if (log->truncated && keeper_log_was_synced(bytes, size, start))
+		goto damaged;
 	/* A log with its header is put in place by a rename, so that a crash
 	 * never leaves an incomplete header. */
 	if (state == KEEPER_RECORD_DAMAGED || !log->incarnation)
--- a/keeper-record.c
+++ b/keeper-record.c
@@ -11,9 +11,12 @@
  */
 #define KEEPER_RECORD_MAGIC 0x484c4b31U /* "HLK1" */
 #define KEEPER_RECORD_CHECKSUM_SEED 0x6b656570ULL
-/* Sector size. After a crash between the growth of a file and the write of its
- * content, the file ends in whole sectors of zeros. */
+/* Unit in which a disk writes. After a crash a file may have grown while some
+ * sectors of its new part were not written; these read as zeros. */
 #define KEEPER_RECORD_SECTOR_BYTES 512
+/* A file that ends in so many zeros ends in bytes that were not written; a record
+ * ends in fewer. */
+#define KEEPER_RECORD_UNWRITTEN_BYTES 32
 
 typedef struct {
 	uint32_t magic;
@@ -78,45 +81,93 @@
 	return zeros;
 }
 
-/* Return KEEPER_RECORD_TRUNCATED for an invalid record if the file ends in
- * sectors that were never written, else KEEPER_RECORD_DAMAGED. */
+static bool keeper_record_is_zero(const char *bytes, size_t size)
+{
+	return keeper_record_trailing_zeros(bytes, size) == size;
+}
+
+/* Whether a sector that the bytes from @start to @end reach was never written: from
+ * @start on it has only zeros. */
+static bool keeper_record_lacks_sector(const char *bytes, size_t size,
+				       size_t start, size_t end)
+{
+	size_t next;
+
+	if (end > size)
+		end = size;
+	for (; start < end; start = next) {
+		next = (start / KEEPER_RECORD_SECTOR_BYTES + 1) *
+		       KEEPER_RECORD_SECTOR_BYTES;
+		if (next > size)
+			next = size;
+		if (keeper_record_is_zero(bytes + start, next - start))
+			return true;
+	}
+	return false;
+}
+
+/* Return KEEPER_RECORD_TRUNCATED for an invalid record from @start to @end if a
+ * part of it was never written, else KEEPER_RECORD_DAMAGED. */
 static keeper_record_state_t keeper_record_classify_invalid(const char *bytes,
-							    size_t size)
+							    size_t size,
+							    size_t start,
+							    size_t end)
 {
-	size_t zeros = keeper_record_trailing_zeros(bytes, size);
+	size_t zeros = keeper_record_trailing_zeros(bytes + start,
+						    size - start);
 
-	return zeros == size || zeros >= KEEPER_RECORD_SECTOR_BYTES ?
+	if (zeros >= KEEPER_RECORD_UNWRITTEN_BYTES && size - zeros < end)
+		return KEEPER_RECORD_TRUNCATED;
+	return keeper_record_lacks_sector(bytes, size, start, end) ?
 		       KEEPER_RECORD_TRUNCATED :
 		       KEEPER_RECORD_DAMAGED;
 }
 
+/* Read the header at @offset; false if there is no valid one. */
+static bool keeper_record_read_header(const char *bytes, size_t size,
+				      size_t offset,
+				      keeper_record_header_t *head)
+{
+	if (size - offset < sizeof(*head))
+		return false;
+	memcpy(head, bytes + offset, sizeof(*head));
+	return be32toh(head->magic) == KEEPER_RECORD_MAGIC &&
+	       head->check == keeper_record_header_checksum(head);
+}
+
+bool keeper_record_seek(const char *bytes, size_t size, size_t *offset)
+{
+	keeper_record_header_t head;
+
+	while ((*offset += BYTES_PER_XDR_UNIT) < size)
+		if (keeper_record_read_header(bytes, size, *offset, &head))
+			return true;
+	return false;
+}
+
 keeper_record_state_t keeper_record_next(const char *bytes, size_t size,
 					 size_t *offset, const char **body,
 					 size_t *body_size)
 {
-	const char *start = bytes + *offset;
-	size_t remaining = size - *offset, length;
+	size_t start = *offset, remaining = size - start, length, end;
 	keeper_record_header_t head;
 
 	if (!remaining)
 		return KEEPER_RECORD_END;
 	if (remaining < sizeof(head))
 		return KEEPER_RECORD_TRUNCATED;
-	memcpy(&head, start, sizeof(head));
-	if (be32toh(head.magic) != KEEPER_RECORD_MAGIC ||
-	    head.check != keeper_record_header_checksum(&head))
-		return keeper_record_classify_invalid(start, remaining);
+	if (!keeper_record_read_header(bytes, size, start, &head))
+		return keeper_record_classify_invalid(bytes, size, start,
+						      start + sizeof(head));
 	length = be32toh(head.size);
 	if (length > remaining - sizeof(head))
 		return KEEPER_RECORD_TRUNCATED;
-	*body = start + sizeof(head);
+	end = start + sizeof(head) + length;
+	*body = bytes + start + sizeof(head);
 	*body_size = length;
 	if (be64toh(head.body) !=
 	    hl_hash(*body, length, KEEPER_RECORD_CHECKSUM_SEED))
-		return keeper_record_trailing_zeros(start, remaining) <
-				       remaining - sizeof(head) - length ?
-			       KEEPER_RECORD_DAMAGED :
-			       keeper_record_classify_invalid(start, remaining);
-	*offset += sizeof(head) + length;
+		return keeper_record_classify_invalid(bytes, size, start, end);
+	*offset = end;
 	return KEEPER_RECORD_COMPLETE;
 }
--- a/keeper-store.c
+++ b/keeper-store.c
@@ -163,7 +163,6 @@
 		close(store->log_fd);
 	store->log_fd = fd;
 	store->log_bytes = buffer.size;
-	store->commit = commit;
 	store->syncs++;
 	return 0;
 }
@@ -254,19 +253,17 @@
 	return raft->commit < raft->saved ? raft->commit : raft->saved;
 }
 
-/* Encode the ballot and the entries that are not saved yet. */
-static int keeper_store_encode_unsaved(const keeper_store_t *store,
-				       keeper_buffer_t *buffer,
+/* Encode the ballot, and the entries that are not saved yet. */
+static int keeper_store_encode_unsaved(keeper_buffer_t *buffer,
 				       const keeper_raft_t *raft)
 {
 	uint64_t commit = keeper_store_synced_commit(raft);
 	uint64_t index = raft->saved + 1;
 	const keeper_entry_t *entry;
 
-	/* The commit index is saved along with other records, which costs no
-	 * extra sync. */
-	if ((raft->ballot_dirty || commit > store->commit) &&
-	    keeper_log_put_ballot(buffer, &raft->ballot, commit))
+	/* Each write begins with a ballot: keeper_log_parse() tells the last
+	 * write from those that were synced by it. */
+	if (keeper_log_put_ballot(buffer, &raft->ballot, commit))
 		return -1;
 	for (; (entry = keeper_entries_at(&raft->entries, index)); index++)
 		if (keeper_log_put_entry(buffer, entry))
@@ -283,7 +280,7 @@
 
 	if (raft->snapshot_dirty)
 		return keeper_store_compact(store, raft, err);
-	if (keeper_store_encode_unsaved(store, &buffer, raft)) {
+	if (keeper_store_encode_unsaved(&buffer, raft)) {
 		keeper_store_set_nomem(err);
 		goto out;
 	}
@@ -297,7 +294,6 @@
 		goto out;
 	}
 	store->log_bytes += buffer.size;
-	store->commit = keeper_store_synced_commit(raft);
 	store->syncs++;
 	rc = 0;
 out:
--- a/keeper-store.h
+++ b/keeper-store.h
@@ -79,7 +79,7 @@
 typedef enum {
 	KEEPER_RECORD_COMPLETE,
 	KEEPER_RECORD_END,	 /* end of the file */
-	KEEPER_RECORD_TRUNCATED, /* a crash interrupted its write */
+	KEEPER_RECORD_TRUNCATED, /* a part of it was never written */
 	KEEPER_RECORD_DAMAGED,	 /* was complete once; its bytes changed */
 } keeper_record_state_t;
 
@@ -95,6 +95,16 @@
 					 size_t *offset, const char **body,
 					 size_t *body_size);
 
+/**
+ * keeper_record_seek - find the next valid header of a record.
+ * @bytes: the content of the file
+ * @size: its length in bytes
+ * @offset: advanced to the header, which lies after it
+ *
+ * Return: false if there is none; then *@offset is undefined.
+ */
+bool keeper_record_seek(const char *bytes, size_t size, size_t *offset);
+
 /** struct keeper_log_t - the content of a log file. */
 typedef struct {
 	uint64_t cluster;
@@ -176,8 +186,7 @@
 	int lock_fd;
 	int log_fd;
 	size_t log_bytes;
-	uint64_t commit; /* commit index in the log file */
-	uint64_t syncs;	 /* files synced, for the metrics */
+	uint64_t syncs; /* files synced, for the metrics */
 } keeper_store_t;
 
 /**
--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -498,6 +498,154 @@
 	folder_remove(folder);
 }
 
+#define SECTOR_BYTES 512
+#define TORN_ENTRIES 4
+#define TORN_ENTRY_BYTES 700
+#define TORN_ALIGNMENTS 16
+
+/* Append an entry with a random body. */
+static void raft_push_random(keeper_raft_t *raft, GRand *rand, size_t size)
+{
+	char body[TORN_ENTRY_BYTES];
+	keeper_entry_t entry = {
+		.index = keeper_entries_last(&raft->entries) + 1,
+		.term = raft->ballot.term,
+		.kind = KEEPER_ENTRY_CHANGE,
+		.body = { (u_int)size, body },
+	};
+	size_t i;
+
+	for (i = 0; i < size; i++)
+		body[i] = (char)g_rand_int_range(rand, 1, 256);
+	g_assert_true(keeper_entries_push(&raft->entries, &entry));
+}
+
+/* Save an entry of @size bytes in a write of its own. */
+static void save_random(keeper_t *keeper, GRand *rand, size_t size)
+{
+	hl_error_t err = { 0 };
+
+	raft_push_random(&keeper->raft, rand, size);
+	g_assert_cmpint(keeper_save(keeper, &err), ==, 0);
+}
+
+/* Copy a log; sectors of which @missing has the bit were not written after
+ * @synced, counted from the sector with that byte. */
+static char *log_without_sectors(const char *bytes, size_t size, size_t synced,
+				 unsigned missing)
+{
+	char *torn = g_memdup2(bytes, size);
+	size_t sector = synced / SECTOR_BYTES, start, end;
+
+	for (; missing; missing >>= 1, sector++) {
+		start = MAX(synced, sector * SECTOR_BYTES);
+		end = MIN(size, (sector + 1) * SECTOR_BYTES);
+		if (missing & 1)
+			memset(torn + start, 0, end - start);
+	}
+	return torn;
+}
+
+/* Check all ways in which the write from @synced on may lack sectors, also if the
+ * file has only a part of its new size. Returns their number. */
+static unsigned check_torn_sectors(const char *bytes, size_t size,
+				   size_t synced, int count)
+{
+	size_t sectors = (size - 1) / SECTOR_BYTES - synced / SECTOR_BYTES + 1;
+	unsigned missing, checked = 0;
+	hl_error_t err = { 0 };
+	size_t length;
+	bool truncated;
+	char *torn;
+	int found;
+
+	g_assert_cmpuint(sectors, <, 10);
+	for (missing = 0; missing < 1U << sectors; missing++) {
+		torn = log_without_sectors(bytes, size, synced, missing);
+		for (length = size; length > synced;
+		     length = (length - 1) / SECTOR_BYTES * SECTOR_BYTES) {
+			found = log_count(torn, length, &truncated, &err);
+			g_assert_cmpint(found, >=, count);
+			checked++;
+		}
+		g_free(torn);
+	}
+	return checked;
+}
+
+/* Guards against a keeper that refuses to start after a loss of power: the last
+ * write may lack any of its sectors, also the last one alone. */
+static void test_torn_sectors(void)
+{
+	GRand *rand = g_rand_new_with_seed(FUZZ_SEED);
+	keeper_t keeper = { .now = USEC_PER_SEC };
+	hl_error_t err = { 0 };
+	char folder[256], *bytes;
+	unsigned round, i, checked = 0;
+	size_t size, synced;
+
+	folder_make(folder, sizeof(folder));
+	g_assert_cmpint(keeper_open(&keeper, &keeper_file_posix, folder, &err),
+			==, 0);
+	g_assert_cmpint(keeper_lead(&keeper, &err), ==, 0);
+	for (round = 0; round < TORN_ALIGNMENTS; round++) {
+		int count = (int)keeper.raft.entries.count;
+
+		synced = keeper.store.log_bytes;
+		for (i = 0; i < TORN_ENTRIES; i++)
+			raft_push_random(&keeper.raft, rand,
+					 (size_t)g_rand_int_range(
+						 rand, 1, TORN_ENTRY_BYTES));
+		g_assert_cmpint(keeper_save(&keeper, &err), ==, 0);
+		g_assert_cmpint(keeper_file_read(folder, "log", &bytes, &size,
+						 &err),
+				==, 1);
+		checked += check_torn_sectors(bytes, size, synced, count);
+		g_free(bytes);
+	}
+	g_test_message("seed=%d states=%u", FUZZ_SEED, checked);
+	keeper_close(&keeper);
+	folder_remove(folder);
+	g_rand_free(rand);
+}
+
+/* Guards against lost sectors that are taken for a torn write although a sync
+ * has covered them: the keeper would forget what it acknowledged. */
+static void test_lost_sectors(void)
+{
+	GRand *rand = g_rand_new_with_seed(FUZZ_SEED);
+	keeper_t keeper = { .now = USEC_PER_SEC };
+	char folder[256], *bytes, *lost;
+	size_t size, synced, sector;
+	hl_error_t err = { 0 };
+	bool truncated;
+	unsigned i;
+
+	folder_make(folder, sizeof(folder));
+	g_assert_cmpint(keeper_open(&keeper, &keeper_file_posix, folder, &err),
+			==, 0);
+	g_assert_cmpint(keeper_lead(&keeper, &err), ==, 0);
+	for (i = 0; i < TORN_ENTRIES; i++)
+		save_random(&keeper, rand, TORN_ENTRY_BYTES);
+	synced = keeper.store.log_bytes;
+	save_random(&keeper, rand, TORN_ENTRY_BYTES);
+	g_assert_cmpint(keeper_file_read(folder, "log", &bytes, &size, &err),
+			==, 1);
+	for (sector = 0; (sector + 1) * SECTOR_BYTES <= synced; sector++) {
+		lost = g_memdup2(bytes, size);
+		memset(lost + sector * SECTOR_BYTES, 0, SECTOR_BYTES);
+		g_assert_cmpint(log_count(lost, size, &truncated, &err), ==,
+				-1);
+		g_assert_cmpint(err.kind, ==, HL_ERR_CORRUPT);
+		g_free(lost);
+	}
+	g_assert_cmpuint(sector, >, TORN_ENTRIES);
+	g_free(bytes);
+	keeper_close(&keeper);
+	folder_remove(folder);
+	g_rand_free(rand);
+}
+
 /* Append an entry of @term whose body is its term. */
 static void raft_push(keeper_raft_t *raft, uint64_t term)
 {
@@ -747,6 +895,8 @@
 	g_test_add_data_func("/keeper-store/read-again/snapshot", "snapshot",
 			     test_unsynced_at_open);
 	g_test_add_func("/keeper-store/torn-tail", test_truncated_log);
+	g_test_add_func("/keeper-store/torn-sectors", test_torn_sectors);
+	g_test_add_func("/keeper-store/lost-sectors", test_lost_sectors);
 	g_test_add_data_func("/keeper-store/torn-commit/layout",
 			     GINT_TO_POINTER(false), test_torn_commit);
 	g_test_add_data_func("/keeper-store/torn-commit/old-layout",
