Refuse calls that may outlast the stop of an entry

Callers of calls that may run once could not know whether they had run.

Cause: no decision compared the deadline of a call with the end of the stop, which is known from the signal on.

Ruled out: waiting in the entry (call-sent follows the arrival by milliseconds).

Now a call that comes during the stop is taken only if its deadline lies before the end of the stop; else it gets 503, not run, with Retry-After and Connection: close, at once.

--- a/entry-http.c
+++ b/entry-http.c
@@ -86,11 +86,42 @@
 	return result;
 }
 
+/* Whether the entry still takes a call; it does not if it stops and the call may
+   outlast the stop. */
+static bool http_admits(const entry_request_t *req, usec_t now)
+{
+	const entry_t *entry = req->entry;
+
+	if (__atomic_load_n(&entry->refuse_calls, __ATOMIC_SEQ_CST))
+		return false;
+	if (!__atomic_load_n(&entry->stopping, __ATOMIC_ACQUIRE))
+		return true;
+	return entry_stop_admits(&entry->stop, req->call.deadline,
+				 req->body_streamed, now);
+}
+
+/* Refuses a call that the entry does not take any more; returns whether it does.
+   The call is counted in flight before, so either it is refused here or
+   entry_http_stop() waits for it. */
+static bool http_refuse_stopping(entry_request_t *req)
+{
+	usec_t now = time_now();
+
+	if (http_admits(req, now))
+		return false;
+	entry_trace_stop_refused(req, now);
+	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, "stopping",
+			   HTTP_STOP_RETRY_AFTER);
+	return true;
+}
+
 static void http_dispatch(entry_request_t *req)
 {
 	if (req->dispatched)
 		return;
 	req->dispatched = true;
+	if (http_refuse_stopping(req))
+		return;
 	entry_watch_add(req->entry->watch, req, entry_http_fd(req->connection));
 	if (req->pending) {
 		entry_pending_add(req->entry, req, time_now());
@@ -185,18 +216,6 @@
 	return http_proceed(req);
 }
 
-/* Refuses a call if the entry admits none any more; returns whether it does. The
-   call is counted in flight before, so either it is refused here or
-   entry_http_stop() waits for it. */
-static bool http_refuse_stopping(entry_request_t *req)
-{
-	if (!__atomic_load_n(&req->entry->refuse_calls, __ATOMIC_SEQ_CST))
-		return false;
-	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, "stopping",
-			   HTTP_STOP_RETRY_AFTER);
-	return true;
-}
-
 /* Handles the head of a call; its body, if any, is not read yet. */
 static enum MHD_Result http_head(entry_request_t *req, const char *method)
 {
@@ -378,7 +397,7 @@
 
 void entry_http_stop(entry_t *entry)
 {
-	usec_t until = time_now() + entry->settings.stop_ms * USEC_PER_MS;
+	usec_t until = entry->stop.end;
 	MHD_socket fd;
 
 	if (!entry->call_daemon)
--- a/entry-io.h
+++ b/entry-io.h
@@ -10,6 +10,7 @@
 #include "entry-sibling.h"
 #include "entry-rules.h"
 #include "entry-settings.h"
+#include "entry-stop.h"
 #include "entry-suspect.h"
 #include "entry.h"
 #include "headers.h"
@@ -420,6 +421,9 @@
  */
 void entry_trace_ended(entry_request_t *req, bool complete, usec_t now);
 
+/** entry_trace_stop_refused - log that a call may outlast the entry's stop. */
+void entry_trace_stop_refused(const entry_request_t *req, usec_t now);
+
 /** entry_trace_copy_crashed - log that a copy crashed while it ran a call. */
 void entry_trace_copy_crashed(const entry_request_t *req, const char *digest);
 
@@ -811,6 +815,7 @@
 	bool cut_calls;	   /* calls in flight are cut; accessed atomically */
 	struct MHD_Daemon *control_daemon;
 	struct MHD_Daemon *directory_daemon; /* NULL without directory_listen */
+	entry_stop_t stop;		     /* valid while stopping */
 	volatile int stopping;
 	unsigned in_flight;
 };
@@ -1058,7 +1063,7 @@
 /**
  * entry_http_stop - stop listening and close all connections.
  *
- * Waits up to the setting entry.stop_ms for calls in flight, then ends them.
+ * Waits for calls in flight until the end of the stop, then ends them.
  */
 void entry_http_stop(entry_t *entry);
 
--- a/entry-main.c
+++ b/entry-main.c
@@ -168,6 +168,17 @@
 	return entry_target_presence_new(entry, err);
 }
 
+/* Lets new calls be decided on by the times of the stop. */
+static void main_begin_stop(entry_t *entry, usec_t now)
+{
+	const entry_settings_t *settings = &entry->settings;
+
+	entry->stop = entry_stop_begin(settings->accept_ms * USEC_PER_MS,
+				       settings->linger_ms * USEC_PER_MS,
+				       settings->stop_ms * USEC_PER_MS, now);
+	__atomic_store_n(&entry->stopping, 1, __ATOMIC_RELEASE);
+}
+
 static void main_linger(const entry_t *entry)
 {
 	usec_t ms = entry->settings.linger_ms;
@@ -193,7 +204,7 @@
 		hl_error_set(err, HL_ERR_LIMIT,
 			     "threads failed too often; see the log lines "
 			     "above");
-	__atomic_store_n(&entry->stopping, 1, __ATOMIC_RELEASE);
+	main_begin_stop(entry, time_now());
 	log_event(LOG_LEVEL_NOTICE, "stopping", "in_flight=%u linger_ms=%d",
 		  __atomic_load_n(&entry->in_flight, __ATOMIC_ACQUIRE),
 		  (int)entry->settings.linger_ms);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -100,6 +100,10 @@
 	  200, 600000,
 	  "milliseconds of an owner's lease of a copy, from its last "
 	  "announcement" },
+	{ "entry", "accept_ms", SETTING_INTEGER, FIELD(accept_ms), false, "0",
+	  0, HOUR_MS,
+	  "milliseconds after SIGTERM in which all calls are accepted; later "
+	  "ones only if they end before the process" },
 	{ "entry", "linger_ms", SETTING_INTEGER, FIELD(linger_ms), false,
 	  "5000", 0, HOUR_MS,
 	  "milliseconds in which calls are still accepted after SIGTERM" },
--- a/entry-settings.h
+++ b/entry-settings.h
@@ -56,6 +56,7 @@
 	int64_t keep_ms;	   /* how long a look-up may be cached */
 	int64_t interval_ms;	   /* interval of announcements of a copy */
 	int64_t lease_ms;	   /* validity of an announcement */
+	int64_t accept_ms; /* time after SIGTERM in which all calls are */
 	int64_t linger_ms; /* time after SIGTERM in which calls are accepted */
 	int64_t stop_ms;   /* limit for calls in flight at shutdown */
 	char policy[HL_NAME_MAX];
--- /dev/null
+++ b/entry-stop.h
@@ -0,0 +1,41 @@
+#ifndef ENTRY_STOP_H
+#define ENTRY_STOP_H
+
+#include <stdbool.h>
+#include "hemlock.h"
+
+/*
+ * Which calls a stopping entry still takes, decided without I/O. A call that is
+ * taken but cannot end before the process does is cut off while its copy is at
+ * work; a call that is refused has not run and can be sent to another entry.
+ */
+
+/** struct entry_stop_t - the times of one stop. */
+typedef struct {
+	usec_t accept_until; /* calls are taken whatever their deadline */
+	usec_t end;	     /* calls in flight are ended */
+} entry_stop_t;
+
+/**
+ * entry_stop_begin - times of a stop that begins at @now.
+ * @accept: time in which all calls are taken, in microseconds
+ * @linger: time until the port is closed, in microseconds
+ * @drain: time for calls in flight after that, in microseconds
+ */
+entry_stop_t entry_stop_begin(usec_t accept, usec_t linger, usec_t drain,
+			      usec_t now);
+
+/**
+ * entry_stop_admits - is a call taken during the stop?
+ * @stop: the stop
+ * @deadline: time at which the call ends at the latest
+ * @body_pending: a part of its body has not been received
+ * @now: present time
+ *
+ * True if it ends before the stop does, or has come, with its whole body, while
+ * all calls are taken.
+ */
+bool entry_stop_admits(const entry_stop_t *stop, usec_t deadline,
+		       bool body_pending, usec_t now);
+
+#endif
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -87,6 +87,15 @@
 		  *req->forwarded_by ? " from=" : "", req->forwarded_by);
 }
 
+void entry_trace_stop_refused(const entry_request_t *req, usec_t now)
+{
+	log_event(LOG_LEVEL_INFO, "stop-refused",
+		  "call=%s route=%s left_ms=%" PRId64 " stop_left_ms=%" PRId64,
+		  trace_value(req->call_id), trace_value(req->rule_name),
+		  (req->call.deadline - now) / USEC_PER_MS,
+		  (req->entry->stop.end - now) / USEC_PER_MS);
+}
+
 void entry_trace_copy_crashed(const entry_request_t *req, const char *digest)
 {
 	log_event(LOG_LEVEL_NOTICE, "copy-crashed",
