--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -524,9 +524,11 @@
 static void save_random(keeper_t *keeper, GRand *rand, size_t size)
 {
 	hl_error_t err = { 0 };
+	int rc;
 
 	raft_push_random(&keeper->raft, rand, size);
-	g_assert_cmpint(keeper_save(keeper, &err), ==, 0);
+	rc = keeper_save(keeper, &err);
+	g_assert_cmpint(rc, ==, 0);
 }
 
 /* Copy a log; sectors of which @missing has the bit were not written after
@@ -583,6 +585,7 @@
 	char folder[256], *bytes;
 	unsigned round, i, checked = 0;
 	size_t size, synced;
+	int rc;
 
 	folder_make(folder, sizeof(folder));
 	g_assert_cmpint(keeper_open(&keeper, &keeper_file_posix, folder, &err),
@@ -596,7 +599,8 @@
 			raft_push_random(&keeper.raft, rand,
 					 (size_t)g_rand_int_range(
 						 rand, 1, TORN_ENTRY_BYTES));
-		g_assert_cmpint(keeper_save(&keeper, &err), ==, 0);
+		rc = keeper_save(&keeper, &err);
+		g_assert_cmpint(rc, ==, 0);
 		g_assert_cmpint(keeper_file_read(folder, "log", &bytes, &size,
 						 &err),
 				==, 1);
@@ -620,6 +624,7 @@
 	hl_error_t err = { 0 };
 	bool truncated;
 	unsigned i;
+	int count;
 
 	folder_make(folder, sizeof(folder));
 	g_assert_cmpint(keeper_open(&keeper, &keeper_file_posix, folder, &err),
@@ -634,8 +639,8 @@
 	for (sector = 0; (sector + 1) * SECTOR_BYTES <= synced; sector++) {
 		lost = g_memdup2(bytes, size);
 		memset(lost + sector * SECTOR_BYTES, 0, SECTOR_BYTES);
-		g_assert_cmpint(log_count(lost, size, &truncated, &err), ==,
-				-1);
+		count = log_count(lost, size, &truncated, &err);
+		g_assert_cmpint(count, ==, -1);
 		g_assert_cmpint(err.kind, ==, HL_ERR_CORRUPT);
 		g_free(lost);
 	}
