Send each request once in a transfer, so that the entry decides on repeats

Cause: libcurl sends a request again by itself when a connection that was used before ends without a byte of the response. Attempts, budget, health of copies and logs do not see it.

Evidence: arrivals at a stand-in copy against call-sent lines: 40 for 20, 48 for 24, and 12 for 12 over new connections. Ruled out: decisions past the budget, hand-overs that are repeated on both sides.

Now a transfer opens no connection and sends no request once bytes of its request were sent. It ends with an error, and the entry decides: another copy, paid, or an answer. A connection that has ended while idle is replaced as before. Probes and questions to siblings use the same function.

--- a/entry-prober.c
+++ b/entry-prober.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <urcu/list.h>
+#include "entry-once.h"
 #include "entry-probe-time.h"
 #include "entry-prober.h"
 #include "entry.h"
@@ -318,6 +319,7 @@
 		return;
 	}
 	curl_easy_reset(query->easy);
+	entry_once_set(query->easy);
 	curl_easy_setopt(query->easy, CURLOPT_URL, query->url);
 	curl_easy_setopt(query->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(query->easy, CURLOPT_PROXY, "");
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <string.h>
+#include "entry-once.h"
 #include "entry-transfer.h"
 
 /*
@@ -50,6 +51,7 @@
 	CURL *easy = conn->easy;
 
 	curl_easy_reset(easy);
+	entry_once_set(easy);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, req->target);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -14,6 +14,11 @@
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
  *	/wait-MS		responds MS milliseconds after the request
  *	/crash			the process ends without a response
+ *	/lost-head		the connection ends after the head was read
+ *	/lost-body		it ends after a half of the body was read
+ *	/lost-run		it ends after the call ran, without a response
+ *	/lost-reset		it is reset after the call ran
+ *	/lost-idle		it ends after the response, which does not say so
  *	/endless-head		header lines without end
  *	/endless-line		a header line without end
  *	/endless-interim	1xx responses without end
@@ -376,6 +381,43 @@
 	return true;
 }
 
+/* Makes the close of a connection a TCP reset. */
+static void reset_at_close(int fd)
+{
+	const struct linger now = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+/* Ends the connection of a path that asks for it before the call has run; false
+   for other paths. */
+static bool serve_lost(connection_t *conn)
+{
+	char value[64];
+
+	if (strstr(conn->path, "/lost-head")) {
+		record_call(conn, "lost");
+		return true;
+	}
+	if (!strstr(conn->path, "/lost-body"))
+		return false;
+	head_value(conn, "Content-Length", value, sizeof(value));
+	read_length(conn, g_ascii_strtoull(value, NULL, 10) / 2, false);
+	record_call(conn, "lost");
+	reset_at_close(conn->fd);
+	return true;
+}
+
+/* Whether the response to a call that ran is lost with its connection. */
+static bool serve_loses_response(const connection_t *conn)
+{
+	if (strstr(conn->path, "/lost-reset")) {
+		reset_at_close(conn->fd);
+		return true;
+	}
+	return strstr(conn->path, "/lost-run") != NULL;
+}
+
 /* The addresses whose paths are cut, and all connections. */
 typedef struct {
 	in_addr_t address;
@@ -446,6 +488,8 @@
 		return false;
 	if (serve_early(conn, &keep))
 		return keep;
+	if (serve_lost(conn))
+		return false;
 	if (!read_body(conn)) {
 		record_call(conn, "body-cut");
 		return false;
@@ -458,7 +502,7 @@
 		kill(getpid(), SIGKILL);
 	}
 	record_call(conn, "run");
-	if (!serve_wait(conn))
+	if (!serve_wait(conn) || serve_loses_response(conn))
 		return false;
 	cut_delay_response(conn);
 	g_snprintf(text, sizeof(text),
@@ -467,7 +511,7 @@
 	if (!send_response(conn, "200 OK", "", text))
 		return false;
 	if (!strstr(conn->path, "/twice"))
-		return true;
+		return !strstr(conn->path, "/lost-idle");
 	g_usleep(TWICE_PAUSE_USEC);
 	return send_response(conn, "200 OK", "", "a late response\n");
 }
@@ -499,9 +543,7 @@
 /* Makes the close of a connection a TCP reset, and ends its thread. */
 static void cut_reset(const connection_t *conn)
 {
-	const struct linger now = { 1, 0 };
-
-	setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	reset_at_close(conn->fd);
 	shutdown(conn->fd, SHUT_RD);
 }
 
