Refuse a heartbeat of a known copy for a service that is not declared

Callers saw (by the review, by reading): such a heartbeat under the id of a known copy took the copy out of its service until its own next heartbeat.

Cause: announce_check() looked for the service only if the copy was not known. Now a known copy may be of a declared service or of the one that it is of, so that it can still leave a service that is gone. routed-foreign-heartbeat: before, the keeper answered 200 and the next call was not served.

--- a/keeper-announce.c
+++ b/keeper-announce.c
@@ -11,6 +11,16 @@
 /* Maximum number of copies that one change removes. */
 #define KEEPER_RETIRE_MAX 64
 
+/* Whether a copy may be of this service: one that is declared, or the one that it is
+ * of already, so that it can leave after its service has. */
+static bool announce_has_service(const config_t *config,
+				 const config_target_t *current,
+				 const char *service)
+{
+	return config_find_pool(config, service) ||
+	       (current && !strcmp(current->service, service));
+}
+
 /* Compare an announcement with the applied configuration. Return
  * KEEPER_VERDICT_WAIT on the leader if the announcement is valid and not yet
  * applied, queued or not. The caller holds the core's lock. */
@@ -30,7 +40,7 @@
 		return KEEPER_VERDICT_NOT_LEADER;
 	if (!config_routing_version(config))
 		return KEEPER_VERDICT_BUSY;
-	if (!current && !config_find_pool(config, target->service))
+	if (!announce_has_service(config, current, target->service))
 		return KEEPER_VERDICT_REFUSED;
 	return KEEPER_VERDICT_WAIT;
 }
