Read the outcome of a streamed response under the lock of its request

The thread sanitizer, in the review's soak with dropped paths, reported that respond_outcome_headers() reads the outcome while relay_set_outcome() writes the same value again. Not shown by a test of ours: no caller can see it.

--- a/entry-respond.c
+++ b/entry-respond.c
@@ -96,15 +96,22 @@
 	return mhd_response;
 }
 
-/* Adds whether the call ran, and why not. */
-static void respond_outcome_headers(const entry_response_t *response,
+/* Adds whether the call ran, and why not. The thread that sends the call may set its
+   outcome again while the response is streamed. */
+static void respond_outcome_headers(entry_request_t *req,
 				    struct MHD_Response *mhd_response)
 {
+	entry_outcome_t outcome;
+	const char *reason;
+
+	pthread_mutex_lock(&req->lock);
+	outcome = req->response.outcome;
+	reason = req->response.reason;
+	pthread_mutex_unlock(&req->lock);
 	MHD_add_response_header(mhd_response, "Hemlock-Outcome",
-				entry_outcome_name(response->outcome));
-	if (response->reason)
-		MHD_add_response_header(mhd_response, "Hemlock-Reason",
-					response->reason);
+				entry_outcome_name(outcome));
+	if (reason)
+		MHD_add_response_header(mhd_response, "Hemlock-Reason", reason);
 }
 
 static void respond_native_headers(entry_request_t *req,
@@ -113,7 +120,7 @@
 	const entry_response_t *response = &req->response;
 	char text[RESPOND_TEXT_MAX];
 
-	respond_outcome_headers(response, mhd_response);
+	respond_outcome_headers(req, mhd_response);
 	if (response->retry_after > 0) {
 		snprintf(text, sizeof(text), "%" PRId64,
 			 (response->retry_after + USEC_PER_SEC - 1) /
@@ -157,7 +164,7 @@
 	char text[RESPOND_TEXT_MAX];
 
 	if (*req->forwarded_by)
-		respond_outcome_headers(response, mhd_response);
+		respond_outcome_headers(req, mhd_response);
 	if (*req->forwarded_by && respond_is_impaired(req))
 		MHD_add_response_header(mhd_response, "Hemlock-Impaired", "1");
 	if (!response->reason)
