Deny no route before a quorum has confirmed the routes of an entry

Cause: the first configuration may come from any keeper, and a keeper that has started counts as committed at least one change less than its log has. The entry took a route that is not in it for one that is not declared.

Ruled out: a lost change (the keepers open logs that have it).

--- a/config-direct.c
+++ b/config-direct.c
@@ -190,6 +190,24 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
+/* Records that the leading keeper has no newer revision than the one in force. */
+static void direct_confirm(config_follow_t *follow)
+{
+	bool first;
+
+	pthread_mutex_lock(&follow->lock);
+	first = !follow->confirmed;
+	follow->confirmed = true;
+	pthread_mutex_unlock(&follow->lock);
+	if (!first)
+		return;
+	log_event(LOG_LEVEL_NOTICE, "config-confirmed",
+		  "revision=%" PRIu64 " source=%s", follow->revision,
+		  follow->source.address);
+	if (follow->confirm)
+		follow->confirm(follow->changed_context);
+}
+
 typedef enum {
 	DIRECT_FAILED,
 	DIRECT_DONE,
@@ -206,7 +224,10 @@
 	if (!res->confirmed)
 		return DIRECT_FAILED;
 	direct_set_leader(follow, address);
-	return follow->revision < res->revision ? DIRECT_MORE : DIRECT_DONE;
+	if (follow->revision < res->revision)
+		return DIRECT_MORE;
+	direct_confirm(follow);
+	return DIRECT_DONE;
 }
 
 static direct_result_t direct_poll_once(config_follow_t *follow, usec_t now)
--- a/config-follow.h
+++ b/config-follow.h
@@ -112,8 +112,14 @@
 	 * NULL.
 	 */
 	void (*changed)(void *context, const config_t *config);
-	void *changed_context;
-	metrics_t *metrics; /* required */
+	/*
+	 * Called on the polling thread of a follower outside the tree when the
+	 * leading keeper has confirmed for the first time that no newer
+	 * revision was accepted. May be NULL.
+	 */
+	void (*confirmed)(void *context);
+	void *changed_context; /* of changed and confirmed */
+	metrics_t *metrics;    /* required */
 } config_follow_options_t;
 
 /**
@@ -156,6 +162,15 @@
  */
 bool config_follow_ready(config_follow_t *follow);
 
+/**
+ * config_follow_confirmed - whether the leading keeper has confirmed a revision.
+ *
+ * For a follower outside the tree. Until then the configuration in force may be
+ * older than one that was accepted before this process began: it does not show
+ * what is not declared.
+ */
+bool config_follow_confirmed(config_follow_t *follow);
+
 /**
  * config_follow_trigger - trigger an immediate poll of the leading keeper.
  * @follow: a follower outside the tree
--- a/entry-config.c
+++ b/entry-config.c
@@ -116,6 +116,14 @@
 		  config->profiles.profiles_len);
 }
 
+static void config_on_confirmed(void *context)
+{
+	entry_t *entry = context;
+
+	if (entry->settings.routed)
+		entry_pending_release(entry, time_now());
+}
+
 static unsigned config_live_members(void *context, owner_member_t *out,
 				    unsigned max)
 {
@@ -134,6 +142,7 @@
 		.members = self ? config_live_members : NULL,
 		.members_context = entry,
 		.changed = config_on_change,
+		.confirmed = config_on_confirmed,
 		.changed_context = entry,
 		.metrics = entry->metrics,
 	};
@@ -149,6 +158,11 @@
 	return !entry->follow || config_follow_ready(entry->follow);
 }
 
+bool entry_config_confirmed(const entry_t *entry)
+{
+	return !entry->follow || config_follow_confirmed(entry->follow);
+}
+
 uint64_t entry_config_revision(void *context)
 {
 	const entry_t *entry = context;
--- a/entry-head.c
+++ b/entry-head.c
@@ -14,6 +14,8 @@
 #define HEAD_DEADLINE_MAX_MS 600000
 /* Time from arrival to deadline of a call that waits for the first routes. */
 #define HEAD_PENDING_TIMEOUT (2 * USEC_PER_SEC)
+/* Wait suggested to a caller while the routes are not known. */
+#define HEAD_EARLY_RETRY_AFTER USEC_PER_SEC
 
 /* State of the iteration over the headers of a request. */
 typedef struct {
@@ -437,21 +439,26 @@
 }
 
 /* Finds the route of a call; @part is as in entry_rules_match(). */
-static int head_route_part(entry_request_t *req, const char *part)
+static entry_match_t head_route_part(entry_request_t *req, const char *part)
 {
+	bool confirmed = entry_config_confirmed(req->entry);
 	entry_rule_t rule = { 0 };
 	hl_error_t err;
 
-	if (head_find_rule(req, part, &rule, &err))
-		return head_refuse_service(req, err.kind);
+	if (head_find_rule(req, part, &rule, &err)) {
+		if (err.kind == HL_ERR_NOT_FOUND && !confirmed)
+			return ENTRY_MATCH_UNKNOWN;
+		head_refuse_service(req, err.kind);
+		return ENTRY_MATCH_REFUSED;
+	}
 	head_set_rule(req, &rule, req->call.arrived);
-	if (req->body_max && req->body_length > (int64_t)req->body_max)
-		return head_refuse(req, HTTP_CONTENT_TOO_LARGE,
-				   "body-too-large");
-	return 0;
+	if (!req->body_max || req->body_length <= (int64_t)req->body_max)
+		return ENTRY_MATCH_FOUND;
+	head_refuse(req, HTTP_CONTENT_TOO_LARGE, "body-too-large");
+	return ENTRY_MATCH_REFUSED;
 }
 
-int entry_head_route(entry_request_t *req)
+entry_match_t entry_head_route(entry_request_t *req)
 {
 	return head_route_part(req, NULL);
 }
@@ -466,8 +473,14 @@
 
 	if (head->revision > entry_target_rules_revision(req->entry))
 		return head_refuse(req, HTTP_UNAVAILABLE, "revision");
-	if (head_route_part(req, head->part))
+	switch (head_route_part(req, head->part)) {
+	case ENTRY_MATCH_REFUSED:
 		return -1;
+	case ENTRY_MATCH_UNKNOWN:
+		return head_refuse(req, HTTP_UNAVAILABLE, "revision");
+	case ENTRY_MATCH_FOUND:
+		break;
+	}
 	req->call.from_sibling = true;
 	return 0;
 }
@@ -487,6 +500,35 @@
 	return head_refuse(req, HTTP_FORBIDDEN, "hop");
 }
 
+/* Refuses a call that comes too early after the start of the process for the routes
+   to be known. */
+static int head_refuse_early(entry_request_t *req, const char *reason)
+{
+	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, reason,
+			   HEAD_EARLY_RETRY_AFTER);
+	return -1;
+}
+
+/* Matches a call of a caller to the routes. One without a route waits until the
+   leading keeper has confirmed that there is none. */
+static int head_route_caller(entry_request_t *req)
+{
+	if (req->pending)
+		return 0;
+	switch (entry_head_route(req)) {
+	case ENTRY_MATCH_FOUND:
+		return 0;
+	case ENTRY_MATCH_REFUSED:
+		return -1;
+	case ENTRY_MATCH_UNKNOWN:
+		break;
+	}
+	req->pending = entry_pending_accepts(req->entry->pending,
+					     req->call.arrived);
+	req->unconfirmed = true;
+	return req->pending ? 0 : head_refuse_early(req, "unconfirmed");
+}
+
 /* Finds the upstream of a call, and its deadline. */
 static int head_route(head_t *head)
 {
@@ -496,7 +538,7 @@
 	if (req->entry->settings.routed && head->hop)
 		return head_route_handover(head);
 	if (req->entry->settings.routed)
-		return req->pending ? 0 : entry_head_route(req);
+		return head_route_caller(req);
 	if (head_find_service(head, &err))
 		return head_refuse_service(req, err.kind);
 	if (!head_read_hop(head))
@@ -565,11 +607,8 @@
 		req->pending = !head.hop &&
 			       entry_pending_accepts(req->entry->pending,
 						     req->call.arrived);
-		if (!req->pending) {
-			entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN,
-					   "starting", USEC_PER_SEC);
-			return -1;
-		}
+		if (!req->pending)
+			return head_refuse_early(req, "starting");
 	}
 	if (head_route(&head))
 		return -1;
--- a/entry-http.h
+++ b/entry-http.h
@@ -18,14 +18,19 @@
  */
 int entry_head_read(entry_request_t *req, const char *method);
 
+/** enum entry_match_t - result of matching a call to the routes. */
+typedef enum {
+	ENTRY_MATCH_FOUND,
+	ENTRY_MATCH_REFUSED, /* the request has a final response */
+	ENTRY_MATCH_UNKNOWN, /* no route, and a newer version may have one */
+} entry_match_t;
+
 /**
  * entry_head_route - match a call to a route by host and path.
  *
  * To be called only if the setting entry.routed is true.
- *
- * Return: 0, or -1 with a final response of this entry in the request.
  */
-int entry_head_route(entry_request_t *req);
+entry_match_t entry_head_route(entry_request_t *req);
 
 /* Idle timeout of a caller's connection between two calls. */
 #define ENTRY_IDLE_SECONDS 60u
--- a/entry-io.h
+++ b/entry-io.h
@@ -212,6 +212,8 @@
 	char *host;			/* Host header, to match a route by */
 	int64_t deadline_ms;	    /* deadline header of the caller; 0: none */
 	bool pending;		    /* received before there were routes */
+	bool unconfirmed;	    /* without a route before a keeper confirmed
+				       that there is none */
 	struct curl_slist *headers; /* headers of the caller to be relayed */
 	bool has_body;
 	int64_t body_length;	/* bytes; -1: chunked */
@@ -733,10 +735,17 @@
  */
 bool entry_pending_accepts(const entry_pending_t *pending, usec_t now);
 
-/** entry_pending_add - queue a call until there are routes. */
+/**
+ * entry_pending_add - queue a call until there are routes, or one without a route
+ * until the keepers have confirmed that there is none.
+ */
 void entry_pending_add(struct entry *entry, entry_request_t *req, usec_t now);
 
-/** entry_pending_release - dispatch all queued calls once there are routes. */
+/**
+ * entry_pending_release - match all queued calls to the routes again.
+ *
+ * Those that match are dispatched; others stay until the routes are confirmed.
+ */
 void entry_pending_release(struct entry *entry, usec_t now);
 
 /**
@@ -906,6 +915,12 @@
 /** entry_config_ready - is a configuration in force, or are no keepers set? */
 bool entry_config_ready(const entry_t *entry);
 
+/**
+ * entry_config_confirmed - does the configuration in force show which routes are
+ * not declared? See config_follow_confirmed(); with entry.routed only.
+ */
+bool entry_config_confirmed(const entry_t *entry);
+
 /**
  * entry_config_revision - return the revision of the configuration in force.
  * @context: the entry_t
--- a/entry-pending.c
+++ b/entry-pending.c
@@ -2,8 +2,10 @@
 #include "entry-http.h"
 
 /*
- * Pending calls: calls that arrive shortly after the start of the process, when
- * it has no routes yet, are queued until there are routes or they time out.
+ * Pending calls: calls that arrive shortly after the start of the process are
+ * queued while it has no routes yet, or none that they match as long as a newer
+ * version may have one. They are matched again when routes come or are confirmed,
+ * and refused when they time out.
  */
 
 /* Time after the start of the process in which calls are queued. If there are
@@ -51,38 +53,67 @@
 
 static void pending_refuse(entry_request_t *req)
 {
-	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, "starting",
+	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN,
+			   req->unconfirmed ? "unconfirmed" : "starting",
 			   PENDING_RETRY_AFTER);
 	entry_request_unref(req);
 }
 
-static void pending_dispatch(entry_request_t *req, usec_t now)
+/* Queues a call; false if the queue is full. */
+static bool pending_push(entry_pending_t *pending, entry_request_t *req)
 {
-	if (!entry_head_route(req))
-		entry_dispatch_arrive(req, now);
-	entry_request_unref(req);
-}
-
-void entry_pending_add(entry_t *entry, entry_request_t *req, usec_t now)
-{
-	entry_pending_t *pending = entry->pending;
 	bool queued;
 
-	entry_request_ref(req);
 	pthread_mutex_lock(&pending->lock);
-	queued = !entry_target_has_routes(entry) &&
-		 pending->count < PENDING_CALLS_MAX;
+	queued = pending->count < PENDING_CALLS_MAX;
 	if (queued) {
 		cds_list_add_tail(&req->work_link, &pending->calls);
 		pending->count++;
 	}
 	pthread_mutex_unlock(&pending->lock);
-	if (queued)
-		entry_tick_schedule(entry, now + PENDING_WAIT_MAX);
-	else if (entry_target_has_routes(entry))
-		pending_dispatch(req, now);
-	else
+	return queued;
+}
+
+/* Matches a queued call to the routes; returns whether it is no longer queued. */
+static bool pending_route(entry_t *entry, entry_request_t *req, usec_t now)
+{
+	switch (entry_head_route(req)) {
+	case ENTRY_MATCH_FOUND:
+		entry_dispatch_arrive(req, now);
+		break;
+	case ENTRY_MATCH_REFUSED:
+		break;
+	case ENTRY_MATCH_UNKNOWN:
+		req->unconfirmed = true;
+		if (pending_push(entry->pending, req))
+			return false;
 		pending_refuse(req);
+		return true;
+	}
+	entry_request_unref(req);
+	return true;
+}
+
+/* Whether routes have come that a call may match, or that show that it has none. */
+static bool pending_is_due(entry_t *entry, bool unconfirmed)
+{
+	return entry_target_has_routes(entry) &&
+	       (!unconfirmed || entry_config_confirmed(entry));
+}
+
+void entry_pending_add(entry_t *entry, entry_request_t *req, usec_t now)
+{
+	bool unconfirmed = req->unconfirmed;
+
+	entry_request_ref(req);
+	if (!pending_push(entry->pending, req)) {
+		pending_refuse(req);
+		return;
+	}
+	entry_tick_schedule(entry, now + PENDING_WAIT_MAX);
+	/* The routes may have come before the call was queued. */
+	if (pending_is_due(entry, unconfirmed))
+		entry_pending_release(entry, now);
 }
 
 /* Removes and returns the oldest call if it arrived at @arrived_by or before,
@@ -108,11 +139,19 @@
 
 void entry_pending_release(entry_t *entry, usec_t now)
 {
-	entry_request_t *req;
+	entry_pending_t *pending = entry->pending;
+	entry_request_t *req, *next;
+	struct cds_list_head calls;
 	unsigned count = 0;
 
-	for (; (req = pending_take(entry->pending, INT64_MAX)); count++)
-		pending_dispatch(req, now);
+	CDS_INIT_LIST_HEAD(&calls);
+	pthread_mutex_lock(&pending->lock);
+	cds_list_splice(&pending->calls, &calls);
+	CDS_INIT_LIST_HEAD(&pending->calls);
+	pending->count = 0;
+	pthread_mutex_unlock(&pending->lock);
+	cds_list_for_each_entry_safe (req, next, &calls, work_link)
+		count += pending_route(entry, req, now);
 	if (count)
 		log_event(LOG_LEVEL_INFO, "parked-calls-sent", "count=%u",
 			  count);
