--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -51,7 +51,7 @@
 	retry_ratio = 0.2
 	retry_slack = 60
 	beat_ms = 200
-	accept_ms = ${ACCEPT_MS:-0}
+	${ACCEPT_MS:+accept_ms = $ACCEPT_MS}
 	linger_ms = ${LINGER_MS:-300}
 	stop_ms = ${STOP_MS:-5000}
 	[config]
