--- /dev/null
+++ b/regress/test-keeper-crash.c
@@ -0,0 +1,839 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include "keeper-store.h"
+
+/*
+ * Guards against a state of a keeper's disk, after a loss of power at any file call,
+ * that does not open, lacks what a sync covered, or counts an entry as committed
+ * that is not.
+ *
+ * A seeded history of votes, entries, replaced entries, snapshots and faults runs on
+ * a recorded disk. After each file call, each state that a loss of power may leave is
+ * built in a second folder and opened: the write that no sync covers lacks any of its
+ * sectors and has any part of its size, and names are durable or not. Where there are
+ * more than STATES_MAX of them, so many are drawn. Some of these openings are
+ * interrupted by a second loss of power.
+ *
+ * HEMLOCK_CRASH_SEEDS is the number of histories.
+ */
+
+#define HISTORIES 6
+#define STEPS 30
+#define STATES_MAX 48
+/* One of so many openings is interrupted in turn. */
+#define NESTED_EVERY 40
+#define SECTOR_BYTES 512
+#define FILES_MAX 1024
+#define ENTRY_BYTES_MAX 900
+#define INDEX_MAX 4096
+#define CLUSTER 9
+#define INCARNATION 77
+#define SEED 4713
+
+/* The files of a data folder. */
+typedef enum {
+	NAME_LOG,
+	NAME_LOG_NEW,
+	NAME_SNAPSHOT,
+	NAME_SNAPSHOT_NEW,
+	NAME_COUNT,
+} name_t;
+
+static const char *const names[NAME_COUNT] = { "log", "log.new", "snapshot",
+					       "snapshot.new" };
+
+/* The content of a file: what a sync covers, and the bytes written after that. */
+typedef struct {
+	GByteArray *synced;
+	GByteArray *unsynced;
+} content_t;
+
+/* File calls that fail once. */
+typedef enum {
+	FAIL_NONE,
+	FAIL_WRITE, /* a full disk, after a half of the bytes */
+	FAIL_SYNC,
+} fail_t;
+
+/* A recorded disk. What it is told is done in its folder, too. */
+typedef struct {
+	char *folder;
+	content_t *current[NAME_COUNT]; /* by name, as processes see them */
+	content_t *durable[NAME_COUNT]; /* by name, after a loss of power */
+	content_t *open[FILES_MAX];	/* by descriptor */
+	fail_t fail;
+	void (*on_call)(void *context);
+	void *context;
+	GPtrArray *contents; /* all, to be freed */
+} disk_t;
+
+/* What a keeper has saved. */
+typedef struct {
+	keeper_ballot_state_t ballot;
+	keeper_entries_t entries;
+	uint64_t commit;
+} saved_t;
+
+/* A keeper, the saves of it before and at the present file call, and the entries that
+ * are committed. */
+typedef struct {
+	GRand *rand;
+	disk_t disk;
+	keeper_file_ops_t file;
+	keeper_store_t store;
+	keeper_raft_t raft;
+	saved_t before;
+	uint64_t terms[INDEX_MAX]; /* of committed entries, by index */
+	char *folder;		   /* in which states are built */
+	uint64_t states, nested;
+	bool is_nested;
+} history_t;
+
+static content_t *content_new(disk_t *disk)
+{
+	content_t *content = g_new0(content_t, 1);
+
+	content->synced = g_byte_array_new();
+	content->unsynced = g_byte_array_new();
+	g_ptr_array_add(disk->contents, content);
+	return content;
+}
+
+static void content_free(void *context)
+{
+	content_t *content = context;
+
+	g_byte_array_unref(content->synced);
+	g_byte_array_unref(content->unsynced);
+	g_free(content);
+}
+
+static name_t name_find(const char *path)
+{
+	const char *base = strrchr(path, '/') + 1;
+	unsigned i;
+
+	for (i = 0; i < NAME_COUNT; i++)
+		if (!strcmp(names[i], base))
+			return i;
+	g_assert_not_reached();
+}
+
+static void disk_called(disk_t *disk)
+{
+	if (disk->on_call)
+		disk->on_call(disk->context);
+}
+
+static int disk_open(void *context, const char *path, int flags)
+{
+	disk_t *disk = context;
+	name_t name = name_find(path);
+	int fd = open(path, flags | O_CLOEXEC, 0600);
+
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_cmpint(fd, <, FILES_MAX);
+	disk->current[name] = content_new(disk);
+	disk->open[fd] = disk->current[name];
+	disk_called(disk);
+	return fd;
+}
+
+static ssize_t disk_write(void *context, int fd, const void *bytes, size_t size)
+{
+	disk_t *disk = context;
+	bool fails = disk->fail == FAIL_WRITE;
+
+	if (fails)
+		size /= 2;
+	g_assert_cmpint(write(fd, bytes, size), ==, (ssize_t)size);
+	g_byte_array_append(disk->open[fd]->unsynced, bytes, (guint)size);
+	disk_called(disk);
+	if (!fails)
+		return (ssize_t)size;
+	disk->fail = FAIL_NONE;
+	errno = ENOSPC;
+	return -1;
+}
+
+static int disk_sync(void *context, int fd)
+{
+	disk_t *disk = context;
+	content_t *content = disk->open[fd];
+	unsigned i;
+
+	if (disk->fail == FAIL_SYNC) {
+		disk->fail = FAIL_NONE;
+		errno = EIO;
+		return -1;
+	}
+	g_byte_array_append(content->synced, content->unsynced->data,
+			    content->unsynced->len);
+	g_byte_array_set_size(content->unsynced, 0);
+	for (i = 0; i < NAME_COUNT; i++)
+		if (disk->current[i] == content && !disk->durable[i])
+			disk->durable[i] = content;
+	disk_called(disk);
+	return 0;
+}
+
+static int disk_rename(void *context, const char *from, const char *to)
+{
+	disk_t *disk = context;
+	name_t source = name_find(from);
+
+	g_assert_cmpint(rename(from, to), ==, 0);
+	disk->current[name_find(to)] = disk->current[source];
+	disk->current[source] = NULL;
+	disk_called(disk);
+	return 0;
+}
+
+static int disk_sync_folder(void *context, const char *path G_GNUC_UNUSED)
+{
+	disk_t *disk = context;
+
+	memcpy(disk->durable, disk->current, sizeof(disk->durable));
+	disk_called(disk);
+	return 0;
+}
+
+static void disk_init(disk_t *disk, keeper_file_ops_t *file)
+{
+	memset(disk, 0, sizeof(*disk));
+	disk->folder = g_dir_make_tmp(NULL, NULL);
+	disk->contents = g_ptr_array_new_with_free_func(content_free);
+	*file = (keeper_file_ops_t){ disk_open,	  disk_write,	    disk_sync,
+				     disk_rename, disk_sync_folder, disk };
+}
+
+static void folder_clear(const char *folder)
+{
+	unsigned i;
+
+	for (i = 0; i < NAME_COUNT; i++) {
+		char *path = g_build_filename(folder, names[i], NULL);
+
+		unlink(path);
+		g_free(path);
+	}
+}
+
+static void folder_remove(char *folder)
+{
+	char *lock = g_build_filename(folder, "lock", NULL);
+
+	folder_clear(folder);
+	unlink(lock);
+	g_assert_cmpint(rmdir(folder), ==, 0);
+	g_free(lock);
+	g_free(folder);
+}
+
+static void disk_fini(disk_t *disk)
+{
+	folder_remove(disk->folder);
+	g_ptr_array_unref(disk->contents);
+}
+
+/* One way in which power may be lost. */
+typedef struct {
+	bool renamed; /* names have their current content */
+	unsigned
+		missing; /* bit N: the sector N of unsynced bytes was not written */
+	size_t size;	 /* unsynced bytes that the size of the file covers */
+} loss_t;
+
+/* Number of sectors that the unsynced bytes reach. */
+static unsigned content_sectors(const content_t *content)
+{
+	size_t start = content->synced->len;
+	size_t end = start + content->unsynced->len;
+
+	if (start == end)
+		return 0;
+	return (unsigned)((end - 1) / SECTOR_BYTES - start / SECTOR_BYTES + 1);
+}
+
+static void file_write(const char *path, const char *bytes, size_t size)
+{
+	int fd = open(path, O_WRONLY | O_CREAT | O_TRUNC, 0600);
+
+	g_assert_cmpint(write(fd, bytes, size), ==, (ssize_t)size);
+	close(fd);
+}
+
+/* Writes the file that a loss leaves of a content. */
+static void loss_write(const loss_t *loss, const content_t *content,
+		       const char *path)
+{
+	size_t start = content->synced->len;
+	size_t size = MIN(loss->size, content->unsynced->len);
+	char *bytes = g_malloc0(start + size + 1);
+	unsigned sector;
+	size_t i;
+
+	if (start)
+		memcpy(bytes, content->synced->data, start);
+	for (i = 0; i < size; i++) {
+		sector = (unsigned)((start + i) / SECTOR_BYTES -
+				    start / SECTOR_BYTES);
+		if (!(loss->missing >> MIN(sector, 31) & 1))
+			bytes[start + i] = (char)content->unsynced->data[i];
+	}
+	file_write(path, bytes, start + size);
+	g_free(bytes);
+}
+
+/* Builds the folder that a loss leaves. */
+static void loss_build(const loss_t *loss, const disk_t *disk,
+		       const char *folder)
+{
+	unsigned i;
+
+	folder_clear(folder);
+	for (i = 0; i < NAME_COUNT; i++) {
+		const content_t *content = loss->renamed ? disk->current[i] :
+							   disk->durable[i];
+		char *path = g_build_filename(folder, names[i], NULL);
+
+		if (content)
+			loss_write(loss, content, path);
+		g_free(path);
+	}
+}
+
+/* File calls for a folder that is opened once: nothing has to be durable. */
+static int quick_open(void *context G_GNUC_UNUSED, const char *path, int flags)
+{
+	return open(path, flags | O_CLOEXEC, 0600);
+}
+
+static int quick_sync(void *context G_GNUC_UNUSED, int fd G_GNUC_UNUSED)
+{
+	return 0;
+}
+
+static ssize_t quick_write(void *context G_GNUC_UNUSED, int fd,
+			   const void *bytes, size_t size)
+{
+	return write(fd, bytes, size);
+}
+
+static int quick_rename(void *context G_GNUC_UNUSED, const char *from,
+			const char *to)
+{
+	return rename(from, to);
+}
+
+static int quick_sync_folder(void *context G_GNUC_UNUSED,
+			     const char *path G_GNUC_UNUSED)
+{
+	return 0;
+}
+
+static const keeper_file_ops_t quick_file = { quick_open,	 quick_write,
+					      quick_sync,	 quick_rename,
+					      quick_sync_folder, NULL };
+
+static int keeper_open(keeper_store_t *store, keeper_raft_t *raft,
+		       const keeper_file_ops_t *file, const char *folder,
+		       hl_error_t *err)
+{
+	keeper_raft_settings_t settings = { .cluster = CLUSTER,
+					    .heartbeat_interval = USEC_PER_SEC,
+					    .election_timeout = USEC_PER_SEC };
+
+	strcpy(settings.name, "k0");
+	keeper_raft_init(raft, &settings, USEC_PER_SEC);
+	return keeper_store_open(store, file, folder, CLUSTER, "k0",
+				 INCARNATION, raft, err);
+}
+
+static bool ballots_equal(const keeper_ballot_state_t *a,
+			  const keeper_ballot_state_t *b)
+{
+	return a->term == b->term && !strcmp(a->vote, b->vote) &&
+	       a->vote_incarnation == b->vote_incarnation;
+}
+
+/* Whether two logs have the same entry at an index. */
+static bool entries_equal(const keeper_entries_t *a, const keeper_entries_t *b,
+			  uint64_t index)
+{
+	const keeper_entry_t *x = keeper_entries_at(a, index);
+	const keeper_entry_t *y = keeper_entries_at(b, index);
+
+	return x && y && x->term == y->term &&
+	       x->body.body_len == y->body.body_len &&
+	       !memcmp(x->body.body_val, y->body.body_val, x->body.body_len);
+}
+
+/* Number of entries from @from on that two logs have in common. */
+static uint64_t entries_common(const keeper_entries_t *a,
+			       const keeper_entries_t *b, uint64_t from)
+{
+	uint64_t index = from;
+
+	while (entries_equal(a, b, index))
+		index++;
+	return index - from;
+}
+
+/* The entries are those of the save before or a beginning of those at the call. */
+static void check_entries(const history_t *history, const keeper_raft_t *found)
+{
+	uint64_t first = found->entries.base + 1;
+	uint64_t count = found->entries.count;
+	const keeper_entries_t *before = &history->before.entries;
+	const keeper_entries_t *after = &history->raft.entries;
+	uint64_t kept = entries_common(&found->entries, before, first);
+	uint64_t added = entries_common(&found->entries, after, first);
+	uint64_t shared = 0;
+
+	if (first > before->base && first > after->base)
+		shared = entries_common(before, after, first);
+	/* After a new snapshot there are only entries that follow it. */
+	if (found->entries.base != before->base) {
+		g_assert_cmpuint(added, ==, count);
+		return;
+	}
+	g_assert_cmpuint(MAX(kept, added), ==, count);
+	g_assert_cmpuint(count, >=, shared);
+	/* Either nothing of the new entries is there, or no old one is cut. */
+	if (added < count || added <= shared)
+		g_assert_true(kept == count &&
+			      (keeper_entries_last(before) ==
+				       keeper_entries_last(&found->entries) ||
+			       added == after->count || first > before->base));
+}
+
+/* Each entry up to the commit index is the one that is committed. */
+static void check_commit(const history_t *history, const keeper_raft_t *found)
+{
+	uint64_t index, term;
+
+	g_assert_cmpuint(found->commit, >=, found->entries.base);
+	g_assert_cmpuint(found->commit, <=, history->raft.commit);
+	for (index = found->entries.base + 1; index <= found->commit; index++) {
+		g_assert_true(
+			keeper_entries_term(&found->entries, index, &term));
+		g_assert_cmpuint(term, ==, history->terms[index]);
+	}
+	g_assert_cmpuint(found->commit, <=,
+			 keeper_entries_last(&found->entries));
+}
+
+static void check_restored(const history_t *history, const keeper_raft_t *found)
+{
+	const keeper_ballot_state_t *before = &history->before.ballot;
+
+	g_assert_true(ballots_equal(&found->ballot, before) ||
+		      ballots_equal(&found->ballot, &history->raft.ballot));
+	g_assert_cmpuint(found->ballot.term, >=, before->term);
+	check_entries(history, found);
+	check_commit(history, found);
+}
+
+/* Opens the folder of a state. */
+static void check_folder(history_t *history, const keeper_file_ops_t *file,
+			 const char *folder)
+{
+	hl_error_t err = { 0 };
+	keeper_store_t store;
+	keeper_raft_t raft;
+
+	if (keeper_open(&store, &raft, file, folder, &err))
+		g_error("%s", err.message);
+	check_restored(history, &raft);
+	keeper_store_close(&store);
+	keeper_raft_free(&raft);
+	history->states++;
+}
+
+static void check_states(history_t *history, const disk_t *disk);
+
+/* A history whose disk is that of an opening. */
+typedef struct {
+	history_t *history;
+	disk_t disk;
+} nested_t;
+
+static void nested_called(void *context)
+{
+	nested_t *nested = context;
+
+	check_states(nested->history, &nested->disk);
+}
+
+/* Puts what a folder has on a disk, all of it synced. */
+static void nested_load(nested_t *nested, const char *folder)
+{
+	unsigned i;
+
+	for (i = 0; i < NAME_COUNT; i++) {
+		char *from = g_build_filename(folder, names[i], NULL);
+		char *to = g_build_filename(nested->disk.folder, names[i],
+					    NULL);
+		gchar *bytes;
+		gsize size;
+
+		if (g_file_get_contents(from, &bytes, &size, NULL)) {
+			content_t *content = content_new(&nested->disk);
+
+			file_write(to, bytes, size);
+			g_byte_array_append(content->synced, (guint8 *)bytes,
+					    (guint)size);
+			nested->disk.current[i] = content;
+			nested->disk.durable[i] = content;
+			g_free(bytes);
+		}
+		g_free(from);
+		g_free(to);
+	}
+}
+
+/* Opens the folder of a state while power is lost once more, at each file call. */
+static void check_nested(history_t *history, const char *folder)
+{
+	nested_t nested = { .history = history };
+	char *outer = history->folder;
+	keeper_file_ops_t file;
+
+	disk_init(&nested.disk, &file);
+	nested_load(&nested, folder);
+	nested.disk.on_call = nested_called;
+	nested.disk.context = &nested;
+	history->folder = g_dir_make_tmp(NULL, NULL);
+	history->is_nested = true;
+	check_folder(history, &file, nested.disk.folder);
+	history->is_nested = false;
+	history->nested++;
+	folder_remove(history->folder);
+	history->folder = outer;
+	disk_fini(&nested.disk);
+}
+
+static void check_loss(history_t *history, const disk_t *disk,
+		       const loss_t *loss)
+{
+	bool nest = !history->is_nested &&
+		    !g_rand_int_range(history->rand, 0, NESTED_EVERY);
+
+	loss_build(loss, disk, history->folder);
+	if (nest)
+		check_nested(history, history->folder);
+	else
+		check_folder(history, &quick_file, history->folder);
+}
+
+/* The content of the log that a loss may tear, or NULL. */
+static const content_t *disk_torn(const disk_t *disk)
+{
+	const content_t *log = disk->durable[NAME_LOG];
+
+	return log && log->unsynced->len ? log : NULL;
+}
+
+/* Checks the states in which the write to the log lacks sectors, in each size or, if
+ * they are too many, in drawn ones. */
+static void check_torn(history_t *history, const disk_t *disk,
+		       const content_t *log)
+{
+	unsigned sectors = content_sectors(log), drawn;
+	loss_t loss = { 0 };
+	size_t size = log->unsynced->len;
+
+	if (sectors <= 3) {
+		for (loss.missing = 0; loss.missing < 1U << sectors;
+		     loss.missing++) {
+			loss.size = size;
+			check_loss(history, disk, &loss);
+			loss.size = (size_t)g_rand_int_range(history->rand, 0,
+							     (gint32)size);
+			check_loss(history, disk, &loss);
+		}
+		return;
+	}
+	for (drawn = 0; drawn < STATES_MAX; drawn++) {
+		loss.missing = g_rand_int(history->rand);
+		loss.size = g_rand_int_range(history->rand, 0, 2) ?
+				    size :
+				    (size_t)g_rand_int_range(history->rand, 0,
+							     (gint32)size + 1);
+		check_loss(history, disk, &loss);
+	}
+}
+
+/* Checks the states that a loss of power may leave of a disk now. */
+static void check_states(history_t *history, const disk_t *disk)
+{
+	const content_t *log = disk_torn(disk);
+	loss_t kept = { .renamed = true, .size = SIZE_MAX };
+	loss_t lost = { 0 };
+
+	if (!disk->durable[NAME_LOG])
+		return;
+	if (log)
+		check_torn(history, disk, log);
+	check_loss(history, disk, &lost);
+	if (memcmp(disk->durable, disk->current, sizeof(disk->durable)) &&
+	    disk->current[NAME_LOG])
+		check_loss(history, disk, &kept);
+}
+
+static void history_called(void *context)
+{
+	history_t *history = context;
+
+	check_states(history, &history->disk);
+}
+
+static void saved_take(saved_t *saved, const keeper_raft_t *raft)
+{
+	size_t i;
+
+	keeper_entries_free(&saved->entries);
+	saved->ballot = raft->ballot;
+	saved->commit = raft->commit;
+	saved->entries.base = raft->entries.base;
+	saved->entries.base_term = raft->entries.base_term;
+	for (i = 0; i < raft->entries.count; i++)
+		g_assert_true(keeper_entries_push(&saved->entries,
+						  &raft->entries.list[i]));
+}
+
+static void push_entry(history_t *history)
+{
+	char body[ENTRY_BYTES_MAX];
+	keeper_entry_t entry = {
+		.index = keeper_entries_last(&history->raft.entries) + 1,
+		.term = history->raft.ballot.term,
+		.kind = KEEPER_ENTRY_CHANGE,
+	};
+	int size = g_rand_int_range(history->rand, 0, 4) ? 80 : ENTRY_BYTES_MAX;
+	int i;
+
+	size = g_rand_int_range(history->rand, 1, size + 1);
+	for (i = 0; i < size; i++)
+		body[i] = (char)g_rand_int_range(history->rand, 1, 256);
+	entry.body.body_val = body;
+	entry.body.body_len = (u_int)size;
+	g_assert_cmpuint(entry.index, <, INDEX_MAX);
+	g_assert_true(keeper_entries_push(&history->raft.entries, &entry));
+}
+
+static void push_entries(history_t *history)
+{
+	int count = g_rand_int_range(history->rand, 1, 5);
+
+	while (count--)
+		push_entry(history);
+}
+
+/* Takes the entries up to an index for committed. */
+static void commit_to(history_t *history, uint64_t index)
+{
+	keeper_raft_t *raft = &history->raft;
+	uint64_t i;
+
+	for (i = raft->commit + 1; i <= index; i++)
+		g_assert_true(keeper_entries_term(&raft->entries, i,
+						  &history->terms[i]));
+	if (raft->commit < index)
+		raft->commit = index;
+}
+
+/* Index between the commit index and the last entry, drawn. */
+static uint64_t draw_index(history_t *history)
+{
+	uint64_t last = keeper_entries_last(&history->raft.entries);
+
+	return (uint64_t)g_rand_int_range(history->rand,
+					  (gint32)history->raft.commit,
+					  (gint32)last + 1);
+}
+
+static void step_vote(history_t *history)
+{
+	keeper_ballot_state_t *ballot = &history->raft.ballot;
+
+	ballot->term++;
+	g_snprintf(ballot->vote, sizeof(ballot->vote), "k%d",
+		   g_rand_int_range(history->rand, 0, 3));
+	ballot->vote_incarnation = g_rand_int(history->rand);
+	history->raft.ballot_dirty = true;
+}
+
+/* Replaces entries that have lost by those of a new leader, some committed. */
+static void step_replace(history_t *history)
+{
+	keeper_raft_t *raft = &history->raft;
+	uint64_t keep = draw_index(history);
+
+	memset(&raft->ballot, 0, sizeof(raft->ballot));
+	raft->ballot.term = history->before.ballot.term + 1;
+	raft->ballot_dirty = true;
+	keeper_entries_truncate(&raft->entries, keep);
+	raft->saved = MIN(raft->saved, keep);
+	push_entries(history);
+	commit_to(history, draw_index(history));
+}
+
+/* The snapshot after an index of the log. */
+static keeper_snapshot_t snapshot_at(history_t *history, uint64_t index,
+				     uint64_t term)
+{
+	keeper_snapshot_t snapshot = { .index = index,
+				       .term = term,
+				       .size = ENTRY_BYTES_MAX };
+
+	snapshot.state = g_malloc0(snapshot.size);
+	memset(snapshot.state, g_rand_int_range(history->rand, 1, 256),
+	       snapshot.size);
+	return snapshot;
+}
+
+/* A snapshot of a leader, of more than this keeper has or of a part of it. */
+static void step_install(history_t *history)
+{
+	keeper_raft_t *raft = &history->raft;
+	uint64_t index = draw_index(history) + 1, term;
+	keeper_snapshot_t snapshot;
+
+	snapshot = snapshot_at(history, index, raft->ballot.term);
+	if (!keeper_entries_term(&raft->entries, index, &term) ||
+	    term != snapshot.term)
+		keeper_entries_truncate(&raft->entries, raft->entries.base);
+	keeper_raft_compact(raft, &snapshot);
+	raft->commit = raft->snapshot.index;
+	raft->saved = keeper_entries_last(&raft->entries);
+	raft->snapshot_dirty = true;
+}
+
+/* Replaces a part of the log by a snapshot, as the keeper does by itself. */
+static int step_compact(history_t *history, hl_error_t *err)
+{
+	keeper_raft_t *raft = &history->raft;
+	keeper_snapshot_t snapshot;
+	uint64_t term;
+
+	if (raft->commit <= raft->entries.base)
+		return 0;
+	g_assert_true(keeper_entries_term(&raft->entries, raft->commit, &term));
+	snapshot = snapshot_at(history, raft->commit, term);
+	keeper_raft_compact(raft, &snapshot);
+	return keeper_store_compact(&history->store, raft, err);
+}
+
+/* Closes the folder and opens it again. */
+static void history_reopen(history_t *history)
+{
+	hl_error_t err = { 0 };
+
+	keeper_store_close(&history->store);
+	keeper_raft_free(&history->raft);
+	history->disk.on_call = NULL;
+	if (keeper_open(&history->store, &history->raft, &history->file,
+			history->disk.folder, &err))
+		g_error("%s", err.message);
+	history->disk.on_call = history_called;
+	saved_take(&history->before, &history->raft);
+}
+
+/* Makes one step and saves it; a step that fails closes the folder, as the keeper
+ * does. */
+static void history_step(history_t *history)
+{
+	hl_error_t err = { 0 };
+	int step = g_rand_int_range(history->rand, 0, 10);
+	int rc = 0;
+
+	if (!g_rand_int_range(history->rand, 0, 8))
+		history->disk.fail = g_rand_int_range(history->rand, FAIL_WRITE,
+						      FAIL_SYNC + 1);
+	if (step < 2)
+		step_vote(history);
+	else if (step < 5)
+		push_entries(history);
+	else if (step < 7)
+		step_replace(history);
+	else if (step < 8)
+		step_install(history);
+	else if (step < 9)
+		rc = step_compact(history, &err);
+	else
+		commit_to(history,
+			  MIN(draw_index(history), history->raft.saved));
+	if (!rc && keeper_raft_has_unsaved(&history->raft)) {
+		rc = keeper_store_save(&history->store, &history->raft, &err);
+		if (!rc)
+			keeper_raft_mark_saved(&history->raft, USEC_PER_SEC);
+	}
+	if (rc) {
+		g_assert_cmpint(err.kind, ==, HL_ERR_IO);
+		history_reopen(history);
+	}
+	history->disk.fail = FAIL_NONE;
+	saved_take(&history->before, &history->raft);
+}
+
+static void history_run(history_t *history, unsigned seed)
+{
+	hl_error_t err = { 0 };
+	unsigned step;
+
+	history->rand = g_rand_new_with_seed(seed);
+	history->folder = g_dir_make_tmp(NULL, NULL);
+	disk_init(&history->disk, &history->file);
+	history->disk.context = history;
+	g_assert_cmpint(keeper_open(&history->store, &history->raft,
+				    &history->file, history->disk.folder, &err),
+			==, 0);
+	saved_take(&history->before, &history->raft);
+	history->disk.on_call = history_called;
+	for (step = 0; step < STEPS; step++)
+		history_step(history);
+	keeper_store_close(&history->store);
+	keeper_raft_free(&history->raft);
+	keeper_entries_free(&history->before.entries);
+	folder_remove(history->folder);
+	disk_fini(&history->disk);
+	g_rand_free(history->rand);
+}
+
+static void test_histories(void)
+{
+	const char *text = g_getenv("HEMLOCK_CRASH_SEEDS");
+	unsigned count = text ? (unsigned)atoi(text) : HISTORIES;
+	gint64 start = g_get_monotonic_time();
+	uint64_t states = 0, nested = 0;
+	unsigned i;
+
+	for (i = 0; i < count; i++) {
+		history_t history = { 0 };
+
+		g_test_message("seed=%u", SEED + i);
+		history_run(&history, SEED + i);
+		states += history.states;
+		nested += history.nested;
+	}
+	g_test_message("histories=%u states=%" PRIu64 " interrupted=%" PRIu64
+		       " states_per_second=%.0f",
+		       count, states, nested,
+		       (double)states * USEC_PER_SEC /
+			       (double)(g_get_monotonic_time() - start));
+	g_assert_cmpuint(states, >, count * STEPS);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/keeper-crash/histories", test_histories);
+	return g_test_run();
+}
