--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -14,11 +14,12 @@
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
  *	/wait-MS		responds MS milliseconds after the request
  *	/crash			the process ends without a response
- *	/lost-head		the connection ends after the head was read
- *	/lost-body		it ends after a half of the body was read
- *	/lost-run		it ends after the call ran, without a response
- *	/lost-reset		it is reset after the call ran
- *	/lost-idle		it ends after the response, which does not say so
+ *	/lost-head		closes the connection after the head of the request
+ *	/lost-body		resets the connection after half of the body
+ *	/lost-run		closes the connection in place of the response
+ *	/lost-reset		resets the connection in place of the response
+ *	/lost-idle		closes the connection after a complete response
+ *				without "Connection: close"
  *	/endless-head		header lines without end
  *	/endless-line		a header line without end
  *	/endless-interim	1xx responses without end
--- a/regress/test-keeper-crash.c
+++ b/regress/test-keeper-crash.c
@@ -13,7 +13,7 @@
  * that is not.
  *
  * A seeded history of votes, entries, replaced entries, snapshots and faults runs on
- * a recorded disk. After each file call, each state that a loss of power may leave is
+ * a simulated disk. After each file call, each state that a loss of power may leave is
  * built in a second folder and opened: the write that no sync covers lacks any of its
  * sectors and has any part of its size, and names are durable or not. Where there are
  * more than STATES_MAX of them, so many are drawn. Some of these openings are
@@ -60,7 +60,8 @@
 	FAIL_SYNC,
 } fail_t;
 
-/* A recorded disk. What it is told is done in its folder, too. */
+/* A simulated disk: it tracks which bytes and which file names are durable. Each file
+ * call is also made in @folder, from which the keeper reads. */
 typedef struct {
 	char *folder;
 	content_t *current[NAME_COUNT]; /* by name, as processes see them */
@@ -79,8 +80,8 @@
 	uint64_t commit;
 } saved_t;
 
-/* A keeper, the saves of it before and at the present file call, and the entries that
- * are committed. */
+/* A keeper on a simulated disk: the state of its last complete save, the state in
+ * @raft that it saves now, and the terms of the committed entries. */
 typedef struct {
 	GRand *rand;
 	disk_t disk;
