Read the clock for a refusal by a stop only while the entry stops

http_refuse_stopping() is called twice for each call and read the clock each time, also while the entry serves. Two flags decide first now; two functions are one. Behaviour is the same: routed-stop, routed-stop-late and path-stop pass.

--- a/entry-http.c
+++ b/entry-http.c
@@ -86,28 +86,20 @@
 	return result;
 }
 
-/* Whether the entry still takes a call; it does not if it stops and the call may
-   outlast the stop. */
-static bool http_admits(const entry_request_t *req, usec_t now)
-{
-	const entry_t *entry = req->entry;
-
-	if (__atomic_load_n(&entry->refuse_calls, __ATOMIC_SEQ_CST))
-		return false;
-	if (!__atomic_load_n(&entry->stopping, __ATOMIC_ACQUIRE))
-		return true;
-	return entry_stop_admits(&entry->stop, req->call.deadline,
-				 req->body_streamed, now);
-}
-
-/* Refuses a call that the entry does not take any more; returns whether it does.
+/* Refuses a call if the entry stops and takes it no more; returns whether it does.
    The call is counted in flight before, so either it is refused here or
    entry_http_stop() waits for it. */
 static bool http_refuse_stopping(entry_request_t *req)
 {
-	usec_t now = time_now();
+	const entry_t *entry = req->entry;
+	bool all = __atomic_load_n(&entry->refuse_calls, __ATOMIC_SEQ_CST);
+	usec_t now;
 
-	if (http_admits(req, now))
+	if (!all && !__atomic_load_n(&entry->stopping, __ATOMIC_ACQUIRE))
+		return false;
+	now = time_now();
+	if (!all && entry_stop_admits(&entry->stop, req->call.deadline,
+				      req->body_streamed, now))
 		return false;
 	entry_trace_stop_refused(req, now);
 	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, "stopping",
