Read whether routes are confirmed without a lock, on the path of each call

Each call took the lock of the follower to learn it, also those that match a route. It is written once, by the polling thread, after the configuration that it is about: an atomic flag does. The callback has one name, on_confirmed, in options and state; a check that only entries with entry.routed could pass is gone, as the callback is theirs alone.

--- a/config-direct.c
+++ b/config-direct.c
@@ -193,19 +193,14 @@
 /* Records that the leading keeper has no newer revision than the one in force. */
 static void direct_confirm(config_follow_t *follow)
 {
-	bool first;
-
-	pthread_mutex_lock(&follow->lock);
-	first = !follow->confirmed;
-	follow->confirmed = true;
-	pthread_mutex_unlock(&follow->lock);
-	if (!first)
+	if (follow->confirmed)
 		return;
+	__atomic_store_n(&follow->confirmed, true, __ATOMIC_RELEASE);
 	log_event(LOG_LEVEL_NOTICE, "config-confirmed",
 		  "revision=%" PRIu64 " source=%s", follow->revision,
 		  follow->source.address);
-	if (follow->confirm)
-		follow->confirm(follow->changed_context);
+	if (follow->on_confirmed)
+		follow->on_confirmed(follow->changed_context);
 }
 
 typedef enum {
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -18,10 +18,11 @@
 	unsigned (*members)(void *context, owner_member_t *out, unsigned max);
 	void *members_context;
 	void (*changed)(void *context, const config_t *config);
-	void (*confirm)(void *context);
+	void (*on_confirmed)(void *context);
 	void *changed_context;
 
 	config_t *config; /* RCU; written by the polling thread */
+	bool confirmed;	  /* likewise; atomic; see config_follow_confirmed() */
 
 	pthread_mutex_t lock;	/* protects the fields below */
 	pthread_cond_t wake;	/* wakes config_follow_pause() */
@@ -29,7 +30,6 @@
 	bool triggered;		/* ends the current config_follow_pause() */
 	setting_list_t keepers; /* current addresses */
 	bool ready;		/* see config_follow_ready() */
-	bool confirmed;		/* see config_follow_confirmed() */
 	uint64_t revision;	/* revision of config */
 	usec_t confirmed_at;	/* time of the last confirmation */
 	config_tail_t tail;	/* deltas served to this entry's children */
--- a/config-follow.c
+++ b/config-follow.c
@@ -49,7 +49,7 @@
 	follow->members = options->members;
 	follow->members_context = options->members_context;
 	follow->changed = options->changed;
-	follow->confirm = options->confirmed;
+	follow->on_confirmed = options->on_confirmed;
 	follow->changed_context = options->changed_context;
 	follow->jitter_seed = (unsigned)hl_hash(follow->name,
 						strlen(follow->name), 0);
@@ -254,14 +254,9 @@
 	return ready;
 }
 
-bool config_follow_confirmed(config_follow_t *follow)
+bool config_follow_confirmed(const config_follow_t *follow)
 {
-	bool confirmed;
-
-	pthread_mutex_lock(&follow->lock);
-	confirmed = follow->confirmed;
-	pthread_mutex_unlock(&follow->lock);
-	return confirmed;
+	return __atomic_load_n(&follow->confirmed, __ATOMIC_ACQUIRE);
 }
 
 void config_follow_free(config_follow_t *follow)
--- a/config-follow.h
+++ b/config-follow.h
@@ -117,8 +117,8 @@
 	 * leading keeper has confirmed for the first time that no newer
 	 * revision was accepted. May be NULL.
 	 */
-	void (*confirmed)(void *context);
-	void *changed_context; /* of changed and confirmed */
+	void (*on_confirmed)(void *context);
+	void *changed_context; /* of changed and on_confirmed */
 	metrics_t *metrics;    /* required */
 } config_follow_options_t;
 
@@ -169,7 +169,7 @@
  * older than one that was accepted before this process began: it does not show
  * what is not declared.
  */
-bool config_follow_confirmed(config_follow_t *follow);
+bool config_follow_confirmed(const config_follow_t *follow);
 
 /**
  * config_follow_trigger - trigger an immediate poll of the leading keeper.
--- a/entry-config.c
+++ b/entry-config.c
@@ -118,10 +118,7 @@
 
 static void config_on_confirmed(void *context)
 {
-	entry_t *entry = context;
-
-	if (entry->settings.routed)
-		entry_pending_release(entry, time_now());
+	entry_pending_release(context, time_now());
 }
 
 static unsigned config_live_members(void *context, owner_member_t *out,
@@ -142,7 +139,7 @@
 		.members = self ? config_live_members : NULL,
 		.members_context = entry,
 		.changed = config_on_change,
-		.confirmed = config_on_confirmed,
+		.on_confirmed = config_on_confirmed,
 		.changed_context = entry,
 		.metrics = entry->metrics,
 	};
--- a/entry-head.c
+++ b/entry-head.c
@@ -441,6 +441,7 @@
 /* Finds the route of a call; @part is as in entry_rules_match(). */
 static entry_match_t head_route_part(entry_request_t *req, const char *part)
 {
+	/* Read before the routes: these may be replaced and confirmed meanwhile. */
 	bool confirmed = entry_config_confirmed(req->entry);
 	entry_rule_t rule = { 0 };
 	hl_error_t err;
--- a/entry-io.h
+++ b/entry-io.h
@@ -210,10 +210,9 @@
 	char rule_name[HL_NAME_MAX];	/* name of the matching route, or "" */
 	usec_t caller_deadline;		/* when the caller stops waiting */
 	char *host;			/* Host header, to match a route by */
-	int64_t deadline_ms;	    /* deadline header of the caller; 0: none */
-	bool pending;		    /* received before there were routes */
-	bool unconfirmed;	    /* without a route before a keeper confirmed
-				       that there is none */
+	int64_t deadline_ms; /* deadline header of the caller; 0: none */
+	bool pending;	     /* waits for routes, see entry-pending.c */
+	bool unconfirmed;    /* had no route before the routes were confirmed */
 	struct curl_slist *headers; /* headers of the caller to be relayed */
 	bool has_body;
 	int64_t body_length;	/* bytes; -1: chunked */
