Check in test-keeper-crash that a save in progress cuts no old entries

The last condition of check_entries() was always true where it was reached, so a log with fewer entries than the last save would have passed.

--- a/regress/test-keeper-crash.c
+++ b/regress/test-keeper-crash.c
@@ -386,32 +386,30 @@
 	return index - from;
 }
 
-/* The entries are those of the save before or a beginning of those at the call. */
+/* The log has all entries of the last complete save or, once one that is being saved
+ * is there, the first ones of the state that is being saved. */
 static void check_entries(const history_t *history, const keeper_raft_t *found)
 {
-	uint64_t first = found->entries.base + 1;
-	uint64_t count = found->entries.count;
 	const keeper_entries_t *before = &history->before.entries;
 	const keeper_entries_t *after = &history->raft.entries;
-	uint64_t kept = entries_common(&found->entries, before, first);
+	uint64_t first = found->entries.base + 1;
+	uint64_t count = found->entries.count;
 	uint64_t added = entries_common(&found->entries, after, first);
-	uint64_t shared = 0;
+	uint64_t shared;
 
-	if (first > before->base && first > after->base)
-		shared = entries_common(before, after, first);
-	/* After a new snapshot there are only entries that follow it. */
+	/* Only the entries after a new snapshot may follow it. */
 	if (found->entries.base != before->base) {
 		g_assert_cmpuint(added, ==, count);
 		return;
 	}
-	g_assert_cmpuint(MAX(kept, added), ==, count);
-	g_assert_cmpuint(count, >=, shared);
-	/* Either nothing of the new entries is there, or no old one is cut. */
-	if (added < count || added <= shared)
-		g_assert_true(kept == count &&
-			      (keeper_entries_last(before) ==
-				       keeper_entries_last(&found->entries) ||
-			       added == after->count || first > before->base));
+	shared = entries_common(before, after, first);
+	if (added > shared) {
+		g_assert_cmpuint(added, ==, count);
+		return;
+	}
+	g_assert_cmpuint(entries_common(&found->entries, before, first), ==,
+			 count);
+	g_assert_cmpuint(count, ==, before->count);
 }
 
 /* Each entry up to the commit index is the one that is committed. */
