Refuse calls at an entry that knows its configuration is outdated

Cause: an entry went by the configuration in force for as long as it had no newer one, also while the keepers' answers to its heartbeats told it that there is one. Heartbeats are datagrams and polls are TCP; three or four entries that start first are named to most callers, their links are full, and connects to the leader time out for 3.5 to 6.3 s.

Ruled out: the keepers do not report it (they did, within a heartbeat); slow transfers (no connection was made); lack of processor time (calls were ended all the while).

Change: the follower keeps the time of the first report of a revision that it lacks. From config.outdated_ms (1 s) on, while keepers still report, calls are refused as not run, 503 `outdated`, and the entry counts as impaired, so that look-ups name others. An entry that is cut off from the keepers knows of no change and serves on. config-poll-failed says why polls fail, config-in-force has the time since the report.

Why it works: a call that comes later than that is never matched to the older routes, and what keepers acknowledge is told with the next heartbeat.

--- a/config-direct.c
+++ b/config-direct.c
@@ -132,6 +132,27 @@
 	return result;
 }
 
+/* Logs the first failed poll since the last response, and then fewer and fewer. */
+static void direct_log_failure(const config_follow_t *follow,
+			       const char *address, CURLcode result,
+			       size_t bytes)
+{
+	unsigned failures = follow->failed_polls;
+	curl_off_t connected = 0, total = 0;
+	long status = 0;
+
+	if (failures & (failures - 1))
+		return;
+	curl_easy_getinfo(follow->easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(follow->easy, CURLINFO_CONNECT_TIME_T, &connected);
+	curl_easy_getinfo(follow->easy, CURLINFO_TOTAL_TIME_T, &total);
+	log_event(LOG_LEVEL_NOTICE, "config-poll-failed",
+		  "keeper=%s error=%d status=%ld connect_us=%" PRId64
+		  " time_us=%" PRId64 " bytes=%zu failures=%u",
+		  address, (int)result, status, (int64_t)connected,
+		  (int64_t)total, bytes, failures);
+}
+
 /* Polls one keeper; returns false if it sends no valid response. */
 static bool direct_get(config_follow_t *follow, const char *address,
 		       keeper_fetch_res_t *res)
@@ -163,10 +184,12 @@
 	result = direct_transfer(follow, address);
 	ok = result == CURLE_OK && direct_decode(&body, res);
 	free(body.bytes);
-	if (ok)
+	if (ok) {
 		follow->failed_polls = 0;
-	else if (result != CURLE_AGAIN)
+	} else if (result != CURLE_AGAIN) {
 		follow->failed_polls++;
+		direct_log_failure(follow, address, result, body.size);
+	}
 	return ok;
 }
 
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -3,6 +3,7 @@
 
 #include <curl/curl.h>
 #include "config-follow.h"
+#include "config-lag.h"
 #include "config-report.h"
 #include "config-source.h"
 #include "config-tail.h"
@@ -23,6 +24,8 @@
 
 	config_t *config; /* RCU; written by the polling thread */
 	bool confirmed;	  /* likewise; atomic; see config_follow_confirmed() */
+	/* Atomic; written under the lock; see config_follow_outdated(). */
+	usec_t outdated_from, outdated_until;
 
 	pthread_mutex_t lock;	/* protects the fields below */
 	pthread_cond_t wake;	/* wakes config_follow_pause() */
@@ -32,6 +35,7 @@
 	bool ready;		/* see config_follow_ready() */
 	uint64_t revision;	/* revision of config */
 	usec_t confirmed_at;	/* time of the last confirmation */
+	config_lag_t lag;	/* of the revision in force */
 	config_tail_t tail;	/* deltas served to this entry's children */
 	config_report_t report;
 
@@ -82,6 +86,13 @@
 int config_publish(config_follow_t *follow, const keeper_fetch_body_t *body,
 		   uint64_t newest, usec_t confirmed_at);
 
+/**
+ * config_follow_update_lag - publish what has changed in follow->lag.
+ *
+ * The caller holds the lock of @follow.
+ */
+void config_follow_update_lag(config_follow_t *follow);
+
 /**
  * config_direct_connect_timeout_ms - connect timeout of a poll over HTTP.
  * @failures: polls without a response since the last one
--- a/config-follow.c
+++ b/config-follow.c
@@ -45,6 +45,7 @@
 		strncpy(follow->rpc_address, options->rpc_address,
 			sizeof(follow->rpc_address) - 1);
 	follow->settings = options->settings;
+	follow->outdated_from = USEC_NEVER;
 	follow->keepers = options->settings.keepers;
 	follow->members = options->members;
 	follow->members_context = options->members_context;
@@ -259,6 +260,34 @@
 	return __atomic_load_n(&follow->confirmed, __ATOMIC_ACQUIRE);
 }
 
+void config_follow_update_lag(config_follow_t *follow)
+{
+	usec_t max = follow->settings.outdated_ms * USEC_PER_MS;
+
+	__atomic_store_n(&follow->outdated_until,
+			 config_lag_known_until(&follow->lag),
+			 __ATOMIC_RELAXED);
+	__atomic_store_n(&follow->outdated_from,
+			 config_lag_late_from(&follow->lag, max),
+			 __ATOMIC_RELEASE);
+}
+
+void config_follow_report(config_follow_t *follow, uint64_t revision,
+			  usec_t now)
+{
+	pthread_mutex_lock(&follow->lock);
+	config_lag_report(&follow->lag, follow->revision, revision, now);
+	config_follow_update_lag(follow);
+	pthread_mutex_unlock(&follow->lock);
+}
+
+bool config_follow_outdated(const config_follow_t *follow, usec_t now)
+{
+	return now >= __atomic_load_n(&follow->outdated_from,
+				      __ATOMIC_ACQUIRE) &&
+	       now < __atomic_load_n(&follow->outdated_until, __ATOMIC_RELAXED);
+}
+
 void config_follow_free(config_follow_t *follow)
 {
 	if (!follow)
--- a/config-follow.h
+++ b/config-follow.h
@@ -27,6 +27,7 @@
 	int64_t fanout; /* maximum number of children of an entry */
 	int64_t poll_ms;
 	int64_t timeout_ms;
+	int64_t outdated_ms;
 	int64_t keeper_port; /* port of all keepers; 0: the ports in keepers */
 } config_follow_settings_t;
 
@@ -63,6 +64,16 @@
 		  10,                                                         \
 		  10000,                                                      \
 		  "milliseconds between two polls of the parent" },           \
+		{ "config",                                                   \
+		  "outdated_ms",                                              \
+		  SETTING_INTEGER,                                            \
+		  offsetof(type, member.outdated_ms),                         \
+		  false,                                                      \
+		  "1000",                                                     \
+		  100,                                                        \
+		  600000,                                                     \
+		  "milliseconds in which an entry with entry.routed gets a "  \
+		  "revision that keepers report; later it refuses calls" },   \
 		{ "config",                                                   \
 		  "keeper_port",                                              \
 		  SETTING_INTEGER,                                            \
@@ -171,6 +182,25 @@
  */
 bool config_follow_confirmed(const config_follow_t *follow);
 
+/**
+ * config_follow_report - record that a keeper has reported a revision.
+ * @follow: a follower outside the tree
+ * @revision: the revision that the keeper has in force
+ * @now: current time
+ */
+void config_follow_report(config_follow_t *follow, uint64_t revision,
+			  usec_t now);
+
+/**
+ * config_follow_outdated - whether a newer revision is known and late.
+ * @follow: the follower
+ * @now: current time
+ *
+ * True from config.outdated_ms after the first report of a revision until that
+ * revision is in force, or no keeper reports it any more.
+ */
+bool config_follow_outdated(const config_follow_t *follow, usec_t now);
+
 /**
  * config_follow_trigger - trigger an immediate poll of the leading keeper.
  * @follow: a follower outside the tree
--- /dev/null
+++ b/config-lag.h
@@ -0,0 +1,57 @@
+#ifndef CONFIG_LAG_H
+#define CONFIG_LAG_H
+
+#include "hemlock.h"
+
+/*
+ * How long an entry has known that keepers have a newer revision than the one in
+ * force. An entry that knows for long must not serve calls by the older one: the
+ * change was acknowledged, and may have moved or dropped their routes. One that
+ * keepers no longer report to does not know, and serves.
+ */
+typedef struct {
+	uint64_t missing;     /* a reported revision not in force; 0: none */
+	usec_t missing_since; /* first report of it */
+	uint64_t newest;      /* newest reported revision */
+	usec_t newest_since;  /* first report of it */
+	usec_t reported_at;   /* last report of a revision not in force */
+} config_lag_t;
+
+/**
+ * config_lag_report - record that a keeper has reported a revision.
+ * @lag: zeroed, or used before
+ * @in_force: revision in force at this entry
+ * @revision: the reported one
+ * @now: current time
+ */
+void config_lag_report(config_lag_t *lag, uint64_t in_force, uint64_t revision,
+		       usec_t now);
+
+/**
+ * config_lag_apply - record that a revision came into force.
+ * @lag: used with config_lag_report()
+ * @in_force: revision in force at this entry
+ */
+void config_lag_apply(config_lag_t *lag, uint64_t in_force);
+
+/**
+ * config_lag_age - time since the first report of a missing revision; 0: none.
+ */
+usec_t config_lag_age(const config_lag_t *lag, usec_t now);
+
+/**
+ * config_lag_late_from - time from which the revision in force is outdated.
+ * @lag: used with config_lag_report()
+ * @max: maximum time from the first report of a revision until it is in force
+ *
+ * Return: the time, or USEC_NEVER if no reported revision is missing.
+ */
+usec_t config_lag_late_from(const config_lag_t *lag, usec_t max);
+
+/**
+ * config_lag_known_until - time from which the last report counts no longer.
+ * @lag: used with config_lag_report()
+ */
+usec_t config_lag_known_until(const config_lag_t *lag);
+
+#endif
--- a/config-publish.c
+++ b/config-publish.c
@@ -82,16 +82,22 @@
 {
 	config_t *old = follow->config;
 	char quoted[HL_ADDRESS_MAX + 2];
+	usec_t reported;
 
 	pthread_mutex_lock(&follow->lock);
+	reported = config_lag_age(&follow->lag, time_now());
 	config_publish_store_deltas(follow, body);
 	__atomic_store_n(&follow->config, next, __ATOMIC_RELEASE);
 	follow->revision = next->revision;
+	config_lag_apply(&follow->lag, follow->revision);
+	config_follow_update_lag(follow);
 	pthread_mutex_unlock(&follow->lock);
 	metrics_set(follow->metrics.revision, next->revision);
 	log_event(LOG_LEVEL_INFO, "config-in-force",
-		  "revision=%" PRIu64 " source=%s", (uint64_t)next->revision,
-		  log_quote(follow->source.address, quoted, sizeof(quoted)));
+		  "revision=%" PRIu64 " source=%s reported_ms=%" PRId64,
+		  (uint64_t)next->revision,
+		  log_quote(follow->source.address, quoted, sizeof(quoted)),
+		  reported / USEC_PER_MS);
 	if (follow->changed)
 		follow->changed(follow->changed_context, next);
 	if (old)
--- a/entry-config.c
+++ b/entry-config.c
@@ -160,6 +160,11 @@
 	return !entry->follow || config_follow_confirmed(entry->follow);
 }
 
+bool entry_config_outdated(const entry_t *entry, usec_t now)
+{
+	return entry->follow && config_follow_outdated(entry->follow, now);
+}
+
 uint64_t entry_config_revision(void *context)
 {
 	const entry_t *entry = context;
--- a/entry-directory.c
+++ b/entry-directory.c
@@ -51,7 +51,7 @@
 	directory_add_peers(entry, addresses, in->now);
 	if (directory_takes_calls(entry, in->now) &&
 	    (!json_array_size(addresses) ||
-	     !entry_sibling_is_impaired(entry, in->now)))
+	     !entry_target_is_impaired(entry, in->now)))
 		json_array_append_new(addresses,
 				      json_string(entry->call_address));
 	if (!json_array_size(addresses)) {
--- a/entry-io.h
+++ b/entry-io.h
@@ -920,6 +920,13 @@
  */
 bool entry_config_confirmed(const entry_t *entry);
 
+/**
+ * entry_config_outdated - do keepers report a newer revision, which is late?
+ *
+ * See config_follow_outdated(). Calls must not be routed meanwhile.
+ */
+bool entry_config_outdated(const entry_t *entry, usec_t now);
+
 /**
  * entry_config_revision - return the revision of the configuration in force.
  * @context: the entry_t
@@ -1013,6 +1020,14 @@
  */
 uint64_t entry_target_rules_revision(entry_t *entry);
 
+/**
+ * entry_target_is_impaired - should callers use other entries, if there are any?
+ *
+ * True while this entry refuses calls since its routes are outdated, and while
+ * other entries reach copies that it does not reach.
+ */
+bool entry_target_is_impaired(entry_t *entry, usec_t now);
+
 /** entry_target_has_routes - are routes in force? */
 bool entry_target_has_routes(entry_t *entry);
 
--- a/entry-target.c
+++ b/entry-target.c
@@ -243,6 +243,12 @@
 	return routed;
 }
 
+bool entry_target_is_impaired(entry_t *entry, usec_t now)
+{
+	return entry_config_outdated(entry, now) ||
+	       entry_sibling_is_impaired(entry, now);
+}
+
 /* Callbacks of the presence thread, which exchanges datagrams with keepers. */
 
 static bool target_is_ready(void *context)
@@ -255,7 +261,7 @@
 
 static bool target_is_impaired(void *context)
 {
-	return entry_sibling_is_impaired(context, time_now());
+	return entry_target_is_impaired(context, time_now());
 }
 
 /* TCP port of the keepers' control servers. */
@@ -266,13 +272,15 @@
 	return (uint16_t)strtoul(strrchr(first, ':') + 1, NULL, 10);
 }
 
-static void target_on_newer_revision(void *context, const char *keeper)
+static void target_on_newer_revision(void *context, const char *keeper,
+				     uint64_t revision, usec_t now)
 {
 	entry_t *entry = context;
 	setting_list_t leader = { .count = 1 };
 	setting_list_t reporter = { .count = 1 };
 	setting_list_t keepers;
 
+	config_follow_report(entry->follow, revision, now);
 	strcpy(reporter.items[0], keeper);
 	presence_client_keepers(entry->presence, &keepers, leader.items[0]);
 	leader.count = *leader.items[0] != '\0';
--- a/presence-client.c
+++ b/presence-client.c
@@ -214,7 +214,8 @@
 	if (status->revision >
 	    client->options.revision(client->options.context))
 		client->options.on_newer_revision(client->options.context,
-						  keeper->address);
+						  keeper->address,
+						  status->revision, now);
 }
 
 static void client_on_peers(presence_client_t *client,
--- a/presence.h
+++ b/presence.h
@@ -187,7 +187,8 @@
 	uint64_t (*revision)(void *context); /* returns the one in force */
 	/* Called when the keeper with this address reports a newer revision than
 	 * revision(). */
-	void (*on_newer_revision)(void *context, const char *keeper);
+	void (*on_newer_revision)(void *context, const char *keeper,
+				  uint64_t revision, usec_t now);
 	void *context;
 } presence_client_options_t;
 
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 #include <urcu.h>
 #include "config-follow-internal.h"
+#include "config-lag.h"
 #include "config-make.h"
 
 /*
@@ -355,6 +356,34 @@
 		close(clients[i]);
 }
 
+/*
+ * A revision counts as late by the first report of it, not the last; one that
+ * follows it does not make it young again; no report, no claim.
+ */
+static void test_outdated(void)
+{
+	const usec_t max = USEC_PER_SEC;
+	config_lag_t lag = { 0 };
+
+	config_lag_report(&lag, 5, 5, 100);
+	g_assert_cmpint(config_lag_late_from(&lag, max), ==, USEC_NEVER);
+	config_lag_report(&lag, 5, 6, 200);
+	config_lag_report(&lag, 5, 6, 300);
+	config_lag_report(&lag, 5, 8, 400);
+	g_assert_cmpint(config_lag_late_from(&lag, max), ==, 200 + max);
+	g_assert_cmpint(config_lag_age(&lag, 1200), ==, 1000);
+	g_assert_cmpint(config_lag_known_until(&lag), >, 400 + max);
+	config_lag_apply(&lag, 5);
+	g_assert_cmpint(config_lag_late_from(&lag, max), ==, 200 + max);
+	config_lag_apply(&lag, 7);
+	g_assert_cmpint(config_lag_late_from(&lag, max), ==, 400 + max);
+	config_lag_apply(&lag, 8);
+	g_assert_cmpint(config_lag_late_from(&lag, max), ==, USEC_NEVER);
+	g_assert_cmpint(config_lag_age(&lag, 5000), ==, 0);
+	config_lag_report(&lag, 8, 9, 6000);
+	g_assert_cmpint(config_lag_late_from(&lag, max), ==, 6000 + max);
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -372,6 +401,7 @@
 		g_free(path);
 	}
 	g_test_add_func("/config-follow/connect-timeout", test_connect_timeout);
+	g_test_add_func("/config-follow/outdated", test_outdated);
 	g_test_add_func("/config-follow/reporter-first", test_reporter_first);
 	rc = g_test_run();
 	rcu_unregister_thread();
