Give a connect to a keeper that was just reported the longest timeout

What callers saw: an entry whose link was full had its configuration 3.8 to 6.3 s after the keepers had told it, and refused calls for that time (before: served by the older routes).

Cause: a connect to a keeper was given up after 200 ms, then 400, 800 and 1600, since a keeper may be starting. Over the full link of a small VM a connect took 0.3 to 1.3 s, so three connects to the leader were given up that were under way. The leader had answered a heartbeat just before: it was not starting.

Ruled out: another keeper was polled between them (all went to the leader), the response (488 bytes) took long.

Change: a keeper that config_follow_trigger() has named gets 1600 ms at once; others keep the short timeout, and a connect is still given up as soon as another keeper is named.

test-config-follow (leader-slow-link, connect-timeout) fails before: the next keeper is polled after 200 ms.

--- a/config-direct.c
+++ b/config-direct.c
@@ -19,7 +19,8 @@
 #define DIRECT_INTERVAL_MIN (150 * USEC_PER_MS)
 /* Connect timeout, after which the next keeper is tried. It is short because a
  * keeper that is still starting gets another poll soon; each failed poll doubles
- * it up to the maximum, as the link of this VM may be slow. */
+ * it up to the maximum, as the link of this VM may be slow. The maximum applies at
+ * once to a keeper that has been reported, which has just answered a heartbeat. */
 #define DIRECT_CONNECT_TIMEOUT_MS 200L
 #define DIRECT_CONNECT_TIMEOUT_MAX_MS 1600L
 /* Maximum wait for events of a transfer. */
@@ -73,9 +74,10 @@
 	return ok;
 }
 
-long config_direct_connect_timeout_ms(unsigned failures)
+long config_direct_connect_timeout_ms(bool reported, unsigned failures)
 {
-	long timeout = DIRECT_CONNECT_TIMEOUT_MS;
+	long timeout = reported ? DIRECT_CONNECT_TIMEOUT_MAX_MS :
+				  DIRECT_CONNECT_TIMEOUT_MS;
 
 	while (failures-- > 0 && timeout < DIRECT_CONNECT_TIMEOUT_MAX_MS)
 		timeout *= 2;
@@ -155,10 +157,10 @@
 
 /* Polls one keeper; returns false if it sends no valid response. */
 static bool direct_get(config_follow_t *follow, const char *address,
-		       keeper_fetch_res_t *res)
+		       bool reported, keeper_fetch_res_t *res)
 {
 	long connect_ms = config_direct_connect_timeout_ms(
-		follow->failed_polls);
+		reported, follow->failed_polls);
 	char url[HL_ADDRESS_MAX + 64];
 	direct_body_t body = { 0 };
 	CURL *easy = follow->easy;
@@ -193,10 +195,15 @@
 	return ok;
 }
 
-/* Chooses the keeper that was named, or else the next one of the list. */
-static void direct_choose_keeper(config_follow_t *follow, char *out)
+/* Chooses the keeper that was named, or else the next one of the list. Returns
+ * whether it was named since the last poll. */
+static bool direct_choose_keeper(config_follow_t *follow, char *out)
 {
+	bool reported;
+
 	pthread_mutex_lock(&follow->lock);
+	reported = *follow->leader && follow->leader_reported;
+	follow->leader_reported = false;
 	if (*follow->leader)
 		strcpy(out, follow->leader);
 	else
@@ -204,6 +211,7 @@
 						  follow->keepers.count]);
 	*follow->leader = '\0';
 	pthread_mutex_unlock(&follow->lock);
+	return reported;
 }
 
 static void direct_set_leader(config_follow_t *follow, const char *address)
@@ -253,10 +261,11 @@
 	keeper_fetch_res_t res = { 0 };
 	char address[HL_ADDRESS_MAX];
 	direct_result_t result = DIRECT_FAILED;
+	bool reported;
 
-	direct_choose_keeper(follow, address);
+	reported = direct_choose_keeper(follow, address);
 	strcpy(follow->source.address, address);
-	if (direct_get(follow, address, &res))
+	if (direct_get(follow, address, reported, &res))
 		result = direct_apply(follow, address, &res, now);
 	if (result == DIRECT_FAILED)
 		metrics_add(follow->metrics.failures, 1);
