Let callers of an outdated entry come back after 200 ms

A call that an entry refuses since its routes are outdated was told to come back after 1 s. The caller has another entry that can serve it at once, and its deadline may be 2.5 s; the second was taken over from the refusals of an entry that has just started.

--- a/entry-head.c
+++ b/entry-head.c
@@ -16,6 +16,8 @@
 #define HEAD_PENDING_TIMEOUT (2 * USEC_PER_SEC)
 /* Wait suggested to a caller while the routes are not known. */
 #define HEAD_EARLY_RETRY_AFTER USEC_PER_SEC
+/* The same while the routes are outdated. The caller can use another entry at once. */
+#define HEAD_OUTDATED_RETRY_AFTER (200 * USEC_PER_MS)
 
 /* State of the iteration over the headers of a request. */
 typedef struct {
@@ -438,14 +440,6 @@
 	}
 }
 
-/* Refuses a call that comes while the routes to decide it by are not known. */
-static int head_refuse_early(entry_request_t *req, const char *reason)
-{
-	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, reason,
-			   HEAD_EARLY_RETRY_AFTER);
-	return -1;
-}
-
 /* Finds the route of a call; @part is as in entry_rules_match(). A newer revision
    that is late may have moved or dropped the route. */
 static entry_match_t head_route_part(entry_request_t *req, const char *part)
@@ -456,7 +450,8 @@
 	hl_error_t err;
 
 	if (entry_config_outdated(req->entry, req->call.arrived)) {
-		head_refuse_early(req, "outdated");
+		entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN,
+				   "outdated", HEAD_OUTDATED_RETRY_AFTER);
 		return ENTRY_MATCH_REFUSED;
 	}
 	if (head_find_rule(req, part, &rule, &err)) {
@@ -514,6 +509,15 @@
 	return head_refuse(req, HTTP_FORBIDDEN, "hop");
 }
 
+/* Refuses a call that comes too early after the start of the process for the routes
+   to be known. */
+static int head_refuse_early(entry_request_t *req, const char *reason)
+{
+	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, reason,
+			   HEAD_EARLY_RETRY_AFTER);
+	return -1;
+}
+
 /* Matches a call of a caller to the routes. One without a route waits until the
    leading keeper has confirmed that there is none. */
 static int head_route_caller(entry_request_t *req)
