Name starting entries to callers while they outnumber the ready ones

What callers saw: after a loss of power of all VMs three or four entries of 142 ended up to 168 calls a second each, a sibling 12; their links were full for 4 to 8 s, connects to them and from them failed, and they got an acknowledged change seconds late (CONFIG, once; since config.outdated_ms their calls are refused).

Cause: all entries start within 0.3 s and get their first configuration within 0.35 s. For some 0.1 s keepers know two ready entries in a zone of 51, which is as many as a zone must have to be named alone, and all callers of the zone ask in that time. They keep their connections.

Change: entries that have no configuration yet and whose first heartbeat came within 2 s count as ready while they outnumber the ready ones of the zone and there is a ready one. They hold calls until their routes come, as before for callers that know their address. A stopping entry has a configuration and is not named.

--- a/presence-table.c
+++ b/presence-table.c
@@ -17,6 +17,10 @@
    are sent to these only: fewer ones could not serve the callers of all. */
 #define PRESENCE_UNIMPAIRED_PART 2
 
+/* Maximum age of an entry without a configuration that callers are sent to; it is
+   shorter than the time for which such an entry holds calls. */
+#define PRESENCE_STARTING_MAX_AGE (2 * USEC_PER_SEC)
+
 /* Interval at which an entry that asks for peers of all zones gets others, so that it
  * finds the few that can serve it however many entries there are. */
 #define PRESENCE_ROTATE_INTERVAL USEC_PER_SEC
@@ -86,6 +90,7 @@
 		return NULL;
 	identity = heartbeat->identity.identity_val;
 	member->id = heartbeat->id;
+	member->first_seen = now;
 	strcpy(member->name, identity->name);
 	strcpy(member->zone, identity->zone);
 	strcpy(member->call_address, identity->call_address);
@@ -177,19 +182,56 @@
 			each(context, value);
 }
 
-/* True if callers of @zone, or of all zones if it is NULL, can be sent to an entry. */
-static bool presence_is_usable(const presence_member_t *member,
-			       const char *zone, usec_t now)
+/* Whether an entry is of @zone, or @zone is NULL, and has a recent heartbeat. */
+static bool presence_is_in_zone(const presence_member_t *member,
+				const char *zone, usec_t now)
 {
-	return member->ready && presence_is_live(member, now) &&
+	return presence_is_live(member, now) &&
 	       (!zone || !strcmp(member->zone, zone));
 }
 
+static bool presence_is_starting(const presence_member_t *member, usec_t now)
+{
+	return !member->ready && !member->revision &&
+	       now - member->first_seen <= PRESENCE_STARTING_MAX_AGE;
+}
+
+/* Whether there are ready entries in a zone, but fewer than starting ones. */
+static bool presence_most_are_starting(const presence_table_t *table,
+				       const char *zone, usec_t now)
+{
+	unsigned ready = 0, starting = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const presence_member_t *member = value;
+
+		if (!presence_is_in_zone(member, zone, now))
+			continue;
+		ready += member->ready;
+		starting += presence_is_starting(member, now);
+	}
+	return ready > 0 && ready < starting;
+}
+
+/* True if callers of @zone, or of all zones if it is NULL, can be sent to an entry;
+ * @starting: also to one that starts. */
+static bool presence_is_usable(const presence_member_t *member,
+			       const char *zone, bool starting, usec_t now)
+{
+	return presence_is_in_zone(member, zone, now) &&
+	       (member->ready ||
+		(starting && presence_is_starting(member, now)));
+}
+
 /* Collect the usable entries of @zone, with @impaired also impaired ones. */
 static unsigned presence_collect(const presence_table_t *table,
 				 const char *zone, bool impaired, usec_t now,
 				 const presence_member_t **out, unsigned max)
 {
+	bool starting = presence_most_are_starting(table, zone, now);
 	GHashTableIter iter;
 	gpointer value;
 	unsigned count = 0;
@@ -198,7 +240,7 @@
 	while (count < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const presence_member_t *member = value;
 
-		if (presence_is_usable(member, zone, now) &&
+		if (presence_is_usable(member, zone, starting, now) &&
 		    (impaired || !presence_is_impaired(member, now)))
 			out[count++] = member;
 	}
@@ -209,13 +251,14 @@
 static bool presence_are_enough(const presence_table_t *table, const char *zone,
 				unsigned count, usec_t now)
 {
+	bool starting = presence_most_are_starting(table, zone, now);
 	GHashTableIter iter;
 	gpointer value;
 	unsigned usable = 0;
 
 	g_hash_table_iter_init(&iter, table->members);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		usable += presence_is_usable(value, zone, now);
+		usable += presence_is_usable(value, zone, starting, now);
 	return count > 0 && count * PRESENCE_UNIMPAIRED_PART >= usable;
 }
 
--- a/presence.h
+++ b/presence.h
@@ -56,6 +56,7 @@
 	char call_address[HL_ADDRESS_MAX]; /* "ip:port" for callers */
 	bool ready;
 	uint64_t revision;  /* revision in force at the entry */
+	usec_t first_seen;  /* time of the entry's first heartbeat */
 	usec_t last_seen;   /* time of the entry's last heartbeat */
 	usec_t impaired_at; /* last report that it is impaired; 0: none */
 	struct sockaddr_storage from;
@@ -106,7 +107,10 @@
  * @out: filled in; the pointers are valid until the table changes
  * @max: size of @out
  *
- * Chooses the ready entries of the zone that are not impaired. If the zone has
+ * Chooses the ready entries of the zone that are not impaired. Entries that have
+ * started shortly before and have no configuration yet count as ready while they
+ * outnumber the ready ones of the zone: these could not take all callers, and the
+ * others hold calls until they are ready. If the zone has
  * fewer than two, those of all zones are chosen, so that the failure of one entry
  * does not leave the caller without any. If more than half are impaired, the others
  * could not serve all callers: then impaired ones, which hand calls over, are chosen
--- a/regress/test-presence.c
+++ b/regress/test-presence.c
@@ -16,13 +16,15 @@
 
 #define SECOND USEC_PER_SEC
 
-static void send_heartbeat(presence_table_t *table, uint64_t id,
-			   const char *zone, bool ready, bool with_identity,
-			   usec_t now, bool accepted)
+static void send_revision(presence_table_t *table, uint64_t id,
+			  const char *zone, bool ready, uint64_t revision,
+			  bool with_identity, usec_t now, bool accepted)
 {
 	char name[32], calls[32];
 	presence_identity_t identity = { name, (char *)zone, calls };
-	presence_entry_t heartbeat = { .id = id, .ready = ready };
+	presence_entry_t heartbeat = { .id = id,
+				       .ready = ready,
+				       .revision = revision };
 	struct sockaddr_storage from = { 0 };
 
 	g_snprintf(name, sizeof(name), "e%u", (unsigned)id);
@@ -37,6 +39,14 @@
 			==, accepted);
 }
 
+/* A heartbeat of an entry that has a configuration. */
+static void send_heartbeat(presence_table_t *table, uint64_t id,
+			   const char *zone, bool ready, bool with_identity,
+			   usec_t now, bool accepted)
+{
+	send_revision(table, id, zone, ready, 7, with_identity, now, accepted);
+}
+
 static char *choose(presence_table_t *table, const char *zone, usec_t now)
 {
 	const presence_member_t *members[16];
@@ -90,6 +100,38 @@
 	presence_table_free(table);
 }
 
+/*
+ * After a loss of power all callers come back at once. They must not all be sent to
+ * the first entries that are ready, whose links would be full for seconds, but also
+ * to those that start; to these only while they are many, and to none that stops.
+ */
+static void test_starting(void)
+{
+	presence_table_t *table = presence_table_new();
+	unsigned id;
+
+	for (id = 1; id <= 5; id++)
+		send_revision(table, id, "a", false, 0, true, 0, true);
+	send_revision(table, 6, "b", false, 0, true, 0, true);
+	ASSERT_CHOSEN("a", SECOND, "");
+	send_heartbeat(table, 1, "a", true, false, SECOND, true);
+	send_heartbeat(table, 2, "a", true, false, SECOND, true);
+	ASSERT_CHOSEN("a", SECOND, "1 2 3 4 5");
+	ASSERT_CHOSEN("b", SECOND, "1 2 3 4 5 6");
+	send_heartbeat(table, 3, "a", true, false, SECOND, true);
+	ASSERT_CHOSEN("a", SECOND, "1 2 3");
+	/* An entry that has been starting for long does not hold calls any more. */
+	for (id = 1; id <= 3; id++)
+		send_heartbeat(table, id, "a", id == 1, false, 2 * SECOND,
+			       true);
+	for (id = 4; id <= 6; id++)
+		send_revision(table, id, "a", false, 0, false, 2 * SECOND,
+			      true);
+	ASSERT_CHOSEN("a", 2 * SECOND, "1 4 5");
+	ASSERT_CHOSEN("a", 2 * SECOND + 1, "1");
+	presence_table_free(table);
+}
+
 /* Callers must not be sent to entries that lack paths to copies, unless there are
    no others, and must be sent there again once these paths are back. */
 static void test_impaired(void)
@@ -409,6 +451,7 @@
 	g_test_add_func("/presence/peers-change", test_peers_change);
 	g_test_add_func("/presence/peers-codec", test_peers_codec);
 	g_test_add_func("/presence/choose", test_choose);
+	g_test_add_func("/presence/starting", test_starting);
 	g_test_add_func("/presence/impaired", test_impaired);
 	g_test_add_func("/presence/impaired-ends", test_impaired_ends);
 	g_test_add_func("/presence/most-impaired", test_most_impaired);
