--- a/regress/routed-cut-lib.sh
+++ b/regress/routed-cut-lib.sh
@@ -56,8 +56,14 @@
 	done
 }
 
-# not_served: print how many calls were not answered 200 since the last time.
+# not_served: print how many calls were not answered 200 since the last time, and on
+# standard error what the entries have logged of them.
 not_served () {
+	grep -v ' 200$' "$DIR/statuses" | while read -r id status
+	do
+		echo "not served: $id $status" >&2
+		grep -h "call=$id " "$DIR"/entry-*.log >&2
+	done
 	grep -cv ' 200$' "$DIR/statuses" || true
 	cat "$DIR/statuses" >>"$DIR/all-statuses"
 	: >"$DIR/statuses"
