Count the starting entries of a look-up once

Cause: a look-up walked the table of entries to count the starting ones in presence_collect() and again in presence_are_enough(), for the zone and for all zones, and passed the zone and the result along side by side.

Change: presence_scope() counts them once and holds the zone with the result. The choice is the same.

--- a/presence-table.c
+++ b/presence-table.c
@@ -196,10 +196,17 @@
 	       now - member->first_seen <= PRESENCE_STARTING_MAX_AGE;
 }
 
-/* Whether there are ready entries in a zone, but fewer than starting ones. */
-static bool presence_most_are_starting(const presence_table_t *table,
+/* The entries from which those for a caller are chosen. */
+typedef struct {
+	const char *zone; /* NULL: all zones */
+	bool starting;	  /* also entries that start */
+} presence_scope_t;
+
+/* Entries that start are in the scope if there are ready ones, but fewer. */
+static presence_scope_t presence_scope(const presence_table_t *table,
 				       const char *zone, usec_t now)
 {
+	presence_scope_t scope = { .zone = zone };
 	unsigned ready = 0, starting = 0;
 	GHashTableIter iter;
 	gpointer value;
@@ -213,25 +220,25 @@
 		ready += member->ready;
 		starting += presence_is_starting(member, now);
 	}
-	return ready > 0 && ready < starting;
+	scope.starting = ready > 0 && ready < starting;
+	return scope;
 }
 
-/* True if callers of @zone, or of all zones if it is NULL, can be sent to an entry;
- * @starting: also to one that starts. */
+/* True if callers can be sent to an entry of the scope. */
 static bool presence_is_usable(const presence_member_t *member,
-			       const char *zone, bool starting, usec_t now)
+			       const presence_scope_t *scope, usec_t now)
 {
-	return presence_is_in_zone(member, zone, now) &&
+	return presence_is_in_zone(member, scope->zone, now) &&
 	       (member->ready ||
-		(starting && presence_is_starting(member, now)));
+		(scope->starting && presence_is_starting(member, now)));
 }
 
-/* Collect the usable entries of @zone, with @impaired also impaired ones. */
+/* Collect the usable entries of a scope, with @impaired also impaired ones. */
 static unsigned presence_collect(const presence_table_t *table,
-				 const char *zone, bool impaired, usec_t now,
-				 const presence_member_t **out, unsigned max)
+				 const presence_scope_t *scope, bool impaired,
+				 usec_t now, const presence_member_t **out,
+				 unsigned max)
 {
-	bool starting = presence_most_are_starting(table, zone, now);
 	GHashTableIter iter;
 	gpointer value;
 	unsigned count = 0;
@@ -240,25 +247,25 @@
 	while (count < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const presence_member_t *member = value;
 
-		if (presence_is_usable(member, zone, starting, now) &&
+		if (presence_is_usable(member, scope, now) &&
 		    (impaired || !presence_is_impaired(member, now)))
 			out[count++] = member;
 	}
 	return count;
 }
 
-/* Whether @count entries that are not impaired can serve the callers of @zone. */
-static bool presence_are_enough(const presence_table_t *table, const char *zone,
-				unsigned count, usec_t now)
+/* Whether @count entries that are not impaired can serve the callers of a scope. */
+static bool presence_are_enough(const presence_table_t *table,
+				const presence_scope_t *scope, unsigned count,
+				usec_t now)
 {
-	bool starting = presence_most_are_starting(table, zone, now);
 	GHashTableIter iter;
 	gpointer value;
 	unsigned usable = 0;
 
 	g_hash_table_iter_init(&iter, table->members);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		usable += presence_is_usable(value, zone, starting, now);
+		usable += presence_is_usable(value, scope, now);
 	return count > 0 && count * PRESENCE_UNIMPAIRED_PART >= usable;
 }
 
@@ -266,18 +273,21 @@
 			       usec_t now, const presence_member_t **out,
 			       unsigned max)
 {
-	unsigned count = presence_collect(table, zone, false, now, out, max);
+	presence_scope_t near = presence_scope(table, zone, now);
+	unsigned count = presence_collect(table, &near, false, now, out, max);
+	presence_scope_t all;
 
 	if (count >= PRESENCE_ZONE_MIN &&
-	    presence_are_enough(table, zone, count, now))
+	    presence_are_enough(table, &near, count, now))
 		return count;
-	count = presence_collect(table, NULL, false, now, out, max);
-	if (presence_are_enough(table, NULL, count, now))
+	all = presence_scope(table, NULL, now);
+	count = presence_collect(table, &all, false, now, out, max);
+	if (presence_are_enough(table, &all, count, now))
 		return count;
-	count = presence_collect(table, zone, true, now, out, max);
+	count = presence_collect(table, &near, true, now, out, max);
 	if (count >= PRESENCE_ZONE_MIN)
 		return count;
-	return presence_collect(table, NULL, true, now, out, max);
+	return presence_collect(table, &all, true, now, out, max);
 }
 
 bool presence_table_is_ready(const presence_table_t *table, const char *name,
