Call the two bounds of outdated routes by one word

Cause: the times between which an entry refuses calls were named late_from and known_until in config-lag.c, outdated_from and outdated_until in the follower that publishes them, and outdated in the setting, the reason and the pages. A reader had to find out that these are the same.

Change: config_lag_outdated_from() and config_lag_outdated_until(); what holds after the second is said. Names alone, no behaviour.

Measured: test-config-follow passed as before.

--- a/config-follow.c
+++ b/config-follow.c
@@ -265,10 +265,10 @@
 	usec_t max = follow->settings.outdated_ms * USEC_PER_MS;
 
 	__atomic_store_n(&follow->outdated_until,
-			 config_lag_known_until(&follow->lag),
+			 config_lag_outdated_until(&follow->lag),
 			 __ATOMIC_RELAXED);
 	__atomic_store_n(&follow->outdated_from,
-			 config_lag_late_from(&follow->lag, max),
+			 config_lag_outdated_from(&follow->lag, max),
 			 __ATOMIC_RELEASE);
 }
 
--- a/config-lag.c
+++ b/config-lag.c
@@ -36,12 +36,12 @@
 	return lag->missing ? now - lag->missing_since : 0;
 }
 
-usec_t config_lag_late_from(const config_lag_t *lag, usec_t max)
+usec_t config_lag_outdated_from(const config_lag_t *lag, usec_t max)
 {
 	return lag->missing ? lag->missing_since + max : USEC_NEVER;
 }
 
-usec_t config_lag_known_until(const config_lag_t *lag)
+usec_t config_lag_outdated_until(const config_lag_t *lag)
 {
 	return lag->reported_at + LAG_REPORT_AGE_MAX;
 }
--- a/config-lag.h
+++ b/config-lag.h
@@ -40,18 +40,20 @@
 usec_t config_lag_age(const config_lag_t *lag, usec_t now);
 
 /**
- * config_lag_late_from - time from which the revision in force is outdated.
+ * config_lag_outdated_from - time from which the revision in force is outdated.
  * @lag: used with config_lag_report()
  * @max: maximum time from the first report of a revision until it is in force
  *
  * Return: the time, or USEC_NEVER if no reported revision is missing.
  */
-usec_t config_lag_late_from(const config_lag_t *lag, usec_t max);
+usec_t config_lag_outdated_from(const config_lag_t *lag, usec_t max);
 
 /**
- * config_lag_known_until - time from which the last report counts no longer.
+ * config_lag_outdated_until - time until which the last report counts.
  * @lag: used with config_lag_report()
+ *
+ * Later it is not known whether a newer revision is in force at the keepers.
  */
-usec_t config_lag_known_until(const config_lag_t *lag);
+usec_t config_lag_outdated_until(const config_lag_t *lag);
 
 #endif
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -366,22 +366,22 @@
 	config_lag_t lag = { 0 };
 
 	config_lag_report(&lag, 5, 5, 100);
-	g_assert_cmpint(config_lag_late_from(&lag, max), ==, USEC_NEVER);
+	g_assert_cmpint(config_lag_outdated_from(&lag, max), ==, USEC_NEVER);
 	config_lag_report(&lag, 5, 6, 200);
 	config_lag_report(&lag, 5, 6, 300);
 	config_lag_report(&lag, 5, 8, 400);
-	g_assert_cmpint(config_lag_late_from(&lag, max), ==, 200 + max);
+	g_assert_cmpint(config_lag_outdated_from(&lag, max), ==, 200 + max);
 	g_assert_cmpint(config_lag_age(&lag, 1200), ==, 1000);
-	g_assert_cmpint(config_lag_known_until(&lag), >, 400 + max);
+	g_assert_cmpint(config_lag_outdated_until(&lag), >, 400 + max);
 	config_lag_apply(&lag, 5);
-	g_assert_cmpint(config_lag_late_from(&lag, max), ==, 200 + max);
+	g_assert_cmpint(config_lag_outdated_from(&lag, max), ==, 200 + max);
 	config_lag_apply(&lag, 7);
-	g_assert_cmpint(config_lag_late_from(&lag, max), ==, 400 + max);
+	g_assert_cmpint(config_lag_outdated_from(&lag, max), ==, 400 + max);
 	config_lag_apply(&lag, 8);
-	g_assert_cmpint(config_lag_late_from(&lag, max), ==, USEC_NEVER);
+	g_assert_cmpint(config_lag_outdated_from(&lag, max), ==, USEC_NEVER);
 	g_assert_cmpint(config_lag_age(&lag, 5000), ==, 0);
 	config_lag_report(&lag, 8, 9, 6000);
-	g_assert_cmpint(config_lag_late_from(&lag, max), ==, 6000 + max);
+	g_assert_cmpint(config_lag_outdated_from(&lag, max), ==, 6000 + max);
 }
 
 int main(int argc, char **argv)
