--- a/entry-head.c
+++ b/entry-head.c
@@ -14,7 +14,7 @@
 #define HEAD_DEADLINE_MAX_MS 600000
 /* Time from arrival to deadline of a call that waits for the first routes. */
 #define HEAD_PENDING_TIMEOUT (2 * USEC_PER_SEC)
-/* Wait suggested to a caller while the routes are not known. */
+/* Wait suggested to a caller shortly after the start, until the routes are known. */
 #define HEAD_EARLY_RETRY_AFTER USEC_PER_SEC
 /* The same while the routes are outdated. The caller can use another entry at once. */
 #define HEAD_OUTDATED_RETRY_AFTER (200 * USEC_PER_MS)
@@ -440,6 +440,15 @@
 	}
 }
 
+/* Refuses a call as long as its route is not known. */
+static int head_refuse_unrouted(entry_request_t *req, const char *reason,
+				usec_t retry_after)
+{
+	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, reason,
+			   retry_after);
+	return -1;
+}
+
 /* Finds the route of a call; @part is as in entry_rules_match(). A newer revision
    that is late may have moved or dropped the route. */
 static entry_match_t head_route_part(entry_request_t *req, const char *part)
@@ -450,8 +459,8 @@
 	hl_error_t err;
 
 	if (entry_config_outdated(req->entry, req->call.arrived)) {
-		entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN,
-				   "outdated", HEAD_OUTDATED_RETRY_AFTER);
+		head_refuse_unrouted(req, "outdated",
+				     HEAD_OUTDATED_RETRY_AFTER);
 		return ENTRY_MATCH_REFUSED;
 	}
 	if (head_find_rule(req, part, &rule, &err)) {
@@ -509,15 +518,6 @@
 	return head_refuse(req, HTTP_FORBIDDEN, "hop");
 }
 
-/* Refuses a call that comes too early after the start of the process for the routes
-   to be known. */
-static int head_refuse_early(entry_request_t *req, const char *reason)
-{
-	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, reason,
-			   HEAD_EARLY_RETRY_AFTER);
-	return -1;
-}
-
 /* Matches a call of a caller to the routes. One without a route waits until the
    leading keeper has confirmed that there is none. */
 static int head_route_caller(entry_request_t *req)
@@ -535,7 +535,9 @@
 	req->pending = entry_pending_accepts(req->entry->pending,
 					     req->call.arrived);
 	req->unconfirmed = true;
-	return req->pending ? 0 : head_refuse_early(req, "unconfirmed");
+	if (req->pending)
+		return 0;
+	return head_refuse_unrouted(req, "unconfirmed", HEAD_EARLY_RETRY_AFTER);
 }
 
 /* Finds the upstream of a call, and its deadline. */
@@ -617,7 +619,8 @@
 			       entry_pending_accepts(req->entry->pending,
 						     req->call.arrived);
 		if (!req->pending)
-			return head_refuse_early(req, "starting");
+			return head_refuse_unrouted(req, "starting",
+						    HEAD_EARLY_RETRY_AFTER);
 	}
 	if (head_route(&head))
 		return -1;
