--- a/config-direct.c
+++ b/config-direct.c
@@ -132,7 +132,8 @@
 	return result;
 }
 
-/* Logs the first failed poll since the last response, and then fewer and fewer. */
+/* Logs a failed poll if it is the first, second, fourth, eighth or so on since the last
+ * response. */
 static void direct_log_failure(const config_follow_t *follow,
 			       const char *address, CURLcode result,
 			       size_t bytes)
--- a/config-lag.h
+++ b/config-lag.h
@@ -4,10 +4,10 @@
 #include "hemlock.h"
 
 /*
- * How long an entry has known that keepers have a newer revision than the one in
- * force. An entry that knows for long must not serve calls by the older one: the
- * change was acknowledged, and may have moved or dropped their routes. One that
- * keepers no longer report to does not know, and serves.
+ * Time for which keepers have reported a newer revision than the one in force at
+ * an entry. After a maximum the entry must not serve calls by the older one: the
+ * change was acknowledged, and may have moved or dropped their routes. An entry
+ * that gets no reports does not know of a change, and serves calls.
  */
 typedef struct {
 	uint64_t missing;     /* a reported revision not in force; 0: none */
--- a/presence-table.c
+++ b/presence-table.c
@@ -17,8 +17,8 @@
    are sent to these only: fewer ones could not serve the callers of all. */
 #define PRESENCE_UNIMPAIRED_PART 2
 
-/* Maximum age of an entry without a configuration that callers are sent to; it is
-   shorter than the time for which such an entry holds calls. */
+/* Maximum time since the first heartbeat of an entry without a configuration that
+   callers are sent to: an entry holds only calls that come soon after its start. */
 #define PRESENCE_STARTING_MAX_AGE (2 * USEC_PER_SEC)
 
 /* Interval at which an entry that asks for peers of all zones gets others, so that it
--- a/presence.h
+++ b/presence.h
@@ -108,10 +108,9 @@
  * @max: size of @out
  *
  * Chooses the ready entries of the zone that are not impaired. Entries that have
- * started shortly before and have no configuration yet count as ready while they
- * outnumber the ready ones of the zone: these could not take all callers, and the
- * others hold calls until they are ready. If the zone has
- * fewer than two, those of all zones are chosen, so that the failure of one entry
+ * just started and have no configuration yet count as ready while they outnumber
+ * the ready ones of the zone, which could not take all callers; they hold calls
+ * until they have one. If the zone has fewer than two, those of all zones are chosen, so that the failure of one entry
  * does not leave the caller without any. If more than half are impaired, the others
  * could not serve all callers: then impaired ones, which hand calls over, are chosen
  * too.
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -357,8 +357,8 @@
 }
 
 /*
- * A revision counts as late by the first report of it, not the last; one that
- * follows it does not make it young again; no report, no claim.
+ * The time of a missing revision counts from the first report of it, also when it
+ * is reported again or a newer one follows. Revisions in force do not count.
  */
 static void test_outdated(void)
 {
