Cut off a torn last write of a keeper's log whatever it looks like

Cause: after a loss of power the keepers of a deployment ended at each start with "is damaged at byte", and nobody answered reads of the configuration (CONFIG). The reader told a torn write from damage by its bytes: a sector of zeros, or 32 zeros at the end, made it torn.

Ruled out: that the bytes had changed after a sync, as the test changes nothing but the last write. Weighed and not taken (docs/design/keeper.md): further shapes, a second sync, a mark in a file of its own, a keeper that does not vote after a cut.

Change: what decides is whether a sync has covered the bytes. Once a write is synced, a ballot follows it as a seal, unsynced, and the next write overwrites it. An invalid record with a complete ballot behind it is damaged; any other is cut off. Why it works: seal and next write begin at one offset, so a torn state of both never has a complete ballot behind an invalid record, and damage of a synced write always has one. The format is the same: earlier versions read a seal as a ballot, and logs without seals open. A sector lost from the last write after its sync is noticed now; before, it was not.

Tests changed, as strict: bit-flip and torn-tail set the seal apart, whose loss loses nothing; lost-sectors includes the last write; torn-sectors is part of torn-writes; the simulated disks follow the position of a descriptor, and test-keeper-crash tears each unsynced write by itself.

--- a/keeper-file.c
+++ b/keeper-file.c
@@ -89,12 +89,11 @@
 }
 
 /* Write @bytes to a new or truncated file and sync it. Return its descriptor,
- * or -1. */
+ * positioned after them, or -1. */
 static int keeper_file_create(const keeper_file_ops_t *file, const char *path,
 			      const void *bytes, size_t size, hl_error_t *err)
 {
-	int fd = file->open(file->context, path,
-			    O_WRONLY | O_CREAT | O_TRUNC | O_APPEND);
+	int fd = file->open(file->context, path, O_WRONLY | O_CREAT | O_TRUNC);
 
 	if (fd < 0)
 		return keeper_file_set_error("create", path, err);
--- a/keeper-log.c
+++ b/keeper-log.c
@@ -8,8 +8,16 @@
  * were written. The last ballot counts. An entry replaces an earlier one with
  * its index and all after that.
  *
- * A write begins with a ballot; earlier versions left it out of some writes. The
- * commit index of a ballot may cover entries of the same write, so it counts only
+ * A write begins with a ballot; earlier versions left it out of some writes. Once
+ * the write is synced, a seal follows it: a ballot that is not synced and that the
+ * next write overwrites. So a sync has covered all bytes before a ballot.
+ *
+ * A loss of power may leave any bytes of the last write and of the seal that it
+ * overwrites. Both begin at the same offset, so that no complete ballot comes after
+ * an invalid record of theirs: that record and the rest are cut off. A complete
+ * ballot after an invalid record shows that it was synced, and so that it is damaged.
+ *
+ * The commit index of a ballot may cover entries of the same write, so it counts only
  * once these have been read: a torn write may lack them, and the log then has
  * others in their places that were never committed.
  */
@@ -116,8 +124,8 @@
 	return be32toh(kind) == KEEPER_RECORD_BALLOT;
 }
 
-/* Whether a write begins after @offset. Then a sync has covered the bytes at
- * @offset, since a write comes only after the sync of the one before it. */
+/* Whether a complete ballot comes after @offset. Then a sync has covered the bytes
+ * at @offset. */
 static bool keeper_log_was_synced(const char *bytes, size_t size, size_t offset)
 {
 	while (keeper_record_seek(bytes, size, &offset))
@@ -141,12 +149,11 @@
 			goto damaged;
 		start = offset;
 	}
-	log->truncated = state == KEEPER_RECORD_TRUNCATED;
-	if (log->truncated && keeper_log_was_synced(bytes, size, start))
-		goto damaged;
+	log->truncated = state == KEEPER_RECORD_INVALID;
 	/* A log with its header is put in place by a rename, so that a crash
 	 * never leaves an incomplete header. */
-	if (state == KEEPER_RECORD_DAMAGED || !log->incarnation)
+	if (!log->incarnation ||
+	    (log->truncated && keeper_log_was_synced(bytes, size, start)))
 		goto damaged;
 	return 0;
 
--- a/keeper-record.c
+++ b/keeper-record.c
@@ -4,19 +4,12 @@
 #include "keeper-store.h"
 
 /*
- * A record is a header of 24 bytes, big endian, and a body in XDR. The header
- * has its own checksum, which makes its length reliable: a record that is
- * longer than the rest of the file was truncated by a crash and not damaged
- * later.
+ * A record is a header of 24 bytes, big endian, and a body in XDR. Both have
+ * checksums. A record does not show why it is invalid: a torn write may leave any
+ * bytes. The order of the records in the log does, see keeper-log.c.
  */
 #define KEEPER_RECORD_MAGIC 0x484c4b31U /* "HLK1" */
 #define KEEPER_RECORD_CHECKSUM_SEED 0x6b656570ULL
-/* Unit in which a disk writes. After a crash a file may have grown while some
- * sectors of its new part were not written; these read as zeros. */
-#define KEEPER_RECORD_SECTOR_BYTES 512
-/* A file that ends in so many zeros ends in bytes that were not written; a record
- * ends in fewer. */
-#define KEEPER_RECORD_UNWRITTEN_BYTES 32
 
 typedef struct {
 	uint32_t magic;
@@ -71,58 +64,6 @@
 	return rc;
 }
 
-/* Number of zero bytes that the file ends with. */
-static size_t keeper_record_trailing_zeros(const char *bytes, size_t size)
-{
-	size_t zeros = 0;
-
-	while (zeros < size && bytes[size - zeros - 1] == 0)
-		zeros++;
-	return zeros;
-}
-
-static bool keeper_record_is_zero(const char *bytes, size_t size)
-{
-	return keeper_record_trailing_zeros(bytes, size) == size;
-}
-
-/* Whether a sector that the bytes from @start to @end reach was never written: from
- * @start on it has only zeros. */
-static bool keeper_record_lacks_sector(const char *bytes, size_t size,
-				       size_t start, size_t end)
-{
-	size_t next;
-
-	if (end > size)
-		end = size;
-	for (; start < end; start = next) {
-		next = (start / KEEPER_RECORD_SECTOR_BYTES + 1) *
-		       KEEPER_RECORD_SECTOR_BYTES;
-		if (next > size)
-			next = size;
-		if (keeper_record_is_zero(bytes + start, next - start))
-			return true;
-	}
-	return false;
-}
-
-/* Return KEEPER_RECORD_TRUNCATED for an invalid record from @start to @end if a
- * part of it was never written, else KEEPER_RECORD_DAMAGED. */
-static keeper_record_state_t keeper_record_classify_invalid(const char *bytes,
-							    size_t size,
-							    size_t start,
-							    size_t end)
-{
-	size_t zeros = keeper_record_trailing_zeros(bytes + start,
-						    size - start);
-
-	if (zeros >= KEEPER_RECORD_UNWRITTEN_BYTES && size - zeros < end)
-		return KEEPER_RECORD_TRUNCATED;
-	return keeper_record_lacks_sector(bytes, size, start, end) ?
-		       KEEPER_RECORD_TRUNCATED :
-		       KEEPER_RECORD_DAMAGED;
-}
-
 /* Read the header at @offset; false if there is no valid one. */
 static bool keeper_record_read_header(const char *bytes, size_t size,
 				      size_t offset,
@@ -149,25 +90,21 @@
 					 size_t *offset, const char **body,
 					 size_t *body_size)
 {
-	size_t start = *offset, remaining = size - start, length, end;
+	size_t start = *offset, remaining = size - start, length;
 	keeper_record_header_t head;
 
 	if (!remaining)
 		return KEEPER_RECORD_END;
-	if (remaining < sizeof(head))
-		return KEEPER_RECORD_TRUNCATED;
 	if (!keeper_record_read_header(bytes, size, start, &head))
-		return keeper_record_classify_invalid(bytes, size, start,
-						      start + sizeof(head));
+		return KEEPER_RECORD_INVALID;
 	length = be32toh(head.size);
 	if (length > remaining - sizeof(head))
-		return KEEPER_RECORD_TRUNCATED;
-	end = start + sizeof(head) + length;
+		return KEEPER_RECORD_INVALID;
 	*body = bytes + start + sizeof(head);
 	*body_size = length;
 	if (be64toh(head.body) !=
 	    hl_hash(*body, length, KEEPER_RECORD_CHECKSUM_SEED))
-		return keeper_record_classify_invalid(bytes, size, start, end);
-	*offset = end;
+		return KEEPER_RECORD_INVALID;
+	*offset = start + sizeof(head) + length;
 	return KEEPER_RECORD_COMPLETE;
 }
--- a/keeper-store.c
+++ b/keeper-store.c
@@ -134,6 +134,38 @@
 	keeper_entries_compact(entries, snapshot->index, snapshot->term);
 }
 
+static int keeper_store_set_write_error(const keeper_store_t *store,
+					hl_error_t *err)
+{
+	return hl_error_set(err, HL_ERR_IO,
+			    "cannot write %s/log: %s; free space or replace "
+			    "the disk: the keeper tries again by itself",
+			    store->folder, strerror(errno));
+}
+
+/* Put a seal after the synced bytes of the log, see keeper-log.c. */
+static int keeper_store_seal_log(keeper_store_t *store,
+				 const keeper_ballot_state_t *ballot,
+				 uint64_t commit, hl_error_t *err)
+{
+	off_t end = lseek(store->log_fd, 0, SEEK_CUR);
+	keeper_buffer_t buffer = { 0 };
+	int rc = -1;
+
+	if (end < 0)
+		return keeper_store_set_write_error(store, err);
+	store->log_bytes = end;
+	if (keeper_log_put_ballot(&buffer, ballot, commit))
+		keeper_store_set_nomem(err);
+	else if (keeper_file_write_all(store->file, store->log_fd, buffer.bytes,
+				       buffer.size))
+		keeper_store_set_write_error(store, err);
+	else
+		rc = 0;
+	free(buffer.bytes);
+	return rc;
+}
+
 /* Replace the log file by one with the ballot and @entries. */
 static int keeper_store_write_log(keeper_store_t *store,
 				  const keeper_ballot_state_t *ballot,
@@ -162,9 +194,8 @@
 	if (store->log_fd >= 0)
 		close(store->log_fd);
 	store->log_fd = fd;
-	store->log_bytes = buffer.size;
 	store->syncs++;
-	return 0;
+	return keeper_store_seal_log(store, ballot, commit, err);
 }
 
 static int keeper_store_write_snapshot(keeper_store_t *store,
@@ -261,8 +292,6 @@
 	uint64_t index = raft->saved + 1;
 	const keeper_entry_t *entry;
 
-	/* Each write begins with a ballot: keeper_log_parse() tells the last
-	 * write from those that were synced by it. */
 	if (keeper_log_put_ballot(buffer, &raft->ballot, commit))
 		return -1;
 	for (; (entry = keeper_entries_at(&raft->entries, index)); index++)
@@ -271,34 +300,38 @@
 	return 0;
 }
 
+/* Write @buffer in place of the seal and sync it. */
+static int keeper_store_append(keeper_store_t *store,
+			       const keeper_buffer_t *buffer, hl_error_t *err)
+{
+	const keeper_file_ops_t *file = store->file;
+
+	if (lseek(store->log_fd, (off_t)store->log_bytes, SEEK_SET) < 0 ||
+	    keeper_file_write_all(file, store->log_fd, buffer->bytes,
+				  buffer->size) ||
+	    file->sync(file->context, store->log_fd))
+		return keeper_store_set_write_error(store, err);
+	store->syncs++;
+	return 0;
+}
+
 int keeper_store_save(keeper_store_t *store, const keeper_raft_t *raft,
 		      hl_error_t *err)
 {
-	const keeper_file_ops_t *file = store->file;
 	keeper_buffer_t buffer = { 0 };
-	int rc = -1;
+	int rc;
 
 	if (raft->snapshot_dirty)
 		return keeper_store_compact(store, raft, err);
-	if (keeper_store_encode_unsaved(&buffer, raft)) {
-		keeper_store_set_nomem(err);
-		goto out;
-	}
-	if (keeper_file_write_all(file, store->log_fd, buffer.bytes,
-				  buffer.size) ||
-	    file->sync(file->context, store->log_fd)) {
-		hl_error_set(err, HL_ERR_IO,
-			     "cannot write %s/log: %s; free space or replace "
-			     "the disk: the keeper tries again by itself",
-			     store->folder, strerror(errno));
-		goto out;
-	}
-	store->log_bytes += buffer.size;
-	store->syncs++;
-	rc = 0;
-out:
+	if (keeper_store_encode_unsaved(&buffer, raft))
+		rc = keeper_store_set_nomem(err);
+	else
+		rc = keeper_store_append(store, &buffer, err);
 	free(buffer.bytes);
-	return rc;
+	return rc ? rc :
+		    keeper_store_seal_log(store, &raft->ballot,
+					  keeper_store_synced_commit(raft),
+					  err);
 }
 
 int keeper_store_compact(keeper_store_t *store, const keeper_raft_t *raft,
--- a/keeper-store.h
+++ b/keeper-store.h
@@ -48,7 +48,7 @@
  * @size: its length in bytes
  * @err: HL_ERR_IO; the old file is unchanged unless the folder's sync failed
  *
- * Return: a descriptor to append to the file, or -1.
+ * Return: a descriptor, positioned at the end of the file, or -1.
  */
 int keeper_file_replace(const keeper_file_ops_t *file, const char *folder,
 			const char *name, const void *bytes, size_t size,
@@ -78,9 +78,8 @@
 /** enum keeper_record_state_t - the state of the record at an offset. */
 typedef enum {
 	KEEPER_RECORD_COMPLETE,
-	KEEPER_RECORD_END,	 /* end of the file */
-	KEEPER_RECORD_TRUNCATED, /* a part of it was never written */
-	KEEPER_RECORD_DAMAGED,	 /* was complete once; its bytes changed */
+	KEEPER_RECORD_END,     /* end of the file */
+	KEEPER_RECORD_INVALID, /* torn or damaged */
 } keeper_record_state_t;
 
 /**
@@ -114,7 +113,7 @@
 	uint64_t commit; /* highest index that is known to be committed */
 	uint64_t ballot_commit; /* commit index in the last ballot */
 	keeper_entries_t entries;
-	bool truncated; /* an incomplete last record was left out */
+	bool truncated; /* an incomplete last write was left out */
 } keeper_log_t;
 
 /**
@@ -182,11 +181,11 @@
 	uint64_t cluster;
 	char name[HL_NAME_MAX];
 	uint64_t incarnation; /* random number that identifies the disk */
-	bool truncated;	      /* the log's last record was incomplete */
+	bool truncated;	      /* the log's last write was incomplete */
 	int lock_fd;
 	int log_fd;
-	size_t log_bytes;
-	uint64_t syncs; /* files synced, for the metrics */
+	size_t log_bytes; /* bytes of the log that a sync covers */
+	uint64_t syncs;	  /* files synced, for the metrics */
 } keeper_store_t;
 
 /**
--- a/regress/power-keeper.c
+++ b/regress/power-keeper.c
@@ -17,8 +17,9 @@
 #define POWER_FILES_MAX 1024
 #define POWER_MODE 0600
 
-/* Written but unsynced bytes, by descriptor. */
+/* Written but unsynced bytes, by descriptor, and the offset of the first. */
 static GByteArray *power_unsynced[POWER_FILES_MAX];
+static off_t power_offset[POWER_FILES_MAX];
 static char *power_from, *power_to; /* paths of the unsynced rename, or NULL */
 
 static int power_open(void *context, const char *path, int flags)
@@ -32,9 +33,22 @@
 	if (power_unsynced[fd])
 		g_byte_array_unref(power_unsynced[fd]);
 	power_unsynced[fd] = g_byte_array_new();
+	power_offset[fd] = 0;
 	return fd;
 }
 
+/* Keep bytes that are written at the position of @fd, and move the position. */
+static void power_place(int fd, const void *bytes, size_t size)
+{
+	GByteArray *unsynced = power_unsynced[fd];
+	size_t at = (size_t)(lseek(fd, 0, SEEK_CUR) - power_offset[fd]);
+
+	if (unsynced->len < at + size)
+		g_byte_array_set_size(unsynced, (guint)(at + size));
+	memcpy(unsynced->data + at, bytes, size);
+	lseek(fd, (off_t)size, SEEK_CUR);
+}
+
 static ssize_t power_write(void *context, int fd, const void *bytes,
 			   size_t size)
 {
@@ -45,19 +59,23 @@
 		errno = ENOSPC;
 		return -1;
 	}
-	g_byte_array_append(power_unsynced[fd], bytes, (guint)size);
+	power_place(fd, bytes, size);
 	return (ssize_t)size;
 }
 
 static int power_sync(void *context, int fd)
 {
 	GByteArray *bytes = power_unsynced[fd];
+	off_t position = lseek(fd, 0, SEEK_CUR);
 
 	(void)context;
+	lseek(fd, power_offset[fd], SEEK_SET);
 	if (keeper_file_write_all(&keeper_file_posix, fd, bytes->data,
 				  bytes->len))
 		return -1;
 	g_byte_array_set_size(bytes, 0);
+	/* The last write may end before bytes that it did not overwrite. */
+	power_offset[fd] = lseek(fd, position, SEEK_SET);
 	return 0;
 }
 
--- a/regress/test-keeper-crash.c
+++ b/regress/test-keeper-crash.c
@@ -14,9 +14,9 @@
  *
  * A seeded history of votes, entries, replaced entries, snapshots and faults runs on
  * a simulated disk. After each file call, each state that a loss of power may leave is
- * built in a second folder and opened: the write that no sync covers lacks any of its
- * sectors and has any part of its size, and names are durable or not. Where there are
- * more than STATES_MAX of them, so many are drawn. Some of these openings are
+ * built in a second folder and opened: each write that no sync covers lacks any of its
+ * sectors, any run of its bytes, or its end, independently of the others, and names are
+ * durable or not. Where there are more than STATES_MAX of them, so many are drawn. Some of these openings are
  * interrupted by a second loss of power.
  *
  * HEMLOCK_CRASH_SEEDS is the number of histories.
@@ -24,7 +24,9 @@
 
 #define HISTORIES 6
 #define STEPS 30
-#define STATES_MAX 48
+#define STATES_MAX 24
+/* Number of states in which a write lacks a run of bytes. */
+#define RUNS 3
 /* One of so many openings is interrupted in turn. */
 #define NESTED_EVERY 40
 #define SECTOR_BYTES 512
@@ -47,10 +49,16 @@
 static const char *const names[NAME_COUNT] = { "log", "log.new", "snapshot",
 					       "snapshot.new" };
 
-/* The content of a file: what a sync covers, and the bytes written after that. */
+/* A write that no sync covers. */
+typedef struct {
+	size_t offset;
+	GByteArray *bytes;
+} write_t;
+
+/* The content of a file: what a sync covers, and the writes after that. */
 typedef struct {
 	GByteArray *synced;
-	GByteArray *unsynced;
+	GPtrArray *unsynced; /* of write_t */
 } content_t;
 
 /* File calls that fail once. */
@@ -95,12 +103,20 @@
 	bool is_nested;
 } history_t;
 
+static void write_free(void *context)
+{
+	write_t *write = context;
+
+	g_byte_array_unref(write->bytes);
+	g_free(write);
+}
+
 static content_t *content_new(disk_t *disk)
 {
 	content_t *content = g_new0(content_t, 1);
 
 	content->synced = g_byte_array_new();
-	content->unsynced = g_byte_array_new();
+	content->unsynced = g_ptr_array_new_with_free_func(write_free);
 	g_ptr_array_add(disk->contents, content);
 	return content;
 }
@@ -110,10 +126,47 @@
 	content_t *content = context;
 
 	g_byte_array_unref(content->synced);
-	g_byte_array_unref(content->unsynced);
+	g_ptr_array_unref(content->unsynced);
 	g_free(content);
 }
 
+static void content_write(content_t *content, size_t offset, const void *bytes,
+			  size_t size)
+{
+	write_t *write = g_new(write_t, 1);
+
+	write->offset = offset;
+	write->bytes = g_byte_array_new();
+	g_byte_array_append(write->bytes, bytes, (guint)size);
+	g_ptr_array_add(content->unsynced, write);
+}
+
+/* Writes bytes into an array, which grows as a file does. */
+static void array_write(GByteArray *array, size_t offset, const guint8 *bytes,
+			size_t size)
+{
+	guint length = array->len;
+
+	if (length < offset + size) {
+		g_byte_array_set_size(array, (guint)(offset + size));
+		memset(array->data + length, 0, array->len - length);
+	}
+	memcpy(array->data + offset, bytes, size);
+}
+
+static void content_sync(content_t *content)
+{
+	unsigned i;
+
+	for (i = 0; i < content->unsynced->len; i++) {
+		const write_t *write = content->unsynced->pdata[i];
+
+		array_write(content->synced, write->offset, write->bytes->data,
+			    write->bytes->len);
+	}
+	g_ptr_array_set_size(content->unsynced, 0);
+}
+
 static name_t name_find(const char *path)
 {
 	const char *base = strrchr(path, '/') + 1;
@@ -149,11 +202,12 @@
 {
 	disk_t *disk = context;
 	bool fails = disk->fail == FAIL_WRITE;
+	off_t offset = lseek(fd, 0, SEEK_CUR);
 
 	if (fails)
 		size /= 2;
 	g_assert_cmpint(write(fd, bytes, size), ==, (ssize_t)size);
-	g_byte_array_append(disk->open[fd]->unsynced, bytes, (guint)size);
+	content_write(disk->open[fd], (size_t)offset, bytes, size);
 	disk_called(disk);
 	if (!fails)
 		return (ssize_t)size;
@@ -173,9 +227,7 @@
 		errno = EIO;
 		return -1;
 	}
-	g_byte_array_append(content->synced, content->unsynced->data,
-			    content->unsynced->len);
-	g_byte_array_set_size(content->unsynced, 0);
+	content_sync(content);
 	for (i = 0; i < NAME_COUNT; i++)
 		if (disk->current[i] == content && !disk->durable[i])
 			disk->durable[i] = content;
@@ -242,25 +294,46 @@
 	g_ptr_array_unref(disk->contents);
 }
 
-/* One way in which power may be lost. */
+/* What is left of a write that no sync covers. */
+typedef struct {
+	unsigned missing; /* bit N: the sector N of it was not written */
+	size_t size;	  /* bytes of it that the size of the file covers */
+	size_t hole;	  /* offset of bytes that were not written */
+	size_t hole_size;
+} tear_t;
+
+static const tear_t tear_none = { .size = SIZE_MAX };
+static const tear_t tear_all = { 0 };
+
+/* One way in which power may be lost: the last of the unsynced writes to a file is
+ * left as in @last, those before it as in @earlier. */
 typedef struct {
 	bool renamed; /* names have their current content */
-	unsigned
-		missing; /* bit N: the sector N of unsynced bytes was not written */
-	size_t size;	 /* unsynced bytes that the size of the file covers */
+	tear_t last, earlier;
 } loss_t;
 
-/* Number of sectors that the unsynced bytes reach. */
-static unsigned content_sectors(const content_t *content)
+/* Number of sectors that a write reaches. */
+static unsigned write_sectors(const write_t *write)
 {
-	size_t start = content->synced->len;
-	size_t end = start + content->unsynced->len;
+	size_t start = write->offset;
+	size_t end = start + write->bytes->len;
 
 	if (start == end)
 		return 0;
 	return (unsigned)((end - 1) / SECTOR_BYTES - start / SECTOR_BYTES + 1);
 }
 
+/* Whether the byte at @at of a write is on the disk. */
+static bool tear_keeps(const tear_t *tear, const write_t *write, size_t at)
+{
+	size_t sector = (write->offset + at) / SECTOR_BYTES -
+			write->offset / SECTOR_BYTES;
+
+	if (at >= tear->hole && at - tear->hole < tear->hole_size)
+		return false;
+	return !(tear->missing >> MIN(sector, 31) & 1);
+}
+
 static void file_write(const char *path, const char *bytes, size_t size)
 {
 	int fd = open(path, O_WRONLY | O_CREAT | O_TRUNC, 0600);
@@ -269,26 +342,35 @@
 	close(fd);
 }
 
+/* Applies to a file what is left of a write. */
+static void tear_apply(const tear_t *tear, const write_t *write,
+		       GByteArray *file)
+{
+	size_t size = MIN(tear->size, write->bytes->len), at;
+	guint8 none = 0;
+
+	if (!size)
+		return;
+	if (file->len < write->offset + size)
+		array_write(file, write->offset + size - 1, &none, 1);
+	for (at = 0; at < size; at++)
+		if (tear_keeps(tear, write, at))
+			file->data[write->offset + at] = write->bytes->data[at];
+}
+
 /* Writes the file that a loss leaves of a content. */
 static void loss_write(const loss_t *loss, const content_t *content,
 		       const char *path)
 {
-	size_t start = content->synced->len;
-	size_t size = MIN(loss->size, content->unsynced->len);
-	char *bytes = g_malloc0(start + size + 1);
-	unsigned sector;
-	size_t i;
+	GByteArray *file = g_byte_array_new();
+	unsigned count = content->unsynced->len, i;
 
-	if (start)
-		memcpy(bytes, content->synced->data, start);
-	for (i = 0; i < size; i++) {
-		sector = (unsigned)((start + i) / SECTOR_BYTES -
-				    start / SECTOR_BYTES);
-		if (!(loss->missing >> MIN(sector, 31) & 1))
-			bytes[start + i] = (char)content->unsynced->data[i];
-	}
-	file_write(path, bytes, start + size);
-	g_free(bytes);
+	array_write(file, 0, content->synced->data, content->synced->len);
+	for (i = 0; i < count; i++)
+		tear_apply(i + 1 == count ? &loss->last : &loss->earlier,
+			   content->unsynced->pdata[i], file);
+	file_write(path, (const char *)file->data, file->len);
+	g_byte_array_unref(file);
 }
 
 /* Builds the folder that a loss leaves. */
@@ -531,40 +613,82 @@
 		check_folder(history, &quick_file, history->folder);
 }
 
-/* The content of the log that a loss may tear, or NULL. */
-static const content_t *disk_torn(const disk_t *disk)
+/* The last write to the log that a loss may tear, or NULL. */
+static const write_t *disk_torn(const disk_t *disk)
 {
 	const content_t *log = disk->durable[NAME_LOG];
 
-	return log && log->unsynced->len ? log : NULL;
+	if (!log || !log->unsynced->len)
+		return NULL;
+	return log->unsynced->pdata[log->unsynced->len - 1];
+}
+
+/* Draws what is left of the write before: nothing, all, or a part. */
+static tear_t draw_earlier(GRand *rand)
+{
+	tear_t tear = tear_none;
+
+	switch (g_rand_int_range(rand, 0, 3)) {
+	case 0:
+		return tear_all;
+	case 1:
+		tear.hole = (size_t)g_rand_int_range(rand, 0, 64);
+		tear.hole_size = (size_t)g_rand_int_range(rand, 1, 64);
+	}
+	return tear;
 }
 
-/* Checks the states in which the write to the log lacks sectors, in each size or, if
- * they are too many, in drawn ones. */
-static void check_torn(history_t *history, const disk_t *disk,
-		       const content_t *log)
+/* Checks the states in which the write lacks sectors, in each size or, if they are
+ * too many, in drawn ones. */
+static void check_torn_sectors(history_t *history, const disk_t *disk,
+			       const write_t *write)
 {
-	unsigned sectors = content_sectors(log), drawn;
+	unsigned sectors = write_sectors(write), drawn;
+	gint32 size = (gint32)write->bytes->len;
 	loss_t loss = { 0 };
-	size_t size = log->unsynced->len;
 
 	if (sectors <= 3) {
-		for (loss.missing = 0; loss.missing < 1U << sectors;
-		     loss.missing++) {
-			loss.size = size;
+		for (loss.last.missing = 0; loss.last.missing < 1U << sectors;
+		     loss.last.missing++) {
+			loss.earlier = draw_earlier(history->rand);
+			loss.last.size = (size_t)size;
 			check_loss(history, disk, &loss);
-			loss.size = (size_t)g_rand_int_range(history->rand, 0,
-							     (gint32)size);
+			loss.last.size = (size_t)g_rand_int_range(history->rand,
+								  0, size);
 			check_loss(history, disk, &loss);
 		}
 		return;
 	}
 	for (drawn = 0; drawn < STATES_MAX; drawn++) {
-		loss.missing = g_rand_int(history->rand);
-		loss.size = g_rand_int_range(history->rand, 0, 2) ?
-				    size :
-				    (size_t)g_rand_int_range(history->rand, 0,
-							     (gint32)size + 1);
+		loss.earlier = draw_earlier(history->rand);
+		loss.last.missing = g_rand_int(history->rand);
+		loss.last.size = g_rand_int_range(history->rand, 0, 2) ?
+					 (size_t)size :
+					 (size_t)g_rand_int_range(history->rand,
+								  0, size + 1);
+		check_loss(history, disk, &loss);
+	}
+}
+
+/* Checks states in which the write lacks a run of bytes: its first or last ones, also
+ * a single one, or others. */
+static void check_torn_runs(history_t *history, const disk_t *disk,
+			    const write_t *write)
+{
+	gint32 size = (gint32)write->bytes->len, drawn;
+	loss_t loss = { .last = tear_none };
+
+	for (drawn = 0; drawn < RUNS; drawn++) {
+		size_t start = (size_t)g_rand_int_range(history->rand, 0, size);
+		size_t runs[][2] = { { 0, start + 1 },
+				     { (size_t)size - start - 1, start + 1 },
+				     { (size_t)size - 1, 1 },
+				     { start, 1 + start % 64 } };
+		size_t i = (size_t)drawn % G_N_ELEMENTS(runs);
+
+		loss.earlier = draw_earlier(history->rand);
+		loss.last.hole = runs[i][0];
+		loss.last.hole_size = runs[i][1];
 		check_loss(history, disk, &loss);
 	}
 }
@@ -572,14 +696,16 @@
 /* Checks the states that a loss of power may leave of a disk now. */
 static void check_states(history_t *history, const disk_t *disk)
 {
-	const content_t *log = disk_torn(disk);
-	loss_t kept = { .renamed = true, .size = SIZE_MAX };
-	loss_t lost = { 0 };
+	const write_t *write = disk_torn(disk);
+	const loss_t kept = { true, tear_none, tear_none };
+	const loss_t lost = { false, tear_all, tear_all };
 
 	if (!disk->durable[NAME_LOG])
 		return;
-	if (log)
-		check_torn(history, disk, log);
+	if (write && write->bytes->len) {
+		check_torn_sectors(history, disk, write);
+		check_torn_runs(history, disk, write);
+	}
 	check_loss(history, disk, &lost);
 	if (memcmp(disk->durable, disk->current, sizeof(disk->durable)) &&
 	    disk->current[NAME_LOG])
--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -27,6 +27,9 @@
 #define TORN_ENTRIES 4
 #define TORN_ENTRY_BYTES 700
 #define TORN_WRITES 16
+/* Number of writes that are torn at each byte, and of random tears of each. */
+#define TORN_BYTEWISE 3
+#define TORN_RANDOM 200
 
 typedef enum {
 	FAULT_NONE,
@@ -108,7 +111,7 @@
 	}
 	g_assert_cmpint(write(fd, bytes, size), ==, (ssize_t)size);
 	disk->fd = fd;
-	disk->written += (off_t)size;
+	disk->written = lseek(fd, 0, SEEK_CUR);
 	if (fails && disk->fault == FAULT_CRASH)
 		return disk_lose_power(disk);
 	return (ssize_t)size;
@@ -126,7 +129,7 @@
 		return -1;
 	}
 	disk->fd = fd;
-	disk->synced = disk->written;
+	disk->synced = disk->written = lseek(fd, 0, SEEK_CUR);
 	return 0;
 }
 
@@ -449,6 +452,12 @@
 	return last;
 }
 
+/* Remove the seal from the end of a log: its content right after a sync. */
+static void log_drop_seal(const char *bytes, size_t *size)
+{
+	*size = log_last_record(bytes, *size);
+}
+
 /* Guards against a log that does not open after a crash during its last write,
  * or opens with an incomplete entry. */
 static void test_truncated_log(void)
@@ -463,6 +472,13 @@
 	full_count = log_count(bytes, size, &truncated, &err);
 	g_assert_false(truncated);
 	last = log_last_record(bytes, size);
+	for (length = last; length < size; length++) {
+		count = log_count(bytes, length, &truncated, &err);
+		g_assert_cmpint(count, ==, full_count);
+		g_assert_cmpint(truncated, ==, length > last);
+	}
+	log_drop_seal(bytes, &size);
+	last = log_last_record(bytes, size);
 	for (length = last; length < size; length++) {
 		count = log_count(bytes, length, &truncated, &err);
 		g_assert_cmpint(count, ==, full_count - 1);
@@ -479,19 +495,28 @@
 }
 
 /* Guards against damage that is treated as a truncated write: a log with any
- * single bit flipped must be refused. */
+ * single bit flipped must be refused. The seal at its end is not synced; without
+ * it nothing is lost. */
 static void test_bit_flip(void)
 {
 	hl_error_t err = { 0 };
 	char folder[256], *bytes;
-	size_t size, bit;
+	size_t size, synced, bit;
 	bool truncated;
-	int count;
+	int count, full_count;
 
 	log_make(folder, sizeof(folder), &bytes, &size);
+	full_count = log_count(bytes, size, &truncated, &err);
+	synced = size;
+	log_drop_seal(bytes, &synced);
 	for (bit = 0; bit < 8 * size; bit++) {
 		bytes[bit / 8] ^= (char)(1 << bit % 8);
 		count = log_count(bytes, size, &truncated, &err);
+		if (bit / 8 >= synced) {
+			g_assert_cmpint(count, ==, full_count);
+			bytes[bit / 8] ^= (char)(1 << bit % 8);
+			continue;
+		}
 		g_assert_cmpint(count, ==, -1);
 		g_assert_cmpint(err.kind, ==, HL_ERR_CORRUPT);
 		g_assert_nonnull(strstr(err.message, "move the data folder"));
@@ -538,82 +563,192 @@
 	g_assert_cmpint(rc, ==, 0);
 }
 
-/* Copy a log; sectors of which @missing has the bit were not written after
- * @synced, counted from the sector with that byte. */
-static char *log_without_sectors(const char *bytes, size_t size, size_t synced,
-				 unsigned missing)
+/* A write in the log from @start to @end, and the file before it: @before has
+ * @before_size bytes, which end in the seal that the write overwrites. */
+typedef struct {
+	const char *bytes, *before;
+	size_t start, end, before_size;
+	int count; /* entries before the write */
+	unsigned checked;
+} torn_t;
+
+/* Bytes of the write from @from to @to are missing. The file has @size bytes, and
+ * where it was not written it has the seal if @sealed, else zeros. */
+typedef struct {
+	size_t from, to, size;
+	bool sealed;
+} tear_t;
+
+/* The file that a loss of power leaves; its size is in @size. */
+static char *torn_file(const torn_t *torn, const tear_t *tear, size_t *size)
 {
-	char *torn = g_memdup2(bytes, size);
-	size_t sector = synced / SECTOR_BYTES, start, end;
+	size_t kept = tear->sealed ? torn->before_size : torn->start;
+	char *bytes;
+
+	*size = MAX(tear->size, kept);
+	bytes = g_malloc0(*size + 1);
+	memcpy(bytes, torn->before, kept);
+	memcpy(bytes + torn->start, torn->bytes + torn->start,
+	       MIN(tear->from, tear->size) - torn->start);
+	if (tear->to < tear->size)
+		memcpy(bytes + tear->to, torn->bytes + tear->to,
+		       tear->size - tear->to);
+	return bytes;
+}
 
-	for (; missing; missing >>= 1, sector++) {
-		start = MAX(synced, sector * SECTOR_BYTES);
-		end = MIN(size, (sector + 1) * SECTOR_BYTES);
-		if (missing & 1)
-			memset(torn + start, 0, end - start);
+/* Check that a log opens and has all that was synced before its last write. */
+static void torn_check_bytes(torn_t *torn, const char *bytes, size_t size)
+{
+	hl_error_t err = { 0 };
+	bool truncated;
+	int found = log_count(bytes, size, &truncated, &err);
+
+	if (found < torn->count)
+		g_error("write=%zu-%zu size=%zu: %s", torn->start, torn->end,
+			size, err.message);
+	torn->checked++;
+}
+
+/* Check a tear, with the seal that the write overwrites and without it. */
+static void torn_check(torn_t *torn, tear_t tear)
+{
+	size_t size;
+	char *bytes;
+	int sealed;
+
+	for (sealed = 0; sealed < 2; sealed++) {
+		tear.sealed = sealed;
+		bytes = torn_file(torn, &tear, &size);
+		torn_check_bytes(torn, bytes, size);
+		g_free(bytes);
 	}
-	return torn;
 }
 
-/* Check all ways in which the write from @synced on may lack sectors, also if the
- * file has only a part of its new size. Returns their number. */
-static unsigned check_torn_sectors(const char *bytes, size_t size,
-				   size_t synced, int count)
+/* Check a write that ends early, at each byte, in a file that has grown and in one
+ * that has not, and one that lacks each number of bytes at its begin. */
+static void torn_check_bytewise(torn_t *torn)
 {
-	size_t sectors = (size - 1) / SECTOR_BYTES - synced / SECTOR_BYTES + 1;
-	unsigned missing, checked = 0;
-	hl_error_t err = { 0 };
+	size_t at;
+
+	for (at = torn->start; at < torn->end; at++) {
+		torn_check(torn, (tear_t){ at, torn->end, at, false });
+		torn_check(torn, (tear_t){ at, torn->end, torn->end, false });
+		torn_check(torn, (tear_t){ torn->start, at, torn->end, false });
+	}
+}
+
+/* Check a write that lacks any one of its records. */
+static void torn_check_records(torn_t *torn)
+{
+	size_t start = torn->start, end = start, length;
+	const char *body;
+
+	for (; end < torn->end; start = end) {
+		g_assert_cmpint(keeper_record_next(torn->bytes, torn->end, &end,
+						   &body, &length),
+				==, KEEPER_RECORD_COMPLETE);
+		torn_check(torn, (tear_t){ start, end, torn->end, false });
+	}
+}
+
+/* Check a write of which some bytes have any other content. */
+static void torn_check_random(torn_t *torn, GRand *rand)
+{
+	gint32 size = (gint32)(torn->end - torn->start);
+	char *bytes = g_memdup2(torn->bytes, torn->end);
+	gint32 at = g_rand_int_range(rand, 0, size);
+	gint32 end = g_rand_int_range(rand, at, size) + 1;
+
+	for (; at < end; at++)
+		bytes[torn->start + (size_t)at] = (char)g_rand_int(rand);
+	torn_check_bytes(torn, bytes, torn->end);
+	g_free(bytes);
+}
+
+/* Check all ways in which the write may lack sectors, also if the file has only a
+ * part of its new size. */
+static void torn_check_sectors(torn_t *torn)
+{
+	size_t first = torn->start / SECTOR_BYTES;
+	size_t sectors = (torn->end - 1) / SECTOR_BYTES - first + 1, i;
+	unsigned missing;
 	size_t length;
-	bool truncated;
-	char *torn;
-	int found;
 
 	g_assert_cmpuint(sectors, <, 10);
 	for (missing = 0; missing < 1U << sectors; missing++) {
-		torn = log_without_sectors(bytes, size, synced, missing);
-		for (length = size; length > synced;
-		     length = (length - 1) / SECTOR_BYTES * SECTOR_BYTES) {
-			found = log_count(torn, length, &truncated, &err);
-			g_assert_cmpint(found, >=, count);
-			checked++;
+		char *bytes = g_memdup2(torn->bytes, torn->end);
+
+		for (i = 0; i < sectors; i++) {
+			size_t start = MAX(torn->start,
+					   (first + i) * SECTOR_BYTES);
+			size_t end = MIN(torn->end,
+					 (first + i + 1) * SECTOR_BYTES);
+
+			if (missing >> i & 1)
+				memset(bytes + start, 0, end - start);
 		}
-		g_free(torn);
+		for (length = torn->end; length > torn->start;
+		     length = (length - 1) / SECTOR_BYTES * SECTOR_BYTES)
+			torn_check_bytes(torn, bytes, length);
+		g_free(bytes);
 	}
-	return checked;
 }
 
-/* Guards against a keeper that refuses to start after a loss of power: the last
- * write may lack any of its sectors, also the last one alone. */
-static void test_torn_sectors(void)
+/* Make a write of several entries and check what a loss of power may leave of it.
+ * Returns the number of states. */
+static unsigned torn_check_write(keeper_t *keeper, GRand *rand,
+				 const char *folder, bool bytewise)
+{
+	torn_t torn = { .start = keeper->store.log_bytes,
+			.count = (int)keeper->raft.entries.count };
+	char *before, *bytes;
+	hl_error_t err = { 0 };
+	size_t size;
+	unsigned i;
+
+	g_assert_cmpint(keeper_file_read(folder, "log", &before,
+					 &torn.before_size, &err),
+			==, 1);
+	for (i = 0; i < TORN_ENTRIES; i++)
+		raft_push_random(&keeper->raft, rand,
+				 (size_t)g_rand_int_range(rand, 1,
+							  TORN_ENTRY_BYTES));
+	g_assert_cmpint(keeper_save(keeper, &err), ==, 0);
+	g_assert_cmpint(keeper_file_read(folder, "log", &bytes, &size, &err),
+			==, 1);
+	torn.bytes = bytes;
+	torn.before = before;
+	torn.end = keeper->store.log_bytes;
+	g_assert_cmpuint(torn.end, >, torn.before_size);
+	torn_check_sectors(&torn);
+	torn_check_records(&torn);
+	for (i = 0; i < TORN_RANDOM; i++)
+		torn_check_random(&torn, rand);
+	if (bytewise)
+		torn_check_bytewise(&torn);
+	g_free(before);
+	g_free(bytes);
+	return torn.checked;
+}
+
+/* Guards against keepers that refuse to start after a loss of power, so that
+ * nobody answers reads of the configuration: the last write may lack any of its
+ * bytes, or have others. */
+static void test_torn_writes(void)
 {
 	GRand *rand = g_rand_new_with_seed(FUZZ_SEED);
 	keeper_t keeper = { .now = USEC_PER_SEC };
 	hl_error_t err = { 0 };
-	char folder[256], *bytes;
-	unsigned round, i, checked = 0;
-	size_t size, synced;
-	int rc;
+	char folder[256];
+	unsigned round, checked = 0;
 
 	folder_make(folder, sizeof(folder));
 	g_assert_cmpint(keeper_open(&keeper, &keeper_file_posix, folder, &err),
 			==, 0);
 	g_assert_cmpint(keeper_lead(&keeper, &err), ==, 0);
-	for (round = 0; round < TORN_WRITES; round++) {
-		int count = (int)keeper.raft.entries.count;
-
-		synced = keeper.store.log_bytes;
-		for (i = 0; i < TORN_ENTRIES; i++)
-			raft_push_random(&keeper.raft, rand,
-					 (size_t)g_rand_int_range(
-						 rand, 1, TORN_ENTRY_BYTES));
-		rc = keeper_save(&keeper, &err);
-		g_assert_cmpint(rc, ==, 0);
-		g_assert_cmpint(keeper_file_read(folder, "log", &bytes, &size,
-						 &err),
-				==, 1);
-		checked += check_torn_sectors(bytes, size, synced, count);
-		g_free(bytes);
-	}
+	for (round = 0; round < TORN_WRITES; round++)
+		checked += torn_check_write(&keeper, rand, folder,
+					    round < TORN_BYTEWISE);
 	g_test_message("seed=%d states=%u", FUZZ_SEED, checked);
 	keeper_close(&keeper);
 	folder_remove(folder);
@@ -639,8 +774,8 @@
 	g_assert_cmpint(keeper_lead(&keeper, &err), ==, 0);
 	for (i = 0; i < TORN_ENTRIES; i++)
 		save_random(&keeper, rand, TORN_ENTRY_BYTES);
-	synced = keeper.store.log_bytes;
 	save_random(&keeper, rand, TORN_ENTRY_BYTES);
+	synced = keeper.store.log_bytes;
 	g_assert_cmpint(keeper_file_read(folder, "log", &bytes, &size, &err),
 			==, 1);
 	for (sector = 0; (sector + 1) * SECTOR_BYTES <= synced; sector++) {
@@ -693,7 +828,8 @@
 			==, 0);
 	for (; (entry = keeper_entries_at(&raft->entries, index)); index++)
 		g_assert_cmpint(keeper_log_put_entry(&buffer, entry), ==, 0);
-	g_assert_cmpint(write(keeper->store.log_fd, buffer.bytes, buffer.size),
+	g_assert_cmpint(pwrite(keeper->store.log_fd, buffer.bytes, buffer.size,
+			       (off_t)keeper->store.log_bytes),
 			==, (ssize_t)buffer.size);
 	free(buffer.bytes);
 }
@@ -899,7 +1035,7 @@
 	g_test_add_data_func("/keeper-store/read-again/snapshot", "snapshot",
 			     test_unsynced_at_open);
 	g_test_add_func("/keeper-store/torn-tail", test_truncated_log);
-	g_test_add_func("/keeper-store/torn-sectors", test_torn_sectors);
+	g_test_add_func("/keeper-store/torn-writes", test_torn_writes);
 	g_test_add_func("/keeper-store/lost-sectors", test_lost_sectors);
 	g_test_add_data_func("/keeper-store/torn-commit/new-layout",
 			     GINT_TO_POINTER(false), test_torn_commit);
