End the stop of an entry by its grace period, not after fixed times

What callers saw: an entry cut off calls 5.8 s after SIGTERM (502) whatever time it was given. A deployment with a grace period of 10 s has routes with timeouts of 4 and 6 s: calls that came just before the signal were cut while their copies were at work and more than 4 s were left (LOST). With 6 s the process ended its calls 0.2 s before SIGKILL, less than timers are late on a busy VM.

Cause: the end of the stop was linger_ms + stop_ms, fixed numbers in the deployment's template. The class: a bound of the environment that is copied into a constant.

Change: entry.grace_s is the time until the process is killed; calls in flight end 0.5 s before it. HEMLOCK_GRACE_S replaces it, since the platform names the period at each start. Without it nothing changes. "stopping" logs end_ms. Why it works: calls are admitted by the same end that the cut uses, so a longer period admits and ends more calls, a shorter one fewer.

--- a/entry-main.c
+++ b/entry-main.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -172,17 +173,23 @@
 static void main_begin_stop(entry_t *entry, usec_t now)
 {
 	const entry_settings_t *settings = &entry->settings;
+	entry_stop_times_t times = {
+		.accept = settings->accept_ms * USEC_PER_MS,
+		.linger = settings->linger_ms * USEC_PER_MS,
+		.drain = settings->stop_ms * USEC_PER_MS,
+		.grace = llround(settings->grace_s * USEC_PER_SEC),
+	};
 
-	entry->stop = entry_stop_begin(settings->accept_ms * USEC_PER_MS,
-				       settings->linger_ms * USEC_PER_MS,
-				       settings->stop_ms * USEC_PER_MS, now);
+	entry->stop = entry_stop_begin(&times, now);
 	__atomic_store_n(&entry->stopping, 1, __ATOMIC_RELEASE);
 }
 
-static void main_linger(const entry_t *entry)
+/* Waits until the port is to be closed. */
+static void main_linger(const entry_t *entry, usec_t now)
 {
-	usec_t ms = entry->settings.linger_ms;
-	struct timespec span = { ms / 1000, ms % 1000 * 1000000 };
+	usec_t left = entry->stop.listen_until - now;
+	struct timespec span = { left / USEC_PER_SEC,
+				 left % USEC_PER_SEC * 1000 };
 
 	nanosleep(&span, NULL);
 }
@@ -190,6 +197,7 @@
 /* Starts the threads and servers and runs until a graceful stop. */
 static int main_serve(entry_t *entry, supervisor_t *sup, hl_error_t *err)
 {
+	usec_t now;
 	int rc = -1;
 
 	if (main_add_children(entry, sup, err) ||
@@ -204,17 +212,20 @@
 		hl_error_set(err, HL_ERR_LIMIT,
 			     "threads failed too often; see the log lines "
 			     "above");
-	main_begin_stop(entry, time_now());
-	log_event(LOG_LEVEL_NOTICE, "stopping", "in_flight=%u linger_ms=%d",
+	now = time_now();
+	main_begin_stop(entry, now);
+	log_event(LOG_LEVEL_NOTICE, "stopping",
+		  "in_flight=%u linger_ms=%" PRId64 " end_ms=%" PRId64,
 		  __atomic_load_n(&entry->in_flight, __ATOMIC_ACQUIRE),
-		  (int)entry->settings.linger_ms);
+		  (entry->stop.listen_until - now) / USEC_PER_MS,
+		  (entry->stop.end - now) / USEC_PER_MS);
 	if (entry->presence) {
 		presence_client_trigger(entry->presence);
 	} else {
 		owner_leave(entry->owner);
 		member_leave(entry->member);
 	}
-	main_linger(entry);
+	main_linger(entry, now);
 out:
 	entry_http_stop(entry);
 	entry_control_stop(entry);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 #include "entry-io.h"
 
@@ -8,6 +9,8 @@
 
 #define FIELD(name) offsetof(entry_settings_t, name)
 #define HOUR_MS 3600000
+#define GRACE_S_MAX 3600
+#define GRACE_VARIABLE "HEMLOCK_GRACE_S"
 
 const setting_t entry_settings[] = {
 	{ "node", "name", SETTING_NAME, FIELD(name), true, NULL, 0, 0,
@@ -110,6 +113,11 @@
 	{ "entry", "stop_ms", SETTING_INTEGER, FIELD(stop_ms), false, "60000",
 	  0, HOUR_MS,
 	  "milliseconds for calls in flight to end when the entry stops" },
+	{ "entry", "grace_s", SETTING_REAL, FIELD(grace_s), false, "0", 0,
+	  GRACE_S_MAX,
+	  "seconds from SIGTERM until the process is killed, in place of "
+	  "linger_ms + stop_ms as the end of calls in flight; 0: not known; "
+	  "HEMLOCK_GRACE_S replaces it" },
 	{ "entry", "policy", SETTING_NAME, FIELD(policy), false, "owner", 0, 0,
 	  "choice of copies: owner, or reports with entry.routed; random, least "
 	  "and two-choices are for comparison" },
@@ -193,12 +201,31 @@
 	return 0;
 }
 
+/* Reads the grace period that the service manager names. */
+static int settings_read_environment(entry_settings_t *settings,
+				     hl_error_t *err)
+{
+	const char *text = getenv(GRACE_VARIABLE);
+	char *end;
+
+	if (!text || !*text)
+		return 0;
+	settings->grace_s = strtod(text, &end);
+	if (!*end && settings->grace_s >= 0 && settings->grace_s <= GRACE_S_MAX)
+		return 0;
+	return hl_error_set(err, HL_ERR_SETTINGS,
+			    GRACE_VARIABLE " must be seconds from 0 to %d; "
+					   "correct or unset it",
+			    GRACE_S_MAX);
+}
+
 int entry_settings_load(const char *path, entry_settings_t *settings,
 			hl_error_t *err)
 {
 	memset(settings, 0, sizeof(*settings));
 	if (settings_load(path, entry_settings, entry_settings_count, settings,
-			  err))
+			  err) ||
+	    settings_read_environment(settings, err))
 		return -1;
 	return settings_check(path, settings, err);
 }
--- a/entry-settings.h
+++ b/entry-settings.h
@@ -59,6 +59,7 @@
 	int64_t accept_ms; /* time after SIGTERM in which all calls are */
 	int64_t linger_ms; /* time after SIGTERM in which calls are accepted */
 	int64_t stop_ms;   /* limit for calls in flight at shutdown */
+	double grace_s;	   /* time from SIGTERM to SIGKILL; 0: not known */
 	char policy[HL_NAME_MAX];
 	char probe_path[HL_MESSAGE_MAX]; /* used by the policy "two-choices" */
 	bool lending;	      /* hand waiting calls over to idle owners */
@@ -76,6 +77,8 @@
 /**
  * entry_settings_load - read and check the settings file of an entry.
  *
+ * The environment variable HEMLOCK_GRACE_S replaces entry.grace_s.
+ *
  * Return: 0, or -1 with @err set.
  */
 int entry_settings_load(const char *path, entry_settings_t *settings,
--- a/entry-stop.h
+++ b/entry-stop.h
@@ -10,20 +10,28 @@
  * work; a call that is refused has not run and can be sent to another entry.
  */
 
+/** struct entry_stop_times_t - how long a stop may take, in microseconds. */
+typedef struct {
+	usec_t accept; /* time in which all calls are taken */
+	usec_t linger; /* time until the port is closed */
+	usec_t drain;  /* time for calls in flight after that */
+	usec_t grace;  /* time until the process is killed; 0: not known */
+} entry_stop_times_t;
+
 /** struct entry_stop_t - the times of one stop. */
 typedef struct {
 	usec_t accept_until; /* calls are taken whatever their deadline */
+	usec_t listen_until; /* the port is closed */
 	usec_t end;	     /* calls in flight are ended */
 } entry_stop_t;
 
 /**
  * entry_stop_begin - times of a stop that begins at @now.
- * @accept: time in which all calls are taken, in microseconds
- * @linger: time until the port is closed, in microseconds
- * @drain: time for calls in flight after that, in microseconds
+ *
+ * With a grace period the stop uses it up to the time that the process needs to
+ * end; without one it ends after @times->linger and @times->drain.
  */
-entry_stop_t entry_stop_begin(usec_t accept, usec_t linger, usec_t drain,
-			      usec_t now);
+entry_stop_t entry_stop_begin(const entry_stop_times_t *times, usec_t now);
 
 /**
  * entry_stop_admits - is a call taken during the stop?
--- a/regress/test-entry-stop.c
+++ b/regress/test-entry-stop.c
@@ -9,6 +9,8 @@
 #define START (100 * USEC_PER_SEC)
 #define MINUTE (60 * USEC_PER_SEC)
 #define STEP (50 * USEC_PER_MS)
+/* Time that a process needs for its end, before it is killed. */
+#define EXIT (500 * USEC_PER_MS)
 
 /* Calls that come some time after the start of a stop. */
 static const struct {
@@ -31,10 +33,12 @@
 	{ "upload-does-not", USEC_PER_SEC, 5 * USEC_PER_SEC, true, false },
 };
 
+static const entry_stop_times_t times = { ACCEPT, LINGER, DRAIN, 0 };
+
 static void test_call(gconstpointer data)
 {
 	unsigned i = GPOINTER_TO_UINT(data);
-	entry_stop_t stop = entry_stop_begin(ACCEPT, LINGER, DRAIN, START);
+	entry_stop_t stop = entry_stop_begin(&times, START);
 	usec_t now = START + calls[i].after;
 
 	g_assert_cmpint(entry_stop_admits(&stop, now + calls[i].timeout,
@@ -46,7 +50,7 @@
  * one that does is taken. */
 static void test_all(void)
 {
-	entry_stop_t stop = entry_stop_begin(ACCEPT, LINGER, DRAIN, START);
+	entry_stop_t stop = entry_stop_begin(&times, START);
 	usec_t end = START + LINGER + DRAIN, now, timeout;
 	bool admitted;
 
@@ -61,6 +65,25 @@
 	}
 }
 
+/* Guards against calls that are cut while time is left until the process is killed,
+ * and against a stop that lasts longer. */
+static void test_grace(void)
+{
+	entry_stop_times_t known = times;
+	entry_stop_t stop;
+	usec_t kill;
+
+	for (known.grace = STEP; known.grace < MINUTE; known.grace += STEP) {
+		kill = START + known.grace;
+		stop = entry_stop_begin(&known, START);
+		g_assert_cmpint(stop.end, ==, MAX(START, kill - EXIT));
+		g_assert_cmpint(stop.listen_until, ==,
+				MIN(START + LINGER, stop.end));
+		g_assert_cmpint(stop.accept_until, ==,
+				MIN(START + ACCEPT, stop.end));
+	}
+}
+
 int main(int argc, char **argv)
 {
 	unsigned i;
@@ -73,5 +96,6 @@
 		g_free(path);
 	}
 	g_test_add_func("/entry-stop/all", test_all);
+	g_test_add_func("/entry-stop/grace", test_grace);
 	return g_test_run();
 }
