Let a stop wait for callers that still send a body after their response

Cause: a caller whose call is refused, or answered early, may still send the rest of its body. entry-linger.c keeps its socket and discards that, since a close with unread bytes resets the connection. A stop did not count such sockets: once no call was in flight the process ended and the kernel reset them, though the stop had seconds left. The caller gets an error from its send and may never read its 503.

Change: entry_http_stop() waits, after the last connection is closed and until the end of the stop at most, for the callers to close the sockets that are kept. The thread of the timers still runs then and discards what they send. A caller that never closes delays the stop by the 2 s for which a socket is kept, at most.

Not changed: a body that takes longer than the 2 s, or than the stop, is still reset.

--- a/entry-http.c
+++ b/entry-http.c
@@ -370,6 +370,16 @@
 	return true;
 }
 
+/* Waits until the callers have closed the sockets that are kept for them, at most
+   until @until. The tick thread discards what they send. */
+static void http_wait_lingering(const entry_t *entry, usec_t until)
+{
+	const struct timespec period = { 0, HTTP_STOP_PERIOD * 1000 };
+
+	while (!entry_linger_is_idle(entry->linger) && time_now() < until)
+		nanosleep(&period, NULL);
+}
+
 /*
  * Ends the calls that are still in flight: with a response if that takes a short
  * time, else by closing their connections. libmicrohttpd aborts the process if
@@ -408,4 +418,5 @@
 	entry->call_daemon = NULL;
 	if (fd != MHD_INVALID_SOCKET)
 		close(fd);
+	http_wait_lingering(entry, until);
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -703,6 +703,9 @@
  */
 usec_t entry_linger_add(entry_linger_t *linger, int fd, usec_t now);
 
+/** entry_linger_is_idle - whether no socket is kept. */
+bool entry_linger_is_idle(entry_linger_t *linger);
+
 /**
  * entry_linger_sweep - discard input, and close sockets that have ended.
  *
--- a/entry-linger.c
+++ b/entry-linger.c
@@ -72,6 +72,16 @@
 	return copy >= 0 ? now + LINGER_INTERVAL : INT64_MAX;
 }
 
+bool entry_linger_is_idle(entry_linger_t *linger)
+{
+	bool idle;
+
+	pthread_mutex_lock(&linger->lock);
+	idle = !linger->count;
+	pthread_mutex_unlock(&linger->lock);
+	return idle;
+}
+
 /* Discards input of a socket; returns whether the caller has closed it. */
 static bool linger_discard(int fd)
 {
--- a/regress/test-entry-linger.c
+++ b/regress/test-entry-linger.c
@@ -99,12 +99,15 @@
 	pair_t pair = pair_new();
 	usec_t now = time_now();
 
+	g_assert_true(entry_linger_is_idle(linger));
 	g_assert_cmpint(entry_linger_add(linger, pair.entry, now), !=,
 			INT64_MAX);
 	close(pair.entry);
 	g_assert_cmpint(entry_linger_sweep(linger, now), !=, INT64_MAX);
+	g_assert_false(entry_linger_is_idle(linger));
 	g_assert_cmpint(entry_linger_sweep(linger, now + AFTER_LINGER), ==,
 			INT64_MAX);
+	g_assert_true(entry_linger_is_idle(linger));
 	close(pair.caller);
 	entry_linger_free(linger);
 }
