--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -13,6 +13,7 @@
  *	/leaving		responds that the copy leaves
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
  *	/wait-MS		responds MS milliseconds after the request
+ *	/long-KIB		responds with a body of KIB kibibytes
  *	/crash			the process ends without a response
  *	/lost-head		closes the connection after the head of the request
  *	/lost-body		resets the connection after half of the body
@@ -461,6 +462,20 @@
 	return !wait || !poll(&end, 1, atoi(wait + strlen("/wait-")));
 }
 
+/* Responds to a path that asks for a long body; false for other paths. */
+static bool serve_long(const connection_t *conn, bool *keep)
+{
+	const char *length = strstr(conn->path, "/long-");
+	char *body;
+
+	if (!length)
+		return false;
+	body = g_strnfill((gsize)atoi(length + strlen("/long-")) * 1024, 'x');
+	*keep = send_response(conn, "200 OK", "", body);
+	g_free(body);
+	return true;
+}
+
 /* Serves one request; false if the connection is to be closed. */
 static bool serve(connection_t *conn)
 {
@@ -506,6 +521,8 @@
 	if (!serve_wait(conn) || serve_loses_response(conn))
 		return false;
 	cut_delay_response(conn);
+	if (serve_long(conn, &keep))
+		return keep;
 	g_snprintf(text, sizeof(text),
 		   "bytes=%" PRIu64 " hash=%016" PRIx64 "\n", conn->body_bytes,
 		   conn->body_hash);
