Damage logs in the test of losses of power, and run thirty times as many states

Cause: the mechanisms of the seal were taken out one at a time. test-keeper-crash passed without the seal after a save, without the one after a new log and with all invalid ends cut, as it never damaged what a sync covers; nothing noticed the seal that a new log lacks, nor a commit index at the writer that covers entries of its own write. It opened 320 states a second: nearly all its time was in file calls of a folder on the disk, though the disk that it tests is simulated.

Change: after each complete save, four times, a byte that a sync covers is changed and the folder must be refused. torn-commit reads the ballots that were written and compares their commit index with the entries after them. The folders of test-keeper-crash are in /dev/shm if that is there, and 40 histories run there in place of 6. HEMLOCK_CRASH_FIRST is the first seed, so that processes share a long run.

--- a/regress/test-keeper-crash.c
+++ b/regress/test-keeper-crash.c
@@ -16,20 +16,28 @@
  * a simulated disk. After each file call, each state that a loss of power may leave is
  * built in a second folder and opened: each write that no sync covers lacks any of its
  * sectors, any run of its bytes, or its end, independently of the others, and names are
- * durable or not. Where there are more than STATES_MAX of them, so many are drawn. Some of these openings are
- * interrupted by a second loss of power.
+ * durable or not. Where there are more than STATES_MAX of them, so many are drawn. Some
+ * of these openings are interrupted by a second loss of power. After each complete save, a
+ * log in which a byte differs that a sync covers must be refused.
  *
- * HEMLOCK_CRASH_SEEDS is the number of histories.
+ * HEMLOCK_CRASH_SEEDS is the number of histories, HEMLOCK_CRASH_FIRST the seed of the
+ * first. The folders are in MEMORY_FOLDER, unless TMPDIR names another: the disk is
+ * simulated, and file calls there take a thirtieth of the time.
  */
 
-#define HISTORIES 6
+#define MEMORY_FOLDER "/dev/shm"
+#define HISTORIES_IN_MEMORY 40
+#define HISTORIES_ON_DISK 6
 #define STEPS 30
 #define STATES_MAX 24
 /* Number of states in which a write lacks a run of bytes. */
 #define RUNS 3
+/* Number of damaged bytes after each save. */
+#define DAMAGES 4
 /* One of so many openings is interrupted in turn. */
 #define NESTED_EVERY 40
 #define SECTOR_BYTES 512
+#define RECORD_HEAD_BYTES 24 /* see keeper-record.c */
 #define FILES_MAX 1024
 #define ENTRY_BYTES_MAX 900
 #define INDEX_MAX 4096
@@ -99,7 +107,7 @@
 	saved_t before;
 	uint64_t terms[INDEX_MAX]; /* of committed entries, by index */
 	char *folder;		   /* in which states are built */
-	uint64_t states, nested;
+	uint64_t states, nested, damages;
 	bool is_nested;
 } history_t;
 
@@ -712,6 +720,50 @@
 		check_loss(history, disk, &kept);
 }
 
+/* Changes a byte of a file. */
+static void file_damage(const char *path, size_t at, guint8 difference)
+{
+	int fd = open(path, O_RDWR);
+	guint8 byte;
+
+	g_assert_cmpint(pread(fd, &byte, 1, (off_t)at), ==, 1);
+	byte ^= difference;
+	g_assert_cmpint(pwrite(fd, &byte, 1, (off_t)at), ==, 1);
+	close(fd);
+}
+
+/* Opens the folder with a byte of the log changed that a sync covers: one of the last
+ * of these or any. */
+static void check_damage(history_t *history, bool near_end)
+{
+	const loss_t kept = { true, tear_none, tear_none };
+	gint32 synced = (gint32)history->store.log_bytes;
+	gint32 from = near_end ? MAX(0, synced - RECORD_HEAD_BYTES) : 0;
+	size_t at = (size_t)g_rand_int_range(history->rand, from, synced);
+	char *log = g_build_filename(history->folder, names[NAME_LOG], NULL);
+	hl_error_t err = { 0 };
+	keeper_store_t store;
+	keeper_raft_t raft;
+
+	loss_build(&kept, &history->disk, history->folder);
+	file_damage(log, at, (guint8)g_rand_int_range(history->rand, 1, 256));
+	if (!keeper_open(&store, &raft, &quick_file, history->folder, &err))
+		g_error("a log of %d synced bytes with byte %zu damaged is opened",
+			synced, at);
+	g_assert_cmpint(err.kind, ==, HL_ERR_CORRUPT);
+	keeper_raft_free(&raft);
+	g_free(log);
+	history->damages++;
+}
+
+static void check_damages(history_t *history)
+{
+	unsigned i;
+
+	for (i = 0; i < DAMAGES; i++)
+		check_damage(history, i & 1);
+}
+
 static void history_called(void *context)
 {
 	history_t *history = context;
@@ -906,6 +958,7 @@
 	}
 	history->disk.fail = FAIL_NONE;
 	saved_take(&history->before, &history->raft);
+	check_damages(history);
 }
 
 static void history_run(history_t *history, unsigned seed)
@@ -932,25 +985,37 @@
 	g_rand_free(history->rand);
 }
 
+/* Value of an environment variable, or @fallback if it is not set. */
+static unsigned number_from(const char *variable, unsigned fallback)
+{
+	const char *text = g_getenv(variable);
+
+	return text ? (unsigned)atoi(text) : fallback;
+}
+
 static void test_histories(void)
 {
-	const char *text = g_getenv("HEMLOCK_CRASH_SEEDS");
-	unsigned count = text ? (unsigned)atoi(text) : HISTORIES;
+	bool in_memory = g_str_has_prefix(g_get_tmp_dir(), MEMORY_FOLDER);
+	unsigned count = number_from("HEMLOCK_CRASH_SEEDS",
+				     in_memory ? HISTORIES_IN_MEMORY :
+						 HISTORIES_ON_DISK);
+	unsigned first = number_from("HEMLOCK_CRASH_FIRST", SEED);
 	gint64 start = g_get_monotonic_time();
-	uint64_t states = 0, nested = 0;
+	uint64_t states = 0, nested = 0, damages = 0;
 	unsigned i;
 
 	for (i = 0; i < count; i++) {
 		history_t history = { 0 };
 
-		g_test_message("seed=%u", SEED + i);
-		history_run(&history, SEED + i);
+		g_test_message("seed=%u", first + i);
+		history_run(&history, first + i);
 		states += history.states;
 		nested += history.nested;
+		damages += history.damages;
 	}
 	g_test_message("histories=%u states=%" PRIu64 " interrupted=%" PRIu64
-		       " states_per_second=%.0f",
-		       count, states, nested,
+		       " damaged=%" PRIu64 " states_per_second=%.0f",
+		       count, states, nested, damages,
 		       (double)states * USEC_PER_SEC /
 			       (double)(g_get_monotonic_time() - start));
 	g_assert_cmpuint(states, >, count * STEPS);
@@ -958,6 +1023,8 @@
 
 int main(int argc, char **argv)
 {
+	if (!access(MEMORY_FOLDER, W_OK))
+		g_setenv("TMPDIR", MEMORY_FOLDER, false);
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/keeper-crash/histories", test_histories);
 	return g_test_run();
--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -7,6 +7,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 #include "keeper-store.h"
+#include "keeper_disk.h"
 
 /*
  * Guards against a data folder that loses acknowledged changes or votes after a
@@ -854,6 +855,33 @@
 	return commit;
 }
 
+/* Check that no ballot of a log that only grew has a commit index which covers
+ * entries of its own write. */
+static void log_check_ballots(const char *bytes, size_t size)
+{
+	size_t offset = 0, length;
+	uint64_t commit = 0;
+	unsigned entries = 0;
+	const char *body;
+
+	while (keeper_record_next(bytes, size, &offset, &body, &length) ==
+	       KEEPER_RECORD_COMPLETE) {
+		keeper_record_t record = { 0 };
+
+		g_assert_true(keeper_xdr_decode((xdrproc_t)xdr_keeper_record_t,
+						body, length, &record));
+		if (record.kind == KEEPER_RECORD_BALLOT)
+			commit = record.keeper_record_t_u.ballot.commit;
+		if (record.kind == KEEPER_RECORD_ENTRY) {
+			g_assert_cmpuint(record.keeper_record_t_u.entry.index,
+					 >, commit);
+			entries++;
+		}
+		xdr_free((xdrproc_t)xdr_keeper_record_t, &record);
+	}
+	g_assert_cmpuint(entries, >, 0);
+}
+
 /* Guards against a torn write that makes a keeper take entries for committed
  * that lost: the commit index is on the disk, but not the entries that it was
  * stored with. */
@@ -887,6 +915,8 @@
 	g_assert_cmpint(keeper_file_read(folder, "log", &bytes, &size, &err),
 			==, 1);
 	g_assert_cmpuint(size, >, synced);
+	if (!old_layout)
+		log_check_ballots(bytes, size);
 	for (length = synced; length <= size; length++)
 		g_assert_cmpuint(log_check_commit(bytes, length, index, term),
 				 >=, commit - 1);
