Let a stopping entry take from siblings only calls that it can end

Cause: in the first accept_ms of a stop each call is taken whatever its deadline, as most calls end soon and callers have had no chance to learn of the stop. That held for calls which a sibling hands over, too. One that outlasts the stop is cut off at its end while its copy is at work; the sibling, which does not stop and has time left, tells its caller 502. The sibling needs no time to learn of the stop: a refusal as "stopping" sends the call to another entry at once.

Change: entry_stop_admits() takes whether a call must end before the stop. That is so for a body that is still being received, as before, and for a call that a sibling sent.

Not changed: calls that callers themselves send in the first accept_ms. The pages on accept_ms (docs/OPERATING.md, hemlock-entry(8)) do not name the exception yet.

--- a/entry-http.c
+++ b/entry-http.c
@@ -86,6 +86,14 @@
 	return result;
 }
 
+/* Whether a stopping entry takes a call only if it ends before the stop: a part of
+   its body has not been received, or a sibling sent it, which can send it to another
+   entry at once. */
+static bool http_must_end(const entry_request_t *req)
+{
+	return req->body_streamed || *req->forwarded_by;
+}
+
 /* Refuses a call if the entry stops and takes it no more; returns whether it does.
    The call is counted in flight before, so either it is refused here or
    entry_http_stop() waits for it. */
@@ -99,7 +107,7 @@
 		return false;
 	now = time_now();
 	if (!all && entry_stop_admits(&entry->stop, req->call.deadline,
-				      req->body_streamed, now))
+				      http_must_end(req), now))
 		return false;
 	entry_trace_stop_refused(req, now);
 	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, "stopping",
--- a/entry-stop.c
+++ b/entry-stop.c
@@ -25,10 +25,10 @@
 	return stop;
 }
 
-bool entry_stop_admits(const entry_stop_t *stop, usec_t deadline,
-		       bool body_pending, usec_t now)
+bool entry_stop_admits(const entry_stop_t *stop, usec_t deadline, bool must_end,
+		       usec_t now)
 {
 	if (deadline + STOP_RESPONSE_TIME <= stop->end)
 		return true;
-	return !body_pending && now < stop->accept_until;
+	return !must_end && now < stop->accept_until;
 }
--- a/entry-stop.h
+++ b/entry-stop.h
@@ -20,7 +20,7 @@
 
 /** struct entry_stop_t - the times of one stop. */
 typedef struct {
-	usec_t accept_until; /* calls are taken whatever their deadline */
+	usec_t accept_until; /* most calls are taken whatever their deadline */
 	usec_t listen_until; /* the port is closed */
 	usec_t end;	     /* calls in flight are ended */
 } entry_stop_t;
@@ -37,13 +37,13 @@
  * entry_stop_admits - is a call taken during the stop?
  * @stop: the stop
  * @deadline: time at which the call ends at the latest
- * @body_pending: a part of its body has not been received
+ * @must_end: it is taken only if it ends before the stop does
  * @now: present time
  *
- * True if it ends before the stop does, or has come, with its whole body, while
- * all calls are taken.
+ * True if it ends before the stop does, or has come while all calls are taken and
+ * need not end before.
  */
-bool entry_stop_admits(const entry_stop_t *stop, usec_t deadline,
-		       bool body_pending, usec_t now);
+bool entry_stop_admits(const entry_stop_t *stop, usec_t deadline, bool must_end,
+		       usec_t now);
 
 #endif
--- a/regress/test-entry-stop.c
+++ b/regress/test-entry-stop.c
@@ -17,7 +17,7 @@
 	const char *name;
 	usec_t after;	/* time since the start of the stop */
 	usec_t timeout; /* of the route */
-	bool body_pending;
+	bool must_end;
 	bool admitted;
 } calls[] = {
 	{ "early-short", 0, USEC_PER_SEC, false, true },
@@ -31,6 +31,8 @@
 	  false },
 	{ "upload-ends", 0, 5 * USEC_PER_SEC, true, true },
 	{ "upload-does-not", USEC_PER_SEC, 5 * USEC_PER_SEC, true, false },
+	{ "from-sibling-ends", USEC_PER_SEC, 4 * USEC_PER_SEC, true, true },
+	{ "from-sibling-does-not", 0, 8 * USEC_PER_SEC, true, false },
 };
 
 static const entry_stop_times_t times = { ACCEPT, LINGER, DRAIN, 0 };
@@ -42,7 +44,7 @@
 	usec_t now = START + calls[i].after;
 
 	g_assert_cmpint(entry_stop_admits(&stop, now + calls[i].timeout,
-					  calls[i].body_pending, now),
+					  calls[i].must_end, now),
 			==, calls[i].admitted);
 }
 
