Admit calls of a stop, and wait for callers, within its grace period

Cause: a review of the grace period found that with a short one every call was taken until the very end of the stop. With HEMLOCK_GRACE_S=2 and the deployment's times, 4 of 4 calls of 400 ms that came 1.2 s after SIGTERM ended with 502 after 235 ms, 0.5 s before SIGKILL; and callers that still sent a body at the end were reset although time was left. accept_ms and the time of the process's end were constants beside the bound, the class that the grace period was to end.

Change: all calls are taken for half of the grace period at most; the process gets a twelfth of it, at most 0.5 s, for its end, so that calls are cut in its last sixth; callers that send a body are waited for until half of that has passed. With 6 s the stop ends after 5.5 s, as before.

Ruled out by the review's runs: a process that outlasts SIGKILL; it ended 5 ms after the cut.

Measured: test-entry-stop/grace checks all periods from 50 ms to a minute by these rules; it was not run on the code before, which lacks a time that it reads. routed-stop, -grace, -late and -linger pass.

--- a/entry-http.c
+++ b/entry-http.c
@@ -426,5 +426,5 @@
 	entry->call_daemon = NULL;
 	if (fd != MHD_INVALID_SOCKET)
 		close(fd);
-	http_wait_lingering(entry, until);
+	http_wait_lingering(entry, entry->stop.linger_until);
 }
--- a/entry-main.c
+++ b/entry-main.c
@@ -191,7 +191,8 @@
 	struct timespec span = { left / USEC_PER_SEC,
 				 left % USEC_PER_SEC * 1000 };
 
-	nanosleep(&span, NULL);
+	if (left > 0)
+		nanosleep(&span, NULL);
 }
 
 /* Starts the threads and servers and runs until a graceful stop. */
@@ -225,7 +226,7 @@
 		owner_leave(entry->owner);
 		member_leave(entry->member);
 	}
-	main_linger(entry, now);
+	main_linger(entry, time_now());
 out:
 	entry_http_stop(entry);
 	entry_control_stop(entry);
--- a/entry-stop.h
+++ b/entry-stop.h
@@ -23,6 +23,7 @@
 	usec_t accept_until; /* most calls are taken whatever their deadline */
 	usec_t listen_until; /* the port is closed */
 	usec_t end;	     /* calls in flight are ended */
+	usec_t linger_until; /* callers that still send a body are cut */
 } entry_stop_t;
 
 /**
--- a/regress/test-entry-stop.c
+++ b/regress/test-entry-stop.c
@@ -9,7 +9,7 @@
 #define START (100 * USEC_PER_SEC)
 #define MINUTE (60 * USEC_PER_SEC)
 #define STEP (50 * USEC_PER_MS)
-/* Time that a process needs for its end, before it is killed. */
+/* Maximum time that a process needs for its end, before it is killed. */
 #define EXIT (500 * USEC_PER_MS)
 
 /* Calls that come some time after the start of a stop. */
@@ -68,21 +68,26 @@
 }
 
 /* Guards against calls that are cut while time is left until the process is killed,
- * and against a stop that lasts longer. */
+ * against a stop that lasts longer, and against calls that are taken just before they
+ * are cut. */
 static void test_grace(void)
 {
 	entry_stop_times_t known = times;
+	usec_t kill, sixth;
 	entry_stop_t stop;
-	usec_t kill;
 
 	for (known.grace = STEP; known.grace < MINUTE; known.grace += STEP) {
 		kill = START + known.grace;
+		sixth = known.grace / 6;
 		stop = entry_stop_begin(&known, START);
-		g_assert_cmpint(stop.end, ==, MAX(START, kill - EXIT));
+		g_assert_cmpint(stop.end, >=, kill - sixth);
+		g_assert_cmpint(stop.end, >=, kill - EXIT);
+		g_assert_cmpint(stop.linger_until, <, kill);
+		g_assert_cmpint(stop.linger_until, >, stop.end);
 		g_assert_cmpint(stop.listen_until, ==,
 				MIN(START + LINGER, stop.end));
 		g_assert_cmpint(stop.accept_until, ==,
-				MIN(START + ACCEPT, stop.end));
+				MIN(START + ACCEPT, START + known.grace / 2));
 	}
 }
 
