Sync the seal of a log that is written anew with the log

The last write was the whole file then, though it had been synced before it was put in place, and its seal came unsynced after that.

Change: the seal is a part of the file that is synced and renamed; the next write overwrites it as any other.

Not changed: a seal that cannot be written closes the folder, though the write before it is synced.

--- a/keeper-log.c
+++ b/keeper-log.c
@@ -16,6 +16,8 @@
  * overwrites. Both begin at the same offset, so that no complete ballot comes after
  * an invalid record of theirs: that record and the rest are cut off. A complete
  * ballot after an invalid record shows that it was synced, and so that it is damaged.
+ * Entries of the write may follow the ballot of the seal, whose term may be lower than
+ * theirs: nothing of such a write was acknowledged, also not its vote.
  *
  * The commit index of a ballot may cover entries of the same write, so it counts only
  * once these have been read: a torn write may lack them, and the log then has
@@ -201,7 +203,8 @@
 				 &record);
 }
 
-int keeper_log_put(keeper_buffer_t *buffer, const keeper_log_t *log)
+int keeper_log_put(keeper_buffer_t *buffer, const keeper_log_t *log,
+		   size_t *size)
 {
 	size_t i;
 
@@ -211,5 +214,6 @@
 	for (i = 0; i < log->entries.count; i++)
 		if (keeper_log_put_entry(buffer, &log->entries.list[i]))
 			return -1;
-	return 0;
+	*size = buffer->size;
+	return keeper_log_put_ballot(buffer, &log->ballot, log->commit);
 }
--- a/keeper-store.c
+++ b/keeper-store.c
@@ -166,7 +166,8 @@
 	return rc;
 }
 
-/* Replace the log file by one with the ballot and @entries. */
+/* Replace the log file by one with the ballot, @entries and a seal, which is synced
+ * with them. */
 static int keeper_store_write_log(keeper_store_t *store,
 				  const keeper_ballot_state_t *ballot,
 				  uint64_t commit,
@@ -179,10 +180,11 @@
 			     .commit = commit,
 			     .entries = *entries };
 	keeper_buffer_t buffer = { 0 };
+	size_t size;
 	int fd;
 
 	strcpy(log.name, store->name);
-	if (keeper_log_put(&buffer, &log)) {
+	if (keeper_log_put(&buffer, &log, &size)) {
 		free(buffer.bytes);
 		return keeper_store_set_nomem(err);
 	}
@@ -194,8 +196,9 @@
 	if (store->log_fd >= 0)
 		close(store->log_fd);
 	store->log_fd = fd;
+	store->log_bytes = size;
 	store->syncs++;
-	return keeper_store_seal_log(store, ballot, commit, err);
+	return 0;
 }
 
 static int keeper_store_write_snapshot(keeper_store_t *store,
--- a/keeper-store.h
+++ b/keeper-store.h
@@ -130,11 +130,13 @@
 		     keeper_log_t *log, hl_error_t *err);
 
 /**
- * keeper_log_put - append a whole log: a header, a ballot and all entries.
+ * keeper_log_put - append a whole log: a header, a ballot, all entries and a seal.
+ * @size: set to the bytes before the seal, which the next write overwrites
  *
  * Return: 0, or -1 if out of memory.
  */
-int keeper_log_put(keeper_buffer_t *buffer, const keeper_log_t *log);
+int keeper_log_put(keeper_buffer_t *buffer, const keeper_log_t *log,
+		   size_t *size);
 
 /**
  * keeper_log_put_ballot - append a record with a ballot and the commit index.
--- a/regress/power-keeper.c
+++ b/regress/power-keeper.c
@@ -41,8 +41,12 @@
 static void power_place(int fd, const void *bytes, size_t size)
 {
 	GByteArray *unsynced = power_unsynced[fd];
-	size_t at = (size_t)(lseek(fd, 0, SEEK_CUR) - power_offset[fd]);
+	off_t position = lseek(fd, 0, SEEK_CUR);
+	size_t at;
 
+	if (!unsynced->len)
+		power_offset[fd] = position;
+	at = (size_t)(position - power_offset[fd]);
 	if (unsynced->len < at + size)
 		g_byte_array_set_size(unsynced, (guint)(at + size));
 	memcpy(unsynced->data + at, bytes, size);
@@ -75,7 +79,7 @@
 		return -1;
 	g_byte_array_set_size(bytes, 0);
 	/* The last write may end before bytes that it did not overwrite. */
-	power_offset[fd] = lseek(fd, position, SEEK_SET);
+	lseek(fd, position, SEEK_SET);
 	return 0;
 }
 
--- a/regress/test-keeper-crash.c
+++ b/regress/test-keeper-crash.c
@@ -84,6 +84,7 @@
 	content_t *durable[NAME_COUNT]; /* by name, after a loss of power */
 	content_t *open[FILES_MAX];	/* by descriptor */
 	fail_t fail;
+	unsigned writes_left; /* writes before the one that fails */
 	void (*on_call)(void *context);
 	void *context;
 	GPtrArray *contents; /* all, to be freed */
@@ -209,7 +210,7 @@
 static ssize_t disk_write(void *context, int fd, const void *bytes, size_t size)
 {
 	disk_t *disk = context;
-	bool fails = disk->fail == FAIL_WRITE;
+	bool fails = disk->fail == FAIL_WRITE && !disk->writes_left--;
 	off_t offset = lseek(fd, 0, SEEK_CUR);
 
 	if (fails)
@@ -934,6 +935,8 @@
 	if (!g_rand_int_range(history->rand, 0, 8))
 		history->disk.fail = g_rand_int_range(history->rand, FAIL_WRITE,
 						      FAIL_SYNC + 1);
+	history->disk.writes_left = (unsigned)g_rand_int_range(history->rand, 0,
+							       2);
 	if (step < 2)
 		step_vote(history);
 	else if (step < 5)
--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -925,6 +925,26 @@
 	folder_remove(folder);
 }
 
+/* Guards against damage of a log that was just written anew, and of the vote in it,
+ * that is taken for a torn write: its seal is synced with it. */
+static void test_new_log_seal(void)
+{
+	disk_t disk = { 0 };
+	keeper_file_ops_t file = disk_file(&disk);
+	keeper_t keeper = { .now = USEC_PER_SEC };
+	hl_error_t err = { 0 };
+	char folder[256];
+	int rc;
+
+	folder_make(folder, sizeof(folder));
+	rc = keeper_open(&keeper, &file, folder, &err);
+	g_assert_cmpint(rc, ==, 0);
+	g_assert_cmpint(disk.synced, >, (off_t)keeper.store.log_bytes);
+	g_assert_cmpint(disk.synced, ==, disk.written);
+	keeper_close(&keeper);
+	folder_remove(folder);
+}
+
 /* Arbitrary bytes that are framed as the body of a valid record. */
 typedef struct {
 	char bytes[256];
@@ -1071,6 +1091,7 @@
 			     GINT_TO_POINTER(false), test_torn_commit);
 	g_test_add_data_func("/keeper-store/torn-commit/old-layout",
 			     GINT_TO_POINTER(true), test_torn_commit);
+	g_test_add_func("/keeper-store/new-log-seal", test_new_log_seal);
 	g_test_add_func("/keeper-store/bit-flip", test_bit_flip);
 	g_test_add_func("/keeper-store/fuzz", test_fuzz);
 	for (i = 0; i < G_N_ELEMENTS(refusals); i++) {
