Save outside of an assertion in the test of torn writes

Cause: cppcheck refuses a call with effects inside of an assertion (assertWithSideEffect), so that lint-cppcheck fails since the test of torn writes.

Change: the result is kept in a variable first, as save_random() does. The check is the same.

--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -706,6 +706,7 @@
 	hl_error_t err = { 0 };
 	size_t size;
 	unsigned i;
+	int rc;
 
 	g_assert_cmpint(keeper_file_read(folder, "log", &before,
 					 &torn.before_size, &err),
@@ -714,7 +715,8 @@
 		raft_push_random(&keeper->raft, rand,
 				 (size_t)g_rand_int_range(rand, 1,
 							  TORN_ENTRY_BYTES));
-	g_assert_cmpint(keeper_save(keeper, &err), ==, 0);
+	rc = keeper_save(keeper, &err);
+	g_assert_cmpint(rc, ==, 0);
 	g_assert_cmpint(keeper_file_read(folder, "log", &bytes, &size, &err),
 			==, 1);
 	torn.bytes = bytes;
