Refuse calls that wait for a copy when the stop of their entry ends

Cause: at the end of a stop all calls in flight are cancelled, one after the other. Those that are at copies end and free their slots. A call that waits in a worker for a copy (entry_probe_refresh_reports()) wakes, either by its cancel or by the free slot, and is decided on as usual: it gets the slot of a call that was cut off. Mostly its own cancel stops the send before the first byte, and its caller is told 502, that it may have run, though it has not; if not, a copy begins to run it and is cut off at once.

Change: entry->ending is set before the calls are cancelled; from then on a call that has waited in a worker is refused as not run, 503 with Retry-After 0.1 s, and not decided on.

Test: routed-stop-waiting, 20 calls to a copy with two slots, which all outlast the stop.

Not changed and not reproduced: a call that waits in the queue of its service, and not in a worker, when it is cancelled gets status 499 (entry_request_cancel(), by reading).

--- a/entry-http.c
+++ b/entry-http.c
@@ -397,6 +397,7 @@
 {
 	log_event(LOG_LEVEL_WARNING, "calls-cut", "in_flight=%u",
 		  __atomic_load_n(&entry->in_flight, __ATOMIC_ACQUIRE));
+	__atomic_store_n(&entry->ending, true, __ATOMIC_SEQ_CST);
 	entry_watch_cancel_all(entry->watch);
 	if (http_wait_idle(entry, time_now() + HTTP_STOP_CANCEL_TIME))
 		return;
--- a/entry-io.h
+++ b/entry-io.h
@@ -823,7 +823,8 @@
 	signals_t signals;
 	struct MHD_Daemon *call_daemon;
 	bool refuse_calls; /* new calls are refused; accessed atomically */
-	bool cut_calls;	   /* calls in flight are cut; accessed atomically */
+	bool ending; /* calls are ended at the end of a stop; accessed atomically */
+	bool cut_calls; /* calls in flight are cut; accessed atomically */
 	struct MHD_Daemon *control_daemon;
 	struct MHD_Daemon *directory_daemon; /* NULL without directory_listen */
 	entry_stop_t stop;		     /* valid while stopping */
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -10,6 +10,8 @@
 
 /* Time that a copy has, after a whole response, to take more of the body. */
 #define RELAY_EARLY_RESPONSE_TIMEOUT (300 * USEC_PER_MS)
+/* Wait suggested to callers of calls that waited for a copy until the entry ended. */
+#define RELAY_ENDING_RETRY_AFTER (100 * USEC_PER_MS)
 #define RELAY_HEADER_MAX (2 * HL_NAME_MAX) /* bytes */
 #define RELAY_HOP_MAX (sizeof("Hemlock-Hop: ") + KEYS_HOP_MAX)
 
@@ -588,6 +590,20 @@
 		relay_fail(req, result);
 }
 
+/* Refuses a call that has waited for a copy until the end of a stop and has not run;
+   returns whether it does. A slot that is free then is that of a call which was cut
+   off. */
+static bool relay_refuse_ending(entry_request_t *req)
+{
+	if (!__atomic_load_n(&req->entry->ending, __ATOMIC_SEQ_CST) ||
+	    req->call.outcome != ENTRY_NOT_RUN)
+		return false;
+	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, "stopping",
+			   RELAY_ENDING_RETRY_AFTER);
+	entry_request_unref(req);
+	return true;
+}
+
 /* Chooses a copy by probes, if the policy uses probes. Returns true if the
    request is to be sent now. */
 static bool relay_choose_copy(entry_request_t *req)
@@ -599,6 +615,8 @@
 	req->probing = false;
 	if (req->entry->policy == ENTRY_POLICY_REPORTS) {
 		entry_probe_refresh_reports(req);
+		if (relay_refuse_ending(req))
+			return false;
 		entry_dispatch_decide(req, time_now());
 		return false;
 	}
