Read the calls that wait in the kernel when a stopping entry closes its port

What callers saw: no response at all. Where an entry runs late, as on a busy machine, connections wait in the kernel's queue with their calls sent; the entry closed its port 4.2 s after SIGTERM and the kernel reset them, more than 0.2 s after the calls were sent.

Cause: MHD_quiesce_daemon() and shutdown() of the listening socket; what the HTTP thread has not accepted by then is reset, and a thread that was late has accepted little. The class: a queue of another layer is dropped though its items were accepted towards the peer.

Change: after the quiesce the entry accepts what waits and gives it to libmicrohttpd, then shuts the socket down; it ends only once no connection has unread input, until the end of the stop at most.

Test: routed-stop-queue, 300 callers, the entry frozen while its port is due to be closed.

--- a/entry-http.c
+++ b/entry-http.c
@@ -406,22 +406,70 @@
 	http_wait_idle(entry, time_now() + HTTP_STOP_CANCEL_TIME);
 }
 
+/*
+ * Gives libmicrohttpd the connections that the kernel has accepted and that it has
+ * not taken yet: the close of the port would reset them, and their callers may have
+ * sent calls long before on a busy machine. Returns their number.
+ */
+static uint64_t http_take_waiting(entry_t *entry, int listener)
+{
+	struct sockaddr_storage caller;
+	socklen_t size = sizeof(caller);
+	uint64_t taken = 0;
+	int fd;
+
+	while ((fd = accept4(listener, (struct sockaddr *)&caller, &size,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		if (MHD_add_connection(entry->call_daemon, fd,
+				       (struct sockaddr *)&caller,
+				       size) == MHD_YES)
+			taken++;
+		size = sizeof(caller);
+	}
+	return taken;
+}
+
+/* Whether callers have sent bytes that were not read yet: over connections of which
+   libmicrohttpd has taken fewer than @connections, or over others. */
+static bool http_has_unread(const entry_t *entry, uint64_t connections)
+{
+	return entry_read_timeout_started(entry->read_timeout) < connections ||
+	       entry_read_timeout_has_unread(entry->read_timeout);
+}
+
+/* Waits until no call is in flight or unread, at most until @until; true if none is
+   in flight. */
+static bool http_wait_read(const entry_t *entry, uint64_t connections,
+			   usec_t until)
+{
+	const struct timespec period = { 0, HTTP_STOP_PERIOD * 1000 };
+
+	while (http_wait_idle(entry, until) &&
+	       http_has_unread(entry, connections) && time_now() < until)
+		nanosleep(&period, NULL);
+	return !__atomic_load_n(&entry->in_flight, __ATOMIC_SEQ_CST);
+}
+
 void entry_http_stop(entry_t *entry)
 {
 	usec_t until = entry->stop.end;
+	uint64_t connections;
 	MHD_socket fd;
 
 	if (!entry->call_daemon)
 		return;
 	fd = MHD_quiesce_daemon(entry->call_daemon);
+	connections = entry_read_timeout_started(entry->read_timeout);
 	/* New connections are refused at once; the descriptor stays open, as
 	   the threads of libmicrohttpd may still use it. */
-	if (fd != MHD_INVALID_SOCKET)
+	if (fd != MHD_INVALID_SOCKET) {
+		connections += http_take_waiting(entry, fd);
 		shutdown(fd, SHUT_RDWR);
-	http_wait_idle(entry, until);
+	}
+	http_wait_read(entry, connections, until);
 	/* Callers may still send calls over open connections. */
 	__atomic_store_n(&entry->refuse_calls, true, __ATOMIC_SEQ_CST);
-	if (!http_wait_idle(entry, until))
+	if (!http_wait_read(entry, connections, until))
 		http_end_calls(entry);
 	MHD_stop_daemon(entry->call_daemon);
 	entry->call_daemon = NULL;
--- a/entry-io.h
+++ b/entry-io.h
@@ -673,6 +673,19 @@
 /** entry_read_timeout_free - free the object; NULL is allowed. */
 void entry_read_timeout_free(entry_read_timeout_t *timeouts);
 
+/**
+ * entry_read_timeout_started - number of connections that libmicrohttpd has taken
+ * since the start.
+ */
+uint64_t entry_read_timeout_started(entry_read_timeout_t *timeouts);
+
+/**
+ * entry_read_timeout_has_unread - has any connection input that was not read yet?
+ *
+ * One system call for each connection; for the end of a stop.
+ */
+bool entry_read_timeout_has_unread(entry_read_timeout_t *timeouts);
+
 /**
  * entry_read_timeout_sweep - close connections whose read timeout has passed.
  *
--- a/entry-read-timeout.c
+++ b/entry-read-timeout.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include "entry-http.h"
 
@@ -16,8 +17,9 @@
 } timed_conn_t;
 
 struct entry_read_timeout {
-	pthread_mutex_t lock; /* guards the list; due is atomic */
+	pthread_mutex_t lock; /* guards list and count; due is atomic */
 	struct cds_list_head conns;
+	uint64_t started; /* number of connections so far */
 	usec_t head_timeout;
 	uint64_t *closed_counter; /* hemlock_slow_callers_total */
 };
@@ -61,6 +63,7 @@
 	conn->due = time_now() + ENTRY_IDLE_TIME;
 	pthread_mutex_lock(&timeouts->lock);
 	cds_list_add_tail(&conn->link, &timeouts->conns);
+	timeouts->started++;
 	pthread_mutex_unlock(&timeouts->lock);
 }
 
@@ -90,6 +93,32 @@
 		read_timeout_remove(entry->read_timeout, state);
 }
 
+uint64_t entry_read_timeout_started(entry_read_timeout_t *timeouts)
+{
+	uint64_t started;
+
+	pthread_mutex_lock(&timeouts->lock);
+	started = timeouts->started;
+	pthread_mutex_unlock(&timeouts->lock);
+	return started;
+}
+
+bool entry_read_timeout_has_unread(entry_read_timeout_t *timeouts)
+{
+	timed_conn_t *conn;
+	int bytes = 0;
+
+	pthread_mutex_lock(&timeouts->lock);
+	cds_list_for_each_entry (conn, &timeouts->conns, link) {
+		if (ioctl(conn->fd, FIONREAD, &bytes))
+			bytes = 0;
+		if (bytes > 0)
+			break;
+	}
+	pthread_mutex_unlock(&timeouts->lock);
+	return bytes > 0;
+}
+
 static void read_timeout_set(struct MHD_Connection *connection, usec_t due)
 {
 	const union MHD_ConnectionInfo *info;
