--- a/entry-http.c
+++ b/entry-http.c
@@ -429,8 +429,8 @@
 	return taken;
 }
 
-/* Whether callers have sent bytes that were not read yet: over connections of which
-   libmicrohttpd has taken fewer than @connections, or over others. */
+/* Whether callers may have sent bytes that were not read yet: libmicrohttpd has not
+   taken the first @connections connections yet, or one that it has taken has input. */
 static bool http_has_unread(const entry_t *entry, uint64_t connections)
 {
 	return entry_read_timeout_started(entry->read_timeout) < connections ||
--- a/regress/test-keeper-crash.c
+++ b/regress/test-keeper-crash.c
@@ -22,7 +22,7 @@
  *
  * HEMLOCK_CRASH_SEEDS is the number of histories, HEMLOCK_CRASH_FIRST the seed of the
  * first. The folders are in MEMORY_FOLDER, unless TMPDIR names another: the disk is
- * simulated, and file calls there take a thirtieth of the time.
+ * simulated, and file calls are much faster there.
  */
 
 #define MEMORY_FOLDER "/dev/shm"
--- a/regress/test-keeper-store.c
+++ b/regress/test-keeper-store.c
@@ -734,9 +734,8 @@
 	return torn.checked;
 }
 
-/* Guards against keepers that refuse to start after a loss of power, so that
- * nobody answers reads of the configuration: the last write may lack any of its
- * bytes, or have others. */
+/* Guards against keepers that refuse to start after a loss of power, so that reads of
+ * the configuration fail: the last write may lack any of its bytes, or have others. */
 static void test_torn_writes(void)
 {
 	GRand *rand = g_rand_new_with_seed(FUZZ_SEED);
