Log responses that belong to another call than the one sent

What the logs could not tell: `send-failed result=cut` stood for connections that ended and for whole responses with the id of another call, and nothing said what a connection had carried. `response-mismatched` names the id that came, the connection and the number of calls sent over it; a counter has the total.

--- a/entry-conn-pool.c
+++ b/entry-conn-pool.c
@@ -61,12 +61,21 @@
 	free(pool);
 }
 
+/* Returns a number that no other connection of the process has. */
+static uint64_t conn_next_number(void)
+{
+	static uint64_t last;
+
+	return __atomic_add_fetch(&last, 1, __ATOMIC_RELAXED);
+}
+
 static entry_conn_t *conn_new(void)
 {
 	entry_conn_t *conn = calloc(1, sizeof(*conn));
 
 	if (!conn)
 		return NULL;
+	conn->number = conn_next_number();
 	conn->preconnected_fd = -1;
 	conn->fd = -1;
 	conn->multi = curl_multi_init();
@@ -79,6 +88,13 @@
 	return conn;
 }
 
+/* Makes the object stand for a new connection, over which nothing was sent. */
+static void conn_forget(entry_conn_t *conn)
+{
+	conn->number = conn_next_number();
+	conn->calls = 0;
+}
+
 /* Whether a preconnected socket is connected and not closed by the peer. */
 static bool pool_socket_usable(int fd)
 {
@@ -139,6 +155,9 @@
 		return NULL;
 	}
 	conn->preconnected_fd = preconnected_fd;
+	if (fresh)
+		conn_forget(conn);
+	conn->calls++;
 	return conn;
 }
 
--- a/entry-io.h
+++ b/entry-io.h
@@ -58,6 +58,8 @@
 	int preconnected_fd; /* socket for the next transfer, or -1 */
 	int fd;		     /* socket of the last transfer, or -1 */
 	usec_t idle_since;   /* when it was returned to the pool */
+	uint64_t number;     /* distinguishes connections in logs */
+	unsigned calls;	     /* sent over it, with the one that it carries */
 } entry_conn_t;
 
 /* Maximum number of preconnected sockets of one pool. */
@@ -406,6 +408,14 @@
 /** entry_trace_sent - log the start of a send and the input of its decision. */
 void entry_trace_sent(entry_request_t *req, usec_t now);
 
+/**
+ * entry_trace_mismatched - log a response that is not the one to a call.
+ * @other_id: id in the response; empty if it has none
+ * @conn: connection over which it came
+ */
+void entry_trace_mismatched(const entry_request_t *req, const char *other_id,
+			    const entry_conn_t *conn);
+
 /** entry_trace_given_up - log that a send was ended, as its path is lost. */
 void entry_trace_given_up(const entry_request_t *req);
 
@@ -812,7 +822,8 @@
 	entry_read_timeout_t *read_timeout;
 	entry_linger_t *linger;
 	entry_forward_t *forward;
-	uint64_t *lend_header_bytes; /* counter: credit headers on calls */
+	uint64_t *lend_header_bytes;	/* counter: credit headers on calls */
+	uint64_t *mismatched_responses; /* counter: of another call or none */
 	member_t *member;
 	struct entry_claims *claims;
 	config_follow_t *follow;     /* NULL without keepers */
--- a/entry-main.c
+++ b/entry-main.c
@@ -267,6 +267,9 @@
 	entry.lend_header_bytes = metrics_counter(
 		entry.metrics, "hemlock_lend_header_bytes_total", "",
 		"Bytes of lending in the heads of handed-over calls.");
+	entry.mismatched_responses = metrics_counter(
+		entry.metrics, "hemlock_mismatched_responses_total", "",
+		"Responses that belonged to another call than the one sent.");
 	if (main_new_keys(&entry, err) ||
 	    (settings->routed ? main_new_routed(&entry, err) :
 				main_new_member(&entry, err)))
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -451,6 +451,17 @@
 				      req->call_id, transfer->millirate);
 }
 
+/* Counts and logs a response that belongs to another call. */
+static void relay_record_mismatch(const entry_transfer_t *transfer)
+{
+	const entry_request_t *req = transfer->req;
+
+	if (!relay_response_mismatched(transfer))
+		return;
+	metrics_add(req->entry->mismatched_responses, 1);
+	entry_trace_mismatched(req, transfer->other_id, transfer->conn);
+}
+
 /* Whether the connection can carry another call. */
 static bool relay_keeps_connection(const entry_transfer_t *transfer)
 {
@@ -492,6 +503,7 @@
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &transfer->bytes_sent);
 	if (transfer->head_complete)
 		relay_record_round_trip(req, easy);
+	relay_record_mismatch(transfer);
 	keep = relay_keeps_connection(transfer);
 	transfer->conn->fd = relay_socket(easy);
 	curl_multi_remove_handle(transfer->conn->multi, easy);
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -54,6 +54,20 @@
 		(now - sent) / USEC_PER_MS);
 }
 
+void entry_trace_mismatched(const entry_request_t *req, const char *other_id,
+			    const entry_conn_t *conn)
+{
+	char quoted[HL_NAME_MAX * 2];
+
+	log_event(LOG_LEVEL_NOTICE, "response-mismatched",
+		  "call=%s route=%s copy=%s got=%s status=%u "
+		  "connection=%" PRIu64 " calls=%u",
+		  trace_value(req->call_id), trace_value(req->rule_name),
+		  req->call.copy ? req->call.copy->name : "-",
+		  log_quote(other_id, quoted, sizeof(quoted)),
+		  req->response.status, conn->number, conn->calls);
+}
+
 void entry_trace_given_up(const entry_request_t *req)
 {
 	log_event(LOG_LEVEL_INFO, "send-given-up",
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -165,6 +165,21 @@
 	transfer->has_rest = entry_retry_after_read(text, &transfer->rest);
 }
 
+/* Compares the id in the response with that of the call. */
+static void transfer_read_call_id(entry_transfer_t *transfer, const char *value,
+				  size_t length)
+{
+	const char *id = transfer->req->call_id;
+
+	transfer->call_id_matches = strlen(id) == length &&
+				    !memcmp(id, value, length);
+	if (transfer->call_id_matches)
+		return;
+	length = MIN(length, sizeof(transfer->other_id) - 1);
+	memcpy(transfer->other_id, value, length);
+	transfer->other_id[length] = '\0';
+}
+
 /* Reads a header of a copy's response if its name is one of those in
    transfer_names(), the header names of the interface that the settings
    select. */
@@ -174,12 +189,10 @@
 					   size_t value_length)
 {
 	const headers_t *names = transfer_names(transfer);
-	const char *id = transfer->req->call_id;
 	char text[HL_NAME_MAX];
 
 	if (transfer_header_is(line, length, names->call_id))
-		transfer->call_id_matches = strlen(id) == value_length &&
-					    !memcmp(id, value, value_length);
+		transfer_read_call_id(transfer, value, value_length);
 	else if (transfer_header_is(line, length, names->signature))
 		transfer->has_signature = true;
 	else if (transfer_header_is(line, length, names->not_run))
@@ -270,6 +283,7 @@
 	transfer->req->sibling_unfit = false;
 	transfer->req->sibling_impaired = false;
 	transfer->call_id_matches = false;
+	*transfer->other_id = '\0';
 	transfer->has_signature = false;
 	transfer->has_load = false;
 	transfer->body_received = 0;
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -24,7 +24,9 @@
 	bool outcome_may_have_run; /* Hemlock-Outcome is may-have-run */
 	bool has_outcome;	   /* Hemlock-Outcome is present */
 	bool call_id_matches;	   /* the response has the id of this call */
-	bool has_signature;	   /* the response has the copy's signature */
+	char other_id
+		[HL_NAME_MAX]; /* id in the response if it is another one */
+	bool has_signature;    /* the response has the copy's signature */
 	bool has_load;
 	load_t load;	/* load that the copy reported; valid with has_load */
 	bool expired;	/* the deadline passed before the response */
