Carry each call over a connection once

What callers saw: a success where the copy had failed. A copy that responds twice, the second time late, sent its second response over a connection that carried the same call again by then.

Cause: a call keeps its id when it is sent again, as copies and callers match responses by it, and a repeat took the open connection used last, which was mostly that of the first send. The check of the id then takes the late response to the first send for the response to the second one.

Ruled out: that a hedge and its primary send mix, or a response is streamed before its check: each wrong response was the whole second one of the copy, with the id of the call, in calls without a hedge.

Why this works: a late response to a call comes over the connection that has carried the call. A connection keeps a digest of each id and is not used for that id again, whoever sends it: a repeat, a hedge, a call that a sibling hands back. Which connection that is, is known to it, not to the call. It carries 500 calls at most, so the digests take 2 KB; that costs one new connection in 500 calls. A handle whose connection libcurl has closed is not kept, as it may still hold an earlier one.

--- a/entry-conn-pool.c
+++ b/entry-conn-pool.c
@@ -14,6 +14,8 @@
 
 /* Time after which an idle connection is closed. */
 #define POOL_IDLE_TIME (30 * USEC_PER_SEC)
+/* Seed of the digests of call ids. */
+#define POOL_ID_SEED 0x1d5eedULL
 
 entry_conn_pool_t *entry_conn_pool_new(const char *address, unsigned idle_max)
 {
@@ -37,6 +39,8 @@
 		curl_multi_cleanup(conn->multi);
 	if (conn->preconnected_fd >= 0)
 		close(conn->preconnected_fd);
+	if (conn->carried)
+		g_array_free(conn->carried, TRUE);
 	free(conn);
 }
 
@@ -76,6 +80,7 @@
 	if (!conn)
 		return NULL;
 	conn->number = conn_next_number();
+	conn->carried = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	conn->preconnected_fd = -1;
 	conn->fd = -1;
 	conn->multi = curl_multi_init();
@@ -93,6 +98,40 @@
 {
 	conn->number = conn_next_number();
 	conn->calls = 0;
+	g_array_set_size(conn->carried, 0);
+}
+
+static uint32_t conn_digest(const char *call_id)
+{
+	return (uint32_t)hl_hash(call_id, strlen(call_id), POOL_ID_SEED);
+}
+
+/* Whether a connection has carried a call with this id. It may say so of another
+   id, as digests can be equal. */
+static bool conn_has_carried(const entry_conn_t *conn, uint32_t digest)
+{
+	const uint32_t *carried = (const uint32_t *)conn->carried->data;
+	guint i;
+
+	for (i = 0; i < conn->carried->len; i++)
+		if (carried[i] == digest)
+			return true;
+	return false;
+}
+
+static void conn_carry(entry_conn_t *conn, const char *call_id)
+{
+	uint32_t digest = conn_digest(call_id);
+
+	conn->calls++;
+	if (*call_id)
+		g_array_append_val(conn->carried, digest);
+}
+
+void entry_conn_reopened(entry_conn_t *conn, const char *call_id)
+{
+	conn_forget(conn);
+	conn_carry(conn, call_id);
 }
 
 /* Whether a preconnected socket is connected and not closed by the peer. */
@@ -133,17 +172,32 @@
 	return -1;
 }
 
-entry_conn_t *entry_conn_pool_get(entry_conn_pool_t *pool, bool fresh)
+/* Removes and returns the idle connection used last that may carry the call, or
+   NULL. The caller holds pool->lock. */
+static entry_conn_t *pool_take_idle(entry_conn_pool_t *pool,
+				    const char *call_id, bool fresh)
 {
-	entry_conn_t *conn = NULL;
-	int preconnected_fd = -1;
+	uint32_t digest = conn_digest(call_id);
+	entry_conn_t *conn;
 
-	pthread_mutex_lock(&pool->lock);
-	if (!cds_list_empty(&pool->idle)) {
-		conn = cds_list_first_entry(&pool->idle, entry_conn_t, link);
+	cds_list_for_each_entry (conn, &pool->idle, link) {
+		if (!fresh && *call_id && conn_has_carried(conn, digest))
+			continue;
 		cds_list_del(&conn->link);
 		pool->idle_count--;
+		return conn;
 	}
+	return NULL;
+}
+
+entry_conn_t *entry_conn_pool_get(entry_conn_pool_t *pool, const char *call_id,
+				  bool fresh)
+{
+	int preconnected_fd = -1;
+	entry_conn_t *conn;
+
+	pthread_mutex_lock(&pool->lock);
+	conn = pool_take_idle(pool, call_id, fresh);
 	if (fresh)
 		preconnected_fd = pool_take_preconnected(pool);
 	pthread_mutex_unlock(&pool->lock);
@@ -155,9 +209,7 @@
 		return NULL;
 	}
 	conn->preconnected_fd = preconnected_fd;
-	if (fresh)
-		conn_forget(conn);
-	conn->calls++;
+	conn_carry(conn, call_id);
 	return conn;
 }
 
@@ -177,7 +229,7 @@
 		close(conn->preconnected_fd);
 		conn->preconnected_fd = -1;
 	}
-	if (!keep) {
+	if (!keep || conn->carried->len >= ENTRY_CONN_CALLS_MAX) {
 		conn_free(conn);
 		return;
 	}
--- a/entry-io.h
+++ b/entry-io.h
@@ -50,6 +50,10 @@
 /* Maximum number of waiting calls or credits in one header. */
 #define ENTRY_QUEUE_REPORT_MAX 65536
 
+/* Maximum number of calls with an id that one connection carries, since it keeps
+   a digest of each. */
+#define ENTRY_CONN_CALLS_MAX 500
+
 /** struct entry_conn_t - one connection of a pool, used by one worker. */
 typedef struct entry_conn {
 	struct cds_list_head link; /* entry_conn_pool_t.idle */
@@ -60,6 +64,7 @@
 	usec_t idle_since;   /* when it was returned to the pool */
 	uint64_t number;     /* distinguishes connections in logs */
 	unsigned calls;	     /* sent over it, with the one that it carries */
+	GArray *carried;     /* uint32_t digests of the ids of these calls */
 } entry_conn_t;
 
 /* Maximum number of preconnected sockets of one pool. */
@@ -94,19 +99,31 @@
 
 /**
  * entry_conn_pool_get - take a connection for one call.
+ * @call_id: id that the response must bear; empty if the interface has none
  * @fresh: the connection is to carry no call before this one. Set for a call
  *         that must not be sent twice, because libcurl sends a request again
  *         when a reused connection turns out to be closed.
  *
+ * A late response to an earlier send cannot be told from the response to this one
+ * if both bear the same id, so a connection carries each id once.
+ *
  * Return: a connection for exclusive use, or NULL if out of memory.
  */
-entry_conn_t *entry_conn_pool_get(entry_conn_pool_t *pool, bool fresh);
+entry_conn_t *entry_conn_pool_get(entry_conn_pool_t *pool, const char *call_id,
+				  bool fresh);
+
+/**
+ * entry_conn_reopened - note that libcurl has opened a new connection.
+ * @call_id: as in entry_conn_pool_get(); the one call that it has carried
+ */
+void entry_conn_reopened(entry_conn_t *conn, const char *call_id);
 
 /**
  * entry_conn_pool_put - return a connection to its pool.
  * @keep: false after a failure: the connection is closed
  *
- * The caller has set @conn->fd.
+ * The caller has set @conn->fd. A connection that has carried ENTRY_CONN_CALLS_MAX
+ * calls is closed.
  */
 void entry_conn_pool_put(entry_conn_pool_t *pool, entry_conn_t *conn, bool keep,
 			 usec_t now);
--- a/entry-probe.c
+++ b/entry-probe.c
@@ -42,7 +42,7 @@
 	CURL *easy;
 
 	probe->load = PROBE_LOAD_UNKNOWN;
-	probe->conn = entry_conn_pool_get(probe->pool, false);
+	probe->conn = entry_conn_pool_get(probe->pool, "", false);
 	if (!probe->conn)
 		return -1;
 	easy = probe->conn->easy;
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -232,16 +232,22 @@
 	return fd == CURL_SOCKET_BAD ? -1 : fd;
 }
 
+/* Whether libcurl has opened a new connection for the last transfer. */
+static bool relay_has_connected(CURL *easy)
+{
+	long connects = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
+	return connects > 0;
+}
+
 /* Records the round trip time of a new connection to a copy. */
 static void relay_record_round_trip(entry_request_t *req, CURL *easy)
 {
-	long connects = 0;
 	usec_t round_trip;
 
-	if (req->forward || req->entry->policy != ENTRY_POLICY_OWNER)
-		return;
-	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
-	if (!connects)
+	if (req->forward || req->entry->policy != ENTRY_POLICY_OWNER ||
+	    !relay_has_connected(easy))
 		return;
 	round_trip = entry_conn_round_trip(relay_socket(easy));
 	if (round_trip <= 0)
@@ -462,11 +468,19 @@
 	entry_trace_mismatched(req, transfer->other_id, transfer->conn);
 }
 
-/* Whether the connection can carry another call. */
+/* Whether the connection can carry another call. If libcurl has closed it, the handle
+   may still hold an earlier one, whose calls are not known any more. */
 static bool relay_keeps_connection(const entry_transfer_t *transfer)
 {
-	return transfer->code == CURLE_OK && transfer->head_complete &&
-	       !relay_response_mismatched(transfer);
+	return transfer->conn->fd >= 0 && transfer->code == CURLE_OK &&
+	       transfer->head_complete && !relay_response_mismatched(transfer);
+}
+
+/* Returns the id that the response to a call is checked by; empty if the interface
+   has none. */
+static const char *relay_checked_id(const entry_request_t *req)
+{
+	return req->entry->settings.headers->call_id ? req->call_id : "";
 }
 
 /* Sends once over the pool of the transfer and stores the response in the
@@ -481,6 +495,7 @@
 	usec_t time_left = req->call.deadline - time_now();
 	char url[HL_ADDRESS_MAX + sizeof("http:///")];
 	struct curl_slist *headers;
+	const char *call_id;
 	relay_head_t head;
 	CURL *easy;
 	bool keep;
@@ -489,7 +504,8 @@
 		return ENTRY_RESULT_CONNECT;
 	if (relay_is_cancelled(req))
 		return ENTRY_RESULT_CANCEL;
-	transfer->conn = entry_conn_pool_get(transfer->pool, once);
+	call_id = relay_checked_id(req);
+	transfer->conn = entry_conn_pool_get(transfer->pool, call_id, once);
 	if (!transfer->conn)
 		return ENTRY_RESULT_CONNECT;
 	easy = transfer->conn->easy;
@@ -503,9 +519,11 @@
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &transfer->bytes_sent);
 	if (transfer->head_complete)
 		relay_record_round_trip(req, easy);
+	if (relay_has_connected(easy))
+		entry_conn_reopened(transfer->conn, call_id);
 	relay_record_mismatch(transfer);
-	keep = relay_keeps_connection(transfer);
 	transfer->conn->fd = relay_socket(easy);
+	keep = relay_keeps_connection(transfer);
 	curl_multi_remove_handle(transfer->conn->multi, easy);
 	entry_conn_pool_put(transfer->pool, transfer->conn, keep, time_now());
 	if (once)
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -10,6 +10,9 @@
  *	/early-stop		responds and does not read the body
  *	/early-full		refuses the call and does not read the body
  *	/twice			sends its response again, 30 ms later
+ *	/fail-twice		responds 500, and 30 ms later 200
+ *	/fail-later		responds 500, and 200 30 ms after the next response on
+ *				the connection
  *	/leaving		responds that the copy leaves
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
  *	/wait-MS		responds MS milliseconds after the request
@@ -60,7 +63,7 @@
 #define BLOCK_BYTES 65536
 #define SLOW_PIECE_BYTES 16384
 #define SLOW_PAUSE_USEC 20000
-#define TWICE_PAUSE_USEC 30000
+#define LATE_PAUSE_USEC 30000
 #define RECORD_BYTES_MAX (1024 * 1024)
 /* Parameters of the 64-bit FNV-1a hash. */
 #define FNV_BASIS 0xcbf29ce484222325ULL
@@ -86,7 +89,10 @@
 	size_t length;
 	char head[HEAD_BYTES_MAX];
 	char method[16], path[256];
+	char id[HL_NAME_MAX]; /* of the call that a response is for */
 	uint64_t body_bytes, body_hash;
+	char late_id[HL_NAME_MAX]; /* of a call that gets a second response */
+	unsigned late_after; /* responses before that; 0: no call gets one */
 } connection_t;
 
 static bool send_bytes(int fd, const char *bytes, size_t length)
@@ -230,13 +236,10 @@
 
 static void record_call(const connection_t *conn, const char *result)
 {
-	char id[HL_NAME_MAX];
-
-	head_value(conn, headers->call_id, id, sizeof(id));
 	fprintf(record_file,
 		"copy=%s method=%s url=%s call=%s body=%" PRIu64
 		" hash=%016" PRIx64 " result=%s at_ms=%" PRId64 "\n",
-		opt_id, conn->method, conn->path, id, conn->body_bytes,
+		opt_id, conn->method, conn->path, conn->id, conn->body_bytes,
 		conn->body_hash, result, time_now() / USEC_PER_MS);
 	fflush(record_file);
 }
@@ -245,19 +248,17 @@
 static bool send_head(const connection_t *conn, const char *status,
 		      const char *more)
 {
-	char id[HL_NAME_MAX];
 	GString *text = g_string_new("");
 	bool leaves = opt_leaving || strstr(conn->path, "/leaving");
 	bool sent;
 
-	head_value(conn, headers->call_id, id, sizeof(id));
 	g_string_append_printf(text,
 			       "HTTP/1.1 %s\r\n%s: %s\r\n%s: 0,0,%d,100\r\n",
 			       status, headers->responding_copy, opt_id,
 			       headers->load, opt_slots);
-	if (strcmp(id, "-"))
+	if (strcmp(conn->id, "-"))
 		g_string_append_printf(text, "%s: %s\r\n", headers->call_id,
-				       id);
+				       conn->id);
 	if (!g_str_has_prefix(status, "503"))
 		g_string_append_printf(text, "%s: %s\r\n", headers->signature,
 				       opt_id);
@@ -476,6 +477,41 @@
 	return true;
 }
 
+/* Paths of calls that get a second response. */
+static const struct {
+	const char *word, *status;
+	unsigned after; /* responses from the call's own on */
+} late[] = {
+	{ "/twice", "200 OK", 1 },
+	{ "/fail-twice", "500 Failed", 1 },
+	{ "/fail-later", "500 Failed", 2 },
+};
+
+/* Returns the status for a path, and notes the call if it gets a second response. */
+static const char *serve_status(connection_t *conn)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(late); i++) {
+		if (!strstr(conn->path, late[i].word))
+			continue;
+		conn->late_after = late[i].after;
+		strcpy(conn->late_id, conn->id);
+		return late[i].status;
+	}
+	return "200 OK";
+}
+
+/* Sends a second response if it is due; false if the connection has ended. */
+static bool serve_late(connection_t *conn)
+{
+	if (!conn->late_after || --conn->late_after)
+		return true;
+	g_usleep(LATE_PAUSE_USEC);
+	strcpy(conn->id, conn->late_id);
+	return send_response(conn, "200 OK", "", "a late response\n");
+}
+
 /* Serves one request; false if the connection is to be closed. */
 static bool serve(connection_t *conn)
 {
@@ -487,6 +523,7 @@
 	conn->body_hash = FNV_BASIS;
 	if (!read_head(conn))
 		return false;
+	head_value(conn, headers->call_id, conn->id, sizeof(conn->id));
 	if (!strcmp(conn->path, "/health")) {
 		if (opt_rate)
 			record_call(conn, "probe");
@@ -526,12 +563,9 @@
 	g_snprintf(text, sizeof(text),
 		   "bytes=%" PRIu64 " hash=%016" PRIx64 "\n", conn->body_bytes,
 		   conn->body_hash);
-	if (!send_response(conn, "200 OK", "", text))
+	if (!send_response(conn, serve_status(conn), "", text))
 		return false;
-	if (!strstr(conn->path, "/twice"))
-		return !strstr(conn->path, "/lost-idle");
-	g_usleep(TWICE_PAUSE_USEC);
-	return send_response(conn, "200 OK", "", "a late response\n");
+	return !strstr(conn->path, "/lost-idle") && serve_late(conn);
 }
 
 /* Drops the segments that a socket receives from the cut addresses. A connection
