Zero the profile in the test of the retry budget

test-entry-retry ended with signal 11 on x86-64, in each of 400 runs of the landed code: test_paid_once() sets the defaults of a profile on the stack, and config_profile_set_defaults() sets its numbers only, so the list of classes was what the stack held.

--- a/regress/test-entry-retry.c
+++ b/regress/test-entry-retry.c
@@ -137,7 +137,7 @@
  * sibling; else its caller gets an error though the budget has allowed a send. */
 static void test_paid_once(void)
 {
-	config_profile_t profile;
+	config_profile_t profile = { 0 };
 	entry_service_t svc;
 	entry_call_t call = { .idempotent = true,
 			      .attempts_max = 2,
