Take a refusal only from a response with the id of the call

What callers would see: 503 or 421, so not run, for a call that runs. The check of the id left refusals out, so a late refusal of the call before over the same connection ended this one as not run; a caller may then send it again.

Ruled out: refusals without an id.

Why this works: the id is compared for refusals too. The signature is not asked for, since refusals have none; a refusal without the id counts as a response of another call, so the call may have run.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -119,11 +119,14 @@
 	       __atomic_load_n(&transfer->req->call.given_up, __ATOMIC_ACQUIRE);
 }
 
-/* Whether a response belongs to another call or was not made by a copy. */
+/* Whether a response belongs to another call, or a copy did not make it. */
 static bool relay_response_mismatched(const entry_transfer_t *transfer)
 {
-	return transfer->head_complete && !entry_transfer_is_shed(transfer) &&
-	       !entry_transfer_matches_call(transfer);
+	if (!transfer->head_complete)
+		return false;
+	if (entry_transfer_is_shed(transfer))
+		return !entry_transfer_matches_id(transfer);
+	return !entry_transfer_matches_call(transfer);
 }
 
 /*
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -209,12 +209,17 @@
 		transfer->millirate = entry_rate_read(text);
 }
 
+bool entry_transfer_matches_id(const entry_transfer_t *transfer)
+{
+	return !transfer_names(transfer)->call_id || !*transfer->req->call_id ||
+	       transfer->call_id_matches;
+}
+
 bool entry_transfer_matches_call(const entry_transfer_t *transfer)
 {
 	const headers_t *names = transfer_names(transfer);
 
-	if (names->call_id && *transfer->req->call_id &&
-	    !transfer->call_id_matches)
+	if (!entry_transfer_matches_id(transfer))
 		return false;
 	/* A sibling entry may make a response itself. */
 	return !names->signature || transfer->has_signature ||
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -102,6 +102,13 @@
  */
 bool entry_transfer_is_shed(const entry_transfer_t *transfer);
 
+/**
+ * entry_transfer_matches_id - does the response have the id of the call?
+ *
+ * True if the interface has no id of calls, or the call has none.
+ */
+bool entry_transfer_matches_id(const entry_transfer_t *transfer);
+
 /**
  * entry_transfer_matches_call - was the response made by a copy for this call?
  *
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -13,6 +13,8 @@
  *	/fail-twice		responds 500, and 30 ms later 200
  *	/fail-later		responds 500, and 200 30 ms after the next response on
  *				the connection
+ *	/twice-refused		sends its response, and 30 ms later refuses the call
+ *	/twice-misdirected	sends its response, and 30 ms later 421
  *	/leaving		responds that the copy leaves
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
  *	/wait-MS		responds MS milliseconds after the request
@@ -91,8 +93,9 @@
 	char method[16], path[256];
 	char id[HL_NAME_MAX]; /* of the call that a response is for */
 	uint64_t body_bytes, body_hash;
-	char late_id[HL_NAME_MAX]; /* of a call that gets a second response */
-	unsigned late_after; /* responses before that; 0: no call gets one */
+	const struct late *late;   /* the second response that is due */
+	char late_id[HL_NAME_MAX]; /* of the call that gets it */
+	unsigned late_after;	   /* responses before it; 0: none is due */
 } connection_t;
 
 static bool send_bytes(int fd, const char *bytes, size_t length)
@@ -477,14 +480,16 @@
 	return true;
 }
 
-/* Paths of calls that get a second response. */
-static const struct {
-	const char *word, *status;
+/* Paths of calls that get a second response, the longest words first. */
+static const struct late {
+	const char *word, *status, *second_status;
 	unsigned after; /* responses from the call's own on */
 } late[] = {
-	{ "/twice", "200 OK", 1 },
-	{ "/fail-twice", "500 Failed", 1 },
-	{ "/fail-later", "500 Failed", 2 },
+	{ "/twice-misdirected", "200 OK", "421 Misdirected", 1 },
+	{ "/twice-refused", "200 OK", "503 Unavailable", 1 },
+	{ "/fail-twice", "500 Failed", "200 OK", 1 },
+	{ "/fail-later", "500 Failed", "200 OK", 2 },
+	{ "/twice", "200 OK", "200 OK", 1 },
 };
 
 /* Returns the status for a path, and notes the call if it gets a second response. */
@@ -495,6 +500,7 @@
 	for (i = 0; i < G_N_ELEMENTS(late); i++) {
 		if (!strstr(conn->path, late[i].word))
 			continue;
+		conn->late = &late[i];
 		conn->late_after = late[i].after;
 		strcpy(conn->late_id, conn->id);
 		return late[i].status;
@@ -509,7 +515,8 @@
 		return true;
 	g_usleep(LATE_PAUSE_USEC);
 	strcpy(conn->id, conn->late_id);
-	return send_response(conn, "200 OK", "", "a late response\n");
+	return send_response(conn, conn->late->second_status, "",
+			     "a late response\n");
 }
 
 /* Serves one request; false if the connection is to be closed. */
