Send a call without an id over a new connection

What callers would see: the response of another call. A call without an id has nothing that its response can be checked by, so over an open connection the late second response to the call before was taken for its own.

Why this works: nothing comes over a new connection but the response to its first call. Callers of the platform send an id with each call, so others pay for it; the native interface has no ids and is as before.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -486,15 +486,23 @@
 	return req->entry->settings.headers->call_id ? req->call_id : "";
 }
 
+/* Whether a send must not use an open connection. That may be of a path that is
+   lost, so the bytes of a hedge would count as sent; and a call without an id cannot
+   tell a late response to a call before from its own. */
+static bool relay_needs_new_connection(const entry_request_t *req)
+{
+	if (!req->call.idempotent || req->primary)
+		return true;
+	return req->entry->settings.headers->call_id && !*req->call_id;
+}
+
 /* Sends once over the pool of the transfer and stores the response in the
    request. */
 static entry_result_t relay_send_once(entry_transfer_t *transfer)
 {
 	entry_request_t *req = transfer->req;
 	bool once = !req->call.idempotent;
-	/* An open connection may be of a path that is lost: the bytes of a hedge
-	   would count as sent. */
-	bool fresh = once || req->primary;
+	bool fresh = relay_needs_new_connection(req);
 	usec_t time_left = req->call.deadline - time_now();
 	char url[HL_ADDRESS_MAX + sizeof("http:///")];
 	struct curl_slist *headers;
