Renew the connections to a copy that has sent a response of no call

What callers saw: 502 although the copies were sound. A late second response ends the send of the next call as cut, the call is sent again over the next open connection, and meets the next late response there.

Cause: the entry treated each late response as a fault of one send, though it says something of the copy. Now it closes the idle connections to that copy and sends each call of the next 10 s over a new one, where nothing can be late.

The cost is a new connection for each call to such a copy; a copy that sends no such bytes costs nothing. Weighed: to look at the socket again before each send, which libcurl does, but finds only what is there by then; to close the idle connections alone, which leaves those in use. A send that met a late response does not test whether the copy has ended any more, as it lives.

--- a/entry-conn-pool.c
+++ b/entry-conn-pool.c
@@ -14,6 +14,9 @@
 
 /* Time after which an idle connection is closed. */
 #define POOL_IDLE_TIME (30 * USEC_PER_SEC)
+/* Time for which a peer that has sent bytes of no call gets each call over a new
+   connection. */
+#define POOL_RENEW_TIME (10 * USEC_PER_SEC)
 /* Seed of the digests of call ids. */
 #define POOL_ID_SEED 0x1d5eedULL
 
@@ -44,6 +47,15 @@
 	free(conn);
 }
 
+static void conn_free_all(struct cds_list_head *conns)
+{
+	entry_conn_t *conn;
+	entry_conn_t *next;
+
+	cds_list_for_each_entry_safe (conn, next, conns, link)
+		conn_free(conn);
+}
+
 void entry_conn_pool_ref(entry_conn_pool_t *pool)
 {
 	__atomic_fetch_add(&pool->refs, 1, __ATOMIC_RELAXED);
@@ -51,14 +63,11 @@
 
 void entry_conn_pool_unref(entry_conn_pool_t *pool)
 {
-	entry_conn_t *conn;
-	entry_conn_t *next;
 	unsigned i;
 
 	if (__atomic_sub_fetch(&pool->refs, 1, __ATOMIC_ACQ_REL))
 		return;
-	cds_list_for_each_entry_safe (conn, next, &pool->idle, link)
-		conn_free(conn);
+	conn_free_all(&pool->idle);
 	for (i = 0; i < pool->preconnected_count; i++)
 		close(pool->preconnected[i]);
 	pthread_mutex_destroy(&pool->lock);
@@ -213,13 +222,23 @@
 	return conn;
 }
 
-/* Whether the peer has closed a connection, or sent bytes that belong to no
-   call. */
-static bool conn_has_input(const entry_conn_t *conn)
+/* What an idle connection has received. */
+typedef enum {
+	CONN_SILENT, /* nothing */
+	CONN_ENDED,  /* the peer has closed it */
+	CONN_STRAY,  /* bytes, which belong to no call */
+} conn_input_t;
+
+static conn_input_t conn_input(const entry_conn_t *conn)
 {
 	struct pollfd input = { conn->fd, POLLIN | POLLRDHUP, 0 };
+	char byte;
 
-	return conn->fd >= 0 && poll(&input, 1, 0) > 0;
+	if (conn->fd < 0 || poll(&input, 1, 0) <= 0)
+		return CONN_SILENT;
+	if (recv(conn->fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0)
+		return CONN_STRAY;
+	return CONN_ENDED;
 }
 
 void entry_conn_pool_put(entry_conn_pool_t *pool, entry_conn_t *conn, bool keep,
@@ -235,7 +254,7 @@
 	}
 	conn->idle_since = now;
 	pthread_mutex_lock(&pool->lock);
-	if (pool->idle_count < pool->idle_max) {
+	if (pool->idle_count < pool->idle_max && now >= pool->renew_until) {
 		cds_list_add(&conn->link, &pool->idle);
 		pool->idle_count++;
 		conn = NULL;
@@ -245,25 +264,62 @@
 		conn_free(conn);
 }
 
+/* Moves all idle connections to @closed, and lets each call of the next time have a
+   new one. The caller holds pool->lock. */
+static void pool_renew(entry_conn_pool_t *pool, struct cds_list_head *closed,
+		       usec_t now)
+{
+	pool->renew_until = now + POOL_RENEW_TIME;
+	cds_list_splice(&pool->idle, closed);
+	CDS_INIT_LIST_HEAD(&pool->idle);
+	pool->idle_count = 0;
+}
+
+void entry_conn_pool_on_stray(entry_conn_pool_t *pool, usec_t now)
+{
+	struct cds_list_head closed;
+
+	CDS_INIT_LIST_HEAD(&closed);
+	pthread_mutex_lock(&pool->lock);
+	pool_renew(pool, &closed, now);
+	pthread_mutex_unlock(&pool->lock);
+	conn_free_all(&closed);
+}
+
+bool entry_conn_pool_renews(entry_conn_pool_t *pool, usec_t now)
+{
+	bool renews;
+
+	pthread_mutex_lock(&pool->lock);
+	renews = now < pool->renew_until;
+	pthread_mutex_unlock(&pool->lock);
+	return renews;
+}
+
 void entry_conn_pool_sweep(entry_conn_pool_t *pool, usec_t now)
 {
 	struct cds_list_head closed;
+	conn_input_t input;
 	entry_conn_t *conn;
 	entry_conn_t *next;
+	bool stray = false;
 
 	CDS_INIT_LIST_HEAD(&closed);
 	pthread_mutex_lock(&pool->lock);
 	cds_list_for_each_entry_safe (conn, next, &pool->idle, link) {
+		input = conn_input(conn);
+		stray = stray || input == CONN_STRAY;
 		if (now - conn->idle_since < POOL_IDLE_TIME &&
-		    !conn_has_input(conn))
+		    input == CONN_SILENT)
 			continue;
 		cds_list_del(&conn->link);
 		cds_list_add(&conn->link, &closed);
 		pool->idle_count--;
 	}
+	if (stray)
+		pool_renew(pool, &closed, now);
 	pthread_mutex_unlock(&pool->lock);
-	cds_list_for_each_entry_safe (conn, next, &closed, link)
-		conn_free(conn);
+	conn_free_all(&closed);
 }
 
 /* Starts a non-blocking connect; returns the socket, or -1. */
--- a/entry-io.h
+++ b/entry-io.h
@@ -79,6 +79,7 @@
 	unsigned idle_max;
 	int preconnected[ENTRY_PRECONNECTED_MAX]; /* unused sockets */
 	unsigned preconnected_count;
+	usec_t renew_until; /* until then no connection carries a second call */
 	unsigned refs;
 } entry_conn_pool_t;
 
@@ -128,11 +129,22 @@
 void entry_conn_pool_put(entry_conn_pool_t *pool, entry_conn_t *conn, bool keep,
 			 usec_t now);
 
+/**
+ * entry_conn_pool_on_stray - note that the peer has sent bytes of no call.
+ *
+ * Closes the idle connections, on which more such bytes may be under way. For a
+ * while each call gets a new connection.
+ */
+void entry_conn_pool_on_stray(entry_conn_pool_t *pool, usec_t now);
+
+/** entry_conn_pool_renews - does each call get a new connection at present? */
+bool entry_conn_pool_renews(entry_conn_pool_t *pool, usec_t now);
+
 /**
  * entry_conn_pool_sweep - close idle connections that are of no further use.
  *
  * These are connections that the peer has closed or on which it has sent bytes,
- * which belong to no call, and those that were idle for a long time.
+ * see entry_conn_pool_on_stray(), and those that were idle for a long time.
  */
 void entry_conn_pool_sweep(entry_conn_pool_t *pool, usec_t now);
 
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -460,13 +460,16 @@
 				      req->call_id, transfer->millirate);
 }
 
-/* Counts and logs a response that belongs to another call. */
-static void relay_record_mismatch(const entry_transfer_t *transfer)
+/* Counts and logs a response that belongs to another call. The copy may have sent more
+   of them. */
+static void relay_record_mismatch(entry_transfer_t *transfer)
 {
 	const entry_request_t *req = transfer->req;
 
-	if (!relay_response_mismatched(transfer))
+	transfer->mismatched = relay_response_mismatched(transfer);
+	if (!transfer->mismatched)
 		return;
+	entry_conn_pool_on_stray(transfer->pool, time_now());
 	metrics_add(req->entry->mismatched_responses, 1);
 	entry_trace_mismatched(req, transfer->other_id, transfer->conn);
 }
@@ -489,11 +492,15 @@
 /* Whether a send must not use an open connection. That may be of a path that is
    lost, so the bytes of a hedge would count as sent; and a call without an id cannot
    tell a late response to a call before from its own. */
-static bool relay_needs_new_connection(const entry_request_t *req)
+static bool relay_needs_new_connection(const entry_transfer_t *transfer)
 {
+	const entry_request_t *req = transfer->req;
+
 	if (!req->call.idempotent || req->primary)
 		return true;
-	return req->entry->settings.headers->call_id && !*req->call_id;
+	if (req->entry->settings.headers->call_id && !*req->call_id)
+		return true;
+	return entry_conn_pool_renews(transfer->pool, transfer->sent);
 }
 
 /* Sends once over the pool of the transfer and stores the response in the
@@ -502,7 +509,7 @@
 {
 	entry_request_t *req = transfer->req;
 	bool once = !req->call.idempotent;
-	bool fresh = relay_needs_new_connection(req);
+	bool fresh = relay_needs_new_connection(transfer);
 	usec_t time_left = req->call.deadline - time_now();
 	char url[HL_ADDRESS_MAX + sizeof("http:///")];
 	struct curl_slist *headers;
@@ -717,7 +724,8 @@
 	transfer.pool = relay_pool(req);
 	result = relay_send_once(&transfer);
 	req->paths_lost = transfer.given_up;
-	if (result == ENTRY_RESULT_TRUNCATED && !transfer.given_up)
+	if (result == ENTRY_RESULT_TRUNCATED && !transfer.given_up &&
+	    !transfer.mismatched)
 		relay_check_cut(&transfer);
 	else if (result == ENTRY_RESULT_OK)
 		entry_crash_on_answer(req);
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -26,6 +26,7 @@
 	bool call_id_matches;	   /* the response has the id of this call */
 	char other_id
 		[HL_NAME_MAX]; /* id in the response if it is another one */
+	bool mismatched;       /* the response belongs to another call */
 	bool has_signature;    /* the response has the copy's signature */
 	bool has_load;
 	load_t load;	/* load that the copy reported; valid with has_load */
--- a/regress/test-entry-conn-pool.c
+++ b/regress/test-entry-conn-pool.c
@@ -1,5 +1,7 @@
 #include <glib.h>
 #include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include "entry-io.h"
 
 /*
@@ -80,6 +82,68 @@
 	entry_conn_pool_unref(pool);
 }
 
+/* What the peer of an idle connection has done before a sweep. */
+static const struct {
+	const char *name;
+	bool sends;
+	bool closes;
+	bool renews; /* whether calls get new connections then */
+	unsigned idle;
+} sweeps[] = {
+	{ "silent", false, false, false, 2 },
+	{ "closed", false, true, false, 1 },
+	{ "stray", true, false, true, 0 },
+	{ "stray-then-closed", true, true, true, 0 },
+};
+
+/* Guards against calls that fail one after the other as their connections hold late
+   responses of a copy that is known to send them. */
+static void test_sweep(gconstpointer context)
+{
+	const unsigned row = GPOINTER_TO_UINT(context);
+	entry_conn_pool_t *pool = entry_conn_pool_new(ADDRESS, IDLE_MAX);
+	entry_conn_t *first = entry_conn_pool_get(pool, "a", false);
+	entry_conn_t *second = entry_conn_pool_get(pool, "b", false);
+	int ends[2];
+
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, ends), ==, 0);
+	second->fd = ends[0];
+	entry_conn_pool_put(pool, first, true, 0);
+	entry_conn_pool_put(pool, second, true, 0);
+	if (sweeps[row].sends)
+		g_assert_cmpint(write(ends[1], "H", 1), ==, 1);
+	if (sweeps[row].closes)
+		shutdown(ends[1], SHUT_RDWR);
+	entry_conn_pool_sweep(pool, 1);
+	g_assert_cmpuint(pool->idle_count, ==, sweeps[row].idle);
+	g_assert_cmpint(entry_conn_pool_renews(pool, 2), ==,
+			sweeps[row].renews);
+	entry_conn_pool_unref(pool);
+	close(ends[0]);
+	close(ends[1]);
+}
+
+static void test_renew(void)
+{
+	entry_conn_pool_t *pool = entry_conn_pool_new(ADDRESS, IDLE_MAX);
+	entry_conn_t *idle = entry_conn_pool_get(pool, "a", false);
+	entry_conn_t *busy = entry_conn_pool_get(pool, "b", false);
+	usec_t end = 0;
+
+	entry_conn_pool_put(pool, idle, true, 0);
+	entry_conn_pool_on_stray(pool, 0);
+	g_assert_cmpuint(pool->idle_count, ==, 0);
+	entry_conn_pool_put(pool, busy, true, 1);
+	g_assert_cmpuint(pool->idle_count, ==, 0);
+	while (entry_conn_pool_renews(pool, end))
+		end += USEC_PER_SEC;
+	g_assert_cmpint(end, >=, USEC_PER_SEC);
+	idle = entry_conn_pool_get(pool, "c", false);
+	entry_conn_pool_put(pool, idle, true, end);
+	g_assert_cmpuint(pool->idle_count, ==, 1);
+	entry_conn_pool_unref(pool);
+}
+
 int main(int argc, char **argv)
 {
 	unsigned i;
@@ -92,6 +156,14 @@
 		g_test_add_data_func(path, GUINT_TO_POINTER(i), test_row);
 		g_free(path);
 	}
+	for (i = 0; i < G_N_ELEMENTS(sweeps); i++) {
+		char *path = g_strdup_printf("/entry-conn-pool/sweep-%s",
+					     sweeps[i].name);
+
+		g_test_add_data_func(path, GUINT_TO_POINTER(i), test_sweep);
+		g_free(path);
+	}
+	g_test_add_func("/entry-conn-pool/renew", test_renew);
 	g_test_add_func("/entry-conn-pool/calls-max", test_calls_max);
 	g_test_add_func("/entry-conn-pool/reopened", test_reopened);
 	return g_test_run();
