Take bytes before the end of an idle connection for no late response

Servers may send 408 before they close a connection that was idle for long. Not seen on the platform, whose copies close without one; found by reading. The test has the row.

--- a/entry-conn-pool.c
+++ b/entry-conn-pool.c
@@ -225,20 +225,17 @@
 /* What an idle connection has received. */
 typedef enum {
 	CONN_SILENT, /* nothing */
-	CONN_ENDED,  /* the peer has closed it */
-	CONN_STRAY,  /* bytes, which belong to no call */
+	CONN_ENDED, /* its end; some servers send a response of their own before */
+	CONN_STRAY, /* bytes, which belong to no call */
 } conn_input_t;
 
 static conn_input_t conn_input(const entry_conn_t *conn)
 {
 	struct pollfd input = { conn->fd, POLLIN | POLLRDHUP, 0 };
-	char byte;
 
 	if (conn->fd < 0 || poll(&input, 1, 0) <= 0)
 		return CONN_SILENT;
-	if (recv(conn->fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0)
-		return CONN_STRAY;
-	return CONN_ENDED;
+	return input.revents == POLLIN ? CONN_STRAY : CONN_ENDED;
 }
 
 void entry_conn_pool_put(entry_conn_pool_t *pool, entry_conn_t *conn, bool keep,
--- a/regress/test-entry-conn-pool.c
+++ b/regress/test-entry-conn-pool.c
@@ -93,7 +93,7 @@
 	{ "silent", false, false, false, 2 },
 	{ "closed", false, true, false, 1 },
 	{ "stray", true, false, true, 0 },
-	{ "stray-then-closed", true, true, true, 0 },
+	{ "response-to-idle-time-and-closed", true, true, false, 1 },
 };
 
 /* Guards against calls that fail one after the other as their connections hold late
