Send no call over a connection that holds a late response

libcurl 7.88.1 takes an idle connection with unread bytes for alive: it sends the request and reads these bytes as the response. With a late response the id differs, so no caller gets it, but the copy runs the call and the call is repeated out of the retry budget, or fails if it can't be. Look at the connection as it is taken from the pool, too, and renew the connections then.

regress/test-entry-conn-pool fails without this (get-stray).

--- a/entry-conn-pool.c
+++ b/entry-conn-pool.c
@@ -199,17 +199,65 @@
 	return NULL;
 }
 
+/* What an idle connection has received. */
+typedef enum {
+	CONN_SILENT, /* nothing */
+	CONN_ENDED, /* its end; some servers send a response of their own before */
+	CONN_STRAY, /* bytes, which belong to no call */
+} conn_input_t;
+
+static conn_input_t conn_input(const entry_conn_t *conn)
+{
+	struct pollfd input = { conn->fd, POLLIN | POLLRDHUP, 0 };
+
+	if (conn->fd < 0 || poll(&input, 1, 0) <= 0)
+		return CONN_SILENT;
+	return input.revents == POLLIN ? CONN_STRAY : CONN_ENDED;
+}
+
+/* Moves all idle connections to @closed, and lets each call of the next time have a
+   new one. The caller holds pool->lock. */
+static void pool_renew(entry_conn_pool_t *pool, struct cds_list_head *closed,
+		       usec_t now)
+{
+	pool->renew_until = now + POOL_RENEW_TIME;
+	cds_list_splice(&pool->idle, closed);
+	CDS_INIT_LIST_HEAD(&pool->idle);
+	pool->idle_count = 0;
+}
+
+/*
+ * Takes an idle connection, as pool_take_idle(). libcurl would send the call over one
+ * that has received bytes: the copy would run it, and the response would be lost. The
+ * caller holds pool->lock.
+ */
+static entry_conn_t *pool_take_silent(entry_conn_pool_t *pool,
+				      const char *call_id, bool fresh,
+				      struct cds_list_head *closed)
+{
+	entry_conn_t *conn = pool_take_idle(pool, call_id, fresh);
+
+	if (!conn || conn_input(conn) != CONN_STRAY)
+		return conn;
+	cds_list_add(&conn->link, closed);
+	pool_renew(pool, closed, time_now());
+	return NULL;
+}
+
 entry_conn_t *entry_conn_pool_get(entry_conn_pool_t *pool, const char *call_id,
 				  bool fresh)
 {
+	struct cds_list_head closed;
 	int preconnected_fd = -1;
 	entry_conn_t *conn;
 
+	CDS_INIT_LIST_HEAD(&closed);
 	pthread_mutex_lock(&pool->lock);
-	conn = pool_take_idle(pool, call_id, fresh);
+	conn = pool_take_silent(pool, call_id, fresh, &closed);
 	if (fresh)
 		preconnected_fd = pool_take_preconnected(pool);
 	pthread_mutex_unlock(&pool->lock);
+	conn_free_all(&closed);
 	if (!conn)
 		conn = conn_new();
 	if (!conn) {
@@ -222,22 +270,6 @@
 	return conn;
 }
 
-/* What an idle connection has received. */
-typedef enum {
-	CONN_SILENT, /* nothing */
-	CONN_ENDED, /* its end; some servers send a response of their own before */
-	CONN_STRAY, /* bytes, which belong to no call */
-} conn_input_t;
-
-static conn_input_t conn_input(const entry_conn_t *conn)
-{
-	struct pollfd input = { conn->fd, POLLIN | POLLRDHUP, 0 };
-
-	if (conn->fd < 0 || poll(&input, 1, 0) <= 0)
-		return CONN_SILENT;
-	return input.revents == POLLIN ? CONN_STRAY : CONN_ENDED;
-}
-
 void entry_conn_pool_put(entry_conn_pool_t *pool, entry_conn_t *conn, bool keep,
 			 usec_t now)
 {
@@ -261,17 +293,6 @@
 		conn_free(conn);
 }
 
-/* Moves all idle connections to @closed, and lets each call of the next time have a
-   new one. The caller holds pool->lock. */
-static void pool_renew(entry_conn_pool_t *pool, struct cds_list_head *closed,
-		       usec_t now)
-{
-	pool->renew_until = now + POOL_RENEW_TIME;
-	cds_list_splice(&pool->idle, closed);
-	CDS_INIT_LIST_HEAD(&pool->idle);
-	pool->idle_count = 0;
-}
-
 void entry_conn_pool_on_stray(entry_conn_pool_t *pool, usec_t now)
 {
 	struct cds_list_head closed;
--- a/regress/test-entry-conn-pool.c
+++ b/regress/test-entry-conn-pool.c
@@ -82,7 +82,7 @@
 	entry_conn_pool_unref(pool);
 }
 
-/* What the peer of an idle connection has done before a sweep. */
+/* What the peer of an idle connection has done before a sweep or the next call. */
 static const struct {
 	const char *name;
 	bool sends;
@@ -123,6 +123,38 @@
 	close(ends[1]);
 }
 
+/* Guards against a call that is sent over a connection which holds a late response: the
+   copy runs it, and its response is lost. */
+static void test_get(gconstpointer context)
+{
+	const unsigned row = GPOINTER_TO_UINT(context);
+	entry_conn_pool_t *pool = entry_conn_pool_new(ADDRESS, IDLE_MAX);
+	entry_conn_t *first = entry_conn_pool_get(pool, "a", false);
+	entry_conn_t *second = entry_conn_pool_get(pool, "b", false);
+	uint64_t number = second->number;
+	entry_conn_t *got;
+	int ends[2];
+
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, ends), ==, 0);
+	second->fd = ends[0];
+	entry_conn_pool_put(pool, first, true, 0);
+	entry_conn_pool_put(pool, second, true, 0);
+	if (sweeps[row].sends)
+		g_assert_cmpint(write(ends[1], "H", 1), ==, 1);
+	if (sweeps[row].closes)
+		shutdown(ends[1], SHUT_RDWR);
+	got = entry_conn_pool_get(pool, "c", false);
+	g_assert_cmpint(got->number == number, ==, !sweeps[row].renews);
+	g_assert_cmpuint(got->calls, ==, sweeps[row].renews ? 1 : 2);
+	g_assert_cmpint(entry_conn_pool_renews(pool, time_now()), ==,
+			sweeps[row].renews);
+	g_assert_cmpuint(pool->idle_count, ==, sweeps[row].renews ? 0 : 1);
+	entry_conn_pool_put(pool, got, false, 0);
+	entry_conn_pool_unref(pool);
+	close(ends[0]);
+	close(ends[1]);
+}
+
 static void test_renew(void)
 {
 	entry_conn_pool_t *pool = entry_conn_pool_new(ADDRESS, IDLE_MAX);
@@ -162,6 +194,10 @@
 
 		g_test_add_data_func(path, GUINT_TO_POINTER(i), test_sweep);
 		g_free(path);
+		path = g_strdup_printf("/entry-conn-pool/get-%s",
+				       sweeps[i].name);
+		g_test_add_data_func(path, GUINT_TO_POINTER(i), test_get);
+		g_free(path);
 	}
 	g_test_add_func("/entry-conn-pool/renew", test_renew);
 	g_test_add_func("/entry-conn-pool/calls-max", test_calls_max);
