Send no probe over a connection that holds a late response

libcurl 7.88.1 takes an idle connection with unread bytes for usable. A copy that responded to a probe twice, the second time late, thus gave its next probe the response to the one before, and each later probe over that connection that of the probe before: the load was as old as the time between two probes, for as long as the connection lived. A probe has no id by which this could be seen.

The prober now notes its idle connections and looks at one as libcurl takes it, before the request is sent. If it has received bytes, it is closed and the probe goes over another one.

regress/test-entry-prober-late fails without this: the second probe reports the load of the first.

--- a/entry-once.c
+++ b/entry-once.c
@@ -1,9 +1,7 @@
-#include <stdbool.h>
 #include <sys/socket.h>
 #include "entry-once.h"
 
-/* Whether bytes of the request have been sent. */
-static bool once_is_sent(CURL *easy)
+bool entry_once_is_sent(CURL *easy)
 {
 	long bytes = 0;
 
@@ -16,7 +14,7 @@
 				      struct curl_sockaddr *address)
 {
 	(void)purpose;
-	if (once_is_sent(easy))
+	if (entry_once_is_sent(easy))
 		return CURL_SOCKET_BAD;
 	return socket(address->family, address->socktype | SOCK_CLOEXEC,
 		      address->protocol);
@@ -30,7 +28,8 @@
 	(void)local_ip;
 	(void)remote_port;
 	(void)local_port;
-	return once_is_sent(easy) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+	return entry_once_is_sent(easy) ? CURL_PREREQFUNC_ABORT :
+					  CURL_PREREQFUNC_OK;
 }
 
 void entry_once_set(CURL *easy)
--- a/entry-once.h
+++ b/entry-once.h
@@ -2,6 +2,7 @@
 #define ENTRY_ONCE_H
 
 #include <curl/curl.h>
+#include <stdbool.h>
 
 /*
  * Transfers of libcurl that send their request at most once. libcurl sends a
@@ -19,4 +20,7 @@
  */
 void entry_once_set(CURL *easy);
 
+/** entry_once_is_sent - have bytes of the request of a transfer been sent? */
+bool entry_once_is_sent(CURL *easy);
+
 #endif
--- a/entry-prober.c
+++ b/entry-prober.c
@@ -7,6 +7,7 @@
 #include <urcu/list.h>
 #include "entry-once.h"
 #include "entry-probe-time.h"
+#include "entry-prober-idle.h"
 #include "entry-prober.h"
 #include "entry.h"
 #include "http-status.h"
@@ -52,6 +53,7 @@
 	bool other_copy; /* another copy responded */
 	bool leaves;
 	bool rests; /* Retry-After can be read */
+	bool stray; /* the connection had received bytes before the request */
 	usec_t rest;
 	unsigned millirate;
 	char url[HL_ADDRESS_MAX + HL_MESSAGE_MAX + sizeof("http://")];
@@ -68,6 +70,7 @@
 	entry_probe_time_t time;
 	/* Used by the thread only. */
 	struct cds_list_head running;
+	entry_prober_idle_t *connections;
 	CURL *idle[PROBER_IDLE_MAX];
 	unsigned idle_count;
 	uint64_t *sent;
@@ -310,6 +313,23 @@
 			 query->batch->headers);
 }
 
+/* Called before the request is sent, also over a connection that is open already. */
+static int prober_before_request(void *context, char *remote_ip, char *local_ip,
+				 int remote_port, int local_port)
+{
+	prober_query_t *query = context;
+	const char *address = query->batch->probes[query->index].address;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	if (entry_once_is_sent(query->easy))
+		return CURL_PREREQFUNC_ABORT;
+	query->stray = !entry_prober_idle_take(query->prober->connections,
+					       address, local_port);
+	return query->stray ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 static void prober_start(entry_prober_t *prober, prober_query_t *query)
 {
 	query->easy = prober_get_handle(prober);
@@ -320,6 +340,10 @@
 	}
 	curl_easy_reset(query->easy);
 	entry_once_set(query->easy);
+	curl_easy_setopt(query->easy, CURLOPT_PREREQFUNCTION,
+			 prober_before_request);
+	curl_easy_setopt(query->easy, CURLOPT_PREREQDATA, query);
+	entry_prober_idle_set(prober->connections, query->easy);
 	curl_easy_setopt(query->easy, CURLOPT_URL, query->url);
 	curl_easy_setopt(query->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(query->easy, CURLOPT_PROXY, "");
@@ -362,14 +386,31 @@
 	}
 }
 
+/* Starts a query again that was not sent, as its connection had received bytes. That
+   connection is closed. */
+static void prober_restart(entry_prober_t *prober, prober_query_t *query)
+{
+	query->stray = false;
+	prober_put_handle(prober, query->easy);
+	prober_start(prober, query);
+}
+
 static void prober_finish(entry_prober_t *prober, prober_query_t *query,
 			  CURLcode code)
 {
 	bool complete = code == CURLE_OK;
 
-	query_record_time(query, complete, code == CURLE_OPERATION_TIMEDOUT);
+	if (complete)
+		entry_prober_idle_add(
+			prober->connections, query->easy,
+			query->batch->probes[query->index].address);
 	curl_multi_remove_handle(prober->multi, query->easy);
 	cds_list_del(&query->link);
+	if (query->stray) {
+		prober_restart(prober, query);
+		return;
+	}
+	query_record_time(query, complete, code == CURLE_OPERATION_TIMEDOUT);
 	query_end(query, complete);
 	prober_put_handle(prober, query->easy);
 	free(query);
@@ -441,6 +482,7 @@
 	pthread_mutex_init(&prober->lock, NULL);
 	CDS_INIT_LIST_HEAD(&prober->queued);
 	CDS_INIT_LIST_HEAD(&prober->running);
+	prober->connections = entry_prober_idle_new();
 	prober->sent = metrics_counter(metrics, "hemlock_probes_total", "",
 				       "Questions to copies for their load.");
 	prober->failed = metrics_counter(metrics, "hemlock_probes_failed_total",
@@ -477,6 +519,7 @@
 		curl_easy_cleanup(prober->idle[--prober->idle_count]);
 	if (prober->multi)
 		curl_multi_cleanup(prober->multi);
+	entry_prober_idle_free(prober->connections);
 	pthread_mutex_destroy(&prober->lock);
 	free(prober);
 }
