Send no call over a connection that has ended with bytes before its end

What callers would see: 408, or any other response that a server sends before it closes an idle connection, as the response to their call; with an id it is dropped as another call's and the send counts as cut.

Cause: libcurl 7.88.1 takes a connection with unread bytes for alive, whether its end follows them or not, and the look at a connection that is taken from the pool closed only those with a late response. A connection that has received anything is closed now, and the next idle one is taken.

Evidence: test-entry-conn-pool, rows get-closed and get-response-to-idle-time-and-closed, fail without this.

--- a/entry-conn-pool.c
+++ b/entry-conn-pool.c
@@ -227,21 +227,26 @@
 }
 
 /*
- * Takes an idle connection, as pool_take_idle(). libcurl would send the call over one
- * that has received bytes: the copy would run it, and the response would be lost. The
- * caller holds pool->lock.
+ * Takes an idle connection, as pool_take_idle(), that has received nothing, and moves
+ * others to @closed. libcurl would send the call over one that holds bytes, and read
+ * these as the response. The caller holds pool->lock.
  */
 static entry_conn_t *pool_take_silent(entry_conn_pool_t *pool,
 				      const char *call_id, bool fresh,
 				      struct cds_list_head *closed)
 {
-	entry_conn_t *conn = pool_take_idle(pool, call_id, fresh);
+	conn_input_t input;
+	entry_conn_t *conn;
 
-	if (!conn || conn_input(conn) != CONN_STRAY)
-		return conn;
-	cds_list_add(&conn->link, closed);
-	pool_renew(pool, closed, time_now());
-	return NULL;
+	while ((conn = pool_take_idle(pool, call_id, fresh))) {
+		input = conn_input(conn);
+		if (input == CONN_SILENT)
+			break;
+		cds_list_add(&conn->link, closed);
+		if (input == CONN_STRAY)
+			pool_renew(pool, closed, time_now());
+	}
+	return conn;
 }
 
 entry_conn_t *entry_conn_pool_get(entry_conn_pool_t *pool, const char *call_id,
--- a/regress/test-entry-conn-pool.c
+++ b/regress/test-entry-conn-pool.c
@@ -87,13 +87,15 @@
 	const char *name;
 	bool sends;
 	bool closes;
-	bool renews; /* whether calls get new connections then */
-	unsigned idle;
+	bool renews;   /* whether calls get new connections then */
+	unsigned idle; /* left by a sweep */
+	unsigned
+		taken; /* by the next call: 2: it, 1: another one, 0: a new one */
 } sweeps[] = {
-	{ "silent", false, false, false, 2 },
-	{ "closed", false, true, false, 1 },
-	{ "stray", true, false, true, 0 },
-	{ "response-to-idle-time-and-closed", true, true, false, 1 },
+	{ "silent", false, false, false, 2, 2 },
+	{ "closed", false, true, false, 1, 1 },
+	{ "stray", true, false, true, 0, 0 },
+	{ "response-to-idle-time-and-closed", true, true, false, 1, 1 },
 };
 
 /* Guards against calls that fail one after the other as their connections hold late
@@ -131,7 +133,7 @@
 	entry_conn_pool_t *pool = entry_conn_pool_new(ADDRESS, IDLE_MAX);
 	entry_conn_t *first = entry_conn_pool_get(pool, "a", false);
 	entry_conn_t *second = entry_conn_pool_get(pool, "b", false);
-	uint64_t number = second->number;
+	const uint64_t numbers[] = { 0, first->number, second->number };
 	entry_conn_t *got;
 	int ends[2];
 
@@ -144,11 +146,12 @@
 	if (sweeps[row].closes)
 		shutdown(ends[1], SHUT_RDWR);
 	got = entry_conn_pool_get(pool, "c", false);
-	g_assert_cmpint(got->number == number, ==, !sweeps[row].renews);
-	g_assert_cmpuint(got->calls, ==, sweeps[row].renews ? 1 : 2);
+	if (sweeps[row].taken)
+		g_assert_cmpuint(got->number, ==, numbers[sweeps[row].taken]);
+	g_assert_cmpuint(got->calls, ==, sweeps[row].taken ? 2 : 1);
 	g_assert_cmpint(entry_conn_pool_renews(pool, time_now()), ==,
 			sweeps[row].renews);
-	g_assert_cmpuint(pool->idle_count, ==, sweeps[row].renews ? 0 : 1);
+	g_assert_cmpuint(pool->idle_count, ==, sweeps[row].taken == 2);
 	entry_conn_pool_put(pool, got, false, 0);
 	entry_conn_pool_unref(pool);
 	close(ends[0]);
