Tell a late response to another send by its Hemlock-Send

What callers saw, under the native header set: the response of another call. A copy that responds twice, the second time late, writes over a kept connection that carries the next idempotent call by then, or the repeat of the same one. Its response was taken for that of the later send; if it was a refusal, the caller was told *not run* for a call that ran.

Cause: the native header set has no id that a response could be checked by. libcurl takes the first whole response over the connection.

Each send to a copy or a sibling now has Hemlock-Send: the number of the connection and that of the call on it. A copy may send it back. A response with another value is treated as one with the id of another call: nothing of it is relayed, its refusal is none, the connection is closed, the pool is renewed. One without it is taken as before. A caller's own Hemlock-Send does not reach a copy, and a copy's does not reach a caller. The platform has no such header.

Why this works: the pair of numbers occurs once in a process. A connection has a number of its own, which changes when libcurl opens another one in the same handle; that one's first call still has the older pair, which no other send has.

Ruled out: to demand the header of copies (they need not know it); an id for each call (a repeat has the same one); to look for input before the send (the late response comes afterwards); a value of fixed width (longer on each call, for a test alone). The cost is some 20 bytes a call each way.

--- a/entry-head.c
+++ b/entry-head.c
@@ -54,6 +54,7 @@
 	"Hemlock-Deadline-Ms",
 	"Proxy-Authorization",
 	"Hemlock-No-Retry",
+	"Hemlock-Send",
 };
 
 /* Whether a header is one that this entry writes for each send under the
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -301,13 +301,14 @@
 /* Headers of one send, linked in front of the headers of the caller. */
 typedef struct {
 	char deadline[RELAY_HEADER_MAX];
+	char send[RELAY_HEADER_MAX];
 	char hop[RELAY_HOP_MAX];
 	char queue[RELAY_HEADER_MAX];
 	char no_retry[sizeof("Hemlock-No-Retry: 1")];
 	char copy[RELAY_HEADER_MAX];
 	char revision[RELAY_HEADER_MAX];
 	char part[RELAY_HEADER_MAX];
-	struct curl_slist nodes[5];
+	struct curl_slist nodes[6];
 } relay_head_t;
 
 static struct curl_slist *relay_push(relay_head_t *head, unsigned index,
@@ -375,9 +376,28 @@
 	return list;
 }
 
-static struct curl_slist *relay_head(entry_request_t *req, relay_head_t *head,
-				     usec_t time_left)
+/* Gives the send an id that no other send over the connection has, so that a late
+   response to an earlier one can be told by it. Each connection has a number of its
+   own, also one that libcurl opens, see entry_conn_reopened(). */
+static struct curl_slist *relay_head_send(entry_transfer_t *transfer,
+					  relay_head_t *head,
+					  struct curl_slist *list)
 {
+	const char *name = transfer->req->entry->settings.headers->send_id;
+
+	if (!name)
+		return list;
+	snprintf(transfer->send_id, sizeof(transfer->send_id), "%" PRIu64 "-%u",
+		 transfer->conn->number, transfer->conn->calls);
+	snprintf(head->send, sizeof(head->send), "%s: %s", name,
+		 transfer->send_id);
+	return relay_push(head, 5, head->send, list);
+}
+
+static struct curl_slist *relay_head(entry_transfer_t *transfer,
+				     relay_head_t *head, usec_t time_left)
+{
+	entry_request_t *req = transfer->req;
 	const headers_t *names = req->entry->settings.headers;
 	struct curl_slist *list;
 
@@ -385,6 +405,7 @@
 		 names->deadline_ms,
 		 (time_left + USEC_PER_MS - 1) / USEC_PER_MS);
 	list = relay_push(head, 0, head->deadline, req->headers);
+	list = relay_head_send(transfer, head, list);
 	if (entry_handover_is_active(req))
 		return relay_head_handover(req, head, list);
 	return names->native ? relay_head_native(req, head, list) :
@@ -528,7 +549,7 @@
 		return ENTRY_RESULT_CONNECT;
 	easy = transfer->conn->easy;
 	snprintf(url, sizeof(url), "http://%s/", transfer->pool->address);
-	headers = relay_head(req, &head, time_left);
+	headers = relay_head(transfer, &head, time_left);
 	relay_set_options(transfer, url, headers, fresh);
 	relay_set_active(req, transfer->conn);
 	curl_multi_add_handle(transfer->conn->multi, easy);
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -24,7 +24,7 @@
 	"Trailer",	    "Transfer-Encoding",
 	"Upgrade",	    "Content-Length",
 	"Hemlock-Outcome",  "Hemlock-Offer",
-	"Hemlock-Impaired",
+	"Hemlock-Impaired", "Hemlock-Send",
 };
 
 static bool transfer_is_hop_header(const char *name, size_t length)
@@ -165,19 +165,17 @@
 	transfer->has_rest = entry_retry_after_read(text, &transfer->rest);
 }
 
-/* Compares the id in the response with that of the call. */
-static void transfer_read_call_id(entry_transfer_t *transfer, const char *value,
-				  size_t length)
+/* Compares an id in the response with that of the call or send, and notes one that
+   differs. */
+static bool transfer_compare_id(entry_transfer_t *transfer, const char *id,
+				const char *value, size_t length)
 {
-	const char *id = transfer->req->call_id;
-
-	transfer->call_id_matches = strlen(id) == length &&
-				    !memcmp(id, value, length);
-	if (transfer->call_id_matches)
-		return;
+	if (strlen(id) == length && !memcmp(id, value, length))
+		return true;
 	length = MIN(length, sizeof(transfer->other_id) - 1);
 	memcpy(transfer->other_id, value, length);
 	transfer->other_id[length] = '\0';
+	return false;
 }
 
 /* Reads a header of a copy's response if its name is one of those in
@@ -192,7 +190,12 @@
 	char text[HL_NAME_MAX];
 
 	if (transfer_header_is(line, length, names->call_id))
-		transfer_read_call_id(transfer, value, value_length);
+		transfer->call_id_matches = transfer_compare_id(
+			transfer, transfer->req->call_id, value, value_length);
+	else if (transfer_header_is(line, length, names->send_id) &&
+		 !transfer_compare_id(transfer, transfer->send_id, value,
+				      value_length))
+		transfer->is_of_other_send = true;
 	else if (transfer_header_is(line, length, names->signature))
 		transfer->has_signature = true;
 	else if (transfer_header_is(line, length, names->not_run))
@@ -211,6 +214,8 @@
 
 bool entry_transfer_matches_id(const entry_transfer_t *transfer)
 {
+	if (transfer->is_of_other_send)
+		return false;
 	return !transfer_names(transfer)->call_id || !*transfer->req->call_id ||
 	       transfer->call_id_matches;
 }
@@ -287,6 +292,7 @@
 	transfer->has_outcome = false;
 	transfer->req->sibling_unfit = false;
 	transfer->req->sibling_impaired = false;
+	transfer->is_of_other_send = false;
 	transfer->call_id_matches = false;
 	*transfer->other_id = '\0';
 	transfer->has_signature = false;
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -8,6 +8,9 @@
  * call and store the response in the request.
  */
 
+/* Size of the id of a send: two decimal numbers, a dash, the end of the text. */
+#define ENTRY_SEND_ID_MAX (sizeof("18446744073709551615-4294967295"))
+
 /** struct entry_transfer_t - one send of a request over one connection. */
 typedef struct {
 	entry_request_t *req;
@@ -21,11 +24,13 @@
 	bool copy_leaves;     /* the copy takes no further calls */
 	unsigned millirate;   /* rate that the copy accepts; 0: none named */
 	bool outcome_not_run; /* the copy declares the call not run */
-	bool outcome_may_have_run; /* Hemlock-Outcome is may-have-run */
-	bool has_outcome;	   /* Hemlock-Outcome is present */
-	bool call_id_matches;	   /* the response has the id of this call */
+	bool outcome_may_have_run;	 /* Hemlock-Outcome is may-have-run */
+	bool has_outcome;		 /* Hemlock-Outcome is present */
+	char send_id[ENTRY_SEND_ID_MAX]; /* of this send; empty: it has none */
+	bool is_of_other_send; /* the response has the id of another send */
+	bool call_id_matches;  /* the response has the id of this call */
 	char other_id
-		[HL_NAME_MAX]; /* id in the response if it is another one */
+		[HL_NAME_MAX]; /* id of another call or send in the response */
 	bool mismatched;       /* the response belongs to another call */
 	bool has_signature;    /* the response has the copy's signature */
 	bool has_load;
@@ -104,9 +109,10 @@
 bool entry_transfer_is_shed(const entry_transfer_t *transfer);
 
 /**
- * entry_transfer_matches_id - does the response have the id of the call?
+ * entry_transfer_matches_id - does the response have the ids of call and send?
  *
- * True if the interface has no id of calls, or the call has none.
+ * An interface need not have either, nor a call an id, nor a response the id of the
+ * send: what is missing is not compared.
  */
 bool entry_transfer_matches_id(const entry_transfer_t *transfer);
 
--- a/headers.c
+++ b/headers.c
@@ -4,6 +4,7 @@
 
 static const headers_t headers_hemlock = {
 	.interface = "hemlock",
+	.send_id = "Hemlock-Send",
 	.deadline_ms = "Hemlock-Deadline-Ms",
 	.leaving = "Hemlock-Leaving",
 	.rate = "Hemlock-Rate",
--- a/headers.h
+++ b/headers.h
@@ -27,6 +27,7 @@
 typedef struct {
 	const char *interface;	   /* value of the setting node.interface */
 	const char *call_id;	   /* id of one attempt, echoed by copies */
+	const char *send_id;	   /* id of one send, which copies may echo */
 	const char *deadline_ms;   /* time left for the call, milliseconds */
 	const char *expected_copy; /* id of the copy that the call is sent to */
 	const char *responding_copy; /* id of the copy that made the response */
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -1,9 +1,9 @@
 /*
- * standin-raw: a stand-in for one copy that uses the header set "platform" and
- * writes its responses byte by byte, so that they can be wrong in ways that an
- * HTTP library does not allow. It reads the body of a request and responds with
- * its size and hash. A path that contains one of these words selects another
- * behaviour:
+ * standin-raw: a stand-in for one copy that uses the header set "platform", or that
+ * named by --interface, and writes its responses byte by byte, so that they can be
+ * wrong in ways that an HTTP library does not allow. It reads the body of a request
+ * and responds with its size and hash. A path that contains one of these words
+ * selects another behaviour:
  *
  *	/slow			reads the body in small pieces with pauses
  *	/early			responds before it reads the body
@@ -45,6 +45,9 @@
  *
  * With --rate, it names that rate in its responses from SIGUSR1 to SIGUSR2, and
  * records probes like calls.
+ *
+ * With --echo-send, each response has the id of the send that it is for, if the
+ * header set has such ids.
  */
 #include <arpa/inet.h>
 #include <err.h>
@@ -75,10 +78,11 @@
 #define CUTS_MAX 64
 #define CUT_PERIOD_USEC 10000
 
-static gchar *opt_address, *opt_id, *opt_log, *opt_cut;
+static gchar *opt_address, *opt_id, *opt_log, *opt_cut, *opt_interface;
 static gint opt_slots = 2;
 static gint opt_rate;
 static gboolean opt_leaving;
+static gboolean opt_echo_send;
 static int names_rate; /* accessed atomically */
 static const headers_t *headers;
 static FILE *record_file;
@@ -91,11 +95,13 @@
 	size_t length;
 	char head[HEAD_BYTES_MAX];
 	char method[16], path[256];
-	char id[HL_NAME_MAX]; /* of the call that a response is for */
+	char id[HL_NAME_MAX];	   /* of the call that a response is for */
+	char send_id[HL_NAME_MAX]; /* of the send that a response is for */
 	uint64_t body_bytes, body_hash;
-	const struct late *late;   /* the second response that is due */
-	char late_id[HL_NAME_MAX]; /* of the call that gets it */
-	unsigned late_after;	   /* responses before it; 0: none is due */
+	const struct late *late;	/* the second response that is due */
+	char late_id[HL_NAME_MAX];	/* of the call that gets it */
+	char late_send_id[HL_NAME_MAX]; /* of the send that gets it */
+	unsigned late_after; /* responses before it; 0: none is due */
 } connection_t;
 
 static bool send_bytes(int fd, const char *bytes, size_t length)
@@ -145,15 +151,20 @@
 	return sscanf(conn->head, "%15s %255s", conn->method, conn->path) == 2;
 }
 
-/* Copies the value of a request header; "-" if it is absent. */
+/* Copies the last value of a request header; "-" if it is absent, or if the header
+   set lacks it and @name is NULL. */
 static void head_value(const connection_t *conn, const char *name, char *out,
 		       size_t size)
 {
-	char **lines = g_strsplit(conn->head, "\r\n", -1);
-	size_t length = strlen(name);
+	char **lines;
+	size_t length;
 	unsigned i;
 
 	g_strlcpy(out, "-", size);
+	if (!name)
+		return;
+	lines = g_strsplit(conn->head, "\r\n", -1);
+	length = strlen(name);
 	for (i = 1; lines[i]; i++)
 		if (!strncasecmp(lines[i], name, length) &&
 		    lines[i][length] == ':')
@@ -241,34 +252,51 @@
 {
 	fprintf(record_file,
 		"copy=%s method=%s url=%s call=%s body=%" PRIu64
-		" hash=%016" PRIx64 " result=%s at_ms=%" PRId64 "\n",
+		" hash=%016" PRIx64 " result=%s send=%s at_ms=%" PRId64 "\n",
 		opt_id, conn->method, conn->path, conn->id, conn->body_bytes,
-		conn->body_hash, result, time_now() / USEC_PER_MS);
+		conn->body_hash, result, conn->send_id,
+		time_now() / USEC_PER_MS);
 	fflush(record_file);
 }
 
+/* Adds a header, unless it has no value or the header set lacks it. */
+static void add_header(GString *text, const char *name, const char *value)
+{
+	if (name && strcmp(value, "-"))
+		g_string_append_printf(text, "%s: %s\r\n", name, value);
+}
+
+/* Adds the header that declares a refused call not run. */
+static void add_refusal(GString *text)
+{
+	if (headers->native)
+		add_header(text, "Hemlock-Outcome", "not-run");
+	else
+		add_header(text, headers->not_run, "1");
+}
+
 /* Writes a status line and the headers of this copy, without the empty line. */
 static bool send_head(const connection_t *conn, const char *status,
 		      const char *more)
 {
 	GString *text = g_string_new("");
 	bool leaves = opt_leaving || strstr(conn->path, "/leaving");
+	char load[64];
 	bool sent;
 
-	g_string_append_printf(text,
-			       "HTTP/1.1 %s\r\n%s: %s\r\n%s: 0,0,%d,100\r\n",
-			       status, headers->responding_copy, opt_id,
-			       headers->load, opt_slots);
-	if (strcmp(conn->id, "-"))
-		g_string_append_printf(text, "%s: %s\r\n", headers->call_id,
-				       conn->id);
+	g_string_append_printf(text, "HTTP/1.1 %s\r\n", status);
+	add_header(text, headers->responding_copy, opt_id);
+	g_snprintf(load, sizeof(load), "0,0,%d,100", opt_slots);
+	add_header(text, headers->load, load);
+	add_header(text, headers->call_id, conn->id);
+	if (opt_echo_send)
+		add_header(text, headers->send_id, conn->send_id);
 	if (!g_str_has_prefix(status, "503"))
-		g_string_append_printf(text, "%s: %s\r\n", headers->signature,
-				       opt_id);
+		add_header(text, headers->signature, opt_id);
 	else
-		g_string_append_printf(text, "%s: 1\r\n", headers->not_run);
+		add_refusal(text);
 	if (leaves)
-		g_string_append_printf(text, "%s: 1\r\n", headers->leaving);
+		add_header(text, headers->leaving, "1");
 	if (__atomic_load_n(&names_rate, __ATOMIC_RELAXED))
 		g_string_append_printf(text, "%s: %d.0\r\n", headers->rate,
 				       opt_rate);
@@ -503,6 +531,7 @@
 		conn->late = &late[i];
 		conn->late_after = late[i].after;
 		strcpy(conn->late_id, conn->id);
+		strcpy(conn->late_send_id, conn->send_id);
 		return late[i].status;
 	}
 	return "200 OK";
@@ -515,10 +544,36 @@
 		return true;
 	g_usleep(LATE_PAUSE_USEC);
 	strcpy(conn->id, conn->late_id);
+	strcpy(conn->send_id, conn->late_send_id);
 	return send_response(conn, conn->late->second_status, "",
 			     "a late response\n");
 }
 
+/* Reads the ids of a call and its send. If the header set has no id of calls, the
+   record has that of the platform. */
+static void read_ids(connection_t *conn)
+{
+	const headers_t *names = headers->call_id ? headers :
+						    headers_find("platform");
+
+	head_value(conn, names->call_id, conn->id, sizeof(conn->id));
+	head_value(conn, headers->send_id, conn->send_id,
+		   sizeof(conn->send_id));
+}
+
+/* Whether a request lacks a header of the header set, or has one that only entries
+   get. */
+static bool has_wrong_head(const connection_t *conn)
+{
+	char text[HL_NAME_MAX];
+
+	head_value(conn, "Hemlock-Hop", text, sizeof(text));
+	if (strcmp(text, "-"))
+		return true;
+	head_value(conn, headers->expected_copy, text, sizeof(text));
+	return headers->expected_copy && !strcmp(text, "-");
+}
+
 /* Serves one request; false if the connection is to be closed. */
 static bool serve(connection_t *conn)
 {
@@ -530,7 +585,7 @@
 	conn->body_hash = FNV_BASIS;
 	if (!read_head(conn))
 		return false;
-	head_value(conn, headers->call_id, conn->id, sizeof(conn->id));
+	read_ids(conn);
 	if (!strcmp(conn->path, "/health")) {
 		if (opt_rate)
 			record_call(conn, "probe");
@@ -541,8 +596,7 @@
 		record_call(conn, "misdirected");
 		return send_response(conn, "421 Misdirected", "", "");
 	}
-	head_value(conn, "Hemlock-Hop", text, sizeof(text));
-	if (strcmp(text, "-") || !strcmp(expected, "-"))
+	if (has_wrong_head(conn))
 		record_call(conn, "wrong-head");
 	if (serve_endless(conn))
 		return false;
@@ -758,6 +812,10 @@
 	  "N" },
 	{ "leaving", 0, 0, G_OPTION_ARG_NONE, &opt_leaving,
 	  "say in every response that the copy leaves", NULL },
+	{ "interface", 0, 0, G_OPTION_ARG_STRING, &opt_interface,
+	  "header set; default: platform", "NAME" },
+	{ "echo-send", 0, 0, G_OPTION_ARG_NONE, &opt_echo_send,
+	  "send back the id of each send", NULL },
 	{ "cut", 0, 0, G_OPTION_ARG_STRING, &opt_cut,
 	  "file with the addresses whose paths to the copy are cut", "FILE" },
 	{ "log", 0, 0, G_OPTION_ARG_STRING, &opt_log,
@@ -780,7 +838,9 @@
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGUSR1, on_rate_signal);
 	signal(SIGUSR2, on_rate_signal);
-	headers = headers_find("platform");
+	headers = headers_find(opt_interface ? opt_interface : "platform");
+	if (!headers)
+		return 2;
 	record_file = fopen(opt_log, "a");
 	connections = g_ptr_array_new();
 	listener = listen_on(opt_address);
