Take no state of a copy from a response that belongs to another call

What callers saw: 503 for calls to a copy that was free. A late refusal of one call with Retry-After, met by the next call, made the entry rest the copy for a time that had been asked for earlier; its load and rate were taken too.

A response whose id differs says only of the copy that it leaves, which stays true; its load, rate and Retry-After are dropped, and so is its word on whether this call has run.

Row sound: an entry that looks at a connection before it sends may meet no late response at all.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -435,7 +435,8 @@
 	entry_request_t *req = transfer->req;
 	unsigned status = req->response.status;
 	usec_t now = time_now();
-	bool rests = transfer->has_rest && status == HTTP_UNAVAILABLE;
+	bool rests = transfer->has_rest && status == HTTP_UNAVAILABLE &&
+		     !transfer->mismatched;
 	bool leaves = transfer->copy_leaves;
 
 	if (!transfer->head_complete || req->forward ||
@@ -568,9 +569,11 @@
 	if (once)
 		entry_conn_pool_preconnect(
 			transfer->pool, (unsigned)req->entry->settings.spares);
-	relay_record_load(transfer);
+	if (!transfer->mismatched) {
+		relay_record_load(transfer);
+		relay_record_rate(transfer);
+	}
 	relay_record_state(transfer);
-	relay_record_rate(transfer);
 	return relay_result(transfer);
 }
 
@@ -751,7 +754,7 @@
 	else if (result == ENTRY_RESULT_OK)
 		entry_crash_on_answer(req);
 	entry_conn_pool_unref(transfer.pool);
-	if (transfer.head_complete)
+	if (transfer.head_complete && !transfer.mismatched)
 		relay_set_outcome(req, entry_transfer_outcome(&transfer));
 	if (transfer.given_up)
 		entry_trace_given_up(req);
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -14,7 +14,9 @@
  *	/fail-later		responds 500, and 200 30 ms after the next response on
  *				the connection
  *	/twice-refused		sends its response, and 30 ms later refuses the call
+ *				with Retry-After: 5
  *	/twice-misdirected	sends its response, and 30 ms later 421
+ *	/bare-400		responds 400 without a header of the header set
  *	/leaving		responds that the copy leaves
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
  *	/wait-MS		responds MS milliseconds after the request
@@ -90,6 +92,7 @@
 /* One connection and the request that is being read from it. */
 typedef struct {
 	int fd;
+	unsigned number;	  /* of those accepted, from 1 */
 	in_addr_t peer;		  /* in network byte order */
 	char buffer[BLOCK_BYTES]; /* input that was not used yet */
 	size_t length;
@@ -252,9 +255,10 @@
 {
 	fprintf(record_file,
 		"copy=%s method=%s url=%s call=%s body=%" PRIu64
-		" hash=%016" PRIx64 " result=%s send=%s at_ms=%" PRId64 "\n",
+		" hash=%016" PRIx64
+		" result=%s connection=%u send=%s at_ms=%" PRId64 "\n",
 		opt_id, conn->method, conn->path, conn->id, conn->body_bytes,
-		conn->body_hash, result, conn->send_id,
+		conn->body_hash, result, conn->number, conn->send_id,
 		time_now() / USEC_PER_MS);
 	fflush(record_file);
 }
@@ -511,13 +515,15 @@
 /* Paths of calls that get a second response, the longest words first. */
 static const struct late {
 	const char *word, *status, *second_status;
-	unsigned after; /* responses from the call's own on */
+	const char *more; /* header lines of the second response */
+	unsigned after;	  /* responses from the call's own on */
 } late[] = {
-	{ "/twice-misdirected", "200 OK", "421 Misdirected", 1 },
-	{ "/twice-refused", "200 OK", "503 Unavailable", 1 },
-	{ "/fail-twice", "500 Failed", "200 OK", 1 },
-	{ "/fail-later", "500 Failed", "200 OK", 2 },
-	{ "/twice", "200 OK", "200 OK", 1 },
+	{ "/twice-misdirected", "200 OK", "421 Misdirected", "", 1 },
+	{ "/twice-refused", "200 OK", "503 Unavailable", "Retry-After: 5\r\n",
+	  1 },
+	{ "/fail-twice", "500 Failed", "200 OK", "", 1 },
+	{ "/fail-later", "500 Failed", "200 OK", "", 2 },
+	{ "/twice", "200 OK", "200 OK", "", 1 },
 };
 
 /* Returns the status for a path, and notes the call if it gets a second response. */
@@ -545,7 +551,7 @@
 	g_usleep(LATE_PAUSE_USEC);
 	strcpy(conn->id, conn->late_id);
 	strcpy(conn->send_id, conn->late_send_id);
-	return send_response(conn, conn->late->second_status, "",
+	return send_response(conn, conn->late->second_status, conn->late->more,
 			     "a late response\n");
 }
 
@@ -574,6 +580,10 @@
 	return headers->expected_copy && !strcmp(text, "-");
 }
 
+/* A response as an HTTP library makes it, which knows no header set. */
+static const char bare[] = "HTTP/1.1 400 Bad Request\r\n"
+			   "Content-Length: 0\r\n\r\n";
+
 /* Serves one request; false if the connection is to be closed. */
 static bool serve(connection_t *conn)
 {
@@ -610,6 +620,8 @@
 	}
 	if (serve_rest(conn, &keep))
 		return keep;
+	if (strstr(conn->path, "/bare-400"))
+		return send_bytes(conn->fd, bare, strlen(bare));
 	if (strstr(conn->path, "/crash")) {
 		record_call(conn, "crash");
 		/* The thread sanitizer delays other ends by 1 s. */
@@ -753,6 +765,7 @@
 {
 	pthread_attr_t attr;
 	pthread_t thread;
+	unsigned accepted = 0;
 
 	pthread_attr_init(&attr);
 	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
@@ -764,6 +777,7 @@
 			g_free(conn);
 			continue;
 		}
+		conn->number = ++accepted;
 		connection_add(conn);
 		if (!pthread_create(&thread, &attr, connection_main, conn))
 			continue;
