Renew connections only after a response that came late

What callers would see: each call over a new connection for 10 s after one response that an HTTP library in the copy has made without the id, such as 400 for a malformed request; a caller who can provoke one takes the open connections away from all.

A response that came late bears the id of another send or the signature of the copy, and comes over a connection that has carried another call.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -482,8 +482,17 @@
 				      req->call_id, transfer->millirate);
 }
 
-/* Counts and logs a response that belongs to another call. The copy may have sent more
-   of them. */
+/* Whether a response that belongs to no call of now came late. An HTTP library may make
+   one without a header of the interface, and nothing comes late over a connection that
+   has carried no other call. */
+static bool relay_response_is_late(const entry_transfer_t *transfer)
+{
+	return transfer->conn->calls > 1 &&
+	       (*transfer->other_id || transfer->has_signature);
+}
+
+/* Counts and logs a response that belongs to another call. After a late one the copy may
+   have sent more of them. */
 static void relay_record_mismatch(entry_transfer_t *transfer)
 {
 	const entry_request_t *req = transfer->req;
@@ -491,7 +500,8 @@
 	transfer->mismatched = relay_response_mismatched(transfer);
 	if (!transfer->mismatched)
 		return;
-	entry_conn_pool_on_stray(transfer->pool, time_now());
+	if (relay_response_is_late(transfer))
+		entry_conn_pool_on_stray(transfer->pool, time_now());
 	metrics_add(req->entry->mismatched_responses, 1);
 	entry_trace_mismatched(req, transfer->other_id, transfer->conn);
 }
