Begin the calls of a cut once the copies have applied it

Cause: the stand-in looks at the file of cuts each 10 ms, and the script made its first call, which may fail while the entry finds out, at once. In 20 of 80 rows that call was served over a path that was not cut yet, without a probe or with probes that were answered (waited_ms=0, slowness=1.00), so the entry learned nothing in the 2.5 s after it. The next call was the first one of the cut, and is counted: 10 rows failed so. In two more, the copies answered the probes for the first call and were cut before its sends, so the entry doubted one copy, not all, and the next call met the others. A trace of the first form:

first 07:00:39.146 call-sent call=call-92 copy=c2 waited_ms=0, run by c2 next 07:00:41.698 call-sent call=call-93 copy=c1 waited_ms=40 slowness=10.00 07:00:41.728 call-sent call=call-93 copy=c2 hedge=1 07:00:42.027 send-failed call=call-93 copy=c2 hedge=1 result=connect 07:00:42.659 send-failed call=call-93 copy=c1 result=deadline, 504 then 07:00:42.666 call-handed-over call=call-94 reason=unreachable, 200

In all 58 rows whose first call met the cut, no counted call failed.

Now the stand-in copies the file to FILE.ID once the filters are set, and cut() waits for that at all copies. The test is as strict as before: as many calls are made and counted, and the one that is not counted meets the cut each time.

Not shown that routed-cut-zone, which makes three rounds of calls that are not counted, failed for the same cause; its entry in KNOWN-RED.txt stays.

--- a/regress/routed-cut-lib.sh
+++ b/regress/routed-cut-lib.sh
@@ -10,7 +10,16 @@
 NEAR_ENTRIES="1 2 3 4"
 FAR_ENTRIES=
 
-# cut HOW FILE...: cut the paths of the cut entries to the copies that read FILE.
+# cut_in_force FILE: whether all copies that read FILE have applied it.
+cut_in_force () {
+	for applied in "$DIR/cut-$1".*
+	do
+		cmp -s "$DIR/cut-$1" "$applied" || return 1
+	done
+}
+
+# cut HOW FILE...: cut the paths of the cut entries to the copies that read FILE, and
+# wait until the cut is in force: entries learn nothing of it by calls before that.
 cut () {
 	how=$1
 	shift
@@ -22,6 +31,10 @@
 		done >"$DIR/new"
 		mv "$DIR/new" "$DIR/cut-$file"
 	done
+	for file
+	do
+		wait_until 10 cut_in_force "$file"
+	done
 }
 
 # heal: end all cuts.
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -45,6 +45,9 @@
  *	new			open connections live on
  *	reset			open connections are reset
  *
+ * It copies the file to FILE.ID once the cuts in it are in force; FILE.ID is empty
+ * before.
+ *
  * With --rate, it names that rate in its responses from SIGUSR1 to SIGUSR2, and
  * records probes like calls.
  *
@@ -707,6 +710,17 @@
 	g_strfreev(lines);
 }
 
+/* Writes the cuts that are in force to the file that tests wait for. */
+static void cut_record(const char *text)
+{
+	char *path = g_strdup_printf("%s.%s", opt_cut, opt_id);
+	FILE *file = fopen(path, "w");
+
+	if (!file || fputs(text, file) < 0 || fclose(file))
+		err(1, "%s", path);
+	g_free(path);
+}
+
 /* Applies the file of cuts whenever it has changed. */
 static void *cut_main(void *context)
 {
@@ -730,6 +744,7 @@
 		for (i = 0; i < connections->len; i++)
 			cut_apply_connection(connections->pdata[i]);
 		pthread_mutex_unlock(&cut_lock);
+		cut_record(text);
 	}
 	return NULL;
 }
@@ -860,6 +875,8 @@
 	listener = listen_on(opt_address);
 	if (!record_file || listener < 0)
 		return 1;
+	if (opt_cut)
+		cut_record("");
 	if (opt_cut &&
 	    pthread_create(&cutter, NULL, cut_main, GINT_TO_POINTER(listener)))
 		return 1;
