Tell calls in the queue at the end of a stop that they have not run

Seen: callers whose calls still waited in the queue of their service when the stop of the entry ended got 499, reason "gone", and no Retry-After. 499 says nothing about a repeat under the interfaces without an outcome header, although the call was never sent.

Cause: http_end_calls() cancels all calls in flight by entry_request_cancel(), which is also what a disconnect of the caller does. For a call in the queue it took the caller for gone. Calls of the policy "reports" wait in a worker for a report of a copy and were mended before (relay_refuse_ending()); those that the queue holds were not.

Mended by one function for all cancelled calls that are not at a copy. If the stop ends the calls, it responds 503 "stopping" with a Retry-After if the call has not run, and 502 if an earlier send may have run; else the caller has left, and 499 stays for the records. The claim of a key that is won after the cancel uses it too; that case is by reading, no test shows it.

Ruled out: that a waiting call is sent in the place of one that is cut off, or told 502 without having reached the copy.

--- a/entry-claim.c
+++ b/entry-claim.c
@@ -170,7 +170,7 @@
 	if (result == CLAIM_WON) {
 		req->claim = claim;
 		if (claim_caller_gone(req)) {
-			entry_request_fail(req, 499, ENTRY_NOT_RUN, "gone", 0);
+			entry_request_fail_cancelled(req, ENTRY_NOT_RUN);
 		} else {
 			entry_forward_to_owner(req);
 			entry_dispatch_arrive(req, now);
--- a/entry-io.h
+++ b/entry-io.h
@@ -337,7 +337,23 @@
 			entry_outcome_t outcome, const char *reason,
 			usec_t retry_after);
 
-/** entry_request_cancel - cancel the sends after the caller disconnected. */
+/** entry_request_is_ending - whether the stop of the entry ends all calls now. */
+bool entry_request_is_ending(const entry_request_t *req);
+
+/**
+ * entry_request_fail_cancelled - finish a cancelled call that is not at a copy.
+ * @outcome: outcome of its earlier sends, if any
+ *
+ * At the end of a stop the caller is still there and is told whether it may send
+ * the call again: 503 with a Retry-After if it has not run, else 502.
+ */
+void entry_request_fail_cancelled(entry_request_t *req,
+				  entry_outcome_t outcome);
+
+/**
+ * entry_request_cancel - cancel the sends after the caller disconnected, or at the
+ * end of a stop.
+ */
 void entry_request_cancel(entry_request_t *req);
 
 /** entry_request_reset - discard the response before another send. */
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -10,8 +10,6 @@
 
 /* Time that a copy has, after a whole response, to take more of the body. */
 #define RELAY_EARLY_RESPONSE_TIMEOUT (300 * USEC_PER_MS)
-/* Wait suggested to callers of calls that waited for a copy until the entry ended. */
-#define RELAY_ENDING_RETRY_AFTER (100 * USEC_PER_MS)
 #define RELAY_HEADER_MAX (2 * HL_NAME_MAX) /* bytes */
 #define RELAY_HOP_MAX (sizeof("Hemlock-Hop: ") + KEYS_HOP_MAX)
 
@@ -677,11 +675,9 @@
    off. */
 static bool relay_refuse_ending(entry_request_t *req)
 {
-	if (!__atomic_load_n(&req->entry->ending, __ATOMIC_SEQ_CST) ||
-	    req->call.outcome != ENTRY_NOT_RUN)
+	if (!entry_request_is_ending(req) || req->call.outcome != ENTRY_NOT_RUN)
 		return false;
-	entry_request_fail(req, HTTP_UNAVAILABLE, ENTRY_NOT_RUN, "stopping",
-			   RELAY_ENDING_RETRY_AFTER);
+	entry_request_fail_cancelled(req, ENTRY_NOT_RUN);
 	entry_request_unref(req);
 	return true;
 }
--- a/entry-request.c
+++ b/entry-request.c
@@ -10,6 +10,8 @@
  */
 
 #define REQUEST_BODY_MAX 160 /* bytes of a response made by this entry */
+/* Wait suggested to callers of calls that have not run when the entry ends. */
+#define REQUEST_ENDING_RETRY_AFTER (100 * USEC_PER_MS)
 
 static void request_headers_free(entry_response_t *response)
 {
@@ -154,6 +156,23 @@
 	entry_request_end(req, false);
 }
 
+bool entry_request_is_ending(const entry_request_t *req)
+{
+	return __atomic_load_n(&req->entry->ending, __ATOMIC_SEQ_CST);
+}
+
+void entry_request_fail_cancelled(entry_request_t *req, entry_outcome_t outcome)
+{
+	if (!entry_request_is_ending(req))
+		entry_request_fail(req, HTTP_CLIENT_CLOSED_REQUEST, outcome,
+				   "gone", 0);
+	else if (outcome == ENTRY_NOT_RUN)
+		entry_request_fail(req, HTTP_UNAVAILABLE, outcome, "stopping",
+				   REQUEST_ENDING_RETRY_AFTER);
+	else
+		entry_request_fail(req, HTTP_BAD_GATEWAY, outcome, "cut", 0);
+}
+
 /* Removes a call from the queue and cancels its hedge. Returns true if the call
    was waiting in the queue. */
 static bool request_leave_queue(entry_request_t *req)
@@ -180,7 +199,6 @@
 	pthread_mutex_unlock(&req->lock);
 	if (!request_leave_queue(req))
 		return;
-	entry_request_fail(req, HTTP_CLIENT_CLOSED_REQUEST, req->call.outcome,
-			   "gone", 0);
+	entry_request_fail_cancelled(req, req->call.outcome);
 	entry_request_unref(req);
 }
