Respond to the requests that wait when a keeper stops

Cause: keeper_control_free() gave each waiting request its 503, resumed the connections and stopped libmicrohttpd at once, which closes connections without running their handlers. It came after the core's thread had ended, so a change that a quorum synced meanwhile was not acknowledged either. And the close of the port reset what the kernel had accepted.

Now a stop begins with these requests, before any thread ends: 300 ms in which a round of the core may decide them, then 503 with Retry-After, then up to 500 ms until all responses have been sent. After the threads have ended, the port is closed; connections that the kernel has accepted are handed to libmicrohttpd, and the servers are stopped once each request has its response and each new connection has been read, 500 ms at most. Responses during the stop say Connection: close.

Ruled out: that only announcements or only changes are affected; both wait in one list. What remains, by reading: a connection that the kernel accepts between the last accept and the close of the port is reset unread, and so is a request on a kept connection that crosses the end.

--- a/hemlock-keeper.c
+++ b/hemlock-keeper.c
@@ -161,6 +161,7 @@
 			  settings->zone);
 		rc = supervisor_run(sup) ? KEEPER_EXIT_RUN : KEEPER_EXIT_OK;
 	}
+	keeper_control_stop(servers.control);
 	keeper_http_stop(&core);
 	supervisor_free(sup);
 	keeper_control_free(servers.control);
--- a/keeper-control.c
+++ b/keeper-control.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
 #include "keeper-control.h"
 
 /*
@@ -14,6 +16,12 @@
 #define CONTROL_IDLE_SECONDS 30u
 #define CONTROL_CONNECTION_BYTES (8u * 1024)
 #define CONTROL_RETRY_AFTER_SECONDS "0.2"
+/* Interval between checks for requests in progress during a stop. */
+#define CONTROL_STOP_PERIOD (5 * USEC_PER_MS)
+/* Maximum time of a stop in which the log may still decide waiting requests. */
+#define CONTROL_DECIDE_TIME (300 * USEC_PER_MS)
+/* Maximum time of a stop in which responses are sent. */
+#define CONTROL_SEND_TIME (500 * USEC_PER_MS)
 
 struct keeper_control {
 	keeper_core_t *core;
@@ -23,8 +31,16 @@
 	pthread_mutex_t lock;
 	struct cds_list_head waiting; /* keeper_control_request_t */
 	bool stopping;
+	unsigned in_progress; /* requests without a sent response; atomic */
+	unsigned unread;      /* connections without a request so far; atomic */
+	unsigned handed_over; /* connections that have not begun; atomic */
 };
 
+/* A connection of a client. */
+typedef struct {
+	bool has_request; /* the head of its first request has been read */
+} control_connection_t;
+
 /* Endpoints. A request path has an id after a path that ends with a slash. */
 static const struct {
 	const char *method;
@@ -146,6 +162,16 @@
 	pthread_mutex_unlock(&control->lock);
 }
 
+static bool control_is_stopping(keeper_control_t *control)
+{
+	bool stopping;
+
+	pthread_mutex_lock(&control->lock);
+	stopping = control->stopping;
+	pthread_mutex_unlock(&control->lock);
+	return stopping;
+}
+
 static enum MHD_Result control_send_response(keeper_control_request_t *request)
 {
 	struct MHD_Response *response;
@@ -170,6 +196,8 @@
 	if (request->retry_after)
 		MHD_add_response_header(response, "Retry-After",
 					CONTROL_RETRY_AFTER_SECONDS);
+	if (control_is_stopping(request->control))
+		MHD_add_response_header(response, "Connection", "close");
 	result = MHD_queue_response(request->connection, request->status,
 				    response);
 	MHD_destroy_response(response);
@@ -238,6 +266,60 @@
 	request->body_size += size;
 }
 
+/* Count the connection as one that has sent a request. */
+static void control_connection_read(keeper_control_t *control,
+				    control_connection_t *connection)
+{
+	if (!connection || connection->has_request)
+		return;
+	connection->has_request = true;
+	__atomic_fetch_sub(&control->unread, 1, __ATOMIC_SEQ_CST);
+}
+
+/* Count a connection that has begun as one that is not handed over any more. */
+static void control_begin_handed_over(keeper_control_t *control)
+{
+	unsigned count = __atomic_load_n(&control->handed_over,
+					 __ATOMIC_SEQ_CST);
+
+	while (count &&
+	       !__atomic_compare_exchange_n(&control->handed_over, &count,
+					    count - 1, false, __ATOMIC_SEQ_CST,
+					    __ATOMIC_SEQ_CST))
+		;
+}
+
+/* Called by libmicrohttpd when a connection begins and ends. */
+static void on_connection(void *context, struct MHD_Connection *connection,
+			  void **state,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	keeper_control_t *control = context;
+
+	(void)connection;
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		*state = calloc(1, sizeof(control_connection_t));
+		if (*state)
+			__atomic_fetch_add(&control->unread, 1,
+					   __ATOMIC_SEQ_CST);
+		control_begin_handed_over(control);
+		return;
+	}
+	control_connection_read(control, *state);
+	free(*state);
+	*state = NULL;
+}
+
+static control_connection_t *control_connection(
+	struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info;
+
+	info = MHD_get_connection_info(connection,
+				       MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	return info ? info->socket_context : NULL;
+}
+
 static keeper_control_request_t *control_request_new(
 	keeper_control_t *control, struct MHD_Connection *connection,
 	const char *method, const char *url)
@@ -246,6 +328,8 @@
 
 	if (!request)
 		return NULL;
+	__atomic_fetch_add(&control->in_progress, 1, __ATOMIC_SEQ_CST);
+	control_connection_read(control, control_connection(connection));
 	request->control = control;
 	request->connection = connection;
 	snprintf(request->method, sizeof(request->method), "%s", method);
@@ -313,8 +397,8 @@
 				 enum MHD_RequestTerminationCode code)
 {
 	keeper_control_request_t *request = *state;
+	keeper_control_t *control = context;
 
-	(void)context;
 	(void)connection;
 	(void)code;
 	if (!request)
@@ -324,6 +408,7 @@
 	free(request->response);
 	free(request);
 	*state = NULL;
+	__atomic_fetch_sub(&control->in_progress, 1, __ATOMIC_SEQ_CST);
 }
 
 static struct MHD_Daemon *control_listen(keeper_control_t *control,
@@ -340,18 +425,17 @@
 	if (!hl_address_parse(address, &storage, &length)) {
 		if (storage.ss_family == AF_INET6)
 			flags |= MHD_USE_IPv6;
-		daemon = MHD_start_daemon(flags, 0, NULL, NULL, handle, control,
-					  MHD_OPTION_SOCK_ADDR, &storage,
-					  MHD_OPTION_NOTIFY_COMPLETED,
-					  on_request_completed, control,
-					  MHD_OPTION_CONNECTION_LIMIT,
-					  CONTROL_CONNECTIONS_MAX,
-					  MHD_OPTION_CONNECTION_TIMEOUT,
-					  CONTROL_IDLE_SECONDS,
-					  MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-					  (size_t)CONTROL_CONNECTION_BYTES,
-					  MHD_OPTION_STRICT_FOR_CLIENT, 1,
-					  MHD_OPTION_END);
+		daemon = MHD_start_daemon(
+			flags, 0, NULL, NULL, handle, control,
+			MHD_OPTION_SOCK_ADDR, &storage,
+			MHD_OPTION_NOTIFY_COMPLETED, on_request_completed,
+			control, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
+			control, MHD_OPTION_CONNECTION_LIMIT,
+			CONTROL_CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
+			CONTROL_IDLE_SECONDS,
+			MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+			(size_t)CONTROL_CONNECTION_BYTES,
+			MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 	}
 	if (!daemon)
 		hl_error_set(err, HL_ERR_IO,
@@ -412,15 +496,108 @@
 	pthread_mutex_unlock(&control->lock);
 }
 
+static bool control_has_waiting(keeper_control_t *control)
+{
+	bool waiting;
+
+	pthread_mutex_lock(&control->lock);
+	waiting = !cds_list_empty(&control->waiting);
+	pthread_mutex_unlock(&control->lock);
+	return waiting;
+}
+
+static bool control_has_requests(keeper_control_t *control)
+{
+	return __atomic_load_n(&control->in_progress, __ATOMIC_SEQ_CST) > 0;
+}
+
+/* Wait while @condition holds, at most until @until. */
+static void control_wait_while(keeper_control_t *control,
+			       bool (*condition)(keeper_control_t *control),
+			       usec_t until)
+{
+	const struct timespec period = { 0, CONTROL_STOP_PERIOD * 1000 };
+
+	while (condition(control) && time_now() < until)
+		nanosleep(&period, NULL);
+}
+
+void keeper_control_stop(keeper_control_t *control)
+{
+	if (!control)
+		return;
+	control_wait_while(control, control_has_waiting,
+			   time_now() + CONTROL_DECIDE_TIME);
+	control_fail_waiting(control);
+	control_wait_while(control, control_has_requests,
+			   time_now() + CONTROL_SEND_TIME);
+}
+
+static bool control_has_unread(keeper_control_t *control)
+{
+	return control_has_requests(control) ||
+	       __atomic_load_n(&control->handed_over, __ATOMIC_SEQ_CST) > 0 ||
+	       __atomic_load_n(&control->unread, __ATOMIC_SEQ_CST) > 0;
+}
+
+/* Give libmicrohttpd the connections that the kernel has accepted: the close of the
+ * port would reset them. */
+static void control_take_connections(keeper_control_t *control,
+				     struct MHD_Daemon *daemon, MHD_socket port)
+{
+	struct sockaddr_storage client;
+	socklen_t size = sizeof(client);
+	int fd;
+
+	while ((fd = accept4(port, (struct sockaddr *)&client, &size,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		__atomic_fetch_add(&control->handed_over, 1, __ATOMIC_SEQ_CST);
+		if (MHD_add_connection(daemon, fd, (struct sockaddr *)&client,
+				       size) != MHD_YES)
+			control_begin_handed_over(control);
+		size = sizeof(client);
+	}
+}
+
+/* Close the port of a server. Return its descriptor, which the threads of
+ * libmicrohttpd may still use, or MHD_INVALID_SOCKET. */
+static MHD_socket control_close_port(keeper_control_t *control,
+				     struct MHD_Daemon *daemon)
+{
+	MHD_socket port;
+
+	if (!daemon)
+		return MHD_INVALID_SOCKET;
+	port = MHD_quiesce_daemon(daemon);
+	if (port == MHD_INVALID_SOCKET)
+		return port;
+	control_take_connections(control, daemon, port);
+	shutdown(port, SHUT_RDWR);
+	return port;
+}
+
+static void control_stop_server(struct MHD_Daemon *daemon, MHD_socket port)
+{
+	if (daemon)
+		MHD_stop_daemon(daemon);
+	if (port != MHD_INVALID_SOCKET)
+		close(port);
+}
+
 void keeper_control_free(keeper_control_t *control)
 {
+	MHD_socket control_port;
+	MHD_socket directory_port;
+
 	if (!control)
 		return;
 	control_fail_waiting(control);
-	if (control->control_daemon)
-		MHD_stop_daemon(control->control_daemon);
-	if (control->directory_daemon)
-		MHD_stop_daemon(control->directory_daemon);
+	control_port = control_close_port(control, control->control_daemon);
+	directory_port = control_close_port(control, control->directory_daemon);
+	control_wait_while(control, control_has_unread,
+			   time_now() + CONTROL_SEND_TIME);
+	control_stop_server(control->control_daemon, control_port);
+	control_stop_server(control->directory_daemon, directory_port);
 	pthread_mutex_destroy(&control->lock);
 	free(control);
 }
--- a/keeper-control.h
+++ b/keeper-control.h
@@ -32,8 +32,18 @@
 void keeper_control_on_round_end(keeper_control_t *control);
 
 /**
- * keeper_control_free - answer suspended requests with 503, close the ports and
- * free everything. NULL is ignored.
+ * keeper_control_stop - respond to the requests in progress, while the core runs.
+ *
+ * A suspended request has 300 ms to be decided by a round of the core, then its
+ * response is 503. Returns once all responses have been sent, after 800 ms at the
+ * latest. NULL is ignored.
+ */
+void keeper_control_stop(keeper_control_t *control);
+
+/**
+ * keeper_control_free - answer suspended requests with 503, close the ports, send
+ * the responses to what has been sent until then for 500 ms at most, and free
+ * everything. NULL is ignored.
  */
 void keeper_control_free(keeper_control_t *control);
 
