Do not read a request that waits after other threads may free it

What users could see: an entry that reads freed memory, and may crash, when a call waits for a copy and is sent, answered and freed at that very moment.

Cause: entry_dispatch_decide() puts a call in the queue, releases the lock, and then reads req->entry. From the release on, another thread may take the call out of the queue and end it, and the caller's connection frees it. The entry is now read before; the upstream already was, and both live until the process ends.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -93,6 +93,7 @@
 	const entry_decision_t declined = { ENTRY_REFUSE,
 					    ENTRY_REFUSE_UNREACHABLE, 0 };
 	entry_upstream_t *upstream = req->upstream;
+	entry_t *entry = req->entry;
 	entry_decision_t decision;
 	usec_t due = INT64_MAX;
 
@@ -109,15 +110,16 @@
 	pthread_mutex_unlock(&upstream->lock);
 	switch (decision.verdict) {
 	case ENTRY_SEND:
-		entry_tick_schedule(req->entry, due);
-		entry_work_push(req->entry->work, req);
+		entry_tick_schedule(entry, due);
+		entry_work_push(entry->work, req);
 		break;
 	case ENTRY_WAIT:
+		/* Another thread may have sent, ended and freed the request. */
 		entry_dispatch_expire(upstream, now);
 		entry_dispatch_next(upstream, now);
-		if (req->entry->owner)
-			owner_wake(req->entry->owner);
-		entry_tick_schedule_soon(req->entry, now);
+		if (entry->owner)
+			owner_wake(entry->owner);
+		entry_tick_schedule_soon(entry, now);
 		break;
 	default:
 		entry_dispatch_refuse(req, &decision);
