Split the head of a send and what its response says of the copy from entry-relay.c

The headers of one send are in entry-relay-head.c, the load, rate, state and late responses of the copy in entry-relay-record.c; whether a response belongs to the call is decided in entry-transfer.c, beside the checks that it is made of.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 #include "entry-once.h"
-#include "entry-transfer.h"
+#include "entry-relay.h"
 
 /*
  * Relay of a request to a copy or a sibling entry, run by worker threads: sets
@@ -10,8 +10,6 @@
 
 /* Time that a copy has, after a whole response, to take more of the body. */
 #define RELAY_EARLY_RESPONSE_TIMEOUT (300 * USEC_PER_MS)
-#define RELAY_HEADER_MAX (2 * HL_NAME_MAX) /* bytes */
-#define RELAY_HOP_MAX (sizeof("Hemlock-Hop: ") + KEYS_HOP_MAX)
 
 static void relay_set_body(entry_transfer_t *transfer)
 {
@@ -117,16 +115,6 @@
 	       __atomic_load_n(&transfer->req->call.given_up, __ATOMIC_ACQUIRE);
 }
 
-/* Whether a response belongs to another call, or a copy did not make it. */
-static bool relay_response_mismatched(const entry_transfer_t *transfer)
-{
-	if (!transfer->head_complete)
-		return false;
-	if (entry_transfer_is_shed(transfer))
-		return !entry_transfer_matches_id(transfer);
-	return !entry_transfer_matches_call(transfer);
-}
-
 /*
  * Whether to end a send whose response is whole although the copy has not taken
  * the whole body: it takes no more of it, or the deadline has passed.
@@ -168,7 +156,7 @@
 		transfer->given_up = relay_is_given_up(transfer);
 		if (transfer->cancelled || transfer->expired ||
 		    transfer->early || transfer->given_up ||
-		    relay_response_mismatched(transfer))
+		    entry_transfer_is_mismatched(transfer))
 			return;
 		entry_transfer_publish_partial(transfer, now);
 		curl_multi_poll(multi, NULL, 0, relay_poll_ms(transfer, now),
@@ -191,7 +179,7 @@
 {
 	bool complete = (transfer->code == CURLE_OK || transfer->early) &&
 			transfer->head_complete &&
-			!relay_response_mismatched(transfer);
+			!entry_transfer_is_mismatched(transfer);
 
 	if (transfer->cancelled ||
 	    (!complete && relay_is_cancelled(transfer->req)))
@@ -209,21 +197,6 @@
 	return ENTRY_RESULT_TRUNCATED;
 }
 
-/* Whether the receiver of this send must not retry the call, because this entry
-   or a caller before it does so. */
-static bool relay_needs_no_retry(entry_request_t *req)
-{
-	bool needed;
-
-	if (req->forward)
-		return req->call.no_retry;
-	pthread_mutex_lock(&req->upstream->lock);
-	needed = entry_service_sets_no_retry(&req->upstream->service,
-					     &req->call);
-	pthread_mutex_unlock(&req->upstream->lock);
-	return needed;
-}
-
 /* Returns the socket of the last transfer of a handle, or -1. */
 static int relay_socket(CURL *easy)
 {
@@ -258,258 +231,13 @@
 	pthread_mutex_unlock(&req->upstream->lock);
 }
 
-/* Writes the header by which a sibling verifies that an entry sent the call. */
-static void relay_write_hop(entry_request_t *req, char *out, size_t size)
-{
-	char value[KEYS_HOP_MAX] = "";
-
-	if (req->forward)
-		keys_hop_write(req->entry->keys, req->entry->settings.name,
-			       req->upstream->name,
-			       g_get_real_time() / USEC_PER_MS, value);
-	snprintf(out, size, "Hemlock-Hop: %s", value);
-}
-
-/*
- * Reports the number of calls that still wait here to a sibling that a call is
- * handed over to, so that it can offer credits for them with its response.
- * Returns @list with the header in its first node, or the next node if no call
- * waits.
- */
-static struct curl_slist *relay_add_queue_header(entry_request_t *req,
-						 struct curl_slist *list)
-{
-	unsigned waiting;
-
-	if (!req->handed_over)
-		return list->next;
-	pthread_mutex_lock(&req->upstream->lock);
-	waiting = entry_service_waiting(&req->upstream->service);
-	pthread_mutex_unlock(&req->upstream->lock);
-	if (!waiting)
-		return list->next;
-	if (waiting > ENTRY_QUEUE_REPORT_MAX)
-		waiting = ENTRY_QUEUE_REPORT_MAX;
-	snprintf(list->data, RELAY_HEADER_MAX, "Hemlock-Queue: %u", waiting);
-	metrics_add(req->entry->lend_header_bytes,
-		    strlen(list->data) + sizeof("\r\n") - 1);
-	return list;
-}
-
-/* Headers of one send, linked in front of the headers of the caller. */
-typedef struct {
-	char deadline[RELAY_HEADER_MAX];
-	char send[RELAY_HEADER_MAX];
-	char hop[RELAY_HOP_MAX];
-	char queue[RELAY_HEADER_MAX];
-	char no_retry[sizeof("Hemlock-No-Retry: 1")];
-	char copy[RELAY_HEADER_MAX];
-	char revision[RELAY_HEADER_MAX];
-	char part[RELAY_HEADER_MAX];
-	struct curl_slist nodes[6];
-} relay_head_t;
-
-static struct curl_slist *relay_push(relay_head_t *head, unsigned index,
-				     char *line, struct curl_slist *next)
-{
-	head->nodes[index].data = line;
-	head->nodes[index].next = next;
-	return &head->nodes[index];
-}
-
-/*
- * Adds the headers to a sibling with entry.routed. The sibling refuses the call
- * if it has older routes than this entry, and does not repeat it if this entry
- * has sent it to a copy before.
- */
-static struct curl_slist *relay_head_handover(entry_request_t *req,
-					      relay_head_t *head,
-					      struct curl_slist *list)
-{
-	relay_write_hop(req, head->hop, sizeof(head->hop));
-	list = relay_push(head, 1, head->hop, list);
-	snprintf(head->revision, sizeof(head->revision),
-		 "Hemlock-Revision: %" PRIu64,
-		 entry_target_rules_revision(req->entry));
-	list = relay_push(head, 2, head->revision, list);
-	snprintf(head->part, sizeof(head->part), "Hemlock-Part: %s",
-		 req->upstream->name);
-	list = relay_push(head, 3, head->part, list);
-	strcpy(head->no_retry, "Hemlock-No-Retry: 1");
-	if (req->call.no_retry ||
-	    req->call.attempts > req->call.unsent_attempts)
-		list = relay_push(head, 4, head->no_retry, list);
-	return list;
-}
-
-/* Adds the headers to a copy under a non-native interface. */
-static struct curl_slist *relay_head_interface(entry_request_t *req,
-					       relay_head_t *head,
-					       struct curl_slist *list)
-{
-	const char *name = req->entry->settings.headers->expected_copy;
-
-	if (!name)
-		return list;
-	snprintf(head->copy, sizeof(head->copy), "%s: %s", name,
-		 req->call.copy->name);
-	return relay_push(head, 1, head->copy, list);
-}
-
-/* Adds the headers to a copy or a sibling under the native interface. */
-static struct curl_slist *relay_head_native(entry_request_t *req,
-					    relay_head_t *head,
-					    struct curl_slist *list)
-{
-	struct curl_slist *with_queue;
-
-	relay_write_hop(req, head->hop, sizeof(head->hop));
-	if (req->forward)
-		list = relay_push(head, 1, head->hop, list);
-	with_queue = relay_push(head, 2, head->queue, list);
-	list = relay_add_queue_header(req, with_queue);
-	strcpy(head->no_retry, "Hemlock-No-Retry: 1");
-	if (relay_needs_no_retry(req))
-		list = relay_push(head, 3, head->no_retry, list);
-	return list;
-}
-
-/* Gives the send an id that no other send over the connection has, so that a late
-   response to an earlier one can be told by it. Each connection has a number of its
-   own, also one that libcurl opens, see entry_conn_reopened(). */
-static struct curl_slist *relay_head_send(entry_transfer_t *transfer,
-					  relay_head_t *head,
-					  struct curl_slist *list)
-{
-	const char *name = transfer->req->entry->settings.headers->send_id;
-
-	if (!name)
-		return list;
-	snprintf(transfer->send_id, sizeof(transfer->send_id), "%" PRIu64 "-%u",
-		 transfer->conn->number, transfer->conn->calls);
-	snprintf(head->send, sizeof(head->send), "%s: %s", name,
-		 transfer->send_id);
-	return relay_push(head, 5, head->send, list);
-}
-
-static struct curl_slist *relay_head(entry_transfer_t *transfer,
-				     relay_head_t *head, usec_t time_left)
-{
-	entry_request_t *req = transfer->req;
-	const headers_t *names = req->entry->settings.headers;
-	struct curl_slist *list;
-
-	snprintf(head->deadline, sizeof(head->deadline), "%s: %" PRId64,
-		 names->deadline_ms,
-		 (time_left + USEC_PER_MS - 1) / USEC_PER_MS);
-	list = relay_push(head, 0, head->deadline, req->headers);
-	list = relay_head_send(transfer, head, list);
-	if (entry_handover_is_active(req))
-		return relay_head_handover(req, head, list);
-	return names->native ? relay_head_native(req, head, list) :
-			       relay_head_interface(req, head, list);
-}
-
-/* Records the load that the copy reported with its response. */
-static void relay_record_load(entry_transfer_t *transfer)
-{
-	entry_request_t *req = transfer->req;
-	entry_upstream_t *upstream = req->upstream;
-
-	if (!transfer->has_load || req->forward)
-		return;
-	pthread_mutex_lock(&upstream->lock);
-	entry_service_on_report(&upstream->service, req->call.copy,
-				&transfer->load, time_now());
-	pthread_mutex_unlock(&upstream->lock);
-}
-
-/*
- * Records that the copy leaves, or asks for a rest. A response with status 421
- * was made by another copy that has the address now.
- */
-static void relay_record_state(entry_transfer_t *transfer)
-{
-	entry_request_t *req = transfer->req;
-	unsigned status = req->response.status;
-	usec_t now = time_now();
-	bool rests = transfer->has_rest && status == HTTP_UNAVAILABLE &&
-		     !transfer->mismatched;
-	bool leaves = transfer->copy_leaves;
-
-	if (!transfer->head_complete || req->forward ||
-	    status == HTTP_MISDIRECTED_REQUEST || (!leaves && !rests))
-		return;
-	pthread_mutex_lock(&req->upstream->lock);
-	if (rests)
-		entry_service_on_rest(req->call.copy, transfer->rest, now);
-	leaves = leaves && entry_service_on_leaving(req->call.copy);
-	if (leaves)
-		entry_upstream_report_leaving(req->upstream, req->call.copy);
-	pthread_mutex_unlock(&req->upstream->lock);
-	if (leaves)
-		entry_trace_copy_leaves(req->upstream->name,
-					req->call.copy->name, req->call_id);
-	if (rests)
-		entry_trace_copy_rests(req->upstream->name,
-				       req->call.copy->name, req->call_id,
-				       transfer->rest);
-}
-
-/* Records the rate that the copy accepts, or that it names none any more. */
-static void relay_record_rate(entry_transfer_t *transfer)
-{
-	entry_request_t *req = transfer->req;
-	entry_copy_t *copy = req->call.copy;
-	usec_t now = time_now();
-	bool is_new;
-
-	if (!transfer->head_complete || req->forward ||
-	    req->response.status == HTTP_MISDIRECTED_REQUEST ||
-	    (!transfer->millirate && !entry_transfer_matches_call(transfer)))
-		return;
-	pthread_mutex_lock(&req->upstream->lock);
-	is_new = entry_service_on_rate(&req->upstream->service, copy,
-				       transfer->millirate, transfer->sent,
-				       now);
-	if (is_new)
-		entry_upstream_report_rate(req->upstream, copy, now);
-	pthread_mutex_unlock(&req->upstream->lock);
-	if (is_new)
-		entry_trace_copy_rate(req->upstream->name, copy->name,
-				      req->call_id, transfer->millirate);
-}
-
-/* Whether a response that belongs to no call of now came late. An HTTP library may make
-   one without a header of the interface, and nothing comes late over a connection that
-   has carried no other call. */
-static bool relay_response_is_late(const entry_transfer_t *transfer)
-{
-	return transfer->conn->calls > 1 &&
-	       (*transfer->other_id || transfer->has_signature);
-}
-
-/* Counts and logs a response that belongs to another call. After a late one the copy may
-   have sent more of them. */
-static void relay_record_mismatch(entry_transfer_t *transfer)
-{
-	const entry_request_t *req = transfer->req;
-
-	transfer->mismatched = relay_response_mismatched(transfer);
-	if (!transfer->mismatched)
-		return;
-	if (relay_response_is_late(transfer))
-		entry_conn_pool_on_stray(transfer->pool, time_now());
-	metrics_add(req->entry->mismatched_responses, 1);
-	entry_trace_mismatched(req, transfer->other_id, transfer->conn);
-}
-
 /* Whether the connection can carry another call. If libcurl has closed it, the handle
    may still hold an earlier one, whose calls are not known any more. */
 static bool relay_keeps_connection(const entry_transfer_t *transfer)
 {
 	return transfer->conn->fd >= 0 && transfer->code == CURLE_OK &&
-	       transfer->head_complete && !relay_response_mismatched(transfer);
+	       transfer->head_complete &&
+	       !entry_transfer_is_mismatched(transfer);
 }
 
 /* Returns the id that the response to a call is checked by; empty if the interface
@@ -544,7 +272,7 @@
 	char url[HL_ADDRESS_MAX + sizeof("http:///")];
 	struct curl_slist *headers;
 	const char *call_id;
-	relay_head_t head;
+	entry_relay_head_t head;
 	CURL *easy;
 	bool keep;
 
@@ -558,7 +286,7 @@
 		return ENTRY_RESULT_CONNECT;
 	easy = transfer->conn->easy;
 	snprintf(url, sizeof(url), "http://%s/", transfer->pool->address);
-	headers = relay_head(transfer, &head, time_left);
+	headers = entry_relay_head(transfer, &head, time_left);
 	relay_set_options(transfer, url, headers, fresh);
 	relay_set_active(req, transfer->conn);
 	curl_multi_add_handle(transfer->conn->multi, easy);
@@ -569,7 +297,7 @@
 		relay_record_round_trip(req, easy);
 	if (relay_has_connected(easy))
 		entry_conn_reopened(transfer->conn, call_id);
-	relay_record_mismatch(transfer);
+	entry_relay_record_mismatch(transfer);
 	transfer->conn->fd = relay_socket(easy);
 	keep = relay_keeps_connection(transfer);
 	curl_multi_remove_handle(transfer->conn->multi, easy);
@@ -577,11 +305,7 @@
 	if (once)
 		entry_conn_pool_preconnect(
 			transfer->pool, (unsigned)req->entry->settings.spares);
-	if (!transfer->mismatched) {
-		relay_record_load(transfer);
-		relay_record_rate(transfer);
-	}
-	relay_record_state(transfer);
+	entry_relay_record(transfer);
 	return relay_result(transfer);
 }
 
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -361,6 +361,15 @@
 	return status == HTTP_UNAVAILABLE && transfer->has_retry_after;
 }
 
+bool entry_transfer_is_mismatched(const entry_transfer_t *transfer)
+{
+	if (!transfer->head_complete)
+		return false;
+	if (entry_transfer_is_shed(transfer))
+		return !entry_transfer_matches_id(transfer);
+	return !entry_transfer_matches_call(transfer);
+}
+
 bool entry_transfer_response_whole(const entry_transfer_t *transfer)
 {
 	const entry_response_t *response = &transfer->req->response;
--- a/entry-transfer.h
+++ b/entry-transfer.h
@@ -123,6 +123,14 @@
  */
 bool entry_transfer_matches_call(const entry_transfer_t *transfer);
 
+/**
+ * entry_transfer_is_mismatched - does the response belong to another call or send?
+ *
+ * Also true if it was not made by a copy. Of a refusal only the id is compared, as it
+ * has no signature.
+ */
+bool entry_transfer_is_mismatched(const entry_transfer_t *transfer);
+
 /**
  * entry_transfer_response_whole - is the response complete?
  *
