Share the sockets of the stand-ins that write their own responses

standin-raw and standin-stutter had the same functions to listen, to send and to reset a connection; they are in regress/standin-io.h now.

--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -68,6 +68,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include "headers.h"
+#include "standin-io.h"
 
 #define HEAD_BYTES_MAX 32768
 #define BLOCK_BYTES 65536
@@ -110,19 +111,6 @@
 	unsigned late_after; /* responses before it; 0: none is due */
 } connection_t;
 
-static bool send_bytes(int fd, const char *bytes, size_t length)
-{
-	while (length) {
-		ssize_t n = send(fd, bytes, length, MSG_NOSIGNAL);
-
-		if (n <= 0)
-			return false;
-		bytes += n;
-		length -= (size_t)n;
-	}
-	return true;
-}
-
 static bool fill(connection_t *conn, size_t max)
 {
 	ssize_t n = recv(conn->fd, conn->buffer + conn->length,
@@ -308,7 +296,7 @@
 		g_string_append_printf(text, "%s: %d.0\r\n", headers->rate,
 				       opt_rate);
 	g_string_append(text, more);
-	sent = send_bytes(conn->fd, text->str, text->len);
+	sent = standin_send(conn->fd, text->str, text->len);
 	g_string_free(text, TRUE);
 	return sent;
 }
@@ -334,7 +322,7 @@
 
 	while (block->len < BLOCK_BYTES)
 		g_string_append(block, text);
-	while (send_bytes(conn->fd, block->str, block->len))
+	while (standin_send(conn->fd, block->str, block->len))
 		sent += block->len;
 	g_string_free(block, TRUE);
 	g_snprintf(result, sizeof(result), "closed-%s",
@@ -422,14 +410,6 @@
 	return true;
 }
 
-/* Makes the close of a connection a TCP reset. */
-static void reset_at_close(int fd)
-{
-	const struct linger now = { 1, 0 };
-
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-}
-
 /* Ends the connection of a path that asks for it before the call has run; false
    for other paths. */
 static bool serve_lost(connection_t *conn)
@@ -445,7 +425,7 @@
 	head_value(conn, "Content-Length", value, sizeof(value));
 	read_length(conn, g_ascii_strtoull(value, NULL, 10) / 2, false);
 	record_call(conn, "lost");
-	reset_at_close(conn->fd);
+	standin_reset_at_close(conn->fd);
 	return true;
 }
 
@@ -453,7 +433,7 @@
 static bool serve_loses_response(const connection_t *conn)
 {
 	if (strstr(conn->path, "/lost-reset")) {
-		reset_at_close(conn->fd);
+		standin_reset_at_close(conn->fd);
 		return true;
 	}
 	return strstr(conn->path, "/lost-run") != NULL;
@@ -624,7 +604,7 @@
 	if (serve_rest(conn, &keep))
 		return keep;
 	if (strstr(conn->path, "/bare-400"))
-		return send_bytes(conn->fd, bare, strlen(bare));
+		return standin_send(conn->fd, bare, strlen(bare));
 	if (strstr(conn->path, "/crash")) {
 		record_call(conn, "crash");
 		/* The thread sanitizer delays other ends by 1 s. */
@@ -671,7 +651,7 @@
 /* Makes the close of a connection a TCP reset, and ends its thread. */
 static void cut_reset(const connection_t *conn)
 {
-	reset_at_close(conn->fd);
+	standin_reset_at_close(conn->fd);
 	shutdown(conn->fd, SHUT_RD);
 }
 
@@ -809,26 +789,6 @@
 	__atomic_store_n(&names_rate, number == SIGUSR1, __ATOMIC_RELAXED);
 }
 
-static int listen_on(const char *text)
-{
-	struct sockaddr_storage storage;
-	unsigned length;
-	int one = 1;
-	int fd;
-
-	if (hl_address_parse(text, &storage, &length))
-		return -1;
-	fd = socket(storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&storage, length) || listen(fd, 512)) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 static const GOptionEntry options[] = {
 	{ "address", 0, 0, G_OPTION_ARG_STRING, &opt_address,
 	  "address to listen on", "IP:PORT" },
@@ -872,7 +832,7 @@
 		return 2;
 	record_file = fopen(opt_log, "a");
 	connections = g_ptr_array_new();
-	listener = listen_on(opt_address);
+	listener = standin_listen(opt_address);
 	if (!record_file || listener < 0)
 		return 1;
 	if (opt_cut)
--- a/regress/standin-stutter.c
+++ b/regress/standin-stutter.c
@@ -27,6 +27,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include "headers.h"
+#include "standin-io.h"
 #include "answer-bytes.h"
 
 #define BLOCK_BYTES 65536
@@ -83,26 +84,6 @@
 	return (unsigned)g_rand_int_range(conn->random, 0, (gint32)limit);
 }
 
-static void reset_at_close(int fd)
-{
-	const struct linger now = { 1, 0 };
-
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-}
-
-static bool send_bytes(int fd, const char *bytes, size_t length)
-{
-	while (length) {
-		ssize_t n = send(fd, bytes, length, MSG_NOSIGNAL);
-
-		if (n <= 0)
-			return false;
-		bytes += n;
-		length -= (size_t)n;
-	}
-	return true;
-}
-
 static void record(const answer_t *answer, const char *result)
 {
 	fprintf(record_file,
@@ -199,12 +180,12 @@
 				  head_bytes +
 					  choose(conn, (unsigned)(text->len -
 								  head_bytes)));
-	keep = send_bytes(conn->fd, text->str, text->len) &&
+	keep = standin_send(conn->fd, text->str, text->len) &&
 	       answer->end == END_WHOLE && !answer->closes;
 	g_string_free(text, TRUE);
 	if (answer->end == END_RESET) {
 		g_usleep(choose(conn, 2) * 5000);
-		reset_at_close(conn->fd);
+		standin_reset_at_close(conn->fd);
 	}
 	return keep;
 }
@@ -216,7 +197,7 @@
 
 	conn->late_due = false;
 	if (conn->excess)
-		return send_bytes(conn->fd, excess, strlen(excess));
+		return standin_send(conn->fd, excess, strlen(excess));
 	record(&conn->late, "late");
 	return send_answer(conn, &conn->late);
 }
@@ -399,7 +380,7 @@
 	static const char interim[] = "HTTP/1.1 103 Early\r\nX-More: 1\r\n\r\n";
 
 	return choose(conn, 8) ||
-	       send_bytes(conn->fd, interim, strlen(interim));
+	       standin_send(conn->fd, interim, strlen(interim));
 }
 
 /* Sends the answer that was chosen; false if the connection is to be closed. */
@@ -424,7 +405,7 @@
 
 	append_head(text, &answer);
 	g_string_append(text, "Content-Length: 0\r\n\r\n");
-	sent = send_bytes(conn->fd, text->str, text->len);
+	sent = standin_send(conn->fd, text->str, text->len);
 	g_string_free(text, TRUE);
 	return sent;
 }
@@ -440,7 +421,7 @@
 		answer->status = 0;
 		record(answer, "run");
 		if (choose(conn, 2))
-			reset_at_close(conn->fd);
+			standin_reset_at_close(conn->fd);
 		return false;
 	}
 	record(answer, answer->not_run ? "not-run" : "run");
@@ -460,7 +441,7 @@
 	    sscanf(conn->head, "%15s %255s", conn->method, answer->path) != 2)
 		return false;
 	if (__atomic_load_n(&cut, __ATOMIC_RELAXED) == conn->peer) {
-		reset_at_close(conn->fd);
+		standin_reset_at_close(conn->fd);
 		return false;
 	}
 	if (!strcmp(answer->path, "/health"))
@@ -558,26 +539,6 @@
 	}
 }
 
-static int listen_on(const char *text)
-{
-	struct sockaddr_storage storage;
-	unsigned length;
-	int one = 1;
-	int fd;
-
-	if (hl_address_parse(text, &storage, &length))
-		return -1;
-	fd = socket(storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&storage, length) || listen(fd, 512)) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 static const GOptionEntry options[] = {
 	{ "address", 0, 0, G_OPTION_ARG_STRING, &opt_address,
 	  "address to listen on", "IP:PORT" },
@@ -611,7 +572,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	headers = headers_find("platform");
 	record_file = fopen(opt_log, "a");
-	listener = listen_on(opt_address);
+	listener = standin_listen(opt_address);
 	if (!record_file || listener < 0)
 		return 1;
 	if (opt_cut &&
