--- a/entry-conn-pool.c
+++ b/entry-conn-pool.c
@@ -215,62 +215,46 @@
 	return input.revents == POLLIN ? CONN_STRAY : CONN_ENDED;
 }
 
-/* Moves all idle connections to @closed, and lets each call of the next time have a
-   new one. The caller holds pool->lock. */
-static void pool_renew(entry_conn_pool_t *pool, struct cds_list_head *closed,
-		       usec_t now)
-{
-	pool->renew_until = now + POOL_RENEW_TIME;
-	cds_list_splice(&pool->idle, closed);
-	CDS_INIT_LIST_HEAD(&pool->idle);
-	pool->idle_count = 0;
-}
-
 /*
- * Takes an idle connection, as pool_take_idle(), that has received nothing, and moves
- * others to @closed. libcurl would send the call over one that holds bytes, and read
- * these as the response. The caller holds pool->lock.
+ * Takes an idle connection, as pool_take_idle(), that has received nothing, and closes
+ * others. libcurl would send the call over one that holds bytes, and read these as the
+ * response.
  */
 static entry_conn_t *pool_take_silent(entry_conn_pool_t *pool,
-				      const char *call_id, bool fresh,
-				      struct cds_list_head *closed)
+				      const char *call_id, bool fresh)
 {
 	conn_input_t input;
 	entry_conn_t *conn;
 
-	while ((conn = pool_take_idle(pool, call_id, fresh))) {
+	for (;;) {
+		pthread_mutex_lock(&pool->lock);
+		conn = pool_take_idle(pool, call_id, fresh);
+		pthread_mutex_unlock(&pool->lock);
+		if (!conn)
+			return NULL;
 		input = conn_input(conn);
 		if (input == CONN_SILENT)
-			break;
-		cds_list_add(&conn->link, closed);
+			return conn;
+		conn_free(conn);
 		if (input == CONN_STRAY)
-			pool_renew(pool, closed, time_now());
+			entry_conn_pool_on_stray(pool, time_now());
 	}
-	return conn;
 }
 
 entry_conn_t *entry_conn_pool_get(entry_conn_pool_t *pool, const char *call_id,
 				  bool fresh)
 {
-	struct cds_list_head closed;
-	int preconnected_fd = -1;
-	entry_conn_t *conn;
+	entry_conn_t *conn = pool_take_silent(pool, call_id, fresh);
 
-	CDS_INIT_LIST_HEAD(&closed);
-	pthread_mutex_lock(&pool->lock);
-	conn = pool_take_silent(pool, call_id, fresh, &closed);
-	if (fresh)
-		preconnected_fd = pool_take_preconnected(pool);
-	pthread_mutex_unlock(&pool->lock);
-	conn_free_all(&closed);
 	if (!conn)
 		conn = conn_new();
-	if (!conn) {
-		if (preconnected_fd >= 0)
-			close(preconnected_fd);
+	if (!conn)
 		return NULL;
+	if (fresh) {
+		pthread_mutex_lock(&pool->lock);
+		conn->preconnected_fd = pool_take_preconnected(pool);
+		pthread_mutex_unlock(&pool->lock);
 	}
-	conn->preconnected_fd = preconnected_fd;
 	conn_carry(conn, call_id);
 	return conn;
 }
@@ -298,6 +282,17 @@
 		conn_free(conn);
 }
 
+/* Moves all idle connections to @closed, and lets each call of the next time have a
+   new one. The caller holds pool->lock. */
+static void pool_renew(entry_conn_pool_t *pool, struct cds_list_head *closed,
+		       usec_t now)
+{
+	pool->renew_until = now + POOL_RENEW_TIME;
+	cds_list_splice(&pool->idle, closed);
+	CDS_INIT_LIST_HEAD(&pool->idle);
+	pool->idle_count = 0;
+}
+
 void entry_conn_pool_on_stray(entry_conn_pool_t *pool, usec_t now)
 {
 	struct cds_list_head closed;
