Test heads of requests about the operator's limit

What callers saw: a request whose head is within the operator's limit of 16,384 bytes (head_bytes) is refused with 431. In a part of the cases it is worse: the call runs, its response is lost and the connection is closed.

Cause: libmicrohttpd's memory of a connection is 16 KiB. It holds the head of the request from the first byte of its first line, some 64 bytes for each field, and the head of the response. Heads without room are refused with 431. If only the head of the response has no room, the connection is closed after the copy has run the call (log: status=200 whole=0 outcome=ran reason=gone).

Largest heads served: 13,916 bytes with long fields, 8,606 with fields of 100 bytes, 6,210 of 50, 3,421 of 20.

No change of the memory.

--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -21,6 +21,8 @@
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
  *	/wait-MS		responds MS milliseconds after the request
  *	/long-KIB		responds with a body of KIB kibibytes
+ *	/head-BYTES		responds with a head of some BYTES bytes, which ends
+ *				with the fields X-End and Content-Length
  *	/crash			the process ends without a response
  *	/lost-head		closes the connection after the head of the request
  *	/lost-body		resets the connection after half of the body
@@ -74,6 +76,7 @@
 #define BLOCK_BYTES 65536
 #define SLOW_PIECE_BYTES 16384
 #define SLOW_PAUSE_USEC 20000
+#define HEAD_FIELD_BYTES 100
 #define LATE_PAUSE_USEC 30000
 #define RECORD_BYTES_MAX (1024 * 1024)
 /* Parameters of the 64-bit FNV-1a hash. */
@@ -495,6 +498,26 @@
 	return true;
 }
 
+/* Responds to a path that asks for a long head; false for other paths. */
+static bool serve_head(const connection_t *conn, bool *keep)
+{
+	const char *bytes = strstr(conn->path, "/head-");
+	GString *fields;
+	size_t size;
+
+	if (!bytes)
+		return false;
+	size = (size_t)atoi(bytes + strlen("/head-"));
+	fields = g_string_new("");
+	while (fields->len + 2 * HEAD_FIELD_BYTES < size)
+		g_string_append_printf(fields, "X-Fill: %0*d\r\n",
+				       HEAD_FIELD_BYTES - 10, 7);
+	g_string_append(fields, "X-End: 1\r\n");
+	*keep = send_response(conn, "200 OK", fields->str, "head\n");
+	g_string_free(fields, TRUE);
+	return true;
+}
+
 /* Paths of calls that get a second response, the longest words first. */
 static const struct late {
 	const char *word, *status, *second_status;
@@ -614,7 +637,7 @@
 	if (!serve_wait(conn) || serve_loses_response(conn))
 		return false;
 	cut_delay_response(conn);
-	if (serve_long(conn, &keep))
+	if (serve_long(conn, &keep) || serve_head(conn, &keep))
 		return keep;
 	g_snprintf(text, sizeof(text),
 		   "bytes=%" PRIu64 " hash=%016" PRIx64 "\n", conn->body_bytes,
