Relay a request header of more than 8,191 bytes

What callers saw: a request with one header of 8,192 bytes or more (its name, ": " and value) was refused with 400, though its head was within the limit of the operator and the entry had room for it.

Cause: entry-head.c wrote each header that it relays into a buffer of 8 KiB and refused the request if the header did not fit. The line is now as long as the header; what bounds it is the memory of the connection, beyond which libmicrohttpd refuses with 431.

Memory of a connection is not changed by it: the line is freed once libcurl's list has a copy, as that list had before.

Ruled out: a bound of the same kind for targets (queries of 2,000 to 12,000 bytes are served).

--- a/entry-head.c
+++ b/entry-head.c
@@ -10,7 +10,6 @@
  * the upstream and the deadline of the call, and selects the headers to relay.
  */
 
-#define HEAD_LINE_MAX 8192 /* bytes of one relayed header */
 #define HEAD_DEADLINE_MAX_MS 600000
 /* Time from arrival to deadline of a call that waits for the first routes. */
 #define HEAD_PENDING_TIMEOUT (2 * USEC_PER_SEC)
@@ -242,7 +241,7 @@
 					   const char *name, const char *value)
 {
 	head_t *head = context;
-	char line[HEAD_LINE_MAX];
+	char *line;
 	int length;
 
 	(void)kind;
@@ -253,13 +252,15 @@
 		return MHD_YES;
 	/* libcurl sends a header without a value if a semicolon follows it. */
 	if (value && *value)
-		length = snprintf(line, sizeof(line), "%s: %s", name, value);
+		length = asprintf(&line, "%s: %s", name, value);
 	else
-		length = snprintf(line, sizeof(line), "%s;", name);
-	if (length >= (int)sizeof(line))
-		head->bad = "header";
-	else
-		head_append(head, line);
+		length = asprintf(&line, "%s;", name);
+	if (length < 0) {
+		head->bad = "memory";
+		return MHD_YES;
+	}
+	head_append(head, line);
+	free(line);
 	return MHD_YES;
 }
 
