Hand calls to the owner of a service under every interface

What callers saw: with node.interface = "platform" and without entry.routed, an entry that owns no copy of a service ended with a segmentation fault at the first call for it, and with it all its calls. deploy/ has entry.routed, where calls do not take this way.

Cause: relay_head() chose the headers of a copy for each interface that is not native, also when the call goes to a sibling entry. Those name the copy that the call is sent to, and req->call.copy is NULL then. GET /v1/answer to the coordinator of a keyed call takes the same way.

Ruled out: the hand-over with entry.routed is decided before this (entry_handover_is_active()).

Why it works: a call to a sibling gets the headers that siblings read under each interface (head_read_interface() leaves them to head_read_header()), and no header of a copy.

--- a/entry-relay-head.c
+++ b/entry-relay-head.c
@@ -106,7 +106,7 @@
 	return relay_head_push(head, 1, head->copy, list);
 }
 
-/* Adds the headers to a copy or a sibling under the native interface. */
+/* Adds the headers to a copy under the native interface, or to a sibling. */
 static struct curl_slist *relay_head_native(entry_request_t *req,
 					    entry_relay_head_t *head,
 					    struct curl_slist *list)
@@ -156,6 +156,7 @@
 	list = relay_head_send(transfer, head, list);
 	if (entry_handover_is_active(req))
 		return relay_head_handover(req, head, list);
-	return names->native ? relay_head_native(req, head, list) :
-			       relay_head_interface(req, head, list);
+	if (names->native || req->forward)
+		return relay_head_native(req, head, list);
+	return relay_head_interface(req, head, list);
 }
--- a/regress/claim-lib.sh
+++ b/regress/claim-lib.sh
@@ -10,6 +10,7 @@
 name = "entry-$1"
 zone = "zone-$1"
 address = "$NET.$1"
+$(claim_node_settings)
 [entry]
 seeds = ["$NET.1:7083", "$NET.2:7083", "$NET.3:7083"]
 linger_ms = 0
@@ -27,6 +28,11 @@
 		--settings "$DIR/entry-$1.toml"
 }
 
+# claim_node_settings: more lines for the [node] table of each entry.
+claim_node_settings () {
+	:
+}
+
 # claim_entry_settings N: more lines for the [entry] table of entry-N.
 claim_entry_settings () {
 	:
