Replay a stored response with the id of the request that gets it

What callers saw, with claims and node.interface = "platform" (no entry.routed): a second request with the same Idempotency-Key and another id got a response with the id of the first one, if it came to the coordinator, and 409 if it came to another entry, though the call ran and its response was stored. A request without an id got the id of another one.

Cause: the headers of a response were stored as the copy sent them, the id (headers_t.call_id) included, and replayed to every attempt. GET /v1/answer bore no id at all, so the check of ids in the asking entry compared that of the second attempt with that of the first.

The same store held other headers of one attempt, which were told again: load, rate and leave of the copy at that time, and headers that its Connection names. The first caller does not get the latter; the second one did.

Evidence, claim-replay: before, at the coordinator the id a-1 instead of a-2 and c-1 instead of c-2, with Server-Load, Server-Leaving, Server-Limit and X-Hop; a request without an id got a-1; all three requests with an id at another entry got 409, and with the one after the coordinator's restart three responses counted as those of other calls. After: each has its own id or none, 200 with the body, no such headers, and none counted. claim-keys, claim-partition and claim-restart pass.

Why it works: headers of one attempt are not stored. The coordinator adds the id of the request that it answers. An entry that asks another one sends the id of its own request, which comes back, so the check stays the one for copies. The coordinator's own 409, for a response that is not stored any more, has no signature of a copy; it is known by its outcome, as a sibling's is, and not counted as the response of another call.

Ruled out: Hemlock-Send, Hemlock-Outcome and Hemlock-Offer are dropped when a response is read, so they were never stored. A state, load, rate or rest in a replayed response is not taken for one of a copy, as relay_record_*() return for calls to siblings. Retry-After is still told again: the wait counts from the time at which the caller reads it, and without it callers would come sooner than the copy asked.

While entries of the build before and of this one work side by side, a request at an entry of one whose coordinator is of the other gets 409, as before; if it bears the id of the first attempt it got 200 before and gets 409 through an older entry.

--- a/entry-claim-response.c
+++ b/entry-claim-response.c
@@ -2,17 +2,21 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include "entry-claim-internal.h"
 #include "entry-control.h"
+#include "entry-http.h"
 
 /*
  * Responses of keyed calls. The coordinator of a call stores its response and
  * replays it to requests with the same key, also to those that come to other
- * entries (GET /v1/answer).
+ * entries (GET /v1/answer). A replayed response has the id of the request that
+ * it is replayed to.
  */
 
 #define RESPONSE_MEMBERS_MAX 256
 #define RESPONSE_TARGET_SIZE 96
+#define RESPONSE_ID_LINE_SIZE (2 * HL_NAME_MAX)
 
 /* A stored response. */
 typedef struct {
@@ -44,20 +48,62 @@
 	free(stored);
 }
 
+static void response_add_header(struct cds_list_head *headers, const char *name,
+				const char *value)
+{
+	entry_header_t *header = calloc(1, sizeof(*header));
+
+	if (!header)
+		return;
+	header->name = strdup(name);
+	header->value = strdup(value);
+	cds_list_add_tail(&header->link, headers);
+}
+
 static void response_copy_headers(struct cds_list_head *to,
 				  const struct cds_list_head *from)
 {
-	entry_header_t *header;
-	entry_header_t *copy;
-
-	cds_list_for_each_entry (header, from, link) {
-		copy = calloc(1, sizeof(*copy));
-		if (!copy)
-			return;
-		copy->name = strdup(header->name);
-		copy->value = strdup(header->value);
-		cds_list_add_tail(&copy->link, to);
-	}
+	const entry_header_t *header;
+
+	cds_list_for_each_entry (header, from, link)
+		response_add_header(to, header->name, header->value);
+}
+
+/* Adds the id of the request that a response is replayed to, if it has one. */
+static void response_add_id(const entry_claims_t *claims,
+			    struct cds_list_head *headers, const char *id)
+{
+	const char *name = claims->entry->settings.headers->call_id;
+
+	if (name && id && *id)
+		response_add_header(headers, name, id);
+}
+
+/* Whether a header holds for the first request only: the id of the attempt, the
+   state of the copy at that time, or a header that Connection names. */
+static bool response_is_transient(const headers_t *names,
+				  const entry_response_t *response,
+				  const char *name)
+{
+	const char *const transient[] = { names->call_id, names->load,
+					  names->leaving, names->rate };
+	size_t i;
+
+	for (i = 0; i < sizeof(transient) / sizeof(transient[0]); i++)
+		if (transient[i] && !strcasecmp(transient[i], name))
+			return true;
+	return entry_head_list_contains(response->connection, name);
+}
+
+static void response_store_headers(const headers_t *names,
+				   struct cds_list_head *to,
+				   const entry_response_t *response)
+{
+	const entry_header_t *header;
+
+	cds_list_for_each_entry (header, &response->headers, link)
+		if (!response_is_transient(names, response, header->name))
+			response_add_header(to, header->name, header->value);
 }
 
 void entry_claims_store_response(entry_claims_t *claims, const claim_key_t *key,
@@ -77,7 +123,8 @@
 	if (size)
 		memcpy(stored->body, body->bytes + body->start, size);
 	CDS_INIT_LIST_HEAD(&stored->headers);
-	response_copy_headers(&stored->headers, &response->headers);
+	response_store_headers(claims->entry->settings.headers,
+			       &stored->headers, response);
 	pthread_mutex_lock(&claims->lock);
 	cds_list_add_tail(&stored->link, &claims->responses);
 	claims->response_bytes += sizeof(*stored) + size;
@@ -116,6 +163,7 @@
 		response->outcome = ENTRY_RAN;
 		response->length = (int64_t)stored->size;
 		response_copy_headers(&response->headers, &stored->headers);
+		response_add_id(claims, &response->headers, req->call_id);
 		entry_buffer_add(&response->body, stored->body, stored->size);
 		pthread_mutex_unlock(&req->lock);
 	}
@@ -142,6 +190,20 @@
 	return false;
 }
 
+/* Replaces the headers of a request by its id, which the coordinator echoes. */
+static void response_set_id(const entry_claims_t *claims, entry_request_t *req)
+{
+	const char *name = claims->entry->settings.headers->call_id;
+	char line[RESPONSE_ID_LINE_SIZE];
+
+	curl_slist_free_all(req->headers);
+	req->headers = NULL;
+	if (!name || !*req->call_id)
+		return;
+	snprintf(line, sizeof(line), "%s: %s", name, req->call_id);
+	req->headers = curl_slist_append(NULL, line);
+}
+
 /* Rewrites a request into a GET of the stored response, to be sent to the entry
    that coordinated the earlier call; false if that entry is not alive. */
 static bool response_request_from_coordinator(entry_claims_t *claims,
@@ -170,8 +232,7 @@
 	req->replay = true;
 	req->call.idempotent = true;
 	entry_buffer_clear(&req->body);
-	curl_slist_free_all(req->headers);
-	req->headers = NULL;
+	response_set_id(claims, req);
 	req->forward = entry_forward_pool(claims->entry->forward, address);
 	return req->forward != NULL;
 }
@@ -209,6 +270,37 @@
 	return !*end;
 }
 
+/* Returns the id of the request that asks for a response, or NULL. */
+static const char *response_asking_id(const entry_control_request_t *in)
+{
+	const char *name = in->entry->settings.headers->call_id;
+
+	return name ? MHD_lookup_connection_value(in->connection,
+						  MHD_HEADER_KIND, name) :
+		      NULL;
+}
+
+static void response_fill_reply(entry_reply_t *reply,
+				const stored_response_t *stored)
+{
+	reply->status = stored->status;
+	reply->body = malloc(stored->size + 1);
+	reply->size = reply->body ? stored->size : 0;
+	if (reply->body) {
+		memcpy(reply->body, stored->body, stored->size);
+		reply->body[stored->size] = '\0';
+	}
+	response_copy_headers(&reply->headers, &stored->headers);
+}
+
+static void response_reply_gone(entry_reply_t *reply)
+{
+	entry_reply_error(reply, HTTP_CONFLICT,
+			  "the response is no longer stored; look the call "
+			  "up by its key at the service");
+	response_add_header(&reply->headers, "Content-Type", reply->type);
+}
+
 void entry_claims_response_handle(const entry_control_request_t *in,
 				  entry_reply_t *reply)
 {
@@ -226,24 +318,13 @@
 	}
 	pthread_mutex_lock(&claims->lock);
 	stored = response_find(claims, &key);
-	if (stored) {
-		reply->status = stored->status;
-		reply->outcome = entry_outcome_name(ENTRY_RAN);
-		reply->body = malloc(stored->size + 1);
-		reply->size = reply->body ? stored->size : 0;
-		if (reply->body) {
-			memcpy(reply->body, stored->body, stored->size);
-			reply->body[stored->size] = '\0';
-		}
-		response_copy_headers(&reply->headers, &stored->headers);
-	}
-	pthread_mutex_unlock(&claims->lock);
 	if (stored)
-		return;
-	entry_reply_error(reply, HTTP_CONFLICT,
-			  "the response is no longer stored; look the call "
-			  "up by its key at the service");
+		response_fill_reply(reply, stored);
+	pthread_mutex_unlock(&claims->lock);
+	if (!stored)
+		response_reply_gone(reply);
 	reply->outcome = entry_outcome_name(ENTRY_RAN);
+	response_add_id(claims, &reply->headers, response_asking_id(in));
 }
 
 void entry_claims_free_responses(entry_claims_t *claims)
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -226,9 +226,11 @@
 
 	if (!entry_transfer_matches_id(transfer))
 		return false;
-	/* A sibling entry may make a response itself. */
+	/* A sibling entry may make a response itself, also the coordinator of a
+	   keyed call whose response is no longer stored. */
 	return !names->signature || transfer->has_signature ||
-	       (entry_handover_is_active(transfer->req) &&
+	       ((entry_handover_is_active(transfer->req) ||
+		 transfer->req->replay) &&
 		transfer->has_outcome);
 }
 
