Replay the response of the claim, not the oldest one of the key

What callers saw, with claims: once a key was free again (key_hold_s) and had been used for another call at the same entry, a repeat of that call got the response of the earlier one, 200 and "ran", at the coordinator and through other entries. If the response of the later call was too large to be stored, its repeats got the earlier one too, where they have to get 409.

Cause: a stored response was found by its key, the oldest first, and stays until answers_kb are used up, however long its claim has ended. A key is not unique to a call; a claim is.

Evidence, claim-reused (native interface): before, the repeats of the second call got 3 bytes instead of 5, at both entries, and those of the third 200 instead of 409; each call ran once. After: 5 bytes and 409, each call ran once. The other claim- tests pass. The figures before are from a hold of 1 s; the test has 3 s, so that a slow machine does not repeat a call after its hold.

Why it works: a response is stored with the id of its claim (entry, process, number) and replayed for a record with this id only. GET /v1/answer names it by two more arguments. An entry of an earlier build ignores them, and one that does not send them gets the last response of the key instead of the oldest.

Ruled out: to drop the earlier response at the end of the next call with its key; that reads all stored responses for each keyed call, and a repeat that is under way meanwhile could still get the other call's.

--- a/entry-claim-internal.h
+++ b/entry-claim-internal.h
@@ -103,11 +103,13 @@
 
 /**
  * entry_claims_store_response - store the response of a keyed call.
+ * @record: record of the call's claim
  *
- * The response is replayed to later requests with the same key. The oldest
+ * The response is replayed to later requests whose key has this claim. The oldest
  * responses are removed when all together exceed the setting claims.answers_kb.
  */
-void entry_claims_store_response(entry_claims_t *claims, const claim_key_t *key,
+void entry_claims_store_response(entry_claims_t *claims,
+				 const claim_record_t *record,
 				 const entry_response_t *response);
 
 /**
--- a/entry-claim-response.c
+++ b/entry-claim-response.c
@@ -15,13 +15,14 @@
  */
 
 #define RESPONSE_MEMBERS_MAX 256
-#define RESPONSE_TARGET_SIZE 96
+#define RESPONSE_TARGET_SIZE 128
 #define RESPONSE_ID_LINE_SIZE (2 * HL_NAME_MAX)
 
 /* A stored response. */
 typedef struct {
 	struct cds_list_head link;
 	claim_key_t key;
+	claim_id_t id; /* claim of the call, as a key may be used again */
 	unsigned status;
 	struct cds_list_head headers;
 	size_t size;
@@ -106,7 +107,8 @@
 			response_add_header(to, header->name, header->value);
 }
 
-void entry_claims_store_response(entry_claims_t *claims, const claim_key_t *key,
+void entry_claims_store_response(entry_claims_t *claims,
+				 const claim_record_t *record,
 				 const entry_response_t *response)
 {
 	const entry_buffer_t *body = &response->body;
@@ -117,7 +119,8 @@
 
 	if (!stored)
 		return;
-	stored->key = *key;
+	stored->key = record->key;
+	stored->id = record->id;
 	stored->status = response->status;
 	stored->size = size;
 	if (size)
@@ -136,27 +139,31 @@
 	pthread_mutex_unlock(&claims->lock);
 }
 
+/* Returns the response of a claim, or if @id is NULL the last one of the key. */
 static const stored_response_t *response_find(const entry_claims_t *claims,
-					      const claim_key_t *key)
+					      const claim_key_t *key,
+					      const claim_id_t *id)
 {
 	const stored_response_t *stored;
 
-	cds_list_for_each_entry (stored, &claims->responses, link)
-		if (!claim_key_compare(&stored->key, key))
-			return stored;
+	cds_list_for_each_entry_reverse(
+		stored, &claims->responses,
+		link) if (!claim_key_compare(&stored->key, key) &&
+			  (!id ||
+			   claim_id_equal(&stored->id, id))) return stored;
 	return NULL;
 }
 
 /* Copies a stored response to a request; false if it is not stored. */
 static bool response_copy_to_request(entry_claims_t *claims,
 				     entry_request_t *req,
-				     const claim_key_t *key)
+				     const claim_record_t *existing)
 {
 	const stored_response_t *stored;
 	entry_response_t *response = &req->response;
 
 	pthread_mutex_lock(&claims->lock);
-	stored = response_find(claims, key);
+	stored = response_find(claims, &existing->key, &existing->id);
 	if (stored) {
 		pthread_mutex_lock(&req->lock);
 		response->status = stored->status;
@@ -222,8 +229,10 @@
 		return false;
 	}
 	snprintf(target, RESPONSE_TARGET_SIZE,
-		 "/v1/answer?high=%" PRIx64 "&low=%" PRIx64, existing->key.high,
-		 existing->key.low);
+		 "/v1/answer?high=%" PRIx64 "&low=%" PRIx64 "&boot=%" PRIx64
+		 "&number=%" PRIx64,
+		 existing->key.high, existing->key.low, existing->id.boot,
+		 existing->id.number);
 	free(req->target);
 	free(req->method);
 	req->target = target;
@@ -243,7 +252,7 @@
 	bool ours = !strcmp(existing->id.coordinator,
 			    claims->entry->settings.name);
 
-	if (ours && response_copy_to_request(claims, req, &existing->key)) {
+	if (ours && response_copy_to_request(claims, req, existing)) {
 		entry_request_end(req, false);
 		return;
 	}
@@ -280,6 +289,15 @@
 		      NULL;
 }
 
+/* Reads the claim whose response is asked for; false if only its key is given, as
+   by an entry of an earlier build. */
+static bool response_parse_id(const entry_control_request_t *in, claim_id_t *id)
+{
+	strcpy(id->coordinator, in->entry->settings.name);
+	return response_parse_argument(in, "boot", &id->boot) &&
+	       response_parse_argument(in, "number", &id->number);
+}
+
 static void response_fill_reply(entry_reply_t *reply,
 				const stored_response_t *stored)
 {
@@ -307,6 +325,8 @@
 	entry_claims_t *claims = in->entry->claims;
 	const stored_response_t *stored;
 	claim_key_t key;
+	claim_id_t id;
+	bool has_id = response_parse_id(in, &id);
 
 	if (!response_parse_argument(in, "high", &key.high) ||
 	    !response_parse_argument(in, "low", &key.low)) {
@@ -317,7 +337,7 @@
 		return;
 	}
 	pthread_mutex_lock(&claims->lock);
-	stored = response_find(claims, &key);
+	stored = response_find(claims, &key, has_id ? &id : NULL);
 	if (stored)
 		response_fill_reply(reply, stored);
 	pthread_mutex_unlock(&claims->lock);
--- a/entry-claim.c
+++ b/entry-claim.c
@@ -121,7 +121,7 @@
 	else if (req->response.outcome == ENTRY_NOT_RUN)
 		state = CLAIM_RELEASED;
 	else if (!req->response.published)
-		entry_claims_store_response(claims, &claim->quorum.record.key,
+		entry_claims_store_response(claims, &claim->quorum.record,
 					    &req->response);
 	claim_begin_settle(claims, claim, state, req->response.status,
 			   time_now());
--- a/regress/claim-lib.sh
+++ b/regress/claim-lib.sh
@@ -38,6 +38,11 @@
 	:
 }
 
+# claim_profile: more lines for the profile of the service.
+claim_profile () {
+	:
+}
+
 # claim_replica FROM TO: address at which entry FROM reaches replica TO.
 claim_replica () {
 	echo "$NET.$2:7083"
@@ -63,7 +68,8 @@
 
 # claims_start: start three entries as a first installation, and the copies.
 claims_start () {
-	printf '[[profile]]\nname = "bays"\ndeadline_ms = 4000\n' >"$DIR/d.toml"
+	printf '[[profile]]\nname = "bays"\ndeadline_ms = 4000\n%s\n' \
+		"$(claim_profile)" >"$DIR/d.toml"
 	printf '[[service]]\nname = "bay-desk"\nprofile = "bays"\n' \
 		>>"$DIR/d.toml"
 	keepers_start 1
