Do not send the question for a stored response to a copy

What callers saw, with claims: a repeat of a call that ran, through another entry, in the moments after its coordinator had ended got what a copy of the service answers to GET /v1/answer, here 200 with an empty body and "ran". The copy ran that GET.

Cause: the entry rewrites such a request into a GET to the coordinator (response_request_from_coordinator()). If the coordinator cannot be reached, dispatch_forward_end() took it for a call that was handed to the owner of the copies and dispatched it itself. Until the members know of the end, the coordinator counts as alive.

The other claim- tests pass.

Ruled out: a coordinator that is known to have ended is not asked at all, and a connection that ends after the question was sent does not end as CONNECT.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -130,13 +130,14 @@
 /*
  * Handles the end of a send to a sibling entry. If the sibling refuses a call
  * for which it offered a credit, or cannot be reached, this entry dispatches
- * the call itself, unless bytes of an unbuffered body have been sent.
+ * the call itself, unless bytes of an unbuffered body have been sent or only the
+ * sibling has the response (replay).
  */
 static void dispatch_forward_end(entry_request_t *req, entry_result_t result,
 				 usec_t now)
 {
 	bool refused = req->handed_over && result == ENTRY_RESULT_SHED;
-	bool redispatch = !req->body_consumed &&
+	bool redispatch = !req->body_consumed && !req->replay &&
 			  (refused || result == ENTRY_RESULT_CONNECT);
 
 	if (req->credits_offered)
