Ask a replica again that was incomplete at any page

What callers could see, with claims: a call with an Idempotency-Key that runs a second time, after two replicas of its key have restarted one after the other.

Cause: a page (6 records) tells whether its sender lacks records itself, but only the word of the last page counted. A sender that became complete between two pages had not told the records that it received meanwhile with keys before the later page.

Why it works: the requester notes whether any page since the first one came from an incomplete sender, and asks for all records again then. A sender that is complete stays so until its process ends.

--- a/entry-claim-internal.h
+++ b/entry-claim-internal.h
@@ -14,7 +14,8 @@
 typedef struct {
 	char address[HL_ADDRESS_MAX];
 	claim_key_t sync_after; /* last key received from it */
-	bool synced;		/* all of its records were received */
+	bool incomplete; /* it lacked records at one of the pages so far */
+	bool synced;	 /* all of its records were received */
 } claims_sibling_t;
 
 struct entry_claims {
--- a/entry-claim-replica.c
+++ b/entry-claim-replica.c
@@ -252,6 +252,24 @@
 	member_send(claims->entry->member, sibling->address, &body);
 }
 
+/* Goes on after a page of a sibling. One that is incomplete itself may still receive
+   records with smaller keys: after its last page it is asked for all of them again if
+   it was incomplete at any page. */
+static void replica_on_page(entry_claims_t *claims, claims_sibling_t *sibling,
+			    const peer_claim_page_t *page)
+{
+	sibling->sync_after.high = page->after.high;
+	sibling->sync_after.low = page->after.low;
+	sibling->incomplete = sibling->incomplete || !page->complete;
+	if (!page->last) {
+		replica_request_sync(claims, sibling);
+		return;
+	}
+	sibling->synced = !sibling->incomplete;
+	sibling->incomplete = false;
+	memset(&sibling->sync_after, 0, sizeof(sibling->sync_after));
+}
+
 void entry_claims_on_sync_page(void *context, const peer_message_t *message,
 			       usec_t now)
 {
@@ -268,18 +286,8 @@
 				    now);
 		claim_replica_merge(claims->replica, &record, now);
 	}
-	if (sibling && !sibling->synced) {
-		sibling->sync_after.high = page->after.high;
-		sibling->sync_after.low = page->after.low;
-		sibling->synced = page->last && page->complete;
-		/* A sibling that is incomplete itself may still receive records
-		   with smaller keys: start again after its last page. */
-		if (page->last && !page->complete)
-			memset(&sibling->sync_after, 0,
-			       sizeof(sibling->sync_after));
-		else if (!page->last)
-			replica_request_sync(claims, sibling);
-	}
+	if (sibling && !sibling->synced)
+		replica_on_page(claims, sibling, page);
 	pthread_mutex_unlock(&claims->lock);
 }
 
