--- a/entry-claim-response.c
+++ b/entry-claim-response.c
@@ -146,11 +146,10 @@
 {
 	const stored_response_t *stored;
 
-	cds_list_for_each_entry_reverse(
-		stored, &claims->responses,
-		link) if (!claim_key_compare(&stored->key, key) &&
-			  (!id ||
-			   claim_id_equal(&stored->id, id))) return stored;
+	cds_list_for_each_entry_reverse (stored, &claims->responses, link)
+		if (!claim_key_compare(&stored->key, key) &&
+		    (!id || claim_id_equal(&stored->id, id)))
+			return stored;
 	return NULL;
 }
 
