--- a/entry-io.h
+++ b/entry-io.h
@@ -101,9 +101,9 @@
 /**
  * entry_conn_pool_get - take a connection for one call.
  * @call_id: id that the response must bear; empty if the interface has none
- * @fresh: the connection is to carry no call before this one. Set for a call
- *         that must not be sent twice, because libcurl sends a request again
- *         when a reused connection turns out to be closed.
+ * @fresh: the caller opens a new connection with it, over a preconnected socket if
+ *         there is one. Set for a call that may run once: an open connection that
+ *         ends leaves unknown whether it has run.
  *
  * A late response to an earlier send cannot be told from the response to this one
  * if both bear the same id, so a connection carries each id once.
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -248,8 +248,9 @@
 }
 
 /* Whether a send must not use an open connection. That may be of a path that is
-   lost, so the bytes of a hedge would count as sent; and a call without an id cannot
-   tell a late response to a call before from its own. */
+   lost, so the bytes of a hedge would count as sent. A call without an id cannot tell
+   a late response to the call before from its own, nor can any call be sure of its
+   response if the copy has sent late ones a short time ago. */
 static bool relay_needs_new_connection(const entry_transfer_t *transfer)
 {
 	const entry_request_t *req = transfer->req;
