--- a/entry-conn-pool.c
+++ b/entry-conn-pool.c
@@ -115,8 +115,8 @@
 	return (uint32_t)hl_hash(call_id, strlen(call_id), POOL_ID_SEED);
 }
 
-/* Whether a connection has carried a call with this id. It may say so of another
-   id, as digests can be equal. */
+/* Returns true if a connection has carried a call with this id, or one with another
+   id and the same digest. */
 static bool conn_has_carried(const entry_conn_t *conn, uint32_t digest)
 {
 	const uint32_t *carried = (const uint32_t *)conn->carried->data;
--- a/entry-io.h
+++ b/entry-io.h
@@ -105,8 +105,8 @@
  *         there is one. Set for a call that may run once: an open connection that
  *         ends leaves unknown whether it has run.
  *
- * A late response to an earlier send cannot be told from the response to this one
- * if both bear the same id, so a connection carries each id once.
+ * The id does not distinguish a late response to an earlier send of the same call
+ * from the response to this one, so a connection carries each id once.
  *
  * Return: a connection for exclusive use, or NULL if out of memory.
  */
@@ -344,8 +344,8 @@
  * entry_request_fail_cancelled - finish a cancelled call that is not at a copy.
  * @outcome: outcome of its earlier sends, if any
  *
- * At the end of a stop the caller is still there and is told whether it may send
- * the call again: 503 with a Retry-After if it has not run, else 502.
+ * At the end of a stop the caller is still connected. It gets 503 with a
+ * Retry-After, so that it sends the call again, if the call has not run, else 502.
  */
 void entry_request_fail_cancelled(entry_request_t *req,
 				  entry_outcome_t outcome);
--- a/entry-relay-record.c
+++ b/entry-relay-record.c
@@ -1,6 +1,9 @@
 #include "entry-relay.h"
 
-/* What the response to one send says of its copy and of the connection. */
+/*
+ * Records what the response to one send reports: load, rate and state of the copy, and
+ * that it came late over its connection.
+ */
 
 /* Records the load that the copy reported with its response. */
 static void relay_record_load(entry_transfer_t *transfer)
