Fill the pool of two tests of idle connections in one place

Change: pool_fill(). Measured: test-entry-conn-pool, 17 passed, 0 failed, as before; no check is changed.

--- a/regress/test-entry-conn-pool.c
+++ b/regress/test-entry-conn-pool.c
@@ -98,6 +98,20 @@
 	{ "response-to-idle-time-and-closed", true, true, false, 1, 1 },
 };
 
+/* Returns two connections to their pool; the peer of @second does as the row says. */
+static void pool_fill(entry_conn_pool_t *pool, entry_conn_t *first,
+		      entry_conn_t *second, unsigned row, int ends[2])
+{
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, ends), ==, 0);
+	second->fd = ends[0];
+	entry_conn_pool_put(pool, first, true, 0);
+	entry_conn_pool_put(pool, second, true, 0);
+	if (sweeps[row].sends)
+		g_assert_cmpint(write(ends[1], "H", 1), ==, 1);
+	if (sweeps[row].closes)
+		shutdown(ends[1], SHUT_RDWR);
+}
+
 /* Guards against calls that fail one after the other as their connections hold late
    responses of a copy that is known to send them. */
 static void test_sweep(gconstpointer context)
@@ -108,14 +122,7 @@
 	entry_conn_t *second = entry_conn_pool_get(pool, "b", false);
 	int ends[2];
 
-	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, ends), ==, 0);
-	second->fd = ends[0];
-	entry_conn_pool_put(pool, first, true, 0);
-	entry_conn_pool_put(pool, second, true, 0);
-	if (sweeps[row].sends)
-		g_assert_cmpint(write(ends[1], "H", 1), ==, 1);
-	if (sweeps[row].closes)
-		shutdown(ends[1], SHUT_RDWR);
+	pool_fill(pool, first, second, row, ends);
 	entry_conn_pool_sweep(pool, 1);
 	g_assert_cmpuint(pool->idle_count, ==, sweeps[row].idle);
 	g_assert_cmpint(entry_conn_pool_renews(pool, 2), ==,
@@ -137,14 +144,7 @@
 	entry_conn_t *got;
 	int ends[2];
 
-	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, ends), ==, 0);
-	second->fd = ends[0];
-	entry_conn_pool_put(pool, first, true, 0);
-	entry_conn_pool_put(pool, second, true, 0);
-	if (sweeps[row].sends)
-		g_assert_cmpint(write(ends[1], "H", 1), ==, 1);
-	if (sweeps[row].closes)
-		shutdown(ends[1], SHUT_RDWR);
+	pool_fill(pool, first, second, row, ends);
 	got = entry_conn_pool_get(pool, "c", false);
 	if (sweeps[row].taken)
 		g_assert_cmpuint(got->number, ==, numbers[sweeps[row].taken]);
