--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -57,7 +57,7 @@
 	[config]
 	keepers = [$SEEDS]
 	keeper_port = 7090
-	poll_ms = 500
+	poll_ms = ${POLL_MS:-500}
 	timeout_ms = 700
 	SETTINGS
 	spawn "entry-$1" "$BUILD/hemlock-entry" --settings "$DIR/entry-$1.toml"
