Log the age of the configuration by which a call has no route

Cause: the users' record shows calls that one entry denied and cannot show why. Its lines do not tell an entry that gets no datagrams from one that has fetched the change and does not act by it, nor from one whose list of keepers is old.

Change: no-route has the revision received, the one applied, the time since the leading keeper confirmed it and since the last datagram of any keeper; keepers-learned has the list and who reported it. No decision changes.

--- a/config-direct.c
+++ b/config-direct.c
@@ -214,9 +214,13 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
-/* Records that the leading keeper has no newer revision than the one in force. */
-static void direct_confirm(config_follow_t *follow)
+/* Records that as of @now the leading keeper had no newer revision than the one in
+ * force. */
+static void direct_confirm(config_follow_t *follow, usec_t now)
 {
+	pthread_mutex_lock(&follow->lock);
+	config_confirm_record(&follow->confirm, follow->revision, now);
+	pthread_mutex_unlock(&follow->lock);
 	if (follow->confirmed)
 		return;
 	__atomic_store_n(&follow->confirmed, true, __ATOMIC_RELEASE);
@@ -245,7 +249,7 @@
 	direct_set_leader(follow, address);
 	if (follow->revision < res->revision)
 		return DIRECT_MORE;
-	direct_confirm(follow);
+	direct_confirm(follow, now);
 	return DIRECT_DONE;
 }
 
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -2,6 +2,7 @@
 #define CONFIG_FOLLOW_INTERNAL_H
 
 #include <curl/curl.h>
+#include "config-confirm.h"
 #include "config-follow.h"
 #include "config-lag.h"
 #include "config-report.h"
@@ -27,16 +28,17 @@
 	/* Atomic; written under the lock; see config_follow_outdated(). */
 	usec_t outdated_from, outdated_until;
 
-	pthread_mutex_t lock;	/* protects the fields below */
-	pthread_cond_t wake;	/* wakes config_follow_pause() */
-	supervisor_t *threads;	/* set while the child runs */
-	bool triggered;		/* ends the current config_follow_pause() */
-	setting_list_t keepers; /* current addresses */
-	bool ready;		/* see config_follow_ready() */
-	uint64_t revision;	/* revision of config */
-	usec_t confirmed_at;	/* time of the last confirmation */
-	config_lag_t lag;	/* of the revision in force */
-	config_tail_t tail;	/* deltas served to this entry's children */
+	pthread_mutex_t lock;	  /* protects the fields below */
+	pthread_cond_t wake;	  /* wakes config_follow_pause() */
+	supervisor_t *threads;	  /* set while the child runs */
+	bool triggered;		  /* ends the current config_follow_pause() */
+	setting_list_t keepers;	  /* current addresses */
+	bool ready;		  /* see config_follow_ready() */
+	uint64_t revision;	  /* revision of config */
+	usec_t confirmed_at;	  /* time of the last confirmation */
+	config_lag_t lag;	  /* of the revision in force */
+	config_confirm_t confirm; /* outside the tree */
+	config_tail_t tail;	  /* deltas served to this entry's children */
 	config_report_t report;
 
 	/* Only the polling thread uses the fields below, down to jitter_seed.
--- a/config-follow.c
+++ b/config-follow.c
@@ -260,6 +260,15 @@
 	return __atomic_load_n(&follow->confirmed, __ATOMIC_ACQUIRE);
 }
 
+void config_follow_view(config_follow_t *follow, config_follow_view_t *view)
+{
+	pthread_mutex_lock(&follow->lock);
+	view->revision = follow->revision;
+	view->applied = follow->confirm.applied;
+	view->newest_at = follow->confirm.newest_at;
+	pthread_mutex_unlock(&follow->lock);
+}
+
 void config_follow_update_lag(config_follow_t *follow)
 {
 	usec_t max = follow->settings.outdated_ms * USEC_PER_MS;
--- a/config-follow.h
+++ b/config-follow.h
@@ -182,6 +182,16 @@
  */
 bool config_follow_confirmed(const config_follow_t *follow);
 
+/** struct config_follow_view_t - how far a follower outside the tree is. */
+typedef struct {
+	uint64_t revision; /* newest revision that it has received */
+	uint64_t applied;  /* revision that options.changed has returned for */
+	usec_t newest_at;  /* as of then applied was the newest; 0: unknown */
+} config_follow_view_t;
+
+/** config_follow_view - read how far a follower outside the tree is. */
+void config_follow_view(config_follow_t *follow, config_follow_view_t *view);
+
 /**
  * config_follow_report - record that a keeper has reported a revision.
  * @follow: a follower outside the tree
--- a/config-publish.c
+++ b/config-publish.c
@@ -100,6 +100,9 @@
 		  reported / USEC_PER_MS);
 	if (follow->changed)
 		follow->changed(follow->changed_context, next);
+	pthread_mutex_lock(&follow->lock);
+	config_confirm_apply(&follow->confirm, next->revision);
+	pthread_mutex_unlock(&follow->lock);
 	if (old)
 		config_publish_reclaim(old);
 }
--- a/entry-head.c
+++ b/entry-head.c
@@ -466,6 +466,8 @@
 		return ENTRY_MATCH_REFUSED;
 	}
 	if (head_find_rule(req, part, &rule, &err)) {
+		if (err.kind == HL_ERR_NOT_FOUND)
+			entry_trace_no_route(req, req->call.arrived);
 		if (err.kind == HL_ERR_NOT_FOUND && !confirmed)
 			return ENTRY_MATCH_UNKNOWN;
 		head_refuse_service(req, err.kind);
--- a/entry-io.h
+++ b/entry-io.h
@@ -477,6 +477,12 @@
  */
 void entry_trace_ended(entry_request_t *req, bool complete, usec_t now);
 
+/**
+ * entry_trace_no_route - log that a call matches no route, with the age of the
+ * configuration that shows that.
+ */
+void entry_trace_no_route(const entry_request_t *req, usec_t now);
+
 /** entry_trace_stop_refused - log that a call may outlast the entry's stop. */
 void entry_trace_stop_refused(const entry_request_t *req, usec_t now);
 
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -101,6 +101,24 @@
 		  *req->forwarded_by ? " from=" : "", req->forwarded_by);
 }
 
+void entry_trace_no_route(const entry_request_t *req, usec_t now)
+{
+	const entry_t *entry = req->entry;
+	config_follow_view_t view = { 0 };
+	usec_t response = 0;
+
+	if (entry->follow)
+		config_follow_view(entry->follow, &view);
+	if (entry->presence)
+		response = presence_client_last_response(entry->presence);
+	log_event(LOG_LEVEL_INFO, "no-route",
+		  "call=%s revision=%" PRIu64 " applied=%" PRIu64
+		  " newest_ms=%" PRId64 " keepers_ms=%" PRId64,
+		  trace_value(req->call_id), view.revision, view.applied,
+		  view.newest_at ? (now - view.newest_at) / USEC_PER_MS : -1,
+		  response ? (now - response) / USEC_PER_MS : -1);
+}
+
 void entry_trace_stop_refused(const entry_request_t *req, usec_t now)
 {
 	log_event(LOG_LEVEL_INFO, "stop-refused",
--- a/presence-client.c
+++ b/presence-client.c
@@ -144,8 +144,24 @@
 	client->count = count;
 }
 
-/* Take over the list of keepers if a response has one. */
+static void client_log_keepers(const presence_client_t *client,
+			       const char *reporter)
+{
+	char list[PRESENCE_KEEPERS_MAX * HL_ADDRESS_MAX] = "";
+	unsigned i;
+
+	for (i = 0; i < client->reported_keepers.count; i++) {
+		if (i)
+			strcat(list, ",");
+		strcat(list, client->reported_keepers.items[i]);
+	}
+	log_event(LOG_LEVEL_INFO, "keepers-learned",
+		  "count=%u keepers=%s reporter=%s", i, list, reporter);
+}
+
+/* Take over the list of keepers if the response of @reporter has one. */
 static void client_update_keepers(presence_client_t *client,
+				  const char *reporter,
 				  const presence_keeper_status_t *status)
 {
 	u_int i;
@@ -163,8 +179,7 @@
 	for (i = 0; i < client->reported_keepers.count; i++)
 		client_add_keeper(client, client->reported_keepers.items[i]);
 	client_remove_unlisted(client);
-	log_event(LOG_LEVEL_INFO, "keepers-learned", "count=%u",
-		  client->reported_keepers.count);
+	client_log_keepers(client, reporter);
 }
 
 static client_keeper_t *client_find_keeper(presence_client_t *client,
@@ -209,7 +224,7 @@
 	__atomic_store_n(&client->entries,
 			 status->entries ? status->entries : 1,
 			 __ATOMIC_RELAXED);
-	client_update_keepers(client, status);
+	client_update_keepers(client, keeper->address, status);
 	client_update_leader(client, keeper, status->leading);
 	if (status->revision >
 	    client->options.revision(client->options.context))
