Poll a leading keeper that responds to no heartbeat for config.confirm_ms

What callers saw: 404 on routes that an acknowledged change had added, and responses on one that it had dropped, for up to 10 s at one entry.

Cause: between two polls, 10 s apart on the platform, the entry learned of a change by datagrams alone (the leader's notice, responses to heartbeats). Nothing bounded the time without them. Class: a state whose age nobody bounds is taken for the present one.

Evidence: routed-lost-datagrams, in which keepers ignore the heartbeats of an entry: before, each of three added routes got 404 alone from 2 to 5 s after its change and the dropped one 200; no-route showed newest_ms=7898 keepers_ms=-1.

Change: the entry keeps the time as of which the leading keeper had no newer revision (config-confirm.c). A poll gives it, and the response of the leader to a heartbeat, as of the time when that heartbeat was sent. Once it is older than config.confirm_ms, 1.25 s by default, the entry polls over TCP. A keeper says in a response that it leads only while its lease lets it confirm. While nobody confirms, the pause between such polls grows from 60 to 960 ms.

Why it works: whatever keeps the datagrams away, the age is bounded by what has arrived. Without loss there is a response each second, and no further poll.

Old and new programs run side by side: the datagrams and the poll have the same form.

--- a/config-confirm.h
+++ b/config-confirm.h
@@ -29,4 +29,10 @@
 bool config_confirm_record(config_confirm_t *confirm, uint64_t newest,
 			   usec_t at);
 
+/**
+ * config_confirm_retry_interval - pause after a poll that confirmed nothing.
+ * @failures: such polls since the last confirmation, without this one
+ */
+usec_t config_confirm_retry_interval(unsigned failures);
+
 #endif
--- a/config-direct.c
+++ b/config-direct.c
@@ -8,11 +8,12 @@
 
 /*
  * The polling thread of a follower outside the fan-out tree. It fetches the
- * configuration from the leading keeper over HTTP, at each poll interval and
- * when config_follow_trigger() triggers it.
+ * configuration from the leading keeper over HTTP, at each poll interval, when
+ * config_follow_trigger() triggers it, and when the leading keeper has responded
+ * to no heartbeat for config.confirm_ms.
  */
 
-/* Pause after a failed or unconfirmed poll. */
+/* Pause after a failed or unconfirmed poll for a newer revision. */
 #define DIRECT_RETRY_INTERVAL (60 * USEC_PER_MS)
 /* Minimum interval between successful polls. Changes made within it are fetched
  * together. */
@@ -269,14 +270,58 @@
 	return result;
 }
 
+/* Whether a leading keeper has once confirmed the revision in force, and none has
+ * reported a newer one since. */
+static bool direct_has_newest(config_follow_t *follow)
+{
+	bool newest;
+
+	pthread_mutex_lock(&follow->lock);
+	newest = follow->confirm.newest_at && !follow->lag.missing;
+	pthread_mutex_unlock(&follow->lock);
+	return newest;
+}
+
+/* Pause after a failed poll. It grows if the poll was for a confirmation: while no
+ * keeper leads, those of all entries fail. */
+static usec_t direct_retry_interval(config_follow_t *follow)
+{
+	if (!direct_has_newest(follow))
+		return DIRECT_RETRY_INTERVAL;
+	return config_confirm_retry_interval(follow->unconfirmed_polls);
+}
+
+/* Time of the next poll: @latest, or earlier if the leading keeper responds to no
+ * heartbeat until then. */
+static usec_t direct_next_poll(config_follow_t *follow, usec_t latest)
+{
+	usec_t max = follow->settings.confirm_ms * USEC_PER_MS;
+	usec_t due;
+
+	pthread_mutex_lock(&follow->lock);
+	due = follow->confirm.newest_at + max;
+	pthread_mutex_unlock(&follow->lock);
+	return due < latest ? due : latest;
+}
+
 /* Waits for the next poll, at least DIRECT_INTERVAL_MIN. */
 static void direct_pause(config_follow_t *follow, usec_t poll,
 			 const volatile int *stop)
 {
 	const struct timespec interval = { 0, DIRECT_INTERVAL_MIN * 1000 };
+	usec_t latest, now;
 
 	nanosleep(&interval, NULL);
-	config_follow_pause(follow, poll, stop);
+	now = time_now();
+	latest = now + poll;
+	while (now < direct_next_poll(follow, latest) &&
+	       !__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
+		usec_t span = direct_next_poll(follow, latest) - now;
+
+		if (config_follow_pause(follow, span, stop))
+			break;
+		now = time_now();
+	}
 }
 
 static int direct_open(config_follow_t *follow)
@@ -314,10 +359,15 @@
 	}
 	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
 		result = direct_poll_once(follow, time_now());
-		if (result == DIRECT_FAILED)
-			config_follow_pause(follow, DIRECT_RETRY_INTERVAL,
+		if (result == DIRECT_FAILED) {
+			config_follow_pause(follow,
+					    direct_retry_interval(follow),
 					    stop);
-		else if (result == DIRECT_DONE)
+			follow->unconfirmed_polls++;
+			continue;
+		}
+		follow->unconfirmed_polls = 0;
+		if (result == DIRECT_DONE)
 			direct_pause(follow, poll, stop);
 	}
 	direct_close(follow);
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -61,6 +61,8 @@
 	CURL *easy;	       /* HTTP client of a follower outside the tree */
 	CURLM *multi;	       /* its transfers; lock protects the pointer */
 	unsigned failed_polls; /* over HTTP, since the last response */
+	/* Over HTTP, since the last response of a leading keeper. */
+	unsigned unconfirmed_polls;
 
 	struct {
 		uint64_t *revision, *deltas, *full_configs, *failures;
@@ -134,8 +136,10 @@
  * @follow: the follower
  * @span: timeout in microseconds
  * @stop: the stop flag of the thread; nonzero ends the wait
+ *
+ * Return: true if config_follow_trigger() was called.
  */
-void config_follow_pause(config_follow_t *follow, usec_t span,
+bool config_follow_pause(config_follow_t *follow, usec_t span,
 			 const volatile int *stop);
 
 #endif
--- a/config-follow.c
+++ b/config-follow.c
@@ -184,20 +184,23 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
-void config_follow_pause(config_follow_t *follow, usec_t span,
+bool config_follow_pause(config_follow_t *follow, usec_t span,
 			 const volatile int *stop)
 {
 	usec_t until = time_now() + span;
 	struct timespec at = { .tv_sec = until / USEC_PER_SEC,
 			       .tv_nsec = until % USEC_PER_SEC * 1000 };
+	bool triggered;
 
 	pthread_mutex_lock(&follow->lock);
 	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE) && !follow->triggered &&
 	       pthread_cond_timedwait(&follow->wake, &follow->lock, &at) !=
 		       ETIMEDOUT)
 		;
+	triggered = follow->triggered;
 	follow->triggered = false;
 	pthread_mutex_unlock(&follow->lock);
+	return triggered;
 }
 
 void config_follow_trigger(config_follow_t *follow,
@@ -290,6 +293,13 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
+void config_follow_confirm(config_follow_t *follow, uint64_t newest, usec_t at)
+{
+	pthread_mutex_lock(&follow->lock);
+	config_confirm_record(&follow->confirm, newest, at);
+	pthread_mutex_unlock(&follow->lock);
+}
+
 bool config_follow_outdated(const config_follow_t *follow, usec_t now)
 {
 	return now >= __atomic_load_n(&follow->outdated_from,
--- a/config-follow.h
+++ b/config-follow.h
@@ -28,6 +28,7 @@
 	int64_t poll_ms;
 	int64_t timeout_ms;
 	int64_t outdated_ms;
+	int64_t confirm_ms;
 	int64_t keeper_port; /* port of all keepers; 0: the ports in keepers */
 } config_follow_settings_t;
 
@@ -74,6 +75,16 @@
 		  600000,                                                     \
 		  "milliseconds in which an entry with entry.routed gets a "  \
 		  "revision that keepers report; later it refuses calls" },   \
+		{ "config",                                                   \
+		  "confirm_ms",                                               \
+		  SETTING_INTEGER,                                            \
+		  offsetof(type, member.confirm_ms),                          \
+		  false,                                                      \
+		  "1250",                                                     \
+		  100,                                                        \
+		  600000,                                                     \
+		  "milliseconds after which the last confirmation of a "      \
+		  "leading keeper is too old, with entry.routed" },           \
 		{ "config",                                                   \
 		  "keeper_port",                                              \
 		  SETTING_INTEGER,                                            \
@@ -201,6 +212,14 @@
 void config_follow_report(config_follow_t *follow, uint64_t revision,
 			  usec_t now);
 
+/**
+ * config_follow_confirm - record that a leading keeper has responded.
+ * @follow: a follower outside the tree
+ * @newest: newest revision that the keeper has accepted
+ * @at: time at which the keeper was asked
+ */
+void config_follow_confirm(config_follow_t *follow, uint64_t newest, usec_t at);
+
 /**
  * config_follow_outdated - whether a newer revision is known and late.
  * @follow: the follower
--- a/entry-target.c
+++ b/entry-target.c
@@ -291,6 +291,13 @@
 			      reporter.items[0]);
 }
 
+static void target_on_leader(void *context, uint64_t revision, usec_t asked_at)
+{
+	entry_t *entry = context;
+
+	config_follow_confirm(entry->follow, revision, asked_at);
+}
+
 int entry_target_presence_new(entry_t *entry, hl_error_t *err)
 {
 	const entry_settings_t *settings = &entry->settings;
@@ -307,6 +314,7 @@
 		.impaired = target_is_impaired,
 		.revision = entry_config_revision,
 		.on_newer_revision = target_on_newer_revision,
+		.on_leader = target_on_leader,
 		.context = entry,
 	};
 
--- a/keeper-registry.c
+++ b/keeper-registry.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 #include "config-rate.h"
 #include "keeper-registry.h"
+#include "keeper-request.h"
 
 /*
  * The registry's thread responds to heartbeats of entries and reports
@@ -52,16 +53,20 @@
 typedef struct {
 	uint64_t revision;
 	bool leading;
+	bool can_confirm; /* leads, and no newer revision has been accepted */
 	keeper_group_t group;
 } registry_view_t;
 
-static void registry_read_core(keeper_core_t *core, registry_view_t *view)
+static void registry_read_core(keeper_core_t *core, registry_view_t *view,
+			       usec_t now)
 {
 	pthread_mutex_lock(&core->lock);
 	view->revision = 0;
 	if (core->state)
 		view->revision = config_state_config(core->state)->revision;
 	view->leading = core->view.leading && core->view.serving;
+	view->can_confirm = view->leading &&
+			    keeper_request_can_confirm(core, now);
 	view->group = core->view.group;
 	pthread_mutex_unlock(&core->lock);
 }
@@ -114,7 +119,7 @@
 	message.body.kind = PRESENCE_KEEPER_STATUS;
 	status->revision = view->revision;
 	status->entries = entries;
-	status->leading = view->leading;
+	status->leading = heartbeat ? view->can_confirm : view->leading;
 	status->identity_known = known;
 	status->keepers_hash = presence_keepers_hash(&keepers);
 	if (heartbeat && heartbeat->keepers_hash != status->keepers_hash) {
@@ -140,7 +145,7 @@
 				      length, now);
 	entries = presence_table_count_live(registry->entries, now);
 	pthread_mutex_unlock(&registry->lock);
-	registry_read_core(registry->core, &view);
+	registry_read_core(registry->core, &view, now);
 	registry_send_status(registry, &view, heartbeat, known, entries, from,
 			     length);
 }
@@ -405,7 +410,7 @@
 	registry_view_t view;
 	registry_push_context_t push = { registry, &view, 0 };
 
-	registry_read_core(registry->core, &view);
+	registry_read_core(registry->core, &view, now);
 	if (!view.leading || view.revision <= registry->pushed_revision)
 		return;
 	registry->pushed_revision = view.revision;
@@ -607,7 +612,7 @@
 	registry_view_t view;
 
 	registry_log_impaired(registry, now);
-	registry_read_core(registry->core, &view);
+	registry_read_core(registry->core, &view, now);
 	registry_report_copies(registry, &view);
 	if (view.leading && !registry->was_leading) {
 		registry->leading_since = now;
--- a/presence-client.c
+++ b/presence-client.c
@@ -43,6 +43,8 @@
 	bool lost;
 	usec_t last_seen; /* time of the keeper's last response */
 	usec_t sent_at;	  /* time of the last heartbeat to the keeper */
+	/* Time of the first heartbeat since its last response; 0: none. */
+	usec_t asked_at;
 } client_keeper_t;
 
 struct presence_client {
@@ -210,11 +212,14 @@
 			       const presence_keeper_status_t *status,
 			       usec_t now)
 {
+	usec_t asked_at = keeper->asked_at;
+
 	if (keeper->lost)
 		log_event(LOG_LEVEL_NOTICE, "keeper-regained", "keeper=%s",
 			  keeper->address);
 	keeper->lost = false;
 	keeper->last_seen = now;
+	keeper->asked_at = 0;
 	__atomic_store_n(&client->last_response, now, __ATOMIC_RELAXED);
 	/* A keeper that lost its table in a restart gets the identity without
 	 * delay. */
@@ -231,6 +236,10 @@
 		client->options.on_newer_revision(client->options.context,
 						  keeper->address,
 						  status->revision, now);
+	/* Of several heartbeats the response may be to the first. */
+	if (status->leading && asked_at)
+		client->options.on_leader(client->options.context,
+					  status->revision, asked_at);
 }
 
 static void client_on_peers(presence_client_t *client,
@@ -413,6 +422,8 @@
 		if (retries_only && !client_needs_retry(keeper))
 			continue;
 		keeper->sent_at = now;
+		if (!keeper->asked_at)
+			keeper->asked_at = now;
 		client_send(client, keeper, now);
 	}
 }
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include <urcu.h>
+#include "config-confirm.h"
 #include "config-follow-internal.h"
 #include "config-lag.h"
 #include "config-make.h"
@@ -384,6 +385,43 @@
 	g_assert_cmpint(config_lag_outdated_from(&lag, max), ==, 6000 + max);
 }
 
+/*
+ * A confirmation counts from the time of the question, for the revision that is
+ * applied only, and stays while newer revisions are applied.
+ */
+static void test_confirmation(void)
+{
+	config_confirm_t confirm = { 0 };
+
+	g_assert_false(config_confirm_record(&confirm, 4, 100));
+	config_confirm_apply(&confirm, 4);
+	g_assert_cmpint(confirm.newest_at, ==, 0);
+	g_assert_true(config_confirm_record(&confirm, 4, 200));
+	g_assert_false(config_confirm_record(&confirm, 4, 150));
+	g_assert_false(config_confirm_record(&confirm, 3, 300));
+	g_assert_false(config_confirm_record(&confirm, 5, 300));
+	g_assert_cmpint(confirm.newest_at, ==, 200);
+	config_confirm_apply(&confirm, 5);
+	g_assert_cmpint(confirm.newest_at, ==, 200);
+	g_assert_true(config_confirm_record(&confirm, 5, 400));
+}
+
+/* Polls that confirm nothing come ever later, so that the entries do not load the
+ * keepers while these elect a leader. */
+static void test_confirm_retry(void)
+{
+	static const struct {
+		unsigned failures;
+		int interval_ms;
+	} rows[] = { { 0, 60 },	 { 1, 120 }, { 2, 240 },       { 3, 480 },
+		     { 4, 960 }, { 5, 960 }, { UINT_MAX, 960 } };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_assert_cmpint(config_confirm_retry_interval(rows[i].failures),
+				==, rows[i].interval_ms * USEC_PER_MS);
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -400,6 +438,8 @@
 				     test_follow_case);
 		g_free(path);
 	}
+	g_test_add_func("/config-follow/confirm-retry", test_confirm_retry);
+	g_test_add_func("/config-follow/confirmation", test_confirmation);
 	g_test_add_func("/config-follow/connect-timeout", test_connect_timeout);
 	g_test_add_func("/config-follow/outdated", test_outdated);
 	g_test_add_func("/config-follow/reporter-first", test_reporter_first);
--- a/rpc/presence_rpc.x
+++ b/rpc/presence_rpc.x
@@ -42,7 +42,7 @@
 struct presence_keeper_status_t {
 	unsigned hyper revision;	/* revision applied at the keeper */
 	unsigned int entries;		/* number live, as the keeper detects */
-	bool leading;
+	bool leading;			/* leads, and has a lease if it responds */
 	bool identity_known;		/* the keeper has the identity */
 	unsigned hyper keepers_hash;	/* hash of the keeper addresses */
 	/* Keeper addresses; empty if the entry sent an equal keepers_hash. */
