Deny a route only by a configuration that was confirmed lately

What callers saw: 404 on routes that an acknowledged change had added, at an entry that did not reach the keepers, or not yet.

Cause: the entry kept for the life of its process that a leading keeper had once confirmed its revision, and took "no such route" from then on as a statement about the newest one. Class: absence is concluded from a state whose age nobody bounds; config-confirmed had bounded it for the start alone.

Evidence: routed-lost-datagrams, its row without keepers: 404 alone before, 3 s and more after the last keeper was killed.

Change: a call without a route gets 404 only if a confirmation is not older than config.confirm_ms and no keeper reports a newer revision. Otherwise it waits as after a start, for 1.5 s at most, and then gets 503, not run; it is refused at once if the last confirmation is older than 4 s. Routes that are there are served as before, also without keepers. A revision counts as applied after the routes are replaced, not before. Revision 0 is no configuration and is not confirmed.

Ruled out: refusing all calls once the confirmation is old; an entry that is cut off from the keepers would serve nothing.

--- a/config-confirm.c
+++ b/config-confirm.c
@@ -11,7 +11,7 @@
 bool config_confirm_record(config_confirm_t *confirm, uint64_t newest,
 			   usec_t at)
 {
-	if (newest != confirm->applied || at <= confirm->newest_at)
+	if (!newest || newest != confirm->applied || at <= confirm->newest_at)
 		return false;
 	confirm->newest_at = at;
 	return true;
--- a/config-confirm.h
+++ b/config-confirm.h
@@ -20,10 +20,10 @@
 /**
  * config_confirm_record - record a confirmation of the leading keeper.
  * @confirm: zeroed, or used before
- * @newest: newest revision that the keeper has accepted
+ * @newest: newest revision that the keeper has accepted; 0: none
  * @at: time at which the keeper was asked
  *
- * Return: false if @newest is not applied, or @at is not newer than the last
+ * Return: false if @newest is 0 or not applied, or @at is not newer than the last
  * confirmation.
  */
 bool config_confirm_record(config_confirm_t *confirm, uint64_t newest,
--- a/config-direct.c
+++ b/config-direct.c
@@ -215,23 +215,6 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
-/* Records that as of @now the leading keeper had no newer revision than the one in
- * force. */
-static void direct_confirm(config_follow_t *follow, usec_t now)
-{
-	pthread_mutex_lock(&follow->lock);
-	config_confirm_record(&follow->confirm, follow->revision, now);
-	pthread_mutex_unlock(&follow->lock);
-	if (follow->confirmed)
-		return;
-	__atomic_store_n(&follow->confirmed, true, __ATOMIC_RELEASE);
-	log_event(LOG_LEVEL_NOTICE, "config-confirmed",
-		  "revision=%" PRIu64 " source=%s", follow->revision,
-		  follow->source.address);
-	if (follow->on_confirmed)
-		follow->on_confirmed(follow->changed_context);
-}
-
 typedef enum {
 	DIRECT_FAILED,
 	DIRECT_DONE,
@@ -250,7 +233,7 @@
 	direct_set_leader(follow, address);
 	if (follow->revision < res->revision)
 		return DIRECT_MORE;
-	direct_confirm(follow, now);
+	config_follow_confirm(follow, res->revision, now, address);
 	return DIRECT_DONE;
 }
 
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -24,7 +24,7 @@
 	void *changed_context;
 
 	config_t *config; /* RCU; written by the polling thread */
-	bool confirmed;	  /* likewise; atomic; see config_follow_confirmed() */
+	usec_t newest_at; /* of confirm; atomic; written under the lock */
 	/* Atomic; written under the lock; see config_follow_outdated(). */
 	usec_t outdated_from, outdated_until;
 
--- a/config-follow.c
+++ b/config-follow.c
@@ -10,6 +10,8 @@
  * the supervisor gives up. */
 #define CONFIG_FOLLOW_RESTARTS_MAX 10
 #define CONFIG_FOLLOW_RESTARTS_WINDOW (60 * USEC_PER_SEC)
+/* Age of the last confirmation after which the keepers count as out of reach. */
+#define CONFIG_FOLLOW_REACHED_AGE_MAX (4 * USEC_PER_SEC)
 /* Maximum age of a child's report, in poll intervals. */
 #define CONFIG_FOLLOW_REPORT_MAX_POLLS 3
 
@@ -258,9 +260,21 @@
 	return ready;
 }
 
-bool config_follow_confirmed(const config_follow_t *follow)
+bool config_follow_confirmed(const config_follow_t *follow, usec_t now)
 {
-	return __atomic_load_n(&follow->confirmed, __ATOMIC_ACQUIRE);
+	usec_t at = __atomic_load_n(&follow->newest_at, __ATOMIC_ACQUIRE);
+	usec_t max = follow->settings.confirm_ms * USEC_PER_MS;
+
+	return at && now - at <= max &&
+	       __atomic_load_n(&follow->outdated_from, __ATOMIC_ACQUIRE) ==
+		       USEC_NEVER;
+}
+
+bool config_follow_may_confirm(const config_follow_t *follow, usec_t now)
+{
+	usec_t at = __atomic_load_n(&follow->newest_at, __ATOMIC_ACQUIRE);
+
+	return at && now - at <= CONFIG_FOLLOW_REACHED_AGE_MAX;
 }
 
 void config_follow_view(config_follow_t *follow, config_follow_view_t *view)
@@ -293,11 +307,24 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
-void config_follow_confirm(config_follow_t *follow, uint64_t newest, usec_t at)
+void config_follow_confirm(config_follow_t *follow, uint64_t newest, usec_t at,
+			   const char *source)
 {
+	bool first, recorded;
+
 	pthread_mutex_lock(&follow->lock);
-	config_confirm_record(&follow->confirm, newest, at);
+	first = !follow->confirm.newest_at;
+	recorded = config_confirm_record(&follow->confirm, newest, at);
+	__atomic_store_n(&follow->newest_at, follow->confirm.newest_at,
+			 __ATOMIC_RELEASE);
 	pthread_mutex_unlock(&follow->lock);
+	if (!recorded)
+		return;
+	if (first)
+		log_event(LOG_LEVEL_NOTICE, "config-confirmed",
+			  "revision=%" PRIu64 " source=%s", newest, source);
+	if (follow->on_confirmed)
+		follow->on_confirmed(follow->changed_context);
 }
 
 bool config_follow_outdated(const config_follow_t *follow, usec_t now)
--- a/config-follow.h
+++ b/config-follow.h
@@ -135,9 +135,9 @@
 	 */
 	void (*changed)(void *context, const config_t *config);
 	/*
-	 * Called on the polling thread of a follower outside the tree when the
-	 * leading keeper has confirmed for the first time that no newer
-	 * revision was accepted. May be NULL.
+	 * Called by a follower outside the tree, on the polling thread or that
+	 * of config_follow_confirm(), each time that the leading keeper has
+	 * confirmed that no newer revision was accepted. May be NULL.
 	 */
 	void (*on_confirmed)(void *context);
 	void *changed_context; /* of changed and on_confirmed */
@@ -185,13 +185,24 @@
 bool config_follow_ready(config_follow_t *follow);
 
 /**
- * config_follow_confirmed - whether the leading keeper has confirmed a revision.
+ * config_follow_confirmed - whether the configuration in force is the newest one.
+ * @follow: a follower outside the tree
+ * @now: current time
+ *
+ * True for config.confirm_ms after a leading keeper has confirmed that, unless a
+ * newer revision is reported. Otherwise the configuration does not show what is
+ * not declared.
+ */
+bool config_follow_confirmed(const config_follow_t *follow, usec_t now);
+
+/**
+ * config_follow_may_confirm - whether a confirmation may come soon.
+ * @follow: a follower outside the tree
+ * @now: current time
  *
- * For a follower outside the tree. Until then the configuration in force may be
- * older than one that was accepted before this process began: it does not show
- * what is not declared.
+ * Return: false if the last one is so old that the keepers are out of reach.
  */
-bool config_follow_confirmed(const config_follow_t *follow);
+bool config_follow_may_confirm(const config_follow_t *follow, usec_t now);
 
 /** struct config_follow_view_t - how far a follower outside the tree is. */
 typedef struct {
@@ -217,8 +228,10 @@
  * @follow: a follower outside the tree
  * @newest: newest revision that the keeper has accepted
  * @at: time at which the keeper was asked
+ * @source: address of the keeper, for the log
  */
-void config_follow_confirm(config_follow_t *follow, uint64_t newest, usec_t at);
+void config_follow_confirm(config_follow_t *follow, uint64_t newest, usec_t at,
+			   const char *source);
 
 /**
  * config_follow_outdated - whether a newer revision is known and late.
--- a/config-publish.c
+++ b/config-publish.c
@@ -89,8 +89,6 @@
 	config_publish_store_deltas(follow, body);
 	__atomic_store_n(&follow->config, next, __ATOMIC_RELEASE);
 	follow->revision = next->revision;
-	config_lag_apply(&follow->lag, follow->revision);
-	config_follow_update_lag(follow);
 	pthread_mutex_unlock(&follow->lock);
 	metrics_set(follow->metrics.revision, next->revision);
 	log_event(LOG_LEVEL_INFO, "config-in-force",
@@ -102,6 +100,8 @@
 		follow->changed(follow->changed_context, next);
 	pthread_mutex_lock(&follow->lock);
 	config_confirm_apply(&follow->confirm, next->revision);
+	config_lag_apply(&follow->lag, next->revision);
+	config_follow_update_lag(follow);
 	pthread_mutex_unlock(&follow->lock);
 	if (old)
 		config_publish_reclaim(old);
--- a/entry-config.c
+++ b/entry-config.c
@@ -155,9 +155,14 @@
 	return !entry->follow || config_follow_ready(entry->follow);
 }
 
-bool entry_config_confirmed(const entry_t *entry)
+bool entry_config_confirmed(const entry_t *entry, usec_t now)
 {
-	return !entry->follow || config_follow_confirmed(entry->follow);
+	return !entry->follow || config_follow_confirmed(entry->follow, now);
+}
+
+bool entry_config_may_confirm(const entry_t *entry, usec_t now)
+{
+	return entry->follow && config_follow_may_confirm(entry->follow, now);
 }
 
 bool entry_config_outdated(const entry_t *entry, usec_t now)
--- a/entry-head.c
+++ b/entry-head.c
@@ -456,7 +456,7 @@
 static entry_match_t head_route_part(entry_request_t *req, const char *part)
 {
 	/* Read before the routes: these may be replaced and confirmed meanwhile. */
-	bool confirmed = entry_config_confirmed(req->entry);
+	bool confirmed = entry_config_confirmed(req->entry, req->call.arrived);
 	entry_rule_t rule = { 0 };
 	hl_error_t err;
 
@@ -522,7 +522,7 @@
 	return head_refuse(req, HTTP_FORBIDDEN, "hop");
 }
 
-/* Matches a call of a caller to the routes. One without a route waits until the
+/* Matches a call of a caller to the routes. One without a route waits until a
    leading keeper has confirmed that there is none. */
 static int head_route_caller(entry_request_t *req)
 {
@@ -537,7 +537,8 @@
 		break;
 	}
 	req->pending = entry_pending_accepts(req->entry->pending,
-					     req->call.arrived);
+					     req->call.arrived) ||
+		       entry_config_may_confirm(req->entry, req->call.arrived);
 	req->unconfirmed = true;
 	if (req->pending)
 		return 0;
--- a/entry-io.h
+++ b/entry-io.h
@@ -997,7 +997,14 @@
  * entry_config_confirmed - does the configuration in force show which routes are
  * not declared? See config_follow_confirmed(); with entry.routed only.
  */
-bool entry_config_confirmed(const entry_t *entry);
+bool entry_config_confirmed(const entry_t *entry, usec_t now);
+
+/**
+ * entry_config_may_confirm - may a call without a route wait for a confirmation?
+ *
+ * See config_follow_may_confirm(); with entry.routed only.
+ */
+bool entry_config_may_confirm(const entry_t *entry, usec_t now);
 
 /**
  * entry_config_outdated - do keepers report a newer revision, which is late?
--- a/entry-pending.c
+++ b/entry-pending.c
@@ -3,13 +3,14 @@
 
 /*
  * Pending calls: calls that arrive shortly after the start of the process are
- * queued while it has no routes yet, or none that they match as long as a newer
- * version may have one. They are matched again when routes come or are confirmed,
- * and refused when they time out.
+ * queued while it has no routes yet. Calls that match no route are queued as long
+ * as a newer version may have one. They are matched again when routes come or are
+ * confirmed, and refused when they time out.
  */
 
-/* Time after the start of the process in which calls are queued. If there are
-   no routes by then, the keepers cannot be reached and calls are refused. */
+/* Time after the start of the process in which calls are queued without any
+   confirmation. If there are no routes by then, the keepers cannot be reached and
+   calls are refused. */
 #define PENDING_OPEN_TIME (4 * USEC_PER_SEC)
 /* Maximum wait of one call. */
 #define PENDING_WAIT_MAX (1500 * USEC_PER_MS)
@@ -95,10 +96,10 @@
 }
 
 /* Whether routes have come that a call may match, or that show that it has none. */
-static bool pending_is_due(entry_t *entry, bool unconfirmed)
+static bool pending_is_due(entry_t *entry, bool unconfirmed, usec_t now)
 {
 	return entry_target_has_routes(entry) &&
-	       (!unconfirmed || entry_config_confirmed(entry));
+	       (!unconfirmed || entry_config_confirmed(entry, now));
 }
 
 void entry_pending_add(entry_t *entry, entry_request_t *req, usec_t now)
@@ -112,7 +113,7 @@
 	}
 	entry_tick_schedule(entry, now + PENDING_WAIT_MAX);
 	/* The routes may have come before the call was queued. */
-	if (pending_is_due(entry, unconfirmed))
+	if (pending_is_due(entry, unconfirmed, now))
 		entry_pending_release(entry, now);
 }
 
--- a/entry-target.c
+++ b/entry-target.c
@@ -291,11 +291,12 @@
 			      reporter.items[0]);
 }
 
-static void target_on_leader(void *context, uint64_t revision, usec_t asked_at)
+static void target_on_leader(void *context, const char *keeper,
+			     uint64_t revision, usec_t asked_at)
 {
 	entry_t *entry = context;
 
-	config_follow_confirm(entry->follow, revision, asked_at);
+	config_follow_confirm(entry->follow, revision, asked_at, keeper);
 }
 
 int entry_target_presence_new(entry_t *entry, hl_error_t *err)
--- a/presence-client.c
+++ b/presence-client.c
@@ -239,7 +239,8 @@
 	/* Of several heartbeats the response may be to the first. */
 	if (status->leading && asked_at)
 		client->options.on_leader(client->options.context,
-					  status->revision, asked_at);
+					  keeper->address, status->revision,
+					  asked_at);
 }
 
 static void client_on_peers(presence_client_t *client,
--- a/presence.h
+++ b/presence.h
@@ -192,9 +192,11 @@
 	 * revision(). */
 	void (*on_newer_revision)(void *context, const char *keeper,
 				  uint64_t revision, usec_t now);
-	/* Called when the leading keeper has responded to a heartbeat that was sent
-	 * at @asked_at or later, with its newest revision. */
-	void (*on_leader)(void *context, uint64_t revision, usec_t asked_at);
+	/* Called when the leading keeper, which has this address, has responded to
+	 * a heartbeat that was sent at @asked_at or later, with its newest
+	 * revision. */
+	void (*on_leader)(void *context, const char *keeper, uint64_t revision,
+			  usec_t asked_at);
 	void *context;
 } presence_client_options_t;
 
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -393,6 +393,7 @@
 {
 	config_confirm_t confirm = { 0 };
 
+	g_assert_false(config_confirm_record(&confirm, 0, 100));
 	g_assert_false(config_confirm_record(&confirm, 4, 100));
 	config_confirm_apply(&confirm, 4);
 	g_assert_cmpint(confirm.newest_at, ==, 0);
