Take a response with a status that no response has for none

Here 000 got 502 already, as libcurl refuses it; 600, 999 and 200x reached the caller as the copy had sent them, and a call that got 101 was held until its deadline (504).

Cause: the status was read with strtoul(), which takes any number and ignores what follows, and libcurl refuses statuses below 100 and other than three digits only. RFC 9110, section 15: a status outside 100 to 599 is invalid.

Change: a status line must have three digits from 100 to 599, and not 101, which no send asks for. Otherwise the send ends as cut, as after any other response that is none: the call is repeated if it may be, or its caller gets 502. response-bad-status logs the line. Answers that a sibling hands over pass the same callback; by reading, not by a test.

--- a/entry-io.h
+++ b/entry-io.h
@@ -471,6 +471,10 @@
 void entry_trace_failed(entry_request_t *req, entry_result_t result,
 			usec_t sent, usec_t now);
 
+/** entry_trace_bad_status - log a status line that no response can have. */
+void entry_trace_bad_status(const entry_request_t *req, const char *line,
+			    size_t size);
+
 /**
  * entry_trace_ended - log the end of a call.
  * @complete: the caller received the complete response
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -4,6 +4,9 @@
 
 /* Writes the log events of calls, sends and copy health; keeps no state. */
 
+/* Size of the part of a status line that is logged. */
+#define TRACE_STATUS_LINE_MAX 48
+
 /* Value of a log key; an empty one is replaced, as a key needs a value. */
 static const char *trace_value(const char *value)
 {
@@ -68,6 +71,23 @@
 		  req->response.status, conn->number, conn->calls);
 }
 
+void entry_trace_bad_status(const entry_request_t *req, const char *line,
+			    size_t size)
+{
+	char text[TRACE_STATUS_LINE_MAX];
+	char quoted[2 * sizeof(text)];
+	const char *end = memchr(line, '\r', size);
+
+	if (end)
+		size = (size_t)(end - line);
+	snprintf(text, sizeof(text), "%.*s", (int)size, line);
+	log_event(LOG_LEVEL_NOTICE, "response-bad-status",
+		  "call=%s route=%s copy=%s line=%s", trace_value(req->call_id),
+		  trace_value(req->rule_name),
+		  req->call.copy ? req->call.copy->name : "-",
+		  log_quote(text, quoted, sizeof(quoted)));
+}
+
 void entry_trace_given_up(const entry_request_t *req)
 {
 	log_event(LOG_LEVEL_INFO, "send-given-up",
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -277,13 +277,33 @@
 	transfer->has_outcome = true;
 }
 
+/* Returns the status in a status line, or 0 if no response can have it: it is not
+   three digits from 100 to 599, or it is 101, which no send asks for. */
+static unsigned transfer_read_status(const char *line, size_t size)
+{
+	const char *end = line + size;
+	const char *at = memchr(line, ' ', size);
+	unsigned status = 0;
+	unsigned digits = 0;
+
+	while (at && at < end && *at == ' ')
+		at++;
+	for (; at && at < end && *at >= '0' && *at <= '9'; at++, digits++)
+		status = digits < 3 ? status * 10 + (unsigned)(*at - '0') : 0;
+	if (digits != 3 || (at < end && !strchr(" \r\n", *at)))
+		return 0;
+	return status >= 100 && status <= 599 &&
+			       status != HTTP_SWITCHING_PROTOCOLS ?
+		       status :
+		       0;
+}
+
 /* Handles a status line, which starts a head. If another head preceded it, that
-   was of a 1xx response, whose headers are discarded. */
-static void transfer_begin_head(entry_transfer_t *transfer, const char *line,
-				size_t size)
+   was of a 1xx response, whose headers are discarded. Returns -1 if the status is
+   one that no response can have. */
+static int transfer_begin_head(entry_transfer_t *transfer, const char *line,
+			       size_t size)
 {
-	const char *space = memchr(line, ' ', size);
-
 	entry_request_reset(transfer->req);
 	transfer->has_retry_after = false;
 	transfer->has_rest = false;
@@ -301,9 +321,11 @@
 	transfer->has_load = false;
 	transfer->body_received = 0;
 	transfer->req->credits_offered = 0;
-	if (space)
-		transfer->req->response.status = (unsigned)strtoul(space + 1,
-								   NULL, 10);
+	transfer->req->response.status = transfer_read_status(line, size);
+	if (transfer->req->response.status)
+		return 0;
+	entry_trace_bad_status(transfer->req, line, size);
+	return -1;
 }
 
 size_t entry_transfer_header(char *line, size_t size, size_t count,
@@ -322,7 +344,8 @@
 	if (transfer->head_complete)
 		return length; /* a trailer */
 	if (length > 5 && !strncmp(line, "HTTP/", 5)) {
-		transfer_begin_head(transfer, line, length);
+		if (transfer_begin_head(transfer, line, length))
+			return 0;
 		return length;
 	}
 	while (end > line && (end[-1] == '\r' || end[-1] == '\n' ||
--- a/http-status.h
+++ b/http-status.h
@@ -3,6 +3,7 @@
 
 /* Status codes of HTTP that entries use towards callers and copies. */
 
+#define HTTP_SWITCHING_PROTOCOLS 101
 #define HTTP_OK 200
 #define HTTP_ACCEPTED 202
 #define HTTP_BAD_REQUEST 400
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -23,6 +23,9 @@
  *	/long-KIB		responds with a body of KIB kibibytes
  *	/head-BYTES		responds with a head of some BYTES bytes, which ends
  *				with the fields X-End and Content-Length
+ *	/status-TEXT		responds with TEXT after "HTTP/1.1 ", each "_" a space
+ *	/chunked/status-TEXT	the same, with a chunked body
+ *	/interim/status-TEXT	the same as the first, after a 103 response
  *	/crash			the process ends without a response
  *	/lost-head		closes the connection after the head of the request
  *	/lost-body		resets the connection after half of the body
@@ -532,6 +535,28 @@
 	{ "/twice", "200 OK", "200 OK", "", 1 },
 };
 
+/* Responds to a path that names a status line; false for other paths. */
+static bool serve_status_line(const connection_t *conn, bool *keep)
+{
+	static const char interim[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
+	const char *word = strstr(conn->path, "/status-");
+	char *status;
+
+	if (!word)
+		return false;
+	status = g_strdelimit(g_strdup(word + strlen("/status-")), "_", ' ');
+	if (strstr(conn->path, "/interim/"))
+		standin_send(conn->fd, interim, strlen(interim));
+	if (strstr(conn->path, "/chunked/"))
+		*keep = send_head(conn, status,
+				  "Transfer-Encoding: chunked\r\n\r\n"
+				  "6\r\nbytes\n\r\n0\r\n\r\n");
+	else
+		*keep = send_response(conn, status, "", "bytes\n");
+	g_free(status);
+	return true;
+}
+
 /* Returns the status for a path, and notes the call if it gets a second response. */
 static const char *serve_status(connection_t *conn)
 {
@@ -637,7 +662,8 @@
 	if (!serve_wait(conn) || serve_loses_response(conn))
 		return false;
 	cut_delay_response(conn);
-	if (serve_long(conn, &keep) || serve_head(conn, &keep))
+	if (serve_long(conn, &keep) || serve_head(conn, &keep) ||
+	    serve_status_line(conn, &keep))
 		return keep;
 	g_snprintf(text, sizeof(text),
 		   "bytes=%" PRIu64 " hash=%016" PRIx64 "\n", conn->body_bytes,
