Send the addresses of all keepers with the response to a poll

What callers would see: 404, and with the age of confirmations 503, on routes that were added after the keepers of an entry had been replaced, until it is restarted.

Cause: an entry got the list of keepers by datagram alone. One that gets none goes on polling the addresses of its settings; after the last of these is replaced no poll reaches a keeper. In the users' record keepers at new addresses lead; that this is what they saw is not shown.

Change: GET /v1/follow has the header Hemlock-Keepers if the leader confirms the revision; the follower polls these, and the presence client sends heartbeats to them. A keeper that does not lead names the leader, which is polled next; before, the follower tried all in turn. Earlier entries ignore the header, and responses of earlier keepers have none, so both run side by side.

--- a/config-direct.c
+++ b/config-direct.c
@@ -1,7 +1,9 @@
 #include <curl/curl.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <time.h>
 #include "config-follow-internal.h"
 #include "pack.h"
@@ -28,41 +30,81 @@
 /* Maximum size of a response, compressed or decompressed. */
 #define DIRECT_RESPONSE_BYTES_MAX (64u * 1024 * 1024)
 
-/* A response body that is being received. */
+/* Name of the header with the addresses of the keepers. */
+#define DIRECT_KEEPERS_HEADER "Hemlock-Keepers:"
+
+/* A response that is being received. */
 typedef struct {
-	char *bytes;
+	char *bytes; /* of the body */
 	size_t size;
 	size_t capacity;
-} direct_body_t;
+	setting_list_t keepers; /* without those whose address is malformed */
+} direct_response_t;
 
 static size_t direct_write(char *bytes, size_t size, size_t count,
 			   void *context)
 {
-	direct_body_t *body = context;
+	direct_response_t *response = context;
 	size_t length = size * count;
-	size_t capacity = body->capacity ? body->capacity : CURL_MAX_WRITE_SIZE;
+	size_t capacity = response->capacity ? response->capacity :
+					       CURL_MAX_WRITE_SIZE;
 	char *grown;
 
-	while (capacity < body->size + length)
+	while (capacity < response->size + length)
 		capacity *= 2;
 	if (capacity > DIRECT_RESPONSE_BYTES_MAX)
 		return 0;
-	if (capacity != body->capacity) {
-		grown = realloc(body->bytes, capacity);
+	if (capacity != response->capacity) {
+		grown = realloc(response->bytes, capacity);
 		if (!grown)
 			return 0;
-		body->bytes = grown;
-		body->capacity = capacity;
+		response->bytes = grown;
+		response->capacity = capacity;
 	}
-	memcpy(body->bytes + body->size, bytes, length);
-	body->size += length;
+	memcpy(response->bytes + response->size, bytes, length);
+	response->size += length;
 	return length;
 }
 
-static bool direct_decode(const direct_body_t *body, keeper_fetch_res_t *res)
+/* Reads addresses that are separated by commas. */
+static void direct_read_keepers(setting_list_t *list, const char *text)
+{
+	char **items = g_strsplit(text, ",", KEEPER_VOTERS_MAX);
+	struct sockaddr_storage address;
+	unsigned length;
+	unsigned i;
+
+	list->count = 0;
+	for (i = 0; items[i]; i++) {
+		g_strstrip(items[i]);
+		if (strlen(items[i]) < HL_ADDRESS_MAX &&
+		    !hl_address_parse(items[i], &address, &length))
+			strcpy(list->items[list->count++], items[i]);
+	}
+	g_strfreev(items);
+}
+
+static size_t direct_header(char *line, size_t size, size_t count,
+			    void *context)
+{
+	direct_response_t *response = context;
+	size_t name = strlen(DIRECT_KEEPERS_HEADER);
+	size_t length = size * count;
+	char *text;
+
+	if (length < name || strncasecmp(line, DIRECT_KEEPERS_HEADER, name))
+		return length;
+	text = g_strndup(line + name, length - name);
+	direct_read_keepers(&response->keepers, text);
+	g_free(text);
+	return length;
+}
+
+static bool direct_decode(const direct_response_t *response,
+			  keeper_fetch_res_t *res)
 {
 	size_t size;
-	char *plain = pack_inflate(body->bytes, body->size,
+	char *plain = pack_inflate(response->bytes, response->size,
 				   DIRECT_RESPONSE_BYTES_MAX, &size);
 	bool ok;
 
@@ -155,14 +197,15 @@
 		  (int64_t)total, bytes, failures);
 }
 
-/* Polls one keeper; returns false if it sends no valid response. */
+/* Polls one keeper; returns false if it sends no valid response. @keepers gets the
+ * addresses in the response, which may have none. */
 static bool direct_get(config_follow_t *follow, const char *address,
-		       keeper_fetch_res_t *res)
+		       keeper_fetch_res_t *res, setting_list_t *keepers)
 {
 	long connect_ms = config_direct_connect_timeout_ms(
 		follow->failed_polls);
 	char url[HL_ADDRESS_MAX + 64];
-	direct_body_t body = { 0 };
+	direct_response_t response = { 0 };
 	CURL *easy = follow->easy;
 	CURLcode result;
 	bool ok;
@@ -181,16 +224,19 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 			 (long)follow->settings.timeout_ms + connect_ms -
 				 DIRECT_CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, direct_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, &response);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, direct_write);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &response);
 	result = direct_transfer(follow, address);
-	ok = result == CURLE_OK && direct_decode(&body, res);
-	free(body.bytes);
+	ok = result == CURLE_OK && direct_decode(&response, res);
+	free(response.bytes);
+	*keepers = response.keepers;
 	if (ok) {
 		follow->failed_polls = 0;
 	} else if (result != CURLE_AGAIN) {
 		follow->failed_polls++;
-		direct_log_failure(follow, address, result, body.size);
+		direct_log_failure(follow, address, result, response.size);
 	}
 	return ok;
 }
@@ -215,6 +261,37 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
+/* Takes over the addresses of the keepers that a leading one has sent. */
+static void direct_set_keepers(config_follow_t *follow,
+			       const setting_list_t *keepers)
+{
+	setting_list_t control = *keepers;
+
+	if (!keepers->count)
+		return;
+	config_follow_set_ports(&control,
+				config_follow_control_port(&follow->settings));
+	pthread_mutex_lock(&follow->lock);
+	follow->keepers = control;
+	pthread_mutex_unlock(&follow->lock);
+	if (follow->on_keepers)
+		follow->on_keepers(follow->changed_context, keepers);
+}
+
+/* Polls the keeper next that a keeper which does not lead takes for the leader. */
+static void direct_set_reported_leader(config_follow_t *follow,
+				       const keeper_fetch_res_t *res)
+{
+	setting_list_t leader = { .count = 1 };
+
+	if (!res->leader || !*res->leader)
+		return;
+	snprintf(leader.items[0], HL_ADDRESS_MAX, "%s", res->leader);
+	config_follow_set_ports(&leader,
+				config_follow_control_port(&follow->settings));
+	direct_set_leader(follow, leader.items[0]);
+}
+
 typedef enum {
 	DIRECT_FAILED,
 	DIRECT_DONE,
@@ -225,6 +302,8 @@
 				    const char *address,
 				    keeper_fetch_res_t *res, usec_t now)
 {
+	if (!res->confirmed)
+		direct_set_reported_leader(follow, res);
 	if (res->status != KEEPER_OK || !res->revision ||
 	    config_publish(follow, &res->body, res->revision, now))
 		return DIRECT_FAILED;
@@ -240,13 +319,16 @@
 static direct_result_t direct_poll_once(config_follow_t *follow, usec_t now)
 {
 	keeper_fetch_res_t res = { 0 };
+	setting_list_t keepers;
 	char address[HL_ADDRESS_MAX];
 	direct_result_t result = DIRECT_FAILED;
 
 	direct_choose_keeper(follow, address);
 	strcpy(follow->source.address, address);
-	if (direct_get(follow, address, &res))
+	if (direct_get(follow, address, &res, &keepers)) {
 		result = direct_apply(follow, address, &res, now);
+		direct_set_keepers(follow, &keepers);
+	}
 	if (result == DIRECT_FAILED)
 		metrics_add(follow->metrics.failures, 1);
 	xdr_free((xdrproc_t)xdr_keeper_fetch_res_t, (char *)&res);
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -21,6 +21,7 @@
 	void *members_context;
 	void (*changed)(void *context, const config_t *config);
 	void (*on_confirmed)(void *context);
+	void (*on_keepers)(void *context, const setting_list_t *keepers);
 	void *changed_context;
 
 	config_t *config; /* RCU; written by the polling thread */
--- a/config-follow.c
+++ b/config-follow.c
@@ -53,6 +53,7 @@
 	follow->members_context = options->members_context;
 	follow->changed = options->changed;
 	follow->on_confirmed = options->on_confirmed;
+	follow->on_keepers = options->on_keepers;
 	follow->changed_context = options->changed_context;
 	follow->jitter_seed = (unsigned)hl_hash(follow->name,
 						strlen(follow->name), 0);
@@ -235,6 +236,13 @@
 	}
 }
 
+uint16_t config_follow_control_port(const config_follow_settings_t *settings)
+{
+	const char *first = settings->keepers.items[0];
+
+	return (uint16_t)strtoul(strrchr(first, ':') + 1, NULL, 10);
+}
+
 const config_t *config_follow_get(config_follow_t *follow)
 {
 	return __atomic_load_n(&follow->config, __ATOMIC_ACQUIRE);
--- a/config-follow.h
+++ b/config-follow.h
@@ -110,6 +110,9 @@
  */
 void config_follow_set_ports(setting_list_t *list, uint16_t port);
 
+/** config_follow_control_port - TCP port of the control servers of all keepers. */
+uint16_t config_follow_control_port(const config_follow_settings_t *settings);
+
 /**
  * struct config_follow_options_t - parameters of config_follow_new().
  *
@@ -140,7 +143,13 @@
 	 * confirmed that no newer revision was accepted. May be NULL.
 	 */
 	void (*on_confirmed)(void *context);
-	void *changed_context; /* of changed and on_confirmed */
+	/*
+	 * Called on the polling thread of a follower outside the tree with the
+	 * RPC addresses of all keepers, as a leading one has sent them with its
+	 * response to a poll. May be NULL.
+	 */
+	void (*on_keepers)(void *context, const setting_list_t *keepers);
+	void *changed_context; /* of changed, on_confirmed and on_keepers */
 	metrics_t *metrics;    /* required */
 } config_follow_options_t;
 
--- a/entry-config.c
+++ b/entry-config.c
@@ -121,6 +121,14 @@
 	entry_pending_release(context, time_now());
 }
 
+static void config_on_keepers(void *context, const setting_list_t *keepers)
+{
+	entry_t *entry = context;
+
+	if (entry->presence)
+		presence_client_set_keepers(entry->presence, keepers);
+}
+
 static unsigned config_live_members(void *context, owner_member_t *out,
 				    unsigned max)
 {
@@ -140,6 +148,7 @@
 		.members_context = entry,
 		.changed = config_on_change,
 		.on_confirmed = config_on_confirmed,
+		.on_keepers = config_on_keepers,
 		.changed_context = entry,
 		.metrics = entry->metrics,
 	};
--- a/entry-target.c
+++ b/entry-target.c
@@ -264,14 +264,6 @@
 	return entry_target_is_impaired(context, time_now());
 }
 
-/* TCP port of the keepers' control servers. */
-static uint16_t target_keeper_control_port(const entry_t *entry)
-{
-	const char *first = entry->settings.follow.keepers.items[0];
-
-	return (uint16_t)strtoul(strrchr(first, ':') + 1, NULL, 10);
-}
-
 static void target_on_newer_revision(void *context, const char *keeper,
 				     uint64_t revision, usec_t now)
 {
@@ -279,14 +271,15 @@
 	setting_list_t leader = { .count = 1 };
 	setting_list_t reporter = { .count = 1 };
 	setting_list_t keepers;
+	uint16_t port = config_follow_control_port(&entry->settings.follow);
 
 	config_follow_report(entry->follow, revision, now);
 	strcpy(reporter.items[0], keeper);
 	presence_client_keepers(entry->presence, &keepers, leader.items[0]);
 	leader.count = *leader.items[0] != '\0';
-	config_follow_set_ports(&keepers, target_keeper_control_port(entry));
-	config_follow_set_ports(&leader, target_keeper_control_port(entry));
-	config_follow_set_ports(&reporter, target_keeper_control_port(entry));
+	config_follow_set_ports(&keepers, port);
+	config_follow_set_ports(&leader, port);
+	config_follow_set_ports(&reporter, port);
 	config_follow_trigger(entry->follow, &keepers, leader.items[0],
 			      reporter.items[0]);
 }
--- a/keeper-control.c
+++ b/keeper-control.c
@@ -193,6 +193,9 @@
 	if (*request->location)
 		MHD_add_response_header(response, "Location",
 					request->location);
+	if (*request->keepers)
+		MHD_add_response_header(response, "Hemlock-Keepers",
+					request->keepers);
 	if (request->retry_after)
 		MHD_add_response_header(response, "Retry-After",
 					CONTROL_RETRY_AFTER_SECONDS);
--- a/keeper-control.h
+++ b/keeper-control.h
@@ -69,6 +69,8 @@
 	size_t binary_size; /* bytes of a binary response; 0: it is JSON */
 	char location[HL_MESSAGE_MAX]; /* Location header, or "" */
 	bool retry_after;	       /* send a Retry-After header */
+	/* Addresses of the keepers, separated by commas, or "". */
+	char keepers[KEEPER_VOTERS_MAX * HL_ADDRESS_MAX];
 } keeper_control_request_t;
 
 /* Functions that keeper-control.c shares with the handlers. */
@@ -120,7 +122,8 @@
  * keeper_handler_follow - GET /v1/follow: the changes after the revision in
  * the argument "have", as deflated XDR.
  *
- * The argument "any" also allows a configuration that no quorum confirms.
+ * The argument "any" also allows a configuration that no quorum confirms. If a
+ * quorum confirms it, the header Hemlock-Keepers has the addresses of the keepers.
  */
 void keeper_handler_follow(keeper_control_request_t *request, usec_t now);
 
--- a/keeper-core.c
+++ b/keeper-core.c
@@ -533,3 +533,15 @@
 		if (!strcmp(settings->names.items[i], name))
 			strcpy(out, settings->addresses.items[i]);
 }
+
+void keeper_core_addresses(const keeper_core_t *core,
+			   const keeper_group_t *group, setting_list_t *out)
+{
+	unsigned i;
+
+	out->count = 0;
+	for (i = 0; i < group->count; i++)
+		keeper_core_address(core, group->nodes[i].name,
+				    group->nodes[i].address,
+				    out->items[out->count++]);
+}
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -239,6 +239,13 @@
 void keeper_core_address(const keeper_core_t *core, const char *name,
 			 const char *known, char out[HL_ADDRESS_MAX]);
 
+/**
+ * keeper_core_addresses - write the addresses of all members of a group.
+ * @out: filled in, in the order of @group
+ */
+void keeper_core_addresses(const keeper_core_t *core,
+			   const keeper_group_t *group, setting_list_t *out);
+
 /**
  * keeper_core_submit - queue a change, unless its id has already been applied.
  * @res: set to KEEPER_OK with the answer to the applied change,
--- a/keeper-handler.c
+++ b/keeper-handler.c
@@ -260,6 +260,25 @@
 		keeper_handler_respond_verdict(request, verdict, &err);
 }
 
+/* Sets the header with the addresses of the keepers. */
+static void handler_set_keepers(keeper_control_request_t *request)
+{
+	keeper_core_t *core = keeper_control_core(request);
+	setting_list_t keepers;
+	keeper_group_t group;
+	unsigned i;
+
+	pthread_mutex_lock(&core->lock);
+	group = core->view.group;
+	pthread_mutex_unlock(&core->lock);
+	keeper_core_addresses(core, &group, &keepers);
+	for (i = 0; i < keepers.count; i++) {
+		if (i)
+			strcat(request->keepers, ",");
+		strcat(request->keepers, keepers.items[i]);
+	}
+}
+
 void keeper_handler_follow(keeper_control_request_t *request, usec_t now)
 {
 	const char *have = MHD_lookup_connection_value(request->connection,
@@ -285,6 +304,8 @@
 						 &request->binary_size);
 	request->status = MHD_HTTP_OK;
 	request->has_response = true;
+	if (ok && res.confirmed)
+		handler_set_keepers(request);
 	if (!request->response)
 		keeper_handler_respond_error(
 			request, MHD_HTTP_SERVICE_UNAVAILABLE,
--- a/keeper-registry.c
+++ b/keeper-registry.c
@@ -71,19 +71,6 @@
 	pthread_mutex_unlock(&core->lock);
 }
 
-static void registry_keeper_addresses(const keeper_core_t *core,
-				      const registry_view_t *view,
-				      setting_list_t *out)
-{
-	unsigned i;
-
-	out->count = 0;
-	for (i = 0; i < view->group.count; i++)
-		keeper_core_address(core, view->group.nodes[i].name,
-				    view->group.nodes[i].address,
-				    out->items[out->count++]);
-}
-
 static void registry_send(const keeper_registry_t *registry,
 			  const presence_t *message,
 			  const struct sockaddr_storage *to, socklen_t length)
@@ -115,7 +102,7 @@
 	setting_list_t keepers;
 	unsigned i;
 
-	registry_keeper_addresses(registry->core, view, &keepers);
+	keeper_core_addresses(registry->core, &view->group, &keepers);
 	message.body.kind = PRESENCE_KEEPER_STATUS;
 	status->revision = view->revision;
 	status->entries = entries;
@@ -436,7 +423,7 @@
 
 	message.body.kind = PRESENCE_COPIES_SEEN;
 	report->ids.ids_val = (u_quad_t *)ids;
-	registry_keeper_addresses(registry->core, view, &keepers);
+	keeper_core_addresses(registry->core, &view->group, &keepers);
 	for (;;) {
 		pthread_mutex_lock(&registry->lock);
 		report->ids.ids_len = keeper_last_seen_take_unreported(
--- a/presence-client.c
+++ b/presence-client.c
@@ -72,6 +72,7 @@
 	bool all_zones;		     /* peers of all zones are asked for */
 	usec_t peers_confirmed; /* last response of the keeper asked for peers */
 	setting_list_t reported_keepers; /* last list from a keeper */
+	setting_list_t polled_keepers;	 /* not taken over yet */
 	GQueue reports; /* encoded datagrams to be sent to all keepers, GBytes */
 };
 
@@ -161,27 +162,49 @@
 		  "count=%u keepers=%s reporter=%s", i, list, reporter);
 }
 
+/* Take over a list of keepers from @reporter. */
+static void client_take_keepers(presence_client_t *client, const char *reporter,
+				const setting_list_t *keepers)
+{
+	unsigned i;
+
+	pthread_mutex_lock(&client->lock);
+	client->reported_keepers = *keepers;
+	pthread_mutex_unlock(&client->lock);
+	for (i = 0; i < keepers->count; i++)
+		client_add_keeper(client, keepers->items[i]);
+	client_remove_unlisted(client);
+	client_log_keepers(client, reporter);
+}
+
 /* Take over the list of keepers if the response of @reporter has one. */
 static void client_update_keepers(presence_client_t *client,
 				  const char *reporter,
 				  const presence_keeper_status_t *status)
 {
+	setting_list_t keepers = { 0 };
 	u_int i;
 
-	if (!status->addresses.addresses_len)
-		return;
-	pthread_mutex_lock(&client->lock);
-	client->reported_keepers.count = 0;
 	for (i = 0; i < status->addresses.addresses_len; i++)
-		snprintf(client->reported_keepers
-				 .items[client->reported_keepers.count++],
-			 HL_ADDRESS_MAX, "%s",
+		snprintf(keepers.items[keepers.count++], HL_ADDRESS_MAX, "%s",
 			 status->addresses.addresses_val[i]);
+	if (keepers.count)
+		client_take_keepers(client, reporter, &keepers);
+}
+
+/* Take over the list of presence_client_set_keepers(), if it is another one. */
+static void client_take_polled_keepers(presence_client_t *client)
+{
+	setting_list_t keepers;
+
+	pthread_mutex_lock(&client->lock);
+	keepers = client->polled_keepers;
+	client->polled_keepers.count = 0;
 	pthread_mutex_unlock(&client->lock);
-	for (i = 0; i < client->reported_keepers.count; i++)
-		client_add_keeper(client, client->reported_keepers.items[i]);
-	client_remove_unlisted(client);
-	client_log_keepers(client, reporter);
+	if (keepers.count &&
+	    presence_keepers_hash(&keepers) !=
+		    presence_keepers_hash(&client->reported_keepers))
+		client_take_keepers(client, "poll", &keepers);
 }
 
 static client_keeper_t *client_find_keeper(presence_client_t *client,
@@ -517,7 +540,10 @@
 
 	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
 		usec_t now = time_now();
-		usec_t next = client_send_due(client, &due, now);
+		usec_t next;
+
+		client_take_polled_keepers(client);
+		next = client_send_due(client, &due, now);
 
 		client_send_reports(client);
 		if (client_wait(client, next - now))
@@ -535,6 +561,14 @@
 	presence_client_trigger(context);
 }
 
+void presence_client_set_keepers(presence_client_t *client,
+				 const setting_list_t *keepers)
+{
+	pthread_mutex_lock(&client->lock);
+	client->polled_keepers = *keepers;
+	pthread_mutex_unlock(&client->lock);
+}
+
 void presence_client_trigger(presence_client_t *client)
 {
 	eventfd_write(client->wake, 1);
--- a/presence.h
+++ b/presence.h
@@ -211,6 +211,13 @@
 /** presence_client_child - return the client's thread for a supervisor. */
 supervisor_child_t presence_client_child(presence_client_t *client);
 
+/**
+ * presence_client_set_keepers - replace the list that keepers have reported.
+ * @keepers: addresses that the client did not get by datagram
+ */
+void presence_client_set_keepers(presence_client_t *client,
+				 const setting_list_t *keepers);
+
 /** presence_client_trigger - send a heartbeat to all keepers at once. */
 void presence_client_trigger(presence_client_t *client);
 
