Send as many peers as fit a datagram

What callers would see: an entry that has lost its paths to copies refuses calls in place of handing them over, in zones with many entries that have IPv6 addresses.

Cause: a list has up to 32 peers. With addresses of 47 bytes it exceeds the 1,400 bytes of a datagram; presence_encode() returns 0, and the keeper sends nothing and logs nothing.

Evidence: /presence/peers-long-addresses fails before. Change: the list ends before the datagram is full, so its hash, which the entry sends back, is that of the list that it has got.

Lists with IPv4 addresses are as before (test_peers_of_large_zone).

--- a/presence-table.c
+++ b/presence-table.c
@@ -6,6 +6,8 @@
 /* The entries that have sent heartbeats to a keeper. The table has no lock; its
  * user serializes the calls. */
 
+/* Part of a datagram that the addresses of peers take at most. */
+#define PRESENCE_PEERS_BYTES_MAX (PRESENCE_BYTES_MAX - 64)
 /* Age of the last heartbeat up to which an entry counts as live and is returned
  * to callers. */
 #define PRESENCE_LIVE_MAX_AGE (2200 * USEC_PER_MS)
@@ -356,6 +358,12 @@
 	return (x->rank > y->rank) - (x->rank < y->rank);
 }
 
+/* Size of an address in a datagram: XDR has a length before a string, and pads it. */
+static size_t presence_peer_bytes(const presence_member_t *member)
+{
+	return BYTES_PER_XDR_UNIT + RNDUP(strlen(member->call_address));
+}
+
 void presence_table_peers(const presence_table_t *table, uint64_t id,
 			  const char *zone, usec_t now,
 			  presence_peers_list_t *out)
@@ -364,6 +372,7 @@
 	const presence_member_t **members =
 		calloc(max + 1, sizeof(const presence_member_t *));
 	presence_ranked_t *ranked = calloc(max + 1, sizeof(*ranked));
+	size_t left = PRESENCE_PEERS_BYTES_MAX;
 	unsigned count;
 	unsigned i;
 
@@ -378,9 +387,15 @@
 		ranked[i].member = members[i];
 	}
 	qsort(ranked, count, sizeof(*ranked), presence_compare_rank);
-	for (i = 0; i < count && i < PRESENCE_PEERS_MAX; i++)
+	for (i = 0; i < count && i < PRESENCE_PEERS_MAX; i++) {
+		size_t bytes = presence_peer_bytes(ranked[i].member);
+
+		if (bytes > left)
+			break;
+		left -= bytes;
 		strcpy(out->addresses[out->count++],
 		       ranked[i].member->call_address);
+	}
 out:
 	free(members);
 	free(ranked);
--- a/presence.h
+++ b/presence.h
@@ -159,7 +159,7 @@
  * @zone: zone of the entry
  * @out: filled in
  *
- * As presence_table_choose(). If there are too many, each entry gets another
+ * As presence_table_choose(). If there are too many for a datagram, each entry gets another
  * part of them, so that all are named about equally often; if @zone is "", another
  * part each second.
  */
--- a/regress/test-presence.c
+++ b/regress/test-presence.c
@@ -310,6 +310,44 @@
 	g_assert_cmpuint(presence_encode(&message, bytes), >, 0);
 }
 
+/* Guards against a list of peers that is never sent: a keeper has more long
+ * addresses of entries than a datagram holds. */
+static void test_peers_long_addresses(void)
+{
+	presence_table_t *table = presence_table_new();
+	char name[32], calls[HL_ADDRESS_MAX];
+	presence_identity_t identity = { name, "a", calls };
+	presence_entry_t heartbeat = { .ready = true };
+	struct sockaddr_storage from = { 0 };
+	char *addresses[PRESENCE_PEERS_MAX];
+	presence_t message = { .cluster = 7 };
+	presence_peers_t *peers = &message.body.presence_body_t_u.peers;
+	char bytes[PRESENCE_BYTES_MAX];
+	presence_peers_list_t list;
+	unsigned i;
+
+	heartbeat.identity.identity_len = 1;
+	heartbeat.identity.identity_val = &identity;
+	for (i = 1; i <= PEERS_ZONE_ENTRIES; i++) {
+		heartbeat.id = i;
+		g_snprintf(name, sizeof(name), "e%u", i);
+		g_snprintf(calls, sizeof(calls),
+			   "[fd00:1111:2222:3333:4444:5555:6666:%04x]:65535",
+			   i);
+		g_assert_true(presence_table_update(table, &heartbeat, &from,
+						    sizeof(from), 0));
+	}
+	presence_table_peers(table, 1, "a", SECOND, &list);
+	for (i = 0; i < list.count; i++)
+		addresses[i] = list.addresses[i];
+	message.body.kind = PRESENCE_PEERS;
+	peers->addresses.addresses_len = list.count;
+	peers->addresses.addresses_val = addresses;
+	g_assert_cmpuint(presence_encode(&message, bytes), >, 0);
+	g_assert_cmpuint(list.count, >=, PRESENCE_PEERS_MAX / 2);
+	presence_table_free(table);
+}
+
 static void test_codec(void)
 {
 	presence_identity_t identity = { "e1", "a", "10.0.0.1:80" };
@@ -449,6 +487,8 @@
 	g_test_add_func("/presence/peers-of-large-zone",
 			test_peers_of_large_zone);
 	g_test_add_func("/presence/peers-change", test_peers_change);
+	g_test_add_func("/presence/peers-long-addresses",
+			test_peers_long_addresses);
 	g_test_add_func("/presence/peers-codec", test_peers_codec);
 	g_test_add_func("/presence/choose", test_choose);
 	g_test_add_func("/presence/starting", test_starting);
