Send the late responses of path-late-response once the next request has come

Cause: the copy sent its second response 30 ms after the first. The next call has to come over the same connection before that, and it begins with a new process of the caller, which takes longer than 30 ms under a sanitizer. The response then reaches an idle connection, which is not used again, so there is nothing to drop: the row asked of luck what should be certain.

As strict as before: the same rows, the same expected output, and each row now meets such a response for certain.

--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -16,6 +16,8 @@
  *	/twice-refused		sends its response, and 30 ms later refuses the call
  *				with Retry-After: 5
  *	/twice-misdirected	sends its response, and 30 ms later 421
+ *	/at-next		beside a word for a second response: sends that once
+ *				the next request has come over the connection
  *	/bare-400		responds 400 without a header of the header set
  *	/leaving		responds that the copy leaves
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
@@ -81,6 +83,8 @@
 #define SLOW_PAUSE_USEC 20000
 #define HEAD_FIELD_BYTES 100
 #define LATE_PAUSE_USEC 30000
+/* Maximum wait of a second response for the next request. */
+#define LATE_NEXT_MS 5000
 #define RECORD_BYTES_MAX (1024 * 1024)
 /* Parameters of the 64-bit FNV-1a hash. */
 #define FNV_BASIS 0xcbf29ce484222325ULL
@@ -115,6 +119,7 @@
 	char late_id[HL_NAME_MAX];	/* of the call that gets it */
 	char late_send_id[HL_NAME_MAX]; /* of the send that gets it */
 	unsigned late_after; /* responses before it; 0: none is due */
+	bool late_at_next;   /* it is sent once the next request has come */
 } connection_t;
 
 static bool fill(connection_t *conn, size_t max)
@@ -567,6 +572,7 @@
 			continue;
 		conn->late = &late[i];
 		conn->late_after = late[i].after;
+		conn->late_at_next = strstr(conn->path, "/at-next") != NULL;
 		strcpy(conn->late_id, conn->id);
 		strcpy(conn->late_send_id, conn->send_id);
 		return late[i].status;
@@ -574,12 +580,23 @@
 	return "200 OK";
 }
 
+/* Waits until a second response is to be sent. */
+static void serve_late_wait(const connection_t *conn)
+{
+	struct pollfd next = { conn->fd, POLLIN, 0 };
+
+	if (!conn->late_at_next)
+		g_usleep(LATE_PAUSE_USEC);
+	else if (!conn->length)
+		poll(&next, 1, LATE_NEXT_MS);
+}
+
 /* Sends a second response if it is due; false if the connection has ended. */
 static bool serve_late(connection_t *conn)
 {
 	if (!conn->late_after || --conn->late_after)
 		return true;
-	g_usleep(LATE_PAUSE_USEC);
+	serve_late_wait(conn);
 	strcpy(conn->id, conn->late_id);
 	strcpy(conn->send_id, conn->late_send_id);
 	return send_response(conn, conn->late->second_status, conn->late->more,
