Send a call no more once its response has begun

What callers saw: 200 and a whole body whose two halves came from two copies. The first copy sent half of its body, which began to go to the caller, and closed the connection, while the call was on its way to a second copy.

Cause: when the response begins, the second send is cancelled, but counts as running until its thread has noticed. If the first send fails within that time, entry_service_end() lets the call go on by the second one: entry_request_reset() frees the head that the thread of the caller's connection reads, and if the second copy has responded by then, its body follows the half of the first. Only retries looked at a response that had begun, by taking the call for one that is not idempotent.

Ruled out: the stand-ins and callers; with G_SLICE=always-malloc, as regress/run.sh sets it, none of the races is theirs.

Change: entry_call_t.responding ends the call in entry_service_end(), whether a second send runs or a retry would be allowed. entry_relay_finish() and the end of a send to a sibling leave a response that has begun as it is, too. A refusal after part of a response no longer replaces it.

--- a/entry-dispatch.c
+++ b/entry-dispatch.c
@@ -138,6 +138,7 @@
 {
 	bool refused = req->handed_over && result == ENTRY_RESULT_SHED;
 	bool redispatch = !req->body_consumed && !req->replay &&
+			  !req->response.published &&
 			  (refused || result == ENTRY_RESULT_CONNECT);
 
 	if (req->credits_offered)
@@ -166,8 +167,7 @@
 {
 	entry_decision_t decision;
 
-	if (req->response.published)
-		req->call.idempotent = false;
+	req->call.responding = req->response.published;
 	if (req->body_consumed)
 		req->call.not_replayable = true;
 	if (req->winning_hedge && *result != ENTRY_RESULT_OK)
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -377,6 +377,10 @@
 			result == ENTRY_RESULT_ERROR ||
 			result == ENTRY_RESULT_SHED;
 
+	if (req->response.published) {
+		entry_request_end(req, !complete);
+		return;
+	}
 	if (result == ENTRY_RESULT_SHED)
 		relay_set_outcome(req,
 				  relay_combined_outcome(req, ENTRY_NOT_RUN));
@@ -387,8 +391,6 @@
 				   "shed", relay_retry_after(req));
 	else if (complete)
 		entry_request_end(req, false);
-	else if (req->response.published)
-		entry_request_end(req, true);
 	else if (req->replay)
 		entry_request_fail(req, HTTP_CONFLICT, ENTRY_RAN, "key", 0);
 	else
--- a/entry-service.c
+++ b/entry-service.c
@@ -502,7 +502,7 @@
 	call->avoid = call->copy;
 	if (result == ENTRY_RESULT_OK && call->objective)
 		entry_report_learn_service_time(svc, call, now - call->sent);
-	if (service_is_final(result))
+	if (service_is_final(result) || call->responding)
 		return decision;
 	if (call->hedged_copy) {
 		call->copy = call->hedged_copy;
--- a/entry.h
+++ b/entry.h
@@ -139,6 +139,7 @@
 	bool no_retry;	     /* an earlier hop of the call retries it */
 	bool not_replayable; /* its body is gone: it cannot be sent again */
 	bool no_hedge; /* its body or response streams, or its send was cut */
+	bool responding; /* its response has begun: no other send follows */
 	bool hedged;   /* it was sent to a second copy already */
 	unsigned attempts_max;	/* max sends by its route; 0: by the profile */
 	usec_t objective;	/* target response time of its route; 0: none */
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -23,6 +23,8 @@
  *	/rest-SECONDS		refuses the call with Retry-After: SECONDS
  *	/wait-MS		responds MS milliseconds after the request
  *	/long-KIB		responds with a body of KIB kibibytes
+ *	/half-KIB		responds with half of a body of KIB kibibytes, and
+ *				closes the connection
  *	/head-BYTES		responds with a head of some BYTES bytes, which ends
  *				with the fields X-End and Content-Length
  *	/status-TEXT		responds with TEXT after "HTTP/1.1 ", each "_" a space
@@ -506,6 +508,35 @@
 	return true;
 }
 
+/* Sends a head and the first half of a body of @length bytes. */
+static bool send_half(const connection_t *conn, const char *status,
+		      gsize length)
+{
+	GString *text = g_string_new("");
+	gsize i;
+	bool sent;
+
+	g_string_printf(text, "Content-Length: %zu\r\n\r\n", length);
+	for (i = 0; i < length / 2; i++)
+		g_string_append_c(text, 'x');
+	sent = send_head(conn, status, text->str);
+	g_string_free(text, TRUE);
+	return sent;
+}
+
+/* Responds to a path that asks for half of a long body, and closes the connection;
+   false for other paths. */
+static bool serve_half(const connection_t *conn)
+{
+	const char *length = strstr(conn->path, "/half-");
+
+	if (!length)
+		return false;
+	send_half(conn, "200 OK",
+		  (gsize)atoi(length + strlen("/half-")) * 1024);
+	return true;
+}
+
 /* Responds to a path that asks for a long head; false for other paths. */
 static bool serve_head(const connection_t *conn, bool *keep)
 {
@@ -679,6 +710,8 @@
 	if (!serve_wait(conn) || serve_loses_response(conn))
 		return false;
 	cut_delay_response(conn);
+	if (serve_half(conn))
+		return false;
 	if (serve_long(conn, &keep) || serve_head(conn, &keep) ||
 	    serve_status_line(conn, &keep))
 		return keep;
--- a/regress/test-entry-service.c
+++ b/regress/test-entry-service.c
@@ -475,6 +475,17 @@
 				       "20 hedge = a c2\n"
 				       "25 end a cut = wait\n25 next = none\n"
 				       "30 end a ok = respond\n" },
+	{ "no-send-after-the-response-has-begun",
+	  "0 profile hedge=20\n"
+	  "0 copy c1 1\n0 copy c2 1\n"
+	  "0 arrive a idem = send c1\n"
+	  "20 hedge = a c2\n"
+	  "22 responding a\n"
+	  "25 end a cut = respond\n25 next = none\n"
+	  "30 hedge_end a ok = respond\n30 available = 2\n"
+	  "31 arrive b idem = send c1\n"
+	  "32 responding b\n"
+	  "33 end b cut = respond\n33 next = none\n" },
 	{ "hedge-due", "0 hedge_due = never\n0 profile hedge=20\n"
 		       "0 copy c1 1\n0 copy c2 1\n5 hedge_due = 25\n"
 		       "5 arrive a = send c1\n"
@@ -697,6 +708,8 @@
 					 g_ascii_strtod(words[3], NULL));
 	} else if (!strcmp(command, "cancel")) {
 		entry_service_cancel(svc, &script_find(script, words[2])->call);
+	} else if (!strcmp(command, "responding")) {
+		script_find(script, words[2])->call.responding = true;
 	} else if (!strcmp(command, "warm")) {
 		script_warm(script, strtoul(words[2], NULL, 10),
 			    strtoul(words[3], NULL, 10) * USEC_PER_MS);
