Do not store the body of a refusal that goes to no caller

What callers saw: 504 at their deadline for a call that a copy had refused, in place of a retry or a 503.

Cause: under an interface whose refusals are not signed, the response to a refused call is never published, as the entry makes its own refusal. Its body was stored all the same. A body of more than 256 KiB filled the buffer, and the send waited for room that nobody makes.

The same held for a response that belongs to another call, if its head and more than 256 KiB of its body come in one read; that is by reading, no test does it.

Change: entry_transfer_write() drops such bodies.

Shown by: routed-long-refusal, a refusal with 600 KiB.

--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -466,6 +466,15 @@
 	       entry_buffer_length(body) <= ENTRY_RESPONSE_BACKLOG_BYTES;
 }
 
+/* Whether no caller gets the body of a response: it belongs to another call, or to a
+   refusal that this entry replaces by its own. */
+static bool transfer_drops_body(const entry_transfer_t *transfer)
+{
+	return entry_transfer_is_mismatched(transfer) ||
+	       (entry_transfer_is_shed(transfer) &&
+		!transfer_names(transfer)->native);
+}
+
 size_t entry_transfer_write(char *bytes, size_t size, size_t count,
 			    void *context)
 {
@@ -476,6 +485,8 @@
 	bool published = false;
 
 	transfer->body_received += (int64_t)length;
+	if (transfer_drops_body(transfer))
+		return length;
 	pthread_mutex_lock(&req->lock);
 	if (!transfer_wait_for_room(req) ||
 	    entry_buffer_add(&response->body, bytes, length))
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -25,6 +25,8 @@
  *	/long-KIB		responds with a body of KIB kibibytes
  *	/half-KIB		responds with half of a body of KIB kibibytes, and
  *				closes the connection
+ *	/refusal-KIB		refuses the call with a body of KIB kibibytes, of
+ *				which the second half comes 100 ms later
  *	/head-BYTES		responds with a head of some BYTES bytes, which ends
  *				with the fields X-End and Content-Length
  *	/status-TEXT		responds with TEXT after "HTTP/1.1 ", each "_" a space
@@ -84,6 +86,7 @@
 #define SLOW_PIECE_BYTES 16384
 #define SLOW_PAUSE_USEC 20000
 #define HEAD_FIELD_BYTES 100
+#define REFUSAL_PAUSE_USEC (100 * 1000)
 #define LATE_PAUSE_USEC 30000
 /* Maximum wait of a second response for the next request. */
 #define LATE_NEXT_MS 5000
@@ -537,6 +540,26 @@
 	return true;
 }
 
+/* Responds to a path that asks for a refusal with a long body, of which the second
+   half comes later; false for other paths. */
+static bool serve_refusal(const connection_t *conn, bool *keep)
+{
+	const char *word = strstr(conn->path, "/refusal-");
+	gsize length;
+	char *rest;
+
+	if (!word)
+		return false;
+	length = (gsize)atoi(word + strlen("/refusal-")) * 1024;
+	record_call(conn, "shed");
+	*keep = send_half(conn, "503 Unavailable", length);
+	g_usleep(REFUSAL_PAUSE_USEC);
+	rest = g_strnfill(length / 2, 'x');
+	*keep = *keep && standin_send(conn->fd, rest, length / 2);
+	g_free(rest);
+	return true;
+}
+
 /* Responds to a path that asks for a long head; false for other paths. */
 static bool serve_head(const connection_t *conn, bool *keep)
 {
@@ -697,7 +720,7 @@
 		record_call(conn, "body-cut");
 		return false;
 	}
-	if (serve_rest(conn, &keep))
+	if (serve_rest(conn, &keep) || serve_refusal(conn, &keep))
 		return keep;
 	if (strstr(conn->path, "/bare-400"))
 		return standin_send(conn->fd, bare, strlen(bare));
