Read the count of sends of a call without a data race

What was seen: a report of the thread sanitizer in one of 12 runs of routed-wrong-answers, six side by side; no wrong value was seen.

Cause: if the caller leaves, the thread of its connection logs call-ended while the worker still runs the call, and the tick thread may begin a second send of it, which counts up attempts. call-sent reads the count without the lock, too.

Change: the second send counts atomically, call-ended reads atomically, and call-sent reads under the lock that it takes anyway. The other writers run while no second send can begin.

--- a/entry-service.c
+++ b/entry-service.c
@@ -627,7 +627,7 @@
 		call->hedged_copy = copy;
 		call->hedge_sent = now;
 		call->hedge_depth = copy->outstanding;
-		call->attempts++;
+		__atomic_add_fetch(&call->attempts, 1, __ATOMIC_RELAXED);
 		return call;
 	}
 	return NULL;
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -19,6 +19,7 @@
 	const entry_copy_t *copy = req->call.copy;
 	entry_report_t report;
 	unsigned outstanding;
+	unsigned attempts;
 	bool same_zone;
 
 	if (req->forward)
@@ -26,6 +27,7 @@
 	pthread_mutex_lock(&upstream->lock);
 	report = copy->report;
 	outstanding = copy->outstanding;
+	attempts = req->call.attempts;
 	same_zone = !strcmp(copy->zone, req->entry->settings.zone);
 	pthread_mutex_unlock(&upstream->lock);
 	log_event(
@@ -34,9 +36,8 @@
 		"near=%d held=%u others=%u slowness=%.2f report_age_ms=%" PRId64
 		" waited_ms=%" PRId64 " left_ms=%" PRId64,
 		trace_value(req->call_id), trace_value(req->rule_name),
-		upstream->name, copy->name, req->call.attempts,
-		req->primary != NULL, same_zone, outstanding,
-		report.other_calls, report.slowness,
+		upstream->name, copy->name, attempts, req->primary != NULL,
+		same_zone, outstanding, report.other_calls, report.slowness,
 		report.received_at ? (now - report.received_at) / USEC_PER_MS :
 				     -1,
 		(now - req->call.arrived) / USEC_PER_MS,
@@ -116,7 +117,8 @@
 		  "attempts=%u took_ms=%" PRId64 "%s%s",
 		  trace_value(req->call_id), trace_value(req->rule_name),
 		  status, complete, entry_outcome_name(outcome),
-		  reason ? reason : "copy", req->call.attempts,
+		  reason ? reason : "copy",
+		  __atomic_load_n(&req->call.attempts, __ATOMIC_RELAXED),
 		  (now - req->call.arrived) / USEC_PER_MS,
 		  *req->forwarded_by ? " from=" : "", req->forwarded_by);
 }
--- a/entry.h
+++ b/entry.h
@@ -138,9 +138,9 @@
 	bool idempotent;     /* may be sent more than once */
 	bool no_retry;	     /* an earlier hop of the call retries it */
 	bool not_replayable; /* its body is gone: it cannot be sent again */
-	bool no_hedge; /* its body or response streams, or its send was cut */
+	bool no_hedge;	 /* its body or response streams, or its send was cut */
 	bool responding; /* its response has begun: no other send follows */
-	bool hedged;   /* it was sent to a second copy already */
+	bool hedged;	 /* it was sent to a second copy already */
 	unsigned attempts_max;	/* max sends by its route; 0: by the profile */
 	usec_t objective;	/* target response time of its route; 0: none */
 	unsigned work_kind;	/* hash of its route */
@@ -148,7 +148,9 @@
 	bool copy_report_fresh; /* at the send: fresh report of a free slot */
 	bool took_last_slot;	/* it took the last free slot of the copy */
 	usec_t hedge_after;	/* time from send to hedge; 0: by the profile */
-	unsigned attempts;	/* sends so far, hedges included */
+	/* Sends so far, hedges included. The end of a call reads it atomically, as
+	   a hedge may begin meanwhile. */
+	unsigned attempts;
 	unsigned unsent_attempts; /* sends that failed before the first byte */
 	bool repeat_paid;	  /* the budget is charged for its next send */
 	bool given_up; /* end its send, whose path is lost; accessed atomically */
