--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -39,7 +39,12 @@
 	exit $code
 }
 
-SEEDS="\"$NET.1:8146\",\"$NET.2:8146\",\"$NET.3:8146\""
+# seeds A B C: print the control addresses of three core machines.
+seeds () {
+	echo "\"$NET.$1:8146\",\"$NET.$2:8146\",\"$NET.$3:8146\""
+}
+SEEDS=$(seeds 1 2 3)
+KEEPERS="1 2 3"
 
 # keeper_start N FIRST_START: write the settings of core machine N as
 # deploy/keeper.toml.in has them, and start its keeper.
@@ -128,7 +133,7 @@
 	method=$1 path=$2
 	shift 2
 	status=0
-	for n in 1 2 3
+	for n in $KEEPERS
 	do
 		url="http://$NET.$n:8146$path"
 		for hop in 1 2 3
