--- a/config-follow.c
+++ b/config-follow.c
@@ -12,6 +12,9 @@
 #define CONFIG_FOLLOW_RESTARTS_WINDOW (60 * USEC_PER_SEC)
 /* Age of the last confirmation after which the keepers count as out of reach. */
 #define CONFIG_FOLLOW_REACHED_AGE_MAX (4 * USEC_PER_SEC)
+/* Time between two confirmations of the leading keeper from which the second one is
+ * logged. */
+#define CONFIG_FOLLOW_GAP_LOGGED (2 * USEC_PER_SEC)
 /* Maximum age of a child's report, in poll intervals. */
 #define CONFIG_FOLLOW_REPORT_MAX_POLLS 3
 
@@ -318,19 +321,22 @@
 void config_follow_confirm(config_follow_t *follow, uint64_t newest, usec_t at,
 			   const char *source)
 {
-	bool first, recorded;
+	usec_t last;
+	bool recorded;
 
 	pthread_mutex_lock(&follow->lock);
-	first = !follow->confirm.newest_at;
+	last = follow->confirm.newest_at;
 	recorded = config_confirm_record(&follow->confirm, newest, at);
 	__atomic_store_n(&follow->newest_at, follow->confirm.newest_at,
 			 __ATOMIC_RELEASE);
 	pthread_mutex_unlock(&follow->lock);
 	if (!recorded)
 		return;
-	if (first)
+	if (!last || at - last > CONFIG_FOLLOW_GAP_LOGGED)
 		log_event(LOG_LEVEL_NOTICE, "config-confirmed",
-			  "revision=%" PRIu64 " source=%s", newest, source);
+			  "revision=%" PRIu64 " source=%s gap_ms=%" PRId64,
+			  newest, source,
+			  last ? (at - last) / USEC_PER_MS : -1);
 	if (follow->on_confirmed)
 		follow->on_confirmed(follow->changed_context);
 }
--- a/entry-head.c
+++ b/entry-head.c
@@ -326,6 +326,7 @@
 	strcpy(call->tenant, "none");
 	strcpy(req->tenant, "none");
 	strcpy(req->class_name, req->rule_name);
+	req->rules_revision = rule->revision;
 	req->upload = rule->upload;
 	req->body_max = rule->body_max;
 	call->priority = rule->priority;
--- a/entry-io.h
+++ b/entry-io.h
@@ -239,11 +239,12 @@
 	char key[256];			/* Idempotency-Key, or "" */
 	char call_id[HL_NAME_MAX];	/* the caller's id of this attempt */
 	char rule_name[HL_NAME_MAX];	/* name of the matching route, or "" */
-	usec_t caller_deadline;		/* when the caller stops waiting */
-	char *host;			/* Host header, to match a route by */
-	int64_t deadline_ms; /* deadline header of the caller; 0: none */
-	bool pending;	     /* waits for routes, see entry-pending.c */
-	bool unconfirmed;    /* had no route before the routes were confirmed */
+	uint64_t rules_revision; /* of the routes that it was matched to */
+	usec_t caller_deadline;	 /* when the caller stops waiting */
+	char *host;		 /* Host header, to match a route by */
+	int64_t deadline_ms;	 /* deadline header of the caller; 0: none */
+	bool pending;		 /* waits for routes, see entry-pending.c */
+	bool unconfirmed; /* had no route before the routes were confirmed */
 	struct curl_slist *headers; /* headers of the caller to be relayed */
 	bool has_body;
 	int64_t body_length;	/* bytes; -1: chunked */
--- a/entry-target.c
+++ b/entry-target.c
@@ -216,6 +216,7 @@
 	if (found) {
 		snprintf(service, HL_NAME_MAX, "%s", rule->service);
 		snprintf(name, HL_NAME_MAX, "%s", rule->name);
+		rule->revision = entry->rules_revision;
 	}
 	pthread_mutex_unlock(&entry->rules_lock);
 	rule->service = service;
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -32,12 +32,14 @@
 	pthread_mutex_unlock(&upstream->lock);
 	log_event(
 		LOG_LEVEL_INFO, "call-sent",
-		"call=%s route=%s service=%s copy=%s attempt=%u hedge=%d "
+		"call=%s route=%s routes=%" PRIu64
+		" service=%s copy=%s attempt=%u hedge=%d "
 		"near=%d held=%u others=%u slowness=%.2f report_age_ms=%" PRId64
 		" waited_ms=%" PRId64 " left_ms=%" PRId64,
 		trace_value(req->call_id), trace_value(req->rule_name),
-		upstream->name, copy->name, attempts, req->primary != NULL,
-		same_zone, outstanding, report.other_calls, report.slowness,
+		req->rules_revision, upstream->name, copy->name, attempts,
+		req->primary != NULL, same_zone, outstanding,
+		report.other_calls, report.slowness,
 		report.received_at ? (now - report.received_at) / USEC_PER_MS :
 				     -1,
 		(now - req->call.arrived) / USEC_PER_MS,
