Count a configuration as in force once the entry applies it

Callers could be served by an older configuration without a bound while the entry had received a newer one and had not applied it yet: the entry reported the newer revision to the keepers, took their reports of it for old, and so never counted its routes as outdated. How long applying takes is bounded by nothing, as it takes the locks of all services.

The revision that an entry reports, and against which reports of keepers are compared, is now the one that it has applied. A call that comes later than config.outdated_ms after the first report of a newer one is refused as not run, as it is when the newer one cannot be fetched.

/config-follow/received-not-applied fails before (the entry names revision 2 while it routes by 1) and passes now. That applying took so long in the users' runs is not known: no run of ours shows it.

--- a/config-follow.c
+++ b/config-follow.c
@@ -256,7 +256,7 @@
 	uint64_t revision;
 
 	pthread_mutex_lock(&follow->lock);
-	revision = follow->revision;
+	revision = follow->confirm.applied;
 	pthread_mutex_unlock(&follow->lock);
 	return revision;
 }
@@ -313,7 +313,7 @@
 			  usec_t now)
 {
 	pthread_mutex_lock(&follow->lock);
-	config_lag_report(&follow->lag, follow->revision, revision, now);
+	config_lag_report(&follow->lag, follow->confirm.applied, revision, now);
 	config_follow_update_lag(follow);
 	pthread_mutex_unlock(&follow->lock);
 }
--- a/config-follow.h
+++ b/config-follow.h
@@ -180,7 +180,12 @@
  */
 const config_t *config_follow_get(config_follow_t *follow);
 
-/** config_follow_revision - revision in force, 0 before the first one. */
+/**
+ * config_follow_revision - revision in force, 0 before the first one.
+ *
+ * A revision that has been received is in force once options.changed has
+ * returned.
+ */
 uint64_t config_follow_revision(config_follow_t *follow);
 
 /**
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -8,6 +8,7 @@
 #include "config-follow-internal.h"
 #include "config-lag.h"
 #include "config-make.h"
+#include "pack.h"
 
 /*
  * A follower polls a keeper that gives scripted responses. It must not publish
@@ -423,6 +424,165 @@
 				==, rows[i].interval_ms * USEC_PER_MS);
 }
 
+/* A keeper that answers each poll over HTTP with the whole configuration. */
+typedef struct {
+	int listener;
+	unsigned revision; /* atomic */
+	int stop;	   /* atomic */
+} http_keeper_t;
+
+/* Makes the body of a response with a confirmed configuration without objects. */
+static char *http_keeper_body(unsigned revision, size_t *size)
+{
+	keeper_fetch_res_t res = { .status = KEEPER_OK,
+				   .leader = (char *)"",
+				   .confirmed = true,
+				   .revision = revision };
+	char *plain, *packed;
+	size_t plain_size;
+
+	res.body.whole = true;
+	res.body.keeper_fetch_body_t_u.config.revision = revision;
+	g_assert_cmpint(config_encode((xdrproc_t)xdr_keeper_fetch_res_t, &res,
+				      &plain, &plain_size),
+			==, 0);
+	packed = pack_deflate(plain, plain_size, size);
+	g_assert_nonnull(packed);
+	free(plain);
+	return packed;
+}
+
+static void http_keeper_respond(int client, unsigned revision)
+{
+	char request[1024], *body;
+	size_t size;
+
+	g_assert_cmpint(recv(client, request, sizeof(request), 0), >, 0);
+	body = http_keeper_body(revision, &size);
+	dprintf(client,
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+		"Content-Length: %zu\r\n\r\n",
+		size);
+	g_assert_cmpint(write(client, body, size), ==, size);
+	free(body);
+}
+
+static void *http_keeper_run(void *context)
+{
+	http_keeper_t *keeper = context;
+	struct pollfd input = { keeper->listener, POLLIN, 0 };
+	int client;
+
+	while (!__atomic_load_n(&keeper->stop, __ATOMIC_ACQUIRE)) {
+		if (poll(&input, 1, 10) <= 0)
+			continue;
+		client = accept(keeper->listener, NULL, NULL);
+		http_keeper_respond(client,
+				    __atomic_load_n(&keeper->revision,
+						    __ATOMIC_ACQUIRE));
+		close(client);
+	}
+	return NULL;
+}
+
+/* Takes over a configuration; that of revision 2 only once it is let through. */
+typedef struct {
+	int received; /* the newest revision; atomic */
+	int blocked;  /* atomic */
+} slow_entry_t;
+
+static void slow_entry_change(void *context, const config_t *config)
+{
+	slow_entry_t *entry = context;
+
+	__atomic_store_n(&entry->received, (int)config->revision,
+			 __ATOMIC_RELEASE);
+	while (config->revision == 2 &&
+	       __atomic_load_n(&entry->blocked, __ATOMIC_ACQUIRE))
+		usleep(1000);
+}
+
+static void wait_for_received(slow_entry_t *entry, int revision)
+{
+	unsigned left;
+
+	for (left = 5000; left; left--) {
+		if (__atomic_load_n(&entry->received, __ATOMIC_ACQUIRE) ==
+		    revision)
+			return;
+		usleep(1000);
+	}
+	g_assert_not_reached();
+}
+
+static void wait_for_revision(config_follow_t *follow, uint64_t revision)
+{
+	unsigned left;
+
+	for (left = 5000; left; left--) {
+		if (config_follow_revision(follow) == revision)
+			return;
+		usleep(1000);
+	}
+	g_assert_not_reached();
+}
+
+/*
+ * Guards against calls that are served by an older configuration, without a bound,
+ * while a newer one has been received and is not applied: until then it is not in
+ * force, keepers are told so, and after config.outdated_ms calls are refused.
+ */
+static void test_received_not_applied(void)
+{
+	metrics_t *metrics = metrics_new();
+	supervisor_t *sup = supervisor_new("test", 1, USEC_PER_SEC);
+	http_keeper_t keeper = { .revision = 1 };
+	slow_entry_t entry = { .blocked = 1 };
+	config_follow_options_t options = { .name = "e1",
+					    .metrics = metrics,
+					    .changed = slow_entry_change,
+					    .changed_context = &entry };
+	supervisor_child_t child;
+	config_follow_t *follow;
+	pthread_t thread;
+	hl_error_t err;
+	usec_t now;
+
+	options.settings = (config_follow_settings_t){ .poll_ms = 10,
+						       .timeout_ms = 1000,
+						       .outdated_ms = 1000,
+						       .confirm_ms = 1000 };
+	options.settings.keepers.count = 1;
+	keeper.listener = listen_open(8, options.settings.keepers.items[0]);
+	g_assert_cmpint(
+		pthread_create(&thread, NULL, http_keeper_run, &keeper), ==, 0);
+	follow = config_follow_new(&options, &err);
+	g_assert_nonnull(follow);
+	child = config_follow_child(follow);
+	g_assert_cmpint(supervisor_add(sup, &child, NULL), ==, 0);
+	wait_for_received(&entry, 1);
+	wait_for_revision(follow, 1);
+
+	__atomic_store_n(&keeper.revision, 2, __ATOMIC_RELEASE);
+	wait_for_received(&entry, 2);
+	now = time_now();
+	g_assert_cmpuint(config_follow_revision(follow), ==, 1);
+	config_follow_report(follow, 2, now);
+	g_assert_false(config_follow_outdated(follow, now));
+	g_assert_true(config_follow_outdated(follow, now + 1100 * USEC_PER_MS));
+
+	__atomic_store_n(&entry.blocked, 0, __ATOMIC_RELEASE);
+	wait_for_revision(follow, 2);
+	g_assert_false(config_follow_outdated(follow, now + 1100 * USEC_PER_MS));
+
+	supervisor_free(sup);
+	config_follow_free(follow);
+	__atomic_store_n(&keeper.stop, 1, __ATOMIC_RELEASE);
+	pthread_join(thread, NULL);
+	close(keeper.listener);
+	metrics_free(metrics);
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -443,6 +603,8 @@
 	g_test_add_func("/config-follow/confirmation", test_confirmation);
 	g_test_add_func("/config-follow/connect-timeout", test_connect_timeout);
 	g_test_add_func("/config-follow/outdated", test_outdated);
+	g_test_add_func("/config-follow/received-not-applied",
+			test_received_not_applied);
 	g_test_add_func("/config-follow/reporter-first", test_reporter_first);
 	rc = g_test_run();
 	rcu_unregister_thread();
