Remove silent voters that the fault tolerance does not need

Cause: the leader removed a silent voter only while the number of voters was even. Two successors that join before the first replaced voter is removed make five of three or seven of five; these are odd, so the replaced voters, which do not exist any more, stayed for good and counted for the majority. A group of seven was full besides.

Now the leader removes a silent voter while there are more voters than 2 * keeper.fault_tolerance + 1, whatever their number. Fewer must not remain: a change that a majority of three has is lost with two disks, which five bear.

The random search has a sixth keeper in a group of its own, in 40 runs instead of 32.

--- a/keeper-core.c
+++ b/keeper-core.c
@@ -97,6 +97,7 @@
 	out->seed = keeper_core_random_nonzero();
 	out->may_bootstrap = settings->first_start;
 	out->auto_membership = settings->seeds.count > 0;
+	out->fault_tolerance = (unsigned)settings->fault_tolerance;
 	out->founder_count = settings->names.count;
 	for (i = 0; i < settings->names.count; i++)
 		strcpy(out->founders[i], settings->names.items[i]);
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -44,8 +44,9 @@
 	int64_t snapshot_entries;
 	setting_list_t names;
 	setting_list_t addresses;
-	setting_list_t seeds; /* in place of names and addresses */
-	bool first_start;     /* the whole cluster starts with empty disks */
+	setting_list_t seeds;	 /* in place of names and addresses */
+	int64_t fault_tolerance; /* keepers that may be lost at once */
+	bool first_start;	 /* the whole cluster starts with empty disks */
 	char control[HL_ADDRESS_MAX]; /* address of the control port, or "" */
 	char directory
 		[HL_ADDRESS_MAX]; /* address of the directory port, or "" */
--- a/keeper-join.c
+++ b/keeper-join.c
@@ -16,10 +16,11 @@
 /* Election timeouts without a message of a leader after which a voter sends
  * JOIN, since the group may have removed it. */
 #define KEEPER_JOIN_LOST_TIMEOUTS 3
-/* Minimum number of voters that automatic removal by the leader leaves. */
-#define KEEPER_JOIN_VOTERS_MIN 3
+/* Minimum number of voters that automatic removal by the leader leaves, whatever
+ * the fault tolerance is. */
+#define KEEPER_JOIN_VOTERS_MIN 3u
 /* Election timeouts without an answer before a voter is removed from a group
- * with an even number of voters. */
+ * with more voters than its fault tolerance needs. */
 #define KEEPER_JOIN_VOTER_SILENT_TIMEOUTS 3
 /* Election timeouts without an answer before a member that has not become a
  * voter is removed. */
@@ -341,9 +342,22 @@
 	return acked;
 }
 
+/* Number of voters that the fault tolerance needs: what a majority of them has
+ * on its disks is kept if that many disks are lost. With fewer voters it might
+ * not be, so silent ones that may return must remain. */
+static unsigned keeper_join_voters_needed(const keeper_raft_t *raft)
+{
+	unsigned needed = 2 * raft->settings.fault_tolerance + 1;
+
+	if (needed < KEEPER_JOIN_VOTERS_MIN)
+		return KEEPER_JOIN_VOTERS_MIN;
+	return needed < KEEPER_VOTERS_MAX ? needed : KEEPER_VOTERS_MAX;
+}
+
 /* True if the leader should remove a silent member: one that is not a voter, or
- * one of an even number of voters, since that tolerates no more failures than
- * the odd number below it. */
+ * a voter beyond those that the fault tolerance needs. Silent voters count for
+ * the majority, so one whose successor has joined makes the group tolerate fewer
+ * failures. */
 static bool keeper_join_should_remove(keeper_raft_t *raft,
 				      const keeper_node_t *node, usec_t now)
 {
@@ -357,7 +371,7 @@
 		return false;
 	if (!node->voter)
 		return silent > KEEPER_JOIN_LEARNER_SILENT_TIMEOUTS * election;
-	return voters > KEEPER_JOIN_VOTERS_MIN && voters % 2 == 0 &&
+	return voters > keeper_join_voters_needed(raft) &&
 	       silent > KEEPER_JOIN_VOTER_SILENT_TIMEOUTS * election;
 }
 
--- a/keeper-settings.c
+++ b/keeper-settings.c
@@ -47,6 +47,11 @@
 		       "some keepers, with any port; all keepers then have "
 		       "their IP address as name and the same keeper.port, and "
 		       "further ones are added automatically"),
+	KEEPER_SETTING("keeper", "fault_tolerance", fault_tolerance,
+		       SETTING_INTEGER, false, "1", 0, 1000,
+		       "keepers that may be lost at the same time; with "
+		       "seeds, a silent keeper is removed only while more "
+		       "than twice as many and one vote"),
 	KEEPER_SETTING(
 		"keeper", "first_start", first_start, SETTING_BOOLEAN, false,
 		"true", 0, 0,
--- a/keeper.h
+++ b/keeper.h
@@ -191,7 +191,8 @@
 	uint64_t seed;		   /* random seed of the election timeouts */
 	unsigned founder_count;	   /* founding members, including this one */
 	char founders[KEEPER_VOTERS_MAX][HL_NAME_MAX];
-	bool may_bootstrap;   /* with an empty disk, may create the group */
+	unsigned fault_tolerance; /* members that may be lost at once */
+	bool may_bootstrap;	  /* with an empty disk, may create the group */
 	bool auto_membership; /* the leader adds joining members on request and
 			  * removes unreachable ones */
 } keeper_raft_settings_t;
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -15,7 +15,7 @@
  */
 
 #define NODES_MAX 7
-#define RUNS 32
+#define RUNS 40
 #define STEPS_PER_RUN 150000
 #define IN_FLIGHT_MAX 256
 #define TERMS_MAX 20000
@@ -79,9 +79,11 @@
 	first_answer_t answers[IDS_MAX];
 	usec_t partition_end;	    /* time when all links are restored */
 	bool auto_membership;	    /* setting of the replicas */
+	unsigned fault_tolerance;   /* setting of the replicas */
 	bool no_bootstrap;	    /* no replica may create the group */
 	bool no_faults;		    /* inject no faults */
 	bool no_random_changes;	    /* submit no random changes */
+	bool no_operator;	    /* no operator adds or removes voters */
 	kill_point_t kill_point;    /* where the next leader is killed */
 	unsigned delivery_permille; /* message deliveries per 1000 steps */
 	uint64_t replaced, elected;
@@ -138,6 +140,7 @@
 		.cluster = 7,
 		.may_bootstrap = !sim->no_bootstrap,
 		.auto_membership = sim->auto_membership,
+		.fault_tolerance = sim->fault_tolerance,
 		.incarnation = node->incarnation,
 		.heartbeat_interval = HEARTBEAT_INTERVAL,
 		.election_timeout = ELECTION_TIMEOUT
@@ -461,7 +464,8 @@
 	unsigned extra = sim->count - sim->founders;
 	const node_t *other;
 
-	if (!extra || !node->up || node->raft.role != KEEPER_LEADER)
+	if (!extra || sim->no_operator || !node->up ||
+	    node->raft.role != KEEPER_LEADER)
 		return;
 	other = &sim->nodes[sim->founders + random_below(sim, extra)];
 	keeper_raft_change_voter(&node->raft, random_below(sim, 2), other->name,
@@ -628,6 +632,7 @@
 	sim->rand = g_rand_new_with_seed(seed);
 	sim->founders = founders;
 	sim->count = count;
+	sim->fault_tolerance = 1;
 	sim->now = 1000 * USEC_PER_SEC;
 	for (i = 0; i < count; i++) {
 		node_t *node = &sim->nodes[i];
@@ -640,12 +645,12 @@
 
 static void run_random(uint32_t seed, uint64_t *replaced)
 {
-	static const unsigned founders[] = { 3, 3, 5, 3 };
-	static const unsigned counts[] = { 3, 5, 5, 4 };
-	sim_t *sim = sim_new(seed, founders[seed % 4], counts[seed % 4]);
+	static const unsigned founders[] = { 3, 3, 5, 3, 3 };
+	static const unsigned counts[] = { 3, 5, 5, 4, 6 };
+	sim_t *sim = sim_new(seed, founders[seed % 5], counts[seed % 5]);
 	unsigned i;
 
-	sim->auto_membership = seed % 4 == 3;
+	sim->auto_membership = seed % 5 >= 3;
 	sim->delivery_permille = 150 + 100 * random_below(sim, 7);
 	for (i = 0; i < STEPS_PER_RUN; i++)
 		sim_step(sim);
@@ -753,6 +758,64 @@
 	}
 }
 
+/* Stop a replica for good. */
+static void node_retire(node_t *node)
+{
+	node_stop(node);
+	node->stays_down = true;
+}
+
+/* Guards against voters that are gone for good and stay in the group: two of
+ * five are replaced at once, or one after the other while both successors vote.
+ * Counted for the majority, they make a tolerated loss of disks end the group. */
+static void test_replaced_voters_removed(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 7);
+
+		sim->fault_tolerance = 2;
+		sim->no_operator = true;
+		sim->count = 5;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+		node_retire(&sim->nodes[0]);
+		node_retire(&sim->nodes[3]);
+		sim->count = 7;
+		sim_run_until_group(sim, "k1 k2 k4 k5 k6");
+		sim_free(sim);
+
+		sim = sim_new_without_faults(seed, 3, 5);
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+		node_retire(&sim->nodes[seed % 2]);
+		node_retire(&sim->nodes[2]);
+		sim_run_until_group(sim, seed % 2 ? "k0 k3 k4" : "k1 k3 k4");
+		sim_free(sim);
+	}
+}
+
+/* Guards against a group that gives up voters which its fault tolerance needs: a
+ * change that a majority of three has is lost with two disks, which five voters
+ * bear, though two of them are silent. */
+static void test_needed_voters_stay(void)
+{
+	sim_t *sim = sim_new_without_faults(5, 3, 5);
+	usec_t limit;
+
+	sim->fault_tolerance = 2;
+	sim->no_operator = true;
+	sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+	node_retire(&sim->nodes[1]);
+	node_retire(&sim->nodes[4]);
+	sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+	limit = sim->now + 50 * ELECTION_TIMEOUT;
+	while (sim->now < limit)
+		sim_step(sim);
+	sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+	sim_free(sim);
+}
+
 /* Guards against a voter that stays excluded: it was removed while it was down,
  * and must join again after its restart. */
 static void test_removed_voter_rejoins(void)
@@ -839,6 +902,10 @@
 	g_test_add_func("/keeper-raft/random", test_random_faults);
 	g_test_add_func("/keeper-raft/open-group", test_auto_membership);
 	g_test_add_func("/keeper-raft/open-return", test_removed_voter_rejoins);
+	g_test_add_func("/keeper-raft/needed-voters-stay",
+			test_needed_voters_stay);
+	g_test_add_func("/keeper-raft/replaced-voters-removed",
+			test_replaced_voters_removed);
 	g_test_add_func("/keeper-raft/no-founding", test_no_bootstrap);
 	for (i = 0; i < G_N_ELEMENTS(kill_points); i++) {
 		char *path = g_strdup_printf("/keeper-raft/leader-killed-%s",
