Keep a group able to elect a leader while a voter is removed

Operators and callers would see a group that nobody leads any more after the loss of one disk, which it tolerates, and so an older configuration for good. Found by the random search once replaced voters are removed more often; two causes, both of a removal that is appended and not committed:

- A leader that has appended its own removal and stops has the newest log.
It refuses its vote to the others, which need it if a disk is lost, and did not campaign itself, as its newest group lacks it.
It campaigns now as long as the removal is not committed (Raft thesis, 4.2.2).
- A leader removed a voter although no majority of those left answered: the removal can't be committed, and its longer log keeps others from leading.
A removal, also of the old disk of a member that joins again, now needs a majority of the remaining voters that have answered lately.

/keeper-raft/removed-leader-campaigns and removal-needs-majority fail without the one and the other.

--- a/keeper-join.c
+++ b/keeper-join.c
@@ -22,6 +22,8 @@
 /* Election timeouts without an answer before a voter is removed from a group
  * with more voters than its fault tolerance needs. */
 #define KEEPER_JOIN_VOTER_SILENT_TIMEOUTS 3
+/* Election timeouts for which a voter counts as alive after an answer. */
+#define KEEPER_JOIN_ALIVE_TIMEOUTS 2
 /* Election timeouts without an answer before a member that has not become a
  * voter is removed. */
 #define KEEPER_JOIN_LEARNER_SILENT_TIMEOUTS 10
@@ -252,6 +254,38 @@
 	       now - peer->acked_at < 2 * raft->settings.election_timeout;
 }
 
+static unsigned keeper_join_count_voters(const keeper_group_t *group)
+{
+	unsigned count = 0, i;
+
+	for (i = 0; i < group->count; i++)
+		count += group->nodes[i].voter;
+	return count;
+}
+
+/* True if a majority of the voters of @group have answered lately. Without it the
+ * group could never be committed, and the present one might be unable to elect a
+ * leader, as the log of this replica would be newer than the others'. */
+static bool keeper_join_is_alive(keeper_raft_t *raft,
+				 const keeper_group_t *group, usec_t now)
+{
+	usec_t limit = now - KEEPER_JOIN_ALIVE_TIMEOUTS *
+				     raft->settings.election_timeout;
+	unsigned alive = 0, i;
+
+	for (i = 0; i < group->count; i++) {
+		const keeper_node_t *node = &group->nodes[i];
+		const keeper_peer_t *peer = keeper_raft_find_peer(
+			raft, node->name, node->incarnation);
+
+		if (!node->voter)
+			continue;
+		alive += !strcmp(node->name, raft->settings.name) ||
+			 (peer && peer->acked_at > limit);
+	}
+	return 2 * alive > keeper_join_count_voters(group);
+}
+
 void keeper_join_promote(keeper_raft_t *raft, const keeper_peer_t *peer,
 			 usec_t now)
 {
@@ -268,6 +302,8 @@
 		 * gives a vote to the new disk. */
 		node->voter = false;
 		node->incarnation = 0;
+		if (!keeper_join_is_alive(raft, &group, now))
+			return;
 	} else {
 		*node = peer->node;
 		node->voter = true;
@@ -276,15 +312,6 @@
 	keeper_append_broadcast(raft, true, now);
 }
 
-static unsigned keeper_join_count_voters(const keeper_group_t *group)
-{
-	unsigned count = 0, i;
-
-	for (i = 0; i < group->count; i++)
-		count += group->nodes[i].voter;
-	return count;
-}
-
 static bool keeper_join_add_member(keeper_group_t *group, const char *name,
 				   const char *address)
 {
@@ -322,7 +349,8 @@
 	if (!keeper_join_can_change_group(raft) || !hl_name_valid(name))
 		return KEEPER_BUSY;
 	if (add ? !keeper_join_add_member(&group, name, address) :
-		  !keeper_join_remove_member(&group, node))
+		  !keeper_join_remove_member(&group, node) ||
+			    !keeper_join_is_alive(raft, &group, now))
 		return KEEPER_BUSY;
 	keeper_raft_append_group(raft, &group);
 	keeper_append_broadcast(raft, true, now);
--- a/keeper-vote.c
+++ b/keeper-vote.c
@@ -86,10 +86,25 @@
 	keeper_vote_campaign(raft, now);
 }
 
+/* True if this disk is a voter, or is one until its removal is committed (Raft
+ * thesis, section 4.2.2): if no other log has the removal, the others can't win
+ * an election. */
+static bool keeper_vote_may_campaign(const keeper_raft_t *raft)
+{
+	const keeper_raft_settings_t *settings = &raft->settings;
+	keeper_group_t committed;
+
+	if (keeper_raft_is_voter(raft))
+		return true;
+	keeper_raft_group_at(raft, raft->commit, &committed);
+	return keeper_group_is_voter(&committed, settings->name,
+				     settings->incarnation);
+}
+
 void keeper_vote_start_prevote(keeper_raft_t *raft, usec_t now)
 {
 	keeper_raft_become_follower(raft, raft->ballot.term, now);
-	if (!keeper_raft_is_voter(raft))
+	if (!keeper_vote_may_campaign(raft))
 		return;
 	raft->role = KEEPER_PRECANDIDATE;
 	keeper_vote_send_requests(raft, KEEPER_MSG_PREVOTE,
--- a/keeper.h
+++ b/keeper.h
@@ -342,8 +342,8 @@
  *
  * Return: KEEPER_OK if the change was appended or is already in the log,
  * KEEPER_NOT_LEADER, or KEEPER_BUSY if another change of the group is
- * uncommitted, the name is not valid, the group is full or the last voter
- * would be removed.
+ * uncommitted, the name is not valid, the group is full, or no majority of
+ * the voters that would be left has answered lately.
  */
 keeper_status_t keeper_raft_change_voter(keeper_raft_t *raft, bool add,
 					 const char *name, const char *address,
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -719,6 +719,21 @@
 	g_strfreev(names);
 }
 
+/* Run until a leader with a lease has committed its group; return the leader. */
+static node_t *sim_run_until_group_committed(sim_t *sim)
+{
+	usec_t limit = sim->now + 100 * ELECTION_TIMEOUT;
+
+	while (sim->now < limit) {
+		node_t *leader = (node_t *)sim_leader(sim);
+
+		if (leader && leader->raft.commit >= leader->raft.group_index)
+			return leader;
+		sim_step(sim);
+	}
+	g_assert_not_reached();
+}
+
 static sim_t *sim_new_without_faults(uint32_t seed, unsigned founders,
 				     unsigned count)
 {
@@ -795,6 +810,67 @@
 	}
 }
 
+/* Guards against a group without a leader: a leader has appended its own removal,
+ * which no other log has, and stops. With a lost disk the others are too few to
+ * elect one, so it must campaign once it is back. */
+static void test_removed_leader_campaigns(void)
+{
+	uint32_t seed;
+	unsigned i;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 4);
+		unsigned number;
+		node_t *leader;
+
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3");
+		leader = sim_run_until_group_committed(sim);
+		number = (unsigned)(leader - sim->nodes);
+		sim->partition_end = INT64_MAX;
+		for (i = 0; i < 4; i++)
+			sim->blocked[number][i] = true;
+		keeper_raft_change_voter(&leader->raft, false, leader->name, "",
+					 sim->now);
+		sim_finish_step(sim, leader);
+		g_assert_false(keeper_group_is_voter(&leader->raft.group,
+						     leader->name,
+						     leader->incarnation));
+		node_stop(leader);
+		while (sim->in_flight_count)
+			sim_deliver(sim);
+		node_replace(sim, &sim->nodes[(number + 1) % 4]);
+		sim->partition_end = 0;
+		sim_run_until_answer(sim, 0);
+		sim_free(sim);
+	}
+}
+
+/* Guards against a removal that can't be committed: of three voters one is down, and
+ * a removal of another one would leave the leader with the silent one. */
+static void test_removal_needs_majority(void)
+{
+	sim_t *sim = sim_new_without_faults(2, 3, 3);
+	usec_t limit;
+	node_t *leader;
+	unsigned number;
+
+	sim_run_until_group(sim, "k0 k1 k2");
+	leader = (node_t *)sim_leader(sim);
+	number = (unsigned)(leader - sim->nodes);
+	node_retire(&sim->nodes[(number + 1) % 3]);
+	limit = sim->now + 4 * ELECTION_TIMEOUT;
+	while (sim->now < limit)
+		sim_step(sim);
+	g_assert_true(leader == sim_leader(sim));
+	g_assert_cmpint(
+		keeper_raft_change_voter(&leader->raft, false,
+					 sim->nodes[(number + 2) % 3].name, "",
+					 sim->now),
+		==, KEEPER_BUSY);
+	sim_free(sim);
+}
+
 /* Guards against a group that gives up voters which its fault tolerance needs: a
  * change that a majority of three has is lost with two disks, which five voters
  * bear, though two of them are silent. */
@@ -904,6 +980,10 @@
 	g_test_add_func("/keeper-raft/open-return", test_removed_voter_rejoins);
 	g_test_add_func("/keeper-raft/needed-voters-stay",
 			test_needed_voters_stay);
+	g_test_add_func("/keeper-raft/removal-needs-majority",
+			test_removal_needs_majority);
+	g_test_add_func("/keeper-raft/removed-leader-campaigns",
+			test_removed_leader_campaigns);
 	g_test_add_func("/keeper-raft/replaced-voters-removed",
 			test_replaced_voters_removed);
 	g_test_add_func("/keeper-raft/no-founding", test_no_bootstrap);
