Give up the vote of a replaced keeper when it stops

Operators would see an acknowledged configuration gone for good: a successor has joined, the keeper that it replaces gets SIGTERM, and a disk is lost within the next 1.8 s. Of four voters three are needed then, and two are left; nobody leads any more, so nobody removes the vote of the one that stopped. The deployment bears the loss of one: a machine that is removed no longer counts once its successor has caught up.

A keeper that stops now asks the leader to remove its vote, if the fault tolerance does not need it; a leader appends its own removal and waits until it is committed, 300 ms at most. A restart of a needed voter changes nothing.

--- a/hemlock-keeper.c
+++ b/hemlock-keeper.c
@@ -162,6 +162,7 @@
 		rc = supervisor_run(sup) ? KEEPER_EXIT_RUN : KEEPER_EXIT_OK;
 	}
 	keeper_control_stop(servers.control);
+	keeper_core_leave(&core);
 	keeper_http_stop(&core);
 	supervisor_free(sup);
 	keeper_control_free(servers.control);
--- a/keeper-core.c
+++ b/keeper-core.c
@@ -9,6 +9,10 @@
 
 /* Delay before the data folder is opened again after a fault. */
 #define KEEPER_REOPEN_DELAY USEC_PER_SEC
+/* Maximum time in which a keeper that stops gives up its vote, and the interval
+ * between checks whether it has. */
+#define KEEPER_LEAVE_TIME (300 * USEC_PER_MS)
+#define KEEPER_LEAVE_PERIOD (5 * USEC_PER_MS)
 
 static void keeper_core_register_metrics(keeper_core_t *core)
 {
@@ -173,6 +177,7 @@
 	was_leading = view->leading;
 	view->serving = true;
 	view->leading = raft->role == KEEPER_LEADER;
+	view->may_leave = keeper_raft_may_leave(raft);
 	view->lease_end = keeper_raft_lease_end(raft);
 	if (!was_leading)
 		view->suspended = suspended;
@@ -359,6 +364,36 @@
 	pthread_mutex_unlock(&core->lock);
 }
 
+static bool keeper_core_may_leave(keeper_core_t *core)
+{
+	bool may_leave;
+
+	pthread_mutex_lock(&core->lock);
+	may_leave = core->view.serving && core->view.may_leave;
+	pthread_mutex_unlock(&core->lock);
+	return may_leave;
+}
+
+void keeper_core_leave(keeper_core_t *core)
+{
+	const struct timespec period = { 0, KEEPER_LEAVE_PERIOD * 1000 };
+	usec_t until = time_now() + KEEPER_LEAVE_TIME;
+	keeper_item_t *item;
+
+	if (!keeper_core_may_leave(core))
+		return;
+	log_event(LOG_LEVEL_NOTICE, "vote-given-up", "voter=%s",
+		  core->settings.name);
+	item = calloc(1, sizeof(*item));
+	if (!item)
+		return;
+	item->kind = KEEPER_ITEM_LEAVE;
+	if (!keeper_core_post(core, item))
+		return;
+	while (keeper_core_may_leave(core) && time_now() < until)
+		nanosleep(&period, NULL);
+}
+
 static void keeper_core_handle(keeper_core_t *core, keeper_item_t *item,
 			       usec_t now)
 {
@@ -379,6 +414,9 @@
 		keeper_raft_change_voter(&core->raft, item->add, item->name,
 					 item->address, now);
 		break;
+	case KEEPER_ITEM_LEAVE:
+		keeper_raft_leave(&core->raft, now);
+		break;
 	}
 }
 
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -85,6 +85,7 @@
 	KEEPER_ITEM_MESSAGE,
 	KEEPER_ITEM_CHANGE,
 	KEEPER_ITEM_VOTER,
+	KEEPER_ITEM_LEAVE,
 } keeper_item_kind_t;
 
 /** struct keeper_item_t - a message, change or request in the core's inbox. */
@@ -104,6 +105,7 @@
 typedef struct {
 	bool serving; /* false while the store is closed after a fault */
 	bool leading;
+	bool may_leave; /* see keeper_raft_may_leave() */
 	char role[HL_NAME_MAX];
 	char leader[HL_NAME_MAX];
 	uint64_t term, last, commit, incarnation;
@@ -201,6 +203,14 @@
 /** keeper_core_wake - wake the core thread, so that it checks its stop flag. */
 void keeper_core_wake(void *context);
 
+/**
+ * keeper_core_leave - give up this keeper's vote before its process stops.
+ *
+ * Does nothing if the group needs the vote. To be called while the core thread
+ * runs; waits until the vote is given up, for 300 ms at most.
+ */
+void keeper_core_leave(keeper_core_t *core);
+
 /** keeper_core_free - free a core whose thread has ended. */
 void keeper_core_free(keeper_core_t *core);
 
--- a/keeper-join.c
+++ b/keeper-join.c
@@ -403,6 +403,40 @@
 	       silent > KEEPER_JOIN_VOTER_SILENT_TIMEOUTS * election;
 }
 
+bool keeper_raft_may_leave(const keeper_raft_t *raft)
+{
+	if (!raft->settings.auto_membership)
+		return false;
+	if (!keeper_raft_is_voter(raft))
+		return raft->role == KEEPER_LEADER;
+	return keeper_join_count_voters(&raft->group) >
+	       keeper_join_voters_needed(raft);
+}
+
+void keeper_raft_leave(keeper_raft_t *raft, usec_t now)
+{
+	const keeper_node_t *leader = keeper_group_find(&raft->group,
+							raft->leader);
+
+	raft->leaving = true;
+	if (!keeper_raft_may_leave(raft))
+		return;
+	if (raft->role == KEEPER_LEADER)
+		keeper_raft_change_voter(raft, false, raft->settings.name, "",
+					 now);
+	else if (leader)
+		keeper_raft_queue_message(raft, leader, KEEPER_MSG_LEAVE);
+}
+
+void keeper_join_on_leave(keeper_raft_t *raft, const keeper_message_t *message,
+			  usec_t now)
+{
+	if (raft->role == KEEPER_LEADER && keeper_raft_may_leave(raft) &&
+	    keeper_group_is_voter(&raft->group, message->from,
+				  message->from_incarnation))
+		keeper_raft_change_voter(raft, false, message->from, "", now);
+}
+
 void keeper_join_prune(keeper_raft_t *raft, usec_t now)
 {
 	unsigned i;
--- a/keeper-raft.c
+++ b/keeper-raft.c
@@ -355,6 +355,9 @@
 		return keeper_install_on_request(raft, message, now);
 	case KEEPER_MSG_INSTALL_REPLY:
 		return keeper_install_on_response(raft, message, now);
+	case KEEPER_MSG_LEAVE:
+		keeper_join_on_leave(raft, message, now);
+		return true;
 	default:
 		return false;
 	}
@@ -432,9 +435,11 @@
 	raft->heartbeat_at = now + raft->settings.heartbeat_interval;
 	if (raft->role == KEEPER_LEADER)
 		keeper_append_broadcast(raft, false, now);
-	else if (!keeper_raft_is_voter(raft) ||
-		 keeper_join_lost_leader(raft, now))
+	else if (!raft->leaving && (!keeper_raft_is_voter(raft) ||
+				    keeper_join_lost_leader(raft, now)))
 		keeper_join_send_requests(raft, now);
+	if (raft->leaving)
+		keeper_raft_leave(raft, now);
 	keeper_join_prune(raft, now);
 	keeper_join_bootstrap(raft, now);
 }
@@ -449,8 +454,9 @@
 {
 	if (raft->role == KEEPER_LEADER)
 		return raft->heartbeat_at;
-	/* A voter that is not the leader has no work at heartbeat times. */
-	if (keeper_raft_is_voter(raft) ||
+	/* A voter that is not the leader has no work at heartbeat times, unless
+	 * it leaves. */
+	if ((keeper_raft_is_voter(raft) && !raft->leaving) ||
 	    raft->election_at < raft->heartbeat_at)
 		return raft->election_at;
 	return raft->heartbeat_at;
--- a/keeper-raft.h
+++ b/keeper-raft.h
@@ -206,6 +206,10 @@
 bool keeper_join_on_request(keeper_raft_t *raft,
 			    const keeper_message_t *message, usec_t now);
 
+/** keeper_join_on_leave - as leader, remove a voter that stops. */
+void keeper_join_on_leave(keeper_raft_t *raft, const keeper_message_t *message,
+			  usec_t now);
+
 /** keeper_join_promote - make a learner that has caught up a voter. */
 void keeper_join_promote(keeper_raft_t *raft, const keeper_peer_t *peer,
 			 usec_t now);
--- a/keeper.h
+++ b/keeper.h
@@ -260,6 +260,7 @@
 	size_t incoming_capacity;
 	struct cds_list_head out; /* keeper_outgoing_t */
 	uint64_t elections;	  /* elections won, for the metrics */
+	bool leaving;		  /* keeper_raft_leave() was called */
 	bool out_of_memory;	  /* the owner must discard the replica */
 } keeper_raft_t;
 
@@ -335,6 +336,20 @@
 uint64_t keeper_raft_propose(keeper_raft_t *raft, const char *body, size_t size,
 			     usec_t now);
 
+/**
+ * keeper_raft_leave - give up the vote of this disk, as its process stops.
+ *
+ * The group keeps it if its fault tolerance needs it. From then on the replica
+ * does not ask to join.
+ */
+void keeper_raft_leave(keeper_raft_t *raft, usec_t now);
+
+/**
+ * keeper_raft_may_leave - true if this disk is a voter beyond those that the
+ * group's fault tolerance needs, or leads while its removal is not committed.
+ */
+bool keeper_raft_may_leave(const keeper_raft_t *raft);
+
 /**
  * keeper_raft_change_voter - add a member as a future voter, or remove one.
  *
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -488,10 +488,21 @@
 	}
 }
 
+/* Make a replica give up its vote, as one that stops does. */
+static void sim_leave(sim_t *sim, node_t *node)
+{
+	if (!node->up)
+		return;
+	keeper_raft_leave(&node->raft, sim->now);
+	sim_finish_step(sim, node);
+}
+
 static void sim_inject_fault(sim_t *sim, node_t *node)
 {
 	switch (random_below(sim, 4)) {
 	case 0:
+		if (random_below(sim, 2))
+			sim_leave(sim, node);
 		node_stop(node);
 		break;
 	case 1:
@@ -810,6 +821,37 @@
 	}
 }
 
+/* Guards against a planned stop of a replaced voter, a follower or the leader, after
+ * which the loss of one more disk ends the group: with four voters three are
+ * needed, and only two are left. */
+static void test_leaving_voter(void)
+{
+	uint32_t seed;
+	unsigned i;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 4);
+		char left[64] = "";
+		node_t *leaver;
+
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3");
+		leaver = &sim->nodes[seed % 4];
+		for (i = 0; i < 4; i++)
+			if (&sim->nodes[i] != leaver)
+				g_snprintf(left + strlen(left),
+					   sizeof(left) - strlen(left), "%s%s",
+					   *left ? " " : "",
+					   sim->nodes[i].name);
+		sim_leave(sim, leaver);
+		sim_run_until_group(sim, left);
+		node_retire(leaver);
+		node_replace(sim, &sim->nodes[(seed + 1) % 4]);
+		sim_run_until_group(sim, left);
+		sim_free(sim);
+	}
+}
+
 /* Guards against a group without a leader: a leader has appended its own removal,
  * which no other log has, and stops. With a lost disk the others are too few to
  * elect one, so it must campaign once it is back. */
@@ -871,6 +913,23 @@
 	sim_free(sim);
 }
 
+/* Guards against a stop that takes away a vote which the group needs. */
+static void test_needed_voter_does_not_leave(void)
+{
+	sim_t *sim = sim_new_without_faults(3, 3, 3);
+	usec_t limit;
+	unsigned i;
+
+	sim_run_until_group(sim, "k0 k1 k2");
+	for (i = 0; i < 3; i++)
+		sim_leave(sim, &sim->nodes[i]);
+	limit = sim->now + 20 * ELECTION_TIMEOUT;
+	while (sim->now < limit)
+		sim_step(sim);
+	sim_run_until_group(sim, "k0 k1 k2");
+	sim_free(sim);
+}
+
 /* Guards against a group that gives up voters which its fault tolerance needs: a
  * change that a majority of three has is lost with two disks, which five voters
  * bear, though two of them are silent. */
@@ -978,6 +1037,9 @@
 	g_test_add_func("/keeper-raft/random", test_random_faults);
 	g_test_add_func("/keeper-raft/open-group", test_auto_membership);
 	g_test_add_func("/keeper-raft/open-return", test_removed_voter_rejoins);
+	g_test_add_func("/keeper-raft/leaving-voter", test_leaving_voter);
+	g_test_add_func("/keeper-raft/needed-voter-does-not-leave",
+			test_needed_voter_does_not_leave);
 	g_test_add_func("/keeper-raft/needed-voters-stay",
 			test_needed_voters_stay);
 	g_test_add_func("/keeper-raft/removal-needs-majority",
--- a/rpc/keeper_rpc.h
+++ b/rpc/keeper_rpc.h
@@ -156,6 +156,7 @@
 	KEEPER_MSG_INSTALL = 7,
 	KEEPER_MSG_INSTALL_REPLY = 8,
 	KEEPER_MSG_JOIN = 9,
+	KEEPER_MSG_LEAVE = 10,
 };
 typedef enum keeper_message_kind_t keeper_message_kind_t;
 
--- a/rpc/keeper_rpc.x
+++ b/rpc/keeper_rpc.x
@@ -122,7 +122,8 @@
 	KEEPER_MSG_APPEND_REPLY = 6,
 	KEEPER_MSG_INSTALL = 7,
 	KEEPER_MSG_INSTALL_REPLY = 8,
-	KEEPER_MSG_JOIN = 9
+	KEEPER_MSG_JOIN = 9,
+	KEEPER_MSG_LEAVE = 10
 };
 
 struct keeper_ballot_t {
@@ -182,6 +183,8 @@
 	keeper_install_reply_t install_reply;
 case KEEPER_MSG_JOIN:
 	keeper_join_t join;
+case KEEPER_MSG_LEAVE:			/* the sender stops and gives up its vote */
+	void;
 };
 
 struct keeper_message_t {
--- a/rpc/keeper_rpc_xdr.c
+++ b/rpc/keeper_rpc_xdr.c
@@ -364,6 +364,8 @@
 		 if (!xdr_keeper_join_t (xdrs, &objp->keeper_message_body_t_u.join))
 			 return FALSE;
 		break;
+	case KEEPER_MSG_LEAVE:
+		break;
 	default:
 		return FALSE;
 	}
