--- a/keeper-join.c
+++ b/keeper-join.c
@@ -16,11 +16,14 @@
 /* Election timeouts without a message of a leader after which a voter sends
  * JOIN, since the group may have removed it. */
 #define KEEPER_JOIN_LOST_TIMEOUTS 3
-/* Minimum number of voters that automatic removal by the leader leaves. */
-#define KEEPER_JOIN_VOTERS_MIN 3
+/* Minimum number of voters that automatic removal by the leader leaves, whatever
+ * the fault tolerance is. */
+#define KEEPER_JOIN_VOTERS_MIN 3u
 /* Election timeouts without an answer before a voter is removed from a group
- * with an even number of voters. */
+ * with more voters than its fault tolerance needs. */
 #define KEEPER_JOIN_VOTER_SILENT_TIMEOUTS 3
+/* Election timeouts for which a voter counts as alive after an answer. */
+#define KEEPER_JOIN_ALIVE_TIMEOUTS 2
 /* Election timeouts without an answer before a member that has not become a
  * voter is removed. */
 #define KEEPER_JOIN_LEARNER_SILENT_TIMEOUTS 10
@@ -251,6 +254,38 @@
 	       now - peer->acked_at < 2 * raft->settings.election_timeout;
 }
 
+static unsigned keeper_join_count_voters(const keeper_group_t *group)
+{
+	unsigned count = 0, i;
+
+	for (i = 0; i < group->count; i++)
+		count += group->nodes[i].voter;
+	return count;
+}
+
+/* True if a majority of the voters of @group have answered lately. Without it the
+ * group could never be committed, and the present one might be unable to elect a
+ * leader, as the log of this replica would be newer than the others'. */
+static bool keeper_join_is_alive(keeper_raft_t *raft,
+				 const keeper_group_t *group, usec_t now)
+{
+	usec_t limit = now - KEEPER_JOIN_ALIVE_TIMEOUTS *
+				     raft->settings.election_timeout;
+	unsigned alive = 0, i;
+
+	for (i = 0; i < group->count; i++) {
+		const keeper_node_t *node = &group->nodes[i];
+		const keeper_peer_t *peer = keeper_raft_find_peer(
+			raft, node->name, node->incarnation);
+
+		if (!node->voter)
+			continue;
+		alive += !strcmp(node->name, raft->settings.name) ||
+			 (peer && peer->acked_at > limit);
+	}
+	return 2 * alive > keeper_join_count_voters(group);
+}
+
 void keeper_join_promote(keeper_raft_t *raft, const keeper_peer_t *peer,
 			 usec_t now)
 {
@@ -267,6 +302,8 @@
 		 * gives a vote to the new disk. */
 		node->voter = false;
 		node->incarnation = 0;
+		if (!keeper_join_is_alive(raft, &group, now))
+			return;
 	} else {
 		*node = peer->node;
 		node->voter = true;
@@ -275,15 +312,6 @@
 	keeper_append_broadcast(raft, true, now);
 }
 
-static unsigned keeper_join_count_voters(const keeper_group_t *group)
-{
-	unsigned count = 0, i;
-
-	for (i = 0; i < group->count; i++)
-		count += group->nodes[i].voter;
-	return count;
-}
-
 static bool keeper_join_add_member(keeper_group_t *group, const char *name,
 				   const char *address)
 {
@@ -321,7 +349,8 @@
 	if (!keeper_join_can_change_group(raft) || !hl_name_valid(name))
 		return KEEPER_BUSY;
 	if (add ? !keeper_join_add_member(&group, name, address) :
-		  !keeper_join_remove_member(&group, node))
+		  !keeper_join_remove_member(&group, node) ||
+			    !keeper_join_is_alive(raft, &group, now))
 		return KEEPER_BUSY;
 	keeper_raft_append_group(raft, &group);
 	keeper_append_broadcast(raft, true, now);
@@ -341,9 +370,22 @@
 	return acked;
 }
 
+/* Number of voters that the fault tolerance needs: what a majority of them has
+ * on its disks is kept if that many disks are lost. With fewer voters it might
+ * not be, so silent ones that may return must remain. */
+static unsigned keeper_join_voters_needed(const keeper_raft_t *raft)
+{
+	unsigned needed = 2 * raft->settings.fault_tolerance + 1;
+
+	if (needed < KEEPER_JOIN_VOTERS_MIN)
+		return KEEPER_JOIN_VOTERS_MIN;
+	return needed < KEEPER_VOTERS_MAX ? needed : KEEPER_VOTERS_MAX;
+}
+
 /* True if the leader should remove a silent member: one that is not a voter, or
- * one of an even number of voters, since that tolerates no more failures than
- * the odd number below it. */
+ * a voter beyond those that the fault tolerance needs. Silent voters count for
+ * the majority, so one whose successor has joined makes the group tolerate fewer
+ * failures. */
 static bool keeper_join_should_remove(keeper_raft_t *raft,
 				      const keeper_node_t *node, usec_t now)
 {
@@ -357,10 +399,44 @@
 		return false;
 	if (!node->voter)
 		return silent > KEEPER_JOIN_LEARNER_SILENT_TIMEOUTS * election;
-	return voters > KEEPER_JOIN_VOTERS_MIN && voters % 2 == 0 &&
+	return voters > keeper_join_voters_needed(raft) &&
 	       silent > KEEPER_JOIN_VOTER_SILENT_TIMEOUTS * election;
 }
 
+bool keeper_raft_may_leave(const keeper_raft_t *raft)
+{
+	if (!raft->settings.auto_membership)
+		return false;
+	if (!keeper_raft_is_voter(raft))
+		return raft->role == KEEPER_LEADER;
+	return keeper_join_count_voters(&raft->group) >
+	       keeper_join_voters_needed(raft);
+}
+
+void keeper_raft_leave(keeper_raft_t *raft, usec_t now)
+{
+	const keeper_node_t *leader = keeper_group_find(&raft->group,
+							raft->leader);
+
+	raft->leaving = true;
+	if (!keeper_raft_may_leave(raft))
+		return;
+	if (raft->role == KEEPER_LEADER)
+		keeper_raft_change_voter(raft, false, raft->settings.name, "",
+					 now);
+	else if (leader)
+		keeper_raft_queue_message(raft, leader, KEEPER_MSG_LEAVE);
+}
+
+void keeper_join_on_leave(keeper_raft_t *raft, const keeper_message_t *message,
+			  usec_t now)
+{
+	if (raft->role == KEEPER_LEADER && keeper_raft_may_leave(raft) &&
+	    keeper_group_is_voter(&raft->group, message->from,
+				  message->from_incarnation))
+		keeper_raft_change_voter(raft, false, message->from, "", now);
+}
+
 void keeper_join_prune(keeper_raft_t *raft, usec_t now)
 {
 	unsigned i;
