--- a/keeper.h
+++ b/keeper.h
@@ -191,7 +191,8 @@
 	uint64_t seed;		   /* random seed of the election timeouts */
 	unsigned founder_count;	   /* founding members, including this one */
 	char founders[KEEPER_VOTERS_MAX][HL_NAME_MAX];
-	bool may_bootstrap;   /* with an empty disk, may create the group */
+	unsigned fault_tolerance; /* members that may be lost at once */
+	bool may_bootstrap;	  /* with an empty disk, may create the group */
 	bool auto_membership; /* the leader adds joining members on request and
 			  * removes unreachable ones */
 } keeper_raft_settings_t;
@@ -259,6 +260,7 @@
 	size_t incoming_capacity;
 	struct cds_list_head out; /* keeper_outgoing_t */
 	uint64_t elections;	  /* elections won, for the metrics */
+	bool leaving;		  /* keeper_raft_leave() was called */
 	bool out_of_memory;	  /* the owner must discard the replica */
 } keeper_raft_t;
 
@@ -334,6 +336,20 @@
 uint64_t keeper_raft_propose(keeper_raft_t *raft, const char *body, size_t size,
 			     usec_t now);
 
+/**
+ * keeper_raft_leave - give up the vote of this disk, as its process stops.
+ *
+ * The group keeps it if its fault tolerance needs it. From then on the replica
+ * does not ask to join.
+ */
+void keeper_raft_leave(keeper_raft_t *raft, usec_t now);
+
+/**
+ * keeper_raft_may_leave - true if this disk is a voter beyond those that the
+ * group's fault tolerance needs, or leads while its removal is not committed.
+ */
+bool keeper_raft_may_leave(const keeper_raft_t *raft);
+
 /**
  * keeper_raft_change_voter - add a member as a future voter, or remove one.
  *
@@ -341,8 +357,8 @@
  *
  * Return: KEEPER_OK if the change was appended or is already in the log,
  * KEEPER_NOT_LEADER, or KEEPER_BUSY if another change of the group is
- * uncommitted, the name is not valid, the group is full or the last voter
- * would be removed.
+ * uncommitted, the name is not valid, the group is full, or no majority of
+ * the voters that would be left has answered lately.
  */
 keeper_status_t keeper_raft_change_voter(keeper_raft_t *raft, bool add,
 					 const char *name, const char *address,
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -15,7 +15,7 @@
  */
 
 #define NODES_MAX 7
-#define RUNS 32
+#define RUNS 40
 #define STEPS_PER_RUN 150000
 #define IN_FLIGHT_MAX 256
 #define TERMS_MAX 20000
@@ -79,9 +79,11 @@
 	first_answer_t answers[IDS_MAX];
 	usec_t partition_end;	    /* time when all links are restored */
 	bool auto_membership;	    /* setting of the replicas */
+	unsigned fault_tolerance;   /* setting of the replicas */
 	bool no_bootstrap;	    /* no replica may create the group */
 	bool no_faults;		    /* inject no faults */
 	bool no_random_changes;	    /* submit no random changes */
+	bool no_operator;	    /* no operator adds or removes voters */
 	kill_point_t kill_point;    /* where the next leader is killed */
 	unsigned delivery_permille; /* message deliveries per 1000 steps */
 	uint64_t replaced, elected;
@@ -138,6 +140,7 @@
 		.cluster = 7,
 		.may_bootstrap = !sim->no_bootstrap,
 		.auto_membership = sim->auto_membership,
+		.fault_tolerance = sim->fault_tolerance,
 		.incarnation = node->incarnation,
 		.heartbeat_interval = HEARTBEAT_INTERVAL,
 		.election_timeout = ELECTION_TIMEOUT
@@ -461,7 +464,8 @@
 	unsigned extra = sim->count - sim->founders;
 	const node_t *other;
 
-	if (!extra || !node->up || node->raft.role != KEEPER_LEADER)
+	if (!extra || sim->no_operator || !node->up ||
+	    node->raft.role != KEEPER_LEADER)
 		return;
 	other = &sim->nodes[sim->founders + random_below(sim, extra)];
 	keeper_raft_change_voter(&node->raft, random_below(sim, 2), other->name,
@@ -484,10 +488,21 @@
 	}
 }
 
+/* Make a replica give up its vote, as one that stops does. */
+static void sim_leave(sim_t *sim, node_t *node)
+{
+	if (!node->up)
+		return;
+	keeper_raft_leave(&node->raft, sim->now);
+	sim_finish_step(sim, node);
+}
+
 static void sim_inject_fault(sim_t *sim, node_t *node)
 {
 	switch (random_below(sim, 4)) {
 	case 0:
+		if (random_below(sim, 2))
+			sim_leave(sim, node);
 		node_stop(node);
 		break;
 	case 1:
@@ -628,6 +643,7 @@
 	sim->rand = g_rand_new_with_seed(seed);
 	sim->founders = founders;
 	sim->count = count;
+	sim->fault_tolerance = 1;
 	sim->now = 1000 * USEC_PER_SEC;
 	for (i = 0; i < count; i++) {
 		node_t *node = &sim->nodes[i];
@@ -640,12 +656,12 @@
 
 static void run_random(uint32_t seed, uint64_t *replaced)
 {
-	static const unsigned founders[] = { 3, 3, 5, 3 };
-	static const unsigned counts[] = { 3, 5, 5, 4 };
-	sim_t *sim = sim_new(seed, founders[seed % 4], counts[seed % 4]);
+	static const unsigned founders[] = { 3, 3, 5, 3, 3 };
+	static const unsigned counts[] = { 3, 5, 5, 4, 6 };
+	sim_t *sim = sim_new(seed, founders[seed % 5], counts[seed % 5]);
 	unsigned i;
 
-	sim->auto_membership = seed % 4 == 3;
+	sim->auto_membership = seed % 5 >= 3;
 	sim->delivery_permille = 150 + 100 * random_below(sim, 7);
 	for (i = 0; i < STEPS_PER_RUN; i++)
 		sim_step(sim);
@@ -714,6 +730,21 @@
 	g_strfreev(names);
 }
 
+/* Run until a leader with a lease has committed its group; return the leader. */
+static node_t *sim_run_until_group_committed(sim_t *sim)
+{
+	usec_t limit = sim->now + 100 * ELECTION_TIMEOUT;
+
+	while (sim->now < limit) {
+		node_t *leader = (node_t *)sim_leader(sim);
+
+		if (leader && leader->raft.commit >= leader->raft.group_index)
+			return leader;
+		sim_step(sim);
+	}
+	g_assert_not_reached();
+}
+
 static sim_t *sim_new_without_faults(uint32_t seed, unsigned founders,
 				     unsigned count)
 {
@@ -753,6 +784,173 @@
 	}
 }
 
+/* Stop a replica for good. */
+static void node_retire(node_t *node)
+{
+	node_stop(node);
+	node->stays_down = true;
+}
+
+/* Guards against voters that are gone for good and stay in the group: two of
+ * five are replaced at once, or one after the other while both successors vote.
+ * Counted for the majority, they make a tolerated loss of disks end the group. */
+static void test_replaced_voters_removed(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 7);
+
+		sim->fault_tolerance = 2;
+		sim->no_operator = true;
+		sim->count = 5;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+		node_retire(&sim->nodes[0]);
+		node_retire(&sim->nodes[3]);
+		sim->count = 7;
+		sim_run_until_group(sim, "k1 k2 k4 k5 k6");
+		sim_free(sim);
+
+		sim = sim_new_without_faults(seed, 3, 5);
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+		node_retire(&sim->nodes[seed % 2]);
+		node_retire(&sim->nodes[2]);
+		sim_run_until_group(sim, seed % 2 ? "k0 k3 k4" : "k1 k3 k4");
+		sim_free(sim);
+	}
+}
+
+/* Guards against a planned stop of a replaced voter, a follower or the leader, after
+ * which the loss of one more disk ends the group: with four voters three are
+ * needed, and only two are left. */
+static void test_leaving_voter(void)
+{
+	uint32_t seed;
+	unsigned i;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 4);
+		char left[64] = "";
+		node_t *leaver;
+
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3");
+		leaver = &sim->nodes[seed % 4];
+		for (i = 0; i < 4; i++)
+			if (&sim->nodes[i] != leaver)
+				g_snprintf(left + strlen(left),
+					   sizeof(left) - strlen(left), "%s%s",
+					   *left ? " " : "",
+					   sim->nodes[i].name);
+		sim_leave(sim, leaver);
+		sim_run_until_group(sim, left);
+		node_retire(leaver);
+		node_replace(sim, &sim->nodes[(seed + 1) % 4]);
+		sim_run_until_group(sim, left);
+		sim_free(sim);
+	}
+}
+
+/* Guards against a group without a leader: a leader has appended its own removal,
+ * which no other log has, and stops. With a lost disk the others are too few to
+ * elect one, so it must campaign once it is back. */
+static void test_removed_leader_campaigns(void)
+{
+	uint32_t seed;
+	unsigned i;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 4);
+		unsigned number;
+		node_t *leader;
+
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3");
+		leader = sim_run_until_group_committed(sim);
+		number = (unsigned)(leader - sim->nodes);
+		sim->partition_end = INT64_MAX;
+		for (i = 0; i < 4; i++)
+			sim->blocked[number][i] = true;
+		keeper_raft_change_voter(&leader->raft, false, leader->name, "",
+					 sim->now);
+		sim_finish_step(sim, leader);
+		g_assert_false(keeper_group_is_voter(&leader->raft.group,
+						     leader->name,
+						     leader->incarnation));
+		node_stop(leader);
+		while (sim->in_flight_count)
+			sim_deliver(sim);
+		node_replace(sim, &sim->nodes[(number + 1) % 4]);
+		sim->partition_end = 0;
+		sim_run_until_answer(sim, 0);
+		sim_free(sim);
+	}
+}
+
+/* Guards against a removal that can't be committed: of three voters one is down, and
+ * a removal of another one would leave the leader with the silent one. */
+static void test_removal_needs_majority(void)
+{
+	sim_t *sim = sim_new_without_faults(2, 3, 3);
+	usec_t limit;
+	node_t *leader;
+	unsigned number;
+
+	sim_run_until_group(sim, "k0 k1 k2");
+	leader = (node_t *)sim_leader(sim);
+	number = (unsigned)(leader - sim->nodes);
+	node_retire(&sim->nodes[(number + 1) % 3]);
+	limit = sim->now + 4 * ELECTION_TIMEOUT;
+	while (sim->now < limit)
+		sim_step(sim);
+	g_assert_true(leader == sim_leader(sim));
+	g_assert_cmpint(
+		keeper_raft_change_voter(&leader->raft, false,
+					 sim->nodes[(number + 2) % 3].name, "",
+					 sim->now),
+		==, KEEPER_BUSY);
+	sim_free(sim);
+}
+
+/* Guards against a stop that takes away a vote which the group needs. */
+static void test_needed_voter_does_not_leave(void)
+{
+	sim_t *sim = sim_new_without_faults(3, 3, 3);
+	usec_t limit;
+	unsigned i;
+
+	sim_run_until_group(sim, "k0 k1 k2");
+	for (i = 0; i < 3; i++)
+		sim_leave(sim, &sim->nodes[i]);
+	limit = sim->now + 20 * ELECTION_TIMEOUT;
+	while (sim->now < limit)
+		sim_step(sim);
+	sim_run_until_group(sim, "k0 k1 k2");
+	sim_free(sim);
+}
+
+/* Guards against a group that gives up voters which its fault tolerance needs: a
+ * change that a majority of three has is lost with two disks, which five voters
+ * bear, though two of them are silent. */
+static void test_needed_voters_stay(void)
+{
+	sim_t *sim = sim_new_without_faults(5, 3, 5);
+	usec_t limit;
+
+	sim->fault_tolerance = 2;
+	sim->no_operator = true;
+	sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+	node_retire(&sim->nodes[1]);
+	node_retire(&sim->nodes[4]);
+	sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+	limit = sim->now + 50 * ELECTION_TIMEOUT;
+	while (sim->now < limit)
+		sim_step(sim);
+	sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+	sim_free(sim);
+}
+
 /* Guards against a voter that stays excluded: it was removed while it was down,
  * and must join again after its restart. */
 static void test_removed_voter_rejoins(void)
@@ -839,6 +1037,17 @@
 	g_test_add_func("/keeper-raft/random", test_random_faults);
 	g_test_add_func("/keeper-raft/open-group", test_auto_membership);
 	g_test_add_func("/keeper-raft/open-return", test_removed_voter_rejoins);
+	g_test_add_func("/keeper-raft/leaving-voter", test_leaving_voter);
+	g_test_add_func("/keeper-raft/needed-voter-does-not-leave",
+			test_needed_voter_does_not_leave);
+	g_test_add_func("/keeper-raft/needed-voters-stay",
+			test_needed_voters_stay);
+	g_test_add_func("/keeper-raft/removal-needs-majority",
+			test_removal_needs_majority);
+	g_test_add_func("/keeper-raft/removed-leader-campaigns",
+			test_removed_leader_campaigns);
+	g_test_add_func("/keeper-raft/replaced-voters-removed",
+			test_replaced_voters_removed);
 	g_test_add_func("/keeper-raft/no-founding", test_no_bootstrap);
 	for (i = 0; i < G_N_ELEMENTS(kill_points); i++) {
 		char *path = g_strdup_printf("/keeper-raft/leader-killed-%s",
