Start the group with a majority of the founders

The only remedy was to set up all keepers anew.

Cause: the founder with the lowest name alone created the group, once every founder had sent JOIN with an empty disk. It also appended the group before it had won an election, which would not be safe with a majority only.

With keeper.seeds a founder now campaigns 2 s after its start with a majority of the founders; if all are seen, the lowest name campaigns at once as before. It campaigns with an empty log, and the winner appends the group before its first other entry. All founders are voters and a majority of all is needed, so that two groups can't come to be; one that was not seen has incarnation 0. Why a replaced disk does no harm: it has forgotten the votes of the first one, so without first_start its JOIN does not count as fresh, and it votes for no candidate with an empty log. Incarnation 0 stands for the first disk of that founder. If the folder is replaced below a running keeper, first_start counts no longer.

With keeper.names all founders are needed as before: there first_start is on unless set, and so on for replaced disks.

--- a/keeper-append.c
+++ b/keeper-append.c
@@ -46,6 +46,8 @@
 	keeper_append_t *append;
 	unsigned count;
 
+	if (!peer->node.incarnation)
+		return; /* a founder that has not joined */
 	if (peer->next_index <= raft->entries.base) {
 		keeper_install_send(raft, peer, now);
 		return;
--- a/keeper-core.c
+++ b/keeper-core.c
@@ -103,8 +103,10 @@
 	out->auto_membership = settings->seeds.count > 0;
 	out->fault_tolerance = (unsigned)settings->fault_tolerance;
 	out->founder_count = settings->names.count;
-	for (i = 0; i < settings->names.count; i++)
+	for (i = 0; i < settings->names.count; i++) {
 		strcpy(out->founders[i], settings->names.items[i]);
+		strcpy(out->founder_addresses[i], settings->addresses.items[i]);
+	}
 }
 
 /* Load the configuration from the snapshot. keeper_core_apply_entry() applies
@@ -257,6 +259,12 @@
 			      settings.cluster, settings.name,
 			      keeper_core_random_nonzero(), &core->raft, err))
 		return -1;
+	/* With seeds, only the disk that the process has opened first may
+	 * bootstrap; the folder may have been replaced since then. */
+	if (core->settings.seeds.count && core->view.incarnation &&
+	    core->view.incarnation != core->store.incarnation)
+		core->settings.first_start = false;
+	core->raft.settings.may_bootstrap = core->settings.first_start;
 	if (keeper_core_load_state(core, err) || keeper_core_apply(core, err)) {
 		keeper_store_close(&core->store);
 		keeper_raft_free(&core->raft);
--- a/keeper-join.c
+++ b/keeper-join.c
@@ -5,7 +5,8 @@
 /*
  * Bootstrap of the group, and how members join and leave it. A keeper sends
  * JOIN messages while its disk is not a voter, or may have been removed as one.
- * Keepers with empty disks bootstrap the group with these messages; a leader
+ * Founders with empty disks learn each other's disks from them, and elect a first
+ * leader by a majority of all founders, which appends the first group; a leader
  * that receives one replicates its log to the sender and makes it a voter once
  * it has caught up. The state is in keeper_raft_t (keeper.h).
  */
@@ -13,6 +14,12 @@
 /* Maximum age, in heartbeat intervals, of a JOIN message that counts for the
  * bootstrap of the group. */
 #define KEEPER_JOIN_MAX_AGE_HEARTBEATS 10
+/* Time for which a founder waits for JOIN messages of all others, from its start on.
+ * Founders that start together are seen within a few heartbeats. */
+#define KEEPER_JOIN_FOUNDERS_WAIT (2 * USEC_PER_SEC)
+/* Mixed into the hash of the founders. Builds with another rule for the bootstrap
+ * have another number or none, and create no group with this one. */
+#define KEEPER_JOIN_BOOTSTRAP_RULE 2
 /* Election timeouts without a message of a leader after which a voter sends
  * JOIN, since the group may have removed it. */
 #define KEEPER_JOIN_LOST_TIMEOUTS 3
@@ -46,17 +53,19 @@
 		strcpy(names[i], settings->founders[i]);
 	qsort(names, settings->founder_count, sizeof(names[0]),
 	      keeper_join_compare_names);
-	return hl_hash(names, sizeof(names), settings->cluster);
+	return hl_hash(names, sizeof(names),
+		       settings->cluster + KEEPER_JOIN_BOOTSTRAP_RULE);
 }
 
-static keeper_joining_member_t *keeper_join_find_member(keeper_raft_t *raft,
-							const char *name)
+static keeper_joining_member_t *keeper_join_find_member(
+	const keeper_raft_t *raft, const char *name)
 {
 	unsigned i;
 
 	for (i = 0; i < raft->joining_count; i++)
 		if (!strcmp(raft->joining_members[i].node.name, name))
-			return &raft->joining_members[i];
+			return (keeper_joining_member_t *)&raft
+				->joining_members[i];
 	return NULL;
 }
 
@@ -79,7 +88,10 @@
 		return;
 	join = &message->body.keeper_message_body_t_u.join;
 	join->address = strdup(raft->settings.address);
-	join->fresh = keeper_raft_is_fresh(raft);
+	/* A disk that replaces a founder's first one does not count for the
+	 * bootstrap: it has forgotten the votes of that one. */
+	join->fresh = keeper_raft_is_fresh(raft) &&
+		      raft->settings.may_bootstrap;
 	join->founders_hash = keeper_join_founders_hash(&raft->settings);
 }
 
@@ -218,14 +230,65 @@
 		keeper_join_add_learner(raft, message, now);
 }
 
+bool keeper_join_resolve_founders(const keeper_raft_t *raft,
+				  keeper_group_t *group)
+{
+	uint64_t hash = keeper_join_founders_hash(&raft->settings);
+	bool resolved = false;
+	unsigned i;
+
+	for (i = 0; i < group->count; i++) {
+		const keeper_joining_member_t *member;
+		keeper_node_t *node = &group->nodes[i];
+
+		member = keeper_join_find_member(raft, node->name);
+		if (!node->voter || node->incarnation || !member ||
+		    !member->fresh || member->founders_hash != hash)
+			continue;
+		*node = member->node;
+		resolved = true;
+	}
+	return resolved;
+}
+
+void keeper_join_append_resolved(keeper_raft_t *raft)
+{
+	keeper_group_t group = raft->group;
+
+	if (raft->group_resolved)
+		keeper_raft_append_group(raft, &group);
+}
+
+/* Record a JOIN message of the first disk of a founder that the group has as a voter
+ * without a disk, and set it there. */
+static void keeper_join_resolve(keeper_raft_t *raft,
+				const keeper_message_t *message, usec_t now)
+{
+	const keeper_node_t *node = keeper_group_find(&raft->group,
+						      message->from);
+
+	if (!message->body.keeper_message_body_t_u.join.fresh || !node ||
+	    !node->voter || node->incarnation)
+		return;
+	keeper_join_record(raft, message, now);
+	keeper_raft_load_group(raft);
+	if (raft->role != KEEPER_LEADER || !raft->group_resolved)
+		return;
+	keeper_join_append_resolved(raft);
+	keeper_append_broadcast(raft, true, now);
+}
+
 bool keeper_join_on_request(keeper_raft_t *raft,
 			    const keeper_message_t *message, usec_t now)
 {
 	if (!message->from_incarnation)
 		return false;
-	if (keeper_raft_is_fresh(raft))
+	if (keeper_raft_is_fresh(raft)) {
 		keeper_join_record(raft, message, now);
-	else if (raft->role == KEEPER_LEADER)
+		return true;
+	}
+	keeper_join_resolve(raft, message, now);
+	if (raft->role == KEEPER_LEADER)
 		keeper_join_admit(raft, message, now);
 	else
 		keeper_join_relay(raft, message);
@@ -405,7 +468,7 @@
 
 bool keeper_raft_may_leave(const keeper_raft_t *raft)
 {
-	if (!raft->settings.auto_membership)
+	if (!raft->settings.auto_membership || keeper_raft_is_fresh(raft))
 		return false;
 	if (!keeper_raft_is_voter(raft))
 		return raft->role == KEEPER_LEADER;
@@ -453,37 +516,62 @@
 	}
 }
 
-/* Add the other founders to the group and raise @term to the highest of theirs.
- * Return false unless each has recently sent a JOIN message that is addressed
- * to this disk, and has an empty disk and the same list of founders. */
-static bool keeper_join_collect_founders(keeper_raft_t *raft, usec_t now,
-					 keeper_group_t *group, uint64_t *term)
+/* Return the JOIN message of a founder that counts for the bootstrap of the group:
+ * it is recent and addressed to this disk, and the sender's disk is its first one,
+ * has an empty log and the same list of founders. Return NULL if there is none. */
+static const keeper_joining_member_t *keeper_join_find_founder(
+	const keeper_raft_t *raft, const char *name, usec_t now)
 {
 	const keeper_raft_settings_t *settings = &raft->settings;
+	const keeper_joining_member_t *member = keeper_join_find_member(raft,
+									name);
 	usec_t limit = KEEPER_JOIN_MAX_AGE_HEARTBEATS *
 		       settings->heartbeat_interval;
-	unsigned i;
 
+	if (!member || !member->fresh || !member->knows_incarnation ||
+	    now - member->last_seen > limit ||
+	    member->founders_hash != keeper_join_founders_hash(settings))
+		return NULL;
+	return member;
+}
+
+/* Fill in the group of the founders, as voters all of them: a majority of these is
+ * needed, so that no second group can be created. Those that have not joined have
+ * incarnation 0. Return the number of those that count for the bootstrap. */
+static unsigned keeper_join_collect_founders(const keeper_raft_t *raft,
+					     keeper_group_t *group, usec_t now)
+{
+	const keeper_raft_settings_t *settings = &raft->settings;
+	unsigned seen = 1, i;
+
+	memset(group, 0, sizeof(*group));
 	for (i = 0; i < settings->founder_count; i++) {
-		const keeper_joining_member_t *member;
+		keeper_node_t *node = &group->nodes[group->count++];
 
-		if (!strcmp(settings->founders[i], settings->name))
-			continue;
-		member = keeper_join_find_member(raft, settings->founders[i]);
-		if (!member || !member->fresh || !member->knows_incarnation ||
-		    member->founders_hash !=
-			    keeper_join_founders_hash(settings) ||
-		    now - member->last_seen > limit)
-			return false;
-		if (member->term > *term)
-			*term = member->term;
-		group->nodes[group->count++] = member->node;
+		strcpy(node->name, settings->founders[i]);
+		strcpy(node->address, settings->founder_addresses[i]);
+		node->voter = true;
+		if (!strcmp(node->name, settings->name)) {
+			strcpy(node->address, settings->address);
+			node->incarnation = settings->incarnation;
+		} else if (keeper_join_find_founder(raft, node->name, now)) {
+			seen++;
+		}
 	}
-	return true;
+	keeper_join_resolve_founders(raft, group);
+	return seen;
 }
 
-/* True for the founder with the lowest name. Only this founder bootstraps the
- * group, so that no second group can be created. */
+/* True if this replica has an empty log and may create the group. */
+static bool keeper_join_is_bootstrapping(const keeper_raft_t *raft)
+{
+	const keeper_raft_settings_t *settings = &raft->settings;
+
+	return keeper_raft_is_fresh(raft) && settings->may_bootstrap &&
+	       keeper_join_is_founder(settings, settings->name);
+}
+
+/* True for the founder with the lowest name, which campaigns first. */
 static bool keeper_join_is_lowest_founder(
 	const keeper_raft_settings_t *settings)
 {
@@ -492,27 +580,72 @@
 	for (i = 0; i < settings->founder_count; i++)
 		if (strcmp(settings->founders[i], settings->name) < 0)
 			return false;
-	return keeper_join_is_founder(settings, settings->name);
+	return true;
 }
 
-void keeper_join_bootstrap(keeper_raft_t *raft, usec_t now)
+/* True if the founder waits no longer for the others. Without auto_membership it
+ * always does: there may_bootstrap is left on, and a replaced disk counts for the
+ * bootstrap, too. */
+static bool keeper_join_has_waited(const keeper_raft_t *raft, usec_t now)
+{
+	return raft->settings.auto_membership &&
+	       now - raft->started_at >= KEEPER_JOIN_FOUNDERS_WAIT;
+}
+
+/* Take over the highest term of the founders: one of them may have voted in it for
+ * an earlier disk of this replica. */
+static void keeper_join_raise_term(keeper_raft_t *raft, usec_t now)
 {
-	const keeper_raft_settings_t *settings = &raft->settings;
 	uint64_t term = raft->ballot.term;
-	keeper_group_t group = { 0 };
-	keeper_node_t *self = &group.nodes[0];
+	unsigned i;
 
-	if (!keeper_raft_is_fresh(raft) || !settings->may_bootstrap ||
-	    !keeper_join_is_lowest_founder(settings))
-		return;
-	strcpy(self->name, settings->name);
-	strcpy(self->address, settings->address);
-	self->incarnation = settings->incarnation;
-	self->voter = true;
-	group.count = 1;
-	if (!keeper_join_collect_founders(raft, now, &group, &term))
+	for (i = 0; i < raft->joining_count; i++)
+		if (raft->joining_members[i].term > term)
+			term = raft->joining_members[i].term;
+	keeper_raft_become_follower(raft, term, now);
+}
+
+bool keeper_join_prepare_bootstrap(keeper_raft_t *raft, usec_t now)
+{
+	const keeper_raft_settings_t *settings = &raft->settings;
+	bool waited = keeper_join_has_waited(raft, now);
+	keeper_group_t group;
+	unsigned seen;
+
+	keeper_raft_load_group(raft);
+	if (!keeper_join_is_bootstrapping(raft) || raft->leaving)
+		return false;
+	seen = keeper_join_collect_founders(raft, &group, now);
+	if (waited ? 2 * seen <= settings->founder_count :
+		     seen < settings->founder_count ||
+			     !keeper_join_is_lowest_founder(settings))
+		return false;
+	keeper_join_raise_term(raft, now);
+	keeper_raft_set_founding_group(raft, &group);
+	return true;
+}
+
+void keeper_join_bootstrap(keeper_raft_t *raft, usec_t now)
+{
+	keeper_group_t group;
+
+	if (raft->role == KEEPER_CANDIDATE ||
+	    !keeper_join_is_bootstrapping(raft) ||
+	    !keeper_join_is_lowest_founder(&raft->settings) ||
+	    keeper_join_collect_founders(raft, &group, now) <
+		    raft->settings.founder_count)
 		return;
-	keeper_raft_become_follower(raft, term + 1, now);
-	keeper_raft_append_group(raft, &group);
-	keeper_vote_campaign(raft, now);
+	keeper_vote_start_prevote(raft, now);
+}
+
+bool keeper_join_may_elect_first(const keeper_raft_t *raft,
+				 const keeper_message_t *message)
+{
+	const keeper_joining_member_t *member =
+		keeper_join_find_member(raft, message->from);
+
+	return keeper_join_is_bootstrapping(raft) && member &&
+	       member->node.incarnation == message->from_incarnation &&
+	       member->founders_hash ==
+		       keeper_join_founders_hash(&raft->settings);
 }
--- a/keeper-raft.c
+++ b/keeper-raft.c
@@ -36,6 +36,7 @@
 	raft->settings = *settings;
 	raft->rng_state = settings->seed | 1;
 	raft->leader_last_seen = now;
+	raft->started_at = now;
 	raft->heartbeat_at = now;
 	CDS_INIT_LIST_HEAD(&raft->out);
 	keeper_raft_reset_election_timer(raft, now);
@@ -237,10 +238,20 @@
 	if (entry && !keeper_group_decode(entry->body.body_val,
 					  entry->body.body_len, &raft->group))
 		return false;
+	raft->group_resolved = keeper_join_resolve_founders(raft, &raft->group);
 	keeper_raft_rebuild_peers(raft);
 	return true;
 }
 
+void keeper_raft_set_founding_group(keeper_raft_t *raft,
+				    const keeper_group_t *group)
+{
+	raft->group = *group;
+	raft->group_index = 0;
+	raft->group_resolved = true;
+	keeper_raft_rebuild_peers(raft);
+}
+
 uint64_t keeper_raft_quorum_value(const keeper_raft_t *raft, uint64_t own,
 				  uint64_t (*value)(const keeper_peer_t *peer))
 {
@@ -435,8 +446,9 @@
 	raft->heartbeat_at = now + raft->settings.heartbeat_interval;
 	if (raft->role == KEEPER_LEADER)
 		keeper_append_broadcast(raft, false, now);
-	else if (!raft->leaving && (!keeper_raft_is_voter(raft) ||
-				    keeper_join_lost_leader(raft, now)))
+	else if (!raft->leaving &&
+		 (keeper_raft_is_fresh(raft) || !keeper_raft_is_voter(raft) ||
+		  keeper_join_lost_leader(raft, now)))
 		keeper_join_send_requests(raft, now);
 	if (raft->leaving)
 		keeper_raft_leave(raft, now);
@@ -455,8 +467,9 @@
 	if (raft->role == KEEPER_LEADER)
 		return raft->heartbeat_at;
 	/* A voter that is not the leader has no work at heartbeat times, unless
-	 * it leaves. */
-	if ((keeper_raft_is_voter(raft) && !raft->leaving) ||
+	 * it leaves or bootstraps the group. */
+	if ((keeper_raft_is_voter(raft) && !keeper_raft_is_fresh(raft) &&
+	     !raft->leaving) ||
 	    raft->election_at < raft->heartbeat_at)
 		return raft->election_at;
 	return raft->heartbeat_at;
--- a/keeper-raft.h
+++ b/keeper-raft.h
@@ -93,6 +93,15 @@
  */
 bool keeper_raft_load_group(keeper_raft_t *raft);
 
+/**
+ * keeper_raft_set_founding_group - put the group of the founders in force, for the
+ * election of the first leader.
+ *
+ * keeper_raft_load_group() takes it back while the log is empty.
+ */
+void keeper_raft_set_founding_group(keeper_raft_t *raft,
+				    const keeper_group_t *group);
+
 /**
  * keeper_raft_append_entry - append an entry in the current term, as leader.
  *
@@ -215,10 +224,49 @@
 			 usec_t now);
 
 /**
- * keeper_join_bootstrap - create the group if all founders have empty disks.
- *
- * Only the founder with the lowest name does so: it appends the first group.
+ * keeper_join_bootstrap - campaign for the first leader, if all founders have empty
+ * disks and this one has the lowest name.
  */
 void keeper_join_bootstrap(keeper_raft_t *raft, usec_t now);
 
+/**
+ * keeper_join_prepare_bootstrap - put the group of the founders in force, if this
+ * replica, whose log is empty, may campaign for the first leader.
+ *
+ * It may once all founders have lately sent JOIN from empty disks, or, with
+ * auto_membership, a majority of them if the wait for the others has passed. The
+ * winner appends the group.
+ *
+ * Return: false if it may not; then the replica has no group.
+ */
+bool keeper_join_prepare_bootstrap(keeper_raft_t *raft, usec_t now);
+
+/**
+ * keeper_join_resolve_founders - set the disks of founders that joined after the
+ * bootstrap, in voters of @group with incarnation 0.
+ *
+ * Such a voter stands for the first disk of the founder. So this changes no quorum,
+ * and needs no change of the group that is committed before.
+ *
+ * Return: true if a voter was set.
+ */
+bool keeper_join_resolve_founders(const keeper_raft_t *raft,
+				  keeper_group_t *group);
+
+/**
+ * keeper_join_append_resolved - as leader, append the group in force if the log does
+ * not have it: that of the founders, or one with founders that joined later.
+ */
+void keeper_join_append_resolved(keeper_raft_t *raft);
+
+/**
+ * keeper_join_may_elect_first - true if this replica may vote for the sender of
+ * @message, a candidate with an empty log.
+ *
+ * Only one that may bootstrap may: a replaced disk does not know for whom the first
+ * one has voted. The candidate must have the same founders.
+ */
+bool keeper_join_may_elect_first(const keeper_raft_t *raft,
+				 const keeper_message_t *message);
+
 #endif
--- a/keeper-vote.c
+++ b/keeper-vote.c
@@ -34,7 +34,8 @@
 		keeper_ballot_t *ballot;
 
 		peer->voted = false;
-		if (peer->learner)
+		/* A founder that has not joined has no disk to vote with. */
+		if (peer->learner || !peer->node.incarnation)
 			continue;
 		message = keeper_raft_queue_message(raft, &peer->node, kind);
 		if (!message)
@@ -63,6 +64,7 @@
 		peer->acked_at = peer->sent_at = 0;
 		peer->in_flight = false;
 	}
+	keeper_join_append_resolved(raft);
 	raft->term_start = keeper_raft_append_entry(raft, KEEPER_ENTRY_NOOP,
 						    NULL, 0);
 	raft->heartbeat_at = now + raft->settings.heartbeat_interval;
@@ -104,6 +106,9 @@
 void keeper_vote_start_prevote(keeper_raft_t *raft, usec_t now)
 {
 	keeper_raft_become_follower(raft, raft->ballot.term, now);
+	if (keeper_raft_is_fresh(raft) &&
+	    !keeper_join_prepare_bootstrap(raft, now))
+		return;
 	if (!keeper_vote_may_campaign(raft))
 		return;
 	raft->role = KEEPER_PRECANDIDATE;
@@ -116,10 +121,14 @@
 /* True if the candidate's log has every entry that may be committed (Raft,
  * section 5.4.1). */
 static bool keeper_vote_up_to_date(const keeper_raft_t *raft,
-				   const keeper_ballot_t *ballot)
+				   const keeper_message_t *message)
 {
+	const keeper_ballot_t *ballot =
+		&message->body.keeper_message_body_t_u.ballot;
 	uint64_t last = keeper_entries_last(&raft->entries), term = 0;
 
+	if (!ballot->last_term && !keeper_join_may_elect_first(raft, message))
+		return false;
 	keeper_entries_term(&raft->entries, last, &term);
 	if (ballot->last_term != term)
 		return ballot->last_term > term;
@@ -134,8 +143,7 @@
 
 	granted = message->term > raft->ballot.term &&
 		  !keeper_vote_lease_possible(raft, now) &&
-		  keeper_vote_up_to_date(
-			  raft, &message->body.keeper_message_body_t_u.ballot);
+		  keeper_vote_up_to_date(raft, message);
 	reply = keeper_raft_queue_reply(raft, message,
 					KEEPER_MSG_PREVOTE_REPLY);
 	if (!reply)
@@ -165,8 +173,7 @@
 
 	granted = !keeper_vote_lease_possible(raft, now) &&
 		  keeper_vote_available(raft, message) &&
-		  keeper_vote_up_to_date(
-			  raft, &message->body.keeper_message_body_t_u.ballot);
+		  keeper_vote_up_to_date(raft, message);
 	if (granted && !raft->ballot.vote[0]) {
 		strcpy(raft->ballot.vote, message->from);
 		raft->ballot.vote_incarnation = message->from_incarnation;
--- a/keeper.h
+++ b/keeper.h
@@ -191,8 +191,12 @@
 	uint64_t seed;		   /* random seed of the election timeouts */
 	unsigned founder_count;	   /* founding members, including this one */
 	char founders[KEEPER_VOTERS_MAX][HL_NAME_MAX];
+	char founder_addresses[KEEPER_VOTERS_MAX][HL_ADDRESS_MAX];
 	unsigned fault_tolerance; /* members that may be lost at once */
-	bool may_bootstrap;	  /* with an empty disk, may create the group */
+	bool may_bootstrap;	  /* with an empty disk, may create the group;
+				  * with auto_membership, a majority of the
+				  * founders may, so that this must be set for
+				  * the first disk of each alone */
 	bool auto_membership; /* the leader adds joining members on request and
 			  * removes unreachable ones */
 } keeper_raft_settings_t;
@@ -215,7 +219,7 @@
 	keeper_node_t node;
 	uint64_t term;
 	uint64_t founders_hash; /* hash of the founders in its settings */
-	bool fresh;		/* its disk never held an entry */
+	bool fresh;		/* may bootstrap, and its log is empty */
 	bool knows_incarnation; /* JOIN was addressed to this disk */
 	usec_t last_seen;
 } keeper_joining_member_t;
@@ -238,13 +242,16 @@
 	keeper_ballot_state_t ballot;
 	keeper_entries_t entries;
 	keeper_snapshot_t snapshot;
-	keeper_group_t group; /* newest in the log, committed or not */
+	keeper_group_t group; /* newest in the log, committed or not; while a
+			       * candidate bootstraps, that of the founders */
 	uint64_t group_index; /* index of the entry that holds group */
+	bool group_resolved;  /* group has disks that its entry lacks */
 	keeper_role_t role;
 	char leader[HL_NAME_MAX]; /* "" while unknown */
 	uint64_t commit;	  /* commit index */
 	uint64_t term_start;	  /* leader: index of its first entry */
 	usec_t elected_at;	  /* leader: time of its election */
+	usec_t started_at;	  /* time of keeper_raft_init() */
 	uint64_t saved;		  /* last entry on this replica's disk */
 	bool ballot_dirty;	  /* the ballot is not saved */
 	bool snapshot_dirty;	  /* a received snapshot is not saved */
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -24,6 +24,8 @@
 #define HEARTBEAT_INTERVAL (50 * USEC_PER_MS)
 #define ELECTION_TIMEOUT (300 * USEC_PER_MS)
 #define PARTITION_MAX (3000 * USEC_PER_MS)
+#define BOOTSTRAP_RUNS 300
+#define BOOTSTRAP_TIME (8 * USEC_PER_SEC)
 
 /* A replica and its disk. */
 typedef struct {
@@ -37,6 +39,7 @@
 	keeper_ballot_state_t ballot;
 	uint64_t commit;
 	bool stays_down; /* true if the replica is not started again */
+	bool first_disk; /* it may bootstrap: its disk was never replaced */
 	keeper_entries_t entries;
 	keeper_snapshot_t snapshot;
 } node_t;
@@ -81,8 +84,10 @@
 	bool auto_membership;	    /* setting of the replicas */
 	unsigned fault_tolerance;   /* setting of the replicas */
 	bool no_bootstrap;	    /* no replica may create the group */
+	bool successors_found;	    /* others name themselves as founders */
 	bool no_faults;		    /* inject no faults */
 	bool no_random_changes;	    /* submit no random changes */
+	bool no_random_loss;	    /* replace no disks at random */
 	bool no_operator;	    /* no operator adds or removes voters */
 	kill_point_t kill_point;    /* where the next leader is killed */
 	unsigned delivery_permille; /* message deliveries per 1000 steps */
@@ -138,7 +143,8 @@
 {
 	keeper_raft_settings_t settings = {
 		.cluster = 7,
-		.may_bootstrap = !sim->no_bootstrap,
+		.may_bootstrap = !sim->no_bootstrap &&
+				 (node->first_disk || !sim->auto_membership),
 		.auto_membership = sim->auto_membership,
 		.fault_tolerance = sim->fault_tolerance,
 		.incarnation = node->incarnation,
@@ -147,13 +153,15 @@
 	};
 	keeper_snapshot_t snapshot = { 0 };
 	keeper_entries_t entries = { 0 };
-	unsigned i;
+	unsigned first = 0, i;
 
 	strcpy(settings.name, node->name);
 	settings.seed = g_rand_int(sim->rand);
 	settings.founder_count = sim->founders;
+	if (sim->successors_found && node >= &sim->nodes[sim->founders])
+		first = (unsigned)(node - sim->nodes) - sim->founders + 1;
 	for (i = 0; i < sim->founders; i++)
-		strcpy(settings.founders[i], sim->nodes[i].name);
+		strcpy(settings.founders[i], sim->nodes[first + i].name);
 	keeper_raft_init(&node->raft, &settings, sim->now);
 	snapshot_copy(&node->snapshot, &snapshot);
 	entries_copy(&node->entries, &entries);
@@ -183,6 +191,7 @@
 	memset(&node->ballot, 0, sizeof(node->ballot));
 	node->commit = 0;
 	node->incarnation = ++sim->incarnations;
+	node->first_disk = false;
 }
 
 static void node_save(node_t *node)
@@ -506,7 +515,7 @@
 		node_stop(node);
 		break;
 	case 1:
-		if (sim_can_replace_disk(sim, node)) {
+		if (!sim->no_random_loss && sim_can_replace_disk(sim, node)) {
 			node_replace(sim, node);
 			sim->replaced++;
 		}
@@ -650,6 +659,7 @@
 
 		g_snprintf(node->name, sizeof(node->name), "k%u", i);
 		node->incarnation = ++sim->incarnations;
+		node->first_disk = true;
 	}
 	return sim;
 }
@@ -982,6 +992,246 @@
 	sim_free(sim);
 }
 
+static void sim_run_for(sim_t *sim, usec_t time)
+{
+	usec_t limit = sim->now + time;
+
+	while (sim->now < limit)
+		sim_step(sim);
+}
+
+/* Submit a change and run until it has an answer. */
+static void sim_run_until_accepted(sim_t *sim)
+{
+	node_t *leader = sim_run_until_group_committed(sim);
+	uint32_t id = 1;
+
+	sim_submit(sim, leader, id);
+	sim_finish_step(sim, leader);
+	sim_run_until_answer(sim, id);
+	g_assert_cmpint(sim->answers[id].verdict, ==, CONFIG_ACCEPTED);
+}
+
+/* Guards against founders that wait for another one for ever: a minority of them is
+ * absent from the start, and those that are there must create the group. An absent
+ * one must become a voter when it comes, also with a disk that may not bootstrap. */
+static void test_founder_absent(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 30; seed++) {
+		unsigned founders = seed % 2 ? 3 : 5;
+		sim_t *sim = sim_new_without_faults(seed, founders, founders);
+		node_t *first = &sim->nodes[seed % founders];
+		node_t *second = &sim->nodes[(seed + 1) % founders];
+
+		sim->no_operator = true;
+		first->stays_down = true;
+		second->stays_down = founders == 5;
+		sim_run_until_accepted(sim);
+		g_assert_cmpuint(sim_leader(sim)->raft.group.count, ==,
+				 founders);
+		first->stays_down = second->stays_down = false;
+		first->first_disk = seed % 4 < 2;
+		sim_run_until_group(sim, founders == 3 ? "k0 k1 k2" :
+							 "k0 k1 k2 k3 k4");
+		sim_free(sim);
+	}
+}
+
+/* Guards against a majority that counts the founders which are there alone: one of
+ * three, and two of five, must not create a group. */
+static void test_founders_too_few(void)
+{
+	uint32_t seed;
+	unsigned i;
+
+	for (seed = 1; seed <= 10; seed++) {
+		unsigned founders = seed % 2 ? 3 : 5;
+		sim_t *sim = sim_new_without_faults(seed, founders, founders);
+
+		for (i = founders / 2; i < founders; i++)
+			sim->nodes[(seed + i) % founders].stays_down = true;
+		sim_run_for(sim, 20 * USEC_PER_SEC);
+		g_assert_cmpuint(sim->elected, ==, 0);
+		sim_free(sim);
+	}
+}
+
+/* Guards against a successor that does not take the place of a founder which has
+ * never been there, and against one that creates a group of its own: it has other
+ * founders in its settings, and may bootstrap. */
+static void test_absent_founder_replaced(void)
+{
+	static const char *const left[] = { "k1 k2 k3", "k0 k2 k3",
+					    "k0 k1 k3" };
+	uint32_t seed;
+
+	for (seed = 1; seed <= 30; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 4);
+
+		sim->no_operator = true;
+		sim->successors_found = seed % 2;
+		sim->count = 3;
+		sim->nodes[seed % 3].stays_down = true;
+		sim_run_for(sim, random_below(sim, 4 * USEC_PER_SEC));
+		sim->count = 4;
+		sim_run_until_group(sim, left[seed % 3]);
+		sim_run_until_accepted(sim);
+		sim_free(sim);
+	}
+}
+
+/* Guards against a disk that is replaced during the bootstrap and counts for it: it
+ * has forgotten for whom the first one has voted. */
+static void test_founder_loses_disk(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 50; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 3);
+
+		sim_run_for(sim, random_below(sim, 3 * USEC_PER_SEC));
+		node_replace(sim, &sim->nodes[seed % 3]);
+		sim_run_until_group(sim, "k0 k1 k2");
+		sim_run_until_accepted(sim);
+		sim_free(sim);
+	}
+}
+
+/* Guards against a second group: two founders have created the first one, one of them
+ * is down, and the other one has lost its disk. With the third, which comes only now,
+ * it must not create another. Once the first one is back, the change must be there. */
+static void test_no_second_group(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 3);
+		node_t *late = &sim->nodes[seed % 3];
+		node_t *down = &sim->nodes[(seed + 1) % 3];
+		node_t *lost = &sim->nodes[(seed + 2) % 3];
+		uint64_t elected;
+
+		late->stays_down = true;
+		sim_run_until_accepted(sim);
+		node_retire(down);
+		node_replace(sim, lost);
+		late->stays_down = false;
+		elected = sim->elected;
+		sim_run_for(sim, 20 * USEC_PER_SEC);
+		g_assert_cmpuint(sim->elected, ==, elected);
+		down->stays_down = false;
+		sim_run_until_group(sim, "k0 k1 k2");
+		g_assert_cmpuint(
+			config_state_config(sim_leader(sim)->state)->revision,
+			==, 1);
+		sim_free(sim);
+	}
+}
+
+/* Guards against a second group of one founder and a successor that may bootstrap and
+ * names itself as a founder. Both are cut off from the other founders. */
+static void test_no_group_of_successor(void)
+{
+	uint32_t seed;
+	unsigned i, j;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 4);
+
+		sim->no_operator = true;
+		sim->successors_found = true;
+		sim->partition_end = INT64_MAX;
+		for (i = 0; i < 4; i++)
+			for (j = 0; j < 4; j++)
+				sim->blocked[i][j] = (i < 2) != (j < 2);
+		sim_run_until_accepted(sim);
+		sim_run_for(sim, 10 * USEC_PER_SEC);
+		for (i = 2; i < 4; i++)
+			g_assert_cmpuint(keeper_entries_last(
+						 &sim->nodes[i].raft.entries),
+					 ==, 0);
+		sim->partition_end = 0;
+		sim_run_until_group(sim, "k0 k1 k2 k3");
+		sim_free(sim);
+	}
+}
+
+/* Inject a fault during the bootstrap. Only the disks of @victim and of the one after
+ * it, if @victims is two, are lost. */
+static void sim_disturb_bootstrap(sim_t *sim, unsigned victim, unsigned victims)
+{
+	node_t *node = &sim->nodes[random_below(sim, sim->count)];
+
+	switch (random_below(sim, 4)) {
+	case 0:
+		node_stop(node);
+		break;
+	case 1:
+		node = &sim->nodes[(victim + random_below(sim, victims)) %
+				   sim->founders];
+		node_replace(sim, node);
+		break;
+	default:
+		sim_partition(sim, (unsigned)(node - sim->nodes));
+		break;
+	}
+}
+
+static void run_bootstrap(uint32_t seed)
+{
+	static const unsigned founders[] = { 3, 5, 3 };
+	static const unsigned counts[] = { 3, 5, 4 };
+	sim_t *sim = sim_new(seed, founders[seed % 3], counts[seed % 3]);
+	unsigned victims = (sim->founders - 1) / 2;
+	unsigned victim = random_below(sim, sim->founders);
+	node_t *absent = &sim->nodes[victim];
+	usec_t limit = sim->now + BOOTSTRAP_TIME;
+	usec_t late = sim->now + random_below(sim, BOOTSTRAP_TIME);
+	usec_t fault;
+
+	sim->auto_membership = true;
+	sim->no_operator = true;
+	sim->no_random_loss = true;
+	sim->fault_tolerance = victims;
+	sim->successors_found = random_below(sim, 2);
+	sim->delivery_permille = 300 + 100 * random_below(sim, 6);
+	sim->count = sim->founders;
+	absent->stays_down = random_below(sim, 2);
+	fault = sim->now;
+	while (sim->now < limit) {
+		if (sim->now >= late) {
+			sim->count = counts[seed % 3];
+			if (sim->count == sim->founders)
+				absent->stays_down = false;
+		}
+		if (sim->now >= fault) {
+			sim_disturb_bootstrap(sim, victim, victims);
+			fault = sim->now + random_below(sim, USEC_PER_SEC);
+		}
+		sim_step(sim);
+	}
+	absent->stays_down = false;
+	sim_converge(sim);
+	sim_free(sim);
+}
+
+/* Guards against two groups, and against entries that are lost, with founders that
+ * are late or replaced, lose their disks, crash and are cut off during the
+ * bootstrap. */
+static void test_bootstrap_faults(void)
+{
+	const char *only = g_getenv("HEMLOCK_SEED");
+	uint32_t first = only ? (uint32_t)strtoul(only, NULL, 10) : 1;
+	unsigned i;
+
+	for (i = 0; i < (only ? 1 : BOOTSTRAP_RUNS); i++) {
+		g_test_message("seed=%u", first + i);
+		run_bootstrap(first + i);
+	}
+}
+
 /* Guards against a change that is lost or applied twice when the leader is
  * killed at some point of its commit. The change is submitted again until it
  * has an answer, and must be accepted exactly once. */
@@ -1049,6 +1299,16 @@
 	g_test_add_func("/keeper-raft/replaced-voters-removed",
 			test_replaced_voters_removed);
 	g_test_add_func("/keeper-raft/no-founding", test_no_bootstrap);
+	g_test_add_func("/keeper-raft/founder-absent", test_founder_absent);
+	g_test_add_func("/keeper-raft/founders-too-few", test_founders_too_few);
+	g_test_add_func("/keeper-raft/absent-founder-replaced",
+			test_absent_founder_replaced);
+	g_test_add_func("/keeper-raft/founder-loses-disk",
+			test_founder_loses_disk);
+	g_test_add_func("/keeper-raft/no-second-group", test_no_second_group);
+	g_test_add_func("/keeper-raft/no-group-of-successor",
+			test_no_group_of_successor);
+	g_test_add_func("/keeper-raft/bootstrap", test_bootstrap_faults);
 	for (i = 0; i < G_N_ELEMENTS(kill_points); i++) {
 		char *path = g_strdup_printf("/keeper-raft/leader-killed-%s",
 					     kill_points[i]);
