Hold the first elections after a start soon and in turn

Callers got what only an older version allows from entries that start after a loss of power: an entry takes its first configuration from any keeper, none of which knows that the last change was committed before a leader is elected.

Each keeper waited for a random time of one to two election time-outs. A vote is refused within one time-out after a start, which the lease needs; beyond it voters now follow one another by their names, a twelfth of a time-out apart. Later elections are random as before.

--- a/keeper-raft.c
+++ b/keeper-raft.c
@@ -11,6 +11,9 @@
 /* A lease ends a tenth of the election timeout early, since the clocks of two
  * VMs run at slightly different rates. */
 #define KEEPER_LEASE_MARGIN_DIVISOR 10
+/* Part of the election timeout, as a divisor, between the first elections of two
+ * keepers that start together. It is longer than an election takes. */
+#define KEEPER_FIRST_ELECTION_DIVISOR 12
 
 /* Return the next number of an xorshift generator. */
 static uint64_t keeper_raft_random(keeper_raft_t *raft)
@@ -42,6 +45,31 @@
 	keeper_raft_reset_election_timer(raft, now);
 }
 
+/* Return the number of voters whose names come before this replica's. */
+static unsigned keeper_raft_rank(const keeper_raft_t *raft)
+{
+	unsigned rank = 0, i;
+
+	for (i = 0; i < raft->group.count; i++)
+		rank += raft->group.nodes[i].voter &&
+			strcmp(raft->group.nodes[i].name, raft->settings.name) <
+				0;
+	return rank;
+}
+
+/* Set the time of the first election after a start. Voters that start together, as
+ * after a loss of power, follow one another by their names, and soon, since entries
+ * may have an outdated configuration until there is a leader. */
+static void keeper_raft_set_first_election(keeper_raft_t *raft, usec_t start)
+{
+	usec_t timeout = raft->settings.election_timeout;
+
+	if (keeper_raft_is_voter(raft))
+		raft->election_at = start + timeout +
+				    keeper_raft_rank(raft) * timeout /
+					    KEEPER_FIRST_ELECTION_DIVISOR;
+}
+
 bool keeper_raft_restore(keeper_raft_t *raft,
 			 const keeper_ballot_state_t *ballot,
 			 keeper_snapshot_t *snapshot, keeper_entries_t *entries)
@@ -53,11 +81,14 @@
 	memset(entries, 0, sizeof(*entries));
 	raft->commit = raft->entries.base;
 	raft->saved = keeper_entries_last(&raft->entries);
+	if (!keeper_raft_load_group(raft))
+		return false;
+	keeper_raft_set_first_election(raft, raft->leader_last_seen);
 	/* An empty disk has acknowledged no leader, so no lease relies on it:
 	 * it may vote at once. */
 	if (raft->saved == 0 && raft->ballot.term == 0)
 		raft->leader_last_seen -= raft->settings.election_timeout;
-	return keeper_raft_load_group(raft);
+	return true;
 }
 
 void keeper_raft_restore_commit(keeper_raft_t *raft, uint64_t commit)
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -940,6 +940,34 @@
 	sim_free(sim);
 }
 
+/* Guards against a late leader after a loss of power of all keepers: each waited for
+ * a random time of up to two election timeouts, while entries had what a keeper that
+ * starts counts as committed. */
+static void test_start_together(void)
+{
+	uint32_t seed;
+	unsigned i;
+
+	for (seed = 1; seed <= 50; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 3);
+		usec_t start;
+
+		sim_run_until_group(sim, "k0 k1 k2");
+		sim_run_until_group_committed(sim);
+		for (i = 0; i < 3; i++)
+			node_stop(&sim->nodes[i]);
+		while (sim->in_flight_count)
+			sim_deliver(sim);
+		start = sim->now;
+		for (i = 0; i < 3; i++)
+			node_start(sim, &sim->nodes[i]);
+		sim_run_until_answer(sim, 0);
+		g_assert_cmpint(sim->now - start, <=,
+				ELECTION_TIMEOUT + ELECTION_TIMEOUT / 3);
+		sim_free(sim);
+	}
+}
+
 /* Guards against a group that gives up voters which its fault tolerance needs: a
  * change that a majority of three has is lost with two disks, which five voters
  * bear, though two of them are silent. */
@@ -1309,6 +1337,7 @@
 	g_test_add_func("/keeper-raft/no-group-of-successor",
 			test_no_group_of_successor);
 	g_test_add_func("/keeper-raft/bootstrap", test_bootstrap_faults);
+	g_test_add_func("/keeper-raft/start-together", test_start_together);
 	for (i = 0; i < G_N_ELEMENTS(kill_points); i++) {
 		char *path = g_strdup_printf("/keeper-raft/leader-killed-%s",
 					     kill_points[i]);
