Decide on the votes of keepers that are gone by what their removal gains

Found by a review of the removal of replaced voters and by a flaky script:

- A keeper that stopped as one of five had its vote removed while another was gone and a third had just lost its disk: two of four were left, and the group ended, which it had borne before.
Of an odd number of voters one is removed only if another one follows, whether silent or stopping: the majority of one voter less is as large.
(restarting-voter-needed)
- A replaced keeper that stopped while nobody led took its vote with it, after 300 ms: two of four were left for good.
It waits for the confirmation of its removal, 2.4 s at most, enough for an election.
(leaving-voter-without-leader)
- It was never told of its removal and always waited the whole time.
The leader answers the repeated message once the removal is committed.
(leaver-learns-removal)
- A keeper that lost its disk after all keepers in its settings had been replaced never joined again, though the leader went on sending to its earlier disk.
It answers such a message with JOIN.

Each named test fails without its part, the first three on.

--- a/keeper-core.c
+++ b/keeper-core.c
@@ -11,7 +11,7 @@
 #define KEEPER_REOPEN_DELAY USEC_PER_SEC
 /* Maximum time in which a keeper that stops gives up its vote, and the interval
  * between checks whether it has. */
-#define KEEPER_LEAVE_TIME (300 * USEC_PER_MS)
+#define KEEPER_LEAVE_TIME (2400 * USEC_PER_MS)
 #define KEEPER_LEAVE_PERIOD (5 * USEC_PER_MS)
 
 static void keeper_core_register_metrics(keeper_core_t *core)
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -207,7 +207,8 @@
  * keeper_core_leave - give up this keeper's vote before its process stops.
  *
  * Does nothing if the group needs the vote. To be called while the core thread
- * runs; waits until the vote is given up, for 300 ms at most.
+ * runs; waits until the leader has confirmed the removal, for 2.4 s at most: a leader
+ * may have to be elected first.
  */
 void keeper_core_leave(keeper_core_t *core);
 
--- a/keeper-join.c
+++ b/keeper-join.c
@@ -159,9 +159,9 @@
 /* Replicate the log to the sender's disk as a learner. It replaces an earlier
  * learner of the same name on another disk. */
 static void keeper_join_add_learner(keeper_raft_t *raft,
-				    const keeper_message_t *message, usec_t now)
+				    const keeper_message_t *message,
+				    const char *address, usec_t now)
 {
-	const keeper_join_t *join = &message->body.keeper_message_body_t_u.join;
 	keeper_node_t node = { 0 };
 	keeper_peer_t *peer;
 	unsigned i;
@@ -170,7 +170,7 @@
 				  message->from_incarnation))
 		return;
 	strcpy(node.name, message->from);
-	strcpy(node.address, join->address);
+	strcpy(node.address, address);
 	node.incarnation = message->from_incarnation;
 	for (i = 0; i < raft->peer_count; i++) {
 		peer = &raft->peers[i];
@@ -227,7 +227,7 @@
 		keeper_raft_change_voter(raft, true, message->from,
 					 join->address, now);
 	if (keeper_group_find(&raft->group, message->from))
-		keeper_join_add_learner(raft, message, now);
+		keeper_join_add_learner(raft, message, join->address, now);
 }
 
 bool keeper_join_resolve_founders(const keeper_raft_t *raft,
@@ -445,30 +445,80 @@
 	return needed < KEEPER_VOTERS_MAX ? needed : KEEPER_VOTERS_MAX;
 }
 
-/* True if the leader should remove a silent member: one that is not a voter, or
- * a voter beyond those that the fault tolerance needs. Silent voters count for
- * the majority, so one whose successor has joined makes the group tolerate fewer
- * failures. */
+/* Return how long a member has not answered this leader. */
+static usec_t keeper_join_silence(keeper_raft_t *raft, const char *name,
+				  usec_t now)
+{
+	usec_t silent = now - keeper_join_acked_at(raft, name);
+
+	return now - raft->elected_at < silent ? now - raft->elected_at :
+						 silent;
+}
+
+/* True if a voter has been silent for long, or has said that it stops. */
+static bool keeper_join_is_gone(keeper_raft_t *raft, const keeper_node_t *node,
+				usec_t now)
+{
+	usec_t limit = KEEPER_JOIN_VOTER_SILENT_TIMEOUTS *
+		       raft->settings.election_timeout;
+	const keeper_peer_t *peer;
+
+	if (!strcmp(node->name, raft->settings.name))
+		return raft->leaving;
+	peer = keeper_raft_find_peer(raft, node->name, node->incarnation);
+	return (peer && peer->leaving_at && now - peer->leaving_at < limit) ||
+	       keeper_join_silence(raft, node->name, now) > limit;
+}
+
+static unsigned keeper_join_count_gone(keeper_raft_t *raft, usec_t now)
+{
+	unsigned count = 0, i;
+
+	for (i = 0; i < raft->group.count; i++)
+		count += raft->group.nodes[i].voter &&
+			 keeper_join_is_gone(raft, &raft->group.nodes[i], now);
+	return count;
+}
+
+/* True if the leader should remove a member: one that is not a voter and silent, or
+ * a voter that is gone and that the fault tolerance does not need. Voters that are
+ * gone count for the majority, so with one whose successor has joined the group
+ * tolerates fewer failures. Of an odd number of voters one is removed only if
+ * another one follows, as the majority of one voter less is as large. */
 static bool keeper_join_should_remove(keeper_raft_t *raft,
 				      const keeper_node_t *node, usec_t now)
 {
 	unsigned voters = keeper_join_count_voters(&raft->group);
-	usec_t election = raft->settings.election_timeout;
-	usec_t silent = now - keeper_join_acked_at(raft, node->name);
+	usec_t limit = KEEPER_JOIN_LEARNER_SILENT_TIMEOUTS *
+		       raft->settings.election_timeout;
 
-	if (now - raft->elected_at < silent)
-		silent = now - raft->elected_at;
-	if (!strcmp(node->name, raft->settings.name))
-		return false;
 	if (!node->voter)
-		return silent > KEEPER_JOIN_LEARNER_SILENT_TIMEOUTS * election;
+		return keeper_join_silence(raft, node->name, now) > limit;
 	return voters > keeper_join_voters_needed(raft) &&
-	       silent > KEEPER_JOIN_VOTER_SILENT_TIMEOUTS * election;
+	       keeper_join_is_gone(raft, node, now) &&
+	       (voters % 2 == 0 || keeper_join_count_gone(raft, now) > 1);
+}
+
+void keeper_join_prune(keeper_raft_t *raft, usec_t now)
+{
+	unsigned i;
+
+	if (!raft->settings.auto_membership || raft->role != KEEPER_LEADER)
+		return;
+	for (i = 0; i < raft->group.count; i++) {
+		const keeper_node_t *node = &raft->group.nodes[i];
+
+		if (!keeper_join_should_remove(raft, node, now))
+			continue;
+		keeper_raft_change_voter(raft, false, node->name, "", now);
+		return;
+	}
 }
 
 bool keeper_raft_may_leave(const keeper_raft_t *raft)
 {
-	if (!raft->settings.auto_membership || keeper_raft_is_fresh(raft))
+	if (!raft->settings.auto_membership || keeper_raft_is_fresh(raft) ||
+	    raft->left)
 		return false;
 	if (!keeper_raft_is_voter(raft))
 		return raft->role == KEEPER_LEADER;
@@ -485,35 +535,54 @@
 	if (!keeper_raft_may_leave(raft))
 		return;
 	if (raft->role == KEEPER_LEADER)
-		keeper_raft_change_voter(raft, false, raft->settings.name, "",
-					 now);
+		keeper_join_prune(raft, now);
 	else if (leader)
 		keeper_raft_queue_message(raft, leader, KEEPER_MSG_LEAVE);
 }
 
+/* As leader, remove a voter that stops, and confirm its removal once that is
+ * committed. */
+static void keeper_join_release(keeper_raft_t *raft,
+				const keeper_message_t *message, usec_t now)
+{
+	keeper_peer_t *peer = keeper_raft_find_peer(raft, message->from,
+						    message->from_incarnation);
+
+	if (peer && !peer->learner) {
+		peer->leaving_at = now;
+		keeper_join_prune(raft, now);
+	} else if (!keeper_group_find(&raft->group, message->from) &&
+		   raft->group_index <= raft->commit) {
+		keeper_raft_queue_reply(raft, message, KEEPER_MSG_LEAVE);
+	}
+}
+
 void keeper_join_on_leave(keeper_raft_t *raft, const keeper_message_t *message,
 			  usec_t now)
 {
-	if (raft->role == KEEPER_LEADER && keeper_raft_may_leave(raft) &&
-	    keeper_group_is_voter(&raft->group, message->from,
-				  message->from_incarnation))
-		keeper_raft_change_voter(raft, false, message->from, "", now);
+	if (raft->role == KEEPER_LEADER)
+		keeper_join_release(raft, message, now);
+	else if (raft->leaving && !strcmp(message->from, raft->leader))
+		raft->left = true;
 }
 
-void keeper_join_prune(keeper_raft_t *raft, usec_t now)
+void keeper_join_on_candidate(keeper_raft_t *raft,
+			      const keeper_message_t *message, usec_t now)
 {
-	unsigned i;
+	const keeper_node_t *node = keeper_group_find(&raft->group,
+						      message->from);
 
-	if (!raft->settings.auto_membership || raft->role != KEEPER_LEADER)
-		return;
-	for (i = 0; i < raft->group.count; i++) {
-		const keeper_node_t *node = &raft->group.nodes[i];
+	if (raft->role == KEEPER_LEADER && node && !node->voter)
+		keeper_join_add_learner(raft, message, message->from_address,
+					now);
+}
 
-		if (!keeper_join_should_remove(raft, node, now))
-			continue;
-		keeper_raft_change_voter(raft, false, node->name, "", now);
-		return;
-	}
+void keeper_join_on_other_disk(keeper_raft_t *raft,
+			       const keeper_message_t *message)
+{
+	if (!keeper_raft_is_voter(raft) && !raft->leaving)
+		keeper_join_send_request(raft, message->from,
+					 message->from_address);
 }
 
 /* Return the JOIN message of a founder that counts for the bootstrap of the group:
--- a/keeper-raft.c
+++ b/keeper-raft.c
@@ -425,8 +425,10 @@
 		return false;
 	if (kind == KEEPER_MSG_JOIN)
 		return keeper_join_on_request(raft, message, now);
-	if (message->to_incarnation != raft->settings.incarnation)
+	if (message->to_incarnation != raft->settings.incarnation) {
+		keeper_join_on_other_disk(raft, message);
 		return false;
+	}
 	if (keeper_raft_is_reply(kind) &&
 	    !keeper_raft_find_peer(raft, message->from,
 				   message->from_incarnation))
--- a/keeper-raft.h
+++ b/keeper-raft.h
@@ -215,7 +215,26 @@
 bool keeper_join_on_request(keeper_raft_t *raft,
 			    const keeper_message_t *message, usec_t now);
 
-/** keeper_join_on_leave - as leader, remove a voter that stops. */
+/**
+ * keeper_join_on_candidate - as leader, replicate to a member that campaigns.
+ *
+ * It was removed as a voter, which it has not learned, and added again.
+ */
+void keeper_join_on_candidate(keeper_raft_t *raft,
+			      const keeper_message_t *message, usec_t now);
+
+/**
+ * keeper_join_on_other_disk - ask to join on a message to an earlier disk.
+ *
+ * The sender is a member, while all those in the settings may be gone.
+ */
+void keeper_join_on_other_disk(keeper_raft_t *raft,
+			       const keeper_message_t *message);
+
+/**
+ * keeper_join_on_leave - as leader, remove a voter that stops; as a voter that
+ * stops, note that the leader has removed it.
+ */
 void keeper_join_on_leave(keeper_raft_t *raft, const keeper_message_t *message,
 			  usec_t now);
 
--- a/keeper-vote.c
+++ b/keeper-vote.c
@@ -141,6 +141,7 @@
 	keeper_message_t *reply;
 	bool granted;
 
+	keeper_join_on_candidate(raft, message, now);
 	granted = message->term > raft->ballot.term &&
 		  !keeper_vote_lease_possible(raft, now) &&
 		  keeper_vote_up_to_date(raft, message);
--- a/keeper.h
+++ b/keeper.h
@@ -212,6 +212,7 @@
 	bool in_flight;		  /* entries or a chunk are unanswered */
 	bool voted;		  /* granted its vote to this candidate */
 	bool learner;		  /* not yet a voter with this disk */
+	usec_t leaving_at; /* when it last said that it stops; 0: never */
 } keeper_peer_t;
 
 /** struct keeper_joining_member_t - the newest JOIN message of one member. */
@@ -268,6 +269,7 @@
 	struct cds_list_head out; /* keeper_outgoing_t */
 	uint64_t elections;	  /* elections won, for the metrics */
 	bool leaving;		  /* keeper_raft_leave() was called */
+	bool left;		  /* the leader has confirmed its removal */
 	bool out_of_memory;	  /* the owner must discard the replica */
 } keeper_raft_t;
 
@@ -352,8 +354,8 @@
 void keeper_raft_leave(keeper_raft_t *raft, usec_t now);
 
 /**
- * keeper_raft_may_leave - true if this disk is a voter beyond those that the
- * group's fault tolerance needs, or leads while its removal is not committed.
+ * keeper_raft_may_leave - true while the group may give up the vote of this
+ * disk, and its removal is not known to be committed.
  */
 bool keeper_raft_may_leave(const keeper_raft_t *raft);
 
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -898,6 +898,122 @@
 	}
 }
 
+/* Stop a replica as keeper_core_leave() does: it waits until it has learned that its
+ * vote is given up, for KEEPER_LEAVE_TIME at most. */
+static void sim_stop_leaving(sim_t *sim, node_t *node)
+{
+	usec_t limit = sim->now + 4 * ELECTION_TIMEOUT;
+
+	sim_leave(sim, node);
+	while (keeper_raft_may_leave(&node->raft) && sim->now < limit)
+		sim_step(sim);
+	node_stop(node);
+}
+
+/* Run for a while, so that all replicas have learned of the group. */
+static void sim_settle(sim_t *sim)
+{
+	usec_t limit = sim->now + 4 * ELECTION_TIMEOUT;
+
+	while (sim->now < limit)
+		sim_step(sim);
+}
+
+/* Guards against a stop that ends too early: a replaced voter stops while no one
+ * leads, as the leader has just lost its disk. Its vote is needed until it is given up:
+ * afterwards four voters are left, of which two run. A keeper that stops waits for
+ * KEEPER_LEAVE_TIME at most, four election timeouts of deploy/. */
+static void test_leaving_voter_without_leader(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 4);
+		node_t *leader, *leaver;
+
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3");
+		sim_settle(sim);
+		leader = sim_run_until_group_committed(sim);
+		leaver = &sim->nodes[(leader - sim->nodes + 1) % 4];
+		node_replace(sim, leader);
+		sim_stop_leaving(sim, leaver);
+		node_retire(leaver);
+		sim_run_until_answer(sim, 0);
+		sim_free(sim);
+	}
+}
+
+/* Guards against a stop that does not learn that the vote is given up: it then waits
+ * until KEEPER_LEAVE_TIME has passed, whether the group has the removal or not. */
+static void test_leaver_learns_removal(void)
+{
+	sim_t *sim = sim_new_without_faults(1, 3, 4);
+	node_t *leader, *leaver;
+
+	sim->no_operator = true;
+	sim_run_until_group(sim, "k0 k1 k2 k3");
+	leader = sim_run_until_group_committed(sim);
+	leaver = &sim->nodes[(leader - sim->nodes + 1) % 4];
+	sim_leave(sim, leaver);
+	sim_settle(sim);
+	leader = sim_run_until_group_committed(sim);
+	g_assert_null(keeper_group_find(&leader->raft.group, leaver->name));
+	g_assert_false(keeper_raft_may_leave(&leaver->raft));
+	sim_free(sim);
+}
+
+/* Guards against a stop that ends the group: five voters of a group that bears the
+ * loss of one disk. One is gone for good, another has just lost its disk, and a third
+ * restarts with its disk. With its vote three of five remain; without it two of four. */
+static void test_restarting_voter_needed(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 5);
+		unsigned number;
+		node_t *leader, *restarted;
+		usec_t limit;
+
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+		leader = sim_run_until_group_committed(sim);
+		number = (unsigned)(leader - sim->nodes);
+		restarted = &sim->nodes[(number + 1) % 5];
+		node_retire(&sim->nodes[(number + 2) % 5]);
+		node_replace(sim, &sim->nodes[(number + 3) % 5]);
+		sim_stop_leaving(sim, restarted);
+		limit = sim->now + 5 * ELECTION_TIMEOUT;
+		while (sim->now < limit)
+			sim_step(sim);
+		sim_run_until_answer(sim, 0);
+		sim_free(sim);
+	}
+}
+
+/* Guards against a keeper that lost its disk and never joins again: all keepers in its
+ * settings were replaced, so only messages to its earlier disk reach it. */
+static void test_lost_disk_without_founders(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 6);
+
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4 k5");
+		node_retire(&sim->nodes[0]);
+		sim_run_until_group(sim, "k1 k2 k3 k4 k5");
+		node_retire(&sim->nodes[1]);
+		node_retire(&sim->nodes[2]);
+		sim_run_until_group(sim, "k3 k4 k5");
+		node_replace(sim, &sim->nodes[4]);
+		sim_run_until_group(sim, "k3 k4 k5");
+		sim_free(sim);
+	}
+}
+
 /* Guards against a removal that can't be committed: of three voters one is down, and
  * a removal of another one would leave the leader with the silent one. */
 static void test_removal_needs_majority(void)
@@ -1316,6 +1432,14 @@
 	g_test_add_func("/keeper-raft/open-group", test_auto_membership);
 	g_test_add_func("/keeper-raft/open-return", test_removed_voter_rejoins);
 	g_test_add_func("/keeper-raft/leaving-voter", test_leaving_voter);
+	g_test_add_func("/keeper-raft/leaving-voter-without-leader",
+			test_leaving_voter_without_leader);
+	g_test_add_func("/keeper-raft/leaver-learns-removal",
+			test_leaver_learns_removal);
+	g_test_add_func("/keeper-raft/lost-disk-without-founders",
+			test_lost_disk_without_founders);
+	g_test_add_func("/keeper-raft/restarting-voter-needed",
+			test_restarting_voter_needed);
 	g_test_add_func("/keeper-raft/needed-voter-does-not-leave",
 			test_needed_voter_does_not_leave);
 	g_test_add_func("/keeper-raft/needed-voters-stay",
