entry: answer calls whose heads do not fit in a connection's memory

Callers with large heads lost answers: a request with a head of 14,000 bytes whose response had a head of 6,000 ran at its copy, also if it may run only once, and the kept connection was closed without a byte.

Cause: libmicrohttpd keeps the head of the request, 64 bytes for each of its fields, parsed cookies a second time, input after the request and the head of the response in one memory of 18.5 KiB. If the last does not fit, MHD_queue_response() succeeds and the library closes the connection later.

The entry now works out whether the head fits before it queues the response. If it does not, it writes a response that is whole, or to HEAD, to the socket with one system call and lets the library close the connection after it. If the body is still coming, or is too large for the socket's buffer, the caller gets a 502, reason response-head, with the outcome. The library no longer parses cookies, as an empty Cookie field of our own comes first.

The size of the input is bounded by how the library enlarges its buffer. If the bound does not fit, the received bytes are counted.

Open: bodies that are still coming get the 502; close to the size that the library refuses with 431, it closes the connection without calling the handler. Nothing runs then (docs/design/path.md).

--- a/entry-head.c
+++ b/entry-head.c
@@ -221,6 +221,8 @@
 				 const char *name, const char *value)
 {
 	(void)kind;
+	if (value == entry_http_no_cookie)
+		return MHD_YES;
 	if (!head_read_interface(context, name, value ? value : ""))
 		head_read_header(context, name, value ? value : "");
 	return MHD_YES;
@@ -245,7 +247,7 @@
 	int length;
 
 	(void)kind;
-	if (head_is_dropped(name) ||
+	if (value == entry_http_no_cookie || head_is_dropped(name) ||
 	    head_is_interface_header(head->req->entry->settings.headers,
 				     name) ||
 	    entry_head_list_contains(head->connection, name))
--- a/entry-http.c
+++ b/entry-http.c
@@ -16,8 +16,6 @@
  */
 
 #define HTTP_BACKLOG 1024u /* connections not yet accepted */
-/* Memory of one connection, for the heads of a request and its response. */
-#define HTTP_HEADER_BYTES (16u * 1024 + 2560)
 /* Interval between checks for calls in flight during a shutdown. */
 #define HTTP_STOP_PERIOD (5 * USEC_PER_MS)
 /* Wait suggested to a caller at the end of a stop; other entries may serve the call
@@ -26,6 +24,8 @@
 /* Time for the responses of calls that are ended at a stop. */
 #define HTTP_STOP_CANCEL_TIME (200 * USEC_PER_MS)
 
+const char entry_http_no_cookie[] = "";
+
 static void *http_first_line(void *context, const char *uri,
 			     struct MHD_Connection *connection)
 {
@@ -35,6 +35,8 @@
 	if (!req)
 		return NULL;
 	req->call.arrived = time_now();
+	MHD_set_connection_value(connection, MHD_HEADER_KIND, "Cookie",
+				 entry_http_no_cookie);
 	entry_read_timeout_head(entry->read_timeout, connection,
 				req->call.arrived);
 	__atomic_fetch_add(&entry->in_flight, 1, __ATOMIC_SEQ_CST);
@@ -217,10 +219,20 @@
 	return http_proceed(req);
 }
 
+static size_t http_head_bytes(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info;
+
+	info = MHD_get_connection_info(connection,
+				       MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	return info ? info->header_size : ENTRY_HTTP_HEADER_BYTES;
+}
+
 /* Handles the head of a call; its body, if any, is not read yet. */
 static enum MHD_Result http_head(entry_request_t *req, const char *method)
 {
 	req->stage = ENTRY_STAGE_BODY;
+	req->head_bytes = http_head_bytes(req->connection);
 	if (entry_head_read(req, method) || http_refuse_stopping(req)) {
 		req->stage = ENTRY_STAGE_RESPONSE;
 		return entry_respond_queue(req);
@@ -264,42 +276,58 @@
 	}
 }
 
-/* Keeps the socket of a caller that may still send the rest of a body, so that
-   the close does not take the response from it. */
+/* Keeps the socket of a caller that may still send the rest of a body, or has sent a
+   further request, so that the close does not take the response from it. */
 static void http_linger(entry_request_t *req)
 {
 	entry_t *entry = req->entry;
 	int fd = entry_http_fd(req->connection);
 
-	if (!req->has_body || req->body_complete || fd < 0)
+	if (fd < 0)
+		return;
+	if (!req->sent_directly && (!req->has_body || req->body_complete))
 		return;
 	entry_tick_schedule(entry,
 			    entry_linger_add(entry->linger, fd, time_now()));
 }
 
+/* Counts the bytes of a request that has ended; those of a chunked body are not
+   known, as its framing is not seen. */
+static void http_take(const entry_request_t *req,
+		      struct MHD_Connection *connection)
+{
+	bool known = req->head_bytes &&
+		     (!req->has_body || req->body_length >= 0);
+	uint64_t size = req->head_bytes + req->body_received;
+
+	entry_read_timeout_take(connection, known ? (int64_t)size : -1);
+}
+
 static void http_completed(void *context, struct MHD_Connection *connection,
 			   void **state, enum MHD_RequestTerminationCode code)
 {
 	entry_t *entry = context;
 	entry_request_t *req = *state;
+	bool complete;
 
 	if (!req)
 		return;
+	complete = code == MHD_REQUEST_TERMINATED_COMPLETED_OK ||
+		   req->sent_directly;
 	entry_watch_remove(entry->watch, req, entry_http_fd(connection));
-	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+	if (complete)
 		http_linger(req);
 	pthread_mutex_lock(&req->lock);
 	req->connection = NULL;
 	pthread_mutex_unlock(&req->lock);
-	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+	if (!complete || req->head_refused)
 		entry_request_cancel(req);
 	else
 		entry_measure_call(req, time_now());
 	if (!req->question)
-		entry_trace_ended(req,
-				  code == MHD_REQUEST_TERMINATED_COMPLETED_OK,
-				  time_now());
+		entry_trace_ended(req, complete, time_now());
 	*state = NULL;
+	http_take(req, connection);
 	entry_read_timeout_idle(connection, time_now());
 	__atomic_fetch_sub(&entry->in_flight, 1, __ATOMIC_RELEASE);
 	entry_request_unref(req);
@@ -354,10 +382,10 @@
 		entry, MHD_OPTION_CONNECTION_LIMIT,
 		(unsigned)settings->connections_max,
 		MHD_OPTION_CONNECTION_TIMEOUT, ENTRY_IDLE_SECONDS,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTP_HEADER_BYTES,
-		MHD_OPTION_LISTEN_BACKLOG_SIZE, HTTP_BACKLOG,
-		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY, pool,
-		MHD_OPTION_END);
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)ENTRY_HTTP_HEADER_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+		HTTP_BACKLOG, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY,
+		pool, MHD_OPTION_END);
 	if (!entry->call_daemon)
 		return hl_error_set(err, HL_ERR_IO,
 				    "cannot listen on %s port %" PRId64
--- a/entry-http.h
+++ b/entry-http.h
@@ -66,6 +66,19 @@
 /** entry_read_timeout_stop - stop the timeout after a complete request. */
 void entry_read_timeout_stop(struct MHD_Connection *connection);
 
+/**
+ * entry_read_timeout_take - count the bytes of a request that has ended.
+ * @bytes: size of its head and body, or -1 if it is unknown
+ */
+void entry_read_timeout_take(struct MHD_Connection *connection, int64_t bytes);
+
+/**
+ * entry_read_timeout_untaken - return what libmicrohttpd has read of a connection.
+ *
+ * Return: bytes without those of entry_read_timeout_take(), or -1 if unknown.
+ */
+int64_t entry_read_timeout_untaken(struct MHD_Connection *connection);
+
 /** entry_read_timeout_idle - start the idle timeout after the end of a call. */
 void entry_read_timeout_idle(struct MHD_Connection *connection, usec_t now);
 
@@ -80,6 +93,56 @@
 /** entry_respond_queue - queue the published response for the caller. */
 enum MHD_Result entry_respond_queue(entry_request_t *req);
 
+/* Memory of one connection in bytes, for the heads of a request and its response. */
+#define ENTRY_HTTP_HEADER_BYTES (16u * 1024 + 2560)
+
+/**
+ * entry_http_no_cookie - value of the Cookie field that the entry itself adds.
+ *
+ * libmicrohttpd stores the cookies of the first Cookie field of a request a second
+ * time, 64 bytes and their text each. The entry adds an empty field before the
+ * caller's. It is recognised by the address of its value.
+ */
+extern const char entry_http_no_cookie[];
+
+/** struct entry_direct_body_t - body of a response that is sent directly. */
+typedef struct {
+	const char *bytes;
+	size_t size;	/* bytes to send; 0 for HEAD */
+	int64_t length; /* value of Content-Length, or -1 for none */
+} entry_direct_body_t;
+
+/**
+ * entry_respond_fits - does the head of a response fit in the connection's memory?
+ *
+ * libmicrohttpd keeps the head of the request there, 64 bytes for each of its fields,
+ * and what the caller has sent after the request.
+ */
+bool entry_respond_fits(const entry_request_t *req,
+			struct MHD_Response *mhd_response);
+
+/** entry_respond_size - return an upper bound of the bytes of a response's head. */
+size_t entry_respond_size(struct MHD_Response *mhd_response);
+
+/**
+ * entry_respond_takes - does the socket of a connection take some bytes at once?
+ *
+ * Enlarges the socket's buffer for it, if the system allows that.
+ */
+bool entry_respond_takes(struct MHD_Connection *connection, size_t size);
+
+/**
+ * entry_respond_direct - write a whole response to the socket of a connection.
+ *
+ * Nothing of a response may have been sent before. libmicrohttpd must close the
+ * connection afterwards.
+ *
+ * Return: 0, or -1 if only a part was written.
+ */
+int entry_respond_direct(struct MHD_Connection *connection,
+			 struct MHD_Response *mhd_response, unsigned status,
+			 const entry_direct_body_t *body);
+
 /**
  * entry_http_address - parse a listening address of this entry.
  * @listen: "ip:port", or "" for the address of the entry and @port
--- a/entry-io.h
+++ b/entry-io.h
@@ -211,6 +211,9 @@
 	bool truncated; /* the body ended before it was complete */
 } entry_response_t;
 
+/* Reason of a 502 in place of a response whose head cannot be sent. */
+#define ENTRY_REASON_RESPONSE_HEAD "response-head"
+
 /** enum entry_stage_t - how much of a request has been received. */
 typedef enum {
 	ENTRY_STAGE_HEAD,     /* the request line; headers follow */
@@ -245,13 +248,16 @@
 	bool pending;	     /* waits for routes, see entry-pending.c */
 	bool unconfirmed;    /* had no route before the routes were confirmed */
 	struct curl_slist *headers; /* headers of the caller to be relayed */
+	size_t head_bytes; /* request line, header fields and empty line */
 	bool has_body;
 	int64_t body_length;	/* bytes; -1: chunked */
 	uint64_t body_max;	/* bytes allowed by its route; 0: no limit */
 	uint64_t body_received; /* bytes */
 	bool upload;		/* its route announces a large body */
 	bool head_only;		/* the method is HEAD */
-	bool question;		/* of a sibling, see entry-sibling-ask.c */
+	bool sent_directly; /* entry_respond_direct() has sent the response */
+	bool head_refused;  /* a 502 was sent in place of a too large head */
+	bool question;	    /* of a sibling, see entry-sibling-ask.c */
 	entry_conn_pool_t *forward; /* pool of the sibling to use, or NULL */
 	struct entry_claim *claim;  /* claim of its Idempotency-Key, or NULL */
 	bool handed_over;   /* taken out of the queue for an idle sibling */
--- a/entry-read-timeout.c
+++ b/entry-read-timeout.c
@@ -1,3 +1,5 @@
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -6,14 +8,16 @@
 /*
  * Read timeouts of caller connections. libmicrohttpd closes an idle connection,
  * but not one that sends a byte now and then. So each connection has a time by
- * which the expected head or body must be complete.
+ * which the expected head or body must be complete. The bytes of its requests are
+ * counted beside that.
  */
 
 /* One connection, from its accept to its close. */
 typedef struct {
 	struct cds_list_head link;
 	int fd;
-	usec_t due; /* time to close the connection; 0: no input expected */
+	usec_t due;    /* time to close the connection; 0: no input expected */
+	int64_t taken; /* bytes of ended requests; -1: unknown */
 } timed_conn_t;
 
 struct entry_read_timeout {
@@ -119,18 +123,52 @@
 	return bytes > 0;
 }
 
-static void read_timeout_set(struct MHD_Connection *connection, usec_t due)
+static timed_conn_t *read_timeout_conn(struct MHD_Connection *connection)
 {
 	const union MHD_ConnectionInfo *info;
-	timed_conn_t *conn;
 
 	info = MHD_get_connection_info(connection,
 				       MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-	conn = info ? info->socket_context : NULL;
+	return info ? info->socket_context : NULL;
+}
+
+static void read_timeout_set(struct MHD_Connection *connection, usec_t due)
+{
+	timed_conn_t *conn = read_timeout_conn(connection);
+
 	if (conn)
 		__atomic_store_n(&conn->due, due, __ATOMIC_RELAXED);
 }
 
+void entry_read_timeout_take(struct MHD_Connection *connection, int64_t bytes)
+{
+	timed_conn_t *conn = read_timeout_conn(connection);
+
+	if (!conn)
+		return;
+	if (bytes < 0 || conn->taken < 0)
+		conn->taken = -1;
+	else
+		conn->taken += bytes;
+}
+
+int64_t entry_read_timeout_untaken(struct MHD_Connection *connection)
+{
+	const timed_conn_t *conn = read_timeout_conn(connection);
+	struct tcp_info info = { 0 };
+	socklen_t size = sizeof(info);
+	int unread;
+
+	if (!conn || conn->taken < 0)
+		return -1;
+	/* The bytes in the socket are counted first, so that those that arrive
+	   meanwhile count as read. */
+	if (ioctl(conn->fd, FIONREAD, &unread) ||
+	    getsockopt(conn->fd, IPPROTO_TCP, TCP_INFO, &info, &size))
+		return -1;
+	return (int64_t)info.tcpi_bytes_received - unread - conn->taken;
+}
+
 void entry_read_timeout_head(const entry_read_timeout_t *timeouts,
 			     struct MHD_Connection *connection, usec_t now)
 {
--- a/entry-respond.c
+++ b/entry-respond.c
@@ -11,6 +11,7 @@
 
 #define RESPOND_TEXT_MAX 32 /* bytes of a header value */
 #define RESPOND_BLOCK_BYTES (16 * 1024)
+#define RESPOND_REFUSAL_MAX 96 /* bytes of the body of a 502 made here */
 
 /* Makes the close of the connection a TCP reset, since for an HTTP/1.0 caller
    an orderly close is the end of a complete response. */
@@ -187,20 +188,127 @@
 	       req->response.status == MHD_HTTP_BAD_REQUEST;
 }
 
-enum MHD_Result entry_respond_queue(entry_request_t *req)
+/* Creates a response in place of one whose head cannot be sent; @text receives the
+   body. */
+static struct MHD_Response *respond_refuse_head(entry_request_t *req,
+						char *text, size_t size)
 {
+	const headers_t *names = req->entry->settings.headers;
+	struct MHD_Response *mhd_response;
+	const char *outcome;
+
+	pthread_mutex_lock(&req->lock);
+	outcome = entry_outcome_name(req->response.outcome);
+	pthread_mutex_unlock(&req->lock);
+	snprintf(text, size, "{\"outcome\": \"%s\", \"reason\": \"%s\"}\n",
+		 outcome, ENTRY_REASON_RESPONSE_HEAD);
+	mhd_response = MHD_create_response_from_buffer(strlen(text), text,
+						       MHD_RESPMEM_MUST_COPY);
+	if (!mhd_response)
+		return NULL;
+	if (names->native || *req->forwarded_by) {
+		MHD_add_response_header(mhd_response, "Hemlock-Outcome",
+					outcome);
+		MHD_add_response_header(mhd_response, "Hemlock-Reason",
+					ENTRY_REASON_RESPONSE_HEAD);
+	}
+	if (names->call_id && *req->call_id)
+		MHD_add_response_header(mhd_response, names->call_id,
+					req->call_id);
+	return mhd_response;
+}
+
+/* Writes a response to the socket; the result is for libmicrohttpd, which has to
+   close the connection. */
+static enum MHD_Result respond_directly(entry_request_t *req,
+					struct MHD_Response *mhd_response,
+					unsigned status,
+					const entry_direct_body_t *body)
+{
+	int result = entry_respond_direct(req->connection, mhd_response, status,
+					  body);
+
+	req->sent_directly = !result;
+	if (result < 0)
+		respond_reset(req);
+	return MHD_NO;
+}
+
+/* Sends a 502 in place of a response whose head cannot be sent. */
+static enum MHD_Result respond_head_refused(entry_request_t *req)
+{
+	char text[RESPOND_REFUSAL_MAX];
+	entry_direct_body_t body = { .bytes = text };
 	struct MHD_Response *mhd_response;
-	entry_header_t *header;
 	enum MHD_Result result;
+
+	mhd_response = respond_refuse_head(req, text, sizeof(text));
+	if (!mhd_response)
+		return MHD_NO;
+	req->head_refused = true;
+	body.size = req->head_only ? 0 : strlen(text);
+	body.length = (int64_t)strlen(text);
+	if (entry_respond_fits(req, mhd_response))
+		result = MHD_queue_response(req->connection, HTTP_BAD_GATEWAY,
+					    mhd_response);
+	else
+		result = respond_directly(req, mhd_response, HTTP_BAD_GATEWAY,
+					  &body);
+	MHD_destroy_response(mhd_response);
+	return result;
+}
+
+/*
+ * Sends a response whose head may not fit in the memory of the connection: directly
+ * if it is complete and the socket takes it at once. A part of a body cannot be
+ * sent so, as this thread must not wait.
+ */
+static enum MHD_Result respond_large_head(entry_request_t *req,
+					  struct MHD_Response *mhd_response,
+					  const entry_direct_body_t *body)
+{
+	size_t size;
+
+	if (!body)
+		return respond_head_refused(req);
+	size = entry_respond_size(mhd_response) + body->size;
+	if (!entry_respond_takes(req->connection, size))
+		return respond_head_refused(req);
+	return respond_directly(req, mhd_response, req->response.status, body);
+}
+
+/* Creates the response and fills in what respond_large_head() sends of its body;
+   body->length is -1 for none. *@whole tells whether there is nothing else. */
+static struct MHD_Response *respond_create(entry_request_t *req,
+					   entry_direct_body_t *body,
+					   bool *whole)
+{
+	entry_response_t *response = &req->response;
+	struct MHD_Response *mhd_response;
 	bool complete;
 
 	pthread_mutex_lock(&req->lock);
-	complete = req->response.ended && !req->response.truncated &&
-		   !req->head_only;
+	complete = response->ended && !response->truncated && !req->head_only;
+	*whole = complete || req->head_only;
+	body->length = response->length;
+	if (complete) {
+		body->bytes = response->body.bytes ?
+				      response->body.bytes +
+					      response->body.start :
+				      "";
+		body->size = entry_buffer_length(&response->body);
+		body->length = (int64_t)body->size;
+	}
 	mhd_response = complete ? respond_complete(req) : respond_stream(req);
 	pthread_mutex_unlock(&req->lock);
-	if (!mhd_response)
-		return MHD_NO;
+	return mhd_response;
+}
+
+static void respond_add_headers(entry_request_t *req,
+				struct MHD_Response *mhd_response)
+{
+	entry_header_t *header;
+
 	cds_list_for_each_entry (header, &req->response.headers, link)
 		if (!entry_head_list_contains(req->response.connection,
 					      header->name))
@@ -212,14 +320,31 @@
 		respond_interface_headers(req, mhd_response);
 	if (respond_closes(req))
 		MHD_add_response_header(mhd_response, "Connection", "close");
+}
+
+enum MHD_Result entry_respond_queue(entry_request_t *req)
+{
+	entry_direct_body_t body = { 0 };
+	struct MHD_Response *mhd_response;
+	enum MHD_Result result;
+	bool whole;
+
+	mhd_response = respond_create(req, &body, &whole);
+	if (!mhd_response)
+		return MHD_NO;
+	respond_add_headers(req, mhd_response);
 	/* Without this, libmicrohttpd ends a chunked response to HEAD with a
 	   chunk. */
 	if (req->head_only && req->response.length < 0)
 		MHD_set_response_options(mhd_response,
 					 MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
 					 MHD_RO_END);
-	result = MHD_queue_response(req->connection, req->response.status,
-				    mhd_response);
+	if (entry_respond_fits(req, mhd_response))
+		result = MHD_queue_response(req->connection,
+					    req->response.status, mhd_response);
+	else
+		result = respond_large_head(req, mhd_response,
+					    whole ? &body : NULL);
 	MHD_destroy_response(mhd_response);
 	return result;
 }
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -112,6 +112,10 @@
 	pthread_mutex_unlock(&req->lock);
 	if (gone)
 		reason = "gone";
+	if (req->head_refused) {
+		status = HTTP_BAD_GATEWAY;
+		reason = ENTRY_REASON_RESPONSE_HEAD;
+	}
 	log_event(LOG_LEVEL_INFO, "call-ended",
 		  "call=%s route=%s status=%u whole=%d outcome=%s reason=%s "
 		  "attempts=%u took_ms=%" PRId64 "%s%s",
--- a/regress/standin-raw.c
+++ b/regress/standin-raw.c
@@ -29,6 +29,7 @@
  *				which the second half comes 100 ms later
  *	/head-BYTES		responds with a head of some BYTES bytes, which ends
  *				with the fields X-End and Content-Length
+ *	/head-BYTES/long-KIB	the same, with a body of KIB kibibytes
  *	/status-TEXT		responds with TEXT after "HTTP/1.1 ", each "_" a space
  *	/chunked/status-TEXT	the same, with a chunked body
  *	/interim/status-TEXT	the same as the first, after a 103 response
@@ -498,7 +499,7 @@
 }
 
 /* Responds to a path that asks for a long body; false for other paths. */
-static bool serve_long(const connection_t *conn, bool *keep)
+static bool serve_long(const connection_t *conn, const char *fields, bool *keep)
 {
 	const char *length = strstr(conn->path, "/long-");
 	char *body;
@@ -506,7 +507,7 @@
 	if (!length)
 		return false;
 	body = g_strnfill((gsize)atoi(length + strlen("/long-")) * 1024, 'x');
-	*keep = send_response(conn, "200 OK", "", body);
+	*keep = send_response(conn, "200 OK", fields, body);
 	g_free(body);
 	return true;
 }
@@ -575,7 +576,8 @@
 		g_string_append_printf(fields, "X-Fill: %0*d\r\n",
 				       HEAD_FIELD_BYTES - 10, 7);
 	g_string_append(fields, "X-End: 1\r\n");
-	*keep = send_response(conn, "200 OK", fields->str, "head\n");
+	if (!serve_long(conn, fields->str, keep))
+		*keep = send_response(conn, "200 OK", fields->str, "head\n");
 	g_string_free(fields, TRUE);
 	return true;
 }
@@ -735,7 +737,7 @@
 	cut_delay_response(conn);
 	if (serve_half(conn))
 		return false;
-	if (serve_long(conn, &keep) || serve_head(conn, &keep) ||
+	if (serve_head(conn, &keep) || serve_long(conn, "", &keep) ||
 	    serve_status_line(conn, &keep))
 		return keep;
 	g_snprintf(text, sizeof(text),
