Save the commit index when no entry follows it

Callers would get what only an older version allows from entries that start after all processes were killed: routes that had moved or gone by a change that was acknowledged long before.

A keeper wrote its commit index only together with the next entries. So each keeper that started again had the last change but one, and gave that to entries, which take their first configuration from any keeper.

A commit index that no entry follows is now written and synced alone, after the messages of the round and at most each 20 ms. The log's format is the same.

Not covered: processes killed before a keeper has learned that the change is committed, and one that has not received it.

--- a/keeper-core.c
+++ b/keeper-core.c
@@ -9,6 +9,8 @@
 
 /* Delay before the data folder is opened again after a fault. */
 #define KEEPER_REOPEN_DELAY USEC_PER_SEC
+/* Minimum interval between writes of the commit index alone. */
+#define KEEPER_COMMIT_SAVE_INTERVAL (20 * USEC_PER_MS)
 /* Maximum time in which a keeper that stops gives up its vote, and the interval
  * between checks whether it has. */
 #define KEEPER_LEAVE_TIME (2400 * USEC_PER_MS)
@@ -351,12 +353,29 @@
 	pthread_mutex_unlock(&core->lock);
 }
 
+/* Time at which the commit index is saved alone; USEC_NEVER if the log has it. */
+static usec_t keeper_core_commit_due(const keeper_core_t *core)
+{
+	if (!keeper_store_lacks_commit(&core->store, &core->raft))
+		return USEC_NEVER;
+	return core->commit_saved_at + KEEPER_COMMIT_SAVE_INTERVAL;
+}
+
+/* Time of the next round if the inbox stays empty. */
+static usec_t keeper_core_next_due(const keeper_core_t *core)
+{
+	usec_t raft_due = keeper_raft_next_due(&core->raft);
+	usec_t commit_due = keeper_core_commit_due(core);
+
+	return raft_due < commit_due ? raft_due : commit_due;
+}
+
 /* Wait until the inbox has items or a timer expires, then move them to
  * @items. */
 static void keeper_core_wait(keeper_core_t *core, const volatile int *stop,
 			     struct cds_list_head *items)
 {
-	usec_t due = keeper_raft_next_due(&core->raft);
+	usec_t due = keeper_core_next_due(core);
 	struct timespec until = { due / USEC_PER_SEC,
 				  due % USEC_PER_SEC * 1000 };
 
@@ -445,6 +464,18 @@
 	return 0;
 }
 
+/* Save a commit index that no other write has saved. A keeper that starts again then
+ * has the newest configuration before there is a leader. It comes after the messages of
+ * the round, as none relies on it. */
+static int keeper_core_save_commit(keeper_core_t *core, usec_t now,
+				   hl_error_t *err)
+{
+	if (now < keeper_core_commit_due(core))
+		return 0;
+	core->commit_saved_at = now;
+	return keeper_store_save(&core->store, &core->raft, err);
+}
+
 static void keeper_core_send(keeper_core_t *core)
 {
 	keeper_outgoing_t *outgoing, *next;
@@ -519,6 +550,8 @@
 	keeper_core_send(core);
 	if (core->on_round_end)
 		core->on_round_end(core->on_round_end_context);
+	if (keeper_core_save_commit(core, now, err))
+		return -1;
 	return keeper_core_compact(core, err);
 }
 
--- a/keeper-store.c
+++ b/keeper-store.c
@@ -197,6 +197,7 @@
 		close(store->log_fd);
 	store->log_fd = fd;
 	store->log_bytes = size;
+	store->commit = commit;
 	store->syncs++;
 	return 0;
 }
@@ -321,6 +322,7 @@
 int keeper_store_save(keeper_store_t *store, const keeper_raft_t *raft,
 		      hl_error_t *err)
 {
+	uint64_t commit = keeper_store_synced_commit(raft);
 	keeper_buffer_t buffer = { 0 };
 	int rc;
 
@@ -331,10 +333,16 @@
 	else
 		rc = keeper_store_append(store, &buffer, err);
 	free(buffer.bytes);
-	return rc ? rc :
-		    keeper_store_seal_log(store, &raft->ballot,
-					  keeper_store_synced_commit(raft),
-					  err);
+	if (rc)
+		return rc;
+	store->commit = commit;
+	return keeper_store_seal_log(store, &raft->ballot, commit, err);
+}
+
+bool keeper_store_lacks_commit(const keeper_store_t *store,
+			       const keeper_raft_t *raft)
+{
+	return keeper_store_synced_commit(raft) > store->commit;
 }
 
 int keeper_store_compact(keeper_store_t *store, const keeper_raft_t *raft,
--- a/keeper-store.h
+++ b/keeper-store.h
@@ -188,6 +188,7 @@
 	int log_fd;
 	size_t log_bytes; /* bytes of the log that a sync covers */
 	uint64_t syncs;	  /* files synced, for the metrics */
+	uint64_t commit;  /* commit index in the log */
 } keeper_store_t;
 
 /**
@@ -215,13 +216,20 @@
 
 /**
  * keeper_store_save - write and sync the state that keeper_raft_has_unsaved()
- * covers.
+ * covers, and the commit index.
  *
  * Return: 0, or -1 with @err; the store must then be closed and opened again.
  */
 int keeper_store_save(keeper_store_t *store, const keeper_raft_t *raft,
 		      hl_error_t *err);
 
+/**
+ * keeper_store_lacks_commit - whether the commit index in the log is older than that
+ * of @raft, as far as entries are saved.
+ */
+bool keeper_store_lacks_commit(const keeper_store_t *store,
+			       const keeper_raft_t *raft);
+
 /**
  * keeper_store_compact - write the snapshot of @raft and a log with the
  * entries that follow it.
