Let a polled keeper that doesn't lead tell of a newer configuration

Callers would get what only an older version allows from an entry that gets no datagrams while its TCP is sound, from the loss of a leader until the entry polls the next one: the keepers that it polls have the newer configuration, but say only that they don't lead.

routed-polled-newer: not served by the newer version within 5 s on, passed now.

--- a/config-direct.c
+++ b/config-direct.c
@@ -304,6 +304,8 @@
 {
 	if (!res->confirmed)
 		direct_set_reported_leader(follow, res);
+	/* The revision of a keeper is committed, also if it doesn't lead. */
+	config_follow_report(follow, res->revision, now);
 	if (res->status != KEEPER_OK || !res->revision ||
 	    config_publish(follow, &res->body, res->revision, now))
 		return DIRECT_FAILED;
