Take a newer configuration from any keeper until a leader confirms one

Callers would get 503 "outdated" on all routes from an entry that has started again, until there is a leader: its first configuration came from a keeper that is behind, another one reports a newer revision, and the entry asked only a leader for that.

An entry that no leader has confirmed, or that keepers report to be behind, now takes what any keeper has. Each such configuration was committed, and one with a higher revision is newer.

--- a/config-direct.c
+++ b/config-direct.c
@@ -197,6 +197,18 @@
 		  (int64_t)total, bytes, failures);
 }
 
+/* Whether a leading keeper has once confirmed the revision in force, and none has
+ * reported a newer one since. */
+static bool direct_has_newest(config_follow_t *follow)
+{
+	bool newest;
+
+	pthread_mutex_lock(&follow->lock);
+	newest = follow->confirm.newest_at && !follow->lag.missing;
+	pthread_mutex_unlock(&follow->lock);
+	return newest;
+}
+
 /* Polls one keeper; returns false if it sends no valid response. @keepers gets the
  * addresses in the response, which may have none. */
 static bool direct_get(config_follow_t *follow, const char *address,
@@ -210,10 +222,11 @@
 	CURLcode result;
 	bool ok;
 
-	/* The first configuration may come from any keeper, not only from the
-	 * leader with a quorum. */
+	/* Until a leader confirms that there is no newer one, a configuration may
+	 * come from any keeper: each is one that was committed. */
 	snprintf(url, sizeof(url), "http://%s/v1/follow?have=%" PRIu64 "%s",
-		 address, follow->revision, follow->ready ? "" : "&any=1");
+		 address, follow->revision,
+		 direct_has_newest(follow) ? "" : "&any=1");
 	curl_easy_reset(easy);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -337,18 +350,6 @@
 	return result;
 }
 
-/* Whether a leading keeper has once confirmed the revision in force, and none has
- * reported a newer one since. */
-static bool direct_has_newest(config_follow_t *follow)
-{
-	bool newest;
-
-	pthread_mutex_lock(&follow->lock);
-	newest = follow->confirm.newest_at && !follow->lag.missing;
-	pthread_mutex_unlock(&follow->lock);
-	return newest;
-}
-
 /* Pause after a failed poll. It grows if the poll was for a confirmation: while no
  * keeper leads, those of all entries fail. */
 static usec_t direct_retry_interval(config_follow_t *follow)
