--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -477,9 +477,8 @@
 		if (poll(&input, 1, 10) <= 0)
 			continue;
 		client = accept(keeper->listener, NULL, NULL);
-		http_keeper_respond(client,
-				    __atomic_load_n(&keeper->revision,
-						    __ATOMIC_ACQUIRE));
+		http_keeper_respond(client, __atomic_load_n(&keeper->revision,
+							    __ATOMIC_ACQUIRE));
 		close(client);
 	}
 	return NULL;
@@ -554,8 +553,8 @@
 						       .confirm_ms = 1000 };
 	options.settings.keepers.count = 1;
 	keeper.listener = listen_open(8, options.settings.keepers.items[0]);
-	g_assert_cmpint(
-		pthread_create(&thread, NULL, http_keeper_run, &keeper), ==, 0);
+	g_assert_cmpint(pthread_create(&thread, NULL, http_keeper_run, &keeper),
+			==, 0);
 	follow = config_follow_new(&options, &err);
 	g_assert_nonnull(follow);
 	child = config_follow_child(follow);
@@ -573,7 +572,8 @@
 
 	__atomic_store_n(&entry.blocked, 0, __ATOMIC_RELEASE);
 	wait_for_revision(follow, 2);
-	g_assert_false(config_follow_outdated(follow, now + 1100 * USEC_PER_MS));
+	g_assert_false(
+		config_follow_outdated(follow, now + 1100 * USEC_PER_MS));
 
 	supervisor_free(sup);
 	config_follow_free(follow);
