Save the commit index alone only once the log is quiet

A leader under a stream of changes synced its disk twice for each 20 ms of them, the second time for a commit index that the next entries carry anyway. It is written alone now once the log was not written for 100 ms.

--- a/keeper-core.c
+++ b/keeper-core.c
@@ -9,8 +9,9 @@
 
 /* Delay before the data folder is opened again after a fault. */
 #define KEEPER_REOPEN_DELAY USEC_PER_SEC
-/* Minimum interval between writes of the commit index alone. */
-#define KEEPER_COMMIT_SAVE_INTERVAL (20 * USEC_PER_MS)
+/* Time after a write of the log in which no other follows until the commit index is
+ * written alone. While changes follow one another, the next entries carry it. */
+#define KEEPER_COMMIT_SAVE_DELAY (100 * USEC_PER_MS)
 /* Maximum time in which a keeper that stops gives up its vote, and the interval
  * between checks whether it has. */
 #define KEEPER_LEAVE_TIME (2400 * USEC_PER_MS)
@@ -358,7 +359,7 @@
 {
 	if (!keeper_store_lacks_commit(&core->store, &core->raft))
 		return USEC_NEVER;
-	return core->commit_saved_at + KEEPER_COMMIT_SAVE_INTERVAL;
+	return core->log_saved_at + KEEPER_COMMIT_SAVE_DELAY;
 }
 
 /* Time of the next round if the inbox stays empty. */
@@ -409,8 +410,6 @@
 
 	if (!keeper_core_may_leave(core))
 		return;
-	log_event(LOG_LEVEL_NOTICE, "vote-given-up", "voter=%s",
-		  core->settings.name);
 	item = calloc(1, sizeof(*item));
 	if (!item)
 		return;
@@ -419,6 +418,8 @@
 		return;
 	while (keeper_core_may_leave(core) && time_now() < until)
 		nanosleep(&period, NULL);
+	log_event(LOG_LEVEL_NOTICE, "vote-given-up", "confirmed=%d",
+		  !keeper_core_may_leave(core));
 }
 
 static void keeper_core_handle(keeper_core_t *core, keeper_item_t *item,
@@ -457,6 +458,7 @@
 	if (keeper_store_save(&core->store, &core->raft, err))
 		return -1;
 	end = time_now();
+	core->log_saved_at = end;
 	metrics_histogram_add(core->counters.sync_time, end - start);
 	if (snapshot_received && keeper_core_load_state(core, err))
 		return -1;
@@ -472,7 +474,7 @@
 {
 	if (now < keeper_core_commit_due(core))
 		return 0;
-	core->commit_saved_at = now;
+	core->log_saved_at = now;
 	return keeper_store_save(&core->store, &core->raft, err);
 }
 
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -149,7 +149,7 @@
 	bool open;		 /* raft and store are loaded */
 	uint64_t elections_seen; /* elections that the metrics count */
 	usec_t suspended;	 /* VM's suspend time at the last round */
-	usec_t commit_saved_at;	 /* time of the last write of it alone */
+	usec_t log_saved_at;	 /* time of the last write of the log */
 
 	/* Protected by the lock. */
 	pthread_mutex_t lock;
