Work out heads also where the kernel does not count a socket's bytes

Callers with request heads of half of the connection's memory or more would get 502 instead of the backend's answer on a kernel, or under a library in front of it, that has neither TCP_INFO nor SO_MEMINFO: what the library had read was then taken for all memory, and the socket for full. The size of the head is taken instead, and 16 KiB for what a socket takes.

--- a/entry-http.h
+++ b/entry-http.h
@@ -79,10 +79,14 @@
  */
 void entry_read_timeout_take(struct MHD_Connection *connection, int64_t bytes);
 
+/* The kernel does not tell how many bytes a socket has received. */
+#define ENTRY_UNTAKEN_NOT_COUNTED (-2)
+
 /**
  * entry_read_timeout_untaken - return what libmicrohttpd has read of a connection.
  *
- * Return: bytes without those of entry_read_timeout_take(), or -1 if unknown.
+ * Return: bytes without those of entry_read_timeout_take(), -1 if these are unknown,
+ * or ENTRY_UNTAKEN_NOT_COUNTED.
  */
 int64_t entry_read_timeout_untaken(struct MHD_Connection *connection);
 
--- a/entry-read-timeout.c
+++ b/entry-read-timeout.c
@@ -182,7 +182,7 @@
 	   meanwhile count as read. */
 	if (ioctl(conn->fd, FIONREAD, &unread) ||
 	    getsockopt(conn->fd, IPPROTO_TCP, TCP_INFO, &info, &size))
-		return -1;
+		return ENTRY_UNTAKEN_NOT_COUNTED;
 	return (int64_t)info.tcpi_bytes_received - unread - conn->taken;
 }
 
--- a/entry-respond-direct.c
+++ b/entry-respond-direct.c
@@ -21,6 +21,8 @@
 #define DIRECT_INPUT_BYTES (ENTRY_HTTP_HEADER_BYTES / 2)
 /* Status line and fields that libmicrohttpd adds, and the alignment of its memory. */
 #define DIRECT_RESERVE_BYTES 256u
+/* Bytes that a socket takes at once if its memory is not known. */
+#define DIRECT_SOCKET_BYTES (16u * 1024)
 #define DIRECT_DATE_MAX 48 /* bytes of a Date header */
 
 static enum MHD_Result direct_add_size(void *context, enum MHD_ValueKind kind,
@@ -64,6 +66,8 @@
 	if (req->has_body && req->body_length < 0)
 		return ENTRY_HTTP_HEADER_BYTES;
 	size = entry_read_timeout_untaken(req->connection);
+	if (size == ENTRY_UNTAKEN_NOT_COUNTED)
+		return req->head_bytes;
 	if (size < (int64_t)req->body_received)
 		return ENTRY_HTTP_HEADER_BYTES;
 	return (size_t)(size - (int64_t)req->body_received);
@@ -138,8 +142,10 @@
 	size_t queued;
 	int buffer;
 
-	if (fd < 0 || getsockopt(fd, SOL_SOCKET, SO_MEMINFO, info, &length))
+	if (fd < 0)
 		return false;
+	if (getsockopt(fd, SOL_SOCKET, SO_MEMINFO, info, &length))
+		return size <= DIRECT_SOCKET_BYTES;
 	/* The kernel counts its own structures, too; it doubles a size that is
 	   set for them. Earlier responses may not be acknowledged yet. */
 	queued = info[SK_MEMINFO_WMEM_QUEUED];
