Share the functions of scripts that look at the keepers' votes

routed-first-start and routed-replaced-keepers had the same three functions; they are in routed-lib.sh now.

--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -194,3 +194,24 @@
 directory_lists () {
 	[ "$(directory_addresses "$1")" = "$2" ]
 }
+
+# leader: print the number of the keeper that leads, or nothing.
+leader () {
+	for n in $KEEPERS
+	do
+		"$BUILD/hemlockctl" status --json --keepers "$NET.$n:7090" \
+			2>/dev/null | grep -q '"role": "leader"' && echo $n
+	done
+}
+
+# voters: print the numbers of the keepers that vote, by the leader.
+voters () {
+	"$BUILD/hemlockctl" status --json --keepers "$NET.$(leader):7090" \
+		2>/dev/null | tr -d ' \n' | sed 's/.*"members"://' |
+		grep -o '"name":"[^}]*"voter":true' | sed 's/^"name":"[0-9.]*\.\([0-9]*\)".*/\1/' | sort -n | tr '\n' ' '
+}
+
+# votes LIST: whether these keepers are the voters.
+votes () {
+	[ "$(voters)" = "$1 " ]
+}
