--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -528,8 +528,8 @@
 
 /*
  * Guards against calls that are served by an older configuration, without a bound,
- * while a newer one has been received and is not applied: until then it is not in
- * force, keepers are told so, and after config.outdated_ms calls are refused.
+ * while a newer one has been received and is not applied. Until it is applied the entry
+ * reports the older revision to the keepers; after config.outdated_ms it refuses calls.
  */
 static void test_received_not_applied(void)
 {
