Take the fault tolerance of a deployed keeper from the environment

No keeper starts: "start-failed ... toml::parse_key: an invalid key appeared".

Cause: deploy/keeper.toml.in had a placeholder that it did not have before. Those who render the template with the values of the time, as these scripts do, leave it in the file.

Without the variable the setting counts as before. A value that is no whole number is refused (/settings/variables); "started" shows the one in force.

--- a/Makefile
+++ b/Makefile
@@ -28,9 +28,10 @@
 LIB_CC = $(wildcard *.cc)
 RPC_C = $(wildcard rpc/*.c)
 # regress/test-*.c are GLib tests; the other files of regress/*.c and those of
-# bench/*.c are tools. Each file is a program.
+# bench/*.c and review/ are tools. Each file is a program.
 TEST_C = $(wildcard regress/test-*.c)
-TOOL_C = $(filter-out $(TEST_C),$(wildcard regress/*.c)) $(wildcard bench/*.c)
+TOOL_C = $(filter-out $(TEST_C),$(wildcard regress/*.c)) $(wildcard bench/*.c) \
+	$(wildcard review/*/*.c)
 
 LIB_O = $(LIB_C:%.c=$(B)/%.o) $(LIB_CC:%.cc=$(B)/%.o) $(RPC_C:%.c=$(B)/%.o)
 LIB = $(B)/libhemlock.a
@@ -65,6 +66,9 @@
 $(B)/%: $(B)/%.o $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+# This file defines _GNU_SOURCE itself.
+$(B)/review/8/kept-caller.o: CPPFLAGS += -U_GNU_SOURCE
+
 check: all tools
 	sh regress/run.sh $(B)
 
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -201,31 +201,14 @@
 	return 0;
 }
 
-/* Reads the grace period that the service manager names. */
-static int settings_read_environment(entry_settings_t *settings,
-				     hl_error_t *err)
-{
-	const char *text = getenv(GRACE_VARIABLE);
-	char *end;
-
-	if (!text || !*text)
-		return 0;
-	settings->grace_s = strtod(text, &end);
-	if (!*end && settings->grace_s >= 0 && settings->grace_s <= GRACE_S_MAX)
-		return 0;
-	return hl_error_set(err, HL_ERR_SETTINGS,
-			    GRACE_VARIABLE " must be seconds from 0 to %d; "
-					   "correct or unset it",
-			    GRACE_S_MAX);
-}
-
 int entry_settings_load(const char *path, entry_settings_t *settings,
 			hl_error_t *err)
 {
 	memset(settings, 0, sizeof(*settings));
 	if (settings_load(path, entry_settings, entry_settings_count, settings,
 			  err) ||
-	    settings_read_environment(settings, err))
+	    settings_read_variable(GRACE_VARIABLE, SETTING_REAL, GRACE_S_MAX,
+				   &settings->grace_s, err))
 		return -1;
 	return settings_check(path, settings, err);
 }
--- a/hemlock-keeper.c
+++ b/hemlock-keeper.c
@@ -157,8 +157,9 @@
 	    keeper_start(sup, &core, transport, &servers, &signals, &err)) {
 		rc = keeper_report_error(&err);
 	} else {
-		log_event(LOG_LEVEL_NOTICE, "started", "zone=%s",
-			  settings->zone);
+		log_event(LOG_LEVEL_NOTICE, "started",
+			  "zone=%s fault_tolerance=%" PRId64, settings->zone,
+			  settings->fault_tolerance);
 		rc = supervisor_run(sup) ? KEEPER_EXIT_RUN : KEEPER_EXIT_OK;
 	}
 	keeper_control_stop(servers.control);
--- a/keeper-settings.c
+++ b/keeper-settings.c
@@ -5,6 +5,9 @@
 /* The settings file of a keeper: its table, the checks that span several keys,
  * and addresses made from it. */
 
+#define KEEPER_FAULT_TOLERANCE_MAX 1000
+#define KEEPER_FAULT_TOLERANCE_VARIABLE "HEMLOCK_FAULT_TOLERANCE"
+
 #define KEEPER_SETTING(table, key, field, kind, required, preset, min, max, \
 		       help)                                                \
 	{                                                                   \
@@ -48,10 +51,12 @@
 		       "their IP address as name and the same keeper.port, and "
 		       "further ones are added automatically"),
 	KEEPER_SETTING("keeper", "fault_tolerance", fault_tolerance,
-		       SETTING_INTEGER, false, "1", 0, 1000,
+		       SETTING_INTEGER, false, "1", 0,
+		       KEEPER_FAULT_TOLERANCE_MAX,
 		       "keepers that may be lost at the same time; with "
 		       "seeds, a silent keeper is removed only while more "
-		       "than twice as many and one vote"),
+		       "than twice as many and one vote; "
+		       "HEMLOCK_FAULT_TOLERANCE replaces it"),
 	KEEPER_SETTING(
 		"keeper", "first_start", first_start, SETTING_BOOLEAN, false,
 		"true", 0, 0,
@@ -190,10 +195,18 @@
 int keeper_settings_load(const char *path, keeper_settings_t *settings,
 			 hl_error_t *err)
 {
+	double fault_tolerance;
+
 	memset(settings, 0, sizeof(*settings));
 	if (settings_load(path, keeper_settings_table, keeper_settings_count,
 			  settings, err))
 		return -1;
+	fault_tolerance = (double)settings->fault_tolerance;
+	if (settings_read_variable(KEEPER_FAULT_TOLERANCE_VARIABLE,
+				   SETTING_INTEGER, KEEPER_FAULT_TOLERANCE_MAX,
+				   &fault_tolerance, err))
+		return -1;
+	settings->fault_tolerance = (int64_t)fault_tolerance;
 	return keeper_settings_check(path, settings, err);
 }
 
--- a/regress/test-settings.c
+++ b/regress/test-settings.c
@@ -86,6 +86,50 @@
 		g_assert_cmpstr(err.message, ==, cases[i].message);
 }
 
+static const struct {
+	const char *text; /* NULL: not set */
+	setting_kind_t kind;
+	double value;
+	const char *message; /* NULL: accepted */
+} variables[] = {
+	{ NULL, SETTING_INTEGER, 7, NULL },
+	{ "", SETTING_INTEGER, 7, NULL },
+	{ "2", SETTING_INTEGER, 2, NULL },
+	{ "0.5", SETTING_REAL, 0.5, NULL },
+	{ "0.5", SETTING_INTEGER, 7,
+	  "HEMLOCK_SAMPLE must be an integer from 0 to 10; correct or unset "
+	  "it" },
+	{ "11", SETTING_REAL, 7,
+	  "HEMLOCK_SAMPLE must be a number from 0 to 10; correct or unset it" },
+	{ "-1", SETTING_REAL, 7, "HEMLOCK_SAMPLE must be " },
+	{ "nan", SETTING_REAL, 7, "HEMLOCK_SAMPLE must be " },
+	{ "two", SETTING_INTEGER, 7, "HEMLOCK_SAMPLE must be " },
+	{ "{{machines}}", SETTING_INTEGER, 7, "HEMLOCK_SAMPLE must be " },
+};
+
+/* Guards against a variable that is ignored, or replaced by 0, if it is no number. */
+static void test_variables(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(variables); i++) {
+		hl_error_t err = { 0 };
+		double value = 7;
+		int rc;
+
+		g_unsetenv("HEMLOCK_SAMPLE");
+		if (variables[i].text)
+			g_setenv("HEMLOCK_SAMPLE", variables[i].text, TRUE);
+		rc = settings_read_variable("HEMLOCK_SAMPLE", variables[i].kind,
+					    10, &value, &err);
+		g_assert_cmpint(rc, ==, variables[i].message ? -1 : 0);
+		g_assert_cmpfloat(value, ==, variables[i].value);
+		if (variables[i].message)
+			g_assert_true(g_str_has_prefix(err.message,
+						       variables[i].message));
+	}
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -98,5 +142,6 @@
 		g_test_add_data_func(path, GSIZE_TO_POINTER(i),
 				     test_settings_case);
 	}
+	g_test_add_func("/settings/variables", test_variables);
 	return g_test_run();
 }
--- a/settings.c
+++ b/settings.c
@@ -323,3 +323,25 @@
 							"none");
 	}
 }
+
+int settings_read_variable(const char *name, setting_kind_t kind, int max,
+			   double *value, hl_error_t *err)
+{
+	const char *text = getenv(name);
+	bool whole = kind == SETTING_INTEGER;
+	double number;
+	char *end;
+
+	if (!text || !*text)
+		return 0;
+	number = strtod(text, &end);
+	if (*end || !(number >= 0 && number <= max) ||
+	    (whole && number != (int)number))
+		return hl_error_set(err, HL_ERR_SETTINGS,
+				    "%s must be %s from 0 to %d; correct or "
+				    "unset it",
+				    name, whole ? "an integer" : "a number",
+				    max);
+	*value = number;
+	return 0;
+}
--- a/toml.h
+++ b/toml.h
@@ -125,6 +125,18 @@
 int settings_load(const char *path, const setting_t *settings, size_t count,
 		  void *out, hl_error_t *err);
 
+/**
+ * settings_read_variable - read a number from an environment variable.
+ * @kind: SETTING_INTEGER or SETTING_REAL
+ * @max: maximum; the minimum is 0
+ * @value: unchanged if the variable is not set or empty
+ * @err: name, allowed values and remedy
+ *
+ * Return: 0 or -1.
+ */
+int settings_read_variable(const char *name, setting_kind_t kind, int max,
+			   double *value, hl_error_t *err);
+
 /** settings_print_help - print a line for each key, for --help-settings. */
 void settings_print_help(const setting_t *settings, size_t count, FILE *out);
 
