Elect a leader by half of an even group if a voter's disk is lost

What callers saw: a fourth keeper has joined; the leader is replaced with SIGKILL, and 0.1 s later another keeper loses its disk.

A voter that is gone counts in the number of voters. The successor votes beside its predecessor, so three of four are needed, and a killed predecessor is removed only after 1.8 s of silence. With a disk lost meanwhile two are left.

Why this works: a disk whose machine has come back with another one votes no more, so half of an even group without it overlaps with each majority and each other such half. Rules that keep it apart from quorums of neighbouring groups: the group is committed, no member waits for a vote, and a voter of an even group is marked as leaving before it is removed.

removed-leader-campaigns relied on a removal in one entry; it now plays the leader's stop before the mark and between mark and removal, 20 seeds each.

--- a/keeper-append.c
+++ b/keeper-append.c
@@ -86,8 +86,8 @@
 {
 	uint64_t index, term = 0;
 
-	index = keeper_raft_quorum_value(raft, raft->saved,
-					 keeper_append_peer_match);
+	index = keeper_quorum_value(raft, raft->saved,
+				    keeper_append_peer_match);
 	/* Only an entry of the current term is committed by counting the
 	 * replicas (Raft, section 5.4.2). */
 	if (index <= raft->commit ||
@@ -98,6 +98,8 @@
 	keeper_append_broadcast(raft, true, now);
 	if (raft->commit >= raft->group_index && !keeper_raft_is_voter(raft))
 		keeper_raft_become_follower(raft, raft->ballot.term, now);
+	else
+		keeper_join_remove_leaving(raft, now);
 }
 
 /* True if the entries are consecutive, their terms never fall or exceed the
--- a/keeper-core.c
+++ b/keeper-core.c
@@ -200,8 +200,10 @@
 	pthread_mutex_unlock(&core->lock);
 	if (was_leading != view->leading)
 		log_event(LOG_LEVEL_NOTICE, "leadership",
-			  "leading=%d term=%" PRIu64 " commit=%" PRIu64,
-			  view->leading, view->term, view->commit);
+			  "leading=%d term=%" PRIu64 " commit=%" PRIu64
+			  " lost_disks=%u",
+			  view->leading, view->term, view->commit,
+			  keeper_lost_count(raft));
 	metrics_add(core->counters.elections,
 		    raft->elections - core->elections_seen);
 	core->elections_seen = raft->elections;
--- a/keeper-group.c
+++ b/keeper-group.c
@@ -22,6 +22,14 @@
 	return node && node->voter && node->incarnation == incarnation;
 }
 
+static unsigned keeper_group_flags(const keeper_node_t *node)
+{
+	if (!node->voter)
+		return 0;
+	return node->leaving ? KEEPER_NODE_VOTER | KEEPER_NODE_LEAVING :
+			       KEEPER_NODE_VOTER;
+}
+
 void keeper_group_to_wire(const keeper_group_t *group,
 			  keeper_node_wire_t *nodes, keeper_group_wire_t *wire)
 {
@@ -31,7 +39,7 @@
 		nodes[i].name = (char *)group->nodes[i].name;
 		nodes[i].address = (char *)group->nodes[i].address;
 		nodes[i].incarnation = group->nodes[i].incarnation;
-		nodes[i].voter = group->nodes[i].voter;
+		nodes[i].flags = keeper_group_flags(&group->nodes[i]);
 	}
 	wire->nodes.nodes_len = group->count;
 	wire->nodes.nodes_val = nodes;
@@ -53,7 +61,8 @@
 		strcpy(node->name, from->name);
 		strcpy(node->address, from->address);
 		node->incarnation = from->incarnation;
-		node->voter = from->voter;
+		node->voter = from->flags != 0;
+		node->leaving = (from->flags & KEEPER_NODE_LEAVING) != 0;
 		group->count++;
 	}
 	return true;
--- a/keeper-join.c
+++ b/keeper-join.c
@@ -287,6 +287,7 @@
 		keeper_join_record(raft, message, now);
 		return true;
 	}
+	keeper_lost_on_join(raft, message, now);
 	keeper_join_resolve(raft, message, now);
 	if (raft->role == KEEPER_LEADER)
 		keeper_join_admit(raft, message, now);
@@ -326,6 +327,11 @@
 	return count;
 }
 
+static uint64_t keeper_join_peer_acked_at(const keeper_peer_t *peer)
+{
+	return (uint64_t)peer->acked_at;
+}
+
 /* True if a majority of the voters of @group have answered lately. Without it the
  * group could never be committed, and the present one might be unable to elect a
  * leader, as the log of this replica would be newer than the others'. */
@@ -334,19 +340,35 @@
 {
 	usec_t limit = now - KEEPER_JOIN_ALIVE_TIMEOUTS *
 				     raft->settings.election_timeout;
-	unsigned alive = 0, i;
 
-	for (i = 0; i < group->count; i++) {
-		const keeper_node_t *node = &group->nodes[i];
-		const keeper_peer_t *peer = keeper_raft_find_peer(
-			raft, node->name, node->incarnation);
+	return keeper_quorum_majority_value(raft, group, INT64_MAX,
+					    keeper_join_peer_acked_at) >
+	       (uint64_t)limit;
+}
 
-		if (!node->voter)
-			continue;
-		alive += !strcmp(node->name, raft->settings.name) ||
-			 (peer && peer->acked_at > limit);
-	}
-	return 2 * alive > keeper_join_count_voters(group);
+static void keeper_join_append_group(keeper_raft_t *raft,
+				     const keeper_group_t *group, usec_t now)
+{
+	keeper_raft_append_group(raft, group);
+	keeper_append_broadcast(raft, true, now);
+}
+
+/* Before a voter of an even group is removed, an entry must say so: half of the voters
+ * may elect a leader (keeper-quorum.c), and must know of the group without it. Append
+ * that entry if the group in force lacks it, and return true.
+ * keeper_join_remove_leaving() goes on once it is committed. */
+static bool keeper_join_mark_leaving(keeper_raft_t *raft, const char *name,
+				     usec_t now)
+{
+	keeper_group_t group = raft->group;
+	keeper_node_t *node = keeper_group_find(&group, name);
+
+	if (!raft->settings.auto_membership || node->leaving ||
+	    keeper_join_count_voters(&group) % 2)
+		return false;
+	node->leaving = true;
+	keeper_join_append_group(raft, &group, now);
+	return true;
 }
 
 void keeper_join_promote(keeper_raft_t *raft, const keeper_peer_t *peer,
@@ -363,16 +385,16 @@
 			return;
 		/* The old disk loses its vote in an entry before the one that
 		 * gives a vote to the new disk. */
-		node->voter = false;
+		node->voter = node->leaving = false;
 		node->incarnation = 0;
-		if (!keeper_join_is_alive(raft, &group, now))
+		if (!keeper_join_is_alive(raft, &group, now) ||
+		    keeper_join_mark_leaving(raft, node->name, now))
 			return;
 	} else {
 		*node = peer->node;
 		node->voter = true;
 	}
-	keeper_raft_append_group(raft, &group);
-	keeper_append_broadcast(raft, true, now);
+	keeper_join_append_group(raft, &group, now);
 }
 
 static bool keeper_join_add_member(keeper_group_t *group, const char *name,
@@ -404,6 +426,7 @@
 {
 	keeper_group_t group = raft->group;
 	keeper_node_t *node = keeper_group_find(&group, name);
+	bool voter;
 
 	if (raft->role != KEEPER_LEADER)
 		return KEEPER_NOT_LEADER;
@@ -411,12 +434,14 @@
 		return KEEPER_OK;
 	if (!keeper_join_can_change_group(raft) || !hl_name_valid(name))
 		return KEEPER_BUSY;
+	voter = node && node->voter;
 	if (add ? !keeper_join_add_member(&group, name, address) :
-		  !keeper_join_remove_member(&group, node) ||
-			    !keeper_join_is_alive(raft, &group, now))
+		  !keeper_join_remove_member(&group, node))
 		return KEEPER_BUSY;
-	keeper_raft_append_group(raft, &group);
-	keeper_append_broadcast(raft, true, now);
+	if (!keeper_join_is_alive(raft, &group, now))
+		return KEEPER_BUSY;
+	if (!voter || !keeper_join_mark_leaving(raft, name, now))
+		keeper_join_append_group(raft, &group, now);
 	return KEEPER_OK;
 }
 
@@ -499,12 +524,52 @@
 	       (voters % 2 == 0 || keeper_join_count_gone(raft, now) > 1);
 }
 
+static const keeper_node_t *keeper_join_find_leaving(const keeper_raft_t *raft)
+{
+	unsigned i;
+
+	for (i = 0; i < raft->group.count; i++)
+		if (raft->group.nodes[i].leaving)
+			return &raft->group.nodes[i];
+	return NULL;
+}
+
+/* Return the peer that joins under a name with another disk, or NULL. */
+static keeper_peer_t *keeper_join_find_learner(keeper_raft_t *raft,
+					       const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < raft->peer_count; i++)
+		if (raft->peers[i].learner &&
+		    !strcmp(raft->peers[i].node.name, name))
+			return &raft->peers[i];
+	return NULL;
+}
+
+void keeper_join_remove_leaving(keeper_raft_t *raft, usec_t now)
+{
+	const keeper_node_t *node = keeper_join_find_leaving(raft);
+	keeper_peer_t *learner;
+	char name[HL_NAME_MAX];
+
+	if (!node || raft->role != KEEPER_LEADER)
+		return;
+	strcpy(name, node->name);
+	learner = keeper_join_find_learner(raft, name);
+	if (learner)
+		keeper_join_promote(raft, learner, now);
+	else
+		keeper_raft_change_voter(raft, false, name, "", now);
+}
+
 void keeper_join_prune(keeper_raft_t *raft, usec_t now)
 {
 	unsigned i;
 
 	if (!raft->settings.auto_membership || raft->role != KEEPER_LEADER)
 		return;
+	keeper_join_remove_leaving(raft, now);
 	for (i = 0; i < raft->group.count; i++) {
 		const keeper_node_t *node = &raft->group.nodes[i];
 
--- a/keeper-raft.c
+++ b/keeper-raft.c
@@ -241,9 +241,8 @@
 	}
 }
 
-const keeper_group_t *keeper_raft_group_at(const keeper_raft_t *raft,
-					   uint64_t index,
-					   keeper_group_t *group)
+uint64_t keeper_raft_group_at(const keeper_raft_t *raft, uint64_t index,
+			      keeper_group_t *group)
 {
 	const keeper_entry_t *entry;
 
@@ -251,9 +250,9 @@
 		if (entry->kind == KEEPER_ENTRY_GROUP &&
 		    keeper_group_decode(entry->body.body_val,
 					entry->body.body_len, group))
-			return group;
+			return index;
 	*group = raft->snapshot.group;
-	return group;
+	return raft->entries.base;
 }
 
 bool keeper_raft_load_group(keeper_raft_t *raft)
@@ -283,32 +282,6 @@
 	keeper_raft_rebuild_peers(raft);
 }
 
-uint64_t keeper_raft_quorum_value(const keeper_raft_t *raft, uint64_t own,
-				  uint64_t (*value)(const keeper_peer_t *peer))
-{
-	uint64_t values[KEEPER_VOTERS_MAX] = { 0 }, swap;
-	unsigned voters = 0, peer, i;
-
-	for (i = 0; i < raft->group.count; i++)
-		voters += raft->group.nodes[i].voter;
-	if (!voters)
-		return 0;
-	i = 0;
-	if (keeper_raft_is_voter(raft))
-		values[i++] = own;
-	for (peer = 0; peer < raft->peer_count && i < voters; peer++)
-		if (!raft->peers[peer].learner)
-			values[i++] = value(&raft->peers[peer]);
-	for (i = 1; i < voters; i++)
-		for (peer = i; peer && values[peer] > values[peer - 1];
-		     peer--) {
-			swap = values[peer];
-			values[peer] = values[peer - 1];
-			values[peer - 1] = swap;
-		}
-	return values[voters / 2];
-}
-
 void keeper_raft_become_follower(keeper_raft_t *raft, uint64_t term, usec_t now)
 {
 	if (term > raft->ballot.term) {
@@ -423,6 +396,7 @@
 	    !strcmp(message->from, raft->settings.name) ||
 	    !hl_name_valid(message->from))
 		return false;
+	keeper_lost_on_message(raft, message);
 	if (kind == KEEPER_MSG_JOIN)
 		return keeper_join_on_request(raft, message, now);
 	if (message->to_incarnation != raft->settings.incarnation) {
@@ -452,8 +426,8 @@
  * after it. */
 static usec_t keeper_raft_quorum_acked_at(const keeper_raft_t *raft)
 {
-	return (usec_t)keeper_raft_quorum_value(raft, INT64_MAX,
-						keeper_raft_peer_acked_at);
+	return (usec_t)keeper_quorum_value(raft, INT64_MAX,
+					   keeper_raft_peer_acked_at);
 }
 
 /* Step down if no quorum has answered for two election timeouts. */
--- a/keeper-raft.h
+++ b/keeper-raft.h
@@ -5,8 +5,8 @@
 
 /*
  * Functions that the modules of the Raft replica share: keeper-raft.c
- * (roles, terms, timers), keeper-vote.c, keeper-append.c, keeper-install.c and
- * keeper-join.c. The caller of a handler has checked the cluster, the sender's
+ * (roles, terms, timers), keeper-vote.c, keeper-quorum.c, keeper-lost.c,
+ * keeper-append.c, keeper-install.c and keeper-join.c. The caller of a handler has checked the cluster, the sender's
  * and receiver's disk and the term of the message.
  */
 
@@ -52,18 +52,6 @@
 keeper_peer_t *keeper_raft_add_peer(keeper_raft_t *raft,
 				    const keeper_node_t *node);
 
-/**
- * keeper_raft_quorum_value - return the highest value that a majority of the
- * voters has reached.
- * @raft: the replica
- * @own: its own value, counted if it is a voter
- * @value: returns the value of a peer
- *
- * Return: 0 if the group has no voters.
- */
-uint64_t keeper_raft_quorum_value(const keeper_raft_t *raft, uint64_t own,
-				  uint64_t (*value)(const keeper_peer_t *peer));
-
 /**
  * keeper_raft_become_follower - become a follower without a known leader.
  * @term: clears the vote if it is higher than the current term
@@ -118,6 +106,51 @@
 uint64_t keeper_raft_append_group(keeper_raft_t *raft,
 				  const keeper_group_t *group);
 
+/**
+ * keeper_quorum_majority_value - return the highest value that a majority of the voters
+ * of a group has reached.
+ * @raft: the replica
+ * @group: its newest group, or one that it may append
+ * @own: its own value, counted if it is a voter
+ * @value: returns the value of a peer
+ *
+ * Return: 0 if the group has no voters.
+ */
+uint64_t keeper_quorum_majority_value(
+	const keeper_raft_t *raft, const keeper_group_t *group, uint64_t own,
+	uint64_t (*value)(const keeper_peer_t *peer));
+
+/**
+ * keeper_quorum_value - return the highest value that a quorum of the newest group has
+ * reached.
+ *
+ * A quorum is a majority of the voters; half of them may be enough if a voter's disk is
+ * known to be lost.
+ *
+ * Return: 0 if the group has no voters.
+ */
+uint64_t keeper_quorum_value(const keeper_raft_t *raft, uint64_t own,
+			     uint64_t (*value)(const keeper_peer_t *peer));
+
+/**
+ * keeper_lost_on_join - note that a voter's name is in use by another disk.
+ *
+ * Without auto_membership nothing is noted: there an operator may start a second
+ * process under a name while the first one runs.
+ */
+void keeper_lost_on_join(keeper_raft_t *raft, const keeper_message_t *message,
+			 usec_t now);
+
+/** keeper_lost_on_message - forget a lost disk that has sent a message. */
+void keeper_lost_on_message(keeper_raft_t *raft,
+			    const keeper_message_t *message);
+
+/**
+ * keeper_lost_mark_peers - mark the peers whose disks are known to be lost, for the
+ * election that begins and the term that follows.
+ */
+void keeper_lost_mark_peers(keeper_raft_t *raft, usec_t now);
+
 /**
  * keeper_vote_lease_possible - true while a leader may hold a lease.
  *
@@ -208,6 +241,12 @@
  */
 bool keeper_join_lost_leader(const keeper_raft_t *raft, usec_t now);
 
+/**
+ * keeper_join_remove_leaving - as leader, remove a voter that is marked as leaving, if
+ * the group with the mark is committed.
+ */
+void keeper_join_remove_leaving(keeper_raft_t *raft, usec_t now);
+
 /** keeper_join_prune - as leader, remove a member that does not answer. */
 void keeper_join_prune(keeper_raft_t *raft, usec_t now);
 
--- a/keeper-vote.c
+++ b/keeper-vote.c
@@ -17,7 +17,7 @@
 
 static bool keeper_vote_won(const keeper_raft_t *raft)
 {
-	return keeper_raft_quorum_value(raft, 1, keeper_vote_peer_voted) == 1;
+	return keeper_quorum_value(raft, 1, keeper_vote_peer_voted) == 1;
 }
 
 /* Send a request to each other voter, addressed to its disk in the newest
@@ -111,6 +111,7 @@
 		return;
 	if (!keeper_vote_may_campaign(raft))
 		return;
+	keeper_lost_mark_peers(raft, now);
 	raft->role = KEEPER_PRECANDIDATE;
 	keeper_vote_send_requests(raft, KEEPER_MSG_PREVOTE,
 				  raft->ballot.term + 1);
--- a/keeper.h
+++ b/keeper.h
@@ -42,6 +42,7 @@
 	char address[HL_ADDRESS_MAX];
 	uint64_t incarnation; /* the member's disk; 0 until a disk has joined */
 	bool voter;
+	bool leaving; /* a voter that is about to be removed */
 } keeper_node_t;
 
 /** struct keeper_group_t - the members according to one log entry. */
@@ -212,6 +213,7 @@
 	bool in_flight;		  /* entries or a chunk are unanswered */
 	bool voted;		  /* granted its vote to this candidate */
 	bool learner;		  /* not yet a voter with this disk */
+	bool lost; /* its disk was lost when this replica last campaigned */
 	usec_t leaving_at; /* when it last said that it stops; 0: never */
 } keeper_peer_t;
 
@@ -225,6 +227,14 @@
 	usec_t last_seen;
 } keeper_joining_member_t;
 
+/** struct keeper_lost_disk_t - a voter's disk whose name another disk uses. */
+typedef struct {
+	char name[HL_NAME_MAX];
+	uint64_t incarnation; /* of the disk that is lost */
+	uint64_t successor;   /* incarnation of the disk that asks to join */
+	usec_t first_seen, last_seen; /* times of its JOIN messages */
+} keeper_lost_disk_t;
+
 /** struct keeper_outgoing_t - a message to send after the state is saved. */
 typedef struct {
 	struct cds_list_head link;
@@ -235,8 +245,9 @@
 /**
  * struct keeper_raft_t - one replica of the log.
  *
- * Only the functions of keeper_raft_*, keeper_vote_*, keeper_append_*,
- * keeper_install_* and keeper_join_* write to it; its owner only reads it.
+ * Only the functions of keeper_raft_*, keeper_vote_*, keeper_quorum_*, keeper_lost_*,
+ * keeper_append_*, keeper_install_* and keeper_join_* write to it; its owner only
+ * reads it.
  */
 typedef struct {
 	keeper_raft_settings_t settings;
@@ -264,6 +275,8 @@
 	keeper_peer_t peers[KEEPER_PEERS_MAX];
 	unsigned joining_count;
 	keeper_joining_member_t joining_members[KEEPER_VOTERS_MAX];
+	unsigned lost_count;
+	keeper_lost_disk_t lost_disks[KEEPER_VOTERS_MAX];
 	keeper_snapshot_t incoming; /* chunks received so far */
 	size_t incoming_capacity;
 	struct cds_list_head out; /* keeper_outgoing_t */
@@ -387,6 +400,12 @@
  */
 void keeper_raft_mark_saved(keeper_raft_t *raft, usec_t now);
 
+/**
+ * keeper_lost_count - return the number of voters without which this replica campaigned
+ * last, as their disks are lost.
+ */
+unsigned keeper_lost_count(const keeper_raft_t *raft);
+
 /**
  * keeper_raft_compact - replace the log up to the snapshot's index.
  * @snapshot: moved to the replica and zeroed
@@ -396,11 +415,13 @@
 /**
  * keeper_raft_group_at - return the group that is in force at an index.
  * @index: a committed index that is not below the snapshot's
- * @group: filled in and returned
+ * @group: filled in
+ *
+ * Return: the index of the entry that holds it, or the last one that the snapshot
+ * covers.
  */
-const keeper_group_t *keeper_raft_group_at(const keeper_raft_t *raft,
-					   uint64_t index,
-					   keeper_group_t *group);
+uint64_t keeper_raft_group_at(const keeper_raft_t *raft, uint64_t index,
+			      keeper_group_t *group);
 
 /**
  * keeper_raft_lease_end - return the time at which the leader's lease ends.
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -700,6 +700,21 @@
 		g_assert_cmpuint(replaced, >, RUNS / 2);
 }
 
+/* Guards against two quorums without a common voter: half of an even number of voters,
+ * of which one's disk is lost, and a majority of a group that the half does not know
+ * of. Without the entry that marks a voter as leaving, and without the check that the group
+ * is committed, a committed entry was lost with these seeds. */
+static void test_random_half(void)
+{
+	static const uint32_t seeds[] = { 2139, 2298, 2333, 2413,
+					  2668, 2974, 3304, 4349 };
+	uint64_t replaced = 0;
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(seeds); i++)
+		run_random(seeds[i], &replaced);
+}
+
 /* Run until a leader has a lease and the change @id has an answer. With @id 0
  * only the lease is awaited. */
 static void sim_run_until_answer(sim_t *sim, uint32_t id)
@@ -862,16 +877,40 @@
 	}
 }
 
+/* Cut a replica off from the others in both directions. */
+static void sim_cut_off(sim_t *sim, const node_t *node)
+{
+	unsigned number = (unsigned)(node - sim->nodes), i;
+
+	sim->partition_end = INT64_MAX;
+	for (i = 0; i < sim->count; i++) {
+		sim->blocked[number][i] = true;
+		sim->blocked[i][number] = true;
+	}
+}
+
+/* Run until a leader has appended the group without itself. */
+static void sim_run_until_removed(sim_t *sim, const node_t *leader)
+{
+	usec_t limit = sim->now + 10 * ELECTION_TIMEOUT;
+
+	while (sim->now < limit &&
+	       keeper_group_is_voter(&leader->raft.group, leader->name,
+				     leader->incarnation))
+		sim_step(sim);
+	g_assert_cmpint(sim->now, <, limit);
+}
+
 /* Guards against a group without a leader: a leader has appended its own removal,
- * which no other log has, and stops. With a lost disk the others are too few to
- * elect one, so it must campaign once it is back. */
+ * or the entry before it, which no other log has, and stops. With a lost disk the
+ * others are too few to elect one, so it must campaign once it is back. */
 static void test_removed_leader_campaigns(void)
 {
 	uint32_t seed;
-	unsigned i;
 
-	for (seed = 1; seed <= 20; seed++) {
+	for (seed = 1; seed <= 40; seed++) {
 		sim_t *sim = sim_new_without_faults(seed, 3, 4);
+		bool removed = seed % 2;
 		unsigned number;
 		node_t *leader;
 
@@ -879,15 +918,14 @@
 		sim_run_until_group(sim, "k0 k1 k2 k3");
 		leader = sim_run_until_group_committed(sim);
 		number = (unsigned)(leader - sim->nodes);
-		sim->partition_end = INT64_MAX;
-		for (i = 0; i < 4; i++)
-			sim->blocked[number][i] = true;
+		if (!removed)
+			sim_cut_off(sim, leader);
 		keeper_raft_change_voter(&leader->raft, false, leader->name, "",
 					 sim->now);
 		sim_finish_step(sim, leader);
-		g_assert_false(keeper_group_is_voter(&leader->raft.group,
-						     leader->name,
-						     leader->incarnation));
+		if (removed)
+			sim_run_until_removed(sim, leader);
+		sim_cut_off(sim, leader);
 		node_stop(leader);
 		while (sim->in_flight_count)
 			sim_deliver(sim);
@@ -898,16 +936,24 @@
 	}
 }
 
-/* Stop a replica as keeper_core_leave() does: it waits until it has learned that its
- * vote is given up, for KEEPER_LEAVE_TIME at most. */
-static void sim_stop_leaving(sim_t *sim, node_t *node)
+static void sim_run_for(sim_t *sim, usec_t time)
 {
-	usec_t limit = sim->now + 4 * ELECTION_TIMEOUT;
+	usec_t limit = sim->now + time;
 
-	sim_leave(sim, node);
-	while (keeper_raft_may_leave(&node->raft) && sim->now < limit)
+	while (sim->now < limit)
 		sim_step(sim);
-	node_stop(node);
+}
+
+/* Submit a change and run until it has an answer. */
+static void sim_run_until_accepted(sim_t *sim)
+{
+	node_t *leader = sim_run_until_group_committed(sim);
+	uint32_t id = 1;
+
+	sim_submit(sim, leader, id);
+	sim_finish_step(sim, leader);
+	sim_run_until_answer(sim, id);
+	g_assert_cmpint(sim->answers[id].verdict, ==, CONFIG_ACCEPTED);
 }
 
 /* Run for a while, so that all replicas have learned of the group. */
@@ -919,6 +965,91 @@
 		sim_step(sim);
 }
 
+/* Run until the group of a leader with a lease has the present disks of all replicas but
+ * one as voters, and not that one. */
+static void sim_run_until_group_without(sim_t *sim, const node_t *removed)
+{
+	char voters[NODES_MAX * HL_NAME_MAX] = "";
+	unsigned i;
+
+	for (i = 0; i < sim->count; i++) {
+		if (&sim->nodes[i] == removed)
+			continue;
+		if (*voters)
+			g_strlcat(voters, " ", sizeof(voters));
+		g_strlcat(voters, sim->nodes[i].name, sizeof(voters));
+	}
+	sim_run_until_group(sim, voters);
+}
+
+/* Guards against a group that ends while it has a voter too many: one voter of four is
+ * removed without a stop, as its successor is there, and before the leader can remove
+ * it another one loses its disk. Two of the four that are needed in threes are left. */
+static void test_killed_voter_and_lost_disk(void)
+{
+	uint32_t seed;
+
+	for (seed = 0; seed < 48; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 4);
+		node_t *leader, *killed, *lost;
+
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3");
+		sim_settle(sim);
+		sim_run_until_accepted(sim);
+		leader = sim_run_until_group_committed(sim);
+		killed = &sim->nodes[(leader - sim->nodes + seed / 3) % 4];
+		lost = &sim->nodes[(killed - sim->nodes + 1 + seed % 3) % 4];
+		node_retire(killed);
+		sim_run_for(sim, (seed / 12) * ELECTION_TIMEOUT / 2);
+		node_replace(sim, lost);
+		sim_run_until_group_without(sim, killed);
+		g_assert_cmpuint(
+			config_state_config(sim_leader(sim)->state)->revision,
+			==, 1);
+		sim_free(sim);
+	}
+}
+
+/* Guards against the same with the tolerance of two: of six voters one is removed
+ * without a stop, and two lose their disks. */
+static void test_killed_voter_and_two_lost_disks(void)
+{
+	uint32_t seed;
+
+	for (seed = 0; seed < 24; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 6);
+		node_t *killed = &sim->nodes[seed % 6];
+		unsigned number = seed % 6;
+
+		sim->fault_tolerance = 2;
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4 k5");
+		sim_settle(sim);
+		sim_run_until_accepted(sim);
+		node_retire(killed);
+		node_replace(sim, &sim->nodes[(number + 1) % 6]);
+		node_replace(sim, &sim->nodes[(number + 2 + seed / 6) % 6]);
+		sim_run_until_group_without(sim, killed);
+		g_assert_cmpuint(
+			config_state_config(sim_leader(sim)->state)->revision,
+			==, 1);
+		sim_free(sim);
+	}
+}
+
+/* Stop a replica as keeper_core_leave() does: it waits until it has learned that its
+ * vote is given up, for KEEPER_LEAVE_TIME at most. */
+static void sim_stop_leaving(sim_t *sim, node_t *node)
+{
+	usec_t limit = sim->now + 4 * ELECTION_TIMEOUT;
+
+	sim_leave(sim, node);
+	while (keeper_raft_may_leave(&node->raft) && sim->now < limit)
+		sim_step(sim);
+	node_stop(node);
+}
+
 /* Guards against a stop that ends too early: a replaced voter stops while no one
  * leads, as the leader has just lost its disk. Its vote is needed until it is given up:
  * afterwards four voters are left, of which two run. A keeper that stops waits for
@@ -1136,26 +1267,6 @@
 	sim_free(sim);
 }
 
-static void sim_run_for(sim_t *sim, usec_t time)
-{
-	usec_t limit = sim->now + time;
-
-	while (sim->now < limit)
-		sim_step(sim);
-}
-
-/* Submit a change and run until it has an answer. */
-static void sim_run_until_accepted(sim_t *sim)
-{
-	node_t *leader = sim_run_until_group_committed(sim);
-	uint32_t id = 1;
-
-	sim_submit(sim, leader, id);
-	sim_finish_step(sim, leader);
-	sim_run_until_answer(sim, id);
-	g_assert_cmpint(sim->answers[id].verdict, ==, CONFIG_ACCEPTED);
-}
-
 /* Guards against founders that wait for another one for ever: a minority of them is
  * absent from the start, and those that are there must create the group. An absent
  * one must become a voter when it comes, also with a disk that may not bootstrap. */
@@ -1429,11 +1540,16 @@
 
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/keeper-raft/random", test_random_faults);
+	g_test_add_func("/keeper-raft/random-half", test_random_half);
 	g_test_add_func("/keeper-raft/open-group", test_auto_membership);
 	g_test_add_func("/keeper-raft/open-return", test_removed_voter_rejoins);
 	g_test_add_func("/keeper-raft/leaving-voter", test_leaving_voter);
 	g_test_add_func("/keeper-raft/leaving-voter-without-leader",
 			test_leaving_voter_without_leader);
+	g_test_add_func("/keeper-raft/killed-voter-and-lost-disk",
+			test_killed_voter_and_lost_disk);
+	g_test_add_func("/keeper-raft/killed-voter-and-two-lost-disks",
+			test_killed_voter_and_two_lost_disks);
 	g_test_add_func("/keeper-raft/leaver-learns-removal",
 			test_leaver_learns_removal);
 	g_test_add_func("/keeper-raft/lost-disk-without-founders",
--- a/rpc/keeper_rpc.h
+++ b/rpc/keeper_rpc.h
@@ -111,12 +111,14 @@
 	} applied;
 };
 typedef struct keeper_state_res_t keeper_state_res_t;
+#define KEEPER_NODE_VOTER 1
+#define KEEPER_NODE_LEAVING 2
 
 struct keeper_node_wire_t {
 	config_name_t name;
 	keeper_address_t address;
 	u_quad_t incarnation;
-	bool_t voter;
+	u_int flags;
 };
 typedef struct keeper_node_wire_t keeper_node_wire_t;
 
--- a/rpc/keeper_rpc.x
+++ b/rpc/keeper_rpc.x
@@ -90,12 +90,16 @@
 /* Messages between keepers are one-way: the response to a message is another
    message, and the RPC reply only acknowledges its receipt. */
 
+/* Flags of a member. Earlier builds have a bool in their place: they read any value
+ * but 0 as a voter. */
+const KEEPER_NODE_VOTER = 1;
+const KEEPER_NODE_LEAVING = 2;	/* a voter that is about to be removed */
 struct keeper_node_wire_t {
 	config_name_t name;
 	keeper_address_t address;
 	/* Incarnation of the keeper's disk contents; 0: it has not joined. */
 	unsigned hyper incarnation;
-	bool voter;
+	unsigned flags;
 };
 struct keeper_group_wire_t {
 	keeper_node_wire_t nodes<KEEPER_VOTERS_MAX>;
--- a/rpc/keeper_rpc_xdr.c
+++ b/rpc/keeper_rpc_xdr.c
@@ -177,7 +177,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->voter))
+	 if (!xdr_u_int (xdrs, &objp->flags))
 		 return FALSE;
 	return TRUE;
 }
