Keep as many voters as the keepers of the first start need

What callers would see: five keepers without keeper.fault_tolerance, two of them down for some seconds: the group shrinks to three voters, and two lost disks, which five bear, take an acknowledged configuration with them. With a tolerance above what the keepers bear, voters that are gone for good stayed.

Cause: the setting's default of 1 suits three keepers only, and the group could not tell two of five that are down from two of three that were replaced.

Why this works: the leader counts the members that join with first_start, and the group carries the number in flags that earlier builds ignore. It replaces a missing setting and is the most that one can ask for.

--- a/keeper-group.c
+++ b/keeper-group.c
@@ -22,12 +22,27 @@
 	return node && node->voter && node->incarnation == incarnation;
 }
 
-static unsigned keeper_group_flags(const keeper_node_t *node)
+static unsigned keeper_group_flags(const keeper_group_t *group,
+				   const keeper_node_t *node)
 {
+	unsigned flags = KEEPER_NODE_VOTER;
+
 	if (!node->voter)
 		return 0;
-	return node->leaving ? KEEPER_NODE_VOTER | KEEPER_NODE_LEAVING :
-			       KEEPER_NODE_VOTER;
+	if (node->leaving)
+		flags |= KEEPER_NODE_LEAVING;
+	return flags | group->first_size << KEEPER_NODE_FIRST_SIZE_SHIFT;
+}
+
+/* Read the flags of a member; the voters carry the size of the first start. */
+static void keeper_group_read_flags(keeper_group_t *group, keeper_node_t *node,
+				    unsigned flags)
+{
+	node->voter = flags != 0;
+	node->leaving = (flags & KEEPER_NODE_LEAVING) != 0;
+	if (node->voter)
+		group->first_size = flags >> KEEPER_NODE_FIRST_SIZE_SHIFT &
+				    KEEPER_NODE_FIRST_SIZE_MASK;
 }
 
 void keeper_group_to_wire(const keeper_group_t *group,
@@ -39,7 +54,7 @@
 		nodes[i].name = (char *)group->nodes[i].name;
 		nodes[i].address = (char *)group->nodes[i].address;
 		nodes[i].incarnation = group->nodes[i].incarnation;
-		nodes[i].flags = keeper_group_flags(&group->nodes[i]);
+		nodes[i].flags = keeper_group_flags(group, &group->nodes[i]);
 	}
 	wire->nodes.nodes_len = group->count;
 	wire->nodes.nodes_val = nodes;
@@ -61,8 +76,7 @@
 		strcpy(node->name, from->name);
 		strcpy(node->address, from->address);
 		node->incarnation = from->incarnation;
-		node->voter = from->flags != 0;
-		node->leaving = (from->flags & KEEPER_NODE_LEAVING) != 0;
+		keeper_group_read_flags(group, node, from->flags);
 		group->count++;
 	}
 	return true;
--- a/keeper-join.c
+++ b/keeper-join.c
@@ -215,21 +215,6 @@
 	out->body.keeper_message_body_t_u.join.relayed = true;
 }
 
-/* As leader, add the sender to the group if it is not a member, and replicate
- * the log to it. */
-static void keeper_join_admit(keeper_raft_t *raft,
-			      const keeper_message_t *message, usec_t now)
-{
-	const keeper_join_t *join = &message->body.keeper_message_body_t_u.join;
-
-	if (raft->settings.auto_membership &&
-	    !keeper_group_find(&raft->group, message->from))
-		keeper_raft_change_voter(raft, true, message->from,
-					 join->address, now);
-	if (keeper_group_find(&raft->group, message->from))
-		keeper_join_add_learner(raft, message, join->address, now);
-}
-
 bool keeper_join_resolve_founders(const keeper_raft_t *raft,
 				  keeper_group_t *group)
 {
@@ -278,24 +263,6 @@
 	keeper_append_broadcast(raft, true, now);
 }
 
-bool keeper_join_on_request(keeper_raft_t *raft,
-			    const keeper_message_t *message, usec_t now)
-{
-	if (!message->from_incarnation)
-		return false;
-	if (keeper_raft_is_fresh(raft)) {
-		keeper_join_record(raft, message, now);
-		return true;
-	}
-	keeper_lost_on_join(raft, message, now);
-	keeper_join_resolve(raft, message, now);
-	if (raft->role == KEEPER_LEADER)
-		keeper_join_admit(raft, message, now);
-	else
-		keeper_join_relay(raft, message);
-	return true;
-}
-
 /* True if a leader may append a change of the group: only one is uncommitted at
  * a time, and an entry of the leader's term must be committed first. */
 static bool keeper_join_can_change_group(const keeper_raft_t *raft)
@@ -397,8 +364,9 @@
 	keeper_join_append_group(raft, &group, now);
 }
 
+/* Add a member; @first if it is one of the first start. */
 static bool keeper_join_add_member(keeper_group_t *group, const char *name,
-				   const char *address)
+				   const char *address, bool first)
 {
 	keeper_node_t *node;
 
@@ -408,6 +376,8 @@
 	memset(node, 0, sizeof(*node));
 	strcpy(node->name, name);
 	strcpy(node->address, address);
+	if (first && group->first_size && group->first_size < KEEPER_VOTERS_MAX)
+		group->first_size++;
 	return true;
 }
 
@@ -420,31 +390,84 @@
 	return true;
 }
 
-keeper_status_t keeper_raft_change_voter(keeper_raft_t *raft, bool add,
-					 const char *name, const char *address,
-					 usec_t now)
+/* Add a member, which is not one yet; it votes once its disk has joined. */
+static keeper_status_t keeper_join_add(keeper_raft_t *raft, const char *name,
+				       const char *address, bool first,
+				       usec_t now)
 {
 	keeper_group_t group = raft->group;
-	keeper_node_t *node = keeper_group_find(&group, name);
-	bool voter;
 
-	if (raft->role != KEEPER_LEADER)
-		return KEEPER_NOT_LEADER;
-	if (add == (node != NULL))
-		return KEEPER_OK;
-	if (!keeper_join_can_change_group(raft) || !hl_name_valid(name))
-		return KEEPER_BUSY;
-	voter = node && node->voter;
-	if (add ? !keeper_join_add_member(&group, name, address) :
-		  !keeper_join_remove_member(&group, node))
+	if (!keeper_join_can_change_group(raft) || !hl_name_valid(name) ||
+	    !keeper_join_add_member(&group, name, address, first) ||
+	    !keeper_join_is_alive(raft, &group, now))
 		return KEEPER_BUSY;
-	if (!keeper_join_is_alive(raft, &group, now))
+	keeper_join_append_group(raft, &group, now);
+	return KEEPER_OK;
+}
+
+/* Remove a member, or mark it as leaving first. */
+static keeper_status_t keeper_join_remove(keeper_raft_t *raft, const char *name,
+					  usec_t now)
+{
+	keeper_group_t group = raft->group;
+	keeper_node_t *node = keeper_group_find(&group, name);
+	bool voter = node->voter;
+
+	if (!keeper_join_can_change_group(raft) ||
+	    !keeper_join_remove_member(&group, node) ||
+	    !keeper_join_is_alive(raft, &group, now))
 		return KEEPER_BUSY;
 	if (!voter || !keeper_join_mark_leaving(raft, name, now))
 		keeper_join_append_group(raft, &group, now);
 	return KEEPER_OK;
 }
 
+keeper_status_t keeper_raft_change_voter(keeper_raft_t *raft, bool add,
+					 const char *name, const char *address,
+					 usec_t now)
+{
+	if (raft->role != KEEPER_LEADER)
+		return KEEPER_NOT_LEADER;
+	if (add == (keeper_group_find(&raft->group, name) != NULL))
+		return KEEPER_OK;
+	if (add)
+		return keeper_join_add(raft, name, address, false, now);
+	return keeper_join_remove(raft, name, now);
+}
+
+/* As leader, add the sender to the group if it is not a member, and replicate
+ * the log to it. */
+static void keeper_join_admit(keeper_raft_t *raft,
+			      const keeper_message_t *message, usec_t now)
+{
+	const keeper_join_t *join = &message->body.keeper_message_body_t_u.join;
+
+	if (raft->settings.auto_membership &&
+	    !keeper_group_find(&raft->group, message->from))
+		keeper_join_add(raft, message->from, join->address, join->fresh,
+				now);
+	if (keeper_group_find(&raft->group, message->from))
+		keeper_join_add_learner(raft, message, join->address, now);
+}
+
+bool keeper_join_on_request(keeper_raft_t *raft,
+			    const keeper_message_t *message, usec_t now)
+{
+	if (!message->from_incarnation)
+		return false;
+	if (keeper_raft_is_fresh(raft)) {
+		keeper_join_record(raft, message, now);
+		return true;
+	}
+	keeper_lost_on_join(raft, message, now);
+	keeper_join_resolve(raft, message, now);
+	if (raft->role == KEEPER_LEADER)
+		keeper_join_admit(raft, message, now);
+	else
+		keeper_join_relay(raft, message);
+	return true;
+}
+
 /* Return when a member last answered under any of its disks; 0 if never. */
 static usec_t keeper_join_acked_at(keeper_raft_t *raft, const char *name)
 {
@@ -460,11 +483,16 @@
 
 /* Number of voters that the fault tolerance needs: what a majority of them has
  * on its disks is kept if that many disks are lost. With fewer voters it might
- * not be, so silent ones that may return must remain. */
+ * not be, so silent ones that may return must remain. The members of the first start
+ * bear no more than their number allows, and that is taken if no setting says less. */
 static unsigned keeper_join_voters_needed(const keeper_raft_t *raft)
 {
 	unsigned needed = 2 * raft->settings.fault_tolerance + 1;
+	unsigned first_size = raft->group.first_size;
 
+	if (first_size &&
+	    (!raft->settings.fault_tolerance || needed > first_size))
+		needed = first_size - (first_size % 2 == 0);
 	if (needed < KEEPER_JOIN_VOTERS_MIN)
 		return KEEPER_JOIN_VOTERS_MIN;
 	return needed < KEEPER_VOTERS_MAX ? needed : KEEPER_VOTERS_MAX;
@@ -679,6 +707,7 @@
 	unsigned seen = 1, i;
 
 	memset(group, 0, sizeof(*group));
+	group->first_size = settings->founder_count;
 	for (i = 0; i < settings->founder_count; i++) {
 		keeper_node_t *node = &group->nodes[group->count++];
 
--- a/keeper-settings.c
+++ b/keeper-settings.c
@@ -51,12 +51,13 @@
 		       "their IP address as name and the same keeper.port, and "
 		       "further ones are added automatically"),
 	KEEPER_SETTING("keeper", "fault_tolerance", fault_tolerance,
-		       SETTING_INTEGER, false, "1", 0,
+		       SETTING_INTEGER, false, "0", 0,
 		       KEEPER_FAULT_TOLERANCE_MAX,
-		       "keepers that may be lost at the same time; with "
-		       "seeds, a silent keeper is removed only while more "
-		       "than twice as many and one vote; "
-		       "HEMLOCK_FAULT_TOLERANCE replaces it"),
+		       "keepers that may be lost at the same time, 0: as many "
+		       "as those of the first start bear; with seeds, a "
+		       "silent keeper is removed only while more than twice "
+		       "as many and one vote; HEMLOCK_FAULT_TOLERANCE "
+		       "replaces it"),
 	KEEPER_SETTING(
 		"keeper", "first_start", first_start, SETTING_BOOLEAN, false,
 		"true", 0, 0,
--- a/keeper.h
+++ b/keeper.h
@@ -48,6 +48,7 @@
 /** struct keeper_group_t - the members according to one log entry. */
 typedef struct {
 	unsigned count;
+	unsigned first_size; /* members of the first start; 0: unknown */
 	keeper_node_t nodes[KEEPER_VOTERS_MAX];
 } keeper_group_t;
 
@@ -193,7 +194,8 @@
 	unsigned founder_count;	   /* founding members, including this one */
 	char founders[KEEPER_VOTERS_MAX][HL_NAME_MAX];
 	char founder_addresses[KEEPER_VOTERS_MAX][HL_ADDRESS_MAX];
-	unsigned fault_tolerance; /* members that may be lost at once */
+	unsigned fault_tolerance; /* members that may be lost at once; 0: as
+				   * many as those of the first start bear */
 	bool may_bootstrap;	  /* with an empty disk, may create the group;
 				  * with auto_membership, a majority of the
 				  * founders may, so that this must be set for
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -1236,6 +1236,75 @@
 	sim_free(sim);
 }
 
+/* Guards against a group that shrinks to fewer voters than the disks that it bears
+ * to lose need, as no setting says how many: two of five keepers of the first start are
+ * down, and a change that two of the others have is lost with these. */
+static void test_tolerance_not_set(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 5);
+		node_t *leader;
+		unsigned number;
+
+		sim->fault_tolerance = 0;
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+		leader = sim_run_until_group_committed(sim);
+		number = (unsigned)(leader - sim->nodes);
+		node_retire(&sim->nodes[(number + 1) % 5]);
+		node_retire(&sim->nodes[(number + 2) % 5]);
+		sim_run_for(sim, 20 * ELECTION_TIMEOUT);
+		sim_run_until_accepted(sim);
+		node_replace(sim, leader);
+		node_replace(sim, &sim->nodes[(number + 3) % 5]);
+		sim->nodes[(number + 1) % 5].stays_down = false;
+		sim->nodes[(number + 2) % 5].stays_down = false;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+		g_assert_cmpuint(
+			config_state_config(sim_leader(sim)->state)->revision,
+			==, 1);
+		sim_free(sim);
+	}
+}
+
+/* Guards against voters that are gone for good and stay in the group, as no setting
+ * says how many keepers may be lost, or one that is more than the keepers bear: those that
+ * come after the first start are successors. */
+static void test_successors_without_tolerance(void)
+{
+	uint32_t seed;
+	unsigned i;
+
+	for (seed = 1; seed <= 20; seed++) {
+		sim_t *sim = sim_new_without_faults(seed, 3, 7);
+
+		for (i = 5; i < 7; i++)
+			sim->nodes[i].first_disk = false;
+		sim->fault_tolerance = seed % 2 ? 0 : 3;
+		sim->no_operator = true;
+		sim->count = 5;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+		node_retire(&sim->nodes[0]);
+		node_retire(&sim->nodes[3]);
+		sim->count = 7;
+		sim_run_until_group(sim, "k1 k2 k4 k5 k6");
+		sim_free(sim);
+
+		sim = sim_new_without_faults(seed, 3, 5);
+		for (i = 3; i < 5; i++)
+			sim->nodes[i].first_disk = false;
+		sim->fault_tolerance = seed % 2 ? 0 : 2;
+		sim->no_operator = true;
+		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+		node_retire(&sim->nodes[0]);
+		node_retire(&sim->nodes[2]);
+		sim_run_until_group(sim, "k1 k3 k4");
+		sim_free(sim);
+	}
+}
+
 /* Guards against a voter that stays excluded: it was removed while it was down,
  * and must join again after its restart. */
 static void test_removed_voter_rejoins(void)
@@ -1560,6 +1629,10 @@
 			test_needed_voter_does_not_leave);
 	g_test_add_func("/keeper-raft/needed-voters-stay",
 			test_needed_voters_stay);
+	g_test_add_func("/keeper-raft/tolerance-not-set",
+			test_tolerance_not_set);
+	g_test_add_func("/keeper-raft/successors-without-tolerance",
+			test_successors_without_tolerance);
 	g_test_add_func("/keeper-raft/removal-needs-majority",
 			test_removal_needs_majority);
 	g_test_add_func("/keeper-raft/removed-leader-campaigns",
