Hold the body of a response whose head does not fit until it is whole

Cause: such a response is written to the socket directly only if it is whole when its first part is there, and the first part of a body beyond 64 KiB, or of one that takes 50 ms, is passed on before the rest.

Why this works: up to 256 KiB, which the entry holds anyway, the connection waits until the response has ended, and is then sent as one that was whole at once. Larger ones get the 502 as before, once they are known to be larger.

--- a/entry-respond.c
+++ b/entry-respond.c
@@ -258,6 +258,43 @@
 	return result;
 }
 
+/* Whether the rest of a body that is still coming can be held. The caller holds the
+   lock of the request. */
+static bool respond_can_hold(const entry_request_t *req)
+{
+	const entry_response_t *response = &req->response;
+
+	return !response->ended &&
+	       response->length <= ENTRY_RESPONSE_BACKLOG_BYTES &&
+	       entry_buffer_length(&response->body) <=
+		       ENTRY_RESPONSE_BACKLOG_BYTES &&
+	       !__atomic_load_n(&req->entry->cut_calls, __ATOMIC_ACQUIRE);
+}
+
+/* Sends a response whose head may not fit and whose body was not whole: waits for the
+   rest if that can be held, and refuses the head if not. http_proceed() is called again
+   with each part of the body. */
+static enum MHD_Result respond_hold(entry_request_t *req)
+{
+	enum MHD_Result result = MHD_YES;
+	bool whole, held;
+
+	pthread_mutex_lock(&req->lock);
+	whole = req->response.ended && !req->response.truncated;
+	held = respond_can_hold(req);
+	if (held) {
+		req->stage = ENTRY_STAGE_WAIT;
+		req->suspended = true;
+		MHD_suspend_connection(req->connection);
+	}
+	pthread_mutex_unlock(&req->lock);
+	if (whole)
+		return entry_respond_queue(req);
+	if (!held)
+		result = respond_head_refused(req);
+	return result;
+}
+
 /*
  * Sends a response whose head may not fit in the memory of the connection: directly
  * if it is complete and the socket takes it at once. A part of a body cannot be
@@ -270,7 +307,7 @@
 	size_t size;
 
 	if (!body)
-		return respond_head_refused(req);
+		return respond_hold(req);
 	size = entry_respond_size(mhd_response) + body->size;
 	if (!entry_respond_takes(req->connection, size))
 		return respond_head_refused(req);
