Ask all keepers without a pause when an entry starts

Cause: the entry takes the configuration of the first keeper that it asks, and pauses for 60 ms before it asks the next one.

Evidence: /config-follow/start-asks-all, three keepers of which the last has the newest version: 121 ms between the first poll of the first and that of the last before the change; the test requires less than 60 ms and passes.

Why this works: until each keeper of the list was asked once and while no leader has confirmed a version, there is no pause between polls.

--- a/config-direct.c
+++ b/config-direct.c
@@ -350,10 +350,25 @@
 	return result;
 }
 
-/* Pause after a failed poll. It grows if the poll was for a confirmation: while no
+/* Whether this entry has just started and has not asked each keeper once. */
+static bool direct_is_first_round(config_follow_t *follow)
+{
+	bool first;
+
+	pthread_mutex_lock(&follow->lock);
+	first = !follow->confirm.newest_at &&
+		follow->unconfirmed_polls + 1 < follow->keepers.count;
+	pthread_mutex_unlock(&follow->lock);
+	return first;
+}
+
+/* Pause after a failed poll. There is none at the start until all keepers are asked:
+ * the first ones may be behind. It grows if the poll was for a confirmation: while no
  * keeper leads, those of all entries fail. */
 static usec_t direct_retry_interval(config_follow_t *follow)
 {
+	if (direct_is_first_round(follow))
+		return 0;
 	if (!direct_has_newest(follow))
 		return DIRECT_RETRY_INTERVAL;
 	return config_confirm_retry_interval(follow->unconfirmed_polls);
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -429,14 +429,16 @@
 	int listener;
 	unsigned revision; /* atomic */
 	int stop;	   /* atomic */
+	bool follower;	   /* it doesn't lead, and confirms nothing */
+	usec_t polled_at;  /* time of the first poll; 0: none; atomic */
 } http_keeper_t;
 
-/* Makes the body of a response with a confirmed configuration without objects. */
-static char *http_keeper_body(unsigned revision, size_t *size)
+/* Makes the body of a response with a configuration without objects. */
+static char *http_keeper_body(unsigned revision, bool confirmed, size_t *size)
 {
 	keeper_fetch_res_t res = { .status = KEEPER_OK,
 				   .leader = (char *)"",
-				   .confirmed = true,
+				   .confirmed = confirmed,
 				   .revision = revision };
 	char *plain, *packed;
 	size_t plain_size;
@@ -452,13 +454,13 @@
 	return packed;
 }
 
-static void http_keeper_respond(int client, unsigned revision)
+static void http_keeper_respond(int client, unsigned revision, bool confirmed)
 {
 	char request[1024], *body;
 	size_t size;
 
 	g_assert_cmpint(recv(client, request, sizeof(request), 0), >, 0);
-	body = http_keeper_body(revision, &size);
+	body = http_keeper_body(revision, confirmed, &size);
 	dprintf(client,
 		"HTTP/1.1 200 OK\r\nConnection: close\r\n"
 		"Content-Length: %zu\r\n\r\n",
@@ -477,8 +479,13 @@
 		if (poll(&input, 1, 10) <= 0)
 			continue;
 		client = accept(keeper->listener, NULL, NULL);
-		http_keeper_respond(client, __atomic_load_n(&keeper->revision,
-							    __ATOMIC_ACQUIRE));
+		if (!__atomic_load_n(&keeper->polled_at, __ATOMIC_ACQUIRE))
+			__atomic_store_n(&keeper->polled_at, time_now(),
+					 __ATOMIC_RELEASE);
+		http_keeper_respond(client,
+				    __atomic_load_n(&keeper->revision,
+						    __ATOMIC_ACQUIRE),
+				    !keeper->follower);
 		close(client);
 	}
 	return NULL;
@@ -583,6 +590,78 @@
 	metrics_free(metrics);
 }
 
+#define START_KEEPERS 3
+#define START_ATTEMPTS 5
+
+/* Starts an entry beside keepers of which none leads and all but the last are behind.
+ * Returns the time from its first poll to that of the last keeper. */
+static usec_t start_polls(void)
+{
+	metrics_t *metrics = metrics_new();
+	supervisor_t *sup = supervisor_new("test", 1, USEC_PER_SEC);
+	http_keeper_t keepers[START_KEEPERS] = { { 0 } };
+	slow_entry_t entry = { 0 };
+	config_follow_options_t options = { .name = "e1",
+					    .metrics = metrics,
+					    .changed = slow_entry_change,
+					    .changed_context = &entry };
+	pthread_t threads[START_KEEPERS];
+	supervisor_child_t child;
+	config_follow_t *follow;
+	hl_error_t err;
+	usec_t time;
+	int i;
+
+	options.settings = (config_follow_settings_t){ .poll_ms = 10000,
+						       .timeout_ms = 1000,
+						       .outdated_ms = 1000,
+						       .confirm_ms = 1000 };
+	options.settings.keepers.count = START_KEEPERS;
+	for (i = 0; i < START_KEEPERS; i++) {
+		keepers[i].revision = i == START_KEEPERS - 1 ? 2 : 1;
+		keepers[i].follower = true;
+		keepers[i].listener =
+			listen_open(8, options.settings.keepers.items[i]);
+		g_assert_cmpint(pthread_create(&threads[i], NULL,
+					       http_keeper_run, &keepers[i]),
+				==, 0);
+	}
+	follow = config_follow_new(&options, &err);
+	g_assert_nonnull(follow);
+	child = config_follow_child(follow);
+	g_assert_cmpint(supervisor_add(sup, &child, NULL), ==, 0);
+	wait_for_received(&entry, 2);
+	supervisor_free(sup);
+	config_follow_free(follow);
+	for (i = 0; i < START_KEEPERS; i++) {
+		__atomic_store_n(&keepers[i].stop, 1, __ATOMIC_RELEASE);
+		pthread_join(threads[i], NULL);
+		close(keepers[i].listener);
+	}
+	time = keepers[START_KEEPERS - 1].polled_at - keepers[0].polled_at;
+	metrics_free(metrics);
+	return time;
+}
+
+/*
+ * Guards against an entry that serves by an older configuration just after its start:
+ * no keeper leads, it has asked one that is behind, and pauses before it asks the next.
+ * One pause is 60 ms; of several starts the fastest counts, as the machine may be busy.
+ */
+static void test_start_asks_all(void)
+{
+	usec_t fastest = INT64_MAX;
+	unsigned i;
+
+	for (i = 0; i < START_ATTEMPTS; i++) {
+		usec_t time = start_polls();
+
+		if (time < fastest)
+			fastest = time;
+	}
+	g_assert_cmpint(fastest, <, 60 * USEC_PER_MS);
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -605,6 +684,7 @@
 	g_test_add_func("/config-follow/outdated", test_outdated);
 	g_test_add_func("/config-follow/received-not-applied",
 			test_received_not_applied);
+	g_test_add_func("/config-follow/start-asks-all", test_start_asks_all);
 	g_test_add_func("/config-follow/reporter-first", test_reporter_first);
 	rc = g_test_run();
 	rcu_unregister_thread();
