Split keeper-join.c by what it does

Functions have the prefix of their file; no logic changes. The stand-in keepers of test-config-follow share their start and stop.

--- a/keeper-append.c
+++ b/keeper-append.c
@@ -99,7 +99,7 @@
 	if (raft->commit >= raft->group_index && !keeper_raft_is_voter(raft))
 		keeper_raft_become_follower(raft, raft->ballot.term, now);
 	else
-		keeper_join_remove_leaving(raft, now);
+		keeper_leave_remove_marked(raft, now);
 }
 
 /* True if the entries are consecutive, their terms never fall or exceed the
@@ -248,7 +248,7 @@
 	if (peer->next_index <= last)
 		keeper_append_send(raft, peer, now);
 	if (peer->learner)
-		keeper_join_promote(raft, peer, now);
+		keeper_change_promote(raft, peer, now);
 	else
 		keeper_append_advance(raft, now);
 	return true;
--- a/keeper-raft.c
+++ b/keeper-raft.c
@@ -268,7 +268,8 @@
 	if (entry && !keeper_group_decode(entry->body.body_val,
 					  entry->body.body_len, &raft->group))
 		return false;
-	raft->group_resolved = keeper_join_resolve_founders(raft, &raft->group);
+	raft->group_resolved = keeper_bootstrap_resolve_founders(raft,
+								 &raft->group);
 	keeper_raft_rebuild_peers(raft);
 	return true;
 }
@@ -371,7 +372,7 @@
 	case KEEPER_MSG_INSTALL_REPLY:
 		return keeper_install_on_response(raft, message, now);
 	case KEEPER_MSG_LEAVE:
-		keeper_join_on_leave(raft, message, now);
+		keeper_leave_on_request(raft, message, now);
 		return true;
 	default:
 		return false;
@@ -459,8 +460,8 @@
 		keeper_join_send_requests(raft, now);
 	if (raft->leaving)
 		keeper_raft_leave(raft, now);
-	keeper_join_prune(raft, now);
-	keeper_join_bootstrap(raft, now);
+	keeper_leave_prune(raft, now);
+	keeper_bootstrap_start(raft, now);
 }
 
 void keeper_raft_resign(keeper_raft_t *raft, usec_t now)
--- a/keeper-raft.h
+++ b/keeper-raft.h
@@ -6,7 +6,8 @@
 /*
  * Functions that the modules of the Raft replica share: keeper-raft.c
  * (roles, terms, timers), keeper-vote.c, keeper-quorum.c, keeper-lost.c,
- * keeper-append.c, keeper-install.c and keeper-join.c. The caller of a handler has checked the cluster, the sender's
+ * keeper-append.c, keeper-install.c, keeper-join.c, keeper-change.c, keeper-leave.c and
+ * keeper-bootstrap.c. The caller of a handler has checked the cluster, the sender's
  * and receiver's disk and the term of the message.
  */
 
@@ -241,15 +242,6 @@
  */
 bool keeper_join_lost_leader(const keeper_raft_t *raft, usec_t now);
 
-/**
- * keeper_join_remove_leaving - as leader, remove a voter that is marked as leaving, if
- * the group with the mark is committed.
- */
-void keeper_join_remove_leaving(keeper_raft_t *raft, usec_t now);
-
-/** keeper_join_prune - as leader, remove a member that does not answer. */
-void keeper_join_prune(keeper_raft_t *raft, usec_t now);
-
 /** keeper_join_on_request - handle JOIN; false if it is malformed. */
 bool keeper_join_on_request(keeper_raft_t *raft,
 			    const keeper_message_t *message, usec_t now);
@@ -270,25 +262,78 @@
 void keeper_join_on_other_disk(keeper_raft_t *raft,
 			       const keeper_message_t *message);
 
+/** keeper_change_count_voters - return the number of voters of a group. */
+unsigned keeper_change_count_voters(const keeper_group_t *group);
+
+/**
+ * keeper_change_add - as leader, add a member, which is not one yet.
+ * @first: whether it is one of the first start
+ *
+ * It votes once its disk has joined.
+ *
+ * Return: KEEPER_OK or KEEPER_BUSY.
+ */
+keeper_status_t keeper_change_add(keeper_raft_t *raft, const char *name,
+				  const char *address, bool first, usec_t now);
+
+/** keeper_change_promote - make a learner that has caught up a voter. */
+void keeper_change_promote(keeper_raft_t *raft, const keeper_peer_t *peer,
+			   usec_t now);
+
+/**
+ * keeper_leave_remove_marked - as leader, remove a voter that is marked as leaving, if
+ * the group with the mark is committed.
+ */
+void keeper_leave_remove_marked(keeper_raft_t *raft, usec_t now);
+
+/** keeper_leave_prune - as leader, remove a member that does not answer. */
+void keeper_leave_prune(keeper_raft_t *raft, usec_t now);
+
 /**
- * keeper_join_on_leave - as leader, remove a voter that stops; as a voter that
+ * keeper_leave_on_request - as leader, remove a voter that stops; as a voter that
  * stops, note that the leader has removed it.
  */
-void keeper_join_on_leave(keeper_raft_t *raft, const keeper_message_t *message,
-			  usec_t now);
+void keeper_leave_on_request(keeper_raft_t *raft,
+			     const keeper_message_t *message, usec_t now);
 
-/** keeper_join_promote - make a learner that has caught up a voter. */
-void keeper_join_promote(keeper_raft_t *raft, const keeper_peer_t *peer,
-			 usec_t now);
+/**
+ * keeper_bootstrap_founders_hash - hash the names of the founders and of the cluster.
+ *
+ * JOIN carries the hash, and a founder ignores senders whose hash differs from its
+ * own: they were started with another list of founders.
+ */
+uint64_t keeper_bootstrap_founders_hash(const keeper_raft_settings_t *settings);
+
+/** keeper_bootstrap_is_founder - true if @name is one of the founders. */
+bool keeper_bootstrap_is_founder(const keeper_raft_settings_t *settings,
+				 const char *name);
+
+/** keeper_bootstrap_find_member - return the newest JOIN message of a member. */
+keeper_joining_member_t *keeper_bootstrap_find_member(const keeper_raft_t *raft,
+						      const char *name);
+
+/**
+ * keeper_bootstrap_record - record a JOIN message that a keeper with an empty disk
+ * received, for the bootstrap of the group.
+ */
+void keeper_bootstrap_record(keeper_raft_t *raft,
+			     const keeper_message_t *message, usec_t now);
+
+/**
+ * keeper_bootstrap_resolve - set the first disk of a founder in the group, if JOIN is
+ * from one that the group has as a voter without a disk.
+ */
+void keeper_bootstrap_resolve(keeper_raft_t *raft,
+			      const keeper_message_t *message, usec_t now);
 
 /**
- * keeper_join_bootstrap - campaign for the first leader, if all founders have empty
+ * keeper_bootstrap_start - campaign for the first leader, if all founders have empty
  * disks and this one has the lowest name.
  */
-void keeper_join_bootstrap(keeper_raft_t *raft, usec_t now);
+void keeper_bootstrap_start(keeper_raft_t *raft, usec_t now);
 
 /**
- * keeper_join_prepare_bootstrap - put the group of the founders in force, if this
+ * keeper_bootstrap_prepare - put the group of the founders in force, if this
  * replica, whose log is empty, may campaign for the first leader.
  *
  * It may once all founders have lately sent JOIN from empty disks, or, with
@@ -297,10 +342,10 @@
  *
  * Return: false if it may not; then the replica has no group.
  */
-bool keeper_join_prepare_bootstrap(keeper_raft_t *raft, usec_t now);
+bool keeper_bootstrap_prepare(keeper_raft_t *raft, usec_t now);
 
 /**
- * keeper_join_resolve_founders - set the disks of founders that joined after the
+ * keeper_bootstrap_resolve_founders - set the disks of founders that joined after the
  * bootstrap, in voters of @group with incarnation 0.
  *
  * Such a voter stands for the first disk of the founder. So this changes no quorum,
@@ -308,23 +353,23 @@
  *
  * Return: true if a voter was set.
  */
-bool keeper_join_resolve_founders(const keeper_raft_t *raft,
-				  keeper_group_t *group);
+bool keeper_bootstrap_resolve_founders(const keeper_raft_t *raft,
+				       keeper_group_t *group);
 
 /**
- * keeper_join_append_resolved - as leader, append the group in force if the log does
+ * keeper_bootstrap_append_resolved - as leader, append the group in force if the log does
  * not have it: that of the founders, or one with founders that joined later.
  */
-void keeper_join_append_resolved(keeper_raft_t *raft);
+void keeper_bootstrap_append_resolved(keeper_raft_t *raft);
 
 /**
- * keeper_join_may_elect_first - true if this replica may vote for the sender of
+ * keeper_bootstrap_may_vote - true if this replica may vote for the sender of
  * @message, a candidate with an empty log.
  *
  * Only one that may bootstrap may: a replaced disk does not know for whom the first
  * one has voted. The candidate must have the same founders.
  */
-bool keeper_join_may_elect_first(const keeper_raft_t *raft,
-				 const keeper_message_t *message);
+bool keeper_bootstrap_may_vote(const keeper_raft_t *raft,
+			       const keeper_message_t *message);
 
 #endif
--- a/keeper-vote.c
+++ b/keeper-vote.c
@@ -64,7 +64,7 @@
 		peer->acked_at = peer->sent_at = 0;
 		peer->in_flight = false;
 	}
-	keeper_join_append_resolved(raft);
+	keeper_bootstrap_append_resolved(raft);
 	raft->term_start = keeper_raft_append_entry(raft, KEEPER_ENTRY_NOOP,
 						    NULL, 0);
 	raft->heartbeat_at = now + raft->settings.heartbeat_interval;
@@ -106,8 +106,7 @@
 void keeper_vote_start_prevote(keeper_raft_t *raft, usec_t now)
 {
 	keeper_raft_become_follower(raft, raft->ballot.term, now);
-	if (keeper_raft_is_fresh(raft) &&
-	    !keeper_join_prepare_bootstrap(raft, now))
+	if (keeper_raft_is_fresh(raft) && !keeper_bootstrap_prepare(raft, now))
 		return;
 	if (!keeper_vote_may_campaign(raft))
 		return;
@@ -128,7 +127,7 @@
 		&message->body.keeper_message_body_t_u.ballot;
 	uint64_t last = keeper_entries_last(&raft->entries), term = 0;
 
-	if (!ballot->last_term && !keeper_join_may_elect_first(raft, message))
+	if (!ballot->last_term && !keeper_bootstrap_may_vote(raft, message))
 		return false;
 	keeper_entries_term(&raft->entries, last, &term);
 	if (ballot->last_term != term)
--- a/keeper.h
+++ b/keeper.h
@@ -248,8 +248,8 @@
  * struct keeper_raft_t - one replica of the log.
  *
  * Only the functions of keeper_raft_*, keeper_vote_*, keeper_quorum_*, keeper_lost_*,
- * keeper_append_*, keeper_install_* and keeper_join_* write to it; its owner only
- * reads it.
+ * keeper_append_*, keeper_install_*, keeper_join_*, keeper_change_*, keeper_leave_* and
+ * keeper_bootstrap_* write to it; its owner only reads it.
  */
 typedef struct {
 	keeper_raft_settings_t settings;
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -431,6 +431,7 @@
 	int stop;	   /* atomic */
 	bool follower;	   /* it doesn't lead, and confirms nothing */
 	usec_t polled_at;  /* time of the first poll; 0: none; atomic */
+	pthread_t thread;
 } http_keeper_t;
 
 /* Makes the body of a response with a configuration without objects. */
@@ -491,6 +492,24 @@
 	return NULL;
 }
 
+static void http_keeper_start(http_keeper_t *keeper,
+			      config_follow_settings_t *settings)
+{
+	char *address = settings->keepers.items[settings->keepers.count++];
+
+	keeper->listener = listen_open(8, address);
+	g_assert_cmpint(pthread_create(&keeper->thread, NULL, http_keeper_run,
+				       keeper),
+			==, 0);
+}
+
+static void http_keeper_stop(http_keeper_t *keeper)
+{
+	__atomic_store_n(&keeper->stop, 1, __ATOMIC_RELEASE);
+	pthread_join(keeper->thread, NULL);
+	close(keeper->listener);
+}
+
 /* Takes over a configuration; that of revision 2 only once it is let through. */
 typedef struct {
 	int received; /* the newest revision; atomic */
@@ -550,7 +569,6 @@
 					    .changed_context = &entry };
 	supervisor_child_t child;
 	config_follow_t *follow;
-	pthread_t thread;
 	hl_error_t err;
 	usec_t now;
 
@@ -558,10 +576,7 @@
 						       .timeout_ms = 1000,
 						       .outdated_ms = 1000,
 						       .confirm_ms = 1000 };
-	options.settings.keepers.count = 1;
-	keeper.listener = listen_open(8, options.settings.keepers.items[0]);
-	g_assert_cmpint(pthread_create(&thread, NULL, http_keeper_run, &keeper),
-			==, 0);
+	http_keeper_start(&keeper, &options.settings);
 	follow = config_follow_new(&options, &err);
 	g_assert_nonnull(follow);
 	child = config_follow_child(follow);
@@ -584,9 +599,7 @@
 
 	supervisor_free(sup);
 	config_follow_free(follow);
-	__atomic_store_n(&keeper.stop, 1, __ATOMIC_RELEASE);
-	pthread_join(thread, NULL);
-	close(keeper.listener);
+	http_keeper_stop(&keeper);
 	metrics_free(metrics);
 }
 
@@ -605,7 +618,6 @@
 					    .metrics = metrics,
 					    .changed = slow_entry_change,
 					    .changed_context = &entry };
-	pthread_t threads[START_KEEPERS];
 	supervisor_child_t child;
 	config_follow_t *follow;
 	hl_error_t err;
@@ -616,15 +628,10 @@
 						       .timeout_ms = 1000,
 						       .outdated_ms = 1000,
 						       .confirm_ms = 1000 };
-	options.settings.keepers.count = START_KEEPERS;
 	for (i = 0; i < START_KEEPERS; i++) {
 		keepers[i].revision = i == START_KEEPERS - 1 ? 2 : 1;
 		keepers[i].follower = true;
-		keepers[i].listener =
-			listen_open(8, options.settings.keepers.items[i]);
-		g_assert_cmpint(pthread_create(&threads[i], NULL,
-					       http_keeper_run, &keepers[i]),
-				==, 0);
+		http_keeper_start(&keepers[i], &options.settings);
 	}
 	follow = config_follow_new(&options, &err);
 	g_assert_nonnull(follow);
@@ -633,11 +640,8 @@
 	wait_for_received(&entry, 2);
 	supervisor_free(sup);
 	config_follow_free(follow);
-	for (i = 0; i < START_KEEPERS; i++) {
-		__atomic_store_n(&keepers[i].stop, 1, __ATOMIC_RELEASE);
-		pthread_join(threads[i], NULL);
-		close(keepers[i].listener);
-	}
+	for (i = 0; i < START_KEEPERS; i++)
+		http_keeper_stop(&keepers[i]);
 	time = keepers[START_KEEPERS - 1].polled_at - keepers[0].polled_at;
 	metrics_free(metrics);
 	return time;
