Count only keepers with the same seeds for the first start

A founder that was never there stays a voter.

Cause: its successor comes with first_start during the first start and was counted as a member of it, and the even number was raised by one: four keepers were taken for five.

--- a/keeper-join.c
+++ b/keeper-join.c
@@ -120,6 +120,16 @@
 	out->body.keeper_message_body_t_u.join.relayed = true;
 }
 
+/* True if the sender is a member of the first start: its disk is empty, and it was
+ * started with the same seeds, as all are then. A successor has others. */
+static bool keeper_join_is_first(const keeper_raft_t *raft,
+				 const keeper_join_t *join)
+{
+	return join->fresh &&
+	       join->founders_hash ==
+		       keeper_bootstrap_founders_hash(&raft->settings);
+}
+
 /* As leader, add the sender to the group if it is not a member, and replicate
  * the log to it. */
 static void keeper_join_admit(keeper_raft_t *raft,
@@ -130,7 +140,7 @@
 	if (raft->settings.auto_membership &&
 	    !keeper_group_find(&raft->group, message->from))
 		keeper_change_add(raft, message->from, join->address,
-				  join->fresh, now);
+				  keeper_join_is_first(raft, join), now);
 	if (keeper_group_find(&raft->group, message->from))
 		keeper_join_add_learner(raft, message, join->address, now);
 }
--- a/keeper-leave.c
+++ b/keeper-leave.c
@@ -33,14 +33,14 @@
 /* Number of voters that the fault tolerance needs: what a majority of them has
  * on its disks is kept if that many disks are lost. With fewer voters it might
  * not be, so silent ones that may return must remain. Without a setting those of the first
- * start are needed; one that restarts then may not be counted, so an even number is
- * raised. */
+ * start are needed; of an even number one less, which bears as many losses. */
 static unsigned keeper_leave_voters_needed(const keeper_raft_t *raft)
 {
 	unsigned needed = 2 * raft->settings.fault_tolerance + 1;
 
-	if (!raft->settings.fault_tolerance)
-		needed = raft->group.first_size | 1;
+	if (!raft->settings.fault_tolerance && raft->group.first_size)
+		needed = raft->group.first_size -
+			 (raft->group.first_size % 2 == 0);
 	if (needed < KEEPER_LEAVE_VOTERS_MIN)
 		return KEEPER_LEAVE_VOTERS_MIN;
 	return needed < KEEPER_VOTERS_MAX ? needed : KEEPER_VOTERS_MAX;
