Name the thread sanitizer's suppressions by an absolute path

Cause: TSAN_OPTIONS has the path of regress/tsan.supp relative to the root, and the scripts of the first review change the folder.

review-scripts fails under the thread sanitizer before and passes now; the product is unchanged.

--- a/regress/run.sh
+++ b/regress/run.sh
@@ -25,7 +25,7 @@
 trap 'rm -rf "$work"' EXIT
 
 export HEMLOCK_BUILD="$build" HEMLOCK_REGRESS="$here"
-export TSAN_OPTIONS="suppressions=$here/tsan.supp"
+export TSAN_OPTIONS="suppressions=$(cd "$here" && pwd)/tsan.supp"
 # GLib's own allocator hands memory from thread to thread in a way that the
 # sanitizers do not see; with malloc they see each use of freed memory too.
 export G_SLICE=always-malloc
