Say in Raft's terms what the comments on quorums and lost disks mean

Comments of the quorum of half of an even group, the mark before a removal, the records of lost disks, the members of the first start, held responses and polls at the start, and of their tests. They spoke of groups that "know" and of entries that "say so"; now they name voters, candidates, disjoint and intersecting quorums.

--- a/config-direct.c
+++ b/config-direct.c
@@ -362,9 +362,9 @@
 	return first;
 }
 
-/* Pause after a failed poll. There is none at the start until all keepers are asked:
- * the first ones may be behind. It grows if the poll was for a confirmation: while no
- * keeper leads, those of all entries fail. */
+/* Pause after a failed poll. Just after the start there is none until each keeper was
+ * polled once, since those polled first may have an older configuration. It grows if the
+ * poll was for a confirmation: while no keeper leads, those of all entries fail. */
 static usec_t direct_retry_interval(config_follow_t *follow)
 {
 	if (direct_is_first_round(follow))
--- a/entry-respond.c
+++ b/entry-respond.c
@@ -258,8 +258,8 @@
 	return result;
 }
 
-/* Whether the rest of a body that is still coming can be held. The caller holds the
-   lock of the request. */
+/* Whether the response is incomplete and its whole body may fit in the buffer of the
+   request. The caller holds the lock of the request. */
 static bool respond_can_hold(const entry_request_t *req)
 {
 	const entry_response_t *response = &req->response;
@@ -271,9 +271,9 @@
 	       !__atomic_load_n(&req->entry->cut_calls, __ATOMIC_ACQUIRE);
 }
 
-/* Sends a response whose head may not fit and whose body was not whole: waits for the
-   rest if that can be held, and refuses the head if not. http_proceed() is called again
-   with each part of the body. */
+/* Handles a response whose head may not fit and whose body is incomplete: buffers the
+   rest of the body if it may fit, and sends a 502 if not. http_proceed() is called again
+   whenever a part of the body has arrived. */
 static enum MHD_Result respond_hold(entry_request_t *req)
 {
 	enum MHD_Result result = MHD_YES;
--- a/keeper-change.c
+++ b/keeper-change.c
@@ -67,10 +67,13 @@
 	keeper_append_broadcast(raft, true, now);
 }
 
-/* Before a voter of an even group is removed, an entry must say so: half of the voters
- * may elect a leader (keeper-quorum.c), and must know of the group without it. Append
- * that entry if the group in force lacks it, and return true.
- * keeper_leave_remove_marked() goes on once it is committed. */
+/* Mark a voter as leaving in an entry of its own, if the number of voters is even and it
+ * is not marked yet. The group without this voter may be appended only after the mark is
+ * committed: half of the voters may be a quorum (keeper-quorum.c), and a candidate that does not
+ * have the mark in its log could win an election while the new group is being committed.
+ * keeper_leave_remove_marked() then removes the voter.
+ *
+ * Return: true if the mark was appended. */
 static bool keeper_change_mark_leaving(keeper_raft_t *raft, const char *name,
 				       usec_t now)
 {
--- a/keeper-join.c
+++ b/keeper-join.c
@@ -120,8 +120,9 @@
 	out->body.keeper_message_body_t_u.join.relayed = true;
 }
 
-/* True if the sender is a member of the first start: its disk is empty, and it was
- * started with the same seeds, as all are then. A successor has others. */
+/* True if the sender belongs to the first start of the group: first_start is set, its
+ * disk is empty, and its seeds are those of this replica. The seeds of a keeper that
+ * replaces another one later differ. */
 static bool keeper_join_is_first(const keeper_raft_t *raft,
 				 const keeper_join_t *join)
 {
--- a/keeper-leave.c
+++ b/keeper-leave.c
@@ -30,10 +30,10 @@
 	return acked;
 }
 
-/* Number of voters that the fault tolerance needs: what a majority of them has
- * on its disks is kept if that many disks are lost. With fewer voters it might
- * not be, so silent ones that may return must remain. Without a setting those of the first
- * start are needed; of an even number one less, which bears as many losses. */
+/* Return the number of voters that the fault tolerance requires, 2f + 1 for f lost
+ * disks. With fewer voters a committed entry might be on no more than f disks, so a
+ * silent voter must stay in the group. If the setting is 0, it is the number of members at
+ * the first start, rounded down to an odd number. */
 static unsigned keeper_leave_voters_needed(const keeper_raft_t *raft)
 {
 	unsigned needed = 2 * raft->settings.fault_tolerance + 1;
@@ -110,7 +110,7 @@
 	return NULL;
 }
 
-/* Return the peer that joins under a name with another disk, or NULL. */
+/* Return the learner with this name, whose disk replaces that of a voter, or NULL. */
 static keeper_peer_t *keeper_leave_find_learner(keeper_raft_t *raft,
 						const char *name)
 {
--- a/keeper-lost.c
+++ b/keeper-lost.c
@@ -2,16 +2,19 @@
 #include "keeper-raft.h"
 
 /*
- * Voters whose disks are known to be lost: a keeper of the same name asks to join with
- * another disk. The replica keeps them in lost_disks (keeper.h) and marks the peers
- * when it campaigns; see keeper-quorum.c for what that changes.
+ * Detection of lost disks. A keeper whose disk was replaced by an empty one sends JOIN
+ * under its name with a new incarnation, so the disk that is a voter under this name
+ * is lost. The replica records such messages in lost_disks (keeper.h), and marks the
+ * peers that are lost when it starts an election; keeper-quorum.c evaluates the marks.
  */
 
-/* Election timeouts between the first JOIN message and the newest one. One that comes
- * late, from a disk before that of the voter, is not repeated so long. */
+/* Minimum time between the first and the newest JOIN message from the new disk, in
+ * election timeouts. A single message may be delayed and come from a disk that was used
+ * before the voter's. */
 #define KEEPER_LOST_REPEATED_TIMEOUTS 1
-/* Maximum age of the newest JOIN message in election timeouts. A replica that no
- * setting names gets one when it campaigns, so less than two of them apart. */
+/* Maximum age of the newest JOIN message, in election timeouts. A replica that is not
+ * in the sender's seeds receives JOIN only as a response to its own vote requests, at most
+ * two election timeouts apart. */
 #define KEEPER_LOST_MAX_AGE_TIMEOUTS 4
 
 static const keeper_node_t *keeper_lost_find_voter(const keeper_group_t *group,
@@ -33,7 +36,7 @@
 	return NULL;
 }
 
-/* Return the record of a name: that of the same disks, or a new one. */
+/* Return the record of this voter and this new disk; add it if there is none. */
 static keeper_lost_disk_t *keeper_lost_add(keeper_raft_t *raft,
 					   const keeper_node_t *voter,
 					   uint64_t successor, usec_t now)
--- a/keeper-quorum.c
+++ b/keeper-quorum.c
@@ -2,26 +2,30 @@
 #include "keeper-raft.h"
 
 /*
- * Quorums of the voters. A quorum is a majority, or, in a group with an even number of
- * voters of which one's disk is known to be lost, half of them without that one.
- * Without the second rule a group of four, of which one voter is removed for good and
- * one loses its disk, has no quorum any more.
+ * Quorums for elections, commits and the leader's lease. A quorum is a majority of the
+ * voters of the newest group. In a group with an even number of voters, half of them is
+ * a quorum too if the disk of a voter outside that half is known to be lost
+ * (keeper-lost.c). So four voters tolerate that one is removed and another one loses its
+ * disk at the same time.
  *
- * Any two quorums of a group have a voter in common: a majority and a half overlap, and
- * a half leaves out a disk that was lost before the first of its votes was asked for. Of two
- * halves without a common voter each would include the disk that the other one leaves out, and
- * each of these disks would have been lost before the other one voted.
+ * Any two quorums of one group intersect. A majority and a half do, as together they are
+ * more than all voters. Two disjoint halves can't both be quorums: each would contain the
+ * voter whose disk the other half considers lost. A candidate only leaves out a disk that was
+ * lost before it requested votes, so each of the two voters would have voted after the
+ * other one's disk was lost.
  *
- * A half and a quorum of a neighbouring group may have no voter in common, so half is
- * enough only if no other group can be committed that the candidate does not know of:
- *  - the voters are those of a committed group (keeper_quorum_is_settled());
- *  - a voter is added as a member without a vote first, and half is not enough while
- *    there is one;
- *  - a voter of an even group is marked as leaving in an entry before the one that
- *    removes it, and does not count for the half.
+ * Groups that follow one another in the log differ by one voter. A majority of one and
+ * a half of the other may be disjoint, so a half is a quorum only if the candidate
+ * knows of each change of its group that may be committed:
+ *  - the newest group, or an earlier one with the same voters, is committed
+ *    (keeper_quorum_is_settled());
+ *  - every member has a vote. A new voter is first added as a member without one;
+ *  - voters that are marked as leaving are not part of the half. A voter of a group with
+ *    an even number of them is marked before it is removed
+ *    (keeper_change_mark_leaving()).
  */
 
-/* What the voters of a group have reached, and what is needed. */
+/* The values that are compared to find a quorum, one for each voter of a group. */
 typedef struct {
 	unsigned voters;
 	uint64_t values[KEEPER_VOTERS_MAX];
@@ -50,8 +54,8 @@
 	tally->lost |= lost;
 }
 
-/* Return the highest value that at least @needed voters have reached, and only those
- * that count for the half, if @half is set. */
+/* Return the highest value that at least @needed voters have reached. With @half set,
+ * only voters that may be part of a half are counted. */
 static uint64_t keeper_quorum_reached(const keeper_tally_t *tally,
 				      unsigned needed, bool half)
 {
@@ -70,7 +74,7 @@
 	return best;
 }
 
-/* True if the voters are the same disks, and each member of both groups is a voter. */
+/* True if both groups have the same disks as voters and no member without a vote. */
 static bool keeper_quorum_same_voters(const keeper_group_t *a,
 				      const keeper_group_t *b)
 {
@@ -84,8 +88,8 @@
 	return a->count == b->count;
 }
 
-/* True if a group with the present voters is known to be committed, no other one was
- * appended since, and no member waits for a vote. */
+/* True if every member of the newest group has a vote, and that group or an earlier one
+ * with the same voters is committed, without another group between them in the log. */
 static bool keeper_quorum_is_settled(const keeper_raft_t *raft)
 {
 	uint64_t index = raft->group_index;
--- a/keeper-raft.h
+++ b/keeper-raft.h
@@ -142,7 +142,7 @@
 void keeper_lost_on_join(keeper_raft_t *raft, const keeper_message_t *message,
 			 usec_t now);
 
-/** keeper_lost_on_message - forget a lost disk that has sent a message. */
+/** keeper_lost_on_message - drop the record of a disk that is in use after all. */
 void keeper_lost_on_message(keeper_raft_t *raft,
 			    const keeper_message_t *message);
 
--- a/keeper.h
+++ b/keeper.h
@@ -215,7 +215,8 @@
 	bool in_flight;		  /* entries or a chunk are unanswered */
 	bool voted;		  /* granted its vote to this candidate */
 	bool learner;		  /* not yet a voter with this disk */
-	bool lost; /* its disk was lost when this replica last campaigned */
+	bool lost; /* its disk was known to be lost when this replica last
+		    * started an election */
 	usec_t leaving_at; /* when it last said that it stops; 0: never */
 } keeper_peer_t;
 
@@ -229,7 +230,7 @@
 	usec_t last_seen;
 } keeper_joining_member_t;
 
-/** struct keeper_lost_disk_t - a voter's disk whose name another disk uses. */
+/** struct keeper_lost_disk_t - a voter whose name another disk uses in JOIN. */
 typedef struct {
 	char name[HL_NAME_MAX];
 	uint64_t incarnation; /* of the disk that is lost */
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -648,9 +648,10 @@
 }
 
 /*
- * Guards against an entry that serves by an older configuration just after its start:
- * no keeper leads, it has asked one that is behind, and pauses before it asks the next.
- * One pause is 60 ms; of several starts the fastest counts, as the machine may be busy.
+ * Guards against calls that are routed by an older configuration just after a start: no
+ * keeper leads, the first one polled has an older configuration, and the entry pauses for
+ * 60 ms before it polls the next one. The fastest of several starts is checked, as the
+ * machine may be busy.
  */
 static void test_start_asks_all(void)
 {
--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -700,10 +700,10 @@
 		g_assert_cmpuint(replaced, >, RUNS / 2);
 }
 
-/* Guards against two quorums without a common voter: half of an even number of voters,
- * of which one's disk is lost, and a majority of a group that the half does not know
- * of. Without the entry that marks a voter as leaving, and without the check that the group
- * is committed, a committed entry was lost with these seeds. */
+/* Guards against two disjoint quorums: half of an even number of voters, of which one
+ * has lost its disk, and a majority of a group that the candidate does not know of. With these
+ * seeds a committed entry was lost if voters were removed without a mark, if marked
+ * voters counted for the half, or if the group did not have to be committed. */
 static void test_random_half(void)
 {
 	static const uint32_t seeds[] = { 2139, 2298, 2333, 2413,
@@ -982,9 +982,10 @@
 	sim_run_until_group(sim, voters);
 }
 
-/* Guards against a group that ends while it has a voter too many: one voter of four is
- * removed without a stop, as its successor is there, and before the leader can remove
- * it another one loses its disk. Two of the four that are needed in threes are left. */
+/* Guards against a group that can't elect a leader any more: the successor of a voter
+ * has joined, so there are four voters. The replaced one is killed, and before the leader
+ * removes it from the group another voter loses its disk. Two voters are left, while a
+ * majority of four is three. */
 static void test_killed_voter_and_lost_disk(void)
 {
 	uint32_t seed;
@@ -1011,8 +1012,8 @@
 	}
 }
 
-/* Guards against the same with the tolerance of two: of six voters one is removed
- * without a stop, and two lose their disks. */
+/* Guards against the same with a fault tolerance of two: of six voters one is killed
+ * for good, and two lose their disks. */
 static void test_killed_voter_and_two_lost_disks(void)
 {
 	uint32_t seed;
@@ -1236,9 +1237,10 @@
 	sim_free(sim);
 }
 
-/* Guards against a group that shrinks to fewer voters than the disks that it bears
- * to lose need, as no setting says how many: two of five keepers of the first start are
- * down, and a change that two of the others have is lost with these. */
+/* Guards against the removal of voters that the fault tolerance requires, without a
+ * setting for it: two of five voters are down for some time, and must not be removed. If they
+ * were, a change would be committed with two of the other three disks, and lost with
+ * these. */
 static void test_tolerance_not_set(void)
 {
 	uint32_t seed;
@@ -1269,9 +1271,9 @@
 	}
 }
 
-/* Guards against voters that are gone for good and stay in the group, as no setting
- * says how many keepers may be lost: those that come after the first start are
- * successors. */
+/* Guards against voters that are gone for good and stay in the group, without a setting
+ * for the fault tolerance: keepers that join after the first start replace others, and do
+ * not raise the number of voters that are required. */
 static void test_successors_without_tolerance(void)
 {
 	uint32_t seed;
