Name the number of members at the first start initial_size

first_size needed its comment: it is the number of members that the group had at its first start. The flags on the wire keep their values.

--- a/keeper-bootstrap.c
+++ b/keeper-bootstrap.c
@@ -160,7 +160,7 @@
 	unsigned seen = 1, i;
 
 	memset(group, 0, sizeof(*group));
-	group->first_size = settings->founder_count;
+	group->initial_size = settings->founder_count;
 	for (i = 0; i < settings->founder_count; i++) {
 		keeper_node_t *node = &group->nodes[group->count++];
 
--- a/keeper-change.c
+++ b/keeper-change.c
@@ -69,9 +69,9 @@
 
 /* Mark a voter as leaving in an entry of its own, if the number of voters is even and it
  * is not marked yet. The group without this voter may be appended only after the mark is
- * committed: half of the voters may be a quorum (keeper-quorum.c), and a candidate that does not
- * have the mark in its log could win an election while the new group is being committed.
- * keeper_leave_remove_marked() then removes the voter.
+ * committed, by keeper_leave_remove_marked(): half of the voters may be a quorum
+ * (keeper-quorum.c), and a candidate without the mark in its log could win an election
+ * while the new group is being committed.
  *
  * Return: true if the mark was appended. */
 static bool keeper_change_mark_leaving(keeper_raft_t *raft, const char *name,
@@ -114,9 +114,9 @@
 	keeper_change_append(raft, &group, now);
 }
 
-/* Add a member; @first if it is one of the first start. */
+/* Add a member; with @initial it belongs to the first start of the group. */
 static bool keeper_change_add_member(keeper_group_t *group, const char *name,
-				     const char *address, bool first)
+				     const char *address, bool initial)
 {
 	keeper_node_t *node;
 
@@ -126,8 +126,9 @@
 	memset(node, 0, sizeof(*node));
 	strcpy(node->name, name);
 	strcpy(node->address, address);
-	if (first && group->first_size && group->first_size < KEEPER_VOTERS_MAX)
-		group->first_size++;
+	if (initial && group->initial_size &&
+	    group->initial_size < KEEPER_VOTERS_MAX)
+		group->initial_size++;
 	return true;
 }
 
@@ -141,12 +142,12 @@
 }
 
 keeper_status_t keeper_change_add(keeper_raft_t *raft, const char *name,
-				  const char *address, bool first, usec_t now)
+				  const char *address, bool initial, usec_t now)
 {
 	keeper_group_t group = raft->group;
 
 	if (!keeper_change_is_possible(raft) || !hl_name_valid(name) ||
-	    !keeper_change_add_member(&group, name, address, first) ||
+	    !keeper_change_add_member(&group, name, address, initial) ||
 	    !keeper_change_is_alive(raft, &group, now))
 		return KEEPER_BUSY;
 	keeper_change_append(raft, &group, now);
--- a/keeper-group.c
+++ b/keeper-group.c
@@ -31,7 +31,7 @@
 		return 0;
 	if (node->leaving)
 		flags |= KEEPER_NODE_LEAVING;
-	return flags | group->first_size << KEEPER_NODE_FIRST_SIZE_SHIFT;
+	return flags | group->initial_size << KEEPER_NODE_INITIAL_SIZE_SHIFT;
 }
 
 /* Read the flags of a member; the voters carry the size of the first start. */
@@ -41,8 +41,8 @@
 	node->voter = flags != 0;
 	node->leaving = (flags & KEEPER_NODE_LEAVING) != 0;
 	if (node->voter)
-		group->first_size = flags >> KEEPER_NODE_FIRST_SIZE_SHIFT &
-				    KEEPER_NODE_FIRST_SIZE_MASK;
+		group->initial_size = flags >> KEEPER_NODE_INITIAL_SIZE_SHIFT &
+				      KEEPER_NODE_INITIAL_SIZE_MASK;
 }
 
 void keeper_group_to_wire(const keeper_group_t *group,
--- a/keeper-join.c
+++ b/keeper-join.c
@@ -123,8 +123,8 @@
 /* True if the sender belongs to the first start of the group: first_start is set, its
  * disk is empty, and its seeds are those of this replica. The seeds of a keeper that
  * replaces another one later differ. */
-static bool keeper_join_is_first(const keeper_raft_t *raft,
-				 const keeper_join_t *join)
+static bool keeper_join_is_initial(const keeper_raft_t *raft,
+				   const keeper_join_t *join)
 {
 	return join->fresh &&
 	       join->founders_hash ==
@@ -141,7 +141,7 @@
 	if (raft->settings.auto_membership &&
 	    !keeper_group_find(&raft->group, message->from))
 		keeper_change_add(raft, message->from, join->address,
-				  keeper_join_is_first(raft, join), now);
+				  keeper_join_is_initial(raft, join), now);
 	if (keeper_group_find(&raft->group, message->from))
 		keeper_join_add_learner(raft, message, join->address, now);
 }
--- a/keeper-leave.c
+++ b/keeper-leave.c
@@ -38,9 +38,9 @@
 {
 	unsigned needed = 2 * raft->settings.fault_tolerance + 1;
 
-	if (!raft->settings.fault_tolerance && raft->group.first_size)
-		needed = raft->group.first_size -
-			 (raft->group.first_size % 2 == 0);
+	if (!raft->settings.fault_tolerance && raft->group.initial_size)
+		needed = raft->group.initial_size -
+			 (raft->group.initial_size % 2 == 0);
 	if (needed < KEEPER_LEAVE_VOTERS_MIN)
 		return KEEPER_LEAVE_VOTERS_MIN;
 	return needed < KEEPER_VOTERS_MAX ? needed : KEEPER_VOTERS_MAX;
--- a/keeper-raft.h
+++ b/keeper-raft.h
@@ -267,14 +267,15 @@
 
 /**
  * keeper_change_add - as leader, add a member, which is not one yet.
- * @first: whether it is one of the first start
+ * @initial: whether it belongs to the first start of the group
  *
  * It votes once its disk has joined.
  *
  * Return: KEEPER_OK or KEEPER_BUSY.
  */
 keeper_status_t keeper_change_add(keeper_raft_t *raft, const char *name,
-				  const char *address, bool first, usec_t now);
+				  const char *address, bool initial,
+				  usec_t now);
 
 /** keeper_change_promote - make a learner that has caught up a voter. */
 void keeper_change_promote(keeper_raft_t *raft, const keeper_peer_t *peer,
--- a/keeper.h
+++ b/keeper.h
@@ -48,7 +48,7 @@
 /** struct keeper_group_t - the members according to one log entry. */
 typedef struct {
 	unsigned count;
-	unsigned first_size; /* members of the first start; 0: unknown */
+	unsigned initial_size; /* members of the first start; 0: unknown */
 	keeper_node_t nodes[KEEPER_VOTERS_MAX];
 } keeper_group_t;
 
--- a/rpc/keeper_rpc.h
+++ b/rpc/keeper_rpc.h
@@ -113,8 +113,8 @@
 typedef struct keeper_state_res_t keeper_state_res_t;
 #define KEEPER_NODE_VOTER 1
 #define KEEPER_NODE_LEAVING 2
-#define KEEPER_NODE_FIRST_SIZE_SHIFT 8
-#define KEEPER_NODE_FIRST_SIZE_MASK 15
+#define KEEPER_NODE_INITIAL_SIZE_SHIFT 8
+#define KEEPER_NODE_INITIAL_SIZE_MASK 15
 
 struct keeper_node_wire_t {
 	config_name_t name;
--- a/rpc/keeper_rpc.x
+++ b/rpc/keeper_rpc.x
@@ -95,8 +95,8 @@
 const KEEPER_NODE_VOTER = 1;
 const KEEPER_NODE_LEAVING = 2;	/* a voter that is about to be removed */
 /* Number of members of the first start, in the flags of each voter; 0: unknown. */
-const KEEPER_NODE_FIRST_SIZE_SHIFT = 8;
-const KEEPER_NODE_FIRST_SIZE_MASK = 15;
+const KEEPER_NODE_INITIAL_SIZE_SHIFT = 8;
+const KEEPER_NODE_INITIAL_SIZE_MASK = 15;
 struct keeper_node_wire_t {
 	config_name_t name;
 	keeper_address_t address;
