--- a/keeper-leave.c
+++ b/keeper-leave.c
@@ -127,16 +127,14 @@
 {
 	const keeper_node_t *node = keeper_leave_find_leaving(raft);
 	keeper_peer_t *learner;
-	char name[HL_NAME_MAX];
 
 	if (!node || raft->role != KEEPER_LEADER)
 		return;
-	strcpy(name, node->name);
-	learner = keeper_leave_find_learner(raft, name);
+	learner = keeper_leave_find_learner(raft, node->name);
 	if (learner)
 		keeper_change_promote(raft, learner, now);
 	else
-		keeper_raft_change_voter(raft, false, name, "", now);
+		keeper_raft_change_voter(raft, false, node->name, "", now);
 }
 
 void keeper_leave_prune(keeper_raft_t *raft, usec_t now)
