Record the disk that replaces a voter's in the peer of the voter

The records of lost disks were a list of their own, with a search, an upper bound and a reset when it was full. Each voter but the replica itself already is a peer, which is kept and dropped with the group.

--- a/keeper-lost.c
+++ b/keeper-lost.c
@@ -1,10 +1,9 @@
-#include <string.h>
 #include "keeper-raft.h"
 
 /*
  * Detection of lost disks. A keeper whose disk was replaced by an empty one sends JOIN
  * under its name with a new incarnation, so the disk that is a voter under this name
- * is lost. The replica records such messages in lost_disks (keeper.h), and marks the
+ * is lost. The replica records such messages in the peer of the voter, and marks the
  * peers that are lost when it starts an election; keeper-quorum.c evaluates the marks.
  */
 
@@ -17,79 +16,44 @@
  * two election timeouts apart. */
 #define KEEPER_LOST_MAX_AGE_TIMEOUTS 4
 
-static const keeper_node_t *keeper_lost_find_voter(const keeper_group_t *group,
-						   const char *name)
-{
-	const keeper_node_t *node = keeper_group_find(group, name);
-
-	return node && node->voter && node->incarnation ? node : NULL;
-}
-
-static keeper_lost_disk_t *keeper_lost_find(keeper_raft_t *raft,
-					    const char *name)
-{
-	unsigned i;
-
-	for (i = 0; i < raft->lost_count; i++)
-		if (!strcmp(raft->lost_disks[i].name, name))
-			return &raft->lost_disks[i];
-	return NULL;
-}
-
-/* Return the record of this voter and this new disk; add it if there is none. */
-static keeper_lost_disk_t *keeper_lost_add(keeper_raft_t *raft,
-					   const keeper_node_t *voter,
-					   uint64_t successor, usec_t now)
-{
-	keeper_lost_disk_t *disk = keeper_lost_find(raft, voter->name);
-
-	if (disk && disk->incarnation == voter->incarnation &&
-	    disk->successor == successor)
-		return disk;
-	if (!disk && raft->lost_count == KEEPER_VOTERS_MAX)
-		raft->lost_count = 0;
-	if (!disk)
-		disk = &raft->lost_disks[raft->lost_count++];
-	strcpy(disk->name, voter->name);
-	disk->incarnation = voter->incarnation;
-	disk->successor = successor;
-	disk->first_seen = now;
-	return disk;
-}
-
 void keeper_lost_on_join(keeper_raft_t *raft, const keeper_message_t *message,
 			 usec_t now)
 {
-	const keeper_node_t *voter = keeper_lost_find_voter(&raft->group,
-							    message->from);
+	const keeper_node_t *voter = keeper_group_find(&raft->group,
+						       message->from);
+	keeper_peer_t *peer;
 
-	if (!raft->settings.auto_membership || !voter ||
+	if (!raft->settings.auto_membership || !voter || !voter->voter ||
 	    voter->incarnation == message->from_incarnation ||
 	    message->body.keeper_message_body_t_u.join.relayed)
 		return;
-	keeper_lost_add(raft, voter, message->from_incarnation, now)
-		->last_seen = now;
+	peer = keeper_raft_find_peer(raft, voter->name, voter->incarnation);
+	if (!peer || !voter->incarnation)
+		return;
+	if (peer->successor != message->from_incarnation)
+		peer->successor_first_seen = now;
+	peer->successor = message->from_incarnation;
+	peer->successor_last_seen = now;
 }
 
 void keeper_lost_on_message(keeper_raft_t *raft,
 			    const keeper_message_t *message)
 {
-	keeper_lost_disk_t *disk = keeper_lost_find(raft, message->from);
+	keeper_peer_t *peer = keeper_raft_find_peer(raft, message->from,
+						    message->from_incarnation);
 
-	if (disk && disk->incarnation == message->from_incarnation)
-		*disk = raft->lost_disks[--raft->lost_count];
+	if (peer)
+		peer->successor = 0;
 }
 
-static bool keeper_lost_is_known(keeper_raft_t *raft, const keeper_node_t *node,
+static bool keeper_lost_is_known(const keeper_peer_t *peer, usec_t timeout,
 				 usec_t now)
 {
-	const keeper_lost_disk_t *disk = keeper_lost_find(raft, node->name);
-	usec_t timeout = raft->settings.election_timeout;
-
-	return disk && disk->incarnation == node->incarnation &&
-	       disk->last_seen - disk->first_seen >=
+	return peer->successor &&
+	       peer->successor_last_seen - peer->successor_first_seen >=
 		       KEEPER_LOST_REPEATED_TIMEOUTS * timeout &&
-	       now - disk->last_seen <= KEEPER_LOST_MAX_AGE_TIMEOUTS * timeout;
+	       now - peer->successor_last_seen <=
+		       KEEPER_LOST_MAX_AGE_TIMEOUTS * timeout;
 }
 
 void keeper_lost_mark_peers(keeper_raft_t *raft, usec_t now)
@@ -97,9 +61,8 @@
 	unsigned i;
 
 	for (i = 0; i < raft->peer_count; i++)
-		raft->peers[i].lost = keeper_lost_is_known(raft,
-							   &raft->peers[i].node,
-							   now);
+		raft->peers[i].lost = keeper_lost_is_known(
+			&raft->peers[i], raft->settings.election_timeout, now);
 }
 
 unsigned keeper_lost_count(const keeper_raft_t *raft)
--- a/keeper.h
+++ b/keeper.h
@@ -215,6 +215,9 @@
 	bool in_flight;		  /* entries or a chunk are unanswered */
 	bool voted;		  /* granted its vote to this candidate */
 	bool learner;		  /* not yet a voter with this disk */
+	uint64_t successor; /* incarnation of another disk that sends JOIN under
+			     * its name; 0: none */
+	usec_t successor_first_seen, successor_last_seen;
 	bool lost; /* its disk was known to be lost when this replica last
 		    * started an election */
 	usec_t leaving_at; /* when it last said that it stops; 0: never */
@@ -230,14 +233,6 @@
 	usec_t last_seen;
 } keeper_joining_member_t;
 
-/** struct keeper_lost_disk_t - a voter whose name another disk uses in JOIN. */
-typedef struct {
-	char name[HL_NAME_MAX];
-	uint64_t incarnation; /* of the disk that is lost */
-	uint64_t successor;   /* incarnation of the disk that asks to join */
-	usec_t first_seen, last_seen; /* times of its JOIN messages */
-} keeper_lost_disk_t;
-
 /** struct keeper_outgoing_t - a message to send after the state is saved. */
 typedef struct {
 	struct cds_list_head link;
@@ -278,8 +273,6 @@
 	keeper_peer_t peers[KEEPER_PEERS_MAX];
 	unsigned joining_count;
 	keeper_joining_member_t joining_members[KEEPER_VOTERS_MAX];
-	unsigned lost_count;
-	keeper_lost_disk_t lost_disks[KEEPER_VOTERS_MAX];
 	keeper_snapshot_t incoming; /* chunks received so far */
 	size_t incoming_capacity;
 	struct cds_list_head out; /* keeper_outgoing_t */
