--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -527,6 +527,39 @@
 		usleep(1000);
 }
 
+/* A follower of http_keeper_t, in a supervisor of its own. */
+typedef struct {
+	metrics_t *metrics;
+	supervisor_t *supervisor;
+	config_follow_t *follow;
+} follower_t;
+
+static void follower_start(follower_t *follower, slow_entry_t *entry,
+			   const config_follow_settings_t *settings)
+{
+	config_follow_options_t options = { .name = "e1",
+					    .settings = *settings,
+					    .changed = slow_entry_change,
+					    .changed_context = entry };
+	supervisor_child_t child;
+	hl_error_t err;
+
+	follower->metrics = options.metrics = metrics_new();
+	follower->supervisor = supervisor_new("test", 1, USEC_PER_SEC);
+	follower->follow = config_follow_new(&options, &err);
+	g_assert_nonnull(follower->follow);
+	child = config_follow_child(follower->follow);
+	g_assert_cmpint(supervisor_add(follower->supervisor, &child, NULL), ==,
+			0);
+}
+
+static void follower_stop(follower_t *follower)
+{
+	supervisor_free(follower->supervisor);
+	config_follow_free(follower->follow);
+	metrics_free(follower->metrics);
+}
+
 static void wait_for_received(slow_entry_t *entry, int revision)
 {
 	unsigned left;
@@ -559,28 +592,19 @@
  */
 static void test_received_not_applied(void)
 {
-	metrics_t *metrics = metrics_new();
-	supervisor_t *sup = supervisor_new("test", 1, USEC_PER_SEC);
 	http_keeper_t keeper = { .revision = 1 };
 	slow_entry_t entry = { .blocked = 1 };
-	config_follow_options_t options = { .name = "e1",
-					    .metrics = metrics,
-					    .changed = slow_entry_change,
-					    .changed_context = &entry };
-	supervisor_child_t child;
+	config_follow_settings_t settings = { .poll_ms = 10,
+					      .timeout_ms = 1000,
+					      .outdated_ms = 1000,
+					      .confirm_ms = 1000 };
+	follower_t follower;
 	config_follow_t *follow;
-	hl_error_t err;
 	usec_t now;
 
-	options.settings = (config_follow_settings_t){ .poll_ms = 10,
-						       .timeout_ms = 1000,
-						       .outdated_ms = 1000,
-						       .confirm_ms = 1000 };
-	http_keeper_start(&keeper, &options.settings);
-	follow = config_follow_new(&options, &err);
-	g_assert_nonnull(follow);
-	child = config_follow_child(follow);
-	g_assert_cmpint(supervisor_add(sup, &child, NULL), ==, 0);
+	http_keeper_start(&keeper, &settings);
+	follower_start(&follower, &entry, &settings);
+	follow = follower.follow;
 	wait_for_received(&entry, 1);
 	wait_for_revision(follow, 1);
 
@@ -597,10 +621,8 @@
 	g_assert_false(
 		config_follow_outdated(follow, now + 1100 * USEC_PER_MS));
 
-	supervisor_free(sup);
-	config_follow_free(follow);
+	follower_stop(&follower);
 	http_keeper_stop(&keeper);
-	metrics_free(metrics);
 }
 
 #define START_KEEPERS 3
@@ -610,41 +632,26 @@
  * Returns the time from its first poll to that of the last keeper. */
 static usec_t start_polls(void)
 {
-	metrics_t *metrics = metrics_new();
-	supervisor_t *sup = supervisor_new("test", 1, USEC_PER_SEC);
 	http_keeper_t keepers[START_KEEPERS] = { { 0 } };
 	slow_entry_t entry = { 0 };
-	config_follow_options_t options = { .name = "e1",
-					    .metrics = metrics,
-					    .changed = slow_entry_change,
-					    .changed_context = &entry };
-	supervisor_child_t child;
-	config_follow_t *follow;
-	hl_error_t err;
-	usec_t time;
+	config_follow_settings_t settings = { .poll_ms = 10000,
+					      .timeout_ms = 1000,
+					      .outdated_ms = 1000,
+					      .confirm_ms = 1000 };
+	follower_t follower;
 	int i;
 
-	options.settings = (config_follow_settings_t){ .poll_ms = 10000,
-						       .timeout_ms = 1000,
-						       .outdated_ms = 1000,
-						       .confirm_ms = 1000 };
 	for (i = 0; i < START_KEEPERS; i++) {
 		keepers[i].revision = i == START_KEEPERS - 1 ? 2 : 1;
 		keepers[i].follower = true;
-		http_keeper_start(&keepers[i], &options.settings);
+		http_keeper_start(&keepers[i], &settings);
 	}
-	follow = config_follow_new(&options, &err);
-	g_assert_nonnull(follow);
-	child = config_follow_child(follow);
-	g_assert_cmpint(supervisor_add(sup, &child, NULL), ==, 0);
+	follower_start(&follower, &entry, &settings);
 	wait_for_received(&entry, 2);
-	supervisor_free(sup);
-	config_follow_free(follow);
+	follower_stop(&follower);
 	for (i = 0; i < START_KEEPERS; i++)
 		http_keeper_stop(&keepers[i]);
-	time = keepers[START_KEEPERS - 1].polled_at - keepers[0].polled_at;
-	metrics_free(metrics);
-	return time;
+	return keepers[START_KEEPERS - 1].polled_at - keepers[0].polled_at;
 }
 
 /*
