--- a/regress/test-keeper-raft.c
+++ b/regress/test-keeper-raft.c
@@ -816,6 +816,26 @@
 	node->stays_down = true;
 }
 
+/* Check that the leader has the change of sim_run_until_accepted(). */
+static void sim_check_change(const sim_t *sim)
+{
+	g_assert_cmpuint(config_state_config(sim_leader(sim)->state)->revision,
+			 ==, 1);
+}
+
+/* Lose two of five voters for good at once, and start two others. The lost ones must be
+ * removed. */
+static void sim_replace_two_of_five(sim_t *sim)
+{
+	sim->no_operator = true;
+	sim->count = 5;
+	sim_run_until_group(sim, "k0 k1 k2 k3 k4");
+	node_retire(&sim->nodes[0]);
+	node_retire(&sim->nodes[3]);
+	sim->count = 7;
+	sim_run_until_group(sim, "k1 k2 k4 k5 k6");
+}
+
 /* Guards against voters that are gone for good and stay in the group: two of
  * five are replaced at once, or one after the other while both successors vote.
  * Counted for the majority, they make a tolerated loss of disks end the group. */
@@ -827,13 +847,7 @@
 		sim_t *sim = sim_new_without_faults(seed, 3, 7);
 
 		sim->fault_tolerance = 2;
-		sim->no_operator = true;
-		sim->count = 5;
-		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
-		node_retire(&sim->nodes[0]);
-		node_retire(&sim->nodes[3]);
-		sim->count = 7;
-		sim_run_until_group(sim, "k1 k2 k4 k5 k6");
+		sim_replace_two_of_five(sim);
 		sim_free(sim);
 
 		sim = sim_new_without_faults(seed, 3, 5);
@@ -1005,9 +1019,7 @@
 		sim_run_for(sim, (seed / 12) * ELECTION_TIMEOUT / 2);
 		node_replace(sim, lost);
 		sim_run_until_group_without(sim, killed);
-		g_assert_cmpuint(
-			config_state_config(sim_leader(sim)->state)->revision,
-			==, 1);
+		sim_check_change(sim);
 		sim_free(sim);
 	}
 }
@@ -1032,9 +1044,7 @@
 		node_replace(sim, &sim->nodes[(number + 1) % 6]);
 		node_replace(sim, &sim->nodes[(number + 2 + seed / 6) % 6]);
 		sim_run_until_group_without(sim, killed);
-		g_assert_cmpuint(
-			config_state_config(sim_leader(sim)->state)->revision,
-			==, 1);
+		sim_check_change(sim);
 		sim_free(sim);
 	}
 }
@@ -1264,9 +1274,7 @@
 		sim->nodes[(number + 1) % 5].stays_down = false;
 		sim->nodes[(number + 2) % 5].stays_down = false;
 		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
-		g_assert_cmpuint(
-			config_state_config(sim_leader(sim)->state)->revision,
-			==, 1);
+		sim_check_change(sim);
 		sim_free(sim);
 	}
 }
@@ -1285,13 +1293,7 @@
 		for (i = 5; i < 7; i++)
 			sim->nodes[i].first_disk = false;
 		sim->fault_tolerance = 0;
-		sim->no_operator = true;
-		sim->count = 5;
-		sim_run_until_group(sim, "k0 k1 k2 k3 k4");
-		node_retire(&sim->nodes[0]);
-		node_retire(&sim->nodes[3]);
-		sim->count = 7;
-		sim_run_until_group(sim, "k1 k2 k4 k5 k6");
+		sim_replace_two_of_five(sim);
 		sim_free(sim);
 
 		sim = sim_new_without_faults(seed, 3, 5);
@@ -1449,9 +1451,7 @@
 		g_assert_cmpuint(sim->elected, ==, elected);
 		down->stays_down = false;
 		sim_run_until_group(sim, "k0 k1 k2");
-		g_assert_cmpuint(
-			config_state_config(sim_leader(sim)->state)->revision,
-			==, 1);
+		sim_check_change(sim);
 		sim_free(sim);
 	}
 }
