--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 # make lint       run clang-format, clang-tidy and cppcheck
 # make rpc        regenerate rpc/*.c and rpc/*.h from rpc/*.x
 # make count      count lines of code by group of files
+# make build-id   print the build id of these sources and their commit
 # make install    install into $(DESTDIR)$(PREFIX)
 # SAN=address,undefined or SAN=thread builds with that sanitizer.
 
@@ -42,6 +43,12 @@
 FORMAT = $(LINT_C) $(wildcard *.h) $(wildcard platform/*.h) $(wildcard regress/*.h) $(wildcard bench/*.h) \
 	$(wildcard *.cc)
 
+# The build id is a digest of the sources that the programs are built from, with
+# their names. It needs no git; the commit is "-" outside a checkout.
+ID_SOURCES = $(sort $(wildcard *.c *.cc *.h platform/*.[ch] rpc/*.[ch]) Makefile)
+BUILD_ID = sha256sum $(ID_SOURCES) | sha256sum | cut -c 1-12
+COMMIT = { test -e .git && git rev-parse --short=7 HEAD 2>/dev/null; } || echo -
+
 all: $(PROGRAMS)
 
 tools: $(TOOLS) $(TESTS)
@@ -66,6 +73,19 @@
 $(B)/%: $(B)/%.o $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+$(B)/build-id.o: $(B)/build-id.h
+$(B)/build-id.o: CPPFLAGS += -include $(B)/build-id.h
+
+# Compared at each run, but written only if the id or the commit has changed.
+$(B)/build-id.h: FORCE
+	@mkdir -p $(@D)
+	@printf '#define BUILD_ID "%s"\n#define BUILD_COMMIT "%s"\n' \
+	"$$($(BUILD_ID))" "$$($(COMMIT))" >$@.new
+	@if cmp -s $@.new $@; then rm $@.new; else mv $@.new $@; fi
+
+build-id:
+	@echo "build=$$($(BUILD_ID)) commit=$$($(COMMIT))"
+
 # This file defines _GNU_SOURCE itself.
 $(B)/review/8/kept-caller.o: CPPFLAGS += -U_GNU_SOURCE
 
@@ -120,7 +140,7 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all tools check lint lint-format lint-tidy lint-cppcheck format rpc \
+.PHONY: FORCE all tools build-id check lint lint-format lint-tidy lint-cppcheck format rpc \
 	count install clean
 .SECONDARY:
 
--- a/entry-main.c
+++ b/entry-main.c
@@ -205,9 +205,9 @@
 	    entry_control_start(entry, err) || entry_http_start(entry, err))
 		goto out;
 	log_event(LOG_LEVEL_NOTICE, "started",
-		  "address=%s call_port=%" PRId64 " control_port=%" PRId64,
-		  entry->settings.address, entry->settings.call_port,
-		  entry->settings.control_port);
+		  "%s address=%s call_port=%" PRId64 " control_port=%" PRId64,
+		  build_id_text, entry->settings.address,
+		  entry->settings.call_port, entry->settings.control_port);
 	rc = supervisor_run(sup);
 	if (rc)
 		hl_error_set(err, HL_ERR_LIMIT,
--- a/hemlock-entry.c
+++ b/hemlock-entry.c
@@ -97,7 +97,7 @@
 		return EXIT_USAGE;
 	}
 	if (version) {
-		printf("hemlock-entry %s\n", HEMLOCK_VERSION);
+		printf("hemlock-entry %s\n", build_id_text);
 		g_free(path);
 		return EXIT_SUCCESS;
 	}
--- a/hemlock-keeper.c
+++ b/hemlock-keeper.c
@@ -158,8 +158,8 @@
 		rc = keeper_report_error(&err);
 	} else {
 		log_event(LOG_LEVEL_NOTICE, "started",
-			  "zone=%s fault_tolerance=%" PRId64, settings->zone,
-			  settings->fault_tolerance);
+			  "%s zone=%s fault_tolerance=%" PRId64, build_id_text,
+			  settings->zone, settings->fault_tolerance);
 		rc = supervisor_run(sup) ? KEEPER_EXIT_RUN : KEEPER_EXIT_OK;
 	}
 	keeper_control_stop(servers.control);
@@ -228,7 +228,7 @@
 		g_error_free(error);
 		rc = KEEPER_EXIT_USAGE;
 	} else if (version) {
-		printf("hemlock-keeper %s\n", HEMLOCK_VERSION);
+		printf("hemlock-keeper %s\n", build_id_text);
 	} else if (help_settings) {
 		settings_print_help(keeper_settings_table,
 				    keeper_settings_count, stdout);
--- a/hemlock.h
+++ b/hemlock.h
@@ -29,6 +29,9 @@
 
 #define HEMLOCK_VERSION "0.1.0"
 
+/** build_id_text - version, digest of the sources and commit, for `started`. */
+extern const char build_id_text[];
+
 /* Size in bytes of the longest name (of a VM, service, copy ...), with NUL. */
 #define HL_NAME_MAX 64
 /* Size in bytes of the longest "address:port", with NUL (IPv6 in brackets). */
--- a/hemlockctl.c
+++ b/hemlockctl.c
@@ -128,7 +128,7 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	if (argc > 1 && !strcmp(argv[1], "--version")) {
-		printf("hemlockctl %s\n", HEMLOCK_VERSION);
+		printf("hemlockctl %s\n", build_id_text);
 		return CMD_OK;
 	}
 	if (!command)
