Log the age of the configuration and the uptime at each send

A call that an older configuration has served can have three causes: its entry had just started, it had no leader for a while, or the keepers confirmed an old revision. The log does not tell which: config-confirmed is written at the first confirmation and after gaps only, and a record that is cut to the lines of one call has neither it nor the line of the start.

call-sent gets config_age_ms=, from the last confirmation that was there when the call was routed to the send (-1: none), and uptime_ms=. The confirmation is read before the routes, by one atomic load; there is no further lock. A hedge has that of its call.

routed-config-age fails without the change: the lines have neither value. It passes now, and so do routed-basic (whose expected line has the new keys), routed-unconfirmed, config-follow and path-hedge.

--- a/config-follow.c
+++ b/config-follow.c
@@ -281,6 +281,11 @@
 		       USEC_NEVER;
 }
 
+usec_t config_follow_confirmed_at(const config_follow_t *follow)
+{
+	return __atomic_load_n(&follow->newest_at, __ATOMIC_ACQUIRE);
+}
+
 bool config_follow_may_confirm(const config_follow_t *follow, usec_t now)
 {
 	usec_t at = __atomic_load_n(&follow->newest_at, __ATOMIC_ACQUIRE);
--- a/config-follow.h
+++ b/config-follow.h
@@ -209,6 +209,17 @@
  */
 bool config_follow_confirmed(const config_follow_t *follow, usec_t now);
 
+/**
+ * config_follow_confirmed_at - when the configuration in force was last the newest.
+ * @follow: the follower
+ *
+ * Takes no lock. Read it before the configuration, which may be replaced meanwhile.
+ *
+ * Return: the time at which the keeper was asked that has confirmed that while it
+ * led; 0 if none has yet, and always in the tree.
+ */
+usec_t config_follow_confirmed_at(const config_follow_t *follow);
+
 /**
  * config_follow_may_confirm - whether a confirmation may come soon.
  * @follow: a follower outside the tree
--- a/entry-config.c
+++ b/entry-config.c
@@ -169,6 +169,11 @@
 	return !entry->follow || config_follow_confirmed(entry->follow, now);
 }
 
+usec_t entry_config_confirmed_at(const entry_t *entry)
+{
+	return entry->follow ? config_follow_confirmed_at(entry->follow) : 0;
+}
+
 bool entry_config_may_confirm(const entry_t *entry, usec_t now)
 {
 	return entry->follow && config_follow_may_confirm(entry->follow, now);
--- a/entry-head.c
+++ b/entry-head.c
@@ -463,6 +463,7 @@
 	entry_rule_t rule = { 0 };
 	hl_error_t err;
 
+	req->confirmed_at = entry_config_confirmed_at(req->entry);
 	if (entry_config_outdated(req->entry, req->call.arrived)) {
 		head_refuse_unrouted(req, "outdated",
 				     HEAD_OUTDATED_RETRY_AFTER);
--- a/entry-hedge.c
+++ b/entry-hedge.c
@@ -25,6 +25,7 @@
 	memcpy(hedge->call_id, primary->call_id, sizeof(hedge->call_id));
 	memcpy(hedge->rule_name, primary->rule_name, sizeof(hedge->rule_name));
 	hedge->rules_revision = primary->rules_revision;
+	hedge->confirmed_at = primary->confirmed_at;
 	hedge->caller_deadline = primary->caller_deadline;
 	hedge->method = strdup(primary->method);
 	if (!hedge->method)
--- a/entry-io.h
+++ b/entry-io.h
@@ -243,6 +243,7 @@
 	char call_id[HL_NAME_MAX];	/* the caller's id of this attempt */
 	char rule_name[HL_NAME_MAX];	/* name of the matching route, or "" */
 	uint64_t rules_revision; /* of the routes that it was matched to */
+	usec_t confirmed_at;	 /* last confirmation then; 0: none yet */
 	usec_t caller_deadline;	 /* when the caller stops waiting */
 	char *host;		 /* Host header, to match a route by */
 	int64_t deadline_ms;	 /* deadline header of the caller; 0: none */
@@ -903,6 +904,7 @@
 	pthread_mutex_t tick_lock;
 	pthread_cond_t tick_wake;
 	usec_t tick_due;  /* latest time of the next run of the tick thread */
+	usec_t started;	  /* before the ports were opened */
 	bool first_start; /* no key was ever claimed on this entry */
 	owner_t *owner;
 	const char *settings_path;
@@ -1010,6 +1012,13 @@
  */
 bool entry_config_confirmed(const entry_t *entry, usec_t now);
 
+/**
+ * entry_config_confirmed_at - when was the configuration in force last confirmed?
+ *
+ * See config_follow_confirmed_at(); 0 without a confirmation.
+ */
+usec_t entry_config_confirmed_at(const entry_t *entry);
+
 /**
  * entry_config_may_confirm - may a call without a route wait for a confirmation?
  *
--- a/entry-main.c
+++ b/entry-main.c
@@ -201,6 +201,7 @@
 	usec_t now;
 	int rc = -1;
 
+	entry->started = time_now();
 	if (main_add_children(entry, sup, err) ||
 	    entry_control_start(entry, err) || entry_http_start(entry, err))
 		goto out;
--- a/entry-trace.c
+++ b/entry-trace.c
@@ -35,7 +35,8 @@
 		"call=%s route=%s routes=%" PRIu64
 		" service=%s copy=%s attempt=%u hedge=%d "
 		"near=%d held=%u others=%u slowness=%.2f report_age_ms=%" PRId64
-		" waited_ms=%" PRId64 " left_ms=%" PRId64,
+		" waited_ms=%" PRId64 " left_ms=%" PRId64
+		" config_age_ms=%" PRId64 " uptime_ms=%" PRId64,
 		trace_value(req->call_id), trace_value(req->rule_name),
 		req->rules_revision, upstream->name, copy->name, attempts,
 		req->primary != NULL, same_zone, outstanding,
@@ -43,7 +44,10 @@
 		report.received_at ? (now - report.received_at) / USEC_PER_MS :
 				     -1,
 		(now - req->call.arrived) / USEC_PER_MS,
-		(req->call.deadline - now) / USEC_PER_MS);
+		(req->call.deadline - now) / USEC_PER_MS,
+		req->confirmed_at ? (now - req->confirmed_at) / USEC_PER_MS :
+				    -1,
+		(now - req->entry->started) / USEC_PER_MS);
 }
 
 void entry_trace_failed(entry_request_t *req, entry_result_t result,
