Show in the metrics how old the configuration is by which calls are sent

Nothing that is scraped says that an entry serves by a configuration which no leading keeper has confirmed for a while, or not yet since its start. Of an incident, logs are often cut; a few numbers for each entry are not.

With entry.routed, /metrics has a histogram of the age of the last confirmation over sends, the highest such age, a counter of sends without a confirmation and the age of the last confirmation at the scrape. A send adds atomically to the histogram or the counter and takes no lock.

--- a/entry-config.c
+++ b/entry-config.c
@@ -159,6 +159,13 @@
 	return entry->follow ? 0 : -1;
 }
 
+void entry_config_count_send(const entry_request_t *req, usec_t now)
+{
+	if (!req->forward)
+		entry_config_age_sent(&req->entry->config_age,
+				      req->confirmed_at, now);
+}
+
 bool entry_config_ready(const entry_t *entry)
 {
 	return !entry->follow || config_follow_ready(entry->follow);
--- a/entry-io.h
+++ b/entry-io.h
@@ -6,6 +6,7 @@
 #include <microhttpd.h>
 #include <urcu/list.h>
 #include "config-follow.h"
+#include "entry-config-age.h"
 #include "entry-prober.h"
 #include "entry-sibling.h"
 #include "entry-rules.h"
@@ -887,6 +888,7 @@
 	entry_forward_t *forward;
 	uint64_t *lend_header_bytes;	/* counter: credit headers on calls */
 	uint64_t *mismatched_responses; /* counter: of another call or none */
+	entry_config_age_t config_age;
 	member_t *member;
 	struct entry_claims *claims;
 	config_follow_t *follow;     /* NULL without keepers */
@@ -1003,6 +1005,9 @@
 int entry_config_new(entry_t *entry, const owner_member_t *self,
 		     hl_error_t *err);
 
+/** entry_config_count_send - count the age of the configuration at a send. */
+void entry_config_count_send(const entry_request_t *req, usec_t now);
+
 /** entry_config_ready - is a configuration in force, or are no keepers set? */
 bool entry_config_ready(const entry_t *entry);
 
--- a/entry-main.c
+++ b/entry-main.c
@@ -157,6 +157,7 @@
 				    "out of memory; give the VM more memory");
 	if (entry_config_new(entry, NULL, err))
 		return -1;
+	entry_config_age_init(&entry->config_age, entry->metrics);
 	if (entry->policy == ENTRY_POLICY_REPORTS && settings->headers->load) {
 		entry->prober = entry_prober_new(settings->headers,
 						 settings->connect_from,
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -478,6 +478,7 @@
 	sent = time_now();
 	transfer.sent = sent;
 	entry_trace_sent(req, sent);
+	entry_config_count_send(req, sent);
 	transfer.pool = relay_pool(req);
 	result = relay_send_once(&transfer);
 	req->paths_lost = transfer.given_up;
--- a/entry-status.c
+++ b/entry-status.c
@@ -107,6 +107,7 @@
 void entry_status_metrics(const entry_control_request_t *in,
 			  entry_reply_t *reply)
 {
+	const entry_t *entry = in->entry;
 	size_t size = 0;
 	FILE *out = open_memstream(&reply->body, &size);
 
@@ -115,7 +116,10 @@
 				  "out of memory; give the VM more memory");
 		return;
 	}
-	metrics_write(in->entry->metrics, out);
+	entry_config_age_update(&entry->config_age,
+				entry_config_confirmed_at(entry),
+				entry->started, time_now());
+	metrics_write(entry->metrics, out);
 	fclose(out);
 	reply->type = "text/plain; version=0.0.4";
 }
--- a/metrics.c
+++ b/metrics.c
@@ -221,6 +221,19 @@
 		__atomic_store_n(gauge, value, __ATOMIC_RELAXED);
 }
 
+void metrics_raise(uint64_t *gauge, uint64_t value)
+{
+	uint64_t old;
+
+	if (!gauge)
+		return;
+	old = __atomic_load_n(gauge, __ATOMIC_RELAXED);
+	while (old < value &&
+	       !__atomic_compare_exchange_n(gauge, &old, value, true,
+					    __ATOMIC_RELAXED, __ATOMIC_RELAXED))
+		;
+}
+
 /* Reads a value that other threads may be changing. */
 static uint64_t metrics_read(const uint64_t *value)
 {
--- a/metrics.h
+++ b/metrics.h
@@ -78,6 +78,9 @@
 /** metrics_set - set a gauge from any thread; NULL is ignored. */
 void metrics_set(uint64_t *gauge, uint64_t value);
 
+/** metrics_raise - set a gauge to a value if that is higher; as metrics_set(). */
+void metrics_raise(uint64_t *gauge, uint64_t value);
+
 /** metrics_write - write all series in the Prometheus text format. */
 void metrics_write(metrics_t *metrics, FILE *out);
 
