--- a/config-follow.h
+++ b/config-follow.h
@@ -214,6 +214,7 @@
  * @follow: the follower
  *
  * Takes no lock. Read it before the configuration, which may be replaced meanwhile.
+ * It stays as it is when a newer revision comes into force, until that is confirmed.
  *
  * Return: the time at which the keeper was asked that has confirmed that while it
  * led; 0 if none has yet, and always in the tree.
