Route calls after a start once a majority of the keepers has responded

Shortly after its start an entry served calls by a route that an acknowledged change had moved: its first configuration came from a keeper that had not received the change, or the change was acknowledged less than 0.1 s before all processes ended, so that each keeper had it in its log and none counted it as committed until there was a leader.

A change that was accepted before the start is in the logs of a majority of the voters, so one of any majority has it, applied or at the end of its log. A response to /v1/follow that no quorum confirms now states the number of voters, and the host and prefix of each route that the end of the log may put, replace or retire. Until a leader has confirmed the configuration for the first time, a call is routed only if a majority has responded and none of the responses names its route; others wait as calls without a route do. Without a majority the entry serves by what it has after config.outdated_ms. A keeper of an earlier release sends no such header; then calls are routed as before.

Pools, limits and copies at the end of the log are not named: only routes decide which service runs a call. A keeper whose disk is not a voter states 0, so that an absent header means an earlier release. An entry that cannot be decoded stands for all routes.

Calls are not matched again while the entry has no routes at all; routed-basic failed without this (the entry ended at a response of a keeper without any configuration).

--- a/config-direct.c
+++ b/config-direct.c
@@ -32,6 +32,9 @@
 
 /* Name of the header with the addresses of the keepers. */
 #define DIRECT_KEEPERS_HEADER "Hemlock-Keepers:"
+/* Names of the headers of a response that is not confirmed. */
+#define DIRECT_VOTERS_HEADER "Hemlock-Voters:"
+#define DIRECT_ROUTES_HEADER "Hemlock-Pending-Routes:"
 
 /* A response that is being received. */
 typedef struct {
@@ -39,6 +42,7 @@
 	size_t size;
 	size_t capacity;
 	setting_list_t keepers; /* without those whose address is malformed */
+	config_start_response_t start;
 } direct_response_t;
 
 static size_t direct_write(char *bytes, size_t size, size_t count,
@@ -84,6 +88,22 @@
 	g_strfreev(items);
 }
 
+/* Reads a header with the state of a keeper whose response is not confirmed. */
+static void direct_read_start(config_start_response_t *start, const char *line)
+{
+	size_t voters = strlen(DIRECT_VOTERS_HEADER);
+	size_t routes = strlen(DIRECT_ROUTES_HEADER);
+
+	if (!strncasecmp(line, DIRECT_VOTERS_HEADER, voters))
+		start->voters = (int)CLAMP(strtol(line + voters, NULL, 10), 0,
+					   KEEPER_VOTERS_MAX);
+	else if (!strncasecmp(line, DIRECT_ROUTES_HEADER, routes) &&
+		 g_strlcpy(start->routes, line + routes,
+			   sizeof(start->routes)) >= sizeof(start->routes))
+		strcpy(start->routes, CONFIG_START_ALL_ROUTES);
+	g_strstrip(start->routes);
+}
+
 static size_t direct_header(char *line, size_t size, size_t count,
 			    void *context)
 {
@@ -92,10 +112,10 @@
 	size_t length = size * count;
 	char *text;
 
-	if (length < name || strncasecmp(line, DIRECT_KEEPERS_HEADER, name))
-		return length;
-	text = g_strndup(line + name, length - name);
-	direct_read_keepers(&response->keepers, text);
+	text = g_strndup(line, length);
+	direct_read_start(&response->start, text);
+	if (!strncasecmp(text, DIRECT_KEEPERS_HEADER, name))
+		direct_read_keepers(&response->keepers, text + name);
 	g_free(text);
 	return length;
 }
@@ -217,7 +237,9 @@
 	long connect_ms = config_direct_connect_timeout_ms(
 		follow->failed_polls);
 	char url[HL_ADDRESS_MAX + 64];
-	direct_response_t response = { 0 };
+	direct_response_t response = {
+		.start.voters = CONFIG_START_VOTERS_ABSENT,
+	};
 	CURL *easy = follow->easy;
 	CURLcode result;
 	bool ok;
@@ -245,6 +267,8 @@
 	ok = result == CURLE_OK && direct_decode(&response, res);
 	free(response.bytes);
 	*keepers = response.keepers;
+	follow->response = response.start;
+	strcpy(follow->response.address, address);
 	if (ok) {
 		follow->failed_polls = 0;
 	} else if (result != CURLE_AGAIN) {
@@ -319,10 +343,15 @@
 		direct_set_reported_leader(follow, res);
 	/* The revision of a keeper is committed, also if it doesn't lead. */
 	config_follow_report(follow, res->revision, now);
-	if (res->status != KEEPER_OK || !res->revision ||
+	if (res->status != KEEPER_OK)
+		return DIRECT_FAILED;
+	if (res->revision &&
 	    config_publish(follow, &res->body, res->revision, now))
 		return DIRECT_FAILED;
-	if (!res->confirmed)
+	if (!res->confirmed && follow->revision >= res->revision)
+		config_follow_record_start(follow, &follow->response,
+					   res->revision, time_now());
+	if (!res->confirmed || !res->revision)
 		return DIRECT_FAILED;
 	direct_set_leader(follow, address);
 	if (follow->revision < res->revision)
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -7,6 +7,7 @@
 #include "config-lag.h"
 #include "config-report.h"
 #include "config-source.h"
+#include "config-start.h"
 #include "config-tail.h"
 
 /*
@@ -24,8 +25,9 @@
 	void (*on_keepers)(void *context, const setting_list_t *keepers);
 	void *changed_context;
 
-	config_t *config; /* RCU; written by the polling thread */
-	usec_t newest_at; /* of confirm; atomic; written under the lock */
+	config_t *config;     /* RCU; written by the polling thread */
+	usec_t newest_at;     /* of confirm; atomic; written under the lock */
+	unsigned start_state; /* see config_follow_start_state(); likewise */
 	/* Atomic; written under the lock; see config_follow_outdated(). */
 	usec_t outdated_from, outdated_until;
 
@@ -39,7 +41,9 @@
 	usec_t confirmed_at;	  /* time of the last confirmation */
 	config_lag_t lag;	  /* of the revision in force */
 	config_confirm_t confirm; /* outside the tree */
-	config_tail_t tail;	  /* deltas served to this entry's children */
+	config_start_t start;	  /* outside the tree, until confirmed */
+	bool started; /* calls may be routed, see config_follow_check_start() */
+	config_tail_t tail; /* deltas served to this entry's children */
 	config_report_t report;
 
 	/* Only the polling thread uses the fields below, down to jitter_seed.
@@ -59,8 +63,9 @@
 	unsigned jitter_seed;	      /* state of the jitter generator */
 
 	SVCXPRT *listener;
-	CURL *easy;	       /* HTTP client of a follower outside the tree */
-	CURLM *multi;	       /* its transfers; lock protects the pointer */
+	CURL *easy;   /* HTTP client of a follower outside the tree */
+	CURLM *multi; /* its transfers; lock protects the pointer */
+	config_start_response_t response; /* over HTTP, the last one */
 	unsigned failed_polls; /* over HTTP, since the last response */
 	/* Over HTTP, since the last response of a leading keeper. */
 	unsigned unconfirmed_polls;
@@ -98,6 +103,16 @@
  */
 void config_follow_update_lag(config_follow_t *follow);
 
+/**
+ * config_follow_record_start - record a response that no leader confirms.
+ * @follow: a follower outside the tree, not confirmed yet
+ * @response: the response, whose configuration is in force
+ * @revision: revision of that configuration; 0: none
+ */
+void config_follow_record_start(config_follow_t *follow,
+				const config_start_response_t *response,
+				uint64_t revision, usec_t now);
+
 /**
  * config_direct_connect_timeout_ms - connect timeout of a poll over HTTP.
  * @failures: polls without a response since the last one
--- a/config-follow.c
+++ b/config-follow.c
@@ -51,6 +51,7 @@
 			sizeof(follow->rpc_address) - 1);
 	follow->settings = options->settings;
 	follow->outdated_from = USEC_NEVER;
+	follow->start_state = 1;
 	follow->keepers = options->settings.keepers;
 	follow->members = options->members;
 	follow->members_context = options->members_context;
@@ -323,6 +324,99 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
+unsigned config_follow_start_state(const config_follow_t *follow)
+{
+	return __atomic_load_n(&follow->start_state, __ATOMIC_ACQUIRE);
+}
+
+bool config_follow_holds(config_follow_t *follow, unsigned state,
+			 const char *host, const char *target,
+			 size_t prefix_length, usec_t now)
+{
+	usec_t max = follow->settings.outdated_ms * USEC_PER_MS;
+	bool held;
+
+	pthread_mutex_lock(&follow->lock);
+	held = state != follow->start_state ||
+	       config_start_state(&follow->start, max, now) ==
+		       CONFIG_START_WAITING ||
+	       config_start_is_pending(&follow->start, host, target,
+				       prefix_length);
+	pthread_mutex_unlock(&follow->lock);
+	return held;
+}
+
+/* Writes the fields that are logged when the entry begins to route calls. The caller
+ * holds the lock of @follow. */
+static void config_follow_describe_start(const config_follow_t *follow,
+					 config_start_state_t state, usec_t now,
+					 char *out, size_t size)
+{
+	static const char *const reasons[] = {
+		[CONFIG_START_WAITING] = "waiting",
+		[CONFIG_START_QUORUM] = "quorum",
+		[CONFIG_START_RELEASE] = "earlier-release",
+		[CONFIG_START_TIMEOUT] = "timeout",
+	};
+	const config_start_t *start = &follow->start;
+	bool confirmed = follow->confirm.newest_at != 0;
+	unsigned voters;
+	unsigned responders = config_start_responders(start, &voters);
+
+	snprintf(out, size,
+		 "reason=%s responders=%u voters=%u pending=%u "
+		 "waited_ms=%" PRId64,
+		 confirmed ? "leader" : reasons[state], responders, voters,
+		 config_start_pending(start),
+		 start->since ? (now - start->since) / USEC_PER_MS : 0);
+}
+
+usec_t config_follow_check_start(config_follow_t *follow, usec_t now)
+{
+	usec_t max = follow->settings.outdated_ms * USEC_PER_MS;
+	usec_t due = USEC_NEVER;
+	config_start_state_t state;
+	char text[HL_MESSAGE_MAX];
+	bool begins = false;
+
+	pthread_mutex_lock(&follow->lock);
+	if (!follow->started &&
+	    (follow->confirm.newest_at || follow->start.since)) {
+		state = config_start_state(&follow->start, max, now);
+		begins = follow->confirm.newest_at ||
+			 state != CONFIG_START_WAITING;
+		due = begins ? USEC_NEVER : follow->start.since + max;
+		config_follow_describe_start(follow, state, now, text,
+					     sizeof(text));
+	}
+	follow->started = follow->started || begins;
+	pthread_mutex_unlock(&follow->lock);
+	if (!begins)
+		return due;
+	log_event(LOG_LEVEL_NOTICE, "config-started", "%s", text);
+	if (follow->on_confirmed)
+		follow->on_confirmed(follow->changed_context);
+	return due;
+}
+
+void config_follow_record_start(config_follow_t *follow,
+				const config_start_response_t *response,
+				uint64_t revision, usec_t now)
+{
+	bool changed;
+
+	pthread_mutex_lock(&follow->lock);
+	changed = !follow->confirm.newest_at &&
+		  config_start_record(&follow->start, response, revision, now);
+	if (changed)
+		__atomic_store_n(&follow->start_state, follow->start_state + 1,
+				 __ATOMIC_RELEASE);
+	pthread_mutex_unlock(&follow->lock);
+	config_follow_check_start(follow, now);
+	if (changed && follow->on_confirmed)
+		follow->on_confirmed(follow->changed_context);
+}
+
 void config_follow_confirm(config_follow_t *follow, uint64_t newest, usec_t at,
 			   const char *source)
 {
@@ -334,9 +428,12 @@
 	recorded = config_confirm_record(&follow->confirm, newest, at);
 	__atomic_store_n(&follow->newest_at, follow->confirm.newest_at,
 			 __ATOMIC_RELEASE);
+	if (recorded)
+		__atomic_store_n(&follow->start_state, 0, __ATOMIC_RELEASE);
 	pthread_mutex_unlock(&follow->lock);
 	if (!recorded)
 		return;
+	config_follow_check_start(follow, time_now());
 	if (!last || at - last > CONFIG_FOLLOW_GAP_LOGGED)
 		log_event(LOG_LEVEL_NOTICE, "config-confirmed",
 			  "revision=%" PRIu64 " source=%s gap_ms=%" PRId64,
--- a/config-follow.h
+++ b/config-follow.h
@@ -139,8 +139,9 @@
 	void (*changed)(void *context, const config_t *config);
 	/*
 	 * Called by a follower outside the tree, on the polling thread or that
-	 * of config_follow_confirm(), each time that the leading keeper has
-	 * confirmed that no newer revision was accepted. May be NULL.
+	 * of config_follow_confirm() or config_follow_check_start(), each time
+	 * that the leading keeper has confirmed that no newer revision was
+	 * accepted, and when more calls may be routed before that. May be NULL.
 	 */
 	void (*on_confirmed)(void *context);
 	/*
@@ -284,6 +285,40 @@
 			   const setting_list_t *keepers, const char *leader,
 			   const char *reporter);
 
+/**
+ * config_follow_start_state - number of the state in which calls are held.
+ * @follow: a follower outside the tree
+ *
+ * Return: 0 once a leading keeper has confirmed the configuration, for the first time
+ * since the start. Until then the number grows each time that other calls may be held.
+ */
+unsigned config_follow_start_state(const config_follow_t *follow);
+
+/**
+ * config_follow_holds - whether a call must not be routed yet.
+ * @follow: a follower outside the tree
+ * @state: config_follow_start_state() before the call was matched, not 0
+ * @host: Host header of the call, with or without a port
+ * @target: its path and query
+ * @prefix_length: length of the prefix of its route
+ * @now: current time
+ *
+ * Return: true if a change that was accepted before the start may have moved or dropped
+ * the route of the call, or if the state has changed.
+ */
+bool config_follow_holds(config_follow_t *follow, unsigned state,
+			 const char *host, const char *target,
+			 size_t prefix_length, usec_t now);
+
+/**
+ * config_follow_check_start - call options.on_confirmed once calls may be routed.
+ * @follow: a follower outside the tree
+ * @now: current time
+ *
+ * Return: when to call it again, or USEC_NEVER.
+ */
+usec_t config_follow_check_start(config_follow_t *follow, usec_t now);
+
 /** config_follow_free - free a stopped follower; NULL is allowed. */
 void config_follow_free(config_follow_t *follow);
 
--- /dev/null
+++ b/config-start.c
@@ -0,0 +1,143 @@
+#include <glib.h>
+#include <string.h>
+#include "config-start.h"
+
+/* Returns the last response of a keeper, or a free slot for it; NULL if there are
+ * none left. */
+static config_start_response_t *start_slot(config_start_t *start,
+					   const char *address)
+{
+	unsigned i;
+
+	for (i = 0; i < start->count; i++)
+		if (!strcmp(start->last[i].address, address))
+			return &start->last[i];
+	if (start->count == KEEPER_VOTERS_MAX)
+		return NULL;
+	return &start->last[start->count++];
+}
+
+bool config_start_record(config_start_t *start,
+			 const config_start_response_t *response,
+			 uint64_t revision, usec_t now)
+{
+	config_start_response_t *slot;
+	bool changed = revision && !start->since;
+
+	if (changed)
+		start->since = now;
+	if (response->voters == CONFIG_START_VOTERS_ABSENT) {
+		changed = changed || !start->earlier_release;
+		start->earlier_release = true;
+		return changed;
+	}
+	slot = start_slot(start, response->address);
+	if (!slot || (*slot->address && slot->voters == response->voters &&
+		      !strcmp(slot->routes, response->routes)))
+		return changed;
+	*slot = *response;
+	return true;
+}
+
+unsigned config_start_responders(const config_start_t *start, unsigned *voters)
+{
+	unsigned responders = 0;
+	unsigned i;
+
+	*voters = 0;
+	for (i = 0; i < start->count; i++) {
+		if (start->last[i].voters <= 0)
+			continue;
+		responders++;
+		if ((unsigned)start->last[i].voters > *voters)
+			*voters = (unsigned)start->last[i].voters;
+	}
+	return responders;
+}
+
+/* Returns the next item of a list and its length; NULL at the end. */
+static const char *start_next_route(const char **list, size_t *length)
+{
+	const char *item;
+
+	*list += strspn(*list, ", ");
+	item = *list;
+	*length = strcspn(item, ", ");
+	*list += *length;
+	return *length ? item : NULL;
+}
+
+unsigned config_start_pending(const config_start_t *start)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < start->count; i++) {
+		const char *list = start->last[i].routes;
+		size_t length;
+
+		while (start_next_route(&list, &length))
+			count++;
+	}
+	return count;
+}
+
+config_start_state_t config_start_state(const config_start_t *start, usec_t max,
+					usec_t now)
+{
+	unsigned voters;
+	unsigned responders = config_start_responders(start, &voters);
+
+	if (2 * responders > voters)
+		return CONFIG_START_QUORUM;
+	if (start->earlier_release)
+		return CONFIG_START_RELEASE;
+	if (start->since && now - start->since >= max)
+		return CONFIG_START_TIMEOUT;
+	return CONFIG_START_WAITING;
+}
+
+/* Whether a call matches the route in one item of a list. */
+static bool start_matches(const char *item, size_t length, const char *host,
+			  const char *target, size_t prefix_length)
+{
+	const char *slash = memchr(item, '/', length);
+	size_t host_length = slash ? (size_t)(slash - item) : 0;
+	size_t path_length = strcspn(target, "?");
+	char *prefix;
+	size_t size;
+	bool matches;
+
+	if (length == strlen(CONFIG_START_ALL_ROUTES) &&
+	    !memcmp(item, CONFIG_START_ALL_ROUTES, length))
+		return true;
+	if (!slash || host_length != strcspn(host, ":") ||
+	    g_ascii_strncasecmp(item, host, host_length))
+		return false;
+	prefix = g_uri_unescape_segment(slash, item + length, NULL);
+	if (!prefix)
+		return true;
+	size = strlen(prefix);
+	matches = size >= prefix_length && size <= path_length &&
+		  !memcmp(prefix, target, size);
+	g_free(prefix);
+	return matches;
+}
+
+bool config_start_is_pending(const config_start_t *start, const char *host,
+			     const char *target, size_t prefix_length)
+{
+	unsigned i;
+
+	for (i = 0; i < start->count; i++) {
+		const char *list = start->last[i].routes;
+		const char *item;
+		size_t length;
+
+		while ((item = start_next_route(&list, &length)))
+			if (start_matches(item, length, host, target,
+					  prefix_length))
+				return true;
+	}
+	return false;
+}
--- a/entry-config.c
+++ b/entry-config.c
@@ -118,7 +118,10 @@
 
 static void config_on_confirmed(void *context)
 {
-	entry_pending_release(context, time_now());
+	entry_t *entry = context;
+
+	if (entry_target_has_routes(entry))
+		entry_pending_release(entry, time_now());
 }
 
 static void config_on_keepers(void *context, const setting_list_t *keepers)
@@ -191,6 +194,26 @@
 	return entry->follow && config_follow_outdated(entry->follow, now);
 }
 
+unsigned entry_config_start_state(const entry_t *entry)
+{
+	return entry->follow ? config_follow_start_state(entry->follow) : 0;
+}
+
+bool entry_config_holds(const entry_t *entry, unsigned state,
+			const entry_request_t *req, const entry_rule_t *rule,
+			usec_t now)
+{
+	return state &&
+	       config_follow_holds(entry->follow, state, req->host, req->target,
+				   rule->prefix_length, now);
+}
+
+usec_t entry_config_check_start(const entry_t *entry, usec_t now)
+{
+	return entry->follow ? config_follow_check_start(entry->follow, now) :
+			       USEC_NEVER;
+}
+
 uint64_t entry_config_revision(void *context)
 {
 	const entry_t *entry = context;
--- a/entry-head.c
+++ b/entry-head.c
@@ -460,10 +460,12 @@
 {
 	/* Read before the routes: these may be replaced and confirmed meanwhile. */
 	bool confirmed = entry_config_confirmed(req->entry, req->call.arrived);
+	unsigned start_state = entry_config_start_state(req->entry);
 	entry_rule_t rule = { 0 };
 	hl_error_t err;
 
 	req->confirmed_at = entry_config_confirmed_at(req->entry);
+	req->held_state = 0;
 	if (entry_config_outdated(req->entry, req->call.arrived)) {
 		head_refuse_unrouted(req, "outdated",
 				     HEAD_OUTDATED_RETRY_AFTER);
@@ -477,6 +479,11 @@
 		head_refuse_service(req, err.kind);
 		return ENTRY_MATCH_REFUSED;
 	}
+	if (entry_config_holds(req->entry, start_state, req, &rule,
+			       time_now())) {
+		req->held_state = start_state;
+		return ENTRY_MATCH_UNKNOWN;
+	}
 	head_set_rule(req, &rule, req->call.arrived);
 	if (!req->body_max || req->body_length <= (int64_t)req->body_max)
 		return ENTRY_MATCH_FOUND;
--- a/entry-io.h
+++ b/entry-io.h
@@ -250,6 +250,9 @@
 	int64_t deadline_ms;	 /* deadline header of the caller; 0: none */
 	bool pending;		 /* waits for routes, see entry-pending.c */
 	bool unconfirmed; /* had no route before the routes were confirmed */
+	/* State of the start of the configuration in which it is held; 0: it is
+	   not held. */
+	unsigned held_state;
 	struct curl_slist *headers; /* headers of the caller to be relayed */
 	size_t head_bytes; /* request line, header fields and empty line */
 	bool has_body;
@@ -1038,6 +1041,29 @@
  */
 bool entry_config_outdated(const entry_t *entry, usec_t now);
 
+/**
+ * entry_config_start_state - state of the start of the configuration, 0 once it is
+ * confirmed. See config_follow_start_state(); with entry.routed only.
+ */
+unsigned entry_config_start_state(const entry_t *entry);
+
+/**
+ * entry_config_holds - must a call with this route wait for the keepers?
+ * @state: entry_config_start_state() before the call was matched
+ *
+ * See config_follow_holds().
+ */
+bool entry_config_holds(const entry_t *entry, unsigned state,
+			const entry_request_t *req, const entry_rule_t *rule,
+			usec_t now);
+
+/**
+ * entry_config_check_start - release the calls that no longer have to wait.
+ *
+ * Return: when to call it again, or USEC_NEVER. See config_follow_check_start().
+ */
+usec_t entry_config_check_start(const entry_t *entry, usec_t now);
+
 /**
  * entry_config_revision - return the revision of the configuration in force.
  * @context: the entry_t
--- a/entry-pending.c
+++ b/entry-pending.c
@@ -75,6 +75,16 @@
 	return queued;
 }
 
+/* Schedules the next check of the queued calls. */
+static void pending_schedule(entry_t *entry, usec_t now)
+{
+	usec_t due = entry_config_check_start(entry, now);
+
+	if (due > now + PENDING_WAIT_MAX)
+		due = now + PENDING_WAIT_MAX;
+	entry_tick_schedule(entry, due);
+}
+
 /* Matches a queued call to the routes; returns whether it is no longer queued. */
 static bool pending_route(entry_t *entry, entry_request_t *req, usec_t now)
 {
@@ -86,8 +96,10 @@
 		break;
 	case ENTRY_MATCH_UNKNOWN:
 		req->unconfirmed = true;
-		if (pending_push(entry->pending, req))
+		if (pending_push(entry->pending, req)) {
+			pending_schedule(entry, now);
 			return false;
+		}
 		pending_refuse(req);
 		return true;
 	}
@@ -102,18 +114,26 @@
 	       (!unconfirmed || entry_config_confirmed(entry, now));
 }
 
+/* Whether the state in which a call was held has changed; 0: it was not held. */
+static bool pending_is_released(entry_t *entry, unsigned held_state)
+{
+	return held_state && held_state != entry_config_start_state(entry);
+}
+
 void entry_pending_add(entry_t *entry, entry_request_t *req, usec_t now)
 {
 	bool unconfirmed = req->unconfirmed;
+	unsigned held_state = req->held_state;
 
 	entry_request_ref(req);
 	if (!pending_push(entry->pending, req)) {
 		pending_refuse(req);
 		return;
 	}
-	entry_tick_schedule(entry, now + PENDING_WAIT_MAX);
+	pending_schedule(entry, now);
 	/* The routes may have come before the call was queued. */
-	if (pending_is_due(entry, unconfirmed, now))
+	if (pending_is_due(entry, unconfirmed, now) ||
+	    pending_is_released(entry, held_state))
 		entry_pending_release(entry, now);
 }
 
@@ -160,6 +180,8 @@
 
 usec_t entry_pending_expire(entry_t *entry, usec_t now)
 {
+	usec_t start_due = entry_config_check_start(entry, now);
+	usec_t due = now + PENDING_CHECK_INTERVAL;
 	entry_request_t *req;
 	bool waiting;
 
@@ -168,5 +190,7 @@
 	pthread_mutex_lock(&entry->pending->lock);
 	waiting = entry->pending->count > 0;
 	pthread_mutex_unlock(&entry->pending->lock);
-	return waiting ? now + PENDING_CHECK_INTERVAL : INT64_MAX;
+	if (!waiting)
+		return INT64_MAX;
+	return start_due < due ? start_due : due;
 }
--- a/entry-rules.c
+++ b/entry-rules.c
@@ -215,6 +215,7 @@
 	if (!matched)
 		return false;
 	rule->name = matched->route->name;
+	rule->prefix_length = matched->prefix_length;
 	rule->service = rules_find_part(matched, part);
 	if (!rule->service)
 		rule->service = rules_next_part(matched);
--- a/entry-rules.h
+++ b/entry-rules.h
@@ -20,6 +20,7 @@
 	usec_t objective;
 	unsigned attempts_max;
 	unsigned priority;
+	size_t prefix_length;
 	uint64_t revision; /* of the routes */
 } entry_rule_t;
 
--- a/keeper-control.c
+++ b/keeper-control.c
@@ -172,6 +172,20 @@
 	return stopping;
 }
 
+/* Adds the headers by which an entry that starts decides which calls it may route
+ * before a leader has confirmed the configuration. */
+static void control_add_unconfirmed(struct MHD_Response *response,
+				    const keeper_unconfirmed_t *unconfirmed)
+{
+	char voters[16];
+
+	snprintf(voters, sizeof(voters), "%u", unconfirmed->voters);
+	MHD_add_response_header(response, "Hemlock-Voters", voters);
+	if (*unconfirmed->routes)
+		MHD_add_response_header(response, "Hemlock-Pending-Routes",
+					unconfirmed->routes);
+}
+
 static enum MHD_Result control_send_response(keeper_control_request_t *request)
 {
 	struct MHD_Response *response;
@@ -196,6 +210,8 @@
 	if (*request->keepers)
 		MHD_add_response_header(response, "Hemlock-Keepers",
 					request->keepers);
+	if (request->unconfirmed)
+		control_add_unconfirmed(response, request->unconfirmed);
 	if (request->retry_after)
 		MHD_add_response_header(response, "Retry-After",
 					CONTROL_RETRY_AFTER_SECONDS);
@@ -409,6 +425,7 @@
 	xdr_free((xdrproc_t)xdr_config_target_t, (char *)&request->target);
 	free(request->body);
 	free(request->response);
+	free(request->unconfirmed);
 	free(request);
 	*state = NULL;
 	__atomic_fetch_sub(&control->in_progress, 1, __ATOMIC_SEQ_CST);
--- a/keeper-control.h
+++ b/keeper-control.h
@@ -71,6 +71,8 @@
 	bool retry_after;	       /* send a Retry-After header */
 	/* Addresses of the keepers, separated by commas, or "". */
 	char keepers[KEEPER_VOTERS_MAX * HL_ADDRESS_MAX];
+	/* Sent with a configuration that no quorum confirms, or NULL. */
+	keeper_unconfirmed_t *unconfirmed;
 } keeper_control_request_t;
 
 /* Functions that keeper-control.c shares with the handlers. */
@@ -123,7 +125,8 @@
  * the argument "have", as deflated XDR.
  *
  * The argument "any" also allows a configuration that no quorum confirms. If a
- * quorum confirms it, the header Hemlock-Keepers has the addresses of the keepers.
+ * quorum confirms it, the header Hemlock-Keepers has the addresses of the keepers; else
+ * Hemlock-Voters and Hemlock-Pending-Routes have those of keeper_unconfirmed_t.
  */
 void keeper_handler_follow(keeper_control_request_t *request, usec_t now);
 
--- a/keeper-core.c
+++ b/keeper-core.c
@@ -4,6 +4,7 @@
 #include <sys/random.h>
 #include <time.h>
 #include "keeper-core.h"
+#include "keeper-raft.h"
 
 /* The core thread of a keeper, which drives the replica and its files. */
 
@@ -195,6 +196,11 @@
 	view->incarnation = raft->settings.incarnation;
 	view->group = raft->group;
 	keeper_core_fill_match_index(raft, view);
+	view->voters = keeper_raft_is_voter(raft) ?
+			       keeper_change_count_voters(&raft->group) :
+			       0;
+	keeper_tail_update(&view->tail, &raft->entries, core->applied,
+			   config_state_config(core->state));
 	if (was_leading && !view->leading)
 		keeper_core_drop_pending(core, NULL);
 	pthread_mutex_unlock(&core->lock);
@@ -309,6 +315,7 @@
 	pthread_mutex_lock(&core->lock);
 	core->view.serving = core->view.leading = false;
 	core->view.lease_end = 0;
+	core->view.voters = 0;
 	strcpy(core->view.role, "failed");
 	keeper_core_drop_pending(core, NULL);
 	cds_list_for_each_entry_safe (item, next, &core->inbox, link)
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -4,6 +4,7 @@
 #include "config-state.h"
 #include "headers.h"
 #include "keeper-store.h"
+#include "keeper-tail.h"
 #include "routing.h"
 #include "toml.h"
 
@@ -115,8 +116,19 @@
 	keeper_group_t group;
 	/* Last entry on the disk of the member with this index in group. */
 	uint64_t match_index[KEEPER_VOTERS_MAX];
+	unsigned voters; /* of group; 0 if this disk is not one of them */
+	keeper_tail_t tail;
 } keeper_status_view_t;
 
+/**
+ * struct keeper_unconfirmed_t - what a response has besides a configuration that no
+ * quorum confirms.
+ */
+typedef struct {
+	unsigned voters; /* of the group; 0 if this disk is not one of them */
+	char routes[KEEPER_TAIL_BYTES_MAX]; /* as keeper_tail_t.routes */
+} keeper_unconfirmed_t;
+
 /** struct keeper_counters_t - the keeper's counters, gauges and histogram. */
 typedef struct {
 	uint64_t *changes, *elections, *syncs, *faults, *rejected, *dropped,
@@ -288,11 +300,14 @@
  * @res: the deltas, or the whole configuration if they are not available;
  *       KEEPER_NOT_LEADER if @args requests a revision that a quorum confirms
  *       and this keeper cannot have it confirmed
+ * @unconfirmed: filled in as of the same moment as @res, of use if @res is not
+ *               confirmed; may be NULL
  *
  * Return: false if out of memory.
  */
 bool keeper_core_fetch(keeper_core_t *core, const keeper_fetch_args_t *args,
-		       bool first, keeper_fetch_res_t *res, usec_t now);
+		       bool first, keeper_fetch_res_t *res,
+		       keeper_unconfirmed_t *unconfirmed, usec_t now);
 
 /**
  * enum keeper_verdict_t - the state of a requested change, or the result of a
--- a/keeper-handler.c
+++ b/keeper-handler.c
@@ -285,6 +285,7 @@
 						       MHD_GET_ARGUMENT_KIND,
 						       "have");
 	keeper_fetch_args_t args = { 0, TRUE };
+	keeper_unconfirmed_t *unconfirmed = calloc(1, sizeof(*unconfirmed));
 	keeper_fetch_res_t res;
 	char *plain = NULL;
 	size_t size = 0;
@@ -296,7 +297,8 @@
 						      MHD_GET_ARGUMENT_KIND,
 						      "any");
 	ok = keeper_core_fetch(keeper_control_core(request), &args, !args.have,
-			       &res, now) &&
+			       &res, unconfirmed, now) &&
+	     unconfirmed &&
 	     !config_encode((xdrproc_t)xdr_keeper_fetch_res_t, &res, &plain,
 			    &size);
 	if (ok)
@@ -306,11 +308,16 @@
 	request->has_response = true;
 	if (ok && res.confirmed)
 		handler_set_keepers(request);
+	if (ok && !res.confirmed) {
+		request->unconfirmed = unconfirmed;
+		unconfirmed = NULL;
+	}
 	if (!request->response)
 		keeper_handler_respond_error(
 			request, MHD_HTTP_SERVICE_UNAVAILABLE,
 			"out of memory; give the VM more memory");
 	free(plain);
+	free(unconfirmed);
 	xdr_free((xdrproc_t)xdr_keeper_fetch_res_t, (char *)&res);
 }
 
--- a/keeper-request.c
+++ b/keeper-request.c
@@ -230,12 +230,17 @@
 }
 
 bool keeper_core_fetch(keeper_core_t *core, const keeper_fetch_args_t *args,
-		       bool first, keeper_fetch_res_t *res, usec_t now)
+		       bool first, keeper_fetch_res_t *res,
+		       keeper_unconfirmed_t *unconfirmed, usec_t now)
 {
 	bool ok;
 
 	memset(res, 0, sizeof(*res));
 	pthread_mutex_lock(&core->lock);
+	if (unconfirmed) {
+		unconfirmed->voters = core->view.voters;
+		strcpy(unconfirmed->routes, core->view.tail.routes);
+	}
 	res->leader = keeper_request_leader_address(core);
 	res->confirmed = keeper_request_can_confirm(core, now);
 	ok = res->leader != NULL;
--- a/keeper-rpc.c
+++ b/keeper-rpc.c
@@ -40,7 +40,7 @@
 {
 	(void)request;
 	keeper_rpc_calls++;
-	return keeper_core_fetch(keeper_rpc_core, &args, false, res,
+	return keeper_core_fetch(keeper_rpc_core, &args, false, res, NULL,
 				 time_now());
 }
 
--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -59,6 +59,7 @@
 	keeper_port = 7090
 	poll_ms = ${POLL_MS:-500}
 	timeout_ms = 700
+	${CONFIG_SETTINGS-}
 	SETTINGS
 	spawn "entry-$1" "$BUILD/hemlock-entry" --settings "$DIR/entry-$1.toml"
 }
