Find replaced keepers through siblings

An entry that did not run while all three keepers were replaced polled the addresses of those that were gone for good. It got no change, and went on serving the routes that it had, of any age: those that were dropped, and those that were moved, by the service that no longer has them. A route is denied only by a configuration that was confirmed lately, but served by one of any age unless a keeper of the entry's own list reports a newer one; none was left. Its siblings used the new keepers all the time.

A follower outside the tree whose configuration no keeper confirms now asks siblings which keepers they use, with a signed request to their call address (target hemlock-keepers:, which an entry of an earlier release answers with 400). The keepers named are polled beside the own list; only the own response of one that leads replaces the list. The poll names the cluster, and a keeper of another one refuses it with 409. A call that a sibling hands over with a newer revision triggers a poll as well, two a second at most. In calm times nothing is sent. A list without an address that the own one lacks triggers no poll, as at each election.

Ruled out: addresses in datagrams or responses (bytes in calm times), taking over a sibling's list or configuration itself.

An entry that is cut off instead of suspended is not tested. test-config-follow (sibling-poll) bounds the polls for calls handed over; test-config-sibling (same-list) fails without the condition on a list's addresses.

--- a/config-direct.c
+++ b/config-direct.c
@@ -236,7 +236,7 @@
 {
 	long connect_ms = config_direct_connect_timeout_ms(
 		follow->failed_polls);
-	char url[HL_ADDRESS_MAX + 64];
+	char url[HL_ADDRESS_MAX + 128];
 	direct_response_t response = {
 		.start.voters = CONFIG_START_VOTERS_ABSENT,
 	};
@@ -249,6 +249,9 @@
 	snprintf(url, sizeof(url), "http://%s/v1/follow?have=%" PRIu64 "%s",
 		 address, follow->revision,
 		 direct_has_newest(follow) ? "" : "&any=1");
+	if (follow->by_sibling)
+		snprintf(url + strlen(url), sizeof(url) - strlen(url),
+			 "&cluster=%" PRIu64, follow->cluster);
 	curl_easy_reset(easy);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -278,17 +281,31 @@
 	return ok;
 }
 
-/* Chooses the keeper that was named, or else the next one of the list. */
-static void direct_choose_keeper(config_follow_t *follow, char *out)
+/* Takes the address of the keeper that was named; false if none was. */
+static bool direct_take_leader(config_follow_t *follow, char *out)
 {
 	pthread_mutex_lock(&follow->lock);
-	if (*follow->leader)
-		strcpy(out, follow->leader);
-	else
-		strcpy(out, follow->keepers.items[follow->keeper_index++ %
-						  follow->keepers.count]);
+	strcpy(out, follow->leader);
 	*follow->leader = '\0';
 	pthread_mutex_unlock(&follow->lock);
+	return *out;
+}
+
+/* Chooses the keeper that was named, or else one that a sibling uses, or else the next
+ * one of the list. */
+static void direct_choose_keeper(config_follow_t *follow, char *out)
+{
+	follow->by_sibling = false;
+	if (direct_take_leader(follow, out))
+		return;
+	follow->by_sibling = config_ask_keeper(follow, out);
+	if (follow->by_sibling)
+		return;
+	pthread_mutex_lock(&follow->lock);
+	strcpy(out,
+	       follow->keepers
+		       .items[follow->keeper_index++ % follow->keepers.count]);
+	pthread_mutex_unlock(&follow->lock);
 }
 
 static void direct_set_leader(config_follow_t *follow, const char *address)
@@ -312,7 +329,9 @@
 	follow->keepers = control;
 	pthread_mutex_unlock(&follow->lock);
 	if (follow->on_keepers)
-		follow->on_keepers(follow->changed_context, keepers);
+		follow->on_keepers(follow->changed_context, keepers,
+				   follow->by_sibling ? follow->sibling.source :
+							NULL);
 }
 
 /* Polls the keeper next that a keeper which does not lead takes for the leader. */
@@ -339,6 +358,12 @@
 				    const char *address,
 				    keeper_fetch_res_t *res, usec_t now)
 {
+	/* What a sibling has named counts once it leads. */
+	if (!res->confirmed && follow->by_sibling) {
+		config_sibling_add_leader(&follow->sibling,
+					  res->leader ? res->leader : "");
+		return DIRECT_FAILED;
+	}
 	if (!res->confirmed)
 		direct_set_reported_leader(follow, res);
 	/* The revision of a keeper is committed, also if it doesn't lead. */
@@ -371,7 +396,8 @@
 	strcpy(follow->source.address, address);
 	if (direct_get(follow, address, &res, &keepers)) {
 		result = direct_apply(follow, address, &res, now);
-		direct_set_keepers(follow, &keepers);
+		if (res.confirmed || !follow->by_sibling)
+			direct_set_keepers(follow, &keepers);
 	}
 	if (result == DIRECT_FAILED)
 		metrics_add(follow->metrics.failures, 1);
@@ -403,6 +429,16 @@
 	return config_confirm_retry_interval(follow->unconfirmed_polls);
 }
 
+/* Pauses after a failed poll, or asks a sibling for other keepers to poll. */
+static void direct_on_failure(config_follow_t *follow, const volatile int *stop)
+{
+	usec_t pause = direct_retry_interval(follow);
+
+	follow->unconfirmed_polls++;
+	if (!config_ask(follow, time_now()))
+		config_follow_pause(follow, pause, stop);
+}
+
 /* Time of the next poll: @latest, or earlier if the leading keeper responds to no
  * heartbeat until then. */
 static usec_t direct_next_poll(config_follow_t *follow, usec_t latest)
@@ -472,13 +508,11 @@
 	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
 		result = direct_poll_once(follow, time_now());
 		if (result == DIRECT_FAILED) {
-			config_follow_pause(follow,
-					    direct_retry_interval(follow),
-					    stop);
-			follow->unconfirmed_polls++;
+			direct_on_failure(follow, stop);
 			continue;
 		}
 		follow->unconfirmed_polls = 0;
+		config_sibling_confirmed(&follow->sibling);
 		if (result == DIRECT_DONE)
 			direct_pause(follow, poll, stop);
 	}
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -6,6 +6,7 @@
 #include "config-follow.h"
 #include "config-lag.h"
 #include "config-report.h"
+#include "config-sibling.h"
 #include "config-source.h"
 #include "config-start.h"
 #include "config-tail.h"
@@ -22,7 +23,11 @@
 	void *members_context;
 	void (*changed)(void *context, const config_t *config);
 	void (*on_confirmed)(void *context);
-	void (*on_keepers)(void *context, const setting_list_t *keepers);
+	void (*on_keepers)(void *context, const setting_list_t *keepers,
+			   const char *sibling);
+	void (*siblings)(void *context, setting_list_t *out);
+	void (*sign)(void *context, const char *target, char hop[KEYS_HOP_MAX]);
+	uint64_t cluster;
 	void *changed_context;
 
 	config_t *config;     /* RCU; written by the polling thread */
@@ -30,6 +35,7 @@
 	unsigned start_state; /* see config_follow_start_state(); likewise */
 	/* Atomic; written under the lock; see config_follow_outdated(). */
 	usec_t outdated_from, outdated_until;
+	usec_t sibling_poll_at; /* last poll for a sibling's call; atomic */
 
 	pthread_mutex_t lock;	  /* protects the fields below */
 	pthread_cond_t wake;	  /* wakes config_follow_pause() */
@@ -69,9 +75,13 @@
 	unsigned failed_polls; /* over HTTP, since the last response */
 	/* Over HTTP, since the last response of a leading keeper. */
 	unsigned unconfirmed_polls;
+	config_sibling_t sibling;
+	bool by_sibling;	/* a sibling has named the polled keeper */
+	unsigned sibling_drops; /* answers that were dropped */
 
 	struct {
 		uint64_t *revision, *deltas, *full_configs, *failures;
+		uint64_t *sibling_questions, *sibling_drops;
 	} metrics;
 };
 
@@ -122,6 +132,23 @@
 /** config_direct_run - poll the leading keeper over HTTP until stopped. */
 int config_direct_run(void *context, const volatile int *stop);
 
+/**
+ * config_ask - ask a sibling for its keepers, if that is due.
+ * @follow: a follower outside the tree; called on its polling thread
+ * @now: current time
+ *
+ * Return: true if its answer triggers a poll.
+ */
+bool config_ask(config_follow_t *follow, usec_t now);
+
+/**
+ * config_ask_keeper - choose a keeper that a sibling has named for the next poll.
+ * @out: set to its control address
+ *
+ * Return: false if a keeper of the follower's list is to be polled.
+ */
+bool config_ask_keeper(config_follow_t *follow, char out[HL_ADDRESS_MAX]);
+
 /** config_poll_run - poll the parent or the keepers until stopped. */
 int config_poll_run(void *context, const volatile int *stop);
 
--- a/config-follow.c
+++ b/config-follow.c
@@ -15,6 +15,8 @@
 /* Time between two confirmations of the leading keeper from which the second one is
  * logged. */
 #define CONFIG_FOLLOW_GAP_LOGGED (2 * USEC_PER_SEC)
+/* Minimum time between two polls for calls that siblings hand over. */
+#define CONFIG_FOLLOW_SIBLING_POLL_INTERVAL (500 * USEC_PER_MS)
 /* Maximum age of a child's report, in poll intervals. */
 #define CONFIG_FOLLOW_REPORT_MAX_POLLS 3
 
@@ -33,6 +35,12 @@
 	follow->metrics.failures =
 		metrics_counter(metrics, "hemlock_config_failures_total", "",
 				"questions to a parent or keeper that failed");
+	follow->metrics.sibling_questions = metrics_counter(
+		metrics, "hemlock_config_sibling_questions_total", "",
+		"questions to siblings for the keepers");
+	follow->metrics.sibling_drops =
+		metrics_counter(metrics, "hemlock_config_sibling_drops_total",
+				"", "malformed or foreign answers of siblings");
 }
 
 static int config_follow_init(config_follow_t *follow,
@@ -58,9 +66,13 @@
 	follow->changed = options->changed;
 	follow->on_confirmed = options->on_confirmed;
 	follow->on_keepers = options->on_keepers;
+	follow->siblings = options->siblings;
+	follow->sign = options->sign;
+	follow->cluster = options->cluster;
 	follow->changed_context = options->changed_context;
 	follow->jitter_seed = (unsigned)hl_hash(follow->name,
 						strlen(follow->name), 0);
+	follow->sibling.next = follow->jitter_seed;
 	follow->report.max_age = CONFIG_FOLLOW_REPORT_MAX_POLLS *
 					 follow->settings.poll_ms *
 					 USEC_PER_MS +
@@ -228,6 +240,20 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
+void config_follow_on_sibling(config_follow_t *follow, usec_t now)
+{
+	usec_t last = __atomic_load_n(&follow->sibling_poll_at,
+				      __ATOMIC_RELAXED);
+	const setting_list_t unchanged = { 0 };
+
+	if ((last && now - last < CONFIG_FOLLOW_SIBLING_POLL_INTERVAL) ||
+	    !__atomic_compare_exchange_n(&follow->sibling_poll_at, &last, now,
+					 false, __ATOMIC_RELAXED,
+					 __ATOMIC_RELAXED))
+		return;
+	config_follow_trigger(follow, &unchanged, "", "");
+}
+
 void config_follow_set_ports(setting_list_t *list, uint16_t port)
 {
 	unsigned i;
--- a/config-follow.h
+++ b/config-follow.h
@@ -2,6 +2,7 @@
 #define CONFIG_FOLLOW_H
 
 #include "config.h"
+#include "keys.h"
 #include "metrics.h"
 #include "owner.h"
 #include "toml.h"
@@ -18,6 +19,13 @@
  */
 typedef struct config_follow config_follow_t;
 
+/*
+ * Target of a question of a follower to a sibling entry for the keepers that it uses.
+ * It is no path, so that an entry of an earlier version refuses it and sends it to no
+ * copy.
+ */
+#define CONFIG_ASK_TARGET "hemlock-keepers:"
+
 /* Maximum number of live entries in the tree. */
 #define CONFIG_FOLLOW_MEMBERS_MAX 1024
 
@@ -147,11 +155,23 @@
 	/*
 	 * Called on the polling thread of a follower outside the tree with the
 	 * RPC addresses of all keepers, as a leading one has sent them with its
-	 * response to a poll. May be NULL.
+	 * response to a poll. @sibling is the sibling that has named this
+	 * keeper, else NULL. May be NULL.
 	 */
-	void (*on_keepers)(void *context, const setting_list_t *keepers);
-	void *changed_context; /* of changed, on_confirmed and on_keepers */
-	metrics_t *metrics;    /* required */
+	void (*on_keepers)(void *context, const setting_list_t *keepers,
+			   const char *sibling);
+	/*
+	 * Fills in the call addresses of sibling entries. Called on the polling
+	 * thread of a follower outside the tree while no keeper confirms its
+	 * configuration. NULL if no sibling is asked.
+	 */
+	void (*siblings)(void *context, setting_list_t *out);
+	/* Makes the header Hemlock-Hop of a question with this target. */
+	void (*sign)(void *context, const char *target, char hop[KEYS_HOP_MAX]);
+	uint64_t cluster; /* hash of the cluster's name */
+	/* Of changed, on_confirmed, on_keepers, siblings and sign. */
+	void *changed_context;
+	metrics_t *metrics; /* required */
 } config_follow_options_t;
 
 /**
@@ -319,6 +339,15 @@
  */
 usec_t config_follow_check_start(config_follow_t *follow, usec_t now);
 
+/**
+ * config_follow_on_sibling - a sibling routes calls by a newer revision.
+ * @follow: a follower outside the tree
+ * @now: current time
+ *
+ * Triggers a poll; at most two a second.
+ */
+void config_follow_on_sibling(config_follow_t *follow, usec_t now);
+
 /** config_follow_free - free a stopped follower; NULL is allowed. */
 void config_follow_free(config_follow_t *follow);
 
--- a/config-sibling.c
+++ b/config-sibling.c
@@ -56,7 +56,7 @@
 		return false;
 	if (view->newest_at && age > SIBLING_LONG_AGE)
 		return view->unconfirmed > 0;
-	return view->unconfirmed >= view->keepers;
+	return view->unconfirmed >= view->keepers.count;
 }
 
 static usec_t sibling_pause(const config_sibling_t *sibling)
@@ -79,6 +79,28 @@
 	return siblings->items[sibling->next++ % siblings->count];
 }
 
+static bool sibling_list_has(const setting_list_t *list, const char *address)
+{
+	unsigned i;
+
+	for (i = 0; i < list->count; i++)
+		if (!strcmp(list->items[i], address))
+			return true;
+	return false;
+}
+
+/* Whether a list has an address that the follower does not poll anyway. */
+static bool sibling_names_other(const setting_list_t *list,
+				const setting_list_t *own)
+{
+	unsigned i;
+
+	for (i = 0; i < list->count; i++)
+		if (!sibling_list_has(own, list->items[i]))
+			return true;
+	return false;
+}
+
 /* Takes over a list unless a better one waits to be polled. */
 static bool sibling_take_keepers(config_sibling_t *sibling, const char *address,
 				 const config_sibling_view_t *view,
@@ -87,8 +109,8 @@
 {
 	usec_t at = now - answer->confirmed_age;
 
-	if (!answer->keepers.count || answer->confirmed_age > SIBLING_AGE_MAX ||
-	    at <= view->newest_at)
+	if (answer->confirmed_age > SIBLING_AGE_MAX || at <= view->newest_at ||
+	    !sibling_names_other(&answer->keepers, &view->keepers))
 		return false;
 	if (sibling->untried < sibling->keepers.count &&
 	    at < sibling->keepers_at - SIBLING_LIST_SLACK)
--- a/config-sibling.h
+++ b/config-sibling.h
@@ -29,11 +29,11 @@
 /** struct config_sibling_view_t - the state of the follower. */
 typedef struct {
 	uint64_t cluster;
-	uint64_t revision;    /* in force */
-	usec_t newest_at;     /* last confirmation; 0: none */
-	usec_t confirm_max;   /* age from which it is too old */
-	unsigned unconfirmed; /* polls since it */
-	unsigned keepers;     /* length of the follower's list */
+	uint64_t revision;	/* in force */
+	usec_t newest_at;	/* last confirmation; 0: none */
+	usec_t confirm_max;	/* age from which it is too old */
+	unsigned unconfirmed;	/* polls since it */
+	setting_list_t keepers; /* the list of the follower */
 } config_sibling_view_t;
 
 /** enum config_sibling_result_t - what an answer means. */
--- a/entry-config.c
+++ b/entry-config.c
@@ -124,12 +124,30 @@
 		entry_pending_release(entry, time_now());
 }
 
-static void config_on_keepers(void *context, const setting_list_t *keepers)
+static void config_on_keepers(void *context, const setting_list_t *keepers,
+			      const char *sibling)
 {
 	entry_t *entry = context;
 
 	if (entry->presence)
-		presence_client_set_keepers(entry->presence, keepers);
+		presence_client_set_keepers(entry->presence, keepers, sibling);
+}
+
+static void config_siblings(void *context, setting_list_t *out)
+{
+	const entry_t *entry = context;
+
+	if (entry->presence)
+		presence_client_siblings(entry->presence, out);
+}
+
+static void config_sign(void *context, const char *target,
+			char hop[KEYS_HOP_MAX])
+{
+	const entry_t *entry = context;
+
+	keys_hop_write(entry->keys, entry->settings.name, target,
+		       g_get_real_time() / USEC_PER_MS, hop);
 }
 
 static unsigned config_live_members(void *context, owner_member_t *out,
@@ -152,6 +170,10 @@
 		.changed = config_on_change,
 		.on_confirmed = config_on_confirmed,
 		.on_keepers = config_on_keepers,
+		.siblings = entry->settings.routed ? config_siblings : NULL,
+		.sign = config_sign,
+		.cluster = hl_hash(entry->settings.cluster,
+				   strlen(entry->settings.cluster), 0),
 		.changed_context = entry,
 		.metrics = entry->metrics,
 	};
--- a/entry-head.c
+++ b/entry-head.c
@@ -504,8 +504,10 @@
 {
 	entry_request_t *req = head->req;
 
-	if (head->revision > entry_target_rules_revision(req->entry))
+	if (head->revision > entry_target_rules_revision(req->entry)) {
+		config_follow_on_sibling(req->entry->follow, req->call.arrived);
 		return head_refuse(req, HTTP_UNAVAILABLE, "revision");
+	}
 	switch (head_route_part(req, head->part)) {
 	case ENTRY_MATCH_REFUSED:
 		return -1;
@@ -611,6 +613,21 @@
 	return -1;
 }
 
+/* As head_answer_sibling(), for a question for the keepers. */
+static int head_answer_keepers(const head_t *head)
+{
+	entry_request_t *req = head->req;
+	char sibling[HL_NAME_MAX];
+
+	req->question = true;
+	if (!head->hop ||
+	    !keys_hop_read(req->entry->keys, head->hop, CONFIG_ASK_TARGET,
+			   g_get_real_time() / USEC_PER_MS, sibling))
+		return head_refuse(req, HTTP_FORBIDDEN, "hop");
+	entry_keepers_answer(req, req->call.arrived);
+	return -1;
+}
+
 int entry_head_read(entry_request_t *req, const char *method)
 {
 	head_t head = { .req = req };
@@ -623,6 +640,8 @@
 				  &head);
 	if (service)
 		return head_answer_sibling(&head, service);
+	if (!strcmp(req->target, CONFIG_ASK_TARGET))
+		return head_answer_keepers(&head);
 	bad = head_check(&head);
 	if (bad)
 		return head_refuse(req, HTTP_BAD_REQUEST, "request");
--- a/entry-io.h
+++ b/entry-io.h
@@ -689,6 +689,9 @@
  */
 const char *entry_sibling_question(const char *target);
 
+/** entry_keepers_answer - answer a question for the keepers that this entry uses. */
+void entry_keepers_answer(entry_request_t *req, usec_t now);
+
 /** entry_sibling_answer - answer the question of a sibling. */
 void entry_sibling_answer(entry_request_t *req, const char *service,
 			  usec_t now);
--- a/keeper-control.h
+++ b/keeper-control.h
@@ -124,6 +124,8 @@
  * keeper_handler_follow - GET /v1/follow: the changes after the revision in
  * the argument "have", as deflated XDR.
  *
+ * The argument "cluster" is the hash of the name of the cluster whose keepers are
+ * polled; a keeper of another one responds with 409.
  * The argument "any" also allows a configuration that no quorum confirms. If a
  * quorum confirms it, the header Hemlock-Keepers has the addresses of the keepers; else
  * Hemlock-Voters and Hemlock-Pending-Routes have those of keeper_unconfirmed_t.
--- a/keeper-handler.c
+++ b/keeper-handler.c
@@ -279,6 +279,18 @@
 	}
 }
 
+/* Whether a poll is for another cluster, as its argument says. */
+static bool handler_is_foreign(keeper_control_request_t *request)
+{
+	const char *name = keeper_control_core(request)->settings.cluster;
+	const char *cluster = MHD_lookup_connection_value(request->connection,
+							  MHD_GET_ARGUMENT_KIND,
+							  "cluster");
+
+	return cluster &&
+	       strtoull(cluster, NULL, 10) != hl_hash(name, strlen(name), 0);
+}
+
 void keeper_handler_follow(keeper_control_request_t *request, usec_t now)
 {
 	const char *have = MHD_lookup_connection_value(request->connection,
@@ -291,6 +303,13 @@
 	size_t size = 0;
 	bool ok;
 
+	if (handler_is_foreign(request)) {
+		keeper_handler_respond_error(
+			request, MHD_HTTP_CONFLICT,
+			"this keeper is of another cluster; poll those of "
+			"entry.cluster");
+		return;
+	}
 	if (have)
 		args.have = strtoull(have, NULL, 10);
 	args.confirmed = !MHD_lookup_connection_value(request->connection,
--- a/presence-client.c
+++ b/presence-client.c
@@ -28,6 +28,8 @@
 #define CLIENT_PEERS_KEEPER_AGE (2200 * USEC_PER_MS)
 /* Time without a response of a keeper after which the peers are not known. */
 #define CLIENT_PEERS_MAX_AGE (5 * USEC_PER_SEC)
+/* Length of the word that says from where a list of keepers is. */
+#define CLIENT_REPORTER_MAX (HL_ADDRESS_MAX + sizeof("sibling:"))
 /* Maximum number of reports that wait to be sent. */
 #define CLIENT_REPORTS_MAX 64
 /* Maximum number of keepers that get heartbeats: those of the settings and
@@ -73,6 +75,7 @@
 	usec_t peers_confirmed; /* last response of the keeper asked for peers */
 	setting_list_t reported_keepers; /* last list from a keeper */
 	setting_list_t polled_keepers;	 /* not taken over yet */
+	char polled_reporter[CLIENT_REPORTER_MAX];
 	GQueue reports; /* encoded datagrams to be sent to all keepers, GBytes */
 };
 
@@ -195,16 +198,18 @@
 /* Take over the list of presence_client_set_keepers(), if it is another one. */
 static void client_take_polled_keepers(presence_client_t *client)
 {
+	char reporter[CLIENT_REPORTER_MAX];
 	setting_list_t keepers;
 
 	pthread_mutex_lock(&client->lock);
+	strcpy(reporter, client->polled_reporter);
 	keepers = client->polled_keepers;
 	client->polled_keepers.count = 0;
 	pthread_mutex_unlock(&client->lock);
 	if (keepers.count &&
 	    presence_keepers_hash(&keepers) !=
 		    presence_keepers_hash(&client->reported_keepers))
-		client_take_keepers(client, "poll", &keepers);
+		client_take_keepers(client, reporter, &keepers);
 }
 
 static client_keeper_t *client_find_keeper(presence_client_t *client,
@@ -418,6 +423,19 @@
 	pthread_mutex_unlock(&client->lock);
 }
 
+void presence_client_siblings(presence_client_t *client, setting_list_t *out)
+{
+	unsigned i;
+
+	out->count = 0;
+	pthread_mutex_lock(&client->lock);
+	for (i = 0; i < client->peers.count; i++)
+		if (strcmp(client->peers.addresses[i], client->call_address))
+			strcpy(out->items[out->count++],
+			       client->peers.addresses[i]);
+	pthread_mutex_unlock(&client->lock);
+}
+
 /* True if a keeper has not responded to the last heartbeat, or lacks the
  * identity. */
 static bool client_needs_retry(const client_keeper_t *keeper)
@@ -562,10 +580,13 @@
 }
 
 void presence_client_set_keepers(presence_client_t *client,
-				 const setting_list_t *keepers)
+				 const setting_list_t *keepers,
+				 const char *sibling)
 {
 	pthread_mutex_lock(&client->lock);
 	client->polled_keepers = *keepers;
+	snprintf(client->polled_reporter, sizeof(client->polled_reporter),
+		 "%s%s", sibling ? "sibling:" : "poll", sibling ? sibling : "");
 	pthread_mutex_unlock(&client->lock);
 }
 
--- a/presence.h
+++ b/presence.h
@@ -214,9 +214,11 @@
 /**
  * presence_client_set_keepers - replace the list that keepers have reported.
  * @keepers: addresses that the client did not get by datagram
+ * @sibling: the sibling that has named the keeper with this list, or NULL
  */
 void presence_client_set_keepers(presence_client_t *client,
-				 const setting_list_t *keepers);
+				 const setting_list_t *keepers,
+				 const char *sibling);
 
 /** presence_client_trigger - send a heartbeat to all keepers at once. */
 void presence_client_trigger(presence_client_t *client);
@@ -269,6 +271,12 @@
 void presence_client_peers(presence_client_t *client, usec_t now,
 			   presence_peers_list_t *out);
 
+/**
+ * presence_client_siblings - copy the peers that a keeper last reported, however
+ * long ago, without this entry.
+ */
+void presence_client_siblings(presence_client_t *client, setting_list_t *out);
+
 /**
  * presence_client_ask_all_zones - set whether to ask for peers of all zones.
  *
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -674,6 +674,33 @@
 	g_assert_cmpint(fastest, <, 60 * USEC_PER_MS);
 }
 
+/* Guards against a poll for each call that siblings hand over with a newer revision,
+ * and against none for them. */
+static void test_sibling_poll(void)
+{
+	metrics_t *metrics = metrics_new();
+	const volatile int stop = 0;
+	config_follow_options_t options = {
+		.name = "vm",
+		.settings = { .keepers = { 1, { "127.0.0.1:1" } } },
+		.metrics = metrics,
+	};
+	usec_t now = time_now();
+	hl_error_t err;
+	config_follow_t *follow = config_follow_new(&options, &err);
+
+	g_assert_nonnull(follow);
+	g_assert_false(config_follow_pause(follow, 0, &stop));
+	config_follow_on_sibling(follow, now);
+	g_assert_true(config_follow_pause(follow, 0, &stop));
+	config_follow_on_sibling(follow, now + 499 * USEC_PER_MS);
+	g_assert_false(config_follow_pause(follow, 0, &stop));
+	config_follow_on_sibling(follow, now + 500 * USEC_PER_MS);
+	g_assert_true(config_follow_pause(follow, 0, &stop));
+	config_follow_free(follow);
+	metrics_free(metrics);
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -698,6 +725,7 @@
 			test_received_not_applied);
 	g_test_add_func("/config-follow/start-asks-all", test_start_asks_all);
 	g_test_add_func("/config-follow/reporter-first", test_reporter_first);
+	g_test_add_func("/config-follow/sibling-poll", test_sibling_poll);
 	rc = g_test_run();
 	rcu_unregister_thread();
 	return rc;
--- a/regress/test-config-sibling.c
+++ b/regress/test-config-sibling.c
@@ -20,12 +20,16 @@
 {
 	(void)data;
 	memset(fixture, 0, sizeof(*fixture));
-	fixture->view = (config_sibling_view_t){ .cluster = CLUSTER,
-						 .revision = 5,
-						 .newest_at = START,
-						 .confirm_max = CONFIRM_MAX,
-						 .unconfirmed = 3,
-						 .keepers = 3 };
+	fixture->view = (config_sibling_view_t){
+		.cluster = CLUSTER,
+		.revision = 5,
+		.newest_at = START,
+		.confirm_max = CONFIRM_MAX,
+		.unconfirmed = 3,
+		.keepers = { 3,
+			     { "10.0.0.1:7090", "10.0.0.2:7090",
+			       "10.0.0.3:7090" } }
+	};
 }
 
 static config_sibling_answer_t make_answer(const char *keepers,
@@ -193,7 +197,7 @@
 static void test_crossed(fixture_t *fixture, gconstpointer data)
 {
 	config_sibling_answer_t newer = make_answer("10.0.0.4:7090", 5, 0);
-	config_sibling_answer_t older = make_answer("10.0.0.1:7090", 5,
+	config_sibling_answer_t older = make_answer("10.0.0.9:7090", 5,
 						    6 * USEC_PER_SEC);
 	usec_t now = START + 10 * USEC_PER_SEC;
 
@@ -245,6 +249,23 @@
 	g_assert_null(config_sibling_keeper(sibling));
 }
 
+/* Guards against more polls while no keeper of an unchanged group leads. */
+static void test_same_list(fixture_t *fixture, gconstpointer data)
+{
+	config_sibling_answer_t same =
+		make_answer("10.0.0.3:7090,10.0.0.1:7090", 5, 0);
+	config_sibling_answer_t other =
+		make_answer("10.0.0.3:7090,10.0.0.4:7090", 5, 0);
+	usec_t now = START + 2 * USEC_PER_SEC;
+
+	(void)data;
+	g_assert_cmpint(answer(fixture, "a", &same, now), ==,
+			CONFIG_SIBLING_USELESS);
+	g_assert_null(config_sibling_keeper(&fixture->sibling));
+	g_assert_cmpint(answer(fixture, "a", &other, now), ==,
+			CONFIG_SIBLING_POLL);
+}
+
 /* Guards against one faulty sibling that makes entries refuse calls. */
 static void test_faulty(fixture_t *fixture, gconstpointer data)
 {
@@ -312,6 +333,7 @@
 	add("cluster", test_cluster);
 	add("crossed", test_crossed);
 	add("turns", test_turns);
+	add("same-list", test_same_list);
 	add("faulty", test_faulty);
 	add("agreed", test_agreed);
 	return g_test_run();
