--- a/bench/served-older.sh
+++ b/bench/served-older.sh
@@ -27,7 +27,7 @@
 # call was served by an older version or an acknowledged version was lost. A run
 # takes about 50 s. One line for each case is in the file "cases" of KEEP. The line:
 #
-#	calls		before and after the final fault
+#	calls		before and after the start that follows the final fault
 #	older		those that an older version served; at-frozen: sent while the
 #			entry was stopped; oldest-over-s: largest time after the 2 s;
 #			after-fault-s: first and last, seconds after the final fault
@@ -113,7 +113,7 @@
 		>"$DIR/entry-$1.toml"
 }
 
-# start KIND N: start a program to judge.
+# start KIND N: start a program that is judged.
 start () {
 	spawn "$1-$2" "$PROGRAMS/hemlock-$1" --settings "$DIR/$1-$2.toml"
 }
