--- a/config-direct.c
+++ b/config-direct.c
@@ -508,6 +508,7 @@
 	while (!__atomic_load_n(stop, __ATOMIC_ACQUIRE)) {
 		result = direct_poll_once(follow, time_now());
 		if (result == DIRECT_FAILED) {
+			config_follow_check_start(follow, time_now());
 			direct_on_failure(follow, stop);
 			continue;
 		}
