Share the list of headers of responses

Four files each appended to it in a way of their own, one of them without a check for memory that ran out, and three freed it. No change of behaviour but that. contract, claim-replay, claim-reused, path-relay and routed-siblings pass.

--- a/entry-claim-response.c
+++ b/entry-claim-response.c
@@ -29,36 +29,18 @@
 	char body[];
 } stored_response_t;
 
-static void response_headers_free(struct cds_list_head *headers)
-{
-	entry_header_t *header;
-	entry_header_t *next;
-
-	cds_list_for_each_entry_safe (header, next, headers, link) {
-		free(header->name);
-		free(header->value);
-		free(header);
-	}
-}
-
 static void response_remove(entry_claims_t *claims, stored_response_t *stored)
 {
 	cds_list_del(&stored->link);
 	claims->response_bytes -= sizeof(*stored) + stored->size;
-	response_headers_free(&stored->headers);
+	entry_headers_clear(&stored->headers);
 	free(stored);
 }
 
 static void response_add_header(struct cds_list_head *headers, const char *name,
 				const char *value)
 {
-	entry_header_t *header = calloc(1, sizeof(*header));
-
-	if (!header)
-		return;
-	header->name = strdup(name);
-	header->value = strdup(value);
-	cds_list_add_tail(&header->link, headers);
+	entry_headers_add(headers, name, strlen(name), value, strlen(value));
 }
 
 static void response_copy_headers(struct cds_list_head *to,
--- a/entry-control.c
+++ b/entry-control.c
@@ -89,8 +89,7 @@
 {
 	struct MHD_Response *response;
 	enum MHD_Result result;
-	entry_header_t *header;
-	entry_header_t *next;
+	entry_header_t *header = NULL;
 	char text[16];
 
 	if (reply->body && !reply->size)
@@ -103,12 +102,9 @@
 	}
 	if (cds_list_empty(&reply->headers))
 		MHD_add_response_header(response, "Content-Type", reply->type);
-	cds_list_for_each_entry_safe (header, next, &reply->headers, link) {
+	cds_list_for_each_entry (header, &reply->headers, link)
 		MHD_add_response_header(response, header->name, header->value);
-		free(header->name);
-		free(header->value);
-		free(header);
-	}
+	entry_headers_clear(&reply->headers);
 	if (reply->outcome)
 		MHD_add_response_header(response, "Hemlock-Outcome",
 					reply->outcome);
--- a/entry-io.h
+++ b/entry-io.h
@@ -197,6 +197,21 @@
 	char *value;
 } entry_header_t;
 
+/**
+ * entry_headers_add - append a copy of a header to a list.
+ * @headers: list of entry_header_t
+ * @name_length: bytes of @name that are copied
+ * @value_length: bytes of @value that are copied
+ *
+ * Return: 0, or -1 if out of memory.
+ */
+int entry_headers_add(struct cds_list_head *headers, const char *name,
+		      size_t name_length, const char *value,
+		      size_t value_length);
+
+/** entry_headers_clear - free the headers of a list, which is empty afterwards. */
+void entry_headers_clear(struct cds_list_head *headers);
+
 /** struct entry_response_t - the response to the caller. */
 typedef struct {
 	unsigned status;
--- a/entry-keepers-ask.c
+++ b/entry-keepers-ask.c
@@ -16,19 +16,8 @@
 static void keepers_add_header(entry_request_t *req, const char *name,
 			       const char *value)
 {
-	entry_header_t *header = calloc(1, sizeof(*header));
-
-	if (!header)
-		return;
-	header->name = strdup(name);
-	header->value = strdup(value);
-	if (!header->name || !header->value) {
-		free(header->name);
-		free(header->value);
-		free(header);
-		return;
-	}
-	cds_list_add_tail(&header->link, &req->response.headers);
+	entry_headers_add(&req->response.headers, name, strlen(name), value,
+			  strlen(value));
 }
 
 static void keepers_add_number(entry_request_t *req, const char *name,
--- a/entry-request.c
+++ b/entry-request.c
@@ -15,15 +15,7 @@
 
 static void request_headers_free(entry_response_t *response)
 {
-	entry_header_t *header;
-	entry_header_t *next;
-
-	cds_list_for_each_entry_safe (header, next, &response->headers, link) {
-		cds_list_del(&header->link);
-		free(header->name);
-		free(header->value);
-		free(header);
-	}
+	entry_headers_clear(&response->headers);
 	free(response->connection);
 	response->connection = NULL;
 }
--- a/entry-transfer.c
+++ b/entry-transfer.c
@@ -111,27 +111,6 @@
 	curl_easy_pause(transfer->conn->easy, CURLPAUSE_CONT);
 }
 
-/* Adds one header to the response; -1 if out of memory. */
-static int transfer_add_header(entry_response_t *response, const char *line,
-			       size_t name_length, const char *value,
-			       size_t value_length)
-{
-	entry_header_t *header = calloc(1, sizeof(*header));
-
-	if (!header)
-		return -1;
-	header->name = strndup(line, name_length);
-	header->value = strndup(value, value_length);
-	if (!header->name || !header->value) {
-		free(header->name);
-		free(header->value);
-		free(header);
-		return -1;
-	}
-	cds_list_add_tail(&header->link, &response->headers);
-	return 0;
-}
-
 /* Parses the number of credits that a sibling (another owner of the service)
    offers for calls that wait at this entry. Returns 0 if it is too large. */
 static unsigned transfer_parse_offer(const char *value)
@@ -366,8 +345,9 @@
 			     (size_t)(end - value));
 	if (transfer_is_hop_header(line, (size_t)(colon - line)))
 		return length;
-	if (transfer_add_header(&req->response, line, (size_t)(colon - line),
-				value, (size_t)(end - value)))
+	if (entry_headers_add(&req->response.headers, line,
+			      (size_t)(colon - line), value,
+			      (size_t)(end - value)))
 		return 0;
 	return length;
 }
