Name all routes as pending if one does not fit in the list

A host with a line break made the header be left out, which means that no route is pending. Hosts are checked for their length only.

A host with other characters than those of host names and addresses now stands for all routes. A response whose header can't be added is not sent: without Hemlock-Voters it would be that of an earlier release.

test-keeper-tail (host-not-in-a-list) fails without the first.

--- a/keeper-control.c
+++ b/keeper-control.c
@@ -174,16 +174,17 @@
 
 /* Adds the headers by which an entry that starts decides which calls it may route
  * before a leader has confirmed the configuration. */
-static void control_add_unconfirmed(struct MHD_Response *response,
+/* Returns false if a header can't be added: the response must not be sent without. */
+static bool control_add_unconfirmed(struct MHD_Response *response,
 				    const keeper_unconfirmed_t *unconfirmed)
 {
 	char voters[16];
 
 	snprintf(voters, sizeof(voters), "%u", unconfirmed->voters);
-	MHD_add_response_header(response, "Hemlock-Voters", voters);
-	if (*unconfirmed->routes)
+	return MHD_add_response_header(response, "Hemlock-Voters", voters) &&
+	       (!*unconfirmed->routes ||
 		MHD_add_response_header(response, "Hemlock-Pending-Routes",
-					unconfirmed->routes);
+					unconfirmed->routes));
 }
 
 static enum MHD_Result control_send_response(keeper_control_request_t *request)
@@ -210,8 +211,11 @@
 	if (*request->keepers)
 		MHD_add_response_header(response, "Hemlock-Keepers",
 					request->keepers);
-	if (request->unconfirmed)
-		control_add_unconfirmed(response, request->unconfirmed);
+	if (request->unconfirmed &&
+	    !control_add_unconfirmed(response, request->unconfirmed)) {
+		MHD_destroy_response(response);
+		return MHD_NO;
+	}
 	if (request->retry_after)
 		MHD_add_response_header(response, "Retry-After",
 					CONTROL_RETRY_AFTER_SECONDS);
--- a/keeper-tail.c
+++ b/keeper-tail.c
@@ -5,6 +5,8 @@
 
 /* Characters of a prefix that need no escape. */
 #define TAIL_PREFIX_CHARS "/-._~!$&'()*+;=:@"
+/* Characters of a host, which is not escaped, besides letters and digits. */
+#define TAIL_HOST_CHARS "-._:[]"
 
 static bool tail_has(const char *routes, const char *route)
 {
@@ -35,13 +37,21 @@
 			 "%s%s", used ? "," : "", route);
 }
 
+static bool tail_host_valid(const char *host)
+{
+	for (; *host; host++)
+		if (!g_ascii_isalnum(*host) && !strchr(TAIL_HOST_CHARS, *host))
+			return false;
+	return true;
+}
+
 static void tail_add_route(keeper_tail_t *tail, const config_route_t *route)
 {
 	char *prefix = g_uri_escape_string(route->prefix, TAIL_PREFIX_CHARS,
 					   FALSE);
 	char *text = g_strconcat(route->host, prefix, NULL);
 
-	tail_add(tail, text);
+	tail_add(tail, tail_host_valid(route->host) ? text : KEEPER_TAIL_ALL);
 	g_free(text);
 	g_free(prefix);
 }
--- a/regress/test-keeper-tail.c
+++ b/regress/test-keeper-tail.c
@@ -48,6 +48,7 @@
 	  "cut 1 = h.example/3/\n"
 	  "put 2 r5 h.example /5/ = h.example/3/,h.example/5/\n" },
 	{ "escaped", "put 1 r3 h.example /a,b%c*/ = h.example/a%2Cb%25c*/\n" },
+	{ "host-not-in-a-list", "put 1 r3 h,i.example /3/ = *\n" },
 };
 
 typedef struct {
