Match a held call again if the state has changed before it was queued

A call that is matched again and held once more was queued after the release for the new state might have run. It then waited for the next change or the leader, or got 503 after 1.5 s, though nothing held it any more. The first time that a call is queued this was looked at, at the further ones not.

--- a/entry-pending.c
+++ b/entry-pending.c
@@ -85,9 +85,17 @@
 	entry_tick_schedule(entry, due);
 }
 
+/* Whether the state in which a call was held has changed; 0: it was not held. */
+static bool pending_is_released(entry_t *entry, unsigned held_state)
+{
+	return held_state && held_state != entry_config_start_state(entry);
+}
+
 /* Matches a queued call to the routes; returns whether it is no longer queued. */
 static bool pending_route(entry_t *entry, entry_request_t *req, usec_t now)
 {
+	unsigned held_state;
+
 	switch (entry_head_route(req)) {
 	case ENTRY_MATCH_FOUND:
 		entry_dispatch_arrive(req, now);
@@ -96,8 +104,12 @@
 		break;
 	case ENTRY_MATCH_UNKNOWN:
 		req->unconfirmed = true;
+		held_state = req->held_state;
 		if (pending_push(entry->pending, req)) {
 			pending_schedule(entry, now);
+			/* It may have changed before the call was queued. */
+			if (pending_is_released(entry, held_state))
+				entry_pending_release(entry, now);
 			return false;
 		}
 		pending_refuse(req);
@@ -114,12 +126,6 @@
 	       (!unconfirmed || entry_config_confirmed(entry, now));
 }
 
-/* Whether the state in which a call was held has changed; 0: it was not held. */
-static bool pending_is_released(entry_t *entry, unsigned held_state)
-{
-	return held_state && held_state != entry_config_start_state(entry);
-}
-
 void entry_pending_add(entry_t *entry, entry_request_t *req, usec_t now)
 {
 	bool unconfirmed = req->unconfirmed;
