Ask siblings only when it can help, and with their last addresses

Found in a review, by reading. A question may take 0.4 s on the polling thread, and one at a start delayed the polls that bring the first configuration; siblings are not known then, unless keepers respond. Two named keepers that name each other as the leader kept the entry from its own list (test-config-sibling, leaders, fails without the bound). A keeper that has just started names no peers, and the list of siblings was lost with that. The leader that a sibling names first may be one that is gone. A poll that a handed-over call triggers before the first configuration cleared the keeper that had reported one.

test_due asked for a question before the first confirmation; it now asks for none, as strictly, for the reason above.

--- a/config-follow.c
+++ b/config-follow.c
@@ -232,7 +232,7 @@
 		follow->keepers = *keepers;
 	if (*leader)
 		strcpy(follow->leader, leader);
-	else if (!follow->ready)
+	else if (!follow->ready && *reporter)
 		strcpy(follow->leader, reporter);
 	if (follow->multi)
 		curl_multi_wakeup(follow->multi);
--- a/config-sibling.c
+++ b/config-sibling.c
@@ -52,9 +52,10 @@
 {
 	usec_t age = now - view->newest_at;
 
-	if (now < sibling->ask_at || age <= view->confirm_max)
+	if (!view->newest_at || now < sibling->ask_at ||
+	    age <= view->confirm_max)
 		return false;
-	if (view->newest_at && age > SIBLING_LONG_AGE)
+	if (age > SIBLING_LONG_AGE)
 		return view->unconfirmed > 0;
 	return view->unconfirmed >= view->keepers.count;
 }
@@ -119,6 +120,7 @@
 	sibling->keepers_at = at;
 	sibling->untried = 0;
 	sibling->polls = 0;
+	sibling->leaders = 0;
 	g_strlcpy(sibling->source, address, sizeof(sibling->source));
 	return true;
 }
@@ -171,8 +173,10 @@
 
 void config_sibling_add_leader(config_sibling_t *sibling, const char *address)
 {
-	if (!sibling_address_valid(address) || !sibling->untried)
+	if (!sibling_address_valid(address) || !sibling->untried ||
+	    sibling->leaders == PRESENCE_KEEPERS_MAX)
 		return;
+	sibling->leaders++;
 	/* The place of an address that was polled. */
 	sibling->untried--;
 	strcpy(sibling->keepers.items[sibling->untried], address);
--- a/config-sibling.h
+++ b/config-sibling.h
@@ -49,6 +49,7 @@
 	unsigned next;	  /* index of the sibling to ask next */
 	unsigned asked;	  /* questions since the last confirmation */
 	unsigned polls;	  /* addresses that config_sibling_keeper() returned */
+	unsigned leaders; /* addresses from config_sibling_add_leader() */
 	unsigned untried; /* index of the first address that was not polled */
 	setting_list_t keepers;
 	usec_t keepers_at;	     /* confirmation of the sibling with them */
@@ -73,6 +74,7 @@
  *
  * True while the last confirmation is too old and each keeper of the list was polled
  * without a new one. If it is much older, as after a suspension, one poll suffices.
+ * False before the first confirmation: a question would delay the polls of a start.
  */
 bool config_sibling_due(const config_sibling_t *sibling,
 			const config_sibling_view_t *view, usec_t now);
@@ -110,7 +112,8 @@
  * config_sibling_add_leader - poll the leader that a keeper named by a sibling
  * has reported.
  *
- * Ignored if the address is malformed.
+ * Ignored if the address is malformed, and from the eighth one on, as keepers may name
+ * one another.
  */
 void config_sibling_add_leader(config_sibling_t *sibling, const char *address);
 
--- a/entry-keepers-ask.c
+++ b/entry-keepers-ask.c
@@ -38,7 +38,17 @@
 		 length ? "," : "", address);
 }
 
-/* Writes the addresses of the keepers. */
+static bool keepers_contain(const setting_list_t *keepers, const char *address)
+{
+	unsigned i;
+
+	for (i = 0; i < keepers->count; i++)
+		if (!strcmp(keepers->items[i], address))
+			return true;
+	return false;
+}
+
+/* Writes the addresses of the keepers. A leader that is none of them was removed. */
 static void keepers_write(entry_t *entry, char text[KEEPERS_TEXT_MAX])
 {
 	char leader[HL_ADDRESS_MAX];
@@ -48,7 +58,7 @@
 
 	*text = '\0';
 	presence_client_keepers(entry->presence, &keepers, leader);
-	if (*leader) {
+	if (keepers_contain(&keepers, leader)) {
 		keepers_append(text, leader);
 		count++;
 	}
--- a/presence-client.c
+++ b/presence-client.c
@@ -69,9 +69,10 @@
 
 	/* Protected by the lock. */
 	pthread_mutex_t lock;
-	char leader[HL_ADDRESS_MAX]; /* last one to report that it leads */
-	presence_peers_list_t peers; /* as a keeper last reported them */
-	bool all_zones;		     /* peers of all zones are asked for */
+	char leader[HL_ADDRESS_MAX];	/* last one to report that it leads */
+	presence_peers_list_t peers;	/* as a keeper last reported them */
+	presence_peers_list_t siblings; /* last list of peers with any */
+	bool all_zones;			/* peers of all zones are asked for */
 	usec_t peers_confirmed; /* last response of the keeper asked for peers */
 	setting_list_t reported_keepers; /* last list from a keeper */
 	setting_list_t polled_keepers;	 /* not taken over yet */
@@ -283,6 +284,8 @@
 	pthread_mutex_lock(&client->lock);
 	list.all_zones = client->all_zones;
 	client->peers = list;
+	if (list.count)
+		client->siblings = list;
 	client->peers_confirmed = now;
 	pthread_mutex_unlock(&client->lock);
 }
@@ -429,10 +432,10 @@
 
 	out->count = 0;
 	pthread_mutex_lock(&client->lock);
-	for (i = 0; i < client->peers.count; i++)
-		if (strcmp(client->peers.addresses[i], client->call_address))
+	for (i = 0; i < client->siblings.count; i++)
+		if (strcmp(client->siblings.addresses[i], client->call_address))
 			strcpy(out->items[out->count++],
-			       client->peers.addresses[i]);
+			       client->siblings.addresses[i]);
 	pthread_mutex_unlock(&client->lock);
 }
 
--- a/regress/test-config-sibling.c
+++ b/regress/test-config-sibling.c
@@ -87,7 +87,7 @@
 	view->unconfirmed = 2;
 	g_assert_false(config_sibling_due(sibling, view, START));
 	view->unconfirmed = 3;
-	g_assert_true(config_sibling_due(sibling, view, START));
+	g_assert_false(config_sibling_due(sibling, view, START));
 }
 
 /* Guards against more than two questions a second, and against a sibling that is
@@ -249,6 +249,24 @@
 	g_assert_null(config_sibling_keeper(sibling));
 }
 
+/* Guards against two keepers that name each other as the leader, and keep the follower
+ * from its own list. */
+static void test_leaders(fixture_t *fixture, gconstpointer data)
+{
+	config_sibling_answer_t list = make_answer("10.0.0.4:7090", 5, 0);
+	config_sibling_t *sibling = &fixture->sibling;
+	unsigned polls = 0;
+
+	(void)data;
+	answer(fixture, "a", &list, START + 2 * USEC_PER_SEC);
+	while (config_sibling_keeper(sibling)) {
+		config_sibling_add_leader(sibling, polls % 2 ? "10.0.0.4:7090" :
+							       "10.0.0.5:7090");
+		polls++;
+		g_assert_cmpuint(polls, <=, 1 + PRESENCE_KEEPERS_MAX);
+	}
+}
+
 /* Guards against more polls while no keeper of an unchanged group leads. */
 static void test_same_list(fixture_t *fixture, gconstpointer data)
 {
@@ -333,6 +351,7 @@
 	add("cluster", test_cluster);
 	add("crossed", test_crossed);
 	add("turns", test_turns);
+	add("leaders", test_leaders);
 	add("same-list", test_same_list);
 	add("faulty", test_faulty);
 	add("agreed", test_agreed);
