--- a/keeper-handler.c
+++ b/keeper-handler.c
@@ -291,7 +291,8 @@
 	       strtoull(cluster, NULL, 10) != hl_hash(name, strlen(name), 0);
 }
 
-void keeper_handler_follow(keeper_control_request_t *request, usec_t now)
+/* Responds with the configuration, or the changes since the one that the entry has. */
+static void handler_fetch(keeper_control_request_t *request, usec_t now)
 {
 	const char *have = MHD_lookup_connection_value(request->connection,
 						       MHD_GET_ARGUMENT_KIND,
@@ -303,13 +304,6 @@
 	size_t size = 0;
 	bool ok;
 
-	if (handler_is_foreign(request)) {
-		keeper_handler_respond_error(
-			request, MHD_HTTP_CONFLICT,
-			"this keeper is of another cluster; poll those of "
-			"entry.cluster");
-		return;
-	}
 	if (have)
 		args.have = strtoull(have, NULL, 10);
 	args.confirmed = !MHD_lookup_connection_value(request->connection,
@@ -340,6 +334,17 @@
 	xdr_free((xdrproc_t)xdr_keeper_fetch_res_t, (char *)&res);
 }
 
+void keeper_handler_follow(keeper_control_request_t *request, usec_t now)
+{
+	if (handler_is_foreign(request))
+		keeper_handler_respond_error(
+			request, MHD_HTTP_CONFLICT,
+			"this keeper is of another cluster; poll those of "
+			"entry.cluster");
+	else
+		handler_fetch(request, now);
+}
+
 void keeper_handler_directory(keeper_control_request_t *request, usec_t now)
 {
 	const char *zone = MHD_lookup_connection_value(request->connection,
