Accept connections outside libmicrohttpd, whose quiesce may abort the process

What callers saw: an entry that stops may abort ("Fatal error in GNU libmicrohttpd daemon.c:5531: Failed to remove listen FD from epoll set."), and the calls in flight are lost. A keeper stops in the same way.

Cause: MHD_quiesce_daemon() removes the port from the epoll set of each thread and then clears its note that the port is in it. A thread that comes to poll between the two removes the port itself, gets ENOENT, and takes that for a corrupted state.

The servers no longer know a port: http-listener.c accepts in a thread of its own and hands connections over, so there is nothing to quiesce. Which connections a stop waits for is now known by count, in both programs. A server at its maximum of connections still leaves further ones in the kernel.

--- a/entry-http.c
+++ b/entry-http.c
@@ -5,9 +5,9 @@
 #include <strings.h>
 #include <sys/socket.h>
 #include <time.h>
-#include <unistd.h>
 #include "entry-claim.h"
 #include "entry-http.h"
+#include "http-listener.h"
 
 /*
  * The HTTP front of an entry, on libmicrohttpd: receives requests, dispatches
@@ -360,13 +360,16 @@
 			    void **state,
 			    enum MHD_ConnectionNotificationCode code)
 {
+	entry_t *entry = context;
 	entry_request_t *req = NULL;
 
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED)
 		req = entry_read_timeout_request(connection);
 	if (req)
-		http_dropped(context, connection, req);
-	entry_read_timeout_connection(context, connection, state, code);
+		http_dropped(entry, connection, req);
+	entry_read_timeout_connection(entry, connection, state, code);
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+		http_listener_on_closed(entry->call_listener);
 }
 
 int entry_http_address(const entry_t *entry, const char *listen, int64_t port,
@@ -391,13 +394,10 @@
 	return 0;
 }
 
-int entry_http_start(entry_t *entry, hl_error_t *err)
+static struct MHD_Daemon *http_start_server(entry_t *entry)
 {
 	const entry_settings_t *settings = &entry->settings;
-	struct sockaddr_storage storage;
-	unsigned threads = (unsigned)settings->http_threads;
-	unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC |
-			 MHD_ALLOW_SUSPEND_RESUME;
+	unsigned threads = MAX((unsigned)settings->http_threads, 1);
 	struct MHD_OptionItem pool[] = {
 		{ MHD_OPTION_THREAD_POOL_SIZE, threads, NULL },
 		{ MHD_OPTION_END, 0, NULL },
@@ -405,29 +405,50 @@
 
 	if (threads < 2)
 		pool[0].option = MHD_OPTION_END;
+	return MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC |
+			MHD_USE_NO_LISTEN_SOCKET | MHD_ALLOW_SUSPEND_RESUME,
+		0, NULL, NULL, http_handle, entry, MHD_OPTION_URI_LOG_CALLBACK,
+		http_first_line, entry, MHD_OPTION_NOTIFY_COMPLETED,
+		http_completed, entry, MHD_OPTION_NOTIFY_CONNECTION,
+		http_connection, entry, MHD_OPTION_CONNECTION_LIMIT,
+		threads * ((unsigned)settings->connections_max +
+			   HTTP_LISTENER_RESERVE),
+		MHD_OPTION_CONNECTION_TIMEOUT, ENTRY_IDLE_SECONDS,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)ENTRY_HTTP_HEADER_BYTES, MHD_OPTION_STRICT_FOR_CLIENT,
+		1, MHD_OPTION_ARRAY, pool, MHD_OPTION_END);
+}
+
+static void http_free_server(entry_t *entry)
+{
+	if (entry->call_daemon)
+		MHD_stop_daemon(entry->call_daemon);
+	entry->call_daemon = NULL;
+	http_listener_free(entry->call_listener);
+	entry->call_listener = NULL;
+}
+
+int entry_http_start(entry_t *entry, hl_error_t *err)
+{
+	const entry_settings_t *settings = &entry->settings;
+	struct sockaddr_storage storage;
+
 	if (entry_http_address(entry, settings->call_listen,
 			       settings->call_port, &storage, err))
 		return -1;
-	if (storage.ss_family == AF_INET6)
-		flags |= MHD_USE_IPv6;
-	entry->call_daemon = MHD_start_daemon(
-		flags, 0, NULL, NULL, http_handle, entry, MHD_OPTION_SOCK_ADDR,
-		&storage, MHD_OPTION_URI_LOG_CALLBACK, http_first_line, entry,
-		MHD_OPTION_NOTIFY_COMPLETED, http_completed, entry,
-		MHD_OPTION_NOTIFY_CONNECTION, http_connection, entry,
-		MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned)settings->connections_max,
-		MHD_OPTION_CONNECTION_TIMEOUT, ENTRY_IDLE_SECONDS,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)ENTRY_HTTP_HEADER_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-		HTTP_BACKLOG, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY,
-		pool, MHD_OPTION_END);
-	if (!entry->call_daemon)
-		return hl_error_set(err, HL_ERR_IO,
-				    "cannot listen on %s port %" PRId64
-				    "; free the port or set entry.call_port",
-				    settings->address, settings->call_port);
-	return 0;
+	entry->call_listener = http_listener_open(&storage, HTTP_BACKLOG);
+	if (entry->call_listener)
+		entry->call_daemon = http_start_server(entry);
+	if (entry->call_daemon &&
+	    !http_listener_start(entry->call_listener, entry->call_daemon,
+				 (unsigned)settings->connections_max))
+		return 0;
+	http_free_server(entry);
+	return hl_error_set(err, HL_ERR_IO,
+			    "cannot listen on %s port %" PRId64
+			    "; free the port or set entry.call_port",
+			    settings->address, settings->call_port);
 }
 
 /* Waits until no call is in flight, at most until @until; true if none is. */
@@ -471,29 +492,6 @@
 	http_wait_idle(entry, time_now() + HTTP_STOP_CANCEL_TIME);
 }
 
-/*
- * Gives libmicrohttpd the connections that the kernel has accepted and that it has
- * not taken yet: the close of the port would reset them, and their callers may have
- * sent calls long before on a busy machine. Returns their number.
- */
-static uint64_t http_take_waiting(entry_t *entry, int listener)
-{
-	struct sockaddr_storage caller;
-	socklen_t size = sizeof(caller);
-	uint64_t taken = 0;
-	int fd;
-
-	while ((fd = accept4(listener, (struct sockaddr *)&caller, &size,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		if (MHD_add_connection(entry->call_daemon, fd,
-				       (struct sockaddr *)&caller,
-				       size) == MHD_YES)
-			taken++;
-		size = sizeof(caller);
-	}
-	return taken;
-}
-
 /* Whether callers may have sent bytes that were not read yet: libmicrohttpd has not
    taken the first @connections connections yet, or one that it has taken has input. */
 static bool http_has_unread(const entry_t *entry, uint64_t connections)
@@ -519,26 +517,16 @@
 {
 	usec_t until = entry->stop.end;
 	uint64_t connections;
-	MHD_socket fd;
 
 	if (!entry->call_daemon)
 		return;
-	fd = MHD_quiesce_daemon(entry->call_daemon);
-	connections = entry_read_timeout_started(entry->read_timeout);
-	/* New connections are refused at once; the descriptor stays open, as
-	   the threads of libmicrohttpd may still use it. */
-	if (fd != MHD_INVALID_SOCKET) {
-		connections += http_take_waiting(entry, fd);
-		shutdown(fd, SHUT_RDWR);
-	}
+	/* New connections are refused at once. */
+	connections = http_listener_stop(entry->call_listener);
 	http_wait_read(entry, connections, until);
 	/* Callers may still send calls over open connections. */
 	__atomic_store_n(&entry->refuse_calls, true, __ATOMIC_SEQ_CST);
 	if (!http_wait_read(entry, connections, until))
 		http_end_calls(entry);
-	MHD_stop_daemon(entry->call_daemon);
-	entry->call_daemon = NULL;
-	if (fd != MHD_INVALID_SOCKET)
-		close(fd);
+	http_free_server(entry);
 	http_wait_lingering(entry, entry->stop.linger_until);
 }
--- a/keeper-control.c
+++ b/keeper-control.c
@@ -1,9 +1,8 @@
 #include <microhttpd.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <time.h>
-#include <unistd.h>
+#include "http-listener.h"
 #include "keeper-control.h"
 
 /*
@@ -23,17 +22,25 @@
 /* Maximum time of a stop in which responses are sent. */
 #define CONTROL_SEND_TIME (500 * USEC_PER_MS)
 
+/* A port and its server; both are NULL if the port is not set. */
+typedef struct {
+	keeper_control_t *control;
+	http_listener_t *listener;
+	struct MHD_Daemon *daemon;
+} control_server_t;
+
 struct keeper_control {
 	keeper_core_t *core;
 	keeper_registry_t *registry;
-	struct MHD_Daemon *control_daemon;
-	struct MHD_Daemon *directory_daemon;
+	control_server_t control_server;
+	control_server_t directory_server;
 	pthread_mutex_t lock;
 	struct cds_list_head waiting; /* keeper_control_request_t */
 	bool stopping;
 	unsigned in_progress; /* requests without a sent response; atomic */
 	unsigned unread;      /* connections without a request so far; atomic */
-	unsigned handed_over; /* connections that have not begun; atomic */
+	uint64_t begun;	      /* connections of the servers so far; atomic */
+	uint64_t handed_over; /* to the servers, once the ports are closed */
 };
 
 /* A connection of a client. */
@@ -299,25 +306,13 @@
 	__atomic_fetch_sub(&control->unread, 1, __ATOMIC_SEQ_CST);
 }
 
-/* Count a connection that has begun as one that is not handed over any more. */
-static void control_begin_handed_over(keeper_control_t *control)
-{
-	unsigned count = __atomic_load_n(&control->handed_over,
-					 __ATOMIC_SEQ_CST);
-
-	while (count &&
-	       !__atomic_compare_exchange_n(&control->handed_over, &count,
-					    count - 1, false, __ATOMIC_SEQ_CST,
-					    __ATOMIC_SEQ_CST))
-		;
-}
-
 /* Called by libmicrohttpd when a connection begins and ends. */
 static void on_connection(void *context, struct MHD_Connection *connection,
 			  void **state,
 			  enum MHD_ConnectionNotificationCode code)
 {
-	keeper_control_t *control = context;
+	control_server_t *server = context;
+	keeper_control_t *control = server->control;
 
 	(void)connection;
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
@@ -325,12 +320,13 @@
 		if (*state)
 			__atomic_fetch_add(&control->unread, 1,
 					   __ATOMIC_SEQ_CST);
-		control_begin_handed_over(control);
+		__atomic_fetch_add(&control->begun, 1, __ATOMIC_SEQ_CST);
 		return;
 	}
 	control_connection_read(control, *state);
 	free(*state);
 	*state = NULL;
+	http_listener_on_closed(server->listener);
 }
 
 static control_connection_t *control_connection(
@@ -435,38 +431,47 @@
 	__atomic_fetch_sub(&control->in_progress, 1, __ATOMIC_SEQ_CST);
 }
 
-static struct MHD_Daemon *control_listen(keeper_control_t *control,
-					 const char *address,
-					 MHD_AccessHandlerCallback handle,
-					 hl_error_t *err)
+static struct MHD_Daemon *control_start_daemon(control_server_t *server,
+					       MHD_AccessHandlerCallback handle)
+{
+	keeper_control_t *control = server->control;
+
+	return MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC |
+			MHD_USE_NO_LISTEN_SOCKET | MHD_ALLOW_SUSPEND_RESUME,
+		0, NULL, NULL, handle, control, MHD_OPTION_NOTIFY_COMPLETED,
+		on_request_completed, control, MHD_OPTION_NOTIFY_CONNECTION,
+		on_connection, server, MHD_OPTION_CONNECTION_LIMIT,
+		CONTROL_CONNECTIONS_MAX + HTTP_LISTENER_RESERVE,
+		MHD_OPTION_CONNECTION_TIMEOUT, CONTROL_IDLE_SECONDS,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)CONTROL_CONNECTION_BYTES, MHD_OPTION_STRICT_FOR_CLIENT,
+		1, MHD_OPTION_END);
+}
+
+/* Listen on @address, unless it is empty. */
+static int control_listen(keeper_control_t *control, control_server_t *server,
+			  const char *address, MHD_AccessHandlerCallback handle,
+			  hl_error_t *err)
 {
-	unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC |
-			 MHD_ALLOW_SUSPEND_RESUME;
-	struct MHD_Daemon *daemon = NULL;
 	struct sockaddr_storage storage;
 	unsigned length;
 
-	if (!hl_address_parse(address, &storage, &length)) {
-		if (storage.ss_family == AF_INET6)
-			flags |= MHD_USE_IPv6;
-		daemon = MHD_start_daemon(
-			flags, 0, NULL, NULL, handle, control,
-			MHD_OPTION_SOCK_ADDR, &storage,
-			MHD_OPTION_NOTIFY_COMPLETED, on_request_completed,
-			control, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
-			control, MHD_OPTION_CONNECTION_LIMIT,
-			CONTROL_CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
-			CONTROL_IDLE_SECONDS,
-			MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-			(size_t)CONTROL_CONNECTION_BYTES,
-			MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
-	}
-	if (!daemon)
-		hl_error_set(err, HL_ERR_IO,
-			     "cannot listen on %s; free the port or correct "
-			     "keeper.control and keeper.directory",
-			     address);
-	return daemon;
+	server->control = control;
+	if (!*address)
+		return 0;
+	if (!hl_address_parse(address, &storage, &length))
+		server->listener = http_listener_open(&storage, SOMAXCONN);
+	if (server->listener)
+		server->daemon = control_start_daemon(server, handle);
+	if (server->daemon &&
+	    !http_listener_start(server->listener, server->daemon,
+				 CONTROL_CONNECTIONS_MAX))
+		return 0;
+	return hl_error_set(err, HL_ERR_IO,
+			    "cannot listen on %s; free the port or correct "
+			    "keeper.control and keeper.directory",
+			    address);
 }
 
 keeper_control_t *keeper_control_new(keeper_core_t *core,
@@ -485,18 +490,10 @@
 	control->registry = registry;
 	pthread_mutex_init(&control->lock, NULL);
 	CDS_INIT_LIST_HEAD(&control->waiting);
-	if (*settings->control)
-		control->control_daemon = control_listen(control,
-							 settings->control,
-							 on_control_request,
-							 err);
-	if (*settings->directory)
-		control->directory_daemon = control_listen(control,
-							   settings->directory,
-							   on_directory_request,
-							   err);
-	if ((!*settings->control || control->control_daemon) &&
-	    (!*settings->directory || control->directory_daemon))
+	if (!control_listen(control, &control->control_server,
+			    settings->control, on_control_request, err) &&
+	    !control_listen(control, &control->directory_server,
+			    settings->directory, on_directory_request, err))
 		return control;
 	keeper_control_free(control);
 	return NULL;
@@ -560,68 +557,37 @@
 static bool control_has_unread(keeper_control_t *control)
 {
 	return control_has_requests(control) ||
-	       __atomic_load_n(&control->handed_over, __ATOMIC_SEQ_CST) > 0 ||
+	       __atomic_load_n(&control->begun, __ATOMIC_SEQ_CST) <
+		       control->handed_over ||
 	       __atomic_load_n(&control->unread, __ATOMIC_SEQ_CST) > 0;
 }
 
-/* Give libmicrohttpd the connections that the kernel has accepted: the close of the
- * port would reset them. */
-static void control_take_connections(keeper_control_t *control,
-				     struct MHD_Daemon *daemon, MHD_socket port)
+/* Close the port of a server, whose connections stay open. */
+static void control_close_port(keeper_control_t *control,
+			       const control_server_t *server)
 {
-	struct sockaddr_storage client;
-	socklen_t size = sizeof(client);
-	int fd;
-
-	while ((fd = accept4(port, (struct sockaddr *)&client, &size,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		__atomic_fetch_add(&control->handed_over, 1, __ATOMIC_SEQ_CST);
-		if (MHD_add_connection(daemon, fd, (struct sockaddr *)&client,
-				       size) != MHD_YES)
-			control_begin_handed_over(control);
-		size = sizeof(client);
-	}
+	if (server->listener)
+		control->handed_over += http_listener_stop(server->listener);
 }
 
-/* Close the port of a server. Return its descriptor, which the threads of
- * libmicrohttpd may still use, or MHD_INVALID_SOCKET. */
-static MHD_socket control_close_port(keeper_control_t *control,
-				     struct MHD_Daemon *daemon)
+static void control_stop_server(const control_server_t *server)
 {
-	MHD_socket port;
-
-	if (!daemon)
-		return MHD_INVALID_SOCKET;
-	port = MHD_quiesce_daemon(daemon);
-	if (port == MHD_INVALID_SOCKET)
-		return port;
-	control_take_connections(control, daemon, port);
-	shutdown(port, SHUT_RDWR);
-	return port;
-}
-
-static void control_stop_server(struct MHD_Daemon *daemon, MHD_socket port)
-{
-	if (daemon)
-		MHD_stop_daemon(daemon);
-	if (port != MHD_INVALID_SOCKET)
-		close(port);
+	if (server->daemon)
+		MHD_stop_daemon(server->daemon);
+	http_listener_free(server->listener);
 }
 
 void keeper_control_free(keeper_control_t *control)
 {
-	MHD_socket control_port;
-	MHD_socket directory_port;
-
 	if (!control)
 		return;
 	control_fail_waiting(control);
-	control_port = control_close_port(control, control->control_daemon);
-	directory_port = control_close_port(control, control->directory_daemon);
+	control_close_port(control, &control->control_server);
+	control_close_port(control, &control->directory_server);
 	control_wait_while(control, control_has_unread,
 			   time_now() + CONTROL_SEND_TIME);
-	control_stop_server(control->control_daemon, control_port);
-	control_stop_server(control->directory_daemon, directory_port);
+	control_stop_server(&control->control_server);
+	control_stop_server(&control->directory_server);
 	pthread_mutex_destroy(&control->lock);
 	free(control);
 }
