Send nothing to a copy that the end of a keeper's log takes out of service

Cause: the announcement is in the logs of a majority, and no keeper knows yet that it was accepted, so none has it in its configuration. For routes the keepers name what the end of their logs may change; for copies they did not. Ruled out: an entry that ignores the state of a copy; it has the copy as ready.

A keeper that does not lead names these copies in Hemlock-Pending-Copies. An entry that no leader has confirmed since its start gives them no calls, as if they drained, until one does or a later response of that keeper no longer names them. Calls stay held between the record of a response and its copies, so none is routed by the one without the other. A list over 2,047 bytes becomes that of all routes, so that all calls wait, also at an entry of an earlier release. A malformed one stands for all copies, and all calls wait.

A copy that is ready at another address, or for another service, than in the applied configuration is named too, and so is one whose address another copy takes over: its process is not where calls would be sent, and another one may be. What is compared is the configuration that this keeper has applied: a copy that was added and moved within the end of its log is not named.

The new rows of test-keeper-tail, test-config-start and test-config-follow need the new functions.

--- a/config-direct.c
+++ b/config-direct.c
@@ -35,6 +35,7 @@
 /* Names of the headers of a response that is not confirmed. */
 #define DIRECT_VOTERS_HEADER "Hemlock-Voters:"
 #define DIRECT_ROUTES_HEADER "Hemlock-Pending-Routes:"
+#define DIRECT_COPIES_HEADER "Hemlock-Pending-Copies:"
 
 /* A response that is being received. */
 typedef struct {
@@ -93,10 +94,13 @@
 {
 	size_t voters = strlen(DIRECT_VOTERS_HEADER);
 	size_t routes = strlen(DIRECT_ROUTES_HEADER);
+	size_t copies = strlen(DIRECT_COPIES_HEADER);
 
 	if (!strncasecmp(line, DIRECT_VOTERS_HEADER, voters))
 		start->voters = (int)CLAMP(strtol(line + voters, NULL, 10), 0,
 					   KEEPER_VOTERS_MAX);
+	else if (!strncasecmp(line, DIRECT_COPIES_HEADER, copies))
+		config_start_read_copies(start, line + copies);
 	else if (!strncasecmp(line, DIRECT_ROUTES_HEADER, routes) &&
 		 g_strlcpy(start->routes, line + routes,
 			   sizeof(start->routes)) >= sizeof(start->routes))
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -23,6 +23,7 @@
 	void *members_context;
 	void (*changed)(void *context, const config_t *config);
 	void (*on_confirmed)(void *context);
+	void (*on_pending_copies)(void *context);
 	void (*on_keepers)(void *context, const setting_list_t *keepers,
 			   const char *sibling);
 	void (*siblings)(void *context, setting_list_t *out);
@@ -48,6 +49,8 @@
 	config_lag_t lag;	  /* of the revision in force */
 	config_confirm_t confirm; /* outside the tree */
 	config_start_t start;	  /* outside the tree, until confirmed */
+	/* The copies of the last response are being taken out of service. */
+	bool start_recording;
 	bool started; /* calls may be routed, see config_follow_check_start() */
 	config_tail_t tail; /* deltas served to this entry's children */
 	config_report_t report;
--- a/config-follow.c
+++ b/config-follow.c
@@ -65,6 +65,7 @@
 	follow->members_context = options->members_context;
 	follow->changed = options->changed;
 	follow->on_confirmed = options->on_confirmed;
+	follow->on_pending_copies = options->on_pending_copies;
 	follow->on_keepers = options->on_keepers;
 	follow->siblings = options->siblings;
 	follow->sign = options->sign;
@@ -363,7 +364,7 @@
 	bool held;
 
 	pthread_mutex_lock(&follow->lock);
-	held = state != follow->start_state ||
+	held = state != follow->start_state || follow->start_recording ||
 	       config_start_state(&follow->start, max, now) ==
 		       CONFIG_START_WAITING ||
 	       config_start_is_pending(&follow->start, host, target,
@@ -372,6 +373,19 @@
 	return held;
 }
 
+bool config_follow_copy_is_pending(config_follow_t *follow, const char *name)
+{
+	bool pending;
+
+	if (!config_follow_start_state(follow))
+		return false;
+	pthread_mutex_lock(&follow->lock);
+	pending = !follow->confirm.newest_at &&
+		  config_start_copy_is_pending(&follow->start, name);
+	pthread_mutex_unlock(&follow->lock);
+	return pending;
+}
+
 /* Writes the fields that are logged when the entry begins to route calls. The caller
  * holds the lock of @follow. */
 static void config_follow_describe_start(const config_follow_t *follow,
@@ -425,6 +439,19 @@
 	return due;
 }
 
+/* Releases calls after a response was recorded, once its copies take none. */
+static void config_follow_end_recording(config_follow_t *follow)
+{
+	if (follow->on_pending_copies)
+		follow->on_pending_copies(follow->changed_context);
+	pthread_mutex_lock(&follow->lock);
+	follow->start_recording = false;
+	if (!follow->confirm.newest_at)
+		__atomic_store_n(&follow->start_state, follow->start_state + 1,
+				 __ATOMIC_RELEASE);
+	pthread_mutex_unlock(&follow->lock);
+}
+
 void config_follow_record_start(config_follow_t *follow,
 				const config_start_response_t *response,
 				uint64_t revision, usec_t now)
@@ -434,10 +461,10 @@
 	pthread_mutex_lock(&follow->lock);
 	changed = !follow->confirm.newest_at &&
 		  config_start_record(&follow->start, response, revision, now);
-	if (changed)
-		__atomic_store_n(&follow->start_state, follow->start_state + 1,
-				 __ATOMIC_RELEASE);
+	follow->start_recording = changed;
 	pthread_mutex_unlock(&follow->lock);
+	if (changed)
+		config_follow_end_recording(follow);
 	config_follow_check_start(follow, now);
 	if (changed && follow->on_confirmed)
 		follow->on_confirmed(follow->changed_context);
@@ -448,12 +475,14 @@
 {
 	usec_t last;
 	bool recorded;
+	bool first;
 
 	pthread_mutex_lock(&follow->lock);
 	last = follow->confirm.newest_at;
 	recorded = config_confirm_record(&follow->confirm, newest, at);
 	__atomic_store_n(&follow->newest_at, follow->confirm.newest_at,
 			 __ATOMIC_RELEASE);
+	first = recorded && follow->start_state;
 	if (recorded)
 		__atomic_store_n(&follow->start_state, 0, __ATOMIC_RELEASE);
 	pthread_mutex_unlock(&follow->lock);
@@ -465,6 +494,8 @@
 			  "revision=%" PRIu64 " source=%s gap_ms=%" PRId64,
 			  newest, source,
 			  last ? (at - last) / USEC_PER_MS : -1);
+	if (first && follow->on_pending_copies)
+		follow->on_pending_copies(follow->changed_context);
 	if (follow->on_confirmed)
 		follow->on_confirmed(follow->changed_context);
 }
--- a/config-follow.h
+++ b/config-follow.h
@@ -152,6 +152,12 @@
 	 * accepted, and when more calls may be routed before that. May be NULL.
 	 */
 	void (*on_confirmed)(void *context);
+	/*
+	 * Called like on_confirmed, each time that the results of
+	 * config_follow_copy_is_pending() may have changed and before calls are
+	 * routed by that. May be NULL.
+	 */
+	void (*on_pending_copies)(void *context);
 	/*
 	 * Called on the polling thread of a follower outside the tree with the
 	 * RPC addresses of all keepers, as a leading one has sent them with its
@@ -169,7 +175,7 @@
 	/* Makes the header Hemlock-Hop of a question with this target. */
 	void (*sign)(void *context, const char *target, char hop[KEYS_HOP_MAX]);
 	uint64_t cluster; /* hash of the cluster's name */
-	/* Of changed, on_confirmed, on_keepers, siblings and sign. */
+	/* Of changed, the on_ functions, siblings and sign. */
 	void *changed_context;
 	metrics_t *metrics; /* required */
 } config_follow_options_t;
@@ -330,6 +336,18 @@
 			 const char *host, const char *target,
 			 size_t prefix_length, usec_t now);
 
+/**
+ * config_follow_copy_is_pending - whether a copy must get no calls yet.
+ * @follow: a follower outside the tree
+ * @name: id of the copy
+ *
+ * Takes the lock of @follow only.
+ *
+ * Return: true if no leading keeper has confirmed the configuration since the start, and
+ * a change that was accepted before it may have taken the copy out of service.
+ */
+bool config_follow_copy_is_pending(config_follow_t *follow, const char *name);
+
 /**
  * config_follow_check_start - call options.on_confirmed once calls may be routed.
  * @follow: a follower outside the tree
--- a/config-start.c
+++ b/config-start.c
@@ -17,6 +17,15 @@
 	return &start->last[start->count++];
 }
 
+/* Whether the response of a keeper tells nothing new. */
+static bool start_same(const config_start_response_t *last,
+		       const config_start_response_t *response)
+{
+	return *last->address && last->voters == response->voters &&
+	       !strcmp(last->routes, response->routes) &&
+	       !strcmp(last->copies, response->copies);
+}
+
 bool config_start_record(config_start_t *start,
 			 const config_start_response_t *response,
 			 uint64_t revision, usec_t now)
@@ -32,8 +41,7 @@
 		return changed;
 	}
 	slot = start_slot(start, response->address);
-	if (!slot || (*slot->address && slot->voters == response->voters &&
-		      !strcmp(slot->routes, response->routes)))
+	if (!slot || start_same(slot, response))
 		return changed;
 	*slot = *response;
 	return true;
@@ -56,7 +64,7 @@
 }
 
 /* Returns the next item of a list and its length; NULL at the end. */
-static const char *start_next_route(const char **list, size_t *length)
+static const char *start_next_item(const char **list, size_t *length)
 {
 	const char *item;
 
@@ -67,6 +75,44 @@
 	return *length ? item : NULL;
 }
 
+/* Returns the id of a copy in one item of a list, for g_free(); NULL if it is malformed. */
+static char *start_copy_name(const char *item, size_t length)
+{
+	char *name = g_uri_unescape_segment(item, item + length, NULL);
+
+	if (name && *name && strlen(name) < HL_NAME_MAX)
+		return name;
+	g_free(name);
+	return NULL;
+}
+
+static bool start_copies_valid(const char *text)
+{
+	const char *item;
+	size_t length;
+
+	while ((item = start_next_item(&text, &length))) {
+		char *name = start_copy_name(item, length);
+
+		if (!name)
+			return false;
+		g_free(name);
+	}
+	return true;
+}
+
+void config_start_read_copies(config_start_response_t *response,
+			      const char *text)
+{
+	char *list = g_strstrip(g_strdup(text));
+
+	if (strlen(list) < sizeof(response->copies) && start_copies_valid(list))
+		strcpy(response->copies, list);
+	else
+		strcpy(response->copies, CONFIG_START_ALL_COPIES);
+	g_free(list);
+}
+
 unsigned config_start_pending(const config_start_t *start)
 {
 	unsigned count = 0;
@@ -76,7 +122,7 @@
 		const char *list = start->last[i].routes;
 		size_t length;
 
-		while (start_next_route(&list, &length))
+		while (start_next_item(&list, &length))
 			count++;
 	}
 	return count;
@@ -134,10 +180,42 @@
 		const char *item;
 		size_t length;
 
-		while ((item = start_next_route(&list, &length)))
+		if (!strcmp(start->last[i].copies, CONFIG_START_ALL_COPIES))
+			return true;
+		while ((item = start_next_item(&list, &length)))
 			if (start_matches(item, length, host, target,
 					  prefix_length))
 				return true;
 	}
 	return false;
 }
+
+/* Whether a list of copies has this one. */
+static bool start_has_copy(const char *list, const char *name)
+{
+	const char *item;
+	size_t length;
+	bool same;
+
+	if (!strcmp(list, CONFIG_START_ALL_COPIES))
+		return true;
+	while ((item = start_next_item(&list, &length))) {
+		char *other = start_copy_name(item, length);
+
+		same = other && !strcmp(other, name);
+		g_free(other);
+		if (same)
+			return true;
+	}
+	return false;
+}
+
+bool config_start_copy_is_pending(const config_start_t *start, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < start->count; i++)
+		if (start_has_copy(start->last[i].copies, name))
+			return true;
+	return false;
+}
--- a/config-start.h
+++ b/config-start.h
@@ -8,13 +8,17 @@
  * Which calls an entry that has started may route before a leading keeper has
  * confirmed its configuration. A change that was accepted earlier is in the logs of a
  * majority of the voters, so one of any majority has it: applied, or at the end of its
- * log, whose routes it names. It does no I/O; its user provides the locking.
+ * log, whose routes and copies it names. It does no I/O; its user provides the locking.
  */
 
 /* Maximum size of the list of routes of one keeper, with its final NUL byte. */
 #define CONFIG_START_ROUTES_MAX 2049u
 /* A list that stands for all routes. */
 #define CONFIG_START_ALL_ROUTES "*"
+/* Maximum size of the list of copies of one keeper, with its final NUL byte. */
+#define CONFIG_START_COPIES_MAX 2048u
+/* A list that stands for all copies. */
+#define CONFIG_START_ALL_COPIES "*"
 /* config_start_response_t.voters of a response that does not state them. */
 #define CONFIG_START_VOTERS_ABSENT (-1)
 
@@ -27,6 +31,9 @@
 	 * separated by commas; characters of the prefix may be escaped by '%' and
 	 * two digits. */
 	char routes[CONFIG_START_ROUTES_MAX];
+	/* Ids of the copies that the end of its log may take out of service, as set
+	 * by config_start_read_copies(). */
+	char copies[CONFIG_START_COPIES_MAX];
 } config_start_response_t;
 
 /** struct config_start_t - the responses since the start; zeroed at first. */
@@ -46,6 +53,16 @@
 	CONFIG_START_TIMEOUT, /* no majority has responded in time */
 } config_start_state_t;
 
+/**
+ * config_start_read_copies - set the list of copies of a response.
+ * @response: the response
+ * @text: ids separated by commas; characters may be escaped by '%' and two digits
+ *
+ * A list that is malformed or too large stands for all copies.
+ */
+void config_start_read_copies(config_start_response_t *response,
+			      const char *text);
+
 /**
  * config_start_record - record a response whose configuration is in force now.
  * @start: zeroed, or used before
@@ -83,9 +100,16 @@
  * @prefix_length: length of the prefix of its route
  *
  * A shorter prefix than that of its route does not matter: the change names each route
- * that it replaces or retires.
+ * that it replaces or retires. Any call is pending while a list stands for all copies.
  */
 bool config_start_is_pending(const config_start_t *start, const char *host,
 			     const char *target, size_t prefix_length);
 
+/**
+ * config_start_copy_is_pending - whether a change may take a copy out of service.
+ * @name: id of the copy
+ */
+bool config_start_copy_is_pending(const config_start_t *start,
+				  const char *name);
+
 #endif
--- a/entry-config.c
+++ b/entry-config.c
@@ -124,6 +124,14 @@
 		entry_pending_release(entry, time_now());
 }
 
+static void config_on_pending_copies(void *context)
+{
+	entry_t *entry = context;
+
+	if (entry->settings.routed)
+		entry_target_apply_pending(entry, time_now());
+}
+
 static void config_on_keepers(void *context, const setting_list_t *keepers,
 			      const char *sibling)
 {
@@ -169,6 +177,7 @@
 		.members_context = entry,
 		.changed = config_on_change,
 		.on_confirmed = config_on_confirmed,
+		.on_pending_copies = config_on_pending_copies,
 		.on_keepers = config_on_keepers,
 		.siblings = entry->settings.routed ? config_siblings : NULL,
 		.sign = config_sign,
@@ -230,6 +239,12 @@
 				   rule->prefix_length, now);
 }
 
+bool entry_config_copy_is_pending(const entry_t *entry, const char *name)
+{
+	return entry->follow &&
+	       config_follow_copy_is_pending(entry->follow, name);
+}
+
 usec_t entry_config_check_start(const entry_t *entry, usec_t now)
 {
 	return entry->follow ? config_follow_check_start(entry->follow, now) :
--- a/entry-io.h
+++ b/entry-io.h
@@ -1076,6 +1076,14 @@
 			const entry_request_t *req, const entry_rule_t *rule,
 			usec_t now);
 
+/**
+ * entry_config_copy_is_pending - must a copy get no calls until a leader responds?
+ * @name: id of the copy
+ *
+ * See config_follow_copy_is_pending().
+ */
+bool entry_config_copy_is_pending(const entry_t *entry, const char *name);
+
 /**
  * entry_config_check_start - release the calls that no longer have to wait.
  *
@@ -1170,6 +1178,9 @@
 /** entry_target_apply - apply the routes and copies of a configuration. */
 void entry_target_apply(entry_t *entry, const config_t *config, usec_t now);
 
+/** entry_target_apply_pending - apply a change of entry_config_copy_is_pending(). */
+void entry_target_apply_pending(entry_t *entry, usec_t now);
+
 /**
  * entry_target_rules_revision - return the revision of the routes in force, 0 if
  * there are none.
--- a/entry-target.c
+++ b/entry-target.c
@@ -51,7 +51,10 @@
 	target_update_pool(copy, target->address, connections);
 	copy->limit = copy->io ? connections : 0;
 	copy->drain_declared = target->state != CONFIG_TARGET_READY;
-	copy->draining = copy->leaving || copy->drain_declared;
+	copy->drain_pending = entry_config_copy_is_pending(upstream->entry,
+							   copy->name);
+	copy->draining = copy->leaving || copy->drain_declared ||
+			 copy->drain_pending;
 	copy->last_seen = now;
 	copy->lease_until = USEC_NEVER;
 }
@@ -116,6 +119,7 @@
 		if (target && config_target_serves(target) &&
 		    !strcmp(target->service, upstream->name))
 			continue;
+		copy->drain_pending = false;
 		copy->draining = true;
 		if (!entry_service_copy_remove(&upstream->service, copy) &&
 		    pool)
@@ -204,6 +208,39 @@
 		entry_pending_release(entry, now);
 }
 
+/* Updates whether a copy gets no calls until a leader responds. One that gets none for
+   another reason, such as one that the configuration no longer has, stays as it is. The
+   caller holds upstream->lock. */
+static void target_update_pending(entry_upstream_t *upstream,
+				  entry_copy_t *copy)
+{
+	bool pending = entry_config_copy_is_pending(upstream->entry,
+						    copy->name);
+
+	if (pending == copy->drain_pending || (pending && copy->draining))
+		return;
+	copy->drain_pending = pending;
+	copy->draining = copy->leaving || copy->drain_declared || pending;
+	log_event(LOG_LEVEL_NOTICE, pending ? "copy-held" : "copy-released",
+		  "service=%s copy=%s", upstream->name, copy->name);
+}
+
+void entry_target_apply_pending(entry_t *entry, usec_t now)
+{
+	entry_upstream_t *upstream = NULL;
+	entry_copy_t *copy;
+
+	while ((upstream = entry_upstream_next(entry, upstream))) {
+		pthread_mutex_lock(&upstream->lock);
+		cds_list_for_each_entry (copy, &upstream->service.copies, link)
+			target_update_pending(upstream, copy);
+		entry_service_choose_subset(&upstream->service,
+					    target_seed(entry));
+		pthread_mutex_unlock(&upstream->lock);
+		entry_dispatch_next(upstream, now);
+	}
+}
+
 bool entry_target_match_route(entry_t *entry, const char *host,
 			      const char *target, const char *part,
 			      entry_rule_t *rule, char service[HL_NAME_MAX],
--- a/entry.h
+++ b/entry.h
@@ -112,6 +112,7 @@
 	bool draining;	      /* gets no new calls */
 	bool leaving;	      /* its process has responded that it leaves */
 	bool drain_declared;  /* the configuration has it as draining */
+	bool drain_pending;   /* see entry_config_copy_is_pending() */
 	usec_t rests_until;   /* it has asked for no calls until then */
 	entry_rate_t rate;    /* that it accepts */
 	uint64_t started_ms;  /* reported start, wall clock in ms; 0: none */
--- a/keeper-control.c
+++ b/keeper-control.c
@@ -191,7 +191,10 @@
 	return MHD_add_response_header(response, "Hemlock-Voters", voters) &&
 	       (!*unconfirmed->routes ||
 		MHD_add_response_header(response, "Hemlock-Pending-Routes",
-					unconfirmed->routes));
+					unconfirmed->routes)) &&
+	       (!*unconfirmed->copies ||
+		MHD_add_response_header(response, "Hemlock-Pending-Copies",
+					unconfirmed->copies));
 }
 
 static enum MHD_Result control_send_response(keeper_control_request_t *request)
--- a/keeper-control.h
+++ b/keeper-control.h
@@ -128,7 +128,7 @@
  * polled; a keeper of another one responds with 409.
  * The argument "any" also allows a configuration that no quorum confirms. If a
  * quorum confirms it, the header Hemlock-Keepers has the addresses of the keepers; else
- * Hemlock-Voters and Hemlock-Pending-Routes have those of keeper_unconfirmed_t.
+ * Hemlock-Voters, Hemlock-Pending-Routes and Hemlock-Pending-Copies have those of keeper_unconfirmed_t.
  */
 void keeper_handler_follow(keeper_control_request_t *request, usec_t now);
 
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -126,7 +126,8 @@
  */
 typedef struct {
 	unsigned voters; /* of the group; 0 if this disk is not one of them */
-	char routes[KEEPER_TAIL_BYTES_MAX]; /* as keeper_tail_t.routes */
+	char routes[KEEPER_TAIL_BYTES_MAX];	   /* as keeper_tail_t.routes */
+	char copies[KEEPER_TAIL_COPIES_BYTES_MAX]; /* likewise */
 } keeper_unconfirmed_t;
 
 /** struct keeper_counters_t - the keeper's counters, gauges and histogram. */
--- a/keeper-request.c
+++ b/keeper-request.c
@@ -240,6 +240,7 @@
 	if (unconfirmed) {
 		unconfirmed->voters = core->view.voters;
 		strcpy(unconfirmed->routes, core->view.tail.routes);
+		strcpy(unconfirmed->copies, core->view.tail.copies);
 	}
 	res->leader = keeper_request_leader_address(core);
 	res->confirmed = keeper_request_can_confirm(core, now);
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -701,6 +701,104 @@
 	metrics_free(metrics);
 }
 
+/* Results of a follower at its last call of on_pending_copies. */
+typedef struct {
+	config_follow_t *follow;
+	unsigned calls;
+	bool pending;	/* the copy c1 */
+	bool call_held; /* a call that is matched now */
+} pending_copies_t;
+
+static bool is_call_held(config_follow_t *follow)
+{
+	unsigned state = config_follow_start_state(follow);
+
+	return state &&
+	       config_follow_holds(follow, state, "h.example", "/x/", 3, 0);
+}
+
+static void on_pending_copies(void *context)
+{
+	pending_copies_t *copies = context;
+
+	copies->calls++;
+	copies->pending = config_follow_copy_is_pending(copies->follow, "c1");
+	copies->call_held = is_call_held(copies->follow);
+}
+
+static config_follow_t *pending_follower(pending_copies_t *copies,
+					 metrics_t *metrics)
+{
+	config_follow_options_t options = {
+		.name = "vm",
+		.settings = { .keepers = { 1, { "127.0.0.1:1" } },
+			      .outdated_ms = 1000 },
+		.metrics = metrics,
+		.on_pending_copies = on_pending_copies,
+		.changed_context = copies,
+	};
+	hl_error_t err;
+
+	copies->follow = config_follow_new(&options, &err);
+	g_assert_nonnull(copies->follow);
+	config_confirm_apply(&copies->follow->confirm, 4);
+	return copies->follow;
+}
+
+/* Records the response of the only keeper, whose log may end with these copies. */
+static void respond_copies(config_follow_t *follow, const char *copies,
+			   usec_t now)
+{
+	config_start_response_t response = { .address = "a", .voters = 1 };
+
+	config_start_read_copies(&response, copies);
+	config_follow_record_start(follow, &response, 4, now);
+}
+
+/* Guards against calls that are routed after a keeper has named a copy and before the
+ * entry has taken it out of service. */
+static void test_pending_copies(void)
+{
+	pending_copies_t copies = { 0 };
+	metrics_t *metrics = metrics_new();
+	config_follow_t *follow = pending_follower(&copies, metrics);
+
+	g_assert_true(is_call_held(follow));
+	respond_copies(follow, "c1", 1);
+	g_assert_cmpuint(copies.calls, ==, 1);
+	g_assert_true(copies.pending);
+	g_assert_true(copies.call_held);
+	g_assert_false(is_call_held(follow));
+	respond_copies(follow, "c1", 2);
+	g_assert_cmpuint(copies.calls, ==, 1);
+	respond_copies(follow, "", 3);
+	g_assert_cmpuint(copies.calls, ==, 2);
+	g_assert_false(copies.pending);
+	config_follow_free(follow);
+	metrics_free(metrics);
+}
+
+/* Guards against a copy that stays out of service once a leader has confirmed the
+ * configuration in force. */
+static void test_pending_confirmed(void)
+{
+	pending_copies_t copies = { 0 };
+	metrics_t *metrics = metrics_new();
+	config_follow_t *follow = pending_follower(&copies, metrics);
+
+	respond_copies(follow, "c1", 1);
+	g_assert_true(copies.pending);
+	config_follow_confirm(follow, 4, 2, "a");
+	g_assert_cmpuint(copies.calls, ==, 2);
+	g_assert_false(copies.pending);
+	config_follow_confirm(follow, 4, 3, "a");
+	respond_copies(follow, "c1,c2", 4);
+	g_assert_cmpuint(copies.calls, ==, 2);
+	g_assert_false(config_follow_copy_is_pending(follow, "c1"));
+	config_follow_free(follow);
+	metrics_free(metrics);
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -721,6 +819,9 @@
 	g_test_add_func("/config-follow/confirmation", test_confirmation);
 	g_test_add_func("/config-follow/connect-timeout", test_connect_timeout);
 	g_test_add_func("/config-follow/outdated", test_outdated);
+	g_test_add_func("/config-follow/pending-confirmed",
+			test_pending_confirmed);
+	g_test_add_func("/config-follow/pending-copies", test_pending_copies);
 	g_test_add_func("/config-follow/received-not-applied",
 			test_received_not_applied);
 	g_test_add_func("/config-follow/start-asks-all", test_start_asks_all);
--- a/regress/test-config-start.c
+++ b/regress/test-config-start.c
@@ -5,12 +5,13 @@
 
 /*
  * Guards against an entry that routes calls, before a leader has confirmed its
- * configuration, by a route that an accepted change has moved or dropped. Each line of a
- * case is a command with its expected result. "respond MS KEEPER VOTERS REVISION ROUTES"
- * records a response and results in "changed" or "same"; VOTERS is "-" if the keeper
- * states none, ROUTES "-" if the list is empty. "state MS" results in the state, and
+ * configuration, by a route that an accepted change has moved or dropped, or to a copy
+ * that one has taken out of service. Each line of a case is a command with its expected
+ * result. "respond MS KEEPER VOTERS REVISION ROUTES [COPIES]" records a response and
+ * results in "changed" or "same"; VOTERS is "-" if the keeper states none, ROUTES "-" if
+ * the list is empty; COPIES is "large" for a list over the limit. "state MS" results in the state, and
  * "call HOST TARGET PREFIX", with the prefix of the route in force, in "held" or
- * "routed".
+ * "routed"; "copy NAME" likewise.
  */
 
 #define SERVE_AFTER (1000 * USEC_PER_MS)
@@ -120,6 +121,66 @@
 	{ "all-routes", "respond 10 a 1 4 * = changed\n"
 			"state 10 = quorum\n"
 			"call h.example /x/1 /x/ = held\n" },
+	{ "pending-copy", "respond 10 a 3 4 - c1 = changed\n"
+			  "respond 20 b 3 4 - = changed\n"
+			  "state 20 = quorum\n"
+			  "copy c1 = held\n"
+			  "copy c = routed\n"
+			  "copy c11 = routed\n"
+			  "copy c2 = routed\n"
+			  "call h.example /x/1 /x/ = routed\n" },
+	{ "no-copies", "respond 10 a 1 4 - = changed\n"
+		       "copy c1 = routed\n" },
+	{ "copy-until-the-keeper-has-none",
+	  "respond 10 a 3 4 - c1,c2 = changed\n"
+	  "respond 20 b 3 4 - = changed\n"
+	  "respond 30 a 3 4 - c1,c2 = same\n"
+	  "respond 40 a 3 5 - c2 = changed\n"
+	  "copy c1 = routed\n"
+	  "copy c2 = held\n"
+	  "respond 50 a 3 6 - = changed\n"
+	  "copy c2 = routed\n" },
+	{ "copy-at-one-of-two", "respond 10 a 3 4 - c1 = changed\n"
+				"respond 20 b 3 4 - c1 = changed\n"
+				"respond 30 a 3 5 - = changed\n"
+				"copy c1 = held\n" },
+	{ "copy-after-the-time", "respond 10 a 3 4 - c1 = changed\n"
+				 "state 5000 = timeout\n"
+				 "copy c1 = held\n" },
+	{ "copy-beside-an-earlier-release", "respond 10 a 3 4 - c1 = changed\n"
+					    "respond 20 b - 4 - = changed\n"
+					    "state 20 = release\n"
+					    "copy c1 = held\n" },
+	{ "escaped-copy", "respond 10 a 1 4 - a%2Cb%25 = changed\n"
+			  "copy a,b% = held\n"
+			  "copy a = routed\n"
+			  "copy a%2Cb%25 = routed\n" },
+	{ "empty-items", "respond 10 a 1 4 - ,c1,,c2, = changed\n"
+			 "copy c1 = held\n"
+			 "copy c2 = held\n"
+			 "copy c3 = routed\n"
+			 "call h.example /x/1 /x/ = routed\n" },
+	{ "all-copies", "respond 10 a 1 4 - * = changed\n"
+			"copy c1 = held\n"
+			"call h.example /x/1 /x/ = held\n" },
+	{ "malformed-copy", "respond 10 a 1 4 - c1,%zz = changed\n"
+			    "copy c2 = held\n"
+			    "call h.example /x/1 /x/ = held\n" },
+	{ "truncated-escape", "respond 10 a 1 4 - c1,c% = changed\n"
+			      "copy c2 = held\n"
+			      "call h.example /x/1 /x/ = held\n" },
+	{ "name-too-long",
+	  "respond 10 a 1 4 - "
+	  "c234567890123456789012345678901234567890123456789012345678901234"
+	  " = changed\n"
+	  "copy c2 = held\n"
+	  "call h.example /x/1 /x/ = held\n" },
+	{ "list-over-the-limit", "respond 10 a 1 4 - large = changed\n"
+				 "copy other = held\n"
+				 "call h.example /x/1 /x/ = held\n"
+				 "respond 20 a 1 5 - c1 = changed\n"
+				 "copy other = routed\n"
+				 "call h.example /x/1 /x/ = routed\n" },
 	{ "more-keepers-than-a-group-has",
 	  "respond 1 a 7 4 - = changed\n"
 	  "respond 1 b 7 4 - = changed\n"
@@ -140,6 +201,23 @@
 	[CONFIG_START_TIMEOUT] = "timeout",
 };
 
+/* Sets the list of copies of a response from the field of a command. */
+static void read_copies(config_start_response_t *response, const char *field)
+{
+	char *large;
+	size_t i;
+
+	if (strcmp(field, "large") != 0) {
+		config_start_read_copies(response, field);
+		return;
+	}
+	large = g_strnfill(CONFIG_START_COPIES_MAX, 'c');
+	for (i = 1; i < CONFIG_START_COPIES_MAX; i += 2)
+		large[i] = ',';
+	config_start_read_copies(response, large);
+	g_free(large);
+}
+
 static const char *run_respond(config_start_t *start, char **fields)
 {
 	config_start_response_t response = { .voters = atoi(fields[3]) };
@@ -149,6 +227,8 @@
 	g_strlcpy(response.address, fields[2], sizeof(response.address));
 	if (strcmp(fields[5], "-") != 0)
 		g_strlcpy(response.routes, fields[5], sizeof(response.routes));
+	if (fields[6])
+		read_copies(&response, fields[6]);
 	return config_start_record(start, &response,
 				   strtoull(fields[4], NULL, 10),
 				   atoi(fields[1]) * USEC_PER_MS) ?
@@ -163,6 +243,10 @@
 	if (!strcmp(fields[0], "state"))
 		return states[config_start_state(
 			start, SERVE_AFTER, atoi(fields[1]) * USEC_PER_MS)];
+	if (!strcmp(fields[0], "copy"))
+		return config_start_copy_is_pending(start, fields[1]) ?
+			       "held" :
+			       "routed";
 	g_assert_cmpstr(fields[0], ==, "call");
 	return config_start_is_pending(start, fields[1], fields[2],
 				       strlen(fields[3])) ?
--- a/regress/test-keeper-tail.c
+++ b/regress/test-keeper-tail.c
@@ -4,17 +4,22 @@
 #include "keeper-core.h"
 
 /*
- * Guards against a keeper that does not name a route which the end of its log may
- * change. Each line of a case is a command, with the expected list of routes after it:
+ * Guards against a keeper that does not name a route, or a copy, which the end of its log
+ * may change or take out of service. Each line of a case is a command, with the expected
+ * list of routes after it, and after a "|" that of the copies, else it is empty:
  * "put TERM NAME HOST PREFIX" and "retire TERM NAME" append an entry that puts or
  * retires a route, "pool TERM" one that puts a pool, "group TERM" one that changes the
- * group, "bad TERM" one that does not decode. "cut LAST" removes the entries after
+ * group, "bad TERM" one that does not decode. "copy TERM NAME STATE START ADDRESS
+ * SERVICE" appends an entry that puts a copy whose process has this start time and
+ * "gone TERM NAME" one that retires a copy. "cut LAST" removes the entries after
  * LAST, "apply INDEX" makes INDEX the last applied entry. The configuration has the
- * routes r1, h.example/1/, and r2, h.example/2/.
+ * routes r1, h.example/1/, r2, h.example/2/, and r8, h,i.example/8/, and the copies c1, at a:1, and c2, at
+ * a:2, ready, and c3, at a:3, draining, of the service s, with start time 5.
  */
 
 #define FIELDS_MAX 8
 #define MANY_ROUTES 200
+#define MANY_COPIES 200
 
 static const struct {
 	const char *name;
@@ -49,6 +54,38 @@
 	  "put 2 r5 h.example /5/ = h.example/3/,h.example/5/\n" },
 	{ "escaped", "put 1 r3 h.example /a,b%c*/ = h.example/a%2Cb%25c*/\n" },
 	{ "host-not-in-a-list", "put 1 r3 h,i.example /3/ = *\n" },
+	{ "replaced-host-not-in-a-list", "put 1 r8 h.example /3/ = *\n" },
+	{ "draining", "copy 1 c1 draining 5 a:1 s = |c1\n" },
+	{ "left", "copy 1 c1 left 5 a:1 s = |c1\n" },
+	{ "displaced", "copy 1 c1 displaced 5 a:1 s = |c1\n" },
+	{ "unknown-copy", "copy 1 c9 draining 5 a:9 s = |c9\n" },
+	{ "retired-copy", "gone 1 c1 = |c1\n" },
+	{ "retired-unknown-copy", "gone 1 c9 = |c9\n" },
+	{ "ready", "copy 1 c1 ready 6 a:1 s = \n"
+		   "copy 1 c9 ready 5 a:9 s = \n" },
+	{ "ready-after-draining", "copy 1 c3 ready 6 a:4 s = \n" },
+	{ "other-address", "copy 1 c1 ready 6 a:9 s = |c1\n" },
+	{ "other-service", "copy 1 c1 ready 6 a:1 t = |c1\n" },
+	{ "address-before-a-start", "copy 1 c1 ready 4 a:9 s = \n" },
+	{ "address-taken-over", "copy 1 c9 ready 5 a:1 s = |c1\n" },
+	{ "address-of-a-draining-copy", "copy 1 c9 ready 5 a:3 s = \n" },
+	{ "several-copies", "copy 1 c2 draining 5 a:2 s = |c2\n"
+			    "copy 1 c1 left 5 a:1 s = |c2,c1\n"
+			    "copy 1 c2 left 5 a:2 s = |c2,c1\n" },
+	{ "copy-and-route", "copy 1 c2 draining 5 a:2 s = |c2\n"
+			    "put 1 r3 h.example /3/ = h.example/3/|c2\n"
+			    "apply 1 = h.example/3/\n"
+			    "apply 2 = \n" },
+	{ "copy-replaced-by-another-leader",
+	  "copy 1 c1 draining 5 a:1 s = |c1\n"
+	  "copy 1 c2 draining 5 a:2 s = |c1,c2\n"
+	  "cut 1 = |c1\n"
+	  "copy 2 c9 draining 5 a:9 s = |c1,c9\n" },
+	{ "escaped-copy", "copy 1 a,b% draining 5 a:9 s = |a%2Cb%25\n" },
+	{ "copy-before-not-decoded", "copy 1 c1 draining 5 a:1 s = |c1\n"
+				     "bad 1 = *\n"
+				     "copy 1 c2 draining 5 a:2 s = *\n"
+				     "put 1 r3 h.example /3/ = *\n" },
 };
 
 typedef struct {
@@ -56,6 +93,8 @@
 	keeper_entries_t entries;
 	uint64_t applied;
 	config_t config;
+	config_route_t routes[3];
+	config_target_t targets[3];
 } world_t;
 
 static config_route_t make_route(const char *name, const char *host,
@@ -102,10 +141,48 @@
 	append_items(world, term, &item, 1);
 }
 
+static config_target_t make_copy(const char *name, config_target_state_t state,
+				 uint64_t started_ms, const char *address,
+				 const char *service)
+{
+	return (config_target_t){ .name = (char *)name,
+				  .service = (char *)service,
+				  .started_ms = started_ms,
+				  .state = state,
+				  .address = (char *)address,
+				  .zone = (char *)"" };
+}
+
+static void append_copy(world_t *world, uint64_t term, config_item_kind_t kind,
+			const config_target_t *target)
+{
+	config_item_t item = { .body.kind = kind };
+
+	item.body.config_body_t_u.target = *target;
+	append_items(world, term, &item, 1);
+}
+
+static config_target_state_t read_state(const char *word)
+{
+	static const char *const words[] = {
+		[CONFIG_TARGET_READY] = "ready",
+		[CONFIG_TARGET_DRAINING] = "draining",
+		[CONFIG_TARGET_LEFT] = "left",
+		[CONFIG_TARGET_DISPLACED] = "displaced",
+	};
+	unsigned i = 0;
+
+	while (i < G_N_ELEMENTS(words) && strcmp(words[i], word) != 0)
+		i++;
+	g_assert_cmpuint(i, <, G_N_ELEMENTS(words));
+	return i;
+}
+
 static void run_command(world_t *world, char **fields)
 {
 	uint64_t number = strtoull(fields[1], NULL, 10);
 	config_item_t pool = { .body.kind = CONFIG_PUT_POOL };
+	config_target_t copy;
 	config_route_t route;
 	char bad[] = "bad";
 
@@ -115,6 +192,14 @@
 	} else if (!strcmp(fields[0], "retire")) {
 		route = make_route(fields[2], "", "");
 		append_route(world, number, CONFIG_RETIRE_ROUTE, &route);
+	} else if (!strcmp(fields[0], "copy")) {
+		copy = make_copy(fields[2], read_state(fields[3]),
+				 strtoull(fields[4], NULL, 10), fields[5],
+				 fields[6]);
+		append_copy(world, number, CONFIG_PUT_TARGET, &copy);
+	} else if (!strcmp(fields[0], "gone")) {
+		copy = make_copy(fields[2], CONFIG_TARGET_READY, 0, "", "");
+		append_copy(world, number, CONFIG_RETIRE_TARGET, &copy);
 	} else if (!strcmp(fields[0], "pool")) {
 		pool.body.config_body_t_u.pool.name = (char *)"r1";
 		pool.body.config_body_t_u.pool.health_path = (char *)"/";
@@ -131,13 +216,20 @@
 	}
 }
 
-static void world_init(world_t *world, config_route_t routes[2])
+static void world_init(world_t *world)
 {
 	memset(world, 0, sizeof(*world));
-	routes[0] = make_route("r1", "h.example", "/1/");
-	routes[1] = make_route("r2", "h.example", "/2/");
-	world->config.routes.routes_val = routes;
-	world->config.routes.routes_len = 2;
+	world->routes[0] = make_route("r1", "h.example", "/1/");
+	world->routes[1] = make_route("r2", "h.example", "/2/");
+	world->routes[2] = make_route("r8", "h,i.example", "/8/");
+	world->config.routes.routes_val = world->routes;
+	world->config.routes.routes_len = G_N_ELEMENTS(world->routes);
+	world->targets[0] = make_copy("c1", CONFIG_TARGET_READY, 5, "a:1", "s");
+	world->targets[1] = make_copy("c2", CONFIG_TARGET_READY, 5, "a:2", "s");
+	world->targets[2] = make_copy("c3", CONFIG_TARGET_DRAINING, 5, "a:3",
+				      "s");
+	world->config.targets.targets_val = world->targets;
+	world->config.targets.targets_len = G_N_ELEMENTS(world->targets);
 }
 
 static void world_update(world_t *world)
@@ -150,19 +242,23 @@
 {
 	const char *text = data;
 	char **lines = g_strsplit(text, "\n", 0);
-	config_route_t routes[2];
 	world_t world;
 	unsigned i;
 
-	world_init(&world, routes);
+	world_init(&world);
 	for (i = 0; lines[i] && *lines[i]; i++) {
 		char **sides = g_strsplit(lines[i], " = ", 2);
 		char **fields = g_strsplit(sides[0], " ", FIELDS_MAX);
+		char **lists;
 
 		g_test_message("%s", lines[i]);
 		run_command(&world, fields);
 		world_update(&world);
-		g_assert_cmpstr(world.tail.routes, ==, sides[1]);
+		lists = g_strsplit(sides[1], "|", 2);
+		g_assert_cmpstr(world.tail.routes, ==, *lists ? lists[0] : "");
+		g_assert_cmpstr(world.tail.copies, ==,
+				*lists && lists[1] ? lists[1] : "");
+		g_strfreev(lists);
 		g_strfreev(fields);
 		g_strfreev(sides);
 	}
@@ -173,12 +269,11 @@
 /* A list that would be too large becomes that of all routes. */
 static void test_many(void)
 {
-	config_route_t routes[2];
 	config_route_t route;
 	world_t world;
 	unsigned i;
 
-	world_init(&world, routes);
+	world_init(&world);
 	for (i = 0; i < MANY_ROUTES; i++) {
 		char *prefix = g_strdup_printf("/many/%u/", i);
 
@@ -196,6 +291,35 @@
 	keeper_entries_free(&world.entries);
 }
 
+/* With a list of copies that would be too large all calls wait, and no copy is named. */
+static void test_many_copies(void)
+{
+	config_target_t copy;
+	world_t world;
+	unsigned i;
+
+	world_init(&world);
+	for (i = 0; i < MANY_COPIES; i++) {
+		char *name = g_strdup_printf("copy-of-many-%03u", i);
+
+		copy = make_copy(name, CONFIG_TARGET_DRAINING, 5, "a:9", "s");
+		append_copy(&world, 1, CONFIG_PUT_TARGET, &copy);
+		world_update(&world);
+		if (!strcmp(world.tail.routes, KEEPER_TAIL_ALL))
+			g_assert_cmpstr(world.tail.copies, ==, "");
+		else
+			g_assert_true(
+				g_str_has_suffix(world.tail.copies, name));
+		g_free(name);
+	}
+	g_assert_cmpstr(world.tail.routes, ==, KEEPER_TAIL_ALL);
+	world.applied = MANY_COPIES - 1;
+	world_update(&world);
+	g_assert_cmpstr(world.tail.routes, ==, "");
+	g_assert_cmpstr(world.tail.copies, ==, "copy-of-many-199");
+	keeper_entries_free(&world.entries);
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -208,5 +332,6 @@
 		g_free(path);
 	}
 	g_test_add_func("/keeper-tail/many", test_many);
+	g_test_add_func("/keeper-tail/many-copies", test_many_copies);
 	return g_test_run();
 }
