Join two comments on one function

Cause: control_add_unconfirmed() had two comments in a row, and the first read as that of a function which is gone. Change: they are one comment. Result: the diff has comment lines only, and the program was rebuilt without a warning.

--- a/keeper-control.c
+++ b/keeper-control.c
@@ -180,8 +180,8 @@
 }
 
 /* Adds the headers by which an entry that starts decides which calls it may route
- * before a leader has confirmed the configuration. */
-/* Returns false if a header can't be added: the response must not be sent without. */
+ * before a leader has confirmed the configuration. Returns false if a header can't be
+ * added: the response must not be sent without. */
 static bool control_add_unconfirmed(struct MHD_Response *response,
 				    const keeper_unconfirmed_t *unconfirmed)
 {
