Move the receiving of a poll's response out of config-direct.c

What receives and reads the response of a polled keeper is in config-direct-response.c now, unchanged apart from the names of the functions that both files use.

--- /dev/null
+++ b/config-direct-response.c
@@ -0,0 +1,117 @@
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include "config-direct-response.h"
+#include "config.h"
+#include "pack.h"
+
+/*
+ * Receives and reads the response of a keeper that a follower outside the fan-out
+ * tree has polled over HTTP.
+ */
+
+/* Maximum size of a response, compressed or decompressed. */
+#define RESPONSE_BYTES_MAX (64u * 1024 * 1024)
+
+/* Name of the header with the addresses of the keepers. */
+#define DIRECT_KEEPERS_HEADER "Hemlock-Keepers:"
+/* Names of the headers of a response that is not confirmed. */
+#define DIRECT_VOTERS_HEADER "Hemlock-Voters:"
+#define DIRECT_ROUTES_HEADER "Hemlock-Pending-Routes:"
+#define DIRECT_COPIES_HEADER "Hemlock-Pending-Copies:"
+
+size_t config_direct_write(char *bytes, size_t size, size_t count,
+			   void *context)
+{
+	config_direct_response_t *response = context;
+	size_t length = size * count;
+	size_t capacity = response->capacity ? response->capacity :
+					       CURL_MAX_WRITE_SIZE;
+	char *grown;
+
+	while (capacity < response->size + length)
+		capacity *= 2;
+	if (capacity > RESPONSE_BYTES_MAX)
+		return 0;
+	if (capacity != response->capacity) {
+		grown = realloc(response->bytes, capacity);
+		if (!grown)
+			return 0;
+		response->bytes = grown;
+		response->capacity = capacity;
+	}
+	memcpy(response->bytes + response->size, bytes, length);
+	response->size += length;
+	return length;
+}
+
+/* Reads addresses that are separated by commas. */
+static void direct_read_keepers(setting_list_t *list, const char *text)
+{
+	char **items = g_strsplit(text, ",", KEEPER_VOTERS_MAX);
+	struct sockaddr_storage address;
+	unsigned length;
+	unsigned i;
+
+	list->count = 0;
+	for (i = 0; items[i]; i++) {
+		g_strstrip(items[i]);
+		if (strlen(items[i]) < HL_ADDRESS_MAX &&
+		    !hl_address_parse(items[i], &address, &length))
+			strcpy(list->items[list->count++], items[i]);
+	}
+	g_strfreev(items);
+}
+
+/* Reads a header with the state of a keeper whose response is not confirmed. */
+static void direct_read_start(config_start_response_t *start, const char *line)
+{
+	size_t voters = strlen(DIRECT_VOTERS_HEADER);
+	size_t routes = strlen(DIRECT_ROUTES_HEADER);
+	size_t copies = strlen(DIRECT_COPIES_HEADER);
+
+	if (!strncasecmp(line, DIRECT_VOTERS_HEADER, voters))
+		start->voters = (int)CLAMP(strtol(line + voters, NULL, 10), 0,
+					   KEEPER_VOTERS_MAX);
+	else if (!strncasecmp(line, DIRECT_COPIES_HEADER, copies))
+		config_start_read_copies(start, line + copies);
+	else if (!strncasecmp(line, DIRECT_ROUTES_HEADER, routes) &&
+		 g_strlcpy(start->routes, line + routes,
+			   sizeof(start->routes)) >= sizeof(start->routes))
+		strcpy(start->routes, CONFIG_START_ALL_ROUTES);
+	g_strstrip(start->routes);
+}
+
+size_t config_direct_header(char *line, size_t size, size_t count,
+			    void *context)
+{
+	config_direct_response_t *response = context;
+	size_t name = strlen(DIRECT_KEEPERS_HEADER);
+	size_t length = size * count;
+	char *text;
+
+	text = g_strndup(line, length);
+	direct_read_start(&response->start, text);
+	if (!strncasecmp(text, DIRECT_KEEPERS_HEADER, name))
+		direct_read_keepers(&response->keepers, text + name);
+	g_free(text);
+	return length;
+}
+
+bool config_direct_decode(const config_direct_response_t *response,
+			  keeper_fetch_res_t *res)
+{
+	size_t size;
+	char *plain = pack_inflate(response->bytes, response->size,
+				   RESPONSE_BYTES_MAX, &size);
+	bool ok;
+
+	if (!plain)
+		return false;
+	ok = !config_decode((xdrproc_t)xdr_keeper_fetch_res_t, plain, size, res,
+			    sizeof(*res));
+	free(plain);
+	return ok;
+}
--- a/config-direct.c
+++ b/config-direct.c
@@ -1,12 +1,10 @@
 #include <curl/curl.h>
-#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <time.h>
+#include "config-direct-response.h"
 #include "config-follow-internal.h"
-#include "pack.h"
 
 /*
  * The polling thread of a follower outside the fan-out tree. It fetches the
@@ -27,119 +25,6 @@
 #define DIRECT_CONNECT_TIMEOUT_MAX_MS 1600L
 /* Maximum wait for events of a transfer. */
 #define DIRECT_EVENTS_WAIT_MS 1000
-/* Maximum size of a response, compressed or decompressed. */
-#define DIRECT_RESPONSE_BYTES_MAX (64u * 1024 * 1024)
-
-/* Name of the header with the addresses of the keepers. */
-#define DIRECT_KEEPERS_HEADER "Hemlock-Keepers:"
-/* Names of the headers of a response that is not confirmed. */
-#define DIRECT_VOTERS_HEADER "Hemlock-Voters:"
-#define DIRECT_ROUTES_HEADER "Hemlock-Pending-Routes:"
-#define DIRECT_COPIES_HEADER "Hemlock-Pending-Copies:"
-
-/* A response that is being received. */
-typedef struct {
-	char *bytes; /* of the body */
-	size_t size;
-	size_t capacity;
-	setting_list_t keepers; /* without those whose address is malformed */
-	config_start_response_t start;
-} direct_response_t;
-
-static size_t direct_write(char *bytes, size_t size, size_t count,
-			   void *context)
-{
-	direct_response_t *response = context;
-	size_t length = size * count;
-	size_t capacity = response->capacity ? response->capacity :
-					       CURL_MAX_WRITE_SIZE;
-	char *grown;
-
-	while (capacity < response->size + length)
-		capacity *= 2;
-	if (capacity > DIRECT_RESPONSE_BYTES_MAX)
-		return 0;
-	if (capacity != response->capacity) {
-		grown = realloc(response->bytes, capacity);
-		if (!grown)
-			return 0;
-		response->bytes = grown;
-		response->capacity = capacity;
-	}
-	memcpy(response->bytes + response->size, bytes, length);
-	response->size += length;
-	return length;
-}
-
-/* Reads addresses that are separated by commas. */
-static void direct_read_keepers(setting_list_t *list, const char *text)
-{
-	char **items = g_strsplit(text, ",", KEEPER_VOTERS_MAX);
-	struct sockaddr_storage address;
-	unsigned length;
-	unsigned i;
-
-	list->count = 0;
-	for (i = 0; items[i]; i++) {
-		g_strstrip(items[i]);
-		if (strlen(items[i]) < HL_ADDRESS_MAX &&
-		    !hl_address_parse(items[i], &address, &length))
-			strcpy(list->items[list->count++], items[i]);
-	}
-	g_strfreev(items);
-}
-
-/* Reads a header with the state of a keeper whose response is not confirmed. */
-static void direct_read_start(config_start_response_t *start, const char *line)
-{
-	size_t voters = strlen(DIRECT_VOTERS_HEADER);
-	size_t routes = strlen(DIRECT_ROUTES_HEADER);
-	size_t copies = strlen(DIRECT_COPIES_HEADER);
-
-	if (!strncasecmp(line, DIRECT_VOTERS_HEADER, voters))
-		start->voters = (int)CLAMP(strtol(line + voters, NULL, 10), 0,
-					   KEEPER_VOTERS_MAX);
-	else if (!strncasecmp(line, DIRECT_COPIES_HEADER, copies))
-		config_start_read_copies(start, line + copies);
-	else if (!strncasecmp(line, DIRECT_ROUTES_HEADER, routes) &&
-		 g_strlcpy(start->routes, line + routes,
-			   sizeof(start->routes)) >= sizeof(start->routes))
-		strcpy(start->routes, CONFIG_START_ALL_ROUTES);
-	g_strstrip(start->routes);
-}
-
-static size_t direct_header(char *line, size_t size, size_t count,
-			    void *context)
-{
-	direct_response_t *response = context;
-	size_t name = strlen(DIRECT_KEEPERS_HEADER);
-	size_t length = size * count;
-	char *text;
-
-	text = g_strndup(line, length);
-	direct_read_start(&response->start, text);
-	if (!strncasecmp(text, DIRECT_KEEPERS_HEADER, name))
-		direct_read_keepers(&response->keepers, text + name);
-	g_free(text);
-	return length;
-}
-
-static bool direct_decode(const direct_response_t *response,
-			  keeper_fetch_res_t *res)
-{
-	size_t size;
-	char *plain = pack_inflate(response->bytes, response->size,
-				   DIRECT_RESPONSE_BYTES_MAX, &size);
-	bool ok;
-
-	if (!plain)
-		return false;
-	ok = !config_decode((xdrproc_t)xdr_keeper_fetch_res_t, plain, size, res,
-			    sizeof(*res));
-	free(plain);
-	return ok;
-}
-
 long config_direct_connect_timeout_ms(unsigned failures)
 {
 	long timeout = DIRECT_CONNECT_TIMEOUT_MS;
@@ -241,7 +126,7 @@
 	long connect_ms = config_direct_connect_timeout_ms(
 		follow->failed_polls);
 	char url[HL_ADDRESS_MAX + 128];
-	direct_response_t response = {
+	config_direct_response_t response = {
 		.start.voters = CONFIG_START_VOTERS_ABSENT,
 	};
 	CURL *easy = follow->easy;
@@ -266,12 +151,12 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 			 (long)follow->settings.timeout_ms + connect_ms -
 				 DIRECT_CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, direct_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, config_direct_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, &response);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, direct_write);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, config_direct_write);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &response);
 	result = direct_transfer(follow, address);
-	ok = result == CURLE_OK && direct_decode(&response, res);
+	ok = result == CURLE_OK && config_direct_decode(&response, res);
 	free(response.bytes);
 	*keepers = response.keepers;
 	follow->response = response.start;
