--- a/config-ask.c
+++ b/config-ask.c
@@ -44,6 +44,15 @@
 		answer->malformed = true;
 }
 
+static void ask_read_keepers_revision(ask_response_t *response,
+				      const char *text)
+{
+	if (!g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64,
+					&response->answer.keepers_revision,
+					NULL))
+		response->answer.malformed = true;
+}
+
 static void ask_read_revision(ask_response_t *response, const char *text)
 {
 	if (!g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64,
@@ -75,6 +84,7 @@
 	void (*read)(ask_response_t *response, const char *text);
 } ask_headers[] = {
 	{ "Hemlock-Keepers", ask_read_keepers },
+	{ "Hemlock-Keepers-Revision", ask_read_keepers_revision },
 	{ "Hemlock-Revision", ask_read_revision },
 	{ "Hemlock-Confirmed-Ms", ask_read_age },
 	{ "Hemlock-Cluster", ask_read_cluster },
@@ -156,7 +166,8 @@
 	view->newest_at = follow->confirm.newest_at;
 	view->confirm_max = follow->settings.confirm_ms * USEC_PER_MS;
 	view->unconfirmed = follow->unconfirmed_polls;
-	view->keepers = follow->keepers;
+	view->keepers = follow->keepers.list;
+	view->keepers_revision = follow->keepers.revision;
 	pthread_mutex_unlock(&follow->lock);
 }
 
--- a/config-direct-response.c
+++ b/config-direct-response.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <strings.h>
 #include "config-direct-response.h"
+#include "config-sibling.h"
 #include "config.h"
 #include "pack.h"
 
@@ -17,6 +18,8 @@
 
 /* Name of the header with the addresses of the keepers. */
 #define DIRECT_KEEPERS_HEADER "Hemlock-Keepers:"
+/* Name of the header with their revision. */
+#define DIRECT_KEEPERS_REVISION_HEADER "Hemlock-Keepers-Revision:"
 /* Names of the headers of a response that is not confirmed. */
 #define DIRECT_VOTERS_HEADER "Hemlock-Voters:"
 #define DIRECT_ROUTES_HEADER "Hemlock-Pending-Routes:"
@@ -47,22 +50,19 @@
 	return length;
 }
 
-/* Reads addresses that are separated by commas. */
-static void direct_read_keepers(setting_list_t *list, const char *text)
+static void direct_read_keepers(config_direct_response_t *response,
+				const char *text)
 {
-	char **items = g_strsplit(text, ",", KEEPER_VOTERS_MAX);
-	struct sockaddr_storage address;
-	unsigned length;
-	unsigned i;
+	if (!config_sibling_read_keepers(text, &response->keepers.list))
+		response->keepers_malformed = true;
+}
 
-	list->count = 0;
-	for (i = 0; items[i]; i++) {
-		g_strstrip(items[i]);
-		if (strlen(items[i]) < HL_ADDRESS_MAX &&
-		    !hl_address_parse(items[i], &address, &length))
-			strcpy(list->items[list->count++], items[i]);
-	}
-	g_strfreev(items);
+static void direct_read_keepers_revision(config_direct_response_t *response,
+					 char *text)
+{
+	if (!g_ascii_string_to_unsigned(g_strstrip(text), 10, 0, G_MAXUINT64,
+					&response->keepers.revision, NULL))
+		response->keepers_malformed = true;
 }
 
 /* Reads a header with the state of a keeper whose response is not confirmed. */
@@ -89,13 +89,16 @@
 {
 	config_direct_response_t *response = context;
 	size_t name = strlen(DIRECT_KEEPERS_HEADER);
+	size_t revision = strlen(DIRECT_KEEPERS_REVISION_HEADER);
 	size_t length = size * count;
 	char *text;
 
 	text = g_strndup(line, length);
 	direct_read_start(&response->start, text);
 	if (!strncasecmp(text, DIRECT_KEEPERS_HEADER, name))
-		direct_read_keepers(&response->keepers, text + name);
+		direct_read_keepers(response, text + name);
+	else if (!strncasecmp(text, DIRECT_KEEPERS_REVISION_HEADER, revision))
+		direct_read_keepers_revision(response, text + revision);
 	g_free(text);
 	return length;
 }
--- a/config-direct-response.h
+++ b/config-direct-response.h
@@ -3,14 +3,15 @@
 
 #include "config-start.h"
 #include "keeper_rpc.h"
-#include "toml.h"
+#include "presence.h"
 
 /** struct config_direct_response_t - a response that is being received. */
 typedef struct {
 	char *bytes; /* of the body; freed by the caller */
 	size_t size;
 	size_t capacity;
-	setting_list_t keepers; /* without those whose address is malformed */
+	presence_keepers_t keepers;
+	bool keepers_malformed; /* a header of keepers is malformed */
 	config_start_response_t start;
 } config_direct_response_t;
 
--- a/config-direct.c
+++ b/config-direct.c
@@ -118,10 +118,22 @@
 	return newest;
 }
 
+/* Drops the malformed list of keepers in a response. */
+static void direct_drop_keepers(config_follow_t *follow, const char *address,
+				presence_keepers_t *keepers)
+{
+	pthread_mutex_lock(&follow->lock);
+	follow->keepers.drops++;
+	config_follow_drop_keepers(follow, keepers, PRESENCE_KEEPERS_MALFORMED,
+				   address);
+	pthread_mutex_unlock(&follow->lock);
+	keepers->list.count = 0;
+}
+
 /* Polls one keeper; returns false if it sends no valid response. @keepers gets the
  * addresses in the response, which may have none. */
 static bool direct_get(config_follow_t *follow, const char *address,
-		       keeper_fetch_res_t *res, setting_list_t *keepers)
+		       keeper_fetch_res_t *res, presence_keepers_t *keepers)
 {
 	long connect_ms = config_direct_connect_timeout_ms(
 		follow->failed_polls);
@@ -159,6 +171,8 @@
 	ok = result == CURLE_OK && config_direct_decode(&response, res);
 	free(response.bytes);
 	*keepers = response.keepers;
+	if (response.keepers_malformed)
+		direct_drop_keepers(follow, address, keepers);
 	follow->response = response.start;
 	strcpy(follow->response.address, address);
 	if (ok) {
@@ -191,9 +205,8 @@
 	if (follow->by_sibling)
 		return;
 	pthread_mutex_lock(&follow->lock);
-	strcpy(out,
-	       follow->keepers
-		       .items[follow->keeper_index++ % follow->keepers.count]);
+	strcpy(out, follow->keepers.list.items[follow->keeper_index++ %
+					       follow->keepers.list.count]);
 	pthread_mutex_unlock(&follow->lock);
 }
 
@@ -204,18 +217,18 @@
 	pthread_mutex_unlock(&follow->lock);
 }
 
-/* Takes over the addresses of the keepers that a leading one has sent. */
-static void direct_set_keepers(config_follow_t *follow,
-			       const setting_list_t *keepers)
+/* Takes over the list of keepers that a leading one has sent, unless it is older. */
+static void direct_set_keepers(config_follow_t *follow, const char *address,
+			       const presence_keepers_t *keepers)
 {
-	setting_list_t control = *keepers;
+	presence_keepers_t control = *keepers;
 
-	if (!keepers->count)
+	if (!keepers->list.count)
 		return;
-	config_follow_set_ports(&control,
+	config_follow_set_ports(&control.list,
 				config_follow_control_port(&follow->settings));
 	pthread_mutex_lock(&follow->lock);
-	follow->keepers = control;
+	config_follow_offer_keepers(follow, &control, address);
 	pthread_mutex_unlock(&follow->lock);
 	if (follow->on_keepers)
 		follow->on_keepers(follow->changed_context, keepers,
@@ -277,7 +290,7 @@
 static direct_result_t direct_poll_once(config_follow_t *follow, usec_t now)
 {
 	keeper_fetch_res_t res = { 0 };
-	setting_list_t keepers;
+	presence_keepers_t keepers;
 	char address[HL_ADDRESS_MAX];
 	direct_result_t result = DIRECT_FAILED;
 
@@ -286,7 +299,7 @@
 	if (direct_get(follow, address, &res, &keepers)) {
 		result = direct_apply(follow, address, &res, now);
 		if (res.confirmed || !follow->by_sibling)
-			direct_set_keepers(follow, &keepers);
+			direct_set_keepers(follow, address, &keepers);
 	}
 	if (result == DIRECT_FAILED)
 		metrics_add(follow->metrics.failures, 1);
@@ -301,7 +314,7 @@
 
 	pthread_mutex_lock(&follow->lock);
 	first = !follow->confirm.newest_at &&
-		follow->unconfirmed_polls + 1 < follow->keepers.count;
+		follow->unconfirmed_polls + 1 < follow->keepers.list.count;
 	pthread_mutex_unlock(&follow->lock);
 	return first;
 }
--- a/config-follow-internal.h
+++ b/config-follow-internal.h
@@ -24,7 +24,7 @@
 	void (*changed)(void *context, const config_t *config);
 	void (*on_confirmed)(void *context);
 	void (*on_pending_copies)(void *context);
-	void (*on_keepers)(void *context, const setting_list_t *keepers,
+	void (*on_keepers)(void *context, const presence_keepers_t *keepers,
 			   const char *sibling);
 	void (*siblings)(void *context, setting_list_t *out);
 	void (*sign)(void *context, const char *target, char hop[KEYS_HOP_MAX]);
@@ -38,17 +38,17 @@
 	usec_t outdated_from, outdated_until;
 	usec_t sibling_poll_at; /* last poll for a sibling's call; atomic */
 
-	pthread_mutex_t lock;	  /* protects the fields below */
-	pthread_cond_t wake;	  /* wakes config_follow_pause() */
-	supervisor_t *threads;	  /* set while the child runs */
-	bool triggered;		  /* ends the current config_follow_pause() */
-	setting_list_t keepers;	  /* current addresses */
-	bool ready;		  /* see config_follow_ready() */
-	uint64_t revision;	  /* revision of config */
-	usec_t confirmed_at;	  /* time of the last confirmation */
-	config_lag_t lag;	  /* of the revision in force */
-	config_confirm_t confirm; /* outside the tree */
-	config_start_t start;	  /* outside the tree, until confirmed */
+	pthread_mutex_t lock;	    /* protects the fields below */
+	pthread_cond_t wake;	    /* wakes config_follow_pause() */
+	supervisor_t *threads;	    /* set while the child runs */
+	bool triggered;		    /* ends the current config_follow_pause() */
+	presence_keepers_t keepers; /* current control addresses */
+	bool ready;		    /* see config_follow_ready() */
+	uint64_t revision;	    /* revision of config */
+	usec_t confirmed_at;	    /* time of the last confirmation */
+	config_lag_t lag;	    /* of the revision in force */
+	config_confirm_t confirm;   /* outside the tree */
+	config_start_t start;	    /* outside the tree, until confirmed */
 	/* The copies of the last response are being taken out of service. */
 	bool start_recording;
 	bool started; /* calls may be routed, see config_follow_check_start() */
@@ -85,6 +85,7 @@
 	struct {
 		uint64_t *revision, *deltas, *full_configs, *failures;
 		uint64_t *sibling_questions, *sibling_drops;
+		uint64_t *keepers_drops;
 	} metrics;
 };
 
@@ -132,6 +133,28 @@
  */
 long config_direct_connect_timeout_ms(unsigned failures);
 
+/**
+ * config_follow_offer_keepers - replace the list of keepers by one that is not older.
+ * @keepers: control addresses, with their revision
+ * @reporter: from where they are, for the log
+ *
+ * The caller holds the lock of @follow.
+ */
+void config_follow_offer_keepers(config_follow_t *follow,
+				 const presence_keepers_t *keepers,
+				 const char *reporter);
+
+/**
+ * config_follow_drop_keepers - count a list of keepers that was dropped, and log some.
+ * @result: why
+ *
+ * Otherwise as config_follow_offer_keepers(), which calls it.
+ */
+void config_follow_drop_keepers(config_follow_t *follow,
+				const presence_keepers_t *keepers,
+				presence_keepers_result_t result,
+				const char *reporter);
+
 /** config_direct_run - poll the leading keeper over HTTP until stopped. */
 int config_direct_run(void *context, const volatile int *stop);
 
--- a/config-follow.c
+++ b/config-follow.c
@@ -41,6 +41,9 @@
 	follow->metrics.sibling_drops =
 		metrics_counter(metrics, "hemlock_config_sibling_drops_total",
 				"", "malformed or foreign answers of siblings");
+	follow->metrics.keepers_drops =
+		metrics_counter(metrics, "hemlock_config_keepers_drops_total",
+				"", "older or malformed lists of keepers");
 }
 
 static int config_follow_init(config_follow_t *follow,
@@ -60,7 +63,7 @@
 	follow->settings = options->settings;
 	follow->outdated_from = USEC_NEVER;
 	follow->start_state = 1;
-	follow->keepers = options->settings.keepers;
+	follow->keepers.list = options->settings.keepers;
 	follow->members = options->members;
 	follow->members_context = options->members_context;
 	follow->changed = options->changed;
@@ -223,14 +226,36 @@
 	return triggered;
 }
 
+void config_follow_drop_keepers(config_follow_t *follow,
+				const presence_keepers_t *keepers,
+				presence_keepers_result_t result,
+				const char *reporter)
+{
+	metrics_add(follow->metrics.keepers_drops, 1);
+	presence_keepers_log_dropped(&follow->keepers, keepers, result,
+				     reporter);
+}
+
+void config_follow_offer_keepers(config_follow_t *follow,
+				 const presence_keepers_t *keepers,
+				 const char *reporter)
+{
+	presence_keepers_result_t result;
+
+	result = presence_keepers_offer(&follow->keepers, keepers);
+	if (result == PRESENCE_KEEPERS_OLDER ||
+	    result == PRESENCE_KEEPERS_MALFORMED)
+		config_follow_drop_keepers(follow, keepers, result, reporter);
+}
+
 void config_follow_trigger(config_follow_t *follow,
-			   const setting_list_t *keepers, const char *leader,
-			   const char *reporter)
+			   const presence_keepers_t *keepers,
+			   const char *leader, const char *reporter)
 {
 	pthread_mutex_lock(&follow->lock);
 	follow->triggered = true;
-	if (keepers->count)
-		follow->keepers = *keepers;
+	/* The presence client has counted the lists that it has dropped. */
+	presence_keepers_offer(&follow->keepers, keepers);
 	if (*leader)
 		strcpy(follow->leader, leader);
 	else if (!follow->ready && *reporter)
@@ -245,7 +270,7 @@
 {
 	usec_t last = __atomic_load_n(&follow->sibling_poll_at,
 				      __ATOMIC_RELAXED);
-	const setting_list_t unchanged = { 0 };
+	const presence_keepers_t unchanged = { 0 };
 
 	if ((last && now - last < CONFIG_FOLLOW_SIBLING_POLL_INTERVAL) ||
 	    !__atomic_compare_exchange_n(&follow->sibling_poll_at, &last, now,
--- a/config-follow.h
+++ b/config-follow.h
@@ -5,6 +5,7 @@
 #include "keys.h"
 #include "metrics.h"
 #include "owner.h"
+#include "presence.h"
 #include "toml.h"
 
 /*
@@ -164,7 +165,7 @@
 	 * response to a poll. @sibling is the sibling that has named this
 	 * keeper, else NULL. May be NULL.
 	 */
-	void (*on_keepers)(void *context, const setting_list_t *keepers,
+	void (*on_keepers)(void *context, const presence_keepers_t *keepers,
 			   const char *sibling);
 	/*
 	 * Fills in the call addresses of sibling entries. Called on the polling
@@ -299,8 +300,8 @@
 /**
  * config_follow_trigger - trigger an immediate poll of the leading keeper.
  * @follow: a follower outside the tree
- * @keepers: control addresses of the keepers; if the list is empty, the
- *           follower's current list remains
+ * @keepers: control addresses of the keepers with their revision; if the list is
+ *           empty or older, the follower's current list remains
  * @leader: control address of the leading keeper, or "" if unknown
  * @reporter: control address of the keeper that has reported a configuration; a
  *            follower without one polls it if the leader is unknown
@@ -308,8 +309,8 @@
  * A poll of another keeper that is not connected yet is given up.
  */
 void config_follow_trigger(config_follow_t *follow,
-			   const setting_list_t *keepers, const char *leader,
-			   const char *reporter);
+			   const presence_keepers_t *keepers,
+			   const char *leader, const char *reporter);
 
 /**
  * config_follow_start_state - number of the state in which calls are held.
--- a/config-poll.c
+++ b/config-poll.c
@@ -84,9 +84,8 @@
 static void config_poll_current_keeper(config_follow_t *follow, char *out)
 {
 	pthread_mutex_lock(&follow->lock);
-	strcpy(out,
-	       follow->keepers
-		       .items[follow->keeper_index % follow->keepers.count]);
+	strcpy(out, follow->keepers.list.items[follow->keeper_index %
+					       follow->keepers.list.count]);
 	pthread_mutex_unlock(&follow->lock);
 }
 
--- a/config-sibling.c
+++ b/config-sibling.c
@@ -110,6 +110,9 @@
 {
 	usec_t at = now - answer->confirmed_age;
 
+	if (answer->keepers_revision &&
+	    answer->keepers_revision < view->keepers_revision)
+		return false;
 	if (answer->confirmed_age > SIBLING_AGE_MAX || at <= view->newest_at ||
 	    !sibling_names_other(&answer->keepers, &view->keepers))
 		return false;
--- a/config-sibling.h
+++ b/config-sibling.h
@@ -11,7 +11,8 @@
  * no lock, no I/O.
  *
  * A list of keepers from a sibling is a list of addresses to poll. It replaces
- * nothing: only a response of a leading keeper replaces the follower's own list. A
+ * nothing: only a response of a leading keeper replaces the follower's own list. One
+ * whose revision is older than that of the own list is not polled. A
  * revision from one sibling triggers a poll; one that two siblings name counts as
  * reported, so that a faulty sibling cannot make entries refuse calls.
  */
@@ -21,7 +22,9 @@
 	uint64_t cluster;	/* hash of the name of its cluster */
 	bool malformed;		/* a header is malformed or too long */
 	setting_list_t keepers; /* addresses of the keepers that it uses */
-	uint64_t revision;	/* in force there; 0: none */
+	/* Of keepers, as in presence_keepers_t; 0: of an earlier release. */
+	uint64_t keepers_revision;
+	uint64_t revision; /* in force there; 0: none */
 	/* Age of the last confirmation of a leading keeper; USEC_NEVER: none. */
 	usec_t confirmed_age;
 } config_sibling_answer_t;
@@ -34,6 +37,7 @@
 	usec_t confirm_max;	/* age from which it is too old */
 	unsigned unconfirmed;	/* polls since it */
 	setting_list_t keepers; /* the list of the follower */
+	uint64_t keepers_revision;
 } config_sibling_view_t;
 
 /** enum config_sibling_result_t - what an answer means. */
--- a/entry-config.c
+++ b/entry-config.c
@@ -132,7 +132,7 @@
 		entry_target_apply_pending(entry, time_now());
 }
 
-static void config_on_keepers(void *context, const setting_list_t *keepers,
+static void config_on_keepers(void *context, const presence_keepers_t *keepers,
 			      const char *sibling)
 {
 	entry_t *entry = context;
--- a/entry-keepers-ask.c
+++ b/entry-keepers-ask.c
@@ -48,26 +48,29 @@
 	return false;
 }
 
-/* Writes the addresses of the keepers. A leader that is none of them was removed. */
-static void keepers_write(entry_t *entry, char text[KEEPERS_TEXT_MAX])
+/* Writes the addresses of the keepers. A leader that is none of them was removed.
+ * Returns their revision. */
+static uint64_t keepers_write(entry_t *entry, char text[KEEPERS_TEXT_MAX])
 {
 	char leader[HL_ADDRESS_MAX];
-	setting_list_t keepers;
+	presence_keepers_t keepers;
+	const setting_list_t *list = &keepers.list;
 	unsigned count = 0;
 	unsigned i;
 
 	*text = '\0';
 	presence_client_keepers(entry->presence, &keepers, leader);
-	if (keepers_contain(&keepers, leader)) {
+	if (keepers_contain(list, leader)) {
 		keepers_append(text, leader);
 		count++;
 	}
-	for (i = 0; i < keepers.count && count < PRESENCE_KEEPERS_MAX; i++) {
-		if (!strcmp(keepers.items[i], leader))
+	for (i = 0; i < list->count && count < PRESENCE_KEEPERS_MAX; i++) {
+		if (!strcmp(list->items[i], leader))
 			continue;
-		keepers_append(text, keepers.items[i]);
+		keepers_append(text, list->items[i]);
 		count++;
 	}
+	return keepers.revision;
 }
 
 /* Adds the headers of the answer. The caller holds the lock of the request. */
@@ -77,10 +80,12 @@
 	const char *cluster = entry->settings.cluster;
 	char text[KEEPERS_TEXT_MAX];
 	config_follow_view_t view;
+	uint64_t revision;
 
 	config_follow_view(entry->follow, &view);
-	keepers_write(entry, text);
+	revision = keepers_write(entry, text);
 	keepers_add_header(req, "Hemlock-Keepers", text);
+	keepers_add_number(req, "Hemlock-Keepers-Revision", revision);
 	keepers_add_number(req, "Hemlock-Revision", view.applied);
 	if (view.newest_at)
 		keepers_add_number(req, "Hemlock-Confirmed-Ms",
--- a/entry-target.c
+++ b/entry-target.c
@@ -308,14 +308,14 @@
 	entry_t *entry = context;
 	setting_list_t leader = { .count = 1 };
 	setting_list_t reporter = { .count = 1 };
-	setting_list_t keepers;
+	presence_keepers_t keepers;
 	uint16_t port = config_follow_control_port(&entry->settings.follow);
 
 	config_follow_report(entry->follow, revision, now);
 	strcpy(reporter.items[0], keeper);
 	presence_client_keepers(entry->presence, &keepers, leader.items[0]);
 	leader.count = *leader.items[0] != '\0';
-	config_follow_set_ports(&keepers, port);
+	config_follow_set_ports(&keepers.list, port);
 	config_follow_set_ports(&leader, port);
 	config_follow_set_ports(&reporter, port);
 	config_follow_trigger(entry->follow, &keepers, leader.items[0],
@@ -342,6 +342,9 @@
 		.address = settings->address,
 		.keepers = &keepers,
 		.interval = settings->beat_ms * USEC_PER_MS,
+		.keepers_drops = metrics_counter(
+			entry->metrics, "hemlock_entry_keepers_drops_total", "",
+			"older or malformed lists of keepers in datagrams"),
 		.ready = target_is_ready,
 		.impaired = target_is_impaired,
 		.revision = entry_config_revision,
--- a/keeper-control.c
+++ b/keeper-control.c
@@ -197,6 +197,18 @@
 					unconfirmed->copies));
 }
 
+/* Adds the list of keepers. An entry takes one without a revision for an old one. */
+static void control_add_keepers(struct MHD_Response *response,
+				const keeper_control_request_t *request)
+{
+	char revision[24];
+
+	snprintf(revision, sizeof(revision), "%" PRIu64,
+		 request->keepers_revision);
+	MHD_add_response_header(response, "Hemlock-Keepers-Revision", revision);
+	MHD_add_response_header(response, "Hemlock-Keepers", request->keepers);
+}
+
 static enum MHD_Result control_send_response(keeper_control_request_t *request)
 {
 	struct MHD_Response *response;
@@ -219,8 +231,7 @@
 		MHD_add_response_header(response, "Location",
 					request->location);
 	if (*request->keepers)
-		MHD_add_response_header(response, "Hemlock-Keepers",
-					request->keepers);
+		control_add_keepers(response, request);
 	if (request->unconfirmed &&
 	    !control_add_unconfirmed(response, request->unconfirmed)) {
 		MHD_destroy_response(response);
--- a/keeper-control.h
+++ b/keeper-control.h
@@ -71,6 +71,7 @@
 	bool retry_after;	       /* send a Retry-After header */
 	/* Addresses of the keepers, separated by commas, or "". */
 	char keepers[KEEPER_VOTERS_MAX * HL_ADDRESS_MAX];
+	uint64_t keepers_revision; /* as in presence_keepers_t */
 	/* Sent with a configuration that no quorum confirms, or NULL. */
 	keeper_unconfirmed_t *unconfirmed;
 } keeper_control_request_t;
@@ -127,8 +128,10 @@
  * The argument "cluster" is the hash of the name of the cluster whose keepers are
  * polled; a keeper of another one responds with 409.
  * The argument "any" also allows a configuration that no quorum confirms. If a
- * quorum confirms it, the header Hemlock-Keepers has the addresses of the keepers; else
- * Hemlock-Voters, Hemlock-Pending-Routes and Hemlock-Pending-Copies have those of keeper_unconfirmed_t.
+ * quorum confirms it, the header Hemlock-Keepers has the addresses of the keepers and
+ * Hemlock-Keepers-Revision the revision of presence_keepers_t; else
+ * Hemlock-Voters, Hemlock-Pending-Routes and Hemlock-Pending-Copies have those of
+ * keeper_unconfirmed_t.
  */
 void keeper_handler_follow(keeper_control_request_t *request, usec_t now);
 
--- a/keeper-core.c
+++ b/keeper-core.c
@@ -169,6 +169,20 @@
 	}
 }
 
+/* Set the newest group that is committed. After a start the commit index may be older
+ * than the group in the log. */
+static void keeper_core_fill_committed(const keeper_raft_t *raft,
+				       keeper_status_view_t *view)
+{
+	if (raft->commit >= raft->group_index) {
+		view->committed = raft->group;
+		view->committed_revision = raft->group_index;
+		return;
+	}
+	view->committed_revision = keeper_raft_group_at(raft, raft->commit,
+							&view->committed);
+}
+
 /* Copy the replica's status for the other threads. This comes before messages
  * are sent, so that no peer acts on a status that this keeper does not show
  * yet. */
@@ -195,6 +209,7 @@
 	view->term_start = raft->term_start;
 	view->incarnation = raft->settings.incarnation;
 	view->group = raft->group;
+	keeper_core_fill_committed(raft, view);
 	keeper_core_fill_match_index(raft, view);
 	view->voters = keeper_raft_is_voter(raft) ?
 			       keeper_change_count_voters(&raft->group) :
@@ -636,3 +651,21 @@
 				    group->nodes[i].address,
 				    out->items[out->count++]);
 }
+
+void keeper_core_committed_keepers(keeper_core_t *core, presence_keepers_t *out)
+{
+	setting_list_t all;
+	keeper_group_t group;
+	unsigned i;
+
+	memset(out, 0, sizeof(*out));
+	pthread_mutex_lock(&core->lock);
+	group = core->view.committed;
+	out->revision = core->view.committed_revision;
+	pthread_mutex_unlock(&core->lock);
+	keeper_core_addresses(core, &group, &all);
+	for (i = 0; i < all.count; i++)
+		if (*all.items[i])
+			strcpy(out->list.items[out->list.count++],
+			       all.items[i]);
+}
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -5,6 +5,7 @@
 #include "headers.h"
 #include "keeper-store.h"
 #include "keeper-tail.h"
+#include "presence.h"
 #include "routing.h"
 #include "toml.h"
 
@@ -114,6 +115,10 @@
 	usec_t lease_end;
 	usec_t suspended; /* suspend time since boot when it became leader */
 	keeper_group_t group;
+	keeper_group_t committed; /* the newest group that is committed */
+	/* Revision of committed: an index between its entry and the commit
+	 * index. */
+	uint64_t committed_revision;
 	/* Last entry on the disk of the member with this index in group. */
 	uint64_t match_index[KEEPER_VOTERS_MAX];
 	unsigned voters; /* of group; 0 if this disk is not one of them */
@@ -272,6 +277,14 @@
 void keeper_core_addresses(const keeper_core_t *core,
 			   const keeper_group_t *group, setting_list_t *out);
 
+/**
+ * keeper_core_committed_keepers - return the list of keepers for entries.
+ * @out: set to the addresses of the committed group with its revision; without those
+ *       that this keeper does not know
+ */
+void keeper_core_committed_keepers(keeper_core_t *core,
+				   presence_keepers_t *out);
+
 /**
  * keeper_core_submit - queue a change, unless its id has already been applied.
  * @res: set to KEEPER_OK with the answer to the applied change,
--- a/keeper-handler.c
+++ b/keeper-handler.c
@@ -260,22 +260,18 @@
 		keeper_handler_respond_verdict(request, verdict, &err);
 }
 
-/* Sets the header with the addresses of the keepers. */
+/* Sets the headers with the addresses of the keepers and their revision. */
 static void handler_set_keepers(keeper_control_request_t *request)
 {
-	keeper_core_t *core = keeper_control_core(request);
-	setting_list_t keepers;
-	keeper_group_t group;
+	presence_keepers_t keepers;
 	unsigned i;
 
-	pthread_mutex_lock(&core->lock);
-	group = core->view.group;
-	pthread_mutex_unlock(&core->lock);
-	keeper_core_addresses(core, &group, &keepers);
-	for (i = 0; i < keepers.count; i++) {
+	keeper_core_committed_keepers(keeper_control_core(request), &keepers);
+	request->keepers_revision = keepers.revision;
+	for (i = 0; i < keepers.list.count; i++) {
 		if (i)
 			strcat(request->keepers, ",");
-		strcat(request->keepers, keepers.items[i]);
+		strcat(request->keepers, keepers.list.items[i]);
 	}
 }
 
--- a/keeper-registry.c
+++ b/keeper-registry.c
@@ -84,6 +84,26 @@
 			  errno);
 }
 
+/* Send the list of keepers with its revision. */
+static void registry_send_keepers(const keeper_registry_t *registry,
+				  const presence_keepers_t *keepers,
+				  const struct sockaddr_storage *to,
+				  socklen_t length)
+{
+	presence_t message = { .cluster = registry->cluster };
+	presence_keepers_list_t *body = &message.body.presence_body_t_u.keepers;
+	char *addresses[PRESENCE_KEEPERS_MAX];
+	unsigned i;
+
+	message.body.kind = PRESENCE_KEEPERS;
+	body->revision = keepers->revision;
+	for (i = 0; i < keepers->list.count; i++)
+		addresses[i] = (char *)keepers->list.items[i];
+	body->addresses.addresses_len = keepers->list.count;
+	body->addresses.addresses_val = addresses;
+	registry_send(registry, &message, to, length);
+}
+
 /* Send the keeper's revision and role to an entry, and the keepers' addresses
  * if @heartbeat shows that the entry has other addresses. @heartbeat is NULL if
  * the status is not a response; @known is false if the entry must send its
@@ -99,20 +119,21 @@
 	presence_keeper_status_t *status =
 		&message.body.presence_body_t_u.keeper_status;
 	char *addresses[PRESENCE_KEEPERS_MAX];
-	setting_list_t keepers;
+	presence_keepers_t keepers;
 	unsigned i;
 
-	keeper_core_addresses(registry->core, &view->group, &keepers);
+	keeper_core_committed_keepers(registry->core, &keepers);
 	message.body.kind = PRESENCE_KEEPER_STATUS;
 	status->revision = view->revision;
 	status->entries = entries;
 	status->leading = heartbeat ? view->can_confirm : view->leading;
 	status->identity_known = known;
-	status->keepers_hash = presence_keepers_hash(&keepers);
+	status->keepers_hash = presence_keepers_hash(&keepers.list);
 	if (heartbeat && heartbeat->keepers_hash != status->keepers_hash) {
-		for (i = 0; i < keepers.count; i++)
-			addresses[i] = keepers.items[i];
-		status->addresses.addresses_len = keepers.count;
+		registry_send_keepers(registry, &keepers, to, length);
+		for (i = 0; i < keepers.list.count; i++)
+			addresses[i] = keepers.list.items[i];
+		status->addresses.addresses_len = keepers.list.count;
 		status->addresses.addresses_val = addresses;
 	}
 	registry_send(registry, &message, to, length);
@@ -347,6 +368,7 @@
 		break;
 	case PRESENCE_KEEPER_STATUS:
 	case PRESENCE_PEERS:
+	case PRESENCE_KEEPERS:
 		break; /* sent to entries only */
 	}
 }
--- a/presence-client.c
+++ b/presence-client.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include "metrics.h"
 #include "presence.h"
 
 /*
@@ -41,7 +42,8 @@
 	char address[HL_ADDRESS_MAX];
 	struct sockaddr_storage to;
 	unsigned length;
-	bool has_identity; /* the keeper has the entry in its table */
+	bool has_identity;   /* the keeper has the entry in its table */
+	bool names_revision; /* it sends PRESENCE_KEEPERS */
 	bool lost;
 	usec_t last_seen; /* time of the keeper's last response */
 	usec_t sent_at;	  /* time of the last heartbeat to the keeper */
@@ -74,8 +76,8 @@
 	presence_peers_list_t siblings; /* last list of peers with any */
 	bool all_zones;			/* peers of all zones are asked for */
 	usec_t peers_confirmed; /* last response of the keeper asked for peers */
-	setting_list_t reported_keepers; /* last list from a keeper */
-	setting_list_t polled_keepers;	 /* not taken over yet */
+	presence_keepers_t reported_keepers; /* newest list of keepers */
+	presence_keepers_t polled_keepers;   /* not offered yet */
 	char polled_reporter[CLIENT_REPORTER_MAX];
 	GQueue reports; /* encoded datagrams to be sent to all keepers, GBytes */
 };
@@ -145,7 +147,7 @@
 	for (i = 0; i < client->count; i++)
 		if (client_list_contains(&client->seeds,
 					 client->keepers[i].address) ||
-		    client_list_contains(&client->reported_keepers,
+		    client_list_contains(&client->reported_keepers.list,
 					 client->keepers[i].address))
 			client->keepers[count++] = client->keepers[i];
 	client->count = count;
@@ -154,63 +156,99 @@
 static void client_log_keepers(const presence_client_t *client,
 			       const char *reporter)
 {
+	const presence_keepers_t *keepers = &client->reported_keepers;
 	char list[PRESENCE_KEEPERS_MAX * HL_ADDRESS_MAX] = "";
 	unsigned i;
 
-	for (i = 0; i < client->reported_keepers.count; i++) {
+	for (i = 0; i < keepers->list.count; i++) {
 		if (i)
 			strcat(list, ",");
-		strcat(list, client->reported_keepers.items[i]);
+		strcat(list, keepers->list.items[i]);
 	}
 	log_event(LOG_LEVEL_INFO, "keepers-learned",
-		  "count=%u keepers=%s reporter=%s", i, list, reporter);
+		  "count=%u keepers=%s revision=%" PRIu64 " reporter=%s", i,
+		  list, keepers->revision, reporter);
 }
 
-/* Take over a list of keepers from @reporter. */
-static void client_take_keepers(presence_client_t *client, const char *reporter,
-				const setting_list_t *keepers)
+/* Take over a list of keepers from @reporter, unless it is older. */
+static void client_offer_keepers(presence_client_t *client,
+				 const char *reporter,
+				 const presence_keepers_t *keepers)
 {
+	presence_keepers_result_t result;
 	unsigned i;
 
 	pthread_mutex_lock(&client->lock);
-	client->reported_keepers = *keepers;
+	result = presence_keepers_offer(&client->reported_keepers, keepers);
 	pthread_mutex_unlock(&client->lock);
-	for (i = 0; i < keepers->count; i++)
-		client_add_keeper(client, keepers->items[i]);
-	client_remove_unlisted(client);
+	if (result == PRESENCE_KEEPERS_OLDER ||
+	    result == PRESENCE_KEEPERS_MALFORMED) {
+		metrics_add(client->options.keepers_drops, 1);
+		presence_keepers_log_dropped(&client->reported_keepers, keepers,
+					     result, reporter);
+	}
+	if (result != PRESENCE_KEEPERS_TAKEN)
+		return;
+	for (i = 0; i < keepers->list.count; i++)
+		client_add_keeper(client, keepers->list.items[i]);
 	client_log_keepers(client, reporter);
+	/* May move the keeper whose address is @reporter. */
+	client_remove_unlisted(client);
 }
 
-/* Take over the list of keepers if the response of @reporter has one. */
-static void client_update_keepers(presence_client_t *client,
-				  const char *reporter,
-				  const presence_keeper_status_t *status)
+/* Read a list of keepers from a datagram, with 0 as @revision if it has none. */
+static void client_read_keepers(presence_keepers_t *keepers, uint64_t revision,
+				char *const *addresses, u_int count)
 {
-	setting_list_t keepers = { 0 };
 	u_int i;
 
-	for (i = 0; i < status->addresses.addresses_len; i++)
-		snprintf(keepers.items[keepers.count++], HL_ADDRESS_MAX, "%s",
-			 status->addresses.addresses_val[i]);
-	if (keepers.count)
-		client_take_keepers(client, reporter, &keepers);
+	memset(keepers, 0, sizeof(*keepers));
+	keepers->revision = revision;
+	for (i = 0; i < count; i++)
+		snprintf(keepers->list.items[keepers->list.count++],
+			 HL_ADDRESS_MAX, "%s", addresses[i]);
+}
+
+/* A keeper of an earlier release sends a list without a revision. */
+static void client_on_listed(presence_client_t *client,
+			     const client_keeper_t *keeper,
+			     const presence_keeper_status_t *status)
+{
+	presence_keepers_t keepers;
+
+	if (keeper->names_revision)
+		return;
+	client_read_keepers(&keepers, 0, status->addresses.addresses_val,
+			    status->addresses.addresses_len);
+	client_offer_keepers(client, keeper->address, &keepers);
+}
+
+static void client_on_keepers(presence_client_t *client,
+			      client_keeper_t *keeper,
+			      const presence_keepers_list_t *body)
+{
+	presence_keepers_t keepers;
+
+	keeper->names_revision = true;
+	client_read_keepers(&keepers, body->revision,
+			    body->addresses.addresses_val,
+			    body->addresses.addresses_len);
+	client_offer_keepers(client, keeper->address, &keepers);
 }
 
-/* Take over the list of presence_client_set_keepers(), if it is another one. */
+/* Offer the list of presence_client_set_keepers(). */
 static void client_take_polled_keepers(presence_client_t *client)
 {
 	char reporter[CLIENT_REPORTER_MAX];
-	setting_list_t keepers;
+	presence_keepers_t keepers;
 
 	pthread_mutex_lock(&client->lock);
 	strcpy(reporter, client->polled_reporter);
 	keepers = client->polled_keepers;
-	client->polled_keepers.count = 0;
+	client->polled_keepers.list.count = 0;
 	pthread_mutex_unlock(&client->lock);
-	if (keepers.count &&
-	    presence_keepers_hash(&keepers) !=
-		    presence_keepers_hash(&client->reported_keepers))
-		client_take_keepers(client, reporter, &keepers);
+	if (keepers.list.count)
+		client_offer_keepers(client, reporter, &keepers);
 }
 
 static client_keeper_t *client_find_keeper(presence_client_t *client,
@@ -258,7 +296,6 @@
 	__atomic_store_n(&client->entries,
 			 status->entries ? status->entries : 1,
 			 __ATOMIC_RELAXED);
-	client_update_keepers(client, keeper->address, status);
 	client_update_leader(client, keeper, status->leading);
 	if (status->revision >
 	    client->options.revision(client->options.context))
@@ -270,6 +307,8 @@
 		client->options.on_leader(client->options.context,
 					  keeper->address, status->revision,
 					  asked_at);
+	/* May move @keeper. */
+	client_on_listed(client, keeper, status);
 }
 
 static void client_on_peers(presence_client_t *client,
@@ -299,6 +338,9 @@
 				   &body->presence_body_t_u.keeper_status, now);
 	else if (body->kind == PRESENCE_PEERS)
 		client_on_peers(client, &body->presence_body_t_u.peers, now);
+	else if (body->kind == PRESENCE_KEEPERS)
+		client_on_keepers(client, keeper,
+				  &body->presence_body_t_u.keepers);
 }
 
 static void client_receive(presence_client_t *client, usec_t now)
@@ -361,7 +403,7 @@
 	heartbeat->id = client->id;
 	heartbeat->revision = client->options.revision(client->options.context);
 	heartbeat->keepers_hash = presence_keepers_hash(
-		&client->reported_keepers);
+		&client->reported_keepers.list);
 	heartbeat->ready = client->options.ready(client->options.context);
 	if (!keeper->has_identity ||
 	    now - keeper->last_seen > CLIENT_IDENTITY_RESEND_AGE) {
@@ -583,7 +625,7 @@
 }
 
 void presence_client_set_keepers(presence_client_t *client,
-				 const setting_list_t *keepers,
+				 const presence_keepers_t *keepers,
 				 const char *sibling)
 {
 	pthread_mutex_lock(&client->lock);
@@ -696,13 +738,14 @@
 	return __atomic_load_n(&client->entries, __ATOMIC_RELAXED);
 }
 
-void presence_client_keepers(presence_client_t *client, setting_list_t *out,
+void presence_client_keepers(presence_client_t *client, presence_keepers_t *out,
 			     char leader[HL_ADDRESS_MAX])
 {
 	pthread_mutex_lock(&client->lock);
 	strcpy(leader, client->leader);
-	*out = client->reported_keepers.count ? client->reported_keepers :
-						client->seeds;
+	*out = client->reported_keepers;
+	if (!out->list.count)
+		out->list = client->seeds;
 	pthread_mutex_unlock(&client->lock);
 }
 
--- a/presence.h
+++ b/presence.h
@@ -19,6 +19,7 @@
  * peers. An entry that does not reach copies that other entries reach is impaired
  * and reports that with each heartbeat.
  *
+ * presence_keepers_*	the list of keepers that an entry uses
  * presence_table_*	the entries that a keeper has heartbeats of
  * presence_client_*	heartbeats of an entry to the keepers
  */
@@ -48,6 +49,50 @@
 /** presence_clear - free the strings and arrays of a message and zero it. */
 void presence_clear(presence_t *message);
 
+/**
+ * struct presence_keepers_t - a list of keepers, and the revision of the group that it
+ * stands for.
+ *
+ * The revision is an index of the log of the keepers up to which the group is committed:
+ * that of the entry that has the group, or a later one. A keeper whose group is older
+ * has committed no entry as late, so the list with the higher revision is the newer
+ * one. 0: not known, as in the settings of an entry and from earlier releases.
+ */
+typedef struct {
+	setting_list_t list;
+	uint64_t revision;
+	unsigned drops; /* lists that presence_keepers_offer() has dropped */
+} presence_keepers_t;
+
+/** enum presence_keepers_result_t - what has become of a list that was offered. */
+typedef enum {
+	PRESENCE_KEEPERS_SAME,	    /* the own list has the same addresses */
+	PRESENCE_KEEPERS_TAKEN,	    /* it has replaced the own one */
+	PRESENCE_KEEPERS_OLDER,	    /* dropped */
+	PRESENCE_KEEPERS_MALFORMED, /* dropped */
+} presence_keepers_result_t;
+
+/**
+ * presence_keepers_offer - replace a list of keepers by one that is not older.
+ * @offered: another list with its revision; an empty one changes nothing
+ *
+ * It does no I/O; its user provides the locking.
+ */
+presence_keepers_result_t presence_keepers_offer(
+	presence_keepers_t *keepers, const presence_keepers_t *offered);
+
+/**
+ * presence_keepers_log_dropped - log a list that was dropped: the first, second,
+ * fourth, eighth or so on.
+ * @keepers: the list that was kept
+ * @offered: the list that was dropped
+ * @reporter: the sender of @offered
+ */
+void presence_keepers_log_dropped(const presence_keepers_t *keepers,
+				  const presence_keepers_t *offered,
+				  presence_keepers_result_t result,
+				  const char *reporter);
+
 /** struct presence_member_t - an entry in the table of a keeper. */
 typedef struct {
 	uint64_t id; /* hash of the entry's name and start time */
@@ -184,6 +229,7 @@
 	const char *address;	       /* IP address to send from */
 	const setting_list_t *keepers; /* "ip:port" of some keepers */
 	usec_t interval;	       /* interval between heartbeats */
+	uint64_t *keepers_drops;       /* counter of dropped lists, or NULL */
 	bool (*ready)(void *context);  /* true if the entry takes calls */
 	/* True if other entries reach copies that this entry does not reach. */
 	bool (*impaired)(void *context);
@@ -212,12 +258,13 @@
 supervisor_child_t presence_client_child(presence_client_t *client);
 
 /**
- * presence_client_set_keepers - replace the list that keepers have reported.
- * @keepers: addresses that the client did not get by datagram
+ * presence_client_set_keepers - offer a list in place of the one that keepers have
+ * reported, as presence_keepers_offer().
+ * @keepers: a list that the client did not get by datagram
  * @sibling: the sibling that has named the keeper with this list, or NULL
  */
 void presence_client_set_keepers(presence_client_t *client,
-				 const setting_list_t *keepers,
+				 const presence_keepers_t *keepers,
 				 const char *sibling);
 
 /** presence_client_trigger - send a heartbeat to all keepers at once. */
@@ -261,7 +308,7 @@
  *       options
  * @leader: set to the leader's address, or ""
  */
-void presence_client_keepers(presence_client_t *client, setting_list_t *out,
+void presence_client_keepers(presence_client_t *client, presence_keepers_t *out,
 			     char leader[HL_ADDRESS_MAX]);
 
 /**
--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 #include <urcu.h>
 #include "config-confirm.h"
+#include "config-direct-response.h"
 #include "config-follow-internal.h"
 #include "config-lag.h"
 #include "config-make.h"
@@ -326,7 +327,7 @@
 	metrics_t *metrics = metrics_new();
 	supervisor_t *sup = supervisor_new("test", 1, USEC_PER_SEC);
 	config_follow_options_t options = { .name = "e1", .metrics = metrics };
-	const setting_list_t unchanged = { 0 };
+	const presence_keepers_t unchanged = { 0 };
 	char silent_address[HL_ADDRESS_MAX], keeper_address[HL_ADDRESS_MAX];
 	int silent = listen_open(0, silent_address);
 	int keeper = listen_open(8, keeper_address);
@@ -778,6 +779,41 @@
 	metrics_free(metrics);
 }
 
+static void offer_keepers(config_follow_t *follow, const char *address,
+			  uint64_t revision)
+{
+	presence_keepers_t keepers = { .list.count = 1, .revision = revision };
+
+	strcpy(keepers.list.items[0], address);
+	config_follow_trigger(follow, &keepers, "", "");
+}
+
+/* Guards against a list of keepers that replaces a newer one. */
+static void test_crossed_keepers(void)
+{
+	metrics_t *metrics = metrics_new();
+	config_follow_options_t options = {
+		.name = "vm",
+		.settings = { .keepers = { 1, { "127.0.0.1:1" } } },
+		.metrics = metrics,
+	};
+	hl_error_t err;
+	config_follow_t *follow = config_follow_new(&options, &err);
+	const char *address = follow->keepers.list.items[0];
+
+	offer_keepers(follow, "127.0.0.1:2", 0);
+	g_assert_cmpstr(address, ==, "127.0.0.1:2");
+	offer_keepers(follow, "127.0.0.1:3", 6);
+	g_assert_cmpstr(address, ==, "127.0.0.1:3");
+	offer_keepers(follow, "127.0.0.1:4", 5);
+	offer_keepers(follow, "127.0.0.1:4", 0);
+	g_assert_cmpstr(address, ==, "127.0.0.1:3");
+	offer_keepers(follow, "127.0.0.1:4", 6);
+	g_assert_cmpstr(address, ==, "127.0.0.1:4");
+	config_follow_free(follow);
+	metrics_free(metrics);
+}
+
 /* Guards against a copy that stays out of service once a leader has confirmed the
  * configuration in force. */
 static void test_pending_confirmed(void)
@@ -799,6 +835,43 @@
 	metrics_free(metrics);
 }
 
+/* Guards against a part of a malformed list, and against a list without its revision. */
+static void test_keepers_headers(void)
+{
+	static const struct {
+		const char *line;
+		bool malformed;
+		unsigned count;
+		uint64_t revision;
+	} rows[] = {
+		{ "Hemlock-Keepers: 10.0.0.1:1,10.0.0.2:1\r\n", false, 2, 0 },
+		{ "Hemlock-Keepers: 10.0.0.1:1,keeper:1\r\n", true, 0, 0 },
+		{ "Hemlock-Keepers: 10.0.0.1:1,\r\n", true, 0, 0 },
+		{ "Hemlock-Keepers-Revision: 7\r\n", false, 0, 7 },
+		{ "hemlock-keepers-revision:18446744073709551615\r\n", false, 0,
+		  UINT64_MAX },
+		{ "Hemlock-Keepers-Revision: 18446744073709551616\r\n", true, 0,
+		  0 },
+		{ "Hemlock-Keepers-Revision: -1\r\n", true, 0, 0 },
+		{ "Hemlock-Keepers-Revision:\r\n", true, 0, 0 },
+		{ "Hemlock-Voters: 3\r\n", false, 0, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		config_direct_response_t response = { 0 };
+
+		config_direct_header((char *)rows[i].line, 1,
+				     strlen(rows[i].line), &response);
+		g_assert_cmpint(response.keepers_malformed, ==,
+				rows[i].malformed);
+		g_assert_cmpuint(response.keepers.list.count, ==,
+				 rows[i].count);
+		g_assert_cmpuint(response.keepers.revision, ==,
+				 rows[i].revision);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -818,6 +891,8 @@
 	g_test_add_func("/config-follow/confirm-retry", test_confirm_retry);
 	g_test_add_func("/config-follow/confirmation", test_confirmation);
 	g_test_add_func("/config-follow/connect-timeout", test_connect_timeout);
+	g_test_add_func("/config-follow/crossed-keepers", test_crossed_keepers);
+	g_test_add_func("/config-follow/keepers-headers", test_keepers_headers);
 	g_test_add_func("/config-follow/outdated", test_outdated);
 	g_test_add_func("/config-follow/pending-confirmed",
 			test_pending_confirmed);
--- a/regress/test-config-sibling.c
+++ b/regress/test-config-sibling.c
@@ -332,6 +332,28 @@
 	g_assert_cmpuint(fixture->reported, ==, 0);
 }
 
+/* Guards against polls of keepers by a list that is older than the own one, whatever the
+ * sibling's confirmation is. One of an earlier release states no revision. */
+static void test_keepers_revision(fixture_t *fixture, gconstpointer data)
+{
+	config_sibling_answer_t from = make_answer("10.0.0.4:7090", 5, 0);
+	usec_t now = START + 2 * USEC_PER_SEC;
+
+	(void)data;
+	fixture->view.keepers_revision = 8;
+	from.keepers_revision = 7;
+	g_assert_cmpint(answer(fixture, "a", &from, now), ==,
+			CONFIG_SIBLING_USELESS);
+	g_assert_null(config_sibling_keeper(&fixture->sibling));
+	from.keepers_revision = 8;
+	g_assert_cmpint(answer(fixture, "a", &from, now), ==,
+			CONFIG_SIBLING_POLL);
+	config_sibling_confirmed(&fixture->sibling);
+	from.keepers_revision = 0;
+	g_assert_cmpint(answer(fixture, "a", &from, now), ==,
+			CONFIG_SIBLING_POLL);
+}
+
 static void add(const char *name,
 		void (*test)(fixture_t *fixture, gconstpointer data))
 {
@@ -355,5 +377,6 @@
 	add("same-list", test_same_list);
 	add("faulty", test_faulty);
 	add("agreed", test_agreed);
+	add("keepers-revision", test_keepers_revision);
 	return g_test_run();
 }
--- a/regress/test-presence.c
+++ b/regress/test-presence.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 #include "headers.h"
 #include "keeper-registry.h"
+#include "metrics.h"
 #include "presence.h"
 
 /*
@@ -372,6 +373,253 @@
 		g_assert_false(presence_decode(bytes, cut, 7, &back));
 }
 
+/* Lists of keepers that cross, one offered after the other: those that are older, of an
+ * earlier release (revision 0) or malformed must not replace the newest one. */
+static const struct {
+	const char *keepers;
+	uint64_t revision;
+	const char *list; /* afterwards */
+	uint64_t own;
+	presence_keepers_result_t result;
+	unsigned drops;
+} offers[] = {
+	{ "", 0, "", 0, PRESENCE_KEEPERS_SAME, 0 },
+	{ "10.0.0.1:1", 0, "10.0.0.1:1", 0, PRESENCE_KEEPERS_TAKEN, 0 },
+	{ "10.0.0.2:1", 0, "10.0.0.2:1", 0, PRESENCE_KEEPERS_TAKEN, 0 },
+	{ "10.0.0.2:1", 3, "10.0.0.2:1", 3, PRESENCE_KEEPERS_SAME, 0 },
+	{ "10.0.0.1:1", 0, "10.0.0.2:1", 3, PRESENCE_KEEPERS_OLDER, 1 },
+	{ "10.0.0.2:1", 0, "10.0.0.2:1", 3, PRESENCE_KEEPERS_SAME, 1 },
+	{ "10.0.0.3:1,10.0.0.2:1", 5, "10.0.0.3:1,10.0.0.2:1", 5,
+	  PRESENCE_KEEPERS_TAKEN, 1 },
+	{ "10.0.0.2:1", 4, "10.0.0.3:1,10.0.0.2:1", 5, PRESENCE_KEEPERS_OLDER,
+	  2 },
+	{ "10.0.0.2:1,10.0.0.3:1", 4, "10.0.0.3:1,10.0.0.2:1", 5,
+	  PRESENCE_KEEPERS_SAME, 2 },
+	{ "10.0.0.4:1", 5, "10.0.0.4:1", 5, PRESENCE_KEEPERS_TAKEN, 2 },
+	{ "10.0.0.5:1,keeper:1", 9, "10.0.0.4:1", 5, PRESENCE_KEEPERS_MALFORMED,
+	  3 },
+	{ "10.0.0.5:1,,10.0.0.6:1", 9, "10.0.0.4:1", 5,
+	  PRESENCE_KEEPERS_MALFORMED, 4 },
+	{ "", 9, "10.0.0.4:1", 5, PRESENCE_KEEPERS_SAME, 4 },
+	{ "10.0.0.5:1", 6, "10.0.0.5:1", 6, PRESENCE_KEEPERS_TAKEN, 4 },
+};
+
+static presence_keepers_t make_keepers(const char *text, uint64_t revision)
+{
+	presence_keepers_t keepers = { .revision = revision };
+	char **items = g_strsplit(text, ",", 0);
+	unsigned i;
+
+	for (i = 0; items[i]; i++)
+		g_strlcpy(keepers.list.items[keepers.list.count++], items[i],
+			  HL_ADDRESS_MAX);
+	g_strfreev(items);
+	return keepers;
+}
+
+static void assert_keepers(const presence_keepers_t *keepers, const char *text,
+			   uint64_t revision)
+{
+	presence_keepers_t expected = make_keepers(text, revision);
+
+	g_assert_cmpuint(keepers->list.count, ==, expected.list.count);
+	g_assert_cmpuint(presence_keepers_hash(&keepers->list), ==,
+			 presence_keepers_hash(&expected.list));
+	g_assert_cmpuint(keepers->revision, ==, revision);
+}
+
+static void test_keepers_offered(void)
+{
+	presence_keepers_t keepers = { 0 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(offers); i++) {
+		presence_keepers_t offered = make_keepers(offers[i].keepers,
+							  offers[i].revision);
+
+		g_test_message("offer %zu", i);
+		g_assert_cmpint(presence_keepers_offer(&keepers, &offered), ==,
+				offers[i].result);
+		assert_keepers(&keepers, offers[i].list, offers[i].own);
+		g_assert_cmpuint(keepers.drops, ==, offers[i].drops);
+	}
+}
+
+/* More addresses than a datagram may have. */
+static void test_keepers_too_many(void)
+{
+	presence_keepers_t keepers = { 0 };
+	presence_keepers_t offered =
+		make_keepers("10.0.0.1:1,10.0.0.2:1,10.0.0.3:1,10.0.0.4:1,"
+			     "10.0.0.5:1,10.0.0.6:1,10.0.0.7:1,10.0.0.8:1",
+			     4);
+
+	g_assert_cmpint(presence_keepers_offer(&keepers, &offered), ==,
+			PRESENCE_KEEPERS_MALFORMED);
+	assert_keepers(&keepers, "", 0);
+}
+
+/* A keeper that the test plays, and an entry's client. */
+typedef struct {
+	int socket;
+	struct sockaddr_storage client;
+	socklen_t client_length;
+	char address[HL_ADDRESS_MAX];
+	uint64_t *drops;
+	presence_client_t *presence;
+} keeper_t;
+
+static bool client_ready(void *context)
+{
+	(void)context;
+	return true;
+}
+
+static uint64_t client_revision(void *context)
+{
+	(void)context;
+	return 100;
+}
+
+/* Waits for a heartbeat, to learn the client's address. */
+static void keeper_receive(keeper_t *keeper)
+{
+	char bytes[PRESENCE_BYTES_MAX];
+
+	keeper->client_length = sizeof(keeper->client);
+	g_assert_cmpint(recvfrom(keeper->socket, bytes, sizeof(bytes), 0,
+				 (struct sockaddr *)&keeper->client,
+				 &keeper->client_length),
+			>, 0);
+}
+
+static void keeper_send(const keeper_t *keeper, uint64_t cluster,
+			presence_kind_t kind, const char *text,
+			uint64_t revision)
+{
+	presence_keepers_t keepers = make_keepers(text, revision);
+	char *addresses[PRESENCE_KEEPERS_MAX];
+	presence_t message = { .cluster = cluster };
+	presence_keepers_list_t *list = &message.body.presence_body_t_u.keepers;
+	presence_keeper_status_t *status =
+		&message.body.presence_body_t_u.keeper_status;
+	char bytes[PRESENCE_BYTES_MAX];
+	size_t size;
+	unsigned i;
+
+	for (i = 0; i < keepers.list.count; i++)
+		addresses[i] = keepers.list.items[i];
+	message.body.kind = kind;
+	if (kind == PRESENCE_KEEPERS) {
+		list->revision = revision;
+		list->addresses.addresses_len = keepers.list.count;
+		list->addresses.addresses_val = addresses;
+	} else {
+		status->identity_known = true;
+		status->addresses.addresses_len = keepers.list.count;
+		status->addresses.addresses_val = addresses;
+	}
+	size = presence_encode(&message, bytes);
+	g_assert_cmpint(sendto(keeper->socket, bytes, size, 0,
+			       (const struct sockaddr *)&keeper->client,
+			       keeper->client_length),
+			==, size);
+}
+
+/* Waits until the client has this list and has dropped @drops lists. */
+static void keeper_expect(const keeper_t *keeper, const char *text,
+			  uint64_t revision, uint64_t drops)
+{
+	presence_keepers_t expected = make_keepers(text, revision);
+	usec_t end = time_now() + 5 * SECOND;
+	char leader[HL_ADDRESS_MAX];
+	presence_keepers_t keepers;
+
+	do {
+		g_usleep(1000);
+		presence_client_keepers(keeper->presence, &keepers, leader);
+	} while (time_now() < end &&
+		 (presence_keepers_hash(&keepers.list) !=
+			  presence_keepers_hash(&expected.list) ||
+		  __atomic_load_n(keeper->drops, __ATOMIC_RELAXED) != drops));
+	assert_keepers(&keepers, text, revision);
+	g_assert_cmpuint(__atomic_load_n(keeper->drops, __ATOMIC_RELAXED), ==,
+			 drops);
+}
+
+static void keeper_open(keeper_t *keeper)
+{
+	const struct timeval wait = { .tv_sec = 5 };
+	struct sockaddr_in own = { .sin_family = AF_INET,
+				   .sin_addr = { htonl(INADDR_LOOPBACK) } };
+	socklen_t length = sizeof(own);
+
+	memset(keeper, 0, sizeof(*keeper));
+	keeper->socket = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	g_assert_cmpint(bind(keeper->socket, (struct sockaddr *)&own, length),
+			==, 0);
+	getsockname(keeper->socket, (struct sockaddr *)&own, &length);
+	setsockopt(keeper->socket, SOL_SOCKET, SO_RCVTIMEO, &wait,
+		   sizeof(wait));
+	g_snprintf(keeper->address, sizeof(keeper->address), "127.0.0.1:%u",
+		   ntohs(own.sin_port));
+}
+
+/* Guards against an entry that takes over an older list from a keeper that was removed
+ * or is of an earlier release, or the list of another cluster. */
+static void test_keepers_crossed(void)
+{
+	const uint64_t cluster = hl_hash("c", 1, 0);
+	metrics_t *metrics = metrics_new();
+	supervisor_t *sup = supervisor_new("test", 1, SECOND);
+	setting_list_t seeds = { .count = 1 };
+	presence_client_options_t options = { .cluster = "c",
+					      .name = "e1",
+					      .zone = "a",
+					      .call_address = "10.0.0.1:80",
+					      .address = "127.0.0.1",
+					      .keepers = &seeds,
+					      .interval = SECOND / 20,
+					      .ready = client_ready,
+					      .impaired = client_ready,
+					      .revision = client_revision };
+	supervisor_child_t child;
+	hl_error_t err;
+	keeper_t keeper;
+
+	log_set_level(LOG_LEVEL_ERROR);
+	keeper_open(&keeper);
+	strcpy(seeds.items[0], keeper.address);
+	options.keepers_drops = keeper.drops = metrics_counter(metrics,
+							       "drops_total",
+							       "", "drops");
+	keeper.presence = presence_client_new(&options, &err);
+	g_assert_nonnull(keeper.presence);
+	child = presence_client_child(keeper.presence);
+	g_assert_cmpint(supervisor_add(sup, &child, NULL), ==, 0);
+	keeper_receive(&keeper);
+	keeper_send(&keeper, cluster, PRESENCE_KEEPER_STATUS, "10.0.0.1:1", 0);
+	keeper_expect(&keeper, "10.0.0.1:1", 0, 0);
+	keeper_send(&keeper, cluster, PRESENCE_KEEPERS, "10.0.0.2:1", 5);
+	keeper_expect(&keeper, "10.0.0.2:1", 5, 0);
+	keeper_send(&keeper, cluster, PRESENCE_KEEPERS, "10.0.0.1:1", 4);
+	keeper_expect(&keeper, "10.0.0.2:1", 5, 1);
+	keeper_send(&keeper, cluster, PRESENCE_KEEPERS, "10.0.0.3:1,x", 6);
+	keeper_expect(&keeper, "10.0.0.2:1", 5, 2);
+	keeper_send(&keeper, cluster + 1, PRESENCE_KEEPERS, "10.0.0.9:1", 9);
+	/* Nor that of the status, which is for entries of earlier releases. */
+	keeper_send(&keeper, cluster, PRESENCE_KEEPER_STATUS, "10.0.0.1:1", 0);
+	keeper_send(&keeper, cluster, PRESENCE_KEEPERS, "10.0.0.1:1", 0);
+	keeper_expect(&keeper, "10.0.0.2:1", 5, 3);
+	keeper_send(&keeper, cluster, PRESENCE_KEEPERS, "10.0.0.4:1", 5);
+	keeper_expect(&keeper, "10.0.0.4:1", 5, 3);
+	supervisor_free(sup);
+	presence_client_free(keeper.presence);
+	close(keeper.socket);
+	metrics_free(metrics);
+	log_set_level(LOG_LEVEL_INFO);
+}
+
 static unsigned count_silent(keeper_last_seen_t *table, const config_t *config,
 			     usec_t now)
 {
@@ -497,6 +745,9 @@
 	g_test_add_func("/presence/most-impaired", test_most_impaired);
 	g_test_add_func("/presence/choose-one", test_choose_one);
 	g_test_add_func("/presence/codec", test_codec);
+	g_test_add_func("/presence/keepers-offered", test_keepers_offered);
+	g_test_add_func("/presence/keepers-too-many", test_keepers_too_many);
+	g_test_add_func("/presence/keepers-crossed", test_keepers_crossed);
 	g_test_add_func("/presence/silence", test_silent_copies);
 	g_test_add_func("/presence/load", test_load_header);
 	g_test_add_func("/presence/log-never-blocks", test_log_never_blocks);
--- a/rpc/presence_rpc.h
+++ b/rpc/presence_rpc.h
@@ -31,6 +31,7 @@
 	PRESENCE_SUSPECT = 7,
 	PRESENCE_COPY_LEAVES = 8,
 	PRESENCE_IMPAIRED = 9,
+	PRESENCE_KEEPERS = 10,
 };
 typedef enum presence_kind_t presence_kind_t;
 
@@ -119,6 +120,15 @@
 };
 typedef struct presence_impaired_t presence_impaired_t;
 
+struct presence_keepers_list_t {
+	u_quad_t revision;
+	struct {
+		u_int addresses_len;
+		presence_address_t *addresses_val;
+	} addresses;
+};
+typedef struct presence_keepers_list_t presence_keepers_list_t;
+
 struct presence_body_t {
 	presence_kind_t kind;
 	union {
@@ -131,6 +141,7 @@
 		presence_suspect_t suspect;
 		presence_copy_leaves_t copy_leaves;
 		presence_impaired_t impaired;
+		presence_keepers_list_t keepers;
 	} presence_body_t_u;
 };
 typedef struct presence_body_t presence_body_t;
@@ -156,6 +167,7 @@
 extern  bool_t xdr_presence_suspect_t (XDR *, presence_suspect_t*);
 extern  bool_t xdr_presence_copy_leaves_t (XDR *, presence_copy_leaves_t*);
 extern  bool_t xdr_presence_impaired_t (XDR *, presence_impaired_t*);
+extern  bool_t xdr_presence_keepers_list_t (XDR *, presence_keepers_list_t*);
 extern  bool_t xdr_presence_body_t (XDR *, presence_body_t*);
 extern  bool_t xdr_presence_t (XDR *, presence_t*);
 
@@ -172,6 +184,7 @@
 extern bool_t xdr_presence_suspect_t ();
 extern bool_t xdr_presence_copy_leaves_t ();
 extern bool_t xdr_presence_impaired_t ();
+extern bool_t xdr_presence_keepers_list_t ();
 extern bool_t xdr_presence_body_t ();
 extern bool_t xdr_presence_t ();
 
--- a/rpc/presence_rpc.x
+++ b/rpc/presence_rpc.x
@@ -20,7 +20,8 @@
 	PRESENCE_COPY_RATE = 6,		/* entry to keeper */
 	PRESENCE_SUSPECT = 7,		/* entry to keeper */
 	PRESENCE_COPY_LEAVES = 8,	/* entry to keeper */
-	PRESENCE_IMPAIRED = 9		/* entry to keeper, with a heartbeat */
+	PRESENCE_IMPAIRED = 9,		/* entry to keeper, with a heartbeat */
+	PRESENCE_KEEPERS = 10		/* keeper to entry, if its list differs */
 };
 
 /* The identity of an entry, which heartbeats omit once the keeper has it. */
@@ -45,7 +46,8 @@
 	bool leading;			/* leads, and has a lease if it responds */
 	bool identity_known;		/* the keeper has the identity */
 	unsigned hyper keepers_hash;	/* hash of the keeper addresses */
-	/* Keeper addresses; empty if the entry sent an equal keepers_hash. */
+	/* Keeper addresses, as in presence_keepers_list_t, for entries of
+	   earlier releases; empty if the entry sent an equal keepers_hash. */
 	presence_address_t addresses<PRESENCE_KEEPERS_MAX>;
 };
 
@@ -98,6 +100,13 @@
 	unsigned hyper id;		/* as in presence_entry_t */
 };
 
+/* The keepers of the group that is committed at the sender, sent before the status if
+   the entry sent another keepers_hash. Entries of earlier releases drop it. */
+struct presence_keepers_list_t {
+	unsigned hyper revision;	/* as in keeper_status_view_t.committed */
+	presence_address_t addresses<PRESENCE_KEEPERS_MAX>;
+};
+
 union presence_body_t switch (presence_kind_t kind) {
 case PRESENCE_ENTRY:
 	presence_entry_t entry;
@@ -117,6 +126,8 @@
 	presence_copy_leaves_t copy_leaves;
 case PRESENCE_IMPAIRED:
 	presence_impaired_t impaired;
+case PRESENCE_KEEPERS:
+	presence_keepers_list_t keepers;
 };
 
 struct presence_t {
--- a/rpc/presence_rpc_xdr.c
+++ b/rpc/presence_rpc_xdr.c
@@ -225,6 +225,19 @@
 	return TRUE;
 }
 
+bool_t
+xdr_presence_keepers_list_t (XDR *xdrs, presence_keepers_list_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->addresses.addresses_val, (u_int *) &objp->addresses.addresses_len, PRESENCE_KEEPERS_MAX,
+		sizeof (presence_address_t), (xdrproc_t) xdr_presence_address_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_presence_body_t (XDR *xdrs, presence_body_t *objp)
 {
@@ -269,6 +282,10 @@
 		 if (!xdr_presence_impaired_t (xdrs, &objp->presence_body_t_u.impaired))
 			 return FALSE;
 		break;
+	case PRESENCE_KEEPERS:
+		 if (!xdr_presence_keepers_list_t (xdrs, &objp->presence_body_t_u.keepers))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
