Count at a start only keepers whose log reaches the newest group

Before a leader confirms its configuration, a starting entry routes calls once a majority of the voters has responded. It counted responders of different groups together and took the largest number of voters that any of them stated: with three keepers replaced one by one, two removed ones that run on with their old logs made two of three, and the entry served what they have, although a present keeper had responded too.

A keeper that does not lead now also states the indices, in its log, of its group (Hemlock-Group-Index) and of the last entry (Hemlock-Log-Last). Only responders whose log reaches the newest group stated count. A response without the indices, of an earlier release, counts as before. If only removed keepers respond, they still count.

/config-start/removed-do-not-count, removed-counted-before, group-of-one- that-was-removed and log-grows fail without the comparison ("quorum" == "waiting") and pass with it.

--- a/config-direct-response.c
+++ b/config-direct-response.c
@@ -24,6 +24,8 @@
 #define DIRECT_VOTERS_HEADER "Hemlock-Voters:"
 #define DIRECT_ROUTES_HEADER "Hemlock-Pending-Routes:"
 #define DIRECT_COPIES_HEADER "Hemlock-Pending-Copies:"
+#define DIRECT_GROUP_HEADER "Hemlock-Group-Index:"
+#define DIRECT_LAST_HEADER "Hemlock-Log-Last:"
 
 size_t config_direct_write(char *bytes, size_t size, size_t count,
 			   void *context)
@@ -84,6 +86,18 @@
 	g_strstrip(start->routes);
 }
 
+/* Reads a header with an index of the log of such a keeper. */
+static void direct_read_index(config_start_response_t *start, const char *line)
+{
+	size_t group = strlen(DIRECT_GROUP_HEADER);
+	size_t last = strlen(DIRECT_LAST_HEADER);
+
+	if (!strncasecmp(line, DIRECT_GROUP_HEADER, group))
+		start->group = strtoull(line + group, NULL, 10);
+	else if (!strncasecmp(line, DIRECT_LAST_HEADER, last))
+		start->last = strtoull(line + last, NULL, 10);
+}
+
 size_t config_direct_header(char *line, size_t size, size_t count,
 			    void *context)
 {
@@ -95,6 +109,7 @@
 
 	text = g_strndup(line, length);
 	direct_read_start(&response->start, text);
+	direct_read_index(&response->start, text);
 	if (!strncasecmp(text, DIRECT_KEEPERS_HEADER, name))
 		direct_read_keepers(response, text + name);
 	else if (!strncasecmp(text, DIRECT_KEEPERS_REVISION_HEADER, revision))
--- a/config-direct.c
+++ b/config-direct.c
@@ -140,6 +140,7 @@
 	char url[HL_ADDRESS_MAX + 128];
 	config_direct_response_t response = {
 		.start.voters = CONFIG_START_VOTERS_ABSENT,
+		.start.last = CONFIG_START_LAST_ABSENT,
 	};
 	CURL *easy = follow->easy;
 	CURLcode result;
--- a/config-start.c
+++ b/config-start.c
@@ -17,13 +17,13 @@
 	return &start->last[start->count++];
 }
 
-/* Whether the response of a keeper tells nothing new. */
-static bool start_same(const config_start_response_t *last,
-		       const config_start_response_t *response)
+/* Whether two responses of a keeper differ in more than the indices of its log. */
+static bool start_differs(const config_start_response_t *a,
+			  const config_start_response_t *b)
 {
-	return *last->address && last->voters == response->voters &&
-	       !strcmp(last->routes, response->routes) &&
-	       !strcmp(last->copies, response->copies);
+	return strcmp(a->address, b->address) != 0 || a->voters != b->voters ||
+	       strcmp(a->routes, b->routes) != 0 ||
+	       strcmp(a->copies, b->copies) != 0;
 }
 
 bool config_start_record(config_start_t *start,
@@ -32,6 +32,7 @@
 {
 	config_start_response_t *slot;
 	bool changed = revision && !start->since;
+	unsigned responders, voters;
 
 	if (changed)
 		start->since = now;
@@ -40,25 +41,40 @@
 		start->earlier_release = true;
 		return changed;
 	}
+	responders = config_start_responders(start, &voters);
 	slot = start_slot(start, response->address);
-	if (!slot || start_same(slot, response))
+	if (!slot)
 		return changed;
+	changed = changed || start_differs(slot, response);
 	*slot = *response;
-	return true;
+	return changed || config_start_responders(start, &voters) != responders;
+}
+
+/* Index of the newest group that a response states. */
+static uint64_t start_newest_group(const config_start_t *start)
+{
+	uint64_t newest = 0;
+	unsigned i;
+
+	for (i = 0; i < start->count; i++)
+		newest = MAX(newest, start->last[i].group);
+	return newest;
 }
 
 unsigned config_start_responders(const config_start_t *start, unsigned *voters)
 {
+	uint64_t newest = start_newest_group(start);
 	unsigned responders = 0;
 	unsigned i;
 
 	*voters = 0;
 	for (i = 0; i < start->count; i++) {
-		if (start->last[i].voters <= 0)
+		const config_start_response_t *response = &start->last[i];
+
+		if (response->voters <= 0 || response->last < newest)
 			continue;
 		responders++;
-		if ((unsigned)start->last[i].voters > *voters)
-			*voters = (unsigned)start->last[i].voters;
+		*voters = MAX(*voters, (unsigned)response->voters);
 	}
 	return responders;
 }
--- a/config-start.h
+++ b/config-start.h
@@ -8,7 +8,9 @@
  * Which calls an entry that has started may route before a leading keeper has
  * confirmed its configuration. A change that was accepted earlier is in the logs of a
  * majority of the voters, so one of any majority has it: applied, or at the end of its
- * log, whose routes and copies it names. It does no I/O; its user provides the locking.
+ * log, whose routes and copies it names. Only keepers whose log reaches the newest group that any
+ * of them states count: one that was removed before may run on with an older log, in
+ * which it is a voter. It does no I/O; its user provides the locking.
  */
 
 /* Maximum size of the list of routes of one keeper, with its final NUL byte. */
@@ -21,12 +23,19 @@
 #define CONFIG_START_ALL_COPIES "*"
 /* config_start_response_t.voters of a response that does not state them. */
 #define CONFIG_START_VOTERS_ABSENT (-1)
+/* config_start_response_t.last of a response that does not state it. */
+#define CONFIG_START_LAST_ABSENT UINT64_MAX
 
 /** struct config_start_response_t - the response of a keeper that does not lead. */
 typedef struct {
 	char address[HL_ADDRESS_MAX]; /* of the keeper */
 	/* Number of voters of its group; 0: its own disk is not a voter. */
 	int voters;
+	/* Index of the entry of its log, committed or not, that holds its group, or
+	 * of the snapshot that does; 0: not stated. */
+	uint64_t group;
+	/* Index of the last entry of its log. */
+	uint64_t last;
 	/* Host and prefix of each route that the end of its log may change,
 	 * separated by commas; characters of the prefix may be escaped by '%' and
 	 * two digits. */
@@ -77,7 +86,8 @@
 			 uint64_t revision, usec_t now);
 
 /**
- * config_start_responders - number of voters that have responded.
+ * config_start_responders - number of voters that have responded and whose log reaches
+ * the newest group.
  * @voters: set to the largest number of voters that they state
  */
 unsigned config_start_responders(const config_start_t *start, unsigned *voters);
--- a/keeper-control.c
+++ b/keeper-control.c
@@ -179,16 +179,27 @@
 	return stopping;
 }
 
+static bool control_add_number(struct MHD_Response *response, const char *name,
+			       uint64_t number)
+{
+	char text[24];
+
+	snprintf(text, sizeof(text), "%" PRIu64, number);
+	return MHD_add_response_header(response, name, text) == MHD_YES;
+}
+
 /* Adds the headers by which an entry that starts decides which calls it may route
  * before a leader has confirmed the configuration. Returns false if a header can't be
  * added: the response must not be sent without. */
 static bool control_add_unconfirmed(struct MHD_Response *response,
 				    const keeper_unconfirmed_t *unconfirmed)
 {
-	char voters[16];
-
-	snprintf(voters, sizeof(voters), "%u", unconfirmed->voters);
-	return MHD_add_response_header(response, "Hemlock-Voters", voters) &&
+	return control_add_number(response, "Hemlock-Voters",
+				  unconfirmed->voters) &&
+	       control_add_number(response, "Hemlock-Group-Index",
+				  unconfirmed->group_index) &&
+	       control_add_number(response, "Hemlock-Log-Last",
+				  unconfirmed->last) &&
 	       (!*unconfirmed->routes ||
 		MHD_add_response_header(response, "Hemlock-Pending-Routes",
 					unconfirmed->routes)) &&
@@ -201,11 +212,8 @@
 static void control_add_keepers(struct MHD_Response *response,
 				const keeper_control_request_t *request)
 {
-	char revision[24];
-
-	snprintf(revision, sizeof(revision), "%" PRIu64,
-		 request->keepers_revision);
-	MHD_add_response_header(response, "Hemlock-Keepers-Revision", revision);
+	control_add_number(response, "Hemlock-Keepers-Revision",
+			   request->keepers_revision);
 	MHD_add_response_header(response, "Hemlock-Keepers", request->keepers);
 }
 
--- a/keeper-core.c
+++ b/keeper-core.c
@@ -209,6 +209,7 @@
 	view->term_start = raft->term_start;
 	view->incarnation = raft->settings.incarnation;
 	view->group = raft->group;
+	view->group_index = raft->group_index;
 	keeper_core_fill_committed(raft, view);
 	keeper_core_fill_match_index(raft, view);
 	view->voters = keeper_raft_is_voter(raft) ?
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -115,6 +115,7 @@
 	usec_t lease_end;
 	usec_t suspended; /* suspend time since boot when it became leader */
 	keeper_group_t group;
+	uint64_t group_index;	  /* as in keeper_raft_t */
 	keeper_group_t committed; /* the newest group that is committed */
 	/* Revision of committed: an index between its entry and the commit
 	 * index. */
@@ -131,7 +132,8 @@
  */
 typedef struct {
 	unsigned voters; /* of the group; 0 if this disk is not one of them */
-	char routes[KEEPER_TAIL_BYTES_MAX];	   /* as keeper_tail_t.routes */
+	uint64_t group_index, last;	    /* as in keeper_status_view_t */
+	char routes[KEEPER_TAIL_BYTES_MAX]; /* as keeper_tail_t.routes */
 	char copies[KEEPER_TAIL_COPIES_BYTES_MAX]; /* likewise */
 } keeper_unconfirmed_t;
 
--- a/keeper-request.c
+++ b/keeper-request.c
@@ -239,6 +239,8 @@
 	pthread_mutex_lock(&core->lock);
 	if (unconfirmed) {
 		unconfirmed->voters = core->view.voters;
+		unconfirmed->group_index = core->view.group_index;
+		unconfirmed->last = core->view.last;
 		strcpy(unconfirmed->routes, core->view.tail.routes);
 		strcpy(unconfirmed->copies, core->view.tail.copies);
 	}
--- a/regress/test-config-start.c
+++ b/regress/test-config-start.c
@@ -7,15 +7,19 @@
  * Guards against an entry that routes calls, before a leader has confirmed its
  * configuration, by a route that an accepted change has moved or dropped, or to a copy
  * that one has taken out of service. Each line of a case is a command with its expected
- * result. "respond MS KEEPER VOTERS REVISION ROUTES [COPIES]" records a response and
- * results in "changed" or "same"; VOTERS is "-" if the keeper states none, ROUTES "-" if
- * the list is empty; COPIES is "large" for a list over the limit. "state MS" results in the state, and
- * "call HOST TARGET PREFIX", with the prefix of the route in force, in "held" or
- * "routed"; "copy NAME" likewise.
+ * result.
+ *
+ * "respond MS KEEPER VOTERS REVISION ROUTES [COPIES [GROUP LAST]]" records a response and
+ * results in "changed" or "same". VOTERS is "-" if the keeper states none, ROUTES or COPIES
+ * if the list is empty; COPIES is "large" for a list over the limit. GROUP and LAST are the
+ * indices of its group and of its last entry, if it states them.
+ *
+ * "state MS" results in the state, and "call HOST TARGET PREFIX", with the prefix of the
+ * route in force, in "held" or "routed"; "copy NAME" likewise.
  */
 
 #define SERVE_AFTER (1000 * USEC_PER_MS)
-#define FIELDS_MAX 8
+#define FIELDS_MAX 9
 
 static const struct {
 	const char *name;
@@ -45,6 +49,37 @@
 				   "state 20 = waiting\n"
 				   "respond 30 c 5 5 - = changed\n"
 				   "state 30 = quorum\n" },
+	/* Two of three keepers were removed, and run on with their old logs. */
+	{ "removed-do-not-count", "respond 10 a 3 4 - - 1 50 = changed\n"
+				  "respond 20 d 3 9 - - 60 70 = changed\n"
+				  "respond 30 b 3 4 - - 1 59 = changed\n"
+				  "state 30 = waiting\n"
+				  "respond 40 e 3 8 - - 60 65 = changed\n"
+				  "state 40 = quorum\n" },
+	{ "removed-counted-before", "respond 10 a 3 4 - - 1 50 = changed\n"
+				    "respond 20 b 3 4 - - 1 50 = changed\n"
+				    "state 20 = quorum\n"
+				    "respond 30 d 3 9 - - 60 70 = changed\n"
+				    "state 30 = waiting\n" },
+	/* A snapshot has the group of d, so that d states the index of that. */
+	{ "group-in-snapshot", "respond 10 d 3 9 - - 65 70 = changed\n"
+			       "respond 20 e 3 9 - - 60 70 = changed\n"
+			       "state 20 = quorum\n" },
+	{ "group-of-one-that-was-removed",
+	  "respond 10 a 0 4 - - 60 60 = changed\n"
+	  "respond 20 b 3 4 - - 1 50 = changed\n"
+	  "respond 30 c 3 4 - - 1 50 = changed\n"
+	  "state 30 = waiting\n" },
+	{ "log-grows", "respond 10 a 3 4 - - 1 50 = changed\n"
+		       "respond 20 b 3 4 - - 60 60 = changed\n"
+		       "state 20 = waiting\n"
+		       "respond 30 a 3 4 - - 1 59 = same\n"
+		       "respond 40 a 3 4 - - 60 61 = changed\n"
+		       "state 40 = quorum\n"
+		       "respond 50 a 3 4 - - 60 62 = same\n" },
+	{ "indices-not-stated", "respond 10 a 3 4 - = changed\n"
+				"respond 20 b 3 4 - - 60 60 = changed\n"
+				"state 20 = quorum\n" },
 	{ "empty-disk-does-not-count", "respond 10 a 3 4 - = changed\n"
 				       "respond 20 b 0 0 - = changed\n"
 				       "respond 20 c 0 0 - = changed\n"
@@ -220,15 +255,20 @@
 
 static const char *run_respond(config_start_t *start, char **fields)
 {
-	config_start_response_t response = { .voters = atoi(fields[3]) };
+	config_start_response_t response = { .voters = atoi(fields[3]),
+					     .last = CONFIG_START_LAST_ABSENT };
 
 	if (!strcmp(fields[3], "-"))
 		response.voters = CONFIG_START_VOTERS_ABSENT;
 	g_strlcpy(response.address, fields[2], sizeof(response.address));
 	if (strcmp(fields[5], "-") != 0)
 		g_strlcpy(response.routes, fields[5], sizeof(response.routes));
-	if (fields[6])
+	if (fields[6] && strcmp(fields[6], "-") != 0)
 		read_copies(&response, fields[6]);
+	if (fields[6] && fields[7]) {
+		response.group = strtoull(fields[7], NULL, 10);
+		response.last = strtoull(fields[8], NULL, 10);
+	}
 	return config_start_record(start, &response,
 				   strtoull(fields[4], NULL, 10),
 				   atoi(fields[1]) * USEC_PER_MS) ?
