Do not let calls wait for what the configuration in force has

What callers saw: calls on a route get 503, reason unconfirmed, from an entry that starts, until there is a leader, though its configuration has the change of that route: one keeper has applied it, and another one names the route as one that the end of its log may change. Likewise for copies.

Cause: the entry does not know where the log of a keeper ends, nor what the configuration of another one contains. Ruled out: comparing the end of the log with the revision in force. Revisions count accepted changes, and the log has other entries too, so an end is mostly beyond the revision.

A keeper that does not lead states the index up to which its configuration has all (Hemlock-Log-Applied) and that of its last entry (Hemlock-Log-Last). Lists of a log that ends at or before the largest index of the first kind are void: what is applied was committed, so each entry of that log is contained in the configuration in force, or will be replaced. A keeper of an earlier release states no index, and its lists hold.

--- a/config-direct-response.c
+++ b/config-direct-response.c
@@ -1,5 +1,6 @@
 #include <curl/curl.h>
 #include <glib.h>
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -24,8 +25,6 @@
 #define DIRECT_VOTERS_HEADER "Hemlock-Voters:"
 #define DIRECT_ROUTES_HEADER "Hemlock-Pending-Routes:"
 #define DIRECT_COPIES_HEADER "Hemlock-Pending-Copies:"
-#define DIRECT_GROUP_HEADER "Hemlock-Group-Index:"
-#define DIRECT_LAST_HEADER "Hemlock-Log-Last:"
 
 size_t config_direct_write(char *bytes, size_t size, size_t count,
 			   void *context)
@@ -86,16 +85,35 @@
 	g_strstrip(start->routes);
 }
 
-/* Reads a header with an index of the log of such a keeper. */
+/* Headers with an index of the log of such a keeper. */
+static const struct {
+	const char *name;
+	size_t field; /* offset in config_start_response_t */
+} direct_indices[] = {
+	{ "Hemlock-Group-Index:", offsetof(config_start_response_t, group) },
+	{ "Hemlock-Log-Last:", offsetof(config_start_response_t, last) },
+	{ "Hemlock-Log-Applied:", offsetof(config_start_response_t, applied) },
+};
+
+/* Reads such a header; one that is malformed counts as not stated. */
 static void direct_read_index(config_start_response_t *start, const char *line)
 {
-	size_t group = strlen(DIRECT_GROUP_HEADER);
-	size_t last = strlen(DIRECT_LAST_HEADER);
+	char *fields = (char *)start;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(direct_indices); i++) {
+		size_t name = strlen(direct_indices[i].name);
+		guint64 index;
+		char *text;
 
-	if (!strncasecmp(line, DIRECT_GROUP_HEADER, group))
-		start->group = strtoull(line + group, NULL, 10);
-	else if (!strncasecmp(line, DIRECT_LAST_HEADER, last))
-		start->last = strtoull(line + last, NULL, 10);
+		if (strncasecmp(line, direct_indices[i].name, name) != 0)
+			continue;
+		text = g_strstrip(g_strdup(line + name));
+		if (g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, &index,
+					       NULL))
+			*(uint64_t *)(fields + direct_indices[i].field) = index;
+		g_free(text);
+	}
 }
 
 size_t config_direct_header(char *line, size_t size, size_t count,
--- a/config-start.c
+++ b/config-start.c
@@ -17,13 +17,19 @@
 	return &start->last[start->count++];
 }
 
-/* Whether two responses of a keeper differ in more than the indices of its log. */
+static bool start_has_lists(const config_start_response_t *response)
+{
+	return *response->routes || *response->copies;
+}
+
+/* Whether two responses of a keeper differ in more than indices that decide nothing. */
 static bool start_differs(const config_start_response_t *a,
 			  const config_start_response_t *b)
 {
 	return strcmp(a->address, b->address) != 0 || a->voters != b->voters ||
 	       strcmp(a->routes, b->routes) != 0 ||
-	       strcmp(a->copies, b->copies) != 0;
+	       strcmp(a->copies, b->copies) != 0 ||
+	       (start_has_lists(a) && a->last != b->last);
 }
 
 bool config_start_record(config_start_t *start,
@@ -36,6 +42,10 @@
 
 	if (changed)
 		start->since = now;
+	if (response->applied > start->applied) {
+		start->applied = response->applied;
+		changed = true;
+	}
 	if (response->voters == CONFIG_START_VOTERS_ABSENT) {
 		changed = changed || !start->earlier_release;
 		start->earlier_release = true;
@@ -129,6 +139,13 @@
 	g_free(list);
 }
 
+/* Whether the configuration in force replaces what the end of a log may change. */
+static bool start_is_void(const config_start_t *start,
+			  const config_start_response_t *response)
+{
+	return response->last <= start->applied;
+}
+
 unsigned config_start_pending(const config_start_t *start)
 {
 	unsigned count = 0;
@@ -138,6 +155,8 @@
 		const char *list = start->last[i].routes;
 		size_t length;
 
+		if (start_is_void(start, &start->last[i]))
+			continue;
 		while (start_next_item(&list, &length))
 			count++;
 	}
@@ -196,6 +215,8 @@
 		const char *item;
 		size_t length;
 
+		if (start_is_void(start, &start->last[i]))
+			continue;
 		if (!strcmp(start->last[i].copies, CONFIG_START_ALL_COPIES))
 			return true;
 		while ((item = start_next_item(&list, &length)))
@@ -231,7 +252,8 @@
 	unsigned i;
 
 	for (i = 0; i < start->count; i++)
-		if (start_has_copy(start->last[i].copies, name))
+		if (!start_is_void(start, &start->last[i]) &&
+		    start_has_copy(start->last[i].copies, name))
 			return true;
 	return false;
 }
--- a/config-start.h
+++ b/config-start.h
@@ -36,6 +36,9 @@
 	uint64_t group;
 	/* Index of the last entry of its log. */
 	uint64_t last;
+	/* Index of an entry of its log up to which its configuration has all; 0: not
+	 * stated. */
+	uint64_t applied;
 	/* Host and prefix of each route that the end of its log may change,
 	 * separated by commas; characters of the prefix may be escaped by '%' and
 	 * two digits. */
@@ -51,6 +54,10 @@
 	config_start_response_t last[KEEPER_VOTERS_MAX]; /* one for a keeper */
 	/* A keeper of an earlier release, which states no voters, has responded. */
 	bool earlier_release;
+	/* Index of a log entry up to which the configuration in force has all that
+	 * was accepted. Lists of keepers whose logs end there are void: each entry
+	 * of such a log is contained, or replaced by another one. */
+	uint64_t applied;
 	usec_t since; /* when the first configuration came; 0: none yet */
 } config_start_t;
 
--- a/keeper-control.c
+++ b/keeper-control.c
@@ -198,6 +198,8 @@
 				  unconfirmed->voters) &&
 	       control_add_number(response, "Hemlock-Group-Index",
 				  unconfirmed->group_index) &&
+	       control_add_number(response, "Hemlock-Log-Applied",
+				  unconfirmed->applied) &&
 	       control_add_number(response, "Hemlock-Log-Last",
 				  unconfirmed->last) &&
 	       (!*unconfirmed->routes ||
--- a/keeper-control.h
+++ b/keeper-control.h
@@ -130,8 +130,9 @@
  * The argument "any" also allows a configuration that no quorum confirms. If a
  * quorum confirms it, the header Hemlock-Keepers has the addresses of the keepers and
  * Hemlock-Keepers-Revision the revision of presence_keepers_t; else
- * Hemlock-Voters, Hemlock-Group-Index, Hemlock-Log-Last, Hemlock-Pending-Routes and
- * Hemlock-Pending-Copies have those of keeper_unconfirmed_t.
+ * Hemlock-Voters, Hemlock-Group-Index, Hemlock-Log-Applied, Hemlock-Log-Last,
+ * Hemlock-Pending-Routes and Hemlock-Pending-Copies have the fields of
+ * keeper_unconfirmed_t.
  */
 void keeper_handler_follow(keeper_control_request_t *request, usec_t now);
 
--- a/keeper-core.h
+++ b/keeper-core.h
@@ -132,7 +132,8 @@
  */
 typedef struct {
 	unsigned voters; /* of the group; 0 if this disk is not one of them */
-	uint64_t group_index, last;	    /* as in keeper_status_view_t */
+	uint64_t group_index;		    /* as in keeper_status_view_t */
+	uint64_t applied, last;		    /* as in keeper_tail_t */
 	char routes[KEEPER_TAIL_BYTES_MAX]; /* as keeper_tail_t.routes */
 	char copies[KEEPER_TAIL_COPIES_BYTES_MAX]; /* likewise */
 } keeper_unconfirmed_t;
--- a/keeper-request.c
+++ b/keeper-request.c
@@ -240,7 +240,8 @@
 	if (unconfirmed) {
 		unconfirmed->voters = core->view.voters;
 		unconfirmed->group_index = core->view.group_index;
-		unconfirmed->last = core->view.last;
+		unconfirmed->applied = core->view.tail.applied;
+		unconfirmed->last = core->view.tail.last;
 		strcpy(unconfirmed->routes, core->view.tail.routes);
 		strcpy(unconfirmed->copies, core->view.tail.copies);
 	}
--- a/regress/test-config-start.c
+++ b/regress/test-config-start.c
@@ -9,17 +9,18 @@
  * that one has taken out of service. Each line of a case is a command with its expected
  * result.
  *
- * "respond MS KEEPER VOTERS REVISION ROUTES [COPIES [GROUP LAST]]" records a response and
- * results in "changed" or "same". VOTERS is "-" if the keeper states none, ROUTES or COPIES
- * if the list is empty; COPIES is "large" for a list over the limit. GROUP and LAST are the
- * indices of its group and of its last entry, if it states them.
+ * "respond MS KEEPER VOTERS REVISION ROUTES [COPIES [GROUP LAST APPLIED]]" records a
+ * response and results in "changed" or "same". VOTERS is "-" if the keeper states none,
+ * ROUTES or COPIES if the list is empty; COPIES is "large" for a list over the limit.
+ * GROUP, LAST and APPLIED are the indices of its group, of its last entry and of one up to
+ * which its configuration has all; LAST is "-" if it states none.
  *
  * "state MS" results in the state, and "call HOST TARGET PREFIX", with the prefix of the
  * route in force, in "held" or "routed"; "copy NAME" likewise.
  */
 
 #define SERVE_AFTER (1000 * USEC_PER_MS)
-#define FIELDS_MAX 9
+#define FIELDS_MAX 10
 
 static const struct {
 	const char *name;
@@ -50,35 +51,35 @@
 				   "respond 30 c 5 5 - = changed\n"
 				   "state 30 = quorum\n" },
 	/* Two of three keepers were removed, and run on with their old logs. */
-	{ "removed-do-not-count", "respond 10 a 3 4 - - 1 50 = changed\n"
-				  "respond 20 d 3 9 - - 60 70 = changed\n"
-				  "respond 30 b 3 4 - - 1 59 = changed\n"
+	{ "removed-do-not-count", "respond 10 a 3 4 - - 1 50 0 = changed\n"
+				  "respond 20 d 3 9 - - 60 70 0 = changed\n"
+				  "respond 30 b 3 4 - - 1 59 0 = changed\n"
 				  "state 30 = waiting\n"
-				  "respond 40 e 3 8 - - 60 65 = changed\n"
+				  "respond 40 e 3 8 - - 60 65 0 = changed\n"
 				  "state 40 = quorum\n" },
-	{ "removed-counted-before", "respond 10 a 3 4 - - 1 50 = changed\n"
-				    "respond 20 b 3 4 - - 1 50 = changed\n"
+	{ "removed-counted-before", "respond 10 a 3 4 - - 1 50 0 = changed\n"
+				    "respond 20 b 3 4 - - 1 50 0 = changed\n"
 				    "state 20 = quorum\n"
-				    "respond 30 d 3 9 - - 60 70 = changed\n"
+				    "respond 30 d 3 9 - - 60 70 0 = changed\n"
 				    "state 30 = waiting\n" },
 	/* A snapshot has the group of d, so that d states the index of that. */
-	{ "group-in-snapshot", "respond 10 d 3 9 - - 65 70 = changed\n"
-			       "respond 20 e 3 9 - - 60 70 = changed\n"
+	{ "group-in-snapshot", "respond 10 d 3 9 - - 65 70 0 = changed\n"
+			       "respond 20 e 3 9 - - 60 70 0 = changed\n"
 			       "state 20 = quorum\n" },
 	{ "group-of-one-that-was-removed",
-	  "respond 10 a 0 4 - - 60 60 = changed\n"
-	  "respond 20 b 3 4 - - 1 50 = changed\n"
-	  "respond 30 c 3 4 - - 1 50 = changed\n"
+	  "respond 10 a 0 4 - - 60 60 0 = changed\n"
+	  "respond 20 b 3 4 - - 1 50 0 = changed\n"
+	  "respond 30 c 3 4 - - 1 50 0 = changed\n"
 	  "state 30 = waiting\n" },
-	{ "log-grows", "respond 10 a 3 4 - - 1 50 = changed\n"
-		       "respond 20 b 3 4 - - 60 60 = changed\n"
+	{ "log-grows", "respond 10 a 3 4 - - 1 50 0 = changed\n"
+		       "respond 20 b 3 4 - - 60 60 0 = changed\n"
 		       "state 20 = waiting\n"
-		       "respond 30 a 3 4 - - 1 59 = same\n"
-		       "respond 40 a 3 4 - - 60 61 = changed\n"
+		       "respond 30 a 3 4 - - 1 59 0 = same\n"
+		       "respond 40 a 3 4 - - 60 61 0 = changed\n"
 		       "state 40 = quorum\n"
-		       "respond 50 a 3 4 - - 60 62 = same\n" },
+		       "respond 50 a 3 4 - - 60 62 0 = same\n" },
 	{ "indices-not-stated", "respond 10 a 3 4 - = changed\n"
-				"respond 20 b 3 4 - - 60 60 = changed\n"
+				"respond 20 b 3 4 - - 60 60 0 = changed\n"
 				"state 20 = quorum\n" },
 	{ "empty-disk-does-not-count", "respond 10 a 3 4 - = changed\n"
 				       "respond 20 b 0 0 - = changed\n"
@@ -216,6 +217,46 @@
 				 "respond 20 a 1 5 - c1 = changed\n"
 				 "copy other = routed\n"
 				 "call h.example /x/1 /x/ = routed\n" },
+	{ "end-of-the-log-in-force",
+	  "respond 10 a 3 4 h.example/x/ c1 0 10 8 = changed\n"
+	  "call h.example /x/1 /x/ = held\n"
+	  "copy c1 = held\n"
+	  "respond 20 b 3 5 - - 0 10 10 = changed\n"
+	  "call h.example /x/1 /x/ = routed\n"
+	  "copy c1 = routed\n" },
+	{ "end-of-the-log-in-force-before",
+	  "respond 10 b 3 5 - - 0 10 10 = changed\n"
+	  "respond 20 a 3 4 h.example/x/ c1 0 10 8 = changed\n"
+	  "call h.example /x/1 /x/ = routed\n"
+	  "copy c1 = routed\n" },
+	{ "end-of-the-log-not-in-force",
+	  "respond 10 a 3 4 h.example/x/ c1 0 10 8 = changed\n"
+	  "respond 20 b 3 5 - - 0 9 9 = changed\n"
+	  "call h.example /x/1 /x/ = held\n"
+	  "copy c1 = held\n" },
+	{ "all-in-force", "respond 10 a 3 4 * * 0 10 8 = changed\n"
+			  "respond 20 b 3 5 - - 0 12 10 = changed\n"
+			  "call h.example /x/1 /x/ = routed\n" },
+	{ "end-of-the-log-not-stated",
+	  "respond 10 a 3 4 h.example/x/ c1 0 - 0 = changed\n"
+	  "respond 20 b 3 5 - - 0 99 99 = changed\n"
+	  "call h.example /x/1 /x/ = held\n"
+	  "copy c1 = held\n" },
+	{ "end-of-the-log-grows",
+	  "respond 10 b 3 5 - - 0 10 10 = changed\n"
+	  "respond 20 a 3 4 h.example/x/ c1 0 10 8 = changed\n"
+	  "respond 30 a 3 4 h.example/x/ c1 0 11 8 = changed\n"
+	  "call h.example /x/1 /x/ = held\n"
+	  "copy c1 = held\n"
+	  "respond 40 a 3 4 h.example/x/ c1 0 11 8 = same\n"
+	  "respond 50 b 3 5 - - 0 11 11 = changed\n"
+	  "call h.example /x/1 /x/ = routed\n"
+	  "copy c1 = routed\n" },
+	{ "behind-does-not-count",
+	  "respond 10 b 3 5 - - 0 10 10 = changed\n"
+	  "respond 20 a 3 4 h.example/x/ c1 0 10 8 = changed\n"
+	  "respond 30 b 3 5 - - 0 10 9 = same\n"
+	  "call h.example /x/1 /x/ = routed\n" },
 	{ "more-keepers-than-a-group-has",
 	  "respond 1 a 7 4 - = changed\n"
 	  "respond 1 b 7 4 - = changed\n"
@@ -242,6 +283,8 @@
 	char *large;
 	size_t i;
 
+	if (!strcmp(field, "-"))
+		return;
 	if (strcmp(field, "large") != 0) {
 		config_start_read_copies(response, field);
 		return;
@@ -267,7 +310,9 @@
 		read_copies(&response, fields[6]);
 	if (fields[6] && fields[7]) {
 		response.group = strtoull(fields[7], NULL, 10);
-		response.last = strtoull(fields[8], NULL, 10);
+		if (strcmp(fields[8], "-") != 0)
+			response.last = strtoull(fields[8], NULL, 10);
+		response.applied = strtoull(fields[9], NULL, 10);
 	}
 	return config_start_record(start, &response,
 				   strtoull(fields[4], NULL, 10),
