--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -32,6 +32,7 @@
 }
 
 # routed_entry_start N ZONE: write the settings file of entry N and start it.
+# $ENTRY_PROGRAM is the program with its options, if it is not hemlock-entry.
 routed_entry_start () {
 	cat >"$DIR/entry-$1.toml" <<-SETTINGS
 	[node]
@@ -61,7 +62,8 @@
 	timeout_ms = 700
 	${CONFIG_SETTINGS-}
 	SETTINGS
-	spawn "entry-$1" "$BUILD/hemlock-entry" --settings "$DIR/entry-$1.toml"
+	spawn "entry-$1" ${ENTRY_PROGRAM:-"$BUILD/hemlock-entry"} \
+		--settings "$DIR/entry-$1.toml"
 }
 
 # standin_start PROGRAM ID PORT OPTION...: start a stand-in copy at $NET.20:PORT.
