Read the options of load-caller and served-older in one place

Both tools had the same function around GOptionContext, but for the check of the values and the message; regress/tool-options.h has it now, and each tool its check. Their main functions have nothing else in common beyond two calls.

The former and the present program of each printed the same and ended with the same status for 8 and 7 command lines: no option, an unknown one, values that do not parse, each value out of its range, options that exclude each other, files that cannot be opened. path-history, which runs load-caller, prints what is expected.

--- a/bench/served-older.c
+++ b/bench/served-older.c
@@ -27,6 +27,7 @@
 #include <string.h>
 #include <unistd.h>
 #include "headers.h"
+#include "regress/tool-options.h"
 
 #define ENTRIES_MAX 99
 #define APPLY_USEC (2 * USEC_PER_SEC)
@@ -520,24 +521,10 @@
 	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 };
 
-static int options_read(int argc, char **argv)
+static bool options_valid(void)
 {
-	GOptionContext *context = g_option_context_new("");
-	GError *error = NULL;
-	bool parsed;
-
-	g_option_context_add_main_entries(context, options, NULL);
-	parsed = g_option_context_parse(context, &argc, &argv, &error);
-	g_option_context_free(context);
-	if (parsed && opt_net && opt_events && opt_record && opt_services &&
-	    opt_cases && opt_entries >= 1 && opt_entries <= ENTRIES_MAX)
-		return 0;
-	fprintf(stderr, "%s\n",
-		error ? error->message :
-			"needs --net, --events, --record, --services and "
-			"--cases, and 1 to 99 entries");
-	g_clear_error(&error);
-	return -1;
+	return opt_net && opt_events && opt_record && opt_services &&
+	       opt_cases && opt_entries >= 1 && opt_entries <= ENTRIES_MAX;
 }
 
 static void caller_start(caller_t *caller, unsigned entry)
@@ -558,7 +545,9 @@
 	FILE *events, *cases;
 	int i;
 
-	if (options_read(argc, argv))
+	if (tool_options_read(argc, argv, options, options_valid,
+			      "needs --net, --events, --record, --services and "
+			      "--cases, and 1 to 99 entries"))
 		return 2;
 	events = fopen(opt_events, "r");
 	cases = fopen(opt_cases, "w");
--- a/regress/load-caller.c
+++ b/regress/load-caller.c
@@ -17,6 +17,7 @@
 #include <unistd.h>
 #include <urcu/list.h>
 #include "hemlock.h"
+#include "tool-options.h"
 
 #define THREADS_MAX 16
 #define ADDRESSES_MAX 64
@@ -774,28 +775,11 @@
 	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 };
 
-static int options_read(int argc, char **argv)
-{
-	GOptionContext *context = g_option_context_new("");
-	GError *error = NULL;
-	bool parsed;
-
-	g_option_context_add_main_entries(context, options, NULL);
-	parsed = g_option_context_parse(context, &argc, &argv, &error);
-	g_option_context_free(context);
-	if (!parsed || !opt_entries == !opt_direct ||
-	    !(opt_rate > 0) == !opt_callers || opt_threads < 1 ||
-	    opt_threads > THREADS_MAX || opt_connections < 1) {
-		fprintf(stderr, "%s\n",
-			error ? error->message :
-				"needs --entries or --direct, and --rate or "
-				"--callers");
-		g_clear_error(&error);
-		return -1;
-	}
-	tenants = g_strsplit(opt_tenants, ",", -1);
-	classes = opt_classes ? g_strsplit(opt_classes, ",", -1) : NULL;
-	return 0;
+static bool options_valid(void)
+{
+	return !opt_entries != !opt_direct && (opt_rate > 0) == !opt_callers &&
+	       opt_threads >= 1 && opt_threads <= THREADS_MAX &&
+	       opt_connections >= 1;
 }
 
 static void direct_addresses(void)
@@ -828,8 +812,12 @@
 	int i, polls_left = LOOKUP_POLLS_MAX;
 	usec_t start;
 
-	if (options_read(argc, argv))
+	if (tool_options_read(argc, argv, options, options_valid,
+			      "needs --entries or --direct, and --rate or "
+			      "--callers"))
 		return 2;
+	tenants = g_strsplit(opt_tenants, ",", -1);
+	classes = opt_classes ? g_strsplit(opt_classes, ",", -1) : NULL;
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	if (opt_record && !(record_file = fopen(opt_record, "w"))) {
