Hand connections over in turn, and never more than a server has room for

Besides, all connections may go to one thread of two.

Cause: a stop handed over all connections that waited. A thread of libmicrohttpd 0.9.75 that begins one beyond its limit does not go on. MHD_add_connection() checks the limit before the thread has begun those that were added.

A stop hands over only what the servers have room for; the close resets the rest, as before. There is one server for each thread, served in turn.

--- a/entry-http.c
+++ b/entry-http.c
@@ -397,14 +397,7 @@
 static struct MHD_Daemon *http_start_server(entry_t *entry)
 {
 	const entry_settings_t *settings = &entry->settings;
-	unsigned threads = MAX((unsigned)settings->http_threads, 1);
-	struct MHD_OptionItem pool[] = {
-		{ MHD_OPTION_THREAD_POOL_SIZE, threads, NULL },
-		{ MHD_OPTION_END, 0, NULL },
-	};
-
-	if (threads < 2)
-		pool[0].option = MHD_OPTION_END;
+
 	return MHD_start_daemon(
 		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC |
 			MHD_USE_NO_LISTEN_SOCKET | MHD_ALLOW_SUSPEND_RESUME,
@@ -412,19 +405,27 @@
 		http_first_line, entry, MHD_OPTION_NOTIFY_COMPLETED,
 		http_completed, entry, MHD_OPTION_NOTIFY_CONNECTION,
 		http_connection, entry, MHD_OPTION_CONNECTION_LIMIT,
-		threads * ((unsigned)settings->connections_max +
-			   HTTP_LISTENER_RESERVE),
+		(unsigned)settings->connections_max + HTTP_LISTENER_RESERVE,
 		MHD_OPTION_CONNECTION_TIMEOUT, ENTRY_IDLE_SECONDS,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		(size_t)ENTRY_HTTP_HEADER_BYTES, MHD_OPTION_STRICT_FOR_CLIENT,
-		1, MHD_OPTION_ARRAY, pool, MHD_OPTION_END);
+		1, MHD_OPTION_END);
+}
+
+/* Starts the servers, one for each thread, and hands connections over to them. */
+static int http_start_servers(entry_t *entry)
+{
+	int64_t i;
+
+	for (i = 0; i < entry->settings.http_threads; i++)
+		if (!http_listener_add(entry->call_listener,
+				       http_start_server(entry)))
+			return -1;
+	return http_listener_start(entry->call_listener);
 }
 
-static void http_free_server(entry_t *entry)
+static void http_free_listener(entry_t *entry)
 {
-	if (entry->call_daemon)
-		MHD_stop_daemon(entry->call_daemon);
-	entry->call_daemon = NULL;
 	http_listener_free(entry->call_listener);
 	entry->call_listener = NULL;
 }
@@ -437,14 +438,11 @@
 	if (entry_http_address(entry, settings->call_listen,
 			       settings->call_port, &storage, err))
 		return -1;
-	entry->call_listener = http_listener_open(&storage, HTTP_BACKLOG);
-	if (entry->call_listener)
-		entry->call_daemon = http_start_server(entry);
-	if (entry->call_daemon &&
-	    !http_listener_start(entry->call_listener, entry->call_daemon,
-				 (unsigned)settings->connections_max))
+	entry->call_listener = http_listener_open(
+		&storage, HTTP_BACKLOG, (unsigned)settings->connections_max);
+	if (entry->call_listener && !http_start_servers(entry))
 		return 0;
-	http_free_server(entry);
+	http_free_listener(entry);
 	return hl_error_set(err, HL_ERR_IO,
 			    "cannot listen on %s port %" PRId64
 			    "; free the port or set entry.call_port",
@@ -518,7 +516,7 @@
 	usec_t until = entry->stop.end;
 	uint64_t connections;
 
-	if (!entry->call_daemon)
+	if (!entry->call_listener)
 		return;
 	/* New connections are refused at once. */
 	connections = http_listener_stop(entry->call_listener);
@@ -527,6 +525,6 @@
 	__atomic_store_n(&entry->refuse_calls, true, __ATOMIC_SEQ_CST);
 	if (!http_wait_read(entry, connections, until))
 		http_end_calls(entry);
-	http_free_server(entry);
+	http_free_listener(entry);
 	http_wait_lingering(entry, entry->stop.linger_until);
 }
--- a/entry-io.h
+++ b/entry-io.h
@@ -933,7 +933,6 @@
 	const char *settings_path;
 	signals_t signals;
 	struct http_listener *call_listener;
-	struct MHD_Daemon *call_daemon;
 	bool refuse_calls; /* new calls are refused; accessed atomically */
 	bool ending; /* calls are ended at the end of a stop; accessed atomically */
 	bool cut_calls; /* calls in flight are cut; accessed atomically */
--- a/keeper-control.c
+++ b/keeper-control.c
@@ -22,11 +22,10 @@
 /* Maximum time of a stop in which responses are sent. */
 #define CONTROL_SEND_TIME (500 * USEC_PER_MS)
 
-/* A port and its server; both are NULL if the port is not set. */
+/* A port and its server. */
 typedef struct {
 	keeper_control_t *control;
-	http_listener_t *listener;
-	struct MHD_Daemon *daemon;
+	http_listener_t *listener; /* NULL if the port is not set */
 } control_server_t;
 
 struct keeper_control {
@@ -485,12 +484,12 @@
 	if (!*address)
 		return 0;
 	if (!hl_address_parse(address, &storage, &length))
-		server->listener = http_listener_open(&storage, SOMAXCONN);
-	if (server->listener)
-		server->daemon = control_start_daemon(server, handle);
-	if (server->daemon &&
-	    !http_listener_start(server->listener, server->daemon,
-				 CONTROL_CONNECTIONS_MAX))
+		server->listener = http_listener_open(&storage, SOMAXCONN,
+						      CONTROL_CONNECTIONS_MAX);
+	if (server->listener &&
+	    http_listener_add(server->listener,
+			      control_start_daemon(server, handle)) &&
+	    !http_listener_start(server->listener))
 		return 0;
 	return hl_error_set(err, HL_ERR_IO,
 			    "cannot listen on %s; free the port or correct "
@@ -594,13 +593,6 @@
 		control->handed_over += http_listener_stop(server->listener);
 }
 
-static void control_stop_server(const control_server_t *server)
-{
-	if (server->daemon)
-		MHD_stop_daemon(server->daemon);
-	http_listener_free(server->listener);
-}
-
 void keeper_control_free(keeper_control_t *control)
 {
 	if (!control)
@@ -610,8 +602,8 @@
 	control_close_port(control, &control->directory_server);
 	control_wait_while(control, control_has_unread,
 			   time_now() + CONTROL_SEND_TIME);
-	control_stop_server(&control->control_server);
-	control_stop_server(&control->directory_server);
+	http_listener_free(control->control_server.listener);
+	http_listener_free(control->directory_server.listener);
 	pthread_mutex_destroy(&control->lock);
 	free(control);
 }
--- a/regress/test-http-listener.c
+++ b/regress/test-http-listener.c
@@ -12,22 +12,31 @@
 
 #define SERVER_THREADS 4u
 /* Connections that may wait to be accepted. */
-#define BACKLOG 256
+#define BACKLOG 1024
 #define CLIENTS 4u
 #define CONNECTIONS_MAX 64u
 /* Time in which a request must get its response. */
 #define RESPONSE_TIMEOUT_MS 5000
 /* Time in which a request gets no response if the server is full. */
 #define FULL_WAIT_MS 200
+/* Time in which a stop must end. */
+#define STOP_TIMEOUT_SECONDS 20u
 /* Servers that are stopped while clients connect. */
 #define STOPS 300u
 
-/* A server of libmicrohttpd with its port. */
+struct server;
+
+/* A thread that serves connections. */
 typedef struct {
+	struct server *server;
+	unsigned served; /* accessed atomically */
+} server_thread_t;
+
+/* A port and what serves it. */
+typedef struct server {
 	struct sockaddr_storage address;
 	http_listener_t *listener;
-	struct MHD_Daemon *daemon;
-	unsigned served; /* accessed atomically */
+	server_thread_t threads[SERVER_THREADS];
 } server_t;
 
 static enum MHD_Result handle(void *context, struct MHD_Connection *connection,
@@ -35,7 +44,7 @@
 			      const char *protocol, const char *bytes,
 			      size_t *size, void **state)
 {
-	server_t *server = context;
+	server_thread_t *thread = context;
 	struct MHD_Response *response;
 	enum MHD_Result result;
 
@@ -46,14 +55,14 @@
 	(void)size;
 	/* A response to the first call for a request closes the connection. */
 	if (!*state) {
-		*state = server;
+		*state = thread;
 		return MHD_YES;
 	}
 	response = MHD_create_response_from_buffer(2, (void *)"ok",
 						   MHD_RESPMEM_PERSISTENT);
 	result = MHD_queue_response(connection, MHD_HTTP_OK, response);
 	MHD_destroy_response(response);
-	__atomic_fetch_add(&server->served, 1, __ATOMIC_SEQ_CST);
+	__atomic_fetch_add(&thread->served, 1, __ATOMIC_SEQ_CST);
 	return result;
 }
 
@@ -61,12 +70,12 @@
 			  void **state,
 			  enum MHD_ConnectionNotificationCode code)
 {
-	server_t *server = context;
+	server_thread_t *thread = context;
 
 	(void)connection;
 	(void)state;
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED)
-		http_listener_on_closed(server->listener);
+		http_listener_on_closed(thread->server->listener);
 }
 
 /* Returns the address that the kernel chooses for a port 0 of loopback. */
@@ -84,30 +93,39 @@
 	close(fd);
 }
 
+static struct MHD_Daemon *start_daemon(server_thread_t *thread,
+				       unsigned connections_max)
+{
+	return MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC |
+					MHD_USE_NO_LISTEN_SOCKET,
+				0, NULL, NULL, handle, thread,
+				MHD_OPTION_NOTIFY_CONNECTION, on_connection,
+				thread, MHD_OPTION_CONNECTION_LIMIT,
+				connections_max + HTTP_LISTENER_RESERVE,
+				MHD_OPTION_END);
+}
+
 static void server_open(server_t *server, unsigned connections_max)
 {
+	unsigned i;
+
 	memset(server, 0, sizeof(*server));
 	choose_address(&server->address);
-	server->listener = http_listener_open(&server->address, BACKLOG);
+	server->listener = http_listener_open(&server->address, BACKLOG,
+					      connections_max);
 	g_assert_nonnull(server->listener);
-	server->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC |
-			MHD_USE_NO_LISTEN_SOCKET,
-		0, NULL, NULL, handle, server, MHD_OPTION_THREAD_POOL_SIZE,
-		SERVER_THREADS, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
-		server, MHD_OPTION_CONNECTION_LIMIT,
-		SERVER_THREADS * (connections_max + HTTP_LISTENER_RESERVE),
-		MHD_OPTION_END);
-	g_assert_nonnull(server->daemon);
-	g_assert_cmpint(http_listener_start(server->listener, server->daemon,
-					    connections_max),
-			==, 0);
+	for (i = 0; i < SERVER_THREADS; i++) {
+		server->threads[i].server = server;
+		g_assert_true(
+			http_listener_add(server->listener,
+					  start_daemon(&server->threads[i],
+						       connections_max)));
+	}
+	g_assert_cmpint(http_listener_start(server->listener), ==, 0);
 }
 
 static void server_close(server_t *server)
 {
-	http_listener_stop(server->listener);
-	MHD_stop_daemon(server->daemon);
 	http_listener_free(server->listener);
 }
 
@@ -190,6 +208,60 @@
 	server_close(&server);
 }
 
+/* Guards against a server that does not end any more when it is stopped, because it was
+   handed more connections than it has room for. */
+static void test_stop_full(void)
+{
+	int fds[8 * CONNECTIONS_MAX];
+	uint64_t handed_over;
+	server_t server;
+	unsigned i;
+
+	server_open(&server, 1);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		fds[i] = send_request(&server);
+	alarm(STOP_TIMEOUT_SECONDS);
+	handed_over = http_listener_stop(server.listener);
+	server_close(&server);
+	alarm(0);
+	g_assert_cmpuint(handed_over, <=, 1 + HTTP_LISTENER_RESERVE);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+}
+
+/* Guards against calls that are all served by one of the threads. */
+static void test_in_turn(void)
+{
+	int fds[2 * CONNECTIONS_MAX];
+	server_t server;
+	unsigned i;
+
+	server_open(&server, CONNECTIONS_MAX);
+	for (i = 0; i < CONNECTIONS_MAX; i++) {
+		fds[2 * i] = send_request(&server);
+		g_assert_true(has_response(fds[2 * i], RESPONSE_TIMEOUT_MS));
+		/* The descriptors of all connections are even, or all odd. */
+		fds[2 * i + 1] = dup(fds[2 * i]);
+	}
+	for (i = 0; i < SERVER_THREADS; i++)
+		g_assert_cmpuint(server.threads[i].served, ==,
+				 CONNECTIONS_MAX / SERVER_THREADS);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+	server_close(&server);
+}
+
+static unsigned count_served(server_t *server)
+{
+	unsigned served = 0;
+	unsigned i;
+
+	for (i = 0; i < SERVER_THREADS; i++)
+		served += __atomic_load_n(&server->threads[i].served,
+					  __ATOMIC_SEQ_CST);
+	return served;
+}
+
 /* Opens connections one after the other until the port is closed. */
 static void *client_run(void *context)
 {
@@ -217,7 +289,7 @@
 			g_assert_cmpint(pthread_create(&clients[i], NULL,
 						       client_run, &server),
 					==, 0);
-		while (__atomic_load_n(&server.served, __ATOMIC_SEQ_CST) < 20)
+		while (count_served(&server) < 20)
 			sched_yield();
 		server_close(&server);
 		for (i = 0; i < CLIENTS; i++)
@@ -231,7 +303,8 @@
 	server_t server;
 
 	server_open(&server, CONNECTIONS_MAX);
-	listener = http_listener_open(&server.address, BACKLOG);
+	listener = http_listener_open(&server.address, BACKLOG,
+				      CONNECTIONS_MAX);
 	g_assert_null(listener);
 	g_assert_cmpint(errno, ==, EADDRINUSE);
 	server_close(&server);
@@ -243,7 +316,9 @@
 	g_test_add_func("/http-listener/serves", test_serves);
 	g_test_add_func("/http-listener/stop-hands-over", test_stop_hands_over);
 	g_test_add_func("/http-listener/full", test_full);
+	g_test_add_func("/http-listener/in-turn", test_in_turn);
 	g_test_add_func("/http-listener/stop-busy", test_stop_busy);
+	g_test_add_func("/http-listener/stop-full", test_stop_full);
 	g_test_add_func("/http-listener/address-in-use", test_address_in_use);
 	return g_test_run();
 }
