--- a/regress/routed-lib.sh
+++ b/regress/routed-lib.sh
@@ -88,7 +88,7 @@
 # keeper_request METHOD PATH OPTION...: send a request to the keepers in $KEEPERS
 # one after the other, following redirects to the leader, until one responds with
 # a status other than 503 and 307. Prints the status; $DIR/answer has the body,
-# keeper_url the keeper.
+# keeper_url the keeper. If none does, the last body and the elections go to stderr.
 KEEPERS="1 2 3"
 keeper_request () {
 	method=$1 path=$2
@@ -112,6 +112,12 @@
 		*) break ;;
 		esac
 	done
+	case $status in
+	503|307|0|'')
+		echo "no keeper took $method $path: $(cat "$DIR/answer")" >&2
+		grep -h event=leadership "$DIR"/keeper-*.log >&2
+		;;
+	esac
 	echo "status=$status"
 }
 
