test-config-follow: the responses of a test state no end of the log

Joining two parts made 0 the index of the last entry of an empty log, where it was that of a log not stated; the rows that start with 0 had their lists void. The program sets CONFIG_START_LAST_ABSENT (config-direct.c); the checks are the same.

--- a/regress/test-config-follow.c
+++ b/regress/test-config-follow.c
@@ -750,7 +750,9 @@
 static void respond_copies(config_follow_t *follow, const char *copies,
 			   usec_t now)
 {
-	config_start_response_t response = { .address = "a", .voters = 1 };
+	config_start_response_t response = { .address = "a",
+					     .voters = 1,
+					     .last = CONFIG_START_LAST_ABSENT };
 
 	config_start_read_copies(&response, copies);
 	config_follow_record_start(follow, &response, 4, now);
