test-http-listener: stop like the programs do

Entry and keeper wait until all connections have begun, for at most the time of the stop, before they end the servers; the test now waits likewise. Its checks are the same: a stop that does not end is still ended by the alarm.

--- a/regress/test-http-listener.c
+++ b/regress/test-http-listener.c
@@ -37,6 +37,7 @@
 	struct sockaddr_storage address;
 	http_listener_t *listener;
 	server_thread_t threads[SERVER_THREADS];
+	uint64_t begun; /* connections; accessed atomically */
 } server_t;
 
 static enum MHD_Result handle(void *context, struct MHD_Connection *connection,
@@ -74,7 +75,9 @@
 
 	(void)connection;
 	(void)state;
-	if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+	if (code == MHD_CONNECTION_NOTIFY_STARTED)
+		__atomic_fetch_add(&thread->server->begun, 1, __ATOMIC_SEQ_CST);
+	else
 		http_listener_on_closed(thread->server->listener);
 }
 
@@ -124,9 +127,16 @@
 	g_assert_cmpint(http_listener_start(server->listener), ==, 0);
 }
 
-static void server_close(server_t *server)
+/* Stops like the programs: the servers end once they have begun all connections. Returns
+   the number of these. */
+static uint64_t server_close(server_t *server)
 {
+	uint64_t handed_over = http_listener_stop(server->listener);
+
+	while (__atomic_load_n(&server->begun, __ATOMIC_SEQ_CST) < handed_over)
+		sched_yield();
 	http_listener_free(server->listener);
+	return handed_over;
 }
 
 /* Connects and sends a request; returns the socket, or -1 if it was refused. */
@@ -221,8 +231,7 @@
 	for (i = 0; i < G_N_ELEMENTS(fds); i++)
 		fds[i] = send_request(&server);
 	alarm(STOP_TIMEOUT_SECONDS);
-	handed_over = http_listener_stop(server.listener);
-	server_close(&server);
+	handed_over = server_close(&server);
 	alarm(0);
 	g_assert_cmpuint(handed_over, <=, 1 + HTTP_LISTENER_RESERVE);
 	for (i = 0; i < G_N_ELEMENTS(fds); i++)
